--- /dev/null
+++ b/protocol/tomlfile/tomlfile.go
@@ -0,0 +1,170 @@
+// Package tomlfile decodes TOML files strictly and reports every finding with file, line and key.
+package tomlfile
+
+import (
+	"bytes"
+	"fmt"
+	"sort"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+	"github.com/pkg/errors"
+)
+
+// Finding is one fault in a file. Line is 0 when the key is absent from the file.
+type Finding struct {
+	File    string `json:"file,omitempty"`
+	Line    int    `json:"line,omitempty"`
+	Key     string `json:"key,omitempty"`
+	Message string `json:"message"`
+}
+
+// String formats the finding as file:line: key: message.
+func (f Finding) String() string {
+	var b strings.Builder
+	if f.File != "" {
+		b.WriteString(f.File)
+		if f.Line > 0 {
+			fmt.Fprintf(&b, ":%d", f.Line)
+		}
+		b.WriteString(": ")
+	}
+	if f.Key != "" {
+		b.WriteString(f.Key)
+		b.WriteString(": ")
+	}
+	b.WriteString(f.Message)
+	return b.String()
+}
+
+// Findings are all faults of a file. A nil slice means that the file is in order.
+type Findings []Finding
+
+// Error joins the findings, one a line.
+func (fs Findings) Error() string {
+	lines := make([]string, len(fs))
+	for i, f := range fs {
+		lines[i] = f.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// File is a decoded file that knows where its keys stand.
+type File struct {
+	name     string
+	lines    map[string]int
+	findings Findings
+}
+
+// Decode reads data into v. Syntax errors, wrong types and unknown keys become findings of the file.
+func Decode(name string, data []byte, v any) *File {
+	f := &File{name: name, lines: make(map[string]int)}
+	f.index(data)
+	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	err := decoder.Decode(v)
+	if err == nil {
+		return f
+	}
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		for i := range strict.Errors {
+			line, _ := strict.Errors[i].Position()
+			f.add(line, strings.Join(strict.Errors[i].Key(), "."), "unknown key")
+		}
+		return f
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		line, _ := decode.Position()
+		f.add(line, strings.Join(decode.Key(), "."), decode.Error())
+		return f
+	}
+	f.add(0, "", err.Error())
+	return f
+}
+
+// Report adds a finding at a key path such as "model[0].name".
+func (f *File) Report(key, format string, args ...any) {
+	f.add(f.lineOf(key), key, fmt.Sprintf(format, args...))
+}
+
+// Findings returns all findings in the order of their lines.
+func (f *File) Findings() Findings {
+	sort.SliceStable(f.findings, func(i, j int) bool { return f.findings[i].Line < f.findings[j].Line })
+	return f.findings
+}
+
+func (f *File) add(line int, key, message string) {
+	f.findings = append(f.findings, Finding{File: f.name, Line: line, Key: key, Message: message})
+}
+
+// lineOf finds the line of a key or, for an absent one, of the nearest table above it.
+func (f *File) lineOf(key string) int {
+	for key != "" {
+		if line, ok := f.lines[key]; ok {
+			return line
+		}
+		cut := strings.LastIndexAny(key, ".[")
+		if cut < 0 {
+			return 0
+		}
+		key = key[:cut]
+	}
+	return 0
+}
+
+// index records the line of every table and key.
+func (f *File) index(data []byte) {
+	var p unstable.Parser
+	p.Reset(data)
+	table := ""
+	arrays := make(map[string]int)
+	for p.NextExpression() {
+		node := p.Expression()
+		key, line := keyOf(&p, node)
+		switch node.Kind {
+		case unstable.Table:
+			table = resolve(key, arrays)
+			f.lines[table] = line
+		case unstable.ArrayTable:
+			resolved := resolve(key, arrays)
+			table = fmt.Sprintf("%s[%d]", resolved, arrays[resolved])
+			arrays[resolved]++
+			f.lines[table] = line
+		case unstable.KeyValue:
+			f.lines[join(table, strings.Join(key, "."))] = line
+		}
+	}
+}
+
+// resolve puts the index of the latest element behind each array table in a dotted key.
+func resolve(key []string, arrays map[string]int) string {
+	path := ""
+	for i, part := range key {
+		path = join(path, part)
+		if n := arrays[path]; n > 0 && i < len(key)-1 {
+			path = fmt.Sprintf("%s[%d]", path, n-1)
+		}
+	}
+	return path
+}
+
+func join(table, key string) string {
+	if table == "" {
+		return key
+	}
+	return table + "." + key
+}
+
+func keyOf(p *unstable.Parser, node *unstable.Node) (key []string, line int) {
+	it := node.Key()
+	for it.Next() {
+		part := it.Node()
+		if line == 0 {
+			line = p.Shape(part.Raw).Start.Line
+		}
+		key = append(key, string(part.Data))
+	}
+	return key, line
+}
--- /dev/null
+++ b/state/catalog/catalog.go
@@ -0,0 +1,159 @@
+// Package catalog is the deterministic state machine of release notes and what they put in force.
+package catalog
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/protocol/tomlfile"
+)
+
+// Submission is the command that puts a release note into the log. Findings come from checks against soft state,
+// which the proposer made because they would not be deterministic here.
+type Submission struct {
+	Note     releasenote.Note   `cbor:"1,keyasint"`
+	Digest   string             `cbor:"2,keyasint"`
+	Operator string             `cbor:"3,keyasint"`
+	AtMs     int64              `cbor:"4,keyasint"`
+	Findings []tomlfile.Finding `cbor:"5,keyasint,omitempty"`
+}
+
+// Verdict is the result of a release note.
+type Verdict struct {
+	Number   uint64             `cbor:"1,keyasint" json:"number"`
+	Digest   string             `cbor:"2,keyasint" json:"digest"`
+	Operator string             `cbor:"3,keyasint" json:"operator"`
+	AtMs     int64              `cbor:"4,keyasint" json:"at_ms"`
+	Accepted bool               `cbor:"5,keyasint" json:"accepted"`
+	Index    uint64             `cbor:"6,keyasint" json:"index"`
+	Findings []tomlfile.Finding `cbor:"7,keyasint,omitempty" json:"findings,omitempty"`
+}
+
+// Contents is what is in force. It is never changed once it has been published.
+type Contents struct {
+	// Index is the log index of the last accepted note.
+	Index    uint64                         `cbor:"1,keyasint"`
+	Models   map[string]releasenote.Model   `cbor:"2,keyasint"`
+	Adapters map[string]releasenote.Adapter `cbor:"3,keyasint"`
+	Services map[string]releasenote.Service `cbor:"4,keyasint"`
+	Callers  map[string]releasenote.Caller  `cbor:"5,keyasint"`
+}
+
+// AdapterKey is the key of an adapter in Contents.
+func AdapterKey(model, adapter string) string { return model + ":" + adapter }
+
+// AdaptersOf lists the adapters of a model by name.
+func (c *Contents) AdaptersOf(model string) []releasenote.Adapter {
+	var list []releasenote.Adapter
+	for _, a := range c.Adapters {
+		if a.Model == model {
+			list = append(list, a)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+func (c *Contents) clone() *Contents {
+	return &Contents{
+		Index: c.Index, Models: maps.Clone(c.Models), Adapters: maps.Clone(c.Adapters),
+		Services: maps.Clone(c.Services), Callers: maps.Clone(c.Callers),
+	}
+}
+
+// Machine applies submissions in log order. It is not safe for concurrent use.
+type Machine struct {
+	contents *Contents
+	verdicts map[uint64]Verdict
+}
+
+// New makes a machine with nothing in force.
+func New() *Machine {
+	return &Machine{contents: emptyContents(), verdicts: make(map[uint64]Verdict)}
+}
+
+func emptyContents() *Contents {
+	return &Contents{
+		Models: make(map[string]releasenote.Model), Adapters: make(map[string]releasenote.Adapter),
+		Services: make(map[string]releasenote.Service), Callers: make(map[string]releasenote.Caller),
+	}
+}
+
+// Contents returns what is in force. The caller must not change it.
+func (m *Machine) Contents() *Contents { return m.contents }
+
+// Verdict returns the verdict of a note number.
+func (m *Machine) Verdict(number uint64) (Verdict, bool) {
+	v, ok := m.verdicts[number]
+	return v, ok
+}
+
+// History lists all verdicts by log index.
+func (m *Machine) History() []Verdict {
+	list := slices.Collect(maps.Values(m.verdicts))
+	sort.Slice(list, func(i, j int) bool { return list[i].Index < list[j].Index })
+	return list
+}
+
+// Apply decides on one submission. A refused number stays free for a corrected note; an accepted number is held for
+// good, so that a repeated submission of the same content gets the same verdict.
+func (m *Machine) Apply(index uint64, data []byte) ([]byte, error) {
+	var s Submission
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return nil, errors.Wrap(err, "release note command")
+	}
+	verdict := m.decide(index, &s)
+	return cbor.Marshal(verdict)
+}
+
+func (m *Machine) decide(index uint64, s *Submission) Verdict {
+	verdict := Verdict{Number: s.Note.Number, Digest: s.Digest, Operator: s.Operator, AtMs: s.AtMs, Index: index}
+	if held, ok := m.verdicts[s.Note.Number]; ok {
+		if held.Digest == s.Digest && held.Accepted {
+			return held
+		}
+		if held.Accepted {
+			verdict.Findings = []tomlfile.Finding{{Key: "number", Message: fmt.Sprintf(
+				"number %d is held by a note of operator %q with digest %.12s", held.Number, held.Operator, held.Digest)}}
+			return verdict
+		}
+	}
+	next, findings := Check(m.contents, &s.Note)
+	verdict.Findings = append(findings, s.Findings...)
+	verdict.Accepted = len(verdict.Findings) == 0
+	if verdict.Accepted {
+		next.Index = index
+		m.contents = next
+	}
+	m.verdicts[s.Note.Number] = verdict
+	return verdict
+}
+
+type snapshot struct {
+	Contents *Contents          `cbor:"1,keyasint"`
+	Verdicts map[uint64]Verdict `cbor:"2,keyasint"`
+}
+
+// Snapshot encodes the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	return cbor.Marshal(snapshot{Contents: m.contents, Verdicts: m.verdicts})
+}
+
+// Restore replaces the state by a snapshot.
+func (m *Machine) Restore(data []byte) error {
+	s := snapshot{Contents: emptyContents()}
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return errors.Wrap(err, "catalog snapshot")
+	}
+	if s.Verdicts == nil {
+		s.Verdicts = make(map[uint64]Verdict)
+	}
+	m.contents, m.verdicts = s.Contents, s.Verdicts
+	return nil
+}
