Add the stand-in target

Cause: instances need targets to test against, and there are no accelerators. The stand-in speaks protocol/targetapi: announcements, fenced idempotent orders with memory accounting, streams that any replica resumes identically, cancel, cache events, and a plain service that counts executions per key.

Ruled out: remembering a fencing refusal only for the fence it was made with; a refusal settles the order, so a later repeat of its id must stay refused.

Conclusion: usable for tests and make demo; roles and KV transfers are accepted without effect.

--- /dev/null
+++ b/standin/target/announce.go
@@ -0,0 +1,98 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+// announceTimeout bounds one announcement, so that a frozen instance does not keep the target silent.
+const announceTimeout = 2 * time.Second
+
+// Announcement builds the next announcement; every call takes the next sequence number.
+func (t *Target) Announcement(now time.Time) targetapi.Announcement {
+	residents, orders, lastFence := t.memory.report()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.sequence++
+	return targetapi.Announcement{
+		Version: targetapi.Version, Target: t.cfg.Name, Incarnation: t.cfg.Incarnation, Sequence: t.sequence,
+		DataCentre: t.cfg.DataCentre, FailureDomain: t.cfg.FailureDomain, Address: t.address, Kind: t.cfg.Kind,
+		Service: t.cfg.Service, CapacityBytes: t.cfg.CapacityBytes, ReserveBytes: t.cfg.ReserveBytes, Slots: t.cfg.Slots,
+		ChecksFencing: t.cfg.ChecksFencing, LastFence: lastFence, Leaving: t.leaving, Residents: residents,
+		Orders: orders, Load: t.slots.loadAt(now.Add(-t.cfg.ReportLag)),
+	}
+}
+
+// announceLoop announces until ctx ends; once leaving ends it announces at once that the target leaves.
+func (t *Target) announceLoop(ctx, leaving context.Context) {
+	ticker := time.NewTicker(t.cfg.AnnounceInterval)
+	defer ticker.Stop()
+	left := leaving.Done()
+	for next := 0; ; next++ {
+		t.announce(ctx, next)
+		select {
+		case <-ctx.Done():
+			return
+		case <-left:
+			t.setLeaving()
+			left = nil
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *Target) setLeaving() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.leaving = true
+}
+
+func (t *Target) announce(ctx context.Context, next int) {
+	if len(t.cfg.Balancers) == 0 {
+		return
+	}
+	base := strings.TrimSuffix(t.cfg.Balancers[next%len(t.cfg.Balancers)], "/")
+	if err := t.post(ctx, base+targetapi.PathAnnounce, t.Announcement(time.Now())); err != nil {
+		t.cfg.Log.WithError(err).Warn("stand-in target: announcement failed")
+	}
+	if events := t.cache.take(); len(events) > 0 {
+		batch := targetapi.CacheEvents{
+			Version: targetapi.Version, Target: t.cfg.Name, Incarnation: t.cfg.Incarnation, Events: events,
+		}
+		// A lost batch is not sent again: receivers must live with gaps.
+		if err := t.post(ctx, base+targetapi.PathCacheEvents, batch); err != nil {
+			t.cfg.Log.WithError(err).Warn("stand-in target: cache events were lost")
+		}
+	}
+}
+
+func (t *Target) post(ctx context.Context, url string, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := t.client.Do(req)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, 512))
+	if resp.StatusCode/100 != 2 {
+		return errors.Errorf("%s answered %d: %s", url, resp.StatusCode, bytes.TrimSpace(text))
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/target/cache.go
@@ -0,0 +1,78 @@
+package target
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	lru "github.com/hashicorp/golang-lru/v2"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+const (
+	// PrefixBlockBytes is the length of a prompt block; prefixes end at block boundaries.
+	PrefixBlockBytes = 256
+	// maxPrefixBlocks bounds the events of one request.
+	maxPrefixBlocks = 16
+	// maxCachedPrefixes is the size of the imitated prefix cache.
+	maxCachedPrefixes = 1024
+	// maxPendingEvents bounds the events between two announcements; the oldest are dropped, which leaves a gap.
+	maxPendingEvents = 512
+)
+
+type prefix struct {
+	model string
+	hash  uint64
+}
+
+// cacheLog imitates a prefix cache and collects its events for the next announcement.
+type cacheLog struct {
+	mu       sync.Mutex
+	cached   *lru.Cache[prefix, struct{}]
+	pending  []targetapi.CacheEvent
+	sequence uint64
+}
+
+func newCacheLog() *cacheLog {
+	c := &cacheLog{}
+	cached, err := lru.NewWithEvict(maxCachedPrefixes, func(p prefix, _ struct{}) { c.add(targetapi.Evicted, p) })
+	if err != nil {
+		panic(err) // only a size below 1 is refused
+	}
+	c.cached = cached
+	return c
+}
+
+func (c *cacheLog) add(kind targetapi.CacheEventKind, p prefix) {
+	c.sequence++
+	c.pending = append(c.pending, targetapi.CacheEvent{Sequence: c.sequence, Kind: kind, Model: p.model, PrefixHash: p.hash})
+	if len(c.pending) > maxPendingEvents {
+		c.pending = c.pending[1:]
+	}
+}
+
+// stored records the whole blocks of a prompt: the contents of its messages, each followed by a newline.
+func (c *cacheLog) stored(req *api.ChatRequest) {
+	var prompt []byte
+	for _, m := range req.Messages {
+		prompt = append(append(prompt, m.Content...), '\n')
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for n := 1; n <= maxPrefixBlocks && n*PrefixBlockBytes <= len(prompt); n++ {
+		p := prefix{model: req.Model, hash: xxhash.Sum64(prompt[:n*PrefixBlockBytes])}
+		if !c.cached.Contains(p) {
+			c.add(targetapi.Stored, p)
+		}
+		c.cached.Add(p, struct{}{})
+	}
+}
+
+func (c *cacheLog) take() []targetapi.CacheEvent {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	events := c.pending
+	c.pending = nil
+	return events
+}
--- /dev/null
+++ b/standin/target/memory.go
@@ -0,0 +1,302 @@
+package target
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+const (
+	// maxKnownOrders bounds the memory for order ids; the oldest are forgotten first.
+	maxKnownOrders = 4096
+	// maxReportedOrders stays below the limit of 256 that an announcement may carry.
+	maxReportedOrders = 128
+)
+
+type residentKey struct{ model, version, adapter string }
+
+type resident struct {
+	key    residentKey
+	state  targetapi.ResidentState
+	bytes  int64
+	users  int      // requests in progress
+	orders []string // accepted orders that are done when the current transition ends
+	timer  *time.Timer
+	// settled says that the unload delay is over; memory is freed once there are no users either.
+	settled bool
+}
+
+// memory holds residents and orders. Invariant: reserve plus the bytes of all residents, in whatever state, is at most
+// the capacity; an order that breaks it ends the process.
+type memory struct {
+	cfg *Config
+
+	mu        sync.Mutex
+	residents map[residentKey]*resident
+	known     map[string]*targetapi.OrderStatus
+	order     []string // known order ids, oldest first
+	lastFence uint64
+}
+
+func newMemory(cfg *Config) *memory {
+	return &memory{
+		cfg: cfg, residents: make(map[residentKey]*resident), known: make(map[string]*targetapi.OrderStatus),
+	}
+}
+
+func (t *Target) handleOrder(w http.ResponseWriter, r *http.Request) {
+	var order targetapi.Order
+	if !decodeBody(w, r, &order) {
+		return
+	}
+	if order.Version != targetapi.Version || order.ID == "" {
+		http.Error(w, "order needs an id and protocol version 1", http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, http.StatusOK, t.memory.apply(order))
+}
+
+// apply carries out an order once. A repeat of a known id only returns its state, whatever its fencing number: a
+// settled order must stay settled.
+func (m *memory) apply(o targetapi.Order) targetapi.OrderStatus {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if s, ok := m.known[o.ID]; ok {
+		return *s
+	}
+	s := &targetapi.OrderStatus{ID: o.ID, State: targetapi.OrderAccepted}
+	m.remember(s)
+	if m.cfg.ChecksFencing {
+		if o.Fence < m.lastFence {
+			s.State = targetapi.OrderRefused
+			s.Error = errors.Errorf("fencing number %d is older than %d", o.Fence, m.lastFence).Error()
+			return *s
+		}
+		m.lastFence = o.Fence
+	}
+	if err := m.start(o, s); err != nil {
+		s.State, s.Error = targetapi.OrderFailed, err.Error()
+	}
+	return *s
+}
+
+func (m *memory) remember(s *targetapi.OrderStatus) {
+	m.known[s.ID] = s
+	m.order = append(m.order, s.ID)
+	if len(m.order) > maxKnownOrders {
+		delete(m.known, m.order[0])
+		m.order = m.order[1:]
+	}
+}
+
+func (m *memory) start(o targetapi.Order, s *targetapi.OrderStatus) error {
+	if m.cfg.Kind != targetapi.Engine && o.Kind != targetapi.Raise {
+		return errors.New("a plain service holds no models")
+	}
+	adapterOrder := o.Kind == targetapi.LoadAdapter || o.Kind == targetapi.UnloadAdapter
+	if adapterOrder && o.Adapter == "" {
+		return errors.New("adapter is missing")
+	}
+	key := residentKey{model: o.Model, version: o.ModelVersion}
+	if adapterOrder {
+		key.adapter = o.Adapter
+	}
+	switch o.Kind {
+	case targetapi.LoadModel:
+		return m.load(key, o, s, m.cfg.LoadDelay)
+	case targetapi.LoadAdapter:
+		if m.find(o.Model, "", targetapi.Ready) == nil && m.find(o.Model, "", targetapi.Loading) == nil {
+			return errors.Errorf("model %q is not resident", o.Model)
+		}
+		return m.load(key, o, s, m.cfg.AdapterDelay)
+	case targetapi.UnloadModel, targetapi.UnloadAdapter:
+		return m.unload(key, s)
+	case targetapi.ChangeRole, targetapi.ExportKV, targetapi.ImportKV, targetapi.Raise:
+		// Roles and KV transfers have no effect in a stand-in.
+		s.State = targetapi.OrderDone
+		return nil
+	default:
+		return errors.Errorf("order kind %q is unknown", o.Kind)
+	}
+}
+
+func (m *memory) load(key residentKey, o targetapi.Order, s *targetapi.OrderStatus, delay time.Duration) error {
+	if o.Model == "" || o.Bytes <= 0 {
+		return errors.New("model and bytes are required to load")
+	}
+	if r := m.residents[key]; r != nil {
+		switch r.state {
+		case targetapi.Ready:
+			s.State = targetapi.OrderDone
+		case targetapi.Loading:
+			r.orders = append(r.orders, s.ID)
+		default:
+			return errors.Errorf("%q version %q is still unloading", key.model, key.version)
+		}
+		return nil
+	}
+	if used := m.used(); used+o.Bytes > m.cfg.CapacityBytes {
+		m.cfg.Log.WithField("order", o.ID).WithField("bytes", o.Bytes).WithField("used", used).
+			WithField("capacity", m.cfg.CapacityBytes).Error("stand-in target: MEMORY OVERCOMMIT, exiting")
+		m.cfg.Exit(ExitOvercommit)
+		return errors.Errorf("%d bytes do not fit: %d of %d are in use", o.Bytes, used, m.cfg.CapacityBytes)
+	}
+	r := &resident{key: key, state: targetapi.Loading, bytes: o.Bytes, orders: []string{s.ID}}
+	m.residents[key] = r
+	r.timer = time.AfterFunc(delay, func() { m.loaded(r) })
+	return nil
+}
+
+func (m *memory) loaded(r *resident) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r.state != targetapi.Loading {
+		return
+	}
+	r.state = targetapi.Ready
+	m.settle(r, targetapi.OrderDone, "")
+}
+
+func (m *memory) settle(r *resident, state targetapi.OrderState, reason string) {
+	for _, id := range r.orders {
+		if s, ok := m.known[id]; ok {
+			s.State, s.Error = state, reason
+		}
+	}
+	r.orders = nil
+}
+
+// unload starts to free a resident. An empty version means all versions. A model takes its adapters with it when no
+// other version of it is resident.
+func (m *memory) unload(key residentKey, s *targetapi.OrderStatus) error {
+	var victims []*resident
+	otherVersion := false
+	for _, r := range m.residents {
+		if r.key.model != key.model || r.key.adapter != key.adapter {
+			continue
+		}
+		if key.version == "" || r.key.version == key.version {
+			victims = append(victims, r)
+		} else if r.state != targetapi.Unloading {
+			otherVersion = true
+		}
+	}
+	if len(victims) == 0 {
+		s.State = targetapi.OrderDone // absent already, which is what the order asks for
+		return nil
+	}
+	if key.adapter == "" && !otherVersion {
+		for _, r := range m.residents {
+			if r.key.model == key.model && r.key.adapter != "" {
+				m.startUnload(r)
+			}
+		}
+	}
+	for _, r := range victims {
+		m.startUnload(r)
+	}
+	victims[0].orders = append(victims[0].orders, s.ID)
+	return nil
+}
+
+func (m *memory) startUnload(r *resident) {
+	if r.state == targetapi.Unloading {
+		return
+	}
+	m.settle(r, targetapi.OrderFailed, "unloaded while it was loading")
+	r.timer.Stop()
+	r.state = targetapi.Unloading
+	r.timer = time.AfterFunc(m.cfg.AdapterDelay, func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		r.settled = true
+		m.freeIfIdle(r)
+	})
+}
+
+// freeIfIdle frees an unloading resident once its delay is over and no request uses it.
+func (m *memory) freeIfIdle(r *resident) {
+	if r.state != targetapi.Unloading || !r.settled || r.users > 0 || m.residents[r.key] != r {
+		return
+	}
+	delete(m.residents, r.key)
+	m.settle(r, targetapi.OrderDone, "")
+}
+
+func (m *memory) used() int64 {
+	used := m.cfg.ReserveBytes
+	for _, r := range m.residents {
+		used += r.bytes
+	}
+	return used
+}
+
+func (m *memory) find(model, adapter string, state targetapi.ResidentState) *resident {
+	var found *resident
+	for _, r := range m.residents {
+		if r.key.model == model && r.key.adapter == adapter && r.state == state &&
+			(found == nil || r.key.version > found.key.version) {
+			found = r
+		}
+	}
+	return found
+}
+
+// acquire keeps a ready model and adapter from being freed until release is called.
+func (m *memory) acquire(model, adapter string) (release func(), ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	used := []*resident{m.find(model, "", targetapi.Ready)}
+	if adapter != "" {
+		used = append(used, m.find(model, adapter, targetapi.Ready))
+	}
+	for _, r := range used {
+		if r == nil {
+			return nil, false
+		}
+	}
+	for _, r := range used {
+		r.users++
+	}
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		for _, r := range used {
+			r.users--
+			m.freeIfIdle(r)
+		}
+	}, true
+}
+
+// report lists residents and the latest orders. The fencing number is reported only when it is checked.
+func (m *memory) report() ([]targetapi.Resident, []targetapi.OrderStatus, uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	residents := make([]targetapi.Resident, 0, len(m.residents))
+	for _, r := range m.residents {
+		residents = append(residents, targetapi.Resident{
+			Model: r.key.model, Version: r.key.version, Adapter: r.key.adapter, State: r.state, Bytes: r.bytes,
+		})
+	}
+	sort.Slice(residents, func(i, j int) bool {
+		a, b := residents[i], residents[j]
+		if a.Model != b.Model {
+			return a.Model < b.Model
+		}
+		if a.Adapter != b.Adapter {
+			return a.Adapter < b.Adapter
+		}
+		return a.Version < b.Version
+	})
+	latest := m.order[max(0, len(m.order)-maxReportedOrders):]
+	orders := make([]targetapi.OrderStatus, 0, len(latest))
+	for _, id := range latest {
+		orders = append(orders, *m.known[id])
+	}
+	return residents, orders, m.lastFence
+}
--- /dev/null
+++ b/standin/target/service.go
@@ -0,0 +1,101 @@
+package target
+
+import (
+	"bytes"
+	"io"
+	"maps"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+)
+
+// PathExecutions tells how often each idempotency key was executed.
+const PathExecutions = "/executions"
+
+// maxKeys bounds the counts; calls with further keys are refused, since a forgotten count would hide a double booking.
+const maxKeys = 1 << 20
+
+// maxDelay bounds the delay query of a call.
+const maxDelay = 10 * time.Minute
+
+// ServiceAnswer is the body of an answer of a plain service.
+type ServiceAnswer struct {
+	Target     string `json:"target"`
+	Method     string `json:"method"`
+	Path       string `json:"path"`
+	Key        string `json:"key,omitempty"`
+	Executions int    `json:"executions"`
+	BodyBytes  int    `json:"body_bytes"`
+}
+
+type calls struct {
+	mu     sync.Mutex
+	counts map[string]int
+}
+
+func newCalls() *calls { return &calls{counts: make(map[string]int)} }
+
+// execute counts one execution; ok is false when there is no room for another key.
+func (c *calls) execute(key string) (count int, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, known := c.counts[key]; !known && len(c.counts) >= maxKeys {
+		return 0, false
+	}
+	c.counts[key]++
+	return c.counts[key], true
+}
+
+// Executions returns the number of executions per idempotency key; calls without a key are under the empty key.
+func (t *Target) Executions() map[string]int {
+	t.calls.mu.Lock()
+	defer t.calls.mu.Unlock()
+	return maps.Clone(t.calls.counts)
+}
+
+func (t *Target) handleExecutions(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, t.Executions())
+}
+
+// handleService executes a call first and answers after the delay, so that a late answer belongs to a call that ran.
+func (t *Target) handleService(w http.ResponseWriter, r *http.Request) {
+	delay := time.Duration(0)
+	if text := r.URL.Query().Get("delay"); text != "" {
+		var err error
+		if delay, err = time.ParseDuration(text); err != nil || delay < 0 || delay > maxDelay {
+			http.Error(w, "delay is not a duration from 0s to 10m, such as 250ms", http.StatusBadRequest)
+			return
+		}
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, "cannot read the body: "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	if string(bytes.TrimSpace(body)) == CrashContent {
+		t.crash()
+	}
+	ctx, forget := t.register(r)
+	defer forget()
+	full, err := t.slots.acquire(ctx, "")
+	if full || err != nil {
+		w.Header().Set("Retry-After", "1")
+		http.Error(w, "all slots and the queue are taken", http.StatusTooManyRequests)
+		return
+	}
+	defer t.slots.release()
+	key := r.Header.Get(api.HeaderIdempotencyKey)
+	count, ok := t.calls.execute(key)
+	if !ok {
+		http.Error(w, "too many idempotency keys to count", http.StatusInsufficientStorage)
+		return
+	}
+	select {
+	case <-time.After(delay):
+	case <-ctx.Done():
+		return
+	}
+	writeJSON(w, http.StatusOK, ServiceAnswer{t.cfg.Name, r.Method, r.URL.Path, key, count, len(body)})
+}
--- /dev/null
+++ b/standin/target/slots.go
@@ -0,0 +1,133 @@
+package target
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+// maxLoadSamples bounds the history of load figures; report lags beyond it see the oldest sample.
+const maxLoadSamples = 4096
+
+// loadSampleInterval merges samples that are closer together, so that the history covers at least 40 s.
+const loadSampleInterval = 10 * time.Millisecond
+
+type waiter struct {
+	rank  int
+	ready chan struct{}
+}
+
+// slots runs a bounded number of requests and queues a bounded number by priority, then by arrival.
+type slots struct {
+	limit, queueLimit int
+	reserveBytes      int64
+
+	mu      sync.Mutex
+	running int
+	waiting []*waiter
+	samples []loadSample
+}
+
+type loadSample struct {
+	at   time.Time
+	load targetapi.LoadReport
+}
+
+func newSlots(limit, queueLimit int, reserveBytes int64) *slots {
+	return &slots{limit: limit, queueLimit: queueLimit, reserveBytes: reserveBytes}
+}
+
+// acquire waits for a slot. It reports full at once when the queue has no room, and returns the context's error when the
+// request was cancelled while it waited.
+func (s *slots) acquire(ctx context.Context, priority releasenote.Priority) (full bool, err error) {
+	s.mu.Lock()
+	if s.running < s.limit {
+		s.running++
+		s.sample()
+		s.mu.Unlock()
+		return false, nil
+	}
+	if len(s.waiting) >= s.queueLimit {
+		s.mu.Unlock()
+		return true, nil
+	}
+	w := &waiter{rank: priority.Rank(), ready: make(chan struct{})}
+	at := len(s.waiting)
+	for at > 0 && s.waiting[at-1].rank > w.rank {
+		at--
+	}
+	s.waiting = append(s.waiting[:at], append([]*waiter{w}, s.waiting[at:]...)...)
+	s.sample()
+	s.mu.Unlock()
+	select {
+	case <-w.ready:
+		return false, nil
+	case <-ctx.Done():
+		s.abandon(w)
+		return false, ctx.Err()
+	}
+}
+
+// abandon removes a waiter, or passes its slot on when it was granted at the same moment.
+func (s *slots) abandon(w *waiter) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i, other := range s.waiting {
+		if other == w {
+			s.waiting = append(s.waiting[:i], s.waiting[i+1:]...)
+			s.sample()
+			return
+		}
+	}
+	s.releaseLocked()
+}
+
+func (s *slots) release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.releaseLocked()
+}
+
+func (s *slots) releaseLocked() {
+	if len(s.waiting) > 0 {
+		close(s.waiting[0].ready)
+		s.waiting = s.waiting[1:]
+	} else {
+		s.running--
+	}
+	s.sample()
+}
+
+func (s *slots) sample() {
+	now := time.Now()
+	load := targetapi.LoadReport{
+		MeasuredAtMs: now.UnixMilli(), Running: s.running, Queued: len(s.waiting),
+		KVUsedBytes: s.reserveBytes * int64(s.running) / int64(max(1, s.limit)),
+	}
+	if n := len(s.samples); n > 0 && now.Sub(s.samples[n-1].at) < loadSampleInterval {
+		s.samples[n-1].load = load
+		return
+	}
+	s.samples = append(s.samples, loadSample{at: now, load: load})
+	if len(s.samples) > maxLoadSamples {
+		s.samples = s.samples[1:]
+	}
+}
+
+// loadAt gives the load as it was at the given moment.
+func (s *slots) loadAt(at time.Time) targetapi.LoadReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	report := targetapi.LoadReport{}
+	for _, sample := range s.samples {
+		if sample.at.After(at) {
+			break
+		}
+		report = sample.load
+	}
+	report.MeasuredAtMs = at.UnixMilli()
+	return report
+}
--- /dev/null
+++ b/standin/target/target.go
@@ -0,0 +1,228 @@
+// Package target is a small STAND-IN for a model engine or a plain service. It exists for tests and the demo only: it
+// computes no model, its tokens are words picked by a hash, and its memory is a sum in a variable. It speaks exactly the
+// target protocol of package targetapi, so that instances can be tested without accelerators.
+package target
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+// Exit codes of a stand-in target, distinct so that process tests can tell them apart.
+const (
+	// ExitOvercommit means that an order asked for more memory than the capacity.
+	ExitOvercommit = 71
+	// ExitCrash means that a request with the content CrashContent arrived.
+	ExitCrash = 72
+)
+
+// CrashContent is the message content (or service body) that makes the process exit at once.
+const CrashContent = "!crash"
+
+// Defaults of Config.
+const (
+	DefaultSlots            = 4
+	DefaultTokenInterval    = 10 * time.Millisecond
+	DefaultLoadDelay        = 500 * time.Millisecond
+	DefaultAdapterDelay     = 6 * time.Millisecond
+	DefaultAnnounceInterval = time.Second
+	DefaultLeaveDelay       = 2 * time.Second
+)
+
+// maxBodyBytes equals the request limit of an instance.
+const maxBodyBytes = 4 << 20
+
+// Config describes one stand-in target.
+type Config struct {
+	Name          string
+	DataCentre    string
+	FailureDomain string
+	// Listen is the address to listen on; port 0 is replaced by the kernel's choice.
+	Listen string
+	// Balancers are base URLs of instances. Successive announcements go to successive URLs.
+	Balancers     []string
+	Kind          targetapi.Kind
+	Service       string
+	CapacityBytes int64
+	ReserveBytes  int64
+	Slots         int
+	// Queue is the number of requests that may wait for a slot before the target answers 429.
+	Queue            int
+	ChecksFencing    bool
+	TokenInterval    time.Duration
+	LoadDelay        time.Duration
+	AdapterDelay     time.Duration
+	AnnounceInterval time.Duration
+	// ReportLag is the age of the load figures in an announcement.
+	ReportLag time.Duration
+	// LeaveDelay is the time between the first leaving announcement and the end of accepting connections.
+	LeaveDelay time.Duration
+	// Incarnation must grow with each start; 0 means the start time in nanoseconds.
+	Incarnation uint64
+	// Exit ends the process; nil means os.Exit.
+	Exit func(code int)
+	Log  *logrus.Logger
+}
+
+func (c *Config) setDefaults() error {
+	if c.Name == "" || c.DataCentre == "" {
+		return errors.New("name and data centre are required")
+	}
+	for _, b := range c.Balancers {
+		if u, err := url.Parse(b); err != nil || u.Scheme != "http" || u.Host == "" {
+			return errors.Errorf("balancer %q is not a URL such as http://127.0.0.1:8080", b)
+		}
+	}
+	if c.Slots == 0 {
+		c.Slots = DefaultSlots
+	}
+	if c.AnnounceInterval == 0 {
+		c.AnnounceInterval = DefaultAnnounceInterval
+	}
+	if c.Incarnation == 0 {
+		c.Incarnation = uint64(time.Now().UnixNano())
+	}
+	if c.Exit == nil {
+		c.Exit = os.Exit
+	}
+	if c.Log == nil {
+		c.Log = logrus.New()
+		c.Log.SetOutput(io.Discard)
+	}
+	if c.Slots < 0 || c.Queue < 0 || c.TokenInterval < 0 || c.LoadDelay < 0 || c.AdapterDelay < 0 ||
+		c.AnnounceInterval < 0 || c.ReportLag < 0 || c.LeaveDelay < 0 {
+		return errors.New("slots, queue and durations must not be negative")
+	}
+	probe := targetapi.Announcement{
+		Version: targetapi.Version, Target: c.Name, Incarnation: c.Incarnation, DataCentre: c.DataCentre, Address: "-",
+		Kind: c.Kind, Service: c.Service, CapacityBytes: c.CapacityBytes, ReserveBytes: c.ReserveBytes, Slots: c.Slots,
+	}
+	return probe.Check()
+}
+
+// Target is a running stand-in target.
+type Target struct {
+	cfg    Config
+	memory *memory
+	slots  *slots
+	calls  *calls
+	client *http.Client
+
+	mu       sync.Mutex
+	address  string
+	leaving  bool
+	sequence uint64
+
+	attemptsMu sync.Mutex
+	attempts   map[string]map[*attempt]struct{}
+
+	cache *cacheLog
+}
+
+// New checks the configuration and makes a target that serves nothing yet.
+func New(cfg Config) (*Target, error) {
+	if err := cfg.setDefaults(); err != nil {
+		return nil, errors.Wrap(err, "configuration of the stand-in target")
+	}
+	t := &Target{
+		cfg:      cfg,
+		slots:    newSlots(cfg.Slots, cfg.Queue, cfg.ReserveBytes),
+		calls:    newCalls(),
+		client:   &http.Client{Timeout: announceTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 1}},
+		attempts: make(map[string]map[*attempt]struct{}),
+		cache:    newCacheLog(),
+	}
+	t.memory = newMemory(&t.cfg)
+	return t, nil
+}
+
+// Handler serves the HTTP side of the target protocol.
+func (t *Target) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+targetapi.PathOrders, t.handleOrder)
+	mux.HandleFunc("POST "+targetapi.PathCancel, t.handleCancel)
+	if t.cfg.Kind == targetapi.Engine {
+		mux.HandleFunc("POST "+targetapi.PathChat, t.handleChat)
+		return mux
+	}
+	mux.HandleFunc("GET "+PathExecutions, t.handleExecutions)
+	mux.HandleFunc("/", t.handleService)
+	return mux
+}
+
+// Started is printed as one JSON line once the target listens.
+type Started struct {
+	Target      string `json:"target"`
+	Address     string `json:"address"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Run listens, announces and serves until ctx ends. It then announces that the target leaves, lets requests in progress
+// finish and returns nil. The line on out tells which address was chosen.
+func (t *Target) Run(ctx context.Context, out io.Writer) error {
+	listener, err := net.Listen("tcp", t.cfg.Listen)
+	if err != nil {
+		return errors.Wrap(err, "stand-in target cannot listen")
+	}
+	t.SetAddress(listener.Addr().String())
+	server := &http.Server{Handler: t.Handler(), ReadHeaderTimeout: 10 * time.Second}
+	served := make(chan error, 1)
+	go func() { served <- server.Serve(listener) }()
+	if err := json.NewEncoder(out).Encode(Started{t.cfg.Name, listener.Addr().String(), t.cfg.Incarnation}); err != nil {
+		return errors.Wrap(err, "cannot print the chosen address")
+	}
+	announceCtx, stopAnnouncing := context.WithCancel(context.Background())
+	var announcing sync.WaitGroup
+	announcing.Go(func() { t.announceLoop(announceCtx, ctx) })
+	defer announcing.Wait()
+	defer stopAnnouncing()
+	select {
+	case err := <-served:
+		return errors.Wrap(err, "stand-in target stopped serving")
+	case <-ctx.Done():
+	}
+	time.Sleep(t.cfg.LeaveDelay)
+	// Shutdown waits for every request in progress, however long it takes.
+	return errors.Wrap(server.Shutdown(context.Background()), "stand-in target cannot shut down")
+}
+
+// SetAddress sets the announced address. Run calls it; tests that serve Handler themselves do too.
+func (t *Target) SetAddress(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.address = address
+}
+
+// crash simulates a request that brings the process down.
+func (t *Target) crash() {
+	t.cfg.Log.Error("stand-in target: a request asked for a crash")
+	t.cfg.Exit(ExitCrash)
+	panic(http.ErrAbortHandler) // with an Exit that returns, the connection breaks as it would with the process
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v) // the client has gone away; there is nobody to tell
+}
+
+// decodeBody reads a bounded JSON body and answers 400 itself when that fails.
+func decodeBody(w http.ResponseWriter, r *http.Request, v any) bool {
+	err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes)).Decode(v)
+	if err != nil {
+		http.Error(w, "body is not the expected JSON: "+err.Error(), http.StatusBadRequest)
+	}
+	return err == nil
+}
--- /dev/null
+++ b/standin/target/target_test.go
@@ -0,0 +1,351 @@
+package target
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+// bound is how long a test waits for an event before it gives up.
+const bound = 30 * time.Second
+
+type fixture struct {
+	*Target
+	url   string
+	exits chan int
+}
+
+func start(t *testing.T, change func(*Config)) *fixture {
+	t.Helper()
+	f := &fixture{exits: make(chan int, 16)}
+	cfg := Config{
+		Name: "t1", DataCentre: "coulee-a", Kind: targetapi.Engine, CapacityBytes: 100, ReserveBytes: 10,
+		Exit: func(code int) { f.exits <- code },
+	}
+	if change != nil {
+		change(&cfg)
+	}
+	var err error
+	if f.Target, err = New(cfg); err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(f.Handler())
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	f.SetAddress(server.Listener.Addr().String())
+	return f
+}
+
+func (f *fixture) call(t *testing.T, method, path string, body any, headers ...string) (int, string) {
+	t.Helper()
+	resp, err := f.send(t.Context(), method, path, body, headers...)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(text)
+}
+
+func (f *fixture) send(ctx context.Context, method, path string, body any, headers ...string) (*http.Response, error) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, f.url+path, bytes.NewReader(data))
+	if err != nil {
+		return nil, err
+	}
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	return http.DefaultClient.Do(req)
+}
+
+func (f *fixture) order(t *testing.T, o targetapi.Order) targetapi.OrderStatus {
+	t.Helper()
+	o.Version = targetapi.Version
+	status, text := f.call(t, "POST", targetapi.PathOrders, o)
+	var s targetapi.OrderStatus
+	if err := json.Unmarshal([]byte(text), &s); status != http.StatusOK || err != nil {
+		t.Fatalf("order %s: %d %s", o.ID, status, text)
+	}
+	return s
+}
+
+// settled waits until a later announcement reports the order as settled.
+func (f *fixture) settled(t *testing.T, id string) targetapi.OrderState {
+	t.Helper()
+	var state targetapi.OrderState
+	eventually(t, "order "+id+" settles", func() bool {
+		for _, s := range f.Announcement(time.Now()).Orders {
+			if s.ID == id {
+				state = s.State
+			}
+		}
+		return state != targetapi.OrderAccepted
+	})
+	return state
+}
+
+func eventually(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	for end := time.Now().Add(bound); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not seen: %s", what)
+		}
+	}
+}
+
+func (f *fixture) loadModel(t *testing.T, model string) {
+	t.Helper()
+	f.order(t, targetapi.Order{ID: "load-" + model, Kind: targetapi.LoadModel, Model: model, ModelVersion: "1", Bytes: 20})
+	if s := f.settled(t, "load-"+model); s != targetapi.OrderDone {
+		t.Fatalf("load of %s ended as %s", model, s)
+	}
+}
+
+func chat(model, content string, tokens int) api.ChatRequest {
+	return api.ChatRequest{Model: model, MaxTokens: tokens, Messages: []api.ChatMessage{{Role: "user", Content: content}}}
+}
+
+// tokens reads the ids and contents of a stream; done tells whether the final event came.
+func tokens(t *testing.T, stream string) (ids []int, text string, done bool) {
+	t.Helper()
+	scanner := bufio.NewScanner(strings.NewReader(stream))
+	for scanner.Scan() {
+		line := scanner.Text()
+		if id, ok := strings.CutPrefix(line, "id: "); ok {
+			n, err := strconv.Atoi(id)
+			if err != nil {
+				t.Fatal(err)
+			}
+			ids = append(ids, n)
+		}
+		data, ok := strings.CutPrefix(line, "data: ")
+		if !ok {
+			continue
+		}
+		if data == "[DONE]" {
+			return ids, text, true
+		}
+		var chunk api.ChatChunk
+		if err := json.Unmarshal([]byte(data), &chunk); err != nil {
+			t.Fatal(err)
+		}
+		text += chunk.Choices[0].Delta.Content
+	}
+	return ids, text, false
+}
+
+// Guards against an answer that cannot be continued on another replica after a break.
+func TestAnotherReplicaResumesIdentically(t *testing.T) {
+	first, second := start(t, nil), start(t, func(c *Config) { c.Name = "t2" })
+	first.loadModel(t, "redac")
+	second.loadModel(t, "redac")
+	_, whole := first.call(t, "POST", targetapi.PathChat, chat("redac", "hello", 9), api.HeaderRequestID, "r-1")
+	ids, text, done := tokens(t, whole)
+	if !done || !cmp.Equal(ids, []int{0, 1, 2, 3, 4, 5, 6, 7, 8}) {
+		t.Fatalf("ids %v, done %v", ids, done)
+	}
+	for offset := 0; offset <= 9; offset++ {
+		_, rest := second.call(t, "POST", targetapi.PathChat, chat("redac", "hello", 9), api.HeaderRequestID, "r-1",
+			targetapi.HeaderResumeOffset, strconv.Itoa(offset))
+		restIDs, restText, done := tokens(t, rest)
+		if !done || len(restIDs) != 9-offset || !strings.HasSuffix(text, restText) {
+			t.Errorf("resumed at %d: ids %v, %q, done %v; the whole answer is %q", offset, restIDs, restText, done, text)
+		}
+	}
+}
+
+// Guards against wrong status codes, from which instances tell overload, absence and failure apart.
+func TestStatusCodes(t *testing.T) {
+	f := start(t, func(c *Config) { c.Slots, c.TokenInterval = 1, time.Hour })
+	f.loadModel(t, "redac")
+	for _, c := range []struct {
+		name   string
+		body   any
+		header string
+		want   int
+	}{
+		{"absent model", chat("guichet", "x", 1), "", http.StatusNotFound},
+		{"absent adapter", chat("redac:a1", "x", 1), "", http.StatusNotFound},
+		{"not a request", "x", "", http.StatusBadRequest},
+		{"offset beyond the end", chat("redac", "x", 3), "4", http.StatusBadRequest},
+	} {
+		status, text := f.call(t, "POST", targetapi.PathChat, c.body, targetapi.HeaderResumeOffset, c.header)
+		if status != c.want {
+			t.Errorf("%s: status %d (%s), want %d", c.name, status, text, c.want)
+		}
+	}
+	resp, err := f.send(t.Context(), "POST", targetapi.PathChat, chat("redac", "x", 1), targetapi.HeaderAttemptID, "a-1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if status, _ := f.call(t, "POST", targetapi.PathChat, chat("redac", "x", 1)); status != http.StatusTooManyRequests {
+		t.Errorf("second request with one slot and no queue: status %d", status)
+	}
+	cancel := targetapi.Cancel{Version: targetapi.Version, AttemptID: "a-1"}
+	if status, _ := f.call(t, "POST", targetapi.PathCancel, cancel); status != http.StatusNoContent {
+		t.Errorf("cancel: status %d", status)
+	}
+	text, _ := io.ReadAll(resp.Body)
+	if _, _, done := tokens(t, string(text)); done {
+		t.Error("a cancelled stream ended like a complete one")
+	}
+	eventually(t, "the slot is free again", func() bool {
+		return f.Announcement(time.Now().Add(time.Second)).Load.Running == 0
+	})
+}
+
+// Guards against orders that take effect twice, and against old fencing numbers.
+func TestOrders(t *testing.T) {
+	load := func(id string, fence uint64, model string, bytes int64) targetapi.Order {
+		return targetapi.Order{ID: id, Fence: fence, Kind: targetapi.LoadModel, Model: model, ModelVersion: "1", Bytes: bytes}
+	}
+	for _, c := range []struct {
+		name   string
+		checks bool
+		orders []targetapi.Order
+		last   targetapi.OrderState
+		bytes  int64
+		exits  int
+	}{
+		{"repeat", true, []targetapi.Order{load("o1", 5, "a", 30), load("o1", 5, "a", 30)}, targetapi.OrderDone, 30, 0},
+		{"same content, other id", true, []targetapi.Order{load("o1", 5, "a", 30), load("o2", 5, "a", 30)}, targetapi.OrderDone, 30, 0},
+		{"old fence", true, []targetapi.Order{load("o1", 5, "a", 30), load("o2", 4, "b", 30)}, targetapi.OrderRefused, 30, 0},
+		{"old fence unchecked", false, []targetapi.Order{load("o1", 5, "a", 30), load("o2", 4, "b", 30)}, targetapi.OrderDone, 60, 0},
+		{"raise fences off", true, []targetapi.Order{
+			{ID: "o1", Fence: 9, Kind: targetapi.Raise}, load("o2", 8, "b", 30)}, targetapi.OrderRefused, 0, 0},
+		{"refusal is final", true, []targetapi.Order{
+			{ID: "o1", Fence: 9, Kind: targetapi.Raise}, load("o2", 8, "b", 30), load("o2", 10, "b", 30)}, targetapi.OrderRefused, 0, 0},
+		{"exactly full", true, []targetapi.Order{load("o1", 5, "a", 90)}, targetapi.OrderDone, 90, 0},
+		{"overcommit", true, []targetapi.Order{load("o1", 5, "a", 90), load("o2", 5, "b", 1)}, targetapi.OrderFailed, 90, ExitOvercommit},
+		{"adapter without model", true, []targetapi.Order{
+			{ID: "o1", Kind: targetapi.LoadAdapter, Model: "a", Adapter: "x", Bytes: 1}}, targetapi.OrderFailed, 0, 0},
+		{"unload takes adapters along", true, []targetapi.Order{load("o1", 5, "a", 30),
+			{ID: "o2", Fence: 5, Kind: targetapi.LoadAdapter, Model: "a", Adapter: "x", Bytes: 1},
+			{ID: "o3", Fence: 5, Kind: targetapi.UnloadModel, Model: "a", ModelVersion: "1"}}, targetapi.OrderDone, 0, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := start(t, func(cfg *Config) { cfg.ChecksFencing = c.checks })
+			last := ""
+			for _, o := range c.orders {
+				f.order(t, o)
+				last = o.ID
+				f.settled(t, last)
+			}
+			if s := f.settled(t, last); s != c.last {
+				t.Errorf("last order is %s, want %s", s, c.last)
+			}
+			eventually(t, "memory in use", func() bool {
+				bytes := int64(0)
+				for _, r := range f.Announcement(time.Now()).Residents {
+					bytes += r.Bytes
+				}
+				return bytes == c.bytes
+			})
+			code := 0
+			if len(f.exits) > 0 {
+				code = <-f.exits
+			}
+			if code != c.exits {
+				t.Errorf("exit code %d, want %d", code, c.exits)
+			}
+		})
+	}
+}
+
+// Guards against announcements that an instance would refuse and against a balancer URL that is used twice in a row.
+func TestAnnouncesInTurnAndLeaves(t *testing.T) {
+	type seen struct {
+		instance int
+		a        targetapi.Announcement
+	}
+	announced := make(chan seen, 1024)
+	var urls []string
+	for i := range 3 {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var a targetapi.Announcement
+			if err := json.NewDecoder(r.Body).Decode(&a); r.URL.Path != targetapi.PathAnnounce || err != nil {
+				t.Errorf("%s: %v", r.URL.Path, err)
+			}
+			announced <- seen{i, a}
+			w.WriteHeader(http.StatusNoContent)
+		}))
+		defer s.Close()
+		urls = append(urls, s.URL)
+	}
+	f := start(t, func(c *Config) {
+		c.Listen, c.Balancers, c.AnnounceInterval, c.LeaveDelay = "127.0.0.1:0", urls, time.Millisecond, 20*time.Millisecond
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	var out bytes.Buffer
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx, &out) }()
+	for i := range 7 {
+		s := <-announced
+		if err := s.a.Check(); err != nil || s.instance != i%3 || s.a.Sequence != uint64(i+1) || s.a.Leaving {
+			t.Errorf("announcement %d went to %d: %+v, %v", i, s.instance, s.a, err)
+		}
+	}
+	leave()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	var started Started
+	if err := json.Unmarshal(out.Bytes(), &started); err != nil || started.Address == "" || started.Incarnation == 0 {
+		t.Errorf("printed %q: %v", out.String(), err)
+	}
+	left := false
+	for len(announced) > 0 {
+		s := <-announced
+		left = left || s.a.Leaving
+	}
+	if !left {
+		t.Error("no announcement said that the target leaves")
+	}
+}
+
+// Guards against a request that ought to crash its target and does not.
+func TestCrash(t *testing.T) {
+	f := start(t, nil)
+	if status, _ := f.call(t, "POST", targetapi.PathChat, chat("redac", CrashContent, 1)); status != 0 {
+		t.Errorf("the request was answered with %d", status)
+	}
+	if code := <-f.exits; code != ExitCrash {
+		t.Errorf("exit code %d", code)
+	}
+}
+
+// Guards against lost execution counts, by which tests find non-idempotent calls that ran twice.
+func TestServiceCountsExecutions(t *testing.T) {
+	f := start(t, func(c *Config) { c.Kind, c.Service = targetapi.Service, "guichet" })
+	for _, key := range []string{"k1", "k2", "k1"} {
+		if status, text := f.call(t, "PUT", "/book/7?delay=1ms", "x", api.HeaderIdempotencyKey, key); status != http.StatusOK {
+			t.Errorf("%d %s", status, text)
+		}
+	}
+	_, text := f.call(t, "GET", PathExecutions, nil)
+	var got map[string]int
+	if err := json.Unmarshal([]byte(text), &got); err != nil || !cmp.Equal(got, map[string]int{"k1": 2, "k2": 1}) {
+		t.Errorf("executions %s, %v", text, err)
+	}
+}
