--- /dev/null
+++ b/cmd/hoistctl/main.go
@@ -0,0 +1,111 @@
+// Command hoistctl is the operators' command line: it submits release notes and shows verdicts, status and timeline.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/instance/version"
+	"github.com/tarragonhoist/tarragonhoist/protocol/tomlfile"
+	"github.com/tarragonhoist/tarragonhoist/transport/opsclient"
+)
+
+// Exit codes, documented in docs/operations.md.
+const (
+	exitOK        = 0
+	exitError     = 1
+	exitRefused   = 3
+	exitNoVerdict = 4
+)
+
+// errRefused ends the command with exitRefused after the findings were printed.
+var errRefused = errors.New("refused")
+
+func main() {
+	app := kingpin.New("hoistctl", "Submits release notes to tarragonhoist and shows what is in force.")
+	app.Version(version.String())
+	app.HelpFlag.Short('h')
+	url := app.Flag("url", "Base URL of an instance or of the balancer.").Envar("HOIST_URL").Default("http://127.0.0.1:8080").String()
+	token := app.Flag("token-file", "File that holds the operator's bearer token.").Envar("HOIST_TOKEN_FILE").ExistingFile()
+	operator := app.Flag("operator", "Operator name, used where the deployment has no tokens.").Envar("HOIST_OPERATOR").String()
+	asJSON := app.Flag("json", "Print JSON.").Bool()
+
+	submit := app.Command("submit", "Submit a release note and print its verdict.")
+	submitFile := submit.Arg("file", "Release note (TOML).").Required().ExistingFile()
+	check := app.Command("check", "Print the findings of a release note without submitting it.")
+	checkFile := check.Arg("file", "Release note (TOML).").Required().ExistingFile()
+	verdict := app.Command("verdict", "Print the verdict of a release note.")
+	number := verdict.Arg("number", "Number of the note.").Required().Uint64()
+	history := app.Command("history", "List all verdicts.")
+	status := app.Command("status", "Show what is in force, where, and what waits.")
+	timeline := app.Command("timeline", "Show the merged events of all instances.")
+	local := timeline.Flag("instance-only", "Only the events of the instance that answers.").Bool()
+	command := kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	client, err := newClient(*url, *token, *operator)
+	if err != nil {
+		fail(err)
+	}
+	c := commands{client: client, out: os.Stdout, json: *asJSON}
+	ctx := context.Background()
+	switch command {
+	case submit.FullCommand():
+		err = c.submit(ctx, *submitFile)
+	case check.FullCommand():
+		err = c.check(ctx, *checkFile)
+	case verdict.FullCommand():
+		err = c.verdict(ctx, *number)
+	case history.FullCommand():
+		err = c.history(ctx)
+	case status.FullCommand():
+		err = c.status(ctx)
+	case timeline.FullCommand():
+		err = c.timeline(ctx, !*local)
+	}
+	if err != nil {
+		fail(err)
+	}
+	os.Exit(exitOK)
+}
+
+func newClient(url, tokenFile, operator string) (*opsclient.Client, error) {
+	if tokenFile == "" {
+		return opsclient.New(url, "", operator), nil
+	}
+	token, err := readToken(tokenFile)
+	if err != nil {
+		return nil, err
+	}
+	return opsclient.New(url, token, operator), nil
+}
+
+// fail prints an error and ends the command with the matching exit code.
+func fail(err error) {
+	if errors.Is(err, errRefused) {
+		os.Exit(exitRefused)
+	}
+	fmt.Fprintln(os.Stderr, "hoistctl:", err)
+	var answer *opsclient.ErrAnswer
+	if errors.As(err, &answer) && (answer.Detail.Code == "no_quorum" || answer.Detail.Code == "no_verdict") {
+		os.Exit(exitNoVerdict)
+	}
+	os.Exit(exitError)
+}
+
+func printJSON(out io.Writer, v any) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(v), "print")
+}
+
+func printFindings(out io.Writer, findings []tomlfile.Finding) {
+	for _, f := range findings {
+		_, _ = fmt.Fprintln(out, "  "+f.String())
+	}
+}
--- /dev/null
+++ b/events/catalogue.go
@@ -0,0 +1,60 @@
+package events
+
+import "github.com/sirupsen/logrus"
+
+// Definition is one numbered event. Numbers are never reused.
+type Definition struct {
+	Number  int
+	Name    string
+	Level   logrus.Level
+	Meaning string
+}
+
+// Events of the process (1xx), release notes and the replicated log (2xx), targets (3xx), requests (4xx), control (5xx)
+// and peers (6xx).
+var (
+	Starting         = define(100, "starting", logrus.InfoLevel, "The process starts; fields give version, data centre and incarnation.")
+	Insecure         = define(101, "insecure", logrus.WarnLevel, "Settings give no tokens or no keys, so callers, operators or peers are not authenticated.")
+	Listening        = define(102, "listening", logrus.InfoLevel, "The process listens on the given addresses.")
+	DrainStarted     = define(103, "drain-started", logrus.InfoLevel, "A shutdown was asked for; readiness is false now.")
+	DrainRefusing    = define(104, "drain-refusing", logrus.InfoLevel, "New work is refused from now on; running requests finish.")
+	Stopped          = define(105, "stopped", logrus.InfoLevel, "The last request ended and the process exits.")
+	InternalError    = define(106, "internal-error", logrus.ErrorLevel, "A background task failed; it is tried again.")
+	NoteApplied      = define(200, "note-applied", logrus.InfoLevel, "A verdict was applied; fields give number, result and log index.")
+	NoVerdict        = define(201, "no-verdict", logrus.WarnLevel, "A submitted note got no verdict because no majority answered.")
+	LeaderChanged    = define(202, "leader-changed", logrus.InfoLevel, "The leader of a replicated log changed; fields give group, leader and term.")
+	TargetJoined     = define(300, "target-joined", logrus.InfoLevel, "A target announced itself under a new incarnation.")
+	TargetLeaving    = define(301, "target-leaving", logrus.InfoLevel, "A target announced that it leaves; it gets no new work.")
+	TargetExpired    = define(302, "target-expired", logrus.WarnLevel, "A target was silent for longer than its lease; it gets no new work.")
+	TargetReplaced   = define(303, "target-replaced", logrus.InfoLevel, "A target came back under a higher incarnation.")
+	TargetRejected   = define(304, "target-rejected", logrus.WarnLevel, "An announcement could not be used; the field error says why.")
+	RequestAnswered  = define(400, "request-answered", logrus.DebugLevel, "A request was answered completely.")
+	RequestRefused   = define(401, "request-refused", logrus.InfoLevel, "A request was refused and did not run; the field reason says why.")
+	RequestFailed    = define(402, "request-failed", logrus.WarnLevel, "A request failed and may have run; the field reason says why.")
+	AttemptBroken    = define(403, "attempt-broken", logrus.WarnLevel, "An attempt broke before its end; the field offset says how far it came.")
+	StreamResumed    = define(404, "stream-resumed", logrus.InfoLevel, "A stream goes on in another attempt from the given offset.")
+	CrashStrike      = define(405, "crash-strike", logrus.WarnLevel, "A request was in flight on a target that died; fields give fingerprint and strikes.")
+	RequestHedged    = define(406, "request-hedged", logrus.DebugLevel, "A second attempt was started because the first is slow.")
+	CallReserved     = define(410, "call-reserved", logrus.DebugLevel, "A non-idempotent call was reserved in the call ledger.")
+	CallUncertain    = define(411, "call-uncertain", logrus.WarnLevel, "A non-idempotent call may have run; operators should look at it.")
+	CallReplayed     = define(412, "call-replayed", logrus.InfoLevel, "A repeated non-idempotent call got its recorded answer.")
+	ControlGained    = define(500, "control-gained", logrus.InfoLevel, "This instance became controller of its data centre; the field fence gives the fencing number.")
+	ControlLost      = define(501, "control-lost", logrus.InfoLevel, "This instance stopped being controller.")
+	OrderSent        = define(502, "order-sent", logrus.InfoLevel, "An order was sent to a target.")
+	OrderSettled     = define(503, "order-settled", logrus.InfoLevel, "A target reported the end of an order.")
+	OrderFailedEvent = define(504, "order-failed", logrus.WarnLevel, "An order could not be delivered; it is repeated.")
+	PeerUnreachable  = define(600, "peer-unreachable", logrus.WarnLevel, "Another instance can't be reached.")
+	PeerReachable    = define(601, "peer-reachable", logrus.InfoLevel, "Another instance can be reached again.")
+	PeerRejected     = define(602, "peer-rejected", logrus.WarnLevel, "A connection from another instance was refused; the field error says why.")
+)
+
+var catalogue []Definition
+
+func define(number int, name string, level logrus.Level, meaning string) Definition {
+	d := Definition{Number: number, Name: name, Level: level, Meaning: meaning}
+	catalogue = append(catalogue, d)
+	return d
+}
+
+// Catalogue lists all events by number.
+func Catalogue() []Definition { return append([]Definition(nil), catalogue...) }
--- /dev/null
+++ b/events/events.go
@@ -0,0 +1,84 @@
+// Package events writes numbered log events and keeps the latest ones for the timeline of all processes.
+package events
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// Capacity is the number of events that an instance keeps.
+const Capacity = 10_000
+
+// Fields are the details of one event. They never hold tokens, keys or message contents.
+type Fields map[string]any
+
+// Record is one event that happened.
+type Record struct {
+	AtUs       int64  `json:"at_us"`
+	Sequence   uint64 `json:"sequence"`
+	Instance   string `json:"instance"`
+	DataCentre string `json:"data_centre"`
+	Number     int    `json:"number"`
+	Name       string `json:"name"`
+	Fields     Fields `json:"fields,omitempty"`
+}
+
+// Recorder logs events and keeps them in a ring. It is safe for concurrent use.
+type Recorder struct {
+	log        *logrus.Logger
+	instance   string
+	dataCentre string
+	now        func() time.Time
+
+	mu       sync.Mutex
+	ring     []Record
+	sequence uint64
+}
+
+// NewRecorder makes a recorder for one instance.
+func NewRecorder(log *logrus.Logger, instance, dataCentre string, now func() time.Time) *Recorder {
+	return &Recorder{log: log, instance: instance, dataCentre: dataCentre, now: now, ring: make([]Record, 0, 256)}
+}
+
+// Record writes one event to the log and to the ring. Debug events stay out of the ring, since one per request would
+// push the rare ones out of it.
+func (r *Recorder) Record(d Definition, fields Fields) {
+	entry := r.log.WithFields(logrus.Fields(fields)).WithField("event", d.Number)
+	entry.Log(d.Level, d.Name)
+	if d.Level >= logrus.DebugLevel {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.sequence++
+	record := Record{
+		AtUs: r.now().UnixMicro(), Sequence: r.sequence, Instance: r.instance, DataCentre: r.dataCentre,
+		Number: d.Number, Name: d.Name, Fields: fields,
+	}
+	if len(r.ring) < Capacity {
+		r.ring = append(r.ring, record)
+		return
+	}
+	r.ring[(r.sequence-1)%Capacity] = record
+}
+
+// Since returns the kept events after a sequence number, oldest first, at most limit.
+func (r *Recorder) Since(sequence uint64, limit int) []Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	oldest := uint64(1)
+	if r.sequence > Capacity {
+		oldest = r.sequence - Capacity + 1
+	}
+	first := max(sequence+1, oldest)
+	if r.sequence >= first && r.sequence-first+1 > uint64(limit) {
+		first = r.sequence - uint64(limit) + 1
+	}
+	var list []Record
+	for s := first; s <= r.sequence; s++ {
+		list = append(list, r.ring[(s-1)%Capacity])
+	}
+	return list
+}
--- /dev/null
+++ b/instance/version/version.go
@@ -0,0 +1,21 @@
+// Package version holds the version of the binaries.
+package version
+
+import "runtime/debug"
+
+// Number is the released version. The linker sets it with -X.
+var Number = "0.1.0-dev"
+
+// String gives the version and, where the build recorded it, the revision.
+func String() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return Number
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return Number + " (" + s.Value + ")"
+		}
+	}
+	return Number
+}
--- /dev/null
+++ b/transport/httpapi/api.go
@@ -0,0 +1,195 @@
+// Package httpapi serves callers, targets, the platform and operators over HTTP.
+package httpapi
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/settings"
+)
+
+// MaxBodyBytes bounds the body of a caller's request.
+const MaxBodyBytes = 4 << 20
+
+// Timeouts against half-open connections and slow readers.
+const (
+	headerTimeout = 5 * time.Second
+	bodyTimeout   = 20 * time.Second
+	idleTimeout   = 2 * time.Minute
+	writeTimeout  = 10 * time.Second
+	maxHeader     = 32 << 10
+	maxRequestID  = 128
+)
+
+// Backend is what the HTTP interface needs from the instance.
+type Backend interface {
+	Callers
+	Targets
+	Operators
+	Platform
+}
+
+// Targets takes the messages of targets.
+type Targets interface {
+	Announce(a targetapi.Announcement) error
+	CacheEvents(e targetapi.CacheEvents) error
+}
+
+// Platform answers the probes of the platform.
+type Platform interface {
+	// Ready says whether the balancer should send new work.
+	Ready() bool
+	// Metrics returns the current metrics.
+	Metrics() any
+}
+
+// Server routes HTTP requests to the backend.
+type Server struct {
+	backend   Backend
+	instance  string
+	callers   identities
+	operators identities
+}
+
+// New makes the HTTP interface of one instance.
+func New(s *settings.Settings, backend Backend) *Server {
+	return &Server{
+		backend: backend, instance: s.Instance,
+		callers: newIdentities(s.Callers), operators: newIdentities(s.Operators),
+	}
+}
+
+// Handler builds the routes.
+func (s *Server) Handler() http.Handler {
+	container := restful.NewContainer()
+	container.EnableContentEncoding(false)
+	for _, ws := range []*restful.WebService{s.callerRoutes(), s.serviceRoutes(), s.targetRoutes(), s.operatorRoutes(), s.platformRoutes()} {
+		container.Add(ws)
+	}
+	return s.limitBody(container)
+}
+
+// Serve answers on the listener until the context ends. It returns when no handler runs any more.
+func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
+	server := &http.Server{
+		Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(listener) }()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "HTTP server")
+	case <-ctx.Done():
+		return errors.Wrap(server.Shutdown(context.Background()), "HTTP server")
+	}
+}
+
+// limitBody reads every body up front, bounded in size and in the time it may take to arrive.
+func (s *Server) limitBody(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(api.HeaderInstance, s.instance)
+		control := http.NewResponseController(w)
+		// Not every writer supports deadlines, for example the recorder of a test.
+		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+		// A deadline left in place would cancel a long stream, since net/http keeps reading to notice a closed connection.
+		_ = control.SetReadDeadline(time.Time{})
+		r.Body = &bufferedBody{Reader: bytes.NewReader(body), err: err}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// bufferedBody is a body that has arrived, with the error that ended it.
+type bufferedBody struct {
+	*bytes.Reader
+	err error
+}
+
+func (b *bufferedBody) Close() error { return nil }
+
+// readBody returns the body of a request that limitBody has read.
+func readBody(r *http.Request, limit int64) ([]byte, *api.Result) {
+	buffered, ok := r.Body.(*bufferedBody)
+	if !ok {
+		return nil, api.Refuse(api.ReasonMalformedRequest, "the request has no body")
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(buffered.err, &tooLarge) || buffered.Size() > limit {
+		return nil, api.Refuse(api.ReasonBodyTooLarge, "the request body is larger than the limit")
+	}
+	if buffered.err != nil {
+		return nil, api.Refuse(api.ReasonMalformedRequest, "the request body did not arrive completely: "+buffered.err.Error())
+	}
+	body, err := io.ReadAll(buffered.Reader)
+	if err != nil {
+		return nil, api.Refuse(api.ReasonMalformedRequest, err.Error())
+	}
+	return body, nil
+}
+
+// identities maps token hashes to names. Without entries nobody is authenticated.
+type identities map[string]string
+
+func newIdentities(list []settings.Identity) identities {
+	m := make(identities, len(list))
+	for _, id := range list {
+		m[strings.ToLower(id.TokenSHA256)] = id.Name
+	}
+	return m
+}
+
+// identify names the sender of a request. Looking up the hash of the token needs no constant-time comparison, since
+// the hash can't be steered towards a stored one.
+func (ids identities) identify(r *http.Request) (string, *api.Result) {
+	if len(ids) == 0 {
+		if name := r.Header.Get(api.HeaderCaller); name != "" {
+			return name, nil
+		}
+		return "anonymous", nil
+	}
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return "", api.Refuse(api.ReasonUnauthenticated, "header Authorization must hold a bearer token")
+	}
+	sum := sha256.Sum256([]byte(token))
+	name, ok := ids[hex.EncodeToString(sum[:])]
+	if !ok {
+		return "", api.Refuse(api.ReasonUnauthenticated, "the bearer token is not known")
+	}
+	return name, nil
+}
+
+// requestID takes the caller's request id or makes one.
+func requestID(r *http.Request) string {
+	if id := r.Header.Get(api.HeaderRequestID); id != "" && len(id) <= maxRequestID {
+		return id
+	}
+	return uuid.NewString()
+}
+
+func writeResult(w http.ResponseWriter, result *api.Result, id string) {
+	result.SetHeaders(w.Header())
+	w.Header().Set(api.HeaderRequestID, id)
+	writeJSON(w, result.HTTPStatus(), result.Body(id))
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	// The status is sent already; a broken connection can't be reported to anybody.
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/transport/httpapi/callers.go
@@ -0,0 +1,222 @@
+package httpapi
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
+)
+
+// maxKeyBytes bounds an idempotency key.
+const maxKeyBytes = 256
+
+// Callers serves callers' requests.
+type Callers interface {
+	Chat(ctx context.Context, call ChatCall, out TokenWriter) *api.Result
+	Models(caller string) api.ModelList
+	CallService(ctx context.Context, call ServiceCall) (*ServiceAnswer, *api.Result)
+}
+
+// ChatCall is one model call.
+type ChatCall struct {
+	RequestID string
+	Caller    string
+	Priority  releasenote.Priority
+	// Timeout is the caller's deadline from now, or 0.
+	Timeout time.Duration
+	Request *api.ChatRequest
+	Body    []byte
+}
+
+// TokenWriter takes the events of an answer in order. An error means that the caller is gone or too slow.
+type TokenWriter interface {
+	WriteEvent(offset int, chunk []byte) error
+}
+
+// ServiceCall is one call of a plain service.
+type ServiceCall struct {
+	RequestID      string
+	Caller         string
+	Service        string
+	Timeout        time.Duration
+	IdempotencyKey string
+	Call           targetclient.ServiceCall
+}
+
+// ServiceAnswer is the answer of a plain service.
+type ServiceAnswer struct {
+	targetclient.ServiceAnswer
+	// Replayed says that the answer was recorded by an earlier call with the same key.
+	Replayed bool
+}
+
+func (s *Server) callerRoutes() *restful.WebService {
+	ws := new(restful.WebService)
+	ws.Path("/v1")
+	ws.Route(ws.POST("/chat/completions").To(s.chat))
+	ws.Route(ws.GET("/models").To(s.models))
+	return ws
+}
+
+func (s *Server) serviceRoutes() *restful.WebService {
+	ws := new(restful.WebService)
+	ws.Path("/services").Consumes("*/*").Produces("*/*")
+	for _, method := range []string{
+		http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions,
+	} {
+		ws.Route(ws.Method(method).Path("/{service}/{path:*}").To(s.service))
+	}
+	return ws
+}
+
+func (s *Server) chat(req *restful.Request, resp *restful.Response) {
+	r, w := req.Request, resp.ResponseWriter
+	id := requestID(r)
+	call, result := s.chatCall(r, id)
+	if result != nil {
+		writeResult(w, result, id)
+		return
+	}
+	w.Header().Set(api.HeaderRequestID, id)
+	if call.Request.Stream {
+		s.streamChat(w, r, call)
+		return
+	}
+	s.wholeChat(w, r, call)
+}
+
+func (s *Server) chatCall(r *http.Request, id string) (ChatCall, *api.Result) {
+	caller, result := s.callers.identify(r)
+	if result != nil {
+		return ChatCall{}, result
+	}
+	body, result := readBody(r, MaxBodyBytes)
+	if result != nil {
+		return ChatCall{}, result
+	}
+	parsed, err := api.ParseChatRequest(body)
+	if err != nil {
+		return ChatCall{}, api.Refuse(api.ReasonMalformedRequest, err.Error())
+	}
+	timeout, result := deadline(r)
+	if result != nil {
+		return ChatCall{}, result
+	}
+	priority := releasenote.Priority(r.Header.Get(api.HeaderPriority))
+	if priority != "" && !priority.Valid() {
+		return ChatCall{}, api.Refuse(api.ReasonMalformedRequest, "header "+api.HeaderPriority+" is none of interactive, standard, batch")
+	}
+	return ChatCall{RequestID: id, Caller: caller, Priority: priority, Timeout: timeout, Request: parsed, Body: body}, nil
+}
+
+func deadline(r *http.Request) (time.Duration, *api.Result) {
+	text := r.Header.Get(api.HeaderDeadlineMs)
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || ms <= 0 {
+		return 0, api.Refuse(api.ReasonMalformedRequest, "header "+api.HeaderDeadlineMs+" must be a number of milliseconds larger than 0")
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+func (s *Server) streamChat(w http.ResponseWriter, r *http.Request, call ChatCall) {
+	stream := newStreamWriter(w)
+	result := s.backend.Chat(r.Context(), call, stream)
+	stream.finish(result, call.RequestID)
+}
+
+func (s *Server) wholeChat(w http.ResponseWriter, r *http.Request, call ChatCall) {
+	collected := &collector{}
+	result := s.backend.Chat(r.Context(), call, collected)
+	if result.Outcome != api.Answered {
+		writeResult(w, result, call.RequestID)
+		return
+	}
+	result.SetHeaders(w.Header())
+	writeJSON(w, http.StatusOK, collected.completion(&call))
+}
+
+func (s *Server) models(req *restful.Request, resp *restful.Response) {
+	caller, result := s.callers.identify(req.Request)
+	if result != nil {
+		writeResult(resp.ResponseWriter, result, requestID(req.Request))
+		return
+	}
+	writeJSON(resp.ResponseWriter, http.StatusOK, s.backend.Models(caller))
+}
+
+func (s *Server) service(req *restful.Request, resp *restful.Response) {
+	r, w := req.Request, resp.ResponseWriter
+	id := requestID(r)
+	call, result := s.serviceCall(req, id)
+	if result != nil {
+		writeResult(w, result, id)
+		return
+	}
+	answer, result := s.backend.CallService(r.Context(), call)
+	if answer == nil {
+		writeResult(w, result, id)
+		return
+	}
+	result.SetHeaders(w.Header())
+	w.Header().Set(api.HeaderRequestID, id)
+	if answer.Replayed {
+		w.Header().Set(api.HeaderReplayed, "true")
+	}
+	if answer.ContentType != "" {
+		w.Header().Set("Content-Type", answer.ContentType)
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
+
+func (s *Server) serviceCall(req *restful.Request, id string) (ServiceCall, *api.Result) {
+	r := req.Request
+	caller, result := s.callers.identify(r)
+	if result != nil {
+		return ServiceCall{}, result
+	}
+	body, result := readBody(r, MaxBodyBytes)
+	if result != nil {
+		return ServiceCall{}, result
+	}
+	timeout, result := deadline(r)
+	if result != nil {
+		return ServiceCall{}, result
+	}
+	key := r.Header.Get(api.HeaderIdempotencyKey)
+	if len(key) > maxKeyBytes {
+		return ServiceCall{}, api.Refuse(api.ReasonMalformedRequest, "header "+api.HeaderIdempotencyKey+" is longer than "+strconv.Itoa(maxKeyBytes)+" bytes")
+	}
+	service := req.PathParameter("service")
+	path := strings.TrimPrefix(r.URL.EscapedPath(), "/services/"+service)
+	if r.URL.RawQuery != "" {
+		path += "?" + r.URL.RawQuery
+	}
+	return ServiceCall{
+		RequestID: id, Caller: caller, Service: service, Timeout: timeout, IdempotencyKey: key,
+		Call: targetclient.ServiceCall{Method: r.Method, PathAndQuery: path, Header: forwardedHeader(r, id, caller), Body: body},
+	}, nil
+}
+
+// forwardedHeader keeps what a plain service needs. The bearer token stays here.
+func forwardedHeader(r *http.Request, id, caller string) http.Header {
+	h := make(http.Header)
+	for _, name := range []string{"Content-Type", "Accept", "Accept-Language", api.HeaderIdempotencyKey} {
+		if value := r.Header.Get(name); value != "" {
+			h.Set(name, value)
+		}
+	}
+	h.Set(api.HeaderRequestID, id)
+	h.Set(api.HeaderCaller, caller)
+	return h
+}
--- /dev/null
+++ b/transport/httpapi/operators.go
@@ -0,0 +1,195 @@
+package httpapi
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/emicklei/go-restful/v3"
+
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/protocol/tomlfile"
+	"github.com/tarragonhoist/tarragonhoist/state/catalog"
+)
+
+// Operators serves the operators' command line.
+type Operators interface {
+	Submit(ctx context.Context, operator, file string, note []byte) (catalog.Verdict, *api.Result)
+	Check(ctx context.Context, file string, note []byte) (tomlfile.Findings, *api.Result)
+	Verdict(number uint64) (catalog.Verdict, bool)
+	History() []catalog.Verdict
+	Status(ctx context.Context) Status
+	Timeline(ctx context.Context, all bool) Timeline
+}
+
+// Timeline is the merged list of events.
+type Timeline struct {
+	Events []events.Record `json:"events"`
+	// Unreachable lists the instances whose events are missing.
+	Unreachable []string `json:"unreachable,omitempty"`
+}
+
+// CheckAnswer is the answer to a check of a release note.
+type CheckAnswer struct {
+	Findings tomlfile.Findings `json:"findings"`
+}
+
+// maxAnnouncement leaves room for the largest announcement.
+const maxAnnouncement = targetapi.MaxAnnouncementBytes
+
+// HeaderNoteFile carries the file name that findings refer to.
+const HeaderNoteFile = "Hoist-Note-File"
+
+func (s *Server) operatorRoutes() *restful.WebService {
+	ws := new(restful.WebService)
+	ws.Path("/hoist/v1").Consumes("*/*")
+	ws.Route(ws.POST("/notes").To(s.submit))
+	ws.Route(ws.POST("/notes/check").To(s.check))
+	ws.Route(ws.GET("/notes").To(s.history))
+	ws.Route(ws.GET("/notes/{number}").To(s.verdict))
+	ws.Route(ws.GET("/status").To(s.status))
+	ws.Route(ws.GET("/timeline").To(s.timeline))
+	return ws
+}
+
+// operator names the sender or answers the request.
+func (s *Server) operator(req *restful.Request, resp *restful.Response) (string, bool) {
+	name, result := s.operators.identify(req.Request)
+	if result != nil {
+		writeResult(resp.ResponseWriter, result, requestID(req.Request))
+		return "", false
+	}
+	return name, true
+}
+
+// note reads the operator and the release note of a request or answers it.
+func (s *Server) note(req *restful.Request, resp *restful.Response) (operator string, note []byte, ok bool) {
+	operator, ok = s.operator(req, resp)
+	if !ok {
+		return "", nil, false
+	}
+	note, result := readBody(req.Request, releasenote.MaxNoteBytes)
+	if result != nil {
+		writeResult(resp.ResponseWriter, result, requestID(req.Request))
+		return "", nil, false
+	}
+	return operator, note, true
+}
+
+func (s *Server) submit(req *restful.Request, resp *restful.Response) {
+	operator, note, ok := s.note(req, resp)
+	if !ok {
+		return
+	}
+	verdict, result := s.backend.Submit(req.Request.Context(), operator, req.Request.Header.Get(HeaderNoteFile), note)
+	if result != nil {
+		writeResult(resp.ResponseWriter, result, requestID(req.Request))
+		return
+	}
+	writeJSON(resp.ResponseWriter, http.StatusOK, verdict)
+}
+
+func (s *Server) check(req *restful.Request, resp *restful.Response) {
+	_, note, ok := s.note(req, resp)
+	if !ok {
+		return
+	}
+	findings, result := s.backend.Check(req.Request.Context(), req.Request.Header.Get(HeaderNoteFile), note)
+	if result != nil {
+		writeResult(resp.ResponseWriter, result, requestID(req.Request))
+		return
+	}
+	writeJSON(resp.ResponseWriter, http.StatusOK, CheckAnswer{Findings: findings})
+}
+
+func (s *Server) verdict(req *restful.Request, resp *restful.Response) {
+	if _, ok := s.operator(req, resp); !ok {
+		return
+	}
+	number, err := strconv.ParseUint(req.PathParameter("number"), 10, 64)
+	if err != nil {
+		writeResult(resp.ResponseWriter, api.Refuse(api.ReasonMalformedRequest, "the number of a release note is a whole number"), requestID(req.Request))
+		return
+	}
+	verdict, ok := s.backend.Verdict(number)
+	if !ok {
+		writeJSON(resp.ResponseWriter, http.StatusNotFound, api.ErrorBody{Error: api.ErrorDetail{
+			Message: "this instance knows no verdict for note " + strconv.FormatUint(number, 10), Code: "no_verdict"}})
+		return
+	}
+	writeJSON(resp.ResponseWriter, http.StatusOK, verdict)
+}
+
+func (s *Server) history(req *restful.Request, resp *restful.Response) {
+	if _, ok := s.operator(req, resp); ok {
+		writeJSON(resp.ResponseWriter, http.StatusOK, s.backend.History())
+	}
+}
+
+func (s *Server) status(req *restful.Request, resp *restful.Response) {
+	if _, ok := s.operator(req, resp); ok {
+		writeJSON(resp.ResponseWriter, http.StatusOK, s.backend.Status(req.Request.Context()))
+	}
+}
+
+func (s *Server) timeline(req *restful.Request, resp *restful.Response) {
+	if _, ok := s.operator(req, resp); ok {
+		all := req.QueryParameter("scope") != "instance"
+		writeJSON(resp.ResponseWriter, http.StatusOK, s.backend.Timeline(req.Request.Context(), all))
+	}
+}
+
+func (s *Server) targetRoutes() *restful.WebService {
+	ws := new(restful.WebService)
+	ws.Path("/hoist/v1/targets").Consumes("*/*")
+	ws.Route(ws.POST("/announce").To(func(req *restful.Request, resp *restful.Response) {
+		handleMessage(req, resp, s.backend.Announce)
+	}))
+	ws.Route(ws.POST("/cache-events").To(func(req *restful.Request, resp *restful.Response) {
+		handleMessage(req, resp, s.backend.CacheEvents)
+	}))
+	return ws
+}
+
+// handleMessage decodes one message of a target and passes it on.
+func handleMessage[M any](req *restful.Request, resp *restful.Response, handle func(M) error) {
+	id := requestID(req.Request)
+	body, result := readBody(req.Request, maxAnnouncement)
+	if result != nil {
+		writeResult(resp.ResponseWriter, result, id)
+		return
+	}
+	var message M
+	err := json.Unmarshal(body, &message)
+	if err == nil {
+		err = handle(message)
+	}
+	if err != nil {
+		writeResult(resp.ResponseWriter, api.Refuse(api.ReasonMalformedRequest, err.Error()), id)
+		return
+	}
+	resp.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) platformRoutes() *restful.WebService {
+	ws := new(restful.WebService)
+	ws.Path("/")
+	ws.Route(ws.GET("/healthz").To(func(_ *restful.Request, resp *restful.Response) {
+		writeJSON(resp.ResponseWriter, http.StatusOK, map[string]string{"status": "alive"})
+	}))
+	ws.Route(ws.GET("/readyz").To(func(_ *restful.Request, resp *restful.Response) {
+		if !s.backend.Ready() {
+			writeJSON(resp.ResponseWriter, http.StatusServiceUnavailable, map[string]string{"status": "not ready"})
+			return
+		}
+		writeJSON(resp.ResponseWriter, http.StatusOK, map[string]string{"status": "ready"})
+	}))
+	ws.Route(ws.GET("/metrics").To(func(_ *restful.Request, resp *restful.Response) {
+		writeJSON(resp.ResponseWriter, http.StatusOK, s.backend.Metrics())
+	}))
+	return ws
+}
--- /dev/null
+++ b/transport/httpapi/status.go
@@ -0,0 +1,74 @@
+package httpapi
+
+// Status is what operators see at a glance.
+type Status struct {
+	Version    string `json:"version"`
+	Cluster    string `json:"cluster"`
+	Instance   string `json:"instance"`
+	DataCentre string `json:"data_centre"`
+	Ready      bool   `json:"ready"`
+	// Insecure lists what is not authenticated because settings give no tokens or keys.
+	Insecure        []string           `json:"insecure,omitempty"`
+	Logs            []LogStatus        `json:"logs"`
+	Control         ControlStatus      `json:"control"`
+	Instances       []InstanceStatus   `json:"instances"`
+	Models          []ModelStatus      `json:"models"`
+	Targets         []TargetStatus     `json:"targets"`
+	Waiting         []string           `json:"waiting,omitempty"`
+	UnresolvedCalls []UnresolvedStatus `json:"unresolved_calls,omitempty"`
+}
+
+// LogStatus is one replicated log as this instance sees it.
+type LogStatus struct {
+	Group   string   `json:"group"`
+	Role    string   `json:"role"`
+	Leader  string   `json:"leader,omitempty"`
+	Term    uint64   `json:"term"`
+	Commit  uint64   `json:"commit"`
+	Applied uint64   `json:"applied"`
+	Voters  []string `json:"voters,omitempty"`
+}
+
+// ControlStatus is the controller of the data centre.
+type ControlStatus struct {
+	Holder     string `json:"holder,omitempty"`
+	Fence      uint64 `json:"fence,omitempty"`
+	OpenOrders int    `json:"open_orders"`
+}
+
+// InstanceStatus is one instance and the release notes in force there.
+type InstanceStatus struct {
+	Name       string `json:"name"`
+	DataCentre string `json:"data_centre"`
+	Reachable  bool   `json:"reachable"`
+	Applied    uint64 `json:"applied"`
+}
+
+// ModelStatus is a model or adapter in force.
+type ModelStatus struct {
+	Name    string `json:"name"`
+	Version string `json:"version"`
+	Ready   int    `json:"ready"`
+	Loading int    `json:"loading"`
+}
+
+// TargetStatus is one target of this data centre.
+type TargetStatus struct {
+	Name          string   `json:"name"`
+	Incarnation   uint64   `json:"incarnation"`
+	Kind          string   `json:"kind"`
+	State         string   `json:"state"`
+	CapacityBytes int64    `json:"capacity_bytes,omitempty"`
+	UsedBytes     int64    `json:"used_bytes,omitempty"`
+	Residents     []string `json:"residents,omitempty"`
+	InFlight      int      `json:"in_flight"`
+}
+
+// UnresolvedStatus is a non-idempotent call that may have run.
+type UnresolvedStatus struct {
+	Caller  string `json:"caller"`
+	Service string `json:"service"`
+	Key     string `json:"key"`
+	State   string `json:"state"`
+	Since   int64  `json:"since_ms"`
+}
--- /dev/null
+++ b/transport/httpapi/stream.go
@@ -0,0 +1,107 @@
+package httpapi
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+)
+
+// streamWriter sends an answer as server-sent events. Nothing is sent before the first event, so that a refusal can
+// still have its own status.
+type streamWriter struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	started bool
+}
+
+func newStreamWriter(w http.ResponseWriter) *streamWriter {
+	return &streamWriter{w: w, control: http.NewResponseController(w)}
+}
+
+// WriteEvent sends one chunk. A reader that takes longer than writeTimeout for it is given up.
+func (s *streamWriter) WriteEvent(offset int, chunk []byte) error {
+	s.start()
+	return s.send(fmt.Sprintf("id: %d\ndata: %s\n\n", offset, chunk))
+}
+
+func (s *streamWriter) start() {
+	if s.started {
+		return
+	}
+	s.started = true
+	h := s.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-store")
+	h.Set(api.HeaderOutcome, string(api.Answered))
+	s.w.WriteHeader(http.StatusOK)
+}
+
+func (s *streamWriter) send(text string) error {
+	_ = s.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	if _, err := s.w.Write([]byte(text)); err != nil {
+		return errors.Wrap(err, "write to the caller")
+	}
+	return errors.Wrap(s.control.Flush(), "write to the caller")
+}
+
+// finish ends the stream with the end marker or an explicit error event.
+func (s *streamWriter) finish(result *api.Result, id string) {
+	if result.Outcome == api.Answered {
+		s.start()
+		_ = s.send("data: [DONE]\n\n")
+		return
+	}
+	if !s.started {
+		writeResult(s.w, result, id)
+		return
+	}
+	body, err := json.Marshal(result.Body(id))
+	if err != nil {
+		return
+	}
+	_ = s.send("event: error\ndata: " + string(body) + "\n\n")
+}
+
+// collector gathers a whole answer.
+type collector struct {
+	text   strings.Builder
+	tokens int
+	finish string
+}
+
+// WriteEvent appends the content of one chunk.
+func (c *collector) WriteEvent(_ int, data []byte) error {
+	var chunk api.ChatChunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return errors.Wrap(err, "chunk of the answer")
+	}
+	for _, choice := range chunk.Choices {
+		if choice.Delta.Content != "" {
+			c.tokens++
+			c.text.WriteString(choice.Delta.Content)
+		}
+		if choice.FinishReason != nil {
+			c.finish = *choice.FinishReason
+		}
+	}
+	return nil
+}
+
+func (c *collector) completion(call *ChatCall) api.ChatCompletion {
+	finish := c.finish
+	if finish == "" {
+		finish = "stop"
+	}
+	prompt := call.Request.PromptTokens()
+	return api.ChatCompletion{
+		ID: call.RequestID, Object: "chat.completion", Created: time.Now().Unix(), Model: call.Request.Model,
+		Choices: []api.CompletionChoice{{Message: api.ChatMessage{Role: "assistant", Content: c.text.String()}, FinishReason: finish}},
+		Usage:   api.Usage{PromptTokens: prompt, CompletionTokens: c.tokens, TotalTokens: prompt + c.tokens},
+	}
+}
--- /dev/null
+++ b/transport/targetclient/client.go
@@ -0,0 +1,226 @@
+// Package targetclient calls targets over HTTP: streams, plain service calls, orders and cancellations.
+package targetclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+const (
+	dialTimeout     = time.Second
+	idlePerTarget   = 64
+	idleTimeout     = 90 * time.Second
+	maxErrorBytes   = 8 << 10
+	maxControlBytes = 64 << 10
+	// MaxServiceAnswerBytes bounds the answer of a plain service.
+	MaxServiceAnswerBytes = 4 << 20
+)
+
+// Client calls targets. It is safe for concurrent use.
+type Client struct {
+	pooled *http.Client
+	single *http.Client
+}
+
+// New makes a client.
+func New() *Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Client{
+		pooled: &http.Client{
+			Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: idlePerTarget, IdleConnTimeout: idleTimeout},
+			CheckRedirect: noRedirect,
+		},
+		// net/http resends a request with an Idempotency-Key on a new connection when a reused one breaks. Calls that
+		// must run at most once therefore never use a reused connection.
+		single: &http.Client{
+			Transport:     &http.Transport{DialContext: countingDial(dialer), DisableKeepAlives: true},
+			CheckRedirect: noRedirect,
+		},
+	}
+}
+
+func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
+// ErrOverloaded means that the target refused the attempt because it is full. It did not run.
+type ErrOverloaded struct{ RetryAfter time.Duration }
+
+func (e *ErrOverloaded) Error() string { return "the target is overloaded" }
+
+// ErrNotReady means that the target does not hold the model or is leaving. The attempt did not run.
+type ErrNotReady struct{ Message string }
+
+func (e *ErrNotReady) Error() string { return "the target is not ready: " + e.Message }
+
+// ErrRejected means that the target found fault with the request itself.
+type ErrRejected struct {
+	Status  int
+	Message string
+}
+
+func (e *ErrRejected) Error() string {
+	return "the target rejected the request with status " + strconv.Itoa(e.Status) + ": " + e.Message
+}
+
+// ErrNotConnected means that no connection could be made, so that the attempt did not run.
+type ErrNotConnected struct{ Cause error }
+
+func (e *ErrNotConnected) Error() string { return "no connection to the target: " + e.Cause.Error() }
+
+// ErrBroken means that the connection ended before the answer did. The attempt may have run.
+type ErrBroken struct{ Cause error }
+
+func (e *ErrBroken) Error() string { return "the connection to the target broke: " + e.Cause.Error() }
+
+// Attempt is one attempt at a model call.
+type Attempt struct {
+	Address   string
+	RequestID string
+	AttemptID string
+	Priority  releasenote.Priority
+	// Offset is the number of tokens that the caller has already received.
+	Offset int
+	Body   []byte
+}
+
+// Event is one event of a stream.
+type Event struct {
+	Offset int
+	Data   []byte
+	Done   bool
+}
+
+// Stream sends an attempt and passes on its events until the end. An error of onEvent ends the stream.
+func (c *Client) Stream(ctx context.Context, a Attempt, onEvent func(Event) error) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Address+targetapi.PathChat, bytes.NewReader(a.Body))
+	if err != nil {
+		return errors.Wrap(err, "attempt")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set("Accept", "text/event-stream")
+	req.Header.Set(api.HeaderRequestID, a.RequestID)
+	req.Header.Set(targetapi.HeaderAttemptID, a.AttemptID)
+	req.Header.Set(targetapi.HeaderPriority, string(a.Priority))
+	if a.Offset > 0 {
+		req.Header.Set(targetapi.HeaderResumeOffset, strconv.Itoa(a.Offset))
+	}
+	resp, err := c.pooled.Do(req)
+	if err != nil {
+		return connectionError(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return statusError(resp)
+	}
+	if got := resp.Header.Get(targetapi.HeaderAttemptID); got != a.AttemptID {
+		return &ErrBroken{Cause: errors.Errorf("answer to attempt %q arrived for attempt %q", got, a.AttemptID)}
+	}
+	return readEvents(resp.Body, onEvent)
+}
+
+// connectionError tells a failed dial, after which nothing can have run, from a broken connection.
+func connectionError(err error) error {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return &ErrNotConnected{Cause: err}
+	}
+	return &ErrBroken{Cause: err}
+}
+
+func statusError(resp *http.Response) error {
+	body, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes))
+	message := string(bytes.TrimSpace(body))
+	switch resp.StatusCode {
+	case http.StatusTooManyRequests:
+		return &ErrOverloaded{RetryAfter: retryAfter(resp.Header)}
+	case http.StatusNotFound, http.StatusServiceUnavailable:
+		return &ErrNotReady{Message: message}
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+		return &ErrRejected{Status: resp.StatusCode, Message: message}
+	default:
+		return &ErrBroken{Cause: errors.Errorf("status %d: %s", resp.StatusCode, message)}
+	}
+}
+
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// Order delivers an order and returns what the target said about it.
+func (c *Client) Order(ctx context.Context, address string, order targetapi.Order) (targetapi.OrderStatus, error) {
+	var status targetapi.OrderStatus
+	err := c.control(ctx, address, targetapi.PathOrders, order, &status)
+	return status, err
+}
+
+// Cancel asks a target to stop an attempt.
+func (c *Client) Cancel(ctx context.Context, address, attemptID string) error {
+	return c.control(ctx, address, targetapi.PathCancel, targetapi.Cancel{Version: targetapi.Version, AttemptID: attemptID}, nil)
+}
+
+func (c *Client) control(ctx context.Context, address, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return errors.Wrap(err, "encode control message")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "control message")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.pooled.Do(req)
+	if err != nil {
+		return connectionError(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode >= http.StatusBadRequest && resp.StatusCode != http.StatusConflict {
+		return statusError(resp)
+	}
+	if out == nil || resp.StatusCode == http.StatusNoContent {
+		return nil
+	}
+	return errors.Wrap(json.NewDecoder(io.LimitReader(resp.Body, maxControlBytes)).Decode(out), "answer of the target")
+}
+
+// countingDial wraps connections so that a call can tell whether any byte left this process.
+func countingDial(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		if written, ok := ctx.Value(writtenKey{}).(*atomic.Bool); ok {
+			return &countingConn{Conn: conn, written: written}, nil
+		}
+		return conn, nil
+	}
+}
+
+type writtenKey struct{}
+
+type countingConn struct {
+	net.Conn
+	written *atomic.Bool
+}
+
+// Write notes the attempt before it is made, since a failed write may have sent a part.
+func (c *countingConn) Write(p []byte) (int, error) {
+	c.written.Store(true)
+	return c.Conn.Write(p)
+}
--- /dev/null
+++ b/transport/targetclient/events.go
@@ -0,0 +1,48 @@
+package targetclient
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// maxLineBytes bounds one line of a stream.
+const maxLineBytes = 1 << 20
+
+var doneMarker = []byte("[DONE]")
+
+// readEvents parses server-sent events. A stream that ends without the end marker is broken.
+func readEvents(r io.Reader, onEvent func(Event) error) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	offset := -1
+	for scanner.Scan() {
+		line := scanner.Bytes()
+		switch {
+		case bytes.HasPrefix(line, []byte("id:")):
+			id, err := strconv.Atoi(string(bytes.TrimSpace(line[len("id:"):])))
+			if err != nil || id < 0 {
+				return &ErrBroken{Cause: errors.Errorf("event id %q is not an offset", line)}
+			}
+			offset = id
+		case bytes.HasPrefix(line, []byte("data:")):
+			data := bytes.TrimSpace(line[len("data:"):])
+			if bytes.Equal(data, doneMarker) {
+				return onEvent(Event{Offset: offset, Done: true})
+			}
+			if offset < 0 {
+				return &ErrBroken{Cause: errors.New("event has no offset")}
+			}
+			if err := onEvent(Event{Offset: offset, Data: data}); err != nil {
+				return err
+			}
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return &ErrBroken{Cause: err}
+	}
+	return &ErrBroken{Cause: io.ErrUnexpectedEOF}
+}
--- /dev/null
+++ b/transport/targetclient/service.go
@@ -0,0 +1,55 @@
+package targetclient
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync/atomic"
+
+	"github.com/pkg/errors"
+)
+
+// ServiceCall is one call of a plain service.
+type ServiceCall struct {
+	Address string
+	Method  string
+	// PathAndQuery is what follows the service name.
+	PathAndQuery string
+	Header       http.Header
+	Body         []byte
+}
+
+// ServiceAnswer is the answer of a plain service.
+type ServiceAnswer struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Call sends one call on a connection of its own. When the error is not nil, sent says whether any byte left this
+// process; if none did, the call did not run.
+func (c *Client) Call(ctx context.Context, call ServiceCall) (answer *ServiceAnswer, sent bool, err error) {
+	var written atomic.Bool
+	ctx = context.WithValue(ctx, writtenKey{}, &written)
+	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+call.Address+call.PathAndQuery, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, false, errors.Wrap(err, "service call")
+	}
+	if call.Header != nil {
+		req.Header = call.Header.Clone()
+	}
+	resp, err := c.single.Do(req)
+	if err != nil {
+		return nil, written.Load(), errors.Wrap(err, "service call")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxServiceAnswerBytes+1))
+	if err != nil {
+		return nil, true, errors.Wrap(err, "answer of the service")
+	}
+	if len(body) > MaxServiceAnswerBytes {
+		return nil, true, errors.Errorf("the answer of the service is larger than %d bytes", MaxServiceAnswerBytes)
+	}
+	return &ServiceAnswer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, true, nil
+}
