--- /dev/null
+++ b/instance/modelcalls/run.go
@@ -0,0 +1,374 @@
+package modelcalls
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/stream"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
+)
+
+var errSilent = errors.New("the target was silent for too long")
+
+const (
+	// firstTokenTimeout ends an attempt on a target that accepts connections but does not answer.
+	firstTokenTimeout = 15 * time.Second
+	// nextTokenTimeout ends an attempt whose stream stalls, for example because the target is frozen.
+	nextTokenTimeout = 5 * time.Second
+	cancelTimeout    = time.Second
+	eventBuffer      = 64
+)
+
+// attempt is one try on one target.
+type attempt struct {
+	id      string
+	placed  Placed
+	cancel  context.CancelFunc
+	done    func(Result)
+	started time.Time
+	first   time.Duration
+	tokens  int
+	// latest is the time of the latest token, or of the start.
+	latest time.Time
+}
+
+// message is an event of an attempt on its way to the run.
+type message struct {
+	attempt *attempt
+	event   targetclient.Event
+	// ended is set on the last message of an attempt, with its error.
+	ended bool
+	err   error
+}
+
+// run answers one request. All its state belongs to one goroutine; attempts send messages.
+type run struct {
+	server   *Server
+	work     *Work
+	body     []byte
+	out      httpapi.TokenWriter
+	splicer  *stream.Splicer
+	messages chan message
+	open     map[string]*attempt
+	excluded map[string]bool
+	// mayHaveRun is set as soon as any attempt may have reached a target.
+	mayHaveRun bool
+	forwarded  int
+	attempts   int
+}
+
+func newRun(s *Server, w *Work, body []byte, out httpapi.TokenWriter) *run {
+	return &run{
+		server: s, work: w, body: body, out: out, splicer: stream.New(), messages: make(chan message, eventBuffer),
+		open: make(map[string]*attempt), excluded: make(map[string]bool),
+	}
+}
+
+// run starts attempts until the answer is complete or can't be completed.
+func (r *run) run(ctx context.Context) *api.Result {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer r.closeAll()
+	if refusal := r.begin(ctx); refusal != nil {
+		return refusal
+	}
+	hedge := time.NewTimer(r.server.Picker.HedgeDelay(r.work))
+	defer hedge.Stop()
+	stall := time.NewTicker(nextTokenTimeout / 10)
+	defer stall.Stop()
+	for {
+		select {
+		case m := <-r.messages:
+			if result := r.take(ctx, m); result != nil {
+				return result
+			}
+		case <-hedge.C:
+			r.hedge(ctx)
+		case <-stall.C:
+			if result := r.endStalled(ctx); result != nil {
+				return result
+			}
+		case <-ctx.Done():
+			return r.timedOut(ctx)
+		}
+	}
+}
+
+// begin picks a target and starts an attempt there.
+func (r *run) begin(ctx context.Context) *api.Result {
+	placed, done, refusal := r.server.Picker.Pick(r.work, r.excluded)
+	if refusal != nil {
+		return r.cannotContinue(refusal)
+	}
+	if r.attempts == 0 {
+		r.server.Retries.First(r.work, placed)
+	}
+	return r.start(ctx, placed, done)
+}
+
+// start sends an attempt to a picked target.
+func (r *run) start(ctx context.Context, placed Placed, done func(Result)) *api.Result {
+	id := uuid.NewString()
+	offset, err := r.splicer.Begin(id)
+	if err != nil {
+		done(Result{Err: err})
+		return r.fail(err)
+	}
+	r.attempts++
+	attemptCtx, cancel := context.WithCancel(ctx)
+	now := r.server.Now()
+	a := &attempt{id: id, placed: placed, cancel: cancel, done: done, started: now, latest: now}
+	r.open[id] = a
+	if offset > 0 {
+		r.server.Recorder.Record(events.StreamResumed, events.Fields{
+			"request": r.work.RequestID, "target": placed.Target, "offset": offset})
+	}
+	go r.stream(attemptCtx, a, int(offset))
+	return nil
+}
+
+// stream runs in a goroutine of its own. It always sends one last message.
+func (r *run) stream(ctx context.Context, a *attempt, offset int) {
+	request := targetclient.Attempt{
+		Address: a.placed.Address, RequestID: r.work.RequestID, AttemptID: a.id, Priority: r.work.Priority,
+		Offset: offset, Body: r.body,
+	}
+	err := r.server.Client.Stream(ctx, request, func(e targetclient.Event) error {
+		e.Data = append([]byte(nil), e.Data...)
+		return r.send(ctx, message{attempt: a, event: e})
+	})
+	_ = r.send(ctx, message{attempt: a, ended: true, err: err})
+}
+
+func (r *run) send(ctx context.Context, m message) error {
+	select {
+	case r.messages <- m:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// take handles one message. A result ends the run.
+func (r *run) take(ctx context.Context, m message) *api.Result {
+	a := m.attempt
+	if r.open[a.id] == nil {
+		return nil
+	}
+	switch {
+	case m.ended:
+		return r.ended(ctx, a, m.err)
+	case m.event.Done:
+		return r.end(ctx, a, m.event)
+	default:
+		return r.token(ctx, a, m.event)
+	}
+}
+
+func (r *run) token(ctx context.Context, a *attempt, e targetclient.Event) *api.Result {
+	now := r.server.Now()
+	if a.tokens == 0 {
+		a.first = now.Sub(a.started)
+		r.closeOthers(a)
+	}
+	a.tokens++
+	a.latest = now
+	r.mayHaveRun = true
+	content, err := targetapi.ChunkContent(e.Data)
+	if err != nil {
+		return r.ended(ctx, a, err)
+	}
+	forward, err := r.splicer.Token(a.id, uint64(e.Offset), content)
+	if err != nil {
+		return r.ended(ctx, a, err)
+	}
+	if !forward {
+		return nil
+	}
+	r.forwarded++
+	if err := r.out.WriteEvent(e.Offset, e.Data); err != nil {
+		return api.Fail(api.ReasonStreamBroken, api.RepeatNow, "the caller did not take the answer: "+err.Error())
+	}
+	return nil
+}
+
+func (r *run) end(ctx context.Context, a *attempt, e targetclient.Event) *api.Result {
+	tokens := r.splicer.Resume()
+	if a.tokens > 0 {
+		tokens = uint64(e.Offset) + 1
+	}
+	if err := r.splicer.End(a.id, tokens); err != nil {
+		return r.ended(ctx, a, err)
+	}
+	r.close(a, nil)
+	r.server.Suspects.Cleared(r.work.Fingerprint)
+	return &api.Result{Outcome: api.Answered}
+}
+
+// ended handles an attempt that did not complete the answer and starts another one where that is allowed.
+func (r *run) ended(ctx context.Context, a *attempt, err error) *api.Result {
+	if err == nil {
+		err = &targetclient.ErrBroken{Cause: errors.New("the stream ended without an end marker")}
+	}
+	r.splicer.Break(a.id)
+	r.close(a, err)
+	if ctx.Err() != nil {
+		return r.timedOut(ctx)
+	}
+	r.excluded[a.placed.Target] = true
+	var rejected *targetclient.ErrRejected
+	if errors.As(err, &rejected) {
+		return r.cannotContinue(api.Refuse(api.ReasonMalformedRequest, rejected.Message))
+	}
+	if r.broken(err) {
+		r.mayHaveRun = true
+		r.server.Recorder.Record(events.AttemptBroken, events.Fields{
+			"request": r.work.RequestID, "target": a.placed.Target, "offset": r.splicer.Resume(), "error": err.Error()})
+		r.server.Suspects.Strike(ctx, r.work, a.placed)
+	}
+	if len(r.open) > 0 {
+		return nil
+	}
+	return r.again(ctx, err)
+}
+
+// broken says whether the attempt may have reached the target and died there.
+func (r *run) broken(err error) bool {
+	var broken *targetclient.ErrBroken
+	return errors.As(err, &broken)
+}
+
+// again starts the next attempt if quarantine, budget and deadline allow it.
+func (r *run) again(ctx context.Context, err error) *api.Result {
+	if refusal := r.server.Suspects.Verdict(r.work.Fingerprint); refusal != nil {
+		return r.cannotContinue(refusal)
+	}
+	placed, done, refusal := r.server.Picker.Pick(r.work, r.excluded)
+	if refusal != nil {
+		return r.cannotContinue(refusal)
+	}
+	delay, ok := r.server.Retries.Allow(r.work, placed, r.attempts, err)
+	if !ok {
+		done(Result{Err: context.Canceled})
+		return r.fail(err)
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return r.start(ctx, placed, done)
+	case <-ctx.Done():
+		done(Result{Err: context.Canceled})
+		return r.timedOut(ctx)
+	}
+}
+
+// hedge starts a second attempt when the first is late and the budget allows it.
+func (r *run) hedge(ctx context.Context) {
+	if r.forwarded > 0 || len(r.open) != 1 {
+		return
+	}
+	for _, a := range r.open {
+		waited := r.server.Now().Sub(a.started)
+		r.server.Picker.Overdue(r.work, a.placed, waited)
+		if !r.server.Picker.Hedge(r.work, a.placed, waited) {
+			return
+		}
+		r.excluded[a.placed.Target] = true
+		r.server.Recorder.Record(events.RequestHedged, events.Fields{"request": r.work.RequestID, "target": a.placed.Target})
+	}
+	// Without another target the first attempt simply goes on.
+	_ = r.begin(ctx)
+}
+
+// endStalled ends attempts that have been silent for too long. The end is enforced here, whether or not the target
+// reacts to the cancellation.
+func (r *run) endStalled(ctx context.Context) *api.Result {
+	now := r.server.Now()
+	for _, a := range slices.Collect(maps.Values(r.open)) {
+		limit := nextTokenTimeout
+		if a.tokens == 0 {
+			limit = firstTokenTimeout
+		}
+		if now.Sub(a.latest) < limit {
+			continue
+		}
+		if result := r.ended(ctx, a, &targetclient.ErrBroken{Cause: errSilent}); result != nil {
+			return result
+		}
+	}
+	return nil
+}
+
+// closeOthers cancels all attempts but the one that answered first.
+func (r *run) closeOthers(winner *attempt) {
+	for _, a := range r.open {
+		if a != winner {
+			r.splicer.Break(a.id)
+			r.close(a, context.Canceled)
+		}
+	}
+}
+
+func (r *run) closeAll() {
+	for _, a := range r.open {
+		r.close(a, context.Canceled)
+	}
+}
+
+// close ends an attempt for good and tells the target when it may still be running.
+func (r *run) close(a *attempt, err error) {
+	delete(r.open, a.id)
+	a.cancel()
+	a.done(Result{FirstToken: a.first, Total: r.server.Now().Sub(a.started), Tokens: a.tokens, Err: err})
+	if !errors.Is(err, context.Canceled) {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+		defer cancel()
+		// A lost cancellation only costs the target the rest of the answer.
+		_ = r.server.Client.Cancel(ctx, a.placed.Address, a.id)
+	}()
+}
+
+// cannotContinue turns a refusal into a failure when an earlier attempt may have run.
+func (r *run) cannotContinue(refusal *api.Result) *api.Result {
+	if !r.mayHaveRun {
+		return refusal
+	}
+	return &api.Result{Outcome: api.Failed, Reason: refusal.Reason, Repeat: refusal.Repeat, RepeatAfter: refusal.RepeatAfter,
+		Message: refusal.Message}
+}
+
+func (r *run) fail(err error) *api.Result {
+	if !r.mayHaveRun {
+		return api.RefuseFor(api.ReasonNoCapacity, time.Second, "no target took the request: "+err.Error())
+	}
+	reason := api.ReasonTargetFailed
+	if r.forwarded > 0 {
+		reason = api.ReasonStreamBroken
+	}
+	return &api.Result{Outcome: api.Failed, Reason: reason, Repeat: api.RepeatAfter, RepeatAfter: time.Second, Message: err.Error()}
+}
+
+func (r *run) timedOut(ctx context.Context) *api.Result {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return api.Fail(api.ReasonTimeout, api.RepeatNow, "the caller closed the connection")
+	}
+	// An attempt that is still open may be running on its target.
+	if r.mayHaveRun || len(r.open) > 0 {
+		return api.Fail(api.ReasonTimeout, api.RepeatNow, "the deadline passed before the answer was complete")
+	}
+	return &api.Result{Outcome: api.Refused, Reason: api.ReasonDeadlineUnreachable, Repeat: api.RepeatNow,
+		Message: "the deadline passed before a target took the request"}
+}
--- /dev/null
+++ b/instance/modelcalls/server.go
@@ -0,0 +1,205 @@
+// Package modelcalls answers model calls: it authorizes, admits, picks a target and splices the answer from as many
+// attempts as it takes.
+package modelcalls
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/drain"
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/state/catalog"
+	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
+)
+
+// Work describes one call to the policies.
+type Work struct {
+	RequestID   string
+	Caller      string
+	Weight      int
+	Model       string
+	Adapter     string
+	Priority    releasenote.Priority
+	Fingerprint uint64
+	PrefixHash  uint64
+	// PromptTokens is estimated from the bytes of the prompt; TokenLimit is the caller's, or 0.
+	PromptTokens int
+	TokenLimit   int
+	Deadline     time.Time
+}
+
+// Placed is a target that was picked for an attempt.
+type Placed struct {
+	Target      string
+	Incarnation uint64
+	Address     string
+}
+
+// Result is how an attempt ended.
+type Result struct {
+	FirstToken time.Duration
+	Total      time.Duration
+	Tokens     int
+	Err        error
+}
+
+// Admission holds work back until it may start.
+type Admission interface {
+	// Acquire waits for a place. Release must be called with the number of tokens that were generated.
+	Acquire(ctx context.Context, w *Work) (release func(tokens int), refusal *api.Result)
+}
+
+// Picker picks targets and learns from attempts.
+type Picker interface {
+	// Pick returns a target outside the excluded ones. Done must be called when the attempt has ended.
+	Pick(w *Work, excluded map[string]bool) (p Placed, done func(Result), refusal *api.Result)
+	// Expected is the usual time until the first token.
+	Expected(w *Work) time.Duration
+	// Overdue reports an attempt that has not answered for this long.
+	Overdue(w *Work, p Placed, waited time.Duration)
+	// Hedge says whether a second attempt may be started now.
+	Hedge(w *Work, p Placed, waited time.Duration) bool
+	// HedgeDelay is the time after which a second attempt is considered.
+	HedgeDelay(w *Work) time.Duration
+}
+
+// Retries decides on further attempts.
+type Retries interface {
+	// First notes the first attempt of a request.
+	First(w *Work, p Placed)
+	// Allow says whether another attempt may be made on the next target after a number of attempts, of which the last
+	// ended with err, and after what delay.
+	Allow(w *Work, next Placed, attempts int, err error) (delay time.Duration, ok bool)
+}
+
+// Suspects knows the requests that were in flight on targets that died.
+type Suspects interface {
+	// Verdict refuses a request that is quarantined.
+	Verdict(fingerprint uint64) *api.Result
+	// Strike reports a broken attempt and returns when the other instances know of it.
+	Strike(ctx context.Context, w *Work, p Placed)
+	// Cleared reports that a request was answered.
+	Cleared(fingerprint uint64)
+}
+
+// InForce gives what is in force.
+type InForce interface{ Contents() *catalog.Contents }
+
+// Streamer sends attempts to targets.
+type Streamer interface {
+	Stream(ctx context.Context, a targetclient.Attempt, onEvent func(targetclient.Event) error) error
+	Cancel(ctx context.Context, address, attemptID string) error
+}
+
+// Server answers model calls.
+type Server struct {
+	InForce        InForce
+	Gate           *drain.Gate
+	Admission      Admission
+	Picker         Picker
+	Retries        Retries
+	Suspects       Suspects
+	Client         Streamer
+	Recorder       *events.Recorder
+	RequestTimeout time.Duration
+	Now            func() time.Time
+}
+
+// Chat answers one call.
+func (s *Server) Chat(ctx context.Context, call httpapi.ChatCall, out httpapi.TokenWriter) *api.Result {
+	leave, ok := s.Gate.Enter()
+	if !ok {
+		return draining()
+	}
+	defer leave()
+	result := s.answer(ctx, &call, out)
+	s.record(&call, result)
+	return result
+}
+
+func draining() *api.Result {
+	return &api.Result{Outcome: api.Refused, Reason: api.ReasonDraining, Repeat: api.RepeatNow,
+		Message: "this instance is shutting down; another one takes the request"}
+}
+
+func (s *Server) answer(ctx context.Context, call *httpapi.ChatCall, out httpapi.TokenWriter) *api.Result {
+	work, refusal := s.work(call)
+	if refusal != nil {
+		return refusal
+	}
+	if refusal := s.Suspects.Verdict(work.Fingerprint); refusal != nil {
+		return refusal
+	}
+	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
+	defer cancel()
+	release, refusal := s.Admission.Acquire(ctx, work)
+	if refusal != nil {
+		return refusal
+	}
+	r := newRun(s, work, call.Body, out)
+	defer func() { release(r.forwarded) }()
+	return r.run(ctx)
+}
+
+// work authorizes a call and gathers what the policies need.
+func (s *Server) work(call *httpapi.ChatCall) (*Work, *api.Result) {
+	model, adapter := call.Request.ModelAndAdapter()
+	permission, refusal := s.InForce.Contents().PermitModel(call.Caller, model, adapter)
+	if refusal != nil {
+		return nil, refusal
+	}
+	priority := permission.Priority
+	if call.Priority != "" && call.Priority.Rank() > priority.Rank() {
+		priority = call.Priority
+	}
+	timeout := s.RequestTimeout
+	if call.Timeout > 0 {
+		timeout = min(timeout, call.Timeout)
+	}
+	return &Work{
+		RequestID: call.RequestID, Caller: call.Caller, Weight: permission.Weight, Model: model, Adapter: adapter,
+		Priority: priority, Fingerprint: fingerprint(call), PrefixHash: prefixHash(call),
+		PromptTokens: call.Request.PromptTokens(), TokenLimit: call.Request.TokenLimit(), Deadline: s.Now().Add(timeout),
+	}, nil
+}
+
+// fingerprint identifies a request by caller and body alone, since a caller that sends a crashing request again may
+// change its headers.
+func fingerprint(call *httpapi.ChatCall) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(call.Caller)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(call.Request.Model)
+	for _, m := range call.Request.Messages {
+		_, _ = d.Write([]byte{0})
+		_, _ = d.WriteString(m.Role)
+		_, _ = d.Write([]byte{0})
+		_, _ = d.WriteString(m.Content)
+	}
+	return d.Sum64()
+}
+
+// prefixHash identifies the first message, which requests of one application share.
+func prefixHash(call *httpapi.ChatCall) uint64 {
+	return xxhash.Sum64String(call.Request.Model + "\x00" + call.Request.Messages[0].Content)
+}
+
+func (s *Server) record(call *httpapi.ChatCall, result *api.Result) {
+	fields := events.Fields{"request": call.RequestID, "caller": call.Caller, "model": call.Request.Model}
+	switch result.Outcome {
+	case api.Answered:
+		s.Recorder.Record(events.RequestAnswered, fields)
+	case api.Refused:
+		fields["reason"] = result.Reason
+		s.Recorder.Record(events.RequestRefused, fields)
+	default:
+		fields["reason"] = result.Reason
+		fields["error"] = result.Message
+		s.Recorder.Record(events.RequestFailed, fields)
+	}
+}
--- /dev/null
+++ b/instance/notes/notes.go
@@ -0,0 +1,139 @@
+// Package notes takes release notes from operators and gets their verdicts from the replicated log.
+package notes
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/protocol/tomlfile"
+	"github.com/tarragonhoist/tarragonhoist/state/catalog"
+)
+
+const (
+	// verdictTimeout covers an election and a few round trips.
+	verdictTimeout = 8 * time.Second
+	retryAfter     = 2 * time.Second
+)
+
+// Log puts commands into the replicated log and returns their results.
+type Log interface {
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+}
+
+// Feasibility checks a note against the memory of the targets.
+type Feasibility interface {
+	Check(next *catalog.Contents, note *releasenote.Note) []tomlfile.Finding
+}
+
+// InForce gives what is in force on this instance.
+type InForce interface {
+	Contents() *catalog.Contents
+	Verdict(number uint64) (catalog.Verdict, bool)
+	History() []catalog.Verdict
+}
+
+// Desk handles release notes.
+type Desk struct {
+	log         Log
+	inForce     InForce
+	feasibility Feasibility
+	recorder    *events.Recorder
+	now         func() time.Time
+}
+
+// New makes a desk.
+func New(log Log, inForce InForce, feasibility Feasibility, recorder *events.Recorder, now func() time.Time) *Desk {
+	return &Desk{log: log, inForce: inForce, feasibility: feasibility, recorder: recorder, now: now}
+}
+
+// Submit gets the verdict of a note. A note whose own text has findings gets a refusal without using up its number.
+// A missing verdict does not mean that the note was refused; the same submission can be repeated.
+func (d *Desk) Submit(ctx context.Context, operator, file string, data []byte) (catalog.Verdict, *api.Result) {
+	note, findings := releasenote.Parse(file, data)
+	digest := releasenote.Digest(data)
+	if len(findings) > 0 {
+		return catalog.Verdict{Number: number(note), Digest: digest, Operator: operator, AtMs: d.now().UnixMilli(), Findings: findings}, nil
+	}
+	submission := catalog.Submission{Note: *note, Digest: digest, Operator: operator, AtMs: d.now().UnixMilli()}
+	if _, held := d.inForce.Verdict(note.Number); !held {
+		// A number that is held already gets its verdict from the log alone, whatever the targets can hold by now.
+		submission.Findings = d.feasible(note)
+	}
+	command, err := cbor.Marshal(submission)
+	if err != nil {
+		return catalog.Verdict{}, api.Refuse(api.ReasonMalformedRequest, err.Error())
+	}
+	ctx, cancel := context.WithTimeout(ctx, verdictTimeout)
+	defer cancel()
+	result, err := d.log.Propose(ctx, command)
+	if err == nil {
+		var verdict catalog.Verdict
+		if verdict, err = catalog.DecodeVerdict(result); err == nil {
+			return d.located(file, verdict), nil
+		}
+	}
+	d.recorder.Record(events.NoVerdict, events.Fields{"note": note.Number, "error": err.Error()})
+	return catalog.Verdict{}, noVerdict(err)
+}
+
+func number(note *releasenote.Note) uint64 {
+	if note == nil {
+		return 0
+	}
+	return note.Number
+}
+
+// located adds the file name to findings that came from the log.
+func (d *Desk) located(file string, v catalog.Verdict) catalog.Verdict {
+	findings := make([]tomlfile.Finding, len(v.Findings))
+	for i, f := range v.Findings {
+		f.File = file
+		findings[i] = f
+	}
+	v.Findings = findings
+	return v
+}
+
+func (d *Desk) feasible(note *releasenote.Note) []tomlfile.Finding {
+	next, findings := catalog.Check(d.inForce.Contents(), note)
+	if len(findings) > 0 {
+		// The log reports these findings itself, against the contents at that point.
+		return nil
+	}
+	return d.feasibility.Check(next, note)
+}
+
+// noVerdict reports a submission whose result is not known.
+func noVerdict(err error) *api.Result {
+	return &api.Result{
+		Outcome: api.Unknown, Reason: api.ReasonNoQuorum, Repeat: api.RepeatAfter, RepeatAfter: retryAfter,
+		Message: errors.Wrap(err, "no verdict; submitting the same note again is safe").Error(),
+	}
+}
+
+// Check lists all findings of a note without submitting it.
+func (d *Desk) Check(_ context.Context, file string, data []byte) (tomlfile.Findings, *api.Result) {
+	note, findings := releasenote.Parse(file, data)
+	if len(findings) > 0 {
+		return findings, nil
+	}
+	_, conflicts := catalog.Check(d.inForce.Contents(), note)
+	findings = append(findings, conflicts...)
+	findings = append(findings, d.feasible(note)...)
+	for i := range findings {
+		findings[i].File = file
+	}
+	return findings, nil
+}
+
+// Verdict returns the verdict of a note as this instance knows it.
+func (d *Desk) Verdict(number uint64) (catalog.Verdict, bool) { return d.inForce.Verdict(number) }
+
+// History lists all verdicts that this instance knows.
+func (d *Desk) History() []catalog.Verdict { return d.inForce.History() }
--- /dev/null
+++ b/instance/targets/targets.go
@@ -0,0 +1,219 @@
+// Package targets keeps the table of targets: it takes announcements and exchanges entries with other instances.
+package targets
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+const (
+	gossipInterval = time.Second
+	gossipFanout   = 2
+	gossipBytes    = 4 << 10
+	expireInterval = 250 * time.Millisecond
+	gossipTimeout  = time.Second
+	// leaveTimeout bounds the direct notice of a leaving target; gossip repeats it.
+	leaveTimeout = 500 * time.Millisecond
+)
+
+// Peers calls other instances.
+type Peers interface {
+	Call(ctx context.Context, peer, method string, params, result any) error
+}
+
+// Listener hears of changes of the table.
+type Listener interface {
+	TargetChanged(c membership.Change)
+}
+
+// Options of a keeper.
+type Options struct {
+	DataCentre string
+	// Local are the other instances of the data centre, Remote those of the others.
+	Local  []string
+	Remote []string
+	Lease  time.Duration
+}
+
+// Keeper keeps the table of one data centre.
+type Keeper struct {
+	opts     Options
+	table    *membership.Table
+	peers    Peers
+	recorder *events.Recorder
+	now      func() time.Time
+
+	mu        sync.Mutex
+	rng       *rand.Rand
+	listeners []Listener
+}
+
+// New makes a keeper with an empty table.
+func New(opts Options, peers Peers, recorder *events.Recorder, now func() time.Time, rng *rand.Rand) *Keeper {
+	return &Keeper{
+		opts: opts, peers: peers, recorder: recorder, now: now, rng: rng,
+		table: membership.NewTable(membership.Options{DataCentre: opts.DataCentre, TargetLease: opts.Lease}),
+	}
+}
+
+// Table is the table of targets.
+func (k *Keeper) Table() *membership.Table { return k.table }
+
+// Subscribe adds a listener. It must be called before Run.
+func (k *Keeper) Subscribe(l Listener) { k.listeners = append(k.listeners, l) }
+
+// Announce takes the announcement of a target.
+func (k *Keeper) Announce(a targetapi.Announcement) error {
+	change, err := k.table.Announce(k.now(), a)
+	if err != nil {
+		k.recorder.Record(events.TargetRejected, events.Fields{"target": a.Target, "error": err.Error()})
+		return err
+	}
+	k.changed(change)
+	if change.Kind == membership.Left {
+		go k.spreadLeaving()
+	}
+	return nil
+}
+
+// spreadLeaving tells all instances of the data centre at once, so that a leaving target gets no new work even when
+// only this instance heard of it.
+func (k *Keeper) spreadLeaving() {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, peer := range k.opts.Local {
+		wg.Go(func() { k.exchange(ctx, peer) })
+	}
+	wg.Wait()
+}
+
+// Run gossips and expires entries until ctx ends.
+func (k *Keeper) Run(ctx context.Context) {
+	gossip := time.NewTicker(gossipInterval)
+	defer gossip.Stop()
+	expire := time.NewTicker(expireInterval)
+	defer expire.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-expire.C:
+			for _, change := range k.table.Expire(k.now()) {
+				k.changed(change)
+			}
+		case <-gossip.C:
+			k.round(ctx)
+		}
+	}
+}
+
+// round exchanges entries with a few instances of the data centre and summaries with one of another.
+func (k *Keeper) round(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, gossipTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, peer := range k.sample(k.opts.Local, gossipFanout) {
+		wg.Go(func() { k.exchange(ctx, peer) })
+	}
+	for _, peer := range k.sample(k.opts.Remote, 1) {
+		wg.Go(func() { k.exchange(ctx, peer) })
+	}
+	wg.Wait()
+}
+
+func (k *Keeper) sample(peers []string, n int) []string {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	picked := make([]string, 0, n)
+	for _, i := range k.rng.Perm(len(peers)) {
+		if len(picked) == n {
+			break
+		}
+		picked = append(picked, peers[i])
+	}
+	return picked
+}
+
+// exchange asks a peer for its latest entries. Unreachable peers are skipped; the peer links report them.
+func (k *Keeper) exchange(ctx context.Context, peer string) {
+	sent := k.now()
+	pull, err := k.table.Pull(sent, gossipBytes)
+	if err != nil {
+		k.recorder.Record(events.InternalError, events.Fields{"task": "gossip", "error": err.Error()})
+		return
+	}
+	request := peerapi.GossipPull{DataCentre: k.opts.DataCentre, Frame: pull}
+	var answer peerapi.GossipDelta
+	if err := k.peers.Call(ctx, peer, peerapi.MethodGossip, request, &answer); err != nil {
+		return
+	}
+	now := k.now()
+	transit := now.Sub(sent)
+	if len(answer.Frame) > 0 {
+		merged, err := k.table.Merge(now, transit, answer.Frame)
+		k.report(peer, err)
+		k.changedAll(merged.Changes)
+	}
+	if len(answer.Summaries) > 0 {
+		k.report(peer, k.table.MergeSummaries(now, transit, answer.Summaries))
+	}
+}
+
+// HandleGossip answers the pull of another instance.
+func (k *Keeper) HandleGossip(request peerapi.GossipPull) (peerapi.GossipDelta, error) {
+	now := k.now()
+	var answer peerapi.GossipDelta
+	var err error
+	if request.DataCentre == k.opts.DataCentre {
+		merged, err := k.table.Merge(now, 0, request.Frame)
+		if err != nil {
+			return answer, err
+		}
+		k.changedAll(merged.Changes)
+		if answer.Frame, err = k.table.Delta(now, gossipBytes, merged.Wants); err != nil {
+			return answer, err
+		}
+	}
+	answer.Summaries, err = k.table.Summaries(now, gossipBytes, request.DataCentre == k.opts.DataCentre)
+	return answer, err
+}
+
+func (k *Keeper) report(peer string, err error) {
+	if err != nil {
+		k.recorder.Record(events.InternalError, events.Fields{"task": "gossip", "peer": peer, "error": err.Error()})
+	}
+}
+
+func (k *Keeper) changedAll(changes []membership.Change) {
+	for _, c := range changes {
+		k.changed(c)
+	}
+}
+
+func (k *Keeper) changed(c membership.Change) {
+	fields := events.Fields{"target": c.Target, "incarnation": c.Incarnation}
+	switch c.Kind {
+	case membership.Unchanged:
+		return
+	case membership.Added:
+		k.recorder.Record(events.TargetJoined, fields)
+	case membership.Left:
+		k.recorder.Record(events.TargetLeaving, fields)
+	case membership.Replaced:
+		fields["failed_incarnation"] = c.FailedIncarnation
+		k.recorder.Record(events.TargetReplaced, fields)
+	case membership.Expired:
+		k.recorder.Record(events.TargetExpired, fields)
+	}
+	for _, l := range k.listeners {
+		l.TargetChanged(c)
+	}
+}
--- /dev/null
+++ b/protocol/peerapi/messages.go
@@ -0,0 +1,30 @@
+package peerapi
+
+import "github.com/tarragonhoist/tarragonhoist/events"
+
+// GossipPull asks an instance for its latest entries of targets.
+type GossipPull struct {
+	DataCentre string `json:"data_centre"`
+	// Frame tells of leaving targets and asks for missing entries. It is only used inside one data centre.
+	Frame []byte `json:"frame"`
+}
+
+// GossipDelta answers a pull. Frame is empty between data centres, which only exchange summaries.
+type GossipDelta struct {
+	Frame     []byte `json:"frame,omitempty"`
+	Summaries []byte `json:"summaries,omitempty"`
+}
+
+// Empty is a request without parameters.
+type Empty struct{}
+
+// TimelineAnswer holds the latest events of one instance.
+type TimelineAnswer struct {
+	Events []events.Record `json:"events"`
+}
+
+// StatusAnswer is what an instance tells another one for the operators' overview.
+type StatusAnswer struct {
+	// Applied is the index of the last applied entry of the config log.
+	Applied uint64 `json:"applied"`
+}
--- /dev/null
+++ b/protocol/targetapi/chunk.go
@@ -0,0 +1,18 @@
+package targetapi
+
+import (
+	"encoding/json"
+
+	"github.com/pkg/errors"
+)
+
+// ChunkContent returns the choices of a chunk, the part that is equal in all attempts at one request.
+func ChunkContent(data []byte) ([]byte, error) {
+	var chunk struct {
+		Choices json.RawMessage `json:"choices"`
+	}
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return nil, errors.Wrap(err, "chunk of the answer")
+	}
+	return chunk.Choices, nil
+}
--- a/protocol/tomlfile/tomlfile.go
+++ b/protocol/tomlfile/tomlfile.go
@@ -57,14 +57,30 @@
 	findings Findings
 }
 
+// maxTypeErrors bounds the passes over a file whose values have wrong types.
+const maxTypeErrors = 50
+
 // Decode reads data into v. Syntax errors, wrong types and unknown keys become findings of the file.
 func Decode(name string, data []byte, v any) *File {
 	f := &File{name: name, lines: make(map[string]int)}
 	f.index(data)
-	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
-	err := decoder.Decode(v)
+	// The decoder stops at the first wrong type. That line is left out in the next pass, so that all are found.
+	lines := bytes.Split(data, []byte("\n"))
+	for range maxTypeErrors {
+		err := toml.NewDecoder(bytes.NewReader(bytes.Join(lines, []byte("\n")))).DisallowUnknownFields().Decode(v)
+		wrongLine := f.reportDecode(err)
+		if wrongLine == 0 || wrongLine > len(lines) || len(lines[wrongLine-1]) == 0 {
+			break
+		}
+		lines[wrongLine-1] = nil
+	}
+	return f
+}
+
+// reportDecode adds the findings of one pass. It returns the line of a value with a wrong type, or 0.
+func (f *File) reportDecode(err error) (wrongLine int) {
 	if err == nil {
-		return f
+		return 0
 	}
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) {
@@ -72,16 +88,19 @@
 			line, _ := strict.Errors[i].Position()
 			f.add(line, strings.Join(strict.Errors[i].Key(), "."), "unknown key")
 		}
-		return f
+		return 0
 	}
 	var decode *toml.DecodeError
-	if errors.As(err, &decode) {
-		line, _ := decode.Position()
-		f.add(line, strings.Join(decode.Key(), "."), decode.Error())
-		return f
+	if !errors.As(err, &decode) {
+		f.add(0, "", err.Error())
+		return 0
 	}
-	f.add(0, "", err.Error())
-	return f
+	line, _ := decode.Position()
+	f.add(line, strings.Join(decode.Key(), "."), decode.Error())
+	if len(decode.Key()) == 0 {
+		return 0
+	}
+	return line
 }
 
 // Report adds a finding at a key path such as "model[0].name".
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,56 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tarragonhoist/tarragonhoist/settings"
+)
+
+const valid = `cluster = "test"
+instance = "a1"
+data_centre = "a"
+data_folder = "/tmp/a1"
+listen_http = "127.0.0.1:8080"
+listen_peer = "127.0.0.1:9080"
+voters = ["a1"]
+
+[[peer]]
+name = "a1"
+data_centre = "a"
+address = "127.0.0.1:9080"
+`
+
+func TestValidSettings(t *testing.T) {
+	s, findings := settings.Parse("a.toml", []byte(valid))
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	if !s.IsVoter() || s.TargetLease.Duration != settings.DefaultTargetLease {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Guards against a check of settings that hides findings behind the first one.
+func TestEveryFindingIsReported(t *testing.T) {
+	text := strings.NewReplacer(
+		`data_folder = "/tmp/a1"`, "colour = \"red\"\ntarget_lease = \"fast\"",
+		`listen_http = "127.0.0.1:8080"`, `listen_http = "localhost:8080"`,
+		`voters = ["a1"]`, `voters = ["a1", "b1"]`,
+	).Replace(valid)
+	_, findings := settings.Parse("a.toml", []byte(text))
+	var keys []string
+	for _, f := range findings {
+		keys = append(keys, f.Key)
+	}
+	// The folder has no line of its own, so it is reported first.
+	want := []string{"data_folder", "colour", "target_lease", "listen_http", "voters"}
+	if diff := cmp.Diff(want, keys); diff != "" {
+		t.Errorf("%s\n%s", diff, findings.Error())
+	}
+	if !strings.Contains(findings.Error(), "a.toml:5: target_lease") {
+		t.Errorf("findings have no place:\n%s", findings.Error())
+	}
+}
--- /dev/null
+++ b/standin/cluster/cluster.go
@@ -0,0 +1,345 @@
+package cluster
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/standin/relay"
+	"github.com/tarragonhoist/tarragonhoist/transport/opsclient"
+)
+
+// Bounds for waiting. They are generous, since they only end a test that hangs.
+const (
+	waitLimit    = 30 * time.Second
+	pollInterval = 50 * time.Millisecond
+)
+
+// InstanceSpec describes one instance.
+type InstanceSpec struct {
+	Name       string
+	DataCentre string
+	Voter      bool
+	// Disk gives the instance a data folder. Voters always have one.
+	Disk bool
+}
+
+// Spec describes a deployment.
+type Spec struct {
+	Instances []InstanceSpec
+	// Settings are further lines at the top of every settings file.
+	Settings string
+	// Tables are further tables at the end of every settings file.
+	Tables string
+	// RelayAll puts a relay into every link, not only into those between data centres.
+	RelayAll bool
+}
+
+// Cluster is a running deployment. Every process is ended by Close.
+type Cluster struct {
+	spec   Spec
+	folder string
+	bin    string
+
+	mu        sync.Mutex
+	http      map[string]string
+	peer      map[string]string
+	processes map[string]*Process
+	targets   map[string]*Target
+	relays    map[[2]string]*relay.Relay
+}
+
+// Target is a running stand-in target.
+type Target struct {
+	*Process
+	Address string
+}
+
+// New prepares settings and relays. Nothing runs yet. bin holds the binaries that Build made.
+func New(spec Spec, folder, bin string) (*Cluster, error) {
+	c := &Cluster{
+		spec: spec, folder: folder, bin: bin, http: make(map[string]string), peer: make(map[string]string),
+		processes: make(map[string]*Process), targets: make(map[string]*Target), relays: make(map[[2]string]*relay.Relay),
+	}
+	for _, i := range spec.Instances {
+		for _, addresses := range []map[string]string{c.http, c.peer} {
+			address, err := freeAddress()
+			if err != nil {
+				return nil, err
+			}
+			addresses[i.Name] = address
+		}
+	}
+	for _, from := range spec.Instances {
+		if err := c.writeSettings(from); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// freeAddress asks the kernel for a port. The port is given back at once, since peers need to know it beforehand.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "no free port")
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+func (c *Cluster) writeSettings(self InstanceSpec) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "cluster = \"standin\"\ninstance = %q\ndata_centre = %q\nlisten_http = %q\nlisten_peer = %q\n",
+		self.Name, self.DataCentre, c.http[self.Name], c.peer[self.Name])
+	if self.Voter || self.Disk {
+		fmt.Fprintf(&b, "data_folder = %q\n", c.DataFolder(self.Name))
+	}
+	var voters []string
+	for _, i := range c.spec.Instances {
+		if i.Voter {
+			voters = append(voters, fmt.Sprintf("%q", i.Name))
+		}
+	}
+	fmt.Fprintf(&b, "voters = [%s]\n%s\n", strings.Join(voters, ", "), c.spec.Settings)
+	for _, other := range c.spec.Instances {
+		address, err := c.linkAddress(self, other)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(&b, "[[peer]]\nname = %q\ndata_centre = %q\naddress = %q\n", other.Name, other.DataCentre, address)
+	}
+	b.WriteString(c.spec.Tables)
+	return errors.Wrap(os.WriteFile(c.settingsFile(self.Name), []byte(b.String()), 0o600), "settings file")
+}
+
+// linkAddress gives the address under which one instance reaches another, which may be a relay.
+func (c *Cluster) linkAddress(from, to InstanceSpec) (string, error) {
+	if from.Name == to.Name || !c.spec.RelayAll && from.DataCentre == to.DataCentre {
+		return c.peer[to.Name], nil
+	}
+	r, err := relay.New(c.peer[to.Name])
+	if err != nil {
+		return "", err
+	}
+	c.relays[[2]string{from.Name, to.Name}] = r
+	return r.Addr(), nil
+}
+
+func (c *Cluster) settingsFile(name string) string { return filepath.Join(c.folder, name+".toml") }
+
+// DataFolder is the data folder of an instance.
+func (c *Cluster) DataFolder(name string) string { return filepath.Join(c.folder, name+".data") }
+
+// StartAll starts all instances and waits until they are ready.
+func (c *Cluster) StartAll() error {
+	for _, i := range c.spec.Instances {
+		if err := c.Start(i.Name); err != nil {
+			return err
+		}
+	}
+	for _, i := range c.spec.Instances {
+		if err := c.WaitReady(i.Name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Start starts one instance, also again after its end.
+func (c *Cluster) Start(name string) error {
+	p, err := start(name, filepath.Join(c.bin, "tarragonhoist"), []string{"serve", "--settings", c.settingsFile(name)}, nil)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.processes[name] = p
+	return nil
+}
+
+// Process returns the running process of an instance.
+func (c *Cluster) Process(name string) *Process {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.processes[name]
+}
+
+// WaitReady waits until an instance reports that it is ready.
+func (c *Cluster) WaitReady(name string) error {
+	return c.Wait(name+" is ready", func() error {
+		p := c.Process(name)
+		if p == nil || !p.Running() {
+			return errors.Errorf("%s has ended", name)
+		}
+		resp, err := http.Get(c.URL(name) + "/readyz")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		if resp.StatusCode != http.StatusOK {
+			return errors.Errorf("status %d", resp.StatusCode)
+		}
+		return nil
+	})
+}
+
+// Wait polls a condition until it holds.
+func (c *Cluster) Wait(what string, condition func() error) error {
+	deadline := time.Now().Add(waitLimit)
+	for {
+		err := condition()
+		if err == nil {
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return errors.Wrapf(err, "waited %s until %s", waitLimit, what)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// URL is the base URL of an instance.
+func (c *Cluster) URL(name string) string { return "http://" + c.http[name] }
+
+// Operator is the operators' client of an instance.
+func (c *Cluster) Operator(name string) *opsclient.Client {
+	return opsclient.New(c.URL(name), "", "operator")
+}
+
+// DataCentreURLs are the URLs of the instances of a data centre, as its balancer knows them.
+func (c *Cluster) DataCentreURLs(dataCentre string) []string {
+	var urls []string
+	for _, i := range c.spec.Instances {
+		if i.DataCentre == dataCentre {
+			urls = append(urls, c.URL(i.Name))
+		}
+	}
+	return urls
+}
+
+// StartTarget starts a stand-in target of a data centre with further flags and waits for its address.
+func (c *Cluster) StartTarget(name, dataCentre string, flags ...string) (*Target, error) {
+	args := []string{"--name", name, "--data-centre", dataCentre}
+	for _, url := range c.DataCentreURLs(dataCentre) {
+		args = append(args, "--balancer", url)
+	}
+	output := make(chan []byte, 16)
+	p, err := start(name, filepath.Join(c.bin, "hoist-target"), append(args, flags...), func(data []byte) {
+		output <- append([]byte(nil), data...)
+	})
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case line := <-output:
+		var started struct {
+			Address string `json:"address"`
+		}
+		if err := json.Unmarshal(line, &started); err != nil {
+			p.Kill()
+			return nil, errors.Wrapf(err, "first line of %s", name)
+		}
+		t := &Target{Process: p, Address: started.Address}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.targets[name] = t
+		return t, nil
+	case <-p.done:
+		return nil, errors.Errorf("%s has ended: %s", name, p.Log())
+	case <-time.After(waitLimit):
+		p.Kill()
+		return nil, errors.Errorf("%s printed no address", name)
+	}
+}
+
+// Target returns a target that StartTarget started.
+func (c *Cluster) Target(name string) *Target {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.targets[name]
+}
+
+// links calls f for every relay between two sets of instances, in both directions.
+func (c *Cluster) links(in func(InstanceSpec) bool, f func(*relay.Relay)) {
+	for _, from := range c.spec.Instances {
+		for _, to := range c.spec.Instances {
+			if in(from) == in(to) {
+				continue
+			}
+			if r, ok := c.relays[[2]string{from.Name, to.Name}]; ok {
+				f(r)
+			}
+		}
+	}
+}
+
+// CutDataCentre cuts all links between a data centre and the others.
+func (c *Cluster) CutDataCentre(name string) {
+	c.links(func(i InstanceSpec) bool { return i.DataCentre == name }, (*relay.Relay).Cut)
+}
+
+// HealDataCentre restores the links that CutDataCentre cut.
+func (c *Cluster) HealDataCentre(name string) {
+	c.links(func(i InstanceSpec) bool { return i.DataCentre == name }, (*relay.Relay).Heal)
+}
+
+// CutInstance cuts all relayed links of one instance.
+func (c *Cluster) CutInstance(name string) {
+	c.links(func(i InstanceSpec) bool { return i.Name == name }, (*relay.Relay).Cut)
+}
+
+// HealInstance restores the links that CutInstance cut.
+func (c *Cluster) HealInstance(name string) {
+	c.links(func(i InstanceSpec) bool { return i.Name == name }, (*relay.Relay).Heal)
+}
+
+// LoseDisk deletes the data folder of an instance that does not run.
+func (c *Cluster) LoseDisk(name string) error { return removeAll(c.DataFolder(name)) }
+
+// Leader names the leader of a replicated log as the given instance sees it.
+func (c *Cluster) Leader(ctx context.Context, asked, group string) (string, error) {
+	status, err := c.Operator(asked).Status(ctx)
+	if err != nil {
+		return "", err
+	}
+	for _, l := range status.Logs {
+		if l.Group == group && l.Leader != "" {
+			return l.Leader, nil
+		}
+	}
+	return "", errors.Errorf("%s knows no leader of %s", asked, group)
+}
+
+// Close ends every process by its id, also frozen ones, and all relays.
+func (c *Cluster) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, t := range c.targets {
+		t.end()
+	}
+	for _, p := range c.processes {
+		p.end()
+	}
+	for _, r := range c.relays {
+		_ = r.Close()
+	}
+}
+
+func (p *Process) end() {
+	if p.Running() {
+		_ = p.Signal(syscall.SIGCONT)
+		p.Kill()
+	}
+}
--- /dev/null
+++ b/standin/cluster/process.go
@@ -0,0 +1,115 @@
+// Package cluster starts a whole deployment of processes on loopback for the demo and the process tests. The product
+// does not use it.
+package cluster
+
+import (
+	"bytes"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Process is one process that this package started.
+type Process struct {
+	Name string
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+
+	mu  sync.Mutex
+	log bytes.Buffer
+}
+
+// start runs a command and collects its standard error. onOutput gets its standard output.
+func start(name, binary string, args []string, onOutput func([]byte)) (*Process, error) {
+	p := &Process{Name: name, cmd: exec.Command(binary, args...), done: make(chan struct{})}
+	p.cmd.Stderr = p
+	p.cmd.Stdout = writerFunc(onOutput)
+	// The child ends when its parent dies, so that a killed driver leaves no process behind.
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := p.cmd.Start(); err != nil {
+		return nil, errors.Wrapf(err, "start %s", name)
+	}
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.done)
+	}()
+	return p, nil
+}
+
+type writerFunc func([]byte)
+
+func (f writerFunc) Write(p []byte) (int, error) {
+	if f != nil {
+		f(p)
+	}
+	return len(p), nil
+}
+
+// Write collects standard error.
+func (p *Process) Write(data []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.Write(data)
+}
+
+// Log returns what the process has written to standard error.
+func (p *Process) Log() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.log.String()
+}
+
+// Signal sends a signal by process id.
+func (p *Process) Signal(s syscall.Signal) error {
+	return errors.Wrapf(p.cmd.Process.Signal(s), "signal %s", p.Name)
+}
+
+// Kill ends the process at once and waits for its end.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Wait waits for the end of the process and returns its exit code.
+func (p *Process) Wait(limit time.Duration) (int, error) {
+	select {
+	case <-p.done:
+		return p.cmd.ProcessState.ExitCode(), nil
+	case <-time.After(limit):
+		return 0, errors.Errorf("%s did not end within %s", p.Name, limit)
+	}
+}
+
+// Running says whether the process has not ended yet.
+func (p *Process) Running() bool {
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
+// Build compiles the commands into a folder.
+func Build(folder string, race bool) error {
+	args := []string{"build", "-o", folder + "/"}
+	if race {
+		args = append(args, "-race")
+	}
+	out, err := exec.Command("go", append(args,
+		"github.com/tarragonhoist/tarragonhoist/cmd/tarragonhoist",
+		"github.com/tarragonhoist/tarragonhoist/cmd/hoistctl",
+		"github.com/tarragonhoist/tarragonhoist/cmd/hoist-target")...).CombinedOutput()
+	if err != nil {
+		return errors.Wrapf(err, "build: %s", out)
+	}
+	return nil
+}
+
+// removeAll deletes a folder that a process left behind.
+func removeAll(folder string) error { return errors.Wrap(os.RemoveAll(folder), "remove folder") }
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -101,8 +101,8 @@
 	return list
 }
 
-// Apply decides on one submission. A refused number stays free for a corrected note; an accepted number is held for
-// good, so that a repeated submission of the same content gets the same verdict.
+// Apply decides on one submission. The first submission of a number holds it for good, accepted or refused, so that a
+// repeated submission of the same content always gets the same verdict.
 func (m *Machine) Apply(index uint64, data []byte) ([]byte, error) {
 	var s Submission
 	if err := cbor.Unmarshal(data, &s); err != nil {
@@ -115,14 +115,12 @@
 func (m *Machine) decide(index uint64, s *Submission) Verdict {
 	verdict := Verdict{Number: s.Note.Number, Digest: s.Digest, Operator: s.Operator, AtMs: s.AtMs, Index: index}
 	if held, ok := m.verdicts[s.Note.Number]; ok {
-		if held.Digest == s.Digest && held.Accepted {
+		if held.Digest == s.Digest {
 			return held
 		}
-		if held.Accepted {
-			verdict.Findings = []tomlfile.Finding{{Key: "number", Message: fmt.Sprintf(
-				"number %d is held by a note of operator %q with digest %.12s", held.Number, held.Operator, held.Digest)}}
-			return verdict
-		}
+		verdict.Findings = []tomlfile.Finding{{Key: "number", Message: fmt.Sprintf(
+			"number %d is held by a note of operator %q with digest %.12s; use another number", held.Number, held.Operator, held.Digest)}}
+		return verdict
 	}
 	next, findings := Check(m.contents, &s.Note)
 	verdict.Findings = append(findings, s.Findings...)
@@ -157,3 +155,10 @@
 	m.contents, m.verdicts = s.Contents, s.Verdicts
 	return nil
 }
+
+// DecodeVerdict reads the result of Apply.
+func DecodeVerdict(result []byte) (Verdict, error) {
+	var v Verdict
+	err := cbor.Unmarshal(result, &v)
+	return v, errors.Wrap(err, "verdict")
+}
--- /dev/null
+++ b/state/catalog/catalog_test.go
@@ -0,0 +1,166 @@
+package catalog_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/protocol/tomlfile"
+	"github.com/tarragonhoist/tarragonhoist/state/catalog"
+)
+
+func submit(t *testing.T, m *catalog.Machine, index uint64, operator, text string, findings ...tomlfile.Finding) catalog.Verdict {
+	t.Helper()
+	note, parse := releasenote.Parse("note.toml", []byte(text))
+	if len(parse) > 0 {
+		t.Fatal(parse)
+	}
+	command, err := cbor.Marshal(catalog.Submission{
+		Note: *note, Digest: releasenote.Digest([]byte(text)), Operator: operator, Findings: findings,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, err := m.Apply(index, command)
+	if err != nil {
+		t.Fatal(err)
+	}
+	verdict, err := catalog.DecodeVerdict(result)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return verdict
+}
+
+const addModel = `
+number = 1
+[[model]]
+action = "add"
+name = "net-assistant"
+version = "1"
+memory_bytes = 10
+callers = ["crew"]
+`
+
+const otherModel = `
+number = 1
+[[model]]
+action = "add"
+name = "haul-notes"
+version = "1"
+memory_bytes = 10
+callers = ["crew"]
+`
+
+// Guards against a verdict that changes when an operator resubmits after a lost answer, or when two operators race.
+func TestNumberIsHeldByItsFirstSubmission(t *testing.T) {
+	infeasible := tomlfile.Finding{Key: "model[0].memory_bytes", Message: "8 bytes are missing"}
+	for _, test := range []struct {
+		name  string
+		first []tomlfile.Finding
+	}{
+		{"first accepted", nil},
+		{"first refused", []tomlfile.Finding{infeasible}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			m := catalog.New()
+			first := submit(t, m, 1, "ana", addModel, test.first...)
+			if first.Accepted != (len(test.first) == 0) {
+				t.Fatalf("first verdict %+v", first)
+			}
+			if diff := cmp.Diff(first, submit(t, m, 2, "ben", addModel)); diff != "" {
+				t.Errorf("equal content got another verdict:\n%s", diff)
+			}
+			other := submit(t, m, 3, "ben", otherModel)
+			if other.Accepted || !strings.Contains(other.Findings[0].Message, `"ana"`) {
+				t.Errorf("other content under the same number: %+v", other)
+			}
+			if _, ok := m.Contents().Models["haul-notes"]; ok {
+				t.Error("a refused note changed what is in force")
+			}
+		})
+	}
+}
+
+// Guards against notes that leave an adapter without its model or change what is not in force.
+func TestConflictsWithWhatIsInForce(t *testing.T) {
+	m := catalog.New()
+	submit(t, m, 1, "ana", addModel+"[[adapter]]\naction=\"add\"\nname=\"north\"\nmodel=\"net-assistant\"\nversion=\"1\"\nmemory_bytes=1\n")
+	for _, test := range []struct{ name, text, want string }{
+		{"add twice", strings.Replace(addModel, "number = 1", "number = 2", 1), "in force already"},
+		{"withdraw unknown", "number=3\n[[model]]\naction=\"withdraw\"\nname=\"none\"\n", "not in force"},
+		{"withdraw with adapter", "number=4\n[[model]]\naction=\"withdraw\"\nname=\"net-assistant\"\n", "still in force"},
+		{"adapter without model", "number=5\n[[adapter]]\naction=\"add\"\nname=\"a\"\nmodel=\"none\"\nversion=\"1\"\nmemory_bytes=1\n", "is not in force"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			verdict := submit(t, m, 10, "ana", test.text)
+			if verdict.Accepted || !strings.Contains(verdict.Findings[0].Message, test.want) {
+				t.Errorf("got %+v, want a finding with %q", verdict, test.want)
+			}
+		})
+	}
+}
+
+// Guards against state that a snapshot loses: a learner that is restored must give the same verdicts.
+func TestSnapshotKeepsVerdictsAndContents(t *testing.T) {
+	m := catalog.New()
+	first := submit(t, m, 1, "ana", addModel)
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := catalog.New()
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(m.Contents(), restored.Contents()); diff != "" {
+		t.Error(diff)
+	}
+	if diff := cmp.Diff(first, submit(t, restored, 2, "ana", addModel)); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// Guards against callers that reach a model, adapter or service they are not permitted to use.
+func TestPermissions(t *testing.T) {
+	m := catalog.New()
+	submit(t, m, 1, "ana", addModel+`
+caller_priorities = { crew = "interactive" }
+[[adapter]]
+action = "add"
+name = "north"
+model = "net-assistant"
+version = "1"
+memory_bytes = 1
+callers = ["desk"]
+[[service]]
+action = "add"
+name = "haul-desk"
+callers = ["desk"]
+`)
+	for _, test := range []struct {
+		caller, model, adapter string
+		want                   api.Reason
+	}{
+		{"crew", "net-assistant", "", ""},
+		{"desk", "net-assistant", "", api.ReasonCallerNotPermitted},
+		{"desk", "net-assistant", "north", ""},
+		{"crew", "net-assistant", "south", api.ReasonUnknownAdapter},
+		{"crew", "none", "", api.ReasonUnknownModel},
+	} {
+		permission, result := m.Contents().PermitModel(test.caller, test.model, test.adapter)
+		if result != nil && result.Reason != test.want || result == nil && test.want != "" {
+			t.Errorf("%+v: got %v", test, result)
+		}
+		if test.caller == "crew" && test.want == "" && permission.Priority != releasenote.Interactive {
+			t.Errorf("%+v: priority %q", test, permission.Priority)
+		}
+	}
+	if _, nonIdempotent, result := m.Contents().PermitService("desk", "haul-desk", "POST"); result != nil || !nonIdempotent {
+		t.Errorf("POST to a service: non-idempotent %t, result %v", nonIdempotent, result)
+	}
+}
