--- /dev/null
+++ b/coordination/retry/retry_test.go
@@ -0,0 +1,97 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func attempt(caller, next string) Attempt {
+	return Attempt{Caller: caller, Next: next, Number: 1, Cause: Failure, Remaining: time.Minute, Needed: time.Second}
+}
+
+// Guards against a retry storm: whatever fails, retries stay within a tenth of the requests plus the minimum, for
+// every caller and towards every target, in any 10 s.
+func TestRetriesStayWithinBothBudgets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rng := rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed")))
+		b := New(Options{})
+		requests := rapid.IntRange(1, 3000).Draw(t, "requests")
+		targets := []string{"a", "b", "c"}
+		sent := make(map[string]int)
+		first := make(map[string]int)
+		for i := range requests {
+			now := start.Add(time.Duration(i) * 9 * time.Second / time.Duration(requests))
+			lost := targets[rng.IntN(3)]
+			b.First(now, "caller", lost)
+			first[lost]++
+			next := targets[rng.IntN(3)]
+			if b.Allow(now, rng, attempt("caller", next)).Denial == Allowed {
+				sent[next]++
+			}
+		}
+		total := 0
+		for _, target := range targets {
+			total += sent[target]
+			if limit := max(3, first[target]/10); sent[target] > limit {
+				t.Fatalf("target %s got %d retries for %d requests", target, sent[target], first[target])
+			}
+		}
+		if limit := max(3, requests/10); total > limit {
+			t.Fatalf("the caller made %d retries for %d requests", total, requests)
+		}
+	})
+}
+
+// Guards against retries that cannot end before the deadline, endless attempts, delays beyond the deadline, and an
+// overloaded target that is asked again before the time it named.
+func TestAllow(t *testing.T) {
+	cases := []struct {
+		name    string
+		change  func(*Attempt)
+		denial  Denial
+		minimum time.Duration
+	}{
+		{"failure is retried at once", func(*Attempt) {}, Allowed, 0},
+		{"attempts used", func(a *Attempt) { a.Number = 3 }, AttemptsUsed, 0},
+		{"deadline too near", func(a *Attempt) { a.Remaining = time.Second }, DeadlineTooNear, 0},
+		{"overload waits", func(a *Attempt) { a.Cause, a.RetryAfter = Overload, 2*time.Second }, Allowed, 2 * time.Second},
+		{"overload beyond deadline", func(a *Attempt) { a.Cause, a.RetryAfter = Overload, time.Hour }, DeadlineTooNear, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a := attempt("caller", "target")
+			c.change(&a)
+			d := New(Options{}).Allow(start, rand.New(rand.NewPCG(1, 2)), a)
+			if d.Denial != c.denial || d.Delay < c.minimum || d.Delay > a.Remaining-a.Needed && d.Delay > 0 {
+				t.Fatalf("got %+v", d)
+			}
+		})
+	}
+}
+
+// Guards against a budget that never recovers after it was used up, and against a caller charged for a target's denial.
+func TestBudgetRecoversAndRefunds(t *testing.T) {
+	b := New(Options{})
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 3 {
+		if d := b.Allow(start, rng, attempt("x", "full")); d.Denial != Allowed {
+			t.Fatalf("minimum refused: %+v", d)
+		}
+	}
+	for range 20 {
+		if d := b.Allow(start, rng, attempt("y", "full")); d.Denial != TargetOverBudget {
+			t.Fatalf("got %+v", d)
+		}
+	}
+	if d := b.Allow(start, rng, attempt("y", "free")); d.Denial != Allowed {
+		t.Fatalf("caller y was charged for refused retries: %+v", d)
+	}
+	if d := b.Allow(start.Add(11*time.Second), rng, attempt("x", "full")); d.Denial != Allowed {
+		t.Fatalf("the budget did not recover after its window: %+v", d)
+	}
+}
--- /dev/null
+++ b/state/shard/shard.go
@@ -0,0 +1,137 @@
+// Package shard provides a bounded map whose entries are spread over shards, each under its own lock.
+package shard
+
+import (
+	"encoding/binary"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// DefaultShards keeps contention low for a few hundred concurrent handlers on small instances.
+const DefaultShards = 16
+
+// StringHash hashes a string key.
+func StringHash(key string) uint64 { return xxhash.Sum64String(key) }
+
+// Uint64Hash hashes an integer key.
+func Uint64Hash(key uint64) uint64 {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], key)
+	return xxhash.Sum64(b[:])
+}
+
+// separator keeps the parts of a joint key apart, so that ("ab", "c") and ("a", "bc") differ.
+var separator = []byte{0}
+
+// HashStrings hashes several strings into one key without allocating.
+func HashStrings(parts ...string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, p := range parts {
+		_, _ = d.WriteString(p)
+		_, _ = d.Write(separator)
+	}
+	return d.Sum64()
+}
+
+// Map is a bounded map. When a shard is full, its least recently used entry is dropped, so memory does not grow with
+// the number of keys ever seen. All methods are safe for concurrent use.
+type Map[K comparable, V any] struct {
+	shards []bucket[K, V]
+	hash   func(K) uint64
+	create func(K) *V
+}
+
+type bucket[K comparable, V any] struct {
+	mu  sync.Mutex
+	lru *simplelru.LRU[K, *V]
+}
+
+// New makes a map of at most capacity entries, rounded up to a multiple of shards. create makes the value of a new
+// key; nil means the zero value.
+func New[K comparable, V any](shards, capacity int, hash func(K) uint64, create func(K) *V) *Map[K, V] {
+	shards = max(shards, 1)
+	perShard := max((capacity+shards-1)/shards, 1)
+	if create == nil {
+		create = func(K) *V { return new(V) }
+	}
+	m := &Map[K, V]{shards: make([]bucket[K, V], shards), hash: hash, create: create}
+	for i := range m.shards {
+		// NewLRU only fails for sizes below 1.
+		m.shards[i].lru, _ = simplelru.NewLRU[K, *V](perShard, nil)
+	}
+	return m
+}
+
+func (m *Map[K, V]) bucket(key K) *bucket[K, V] {
+	return &m.shards[m.hash(key)%uint64(len(m.shards))]
+}
+
+// Update calls f with the value of key under the lock of its shard and creates the value when it is absent. f must not
+// use the map and must not keep the pointer.
+func (m *Map[K, V]) Update(key K, f func(*V)) {
+	b := m.bucket(key)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v, ok := b.lru.Get(key)
+	if !ok {
+		v = m.create(key)
+		b.lru.Add(key, v)
+	}
+	f(v)
+}
+
+// View calls f with the value of key under the lock of its shard if the key is present, and reports whether it was.
+// The same restrictions apply as for Update.
+func (m *Map[K, V]) View(key K, f func(*V)) bool {
+	b := m.bucket(key)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	v, ok := b.lru.Get(key)
+	if ok {
+		f(v)
+	}
+	return ok
+}
+
+// Delete removes a key.
+func (m *Map[K, V]) Delete(key K) {
+	b := m.bucket(key)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lru.Remove(key)
+}
+
+// Range calls f for every entry, one shard at a time under its lock, from least to most recently used. f returns
+// false to stop and must not use the map.
+func (m *Map[K, V]) Range(f func(K, *V) bool) {
+	for i := range m.shards {
+		if !m.shards[i].each(f) {
+			return
+		}
+	}
+}
+
+func (b *bucket[K, V]) each(f func(K, *V) bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, key := range b.lru.Keys() {
+		if v, ok := b.lru.Peek(key); ok && !f(key, v) {
+			return false
+		}
+	}
+	return true
+}
+
+// Len is the number of entries.
+func (m *Map[K, V]) Len() int {
+	n := 0
+	for i := range m.shards {
+		m.shards[i].mu.Lock()
+		n += m.shards[i].lru.Len()
+		m.shards[i].mu.Unlock()
+	}
+	return n
+}
--- /dev/null
+++ b/state/shard/shard_test.go
@@ -0,0 +1,59 @@
+package shard
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against growth with the number of keys ever seen and against loss of the keys in use.
+func TestMapIsBoundedAndKeepsRecentKeys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shards := rapid.IntRange(1, 8).Draw(t, "shards")
+		capacity := rapid.IntRange(1, 64).Draw(t, "capacity")
+		keys := rapid.SliceOfN(rapid.IntRange(0, 500), 1, 300).Draw(t, "keys")
+		m := New[string, int](shards, capacity, StringHash, nil)
+		for _, k := range keys {
+			key := fmt.Sprint(k)
+			m.Update(key, func(v *int) { *v = k })
+			if !m.View(key, func(v *int) {
+				if *v != k {
+					t.Fatalf("key %s holds %d", key, *v)
+				}
+			}) {
+				t.Fatalf("key %s is missing right after its update", key)
+			}
+		}
+		if m.Len() > capacity+shards {
+			t.Fatalf("%d entries exceed the capacity of %d in %d shards", m.Len(), capacity, shards)
+		}
+	})
+}
+
+// Guards against lost updates when many handlers use the same keys; run with -race.
+func TestMapConcurrentUpdates(t *testing.T) {
+	m := New[uint64, int](4, 100, Uint64Hash, nil)
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for i := range 1000 {
+				m.Update(uint64(i%10), func(v *int) { *v++ })
+			}
+		})
+	}
+	wg.Wait()
+	sum := 0
+	m.Range(func(_ uint64, v *int) bool { sum += *v; return true })
+	if sum != 8000 {
+		t.Fatalf("counted %d updates, want 8000", sum)
+	}
+}
+
+// Guards against joint keys that collide when their parts are joined differently.
+func TestHashStringsSeparatesParts(t *testing.T) {
+	if HashStrings("ab", "c") == HashStrings("a", "bc") {
+		t.Fatal("(ab, c) and (a, bc) have the same hash")
+	}
+}
