--- /dev/null
+++ b/coordination/straggler/straggler.go
@@ -0,0 +1,380 @@
+// Package straggler finds targets that are slow for a time from the instance's own observations, lets probes through
+// to take them back, and limits hedged requests.
+package straggler
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/state/shard"
+)
+
+const (
+	defaultCapacity = 4096
+	// defaultSlowRatio is how much slower than its group a target must be. Normal variation of batch sizes stays
+	// below 2; the stragglers to be found are several times slower.
+	defaultSlowRatio = 2.5
+	// defaultRecoveredRatio is lower than defaultSlowRatio so that a target does not alternate between both states.
+	defaultRecoveredRatio = 1.6
+	// defaultEvidence is the weight of consistent observations needed; one slow answer alone is not enough.
+	defaultEvidence      = 2
+	defaultProbeInterval = 200 * time.Millisecond
+	defaultProbeMax      = 3 * time.Second
+	defaultProbesOK      = 2
+	// defaultMaxFraction keeps most of a group in use: if more than this share is slow, the cause is not the targets.
+	defaultMaxFraction = 0.34
+	// groupGain weighs a new observation in the mean of its group, which changes slowly.
+	groupGain = 0.02
+	// memory is how long a target's observations count without new ones.
+	memory = 30 * time.Second
+	// quantileStep moves the estimate of the tail ratio in the log domain; at 0.02, a doubling of the tail is
+	// followed after about 40 observations above it.
+	quantileStep = 0.02
+	tailQuantile = 0.95
+	// ratioLimit bounds one observation, so that a single extreme value does not dominate the averages.
+	ratioLimit = 50
+)
+
+// Options sets the thresholds. Zero values mean the defaults.
+type Options struct {
+	Capacity       int
+	SlowRatio      float64
+	RecoveredRatio float64
+	Evidence       float64
+	ProbeInterval  time.Duration
+	ProbeMax       time.Duration
+	ProbesOK       int
+	MaxFraction    float64
+	HedgeShare     float64 // hedged requests per request
+	HedgeBurst     float64 // hedges that can be saved up
+}
+
+func setDefault[T int | float64 | time.Duration](v *T, value T) {
+	if *v <= 0 {
+		*v = value
+	}
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.Capacity, defaultCapacity)
+	setDefault(&o.SlowRatio, defaultSlowRatio)
+	setDefault(&o.RecoveredRatio, defaultRecoveredRatio)
+	setDefault(&o.Evidence, defaultEvidence)
+	setDefault(&o.ProbeInterval, defaultProbeInterval)
+	setDefault(&o.ProbeMax, defaultProbeMax)
+	setDefault(&o.ProbesOK, defaultProbesOK)
+	setDefault(&o.MaxFraction, defaultMaxFraction)
+	setDefault(&o.HedgeShare, defaultHedgeShare)
+	setDefault(&o.HedgeBurst, defaultHedgeBurst)
+}
+
+// Observation is the duration of one step of a request: until the first token, of the whole answer, or so far.
+type Observation struct {
+	// Target identifies the target; the driver joins name and incarnation, because a restarted target is a new one.
+	Target string
+	// Group is what targets are compared within, usually the model or service and the kind of step.
+	Group string
+	// Expected is the usual duration of this work, from the estimated work or the group's mean.
+	Expected time.Duration
+	Actual   time.Duration
+}
+
+func (o *Observation) ratio() float64 {
+	if o.Expected <= 0 {
+		return 1
+	}
+	return min(max(float64(o.Actual)/float64(o.Expected), 1/float64(ratioLimit)), ratioLimit)
+}
+
+// Detector keeps one record per target and one per group. It is safe for concurrent use.
+type Detector struct {
+	opts    Options
+	targets *shard.Map[string, target]
+	groups  *shard.Map[string, group]
+	hedges  hedgeBudget
+}
+
+// target holds the state of one target.
+type target struct {
+	evidence  float64 // consistent slow observations
+	lastSeen  time.Time
+	slow      bool
+	group     string
+	nextProbe time.Time
+	interval  time.Duration
+	probesOK  int
+}
+
+// group holds what is usual among the targets of one group.
+type group struct {
+	meanLog float64
+	tailLog float64 // the 95th percentile of the ratio
+	samples int
+	members int
+	slow    int
+}
+
+// New makes a detector without observations.
+func New(opts Options) *Detector {
+	opts.setDefaults()
+	return &Detector{
+		opts:    opts,
+		targets: shard.New[string, target](shard.DefaultShards, opts.Capacity, shard.StringHash, nil),
+		groups:  shard.New[string, group](shard.DefaultShards, opts.Capacity, shard.StringHash, nil),
+		hedges:  hedgeBudget{share: opts.HedgeShare, burst: opts.HedgeBurst},
+	}
+}
+
+// Observe records a finished step and reports whether the target changed between usual and straggling.
+func (d *Detector) Observe(now time.Time, o Observation) (changed bool) {
+	ratio := o.ratio()
+	usual := d.observeGroup(o.Group, ratio)
+	d.targets.Update(o.Target, func(t *target) {
+		d.forgetOld(now, t, o.Group)
+		t.lastSeen = now
+		relative := ratio / usual
+		if t.slow {
+			changed = d.observeProbe(now, t, relative)
+			return
+		}
+		changed = d.addEvidence(now, t, relative)
+	})
+	return changed
+}
+
+// Overdue records that a step still running has taken longer than expected. It makes detection faster than waiting for
+// the answer. The driver calls it once per attempt, when elapsed passes HedgeDelay.
+func (d *Detector) Overdue(now time.Time, o Observation) (changed bool) {
+	usual := d.usualRatio(o.Group)
+	d.targets.Update(o.Target, func(t *target) {
+		d.forgetOld(now, t, o.Group)
+		t.lastSeen = now
+		if t.slow {
+			d.delayProbe(now, t)
+			return
+		}
+		changed = d.addEvidence(now, t, o.ratio()/usual)
+	})
+	return changed
+}
+
+// Failed records a broken attempt as strong evidence. An overload answer is not a failure and must not be reported.
+func (d *Detector) Failed(now time.Time, targetName, groupName string) (changed bool) {
+	d.targets.Update(targetName, func(t *target) {
+		d.forgetOld(now, t, groupName)
+		t.lastSeen = now
+		if t.slow {
+			d.delayProbe(now, t)
+			return
+		}
+		changed = d.addEvidence(now, t, ratioLimit)
+	})
+	return changed
+}
+
+// addEvidence raises the evidence for a slow observation and lowers it for a usual one.
+func (d *Detector) addEvidence(now time.Time, t *target, relative float64) bool {
+	if relative < d.opts.SlowRatio {
+		t.evidence = max(0, t.evidence-1)
+		return false
+	}
+	t.evidence++
+	if t.evidence < d.opts.Evidence || !d.reserveExclusion(t.group) {
+		return false
+	}
+	t.slow, t.evidence, t.probesOK = true, 0, 0
+	t.interval = d.opts.ProbeInterval
+	t.nextProbe = now.Add(t.interval)
+	return true
+}
+
+// observeProbe takes a straggler back after enough usual answers in a row. Answers to requests sent before the target
+// was found slow count as well; a slow one only delays the next probe.
+func (d *Detector) observeProbe(now time.Time, t *target, relative float64) bool {
+	if relative >= d.opts.RecoveredRatio {
+		d.delayProbe(now, t)
+		return false
+	}
+	t.probesOK++
+	t.interval = d.opts.ProbeInterval
+	t.nextProbe = now
+	if t.probesOK < d.opts.ProbesOK {
+		return false
+	}
+	d.release(t)
+	return true
+}
+
+func (d *Detector) delayProbe(now time.Time, t *target) {
+	t.probesOK = 0
+	t.interval = min(t.interval*2, d.opts.ProbeMax)
+	t.nextProbe = now.Add(t.interval)
+}
+
+func (d *Detector) release(t *target) {
+	t.slow, t.evidence = false, 0
+	d.groups.Update(t.group, func(g *group) { g.slow = max(0, g.slow-1) })
+}
+
+// forgetOld drops observations that are too old to say anything, and counts a new member of the group.
+func (d *Detector) forgetOld(now time.Time, t *target, groupName string) {
+	if t.group == "" {
+		t.group = groupName
+		d.groups.Update(groupName, func(g *group) { g.members++ })
+	}
+	if !t.slow && !t.lastSeen.IsZero() && now.Sub(t.lastSeen) > memory {
+		t.evidence = 0
+	}
+}
+
+// reserveExclusion counts one more straggler unless too much of the group is excluded.
+func (d *Detector) reserveExclusion(name string) (ok bool) {
+	d.groups.Update(name, func(g *group) {
+		if float64(g.slow+1) <= max(1, d.opts.MaxFraction*float64(g.members)) && g.members > 1 {
+			g.slow++
+			ok = true
+		}
+	})
+	return ok
+}
+
+// minGroupSamples is how many observations a group needs before its mean counts.
+const minGroupSamples = 10
+
+func (d *Detector) observeGroup(name string, ratio float64) (usual float64) {
+	d.groups.Update(name, func(g *group) {
+		usual = g.usual()
+		logRatio := math.Log(ratio)
+		g.samples++
+		g.meanLog += max(groupGain, 1/float64(g.samples)) * (logRatio - g.meanLog)
+		if logRatio > g.tailLog {
+			g.tailLog += quantileStep * tailQuantile
+		} else {
+			g.tailLog = max(0, g.tailLog-quantileStep*(1-tailQuantile))
+		}
+	})
+	return usual
+}
+
+func (g *group) usual() float64 {
+	if g.samples < minGroupSamples {
+		return 1
+	}
+	return math.Exp(g.meanLog)
+}
+
+func (d *Detector) usualRatio(name string) (usual float64) {
+	usual = 1
+	d.groups.View(name, func(g *group) { usual = g.usual() })
+	return usual
+}
+
+// Straggling reports whether new work should be routed round the target.
+func (d *Detector) Straggling(_ time.Time, targetName string) (slow bool) {
+	d.targets.View(targetName, func(t *target) { slow = t.slow })
+	return slow
+}
+
+// ClaimProbe reports whether a straggling target may get one request now as a probe. A true answer uses up the probe;
+// the next one is due after an interval that doubles while probes stay slow.
+func (d *Detector) ClaimProbe(now time.Time, targetName string) (ok bool) {
+	d.targets.View(targetName, func(t *target) {
+		if t.slow && !now.Before(t.nextProbe) {
+			ok = true
+			t.nextProbe = now.Add(t.interval)
+		}
+	})
+	return ok
+}
+
+// Forget drops a target that left or was replaced by a new incarnation.
+func (d *Detector) Forget(targetName string) {
+	groupName, slow := "", false
+	if !d.targets.View(targetName, func(t *target) { groupName, slow = t.group, t.slow }) {
+		return
+	}
+	d.targets.Delete(targetName)
+	if groupName == "" {
+		return
+	}
+	d.groups.Update(groupName, func(g *group) {
+		g.members = max(0, g.members-1)
+		if slow {
+			g.slow = max(0, g.slow-1)
+		}
+	})
+}
+
+// Slow counts the targets of a group that are straggling.
+func (d *Detector) Slow(groupName string) (n int) {
+	d.groups.View(groupName, func(g *group) { n = g.slow })
+	return n
+}
+
+const (
+	// defaultHedgeShare is the budget of section 5.7.
+	defaultHedgeShare = 0.05
+	// defaultHedgeBurst lets an instance hedge what is in flight on one target that becomes slow.
+	defaultHedgeBurst = 10
+	// hedgeMargin is added to the tail of the group, so that a hedge is not sent for an answer that is about to come.
+	hedgeMargin = 1.2
+)
+
+// hedgeBudget is a token bucket filled by requests instead of time.
+type hedgeBudget struct {
+	mu     sync.Mutex
+	share  float64
+	burst  float64
+	tokens float64
+}
+
+func (h *hedgeBudget) add() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tokens = min(h.tokens+h.share, h.burst)
+}
+
+func (h *hedgeBudget) take() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.tokens < 1 {
+		return false
+	}
+	h.tokens--
+	return true
+}
+
+// Request counts a first attempt towards the hedge budget.
+func (d *Detector) Request() { d.hedges.add() }
+
+// HedgeDelay is how long to wait for a step before a hedge is worthwhile: the 95th percentile of the group.
+func (d *Detector) HedgeDelay(groupName string, expected time.Duration) time.Duration {
+	ratio := d.opts.SlowRatio
+	d.groups.View(groupName, func(g *group) {
+		if g.samples >= minGroupSamples {
+			ratio = min(math.Exp(g.tailLog), ratio*g.usual())
+		}
+	})
+	return time.Duration(hedgeMargin * ratio * float64(expected))
+}
+
+// HedgeRequest describes an attempt that might be hedged.
+type HedgeRequest struct {
+	Group      string
+	Idempotent bool
+	Short      bool
+	Expected   time.Duration
+	Elapsed    time.Duration
+	// Remaining is the time left until the deadline.
+	Remaining time.Duration
+}
+
+// Hedge reports whether a second attempt may start on another target, and charges the hedge budget if so. Only
+// idempotent short work that is late and can still finish in time is hedged, at most once per request.
+func (d *Detector) Hedge(_ time.Time, h HedgeRequest) bool {
+	if !h.Idempotent || !h.Short || h.Remaining < h.Expected || h.Elapsed < d.HedgeDelay(h.Group, h.Expected) {
+		return false
+	}
+	return d.hedges.take()
+}
--- /dev/null
+++ b/coordination/straggler/straggler_test.go
@@ -0,0 +1,123 @@
+package straggler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+const (
+	groupName = "net-assistant"
+	usual     = 100 * time.Millisecond
+)
+
+func observation(name string, actual time.Duration) Observation {
+	return Observation{Target: name, Group: groupName, Expected: usual, Actual: actual}
+}
+
+// warm makes a detector that knows ten usual targets.
+func warm() *Detector {
+	d := New(Options{})
+	for round := range 20 {
+		for i := range 10 {
+			d.Observe(start, observation(fmt.Sprint("t", i), usual+time.Duration(round%5)*10*time.Millisecond))
+		}
+	}
+	return d
+}
+
+// Guards against slow detection, a straggler that is never probed, and one that is never taken back.
+func TestStragglerIsExcludedProbedAndTakenBack(t *testing.T) {
+	d := warm()
+	d.Observe(start, observation("t3", 5*usual))
+	if d.Straggling(start, "t3") {
+		t.Fatal("one slow answer is not enough")
+	}
+	if !d.Overdue(start, observation("t3", 4*usual)) || !d.Straggling(start, "t3") {
+		t.Fatal("a second slow observation must exclude the target")
+	}
+	if d.ClaimProbe(start, "t3") {
+		t.Fatal("a probe is due only after the interval")
+	}
+	now := start.Add(defaultProbeInterval)
+	if !d.ClaimProbe(now, "t3") || d.ClaimProbe(now, "t3") {
+		t.Fatal("exactly one probe is due")
+	}
+	d.Observe(now, observation("t3", 5*usual))
+	if d.ClaimProbe(now.Add(defaultProbeInterval), "t3") {
+		t.Fatal("the interval must double after a slow probe")
+	}
+	d.Observe(now, observation("t3", usual))
+	if !d.Observe(now, observation("t3", usual)) || d.Straggling(now, "t3") {
+		t.Fatal("two usual answers must take the target back")
+	}
+}
+
+// Guards against excluding every target when the whole group becomes slow, which would leave nothing to route to.
+func TestMostOfAGroupStaysInUse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := warm()
+		n := rapid.IntRange(1, 200).Draw(t, "observations")
+		for range n {
+			i := rapid.IntRange(0, 9).Draw(t, "target")
+			ratio := rapid.IntRange(1, 40).Draw(t, "ratio")
+			d.Observe(start, observation(fmt.Sprint("t", i), time.Duration(ratio)*usual))
+			slow := 0
+			for j := range 10 {
+				if d.Straggling(start, fmt.Sprint("t", j)) {
+					slow++
+				}
+			}
+			if slow > 3 || slow != d.Slow(groupName) {
+				t.Fatalf("%d of 10 targets are excluded, %d counted", slow, d.Slow(groupName))
+			}
+		}
+	})
+}
+
+// Guards against hedges of work that must not run twice, of long work, or beyond 5 % of the requests.
+func TestHedgeBudget(t *testing.T) {
+	late := HedgeRequest{Group: groupName, Idempotent: true, Short: true, Expected: usual, Elapsed: 4 * usual, Remaining: time.Minute}
+	change := map[string]func(*HedgeRequest){
+		"not idempotent":  func(h *HedgeRequest) { h.Idempotent = false },
+		"long":            func(h *HedgeRequest) { h.Short = false },
+		"not late":        func(h *HedgeRequest) { h.Elapsed = usual / 2 },
+		"no time remains": func(h *HedgeRequest) { h.Remaining = usual / 2 },
+	}
+	d := warm()
+	hedged := 0
+	for range 1000 {
+		d.Request()
+		for name, f := range change {
+			h := late
+			f(&h)
+			if d.Hedge(start, h) {
+				t.Fatalf("hedged although %s", name)
+			}
+		}
+		if d.Hedge(start, late) {
+			hedged++
+		}
+	}
+	if hedged < 40 || hedged > 50 {
+		t.Fatalf("%d of 1000 requests were hedged, want close to and at most 50", hedged)
+	}
+}
+
+// Guards against a departed target that still counts among the excluded ones.
+func TestForget(t *testing.T) {
+	d := warm()
+	d.Failed(start, "t1", groupName)
+	d.Failed(start, "t1", groupName)
+	if d.Slow(groupName) != 1 {
+		t.Fatal("two failures must exclude a target")
+	}
+	d.Forget("t1")
+	if d.Slow(groupName) != 0 || d.Straggling(start, "t1") {
+		t.Fatal("a forgotten target still counts")
+	}
+}
