--- /dev/null
+++ b/coordination/admission/controller.go
@@ -0,0 +1,429 @@
+// Package admission decides which requests start, wait or are refused. The cost of a request is its estimated work.
+// Each caller has a weighted share over all instances; within the shares, priorities order the work.
+package admission
+
+import (
+	"fmt"
+	"sort"
+	"sync/atomic"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/state/shard"
+)
+
+const (
+	defaultCallers = 8192
+	// defaultModels is more than the 500 models of the growth plan, since withdrawn ones stay for a while.
+	defaultModels = 2048
+	defaultPeers  = 512
+	// defaultLongShare leaves three quarters of every replica to short work.
+	defaultLongShare = 0.25
+	defaultMaxQueued = 2048
+	// aboveShareQueuePart is the part of a queue that one caller above its share may fill.
+	aboveShareQueuePart = 4
+	// headroomPart of the slots stays free for callers within their share while others are above theirs.
+	headroomPart = 0.1
+	// minRetryAfter keeps refused callers from coming back at once.
+	minRetryAfter = 50 * time.Millisecond
+	// unknownCapacityRetry is the announcement interval of targets.
+	unknownCapacityRetry = time.Second
+)
+
+// Options sets the bounds. Zero values mean the defaults.
+type Options struct {
+	Instance    string
+	Incarnation uint64
+	// Callers, Models and Peers bound what is remembered.
+	Callers, Models, Peers int
+	// MaxQueued bounds the waiting requests of one model.
+	MaxQueued int
+	// LongShare is the part of a model's slots that long work may use.
+	LongShare float64
+	// LongFactor is how many times the median work of its model a request must need to be long.
+	LongFactor float64
+}
+
+func (o *Options) setDefaults() {
+	if o.Callers <= 0 {
+		o.Callers = defaultCallers
+	}
+	if o.Models <= 0 {
+		o.Models = defaultModels
+	}
+	if o.Peers <= 0 {
+		o.Peers = defaultPeers
+	}
+	if o.MaxQueued <= 0 {
+		o.MaxQueued = defaultMaxQueued
+	}
+	if o.LongShare <= 0 {
+		o.LongShare = defaultLongShare
+	}
+	if o.LongFactor <= 0 {
+		o.LongFactor = defaultLongFactor
+	}
+}
+
+// Request is what admission knows about a request. For a call of a plain service, Model is the name of the service.
+type Request struct {
+	ID       string
+	Caller   string
+	Weight   int
+	Model    string
+	Adapter  string
+	Priority releasenote.Priority
+	// PromptTokens and TokenLimit come from the body; TokenLimit is 0 when the caller set none.
+	PromptTokens int
+	TokenLimit   int
+	// AdapterResident reports whether a replica holds the adapter already.
+	AdapterResident bool
+	Deadline        time.Time
+}
+
+func (r *Request) weight() float64 { return float64(max(r.Weight, 1)) }
+
+// Action is what happens to an offered request.
+type Action uint8
+
+// Actions.
+const (
+	Refuse Action = iota
+	Admit
+	Queue
+)
+
+// Ticket stands for a request that was admitted or queued. Its fields must not be changed.
+type Ticket struct {
+	Request  Request
+	Estimate Estimate
+
+	lane    lane
+	state   ticketState
+	charged float64
+	waiter  *waiter
+}
+
+type ticketState uint8
+
+const (
+	queued ticketState = iota
+	running
+	ended
+)
+
+// Decision is the answer to Offer.
+type Decision struct {
+	Action Action
+	// Ticket is set unless the request is refused. It is handed back with Done or Cancel.
+	Ticket *Ticket
+	// Wait is the estimated time in the queue.
+	Wait time.Duration
+	// Refusal is the outcome for the caller when the request is refused. The request did not run.
+	Refusal *api.Result
+}
+
+// Grant tells that a queued request may start or, when Refusal is set, that it can no longer meet its deadline.
+type Grant struct {
+	Ticket  *Ticket
+	Refusal *api.Result
+}
+
+// Completion ends an admitted request.
+type Completion struct {
+	Ticket *Ticket
+	// Answered reports whether the request ran to its end; only then is its length learnt.
+	Answered bool
+	// OutputTokens is the length of the answer; for plain services, the duration of the call in units of 40 ms.
+	OutputTokens int
+	// Service is the time from the start of the attempt to its end, without the time in our queue.
+	Service time.Duration
+}
+
+// Controller admits requests of all models of an instance. It is safe for concurrent use.
+type Controller struct {
+	opts      Options
+	ledger    *ledger
+	estimator *estimator
+	pools     *shard.Map[string, pool]
+	// sequences holds the last report of each peer.
+	sequences *shard.Map[string, peerSequence]
+	sequence  atomic.Uint64
+}
+
+type peerSequence struct{ incarnation, sequence uint64 }
+
+// New makes a controller. now only fixes the origin of its time scale.
+func New(now time.Time, opts Options) *Controller {
+	opts.setDefaults()
+	return &Controller{
+		opts:      opts,
+		ledger:    newLedger(opts.Callers, now),
+		estimator: newEstimator(&opts),
+		pools:     shard.New[string, pool](shard.DefaultShards, opts.Models, shard.StringHash, nil),
+		sequences: shard.New[string, peerSequence](1, opts.Peers, shard.StringHash, nil),
+	}
+}
+
+// SetCapacity tells what the replicas of a model can run. The driver calls it when targets change and with every usage
+// report; Apportion computes the slots of models that share replicas.
+func (c *Controller) SetCapacity(now time.Time, model string, capacity Capacity) {
+	c.pools.Update(model, func(p *pool) {
+		p.capacity, p.known = capacity, true
+		p.sumPeers(now)
+	})
+}
+
+// Offer decides on a new request.
+func (c *Controller) Offer(now time.Time, r Request) Decision {
+	est, unitsPerSec := c.estimator.estimate(&r)
+	t := &Ticket{Request: r, Estimate: est}
+	if est.Long {
+		t.lane = longLane
+	}
+	above := c.ledger.aboveShare(now, r.Caller, r.weight())
+	var d Decision
+	c.pools.Update(r.Model, func(p *pool) { d = c.offer(now, p, t, above, unitsPerSec) })
+	return d
+}
+
+// offer runs under the lock of the pool.
+func (c *Controller) offer(now time.Time, p *pool, t *Ticket, above bool, unitsPerSec float64) Decision {
+	remaining := t.Request.Deadline.Sub(now)
+	service := serviceTime(t.Estimate.OptimisticUnits, unitsPerSec)
+	switch {
+	case !p.known || p.capacity.Slots <= 0 && p.capacity.ReadyIn <= 0:
+		return refuse(api.ReasonNoCapacity, unknownCapacityRetry, "no replica of %q is ready", t.Request.Model)
+	case remaining <= 0 || service > remaining:
+		return Decision{Refusal: api.Refuse(api.ReasonDeadlineUnreachable, fmt.Sprintf(
+			"the deadline in %v is shorter than the shortest expected answer of %v", rounded(remaining), rounded(service)))}
+	}
+	if c.startsAtOnce(p, t, above) {
+		c.start(now, p, t)
+		return Decision{Action: Admit, Ticket: t}
+	}
+	rank := t.Request.Priority.Rank()
+	wait := p.estimateWait(t, c.ledger.order(t.Request.Caller, t.Request.weight()), c.ledger.usePerWeight(now), unitsPerSec, c.opts.LongShare)
+	if late := wait + service - remaining; late > 0 {
+		// One more answer is added, because the running requests may all have just started.
+		after := late + serviceTime(t.Estimate.Units, unitsPerSec)
+		return refuse(overloadReason(above), after, "the estimated wait of %v exceeds the deadline in %v", rounded(wait), rounded(remaining))
+	}
+	own := 0
+	if q := p.classes[t.lane][rank].callers[t.Request.Caller]; q != nil {
+		own = q.items.Len()
+	}
+	if p.waiting >= c.opts.MaxQueued || above && own >= c.opts.MaxQueued/aboveShareQueuePart {
+		return refuse(overloadReason(above), wait+service, "%d requests of %q are waiting", p.waiting, t.Request.Model)
+	}
+	t.waiter = &waiter{ticket: t, since: now, waitFor: wait}
+	p.classes[t.lane][rank].push(t.waiter, c.ledger.order)
+	p.waiting++
+	return Decision{Action: Queue, Ticket: t, Wait: wait}
+}
+
+func overloadReason(above bool) api.Reason {
+	if above {
+		return api.ReasonOverShare
+	}
+	return api.ReasonDeadlineUnreachable
+}
+
+// startsAtOnce reports whether there is room and nobody waits who goes first. Long work also waits for queued short work,
+// which takes the slots that have just become free.
+func (c *Controller) startsAtOnce(p *pool, t *Ticket, above bool) bool {
+	for l := range t.lane + 1 {
+		for r := range t.Request.Priority.Rank() + 1 {
+			if p.classes[l][r].oldest.Len() > 0 {
+				return false
+			}
+		}
+	}
+	return p.hasRoom(t.lane, c.opts.LongShare, 0) && (!above || p.hasHeadroom())
+}
+
+// hasHeadroom reports whether a caller above its share may take one more slot. Small windows keep no headroom, since
+// one slot would be a large part of them.
+func (p *pool) hasHeadroom() bool {
+	w := window(p.capacity.Slots, p.total(), p.others.inFlight, p.capacity.Instances)
+	return float64(p.total())+1 <= w-float64(int(headroomPart*w))
+}
+
+func (c *Controller) start(now time.Time, p *pool, t *Ticket) {
+	t.state = running
+	t.charged = t.Estimate.Units
+	t.waiter = nil
+	p.inFlight[t.lane]++
+	p.grants++
+	c.ledger.charge(now, t.Request.Caller, t.Request.weight(), t.charged)
+}
+
+// Next returns the queued requests of all models that may start, or that can no longer meet their deadline. The driver
+// calls it periodically, because deadlines pass and reports arrive without a request ending.
+func (c *Controller) Next(now time.Time) []Grant {
+	var grants []Grant
+	var models []string
+	c.pools.Range(func(model string, p *pool) bool {
+		if p.waiting > 0 {
+			models = append(models, model)
+		}
+		return true
+	})
+	for _, model := range models {
+		grants = append(grants, c.NextOf(now, model)...)
+	}
+	return grants
+}
+
+// NextOf is Next for one model. The driver calls it after Done and SetCapacity.
+func (c *Controller) NextOf(now time.Time, model string) []Grant {
+	var unitsPerSec float64 = defaultUnitsPerSec
+	c.estimator.paces.View(model, func(m *modelPace) { unitsPerSec = m.unitsPerSec })
+	var grants []Grant
+	c.pools.View(model, func(p *pool) {
+		grants = c.expire(now, p, unitsPerSec)
+		for p.waiting > 0 {
+			cl, _ := p.next(now, c.opts.LongShare)
+			if cl == nil {
+				return
+			}
+			w := cl.first(c.ledger.order)
+			above := c.ledger.aboveShare(now, w.queue.caller, w.queue.weight)
+			if above && !p.hasHeadroom() {
+				return
+			}
+			c.dequeue(p, w)
+			cl.learnWait(w.waitFor, now.Sub(w.since))
+			c.start(now, p, w.ticket)
+			grants = append(grants, Grant{Ticket: w.ticket})
+		}
+	})
+	return grants
+}
+
+// expire refuses the waiters that cannot meet their deadline any more. Each class is checked from its oldest waiter on,
+// up to the first one that still can; later ones are found when they come to the front.
+func (c *Controller) expire(now time.Time, p *pool, unitsPerSec float64) []Grant {
+	var grants []Grant
+	for l := range p.classes {
+		for r := range p.classes[l] {
+			cl := &p.classes[l][r]
+			for front := cl.oldest.Front(); front != nil; front = cl.oldest.Front() {
+				w := front.Value.(*waiter)
+				late := serviceTime(w.ticket.Estimate.OptimisticUnits, unitsPerSec) - w.ticket.Request.Deadline.Sub(now)
+				if late <= 0 {
+					break
+				}
+				c.dequeue(p, w)
+				cl.learnWait(w.waitFor, now.Sub(w.since))
+				w.ticket.state = ended
+				wait := p.estimateWait(w.ticket, w.queue.order, c.ledger.usePerWeight(now), unitsPerSec, c.opts.LongShare)
+				refusal := refuse(api.ReasonDeadlineUnreachable, wait, "waited %v and cannot end before its deadline any more", rounded(now.Sub(w.since)))
+				grants = append(grants, Grant{Ticket: w.ticket, Refusal: refusal.Refusal})
+			}
+		}
+	}
+	return grants
+}
+
+func (c *Controller) dequeue(p *pool, w *waiter) {
+	p.classes[w.ticket.lane][w.ticket.Request.Priority.Rank()].remove(w)
+	p.waiting--
+}
+
+// Done ends an admitted request, corrects the charge by the real work and learns from it. Repeated calls for the same
+// ticket have no effect.
+func (c *Controller) Done(now time.Time, done Completion) {
+	t := done.Ticket
+	wasRunning := false
+	c.pools.View(t.Request.Model, func(p *pool) {
+		if wasRunning = t.state == running; wasRunning {
+			t.state = ended
+			p.inFlight[t.lane]--
+		}
+	})
+	if !wasRunning || !done.Answered {
+		return
+	}
+	units := c.estimator.learn(&t.Request, done.OutputTokens, done.Service)
+	c.ledger.charge(now, t.Request.Caller, t.Request.weight(), units-t.charged)
+}
+
+// Cancel removes a queued request, for example because its caller left, and reports whether it was still queued. When
+// it was granted in the meantime, the driver must call Done.
+func (c *Controller) Cancel(t *Ticket) (wasQueued bool) {
+	c.pools.View(t.Request.Model, func(p *pool) {
+		if wasQueued = t.state == queued && t.waiter != nil; wasQueued {
+			t.state = ended
+			c.dequeue(p, t.waiter)
+		}
+	})
+	return wasQueued
+}
+
+// Usage makes the next report to the peers. It must be sent to each of them.
+func (c *Controller) Usage(now time.Time) Usage {
+	u := Usage{Instance: c.opts.Instance, Incarnation: c.opts.Incarnation, Sequence: c.sequence.Add(1)}
+	c.ledger.refreshMean(now)
+	u.Callers = c.ledger.unsent()
+	c.pools.Range(func(model string, p *pool) bool {
+		// A model without requests is listed once more, so that the peers do not wait for the timeout.
+		if active := p.total()+p.waiting > 0; active || p.reported {
+			u.Models = append(u.Models, ModelUsage{Model: model, InFlight: p.total(), LongInFlight: p.inFlight[longLane], Queued: p.waiting})
+			p.reported = active
+		}
+		return true
+	})
+	sort.Slice(u.Models, func(i, j int) bool {
+		a, b := &u.Models[i], &u.Models[j]
+		if a.InFlight+a.Queued != b.InFlight+b.Queued {
+			return a.InFlight+a.Queued > b.InFlight+b.Queued
+		}
+		return a.Model < b.Model
+	})
+	u.Models = u.Models[:min(len(u.Models), maxReportedModels)]
+	return u
+}
+
+// MergeUsage takes in the report of a peer. Reports that arrive twice or out of order are dropped.
+func (c *Controller) MergeUsage(now time.Time, u Usage) (fresh bool) {
+	c.sequences.Update(u.Instance, func(s *peerSequence) {
+		fresh = u.Incarnation > s.incarnation || u.Incarnation == s.incarnation && u.Sequence > s.sequence
+		if fresh {
+			*s = peerSequence{u.Incarnation, u.Sequence}
+		}
+	})
+	if !fresh {
+		return false
+	}
+	c.ledger.merge(now, u.Callers)
+	for _, m := range u.Models {
+		c.pools.Update(m.Model, func(p *pool) {
+			p.setPeer(now, u.Instance, peerUse{inFlight: m.InFlight, longInFlight: m.LongInFlight, queued: m.Queued})
+		})
+	}
+	return true
+}
+
+// Demand lists the requests in flight and waiting per model over all instances, for Apportion and placement.
+func (c *Controller) Demand() map[string]float64 {
+	demand := make(map[string]float64)
+	c.pools.Range(func(model string, p *pool) bool {
+		if n := p.total() + p.waiting + p.others.inFlight + p.others.queued; n > 0 {
+			demand[model] = float64(n)
+		}
+		return true
+	})
+	return demand
+}
+
+func serviceTime(units, unitsPerSec float64) time.Duration {
+	return time.Duration(units / unitsPerSec * float64(time.Second))
+}
+
+func rounded(d time.Duration) time.Duration { return d.Round(time.Millisecond) }
+
+func refuse(reason api.Reason, after time.Duration, format string, args ...any) Decision {
+	return Decision{Refusal: api.RefuseFor(reason, max(after, minRetryAfter), fmt.Sprintf(format, args...))}
+}
--- /dev/null
+++ b/coordination/admission/controller_test.go
@@ -0,0 +1,329 @@
+package admission
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+const model = "net-assistant"
+
+func request(caller string, deadline time.Duration, now time.Time) Request {
+	return Request{
+		ID: caller, Caller: caller, Model: model, Priority: releasenote.Interactive, PromptTokens: 100,
+		TokenLimit: 200, Deadline: now.Add(deadline),
+	}
+}
+
+func controller(slots float64) *Controller {
+	c := New(start, Options{Instance: "i1", Incarnation: 1})
+	c.SetCapacity(start, model, Capacity{Slots: slots, Instances: 1})
+	return c
+}
+
+func done(c *Controller, now time.Time, t *Ticket, tokens int) {
+	c.Done(now, Completion{Ticket: t, Answered: true, OutputTokens: tokens, Service: time.Second})
+}
+
+// Guards against a caller that bursts tenfold and makes callers within their share wait or be refused.
+func TestBurstDoesNotTakeTheSlotsOfNeighbours(t *testing.T) {
+	c := controller(10)
+	var running []*Ticket
+	refused, waited := 0, make(map[string]time.Duration)
+	offered := make(map[*Ticket]time.Time)
+	// Ten slots with answers of a second serve ten requests a second; the callers a to d ask for two each.
+	for step := range 600 {
+		now := start.Add(time.Duration(step) * 100 * time.Millisecond)
+		names := []string{}
+		if step%5 == 0 {
+			names = append(names, "a", "b", "c", "d")
+		}
+		if step > 100 {
+			names = append(names, "burst", "burst")
+		}
+		for _, name := range names {
+			switch d := c.Offer(now, request(name, 5*time.Second, now)); {
+			case d.Action == Admit:
+				running = append(running, d.Ticket)
+			case d.Action == Queue:
+				offered[d.Ticket] = now
+			case name != "burst":
+				t.Fatalf("step %d: caller %s within its share was refused: %v", step, name, d.Refusal)
+			default:
+				refused++
+			}
+		}
+		for len(running) > 0 && step >= 10 { // one slot becomes free in every step
+			done(c, now, running[0], 25)
+			running = running[1:]
+			break
+		}
+		for _, g := range c.Next(now) {
+			caller := g.Ticket.Request.Caller
+			if g.Refusal == nil {
+				running = append(running, g.Ticket)
+			} else if caller != "burst" {
+				t.Fatalf("caller %s within its share was refused in the queue", caller)
+			}
+			waited[caller] = max(waited[caller], now.Sub(offered[g.Ticket]))
+		}
+		if step%5 == 0 {
+			c.Usage(now)
+		}
+	}
+	if refused == 0 {
+		t.Fatal("the burst was never refused")
+	}
+	for _, name := range []string{"a", "b", "c", "d"} {
+		if waited[name] > time.Second {
+			t.Errorf("caller %s waited %v", name, waited[name])
+		}
+	}
+}
+
+// Guards against low priority or long work that never starts while interactive work keeps all slots busy.
+func TestLowPriorityAndLongWorkFinish(t *testing.T) {
+	c := controller(2)
+	first := c.Offer(start, request("x", time.Hour, start))
+	c.Offer(start, request("x", time.Hour, start))
+	batch := request("batch", time.Hour, start)
+	batch.Priority = releasenote.Batch
+	long := request("long", time.Hour, start)
+	long.PromptTokens, long.Priority = 100_000, releasenote.Batch
+	want := map[string]bool{}
+	for _, r := range []Request{batch, long} {
+		if d := c.Offer(start, r); d.Action != Queue {
+			t.Fatalf("got %+v", d)
+		}
+		want[r.Caller] = true
+	}
+	running := first.Ticket
+	for step := range 60 {
+		now := start.Add(time.Duration(step) * 200 * time.Millisecond)
+		c.Offer(now, request("x", time.Hour, now))
+		done(c, now, running, 25)
+		for _, g := range c.NextOf(now, model) {
+			running = g.Ticket
+			delete(want, g.Ticket.Request.Caller)
+		}
+	}
+	if len(want) > 0 {
+		t.Fatalf("never started: %v", want)
+	}
+}
+
+// Guards against long work that takes the slots of short work.
+func TestLongWorkHasBoundedRoom(t *testing.T) {
+	c := controller(8)
+	long := request("reports", time.Hour, start)
+	long.PromptTokens = 100_000
+	admitted := 0
+	for range 8 {
+		if d := c.Offer(start, long); d.Action == Admit {
+			admitted++
+		}
+	}
+	if admitted != 2 {
+		t.Fatalf("%d long requests run on 8 slots, want 2", admitted)
+	}
+	if d := c.Offer(start, request("chat", time.Minute, start)); d.Action != Admit {
+		t.Fatalf("short work is held behind long work: %+v", d)
+	}
+}
+
+// Guards against late or untruthful refusals: a refusal states that the request did not run, and a caller who comes
+// back at the stated time, when the queue has drained at the learnt speed, is not refused again.
+func TestRefusalIsTruthful(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := controller(float64(rapid.IntRange(1, 8).Draw(t, "slots")))
+		deadline := time.Duration(rapid.IntRange(2000, 20000).Draw(t, "deadlineMs")) * time.Millisecond
+		var refusal *api.Result
+		var running []*Ticket
+		for i := 0; refusal == nil; i++ {
+			d := c.Offer(start, request(fmt.Sprint("caller", i%3), deadline, start))
+			refusal = d.Refusal
+			if d.Action == Admit {
+				running = append(running, d.Ticket)
+			}
+		}
+		if refusal.Outcome != api.Refused || refusal.Repeat != api.RepeatAfter || refusal.RepeatAfter <= 0 {
+			t.Fatalf("refusal %+v", refusal)
+		}
+		now := start
+		for end := start.Add(refusal.RepeatAfter); now.Before(end) && len(running) > 0; {
+			// Every slot needs the estimated time for the request it runs.
+			now = now.Add(time.Duration(running[0].Estimate.Units / defaultUnitsPerSec * float64(time.Second)))
+			for _, ticket := range running {
+				c.Done(now, Completion{Ticket: ticket})
+			}
+			running = running[:0]
+			for _, g := range c.Next(now) {
+				if g.Refusal == nil {
+					running = append(running, g.Ticket)
+				}
+			}
+		}
+		if d := c.Offer(now, request("caller0", deadline, now)); d.Action == Refuse {
+			t.Fatalf("refused again after %v: %v", refusal.RepeatAfter, d.Refusal)
+		}
+	})
+}
+
+// Guards against a queued request that starts too late to meet its deadline.
+func TestExpiredWaiterIsRefusedAsNotRun(t *testing.T) {
+	c := controller(1)
+	c.Offer(start, request("a", time.Minute, start))
+	d := c.Offer(start, request("b", time.Minute, start))
+	if d.Action != Queue {
+		t.Fatalf("got %+v", d)
+	}
+	grants := c.Next(start.Add(2 * time.Minute))
+	if len(grants) != 1 || grants[0].Refusal == nil || grants[0].Refusal.Outcome != api.Refused {
+		t.Fatalf("got %+v", grants)
+	}
+	if c.Cancel(d.Ticket) {
+		t.Fatal("an expired request was still queued")
+	}
+}
+
+// Guards against shares that hold only inside one instance, and against reports counted twice.
+func TestUsageOfPeersCounts(t *testing.T) {
+	a, b := controller(4), New(start, Options{Instance: "i2", Incarnation: 1})
+	b.SetCapacity(start, model, Capacity{Slots: 4, Instances: 2})
+	for range 4 {
+		a.Offer(start, request("burst", time.Minute, start))
+		b.Offer(start, request("quiet", time.Minute, start))
+	}
+	report := a.Usage(start)
+	if !b.MergeUsage(start, report) || b.MergeUsage(start, report) {
+		t.Fatal("a report must count exactly once")
+	}
+	for range 3 {
+		b.ledger.charge(start, "burst", 1, 100)
+	}
+	b.Usage(start)
+	if !b.ledger.aboveShare(start, "burst", 1) || b.ledger.aboveShare(start, "quiet", 1) {
+		t.Fatal("only the caller with more use over both instances is above its share")
+	}
+	if b.Demand()[model] < 8 {
+		t.Fatalf("demand %v lacks the peer's requests", b.Demand())
+	}
+}
+
+// Guards against memory that grows with the callers ever seen.
+func TestMemoryIsBounded(t *testing.T) {
+	c := New(start, Options{Callers: 64, Models: 32})
+	for i := range 20000 {
+		r := request(fmt.Sprint("caller", i), time.Minute, start)
+		r.Model = fmt.Sprint("model", i%1000)
+		c.SetCapacity(start, r.Model, Capacity{Slots: 10, Instances: 1})
+		if d := c.Offer(start, r); d.Action == Admit {
+			done(c, start, d.Ticket, 10)
+		}
+	}
+	if n := c.ledger.accounts.Len(); n > 80 {
+		t.Errorf("%d accounts are kept", n)
+	}
+	if n := c.pools.Len(); n > 48 {
+		t.Errorf("%d pools are kept", n)
+	}
+	if n := c.estimator.lengths.Len(); n > 64*lengthsPerCaller+16 {
+		t.Errorf("%d lengths are kept", n)
+	}
+	if u := c.Usage(start); len(u.Callers) > maxReportedCallers || len(u.Models) > maxReportedModels {
+		t.Errorf("a report lists %d callers and %d models", len(u.Callers), len(u.Models))
+	}
+}
+
+// Guards against instances that together start more than the slots although their reports are current.
+func TestWindowsOfInstancesFitTheSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "instances")
+		slots := float64(rapid.IntRange(n, 200).Draw(t, "slots"))
+		own := make([]int, n)
+		for range rapid.IntRange(0, 400).Draw(t, "offers") {
+			i := rapid.IntRange(0, n-1).Draw(t, "instance")
+			total := 0
+			for _, o := range own {
+				total += o
+			}
+			if fits(slots, own[i], total-own[i], n, 0) {
+				own[i]++
+			}
+		}
+		total := 0
+		for _, o := range own {
+			total += o
+		}
+		// An instance that the others left nothing may still use its equal part.
+		if float64(total) > 2*slots {
+			t.Fatalf("%d requests on %v slots: %v", total, slots, own)
+		}
+	})
+}
+
+// Guards against slots that are given twice while replicas are full, and against models without any.
+func TestApportion(t *testing.T) {
+	replicas := []ReplicaSlots{{Slots: 8, Models: []string{"a", "b"}}, {Slots: 8, Models: []string{"a"}}}
+	got := Apportion(replicas, map[string]float64{"a": 40, "b": 2})
+	if got["a"] != 14 || got["b"] != 2 {
+		t.Errorf("full replicas: %v", got)
+	}
+	if got = Apportion(replicas, nil); got["a"] != 16 || got["b"] != 8 {
+		t.Errorf("idle replicas: %v", got)
+	}
+}
+
+// Guards against lost or doubled slots when handlers offer, cancel and end requests concurrently; run with -race.
+func TestConcurrentUseKeepsCounts(t *testing.T) {
+	c := controller(16)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for j := range 300 {
+				d := c.Offer(start, request(fmt.Sprint("caller", i), time.Hour, start))
+				switch {
+				case d.Action == Admit, d.Action == Queue && !c.Cancel(d.Ticket):
+					done(c, start, d.Ticket, j)
+					done(c, start, d.Ticket, j)
+				}
+				for _, g := range c.NextOf(start, model) {
+					done(c, start, g.Ticket, j)
+				}
+				c.Usage(start)
+			}
+		})
+	}
+	wg.Wait()
+	if d := c.Demand(); d[model] != 0 {
+		t.Fatalf("%v requests are left", d[model])
+	}
+}
+
+// The cost of a decision must not grow with the number of callers or models.
+func BenchmarkOffer(b *testing.B) {
+	for _, n := range []int{20, 200, 860} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			c := New(start, Options{})
+			requests := make([]Request, n)
+			for i := range requests {
+				requests[i] = request(fmt.Sprint("caller", i), time.Hour, start)
+				requests[i].Model = fmt.Sprint("model", i)
+				c.SetCapacity(start, requests[i].Model, Capacity{Slots: 100, Instances: 1})
+			}
+			b.ReportAllocs()
+			for i := range b.N {
+				d := c.Offer(start, requests[i%n])
+				done(c, start, d.Ticket, 100)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/coordination/admission/queue.go
@@ -0,0 +1,176 @@
+package admission
+
+import (
+	"container/heap"
+	"container/list"
+	"time"
+)
+
+// lane separates short from long work, so that short work is not held behind long work.
+type lane int
+
+const (
+	shortLane lane = iota
+	longLane
+	lanes
+)
+
+// ranks is the number of priorities.
+const ranks = 3
+
+// waiter is a queued request.
+type waiter struct {
+	ticket  *Ticket
+	since   time.Time
+	waitFor time.Duration // estimated when it was queued
+	inClass *list.Element
+	inOwn   *list.Element
+	queue   *callerQueue
+}
+
+// callerQueue holds the waiting requests of one caller in one class, oldest first.
+type callerQueue struct {
+	caller string
+	weight float64
+	order  float64
+	index  int
+	units  float64
+	items  list.List
+}
+
+// class is the queue of one lane and priority. Callers are served in the order of their use per weight.
+type class struct {
+	callers map[string]*callerQueue
+	order   callerHeap
+	oldest  list.List
+	units   float64
+	weights float64 // of the callers that wait
+	// estimatedSec and realSec are decayed sums of waits; their ratio corrects estimates, so that times to come back
+	// stay truthful. Ratios of sums keep short waits, which are noisy, from dominating.
+	estimatedSec float64
+	realSec      float64
+}
+
+func (c *class) push(w *waiter, orderOf func(string, float64) float64) {
+	t := w.ticket
+	q := c.callers[t.Request.Caller]
+	if q == nil {
+		q = &callerQueue{caller: t.Request.Caller, weight: t.Request.weight()}
+		q.order = orderOf(q.caller, q.weight)
+		if c.callers == nil {
+			c.callers = make(map[string]*callerQueue)
+		}
+		c.callers[q.caller] = q
+		c.weights += q.weight
+		heap.Push(&c.order, q)
+	}
+	w.queue = q
+	w.inOwn = q.items.PushBack(w)
+	w.inClass = c.oldest.PushBack(w)
+	q.units += t.Estimate.Units
+	c.units += t.Estimate.Units
+}
+
+// first returns the next waiter. Orders only grow while a caller waits, except for small corrections, so it is enough
+// to refresh the order of the caller at the top until it stays there.
+func (c *class) first(orderOf func(string, float64) float64) *waiter {
+	for range c.order {
+		top := c.order[0]
+		current := orderOf(top.caller, top.weight)
+		if current <= top.order {
+			break
+		}
+		top.order = current
+		heap.Fix(&c.order, 0)
+		if c.order[0] == top {
+			break
+		}
+	}
+	return c.order[0].items.Front().Value.(*waiter)
+}
+
+func (c *class) remove(w *waiter) {
+	q := w.queue
+	q.items.Remove(w.inOwn)
+	c.oldest.Remove(w.inClass)
+	q.units -= w.ticket.Estimate.Units
+	c.units -= w.ticket.Estimate.Units
+	if q.items.Len() == 0 {
+		heap.Remove(&c.order, q.index)
+		delete(c.callers, q.caller)
+		c.weights -= q.weight
+	}
+	if c.oldest.Len() == 0 {
+		c.units, c.weights = 0, 0 // drops rounding errors
+	}
+}
+
+func (c *class) oldestWait(now time.Time) time.Duration {
+	if front := c.oldest.Front(); front != nil {
+		return now.Sub(front.Value.(*waiter).since)
+	}
+	return 0
+}
+
+const (
+	// waitMemory keeps about the last twenty waits.
+	waitMemory    = 0.95
+	minCorrection = 0.5
+	maxCorrection = 3
+	// priorWaitSec is the weight of the assumption that estimates are right until waits were seen.
+	priorWaitSec = 10
+)
+
+func (c *class) learnWait(estimated, real time.Duration) {
+	c.estimatedSec = c.estimatedSec*waitMemory + estimated.Seconds()
+	c.realSec = c.realSec*waitMemory + real.Seconds()
+}
+
+func (c *class) correction() float64 {
+	return min(max((c.realSec+priorWaitSec)/(c.estimatedSec+priorWaitSec), minCorrection), maxCorrection)
+}
+
+// callerHeap orders the callers of a class; it implements heap.Interface.
+type callerHeap []*callerQueue
+
+func (h callerHeap) Len() int { return len(h) }
+func (h callerHeap) Less(i, j int) bool {
+	if h[i].order != h[j].order {
+		return h[i].order < h[j].order
+	}
+	return h[i].caller < h[j].caller
+}
+func (h callerHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+// lowestExcept returns the caller that is served first apart from one.
+func (h callerHeap) lowestExcept(caller string) *callerQueue {
+	switch {
+	case len(h) == 0 || len(h) == 1 && h[0].caller == caller:
+		return nil
+	case h[0].caller != caller:
+		return h[0]
+	case len(h) > 2 && h.Less(2, 1):
+		return h[2]
+	default:
+		return h[1]
+	}
+}
+
+// Push implements heap.Interface.
+func (h *callerHeap) Push(x any) {
+	q := x.(*callerQueue)
+	q.index = len(*h)
+	*h = append(*h, q)
+}
+
+// Pop implements heap.Interface.
+func (h *callerHeap) Pop() any {
+	last := len(*h) - 1
+	q := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return q
+}
--- /dev/null
+++ b/coordination/admission/share.go
@@ -0,0 +1,184 @@
+package admission
+
+import (
+	"math"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/state/shard"
+)
+
+const (
+	// usageMemory is the time constant of usage. Shares are kept over tens of seconds, so that a short burst of a
+	// caller that was idle is served.
+	usageMemory = 10 * time.Second
+	// aboveShareFactor is how far above the mean use per weight a caller must be to count as above its share.
+	aboveShareFactor = 1.2
+	// maxReportedCallers and maxReportedModels bound a usage report (section 5.7).
+	maxReportedCallers = 64
+	maxReportedModels  = 64
+	// negligibleUnits is below the work of any request; smaller amounts are not reported.
+	negligibleUnits = 0.5
+)
+
+// CallerUsage is the work charged to a caller since the previous report. It is negative after corrections.
+type CallerUsage struct {
+	Caller string  `json:"caller"`
+	Weight float64 `json:"weight"`
+	Units  float64 `json:"units"`
+}
+
+// ModelUsage is an instance's requests of one model at the time of the report.
+type ModelUsage struct {
+	Model        string `json:"model"`
+	InFlight     int    `json:"in_flight"`
+	LongInFlight int    `json:"long_in_flight"`
+	Queued       int    `json:"queued"`
+}
+
+// Usage is what an instance tells its peers every 500 ms. Callers with less work than the 64 listed are reported later,
+// when their work has added up.
+type Usage struct {
+	Instance    string        `json:"instance"`
+	Incarnation uint64        `json:"incarnation"`
+	Sequence    uint64        `json:"sequence"`
+	Callers     []CallerUsage `json:"callers,omitempty"`
+	Models      []ModelUsage  `json:"models,omitempty"`
+}
+
+// account is the use of one caller: work over all instances, decaying exponentially, and work not yet reported.
+type account struct {
+	weight   float64
+	units    float64
+	at       time.Time
+	unsent   float64
+	hasUnits bool
+}
+
+func decay(units float64, elapsed time.Duration) float64 {
+	return units * math.Exp(-elapsed.Seconds()/usageMemory.Seconds())
+}
+
+func (a *account) add(now time.Time, units float64) {
+	if a.hasUnits && now.After(a.at) {
+		a.units = decay(a.units, now.Sub(a.at))
+	}
+	if !a.hasUnits || now.After(a.at) {
+		a.at, a.hasUnits = now, true
+	}
+	a.units = max(0, a.units+units)
+}
+
+// ledger keeps the accounts of the callers used last.
+type ledger struct {
+	accounts *shard.Map[string, account]
+	epoch    time.Time
+
+	mu sync.Mutex
+	// meanPerWeight is the mean use per weight of the active callers at meanAt.
+	meanPerWeight float64
+	meanAt        time.Time
+}
+
+func newLedger(capacity int, epoch time.Time) *ledger {
+	return &ledger{
+		accounts: shard.New(shard.DefaultShards, capacity, shard.StringHash, func(string) *account {
+			return &account{weight: 1}
+		}),
+		epoch: epoch,
+	}
+}
+
+// charge adds the instance's own work to a caller.
+func (l *ledger) charge(now time.Time, caller string, weight, units float64) {
+	l.accounts.Update(caller, func(a *account) {
+		a.weight = weight
+		a.add(now, units)
+		a.unsent += units
+	})
+}
+
+// order is the key by which callers are served: the logarithm of use per weight, shifted by the time, so that it stays
+// the same while the use decays and keys taken at different times can be compared.
+func (l *ledger) order(caller string, weight float64) float64 {
+	key := math.Inf(-1)
+	l.accounts.View(caller, func(a *account) {
+		if a.units > 0 {
+			key = math.Log(a.units/weight) + a.at.Sub(l.epoch).Seconds()/usageMemory.Seconds()
+		}
+	})
+	return key
+}
+
+// usePerWeight converts an order back to the present use per weight.
+func (l *ledger) usePerWeight(now time.Time) func(order float64) float64 {
+	shift := now.Sub(l.epoch).Seconds() / usageMemory.Seconds()
+	return func(order float64) float64 { return math.Exp(order - shift) }
+}
+
+// aboveShare reports whether the caller used clearly more per weight than the mean of the active callers.
+func (l *ledger) aboveShare(now time.Time, caller string, weight float64) (above bool) {
+	l.mu.Lock()
+	mean := decay(l.meanPerWeight, now.Sub(l.meanAt))
+	l.mu.Unlock()
+	if mean <= 0 {
+		return false
+	}
+	l.accounts.View(caller, func(a *account) {
+		above = decay(a.units, now.Sub(a.at))/weight > aboveShareFactor*mean
+	})
+	return above
+}
+
+// refreshMean recomputes the mean use per weight. It is linear in the accounts kept and runs once per report.
+func (l *ledger) refreshMean(now time.Time) {
+	units, weight := 0.0, 0.0
+	l.accounts.Range(func(_ string, a *account) bool {
+		if u := decay(a.units, now.Sub(a.at)); u >= negligibleUnits {
+			units += u
+			weight += a.weight
+		}
+		return true
+	})
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.meanPerWeight, l.meanAt = 0, now
+	if weight > 0 {
+		l.meanPerWeight = units / weight
+	}
+}
+
+// unsent takes the largest amounts not yet reported.
+func (l *ledger) unsent() []CallerUsage {
+	var list []CallerUsage
+	l.accounts.Range(func(caller string, a *account) bool {
+		if math.Abs(a.unsent) >= negligibleUnits {
+			list = append(list, CallerUsage{Caller: caller, Weight: a.weight, Units: a.unsent})
+		}
+		return true
+	})
+	sort.Slice(list, func(i, j int) bool {
+		if a, b := math.Abs(list[i].Units), math.Abs(list[j].Units); a != b {
+			return a > b
+		}
+		return list[i].Caller < list[j].Caller
+	})
+	list = list[:min(len(list), maxReportedCallers)]
+	for _, c := range list {
+		l.accounts.View(c.Caller, func(a *account) { a.unsent -= c.Units })
+	}
+	return list
+}
+
+// merge adds the work that another instance reported.
+func (l *ledger) merge(now time.Time, callers []CallerUsage) {
+	for _, c := range callers {
+		l.accounts.Update(c.Caller, func(a *account) {
+			if c.Weight > 0 {
+				a.weight = c.Weight
+			}
+			a.add(now, c.Units)
+		})
+	}
+}
