--- /dev/null
+++ b/coordination/routing/observe.go
@@ -0,0 +1,148 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/state/shard"
+)
+
+const (
+	// changeBuckets of changeWidth cover 6.4 s, more than the lag of load reports.
+	changeBuckets = 64
+	changeWidth   = 100 * time.Millisecond
+	latencyGain   = 0.2
+	paceGain      = 0.02
+	// latencySampleInterval bounds the samples per target; at most 100 a second are enough to follow a change.
+	latencySampleInterval = 10 * time.Millisecond
+	// latencyMemory is how long a target's own latencies are believed without new samples.
+	latencyMemory    = 20 * time.Second
+	defaultMsPerUnit = 40
+	defaultUnits     = 200
+)
+
+// change counts requests started minus requests ended in one bucket of time.
+type change struct {
+	bucket int64
+	net    int32
+}
+
+// observations are the instance's own counts and latencies of one target.
+type observations struct {
+	inFlight     int
+	longInFlight int
+	changes      [changeBuckets]change
+	msPerUnit    float64
+	sampledAt    time.Time
+}
+
+func (o *observations) count(now time.Time, n int32) {
+	bucket := now.UnixNano() / int64(changeWidth)
+	c := &o.changes[bucket%changeBuckets]
+	if c.bucket != bucket {
+		*c = change{bucket: bucket}
+	}
+	c.net += n
+}
+
+// since is the net change of the requests in flight from at on. fresh is false when at is too long ago to be known.
+func (o *observations) since(now, at time.Time) (net int, fresh bool) {
+	first := at.UnixNano() / int64(changeWidth)
+	last := now.UnixNano() / int64(changeWidth)
+	if last-first >= changeBuckets {
+		return 0, false
+	}
+	for b := first; b <= last; b++ {
+		if c := &o.changes[b%changeBuckets]; c.bucket == b {
+			net += int(c.net)
+		}
+	}
+	return net, true
+}
+
+// pace is the usual speed and size of the requests of one model over all targets.
+type pace struct {
+	msPerUnit float64
+	units     float64
+}
+
+// observer keeps the instance's own observations.
+type observer struct {
+	targets *shard.Map[string, observations]
+	paces   *shard.Map[string, pace]
+}
+
+func newObserver(targets, models int) *observer {
+	return &observer{
+		targets: shard.New[string, observations](shard.DefaultShards, targets, shard.StringHash, nil),
+		paces: shard.New(shard.DefaultShards, models, shard.StringHash, func(string) *pace {
+			return &pace{msPerUnit: defaultMsPerUnit, units: defaultUnits}
+		}),
+	}
+}
+
+func (o *observer) pace(model string) pace {
+	p := pace{msPerUnit: defaultMsPerUnit, units: defaultUnits}
+	o.paces.View(model, func(v *pace) { p = *v })
+	return p
+}
+
+func (o *observer) started(now time.Time, target string, long bool) {
+	o.targets.Update(target, func(t *observations) {
+		t.inFlight++
+		if long {
+			t.longInFlight++
+		}
+		t.count(now, 1)
+	})
+}
+
+func (o *observer) finished(now time.Time, f Finish) {
+	sample := f.Answered && f.Units > 0
+	msPerUnit := 0.0
+	if sample {
+		msPerUnit = float64(f.Service) / float64(time.Millisecond) / f.Units
+	}
+	o.targets.View(f.Target, func(t *observations) {
+		t.inFlight = max(0, t.inFlight-1)
+		if f.Long {
+			t.longInFlight = max(0, t.longInFlight-1)
+		}
+		t.count(now, -1)
+		if !sample || now.Sub(t.sampledAt) < latencySampleInterval {
+			sample = false
+			return
+		}
+		if t.msPerUnit == 0 || now.Sub(t.sampledAt) > latencyMemory {
+			t.msPerUnit = msPerUnit
+		}
+		t.msPerUnit += latencyGain * (msPerUnit - t.msPerUnit)
+		t.sampledAt = now
+	})
+	if sample {
+		o.paces.Update(f.Model, func(p *pace) {
+			p.msPerUnit += paceGain * (msPerUnit - p.msPerUnit)
+			p.units += paceGain * (f.Units - p.units)
+		})
+	}
+}
+
+// fill copies the instance's own observations of a candidate into its view.
+func (o *observer) fill(now time.Time, v *View, usual pace, instances int, peerCorrection float64) {
+	v.MsPerUnit, v.OwnInFlight, v.OwnLongInFlight = usual.msPerUnit, 0, 0
+	v.EstimatedLoad = float64(v.Reported)
+	o.targets.View(v.Target, func(t *observations) {
+		v.OwnInFlight, v.OwnLongInFlight = t.inFlight, t.longInFlight
+		if t.msPerUnit > 0 && now.Sub(t.sampledAt) <= latencyMemory {
+			v.MsPerUnit = t.msPerUnit
+		}
+		net, fresh := t.since(now, v.MeasuredAt)
+		if !fresh {
+			// The report is too old to be corrected; the other instances are assumed to send as much as this one.
+			v.EstimatedLoad = float64(t.inFlight * max(instances, 1))
+			return
+		}
+		// The other instances have probably changed the load in the same direction since the report.
+		v.EstimatedLoad += float64(net) * (1 + peerCorrection*float64(max(instances, 1)-1))
+	})
+	v.EstimatedLoad = max(v.EstimatedLoad, float64(v.OwnInFlight))
+}
--- /dev/null
+++ b/coordination/routing/router.go
@@ -0,0 +1,362 @@
+// Package routing chooses the target of a request: it samples a bounded number of candidates, filters and scores them,
+// and picks one. The cost of a decision does not depend on the number of targets.
+package routing
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+const (
+	maxScorers = 8
+	// maxSample bounds the candidates of one decision: the random sample, holders of the prefix and the adapter, and
+	// remote candidates.
+	maxSample = 24
+
+	defaultSample         = 6
+	defaultAdapterSample  = 3
+	defaultRemoteSample   = 2
+	defaultTargets        = 4096
+	defaultPrefixes       = 65536
+	defaultModels         = 2048
+	defaultPeerCorrection = 0.5
+	defaultBatchSlowdown  = 0.5
+	defaultTolerance      = 0.05
+	// defaultLongShare equals the share that admission gives to long work.
+	defaultLongShare = 0.25
+	// defaultPromptMsPerToken is a twentieth of the usual time per output token.
+	defaultPromptMsPerToken = 2
+	// defaultAdapterLoadMs is the upper end of an undisturbed adapter load.
+	defaultAdapterLoadMs = 10
+	defaultRemoteMs      = 50
+)
+
+// ErrNoTarget means that no candidate may get the request.
+var ErrNoTarget = errors.New("no target may get the request")
+
+// Candidate is what is known about a target from its announcements. A candidate of another data centre may stand for
+// the summary of its replicas; Slots and Reported are then sums.
+type Candidate struct {
+	// Target identifies the target; the driver joins name and incarnation, because a restarted target is a new one.
+	Target       string
+	DataCentre   string
+	Leaving      bool
+	LeaseUntil   time.Time
+	ModelReady   bool
+	AdapterReady bool
+	Slots        int
+	// Reported is the number of running and queued requests of the last load report, measured at MeasuredAt.
+	Reported   int
+	MeasuredAt time.Time
+}
+
+// Set is a list of candidates that can be read in constant time per element, without copying the list.
+type Set interface {
+	Len() int
+	At(i int) Candidate
+	// Find returns a candidate by its target.
+	Find(target string) (Candidate, bool)
+}
+
+// Candidates are the targets of a model. WithAdapter may be nil.
+type Candidates struct {
+	Local       Set
+	WithAdapter Set
+	Remote      []Set
+}
+
+// Request is what routing knows about a request.
+type Request struct {
+	Model   string
+	Adapter string
+	// Units is the estimated work and Long its class, both from admission.
+	Units        float64
+	Long         bool
+	PromptTokens int
+	// PrefixHashes are the hashes of the prompt up to each block boundary, from the shortest to the longest prefix, and
+	// BlockTokens is the number of tokens per block.
+	PrefixHashes []uint64
+	BlockTokens  int
+	// Exclude lists targets that failed or refused this request.
+	Exclude []string
+	// MayProbe allows sending the request to a straggler to see whether it has recovered; set for idempotent short work.
+	MayProbe bool
+
+	usual pace
+}
+
+// Finish describes the end of an attempt.
+type Finish struct {
+	Target   string
+	Model    string
+	Long     bool
+	Answered bool
+	// Units is the work really done, and Service the duration of the attempt.
+	Units   float64
+	Service time.Duration
+}
+
+// Scores explains a decision.
+type Scores struct {
+	Considered int
+	Kept       int
+	// Remote reports that the request leaves the data centre, Probe that it probes a straggler.
+	Remote bool
+	Probe  bool
+	// TotalMs is the score of the chosen candidate and TermsMs its parts, in the order of Router.Scorers.
+	TotalMs float64
+	TermsMs [maxScorers]float64
+}
+
+// Options sets the parameters. Zero values mean the defaults.
+type Options struct {
+	Sample         int
+	Instances      int
+	PeerCorrection float64 // negative switches it off
+	BatchSlowdown  float64
+	Tolerance      float64
+	LongShare      float64
+	PromptMs       float64
+	AdapterLoadMs  float64
+	RemoteMs       float64
+	Targets        int
+	Prefixes       int
+	Health         Health
+}
+
+func setDefault[T int | float64](v *T, value T) {
+	if *v == 0 {
+		*v = value
+	}
+}
+
+func (o *Options) setDefaults() {
+	setDefault(&o.Sample, defaultSample)
+	setDefault(&o.Instances, 1)
+	setDefault(&o.PeerCorrection, defaultPeerCorrection)
+	setDefault(&o.BatchSlowdown, defaultBatchSlowdown)
+	setDefault(&o.Tolerance, defaultTolerance)
+	setDefault(&o.LongShare, defaultLongShare)
+	setDefault(&o.PromptMs, defaultPromptMsPerToken)
+	setDefault(&o.AdapterLoadMs, defaultAdapterLoadMs)
+	setDefault(&o.RemoteMs, defaultRemoteMs)
+	setDefault(&o.Targets, defaultTargets)
+	setDefault(&o.Prefixes, defaultPrefixes)
+	o.PeerCorrection = max(o.PeerCorrection, 0)
+	o.Sample = min(o.Sample, maxSample/2)
+}
+
+// Router chooses targets. It is safe for concurrent use.
+type Router struct {
+	opts     Options
+	filters  []Filter
+	scorers  []Scorer
+	picker   Picker
+	observer *observer
+	prefixes *prefixIndex
+	scratch  sync.Pool
+}
+
+type scratch struct {
+	views   [maxSample]View
+	n       int
+	matches [holdersPerPrefix]match
+	request Request
+}
+
+// New makes a router with the filters, scorers and picker of this package.
+func New(opts Options) *Router {
+	opts.setDefaults()
+	r := &Router{
+		opts:     opts,
+		filters:  []Filter{LeaseAndResidency{}, OwnLongInFlight{Share: opts.LongShare}},
+		picker:   NearBest{Tolerance: opts.Tolerance},
+		observer: newObserver(opts.Targets, defaultModels),
+		prefixes: newPrefixIndex(opts.Prefixes, opts.Targets),
+		scorers: []Scorer{
+			EstimatedLoad{BatchSlowdown: opts.BatchSlowdown}, OwnLatency{}, PrefixCache{MsPerToken: opts.PromptMs},
+			AdapterResidency{LoadMs: opts.AdapterLoadMs}, DataCentreDistance{RemoteMs: opts.RemoteMs},
+		},
+	}
+	if opts.Health != nil {
+		r.filters = append(r.filters, OwnStragglers{Health: opts.Health})
+	}
+	r.scratch.New = func() any { return new(scratch) }
+	return r
+}
+
+// Scorers lists the scorers in the order of Scores.TermsMs.
+func (r *Router) Scorers() []Scorer { return r.scorers }
+
+// Pick chooses a target for a request. It does not count the request; the caller does so with Started.
+func (r *Router) Pick(now time.Time, rng *rand.Rand, request Request, c Candidates) (Candidate, Scores, error) {
+	s := r.scratch.Get().(*scratch)
+	defer r.scratch.Put(s)
+	s.n, s.request = 0, request
+	s.request.usual = r.observer.pace(request.Model)
+
+	r.sampleLocal(now, rng, s, c)
+	if probe := r.probe(now, s); probe != nil {
+		return probe.Candidate, Scores{Considered: s.n, Kept: 1, Probe: true}, nil
+	}
+	considered := s.n
+	kept := r.filter(now, s, s.views[:s.n])
+	s.n = kept
+	if r.wantsRemote(s.views[:kept]) {
+		for _, set := range c.Remote {
+			r.sampleSet(now, rng, s, set, defaultRemoteSample, true)
+		}
+		considered += s.n - kept
+		s.n = kept + r.filter(now, s, s.views[kept:s.n])
+	}
+	if s.n == 0 {
+		return Candidate{}, Scores{Considered: considered}, ErrNoTarget
+	}
+	views := s.views[:s.n]
+	for i := range views {
+		r.score(&s.request, &views[i])
+	}
+	v := &views[r.picker.Pick(rng, views)]
+	return v.Candidate, Scores{Considered: considered, Kept: s.n, Remote: v.Remote, TotalMs: v.score, TermsMs: v.terms}, nil
+}
+
+// sampleLocal takes the holders of the longest cached prefix, some targets with the adapter and a random sample.
+func (r *Router) sampleLocal(now time.Time, rng *rand.Rand, s *scratch, c Candidates) {
+	if len(s.request.PrefixHashes) > 0 && c.Local != nil {
+		for _, m := range r.prefixes.find(now, s.request.Model, s.request.PrefixHashes, s.matches[:0]) {
+			if candidate, ok := c.Local.Find(m.target); ok {
+				if v := r.add(now, s, candidate, false); v != nil {
+					v.CachedTokens = m.trust * float64(min(m.blocks*s.request.BlockTokens, s.request.PromptTokens))
+				}
+			}
+		}
+	}
+	if s.request.Adapter != "" && c.WithAdapter != nil {
+		r.sampleSet(now, rng, s, c.WithAdapter, defaultAdapterSample, false)
+	}
+	r.sampleSet(now, rng, s, c.Local, r.opts.Sample, false)
+}
+
+// sampleSet adds up to n candidates of a set: all of a small set, or random ones of a large set.
+func (r *Router) sampleSet(now time.Time, rng *rand.Rand, s *scratch, set Set, n int, remote bool) {
+	if set == nil {
+		return
+	}
+	size := set.Len()
+	for i := range min(n, size) {
+		index := i
+		if size > n {
+			index = rng.IntN(size)
+		}
+		r.add(now, s, set.At(index), remote)
+	}
+}
+
+// add appends a candidate unless it is in the sample already.
+func (r *Router) add(now time.Time, s *scratch, c Candidate, remote bool) *View {
+	if s.n == maxSample {
+		return nil
+	}
+	for i := range s.n {
+		if s.views[i].Target == c.Target {
+			return nil
+		}
+	}
+	v := &s.views[s.n]
+	s.n++
+	*v = View{Candidate: c, Remote: remote}
+	r.observer.fill(now, v, s.request.usual, r.opts.Instances, r.opts.PeerCorrection)
+	return v
+}
+
+// probe returns a straggler of the sample that is due for a probe.
+func (r *Router) probe(now time.Time, s *scratch) *View {
+	if r.opts.Health == nil || !s.request.MayProbe {
+		return nil
+	}
+	for i := range s.n {
+		v := &s.views[i]
+		if (LeaseAndResidency{}).Keep(now, &s.request, v) && r.opts.Health.ClaimProbe(now, v.Target) {
+			return v
+		}
+	}
+	return nil
+}
+
+// filter moves the candidates that pass to the front and returns their number. Without any, soft filters are dropped.
+func (r *Router) filter(now time.Time, s *scratch, views []View) int {
+	for _, soft := range [...]bool{true, false} {
+		kept := 0
+		for i := range views {
+			if r.keep(now, &s.request, &views[i], soft) {
+				views[kept], views[i] = views[i], views[kept]
+				kept++
+			}
+		}
+		if kept > 0 {
+			return kept
+		}
+	}
+	return 0
+}
+
+func (r *Router) keep(now time.Time, request *Request, v *View, soft bool) bool {
+	for _, f := range r.filters {
+		if (soft || !f.Soft()) && !f.Keep(now, request, v) {
+			return false
+		}
+	}
+	return true
+}
+
+// wantsRemote reports whether every local candidate of the sample is full.
+func (r *Router) wantsRemote(views []View) bool {
+	for i := range views {
+		if !views[i].full() {
+			return false
+		}
+	}
+	return true
+}
+
+func (r *Router) score(request *Request, v *View) {
+	v.score = 0
+	for i, scorer := range r.scorers {
+		v.terms[i] = scorer.ScoreMs(request, v)
+		v.score += v.terms[i]
+	}
+}
+
+// Started counts an attempt that is about to be sent.
+func (r *Router) Started(now time.Time, target string, request *Request) {
+	r.observer.started(now, target, request.Long)
+	if n := len(request.PrefixHashes); n > 0 {
+		r.prefixes.predict(now, request.Model, request.PrefixHashes[n-1], target)
+	}
+}
+
+// Finished counts the end of an attempt, whatever its result.
+func (r *Router) Finished(now time.Time, f Finish) { r.observer.finished(now, f) }
+
+// InFlight is the number of the instance's own requests on a target.
+func (r *Router) InFlight(target string) (n int) {
+	r.observer.targets.View(target, func(t *observations) { n = t.inFlight })
+	return n
+}
+
+// CacheEvents takes in a batch of cache events of a target. target is its identity as in Candidate.
+func (r *Router) CacheEvents(now time.Time, target string, batch *targetapi.CacheEvents) {
+	r.prefixes.apply(now, target, batch)
+}
+
+// Forget drops what is known about a target that left or was replaced.
+func (r *Router) Forget(target string) {
+	r.observer.targets.Delete(target)
+	// A new epoch makes the prefixes of the target void without a search for them.
+	r.prefixes.targets.Update(target, func(s *eventState) { s.epoch++ })
+}
--- /dev/null
+++ b/coordination/routing/router_test.go
@@ -0,0 +1,325 @@
+package routing
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+const model = "net-assistant"
+
+// list is a Set for tests.
+type list []Candidate
+
+func (l list) Len() int           { return len(l) }
+func (l list) At(i int) Candidate { return l[i] }
+func (l list) Find(target string) (Candidate, bool) {
+	for _, c := range l {
+		if c.Target == target {
+			return c, true
+		}
+	}
+	return Candidate{}, false
+}
+
+func replicas(n int) list {
+	l := make(list, n)
+	for i := range l {
+		l[i] = Candidate{
+			Target: fmt.Sprint("t", i), DataCentre: "coulee-a", ModelReady: true, Slots: 8,
+			LeaseUntil: start.Add(time.Hour), MeasuredAt: start,
+		}
+	}
+	return l
+}
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func request() Request { return Request{Model: model, Units: 100, PromptTokens: 200} }
+
+func pick(t testing.TB, r *Router, rng *rand.Rand, now time.Time, req Request, c Candidates) (Candidate, Scores) {
+	t.Helper()
+	got, scores, err := r.Pick(now, rng, req, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return got, scores
+}
+
+// Guards against instances with the same late reports that all send to the target reported as least loaded.
+func TestInstancesDoNotHerd(t *testing.T) {
+	targets := replicas(12)
+	for i := range targets {
+		targets[i].Reported = 4
+	}
+	targets[3].Reported = 0
+	sent := make(map[string]int)
+	for i := range 6 {
+		r := New(Options{Instances: 6})
+		rng := rand.New(rand.NewPCG(uint64(i), 7))
+		for range 8 {
+			req := request()
+			c, _ := pick(t, r, rng, start.Add(time.Second), req, Candidates{Local: targets})
+			r.Started(start.Add(time.Second), c.Target, &req)
+			sent[c.Target]++
+		}
+	}
+	// 48 requests on top of 44 reported ones make about 8 for each of the 12 targets.
+	if sent["t3"] > 14 {
+		t.Fatalf("the least loaded target got %d of 48 requests: %v", sent["t3"], sent)
+	}
+}
+
+// Guards against work for targets that must not get any: leaving, lease expired, model absent or excluded.
+func TestIneligibleTargetsGetNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		targets := replicas(rapid.IntRange(1, 40).Draw(t, "targets"))
+		req := request()
+		eligible := 0
+		for i := range targets {
+			switch rapid.IntRange(0, 5).Draw(t, "state") {
+			case 0:
+				targets[i].Leaving = true
+			case 1:
+				targets[i].LeaseUntil = start.Add(-time.Millisecond)
+			case 2:
+				targets[i].ModelReady = false
+			case 3:
+				req.Exclude = append(req.Exclude, targets[i].Target)
+			default:
+				eligible++
+			}
+		}
+		got, scores, err := New(Options{}).Pick(start, random(), req, Candidates{Local: targets})
+		if err == nil {
+			v := View{Candidate: got}
+			if !(LeaseAndResidency{}).Keep(start, &req, &v) {
+				t.Fatalf("picked %+v", got)
+			}
+		} else if eligible == len(targets) {
+			t.Fatalf("found none of %d eligible targets", eligible)
+		}
+		if scores.Considered > maxSample {
+			t.Fatalf("considered %d candidates", scores.Considered)
+		}
+	})
+}
+
+// Guards against decisions on late reports alone: the instance's own requests since the report must count.
+func TestOwnRequestsCorrectReports(t *testing.T) {
+	targets := replicas(2)
+	targets[0].Reported, targets[1].Reported = 0, 3
+	r := New(Options{})
+	req := request()
+	for range 8 {
+		r.Started(start.Add(time.Second), "t0", &req)
+	}
+	c, _ := pick(t, r, random(), start.Add(1100*time.Millisecond), req, Candidates{Local: targets})
+	if c.Target != "t1" {
+		t.Fatalf("picked %s although 8 own requests run there", c.Target)
+	}
+	for range 8 {
+		r.Finished(start.Add(2*time.Second), Finish{Target: "t0", Model: model, Answered: true, Units: 100, Service: time.Second})
+	}
+	if c, _ = pick(t, r, random(), start.Add(2*time.Second), req, Candidates{Local: targets}); c.Target != "t0" {
+		t.Fatalf("picked %s although t0 is idle again", c.Target)
+	}
+}
+
+// Guards against a lost prefix locality, and against trust in cache events that gaps or a restart made doubtful.
+func TestPrefixLocality(t *testing.T) {
+	targets := replicas(200)
+	req := request()
+	req.PromptTokens, req.PrefixHashes, req.BlockTokens = 2000, []uint64{11, 12, 13}, 600
+	stored := func(sequence, hash uint64) *targetapi.CacheEvents {
+		return &targetapi.CacheEvents{Incarnation: 1, Events: []targetapi.CacheEvent{
+			{Sequence: sequence, Kind: targetapi.Stored, Model: model, PrefixHash: hash}}}
+	}
+	r := New(Options{})
+	r.CacheEvents(start, "t150", stored(1, 12))
+	if c, _ := pick(t, r, random(), start, req, Candidates{Local: targets}); c.Target != "t150" {
+		t.Fatalf("picked %s instead of the holder of the prefix", c.Target)
+	}
+	before := r.prefixes.find(start, model, req.PrefixHashes, nil)[0].trust
+	r.CacheEvents(start, "t150", stored(9, 99))
+	after := r.prefixes.find(start, model, req.PrefixHashes, nil)[0].trust
+	if after >= before {
+		t.Errorf("trust %v after a gap, %v before", after, before)
+	}
+	r.CacheEvents(start, "t150", &targetapi.CacheEvents{Incarnation: 1, Events: []targetapi.CacheEvent{
+		{Sequence: 12, Kind: targetapi.Evicted, Model: model, PrefixHash: 12}}})
+	r.CacheEvents(start, "t150", stored(11, 12))
+	if found := r.prefixes.find(start, model, req.PrefixHashes, nil); len(found) > 0 {
+		t.Errorf("a late event restored an evicted prefix: %+v", found)
+	}
+	r.CacheEvents(start, "t150", stored(13, 12))
+	r.CacheEvents(start, "t150", &targetapi.CacheEvents{Incarnation: 2, Events: []targetapi.CacheEvent{
+		{Sequence: 1, Kind: targetapi.Stored, Model: model, PrefixHash: 500}}})
+	if found := r.prefixes.find(start, model, req.PrefixHashes, nil); len(found) > 0 {
+		t.Errorf("a prefix survived the restart of its target: %+v", found)
+	}
+}
+
+// Guards against adapter loads although a replica holds the adapter.
+func TestAdapterLocality(t *testing.T) {
+	targets := replicas(100)
+	targets[42].AdapterReady = true
+	req := request()
+	req.Adapter = "crew-7"
+	// A tolerance below the cost of a load, since both answers differ by 10 ms only.
+	r := New(Options{Tolerance: 0.0001})
+	c, _ := pick(t, r, random(), start, req, Candidates{Local: targets, WithAdapter: targets[42:43]})
+	if c.Target != "t42" {
+		t.Fatalf("picked %s", c.Target)
+	}
+}
+
+// Guards against work that stays in a full data centre, or that does not come back once there is room.
+func TestSpillToAnotherDataCentreAndBack(t *testing.T) {
+	local, remote := replicas(4), replicas(4)
+	for i := range local {
+		local[i].Reported = 16
+		remote[i].Target, remote[i].DataCentre = fmt.Sprint("r", i), "ridge-b"
+	}
+	c := Candidates{Local: local, Remote: []Set{remote}}
+	r := New(Options{})
+	if got, scores := pick(t, r, random(), start, request(), c); got.DataCentre != "ridge-b" || !scores.Remote {
+		t.Fatalf("stayed on the full target %s", got.Target)
+	}
+	for i := range local {
+		local[i].Reported = 2
+	}
+	if got, _ := pick(t, r, random(), start, request(), c); got.DataCentre != "coulee-a" {
+		t.Fatalf("did not come back: %s", got.Target)
+	}
+}
+
+type health struct {
+	slow  string
+	probe bool
+}
+
+func (h *health) Straggling(_ time.Time, target string) bool { return target == h.slow }
+func (h *health) ClaimProbe(_ time.Time, target string) bool { return h.probe && target == h.slow }
+
+// Guards against work for a known straggler, against a straggler that never gets a probe, and against refusing work
+// when only stragglers are left.
+func TestStragglersAreRoutedRound(t *testing.T) {
+	h := &health{slow: "t1"}
+	r := New(Options{Health: h})
+	targets := replicas(2)
+	targets[0].Reported = 7
+	req := request()
+	req.MayProbe = true
+	if c, _ := pick(t, r, random(), start, req, Candidates{Local: targets}); c.Target != "t0" {
+		t.Fatalf("picked the straggler")
+	}
+	h.probe = true
+	if c, s := pick(t, r, random(), start, req, Candidates{Local: targets}); c.Target != "t1" || !s.Probe {
+		t.Fatalf("the straggler got no probe")
+	}
+	h.probe = false
+	if c, _ := pick(t, r, random(), start, req, Candidates{Local: targets[1:]}); c.Target != "t1" {
+		t.Fatalf("the only target was not used")
+	}
+}
+
+// Guards against several long requests on one replica while others have none.
+func TestLongWorkIsSpread(t *testing.T) {
+	r := New(Options{})
+	targets := replicas(4)
+	req := request()
+	req.Long = true
+	rng := random()
+	for range 8 {
+		c, _ := pick(t, r, rng, start, req, Candidates{Local: targets})
+		r.Started(start, c.Target, &req)
+	}
+	for i := range targets {
+		var v View
+		v.Candidate = targets[i]
+		r.observer.fill(start, &v, pace{}, 1, 0)
+		if v.OwnLongInFlight > 2 {
+			t.Fatalf("%d long requests on %s with 8 slots", v.OwnLongInFlight, v.Target)
+		}
+	}
+}
+
+// Guards against lost counts when handlers start and end requests concurrently; run with -race.
+func TestConcurrentUseKeepsCounts(t *testing.T) {
+	r := New(Options{})
+	targets := replicas(10)
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(uint64(i), 1))
+			req := request()
+			req.PrefixHashes, req.BlockTokens = []uint64{uint64(i)}, 16
+			for range 500 {
+				c, _, err := r.Pick(start, rng, req, Candidates{Local: targets})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				r.Started(start, c.Target, &req)
+				r.Finished(start, Finish{Target: c.Target, Model: model, Answered: true, Units: 100, Service: time.Second})
+			}
+		})
+	}
+	wg.Wait()
+	for _, c := range targets {
+		if n := r.InFlight(c.Target); n != 0 {
+			t.Errorf("%s has %d requests left", c.Target, n)
+		}
+	}
+}
+
+// indexed is a Set whose Find takes constant time, like the membership table.
+type indexed struct {
+	list
+	byName map[string]int
+}
+
+func (s *indexed) Find(target string) (Candidate, bool) {
+	i, ok := s.byName[target]
+	if !ok {
+		return Candidate{}, false
+	}
+	return s.list[i], true
+}
+
+// The cost of a decision must not grow with the number of replicas.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{20, 200, 860} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			r := New(Options{Instances: 6})
+			targets := &indexed{list: replicas(n), byName: make(map[string]int)}
+			for i, c := range targets.list {
+				targets.byName[c.Target] = i
+			}
+			rng := random()
+			req := request()
+			req.PrefixHashes, req.BlockTokens = []uint64{1, 2, 3, 4}, 16
+			c := Candidates{Local: targets}
+			now := start
+			b.ReportAllocs()
+			for range b.N {
+				now = now.Add(time.Millisecond)
+				got, _, err := r.Pick(now, rng, req, c)
+				if err != nil {
+					b.Fatal(err)
+				}
+				r.Started(now, got.Target, &req)
+				r.Finished(now, Finish{Target: got.Target, Model: model, Answered: true, Units: 100, Service: time.Second})
+			}
+		})
+	}
+}
--- /dev/null
+++ b/coordination/routing/score.go
@@ -0,0 +1,202 @@
+package routing
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// View is a candidate together with the instance's own observations of it.
+type View struct {
+	Candidate
+	// EstimatedLoad is the number of requests on the target: the last report corrected by the instance's own changes.
+	EstimatedLoad   float64
+	OwnInFlight     int
+	OwnLongInFlight int
+	// MsPerUnit is the instance's own sampled latency per unit of work.
+	MsPerUnit float64
+	// CachedTokens is the expected number of prompt tokens in the target's prefix cache.
+	CachedTokens float64
+	// Remote candidates belong to another data centre.
+	Remote bool
+
+	score float64
+	terms [maxScorers]float64
+}
+
+func (v *View) slots() float64 { return float64(max(v.Slots, 1)) }
+
+// full reports whether a new request would wait in the target's queue.
+func (v *View) full() bool { return v.EstimatedLoad >= v.slots() }
+
+// Filter excludes candidates. Soft filters are dropped when no candidate passes all of them.
+type Filter interface {
+	Name() string
+	Soft() bool
+	Keep(now time.Time, r *Request, v *View) bool
+}
+
+// Scorer estimates how many milliseconds a signal adds to the answer. The sum over all scorers is the score of a
+// candidate, so that signals are weighed by what they cost the caller.
+type Scorer interface {
+	Name() string
+	ScoreMs(r *Request, v *View) float64
+}
+
+// Picker chooses among scored candidates; it returns an index.
+type Picker interface {
+	Name() string
+	Pick(rng *rand.Rand, views []View) int
+}
+
+// LeaseAndResidency keeps targets that may get work for the model at all: their lease is fresh, they are not leaving,
+// the model is ready and the request does not exclude them.
+type LeaseAndResidency struct{}
+
+// Name implements Filter.
+func (LeaseAndResidency) Name() string { return "lease_and_residency" }
+
+// Soft implements Filter.
+func (LeaseAndResidency) Soft() bool { return false }
+
+// Keep implements Filter.
+func (LeaseAndResidency) Keep(now time.Time, r *Request, v *View) bool {
+	if v.Leaving || !v.ModelReady || now.After(v.LeaseUntil) {
+		return false
+	}
+	for _, name := range r.Exclude {
+		if name == v.Target {
+			return false
+		}
+	}
+	return true
+}
+
+// OwnLongInFlight bounds the long requests per replica, so that short work finds room on every replica.
+type OwnLongInFlight struct{ Share float64 }
+
+// Name implements Filter.
+func (OwnLongInFlight) Name() string { return "own_long_in_flight" }
+
+// Soft implements Filter.
+func (OwnLongInFlight) Soft() bool { return true }
+
+// Keep implements Filter.
+func (f OwnLongInFlight) Keep(_ time.Time, r *Request, v *View) bool {
+	return !r.Long || float64(v.OwnLongInFlight) < max(1, f.Share*v.slots())
+}
+
+// Health is what the straggler detector tells about targets.
+type Health interface {
+	Straggling(now time.Time, target string) bool
+	ClaimProbe(now time.Time, target string) bool
+}
+
+// OwnStragglers routes round targets that the instance itself found to be slow.
+type OwnStragglers struct{ Health Health }
+
+// Name implements Filter.
+func (OwnStragglers) Name() string { return "own_stragglers" }
+
+// Soft implements Filter.
+func (OwnStragglers) Soft() bool { return true }
+
+// Keep implements Filter.
+func (f OwnStragglers) Keep(now time.Time, _ *Request, v *View) bool {
+	return !f.Health.Straggling(now, v.Target)
+}
+
+// EstimatedLoad is the wait in the target's queue and the slower steps of a fuller batch.
+type EstimatedLoad struct {
+	// BatchSlowdown is how much slower a full batch is than an empty one.
+	BatchSlowdown float64
+}
+
+// Name implements Scorer.
+func (EstimatedLoad) Name() string { return "estimated_load" }
+
+// ScoreMs implements Scorer.
+func (s EstimatedLoad) ScoreMs(r *Request, v *View) float64 {
+	ms := min(v.EstimatedLoad/v.slots(), 1) * s.BatchSlowdown * r.Units * r.usual.msPerUnit
+	if ahead := v.EstimatedLoad - v.slots() + 1; ahead > 0 {
+		ms += ahead / v.slots() * r.usual.units * v.MsPerUnit
+	}
+	return ms
+}
+
+// OwnLatency is the duration of the answer at the speed that the instance itself saw.
+type OwnLatency struct{}
+
+// Name implements Scorer.
+func (OwnLatency) Name() string { return "own_latency" }
+
+// ScoreMs implements Scorer.
+func (OwnLatency) ScoreMs(r *Request, v *View) float64 { return r.Units * v.MsPerUnit }
+
+// PrefixCache is the time for the prompt tokens that are not in the target's prefix cache.
+type PrefixCache struct{ MsPerToken float64 }
+
+// Name implements Scorer.
+func (PrefixCache) Name() string { return "prefix_cache" }
+
+// ScoreMs implements Scorer.
+func (s PrefixCache) ScoreMs(r *Request, v *View) float64 {
+	return max(0, float64(r.PromptTokens)-v.CachedTokens) * s.MsPerToken
+}
+
+// AdapterResidency is the time to load an adapter that the target does not hold.
+type AdapterResidency struct{ LoadMs float64 }
+
+// Name implements Scorer.
+func (AdapterResidency) Name() string { return "adapter_residency" }
+
+// ScoreMs implements Scorer.
+func (s AdapterResidency) ScoreMs(r *Request, v *View) float64 {
+	if r.Adapter == "" || v.AdapterReady {
+		return 0
+	}
+	return s.LoadMs
+}
+
+// DataCentreDistance is the cost of leaving the data centre. It is higher than the latency, so that work comes back
+// as soon as there is room.
+type DataCentreDistance struct{ RemoteMs float64 }
+
+// Name implements Scorer.
+func (DataCentreDistance) Name() string { return "data_centre_distance" }
+
+// ScoreMs implements Scorer.
+func (s DataCentreDistance) ScoreMs(_ *Request, v *View) float64 {
+	if v.Remote {
+		return s.RemoteMs
+	}
+	return 0
+}
+
+// NearBest picks at random among the candidates whose score is close to the best, so that instances with the same
+// reports do not all pick the same target.
+type NearBest struct {
+	// Tolerance is the accepted relative distance to the best score.
+	Tolerance float64
+}
+
+// Name implements Picker.
+func (NearBest) Name() string { return "near_best" }
+
+// Pick implements Picker.
+func (p NearBest) Pick(rng *rand.Rand, views []View) int {
+	best := views[0].score
+	for i := range views {
+		best = min(best, views[i].score)
+	}
+	limit := best + p.Tolerance*max(best, 1)
+	chosen, close := 0, 0
+	for i := range views {
+		if views[i].score <= limit {
+			close++
+			if rng.IntN(close) == 0 {
+				chosen = i
+			}
+		}
+	}
+	return chosen
+}
