coordination/raft: add the consensus core

The core has no I/O, goroutines or clock, so that random schedules can drive it. A member id is bound to the disk: a lost disk gets a new id, which counts for no quorum until the log adds and promotes it.

A membership takes effect when its entry is in the log, not when it is committed, because the leader's quorum must already be the new one when the entry commits. Replacing a voter in one step was ruled out: majorities of {a,b,c} and {a,d,c} do not have to intersect.

--- /dev/null
+++ b/coordination/raft/log.go
@@ -0,0 +1,119 @@
+package raft
+
+import (
+	"github.com/pkg/errors"
+)
+
+// entryLog holds the entries after a base entry, of which only index and term are known.
+type entryLog struct {
+	baseIndex, baseTerm uint64
+	entries             []Entry
+}
+
+func newEntryLog(snapshot Snapshot, entries []Entry) (*entryLog, error) {
+	l := &entryLog{baseIndex: snapshot.Index, baseTerm: snapshot.Term}
+	for i := 1; i < len(entries); i++ {
+		if entries[i].Index != entries[i-1].Index+1 || entries[i].Term < entries[i-1].Term {
+			return nil, errors.Errorf("raft: saved entry %d of term %d follows entry %d of term %d",
+				entries[i].Index, entries[i].Term, entries[i-1].Index, entries[i-1].Term)
+		}
+	}
+	if len(entries) == 0 {
+		return l, nil
+	}
+	first, last := entries[0].Index, entries[len(entries)-1].Index
+	if first > snapshot.Index+1 {
+		return nil, errors.Errorf("raft: saved entries start at %d, the snapshot ends at %d", first, snapshot.Index)
+	}
+	if last <= snapshot.Index {
+		return l, nil
+	}
+	if first == snapshot.Index+1 {
+		l.entries = entries
+		return l, nil
+	}
+	if e := entries[snapshot.Index-first]; e.Term != snapshot.Term {
+		return nil, errors.Errorf("raft: saved entry %d has term %d, the snapshot has term %d", e.Index, e.Term, snapshot.Term)
+	}
+	// The entry before the first one is unknown, so the first one becomes the base.
+	l.baseIndex, l.baseTerm, l.entries = first, entries[0].Term, entries[1:]
+	return l, nil
+}
+
+func (l *entryLog) lastIndex() uint64 { return l.baseIndex + uint64(len(l.entries)) }
+
+func (l *entryLog) lastTerm() uint64 {
+	if len(l.entries) == 0 {
+		return l.baseTerm
+	}
+	return l.entries[len(l.entries)-1].Term
+}
+
+// term returns the term of an entry; ok is false when the entry was compacted or does not exist.
+func (l *entryLog) term(index uint64) (term uint64, ok bool) {
+	switch {
+	case index < l.baseIndex || index > l.lastIndex():
+		return 0, false
+	case index == l.baseIndex:
+		return l.baseTerm, true
+	}
+	return l.entries[index-l.baseIndex-1].Term, true
+}
+
+func (l *entryLog) matches(index, term uint64) bool {
+	t, ok := l.term(index)
+	return ok && t == term
+}
+
+// slice returns the entries from first to last as far as maxBytes allow, and at least one.
+func (l *entryLog) slice(first, last uint64, maxBytes int) []Entry {
+	if first <= l.baseIndex || first > last || last > l.lastIndex() {
+		return nil
+	}
+	all := l.entries[first-l.baseIndex-1 : last-l.baseIndex]
+	size := 0
+	for i := range all {
+		size += all[i].bytes()
+		if i > 0 && size > maxBytes {
+			return all[:i:i]
+		}
+	}
+	return all[:len(all):len(all)]
+}
+
+// append adds entries and drops what conflicts with them. A full slice expression keeps slices that were handed out
+// unchanged.
+func (l *entryLog) append(entries ...Entry) {
+	keep := entries[0].Index - l.baseIndex - 1
+	if keep < uint64(len(l.entries)) {
+		l.entries = l.entries[:keep:keep]
+	}
+	l.entries = append(l.entries, entries...)
+}
+
+// compact drops the entries up to index.
+func (l *entryLog) compact(index uint64) {
+	term, ok := l.term(index)
+	if !ok || index == l.baseIndex {
+		return
+	}
+	rest := l.entries[index-l.baseIndex:]
+	l.baseIndex, l.baseTerm = index, term
+	// The rest is copied so that the dropped entries can be freed.
+	l.entries = append([]Entry(nil), rest...)
+}
+
+func (l *entryLog) reset(index, term uint64) { *l = entryLog{baseIndex: index, baseTerm: term} }
+
+// lastAtOrBelow finds the last index that is not after index and has at most the given term.
+func (l *entryLog) lastAtOrBelow(index, term uint64) (uint64, uint64) {
+	index = min(index, l.lastIndex())
+	for index > l.baseIndex {
+		t, _ := l.term(index)
+		if t <= term {
+			return index, t
+		}
+		index--
+	}
+	return l.baseIndex, l.baseTerm
+}
--- /dev/null
+++ b/coordination/raft/membership.go
@@ -0,0 +1,180 @@
+package raft
+
+import (
+	"slices"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// ChangeKind tells what a membership change does.
+type ChangeKind uint8
+
+// Kinds of changes.
+const (
+	// ChangeJoin takes the next step towards making the member a voter: it removes an earlier incarnation of the same
+	// instance, or adds the member as a learner. Repeat it until the member is in the membership. The leader promotes
+	// learners that caught up by itself.
+	ChangeJoin ChangeKind = iota + 1
+	// ChangeRemove removes a voter or learner for good.
+	ChangeRemove
+)
+
+// MembershipChange is a request to change the membership.
+type MembershipChange struct {
+	Kind ChangeKind
+	ID   string
+}
+
+// ProposeChange appends one membership change. Only one may be uncommitted at a time, and none before the leader has
+// committed an entry of its own term; otherwise two majorities of different memberships might not intersect.
+func (n *Node) ProposeChange(now time.Time, c MembershipChange) error {
+	if n.role != Leader {
+		return ErrNotLeader{Leader: n.leader}
+	}
+	m := n.current()
+	switch c.Kind {
+	case ChangeJoin:
+		if m.IsVoter(c.ID) || m.IsLearner(c.ID) {
+			return nil
+		}
+		if slices.Contains(m.Removed, c.ID) {
+			return errors.Wrap(ErrRemoved, c.ID)
+		}
+	case ChangeRemove:
+		if !m.IsVoter(c.ID) && !m.IsLearner(c.ID) {
+			return errors.Wrap(ErrUnknownMember, c.ID)
+		}
+	default:
+		return errors.Errorf("raft: unknown membership change %d", c.Kind)
+	}
+	if !n.changeAllowed() {
+		return ErrChangePending
+	}
+	next, err := nextMembership(m, c)
+	if err != nil {
+		return err
+	}
+	return n.appendMembership(now, next)
+}
+
+func (n *Node) changeAllowed() bool {
+	return n.membershipIndex() <= n.hard.Commit && n.hard.Commit >= n.termStart
+}
+
+func nextMembership(m *Membership, c MembershipChange) (Membership, error) {
+	if c.Kind == ChangeRemove {
+		return withoutMember(m, c.ID)
+	}
+	for _, id := range m.members() {
+		if MemberName(id) == MemberName(c.ID) {
+			return withoutMember(m, id)
+		}
+	}
+	if len(m.members()) >= MaxVoters {
+		return Membership{}, ErrTooManyVoters
+	}
+	next := m.clone()
+	next.Learners = append(next.Learners, c.ID)
+	slices.Sort(next.Learners)
+	return next, nil
+}
+
+func withoutMember(m *Membership, id string) (Membership, error) {
+	next := m.clone()
+	is := func(other string) bool { return other == id }
+	next.Voters = slices.DeleteFunc(next.Voters, is)
+	next.Learners = slices.DeleteFunc(next.Learners, is)
+	if len(next.Voters) == 0 {
+		return Membership{}, ErrLastVoter
+	}
+	next.Removed = append(next.Removed, id)
+	if extra := len(next.Removed) - maxRemoved; extra > 0 {
+		next.Removed = next.Removed[extra:]
+	}
+	return next, nil
+}
+
+// maybePromote makes a learner a voter once it holds everything that is committed. Before that its empty log would
+// count for quorums.
+func (n *Node) maybePromote(now time.Time, id string, p *progress) {
+	m := n.current()
+	if !m.IsLearner(id) || p.match < n.hard.Commit || !n.changeAllowed() || len(m.Voters) >= MaxVoters {
+		return
+	}
+	next := m.clone()
+	next.Learners = slices.DeleteFunc(next.Learners, func(other string) bool { return other == id })
+	next.Voters = append(next.Voters, id)
+	slices.Sort(next.Voters)
+	// Encoding a Membership cannot fail, and the next acknowledgement tries again.
+	_ = n.appendMembership(now, next)
+}
+
+func (n *Node) appendMembership(now time.Time, m Membership) error {
+	data, err := cbor.Marshal(m)
+	if err != nil {
+		return errors.Wrap(err, "raft: encode membership")
+	}
+	e := Entry{Index: n.log.lastIndex() + 1, Term: n.hard.Term, Kind: EntryMembership, Data: data}
+	n.log.append(e)
+	n.memberships = append(n.memberships, membershipAt{e.Index, m})
+	for id := range n.progress {
+		if !m.IsVoter(id) && !m.IsLearner(id) {
+			delete(n.progress, id)
+		}
+	}
+	for _, id := range m.members() {
+		n.addProgress(now, id)
+	}
+	n.broadcastAppend(now, false)
+	return nil
+}
+
+// noteMembership records the membership of an entry that was just added to the log.
+func (n *Node) noteMembership(e *Entry) error {
+	if e.Kind != EntryMembership {
+		return nil
+	}
+	var m Membership
+	if err := cbor.Unmarshal(e.Data, &m); err != nil {
+		return errors.Wrapf(err, "raft: membership entry %d", e.Index)
+	}
+	n.memberships = append(n.memberships, membershipAt{e.Index, m})
+	return nil
+}
+
+// truncateMemberships returns to the membership before the entry at index, because the entry is dropped.
+func (n *Node) truncateMemberships(index uint64) {
+	for len(n.memberships) > 1 && n.memberships[len(n.memberships)-1].index >= index {
+		n.memberships = n.memberships[:len(n.memberships)-1]
+	}
+}
+
+// Learn appends entries that are known to be committed. It serves instances that take no part in the group and pull
+// entries from another one.
+func (n *Node) Learn(entries []Entry) error {
+	for i := range entries {
+		if entries[i].Index <= n.hard.Commit {
+			continue
+		}
+		if entries[i].Index != n.hard.Commit+1 {
+			return errors.Errorf("raft: committed entry %d received, expected %d", entries[i].Index, n.hard.Commit+1)
+		}
+		if err := n.appendFromLeader(entries[i:]); err != nil {
+			return err
+		}
+		n.hard.Commit = entries[len(entries)-1].Index
+		n.hard.Term = max(n.hard.Term, n.log.lastTerm())
+		return nil
+	}
+	return nil
+}
+
+// LearnSnapshot installs a snapshot that is known to be committed. Older snapshots are ignored.
+func (n *Node) LearnSnapshot(s Snapshot) {
+	if s.Index > n.hard.Commit {
+		n.install(s)
+		n.hard.Term = max(n.hard.Term, s.Term)
+	}
+}
--- /dev/null
+++ b/coordination/raft/replication.go
@@ -0,0 +1,396 @@
+package raft
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// mode of replication to one follower.
+type mode uint8
+
+const (
+	probing      mode = iota // one append at a time until the matching entry is known
+	replicating              // appends are sent ahead of the responses, up to MaxInflight
+	snapshotting             // parts of a snapshot are sent one at a time
+)
+
+// snapshotRetryHeartbeats is the number of heartbeat intervals after which an unacknowledged part is sent again. Parts
+// are large compared with the byte rate between instances, so they are not repeated with every heartbeat.
+const snapshotRetryHeartbeats = 5
+
+type progress struct {
+	mode        mode
+	match, next uint64
+	probeSent   bool
+	inflight    []uint64 // last index of each append that is not acknowledged
+	lastHeard   time.Time
+	readAck     uint64
+
+	snapshot *Snapshot
+	offset   int
+	partSent time.Time
+}
+
+func (n *Node) addProgress(now time.Time, id string) {
+	if id == n.cfg.ID || n.progress[id] != nil {
+		return
+	}
+	n.progress[id] = &progress{next: n.log.lastIndex() + 1, lastHeard: now}
+}
+
+// Propose appends a command to the leader's log. It is committed once Ready hands it out with the same term.
+func (n *Node) Propose(now time.Time, id string, data []byte) (index, term uint64, err error) {
+	if n.role != Leader {
+		return 0, 0, ErrNotLeader{Leader: n.leader}
+	}
+	if len(data) > n.cfg.MaxEntryBytes {
+		return 0, 0, errors.Wrapf(ErrEntryTooLarge, "%d bytes, limit %d", len(data), n.cfg.MaxEntryBytes)
+	}
+	return n.appendLocal(now, Entry{Kind: EntryCommand, ID: id, Data: data}), n.hard.Term, nil
+}
+
+func (n *Node) appendLocal(now time.Time, e Entry) uint64 {
+	e.Index, e.Term = n.log.lastIndex()+1, n.hard.Term
+	n.log.append(e)
+	n.broadcastAppend(now, false)
+	return e.Index
+}
+
+func (n *Node) broadcastAppend(now time.Time, allowEmpty bool) {
+	for _, id := range n.current().members() {
+		if p := n.progress[id]; p != nil {
+			n.sendAppends(now, id, p, allowEmpty)
+		}
+	}
+}
+
+// broadcastHeartbeat sends an append without entries to followers that are up to date, so that the follower notices
+// when an earlier append was lost.
+func (n *Node) broadcastHeartbeat(now time.Time) {
+	for _, id := range n.current().members() {
+		p := n.progress[id]
+		if p == nil {
+			continue
+		}
+		if p.mode == snapshotting {
+			n.send(Message{Type: MsgHeartbeat, To: id, ReadSeq: n.readSeq})
+			if now.Sub(p.partSent) >= snapshotRetryHeartbeats*n.cfg.HeartbeatInterval {
+				n.sendPart(now, id, p)
+			}
+			continue
+		}
+		p.probeSent = false
+		n.sendAppends(now, id, p, true)
+	}
+}
+
+func (n *Node) sendAppends(now time.Time, id string, p *progress, allowEmpty bool) {
+	for p.mode != snapshotting {
+		prev := p.next - 1
+		term, ok := n.log.term(prev)
+		if !ok {
+			n.startSnapshot(now, id, p)
+			return
+		}
+		var entries []Entry
+		if !p.probeSent && len(p.inflight) < n.cfg.MaxInflight {
+			entries = n.log.slice(p.next, n.log.lastIndex(), n.cfg.MaxMessageBytes)
+		}
+		if len(entries) == 0 && !allowEmpty {
+			return
+		}
+		n.send(Message{Type: MsgAppend, To: id, Index: prev, LogTerm: term, Entries: entries,
+			Commit: n.hard.Commit, ReadSeq: n.readSeq})
+		if len(entries) == 0 {
+			return
+		}
+		allowEmpty = false
+		if p.mode == probing {
+			p.probeSent = true
+			return
+		}
+		p.next = entries[len(entries)-1].Index + 1
+		p.inflight = append(p.inflight, p.next-1)
+	}
+}
+
+func (n *Node) startSnapshot(now time.Time, id string, p *progress) {
+	s := n.snapshot
+	p.mode, p.snapshot, p.offset, p.inflight, p.probeSent = snapshotting, &s, 0, nil, false
+	n.sendPart(now, id, p)
+}
+
+func (n *Node) sendPart(now time.Time, id string, p *progress) {
+	s := p.snapshot
+	end := min(p.offset+n.cfg.MaxMessageBytes, len(s.Data))
+	p.partSent = now
+	n.send(Message{Type: MsgSnapshot, To: id, ReadSeq: n.readSeq, Part: &SnapshotPart{Index: s.Index, Term: s.Term,
+		Membership: s.Membership, Offset: p.offset, Total: len(s.Data), Data: s.Data[p.offset:end]}})
+}
+
+func (n *Node) handleFollowerMessage(now time.Time, m *Message) {
+	p := n.progress[m.From]
+	if p == nil {
+		return
+	}
+	p.lastHeard = now
+	if m.ReadSeq > p.readAck {
+		p.readAck = m.ReadSeq
+		n.confirmReads()
+	}
+	switch {
+	case m.Type == MsgSnapshotResponse:
+		if p.mode == snapshotting && p.snapshot.Index == m.Index && int(m.Hint) != p.offset && int(m.Hint) <= len(p.snapshot.Data) {
+			p.offset = int(m.Hint)
+			n.sendPart(now, m.From, p)
+		}
+	case m.Type == MsgAppendResponse && m.Reject:
+		n.handleReject(now, m, p)
+	case m.Type == MsgAppendResponse:
+		n.handleAck(now, m, p)
+	}
+}
+
+func (n *Node) handleReject(now time.Time, m *Message, p *progress) {
+	if p.mode == snapshotting || m.Index <= p.match || m.Index >= p.next {
+		return
+	}
+	hint := min(m.Hint, m.Index-1)
+	if hint > n.log.baseIndex {
+		hint, _ = n.log.lastAtOrBelow(hint, m.HintTerm)
+	}
+	// A hint below the base of the log leads to a snapshot.
+	p.next = max(hint, p.match) + 1
+	p.mode, p.probeSent, p.inflight = probing, false, nil
+	n.sendAppends(now, m.From, p, true)
+}
+
+func (n *Node) handleAck(now time.Time, m *Message, p *progress) {
+	if m.Index > n.log.lastIndex() || p.mode == snapshotting && m.Index < p.snapshot.Index {
+		return
+	}
+	advanced := m.Index > p.match
+	p.match = max(p.match, m.Index)
+	p.next = max(p.next, p.match+1)
+	for len(p.inflight) > 0 && p.inflight[0] <= p.match {
+		p.inflight = p.inflight[1:]
+	}
+	if p.mode != replicating && m.Index >= p.match {
+		p.mode, p.probeSent, p.snapshot, p.inflight = replicating, false, nil, nil
+		p.next = p.match + 1
+	}
+	if advanced {
+		n.maybeCommit(now)
+	}
+	if n.role != Leader || n.progress[m.From] != p {
+		return
+	}
+	n.maybePromote(now, m.From, p)
+	n.sendAppends(now, m.From, p, false)
+}
+
+// maybeCommit commits what a majority of the voters has synced. Entries of earlier terms are committed only together
+// with an entry of the current term.
+func (n *Node) maybeCommit(now time.Time) {
+	m := n.current()
+	matches := make([]uint64, 0, MaxVoters)
+	for _, id := range m.Voters {
+		if id == n.cfg.ID {
+			matches = append(matches, n.stable)
+		} else {
+			matches = append(matches, n.progress[id].match)
+		}
+	}
+	slices.Sort(matches)
+	index := matches[len(matches)-m.quorum()]
+	if index <= n.hard.Commit || !n.log.matches(index, n.hard.Term) {
+		return
+	}
+	n.hard.Commit = index
+	if n.membershipIndex() <= index && !m.IsVoter(n.cfg.ID) {
+		// A leader that removed itself leaves once the change is committed. The others learn of the commit first.
+		n.broadcastAppend(now, true)
+		n.becomeFollower(now, n.hard.Term, "")
+		return
+	}
+	n.releaseReads(now)
+	n.broadcastAppend(now, true)
+}
+
+func (n *Node) handleLeaderMessage(m *Message) error {
+	switch m.Type {
+	case MsgHeartbeat:
+		n.send(Message{Type: MsgHeartbeatResponse, To: m.From, ReadSeq: m.ReadSeq})
+	case MsgSnapshot:
+		return n.handlePart(m)
+	case MsgAppend:
+		return n.handleAppend(m)
+	}
+	return nil
+}
+
+func (n *Node) handleAppend(m *Message) error {
+	r := Message{Type: MsgAppendResponse, To: m.From, ReadSeq: m.ReadSeq}
+	if err := checkEntries(m); err != nil {
+		return err
+	}
+	if m.Index < n.hard.Commit {
+		// Everything up to the commit index is known to match.
+		skip := n.hard.Commit - m.Index
+		if skip > uint64(len(m.Entries)) {
+			r.Index = n.hard.Commit
+			n.send(r)
+			return nil
+		}
+		if skip > 0 {
+			m.Index, m.LogTerm = n.hard.Commit, m.Entries[skip-1].Term
+			m.Entries = m.Entries[skip:]
+		}
+	}
+	if !n.log.matches(m.Index, m.LogTerm) {
+		r.Reject, r.Index = true, m.Index
+		r.Hint, r.HintTerm = n.log.lastAtOrBelow(m.Index, m.LogTerm)
+		n.send(r)
+		return nil
+	}
+	if err := n.appendFromLeader(m.Entries); err != nil {
+		return err
+	}
+	r.Index = m.Index + uint64(len(m.Entries))
+	n.hard.Commit = max(n.hard.Commit, min(m.Commit, r.Index))
+	n.send(r)
+	return nil
+}
+
+func checkEntries(m *Message) error {
+	for i := range m.Entries {
+		if m.Entries[i].Index != m.Index+uint64(i)+1 || m.Entries[i].Term > m.Term {
+			return errors.Errorf("raft: append from %s after %d holds entry %d of term %d at position %d",
+				m.From, m.Index, m.Entries[i].Index, m.Entries[i].Term, i)
+		}
+	}
+	return nil
+}
+
+// appendFromLeader skips what the log holds already, so that a late duplicate does not drop newer entries.
+func (n *Node) appendFromLeader(entries []Entry) error {
+	for i := range entries {
+		e := &entries[i]
+		if n.log.matches(e.Index, e.Term) {
+			continue
+		}
+		if e.Index <= n.hard.Commit {
+			return errors.Errorf("raft: entry %d of term %d conflicts with a committed entry", e.Index, e.Term)
+		}
+		n.truncateMemberships(e.Index)
+		n.stable = min(n.stable, e.Index-1)
+		n.log.append(entries[i:]...)
+		for j := i; j < len(entries); j++ {
+			if err := n.noteMembership(&entries[j]); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return nil
+}
+
+func (n *Node) handlePart(m *Message) error {
+	p := m.Part
+	if p == nil || p.Offset < 0 || p.Offset+len(p.Data) > p.Total {
+		return errors.Errorf("raft: malformed snapshot part from %s", m.From)
+	}
+	if p.Index <= n.hard.Commit {
+		n.incoming = nil
+		n.send(Message{Type: MsgAppendResponse, To: m.From, Index: n.hard.Commit, ReadSeq: m.ReadSeq})
+		return nil
+	}
+	in := n.incoming
+	if in == nil || in.Index != p.Index || in.Term != p.Term || in.Total != p.Total {
+		in = &SnapshotPart{Index: p.Index, Term: p.Term, Total: p.Total, Membership: p.Membership}
+		n.incoming = in
+	}
+	if p.Offset == len(in.Data) {
+		in.Data = append(in.Data, p.Data...)
+	}
+	if len(in.Data) < in.Total {
+		n.send(Message{Type: MsgSnapshotResponse, To: m.From, Index: in.Index, Hint: uint64(len(in.Data)), ReadSeq: m.ReadSeq})
+		return nil
+	}
+	n.incoming = nil
+	n.install(Snapshot{Index: in.Index, Term: in.Term, Membership: in.Membership, Data: in.Data})
+	n.send(Message{Type: MsgAppendResponse, To: m.From, Index: in.Index, ReadSeq: m.ReadSeq})
+	return nil
+}
+
+// install replaces the log by a snapshot that is ahead of the commit index.
+func (n *Node) install(s Snapshot) {
+	n.hard.Commit = s.Index
+	if n.log.matches(s.Index, s.Term) {
+		// The log holds all entries of the snapshot; they are applied one by one instead.
+		return
+	}
+	n.log.reset(s.Index, s.Term)
+	n.snapshot = s
+	n.stable = s.Index
+	n.memberships = []membershipAt{{s.Index, s.Membership}}
+	n.installed = &s
+}
+
+// ReadIndex starts a read barrier. Its result appears in Ready.Reads once a majority confirmed the leader after the
+// call; no clock is trusted.
+func (n *Node) ReadIndex(now time.Time, id uint64) error {
+	if n.role != Leader {
+		return ErrNotLeader{Leader: n.leader}
+	}
+	if n.hard.Commit < n.termStart {
+		// The commit index of earlier terms is unknown until an entry of this term is committed.
+		n.reads = append(n.reads, pendingRead{id: id})
+		return nil
+	}
+	n.startRead(id)
+	n.confirmReads()
+	if len(n.reads) > 0 {
+		n.broadcastHeartbeat(now)
+	}
+	return nil
+}
+
+func (n *Node) startRead(id uint64) {
+	n.readSeq++
+	n.reads = append(n.reads, pendingRead{id: id, seq: n.readSeq, index: n.hard.Commit})
+}
+
+func (n *Node) releaseReads(now time.Time) {
+	waiting := n.reads
+	if n.hard.Commit < n.termStart || len(waiting) == 0 || waiting[0].seq != 0 {
+		return
+	}
+	n.reads = nil
+	for _, r := range waiting {
+		n.startRead(r.id)
+	}
+	n.confirmReads()
+	if len(n.reads) > 0 {
+		n.broadcastHeartbeat(now)
+	}
+}
+
+func (n *Node) confirmReads() {
+	m := n.current()
+	for len(n.reads) > 0 && n.reads[0].seq != 0 {
+		count := 0
+		for _, id := range m.Voters {
+			if id == n.cfg.ID || n.progress[id].readAck >= n.reads[0].seq {
+				count++
+			}
+		}
+		if count < m.quorum() {
+			return
+		}
+		n.readResults = append(n.readResults, ReadResult{ID: n.reads[0].id, Index: n.reads[0].index})
+		n.reads = n.reads[1:]
+	}
+}
