state/wal: add the write-ahead log

Voters must not forget a vote, a term or an acknowledged entry. One call of Append is one frame and one sync, so at most the last frame can be torn: it is cut off on open, and a damaged frame with a valid one behind it is an error. A checksum per record was ruled out, because pages of a batch can reach the disk out of order and a torn batch then looks like corruption. A last frame that rots after its sync cannot be told from a torn one and is cut as well.

--- /dev/null
+++ b/state/wal/files.go
@@ -0,0 +1,131 @@
+package wal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// A snapshot file is magic, checksum of the payload and payload.
+const (
+	snapshotMagic       = "THSNAP01"
+	snapshotHeaderBytes = 12
+	snapshotSuffix      = ".snap"
+)
+
+func snapshotName(index, term uint64) string {
+	return fmt.Sprintf("%016x-%016x%s", index, term, snapshotSuffix)
+}
+
+func (l *Log) writeSnapshot(s *Snapshot) error {
+	payload, err := cbor.Marshal(s)
+	if err != nil {
+		return errors.Wrap(err, "encode snapshot")
+	}
+	b := make([]byte, 0, snapshotHeaderBytes+len(payload))
+	b = append(b, snapshotMagic...)
+	b = binary.BigEndian.AppendUint32(b, crc32.Checksum(payload, checksumTable))
+	b = append(b, payload...)
+	return writeFile(filepath.Join(l.dir, snapshotName(s.Index, s.Term)), b, l.sync)
+}
+
+// loadSnapshot reads the newest snapshot file. A damaged one is an error even if an older one exists, because the log
+// may have been truncated for it.
+func (l *Log) loadSnapshot(names []string) (Snapshot, error) {
+	var snapshots []string
+	for _, name := range names {
+		if strings.HasSuffix(name, snapshotSuffix) {
+			snapshots = append(snapshots, name)
+		}
+	}
+	if len(snapshots) == 0 {
+		return Snapshot{}, nil
+	}
+	path := filepath.Join(l.dir, slices.Max(snapshots))
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Snapshot{}, errors.Wrap(err, "read snapshot")
+	}
+	if len(content) < snapshotHeaderBytes || string(content[:len(snapshotMagic)]) != snapshotMagic ||
+		crc32.Checksum(content[snapshotHeaderBytes:], checksumTable) != binary.BigEndian.Uint32(content[len(snapshotMagic):]) {
+		return Snapshot{}, errors.Wrapf(ErrCorrupt, "%s: checksum of snapshot does not match", path)
+	}
+	var s Snapshot
+	if err := decoder.Unmarshal(content[snapshotHeaderBytes:], &s); err != nil {
+		return Snapshot{}, errors.Wrapf(ErrCorrupt, "%s: decode: %v", path, err)
+	}
+	return s, nil
+}
+
+func (l *Log) removeSnapshotsExcept(keep string) error {
+	names, err := listDir(l.dir)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if name == keep || !strings.HasSuffix(name, snapshotSuffix) && !strings.HasSuffix(name, temporarySuffix) {
+			continue
+		}
+		if err := os.Remove(filepath.Join(l.dir, name)); err != nil {
+			return errors.Wrap(err, "remove old snapshot")
+		}
+	}
+	return syncDir(l.dir, l.sync)
+}
+
+func listDir(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, errors.Wrap(err, "read log directory")
+	}
+	names := make([]string, 0, len(entries))
+	for _, e := range entries {
+		names = append(names, e.Name())
+	}
+	return names, nil
+}
+
+// WriteFile replaces a file so that after a crash it holds either the old or the new content. It returns when the new
+// content is durable.
+func WriteFile(path string, content []byte) error {
+	return writeFile(path, content, (*os.File).Sync)
+}
+
+func writeFile(path string, content []byte, sync func(*os.File) error) error {
+	temporary := path + temporarySuffix
+	file, err := os.OpenFile(temporary, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	if err != nil {
+		return errors.Wrap(err, "create file")
+	}
+	_, err = file.Write(content)
+	if err == nil {
+		err = sync(file)
+	}
+	if closeErr := file.Close(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return errors.Wrapf(err, "write %s", temporary)
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		return errors.Wrap(err, "rename file")
+	}
+	return syncDir(filepath.Dir(path), sync)
+}
+
+// syncDir makes creations, renames and removals in a directory durable.
+func syncDir(dir string, sync func(*os.File) error) error {
+	d, err := os.Open(dir)
+	if err != nil {
+		return errors.Wrap(err, "open directory")
+	}
+	defer d.Close()
+	return errors.Wrapf(sync(d), "sync directory %s", dir)
+}
--- /dev/null
+++ b/state/wal/wal.go
@@ -0,0 +1,301 @@
+// Package wal is a segmented write-ahead log with snapshot files.
+//
+// Each call of Append writes one frame and syncs it before it returns, so at most the last frame of the log can be
+// incomplete after a crash. Open cuts such a frame off. A damaged frame with a valid frame behind it had been synced,
+// so it is reported as corruption and never dropped.
+package wal
+
+import (
+	"os"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	defaultSegmentBytes = 4 << 20
+	dirMode             = 0o750
+	fileMode            = 0o640
+)
+
+// HardState is the part of the state that is replaced as a whole.
+type HardState struct {
+	Term   uint64 `cbor:"1,keyasint"`
+	Vote   string `cbor:"2,keyasint"`
+	Commit uint64 `cbor:"3,keyasint"`
+}
+
+// Entry is one log entry. Appending an entry drops all entries at its index and after it.
+type Entry struct {
+	Index uint64 `cbor:"1,keyasint"`
+	Term  uint64 `cbor:"2,keyasint"`
+	Kind  uint8  `cbor:"3,keyasint,omitempty"`
+	ID    string `cbor:"4,keyasint,omitempty"`
+	Data  []byte `cbor:"5,keyasint,omitempty"`
+}
+
+// Snapshot is the content of a snapshot file. Meta is opaque.
+type Snapshot struct {
+	Index uint64 `cbor:"1,keyasint"`
+	Term  uint64 `cbor:"2,keyasint"`
+	Meta  []byte `cbor:"3,keyasint,omitempty"`
+	Data  []byte `cbor:"4,keyasint,omitempty"`
+}
+
+// State is what Open read.
+type State struct {
+	HardState HardState
+	Snapshot  Snapshot
+	Entries   []Entry
+	// CutBytes is the size of the incomplete frame that was cut off the end.
+	CutBytes int64
+}
+
+// ErrCorrupt is the cause of errors about damaged files.
+var ErrCorrupt = errors.New("corrupt write-ahead log")
+
+// Options of a log. Zero values take their defaults.
+type Options struct {
+	SegmentBytes int64
+	// sync replaces (*os.File).Sync in tests.
+	sync func(*os.File) error
+}
+
+// Log is an open log. It is not safe for concurrent use. After an error of a write it refuses further writes, because
+// it is unknown what reached the disk.
+type Log struct {
+	dir          string
+	segmentBytes int64
+	sync         func(*os.File) error
+	segments     []segment
+	file         *os.File
+	size         int64
+	nextFrame    uint64
+	salt         uint32 // of the open segment
+	hard         HardState
+	first, last  uint64 // entries held; last is first-1 when there are none
+	failed       error
+}
+
+// segment is a file of the log. maxIndex is the highest entry index that was ever written to it.
+type segment struct {
+	path       string
+	firstFrame uint64
+	maxIndex   uint64
+}
+
+// Open reads the log in dir, which is created when it does not exist.
+func Open(dir string, opts Options) (*Log, State, error) {
+	if opts.SegmentBytes <= 0 {
+		opts.SegmentBytes = defaultSegmentBytes
+	}
+	if opts.sync == nil {
+		opts.sync = (*os.File).Sync
+	}
+	l := &Log{dir: dir, segmentBytes: opts.SegmentBytes, sync: opts.sync, nextFrame: 1}
+	if err := makeDir(dir, l.sync); err != nil {
+		return nil, State{}, err
+	}
+	state, err := l.load()
+	if err != nil {
+		return nil, State{}, err
+	}
+	if err := l.openLast(&state); err != nil {
+		return nil, State{}, err
+	}
+	return l, state, nil
+}
+
+// openLast makes the log ready for appends. When a crash came between the file of an installed snapshot and the frame
+// that ends the old log, that frame is written now.
+func (l *Log) openLast(state *State) error {
+	if len(l.segments) == 0 {
+		if err := l.startSegment(); err != nil {
+			return err
+		}
+	} else {
+		path := l.segments[len(l.segments)-1].path
+		file, err := os.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
+		if err != nil {
+			return errors.Wrap(err, "open segment")
+		}
+		l.file = file
+		info, err := file.Stat()
+		if err != nil {
+			return errors.Wrap(err, "size of segment")
+		}
+		l.size = info.Size()
+	}
+	return l.joinSnapshot(state)
+}
+
+func (l *Log) joinSnapshot(state *State) error {
+	index, entries := state.Snapshot.Index, state.Entries
+	switch {
+	case len(entries) == 0 && l.last == index:
+		return nil
+	case len(entries) == 0 && l.first == 0:
+		if index > 0 {
+			l.first, l.last = index+1, index
+		}
+		return nil
+	case len(entries) == 0 && l.last > index:
+		return errors.Wrapf(ErrCorrupt, "%s: the log continues after %d, the snapshot ends at %d", l.dir, l.last, index)
+	case len(entries) > 0 && entries[0].Index > index+1:
+		return errors.Wrapf(ErrCorrupt, "%s: entries start at %d, the snapshot ends at %d", l.dir, entries[0].Index, index)
+	case len(entries) > 0 && entries[0].Index == index+1:
+		return nil
+	case len(entries) > 0 && l.last >= index && entries[index-entries[0].Index].Term == state.Snapshot.Term:
+		return nil
+	}
+	f := &frame{ResetTo: index}
+	if err := l.writeFrame(f); err != nil {
+		return err
+	}
+	l.note(f, &l.segments[len(l.segments)-1])
+	state.Entries = nil
+	return nil
+}
+
+func makeDir(dir string, sync func(*os.File) error) error {
+	if _, err := os.Stat(dir); err == nil {
+		return nil
+	}
+	if err := os.MkdirAll(dir, dirMode); err != nil {
+		return errors.Wrap(err, "create log directory")
+	}
+	return syncDir(filepath.Dir(dir), sync)
+}
+
+// Append writes the entries and, unless it is nil, the hard state in one frame with one sync.
+func (l *Log) Append(hard *HardState, entries []Entry) error {
+	if hard == nil && len(entries) == 0 {
+		return nil
+	}
+	if l.failed != nil {
+		return errors.Wrap(l.failed, "write-ahead log failed earlier")
+	}
+	if err := l.checkOrder(entries); err != nil {
+		return err
+	}
+	if l.size >= l.segmentBytes {
+		if err := l.startSegment(); err != nil {
+			return l.fail(err)
+		}
+	}
+	if err := l.writeFrame(&frame{Hard: hard, Entries: entries}); err != nil {
+		return l.fail(err)
+	}
+	l.note(&frame{Hard: hard, Entries: entries}, &l.segments[len(l.segments)-1])
+	return nil
+}
+
+func (l *Log) fail(err error) error {
+	l.failed = err
+	return err
+}
+
+func (l *Log) checkOrder(entries []Entry) error {
+	for i := range entries {
+		if i > 0 && entries[i].Index != entries[i-1].Index+1 {
+			return errors.Errorf("append: entry %d follows entry %d", entries[i].Index, entries[i-1].Index)
+		}
+	}
+	if len(entries) > 0 && l.first != 0 && (entries[0].Index > l.last+1 || entries[0].Index < l.first) {
+		return errors.Errorf("append: entry %d, the log holds %d to %d", entries[0].Index, l.first, l.last)
+	}
+	return nil
+}
+
+// note updates the bounds of the log for a frame that was written or read.
+func (l *Log) note(f *frame, s *segment) {
+	if f.Hard != nil {
+		l.hard = *f.Hard
+	}
+	if f.ResetTo != 0 {
+		l.first, l.last = f.ResetTo+1, f.ResetTo
+	}
+	if k := len(f.Entries); k > 0 {
+		if l.first == 0 || f.Entries[0].Index < l.first {
+			l.first = f.Entries[0].Index
+		}
+		l.last = f.Entries[k-1].Index
+		s.maxIndex = max(s.maxIndex, l.last)
+	}
+}
+
+// SaveSnapshot writes a snapshot file of state that was applied, and deletes older snapshots and the segments that
+// hold only entries up to keepAfter. The entries after keepAfter stay readable.
+func (l *Log) SaveSnapshot(s Snapshot, keepAfter uint64) error {
+	if l.failed != nil {
+		return errors.Wrap(l.failed, "write-ahead log failed earlier")
+	}
+	if err := l.writeSnapshot(&s); err != nil {
+		return l.fail(err)
+	}
+	if err := l.startSegment(); err != nil {
+		return l.fail(err)
+	}
+	if err := l.removeOld(s.Index, s.Term, min(keepAfter, s.Index)); err != nil {
+		return l.fail(err)
+	}
+	return nil
+}
+
+// InstallSnapshot writes a snapshot file that replaces the whole log. The next entry must follow the snapshot. The
+// hard state is written in the same frame as the end of the old log.
+func (l *Log) InstallSnapshot(s Snapshot, hard HardState) error {
+	if l.failed != nil {
+		return errors.Wrap(l.failed, "write-ahead log failed earlier")
+	}
+	if err := l.writeSnapshot(&s); err != nil {
+		return l.fail(err)
+	}
+	if err := l.startSegment(); err != nil {
+		return l.fail(err)
+	}
+	f := &frame{Hard: &hard, ResetTo: s.Index}
+	if err := l.writeFrame(f); err != nil {
+		return l.fail(err)
+	}
+	l.note(f, &l.segments[len(l.segments)-1])
+	if err := l.removeOld(s.Index, s.Term, ^uint64(0)); err != nil {
+		return l.fail(err)
+	}
+	return nil
+}
+
+// removeOld deletes files that are no longer needed. Segments go oldest first, so that a crash leaves no gap.
+func (l *Log) removeOld(index, term, keepAfter uint64) error {
+	for len(l.segments) > 1 && l.segments[0].maxIndex <= keepAfter {
+		if err := os.Remove(l.segments[0].path); err != nil {
+			return errors.Wrap(err, "remove old segment")
+		}
+		// Without a sync in between, a crash could keep an older segment and lose a newer one.
+		if err := syncDir(l.dir, l.sync); err != nil {
+			return err
+		}
+		l.segments = l.segments[1:]
+	}
+	l.first = max(l.first, l.firstHeld(keepAfter))
+	return l.removeSnapshotsExcept(snapshotName(index, term))
+}
+
+// firstHeld bounds the entries that may be overwritten. Entries up to a saved snapshot are committed.
+func (l *Log) firstHeld(keepAfter uint64) uint64 {
+	if l.first == 0 || keepAfter >= l.last {
+		return l.first
+	}
+	return keepAfter + 1
+}
+
+// Close closes the open segment. Everything that was appended has been synced before.
+func (l *Log) Close() error {
+	if l.file == nil {
+		return nil
+	}
+	err := l.file.Close()
+	l.file = nil
+	l.failed = errors.New("write-ahead log is closed")
+	return errors.Wrap(err, "close segment")
+}
--- /dev/null
+++ b/state/wal/wal_test.go
@@ -0,0 +1,251 @@
+package wal
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+	"github.com/pkg/errors"
+)
+
+func entry(index, term uint64) Entry {
+	return Entry{Index: index, Term: term, ID: fmt.Sprint("id", index), Data: bytes.Repeat([]byte{byte(index)}, 40)}
+}
+
+func entries(first, last, term uint64) []Entry {
+	var list []Entry
+	for i := first; i <= last; i++ {
+		list = append(list, entry(i, term))
+	}
+	return list
+}
+
+func mustOpen(t *testing.T, dir string, opts Options) (*Log, State) {
+	t.Helper()
+	l, state, err := Open(dir, opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l, state
+}
+
+func check(t *testing.T, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func expect(t *testing.T, dir string, want State) {
+	t.Helper()
+	l, got := mustOpen(t, dir, Options{})
+	check(t, l.Close())
+	if d := cmp.Diff(want, got, cmpopts.EquateEmpty(), cmpopts.IgnoreFields(State{}, "CutBytes")); d != "" {
+		t.Fatalf("state after open (-want +got):\n%s", d)
+	}
+}
+
+// Guards against entries or hard state that are lost, or conflicting entries that survive, over a restart with many
+// segments and snapshots.
+func TestReopen(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "log")
+	l, _ := mustOpen(t, dir, Options{SegmentBytes: 300})
+	hard := HardState{Term: 2, Vote: "a@1", Commit: 3}
+	check(t, l.Append(&HardState{Term: 1}, entries(1, 5, 1)))
+	check(t, l.Append(nil, entries(6, 9, 1)))
+	check(t, l.Append(&hard, entries(4, 4, 2)))
+	check(t, l.Append(nil, entries(5, 20, 2)))
+	log := append(entries(1, 3, 1), entries(4, 20, 2)...)
+	expect(t, dir, State{HardState: hard, Entries: log})
+
+	snapshot := Snapshot{Index: 12, Term: 2, Meta: []byte("m"), Data: []byte("state")}
+	check(t, l.SaveSnapshot(snapshot, 10))
+	_, state := mustOpen(t, dir, Options{})
+	if first := state.Entries[0].Index; first > 11 || state.Entries[len(state.Entries)-1].Index != 20 {
+		t.Fatalf("entries %d to %d after a snapshot that keeps 11 to 20", first, state.Entries[len(state.Entries)-1].Index)
+	}
+	hard.Commit = 50
+	install := Snapshot{Index: 50, Term: 3, Data: []byte("later")}
+	check(t, l.InstallSnapshot(install, hard))
+	check(t, l.Append(nil, entries(51, 52, 3)))
+	expect(t, dir, State{HardState: hard, Snapshot: install, Entries: entries(51, 52, 3)})
+	if files, _ := filepath.Glob(filepath.Join(dir, "*")); len(files) > 2 {
+		t.Fatalf("old files were kept: %v", files)
+	}
+	if err := l.Append(nil, entries(60, 60, 3)); err == nil {
+		t.Fatal("a gap in the log was accepted")
+	}
+}
+
+// Guards against a log that cannot be opened, or loses synced frames, after a crash during a write.
+func TestTornTail(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := mustOpen(t, dir, Options{})
+	hard := HardState{Term: 1, Commit: 2}
+	check(t, l.Append(&hard, entries(1, 3, 1)))
+	synced := l.size
+	check(t, l.Append(nil, entries(4, 6, 1)))
+	path := l.segments[0].path
+	content, err := os.ReadFile(path)
+	check(t, err)
+	for size := synced; size < int64(len(content)); size++ {
+		damaged := map[string][]byte{
+			"short": content[:size],
+			"zeros": append(bytes.Clone(content[:size]), make([]byte, int64(len(content))-size)...),
+		}
+		for name, b := range damaged {
+			check(t, os.WriteFile(path, b, fileMode))
+			l, state := mustOpen(t, dir, Options{})
+			if len(state.Entries) == 6 && bytes.Equal(b, content) {
+				continue
+			}
+			if len(state.Entries) != 3 || state.HardState != hard || state.CutBytes != int64(len(b))-synced {
+				t.Fatalf("%s, size %d: %d entries, %+v, cut %d", name, size, len(state.Entries), state.HardState, state.CutBytes)
+			}
+			check(t, l.Append(nil, entries(4, 5, 2)))
+			check(t, l.Close())
+			expect(t, dir, State{HardState: hard, Entries: append(entries(1, 3, 1), entries(4, 5, 2)...)})
+		}
+	}
+}
+
+// Guards against synced entries that are dropped silently because a byte before the end went bad.
+func TestCorruptionInTheMiddle(t *testing.T) {
+	dir := t.TempDir()
+	l, _ := mustOpen(t, dir, Options{})
+	check(t, l.Append(&HardState{Term: 1}, entries(1, 3, 1)))
+	last := l.size
+	check(t, l.Append(nil, entries(4, 6, 1)))
+	path := l.segments[0].path
+	content, err := os.ReadFile(path)
+	check(t, err)
+	for offset := int64(0); offset < last; offset++ {
+		damaged := bytes.Clone(content)
+		damaged[offset] ^= 0x40
+		check(t, os.WriteFile(path, damaged, fileMode))
+		if _, _, err := Open(dir, Options{}); errors.Cause(err) != ErrCorrupt {
+			t.Fatalf("offset %d of %d: error %v, want ErrCorrupt", offset, last, err)
+		}
+		if after, _ := os.ReadFile(path); !bytes.Equal(after, damaged) {
+			t.Fatalf("offset %d: the damaged file was changed", offset)
+		}
+	}
+}
+
+// Guards against damaged or missing files other than the last segment being ignored.
+func TestDamagedFiles(t *testing.T) {
+	build := func(t *testing.T) (string, []string, []string) {
+		dir := t.TempDir()
+		l, _ := mustOpen(t, dir, Options{SegmentBytes: 200})
+		for i := uint64(1); i <= 12; i++ {
+			check(t, l.Append(nil, entries(i, i, 1)))
+		}
+		check(t, l.SaveSnapshot(Snapshot{Index: 4, Term: 1, Data: []byte("x")}, 4))
+		check(t, l.Close())
+		segments, _ := filepath.Glob(filepath.Join(dir, "*"+segmentSuffix))
+		snapshots, _ := filepath.Glob(filepath.Join(dir, "*"+snapshotSuffix))
+		return dir, segments, snapshots
+	}
+	for name, damage := range map[string]func(segments, snapshots []string) error{
+		"snapshot damaged":  func(_, s []string) error { return os.WriteFile(s[0], []byte(snapshotMagic+"xxxxyyyy"), fileMode) },
+		"snapshot missing":  func(_, s []string) error { return os.Remove(s[0]) },
+		"segment missing":   func(s, _ []string) error { return os.Remove(s[1]) },
+		"segment truncated": func(s, _ []string) error { return os.Truncate(s[0], 100) },
+		"segment emptied":   func(s, _ []string) error { return os.Truncate(s[len(s)-1], 0) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			dir, segments, snapshots := build(t)
+			check(t, damage(segments, snapshots))
+			if _, _, err := Open(dir, Options{}); errors.Cause(err) != ErrCorrupt {
+				t.Fatalf("error %v, want ErrCorrupt", err)
+			}
+		})
+	}
+}
+
+// Guards against a follower that cannot start after a crash between the snapshot file it installed and the end of the
+// old log.
+func TestCrashDuringInstall(t *testing.T) {
+	for name, old := range map[string][]Entry{"log ends before": entries(1, 5, 1), "log conflicts": entries(1, 60, 1)} {
+		t.Run(name, func(t *testing.T) {
+			dir := t.TempDir()
+			l, _ := mustOpen(t, dir, Options{})
+			check(t, l.Append(&HardState{Term: 1}, old))
+			snapshot := Snapshot{Index: 50, Term: 3, Data: []byte("later")}
+			check(t, l.writeSnapshot(&snapshot))
+			check(t, l.Close())
+			l, state := mustOpen(t, dir, Options{})
+			if len(state.Entries) != 0 || state.Snapshot.Index != 50 {
+				t.Fatalf("%d entries, snapshot %d", len(state.Entries), state.Snapshot.Index)
+			}
+			check(t, l.Append(nil, entries(51, 51, 3)))
+			expect(t, dir, State{HardState: HardState{Term: 1}, Snapshot: snapshot, Entries: entries(51, 51, 3)})
+		})
+	}
+}
+
+// Guards against an acknowledged write that is not on the disk: data must be synced after the write, and the directory
+// after a file appeared in it. A failed sync must stop the log, because a later sync can succeed without the data.
+func TestSyncBeforeReturn(t *testing.T) {
+	dir := t.TempDir()
+	unsynced := map[string]int64{}
+	var dirSyncs int
+	failing := false
+	l, _ := mustOpen(t, dir, Options{sync: func(f *os.File) error {
+		if failing {
+			return errors.New("disk failed")
+		}
+		info, err := f.Stat()
+		check(t, err)
+		if info.IsDir() {
+			dirSyncs++
+		} else {
+			unsynced[filepath.Base(f.Name())] = info.Size()
+		}
+		return f.Sync()
+	}})
+	check(t, l.Append(nil, entries(1, 3, 1)))
+	if unsynced[filepath.Base(l.segments[0].path)] != l.size {
+		t.Fatalf("synced sizes %v, written %d", unsynced, l.size)
+	}
+	before := dirSyncs
+	check(t, l.SaveSnapshot(Snapshot{Index: 2, Term: 1}, 2))
+	if unsynced[snapshotName(2, 1)+temporarySuffix] == 0 || dirSyncs < before+2 {
+		t.Fatalf("synced sizes %v, directory syncs %d after %d", unsynced, dirSyncs, before)
+	}
+	failing = true
+	if err := l.Append(nil, entries(4, 4, 1)); err == nil {
+		t.Fatal("an append that was not synced succeeded")
+	}
+	failing = false
+	if err := l.Append(nil, entries(4, 4, 1)); err == nil {
+		t.Fatal("an append after a failed sync succeeded")
+	}
+}
+
+func BenchmarkAppend(b *testing.B) {
+	for _, size := range []int{128, 4 << 10, 64 << 10} {
+		b.Run(fmt.Sprintf("%dB", size), func(b *testing.B) {
+			l, _, err := Open(b.TempDir(), Options{})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer l.Close()
+			data := make([]byte, size)
+			b.ReportAllocs()
+			b.SetBytes(int64(size))
+			index := uint64(0)
+			for b.Loop() {
+				index++
+				if err := l.Append(nil, []Entry{{Index: index, Term: 1, Data: data}}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
