coordination/replica: run a group with one or several voters

The driver needs one object per group that syncs before it sends, applies, forwards proposals from any instance and lets other instances pull.

A data folder without an identity file gets a new member id, and a new group is founded only when every voter in the settings answers that it belongs to no cluster. Counting voters by instance name was ruled out, because an emptied folder would then vote as the member that it was.

A proposal in the log carries its id and an index that the proposer had seen. The bounded table of results answers repeats; a command whose index is older than the last forgotten result is not applied, so a late repeat cannot run twice.

--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -86,6 +86,9 @@
 
 func (n *Node) membershipIndex() uint64 { return n.memberships[len(n.memberships)-1].index }
 
+// MembershipIndex returns the index of the entry that holds the membership in effect.
+func (n *Node) MembershipIndex() uint64 { return n.membershipIndex() }
+
 // membershipBefore returns the membership in effect at index.
 func (n *Node) membershipBefore(index uint64) Membership {
 	m := n.memberships[0].membership
--- /dev/null
+++ b/coordination/replica/applier.go
@@ -0,0 +1,139 @@
+package replica
+
+import (
+	"encoding/binary"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
+)
+
+// The bounds are part of the state machine: replicas with different bounds would diverge.
+const (
+	maxRecentProposals   = 4096
+	maxRecentResultBytes = 4 << 20
+	baseBytes            = 8
+)
+
+// maxSnapshotArray is above the records of a proposal table.
+const maxSnapshotArray = 1 << 17
+
+// encodeCommand puts the base index before the command.
+func encodeCommand(base uint64, command []byte) []byte {
+	return append(binary.BigEndian.AppendUint64(make([]byte, 0, baseBytes+len(command)), base), command...)
+}
+
+// record is the result of a proposal.
+type record struct {
+	_       struct{} `cbor:",toarray"`
+	ID      string
+	Index   uint64
+	Result  []byte
+	Failure string
+	Failed  bool
+}
+
+// proposalTable remembers the results of recent proposals, so that a command that is in the log twice is applied once.
+// A command whose base index is before the last forgotten record could be a repeat of a forgotten one. It is not
+// applied; its outcome is OutcomeExpired.
+type proposalTable struct {
+	records     map[string]*record
+	order       []string // oldest first
+	resultBytes int
+	forgotten   uint64 // index of the last forgotten record
+}
+
+func newProposalTable() *proposalTable { return &proposalTable{records: make(map[string]*record)} }
+
+func (t *proposalTable) add(r *record) {
+	t.records[r.ID] = r
+	t.order = append(t.order, r.ID)
+	t.resultBytes += len(r.Result)
+	for len(t.order) > maxRecentProposals || t.resultBytes > maxRecentResultBytes && len(t.order) > 1 {
+		oldest := t.records[t.order[0]]
+		delete(t.records, oldest.ID)
+		t.order = t.order[1:]
+		t.resultBytes -= len(oldest.Result)
+		t.forgotten = oldest.Index
+	}
+}
+
+// applier applies entries to the machine and the proposal table.
+type applier struct {
+	machine StateMachine
+	table   *proposalTable
+}
+
+// apply applies one entry. The response is valid for commands only.
+func (a *applier) apply(e *raft.Entry) ProposeResponse {
+	if e.Kind != raft.EntryCommand {
+		return ProposeResponse{}
+	}
+	if r, ok := a.table.records[e.ID]; ok {
+		return r.response()
+	}
+	if len(e.Data) < baseBytes {
+		return ProposeResponse{Outcome: OutcomeRefused, Index: e.Index, Failure: "command is shorter than its base index"}
+	}
+	if base := binary.BigEndian.Uint64(e.Data); base < a.table.forgotten {
+		return ProposeResponse{Outcome: OutcomeExpired, Index: e.Index}
+	}
+	r := &record{ID: e.ID, Index: e.Index}
+	result, err := a.machine.Apply(e.Index, e.Data[baseBytes:])
+	if err != nil {
+		r.Failed, r.Failure = true, err.Error()
+	} else {
+		r.Result = result
+	}
+	a.table.add(r)
+	return r.response()
+}
+
+func (r *record) response() ProposeResponse {
+	return ProposeResponse{Outcome: OutcomeDone, Result: r.Result, Failure: r.Failure, Failed: r.Failed, Index: r.Index}
+}
+
+type appliedState struct {
+	Records   []record `cbor:"1,keyasint"`
+	Forgotten uint64   `cbor:"2,keyasint"`
+	Machine   []byte   `cbor:"3,keyasint"`
+}
+
+func (a *applier) snapshot() ([]byte, error) {
+	machine, err := a.machine.Snapshot()
+	if err != nil {
+		return nil, errors.Wrap(err, "snapshot of state machine")
+	}
+	s := appliedState{Forgotten: a.table.forgotten, Machine: machine, Records: make([]record, 0, len(a.table.order))}
+	for _, id := range a.table.order {
+		s.Records = append(s.Records, *a.table.records[id])
+	}
+	data, err := cbor.Marshal(s)
+	return data, errors.Wrap(err, "encode snapshot")
+}
+
+// restore replaces the state. The snapshot of a new group is empty and stands for the initial state.
+func (a *applier) restore(data []byte) error {
+	if len(data) == 0 {
+		return nil
+	}
+	mode, err := cbor.DecOptions{MaxArrayElements: maxSnapshotArray}.DecMode()
+	if err != nil {
+		return errors.Wrap(err, "snapshot decoding")
+	}
+	var s appliedState
+	if err := mode.Unmarshal(data, &s); err != nil {
+		return errors.Wrap(err, "decode snapshot")
+	}
+	table := newProposalTable()
+	for i := range s.Records {
+		table.add(&s.Records[i])
+	}
+	table.forgotten = s.Forgotten
+	if err := a.machine.Restore(s.Machine); err != nil {
+		return errors.Wrap(err, "restore state machine")
+	}
+	a.table = table
+	return nil
+}
--- /dev/null
+++ b/coordination/replica/fetch.go
@@ -0,0 +1,277 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
+)
+
+const (
+	// MaxFetchBytes bounds the encoded size of a FetchResponse.
+	MaxFetchBytes = 64 << 10
+	// fetchBudgetBytes leaves room for field names and for base64 when the response is encoded as JSON.
+	fetchBudgetBytes = 45 << 10
+	// holdSnapshot is how long a parent keeps a snapshot that a learner reads in parts, although it has a newer one.
+	holdSnapshot = 30 * time.Second
+)
+
+// FetchRequest asks a parent for committed entries after an index. Part continues an entry or snapshot that did not
+// fit into one response.
+type FetchRequest struct {
+	Cluster string  `cbor:"1,keyasint,omitempty" json:"cluster,omitempty"`
+	After   uint64  `cbor:"2,keyasint" json:"after"`
+	Part    *PartID `cbor:"3,keyasint,omitempty" json:"part,omitempty"`
+}
+
+// PartID names a position in an encoded entry or a snapshot.
+type PartID struct {
+	Snapshot bool   `cbor:"1,keyasint,omitempty" json:"snapshot,omitempty"`
+	Index    uint64 `cbor:"2,keyasint" json:"index"`
+	Offset   int    `cbor:"3,keyasint" json:"offset"`
+}
+
+// Part is a piece of an encoded entry or of a snapshot.
+type Part struct {
+	PartID     PartID          `cbor:"1,keyasint" json:"id"`
+	Term       uint64          `cbor:"2,keyasint,omitempty" json:"term,omitempty"`
+	Membership raft.Membership `cbor:"3,keyasint,omitempty" json:"membership,omitempty"`
+	Total      int             `cbor:"4,keyasint" json:"total"`
+	Data       []byte          `cbor:"5,keyasint" json:"data"`
+}
+
+// FetchResponse holds entries, or a part. Applied is the applied index of the parent.
+type FetchResponse struct {
+	Cluster string       `cbor:"1,keyasint" json:"cluster"`
+	Applied uint64       `cbor:"2,keyasint" json:"applied"`
+	Entries []raft.Entry `cbor:"3,keyasint,omitempty" json:"entries,omitempty"`
+	Part    *Part        `cbor:"4,keyasint,omitempty" json:"part,omitempty"`
+}
+
+// HandleFetch serves a learner. Every replica can serve, so learners can form a tree.
+func (g *Group) HandleFetch(ctx context.Context, r FetchRequest) (FetchResponse, error) {
+	type answer struct {
+		response FetchResponse
+		err      error
+	}
+	answers := make(chan answer, 1)
+	err := g.do(ctx, func(now time.Time) {
+		response, err := g.serveFetch(now, &r)
+		answers <- answer{response, err}
+	})
+	if err != nil {
+		return FetchResponse{}, err
+	}
+	a := <-answers
+	return a.response, a.err
+}
+
+func (g *Group) serveFetch(now time.Time, r *FetchRequest) (FetchResponse, error) {
+	cluster := g.store.identity.Cluster
+	response := FetchResponse{Cluster: cluster, Applied: g.node.Applied()}
+	if cluster == "" {
+		return response, errors.Errorf("%s belongs to no cluster yet", g.opts.Self)
+	}
+	if r.Cluster != "" && r.Cluster != cluster {
+		return response, errors.Errorf("the request is for cluster %s, %s belongs to %s", r.Cluster, g.opts.Self, cluster)
+	}
+	if r.Part != nil && r.Part.Snapshot || r.After < g.node.Applied() {
+		return response, g.fillResponse(now, r, &response)
+	}
+	return response, nil
+}
+
+func (g *Group) fillResponse(now time.Time, r *FetchRequest, response *FetchResponse) error {
+	entries, ok := g.node.AppliedAfter(r.After, fetchBudgetBytes)
+	if !ok {
+		response.Part = g.snapshotPart(now, r.Part)
+		return nil
+	}
+	if len(entries) == 1 && len(entries[0].Data)+len(entries[0].ID) > fetchBudgetBytes {
+		encoded, err := cbor.Marshal(entries[0])
+		if err != nil {
+			return errors.Wrap(err, "encode entry")
+		}
+		id := PartID{Index: entries[0].Index}
+		if r.Part != nil && !r.Part.Snapshot && r.Part.Index == id.Index {
+			id.Offset = r.Part.Offset
+		}
+		response.Part = cutPart(id, encoded)
+		return nil
+	}
+	response.Entries = entries
+	return nil
+}
+
+func cutPart(id PartID, data []byte) *Part {
+	id.Offset = max(0, min(id.Offset, len(data)))
+	end := min(id.Offset+fetchBudgetBytes, len(data))
+	return &Part{PartID: id, Total: len(data), Data: data[id.Offset:end]}
+}
+
+// snapshotPart continues with the snapshot that the learner began to read, if it is still there.
+func (g *Group) snapshotPart(now time.Time, at *PartID) *Part {
+	s := g.node.LastSnapshot()
+	id := PartID{Snapshot: true, Index: s.Index}
+	if at != nil && at.Snapshot {
+		if at.Index == g.heldParts.Index {
+			s = g.heldParts
+		}
+		if at.Index == s.Index {
+			id.Index, id.Offset = s.Index, at.Offset
+		}
+	}
+	if s.Index == g.heldParts.Index || now.After(g.heldUntil) {
+		g.heldParts, g.heldUntil = s, now.Add(holdSnapshot)
+	}
+	part := cutPart(id, s.Data)
+	part.Term, part.Membership = s.Term, s.Membership
+	return part
+}
+
+// NotifyCommit tells a replica that pulls that an index is known to be committed elsewhere, so that it need not wait
+// for its next turn.
+func (g *Group) NotifyCommit(index uint64) {
+	if index <= g.Status().Applied {
+		return
+	}
+	select {
+	case g.learned <- struct{}{}:
+	default:
+	}
+}
+
+// fetchLoop pulls from one parent until it fails, then from the next one.
+func (g *Group) fetchLoop(ctx context.Context) error {
+	f := fetcher{group: g}
+	for parent := 0; ; {
+		names := g.opts.Parents()
+		more := false
+		if len(names) > 0 {
+			var err error
+			more, err = f.fetch(ctx, names[parent%len(names)])
+			if errors.Is(err, errFatal) {
+				return err
+			}
+			if err != nil && ctx.Err() == nil {
+				g.problem("fetch: " + err.Error())
+				parent++
+			} else {
+				g.problem("")
+			}
+		}
+		if more && ctx.Err() == nil {
+			continue
+		}
+		select {
+		case <-time.After(g.opts.FetchInterval):
+		case <-g.learned:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+var errFatal = errors.New("the replica cannot continue")
+
+// fetcher collects the parts of one entry or snapshot. Entries up to after have been handed to the core.
+type fetcher struct {
+	group *Group
+	after uint64
+	part  *Part
+}
+
+// fetch asks a parent once and reports whether there is more to fetch.
+func (f *fetcher) fetch(ctx context.Context, parent string) (more bool, err error) {
+	g := f.group
+	s := g.Status()
+	f.after = max(f.after, s.Applied)
+	r := FetchRequest{Cluster: s.Cluster, After: f.after}
+	if f.part != nil {
+		id := f.part.PartID
+		id.Offset = len(f.part.Data)
+		r.Part = &id
+	}
+	callCtx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	response, err := g.opts.Caller.Fetch(callCtx, parent, r)
+	if err != nil {
+		return false, err
+	}
+	learn, err := f.collect(&response)
+	if err != nil {
+		return false, err
+	}
+	failed := make(chan error, 1)
+	before := f.after
+	err = g.do(ctx, func(time.Time) {
+		err := g.learn(&response, learn)
+		f.after = g.node.Commit()
+		failed <- err
+	})
+	if err != nil {
+		return false, err
+	}
+	if err := <-failed; err != nil {
+		return false, err
+	}
+	return f.part != nil || before < f.after && f.after < response.Applied, nil
+}
+
+// collect adds a part and returns what is complete.
+func (f *fetcher) collect(response *FetchResponse) (func(*raft.Node) error, error) {
+	p := response.Part
+	if p == nil {
+		f.part = nil
+		return func(n *raft.Node) error { return n.Learn(response.Entries) }, nil
+	}
+	if f.part == nil || f.part.PartID.Snapshot != p.PartID.Snapshot || f.part.PartID.Index != p.PartID.Index ||
+		f.part.Total != p.Total || f.part.Term != p.Term {
+		f.part = &Part{PartID: PartID{Snapshot: p.PartID.Snapshot, Index: p.PartID.Index}, Term: p.Term,
+			Membership: p.Membership, Total: p.Total}
+	}
+	if p.PartID.Offset != len(f.part.Data) {
+		f.part = nil
+		return nil, errors.Errorf("part at offset %d received out of order", p.PartID.Offset)
+	}
+	f.part.Data = append(f.part.Data, p.Data...)
+	if len(f.part.Data) < f.part.Total {
+		return func(*raft.Node) error { return nil }, nil
+	}
+	whole := f.part
+	f.part = nil
+	if whole.PartID.Snapshot {
+		return func(n *raft.Node) error {
+			n.LearnSnapshot(raft.Snapshot{Index: whole.PartID.Index, Term: whole.Term, Membership: whole.Membership, Data: whole.Data})
+			return nil
+		}, nil
+	}
+	var e raft.Entry
+	if err := cbor.Unmarshal(whole.Data, &e); err != nil {
+		return nil, errors.Wrapf(err, "decode entry %d", whole.PartID.Index)
+	}
+	return func(n *raft.Node) error { return n.Learn([]raft.Entry{e}) }, nil
+}
+
+// learn runs in the goroutine of Run.
+func (g *Group) learn(response *FetchResponse, learn func(*raft.Node) error) error {
+	id := &g.store.identity
+	if id.Cluster == "" && response.Cluster != "" {
+		if err := g.store.adopt(response.Cluster, nil); err != nil {
+			return errors.Wrap(errFatal, err.Error())
+		}
+		g.opts.OnEvent(EventAdopted, response.Cluster)
+	}
+	if response.Cluster != id.Cluster {
+		return errors.Errorf("the parent belongs to cluster %s, this instance to %s", response.Cluster, id.Cluster)
+	}
+	g.known = max(g.known, response.Applied)
+	if err := learn(g.node); err != nil {
+		return errors.Wrap(err, fmt.Sprintf("response of a parent with applied index %d", response.Applied))
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/replica/group.go
@@ -0,0 +1,386 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
+)
+
+const (
+	inboxSize = 1024
+	// maxEventsPerSync bounds how many messages and requests share one sync.
+	maxEventsPerSync = 256
+	// compactKeep is the number of applied entries kept after a snapshot for members and learners that are a little
+	// behind.
+	compactKeep = 512
+)
+
+// Group is one replica of a group.
+type Group struct {
+	opts  Options
+	inbox chan raft.Message
+	calls chan func(now time.Time)
+	// learned wakes the fetch loop.
+	learned chan struct{}
+	done    chan struct{}
+
+	// The fields below belong to the goroutine of Run.
+	store      *storage
+	node       *raft.Node
+	applier    *applier
+	pending    map[string]*pending
+	byIndex    map[uint64]*pending
+	reads      map[uint64]func(raft.ReadResult)
+	nextRead   uint64
+	logBytes   int // applied since the last snapshot
+	heldParts  raft.Snapshot
+	heldUntil  time.Time
+	lastLeader string
+	// membership is a copy of the membership at memberAt, shared by all copies of the status.
+	membership raft.Membership
+	memberAt   uint64
+	known      uint64 // highest commit index heard of
+
+	mu      sync.Mutex
+	status  Status
+	waiters []waiter
+}
+
+type waiter struct {
+	index uint64
+	done  chan struct{}
+}
+
+// Open reads the data folder and applies everything that was known to be committed, so that the applied index is not
+// below the one before the restart.
+func Open(opts Options) (*Group, error) {
+	if err := opts.complete(); err != nil {
+		return nil, err
+	}
+	store, saved, cut, err := openStorage(&opts)
+	if err != nil {
+		return nil, errors.WithMessagef(err, "replica: group %s", opts.Name)
+	}
+	g := &Group{opts: opts, store: store, inbox: make(chan raft.Message, inboxSize), calls: make(chan func(time.Time)),
+		learned: make(chan struct{}, 1), done: make(chan struct{}), pending: make(map[string]*pending),
+		byIndex: make(map[uint64]*pending), reads: make(map[uint64]func(raft.ReadResult)),
+		applier: &applier{machine: opts.Machine, table: newProposalTable()}}
+	if cut > 0 {
+		opts.OnEvent(EventIncompleteRecord, fmt.Sprintf("%d bytes", cut))
+	}
+	if err := g.start(saved); err != nil {
+		_ = store.close()
+		return nil, errors.WithMessagef(err, "replica: group %s", opts.Name)
+	}
+	return g, nil
+}
+
+func (g *Group) start(saved raft.SavedState) error {
+	if len(g.store.identity.Founders) > 0 && saved.Snapshot.Index == 0 {
+		// The process ended after the folder was bound to the new group and before its log was written.
+		var err error
+		if saved, err = g.store.installFounders(); err != nil {
+			return err
+		}
+	}
+	if err := g.applier.restore(saved.Snapshot.Data); err != nil {
+		return err
+	}
+	node, err := raft.New(raft.Config{ID: g.store.identity.id(), ElectionTimeout: g.opts.ElectionTimeout,
+		HeartbeatInterval: g.opts.HeartbeatInterval, Rand: g.opts.Rand, MaxEntryBytes: g.opts.MaxEntryBytes}, saved)
+	if err != nil {
+		return err
+	}
+	g.node = node
+	return g.work(time.Now())
+}
+
+// Run runs the replica until the context ends or the disk fails. It closes the data folder and is called once.
+func (g *Group) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return g.loop(ctx) })
+	if g.opts.isVoter() {
+		group.Go(func() error { return g.joinLoop(ctx) })
+	} else {
+		group.Go(func() error { return g.fetchLoop(ctx) })
+	}
+	err := group.Wait()
+	if closeErr := g.store.close(); err == nil {
+		err = closeErr
+	}
+	return errors.WithMessagef(err, "replica: group %s", g.opts.Name)
+}
+
+func (g *Group) loop(ctx context.Context) error {
+	defer close(g.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case m := <-g.inbox:
+			if err := g.step(time.Now(), m); err != nil {
+				return err
+			}
+		case call := <-g.calls:
+			call(time.Now())
+		case <-timer.C:
+		}
+		if err := g.drain(); err != nil {
+			return err
+		}
+		now := time.Now()
+		if g.opts.isVoter() {
+			g.node.Tick(now)
+		}
+		if err := g.work(now); err != nil {
+			return err
+		}
+		if g.opts.isVoter() {
+			timer.Reset(time.Until(g.node.Deadline()))
+		}
+	}
+}
+
+// drain handles what is waiting already, so that it shares one sync.
+func (g *Group) drain() error {
+	for range maxEventsPerSync {
+		select {
+		case m := <-g.inbox:
+			if err := g.step(time.Now(), m); err != nil {
+				return err
+			}
+		case call := <-g.calls:
+			call(time.Now())
+		default:
+			return nil
+		}
+	}
+	return nil
+}
+
+// HandleMessage takes a message of another member. It does not block; a message is dropped when too many wait.
+func (g *Group) HandleMessage(m raft.Message) {
+	select {
+	case g.inbox <- m:
+	default:
+	}
+}
+
+// step checks that a message belongs to this cluster and to this incarnation of the disk. An instance that belongs to
+// no cluster yet adopts the cluster of the first message that is addressed to its member id, because only a member
+// of that cluster can know the id.
+func (g *Group) step(now time.Time, m raft.Message) error {
+	id := &g.store.identity
+	if !g.opts.isVoter() || m.To != id.id() || m.Cluster == "" {
+		g.opts.OnEvent(EventMessageRefused, fmt.Sprintf("%v from %s for %s", m.Type, m.From, m.To))
+		return nil
+	}
+	if id.Cluster == "" {
+		if err := g.store.adopt(m.Cluster, nil); err != nil {
+			return err
+		}
+		g.opts.OnEvent(EventAdopted, m.Cluster)
+	}
+	if m.Cluster != id.Cluster {
+		g.problem(fmt.Sprintf("%s belongs to cluster %s, this instance to %s", m.From, m.Cluster, id.Cluster))
+		return nil
+	}
+	g.known = max(g.known, m.Commit)
+	if err := g.node.Step(now, m); err != nil {
+		g.opts.OnEvent(EventMessageRefused, err.Error())
+	}
+	return nil
+}
+
+func (g *Group) problem(text string) {
+	g.mu.Lock()
+	changed := g.status.Problem != text
+	g.status.Problem = text
+	g.mu.Unlock()
+	if changed && text != "" {
+		g.opts.OnEvent(EventJoinFailed, text)
+	}
+}
+
+// work does what the core asks for, in the order that it demands.
+func (g *Group) work(now time.Time) error {
+	before := g.node.Applied()
+	for {
+		r, ok := g.node.Ready()
+		if !ok {
+			break
+		}
+		if err := g.store.save(&r); err != nil {
+			return err
+		}
+		for _, m := range r.Messages {
+			m.Cluster = g.store.identity.Cluster
+			g.opts.Sender.Send(raft.MemberName(m.To), m)
+		}
+		if r.Snapshot != nil {
+			if err := g.restore(r.Snapshot); err != nil {
+				return err
+			}
+		}
+		for i := range r.Committed {
+			g.apply(&r.Committed[i])
+		}
+		for _, read := range r.Reads {
+			g.reads[read.ID](read)
+			delete(g.reads, read.ID)
+		}
+		g.node.Advance(now, r)
+	}
+	if err := g.maybeSnapshot(); err != nil {
+		return err
+	}
+	g.publish()
+	if applied := g.node.Applied(); applied > before {
+		g.opts.OnApply(applied)
+	}
+	return nil
+}
+
+func (g *Group) restore(s *raft.Snapshot) error {
+	if err := g.applier.restore(s.Data); err != nil {
+		return err
+	}
+	g.logBytes = 0
+	g.opts.OnEvent(EventInstalled, fmt.Sprintf("index %d, %d bytes", s.Index, len(s.Data)))
+	for id, p := range g.pending {
+		if r, ok := g.applier.table.records[id]; ok {
+			g.resolve(p, r.response())
+		} else if p.index <= s.Index {
+			g.resolve(p, ProposeResponse{Outcome: OutcomeUnknown})
+		}
+	}
+	return nil
+}
+
+func (g *Group) apply(e *raft.Entry) {
+	g.logBytes += len(e.Data)
+	response := g.applier.apply(e)
+	if p := g.pending[e.ID]; p != nil && e.Kind == raft.EntryCommand {
+		g.resolve(p, response)
+	}
+	if p := g.byIndex[e.Index]; p != nil {
+		// Another entry was committed at this index, so the proposed one is gone.
+		g.resolve(p, ProposeResponse{Outcome: OutcomeNotCommitted})
+	}
+}
+
+func (g *Group) maybeSnapshot() error {
+	applied, last := g.node.Applied(), g.node.LastSnapshot()
+	if applied-last.Index < g.opts.SnapshotEvery && (g.logBytes < max(g.opts.SnapshotBytes, len(last.Data)) || applied == last.Index) {
+		return nil
+	}
+	data, err := g.applier.snapshot()
+	if err != nil {
+		return err
+	}
+	keepAfter := applied - min(applied, min(compactKeep, g.opts.SnapshotEvery/2))
+	snapshot, err := g.node.Compact(applied, keepAfter, data)
+	if err != nil {
+		return err
+	}
+	if err := g.store.saveSnapshot(&snapshot, keepAfter); err != nil {
+		return err
+	}
+	g.logBytes = 0
+	g.opts.OnEvent(EventSnapshot, fmt.Sprintf("index %d, %d bytes", applied, len(data)))
+	return nil
+}
+
+func (g *Group) publish() {
+	changed := g.memberAt != g.node.MembershipIndex()
+	if changed {
+		g.membership, g.memberAt = g.node.Membership(), g.node.MembershipIndex()
+	}
+	m := &g.membership
+	s := Status{ID: g.node.ID(), Cluster: g.store.identity.Cluster, Voter: m.IsVoter(g.node.ID()), Role: g.node.Role().String(),
+		Leader: raft.MemberName(g.node.Leader()), Term: g.node.Term(), Commit: g.node.Commit(), Applied: g.node.Applied(),
+		Voters: m.Voters, Learners: m.Learners}
+	if !g.opts.isVoter() {
+		s.Role = "learner"
+	}
+	heard := g.node.Leader() != "" || !g.opts.isVoter() && g.known > 0
+	s.CaughtUp = heard && s.Applied >= g.known
+	g.mu.Lock()
+	s.Problem = g.status.Problem
+	if s.Voter {
+		s.Problem = ""
+	}
+	g.status = s
+	g.waiters = slices.DeleteFunc(g.waiters, func(w waiter) bool {
+		if w.index <= s.Applied {
+			close(w.done)
+			return true
+		}
+		return false
+	})
+	g.mu.Unlock()
+	if s.Leader != g.lastLeader {
+		g.lastLeader = s.Leader
+		g.opts.OnEvent(EventLeader, fmt.Sprintf("%q in term %d", s.Leader, s.Term))
+	}
+	if changed {
+		g.opts.OnEvent(EventMembership, fmt.Sprintf("voters %v, learners %v", s.Voters, s.Learners))
+	}
+}
+
+// Status returns the current status. Its slices must not be changed.
+func (g *Group) Status() Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.status
+}
+
+// do runs a function in the goroutine of Run. It returns ErrStopped or the error of the context when the function
+// will not run.
+func (g *Group) do(ctx context.Context, call func(now time.Time)) error {
+	select {
+	case g.calls <- call:
+		return nil
+	case <-g.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// waitApplied waits until an index is applied here.
+func (g *Group) waitApplied(ctx context.Context, index uint64) error {
+	g.mu.Lock()
+	if g.status.Applied >= index {
+		g.mu.Unlock()
+		return nil
+	}
+	w := waiter{index: index, done: make(chan struct{})}
+	g.waiters = append(g.waiters, w)
+	g.mu.Unlock()
+	g.NotifyCommit(index)
+	defer g.dropWaiter(w)
+	select {
+	case <-w.done:
+		return nil
+	case <-g.done:
+		return ErrStopped
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (g *Group) dropWaiter(w waiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.waiters = slices.DeleteFunc(g.waiters, func(other waiter) bool { return other.done == w.done })
+}
--- /dev/null
+++ b/coordination/replica/join.go
@@ -0,0 +1,146 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
+)
+
+// joinLoop makes this instance a voter. A new group is founded only when every voter in the settings is reachable and
+// belongs to no cluster; otherwise the instance asks the leader to add it. Its member id is new if its folder is new,
+// so an instance that lost its disk never counts as the voter that it was.
+func (g *Group) joinLoop(ctx context.Context) error {
+	for {
+		s := g.Status()
+		switch {
+		case s.Voter:
+		case s.Cluster != "":
+			g.join(ctx)
+		default:
+			if err := g.form(ctx); err != nil {
+				return err
+			}
+		}
+		select {
+		case <-time.After(joinInterval):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (g *Group) join(ctx context.Context) {
+	r := ProposeRequest{Kind: RequestJoin, Member: g.Status().ID}
+	if _, err := g.request(ctx, r); err != nil && ctx.Err() == nil {
+		g.problem("join: " + err.Error())
+	}
+}
+
+// form asks the other voters whether the group exists.
+func (g *Group) form(ctx context.Context) error {
+	members, exists, problem := g.greet(ctx)
+	if ctx.Err() != nil {
+		return nil
+	}
+	if exists {
+		g.join(ctx)
+		return nil
+	}
+	g.problem(problem)
+	if problem == "" && g.opts.Self == g.opts.Voters[0] {
+		return g.found(ctx, members)
+	}
+	return nil
+}
+
+// greet collects the member ids of all voters. The problem is empty when all are reachable, have the same settings and
+// belong to no cluster.
+func (g *Group) greet(ctx context.Context) (members []string, exists bool, problem string) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	members = []string{g.Status().ID}
+	for _, peer := range g.opts.Voters {
+		if peer == g.opts.Self {
+			continue
+		}
+		wg.Go(func() {
+			r, err := g.opts.Caller.Propose(ctx, peer, ProposeRequest{Kind: RequestHello})
+			mu.Lock()
+			defer mu.Unlock()
+			switch {
+			case err != nil:
+				problem = fmt.Sprintf("voter %s cannot be reached and the group is not known to exist: %v", peer, err)
+			case r.Cluster != "":
+				exists = true
+			case !slices.Equal(r.Voters, g.opts.Voters):
+				problem = fmt.Sprintf("voter %s has voters %v in its settings, this instance has %v", peer, r.Voters, g.opts.Voters)
+			default:
+				members = append(members, r.Member)
+			}
+		})
+	}
+	wg.Wait()
+	return members, exists, problem
+}
+
+// found starts a new group. The other voters are told at once, so that the loss of this disk right after does not
+// leave a cluster whose members nobody knows.
+func (g *Group) found(ctx context.Context, members []string) error {
+	cluster := uuid.NewString()
+	failed := make(chan error, 1)
+	err := g.do(ctx, func(time.Time) { failed <- g.become(cluster, members) })
+	if err != nil {
+		return nil // the group is stopping
+	}
+	if err := <-failed; err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, peer := range g.opts.Voters {
+		if peer != g.opts.Self {
+			wg.Go(func() {
+				// A voter that misses this call learns of the group from the first message of a member.
+				_, _ = g.opts.Caller.Propose(ctx, peer, ProposeRequest{Kind: RequestFound, Cluster: cluster, Voters: members})
+			})
+		}
+	}
+	wg.Wait()
+	return nil
+}
+
+func (g *Group) serveFound(r *ProposeRequest) ProposeResponse {
+	if r.Cluster == "" || !slices.Contains(r.Voters, g.store.identity.id()) || !g.opts.isVoter() {
+		return refused(g.store.identity.id() + " is not among the founders")
+	}
+	if err := g.become(r.Cluster, r.Voters); err != nil {
+		return refused(err.Error())
+	}
+	return ProposeResponse{Outcome: OutcomeDone}
+}
+
+// become makes this empty instance a member of a new cluster. It does nothing when the instance belongs to a
+// cluster already.
+func (g *Group) become(cluster string, members []string) error {
+	if g.store.identity.Cluster != "" {
+		return nil
+	}
+	if g.node.LastIndex() != 0 {
+		return errors.New("the log is not empty, but belongs to no cluster")
+	}
+	if err := g.store.adopt(cluster, members); err != nil {
+		return err
+	}
+	g.opts.OnEvent(EventFounded, fmt.Sprintf("cluster %s, members %v", cluster, members))
+	return g.start(raft.SavedState{})
+}
--- /dev/null
+++ b/coordination/replica/mux.go
@@ -0,0 +1,82 @@
+package replica
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Mux is a state machine that consists of several machines by name.
+type Mux struct {
+	machines map[string]StateMachine
+}
+
+// NewMux makes a Mux. The machines must not be changed afterwards.
+func NewMux(machines map[string]StateMachine) *Mux { return &Mux{machines: maps.Clone(machines)} }
+
+type muxCommand struct {
+	_       struct{} `cbor:",toarray"`
+	Machine string
+	Data    []byte
+}
+
+// EncodeCommand makes a command for one machine of a Mux.
+func EncodeCommand(machine string, data []byte) []byte {
+	b, err := cbor.Marshal(muxCommand{Machine: machine, Data: data})
+	if err != nil {
+		panic(err) // a string and bytes can always be encoded
+	}
+	return b
+}
+
+// Apply passes the command to its machine.
+func (m *Mux) Apply(index uint64, command []byte) ([]byte, error) {
+	var c muxCommand
+	if err := cbor.Unmarshal(command, &c); err != nil {
+		return nil, errors.Wrap(err, "decode command")
+	}
+	machine, ok := m.machines[c.Machine]
+	if !ok {
+		return nil, errors.Errorf("state machine %q does not exist", c.Machine)
+	}
+	return machine.Apply(index, c.Data)
+}
+
+// Snapshot holds the snapshots of all machines.
+func (m *Mux) Snapshot() ([]byte, error) {
+	parts := make(map[string][]byte, len(m.machines))
+	for name, machine := range m.machines {
+		data, err := machine.Snapshot()
+		if err != nil {
+			return nil, errors.Wrapf(err, "snapshot of state machine %q", name)
+		}
+		parts[name] = data
+	}
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		return nil, errors.Wrap(err, "snapshot encoding")
+	}
+	data, err := mode.Marshal(parts)
+	return data, errors.Wrap(err, "encode snapshot")
+}
+
+// Restore restores all machines. A machine without a part in the snapshot keeps its initial state; a part without a
+// machine is an error, because its state would be lost.
+func (m *Mux) Restore(data []byte) error {
+	var parts map[string][]byte
+	if err := cbor.Unmarshal(data, &parts); err != nil {
+		return errors.Wrap(err, "decode snapshot")
+	}
+	for _, name := range slices.Sorted(maps.Keys(parts)) {
+		machine, ok := m.machines[name]
+		if !ok {
+			return errors.Errorf("snapshot holds state machine %q, which does not exist", name)
+		}
+		if err := machine.Restore(parts[name]); err != nil {
+			return errors.Wrapf(err, "restore state machine %q", name)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/coordination/replica/propose.go
@@ -0,0 +1,271 @@
+package replica
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
+)
+
+// pending is a proposal that this leader appended and that is not applied yet.
+type pending struct {
+	id      string
+	index   uint64
+	term    uint64
+	answers []chan ProposeResponse
+}
+
+func (g *Group) resolve(p *pending, r ProposeResponse) {
+	delete(g.pending, p.id)
+	if g.byIndex[p.index] == p {
+		delete(g.byIndex, p.index)
+	}
+	for _, answer := range p.answers {
+		answer <- r
+	}
+}
+
+// Propose commits a command under a new id and returns the result of the state machine. It works on every instance.
+// The error is a *CommandError of the state machine, ErrNoQuorum when the command is not and will not be committed,
+// ErrUnknownResult otherwise.
+func (g *Group) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	return g.ProposeWithID(ctx, uuid.NewString(), command)
+}
+
+// ProposeWithID is Propose with an id chosen by the caller. A command with the id of one of the last proposals is not
+// applied again; the recorded result is returned. At least the last 4096 proposals are remembered, fewer when their
+// results are larger than 4 MiB together.
+func (g *Group) ProposeWithID(ctx context.Context, id string, command []byte) ([]byte, error) {
+	r, err := g.request(ctx, ProposeRequest{Kind: RequestCommand, ID: id, Base: g.Status().Applied, Command: command})
+	if err != nil {
+		return nil, err
+	}
+	if r.Failed {
+		return nil, &CommandError{Message: r.Failure}
+	}
+	return r.Result, nil
+}
+
+// Barrier returns once this instance has applied everything that was committed before the call.
+func (g *Group) Barrier(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, g.opts.ProposeTimeout)
+	defer cancel()
+	r, err := g.request(ctx, ProposeRequest{Kind: RequestBarrier})
+	if errors.Is(err, ErrUnknownResult) {
+		return ErrNoQuorum // a barrier changes nothing
+	}
+	if err != nil {
+		return err
+	}
+	return errors.Wrapf(g.waitApplied(ctx, r.Index), "index %d is committed but not applied here", r.Index)
+}
+
+// Remove removes a voter or learner by instance name. Its disk incarnation cannot join again.
+func (g *Group) Remove(ctx context.Context, name string) error {
+	_, err := g.request(ctx, ProposeRequest{Kind: RequestRemove, Member: name})
+	return err
+}
+
+// request brings a request to the leader, wherever it is, until it is done or time is up.
+func (g *Group) request(ctx context.Context, r ProposeRequest) (ProposeResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, g.opts.ProposeTimeout)
+	defer cancel()
+	r.Cluster = g.Status().Cluster
+	uncertain := false
+	for attempt, hint := 0, ""; ; attempt++ {
+		peer := g.pickPeer(hint, attempt)
+		response, err := g.call(ctx, peer, r)
+		hint = ""
+		switch {
+		case errors.Is(err, ErrStopped) && !uncertain:
+			return response, ErrStopped
+		case err != nil:
+			uncertain = uncertain || !errors.Is(err, ErrNotSent)
+		case response.Outcome == OutcomeDone:
+			return response, nil
+		case response.Outcome == OutcomeRefused:
+			return response, errors.Errorf("refused by %s: %s", peer, response.Failure)
+		case response.Outcome == OutcomeUnknown:
+			uncertain = true
+		case response.Outcome == OutcomeExpired && uncertain:
+			return response, ErrUnknownResult
+		case response.Outcome == OutcomeExpired:
+			// No attempt was applied, so the command may start again from a newer base.
+			r.Base = response.Index
+			continue
+		case response.Leader != peer:
+			hint = response.Leader
+		}
+		if hint != "" && attempt%4 != 3 {
+			continue
+		}
+		select {
+		case <-time.After(retryInterval):
+		case <-ctx.Done():
+		}
+		if ctx.Err() != nil {
+			if uncertain {
+				return ProposeResponse{}, ErrUnknownResult
+			}
+			return ProposeResponse{}, ErrNoQuorum
+		}
+	}
+}
+
+// pickPeer prefers the hint, then the leader known here, then the voters in turn.
+func (g *Group) pickPeer(hint string, attempt int) string {
+	if hint != "" {
+		return hint
+	}
+	s := g.Status()
+	if s.Leader != "" && attempt%2 == 0 {
+		return s.Leader
+	}
+	names := slices.Clone(g.opts.Voters)
+	for _, id := range s.Voters {
+		if name := raft.MemberName(id); !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	return names[attempt%len(names)]
+}
+
+func (g *Group) call(ctx context.Context, peer string, r ProposeRequest) (ProposeResponse, error) {
+	if peer == g.opts.Self {
+		return g.handle(ctx, &r)
+	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return g.opts.Caller.Propose(ctx, peer, r)
+}
+
+// HandlePropose serves a request of another instance. It waits for the result until the context ends.
+func (g *Group) HandlePropose(ctx context.Context, r ProposeRequest) (ProposeResponse, error) {
+	response, err := g.handle(ctx, &r)
+	if err != nil {
+		// The request was not taken up, which a proposer must not mistake for an unknown result.
+		return ProposeResponse{Outcome: OutcomeNotLeader}, nil
+	}
+	return response, nil
+}
+
+func (g *Group) handle(ctx context.Context, r *ProposeRequest) (ProposeResponse, error) {
+	answer := make(chan ProposeResponse, 1)
+	err := g.do(ctx, func(now time.Time) { g.serve(now, r, answer) })
+	if err != nil {
+		if !errors.Is(err, ErrStopped) {
+			err = errors.Wrap(ErrNotSent, err.Error())
+		}
+		return ProposeResponse{}, err
+	}
+	select {
+	case response := <-answer:
+		return response, nil
+	case <-g.done:
+	case <-ctx.Done():
+	}
+	return ProposeResponse{Outcome: OutcomeUnknown}, nil
+}
+
+func (g *Group) serve(now time.Time, r *ProposeRequest, answer chan ProposeResponse) {
+	id := &g.store.identity
+	switch {
+	case r.Kind == RequestHello:
+		answer <- ProposeResponse{Outcome: OutcomeDone, Member: id.id(), Cluster: id.Cluster, Voters: g.opts.Voters}
+	case r.Kind == RequestFound:
+		answer <- g.serveFound(r)
+	case r.Cluster != "" && id.Cluster != "" && r.Cluster != id.Cluster:
+		answer <- refused("the request is for cluster " + r.Cluster + ", this instance belongs to " + id.Cluster)
+	case g.node.Role() != raft.Leader:
+		answer <- ProposeResponse{Outcome: OutcomeNotLeader, Leader: raft.MemberName(g.node.Leader())}
+	case r.Kind == RequestCommand:
+		g.serveCommand(now, r, answer)
+	case r.Kind == RequestBarrier:
+		g.serveBarrier(now, answer)
+	case r.Kind == RequestJoin:
+		answer <- g.serveChange(now, r.Member, raft.ChangeJoin)
+	case r.Kind == RequestRemove:
+		answer <- g.serveChange(now, r.Member, raft.ChangeRemove)
+	default:
+		answer <- refused("unknown request " + string(r.Kind))
+	}
+}
+
+func refused(failure string) ProposeResponse {
+	return ProposeResponse{Outcome: OutcomeRefused, Failure: failure}
+}
+
+func (g *Group) serveCommand(now time.Time, r *ProposeRequest, answer chan ProposeResponse) {
+	if r.ID == "" {
+		answer <- refused("the command has no id")
+		return
+	}
+	if known, ok := g.applier.table.records[r.ID]; ok {
+		answer <- known.response()
+		return
+	}
+	if p := g.pending[r.ID]; p != nil && p.term == g.node.Term() {
+		p.answers = append(p.answers, answer)
+		return
+	}
+	index, term, err := g.node.Propose(now, r.ID, encodeCommand(r.Base, r.Command))
+	if err != nil {
+		answer <- refused(err.Error())
+		return
+	}
+	p := &pending{id: r.ID, index: index, term: term, answers: []chan ProposeResponse{answer}}
+	if earlier := g.pending[r.ID]; earlier != nil {
+		// The entry of an earlier term is still in the log; the result of either entry answers both.
+		p.answers = append(p.answers, earlier.answers...)
+		delete(g.byIndex, earlier.index)
+	}
+	g.pending[r.ID], g.byIndex[index] = p, p
+}
+
+func (g *Group) serveBarrier(now time.Time, answer chan ProposeResponse) {
+	g.nextRead++
+	g.reads[g.nextRead] = func(read raft.ReadResult) {
+		if read.Lost {
+			answer <- ProposeResponse{Outcome: OutcomeNotLeader}
+			return
+		}
+		answer <- ProposeResponse{Outcome: OutcomeDone, Index: read.Index}
+	}
+	if err := g.node.ReadIndex(now, g.nextRead); err != nil {
+		delete(g.reads, g.nextRead)
+		answer <- ProposeResponse{Outcome: OutcomeNotLeader}
+	}
+}
+
+func (g *Group) serveChange(now time.Time, member string, kind raft.ChangeKind) ProposeResponse {
+	m := g.node.Membership()
+	if kind == raft.ChangeRemove {
+		ids := append(m.Voters, m.Learners...)
+		i := slices.IndexFunc(ids, func(id string) bool { return raft.MemberName(id) == member })
+		if i < 0 && g.node.MembershipIndex() <= g.node.Commit() {
+			return ProposeResponse{Outcome: OutcomeDone}
+		}
+		if i < 0 {
+			return ProposeResponse{Outcome: OutcomeNotCommitted}
+		}
+		member = ids[i]
+	} else if name := raft.MemberName(member); !slices.Contains(g.opts.Voters, name) || !strings.Contains(member, "@") {
+		return refused(name + " is not among the voters in the settings of the leader")
+	}
+	err := g.node.ProposeChange(now, raft.MembershipChange{Kind: kind, ID: member})
+	switch {
+	case err == nil && kind == raft.ChangeRemove:
+		// The change is appended, not committed; the request is repeated until the member is gone.
+		return ProposeResponse{Outcome: OutcomeNotCommitted}
+	case err == nil:
+		return ProposeResponse{Outcome: OutcomeDone}
+	case errors.Is(err, raft.ErrChangePending):
+		return ProposeResponse{Outcome: OutcomeNotCommitted}
+	}
+	return refused(err.Error())
+}
--- /dev/null
+++ b/coordination/replica/storage.go
@@ -0,0 +1,198 @@
+package replica
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
+	"github.com/tarragonhoist/tarragonhoist/state/wal"
+)
+
+const (
+	identityFile = "identity"
+	logFolder    = "log"
+)
+
+// identity binds a data folder to an instance, to one incarnation of its disk and, once it is known, to a cluster. A
+// folder without it is new: it gets a new incarnation and so a member id that was never in any membership.
+type identity struct {
+	Group       string `cbor:"1,keyasint"`
+	Name        string `cbor:"2,keyasint"`
+	Incarnation string `cbor:"3,keyasint"`
+	Cluster     string `cbor:"4,keyasint"`
+	// Founders are the member ids of a new group. They are kept here until the log holds them.
+	Founders []string `cbor:"5,keyasint"`
+}
+
+func (i *identity) id() string { return raft.MemberID(i.Name, i.Incarnation) }
+
+// storage keeps identity and log of a replica. Without a folder it keeps nothing.
+type storage struct {
+	folder   string
+	identity identity
+	log      *wal.Log
+}
+
+func openStorage(o *Options) (*storage, raft.SavedState, int64, error) {
+	s := &storage{identity: identity{Group: o.Name, Name: o.Self, Incarnation: uuid.NewString()}}
+	if o.DataDir == "" {
+		return s, raft.SavedState{}, 0, nil
+	}
+	s.folder = filepath.Join(o.DataDir, o.Name)
+	if err := wal.MakeDir(s.folder); err != nil {
+		return nil, raft.SavedState{}, 0, err
+	}
+	known, err := s.readIdentity(o)
+	if err != nil {
+		return nil, raft.SavedState{}, 0, err
+	}
+	log, state, err := wal.Open(filepath.Join(s.folder, logFolder), wal.Options{})
+	if err != nil {
+		return nil, raft.SavedState{}, 0, err
+	}
+	s.log = log
+	saved, err := fromDisk(&state)
+	if err == nil && !known {
+		err = s.firstStart(&saved)
+	}
+	if err != nil {
+		_ = log.Close()
+		return nil, raft.SavedState{}, 0, err
+	}
+	return s, saved, state.CutBytes, nil
+}
+
+func (s *storage) readIdentity(o *Options) (known bool, err error) {
+	path := filepath.Join(s.folder, identityFile)
+	content, err := os.ReadFile(path)
+	if os.IsNotExist(err) {
+		return false, nil
+	}
+	if err != nil {
+		return false, errors.Wrap(err, "read identity")
+	}
+	var i identity
+	if err := cbor.Unmarshal(content, &i); err != nil {
+		return false, errors.Wrapf(err, "decode %s", path)
+	}
+	if i.Group != o.Name || i.Name != o.Self || i.Incarnation == "" {
+		return false, errors.Errorf("%s belongs to group %q of instance %q, expected group %q of instance %q",
+			s.folder, i.Group, i.Name, o.Name, o.Self)
+	}
+	segments, err := filepath.Glob(filepath.Join(s.folder, logFolder, "*.wal"))
+	if err != nil {
+		return false, errors.Wrap(err, "list log")
+	}
+	if len(segments) == 0 {
+		// The log is created before the identity, so it was lost. Its votes and entries must not be given again.
+		return false, errors.Errorf("the log of %s is missing; remove the folder to join as a new member", s.folder)
+	}
+	s.identity = i
+	return true, nil
+}
+
+func (s *storage) firstStart(saved *raft.SavedState) error {
+	if saved.HardState != (raft.HardState{}) || saved.Snapshot.Index != 0 || len(saved.Entries) != 0 {
+		return errors.Errorf("the identity of %s is missing, but its log is not empty", s.folder)
+	}
+	return s.saveIdentity()
+}
+
+func (s *storage) saveIdentity() error {
+	if s.folder == "" {
+		return nil
+	}
+	content, err := cbor.Marshal(s.identity)
+	if err != nil {
+		return errors.Wrap(err, "encode identity")
+	}
+	return wal.WriteFile(filepath.Join(s.folder, identityFile), content)
+}
+
+// adopt binds the folder to a cluster. It is durable before anything of that cluster is stored.
+func (s *storage) adopt(cluster string, founders []string) error {
+	s.identity.Cluster, s.identity.Founders = cluster, slices.Clone(founders)
+	return s.saveIdentity()
+}
+
+func fromDisk(state *wal.State) (raft.SavedState, error) {
+	saved := raft.SavedState{HardState: raft.HardState(state.HardState)}
+	saved.Snapshot = raft.Snapshot{Index: state.Snapshot.Index, Term: state.Snapshot.Term, Data: state.Snapshot.Data}
+	if len(state.Snapshot.Meta) > 0 {
+		if err := cbor.Unmarshal(state.Snapshot.Meta, &saved.Snapshot.Membership); err != nil {
+			return saved, errors.Wrap(err, "decode membership of snapshot")
+		}
+	}
+	for _, e := range state.Entries {
+		saved.Entries = append(saved.Entries, raft.Entry{Index: e.Index, Term: e.Term, Kind: raft.EntryKind(e.Kind), ID: e.ID, Data: e.Data})
+	}
+	return saved, nil
+}
+
+func toDisk(s *raft.Snapshot) (wal.Snapshot, error) {
+	meta, err := cbor.Marshal(s.Membership)
+	return wal.Snapshot{Index: s.Index, Term: s.Term, Meta: meta, Data: s.Data}, errors.Wrap(err, "encode membership")
+}
+
+// save syncs the state of a Ready.
+func (s *storage) save(r *raft.Ready) error {
+	if s.log == nil {
+		return nil
+	}
+	hard := wal.HardState(r.HardState)
+	if r.Snapshot != nil {
+		snapshot, err := toDisk(r.Snapshot)
+		if err != nil {
+			return err
+		}
+		if err := s.log.InstallSnapshot(snapshot, hard); err != nil {
+			return err
+		}
+	}
+	entries := make([]wal.Entry, len(r.Entries))
+	for i, e := range r.Entries {
+		entries[i] = wal.Entry{Index: e.Index, Term: e.Term, Kind: uint8(e.Kind), ID: e.ID, Data: e.Data}
+	}
+	var changed *wal.HardState
+	if r.SyncHardState {
+		changed = &hard
+	}
+	return s.log.Append(changed, entries)
+}
+
+func (s *storage) saveSnapshot(snapshot *raft.Snapshot, keepAfter uint64) error {
+	if s.log == nil {
+		return nil
+	}
+	converted, err := toDisk(snapshot)
+	if err != nil {
+		return err
+	}
+	return s.log.SaveSnapshot(converted, keepAfter)
+}
+
+// installFounders stores the first snapshot of a new group.
+func (s *storage) installFounders() (raft.SavedState, error) {
+	snapshot := raft.BootstrapSnapshot(s.identity.Founders)
+	hard := raft.HardState{Term: snapshot.Term, Commit: snapshot.Index}
+	converted, err := toDisk(&snapshot)
+	if err != nil {
+		return raft.SavedState{}, err
+	}
+	if err := s.log.InstallSnapshot(converted, wal.HardState(hard)); err != nil {
+		return raft.SavedState{}, err
+	}
+	return raft.SavedState{HardState: hard, Snapshot: snapshot}, nil
+}
+
+func (s *storage) close() error {
+	if s.log == nil {
+		return nil
+	}
+	return s.log.Close()
+}
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -157,12 +157,20 @@
 	return nil
 }
 
+// MakeDir creates a directory and its parents. It returns when they are durable.
+func MakeDir(dir string) error { return makeDir(dir, (*os.File).Sync) }
+
 func makeDir(dir string, sync func(*os.File) error) error {
 	if _, err := os.Stat(dir); err == nil {
 		return nil
 	}
-	if err := os.MkdirAll(dir, dirMode); err != nil {
-		return errors.Wrap(err, "create log directory")
+	if parent := filepath.Dir(dir); parent != dir {
+		if err := makeDir(parent, sync); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(dir, dirMode); err != nil && !os.IsExist(err) {
+		return errors.Wrap(err, "create directory")
 	}
 	return syncDir(filepath.Dir(dir), sync)
 }
