--- /dev/null
+++ b/cmd/hoist-demo/demo.go
@@ -0,0 +1,457 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/standin/caller"
+	"github.com/tarragonhoist/tarragonhoist/standin/cluster"
+	"github.com/tarragonhoist/tarragonhoist/standin/target"
+)
+
+// Memory of each stand-in engine.
+const (
+	capacityBytes = "20000000000"
+	reserveBytes  = "1000000000"
+)
+
+// note puts two models, an adapter and a plain service in force.
+const note = `number = 1
+description = "first models"
+
+[[model]]
+action = "add"
+name = "net-assistant"
+version = "1"
+memory_bytes = 8000000000
+priority = "interactive"
+callers = ["crew", "reports"]
+caller_priorities = { reports = "batch" }
+
+[[model]]
+action = "add"
+name = "yield-report"
+version = "1"
+memory_bytes = 6000000000
+priority = "batch"
+callers = ["reports"]
+
+[[adapter]]
+action = "add"
+name = "north-field"
+model = "net-assistant"
+version = "1"
+memory_bytes = 100000000
+
+[[service]]
+action = "add"
+name = "haul-desk"
+callers = ["crew"]
+priority = "standard"
+`
+
+// demo runs the steps one after the other.
+type demo struct {
+	folder  string
+	bin     string
+	out     io.Writer
+	cluster *cluster.Cluster
+	crew    *caller.Client
+	step    int
+}
+
+func (d *demo) run() error {
+	started := time.Now()
+	steps := []struct {
+		title string
+		run   func(context.Context) error
+	}{
+		{"start two data centres with four instances each", d.startInstances},
+		{"targets announce themselves", d.startTargets},
+		{"an operator submits a release note", d.submitNote},
+		{"controllers load the models", d.waitResident},
+		{"stream an answer through north-2", d.stream},
+		{"answer through an adapter at south-3", d.adapter},
+		{"book once, repeat the booking with the same key in the other data centre", d.book},
+		{"refuse honestly", d.refuse},
+		{"cut the data centres off from each other", d.partition},
+		{"heal the partition", d.heal},
+		{"kill a target during a stream", d.killTarget},
+		{"kill an instance", d.killInstance},
+		{"print the merged timeline", d.timeline},
+	}
+	for _, s := range steps {
+		d.step++
+		_, _ = fmt.Fprintf(d.out, "%2d. %s\n", d.step, s.title)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		err := s.run(ctx)
+		cancel()
+		if err != nil {
+			return errors.Wrapf(err, "step %d, %s", d.step, s.title)
+		}
+	}
+	_, _ = fmt.Fprintf(d.out, "%d steps in %.1f s\n", len(steps), time.Since(started).Seconds())
+	return nil
+}
+
+func (d *demo) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(d.out, "      "+format+"\n", args...)
+}
+
+func (d *demo) startInstances(context.Context) error {
+	d.crew = caller.New("crew")
+	voters := map[string]bool{"north-1": true, "north-2": true, "north-3": true, "south-1": true, "south-2": true}
+	var spec cluster.Spec
+	for _, dc := range []string{"north", "south"} {
+		for i := 1; i <= 4; i++ {
+			name := fmt.Sprintf("%s-%d", dc, i)
+			spec.Instances = append(spec.Instances, cluster.InstanceSpec{Name: name, DataCentre: dc, Voter: voters[name], Disk: voters[name]})
+		}
+	}
+	spec.Settings = `drain_delay = "200ms"`
+	var err error
+	if d.cluster, err = cluster.New(spec, d.folder, d.bin); err != nil {
+		return err
+	}
+	if err := d.cluster.StartAll(); err != nil {
+		return err
+	}
+	leader, err := d.leader()
+	if err != nil {
+		return err
+	}
+	d.say("8 instances are ready; %s leads the config log, voters are north-1..3 and south-1..2", leader)
+	return nil
+}
+
+func (d *demo) leader() (leader string, err error) {
+	err = d.cluster.Wait("the config log has a leader", func() error {
+		leader, err = d.cluster.Leader(context.Background(), "north-4", "config")
+		return err
+	})
+	return leader, err
+}
+
+func (d *demo) startTargets(ctx context.Context) error {
+	for _, dc := range []string{"north", "south"} {
+		for i := 1; i <= 2; i++ {
+			flags := []string{"--kind", "engine", "--capacity-bytes", capacityBytes, "--reserve-bytes", reserveBytes, "--slots", "8",
+				"--token-interval", "20ms", "--load-delay", "200ms"}
+			if i == 1 {
+				flags = append(flags, "--checks-fencing")
+			}
+			if _, err := d.cluster.StartTarget(fmt.Sprintf("%s-engine-%d", dc, i), dc, flags...); err != nil {
+				return err
+			}
+		}
+		if _, err := d.cluster.StartTarget(dc+"-desk", dc, "--kind", "service", "--service", "haul-desk", "--slots", "8"); err != nil {
+			return err
+		}
+	}
+	return d.cluster.Wait("every instance knows the three targets of its data centre", func() error {
+		for _, name := range d.instances() {
+			status, err := d.cluster.Operator(name).Status(ctx)
+			if err != nil {
+				return err
+			}
+			if len(status.Targets) != 3 {
+				return errors.Errorf("%s knows %d targets", name, len(status.Targets))
+			}
+		}
+		return nil
+	})
+}
+
+func (d *demo) instances() []string {
+	return []string{"north-1", "north-2", "north-3", "north-4", "south-1", "south-2", "south-3", "south-4"}
+}
+
+func (d *demo) submitNote(ctx context.Context) error {
+	file := filepath.Join(d.folder, "note-1.toml")
+	if err := os.WriteFile(file, []byte(note), 0o600); err != nil {
+		return errors.Wrap(err, "note")
+	}
+	verdict, err := d.cluster.Operator("south-4").Submit(ctx, file, []byte(note))
+	if err != nil {
+		return err
+	}
+	if !verdict.Accepted {
+		return errors.Errorf("refused: %v", verdict.Findings)
+	}
+	again, err := d.cluster.Operator("north-4").Submit(ctx, file, []byte(note))
+	if err != nil {
+		return err
+	}
+	if again.Index != verdict.Index {
+		return errors.Errorf("a second submission got index %d instead of %d", again.Index, verdict.Index)
+	}
+	d.say("accepted at log index %d through south-4; the same verdict again through north-4", verdict.Index)
+	started := time.Now()
+	err = d.cluster.Wait("the note is in force everywhere", func() error {
+		for _, name := range d.instances() {
+			if _, err := d.cluster.Operator(name).Verdict(ctx, 1); err != nil {
+				return errors.Wrap(err, name)
+			}
+		}
+		return nil
+	})
+	d.say("in force on all instances %.1f s later", time.Since(started).Seconds())
+	return err
+}
+
+func (d *demo) waitResident(ctx context.Context) error {
+	started := time.Now()
+	err := d.cluster.Wait("both models and the adapter are ready on two targets of each data centre", func() error {
+		for _, name := range []string{"north-1", "south-1"} {
+			status, err := d.cluster.Operator(name).Status(ctx)
+			if err != nil {
+				return err
+			}
+			for _, m := range status.Models {
+				if m.Ready < 1 {
+					return errors.Errorf("%s: %s has %d ready replicas, waiting: %v", name, m.Name, m.Ready, status.Waiting)
+				}
+			}
+			if len(status.Models) != 3 {
+				return errors.Errorf("%s lists %d models", name, len(status.Models))
+			}
+		}
+		return nil
+	})
+	d.say("all models resident after %.1f s", time.Since(started).Seconds())
+	return err
+}
+
+// check compares an answer with the tokens that the stand-in engine computes for a request id.
+func check(answer *caller.Answer, requestID string, tokens int) error {
+	var want strings.Builder
+	for i := range tokens {
+		want.WriteString(target.Token(requestID, i))
+	}
+	switch {
+	case answer.Outcome != api.Answered:
+		return errors.Errorf("outcome %s, reason %s: %s", answer.Outcome, answer.Reason, answer.Error.Message)
+	case !answer.Ended:
+		return errors.New("the answer has no end")
+	case answer.Text != want.String():
+		return errors.Errorf("got %q, want %q", answer.Text, want.String())
+	}
+	return nil
+}
+
+func (d *demo) streamFrom(ctx context.Context, instance, requestID string) error {
+	answer, err := d.crew.Stream(ctx, d.cluster.URL(instance), caller.Chat{
+		Model: "net-assistant", Prompt: "state of net 7?", MaxTokens: 12, RequestID: requestID})
+	if err != nil {
+		return err
+	}
+	if err := check(answer, requestID, 12); err != nil {
+		return err
+	}
+	d.say("%s streamed 12 tokens: %q", answer.Instance, answer.Text)
+	return nil
+}
+
+func (d *demo) stream(ctx context.Context) error { return d.streamFrom(ctx, "north-2", "demo-stream") }
+
+func (d *demo) adapter(ctx context.Context) error {
+	answer, err := d.crew.Whole(ctx, d.cluster.URL("south-3"), caller.Chat{
+		Model: "net-assistant:north-field", Prompt: "summarise the inspection", MaxTokens: 8, RequestID: "demo-adapter"})
+	if err != nil {
+		return err
+	}
+	if err := check(answer, "demo-adapter", 8); err != nil {
+		return err
+	}
+	d.say("%s answered through adapter north-field: %q", answer.Instance, answer.Text)
+	return nil
+}
+
+func (d *demo) book(ctx context.Context) error {
+	first, err := d.crew.Book(ctx, d.cluster.URL("north-4"), "haul-desk", "/hauls", "haul-17", `{"tank":17}`)
+	if err != nil {
+		return err
+	}
+	second, err := d.crew.Book(ctx, d.cluster.URL("south-4"), "haul-desk", "/hauls", "haul-17", `{"tank":17}`)
+	if err != nil {
+		return err
+	}
+	if first.Outcome != api.Answered || second.Outcome != api.Answered || !second.Replayed || first.Text != second.Text {
+		return errors.Errorf("first %+v, second %+v", first, second)
+	}
+	d.say("%s booked: %s", first.Instance, strings.TrimSpace(first.Text))
+	d.say("%s gave the recorded answer again; the service ran once", second.Instance)
+	other, err := d.crew.Book(ctx, d.cluster.URL("north-1"), "haul-desk", "/hauls", "haul-17", `{"tank":99}`)
+	if err != nil {
+		return err
+	}
+	if other.Reason != api.ReasonKeyReused {
+		return errors.Errorf("the same key with another body: %+v", other)
+	}
+	d.say("the same key with another body is refused: %s", other.Error.Message)
+	return nil
+}
+
+func (d *demo) refuse(ctx context.Context) error {
+	for _, refusal := range []struct {
+		model string
+		want  api.Reason
+	}{{"yield-report", api.ReasonCallerNotPermitted}, {"unknown", api.ReasonUnknownModel}} {
+		answer, err := d.crew.Stream(ctx, d.cluster.URL("north-3"), caller.Chat{Model: refusal.model, Prompt: "?"})
+		if err != nil {
+			return err
+		}
+		if answer.Outcome != api.Refused || answer.Reason != refusal.want {
+			return errors.Errorf("got %+v, want %s", answer, refusal.want)
+		}
+		d.say("%d %s, did not run, repeat %s: %s", answer.Status, answer.Reason, answer.Repeat, answer.Error.Message)
+	}
+	return nil
+}
+
+func (d *demo) partition(ctx context.Context) error {
+	d.cluster.CutDataCentre("south")
+	time.Sleep(2 * time.Second) // long enough for a majority-less leader to step down
+	if err := d.streamFrom(ctx, "north-1", "demo-cut-north"); err != nil {
+		return err
+	}
+	if err := d.streamFrom(ctx, "south-1", "demo-cut-south"); err != nil {
+		return err
+	}
+	booked, err := d.crew.Book(ctx, d.cluster.URL("north-2"), "haul-desk", "/hauls", "haul-18", `{"tank":18}`)
+	if err != nil {
+		return err
+	}
+	if booked.Outcome != api.Answered {
+		return errors.Errorf("the majority side did not book: %+v", booked)
+	}
+	refused, err := d.crew.Book(ctx, d.cluster.URL("south-2"), "haul-desk", "/hauls", "haul-19", `{"tank":19}`)
+	if err != nil {
+		return err
+	}
+	if refused.Outcome != api.Refused || refused.Reason != api.ReasonNoQuorum {
+		return errors.Errorf("the minority side answered %+v", refused)
+	}
+	d.say("north books on; south refuses bookings as not run: %s", refused.Error.Message)
+	return nil
+}
+
+func (d *demo) heal(ctx context.Context) error {
+	d.cluster.HealDataCentre("south")
+	return d.cluster.Wait("the refused booking can be made again in south", func() error {
+		answer, err := d.crew.Book(ctx, d.cluster.URL("south-2"), "haul-desk", "/hauls", "haul-19", `{"tank":19}`)
+		if err != nil {
+			return err
+		}
+		if answer.Outcome != api.Answered {
+			return errors.Errorf("%s: %s", answer.Reason, answer.Error.Message)
+		}
+		d.say("south books haul-19 now: %s", strings.TrimSpace(answer.Text))
+		return nil
+	})
+}
+
+func (d *demo) killTarget(ctx context.Context) error {
+	const tokens = 100
+	// Every engine of north may be the one that streams; the one that runs a request is killed.
+	killed := ""
+	answer, err := d.crew.Stream(ctx, d.cluster.URL("north-1"), caller.Chat{
+		Model: "net-assistant", Prompt: "a long inspection report", MaxTokens: tokens, RequestID: "demo-kill",
+		OnToken: func(offset int) {
+			if offset == 20 {
+				killed = d.killBusy(ctx)
+			}
+		}})
+	if err != nil {
+		return err
+	}
+	if killed == "" {
+		return errors.New("no busy engine was found")
+	}
+	if err := check(answer, "demo-kill", tokens); err != nil {
+		return err
+	}
+	d.say("%s was killed after token 20; all %d tokens arrived once and in order", killed, tokens)
+	return nil
+}
+
+// killBusy kills the engine on which north-1 has a request in flight.
+func (d *demo) killBusy(ctx context.Context) string {
+	status, err := d.cluster.Operator("north-1").Status(ctx)
+	if err != nil {
+		return ""
+	}
+	for _, t := range status.Targets {
+		if t.InFlight > 0 {
+			d.cluster.Target(t.Name).Kill()
+			return t.Name
+		}
+	}
+	return ""
+}
+
+func (d *demo) killInstance(ctx context.Context) error {
+	leader, err := d.leader()
+	if err != nil {
+		return err
+	}
+	d.cluster.Process(leader).Kill()
+	survivor := "south-3"
+	if err := d.streamFrom(ctx, survivor, "demo-after-kill"); err != nil {
+		return err
+	}
+	err = d.cluster.Wait("bookings are possible under a new leader", func() error {
+		answer, err := d.crew.Book(ctx, d.cluster.URL(survivor), "haul-desk", "/hauls", "haul-20", `{"tank":20}`)
+		if err != nil {
+			return err
+		}
+		if answer.Outcome != api.Answered {
+			return errors.Errorf("%s: %s", answer.Reason, answer.Error.Message)
+		}
+		return nil
+	})
+	d.say("leader %s was killed; streams and bookings go on", leader)
+	return err
+}
+
+func (d *demo) timeline(ctx context.Context) error {
+	t, err := d.cluster.Operator("south-3").Timeline(ctx, true)
+	if err != nil {
+		return err
+	}
+	if len(t.Events) == 0 || len(t.Unreachable) != 1 {
+		return errors.Errorf("%d events, unreachable %v", len(t.Events), t.Unreachable)
+	}
+	for _, e := range t.Events {
+		_, _ = fmt.Fprintf(d.out, "      %s %-8s %d %s %v\n", time.UnixMicro(e.AtUs).UTC().Format("15:04:05.000"), e.Instance, e.Number, e.Name, e.Fields)
+	}
+	d.say("unreachable: %v", t.Unreachable)
+	return nil
+}
+
+func (d *demo) printLogs() {
+	if d.cluster == nil {
+		return
+	}
+	for _, name := range d.instances() {
+		if p := d.cluster.Process(name); p != nil {
+			log := p.Log()
+			fmt.Fprintf(os.Stderr, "--- %s\n%s\n", name, log[max(0, len(log)-2000):])
+		}
+	}
+}
+
+// close ends every process that was started.
+func (d *demo) close() {
+	if d.cluster != nil {
+		d.cluster.Close()
+	}
+}
--- a/instance/modelcalls/server.go
+++ b/instance/modelcalls/server.go
@@ -12,6 +12,7 @@
 	"github.com/tarragonhoist/tarragonhoist/instance/drain"
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
 	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
 	"github.com/tarragonhoist/tarragonhoist/state/catalog"
 	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
 	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
@@ -26,7 +27,8 @@
 	Adapter     string
 	Priority    releasenote.Priority
 	Fingerprint uint64
-	PrefixHash  uint64
+	// PrefixHashes are the hashes of the prompt up to each block boundary.
+	PrefixHashes []uint64
 	// PromptTokens is estimated from the bytes of the prompt; TokenLimit is the caller's, or 0.
 	PromptTokens int
 	TokenLimit   int
@@ -163,7 +165,7 @@
 	}
 	return &Work{
 		RequestID: call.RequestID, Caller: call.Caller, Weight: permission.Weight, Model: model, Adapter: adapter,
-		Priority: priority, Fingerprint: fingerprint(call), PrefixHash: prefixHash(call),
+		Priority: priority, Fingerprint: fingerprint(call), PrefixHashes: targetapi.PrefixHashes(call.Request),
 		PromptTokens: call.Request.PromptTokens(), TokenLimit: call.Request.TokenLimit(), Deadline: s.Now().Add(timeout),
 	}, nil
 }
@@ -184,11 +186,6 @@
 	return d.Sum64()
 }
 
-// prefixHash identifies the first message, which requests of one application share.
-func prefixHash(call *httpapi.ChatCall) uint64 {
-	return xxhash.Sum64String(call.Request.Model + "\x00" + call.Request.Messages[0].Content)
-}
-
 func (s *Server) record(call *httpapi.ChatCall, result *api.Result) {
 	fields := events.Fields{"request": call.RequestID, "caller": call.Caller, "model": call.Request.Model}
 	switch result.Outcome {
--- /dev/null
+++ b/instance/policy/policy.go
@@ -0,0 +1,240 @@
+// Package policy connects the policies of admission, routing, stragglers and retries to the serving of calls.
+package policy
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/admission"
+	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
+	"github.com/tarragonhoist/tarragonhoist/coordination/retry"
+	"github.com/tarragonhoist/tarragonhoist/coordination/routing"
+	"github.com/tarragonhoist/tarragonhoist/coordination/straggler"
+	"github.com/tarragonhoist/tarragonhoist/instance/admit"
+	"github.com/tarragonhoist/tarragonhoist/instance/modelcalls"
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
+)
+
+// noTargetRetry is the announcement interval of targets.
+const noTargetRetry = time.Second
+
+// Table looks up targets.
+type Table interface {
+	Target(name string) (*membership.Entry, bool)
+	Sample(now time.Time, random *rand.Rand, limit int, model, adapter string) []*membership.Entry
+}
+
+// Policy decides for model calls. It is safe for concurrent use.
+type Policy struct {
+	table    Table
+	admit    *admit.Waiter
+	router   *routing.Router
+	detector *straggler.Detector
+	budget   *retry.Budget
+	suspects Isolation
+	now      func() time.Time
+
+	// generators holds one random generator per concurrent use, since a generator is not safe for sharing.
+	generators sync.Pool
+}
+
+// Isolation keeps suspects of crashes apart.
+type Isolation interface {
+	// Avoid lists the targets that a suspect must not share with another suspect, or nil for a request without strikes.
+	Avoid(fingerprint uint64) map[string]bool
+	// Placed and Ended bracket an attempt of a request on a target.
+	Placed(fingerprint uint64, target string)
+	Ended(fingerprint uint64, target string)
+}
+
+// New makes the policy of one instance.
+func New(table Table, waiter *admit.Waiter, router *routing.Router, detector *straggler.Detector, budget *retry.Budget,
+	suspects Isolation, now func() time.Time) *Policy {
+	p := &Policy{table: table, admit: waiter, router: router, detector: detector, budget: budget, suspects: suspects, now: now}
+	p.generators.New = func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+	return p
+}
+
+// TargetID joins the name of a target and its incarnation, because a restarted target is a new one.
+func TargetID(name string, incarnation uint64) string {
+	return name + "@" + strconv.FormatUint(incarnation, 10)
+}
+
+// Acquire implements modelcalls.Admission.
+func (p *Policy) Acquire(ctx context.Context, w *modelcalls.Work) (func(tokens int), *api.Result) {
+	release, refusal := p.admit.Acquire(ctx, admission.Request{
+		ID: w.RequestID, Caller: w.Caller, Weight: w.Weight, Model: w.Model, Adapter: w.Adapter, Priority: w.Priority,
+		PromptTokens: w.PromptTokens, TokenLimit: w.TokenLimit, AdapterResident: true, Deadline: w.Deadline,
+	})
+	if refusal != nil {
+		return nil, refusal
+	}
+	started := p.now()
+	return func(tokens int) {
+		release(admission.Completion{Answered: tokens > 0, OutputTokens: tokens, Service: p.now().Sub(started)})
+	}, nil
+}
+
+// Pick implements modelcalls.Picker.
+func (p *Policy) Pick(w *modelcalls.Work, excluded map[string]bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
+	now := p.now()
+	rng := p.generators.Get().(*rand.Rand)
+	defer p.generators.Put(rng)
+	avoid := p.suspects.Avoid(w.Fingerprint)
+	var local candidates
+	for _, e := range p.table.Sample(now, rng, sampleLimit, w.Model, w.Adapter) {
+		if name := e.Announcement.Target; !excluded[name] && !avoid[name] {
+			local = append(local, candidate(e))
+		}
+	}
+	request := p.request(w)
+	chosen, _, err := p.router.Pick(now, rng, request, routing.Candidates{Local: local})
+	if err != nil {
+		return modelcalls.Placed{}, nil, api.RefuseFor(api.ReasonNoTarget, noTargetRetry, "no ready target may take a request of model \""+w.Model+"\"")
+	}
+	entry := local.entry(chosen.Target)
+	placed := modelcalls.Placed{Target: entry.Announcement.Target, Incarnation: entry.Announcement.Incarnation, Address: entry.Announcement.Address}
+	p.router.Started(now, chosen.Target, &request)
+	p.suspects.Placed(w.Fingerprint, placed.Target)
+	return placed, func(r modelcalls.Result) { p.finished(w, placed, r) }, nil
+}
+
+func (p *Policy) request(w *modelcalls.Work) routing.Request {
+	return routing.Request{
+		Model: w.Model, Adapter: w.Adapter, Units: units(w), PromptTokens: w.PromptTokens,
+		PrefixHashes: w.PrefixHashes, BlockTokens: targetapi.PrefixBlockBytes / api.BytesPerToken, MayProbe: true,
+	}
+}
+
+const (
+	// expectedTokens stands for the answer of a request without a token limit.
+	expectedTokens = 200
+	// shortTokens bounds the answers that are hedged.
+	shortTokens = 256
+	// promptTokensPerUnit: engines process prompt tokens in parallel, about twenty times faster than output tokens.
+	promptTokensPerUnit = 20
+	// sampleLimit covers the sample of the router and the holders of a prefix.
+	sampleLimit = 24
+	// firstTokenExpected is the usual time until the first token.
+	firstTokenExpected = 250 * time.Millisecond
+)
+
+func units(w *modelcalls.Work) float64 {
+	tokens := w.TokenLimit
+	if tokens == 0 {
+		tokens = expectedTokens
+	}
+	return float64(w.PromptTokens)/promptTokensPerUnit + float64(tokens)
+}
+
+// finished feeds the end of an attempt back into the policies.
+func (p *Policy) finished(w *modelcalls.Work, placed modelcalls.Placed, r modelcalls.Result) {
+	now := p.now()
+	id := TargetID(placed.Target, placed.Incarnation)
+	p.router.Finished(now, routing.Finish{
+		Target: id, Model: w.Model, Answered: r.Err == nil,
+		Units: float64(w.PromptTokens)/promptTokensPerUnit + float64(r.Tokens), Service: r.Total,
+	})
+	p.suspects.Ended(w.Fingerprint, placed.Target)
+	var broken *targetclient.ErrBroken
+	var notConnected *targetclient.ErrNotConnected
+	switch {
+	case r.FirstToken > 0:
+		p.detector.Observe(now, p.observation(w, id, r.FirstToken))
+	case errors.As(r.Err, &broken), errors.As(r.Err, &notConnected):
+		p.detector.Failed(now, id, group(w))
+	}
+}
+
+// group is what the first tokens of targets are compared within.
+func group(w *modelcalls.Work) string { return w.Model + "/first_token" }
+
+func (p *Policy) observation(w *modelcalls.Work, id string, took time.Duration) straggler.Observation {
+	return straggler.Observation{Target: id, Group: group(w), Expected: p.Expected(w), Actual: took}
+}
+
+// Expected implements modelcalls.Picker.
+func (p *Policy) Expected(w *modelcalls.Work) time.Duration {
+	return firstTokenExpected + time.Duration(w.PromptTokens)*2*time.Millisecond
+}
+
+// HedgeDelay implements modelcalls.Picker.
+func (p *Policy) HedgeDelay(w *modelcalls.Work) time.Duration {
+	p.detector.Request()
+	return p.detector.HedgeDelay(group(w), p.Expected(w))
+}
+
+// Overdue implements modelcalls.Picker.
+func (p *Policy) Overdue(w *modelcalls.Work, placed modelcalls.Placed, waited time.Duration) {
+	p.detector.Overdue(p.now(), p.observation(w, TargetID(placed.Target, placed.Incarnation), waited))
+}
+
+// Hedge implements modelcalls.Picker. A suspect is never hedged, since it could take down two targets at once.
+func (p *Policy) Hedge(w *modelcalls.Work, _ modelcalls.Placed, waited time.Duration) bool {
+	if p.suspects.Avoid(w.Fingerprint) != nil {
+		return false
+	}
+	now := p.now()
+	return p.detector.Hedge(now, straggler.HedgeRequest{
+		Group: group(w), Idempotent: true, Short: w.TokenLimit > 0 && w.TokenLimit <= shortTokens,
+		Expected: p.Expected(w), Elapsed: waited, Remaining: w.Deadline.Sub(now),
+	})
+}
+
+// First implements modelcalls.Retries.
+func (p *Policy) First(w *modelcalls.Work, placed modelcalls.Placed) {
+	p.budget.First(p.now(), w.Caller, placed.Target)
+}
+
+// Allow implements modelcalls.Retries.
+func (p *Policy) Allow(w *modelcalls.Work, next modelcalls.Placed, attempts int, err error) (time.Duration, bool) {
+	rng := p.generators.Get().(*rand.Rand)
+	defer p.generators.Put(rng)
+	now := p.now()
+	attempt := retry.Attempt{
+		Caller: w.Caller, Next: next.Target, Number: attempts, Cause: retry.Failure,
+		Remaining: w.Deadline.Sub(now), Needed: p.Expected(w),
+	}
+	var overloaded *targetclient.ErrOverloaded
+	if errors.As(err, &overloaded) {
+		attempt.Cause, attempt.RetryAfter = retry.Overload, overloaded.RetryAfter
+	}
+	decision := p.budget.Allow(now, rng, attempt)
+	return decision.Delay, decision.Denial == retry.Allowed
+}
+
+// TargetChanged forgets targets that left, expired or were replaced.
+func (p *Policy) TargetChanged(c membership.Change) {
+	switch c.Kind {
+	case membership.Replaced:
+		p.forget(TargetID(c.Target, c.FailedIncarnation))
+	case membership.Expired:
+		p.forget(TargetID(c.Target, c.Incarnation))
+	}
+}
+
+func (p *Policy) forget(id string) {
+	p.router.Forget(id)
+	p.detector.Forget(id)
+}
+
+// CacheEvents takes the cache events of a target.
+func (p *Policy) CacheEvents(e targetapi.CacheEvents) error {
+	if e.Version != targetapi.Version {
+		return errors.Errorf("cache events version %d is not supported, want %d", e.Version, targetapi.Version)
+	}
+	p.router.CacheEvents(p.now(), TargetID(e.Target, e.Incarnation), &e)
+	return nil
+}
+
+// InFlight is the number of this instance's own requests on a target.
+func (p *Policy) InFlight(name string, incarnation uint64) int {
+	return p.router.InFlight(TargetID(name, incarnation))
+}
--- a/protocol/api/chat.go
+++ b/protocol/api/chat.go
@@ -58,8 +58,8 @@
 	return r.MaxTokens
 }
 
-// bytesPerToken is the usual average for English text.
-const bytesPerToken = 4
+// BytesPerToken is the usual average for English text.
+const BytesPerToken = 4
 
 // PromptTokens estimates the prompt length from its bytes, since the system has no tokenizer.
 func (r *ChatRequest) PromptTokens() int {
@@ -67,7 +67,7 @@
 	for _, m := range r.Messages {
 		bytes += len(m.Content)
 	}
-	return bytes/bytesPerToken + 1
+	return bytes/BytesPerToken + 1
 }
 
 // ChatChunk is one streamed part of an answer.
--- /dev/null
+++ b/standin/caller/caller.go
@@ -0,0 +1,206 @@
+// Package caller is a small client of the callers' interface for the demo and the process tests.
+package caller
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+)
+
+// Client sends requests as one caller.
+type Client struct {
+	Name string
+	HTTP *http.Client
+}
+
+// New makes a client of a deployment without tokens.
+func New(name string) *Client { return &Client{Name: name, HTTP: &http.Client{}} }
+
+// Chat describes a model call.
+type Chat struct {
+	Model     string
+	Prompt    string
+	MaxTokens int
+	RequestID string
+	// Deadline is sent to the instance; 0 means none.
+	Deadline time.Duration
+	Priority string
+	// OnToken is called after each token of a stream.
+	OnToken func(offset int)
+}
+
+// Answer is what a request brought.
+type Answer struct {
+	Status   int
+	Outcome  api.Outcome
+	Reason   api.Reason
+	Repeat   api.Repeat
+	Instance string
+	Replayed bool
+	Text     string
+	// Offsets are the offsets of a stream in the order of arrival.
+	Offsets []int
+	// Ended says that a stream had its end marker.
+	Ended bool
+	Error api.ErrorDetail
+}
+
+// Stream sends a streaming model call to an instance.
+func (c *Client) Stream(ctx context.Context, url string, chat Chat) (*Answer, error) {
+	resp, err := c.send(ctx, url, chat, true)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer := answerOf(resp)
+	if resp.StatusCode != http.StatusOK {
+		return answer, readError(resp.Body, answer)
+	}
+	return answer, readStream(resp.Body, answer, chat.OnToken)
+}
+
+// Whole sends a model call that is answered at once.
+func (c *Client) Whole(ctx context.Context, url string, chat Chat) (*Answer, error) {
+	resp, err := c.send(ctx, url, chat, false)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer := answerOf(resp)
+	if resp.StatusCode != http.StatusOK {
+		return answer, readError(resp.Body, answer)
+	}
+	var completion api.ChatCompletion
+	if err := json.NewDecoder(resp.Body).Decode(&completion); err != nil {
+		return answer, errors.Wrap(err, "answer")
+	}
+	answer.Text, answer.Ended = completion.Choices[0].Message.Content, true
+	return answer, nil
+}
+
+func (c *Client) send(ctx context.Context, url string, chat Chat, stream bool) (*http.Response, error) {
+	body, err := json.Marshal(api.ChatRequest{
+		Model: chat.Model, Stream: stream, MaxTokens: chat.MaxTokens,
+		Messages: []api.ChatMessage{{Role: "user", Content: chat.Prompt}},
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/v1/chat/completions", bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(api.HeaderCaller, c.Name)
+	setOptional(req.Header, api.HeaderRequestID, chat.RequestID)
+	setOptional(req.Header, api.HeaderPriority, chat.Priority)
+	if chat.Deadline > 0 {
+		req.Header.Set(api.HeaderDeadlineMs, strconv.FormatInt(chat.Deadline.Milliseconds(), 10))
+	}
+	resp, err := c.HTTP.Do(req)
+	return resp, errors.Wrap(err, "no answer")
+}
+
+func setOptional(h http.Header, name, value string) {
+	if value != "" {
+		h.Set(name, value)
+	}
+}
+
+// Book sends a non-idempotent call to a plain service.
+func (c *Client) Book(ctx context.Context, url, service, pathAndQuery, key, body string) (*Answer, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url+"/services/"+service+pathAndQuery, strings.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	req.Header.Set(api.HeaderCaller, c.Name)
+	setOptional(req.Header, api.HeaderIdempotencyKey, key)
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "no answer")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer := answerOf(resp)
+	if answer.Outcome != api.Answered {
+		return answer, readError(resp.Body, answer)
+	}
+	text, err := io.ReadAll(resp.Body)
+	answer.Text = string(text)
+	return answer, errors.Wrap(err, "answer")
+}
+
+func answerOf(resp *http.Response) *Answer {
+	h := resp.Header
+	return &Answer{
+		Status: resp.StatusCode, Outcome: api.Outcome(h.Get(api.HeaderOutcome)), Reason: api.Reason(h.Get(api.HeaderReason)),
+		Repeat: api.Repeat(h.Get(api.HeaderRepeat)), Instance: h.Get(api.HeaderInstance), Replayed: h.Get(api.HeaderReplayed) != "",
+	}
+}
+
+func readError(r io.Reader, answer *Answer) error {
+	var body api.ErrorBody
+	if err := json.NewDecoder(r).Decode(&body); err != nil {
+		return errors.Wrap(err, "error body")
+	}
+	answer.Error = body.Error
+	return nil
+}
+
+// readStream collects the tokens. An explicit error event is an answer; a stream that just ends is not.
+func readStream(r io.Reader, answer *Answer, onToken func(int)) error {
+	scanner := bufio.NewScanner(r)
+	offset, isError := -1, false
+	for scanner.Scan() {
+		line := scanner.Text()
+		switch {
+		case line == "event: error":
+			isError = true
+		case strings.HasPrefix(line, "id: "):
+			var err error
+			if offset, err = strconv.Atoi(strings.TrimPrefix(line, "id: ")); err != nil {
+				return errors.Wrap(err, "offset")
+			}
+		case line == "data: [DONE]":
+			answer.Ended = true
+			return nil
+		case strings.HasPrefix(line, "data: "):
+			data := strings.NewReader(strings.TrimPrefix(line, "data: "))
+			if isError {
+				answer.Outcome = api.Failed
+				return readError(data, answer)
+			}
+			if err := addToken(data, answer, offset); err != nil {
+				return err
+			}
+			if onToken != nil {
+				onToken(offset)
+			}
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return errors.Wrap(err, "stream")
+	}
+	return errors.New("the stream ended without an end marker or an error event")
+}
+
+func addToken(r io.Reader, answer *Answer, offset int) error {
+	var chunk api.ChatChunk
+	if err := json.NewDecoder(r).Decode(&chunk); err != nil {
+		return errors.Wrap(err, "chunk")
+	}
+	answer.Offsets = append(answer.Offsets, offset)
+	for _, choice := range chunk.Choices {
+		answer.Text += choice.Delta.Content
+	}
+	return nil
+}
