Add the table of targets with gossip and summaries

Entries of a data centre do not fit into 4 KiB a second (encoded content with 6 adapters: 234 bytes, with 20: 566 bytes). An entry is therefore split into its content, sent twice unasked and on request by fingerprint, in parts when it is larger than a frame, and a renewal of 30 bytes with sequence, age and load. Ages are rounded up and grow by the measured time under way. Leaving is a notice of its own and goes first. A digest of all targets in each frame was ruled out: name, incarnation and sequence of 860 targets exceed the limit as well. A quarter of each section goes to what was sent longest ago.

--- /dev/null
+++ b/coordination/membership/property_test.go
@@ -0,0 +1,258 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+const (
+	testLease = 4 * time.Second
+	// maxDelay bounds how long an announcement of the simulation is under way.
+	maxDelay   = 2 * time.Second
+	frameLimit = 2048
+)
+
+func engine(name string, incarnation, sequence uint64, adapters int) targetapi.Announcement {
+	a := targetapi.Announcement{
+		Version: targetapi.Version, Target: name, Incarnation: incarnation, Sequence: sequence, DataCentre: "coulee-a",
+		Address: "10.0.0.1:9000", Kind: targetapi.Engine, CapacityBytes: 80 << 30, Slots: 8,
+		Residents: []targetapi.Resident{{Model: "m", Version: "1", State: targetapi.Ready, Bytes: 16 << 30}},
+		Load:      targetapi.LoadReport{MeasuredAtMs: 1_700_000_000_000 + int64(sequence), Running: int(sequence % 5)},
+	}
+	for i := range adapters {
+		a.Residents = append(a.Residents, targetapi.Resident{
+			Model: "m", Version: "1", Adapter: fmt.Sprintf("crew-%d", i), State: targetapi.Ready, Bytes: 64 << 20})
+	}
+	return a
+}
+
+type simTarget struct {
+	name                  string
+	incarnation, sequence uint64
+	adapters              int
+	leaving, faulty       bool
+}
+
+type delivery struct {
+	at      time.Time
+	deliver func(now time.Time)
+}
+
+// network is a simulation of targets and instances in virtual time.
+type network struct {
+	t       *rapid.T
+	now     time.Time
+	tables  []*Table
+	targets []*simTarget
+	pending []delivery
+	// lastReceipt and leftAt are by target and incarnation, leftSeen and received also by instance.
+	lastReceipt, leftAt map[string]time.Time
+	leftSeen            map[string]bool
+	received            map[string]uint64
+	seen                map[string]*Entry
+}
+
+func newNetwork(t *rapid.T) *network {
+	return &network{
+		t: t, now: time.Unix(1_700_000_000, 0), lastReceipt: map[string]time.Time{}, leftAt: map[string]time.Time{},
+		leftSeen: map[string]bool{}, received: map[string]uint64{}, seen: map[string]*Entry{},
+	}
+}
+
+func idOf(target string, incarnation uint64) string { return fmt.Sprintf("%s/%d", target, incarnation) }
+
+func (n *network) send(delay time.Duration, deliver func(now time.Time)) {
+	n.pending = append(n.pending, delivery{at: n.now.Add(delay), deliver: deliver})
+}
+
+func (n *network) announce(target *simTarget) {
+	target.sequence++
+	a := engine(target.name, target.incarnation, target.sequence, target.adapters)
+	a.Leaving = target.leaving
+	id := idOf(a.Target, a.Incarnation)
+	if _, left := n.leftAt[id]; a.Leaving && !left && !target.faulty {
+		n.leftAt[id] = n.now
+	}
+	for range rapid.IntRange(0, 2).Draw(n.t, "copies") {
+		i := rapid.IntRange(0, len(n.tables)-1).Draw(n.t, "receiver")
+		delay := time.Duration(rapid.IntRange(0, int(maxDelay/time.Millisecond)).Draw(n.t, "delay")) * time.Millisecond
+		n.send(delay, func(now time.Time) {
+			here := fmt.Sprintf("%d:%s", i, id)
+			if a.Sequence > n.received[here] { // a repeated or older one renews nothing
+				n.lastReceipt[id], n.received[here] = now, a.Sequence
+			}
+			n.leftSeen[here] = n.leftSeen[here] || a.Leaving
+			if _, err := n.tables[i].Announce(now, a); err != nil {
+				n.t.Fatal(err)
+			}
+		})
+	}
+}
+
+// exchange lets a table ask another one. Frames may be held up for much longer than a lease, lost or repeated.
+func (n *network) exchange(asker, peer *Table, delays [2]time.Duration, copies int) {
+	sent := n.now
+	request, err := asker.Pull(n.now, frameLimit)
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	n.send(delays[0], func(now time.Time) {
+		merged, err := peer.Merge(now, 0, request)
+		if err != nil {
+			n.t.Fatal(err)
+		}
+		answer, err := peer.Delta(now, frameLimit, merged.Wants)
+		if err != nil {
+			n.t.Fatal(err)
+		}
+		if len(request) > frameLimit || len(answer) > frameLimit {
+			n.t.Fatalf("frames of %d and %d bytes", len(request), len(answer))
+		}
+		for range copies {
+			n.send(delays[1], func(now time.Time) {
+				if _, err := asker.Merge(now, now.Sub(sent), answer); err != nil {
+					n.t.Fatal(err)
+				}
+			})
+		}
+	})
+}
+
+// advance moves the time and delivers what is due, in the order of time.
+func (n *network) advance(by time.Duration) {
+	end := n.now.Add(by)
+	for {
+		first := -1
+		for i, d := range n.pending {
+			if !d.at.After(end) && (first < 0 || d.at.Before(n.pending[first].at)) {
+				first = i
+			}
+		}
+		if first < 0 {
+			break
+		}
+		d := n.pending[first]
+		n.pending = append(n.pending[:first], n.pending[first+1:]...)
+		n.now = d.at
+		d.deliver(n.now)
+		n.check()
+	}
+	n.now = end
+	n.check()
+}
+
+// check asserts the bounds of every target that is offered anywhere, and that no view goes back.
+func (n *network) check() {
+	for i, table := range n.tables {
+		for _, entry := range table.All() {
+			a, here := &entry.Announcement, fmt.Sprintf("%d:%s", i, entry.Announcement.Target)
+			if old := n.seen[here]; old != nil {
+				b := &old.Announcement
+				if a.Incarnation < b.Incarnation || a.Incarnation == b.Incarnation && a.Sequence < b.Sequence {
+					n.t.Fatalf("instance %d went back from %d/%d to %d/%d", i, b.Incarnation, b.Sequence, a.Incarnation, a.Sequence)
+				}
+				if a.Incarnation == b.Incarnation && a.Sequence == b.Sequence && !entry.ReceivedAt.Equal(old.ReceivedAt) {
+					n.t.Fatalf("instance %d renewed %s by a repeated message", i, here)
+				}
+			}
+			n.seen[here] = entry
+		}
+		for _, entry := range table.Replicas(n.now, "m", "") {
+			id := idOf(entry.Announcement.Target, entry.Announcement.Incarnation)
+			if received, ok := n.lastReceipt[id]; !ok || !n.now.Before(received.Add(testLease)) {
+				n.t.Fatalf("instance %d offers %s %v after its last announcement", i, id, n.now.Sub(received))
+			}
+			if n.leftSeen[fmt.Sprintf("%d:%s", i, id)] {
+				n.t.Fatalf("instance %d offers %s although it heard that it leaves", i, id)
+			}
+			if left, ok := n.leftAt[id]; ok && !n.now.Before(left.Add(maxDelay+testLease)) {
+				n.t.Fatalf("instance %d offers %s %v after it began to leave", i, id, n.now.Sub(left))
+			}
+		}
+	}
+}
+
+// Guards against targets offered after they left or died, leases renewed by copies that only go round, and instances
+// that keep different views, whatever the order, loss, delay and repetition of messages.
+func TestGossipConvergesAndHonoursBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := newNetwork(t)
+		for range rapid.IntRange(2, 4).Draw(t, "instances") {
+			n.tables = append(n.tables, NewTable(Options{DataCentre: "coulee-a", TargetLease: testLease}))
+		}
+		for i := range rapid.IntRange(1, 5).Draw(t, "targets") {
+			n.targets = append(n.targets, &simTarget{name: fmt.Sprintf("net-assistant-%d", i), incarnation: 1})
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"": func(*rapid.T) {},
+			"announce": func(t *rapid.T) {
+				n.announce(rapid.SampledFrom(n.targets).Draw(t, "target"))
+			},
+			"change": func(t *rapid.T) {
+				rapid.SampledFrom(n.targets).Draw(t, "target").adapters = rapid.SampledFrom([]int{0, 1, 150}).Draw(t, "adapters")
+			},
+			"leave": func(t *rapid.T) { rapid.SampledFrom(n.targets).Draw(t, "target").leaving = true },
+			"withdraw leaving": func(t *rapid.T) { // a faulty target; only instances that heard of the leaving can know
+				target := rapid.SampledFrom(n.targets).Draw(t, "target")
+				target.leaving, target.faulty = false, true
+				delete(n.leftAt, idOf(target.name, target.incarnation))
+			},
+			"restart": func(t *rapid.T) {
+				target := rapid.SampledFrom(n.targets).Draw(t, "target")
+				target.incarnation, target.sequence, target.leaving, target.faulty = target.incarnation+1, 0, false, false
+			},
+			"exchange": func(t *rapid.T) {
+				delay := rapid.SampledFrom([]time.Duration{0, 5 * time.Millisecond, time.Second, 9 * time.Second})
+				n.exchange(rapid.SampledFrom(n.tables).Draw(t, "asker"), rapid.SampledFrom(n.tables).Draw(t, "peer"),
+					[2]time.Duration{delay.Draw(t, "there"), delay.Draw(t, "back")}, rapid.IntRange(0, 2).Draw(t, "copies"))
+			},
+			"advance": func(t *rapid.T) {
+				n.advance(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+			},
+			"expire": func(t *rapid.T) { rapid.SampledFrom(n.tables).Draw(t, "table").Expire(n.now) },
+		})
+		n.advance(20 * time.Second)
+		for _, target := range n.targets {
+			n.announce(target)
+			n.announce(target)
+		}
+		n.advance(maxDelay)
+		n.settle()
+	})
+}
+
+// settle exchanges frames without delay until all tables should be equal, and compares them.
+func (n *network) settle() {
+	for range 40 {
+		for _, asker := range n.tables {
+			for _, peer := range n.tables {
+				n.exchange(asker, peer, [2]time.Duration{}, 1)
+				n.advance(0)
+			}
+		}
+	}
+	views := make([]string, len(n.tables))
+	for i, table := range n.tables {
+		table.Expire(n.now)
+		for _, entry := range table.All() {
+			a := entry.Announcement
+			views[i] += fmt.Sprintf("%s/%d/%d %v %d;", a.Target, a.Incarnation, a.Sequence, a.Leaving, len(a.Residents))
+		}
+		if views[i] != views[0] {
+			n.t.Fatalf("views differ:\n%s\n%s", views[0], views[i])
+		}
+	}
+	for _, target := range n.targets {
+		id := idOf(target.name, target.incarnation)
+		received, ok := n.lastReceipt[id]
+		entry, known := n.tables[0].Target(target.name)
+		if ok && n.now.Before(received.Add(testLease)) && (!known || entry.Announcement.Incarnation != target.incarnation) {
+			n.t.Fatalf("%s is alive and not known", id)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/membership/table.go
@@ -0,0 +1,411 @@
+// Package membership holds the table of the targets of one data centre, spreads its entries by gossip and summarises
+// them for other data centres.
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+// Defaults of Options.
+const (
+	DefaultTargetLease = 4 * time.Second
+	// DefaultRetention has to be much longer than any announcement or gossip message can be under way, because the
+	// record of an expired target is what recognises old messages of it.
+	DefaultRetention  = 10 * time.Minute
+	DefaultMaxTargets = 8192
+)
+
+// ErrTableFull refuses a target beyond Options.MaxTargets.
+var ErrTableFull = errors.New("the table of targets is full")
+
+// Options of a table. Zero values select the defaults.
+type Options struct {
+	// DataCentre is the one whose targets the table holds. Announcements of other data centres are refused.
+	DataCentre string
+	// TargetLease is how long an entry may be used after an instance received its announcement.
+	TargetLease time.Duration
+	// Retention is how long the incarnation and sequence of an expired target are remembered.
+	Retention time.Duration
+	// MaxTargets bounds the table, expired targets included.
+	MaxTargets int
+}
+
+// ChangeKind says what a message or the passing of time changed.
+type ChangeKind int
+
+// Kinds of change. Renewed means that only load and lease are new.
+const (
+	Unchanged ChangeKind = iota
+	Renewed
+	Updated
+	Added
+	Left
+	Replaced
+	Expired
+)
+
+// Change is the effect on one target.
+type Change struct {
+	Kind        ChangeKind
+	Target      string
+	Incarnation uint64
+	// FailedIncarnation is the replaced incarnation, or 0. Work in flight on it has failed.
+	FailedIncarnation uint64
+	// Entry is nil when only the leaving of the incarnation is known.
+	Entry *Entry
+}
+
+// Table holds the targets of one data centre. It is safe for concurrent use.
+type Table struct {
+	opts         Options
+	records      *shardMap[*record]
+	index        *shardMap[[]*record]
+	fingerprints *shardMap[string]
+	size         atomic.Int64
+	changes      atomic.Uint64
+	// superseded holds contents that are no longer current, so that they are not asked for because of old renewals.
+	superseded *lru.Cache[uint64, identity]
+	gossip     gossip
+	remote     remoteSummaries
+}
+
+// identity is one incarnation of a target.
+type identity struct {
+	target      string
+	incarnation uint64
+}
+
+// NewTable returns an empty table.
+func NewTable(opts Options) *Table {
+	if opts.TargetLease <= 0 {
+		opts.TargetLease = DefaultTargetLease
+	}
+	if opts.Retention <= 0 {
+		opts.Retention = DefaultRetention
+	}
+	if opts.MaxTargets <= 0 {
+		opts.MaxTargets = DefaultMaxTargets
+	}
+	t := &Table{
+		opts: opts, records: newShardMap[*record](), index: newShardMap[[]*record](),
+		fingerprints: newShardMap[string](),
+	}
+	t.superseded = newCache[identity](maxSuperseded)
+	t.gossip.assembly = newCache[*assembly](maxAssemblies)
+	return t
+}
+
+// Announce takes an announcement that this instance received from a target. An old or repeated one changes nothing,
+// except that leaving is recorded for the incarnation.
+func (t *Table) Announce(now time.Time, a targetapi.Announcement) (Change, error) {
+	if err := a.Check(); err != nil {
+		return Change{}, err
+	}
+	if t.opts.DataCentre != "" && a.DataCentre != t.opts.DataCentre {
+		return Change{}, errors.Errorf("target %q announces data centre %q to an instance of %q",
+			a.Target, a.DataCentre, t.opts.DataCentre)
+	}
+	return t.apply(now, a)
+}
+
+// apply puts an announcement received at the given time into the table.
+func (t *Table) apply(received time.Time, a targetapi.Announcement) (change Change, err error) {
+	t.records.locked(a.Target, func(items map[string]*record) {
+		var rec *record
+		if rec, err = t.recordOf(items, a.Target); err == nil {
+			change, err = t.applyTo(rec, received, a)
+		}
+	})
+	return change, err
+}
+
+// recordOf finds or creates the record of a target in its locked shard.
+func (t *Table) recordOf(items map[string]*record, target string) (*record, error) {
+	if rec, ok := items[target]; ok {
+		return rec, nil
+	}
+	if t.size.Add(1) > int64(t.opts.MaxTargets) {
+		t.size.Add(-1)
+		return nil, errors.Wrapf(ErrTableFull, "target %q", target)
+	}
+	rec := &record{}
+	items[target] = rec
+	return rec, nil
+}
+
+func (t *Table) applyTo(rec *record, received time.Time, a targetapi.Announcement) (Change, error) {
+	change := Change{Target: a.Target, Incarnation: a.Incarnation, Entry: rec.entry.Load()}
+	switch {
+	case a.Incarnation < rec.incarnation:
+		change.Incarnation = rec.incarnation
+		return change, nil
+	case a.Incarnation == rec.incarnation && rec.entry.Load() != nil && a.Sequence <= rec.sequence:
+		if a.Leaving && !rec.leaving {
+			return t.leave(rec, a.Target, a.Incarnation, received)
+		}
+		return change, nil
+	}
+	previous := rec.entry.Load()
+	sameIncarnation := a.Incarnation == rec.incarnation
+	a.Leaving = a.Leaving || sameIncarnation && rec.leaving
+	entry, err := newEntry(a, received, t.opts.TargetLease)
+	if err != nil {
+		return Change{}, err
+	}
+	change.Entry = entry
+	change.Kind = kindOf(rec, previous, entry)
+	if change.Kind == Replaced {
+		change.FailedIncarnation = rec.incarnation
+	}
+	if a.Leaving && !(sameIncarnation && rec.leaving) {
+		rec.leavingSince = received
+	}
+	rec.incarnation, rec.sequence, rec.leaving = a.Incarnation, a.Sequence, a.Leaving
+	t.publish(rec, entry)
+	return change, nil
+}
+
+func kindOf(rec *record, previous, entry *Entry) ChangeKind {
+	a := &entry.Announcement
+	switch {
+	case rec.incarnation != 0 && a.Incarnation > rec.incarnation:
+		return Replaced
+	case a.Leaving && !rec.leaving:
+		return Left
+	case previous == nil || rec.gone:
+		return Added
+	case previous.fingerprint != entry.fingerprint:
+		return Updated
+	}
+	return Renewed
+}
+
+// leave records that an incarnation is leaving, whether its entry is known or not.
+func (t *Table) leave(rec *record, target string, incarnation uint64, since time.Time) (Change, error) {
+	change := Change{Kind: Left, Target: target, Incarnation: incarnation}
+	if incarnation > rec.incarnation {
+		if rec.incarnation != 0 {
+			change.Kind, change.FailedIncarnation = Replaced, rec.incarnation
+		}
+		t.unindex(rec)
+		rec.incarnation, rec.sequence, rec.gone = incarnation, 0, false
+		rec.entry.Store(nil)
+	}
+	rec.leaving, rec.leavingSince = true, since
+	rec.changed = t.changes.Add(1)
+	current := rec.entry.Load()
+	if current == nil {
+		return change, nil
+	}
+	a := current.Announcement
+	a.Leaving = true
+	entry, err := newEntry(a, current.ReceivedAt, t.opts.TargetLease)
+	if err != nil {
+		return Change{}, err
+	}
+	change.Entry = entry
+	t.publish(rec, entry)
+	return change, nil
+}
+
+// publish makes an entry the current one of a record and keeps the indexes in step. The lock of the record is held.
+func (t *Table) publish(rec *record, entry *Entry) {
+	previous := rec.entry.Load()
+	if previous == nil || previous.fingerprint != entry.fingerprint {
+		rec.changed = t.changes.Add(1)
+		t.fingerprints.set(fingerprintKey(entry.fingerprint), entry.Announcement.Target)
+		t.superseded.Remove(entry.fingerprint)
+		if previous != nil {
+			t.fingerprints.remove(fingerprintKey(previous.fingerprint))
+			t.supersede(previous)
+		}
+	}
+	var before []string
+	if previous != nil && !rec.gone {
+		before = previous.keys
+	}
+	rec.gone = false
+	rec.entry.Store(entry)
+	if slices.Equal(before, entry.keys) {
+		return
+	}
+	for _, key := range entry.keys {
+		if _, ok := slices.BinarySearch(before, key); !ok {
+			t.indexAdd(key, rec)
+		}
+	}
+	for _, key := range before {
+		if !entry.hasKey(key) {
+			t.indexRemove(key, rec)
+		}
+	}
+}
+
+// unindex removes the entry of a record from all indexes.
+func (t *Table) unindex(rec *record) {
+	entry := rec.entry.Load()
+	if entry == nil {
+		return
+	}
+	t.fingerprints.remove(fingerprintKey(entry.fingerprint))
+	t.supersede(entry)
+	if !rec.gone {
+		for _, key := range entry.keys {
+			t.indexRemove(key, rec)
+		}
+	}
+}
+
+func (t *Table) indexAdd(key string, rec *record) {
+	t.index.locked(key, func(items map[string][]*record) { items[key] = append(items[key], rec) })
+}
+
+func (t *Table) indexRemove(key string, rec *record) {
+	t.index.locked(key, func(items map[string][]*record) {
+		list := items[key]
+		if i := slices.Index(list, rec); i >= 0 {
+			list[i] = list[len(list)-1]
+			list[len(list)-1] = nil
+			list = list[:len(list)-1]
+		}
+		if len(list) == 0 {
+			delete(items, key)
+			return
+		}
+		items[key] = list
+	})
+}
+
+// Expire reports the targets whose lease has ended since the last call and forgets those past the retention. Lookups
+// do not depend on it, because they check the lease themselves.
+func (t *Table) Expire(now time.Time) []Change {
+	var changes []Change
+	t.records.each(func(items map[string]*record) {
+		for target, rec := range items {
+			entry := rec.entry.Load()
+			if entry != nil && !rec.gone && !now.Before(entry.ExpiresAt) {
+				for _, key := range entry.keys {
+					t.indexRemove(key, rec)
+				}
+				rec.gone, rec.goneAt = true, entry.ExpiresAt
+				changes = append(changes, Change{Kind: Expired, Target: target, Incarnation: rec.incarnation, Entry: entry})
+			}
+			if t.forgettable(now, rec, entry) {
+				t.unindex(rec)
+				delete(items, target)
+				t.size.Add(-1)
+			}
+		}
+	})
+	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.Target, b.Target) })
+	return changes
+}
+
+func (t *Table) forgettable(now time.Time, rec *record, entry *Entry) bool {
+	if entry == nil {
+		return now.Sub(rec.leavingSince) >= t.opts.Retention
+	}
+	return rec.gone && now.Sub(rec.goneAt) >= t.opts.Retention
+}
+
+// Target returns the latest entry of a target until it is forgotten, also when it is leaving or expired.
+func (t *Table) Target(name string) (*Entry, bool) {
+	rec, ok := t.records.get(name)
+	if !ok {
+		return nil, false
+	}
+	entry := rec.entry.Load()
+	return entry, entry != nil
+}
+
+// Offered reports whether an incarnation of a target may get new work. It is meant to be asked right before dispatch.
+func (t *Table) Offered(now time.Time, name string, incarnation uint64) bool {
+	entry, ok := t.Target(name)
+	return ok && entry.Announcement.Incarnation == incarnation && entry.Usable(now)
+}
+
+// Replicas returns all targets that may get new work for a model and, if one is named, an adapter that is ready there.
+func (t *Table) Replicas(now time.Time, model, adapter string) []*Entry {
+	return t.lookup(now, modelKey(model, adapter), nil, 0)
+}
+
+// Services returns all targets of a plain service that may get new work.
+func (t *Table) Services(now time.Time, name string) []*Entry {
+	return t.lookup(now, serviceKey(name), nil, 0)
+}
+
+// Sample returns up to limit distinct random targets out of Replicas. Its cost depends on limit and on the number of
+// unusable targets passed over.
+func (t *Table) Sample(now time.Time, random *rand.Rand, limit int, model, adapter string) []*Entry {
+	return t.lookup(now, modelKey(model, adapter), random, limit)
+}
+
+// SampleServices returns up to limit distinct random targets out of Services.
+func (t *Table) SampleServices(now time.Time, random *rand.Rand, limit int, name string) []*Entry {
+	return t.lookup(now, serviceKey(name), random, limit)
+}
+
+func (t *Table) lookup(now time.Time, key string, random *rand.Rand, limit int) []*Entry {
+	s := t.index.shard(key)
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	list := s.items[key]
+	if len(list) == 0 {
+		return nil
+	}
+	if limit <= 0 || limit > len(list) {
+		limit = len(list)
+	}
+	start, stride := 0, 1
+	if random != nil {
+		start, stride = random.IntN(len(list)), randomStride(random, len(list))
+	}
+	found := make([]*Entry, 0, limit)
+	for i := 0; i < len(list) && len(found) < limit; i++ {
+		entry := list[(start+i*stride)%len(list)].entry.Load()
+		if entry != nil && entry.Usable(now) && entry.hasKey(key) {
+			found = append(found, entry)
+		}
+	}
+	return found
+}
+
+// randomStride draws a number that is coprime to n, so that its multiples visit all positions modulo n once.
+func randomStride(random *rand.Rand, n int) int {
+	for range 8 {
+		if stride := 1 + random.IntN(n); gcd(stride, n) == 1 {
+			return stride
+		}
+	}
+	return 1
+}
+
+func gcd(a, b int) int {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+// All returns the entries of all targets whose expiry was not reported yet, leaving ones included, sorted by name.
+func (t *Table) All() []*Entry {
+	var all []*Entry
+	t.records.eachRead(func(_ string, rec *record) {
+		if entry := rec.entry.Load(); entry != nil && !rec.gone {
+			all = append(all, entry)
+		}
+	})
+	slices.SortFunc(all, func(a, b *Entry) int {
+		return strings.Compare(a.Announcement.Target, b.Announcement.Target)
+	})
+	return all
+}
