standin/target: echo the attempt id and use the shared prefix hashes

Cause: targetclient treats an answer without its attempt id as the answer to another attempt, and targetapi now defines the hash of prompt prefixes. Ruled out: a second definition of the block size in the stand-in. Conclusion: the stand-in serves the target client of this repository.

--- a/standin/target/cache.go
+++ b/standin/target/cache.go
@@ -3,7 +3,6 @@
 import (
 	"sync"
 
-	"github.com/cespare/xxhash/v2"
 	lru "github.com/hashicorp/golang-lru/v2"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
@@ -11,10 +10,6 @@
 )
 
 const (
-	// PrefixBlockBytes is the length of a prompt block; prefixes end at block boundaries.
-	PrefixBlockBytes = 256
-	// maxPrefixBlocks bounds the events of one request.
-	maxPrefixBlocks = 16
 	// maxCachedPrefixes is the size of the imitated prefix cache.
 	maxCachedPrefixes = 1024
 	// maxPendingEvents bounds the events between two announcements; the oldest are dropped, which leaves a gap.
@@ -52,16 +47,12 @@
 	}
 }
 
-// stored records the whole blocks of a prompt: the contents of its messages, each followed by a newline.
+// stored records the prefixes of a prompt.
 func (c *cacheLog) stored(req *api.ChatRequest) {
-	var prompt []byte
-	for _, m := range req.Messages {
-		prompt = append(append(prompt, m.Content...), '\n')
-	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for n := 1; n <= maxPrefixBlocks && n*PrefixBlockBytes <= len(prompt); n++ {
-		p := prefix{model: req.Model, hash: xxhash.Sum64(prompt[:n*PrefixBlockBytes])}
+	for _, hash := range targetapi.PrefixHashes(req) {
+		p := prefix{model: req.Model, hash: hash}
 		if !c.cached.Contains(p) {
 			c.add(targetapi.Stored, p)
 		}
--- a/standin/target/engine.go
+++ b/standin/target/engine.go
@@ -44,6 +44,7 @@
 type chatCall struct {
 	req       *api.ChatRequest
 	requestID string
+	attemptID string
 	offset    int
 	tokens    int
 }
@@ -89,7 +90,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "cannot read the body")
 	}
-	call := &chatCall{requestID: r.Header.Get(api.HeaderRequestID), tokens: DefaultMaxTokens}
+	call := &chatCall{tokens: DefaultMaxTokens}
+	call.requestID, call.attemptID = r.Header.Get(api.HeaderRequestID), r.Header.Get(targetapi.HeaderAttemptID)
 	if call.req, err = api.ParseChatRequest(body); err != nil {
 		return nil, err
 	}
@@ -112,6 +114,9 @@
 func (t *Target) stream(ctx context.Context, w http.ResponseWriter, call *chatCall) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-store")
+	// Instances check that an answer belongs to their attempt.
+	w.Header().Set(targetapi.HeaderAttemptID, call.attemptID)
+	w.Header().Set(api.HeaderRequestID, call.requestID)
 	w.WriteHeader(http.StatusOK)
 	control := http.NewResponseController(w)
 	// The headers go out before the first token, so that a caller can tell a slow answer from a refusal.
