Add the links between instances

Cause: instances exchange consensus, lease and gossip messages over TCP. transport/peer speaks JSON-RPC in frames of at most 1 MiB with a handshake, an envelope on every message, two classes under one byte limit, bounded queues, backoff, ping and optional mutual TLS.

Ruled out: waiting for the byte limit inside jsonrpc2's write, since the library holds one lock per connection there and urgent messages would wait behind bulk ones; writing only queues. Ruled out: closing a connection right after the reason was sent, since unread input resets it and the reset can overtake the reason; the sending direction ends first and the rest of the input is dropped for at most 1 s or 4 MiB.

Conclusion: Call tells whether a failed call may have run (NotRun); a hostile peer without TLS can still use another instance's name.

--- /dev/null
+++ b/transport/peer/inbound.go
@@ -0,0 +1,368 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
+)
+
+// inboundQueueLength bounds the notifications of one sender and class that wait for their handler.
+const inboundQueueLength = 256
+
+// inbound is one connection that this instance accepted.
+type inbound struct {
+	t       *Transport
+	conn    net.Conn
+	stream  *stream
+	running chan struct{} // one element per running call
+	queues  [2]chan *jsonrpc2.Request
+
+	mu     sync.Mutex
+	hello  *peerapi.Hello
+	reason error
+}
+
+// accept serves a connection unless there are too many.
+func (t *Transport) accept(conn net.Conn) {
+	in := &inbound{t: t, conn: conn, running: make(chan struct{}, t.opts.MaxInboundCalls)}
+	for class := range in.queues {
+		in.queues[class] = make(chan *jsonrpc2.Request, inboundQueueLength)
+	}
+	t.mu.Lock()
+	full := t.closed || len(t.connections) >= t.opts.MaxConnections || t.ungreeted >= maxUngreeted
+	if !full {
+		t.connections[in] = struct{}{}
+		t.ungreeted++
+		t.running.Go(in.serve)
+	}
+	t.mu.Unlock()
+	if full {
+		_ = conn.Close()
+		t.reject(conn.RemoteAddr().String(), errors.New("too many connections"))
+	}
+}
+
+func (t *Transport) reject(peer string, err error) {
+	t.metrics.rejected.Inc(1)
+	t.opts.OnEvent(Event{Kind: Rejected, Peer: peer, Err: err})
+}
+
+// serve runs one connection until it ends.
+func (in *inbound) serve() {
+	defer in.forget()
+	ctx, cancel := context.WithTimeout(in.t.ctx, in.t.opts.DialTimeout)
+	defer cancel()
+	if in.t.opts.TLS != nil {
+		conn, err := in.t.opts.TLS.server(ctx, in.conn)
+		if err != nil {
+			in.t.reject(in.conn.RemoteAddr().String(), errors.Wrap(err, "TLS"))
+			return
+		}
+		in.conn = conn
+	}
+	s := newStream(in.t, in.conn)
+	in.mu.Lock()
+	in.stream = s
+	in.mu.Unlock()
+	// The library reads before NewConn returns, so the handler gets the connection from its argument.
+	rpc := jsonrpc2.NewConn(context.Background(), s, in, jsonrpc2.OnSend(s.onSend),
+		jsonrpc2.SetLogger(debugLogger{in.t.opts.Log}))
+	defer func() { _ = rpc.Close() }()
+	var workers sync.WaitGroup
+	for _, queue := range in.queues {
+		workers.Go(func() { in.notifications(rpc, queue) })
+	}
+	select {
+	case <-rpc.DisconnectNotify():
+	case <-ctx.Done():
+		if in.greeted() == nil && in.t.ctx.Err() == nil {
+			in.setReason(errors.Errorf("no handshake within %s", in.t.opts.DialTimeout))
+			break
+		}
+		select {
+		case <-rpc.DisconnectNotify():
+		case <-in.t.ctx.Done():
+		}
+	}
+	_ = rpc.Close()
+	workers.Wait()
+	in.report(s)
+}
+
+// report tells about a connection that ended for a violation.
+func (in *inbound) report(s *stream) {
+	name := in.conn.RemoteAddr().String()
+	if hello := in.greeted(); hello != nil {
+		name = hello.Sender
+	}
+	in.mu.Lock()
+	reason := in.reason
+	in.mu.Unlock()
+	if reason != nil {
+		in.t.reject(name, reason)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.violation != nil {
+		in.t.reject(name, s.violation)
+	}
+}
+
+func (in *inbound) forget() {
+	_ = in.conn.Close()
+	hello := in.greeted()
+	in.t.mu.Lock()
+	defer in.t.mu.Unlock()
+	delete(in.t.connections, in)
+	if hello == nil {
+		in.t.ungreeted--
+		return
+	}
+	if in.t.inbound[hello.Sender] == in {
+		delete(in.t.inbound, hello.Sender)
+	}
+}
+
+func (in *inbound) close() {
+	in.mu.Lock()
+	s := in.stream
+	in.mu.Unlock()
+	if s != nil {
+		_ = s.Close()
+	}
+}
+
+func (in *inbound) greeted() *peerapi.Hello {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.hello
+}
+
+func (in *inbound) setReason(err error) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.reason == nil {
+		in.reason = err
+	}
+}
+
+// refuse answers with the reason and ends the connection once the answer has left.
+func (in *inbound) refuse(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, err error) {
+	if !req.Notif {
+		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: peerapi.CodeRefused, Message: err.Error()})
+	}
+	in.stream.sayClosing(err)
+}
+
+// Handle implements jsonrpc2.Handler. It runs in the read loop and never waits for a handler.
+func (in *inbound) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	hello := in.greeted()
+	switch {
+	case hello == nil:
+		in.greet(ctx, rpc, req)
+		return
+	case req.Method == peerapi.MethodHello:
+		in.refuse(ctx, rpc, req, errors.New("the handshake is complete already"))
+		return
+	}
+	if err := in.checkEnvelope(hello, req); err != nil {
+		in.refuse(ctx, rpc, req, err)
+		return
+	}
+	if req.Method == peerapi.MethodPing {
+		if !req.Notif {
+			_ = rpc.Reply(ctx, req.ID, struct{}{})
+		}
+		return
+	}
+	h := in.t.handler(req.Method)
+	switch {
+	case req.Notif && h == nil:
+	case req.Notif:
+		in.enqueue(req)
+	case h == nil:
+		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{
+			Code: jsonrpc2.CodeMethodNotFound, Message: "method " + req.Method + " is not known",
+		})
+	default:
+		in.call(ctx, rpc, req, h)
+	}
+}
+
+// greet checks the first request of a connection.
+func (in *inbound) greet(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	hello, err := in.checkHello(req)
+	if err == nil {
+		var old *inbound
+		if old, err = in.t.admit(in, hello); old != nil {
+			old.close()
+		}
+	}
+	if err != nil {
+		in.refuse(ctx, rpc, req, err)
+		return
+	}
+	_ = rpc.Reply(ctx, req.ID, peerapi.HelloAnswer{Receiver: in.t.opts.Self, Incarnation: in.t.opts.Incarnation})
+}
+
+func (in *inbound) checkHello(req *jsonrpc2.Request) (*peerapi.Hello, error) {
+	if req.Method != peerapi.MethodHello || req.Notif || req.Params == nil {
+		return nil, errors.Errorf("the first request is %q, want %q", req.Method, peerapi.MethodHello)
+	}
+	var hello peerapi.Hello
+	if err := json.Unmarshal(*req.Params, &hello); err != nil {
+		return nil, errors.Wrap(err, "handshake cannot be decoded")
+	}
+	opts := &in.t.opts
+	switch {
+	case hello.Version != peerapi.Version:
+		return nil, errors.Errorf("protocol version %d is not supported, want %d", hello.Version, peerapi.Version)
+	case hello.Cluster != opts.Cluster:
+		return nil, errors.Errorf("cluster is %q, want %q", hello.Cluster, opts.Cluster)
+	case hello.Receiver != opts.Self:
+		return nil, errors.Errorf("receiver is %q, but this is %q", hello.Receiver, opts.Self)
+	case hello.Sender == opts.Self:
+		return nil, errors.Errorf("sender has the name of this instance, %q", hello.Sender)
+	case hello.Incarnation == 0:
+		return nil, errors.New("incarnation is missing")
+	case !opts.Permit(hello.Sender):
+		return nil, errors.Errorf("instance %q is not known here", hello.Sender)
+	}
+	if conn, ok := in.conn.(*tls.Conn); ok {
+		if err := checkName(conn.ConnectionState(), hello.Sender); err != nil {
+			return nil, err
+		}
+	}
+	return &hello, in.checkEnvelope(&hello, req)
+}
+
+// admit makes a connection the only one of its sender and returns the one that it replaces.
+func (t *Transport) admit(in *inbound, hello *peerapi.Hello) (old *inbound, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known, ok := t.known.Get(hello.Sender); ok && hello.Incarnation < known {
+		return nil, errors.Errorf("incarnation %d of %q is older than %d, which connected before", hello.Incarnation,
+			hello.Sender, known)
+	}
+	t.known.Add(hello.Sender, hello.Incarnation)
+	old = t.inbound[hello.Sender]
+	t.inbound[hello.Sender] = in
+	t.ungreeted--
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.hello = hello
+	return old, nil
+}
+
+// checkEnvelope compares the envelope of a message with the handshake of its connection.
+func (in *inbound) checkEnvelope(hello *peerapi.Hello, req *jsonrpc2.Request) error {
+	var e peerapi.Envelope
+	if req.Meta == nil {
+		return errors.Errorf("message %q has no envelope", req.Method)
+	}
+	if err := json.Unmarshal(*req.Meta, &e); err != nil {
+		return errors.Wrapf(err, "envelope of message %q", req.Method)
+	}
+	want := peerapi.Envelope{
+		Cluster: hello.Cluster, Sender: hello.Sender, Incarnation: hello.Incarnation, Version: hello.Version,
+	}
+	if e != want {
+		return errors.Errorf("envelope %+v of message %q does not match the handshake %+v", e, req.Method, want)
+	}
+	return nil
+}
+
+// enqueue passes a notification to the worker of its class and drops the oldest one when the queue is full. Only the
+// read loop sends to the queue.
+func (in *inbound) enqueue(req *jsonrpc2.Request) {
+	queue := in.queues[peerapi.ClassOf(req.Method)]
+	for {
+		select {
+		case queue <- req:
+			return
+		default:
+		}
+		select {
+		case <-queue:
+			in.t.metrics.dropped.Inc(1)
+		default:
+		}
+	}
+}
+
+// notifications handles the notifications of one class in order.
+func (in *inbound) notifications(rpc *jsonrpc2.Conn, queue <-chan *jsonrpc2.Request) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-rpc.DisconnectNotify():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case req := <-queue:
+			if h := in.t.handler(req.Method); h != nil {
+				_, _ = h(ctx, in.sender(), params(req))
+			}
+		}
+	}
+}
+
+func (in *inbound) sender() Sender {
+	hello := in.greeted()
+	return Sender{Name: hello.Sender, Incarnation: hello.Incarnation}
+}
+
+func params(req *jsonrpc2.Request) json.RawMessage {
+	if req.Params == nil {
+		return nil
+	}
+	return *req.Params
+}
+
+// call runs a handler in a goroutine of its own, unless too many calls of the peer run already.
+func (in *inbound) call(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, h Handler) {
+	in.stream.expectReply(req)
+	select {
+	case in.running <- struct{}{}:
+	default:
+		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{
+			Code: peerapi.CodeBusy, Message: errors.Errorf("%d calls run already", cap(in.running)).Error(),
+		})
+		return
+	}
+	started := in.t.start(func() {
+		defer func() { <-in.running }()
+		result, err := h(ctx, in.sender(), params(req))
+		in.answer(ctx, rpc, req, result, err)
+	})
+	if !started {
+		<-in.running
+	}
+}
+
+func (in *inbound) answer(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, result any, err error) {
+	if err != nil {
+		err = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: peerapi.CodeFailed, Message: err.Error()})
+	} else if err = rpc.Reply(ctx, req.ID, result); errors.Is(err, ErrFrameTooLarge) {
+		err = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: peerapi.CodeTooLarge, Message: err.Error()})
+	}
+	if err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
+		// The caller would wait in vain for an answer that cannot be sent.
+		in.setReason(errors.Wrapf(err, "answer to %s cannot be sent", req.Method))
+		_ = rpc.Close()
+	}
+}
--- /dev/null
+++ b/transport/peer/link.go
@@ -0,0 +1,380 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
+)
+
+type pendingNotification struct {
+	method string
+	params json.RawMessage
+	at     time.Time
+}
+
+// link is the sending direction to one peer. It has at most one connection.
+type link struct {
+	t    *Transport
+	peer string
+
+	mu      sync.Mutex
+	conn    *outbound
+	dialing chan struct{} // closed at the end of the attempt in progress, nil without one
+	retry   *time.Timer   // set while notifications wait for the next attempt
+	retryAt time.Time
+	backoff time.Duration
+	lastErr error
+	// unreachable says that the failure has been reported already.
+	unreachable  bool
+	pending      []pendingNotification
+	pendingBytes int
+}
+
+// connect returns the connection and opens it when there is none. During the backoff after a failure it returns that
+// failure at once, so that callers can turn to another peer. The caller must call end on the connection.
+func (l *link) connect(ctx context.Context) (*outbound, error) {
+	l.mu.Lock()
+	if l.conn != nil {
+		defer l.mu.Unlock()
+		return l.conn.begin(), nil
+	}
+	if l.dialing == nil {
+		if wait := time.Until(l.retryAt); wait > 0 && l.lastErr != nil {
+			defer l.mu.Unlock()
+			return nil, errors.WithMessagef(l.lastErr, "next attempt to connect in %s", wait.Round(time.Millisecond))
+		}
+		l.dialLocked()
+	}
+	dialing := l.dialing
+	l.mu.Unlock()
+	select {
+	case <-dialing:
+	case <-ctx.Done():
+		return nil, errors.Wrap(ctx.Err(), "not connected in time")
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		return l.conn.begin(), nil
+	}
+	if l.lastErr == nil {
+		return nil, errors.New("the connection was closed at once")
+	}
+	return nil, l.lastErr
+}
+
+// notify sends a notification now or keeps it until there is a connection.
+func (l *link) notify(method string, params json.RawMessage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn != nil {
+		l.conn.notify(method, params)
+		return
+	}
+	l.pending = append(l.pending, pendingNotification{method, params, time.Now()})
+	l.pendingBytes += len(params)
+	for len(l.pending) > l.t.opts.QueueLength || l.pendingBytes > l.t.opts.QueueBytes {
+		l.dropPendingLocked()
+	}
+	l.wantConnectionLocked()
+}
+
+func (l *link) dropPendingLocked() {
+	l.pendingBytes -= len(l.pending[0].params)
+	l.pending = l.pending[1:]
+	l.t.metrics.dropped.Inc(1)
+}
+
+// wantConnectionLocked makes sure that an attempt runs or is scheduled.
+func (l *link) wantConnectionLocked() {
+	if l.dialing != nil || l.retry != nil {
+		return
+	}
+	wait := time.Until(l.retryAt)
+	if wait <= 0 {
+		l.dialLocked()
+		return
+	}
+	l.retry = time.AfterFunc(wait, func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.retry = nil
+		if l.conn == nil && l.dialing == nil && len(l.pending) > 0 {
+			l.dialLocked()
+		}
+	})
+}
+
+func (l *link) dialLocked() {
+	done := make(chan struct{})
+	l.dialing = done
+	if !l.t.start(func() { l.dial(done) }) {
+		l.lastErr, l.dialing = errors.WithStack(ErrClosed), nil
+		close(done)
+	}
+}
+
+// dial makes one attempt to connect and, after a success, looks after the connection until it ends.
+func (l *link) dial(done chan struct{}) {
+	ctx, cancel := context.WithTimeout(l.t.ctx, l.t.opts.DialTimeout)
+	out, err := l.open(ctx)
+	cancel()
+	l.mu.Lock()
+	l.dialing = nil
+	if err != nil {
+		l.failedLocked(err)
+		if len(l.pending) > 0 {
+			l.wantConnectionLocked()
+		}
+		report := !l.unreachable
+		l.unreachable = true
+		l.mu.Unlock()
+		close(done)
+		if report {
+			l.t.opts.OnEvent(Event{Kind: Unreachable, Peer: l.peer, Err: err})
+		}
+		return
+	}
+	l.conn, l.lastErr = out, nil
+	report := l.unreachable
+	l.unreachable = false
+	for _, p := range l.pending {
+		if time.Since(p.at) > maxPendingAge {
+			l.t.metrics.dropped.Inc(1)
+			continue
+		}
+		out.notify(p.method, p.params)
+	}
+	l.pending, l.pendingBytes = nil, 0
+	l.mu.Unlock()
+	close(done)
+	if report {
+		l.t.opts.OnEvent(Event{Kind: Reachable, Peer: l.peer})
+	}
+	l.keep(out)
+}
+
+// failedLocked doubles the backoff, with jitter so that the peers of a restarted instance do not return all at once.
+func (l *link) failedLocked(err error) {
+	l.lastErr = err
+	l.backoff = min(max(2*l.backoff, l.t.opts.MinBackoff), l.t.opts.MaxBackoff)
+	l.retryAt = time.Now().Add(l.backoff/2 + rand.N(l.backoff/2+1))
+}
+
+// open connects and shakes hands.
+func (l *link) open(ctx context.Context) (*outbound, error) {
+	address, ok := l.t.opts.Resolve(l.peer)
+	if !ok {
+		return nil, errors.Errorf("peer %q is not known", l.peer)
+	}
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "cannot connect to %s", l.peer)
+	}
+	if l.t.opts.TLS != nil {
+		if conn, err = l.t.opts.TLS.client(ctx, conn, l.peer); err != nil {
+			return nil, errors.Wrapf(err, "TLS with %s", l.peer)
+		}
+	}
+	out := &outbound{t: l.t, peer: l.peer, opened: time.Now(), stream: newStream(l.t, conn)}
+	out.usedAt.Store(time.Now().UnixNano())
+	out.rpc = jsonrpc2.NewConn(context.Background(), out.stream, out, jsonrpc2.OnSend(out.stream.onSend),
+		jsonrpc2.SetLogger(debugLogger{l.t.opts.Log}))
+	hello := peerapi.Hello{
+		Cluster: l.t.opts.Cluster, Sender: l.t.opts.Self, Incarnation: l.t.opts.Incarnation, Receiver: l.peer,
+		Version: peerapi.Version,
+	}
+	var answer peerapi.HelloAnswer
+	err = out.rpc.Call(ctx, peerapi.MethodHello, hello, &answer, l.t.envelope())
+	var remote *jsonrpc2.Error
+	switch {
+	case errors.As(err, &remote):
+		err = errors.WithStack(&RemoteError{Code: remote.Code, Message: remote.Message})
+	case err != nil:
+		err = out.explain(err)
+	case answer.Receiver != l.peer:
+		err = errors.Errorf("%s answered as %q", address, answer.Receiver)
+	}
+	if err != nil {
+		_ = out.rpc.Close()
+		return nil, errors.WithMessagef(err, "handshake with %s", l.peer)
+	}
+	return out, nil
+}
+
+// keep pings the peer, closes the connection when it is idle or the peer does not answer, and waits for its end.
+func (l *link) keep(out *outbound) {
+	ticker := time.NewTicker(l.t.opts.PingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-out.rpc.DisconnectNotify():
+			l.lost(out)
+			return
+		case <-l.t.ctx.Done():
+			_ = out.rpc.Close()
+			return
+		case <-ticker.C:
+		}
+		if l.closeIdle(out) {
+			return
+		}
+		if !out.silentFor(l.t.opts.PingInterval) {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), l.t.opts.PingTimeout)
+		err := out.rpc.Call(ctx, peerapi.MethodPing, nil, nil, l.t.envelope())
+		cancel()
+		if err != nil {
+			out.setReason("no answer to a ping within " + l.t.opts.PingTimeout.String())
+			_ = out.rpc.Close()
+		}
+	}
+}
+
+// closeIdle closes a connection that nobody uses. It forgets the connection first, under the lock under which calls
+// take it, so that no call finds it closed.
+func (l *link) closeIdle(out *outbound) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if out.idleFor() <= l.t.opts.IdleTimeout {
+		return false
+	}
+	if l.conn == out {
+		l.conn = nil
+	}
+	_ = out.rpc.Close()
+	return true
+}
+
+// lost forgets a connection that has ended. Connections that end soon after they were opened count as failures, so
+// that a peer which accepts and closes is not dialled in a tight loop.
+func (l *link) lost(out *outbound) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.conn == out {
+		l.conn = nil
+	}
+	if time.Since(out.opened) > l.t.opts.MaxBackoff {
+		l.backoff = 0
+	}
+	l.failedLocked(out.explain(jsonrpc2.ErrClosed))
+	if len(l.pending) > 0 {
+		l.wantConnectionLocked()
+	}
+}
+
+func (l *link) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.retry != nil {
+		l.retry.Stop()
+	}
+	if l.conn != nil {
+		_ = l.conn.rpc.Close()
+	}
+}
+
+// outbound is one connection that this instance opened.
+type outbound struct {
+	t      *Transport
+	peer   string
+	opened time.Time
+	stream *stream
+	rpc    *jsonrpc2.Conn
+
+	usedAt   atomic.Int64 // UnixNano
+	inFlight atomic.Int64
+	timeouts atomic.Int64
+
+	mu     sync.Mutex
+	reason string
+}
+
+// Handle implements jsonrpc2.Handler. The accepting side may only say why it closes the connection.
+func (o *outbound) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	if req.Method == peerapi.MethodClosing && req.Params != nil {
+		var c peerapi.Closing
+		if json.Unmarshal(*req.Params, &c) == nil {
+			o.setReason("peer closed the connection: " + c.Reason)
+		}
+	} else {
+		o.setReason("peer sent request " + req.Method + " on a connection that it accepted")
+	}
+	_ = rpc.Close()
+}
+
+func (o *outbound) begin() *outbound {
+	o.inFlight.Add(1)
+	o.usedAt.Store(time.Now().UnixNano())
+	return o
+}
+
+func (o *outbound) end() {
+	o.usedAt.Store(time.Now().UnixNano())
+	o.inFlight.Add(-1)
+}
+
+func (o *outbound) idleFor() time.Duration {
+	if o.inFlight.Load() > 0 {
+		return 0
+	}
+	return time.Since(time.Unix(0, o.usedAt.Load()))
+}
+
+func (o *outbound) silentFor(d time.Duration) bool {
+	o.stream.mu.Lock()
+	defer o.stream.mu.Unlock()
+	return time.Since(o.stream.receivedAt) >= d
+}
+
+func (o *outbound) notify(method string, params json.RawMessage) {
+	o.usedAt.Store(time.Now().UnixNano())
+	// An error means that the connection has ended or the queue holds only calls; the message is lost either way.
+	_ = o.rpc.Notify(context.Background(), method, params, o.t.envelope())
+}
+
+// timedOut counts a call without an answer.
+func (o *outbound) timedOut() {
+	if o.timeouts.Add(1) == maxTimedOutCalls {
+		o.setReason("too many calls without an answer")
+		_ = o.rpc.Close()
+	}
+}
+
+func (o *outbound) setReason(reason string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.reason == "" {
+		o.reason = reason
+	}
+}
+
+// explain replaces the library's error for a closed connection by the reason for its end.
+func (o *outbound) explain(err error) error {
+	if !errors.Is(err, jsonrpc2.ErrClosed) {
+		return err
+	}
+	o.mu.Lock()
+	reason := o.reason
+	o.mu.Unlock()
+	if reason != "" {
+		return errors.Errorf("connection to %s ended: %s", o.peer, reason)
+	}
+	o.stream.mu.Lock()
+	readErr := o.stream.readErr
+	o.stream.mu.Unlock()
+	if readErr != nil {
+		return errors.Wrapf(readErr, "connection to %s ended", o.peer)
+	}
+	return errors.Errorf("connection to %s ended", o.peer)
+}
--- /dev/null
+++ b/transport/peer/peer.go
@@ -0,0 +1,443 @@
+// Package peer links instances with JSON-RPC 2.0 over TCP: bounded frames, one connection per pair and direction, a
+// handshake that refuses strangers, a byte limit shared by all links, and optional mutual TLS.
+//
+// Only the side that opened a connection sends requests on it.
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
+)
+
+// Defaults of Options.
+const (
+	DefaultBytesPerSecond  = 28_000
+	DefaultBurstBytes      = 4 << 20
+	DefaultQueueLength     = 256
+	DefaultQueueBytes      = 4 << 20
+	DefaultMaxInboundCalls = 64
+	DefaultMaxConnections  = 1024
+	DefaultCallTimeout     = 5 * time.Second
+	DefaultDialTimeout     = 3 * time.Second
+	DefaultWriteTimeout    = 10 * time.Second
+	DefaultIdleTimeout     = time.Minute
+	DefaultPingInterval    = 5 * time.Second
+	DefaultPingTimeout     = 5 * time.Second
+	DefaultMinBackoff      = 50 * time.Millisecond
+	DefaultMaxBackoff      = time.Second
+)
+
+const (
+	// maxUngreeted bounds inbound connections whose handshake is not complete, so that strangers cannot use up the
+	// limit for all connections.
+	maxUngreeted = 64
+	// maxKnownIncarnations bounds the memory for the incarnations of senders.
+	maxKnownIncarnations = 4096
+	// maxPendingAge is the age after which a notification that waits for a connection is dropped. Older consensus and
+	// gossip messages only delay newer ones.
+	maxPendingAge = 5 * time.Second
+	// maxTimedOutCalls closes a connection that answers pings but no calls, since jsonrpc2 keeps an entry for every
+	// call without an answer.
+	maxTimedOutCalls = 1024
+)
+
+// Sender is the instance that sent a message. A higher incarnation means that it was restarted.
+type Sender struct {
+	Name        string
+	Incarnation uint64
+}
+
+// Handler handles one call or notification; the result of a notification is ignored. The context ends when the
+// connection does. Notifications of one sender and class are handled in order, calls concurrently.
+type Handler func(ctx context.Context, from Sender, params json.RawMessage) (result any, err error)
+
+// EventKind tells what happened to a link.
+type EventKind int
+
+// Kinds of event.
+const (
+	// Unreachable is reported once when a peer can no longer be reached; Err says why.
+	Unreachable EventKind = iota
+	// Reachable is reported once when it can be reached again.
+	Reachable
+	// Rejected is reported when an inbound connection was refused or closed for a violation; Err says why.
+	Rejected
+)
+
+// Event is a change of a link, for the log.
+type Event struct {
+	Kind EventKind
+	// Peer is the name of the peer, or the remote address while the name is not known.
+	Peer string
+	Err  error
+}
+
+// Options configure a Transport. Zero values mean the defaults.
+type Options struct {
+	Cluster     string
+	Self        string
+	Incarnation uint64
+	// Resolve gives the address of a peer.
+	Resolve func(peer string) (address string, ok bool)
+	// Permit says whether an instance of this name may connect; nil permits every name that Resolve knows.
+	Permit func(sender string) bool
+	// TLS enables mutual TLS, see LoadTLS.
+	TLS *TLS
+	// BytesPerSecond and BurstBytes limit the sum of what this instance sends.
+	BytesPerSecond int
+	BurstBytes     int
+	// QueueLength and QueueBytes bound what waits to be sent on one link, for each class.
+	QueueLength int
+	QueueBytes  int
+	// MaxInboundCalls bounds the calls of one peer that run at the same time.
+	MaxInboundCalls int
+	// MaxConnections bounds inbound connections.
+	MaxConnections int
+	// CallTimeout bounds a call whose context has no earlier deadline.
+	CallTimeout time.Duration
+	// DialTimeout bounds connecting, TLS and handshake together, on both sides.
+	DialTimeout  time.Duration
+	WriteTimeout time.Duration
+	// IdleTimeout closes a connection without calls and notifications.
+	IdleTimeout time.Duration
+	// PingInterval and PingTimeout find half-open connections and frozen peers.
+	PingInterval time.Duration
+	PingTimeout  time.Duration
+	MinBackoff   time.Duration
+	MaxBackoff   time.Duration
+	// Registry receives the counters; nil means a private registry.
+	Registry metrics.Registry
+	// OnEvent is called for changes of links; it must not block.
+	OnEvent func(Event)
+	// Log receives debug messages of the JSON-RPC library; nil drops them.
+	Log *logrus.Logger
+}
+
+func setDefault[T int | time.Duration](v *T, value T) {
+	if *v == 0 {
+		*v = value
+	}
+}
+
+func (o *Options) setDefaults() error {
+	if o.Cluster == "" || o.Self == "" || o.Incarnation == 0 || o.Resolve == nil {
+		return errors.New("cluster, own name, incarnation and Resolve are required")
+	}
+	if o.Permit == nil {
+		o.Permit = func(sender string) bool { _, ok := o.Resolve(sender); return ok }
+	}
+	setDefault(&o.BytesPerSecond, DefaultBytesPerSecond)
+	setDefault(&o.BurstBytes, DefaultBurstBytes)
+	setDefault(&o.QueueLength, DefaultQueueLength)
+	setDefault(&o.QueueBytes, DefaultQueueBytes)
+	setDefault(&o.MaxInboundCalls, DefaultMaxInboundCalls)
+	setDefault(&o.MaxConnections, DefaultMaxConnections)
+	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.WriteTimeout, DefaultWriteTimeout)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.PingInterval, DefaultPingInterval)
+	setDefault(&o.PingTimeout, DefaultPingTimeout)
+	setDefault(&o.MinBackoff, DefaultMinBackoff)
+	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
+	if largest := peerapi.MaxFrameBytes + headerBytes; o.BurstBytes < largest || o.QueueBytes < largest {
+		return errors.Errorf("burst and queue must hold at least one frame of %d bytes", largest)
+	}
+	for _, v := range []int64{
+		int64(o.BytesPerSecond), int64(o.QueueLength), int64(o.MaxInboundCalls), int64(o.MaxConnections),
+		int64(o.CallTimeout), int64(o.DialTimeout), int64(o.WriteTimeout), int64(o.IdleTimeout), int64(o.PingInterval),
+		int64(o.PingTimeout), int64(o.MinBackoff), int64(o.MaxBackoff),
+	} {
+		if v < 0 {
+			return errors.New("limits and durations must not be negative")
+		}
+	}
+	if o.Registry == nil {
+		o.Registry = metrics.NewRegistry()
+	}
+	if o.OnEvent == nil {
+		o.OnEvent = func(Event) {}
+	}
+	return nil
+}
+
+// silenceLimit is how long a connection may bring nothing before it counts as half-open.
+func (o *Options) silenceLimit() time.Duration { return 2*o.PingInterval + o.PingTimeout }
+
+type counters struct {
+	sentBytes, receivedBytes, sentMessages, receivedMessages, dropped, oversize, rejected, overLimit metrics.Counter
+}
+
+func newCounters(r metrics.Registry) counters {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("peer."+name, r) }
+	return counters{
+		sentBytes: counter("sent_bytes"), receivedBytes: counter("received_bytes"),
+		sentMessages: counter("sent_messages"), receivedMessages: counter("received_messages"),
+		dropped: counter("dropped_messages"), oversize: counter("oversize_frames"),
+		rejected: counter("rejected_connections"), overLimit: counter("urgent_over_limit"),
+	}
+}
+
+// Transport holds the links of one instance. It is safe for concurrent use.
+type Transport struct {
+	opts    Options
+	limit   *byteLimit
+	metrics counters
+
+	mu       sync.Mutex
+	handlers map[string]Handler
+	links    map[string]*link
+	// inbound holds the greeted connection of each sender.
+	inbound     map[string]*inbound
+	connections map[*inbound]struct{}
+	ungreeted   int
+	known       *lru.Cache[string, uint64]
+	closed      bool
+	running     sync.WaitGroup
+	// ctx ends with Close.
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// New makes a transport without connections.
+func New(opts Options) (*Transport, error) {
+	if err := opts.setDefaults(); err != nil {
+		return nil, errors.Wrap(err, "options of the peer transport")
+	}
+	known, err := lru.New[string, uint64](maxKnownIncarnations)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	t := &Transport{
+		opts: opts, metrics: newCounters(opts.Registry), handlers: make(map[string]Handler),
+		links: make(map[string]*link), inbound: make(map[string]*inbound), connections: make(map[*inbound]struct{}),
+		known: known,
+	}
+	t.ctx, t.cancel = context.WithCancel(context.Background())
+	t.limit = newByteLimit(opts.BytesPerSecond, opts.BurstBytes, func() { t.metrics.overLimit.Inc(1) })
+	return t, nil
+}
+
+// Handle registers the handler of a method. Register all handlers before Serve.
+func (t *Transport) Handle(method string, h Handler) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.handlers[method] = h
+}
+
+func (t *Transport) handler(method string) Handler {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.handlers[method]
+}
+
+// CallError says why a call gave no result.
+type CallError struct {
+	Peer   string
+	Method string
+	// MayHaveRun is false when the call certainly did not run.
+	MayHaveRun bool
+	Cause      error
+}
+
+func (e *CallError) Error() string {
+	ran := "did not run"
+	if e.MayHaveRun {
+		ran = "may have run"
+	}
+	return fmt.Sprintf("call of %s on %s (%s): %v", e.Method, e.Peer, ran, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
+// RemoteError is the error answer of a peer; codes are those of peerapi and JSON-RPC.
+type RemoteError struct {
+	Code    int64
+	Message string
+}
+
+func (e *RemoteError) Error() string {
+	return fmt.Sprintf("peer answered: %s (code %d)", e.Message, e.Code)
+}
+
+// ErrClosed is the cause of errors after Close.
+var ErrClosed = errors.New("peer transport is closed")
+
+// NotRun says whether err guarantees that the call did not run.
+func NotRun(err error) bool {
+	var e *CallError
+	return errors.As(err, &e) && !e.MayHaveRun
+}
+
+// Call calls a method of a peer and decodes the answer into result. Errors are *CallError.
+func (t *Transport) Call(ctx context.Context, peer, method string, params, result any) error {
+	ctx, cancel := context.WithTimeout(ctx, t.opts.CallTimeout)
+	defer cancel()
+	mayHaveRun, err := t.call(ctx, peer, method, params, result)
+	if err == nil {
+		return nil
+	}
+	return &CallError{Peer: peer, Method: method, MayHaveRun: mayHaveRun, Cause: err}
+}
+
+func (t *Transport) call(ctx context.Context, peer, method string, params, result any) (mayHaveRun bool, err error) {
+	l, err := t.link(peer)
+	if err != nil {
+		return false, err
+	}
+	out, err := l.connect(ctx)
+	if err != nil {
+		return false, err
+	}
+	defer out.end()
+	waiter, err := out.rpc.DispatchCall(ctx, method, params, t.envelope())
+	if err != nil {
+		return false, out.explain(err)
+	}
+	err = waiter.Wait(ctx, result)
+	var remote *jsonrpc2.Error
+	switch {
+	case err == nil:
+		return false, nil
+	case errors.As(err, &remote):
+		mayHaveRun = remote.Code == peerapi.CodeFailed || remote.Code == peerapi.CodeTooLarge ||
+			remote.Code == jsonrpc2.CodeInternalError
+		return mayHaveRun, &RemoteError{Code: remote.Code, Message: remote.Message}
+	case ctx.Err() != nil:
+		out.timedOut()
+		return true, errors.Wrap(err, "no answer in time")
+	default:
+		return true, out.explain(err)
+	}
+}
+
+// Notify queues a one-way message and returns at once. The message may be lost; when too many wait, the oldest go
+// first. An error means that the message can never be sent.
+func (t *Transport) Notify(peer, method string, params any) error {
+	data, err := json.Marshal(params)
+	if err != nil {
+		return errors.Wrapf(err, "notification %s to %s", method, peer)
+	}
+	if len(data) > peerapi.MaxFrameBytes-maxFrameOverhead {
+		return errors.Wrapf(ErrFrameTooLarge, "notification %s of %d bytes to %s", method, len(data), peer)
+	}
+	l, err := t.link(peer)
+	if err != nil {
+		return errors.Wrapf(err, "notification %s", method)
+	}
+	l.notify(method, data)
+	return nil
+}
+
+// maxFrameOverhead is room for method, envelope and punctuation around the parameters of a notification.
+const maxFrameOverhead = 1024
+
+func (t *Transport) envelope() jsonrpc2.CallOption {
+	return jsonrpc2.Meta(peerapi.Envelope{
+		Cluster: t.opts.Cluster, Sender: t.opts.Self, Incarnation: t.opts.Incarnation, Version: peerapi.Version,
+	})
+}
+
+func (t *Transport) link(peer string) (*link, error) {
+	if peer == t.opts.Self {
+		return nil, errors.Errorf("peer %q is this instance", peer)
+	}
+	if _, ok := t.opts.Resolve(peer); !ok {
+		return nil, errors.Errorf("peer %q is not known", peer)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return nil, errors.WithStack(ErrClosed)
+	}
+	l := t.links[peer]
+	if l == nil {
+		l = &link{t: t, peer: peer}
+		t.links[peer] = l
+	}
+	return l, nil
+}
+
+// Serve accepts connections until ctx ends, then closes all links and waits for their goroutines.
+func (t *Transport) Serve(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	defer t.Close()
+	for {
+		conn, err := listener.Accept()
+		switch {
+		case ctx.Err() != nil:
+			if err == nil {
+				_ = conn.Close()
+			}
+			return nil
+		case errors.Is(err, net.ErrClosed):
+			return errors.Wrap(err, "listener of the peer transport")
+		case err != nil:
+			// Running out of file descriptors passes; accepting at full speed until then would only use up the processor.
+			select {
+			case <-time.After(t.opts.MinBackoff):
+			case <-ctx.Done():
+			}
+		default:
+			t.accept(conn)
+		}
+	}
+}
+
+// Close closes all links and waits for their goroutines. Handlers see their contexts end.
+func (t *Transport) Close() {
+	t.mu.Lock()
+	t.closed = true
+	t.cancel()
+	links := make([]*link, 0, len(t.links))
+	for _, l := range t.links {
+		links = append(links, l)
+	}
+	ins := make([]*inbound, 0, len(t.connections))
+	for in := range t.connections {
+		ins = append(ins, in)
+	}
+	t.mu.Unlock()
+	for _, l := range links {
+		l.close()
+	}
+	for _, in := range ins {
+		in.close()
+	}
+	t.running.Wait()
+}
+
+// start runs f unless the transport is closed.
+func (t *Transport) start(f func()) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.running.Go(f)
+	return true
+}
+
+// debugLogger passes the messages of the JSON-RPC library on at debug level.
+type debugLogger struct{ log *logrus.Logger }
+
+// Printf implements jsonrpc2.Logger.
+func (l debugLogger) Printf(format string, v ...any) {
+	if l.log != nil {
+		l.log.Debugf(format, v...)
+	}
+}
--- /dev/null
+++ b/transport/peer/stream.go
@@ -0,0 +1,333 @@
+package peer
+
+import (
+	"bufio"
+	"crypto/tls"
+	"encoding/binary"
+	"encoding/json"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
+)
+
+// headerBytes is the length prefix of a frame, a big-endian uint32.
+const headerBytes = 4
+
+// Bounds of the input that is read and dropped after the reason for closing was sent.
+const (
+	lingerTime  = time.Second
+	lingerBytes = 4 << 20
+)
+
+// Errors of the send queue and of frames.
+var (
+	// ErrFrameTooLarge means that a message does not fit into a frame. It was not sent.
+	ErrFrameTooLarge = errors.Errorf("message does not fit into a frame of %d bytes", peerapi.MaxFrameBytes)
+	// ErrQueueFull means that too much waits to be sent to the peer. The message was not sent.
+	ErrQueueFull = errors.New("too many messages wait to be sent to the peer")
+)
+
+type frame struct {
+	data      []byte // with the length prefix
+	droppable bool
+}
+
+// stream is a jsonrpc2.ObjectStream of bounded frames. Writing only queues; a writer goroutine sends urgent frames first
+// and makes bulk frames wait for the byte limit.
+type stream struct {
+	t       *Transport
+	conn    net.Conn
+	reader  *bufio.Reader
+	limit   *byteLimit
+	wake    chan struct{}
+	closed  chan struct{}
+	written chan struct{} // closed when the writer has ended
+
+	mu        sync.Mutex
+	queues    [2][]frame // by peerapi.Class
+	bytes     [2]int
+	next      frameKind
+	replies   map[jsonrpc2.ID]peerapi.Class
+	finishing bool
+	closeOnce sync.Once
+	// receivedAt is the time of the last frame, for the detection of idle links.
+	receivedAt time.Time
+	readErr    error
+	violation  error // why the peer broke the protocol
+}
+
+// frameKind describes the next object; jsonrpc2 calls onSend just before WriteObject, under one lock.
+type frameKind struct {
+	class     peerapi.Class
+	droppable bool
+}
+
+func newStream(t *Transport, conn net.Conn) *stream {
+	s := &stream{
+		t: t, conn: conn, reader: bufio.NewReader(conn), limit: t.limit, wake: make(chan struct{}, 1),
+		closed: make(chan struct{}), written: make(chan struct{}), replies: make(map[jsonrpc2.ID]peerapi.Class),
+		receivedAt: time.Now(),
+	}
+	go s.write()
+	return s
+}
+
+// onSend notes class and kind of the object that is written next.
+func (s *stream) onSend(req *jsonrpc2.Request, resp *jsonrpc2.Response) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if req != nil {
+		s.next = frameKind{class: peerapi.ClassOf(req.Method), droppable: req.Notif}
+		return
+	}
+	s.next = frameKind{class: s.replies[resp.ID]}
+	delete(s.replies, resp.ID)
+}
+
+// expectReply notes the class of the answer to an inbound call.
+func (s *stream) expectReply(req *jsonrpc2.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.replies[req.ID] = peerapi.ClassOf(req.Method)
+}
+
+// WriteObject implements jsonrpc2.ObjectStream. It never blocks.
+func (s *stream) WriteObject(v any) error {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return errors.Wrap(err, "cannot encode the message")
+	}
+	if len(data) > peerapi.MaxFrameBytes {
+		return errors.Wrapf(ErrFrameTooLarge, "message of %d bytes", len(data))
+	}
+	framed := make([]byte, headerBytes+len(data))
+	binary.BigEndian.PutUint32(framed, uint32(len(data)))
+	copy(framed[headerBytes:], data)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.queueLocked(s.next.class, frame{data: framed, droppable: s.next.droppable})
+}
+
+// queueLocked makes room by dropping the oldest notifications of the class; a call is refused when that does not help.
+func (s *stream) queueLocked(class peerapi.Class, f frame) error {
+	for len(s.queues[class]) >= s.t.opts.QueueLength || s.bytes[class]+len(f.data) > s.t.opts.QueueBytes {
+		if !s.dropOldestLocked(class) {
+			s.t.metrics.dropped.Inc(1)
+			return errors.WithStack(ErrQueueFull)
+		}
+	}
+	s.queues[class] = append(s.queues[class], f)
+	s.bytes[class] += len(f.data)
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+func (s *stream) dropOldestLocked(class peerapi.Class) bool {
+	for i, f := range s.queues[class] {
+		if f.droppable {
+			s.queues[class] = append(s.queues[class][:i], s.queues[class][i+1:]...)
+			s.bytes[class] -= len(f.data)
+			s.t.metrics.dropped.Inc(1)
+			return true
+		}
+	}
+	return false
+}
+
+func (s *stream) take(class peerapi.Class) (frame, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.queues[class]) == 0 {
+		return frame{}, false
+	}
+	f := s.queues[class][0]
+	s.queues[class] = s.queues[class][1:]
+	s.bytes[class] -= len(f.data)
+	return f, true
+}
+
+// write is the writer goroutine.
+func (s *stream) write() {
+	defer close(s.written)
+	for {
+		if f, ok := s.take(peerapi.Urgent); ok {
+			s.limit.charge(len(f.data))
+			if !s.send(f) {
+				return
+			}
+			continue
+		}
+		if f, ok := s.take(peerapi.Bulk); ok {
+			if !s.sendBulk(f) {
+				return
+			}
+			continue
+		}
+		s.mu.Lock()
+		finished := s.finishing && len(s.queues[peerapi.Urgent]) == 0
+		s.mu.Unlock()
+		if finished {
+			s.closeWrite()
+			return
+		}
+		select {
+		case <-s.wake:
+		case <-s.closed:
+			return
+		}
+	}
+}
+
+// sendBulk waits for the byte limit; urgent frames that arrive meanwhile go first.
+func (s *stream) sendBulk(f frame) bool {
+	timer := time.NewTimer(s.limit.reserve(len(f.data)))
+	defer timer.Stop()
+	for {
+		select {
+		case <-s.closed:
+			return false
+		case <-timer.C:
+			return s.send(f)
+		case <-s.wake:
+		}
+		for urgent, ok := s.take(peerapi.Urgent); ok; urgent, ok = s.take(peerapi.Urgent) {
+			s.limit.charge(len(urgent.data))
+			if !s.send(urgent) {
+				return false
+			}
+		}
+		if s.isFinishing() {
+			return true
+		}
+	}
+}
+
+func (s *stream) isFinishing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.finishing
+}
+
+// closeWrite ends the sending direction only. Closing a socket with unread input resets it, and the reset can overtake
+// the frame that tells the reason.
+func (s *stream) closeWrite() {
+	half, ok := s.conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		_ = s.Close()
+	}
+}
+
+func (s *stream) send(f frame) bool {
+	_ = s.conn.SetWriteDeadline(time.Now().Add(s.t.opts.WriteTimeout))
+	if _, err := s.conn.Write(f.data); err != nil {
+		_ = s.Close()
+		return false
+	}
+	s.t.metrics.sentBytes.Inc(int64(len(f.data)))
+	s.t.metrics.sentMessages.Inc(1)
+	return true
+}
+
+// ReadObject implements jsonrpc2.ObjectStream. An oversize frame is not read: the peer is told and the connection ends.
+func (s *stream) ReadObject(v any) error {
+	err := s.readObject(v)
+	if s.isFinishing() {
+		s.linger()
+	}
+	if err != nil {
+		s.mu.Lock()
+		s.readErr = err
+		s.mu.Unlock()
+	}
+	return err
+}
+
+func (s *stream) readObject(v any) error {
+	if s.isFinishing() {
+		return io.EOF
+	}
+	_ = s.conn.SetReadDeadline(time.Now().Add(s.t.opts.silenceLimit()))
+	var header [headerBytes]byte
+	if _, err := io.ReadFull(s.reader, header[:]); err != nil {
+		return err
+	}
+	size := binary.BigEndian.Uint32(header[:])
+	if size > peerapi.MaxFrameBytes {
+		err := errors.Errorf("frame of %d bytes is larger than the limit of %d", size, peerapi.MaxFrameBytes)
+		s.t.metrics.oversize.Inc(1)
+		s.sayClosing(err)
+		return err
+	}
+	data := make([]byte, size)
+	if _, err := io.ReadFull(s.reader, data); err != nil {
+		return err
+	}
+	s.t.metrics.receivedBytes.Inc(int64(headerBytes + len(data)))
+	s.t.metrics.receivedMessages.Inc(1)
+	s.mu.Lock()
+	s.receivedAt = time.Now()
+	s.mu.Unlock()
+	if err := json.Unmarshal(data, v); err != nil {
+		err = errors.Wrap(err, "frame is not a JSON-RPC message")
+		s.sayClosing(err)
+		return err
+	}
+	return nil
+}
+
+// sayClosing queues the reason for closing as the last frame and ends the sending direction.
+func (s *stream) sayClosing(violation error) {
+	data, err := json.Marshal(map[string]any{
+		"jsonrpc": "2.0", "method": peerapi.MethodClosing, "params": peerapi.Closing{Reason: violation.Error()},
+	})
+	s.mu.Lock()
+	if err == nil && s.violation == nil {
+		s.violation = violation
+		framed := append(binary.BigEndian.AppendUint32(nil, uint32(len(data))), data...)
+		_ = s.queueLocked(peerapi.Urgent, frame{data: framed})
+	}
+	s.mu.Unlock()
+	s.finish()
+}
+
+// linger waits until the last frame has left, then reads and drops a bounded rest of the input.
+func (s *stream) linger() {
+	<-s.written
+	_ = s.conn.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, s.reader, lingerBytes)
+}
+
+// finish ends the sending direction once the urgent frames in the queue have left.
+func (s *stream) finish() {
+	s.mu.Lock()
+	s.finishing = true
+	s.queues[peerapi.Bulk], s.bytes[peerapi.Bulk] = nil, 0
+	s.mu.Unlock()
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Close implements jsonrpc2.ObjectStream.
+func (s *stream) Close() error {
+	var err error
+	s.closeOnce.Do(func() {
+		close(s.closed)
+		conn := s.conn
+		if secure, ok := conn.(*tls.Conn); ok {
+			conn = secure.NetConn() // tls.Conn.Close waits up to 5 s for a peer that does not read
+		}
+		err = conn.Close()
+	})
+	return err
+}
--- /dev/null
+++ b/transport/peer/tls.go
@@ -0,0 +1,71 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"os"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// TLS is the certificate of this instance and the authority that signs those of all instances.
+type TLS struct {
+	Certificate tls.Certificate
+	Authority   *x509.CertPool
+}
+
+// LoadTLS reads PEM files: the certificate with its key, and the authority.
+func LoadTLS(certificateFile, keyFile, authorityFile string) (*TLS, error) {
+	certificate, err := tls.LoadX509KeyPair(certificateFile, keyFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "certificate of this instance")
+	}
+	authority, err := os.ReadFile(authorityFile)
+	if err != nil {
+		return nil, errors.Wrap(err, "certificate of the authority")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, errors.Errorf("%s holds no certificate", authorityFile)
+	}
+	return &TLS{Certificate: certificate, Authority: pool}, nil
+}
+
+func (c *TLS) client(ctx context.Context, conn net.Conn, peer string) (net.Conn, error) {
+	secure := tls.Client(conn, &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{c.Certificate}, RootCAs: c.Authority, ServerName: peer,
+		VerifyConnection: func(state tls.ConnectionState) error { return checkName(state, peer) },
+	})
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secure, nil
+}
+
+// server completes the TLS handshake. The name in the certificate is compared once the hello says who the sender is.
+func (c *TLS) server(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	secure := tls.Server(conn, &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{c.Certificate}, ClientCAs: c.Authority,
+		ClientAuth: tls.RequireAndVerifyClientCert,
+	})
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return secure, nil
+}
+
+// checkName demands the exact name among the DNS names of the certificate; wildcards do not match.
+func checkName(state tls.ConnectionState, name string) error {
+	if len(state.PeerCertificates) == 0 {
+		return errors.Errorf("no certificate from %q", name)
+	}
+	if names := state.PeerCertificates[0].DNSNames; !slices.Contains(names, name) {
+		return errors.Errorf("certificate is for %q, want %q", names, name)
+	}
+	return nil
+}
