Add the stand-in relay

Cause: process tests and the demo cut, freeze, delay and heal links. Ruled out: refusing connections while the link is cut by closing the listener, since the port could be taken by another process before it heals.

--- /dev/null
+++ b/standin/relay/relay.go
@@ -0,0 +1,240 @@
+// Package relay is a STAND-IN for a network link: a TCP relay that the demo and the process tests put between processes
+// to cut, freeze, delay and heal their connections. The product does not use it.
+package relay
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	chunkBytes = 32 << 10
+	// maxChunks bounds what a connection holds back in each direction; the sender's own buffers fill after that.
+	maxChunks = 64
+	// dialTimeout bounds the connection to the target.
+	dialTimeout = 5 * time.Second
+)
+
+type state struct {
+	cut, frozen bool
+	delay       time.Duration
+}
+
+// Relay passes connections on to one target address. It is safe for concurrent use.
+type Relay struct {
+	target   string
+	listener net.Listener
+	running  sync.WaitGroup
+	closed   chan struct{}
+
+	mu      sync.Mutex
+	state   state
+	changed chan struct{} // closed and replaced at each change of state
+	conns   map[net.Conn]struct{}
+}
+
+// New starts a relay to target on a loopback port that the kernel chooses.
+func New(target string) (*Relay, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, errors.Wrap(err, "relay cannot listen")
+	}
+	r := &Relay{
+		target: target, listener: listener, closed: make(chan struct{}), changed: make(chan struct{}),
+		conns: make(map[net.Conn]struct{}),
+	}
+	r.running.Go(r.accept)
+	return r, nil
+}
+
+// Addr is the address to connect to instead of the target.
+func (r *Relay) Addr() string { return r.listener.Addr().String() }
+
+// Cut breaks all connections and every new one until Heal.
+func (r *Relay) Cut() {
+	r.change(func(s *state) { s.cut = true })
+	r.breakAll()
+}
+
+// Freeze keeps connections open but holds all bytes back until Heal, as a peer that is silently isolated does.
+func (r *Relay) Freeze() { r.change(func(s *state) { s.frozen = true }) }
+
+// Delay delivers all bytes later by d in each direction, until Heal.
+func (r *Relay) Delay(d time.Duration) { r.change(func(s *state) { s.delay = d }) }
+
+// Heal ends Cut, Freeze and Delay. Bytes that Freeze held back are delivered.
+func (r *Relay) Heal() { r.change(func(s *state) { *s = state{} }) }
+
+// Close ends the relay and all its connections.
+func (r *Relay) Close() error {
+	r.mu.Lock()
+	select {
+	case <-r.closed:
+		r.mu.Unlock()
+		return nil
+	default:
+		close(r.closed)
+	}
+	r.mu.Unlock()
+	err := r.listener.Close()
+	r.breakAll()
+	r.running.Wait()
+	return errors.Wrap(err, "relay")
+}
+
+func (r *Relay) change(f func(*state)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	f(&r.state)
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *Relay) breakAll() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.conns {
+		_ = conn.Close()
+	}
+}
+
+func (r *Relay) current() (state, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.state, r.changed
+}
+
+// track registers a connection so that Cut and Close break it. It refuses when the link is cut.
+func (r *Relay) track(conn net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	select {
+	case <-r.closed:
+		return false
+	default:
+	}
+	if r.state.cut {
+		return false
+	}
+	r.conns[conn] = struct{}{}
+	return true
+}
+
+func (r *Relay) drop(conn net.Conn) {
+	_ = conn.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, conn)
+}
+
+func (r *Relay) accept() {
+	for {
+		conn, err := r.listener.Accept()
+		if err != nil {
+			select {
+			case <-r.closed:
+				return
+			case <-time.After(10 * time.Millisecond): // out of file descriptors for the moment
+				continue
+			}
+		}
+		if !r.track(conn) {
+			_ = conn.Close()
+			continue
+		}
+		r.running.Go(func() { r.serve(conn) })
+	}
+}
+
+func (r *Relay) serve(conn net.Conn) {
+	defer r.drop(conn)
+	target, err := net.DialTimeout("tcp", r.target, dialTimeout)
+	if err != nil {
+		return
+	}
+	defer r.drop(target)
+	if !r.track(target) {
+		return
+	}
+	var both sync.WaitGroup
+	both.Go(func() { r.pump(target, conn) })
+	both.Go(func() { r.pump(conn, target) })
+	both.Wait()
+}
+
+type chunk struct {
+	data []byte
+	at   time.Time
+}
+
+// pump copies one direction. The end of the input is passed on after the bytes before it; an error breaks both sides.
+func (r *Relay) pump(dst, src net.Conn) {
+	chunks := make(chan chunk, maxChunks)
+	stopped := make(chan struct{})
+	var reading sync.WaitGroup
+	reading.Go(func() {
+		defer close(chunks)
+		for {
+			data := make([]byte, chunkBytes)
+			n, err := src.Read(data)
+			if n > 0 {
+				select {
+				case chunks <- chunk{data[:n], time.Now()}:
+				case <-stopped:
+					return
+				}
+			}
+			if err != nil {
+				if !errors.Is(err, io.EOF) {
+					_ = dst.Close()
+				}
+				return
+			}
+		}
+	})
+	defer reading.Wait()
+	defer close(stopped)
+	for c := range chunks {
+		if !r.hold(c.at) {
+			return
+		}
+		if _, err := dst.Write(c.data); err != nil {
+			_ = src.Close()
+			return
+		}
+	}
+	if !r.hold(time.Now()) {
+		return
+	}
+	if half, ok := dst.(*net.TCPConn); ok {
+		_ = half.CloseWrite()
+	}
+}
+
+// hold waits until bytes that arrived at the given time may go on; false means that the relay is closed or cut.
+func (r *Relay) hold(at time.Time) bool {
+	for {
+		s, changed := r.current()
+		if s.cut {
+			return false
+		}
+		wait := time.Until(at.Add(s.delay))
+		if !s.frozen && wait <= 0 {
+			return true
+		}
+		var timer <-chan time.Time
+		if !s.frozen {
+			timer = time.After(wait)
+		}
+		select {
+		case <-changed:
+		case <-timer:
+		case <-r.closed:
+			return false
+		}
+	}
+}
--- /dev/null
+++ b/standin/relay/relay_test.go
@@ -0,0 +1,118 @@
+package relay
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+)
+
+// bound is how long a test waits for an event before it gives up.
+const bound = 30 * time.Second
+
+// echoServer returns everything it gets.
+func echoServer(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func dial(t *testing.T, r *Relay) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	_ = conn.SetDeadline(time.Now().Add(bound))
+	return conn
+}
+
+func roundTrip(conn net.Conn, text string) error {
+	if _, err := conn.Write([]byte(text)); err != nil {
+		return err
+	}
+	data := make([]byte, len(text))
+	if _, err := io.ReadFull(conn, data); err != nil {
+		return err
+	}
+	if string(data) != text {
+		return errors.New("got " + string(data))
+	}
+	return nil
+}
+
+// Guards against faults that do not take effect and links that do not recover, which would make process tests
+// meaningless.
+func TestFaults(t *testing.T) {
+	r, err := New(echoServer(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if err := r.Close(); err != nil {
+			t.Error(err)
+		}
+	}()
+	conn := dial(t, r)
+	if err := roundTrip(conn, "one"); err != nil {
+		t.Fatal(err)
+	}
+
+	r.Freeze()
+	_, _ = conn.Write([]byte("two"))
+	_ = conn.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+	if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("frozen link: %v", err)
+	}
+	r.Heal()
+	_ = conn.SetReadDeadline(time.Now().Add(bound))
+	if _, err := io.ReadFull(conn, make([]byte, 3)); err != nil {
+		t.Errorf("bytes held back by the frozen link: %v", err)
+	}
+
+	const delay = 30 * time.Millisecond
+	r.Delay(delay)
+	before := time.Now()
+	if err := roundTrip(conn, "three"); err != nil || time.Since(before) < 2*delay {
+		t.Errorf("delayed link: %v after %s", err, time.Since(before))
+	}
+	r.Heal()
+
+	r.Cut()
+	if err := roundTrip(conn, "four"); err == nil {
+		t.Error("an open connection survived the cut")
+	}
+	if err := roundTrip(dial(t, r), "five"); err == nil {
+		t.Error("a new connection passed the cut link")
+	}
+	r.Heal()
+	if err := roundTrip(dial(t, r), "six"); err != nil {
+		t.Errorf("healed link: %v", err)
+	}
+
+	half := dial(t, r)
+	_, _ = half.Write([]byte("seven"))
+	_ = half.(*net.TCPConn).CloseWrite()
+	if text, err := io.ReadAll(half); string(text) != "seven" || err != nil {
+		t.Errorf("half-closed connection: %q, %v", text, err)
+	}
+}
