--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -22,7 +22,7 @@
 	InternalError    = define(106, "internal-error", logrus.ErrorLevel, "A background task failed; it is tried again.")
 	NoteApplied      = define(200, "note-applied", logrus.InfoLevel, "A verdict was applied; fields give number, result and log index.")
 	NoVerdict        = define(201, "no-verdict", logrus.WarnLevel, "A submitted note got no verdict because no majority answered.")
-	LeaderChanged    = define(202, "leader-changed", logrus.InfoLevel, "The leader of a replicated log changed; fields give group, leader and term.")
+	LogChanged       = define(203, "log-changed", logrus.InfoLevel, "A replicated log changed its leader, members or snapshot; fields give group, kind and detail.")
 	TargetJoined     = define(300, "target-joined", logrus.InfoLevel, "A target announced itself under a new incarnation.")
 	TargetLeaving    = define(301, "target-leaving", logrus.InfoLevel, "A target announced that it leaves; it gets no new work.")
 	TargetExpired    = define(302, "target-expired", logrus.WarnLevel, "A target was silent for longer than its lease; it gets no new work.")
--- a/events/events.go
+++ b/events/events.go
@@ -31,6 +31,7 @@
 	instance   string
 	dataCentre string
 	now        func() time.Time
+	onEvent    func(Definition)
 
 	mu       sync.Mutex
 	ring     []Record
@@ -47,6 +48,9 @@
 func (r *Recorder) Record(d Definition, fields Fields) {
 	entry := r.log.WithFields(logrus.Fields(fields)).WithField("event", d.Number)
 	entry.Log(d.Level, d.Name)
+	if r.onEvent != nil {
+		r.onEvent(d)
+	}
 	if d.Level >= logrus.DebugLevel {
 		return
 	}
@@ -82,3 +86,6 @@
 	}
 	return list
 }
+
+// OnEvent sets a function that is called for every event. It must be set before the first event.
+func (r *Recorder) OnEvent(f func(Definition)) { r.onEvent = f }
--- /dev/null
+++ b/instance/backend.go
@@ -0,0 +1,89 @@
+package instance
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/drain"
+	"github.com/tarragonhoist/tarragonhoist/instance/inforce"
+	"github.com/tarragonhoist/tarragonhoist/instance/modelcalls"
+	"github.com/tarragonhoist/tarragonhoist/instance/notes"
+	"github.com/tarragonhoist/tarragonhoist/instance/policy"
+	"github.com/tarragonhoist/tarragonhoist/instance/targets"
+	"github.com/tarragonhoist/tarragonhoist/instance/timeline"
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/catalog"
+	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+)
+
+// backend answers the HTTP interface.
+type backend struct {
+	*modelcalls.Server
+	*notes.Desk
+	gate     *drain.Gate
+	view     *inforce.View
+	targets  *targets.Keeper
+	policy   *policy.Policy
+	timeline *timeline.Reader
+	status   *statusReader
+	registry metrics.Registry
+}
+
+var _ httpapi.Backend = (*backend)(nil)
+
+// Models lists the models and adapters that a caller may use.
+func (b *backend) Models(caller string) api.ModelList {
+	contents := b.view.Contents()
+	list := api.ModelList{Object: "list", Data: []api.ModelInfo{}}
+	add := func(id, model, adapter string) {
+		if _, refusal := contents.PermitModel(caller, model, adapter); refusal == nil {
+			list.Data = append(list.Data, api.ModelInfo{ID: id, Object: "model", OwnedBy: "tarragonhoist"})
+		}
+	}
+	for name := range contents.Models {
+		add(name, name, "")
+	}
+	for key, adapter := range contents.Adapters {
+		add(key, adapter.Model, adapter.Name)
+	}
+	sort.Slice(list.Data, func(i, j int) bool { return list.Data[i].ID < list.Data[j].ID })
+	return list
+}
+
+// Announce takes the announcement of a target.
+func (b *backend) Announce(a targetapi.Announcement) error { return b.targets.Announce(a) }
+
+// CacheEvents takes the cache events of a target.
+func (b *backend) CacheEvents(e targetapi.CacheEvents) error { return b.policy.CacheEvents(e) }
+
+// Ready says whether the balancer should send new work.
+func (b *backend) Ready() bool { return b.gate.Ready() }
+
+// Metrics returns the current metrics.
+func (b *backend) Metrics() any { return b.registry.GetAll() }
+
+// Status returns the overview.
+func (b *backend) Status(ctx context.Context) httpapi.Status { return b.status.read(ctx) }
+
+// Timeline returns the merged events.
+func (b *backend) Timeline(ctx context.Context, all bool) httpapi.Timeline {
+	return b.timeline.Read(ctx, all)
+}
+
+// Verdict returns the verdict of a release note.
+func (b *backend) Verdict(number uint64) (catalog.Verdict, bool) { return b.Desk.Verdict(number) }
+
+// countEvents counts events by name in the metrics.
+func countEvents(registry metrics.Registry) func(events.Definition) {
+	return func(d events.Definition) {
+		metrics.GetOrRegisterCounter("events."+d.Name, registry).Inc(1)
+	}
+}
+
+// clock is the time source of the daemon. Its values carry the monotonic clock, which leases need.
+func clock() time.Time { return time.Now() }
--- /dev/null
+++ b/instance/instance.go
@@ -0,0 +1,143 @@
+// Package instance assembles one instance: it opens the state, connects the decision packages with the transports and
+// owns all goroutines and clocks.
+package instance
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/admit"
+	"github.com/tarragonhoist/tarragonhoist/instance/drain"
+	"github.com/tarragonhoist/tarragonhoist/instance/replicalink"
+	"github.com/tarragonhoist/tarragonhoist/instance/targets"
+	"github.com/tarragonhoist/tarragonhoist/instance/timeline"
+	"github.com/tarragonhoist/tarragonhoist/instance/version"
+	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/peer"
+)
+
+const (
+	readyInterval = 50 * time.Millisecond
+	// stopTimeout bounds what is left to do once the last request has ended.
+	stopTimeout = 2 * time.Second
+)
+
+// Instance is one running instance.
+type Instance struct {
+	settings *settings.Settings
+	recorder *events.Recorder
+	gate     *drain.Gate
+	peers    *peer.Transport
+	groups   replicalink.Groups
+	config   *replica.Group
+	targets  *targets.Keeper
+	waiter   *admit.Waiter
+	timeline *timeline.Reader
+	backend  *backend
+	server   *httpapi.Server
+}
+
+// Serve runs an instance until ctx ends and the last request in progress is answered.
+func Serve(ctx context.Context, s *settings.Settings) error {
+	i, err := build(s)
+	if err != nil {
+		return err
+	}
+	return i.run(ctx)
+}
+
+// run starts all tasks. They outlive ctx until the drain is complete.
+func (i *Instance) run(ctx context.Context) error {
+	i.recordStart()
+	httpListener, err := net.Listen("tcp", i.settings.ListenHTTP)
+	if err != nil {
+		return errors.Wrap(err, "listen_http")
+	}
+	peerListener, err := net.Listen("tcp", i.settings.ListenPeer)
+	if err != nil {
+		return errors.Wrap(err, "listen_peer")
+	}
+	i.recorder.Record(events.Listening, events.Fields{"http": httpListener.Addr().String(), "peer": peerListener.Addr().String()})
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	tasks, background := errgroup.WithContext(background)
+	for method, serve := range i.handlers() {
+		i.peers.Handle(method, peer.Handler(serve))
+	}
+	tasks.Go(func() error { return i.peers.Serve(background, peerListener) })
+	for _, group := range i.groups {
+		tasks.Go(func() error { return group.Run(background) })
+	}
+	tasks.Go(func() error { i.targets.Run(background); return nil })
+	tasks.Go(func() error { i.waiter.Run(background); return nil })
+	tasks.Go(func() error { return i.server.Serve(background, httpListener) })
+	tasks.Go(func() error { i.becomeReady(background); return nil })
+	tasks.Go(func() error {
+		defer stop()
+		select {
+		case <-ctx.Done():
+			i.drain()
+		case <-background.Done():
+		}
+		return nil
+	})
+	err = tasks.Wait()
+	i.recorder.Record(events.Stopped, nil)
+	return err
+}
+
+func (i *Instance) recordStart() {
+	s := i.settings
+	i.recorder.Record(events.Starting, events.Fields{
+		"version": version.String(), "cluster": s.Cluster, "instance": s.Instance, "data_centre": s.DataCentre, "voter": s.IsVoter()})
+	for _, what := range insecure(s) {
+		i.recorder.Record(events.Insecure, events.Fields{"what": what})
+	}
+}
+
+// insecure lists what is not authenticated.
+func insecure(s *settings.Settings) []string {
+	var list []string
+	if len(s.Callers) == 0 {
+		list = append(list, "callers show no token: anybody may use any caller's name")
+	}
+	if len(s.Operators) == 0 {
+		list = append(list, "operators show no token: anybody may submit release notes")
+	}
+	if !s.TLS.Enabled() {
+		list = append(list, "links between instances use no TLS")
+	}
+	return list
+}
+
+// becomeReady waits until the config log has been read, so that no caller meets an instance that knows no models.
+func (i *Instance) becomeReady(ctx context.Context) {
+	ticker := time.NewTicker(readyInterval)
+	defer ticker.Stop()
+	for !i.config.Status().CaughtUp {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+	i.gate.SetReady(true)
+}
+
+// drain shuts down without cutting off a request: first readiness, then new work, then the last request.
+func (i *Instance) drain() {
+	i.gate.SetReady(false)
+	i.recorder.Record(events.DrainStarted, events.Fields{"active": i.gate.Active()})
+	time.Sleep(i.settings.DrainDelay.Duration)
+	i.gate.Close()
+	i.recorder.Record(events.DrainRefusing, events.Fields{"active": i.gate.Active()})
+	// The platform bounds this wait by its own kill timeout; a limit here could only cut off requests earlier.
+	_ = i.gate.Wait(context.Background())
+}
--- /dev/null
+++ b/instance/logs.go
@@ -0,0 +1,79 @@
+package instance
+
+import (
+	"slices"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/inforce"
+	"github.com/tarragonhoist/tarragonhoist/instance/replicalink"
+	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+)
+
+// Names of the replicated logs.
+const (
+	groupConfig = "config"
+	groupCalls  = "calls"
+)
+
+// Names of the state machines of the config log.
+const (
+	machineNotes    = "notes"
+	machineElectors = "electors"
+)
+
+func openConfig(s *settings.Settings, peers replicalink.Peers, view *inforce.View, recorder *events.Recorder) (*replica.Group, error) {
+	options := groupOptions(s, groupConfig, peers, recorder)
+	options.Machine = replica.NewMux(map[string]replica.StateMachine{machineNotes: view})
+	return replica.Open(options)
+}
+
+func groupOptions(s *settings.Settings, name string, peers replicalink.Peers, recorder *events.Recorder) replica.Options {
+	link := replicalink.New(name, peers)
+	return replica.Options{
+		Name: name, Self: s.Instance, Voters: s.Voters, DataDir: s.DataFolder, Sender: link, Caller: link,
+		Parents: func() []string { return parents(s) },
+		OnEvent: func(kind replica.EventKind, detail string) {
+			recorder.Record(events.LogChanged, events.Fields{"group": name, "kind": string(kind), "detail": detail})
+		},
+	}
+}
+
+// fetchFanout is the number of learners that pull from one instance. 60 instances of a data centre then form a tree of
+// two levels below its root, and no instance serves more than 8 learners and, on a voter, the roots of the data centres.
+const fetchFanout = 8
+
+// parents lists the instances from which this one pulls, best first: its ancestors in the tree of its data centre, then
+// the voters.
+func parents(s *settings.Settings) []string {
+	local := s.Local(s.DataCentre)
+	slices.SortStableFunc(local, func(a, b string) int {
+		return boolRank(!slices.Contains(s.Voters, a)) - boolRank(!slices.Contains(s.Voters, b))
+	})
+	var list []string
+	for i := slices.Index(local, s.Instance); i > 0; {
+		i = (i - 1) / fetchFanout
+		list = append(list, local[i])
+	}
+	for _, v := range s.Voters {
+		if v != s.Instance && !slices.Contains(list, v) {
+			list = append(list, v)
+		}
+	}
+	return list
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func logStatus(name string, group *replica.Group) httpapi.LogStatus {
+	s := group.Status()
+	return httpapi.LogStatus{
+		Group: name, Role: s.Role, Leader: s.Leader, Term: s.Term, Commit: s.Commit, Applied: s.Applied, Voters: s.Voters,
+	}
+}
--- /dev/null
+++ b/instance/status.go
@@ -0,0 +1,153 @@
+package instance
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
+	"github.com/tarragonhoist/tarragonhoist/instance/drain"
+	"github.com/tarragonhoist/tarragonhoist/instance/inforce"
+	"github.com/tarragonhoist/tarragonhoist/instance/policy"
+	"github.com/tarragonhoist/tarragonhoist/instance/replicalink"
+	"github.com/tarragonhoist/tarragonhoist/instance/targets"
+	"github.com/tarragonhoist/tarragonhoist/instance/version"
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/peer"
+)
+
+const (
+	statusTimeout = time.Second
+	// maxStatusPeers bounds the instances that one overview asks.
+	maxStatusPeers = 64
+)
+
+// statusReader gathers the overview for operators.
+type statusReader struct {
+	settings *settings.Settings
+	gate     *drain.Gate
+	view     *inforce.View
+	targets  *targets.Keeper
+	policy   *policy.Policy
+	groups   replicalink.Groups
+	peers    *peer.Transport
+}
+
+func (r *statusReader) read(ctx context.Context) httpapi.Status {
+	s := r.settings
+	status := httpapi.Status{
+		Version: version.String(), Cluster: s.Cluster, Instance: s.Instance, DataCentre: s.DataCentre,
+		Ready: r.gate.Ready(), Insecure: insecure(s), Instances: r.instances(ctx),
+	}
+	for _, name := range []string{groupConfig, groupCalls} {
+		if group, ok := r.groups[name]; ok {
+			status.Logs = append(status.Logs, logStatus(name, group))
+		}
+	}
+	entries := r.targets.Table().All()
+	status.Models = r.models(entries)
+	for _, m := range status.Models {
+		if m.Ready == 0 {
+			status.Waiting = append(status.Waiting, fmt.Sprintf("%s has no ready replica in %s", m.Name, s.DataCentre))
+		}
+	}
+	status.Targets = r.targetStatus(entries)
+	return status
+}
+
+// instances asks the other instances how far they have applied the config log.
+func (r *statusReader) instances(ctx context.Context) []httpapi.InstanceStatus {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	peers := r.settings.Peers[:min(len(r.settings.Peers), maxStatusPeers)]
+	list := make([]httpapi.InstanceStatus, len(peers))
+	var wg sync.WaitGroup
+	for i, p := range peers {
+		wg.Go(func() { list[i] = r.instance(ctx, p) })
+	}
+	wg.Wait()
+	return list
+}
+
+func (r *statusReader) instance(ctx context.Context, p settings.Peer) httpapi.InstanceStatus {
+	status := httpapi.InstanceStatus{Name: p.Name, DataCentre: p.DataCentre}
+	if p.Name == r.settings.Instance {
+		status.Reachable, status.Applied = true, r.groups[groupConfig].Status().Applied
+		return status
+	}
+	var answer peerapi.StatusAnswer
+	if err := r.peers.Call(ctx, p.Name, peerapi.MethodStatus, peerapi.Empty{}, &answer); err == nil {
+		status.Reachable, status.Applied = true, answer.Applied
+	}
+	return status
+}
+
+// models counts the replicas of every model and adapter in force.
+func (r *statusReader) models(entries []*membership.Entry) []httpapi.ModelStatus {
+	now := time.Now()
+	counts := make(map[string]*httpapi.ModelStatus)
+	contents := r.view.Contents()
+	for name, m := range contents.Models {
+		counts[name] = &httpapi.ModelStatus{Name: name, Version: m.Version}
+	}
+	for key, a := range contents.Adapters {
+		counts[key] = &httpapi.ModelStatus{Name: key, Version: a.Version}
+	}
+	for _, e := range entries {
+		if !e.Usable(now) {
+			continue
+		}
+		for _, resident := range e.Announcement.Residents {
+			status, ok := counts[residentName(resident)]
+			switch {
+			case !ok || resident.Version != status.Version:
+			case resident.State == targetapi.Ready:
+				status.Ready++
+			case resident.State == targetapi.Loading:
+				status.Loading++
+			}
+		}
+	}
+	list := make([]httpapi.ModelStatus, 0, len(counts))
+	for _, status := range counts {
+		list = append(list, *status)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].Name < list[j].Name })
+	return list
+}
+
+func residentName(r targetapi.Resident) string {
+	if r.Adapter == "" {
+		return r.Model
+	}
+	return r.Model + ":" + r.Adapter
+}
+
+func (r *statusReader) targetStatus(entries []*membership.Entry) []httpapi.TargetStatus {
+	now := time.Now()
+	list := make([]httpapi.TargetStatus, 0, len(entries))
+	for _, e := range entries {
+		a := &e.Announcement
+		status := httpapi.TargetStatus{
+			Name: a.Target, Incarnation: a.Incarnation, Kind: string(a.Kind), State: "serving",
+			CapacityBytes: a.CapacityBytes, InFlight: r.policy.InFlight(a.Target, a.Incarnation),
+		}
+		switch {
+		case a.Leaving:
+			status.State = "leaving"
+		case !e.Usable(now):
+			status.State = "expired"
+		}
+		for _, resident := range a.Residents {
+			status.UsedBytes += resident.Bytes
+			status.Residents = append(status.Residents, residentName(resident)+"="+string(resident.State))
+		}
+		list = append(list, status)
+	}
+	return list
+}
--- /dev/null
+++ b/protocol/peerapi/peerapi.go
@@ -0,0 +1,94 @@
+// Package peerapi holds the messages between instances.
+package peerapi
+
+// Version is the protocol version of this package.
+const Version = 1
+
+// MaxFrameBytes bounds one frame, without its length prefix.
+const MaxFrameBytes = 1 << 20
+
+// Methods between instances.
+const (
+	MethodRaftMessage     = "raft.message"
+	MethodRaftPropose     = "raft.propose"
+	MethodRaftFetch       = "raft.fetch"
+	MethodControlVote     = "control.vote"
+	MethodControlRecord   = "control.record"
+	MethodGossip          = "gossip.push"
+	MethodStrike          = "quarantine.strike"
+	MethodLoadLimitBorrow = "loadlimit.borrow"
+	MethodLoadLimitReturn = "loadlimit.return"
+	MethodTimeline        = "timeline.read"
+	MethodStatus          = "status.read"
+)
+
+// Methods of the link itself.
+const (
+	// MethodHello is the first request on every connection.
+	MethodHello = "hello"
+	// MethodPing shows that the process at the other end still runs.
+	MethodPing = "ping"
+	// MethodClosing tells why the sender closes the connection.
+	MethodClosing = "closing"
+)
+
+// Class decides whether a message may be delayed by the byte limit.
+type Class int
+
+// Classes. Urgent messages are counted against the byte limit but never wait for it.
+const (
+	Urgent Class = iota
+	Bulk
+)
+
+// ClassOf gives the class of a method and of its answer. Unknown methods are bulk.
+func ClassOf(method string) Class {
+	switch method {
+	case MethodRaftMessage, MethodRaftPropose, MethodControlVote, MethodControlRecord, MethodStrike,
+		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodHello, MethodPing, MethodClosing:
+		return Urgent
+	default:
+		return Bulk
+	}
+}
+
+// Envelope travels as the "meta" field of every request and notification and must agree with the Hello of the
+// connection.
+type Envelope struct {
+	Cluster     string `json:"c"`
+	Sender      string `json:"s"`
+	Incarnation uint64 `json:"i"`
+	Version     int    `json:"v"`
+}
+
+// Hello opens a connection.
+type Hello struct {
+	Cluster     string `json:"cluster"`
+	Sender      string `json:"sender"`
+	Incarnation uint64 `json:"incarnation"`
+	Receiver    string `json:"receiver"`
+	Version     int    `json:"version"`
+}
+
+// HelloAnswer names the instance that accepted the connection.
+type HelloAnswer struct {
+	Receiver    string `json:"receiver"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// Closing is the reason for which a connection is closed.
+type Closing struct {
+	Reason string `json:"reason"`
+}
+
+// Error codes of answers, outside the range that JSON-RPC reserves.
+const (
+	// CodeRefused means that the handshake or the envelope does not match.
+	CodeRefused = -31001
+	// CodeBusy means that too many calls of this sender run already; the call did not run.
+	CodeBusy = -31002
+	// CodeFailed means that the handler returned an error.
+	CodeFailed = -31003
+	// CodeTooLarge means that the answer does not fit into a frame; the call did run.
+	CodeTooLarge = -31004
+)
