--- /dev/null
+++ b/cmd/hoist-measure/main.go
@@ -0,0 +1,30 @@
+// Command hoist-measure compares the policies with baselines in virtual time and prints the table.
+package main
+
+import (
+	"os"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tarragonhoist/tarragonhoist/measure"
+)
+
+func main() {
+	app := kingpin.New("hoist-measure", "Compares the policies with baselines in virtual time.")
+	file := app.Flag("settings", "Settings file.").Default("measure/settings.toml").String()
+	seed := app.Flag("seed", "Seed of all random draws; the table is the same for the same seed.").Default("1").Uint64()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+
+	data, err := os.ReadFile(*file)
+	if err != nil {
+		logrus.WithError(err).Fatal("cannot read the settings")
+	}
+	settings, findings := measure.ReadSettings(*file, data)
+	if len(findings) > 0 {
+		logrus.Fatalf("the settings have %d findings:\n%s", len(findings), findings.Error())
+	}
+	if err := measure.Run(os.Stdout, settings, *seed); err != nil {
+		logrus.WithError(err).Fatal("cannot print the table")
+	}
+}
--- /dev/null
+++ b/measure/clock.go
@@ -0,0 +1,64 @@
+package measure
+
+import (
+	"container/heap"
+	"time"
+)
+
+// origin is the start of virtual time.
+var origin = time.Unix(1_800_000_000, 0)
+
+// clock runs events in the order of virtual time; events of the same time run in the order of their scheduling.
+type clock struct {
+	now    time.Duration
+	events eventHeap
+	count  uint64
+}
+
+type event struct {
+	at    time.Duration
+	order uint64
+	run   func()
+}
+
+func (c *clock) time() time.Time { return origin.Add(c.now) }
+
+func (c *clock) after(d time.Duration, run func()) { c.at(c.now+max(d, 0), run) }
+
+func (c *clock) at(at time.Duration, run func()) {
+	c.count++
+	heap.Push(&c.events, event{at: at, order: c.count, run: run})
+}
+
+// every runs an event periodically until the end of the run.
+func (c *clock) every(first, interval time.Duration, run func()) {
+	c.at(first, func() {
+		run()
+		c.every(c.now+interval, interval, run)
+	})
+}
+
+func (c *clock) runUntil(end time.Duration) {
+	for len(c.events) > 0 && c.events[0].at <= end {
+		e := heap.Pop(&c.events).(event)
+		c.now = e.at
+		e.run()
+	}
+	c.now = end
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int { return len(h) }
+func (h eventHeap) Less(i, j int) bool {
+	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].order < h[j].order
+}
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = event{}
+	*h = (*h)[:last]
+	return e
+}
--- /dev/null
+++ b/measure/placement.go
@@ -0,0 +1,240 @@
+package measure
+
+import (
+	"slices"
+	"sort"
+)
+
+// PlacedReplica is one replica as a placement sees it.
+type PlacedReplica struct {
+	Name       string
+	DataCentre string
+	// Memory is the number of models that fit.
+	Memory int
+	// Models are the resident and loading models.
+	Models []string
+}
+
+// PlacementInput is what a placement decides on. Demand is the number of requests in flight and waiting per model.
+type PlacementInput struct {
+	Replicas []PlacedReplica
+	Models   []string
+	Demand   map[string]float64
+}
+
+// Placement decides which models are resident on which replica. The product's placement is plugged in here.
+type Placement interface {
+	Plan(in PlacementInput) map[string][]string
+}
+
+func (in *PlacementInput) counts() map[string]int {
+	counts := make(map[string]int)
+	for _, r := range in.Replicas {
+		for _, m := range r.Models {
+			counts[m]++
+		}
+	}
+	return counts
+}
+
+func (in *PlacementInput) current() map[string][]string {
+	wanted := make(map[string][]string, len(in.Replicas))
+	for _, r := range in.Replicas {
+		wanted[r.Name] = slices.Clone(r.Models)
+	}
+	return wanted
+}
+
+// spread fills all memory: two replicas of each model in different data centres, then by demand per replica.
+func spread(in PlacementInput) map[string][]string {
+	placed := make(map[string][]string, len(in.Replicas))
+	load := make(map[string]float64)
+	counts := make(map[string]int)
+	place := func(model string) bool {
+		best, bestCost := -1, 0.0
+		for i, r := range in.Replicas {
+			if len(placed[r.Name]) >= r.Memory || slices.Contains(placed[r.Name], model) {
+				continue
+			}
+			cost := load[r.Name]
+			for _, other := range in.Replicas {
+				if other.DataCentre == r.DataCentre && slices.Contains(placed[other.Name], model) {
+					cost++ // more than the load of any replica, since demand is given as shares
+				}
+			}
+			if best < 0 || cost < bestCost {
+				best, bestCost = i, cost
+			}
+		}
+		if best < 0 {
+			return false
+		}
+		name := in.Replicas[best].Name
+		placed[name] = append(placed[name], model)
+		load[name] += in.Demand[model] / float64(counts[model]+1)
+		counts[model]++
+		return true
+	}
+	for range 2 {
+		for _, model := range in.Models {
+			place(model)
+		}
+	}
+	for {
+		order := slices.Clone(in.Models)
+		sort.SliceStable(order, func(i, j int) bool {
+			return in.Demand[order[i]]/float64(counts[order[i]]) > in.Demand[order[j]]/float64(counts[order[j]])
+		})
+		if !slices.ContainsFunc(order, place) {
+			return placed
+		}
+	}
+}
+
+// staticPlacement keeps the first assignment and only restores models that lost all replicas.
+type staticPlacement struct{}
+
+// Plan implements Placement.
+func (staticPlacement) Plan(in PlacementInput) map[string][]string { return restore(&in) }
+
+// restore adds models without any replica to the replica with the most free memory.
+func restore(in *PlacementInput) map[string][]string {
+	wanted, counts := in.current(), in.counts()
+	for _, model := range in.Models {
+		best := ""
+		for _, r := range in.Replicas {
+			if len(wanted[r.Name]) < r.Memory && (best == "" || len(wanted[r.Name]) < len(wanted[best])) {
+				best = r.Name
+			}
+		}
+		if counts[model] == 0 && best != "" {
+			wanted[best] = append(wanted[best], model)
+		}
+	}
+	return wanted
+}
+
+const (
+	// reactiveBusy is the part of a replica's slots above which the reactive placement adds a replica of a model.
+	reactiveBusy = 0.5
+	// reactiveMoves bounds the loads that the reactive placement starts in one round.
+	reactiveMoves = 4
+)
+
+// reactivePlacement adds a replica for each overloaded model, in place of the model with the least demand there.
+type reactivePlacement struct{ slots int }
+
+// Plan implements Placement.
+func (p *reactivePlacement) Plan(in PlacementInput) map[string][]string {
+	wanted, counts := restore(&in), in.counts()
+	perReplica := func(m string) float64 { return in.Demand[m] / float64(max(counts[m], 1)) }
+	order := slices.Clone(in.Models)
+	sort.SliceStable(order, func(i, j int) bool { return perReplica(order[i]) > perReplica(order[j]) })
+	moves := 0
+	for _, model := range order {
+		if moves == reactiveMoves || perReplica(model) < reactiveBusy*float64(p.slots) {
+			break
+		}
+		best, bestLoad := "", 0.0
+		for _, r := range in.Replicas {
+			load := 0.0
+			for _, m := range wanted[r.Name] {
+				load += perReplica(m)
+			}
+			if !slices.Contains(wanted[r.Name], model) && (best == "" || load < bestLoad) && p.victim(&r, wanted[r.Name], counts, perReplica) != "" {
+				best, bestLoad = r.Name, load
+			}
+		}
+		if best == "" {
+			continue
+		}
+		r := in.Replicas[slices.IndexFunc(in.Replicas, func(r PlacedReplica) bool { return r.Name == best })]
+		if victim := p.victim(&r, wanted[best], counts, perReplica); victim != freeMemory {
+			wanted[best] = slices.DeleteFunc(wanted[best], func(m string) bool { return m == victim })
+			counts[victim]--
+		}
+		wanted[best] = append(wanted[best], model)
+		counts[model]++
+		moves++
+	}
+	return wanted
+}
+
+// freeMemory stands for a replica that needs no victim.
+const freeMemory = "-"
+
+func (p *reactivePlacement) victim(r *PlacedReplica, models []string, counts map[string]int, perReplica func(string) float64) (victim string) {
+	if len(models) < r.Memory {
+		return freeMemory
+	}
+	for _, m := range models {
+		if counts[m] > 1 && perReplica(m) < reactiveBusy*float64(p.slots)/2 && (victim == "" || perReplica(m) < perReplica(victim)) {
+			victim = m
+		}
+	}
+	return victim
+}
+
+func (f *fleet) placementInput(demand map[string]float64) PlacementInput {
+	in := PlacementInput{Models: f.models, Demand: demand}
+	for _, r := range f.replicas {
+		if !r.alive {
+			continue
+		}
+		placed := PlacedReplica{Name: r.name, DataCentre: r.dc, Memory: f.d.ModelsPerReplica}
+		for _, model := range f.models {
+			if res := r.residents[model]; res != nil && !res.leaving {
+				placed.Models = append(placed.Models, model)
+			}
+		}
+		in.Replicas = append(in.Replicas, placed)
+	}
+	return in
+}
+
+// place carries out the plan: a model leaves a replica only while another one is ready and after its work has ended;
+// loads wait for the memory.
+func (f *fleet) place() {
+	demand := make(map[string]float64)
+	for _, r := range f.replicas {
+		for _, a := range r.running {
+			demand[a.req.model]++
+		}
+		for _, a := range r.queue {
+			demand[a.req.model]++
+		}
+	}
+	for _, req := range f.pending {
+		demand[req.model]++
+	}
+	wanted := f.placement.Plan(f.placementInput(demand))
+	for _, r := range f.replicas {
+		if !r.alive {
+			continue
+		}
+		for _, model := range f.models {
+			res := r.residents[model]
+			if res == nil {
+				continue
+			}
+			res.leaving = res.ready && !slices.Contains(wanted[r.name], model) && f.readyElsewhere(r, model)
+			if res.leaving && !r.report.ready[model] && r.busyWith(model) == 0 {
+				delete(r.residents, model)
+			}
+		}
+		for _, model := range wanted[r.name] {
+			if r.residents[model] == nil && len(r.residents) < f.d.ModelsPerReplica {
+				f.store.load(r, model)
+			}
+		}
+	}
+}
+
+func (f *fleet) readyElsewhere(r *replica, model string) bool {
+	for _, other := range f.replicas {
+		if res := other.residents[model]; other != r && other.alive && res != nil && res.ready && !res.leaving {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/measure/policy.go
@@ -0,0 +1,284 @@
+package measure
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/admission"
+	"github.com/tarragonhoist/tarragonhoist/coordination/retry"
+	"github.com/tarragonhoist/tarragonhoist/coordination/routing"
+	"github.com/tarragonhoist/tarragonhoist/coordination/straggler"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+// Policy is a combination of admission, routing and placement under test.
+type Policy struct {
+	Name      string
+	Placement func(*fleet) Placement
+	equip     func(*fleet, *instance)
+}
+
+// Policies lists the baselines and, last, the product.
+func Policies() []Policy {
+	reactive := func(f *fleet) Placement { return &reactivePlacement{slots: f.s.Engine.Slots} }
+	static := func(*fleet) Placement { return staticPlacement{} }
+	baseline := func(kind string) func(*fleet, *instance) {
+		return func(f *fleet, in *instance) {
+			in.admit, in.dispatch = admitAll{}, &baselineDispatch{f: f, in: in, kind: kind}
+		}
+	}
+	return []Policy{
+		{"round robin", reactive, baseline("round robin")},
+		{"random of two", reactive, baseline("random of two")},
+		{"least reported", reactive, baseline("least reported")},
+		{"first come", reactive, func(f *fleet, in *instance) {
+			if f.firstCome == nil {
+				f.firstCome = &firstCome{models: f.models, queues: map[string][]*request{}, inFlight: map[string]int{}, limit: map[string]float64{}}
+			}
+			in.admit = f.firstCome
+			in.dispatch = &baselineDispatch{f: f, in: in, kind: "least reported"}
+		}},
+		{"static placement", static, baseline("least reported")},
+		{"tarragonhoist", reactive, equipProduct},
+	}
+}
+
+func equipProduct(f *fleet, in *instance) {
+	in.incarnation++
+	in.detector = straggler.New(straggler.Options{})
+	in.budget = retry.New(retry.Options{})
+	in.admit = &productAdmission{admission.New(origin, admission.Options{Instance: in.name, Incarnation: in.incarnation})}
+	in.dispatch = &productDispatch{f: f, in: in, router: routing.New(routing.Options{
+		Instances: f.d.Instances, Health: in.detector, PromptMs: 1000 / f.s.Engine.PromptTokensPerSecond,
+		AdapterLoadMs: f.d.AdapterLoadMs,
+	})}
+}
+
+// grant is a queued request that may start or was refused.
+type grant struct {
+	id      string
+	refused bool
+}
+
+// admitter is admission as seen by the fleet. A model of "" means all models.
+type admitter interface {
+	offer(now time.Time, req *request) admission.Action
+	next(now time.Time, model string) []grant
+	done(now time.Time, req *request, answered bool, at time.Duration)
+	cancel(req *request)
+	exchange(now time.Time, from *instance, all []*instance)
+	demand() map[string]float64
+	setCapacity(now time.Time, model string, c admission.Capacity)
+}
+
+// admitAll starts everything at once, so that work waits in the queues of the engines.
+type admitAll struct{}
+
+func (admitAll) offer(time.Time, *request) admission.Action        { return admission.Admit }
+func (admitAll) next(time.Time, string) []grant                    { return nil }
+func (admitAll) done(time.Time, *request, bool, time.Duration)     {}
+func (admitAll) cancel(*request)                                   {}
+func (admitAll) exchange(time.Time, *instance, []*instance)        {}
+func (admitAll) demand() map[string]float64                        { return nil }
+func (admitAll) setCapacity(time.Time, string, admission.Capacity) {}
+
+// firstCome starts requests in the order of arrival while the slots have room. All instances share one queue without
+// any delay, which is the best that this order can do.
+type firstCome struct {
+	admitAll
+	models   []string
+	queues   map[string][]*request
+	inFlight map[string]int
+	limit    map[string]float64
+}
+
+func (a *firstCome) hasRoom(model string) bool { return float64(a.inFlight[model])+1 <= a.limit[model] }
+
+func (a *firstCome) offer(_ time.Time, req *request) admission.Action {
+	if len(a.queues[req.model]) == 0 && a.hasRoom(req.model) {
+		a.inFlight[req.model]++
+		return admission.Admit
+	}
+	a.queues[req.model] = append(a.queues[req.model], req)
+	return admission.Queue
+}
+
+func (a *firstCome) next(now time.Time, model string) (grants []grant) {
+	if model == "" {
+		for _, m := range a.models {
+			grants = append(grants, a.next(now, m)...)
+		}
+		return grants
+	}
+	for queue := a.queues[model]; len(queue) > 0 && (queue[0].settled || a.hasRoom(model)); queue = queue[1:] {
+		if !queue[0].settled {
+			a.inFlight[model]++
+			grants = append(grants, grant{id: queue[0].id})
+		}
+		a.queues[model] = queue[1:]
+	}
+	return grants
+}
+
+func (a *firstCome) done(_ time.Time, req *request, _ bool, _ time.Duration) { a.inFlight[req.model]-- }
+
+func (a *firstCome) demand() map[string]float64 {
+	demand := make(map[string]float64)
+	for model, n := range a.inFlight {
+		demand[model] = float64(n + len(a.queues[model]))
+	}
+	return demand
+}
+
+func (a *firstCome) setCapacity(_ time.Time, model string, c admission.Capacity) {
+	a.limit[model] = c.Slots
+}
+
+// productAdmission adapts admission.Controller.
+type productAdmission struct{ *admission.Controller }
+
+func (a *productAdmission) offer(now time.Time, req *request) admission.Action {
+	d := a.Offer(now, admission.Request{
+		ID: req.id, Caller: req.caller, Weight: 1, Model: req.model, Adapter: req.adapter, Priority: req.priority,
+		PromptTokens: req.promptTokens, Deadline: origin.Add(req.deadline),
+	})
+	req.ticket = d.Ticket
+	return d.Action
+}
+
+func (a *productAdmission) next(now time.Time, model string) (grants []grant) {
+	list := []admission.Grant(nil)
+	if model == "" {
+		list = a.Next(now)
+	} else {
+		list = a.NextOf(now, model)
+	}
+	for _, g := range list {
+		grants = append(grants, grant{id: g.Ticket.Request.ID, refused: g.Refusal != nil})
+	}
+	return grants
+}
+
+func (a *productAdmission) done(now time.Time, req *request, answered bool, at time.Duration) {
+	a.Done(now, admission.Completion{
+		Ticket: req.ticket, Answered: answered, OutputTokens: req.outputTokens, Service: at - req.admittedAt,
+	})
+}
+
+func (a *productAdmission) cancel(req *request) { a.Cancel(req.ticket) }
+
+func (a *productAdmission) exchange(now time.Time, from *instance, all []*instance) {
+	usage := a.Usage(now)
+	for _, in := range all {
+		if in != from {
+			in.admit.(*productAdmission).MergeUsage(now, usage)
+		}
+	}
+}
+
+func (a *productAdmission) demand() map[string]float64 { return a.Demand() }
+
+func (a *productAdmission) setCapacity(now time.Time, model string, c admission.Capacity) {
+	a.SetCapacity(now, model, c)
+}
+
+// dispatcher is routing as seen by the fleet.
+type dispatcher interface {
+	pick(now time.Time, req *request) (target string, ok bool)
+	started(now time.Time, a *attempt)
+	finished(now time.Time, a *attempt, answered bool)
+	cacheEvents(now time.Time, target string, batch *targetapi.CacheEvents)
+}
+
+// baselineDispatch chooses by position, by chance or by the last load report.
+type baselineDispatch struct {
+	f    *fleet
+	in   *instance
+	kind string
+	next int
+}
+
+func (b *baselineDispatch) started(time.Time, *attempt)                           {}
+func (b *baselineDispatch) finished(time.Time, *attempt, bool)                    {}
+func (b *baselineDispatch) cacheEvents(time.Time, string, *targetapi.CacheEvents) {}
+
+func (b *baselineDispatch) pick(_ time.Time, req *request) (string, bool) {
+	var list []*replica
+	for _, dc := range b.f.d.DataCentres {
+		for _, r := range b.f.sets[req.model][dc].list {
+			if r.report.lease >= b.f.clock.now {
+				list = append(list, r)
+			}
+		}
+	}
+	if len(list) == 0 {
+		return "", false
+	}
+	best := list[b.in.rng.IntN(len(list))]
+	switch b.kind {
+	case "round robin":
+		b.next++
+		best = list[b.next%len(list)]
+	case "random of two":
+		list = []*replica{best, list[b.in.rng.IntN(len(list))]}
+		fallthrough
+	default:
+		for _, r := range list {
+			if r.report.running < best.report.running {
+				best = r
+			}
+		}
+	}
+	return best.name, true
+}
+
+// productDispatch adapts routing.Router.
+type productDispatch struct {
+	f      *fleet
+	in     *instance
+	router *routing.Router
+}
+
+func (p *productDispatch) pick(now time.Time, req *request) (string, bool) {
+	var c routing.Candidates
+	for _, dc := range p.f.d.DataCentres {
+		set := *p.f.sets[req.model][dc]
+		set.adapter = req.adapter
+		if dc != p.in.dc {
+			c.Remote = append(c.Remote, &set)
+			continue
+		}
+		c.Local = &set
+		with := set
+		with.list = slices.DeleteFunc(slices.Clone(set.list), func(r *replica) bool { return !r.report.adapters[req.adapter] })
+		c.WithAdapter = &with
+	}
+	r := p.request(req)
+	got, _, err := p.router.Pick(now, p.in.rng, r, c)
+	return got.Target, err == nil
+}
+
+func (p *productDispatch) request(req *request) routing.Request {
+	return routing.Request{
+		Model: req.model, Adapter: req.adapter, Units: req.ticket.Estimate.Units, Long: req.ticket.Estimate.Long,
+		PromptTokens: req.promptTokens, PrefixHashes: []uint64{req.prefix}, BlockTokens: req.prefixTokens,
+		Exclude: req.exclude, MayProbe: !req.long && req.tries == 0,
+	}
+}
+
+func (p *productDispatch) started(now time.Time, a *attempt) {
+	r := p.request(a.req)
+	p.router.Started(now, a.on.name, &r)
+}
+
+func (p *productDispatch) finished(now time.Time, a *attempt, answered bool) {
+	units := float64(a.req.promptTokens)/20 + float64(a.req.outputTokens-a.offset)
+	p.router.Finished(now, routing.Finish{
+		Target: a.on.name, Model: a.req.model, Long: a.req.ticket.Estimate.Long, Answered: answered, Units: units,
+		Service: p.f.clock.now - a.sent,
+	})
+}
+
+func (p *productDispatch) cacheEvents(now time.Time, target string, batch *targetapi.CacheEvents) {
+	p.router.CacheEvents(now, target, batch)
+}
--- /dev/null
+++ b/measure/table.go
@@ -0,0 +1,211 @@
+package measure
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"text/tabwriter"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/tarragonhoist/tarragonhoist/state/shard"
+)
+
+// parallelRuns bounds the processor cores in use.
+const parallelRuns = 3
+
+// results holds the runs of one deployment by policy and scenario.
+type results []map[string]*Result
+
+// Run measures all policies in all scenarios and prints one table per deployment. The output depends only on the
+// settings and the seed.
+func Run(w io.Writer, s *Settings, seed uint64) error {
+	for i := range s.Deployments {
+		d := &s.Deployments[i]
+		if err := printTable(w, s, d, measureDeployment(s, d, seed)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func measureDeployment(s *Settings, d *Deployment, seed uint64) results {
+	policies, list := Policies(), scenarios()
+	runs := make([][]*Result, len(policies))
+	var g errgroup.Group
+	g.SetLimit(parallelRuns)
+	for p := range policies {
+		runs[p] = make([]*Result, len(list))
+		for i, sc := range list {
+			g.Go(func() error {
+				// All scenarios share a seed, so that those with and without a fault see the same short work.
+				runs[p][i] = newFleet(s, d, policies[p], sc, seed^shard.StringHash(d.Name)).run()
+				return nil
+			})
+		}
+	}
+	_ = g.Wait() // the functions return no errors
+	all := make(results, len(policies))
+	for p := range policies {
+		all[p] = make(map[string]*Result, len(list))
+		for i, sc := range list {
+			all[p][sc.name] = runs[p][i]
+		}
+	}
+	return all
+}
+
+// row is one line of the table.
+type row struct {
+	name  string
+	value func(by map[string]*Result) string
+}
+
+func rows(s *Settings) []row {
+	at, back := s.Loss.AtSeconds, s.Loss.BackSeconds
+	percent := func(v float64) string { return fmt.Sprintf("%.2f %%", 100*v) }
+	ms := func(r *Result, quantiles ...float64) (text string) {
+		for i, q := range quantiles {
+			if i > 0 {
+				text += " / "
+			}
+			text += fmt.Sprintf("%.0f", r.quantile(q))
+		}
+		return text
+	}
+	return []row{
+		{"attained per accelerator and minute at the peak", func(by map[string]*Result) string { return fmt.Sprintf("%.2f", by[swing].perAccelerator()) }},
+		{"model moves in the swing run", func(by map[string]*Result) string { return fmt.Sprint(by[swing].moves) }},
+		{"attainment at the peak of the swing", func(by map[string]*Result) string { return percent(by[swing].peak.attainment()) }},
+		{"long work finished in the swing run", func(by map[string]*Result) string { return percent(by[swing].long.attainment()) }},
+		{"short p50 / p99 ms, long work absent", func(by map[string]*Result) string { return ms(by[steady], 50, 99) }},
+		{"short p50 / p99 ms, long work present", func(by map[string]*Result) string { return ms(by[withLong], 50, 99) }},
+		{"ratio of p99 with long work", func(by map[string]*Result) string { return fmt.Sprintf("%.2f", longRatio(by)) }},
+		{"short refused, long work absent / present", func(by map[string]*Result) string {
+			return percent(refusedShare(by[steady])) + " / " + percent(refusedShare(by[withLong]))
+		}},
+		{"long work finished", func(by map[string]*Result) string { return percent(by[withLong].long.attainment()) }},
+		{"p99 / p99.9 ms, healthy", func(by map[string]*Result) string { return ms(by[steady], 99, 99.9) }},
+		{"p99 / p99.9 ms, stragglers", func(by map[string]*Result) string { return ms(by[straggling], 99, 99.9) }},
+		{"ratio of p99 with stragglers", func(by map[string]*Result) string { return fmt.Sprintf("%.2f", straggleRatio(by)) }},
+		{"hedged with stragglers", func(by map[string]*Result) string {
+			return percent(float64(by[straggling].hedges) / float64(max(by[straggling].all.offered, 1)))
+		}},
+		{"refusals in the burst: burster / neighbours", func(by map[string]*Result) string {
+			n := by[burst].neighbours()
+			return fmt.Sprintf("%d / %d", by[burst].callers[burster].refused, n.refused)
+		}},
+		{"attainment lost by neighbours in the burst", func(by map[string]*Result) string { return percent(neighbourLoss(by)) }},
+		{"attained per second before / after the loss", func(by map[string]*Result) string {
+			r := by[loss]
+			return fmt.Sprintf("%.2f / %.2f", r.attainedBetween(s.Run.WarmupSeconds, at), r.attainedBetween(at, back))
+		}},
+		{"time until service is back", func(by map[string]*Result) string { return fmt.Sprintf("%d s", by[loss].backAfter()) }},
+	}
+}
+
+func longRatio(by map[string]*Result) float64 {
+	return by[withLong].quantile(99) / by[steady].quantile(99)
+}
+func straggleRatio(by map[string]*Result) float64 {
+	return by[straggling].quantile(99) / by[steady].quantile(99)
+}
+
+func refusedShare(r *Result) float64 {
+	short := r.neighbours()
+	if b := r.callers[burster]; b != nil {
+		short.offered, short.refused = short.offered+b.offered, short.refused+b.refused
+	}
+	return float64(short.refused) / float64(max(short.offered, 1))
+}
+
+func neighbourLoss(by map[string]*Result) float64 {
+	before, during := by[steady].neighbours(), by[burst].neighbours()
+	return before.attainment() - during.attainment()
+}
+
+// target is a bound on the product's figures. It is printed whether it is reached or missed.
+type target struct {
+	name  string
+	value float64
+	bound float64
+	// atLeast is set for bounds from below.
+	atLeast bool
+}
+
+func (t target) reached() bool {
+	if t.atLeast {
+		return t.value >= t.bound
+	}
+	return t.value <= t.bound
+}
+
+func targets(all results) []target {
+	product, baselines := all[len(all)-1], all[:len(all)-1]
+	best := 0.0
+	for _, by := range baselines {
+		best = max(best, by[swing].perAccelerator())
+	}
+	reactive := float64(max(baselines[leastReported][swing].moves, 1))
+	return []target{
+		{"attainment lost by neighbours in the burst", neighbourLoss(product), 0.01, false},
+		{"p99 of short work with long work / without", longRatio(product), 1.2, false},
+		{"p99 with stragglers / healthy", straggleRatio(product), 1.3, false},
+		{"attained per accelerator at the peak / best baseline", product[swing].perAccelerator() / best, 1.3, true},
+		{"model moves / least reported with reactive placement", float64(product[swing].moves) / reactive, 0.5, false},
+	}
+}
+
+// leastReported is the index of the baseline whose model moves are compared.
+const leastReported = 2
+
+// score weighs the figures relative to round robin as the deployment does; larger is better.
+func score(d *Deployment, by, base map[string]*Result) float64 {
+	relative := func(better, worse float64) float64 { return math.Log(max(better, 1e-3) / max(worse, 1e-3)) }
+	sum := d.WeightPeak*relative(by[swing].peak.attainment(), base[swing].peak.attainment()) +
+		d.WeightBlocking*relative(base[withLong].quantile(99), by[withLong].quantile(99)) +
+		d.WeightAttainment*relative(by[swing].perAccelerator(), base[swing].perAccelerator()) +
+		d.WeightTail*relative(base[straggling].quantile(99), by[straggling].quantile(99))
+	return math.Exp(sum / (d.WeightPeak + d.WeightBlocking + d.WeightAttainment + d.WeightTail))
+}
+
+func printTable(w io.Writer, s *Settings, d *Deployment, all results) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	line := func(cells ...string) {
+		for _, c := range cells {
+			fmt.Fprintf(t, "%s\t", c)
+		}
+		fmt.Fprintln(t)
+	}
+	header := []string{d.Name}
+	for _, p := range Policies() {
+		header = append(header, p.Name)
+	}
+	line(header...)
+	for _, r := range rows(s) {
+		cells := []string{r.name}
+		for _, by := range all {
+			cells = append(cells, r.value(by))
+		}
+		line(cells...)
+	}
+	cells := []string{"weighted score relative to round robin"}
+	for _, by := range all {
+		cells = append(cells, fmt.Sprintf("%.2f", score(d, by, all[0])))
+	}
+	line(cells...)
+	line("")
+	line(d.Name+" target", "measured", "bound", "result")
+	for _, g := range targets(all) {
+		verdict, sign := "missed", "<="
+		if g.reached() {
+			verdict = "reached"
+		}
+		if g.atLeast {
+			sign = ">="
+		}
+		line(g.name, fmt.Sprintf("%.3f", g.value), fmt.Sprintf("%s %.2f", sign, g.bound), verdict)
+	}
+	line("")
+	return t.Flush()
+}
--- /dev/null
+++ b/measure/work.go
@@ -0,0 +1,147 @@
+package measure
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/state/shard"
+)
+
+// scenario is one kind of demand and fault.
+type scenario struct {
+	name                               string
+	long, swing, burst, straggle, loss bool
+}
+
+// Scenarios of the table.
+const (
+	steady     = "steady"
+	withLong   = "long work"
+	swing      = "swing"
+	burst      = "burst"
+	straggling = "stragglers"
+	loss       = "loss"
+)
+
+func scenarios() []scenario {
+	return []scenario{
+		{name: steady}, {name: withLong, long: true}, {name: swing, long: true, swing: true}, {name: burst, burst: true},
+		{name: straggling, straggle: true}, {name: loss, loss: true},
+	}
+}
+
+// burster is the caller that sends a multiple of its share in the burst scenario.
+const burster = "c00"
+
+// popularity is the share of a model in a period of the swing, by Zipf's law over a shifting order.
+func (f *fleet) popularity(model, period int) float64 {
+	n := len(f.models)
+	total := 0.0
+	for i := range n {
+		total += math.Pow(float64(i+1), -f.s.Work.PopularitySkew)
+	}
+	rank := (model + period*f.s.Swing.ShiftModels) % n
+	return math.Pow(float64(rank+1), -f.s.Work.PopularitySkew) / total
+}
+
+// capacityPerSecond is the rate of work that keeps every slot busy in full batches.
+func (f *fleet) capacityPerSecond(promptTokens, outputTokens float64) float64 {
+	e := &f.s.Engine
+	service := promptTokens/e.PromptTokensPerSecond + outputTokens*e.MsPerToken*(1+e.BatchSlowdown)/1000
+	return float64(f.d.Replicas*e.Slots) / service
+}
+
+// utilisation is the offered short work at a time, relative to capacity.
+func (f *fleet) utilisation(at time.Duration) float64 {
+	u, sw := f.s.Work.Utilisation, &f.s.Swing
+	if !f.scenario.swing {
+		return u
+	}
+	period := seconds(sw.PeriodSeconds)
+	into := at%period - (period - seconds(sw.PeakSeconds))
+	if into < 0 {
+		return u
+	}
+	return u + (sw.PeakUtilisation-u)*min(1, into.Seconds()/float64(sw.RampSeconds))
+}
+
+func (s *Settings) inPeak(at time.Duration) bool {
+	period := seconds(s.Swing.PeriodSeconds)
+	return at%period >= period-seconds(s.Swing.PeakSeconds)
+}
+
+// scheduleArrivals starts the Poisson streams of all callers.
+func (f *fleet) scheduleArrivals() {
+	w := &f.s.Work
+	short := f.capacityPerSecond(w.PromptTokens, w.OutputTokens)
+	peak := max(w.Utilisation, f.s.Swing.PeakUtilisation)
+	f.stream(short*peak, func() bool { return f.work.Float64() < f.utilisation(f.clock.now)/peak }, func() *request {
+		return f.newRequest(fmt.Sprintf("c%02d", f.work.IntN(w.Callers)), false)
+	})
+	if f.scenario.long {
+		rate := w.LongUtilisation * f.capacityPerSecond(w.LongPromptTokens, w.LongOutputTokens)
+		f.stream(rate, func() bool { return true }, func() *request {
+			return f.newRequest(fmt.Sprintf("c%02d", f.work.IntN(w.Callers)), true)
+		})
+	}
+	if f.scenario.burst {
+		f.stream(f.s.Burst.Factor*short/float64(w.Callers), func() bool { return f.clock.now >= seconds(f.s.Run.WarmupSeconds) },
+			func() *request { return f.newRequest(burster, false) })
+	}
+}
+
+func (f *fleet) stream(rate float64, accept func() bool, make func() *request) {
+	wait := seconds(f.work.ExpFloat64() / rate)
+	if f.clock.now+wait >= seconds(f.s.Run.Seconds) {
+		return
+	}
+	f.after(wait, func() {
+		if accept() {
+			f.arrive(make())
+		}
+		f.stream(rate, accept, make)
+	})
+}
+
+// newRequest draws a request. What is usual for a caller and a model is fixed by their names and can be learnt.
+func (f *fleet) newRequest(caller string, long bool) *request {
+	w := &f.s.Work
+	f.requests++
+	model := f.drawModel()
+	name := f.models[model]
+	r := &request{
+		id: fmt.Sprintf("q%07d", f.requests), caller: caller, model: name, long: long, arrival: f.clock.now,
+		priority: releasenote.Interactive, prefix: shard.HashStrings(caller, name),
+	}
+	f.prefixModel[r.prefix] = name
+	if f.work.Float64() < w.AdapterShare {
+		perModel := max(1, f.d.Adapters/f.d.Models)
+		r.adapter = fmt.Sprintf("%s-a%d", name, f.work.IntN(perModel))
+	}
+	prompt, output, deadline := w.PromptTokens, w.OutputTokens, w.ShortDeadlineMs
+	if long {
+		prompt, output, deadline, r.priority = w.LongPromptTokens, w.LongOutputTokens, w.LongDeadlineMs, releasenote.Batch
+	}
+	usual := 0.7 + 0.6*float64(shard.HashStrings(caller, name, "length")%1000)/1000
+	r.promptTokens, r.outputTokens = f.logNormal(prompt), f.logNormal(output*usual)
+	r.prefixTokens = int(w.PrefixShare * float64(r.promptTokens))
+	r.deadline = f.clock.now + milliseconds(deadline)
+	return r
+}
+
+func (f *fleet) drawModel() int {
+	period := 0
+	if f.scenario.swing {
+		// The order of popularity shifts when a peak begins.
+		period = int((f.clock.now + seconds(f.s.Swing.PeakSeconds)) / seconds(f.s.Swing.PeriodSeconds))
+	}
+	u := f.work.Float64()
+	for i := range f.models {
+		if u -= f.popularity(i, period); u < 0 {
+			return i
+		}
+	}
+	return len(f.models) - 1
+}
