Round the window of an instance up to whole slots

Cause: the part of a small model's slots (16 slots over 6 instances) was rounded down to 2 of 2.7, so that a quarter of the slots stayed idle under load.

--- a/coordination/admission/pool.go
+++ b/coordination/admission/pool.go
@@ -55,7 +55,7 @@
 	if slots <= 0 {
 		return false
 	}
-	if float64(own)+1 <= window(slots, own, others, instances) {
+	if float64(own) < window(slots, own, others, instances) {
 		return true
 	}
 	return own == 0 && (float64(others) < slots || waited > starvedAfter)
