Add the load generator

Cause: measurements and the demo need load with known shape and outcome counts as callers see them. Ruled out: timing from the moment a request leaves; times count from the moment it was due, so a generator that falls behind does not hide latency. Ruled out: an unbounded queue in front of a frozen instance; requests beyond the limit in progress are counted as not sent.

--- /dev/null
+++ b/standin/load/load.go
@@ -0,0 +1,247 @@
+// Package load generates load against instances and measures it from the callers' side. It is a tool for measurements
+// and the demo; the product does not use it.
+package load
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/standin/caller"
+)
+
+// Defaults and bounds of a run.
+const (
+	DefaultMaxInFlight    = 256
+	DefaultRequestTimeout = time.Minute
+	// MaxRequests bounds every run in count, MaxDuration in time.
+	MaxRequests = 10_000_000
+	MaxDuration = 24 * time.Hour
+	// maxRate is what the pacing of one process can keep up with.
+	maxRate = 100_000
+)
+
+// Config describes a run.
+type Config struct {
+	// URLs are base URLs of instances, used in turn.
+	URLs []string
+	// Callers, Models and, for calls of plain services, Service are picked at random with equal weight.
+	Callers []string
+	Models  []string
+	Service string
+	// Path and query of a call of the service.
+	Path string
+	// ServiceShare is the share of calls of the service, each with an idempotency key of its own.
+	ServiceShare float64
+	// StreamShare is the share of streams among model calls.
+	StreamShare float64
+	// Rate is the number of requests per second, sent at even intervals whether or not answers arrive.
+	Rate        float64
+	Duration    time.Duration
+	MaxRequests int
+	// MaxInFlight bounds requests in progress. Further ones are counted as not sent.
+	MaxInFlight    int
+	RequestTimeout time.Duration
+	Deadline       time.Duration
+	Priority       string
+	MaxTokens      int
+	PromptBytes    int
+	// Token is sent as a bearer token when it is not empty.
+	Token string
+	// Seed makes the choice of callers, models and kinds repeatable.
+	Seed uint64
+}
+
+func (c *Config) check() error {
+	if c.MaxRequests == 0 {
+		c.MaxRequests = MaxRequests
+	}
+	if c.MaxInFlight == 0 {
+		c.MaxInFlight = DefaultMaxInFlight
+	}
+	if c.RequestTimeout == 0 {
+		c.RequestTimeout = DefaultRequestTimeout
+	}
+	for _, text := range c.URLs {
+		if u, err := url.Parse(text); err != nil || u.Scheme == "" || u.Host == "" {
+			return errors.Errorf("%q is not a base URL such as http://127.0.0.1:8080", text)
+		}
+	}
+	switch {
+	case len(c.URLs) == 0:
+		return errors.New("no instance is given")
+	case len(c.Callers) == 0:
+		return errors.New("no caller is given")
+	case !(c.Rate > 0 && c.Rate <= maxRate):
+		return errors.Errorf("rate must be larger than 0 and at most %d requests per second", maxRate)
+	case c.Duration <= 0 || c.Duration > MaxDuration:
+		return errors.Errorf("duration must be larger than 0 and at most %s", MaxDuration)
+	case c.MaxRequests < 0 || c.MaxRequests > MaxRequests:
+		return errors.Errorf("the number of requests must be at most %d", MaxRequests)
+	case c.MaxInFlight < 0 || c.RequestTimeout < 0 || c.Deadline < 0 || c.MaxTokens < 0 || c.PromptBytes < 0:
+		return errors.New("limits must not be negative")
+	case !(c.StreamShare >= 0 && c.StreamShare <= 1 && c.ServiceShare >= 0 && c.ServiceShare <= 1):
+		return errors.New("shares must be from 0 to 1")
+	case c.ServiceShare > 0 && c.Service == "":
+		return errors.New("a share of service calls needs the name of the service")
+	case c.ServiceShare < 1 && len(c.Models) == 0:
+		return errors.New("no model is given")
+	}
+	return nil
+}
+
+// request is one planned request.
+type request struct {
+	url, caller, model string
+	stream, service    bool
+	due                time.Time
+}
+
+// Run sends requests until the duration or the number of requests is reached or ctx ends, waits for the answers, each
+// at most for the request timeout, and reports.
+func Run(ctx context.Context, cfg Config) (*Report, error) {
+	if err := cfg.check(); err != nil {
+		return nil, err
+	}
+	r := &runner{cfg: cfg, report: newReport(), prompt: strings.Repeat("x", max(1, cfg.PromptBytes))}
+	r.http = &http.Client{Transport: &bearer{token: cfg.Token, next: &http.Transport{
+		MaxIdleConns: cfg.MaxInFlight, MaxIdleConnsPerHost: cfg.MaxInFlight, IdleConnTimeout: time.Minute,
+	}}}
+	defer r.http.CloseIdleConnections()
+	started := time.Now()
+	r.send(ctx, started)
+	r.running.Wait()
+	r.report.ElapsedMs = time.Since(started).Milliseconds()
+	return r.report, nil
+}
+
+type runner struct {
+	cfg     Config
+	http    *http.Client
+	prompt  string
+	report  *Report
+	running sync.WaitGroup
+}
+
+// send starts requests on schedule.
+func (r *runner) send(ctx context.Context, started time.Time) {
+	random := rand.New(rand.NewPCG(r.cfg.Seed, 0))
+	interval := time.Duration(float64(time.Second) / r.cfg.Rate)
+	slots := make(chan struct{}, r.cfg.MaxInFlight)
+	for i := 0; i < r.cfg.MaxRequests; i++ {
+		due := started.Add(time.Duration(i) * interval)
+		if due.Sub(started) >= r.cfg.Duration {
+			return
+		}
+		if wait := time.Until(due); wait > 0 {
+			timer := time.NewTimer(wait)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+				timer.Stop()
+				return
+			}
+		} else if ctx.Err() != nil {
+			return
+		}
+		req := r.plan(random, i, due)
+		select {
+		case slots <- struct{}{}:
+		default:
+			r.report.notSent()
+			continue
+		}
+		r.running.Go(func() {
+			defer func() { <-slots }()
+			r.one(ctx, req)
+		})
+	}
+}
+
+func (r *runner) plan(random *rand.Rand, i int, due time.Time) request {
+	req := request{
+		url: strings.TrimSuffix(r.cfg.URLs[i%len(r.cfg.URLs)], "/"), due: due,
+		caller:  r.cfg.Callers[random.IntN(len(r.cfg.Callers))],
+		service: random.Float64() < r.cfg.ServiceShare,
+		stream:  random.Float64() < r.cfg.StreamShare,
+	}
+	if !req.service {
+		req.model = r.cfg.Models[random.IntN(len(r.cfg.Models))]
+	}
+	return req
+}
+
+// one sends a request and records what came of it. Times count from the moment at which the request was due, so that
+// a generator which falls behind does not make answers look faster.
+func (r *runner) one(ctx context.Context, req request) {
+	ctx, cancel := context.WithTimeout(ctx, r.cfg.RequestTimeout)
+	defer cancel()
+	client := &caller.Client{Name: req.caller, HTTP: r.http}
+	firstToken := time.Duration(0)
+	chat := caller.Chat{
+		Model: req.model, Prompt: r.prompt, MaxTokens: r.cfg.MaxTokens, RequestID: uuid.NewString(),
+		Deadline: r.cfg.Deadline, Priority: r.cfg.Priority,
+		OnToken: func(int) {
+			if firstToken == 0 {
+				firstToken = time.Since(req.due)
+			}
+		},
+	}
+	var answer *caller.Answer
+	var err error
+	switch {
+	case req.service:
+		answer, err = client.Book(ctx, req.url, r.cfg.Service, r.cfg.Path, uuid.NewString(), "{}")
+	case req.stream:
+		answer, err = client.Stream(ctx, req.url, chat)
+	default:
+		answer, err = client.Whole(ctx, req.url, chat)
+	}
+	r.report.record(req, answer, err, ctx.Err(), firstToken, time.Since(req.due))
+}
+
+// bearer adds the token to every request.
+type bearer struct {
+	token string
+	next  *http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (b *bearer) RoundTrip(req *http.Request) (*http.Response, error) {
+	if b.token != "" {
+		req = req.Clone(req.Context())
+		req.Header.Set("Authorization", "Bearer "+b.token)
+	}
+	return b.next.RoundTrip(req)
+}
+
+// CloseIdleConnections lets http.Client reach the connections.
+func (b *bearer) CloseIdleConnections() { b.next.CloseIdleConnections() }
+
+// inOrder says whether the offsets of a stream are complete.
+func inOrder(offsets []int) bool {
+	for i, offset := range offsets {
+		if offset != i {
+			return false
+		}
+	}
+	return true
+}
+
+// Outcomes that the generator adds to those of package api.
+const (
+	// NoAnswer means that the request got no answer, or only a part of one.
+	NoAnswer api.Outcome = "no_answer"
+	// WrongAnswer means that an answer has gaps or repeats.
+	WrongAnswer api.Outcome = "wrong_answer"
+	// NotSent means that too many requests were in progress.
+	NotSent api.Outcome = "not_sent"
+)
--- /dev/null
+++ b/standin/load/load_test.go
@@ -0,0 +1,162 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+)
+
+// instance imitates an instance; the name of the model decides what it answers.
+func instance(t *testing.T) (url string, keys *sync.Map) {
+	t.Helper()
+	keys = &sync.Map{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get(api.HeaderCaller) == "" || r.Header.Get("Authorization") != "Bearer secret" {
+			t.Errorf("headers %v", r.Header)
+		}
+		if strings.HasPrefix(r.URL.Path, "/services/guichet/book") {
+			keys.Store(r.Header.Get(api.HeaderIdempotencyKey), true)
+			(&api.Result{Outcome: api.Answered}).SetHeaders(w.Header())
+			return
+		}
+		var req api.ChatRequest
+		if err := json.NewDecoder(r.Body).Decode(&req); err != nil {
+			t.Error(err)
+		}
+		answer(r.Context(), w, &req)
+	}))
+	t.Cleanup(server.Close)
+	return server.URL, keys
+}
+
+func answer(ctx context.Context, w http.ResponseWriter, req *api.ChatRequest) {
+	const event = "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":\"x\"}}]}\n\n"
+	offsets, end := []int{0, 1, 2}, "data: [DONE]\n\n"
+	switch req.Model {
+	case "full":
+		refusal := api.RefuseFor(api.ReasonOverShare, time.Second, "too much")
+		refusal.SetHeaders(w.Header())
+		w.WriteHeader(refusal.HTTPStatus())
+		_ = json.NewEncoder(w).Encode(refusal.Body(""))
+		return
+	case "late":
+		<-ctx.Done()
+		return
+	case "gap":
+		offsets = []int{0, 2}
+	case "broken":
+		end = ""
+	case "failing":
+		body, _ := json.Marshal(api.Fail(api.ReasonStreamBroken, api.RepeatNow, "gone").Body(""))
+		end = fmt.Sprintf("event: error\ndata: %s\n\n", body)
+	}
+	(&api.Result{Outcome: api.Answered}).SetHeaders(w.Header())
+	if !req.Stream {
+		_ = json.NewEncoder(w).Encode(api.ChatCompletion{Choices: make([]api.CompletionChoice, 1)})
+		return
+	}
+	for _, offset := range offsets {
+		_, _ = fmt.Fprintf(w, event, offset)
+	}
+	_, _ = io.WriteString(w, end)
+}
+
+// Guards against outcomes that are counted as others, above all incomplete answers that count as answered.
+func TestCountsPerOutcome(t *testing.T) {
+	url, keys := instance(t)
+	for _, c := range []struct {
+		model, service string
+		streams        float64
+		timeout        time.Duration
+		want           Result
+		firstTokens    int64
+	}{
+		{"redac", "", 1, 0, Result{api.Answered, ""}, 20},
+		{"redac", "", 0, 0, Result{api.Answered, ""}, 0},
+		{"", "guichet", 0, 0, Result{api.Answered, ""}, 0},
+		{"full", "", 1, 0, Result{api.Refused, api.ReasonOverShare}, 0},
+		{"failing", "", 1, 0, Result{api.Failed, api.ReasonStreamBroken}, 0},
+		{"gap", "", 1, 0, Result{WrongAnswer, "offsets_out_of_order"}, 0},
+		{"broken", "", 1, 0, Result{NoAnswer, "incomplete_answer"}, 0},
+		{"late", "", 1, 10 * time.Millisecond, Result{NoAnswer, "generator_timeout"}, 0},
+	} {
+		cfg := Config{
+			URLs: []string{url}, Callers: []string{"a", "b"}, Models: []string{c.model}, Service: c.service, Path: "/book",
+			StreamShare: c.streams, Rate: 2000, Duration: time.Hour, MaxRequests: 20, RequestTimeout: c.timeout, Token: "secret",
+		}
+		if c.service != "" {
+			cfg.ServiceShare = 1
+		}
+		report, err := Run(t.Context(), cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff([]ResultCount{{c.want, 20}}, report.Counts()); diff != "" {
+			t.Errorf("%s%s: %s", c.model, c.service, diff)
+		}
+		if report.FirstToken.TotalCount() != c.firstTokens {
+			t.Errorf("%s: %d first tokens, want %d", c.model, report.FirstToken.TotalCount(), c.firstTokens)
+		}
+	}
+	distinct := 0
+	keys.Range(func(any, any) bool { distinct++; return true })
+	if distinct != 20 {
+		t.Errorf("%d distinct idempotency keys, want 20", distinct)
+	}
+}
+
+// Guards against a generator that grows without bound in front of a frozen instance, or does not end.
+func TestBounds(t *testing.T) {
+	url, _ := instance(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan *Report, 1)
+	go func() {
+		report, err := Run(ctx, Config{
+			URLs: []string{url}, Callers: []string{"a"}, Models: []string{"late"}, StreamShare: 1, Rate: 5000,
+			Duration: 100 * time.Millisecond, MaxInFlight: 3, Token: "secret",
+		})
+		if err != nil {
+			t.Error(err)
+		}
+		ended <- report
+	}()
+	time.AfterFunc(200*time.Millisecond, cancel)
+	select {
+	case report := <-ended:
+		if n := report.Count(NoAnswer); n > 3 || n+report.Count(NotSent) > 500 {
+			t.Errorf("counts %v", report.Counts())
+		}
+		var text strings.Builder
+		if err := report.Print(&text); err != nil || !strings.Contains(text.String(), string(NotSent)) {
+			t.Errorf("printed %q, %v", text.String(), err)
+		}
+	case <-time.After(30 * time.Second):
+		t.Fatal("the run did not end")
+	}
+	for name, change := range map[string]func(*Config){
+		"no URL":    func(c *Config) { c.URLs = nil },
+		"bad URL":   func(c *Config) { c.URLs = []string{"localhost"} },
+		"no rate":   func(c *Config) { c.Rate = 0 },
+		"no end":    func(c *Config) { c.Duration = 0 },
+		"no model":  func(c *Config) { c.Models = nil },
+		"bad share": func(c *Config) { c.StreamShare = 2 },
+		"no name":   func(c *Config) { c.ServiceShare = 1 },
+	} {
+		cfg := Config{URLs: []string{url}, Callers: []string{"a"}, Models: []string{"m"}, Rate: 1, Duration: time.Second}
+		change(&cfg)
+		if _, err := Run(t.Context(), cfg); err == nil {
+			t.Errorf("%s was accepted", name)
+		}
+	}
+}
