transport/peer: bound inbound bytes and the rate of reported refusals

Cause: the bound on waiting notifications counted messages only, so one sender could hold 256 frames of 1 MiB per class in memory; a stranger could push all other events out of the ring with refused connections; a handler went on after its caller had given up. Ruled out: a smaller bound on the number, which would drop heartbeats of many raft groups for no reason. Conclusion: at most 2 MiB wait and 4 MiB run per sender; send queues shrink from 4 MiB to 2 MiB per class.

--- a/transport/peer/inbound.go
+++ b/transport/peer/inbound.go
@@ -13,27 +13,76 @@
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
 )
 
-// inboundQueueLength bounds the notifications of one sender and class that wait for their handler.
-const inboundQueueLength = 256
+const (
+	// inboundQueueLength and inboundQueueBytes bound the notifications of one sender and class that wait for their
+	// handler. A bound on their number alone would let one sender take 256 MiB.
+	inboundQueueLength = 256
+	inboundQueueBytes  = 2 << 20
+	// maxRunningBytes bounds the parameters of the calls of one sender that run at the same time.
+	maxRunningBytes = 4 << 20
+)
+
+// requestQueue holds notifications for one worker.
+type requestQueue struct {
+	mu       sync.Mutex
+	requests []*jsonrpc2.Request
+	bytes    int
+	wake     chan struct{}
+}
+
+// put adds a notification and drops the oldest ones when there are too many.
+func (q *requestQueue) put(req *jsonrpc2.Request) (dropped int64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.requests = append(q.requests, req)
+	q.bytes += len(params(req))
+	for len(q.requests) > inboundQueueLength || q.bytes > inboundQueueBytes {
+		q.removeLocked()
+		dropped++
+	}
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+	return dropped
+}
+
+func (q *requestQueue) take() (*jsonrpc2.Request, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.requests) == 0 {
+		return nil, false
+	}
+	return q.removeLocked(), true
+}
+
+func (q *requestQueue) removeLocked() *jsonrpc2.Request {
+	req := q.requests[0]
+	q.requests[0] = nil
+	q.requests = q.requests[1:]
+	q.bytes -= len(params(req))
+	return req
+}
 
 // inbound is one connection that this instance accepted.
 type inbound struct {
-	t       *Transport
-	conn    net.Conn
-	stream  *stream
-	running chan struct{} // one element per running call
-	queues  [2]chan *jsonrpc2.Request
+	t      *Transport
+	conn   net.Conn
+	stream *stream
+	queues [2]requestQueue // by peerapi.Class
 
-	mu     sync.Mutex
-	hello  *peerapi.Hello
-	reason error
+	mu           sync.Mutex
+	hello        *peerapi.Hello
+	reason       error
+	running      int // calls
+	runningBytes int
 }
 
 // accept serves a connection unless there are too many.
 func (t *Transport) accept(conn net.Conn) {
-	in := &inbound{t: t, conn: conn, running: make(chan struct{}, t.opts.MaxInboundCalls)}
+	in := &inbound{t: t, conn: conn}
 	for class := range in.queues {
-		in.queues[class] = make(chan *jsonrpc2.Request, inboundQueueLength)
+		in.queues[class].wake = make(chan struct{}, 1)
 	}
 	t.mu.Lock()
 	full := t.closed || len(t.connections) >= t.opts.MaxConnections || t.ungreeted >= maxUngreeted
@@ -49,8 +98,12 @@
 	}
 }
 
+// reject counts and reports a refused connection.
 func (t *Transport) reject(peer string, err error) {
 	t.metrics.rejected.Inc(1)
+	if !t.rejections.Allow() {
+		return
+	}
 	t.opts.OnEvent(Event{Kind: Rejected, Peer: peer, Err: err})
 }
 
@@ -76,8 +129,8 @@
 		jsonrpc2.SetLogger(debugLogger{in.t.opts.Log}))
 	defer func() { _ = rpc.Close() }()
 	var workers sync.WaitGroup
-	for _, queue := range in.queues {
-		workers.Go(func() { in.notifications(rpc, queue) })
+	for class := range in.queues {
+		workers.Go(func() { in.notifications(rpc, &in.queues[class]) })
 	}
 	select {
 	case <-rpc.DisconnectNotify():
@@ -187,7 +240,7 @@
 	switch {
 	case req.Notif && h == nil:
 	case req.Notif:
-		in.enqueue(req)
+		in.t.metrics.dropped.Inc(in.queues[peerapi.ClassOf(req.Method)].put(req))
 	case h == nil:
 		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{
 			Code: jsonrpc2.CodeMethodNotFound, Message: "method " + req.Method + " is not known",
@@ -280,26 +333,8 @@
 	return nil
 }
 
-// enqueue passes a notification to the worker of its class and drops the oldest one when the queue is full. Only the
-// read loop sends to the queue.
-func (in *inbound) enqueue(req *jsonrpc2.Request) {
-	queue := in.queues[peerapi.ClassOf(req.Method)]
-	for {
-		select {
-		case queue <- req:
-			return
-		default:
-		}
-		select {
-		case <-queue:
-			in.t.metrics.dropped.Inc(1)
-		default:
-		}
-	}
-}
-
 // notifications handles the notifications of one class in order.
-func (in *inbound) notifications(rpc *jsonrpc2.Conn, queue <-chan *jsonrpc2.Request) {
+func (in *inbound) notifications(rpc *jsonrpc2.Conn, queue *requestQueue) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
@@ -309,14 +344,17 @@
 		case <-ctx.Done():
 		}
 	}()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case req := <-queue:
-			if h := in.t.handler(req.Method); h != nil {
-				_, _ = h(ctx, in.sender(), params(req))
+	for ctx.Err() == nil {
+		req, ok := queue.take()
+		if !ok {
+			select {
+			case <-ctx.Done():
+			case <-queue.wake:
 			}
+			continue
+		}
+		if h := in.t.handler(req.Method); h != nil {
+			_, _ = h(ctx, in.sender(), params(req))
 		}
 	}
 }
@@ -333,24 +371,43 @@
 	return *req.Params
 }
 
-// call runs a handler in a goroutine of its own, unless too many calls of the peer run already.
+// begin books a call; it refuses when too many calls of the peer run already.
+func (in *inbound) begin(bytes int) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.running >= in.t.opts.MaxInboundCalls || in.runningBytes+bytes > maxRunningBytes {
+		return errors.Errorf("%d calls with %d bytes run already", in.running, in.runningBytes)
+	}
+	in.running++
+	in.runningBytes += bytes
+	return nil
+}
+
+func (in *inbound) end(bytes int) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.running--
+	in.runningBytes -= bytes
+}
+
+// call runs a handler in a goroutine of its own. The sender gives up after CallTimeout, so the handler's context ends
+// then too.
 func (in *inbound) call(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, h Handler) {
 	in.stream.expectReply(req)
-	select {
-	case in.running <- struct{}{}:
-	default:
-		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{
-			Code: peerapi.CodeBusy, Message: errors.Errorf("%d calls run already", cap(in.running)).Error(),
-		})
+	bytes := len(params(req))
+	if err := in.begin(bytes); err != nil {
+		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: peerapi.CodeBusy, Message: err.Error()})
 		return
 	}
 	started := in.t.start(func() {
-		defer func() { <-in.running }()
-		result, err := h(ctx, in.sender(), params(req))
+		defer in.end(bytes)
+		callCtx, cancel := context.WithTimeout(ctx, in.t.opts.CallTimeout)
+		defer cancel()
+		result, err := h(callCtx, in.sender(), params(req))
 		in.answer(ctx, rpc, req, result, err)
 	})
 	if !started {
-		<-in.running
+		in.end(bytes)
 	}
 }
 
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -82,7 +82,8 @@
 	}
 	l.pending = append(l.pending, pendingNotification{method, params, time.Now()})
 	l.pendingBytes += len(params)
-	for len(l.pending) > l.t.opts.QueueLength || l.pendingBytes > l.t.opts.QueueBytes {
+	for len(l.pending) > l.t.opts.QueueLength || l.pendingBytes > l.t.opts.QueueBytes ||
+		time.Since(l.pending[0].at) > maxPendingAge {
 		l.dropPendingLocked()
 	}
 	l.wantConnectionLocked()
@@ -90,6 +91,7 @@
 
 func (l *link) dropPendingLocked() {
 	l.pendingBytes -= len(l.pending[0].params)
+	l.pending[0].params = nil
 	l.pending = l.pending[1:]
 	l.t.metrics.dropped.Inc(1)
 }
@@ -147,11 +149,10 @@
 	l.conn, l.lastErr = out, nil
 	report := l.unreachable
 	l.unreachable = false
+	for len(l.pending) > 0 && time.Since(l.pending[0].at) > maxPendingAge {
+		l.dropPendingLocked()
+	}
 	for _, p := range l.pending {
-		if time.Since(p.at) > maxPendingAge {
-			l.t.metrics.dropped.Inc(1)
-			continue
-		}
 		out.notify(p.method, p.params)
 	}
 	l.pending, l.pendingBytes = nil, 0
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/time/rate"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
 )
@@ -26,7 +27,7 @@
 	DefaultBytesPerSecond  = 28_000
 	DefaultBurstBytes      = 4 << 20
 	DefaultQueueLength     = 256
-	DefaultQueueBytes      = 4 << 20
+	DefaultQueueBytes      = 2 << 20
 	DefaultMaxInboundCalls = 64
 	DefaultMaxConnections  = 1024
 	DefaultCallTimeout     = 5 * time.Second
@@ -51,6 +52,9 @@
 	// maxTimedOutCalls closes a connection that answers pings but no calls, since jsonrpc2 keeps an entry for every
 	// call without an answer.
 	maxTimedOutCalls = 1024
+	// Rejections are reported at most at this rate, so that a stranger cannot push other events out of the log.
+	rejectionsPerSecond = 1
+	rejectionsBurst     = 16
 )
 
 // Sender is the instance that sent a message. A higher incarnation means that it was restarted.
@@ -72,7 +76,8 @@
 	Unreachable EventKind = iota
 	// Reachable is reported once when it can be reached again.
 	Reachable
-	// Rejected is reported when an inbound connection was refused or closed for a violation; Err says why.
+	// Rejected is reported when an inbound connection was refused or closed for a violation; Err says why. It is
+	// reported about once a second at most; the counter peer.rejected_connections counts all.
 	Rejected
 )
 
@@ -105,7 +110,7 @@
 	MaxInboundCalls int
 	// MaxConnections bounds inbound connections.
 	MaxConnections int
-	// CallTimeout bounds a call whose context has no earlier deadline.
+	// CallTimeout bounds a call whose context has no earlier deadline, on both sides.
 	CallTimeout time.Duration
 	// DialTimeout bounds connecting, TLS and handshake together, on both sides.
 	DialTimeout  time.Duration
@@ -206,6 +211,7 @@
 	known       *lru.Cache[string, uint64]
 	closed      bool
 	running     sync.WaitGroup
+	rejections  *rate.Limiter
 	// ctx ends with Close.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -223,7 +229,7 @@
 	t := &Transport{
 		opts: opts, metrics: newCounters(opts.Registry), handlers: make(map[string]Handler),
 		links: make(map[string]*link), inbound: make(map[string]*inbound), connections: make(map[*inbound]struct{}),
-		known: known,
+		known: known, rejections: rate.NewLimiter(rejectionsPerSecond, rejectionsBurst),
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.limit = newByteLimit(opts.BytesPerSecond, opts.BurstBytes, func() { t.metrics.overLimit.Inc(1) })
--- a/transport/peer/stream.go
+++ b/transport/peer/stream.go
@@ -150,6 +150,7 @@
 		return frame{}, false
 	}
 	f := s.queues[class][0]
+	s.queues[class][0] = frame{}
 	s.queues[class] = s.queues[class][1:]
 	s.bytes[class] -= len(f.data)
 	return f, true
