Add the electorate state machine of the config log

The witness of an even electorate and the joins of electors without a promise need entries in the config log. The log has no clock, so a witness vote replaces exactly the vote that the candidate names; the candidate waits out the lease on its own clock. Ruled out: a time inside the command, since the clocks of the proposers are not comparable.

--- /dev/null
+++ b/state/electorate/electorate.go
@@ -0,0 +1,208 @@
+// Package electorate is the deterministic state machine of the config log that backs the controller leases of the data
+// centres: elector joins, votes of the witness and the witness's copy of each order journal.
+package electorate
+
+import (
+	"math"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Holder is one process that holds or wants a controller lease. A restarted process is another holder.
+type Holder struct {
+	Name        string `cbor:"1,keyasint" json:"name"`
+	Incarnation uint64 `cbor:"2,keyasint" json:"incarnation"`
+}
+
+// Join announces an elector that has no promise. Incarnation must differ for every start of the elector.
+type Join struct {
+	DataCentre  string `cbor:"1,keyasint"`
+	Elector     string `cbor:"2,keyasint"`
+	Incarnation uint64 `cbor:"3,keyasint"`
+}
+
+// WitnessVote asks for the vote of the witness. The log has no clock, so the vote replaces exactly the vote numbered
+// Expect: a candidate may only expect another holder's vote that it has seen unchanged for a lease plus drift.
+type WitnessVote struct {
+	DataCentre string `cbor:"1,keyasint"`
+	Holder     Holder `cbor:"2,keyasint"`
+	Fence      uint64 `cbor:"3,keyasint"`
+	Round      uint64 `cbor:"4,keyasint"`
+	Expect     uint64 `cbor:"5,keyasint"`
+	// Release gives the vote up. The holder has stopped before it proposes this.
+	Release bool `cbor:"6,keyasint,omitempty"`
+}
+
+// Vote is the latest vote of a witness. Number is 0 before the first one.
+type Vote struct {
+	Holder   Holder `cbor:"1,keyasint"`
+	Fence    uint64 `cbor:"2,keyasint"`
+	Round    uint64 `cbor:"3,keyasint"`
+	Number   uint64 `cbor:"4,keyasint"`
+	Released bool   `cbor:"5,keyasint,omitempty"`
+}
+
+// Command is one entry of the log. Exactly one field is set.
+type Command struct {
+	Join   *Join          `cbor:"1,keyasint,omitempty"`
+	Vote   *WitnessVote   `cbor:"2,keyasint,omitempty"`
+	Record *JournalRecord `cbor:"3,keyasint,omitempty"`
+}
+
+// Encode returns the log entry of a command.
+func (c Command) Encode() ([]byte, error) {
+	data, err := cbor.Marshal(c)
+	return data, errors.Wrap(err, "electorate command")
+}
+
+// Result is the answer to a command.
+type Result struct {
+	// JoinIndex is the log index of the elector's join.
+	JoinIndex uint64 `cbor:"1,keyasint,omitempty"`
+	// Granted says that the vote went to the candidate, or that the journal record is held.
+	Granted bool         `cbor:"2,keyasint,omitempty"`
+	Vote    Vote         `cbor:"3,keyasint,omitempty"`
+	Journal JournalState `cbor:"4,keyasint,omitempty"`
+}
+
+// DecodeResult reads the answer to a command.
+func DecodeResult(data []byte) (Result, error) {
+	var r Result
+	return r, errors.Wrap(cbor.Unmarshal(data, &r), "electorate result")
+}
+
+type member struct {
+	Incarnation uint64 `cbor:"1,keyasint"`
+	Index       uint64 `cbor:"2,keyasint"`
+}
+
+type dataCentre struct {
+	Joins   map[string]member `cbor:"1,keyasint"`
+	Latest  uint64            `cbor:"2,keyasint"`
+	Vote    Vote              `cbor:"3,keyasint"`
+	Journal JournalCopy       `cbor:"4,keyasint"`
+}
+
+// Machine applies commands in log order. It is not safe for concurrent use.
+type Machine struct {
+	dataCentres map[string]*dataCentre
+}
+
+// New makes a machine without electors.
+func New() *Machine { return &Machine{dataCentres: make(map[string]*dataCentre)} }
+
+// LatestJoin returns the log index of the latest elector join of a data centre, 0 for none.
+func (m *Machine) LatestJoin(dataCentre string) uint64 {
+	if d := m.dataCentres[dataCentre]; d != nil {
+		return d.Latest
+	}
+	return 0
+}
+
+// Vote returns the latest vote of the witness of a data centre.
+func (m *Machine) Vote(dataCentre string) Vote {
+	if d := m.dataCentres[dataCentre]; d != nil {
+		return d.Vote
+	}
+	return Vote{}
+}
+
+// Journal returns the witness's copy of the order journal of a data centre.
+func (m *Machine) Journal(dataCentre string) JournalCopy {
+	if d := m.dataCentres[dataCentre]; d != nil {
+		return d.Journal.Clone()
+	}
+	return JournalCopy{}
+}
+
+// Apply runs one command. Repeats of a command have the result of the first one as long as nothing replaced it.
+func (m *Machine) Apply(index uint64, command []byte) ([]byte, error) {
+	var c Command
+	if err := cbor.Unmarshal(command, &c); err != nil {
+		return nil, errors.Wrap(err, "electorate command")
+	}
+	var result Result
+	switch {
+	case c.Join != nil && c.Vote == nil && c.Record == nil:
+		if index > math.MaxUint32 {
+			return nil, errors.Errorf("log index %d of an elector join does not fit the 32 bits of a fencing number", index)
+		}
+		result = m.join(index, c.Join)
+	case c.Vote != nil && c.Join == nil && c.Record == nil:
+		result = m.vote(c.Vote)
+	case c.Record != nil && c.Join == nil && c.Vote == nil:
+		d := m.dataCentre(c.Record.DataCentre)
+		result.Granted, result.Journal = d.Journal.Add(*c.Record, d.Vote.Fence)
+	default:
+		return nil, errors.New("electorate command must have exactly one of join, vote and record")
+	}
+	data, err := cbor.Marshal(result)
+	return data, errors.Wrap(err, "electorate result")
+}
+
+func (m *Machine) dataCentre(name string) *dataCentre {
+	d := m.dataCentres[name]
+	if d == nil {
+		d = &dataCentre{Joins: make(map[string]member)}
+		m.dataCentres[name] = d
+	}
+	return d
+}
+
+func (m *Machine) join(index uint64, j *Join) Result {
+	d := m.dataCentre(j.DataCentre)
+	if held, ok := d.Joins[j.Elector]; ok && held.Incarnation == j.Incarnation {
+		return Result{JoinIndex: held.Index, Vote: d.Vote}
+	}
+	d.Joins[j.Elector] = member{Incarnation: j.Incarnation, Index: index}
+	d.Latest = index
+	return Result{JoinIndex: index, Vote: d.Vote}
+}
+
+func (m *Machine) vote(w *WitnessVote) Result {
+	d := m.dataCentre(w.DataCentre)
+	held := &d.Vote
+	same := held.Number > 0 && held.Holder == w.Holder && held.Fence == w.Fence
+	switch {
+	case w.Release:
+		if same {
+			held.Released = true
+		}
+		return Result{Granted: same, Vote: *held}
+	case same && held.Round == w.Round && held.Number == w.Expect+1 && !held.Released:
+		return Result{Granted: true, Vote: *held}
+	case held.Number != w.Expect, w.Fence < held.Fence, w.Fence == held.Fence && (!same || held.Released):
+		return Result{Vote: *held}
+	}
+	*held = Vote{Holder: w.Holder, Fence: w.Fence, Round: w.Round, Number: w.Expect + 1}
+	return Result{Granted: true, Vote: *held}
+}
+
+// Snapshot encodes the whole state. Equal states have equal snapshots.
+func (m *Machine) Snapshot() ([]byte, error) {
+	mode, err := cbor.CanonicalEncOptions().EncMode()
+	if err != nil {
+		return nil, errors.Wrap(err, "electorate snapshot")
+	}
+	data, err := mode.Marshal(m.dataCentres)
+	return data, errors.Wrap(err, "electorate snapshot")
+}
+
+// Restore replaces the state by a snapshot. On an error the state is unchanged.
+func (m *Machine) Restore(data []byte) error {
+	restored := make(map[string]*dataCentre)
+	if err := cbor.Unmarshal(data, &restored); err != nil {
+		return errors.Wrap(err, "electorate snapshot")
+	}
+	for name, d := range restored {
+		if d == nil {
+			return errors.Errorf("electorate snapshot: data centre %q is empty", name)
+		}
+		if d.Joins == nil {
+			d.Joins = make(map[string]member)
+		}
+	}
+	m.dataCentres = restored
+	return nil
+}
--- /dev/null
+++ b/state/electorate/journal.go
@@ -0,0 +1,66 @@
+package electorate
+
+import "slices"
+
+// JournalRecord is one record of the order journal of a data centre. Its data is opaque here.
+type JournalRecord struct {
+	DataCentre string `cbor:"1,keyasint" json:"data_centre"`
+	// Fence is the fencing number of the controller that wrote the record.
+	Fence    uint64 `cbor:"2,keyasint" json:"fence"`
+	Sequence uint64 `cbor:"3,keyasint" json:"sequence"`
+	// Base marks a record that holds the whole state and replaces all earlier records.
+	Base bool   `cbor:"4,keyasint,omitempty" json:"base,omitempty"`
+	Data []byte `cbor:"5,keyasint" json:"data"`
+}
+
+// JournalCopy is one elector's copy of the order journal: a base record and what followed it without a gap. A copy
+// without records is blank; a blank copy proves nothing about orders that were sent.
+type JournalCopy struct {
+	Records []JournalRecord `cbor:"1,keyasint,omitempty" json:"records,omitempty"`
+}
+
+// JournalState says how far a copy reaches.
+type JournalState struct {
+	Fence uint64 `cbor:"1,keyasint,omitempty" json:"fence,omitempty"`
+	Last  uint64 `cbor:"2,keyasint,omitempty" json:"last,omitempty"`
+}
+
+// Blank says that the copy holds no base record.
+func (c *JournalCopy) Blank() bool { return len(c.Records) == 0 }
+
+// State returns how far the copy reaches.
+func (c *JournalCopy) State() JournalState {
+	if c.Blank() {
+		return JournalState{}
+	}
+	last := &c.Records[len(c.Records)-1]
+	return JournalState{Fence: last.Fence, Last: last.Sequence}
+}
+
+// Clone returns a copy that shares only the immutable data of the records.
+func (c *JournalCopy) Clone() JournalCopy { return JournalCopy{Records: slices.Clone(c.Records)} }
+
+// Newer says whether the copy reaches further than another one.
+func (c *JournalCopy) Newer(other *JournalCopy) bool {
+	a, b := c.State(), other.State()
+	return a.Fence > b.Fence || a.Fence == b.Fence && a.Last > b.Last
+}
+
+// Add takes a record and says whether the copy now holds it. A record below the promised fencing number is refused, so
+// that nothing can reach a majority behind the back of a successor that has read its majority.
+func (c *JournalCopy) Add(r JournalRecord, promised uint64) (held bool, state JournalState) {
+	state = c.State()
+	switch {
+	case r.Fence < promised || r.Fence < state.Fence:
+		return false, state
+	case r.Fence == state.Fence && r.Sequence <= state.Last:
+		return true, state
+	case r.Base:
+		c.Records = []JournalRecord{r}
+	case r.Fence == state.Fence && r.Sequence == state.Last+1:
+		c.Records = append(c.Records, r)
+	default:
+		return false, state
+	}
+	return true, c.State()
+}
