Add the memory ledger of a target

An order is counted from its reservation until a report that lists it as settled; an item counts once, with the larger of its reported and its ordered bytes. Ruled out: settling by the response to an order, since it has no place in the sequence of reports.

--- /dev/null
+++ b/state/memledger/memledger.go
@@ -0,0 +1,295 @@
+// Package memledger counts the accelerator memory of one target. At every moment
+//
+//	resident + loading + unloading until confirmed + KV cache reserve <= capacity
+//
+// holds on the target, whichever of the orders that were sent have arrived. It relies on three properties of targets
+// and transport: an order id has at most one effect per incarnation, an order reaches only the incarnation that it was
+// sent to, and a target lists an accepted load among its residents.
+package memledger
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+// CopyLifetime is how long a copy of an order or of an announcement can be under way. The ledger relies on it only
+// where the order journal was lost and the target ignores fencing numbers; known orders are counted without a limit.
+const CopyLifetime = 5 * time.Second
+
+// Item is a model or an adapter in one version. Adapter is empty for a model.
+type Item struct {
+	Model   string `cbor:"1,keyasint" json:"model"`
+	Version string `cbor:"2,keyasint" json:"version"`
+	Adapter string `cbor:"3,keyasint,omitempty" json:"adapter,omitempty"`
+}
+
+// ItemOf returns what an order loads or unloads.
+func ItemOf(o *targetapi.Order) Item {
+	return Item{Model: o.Model, Version: o.ModelVersion, Adapter: o.Adapter}
+}
+
+// Compare orders items by model, adapter and version.
+func (i Item) Compare(other Item) int {
+	return cmp.Or(cmp.Compare(i.Model, other.Model), cmp.Compare(i.Adapter, other.Adapter), cmp.Compare(i.Version, other.Version))
+}
+
+// IsLoad says whether an order takes memory.
+func IsLoad(o *targetapi.Order) bool {
+	return o.Kind == targetapi.LoadModel || o.Kind == targetapi.LoadAdapter
+}
+
+// IsUnload says whether an order frees memory.
+func IsUnload(o *targetapi.Order) bool {
+	return o.Kind == targetapi.UnloadModel || o.Kind == targetapi.UnloadAdapter
+}
+
+// Floor is a report that shows the effects of all settled orders. A successor must not use an older one. Open orders
+// were sent to its incarnation.
+type Floor struct {
+	Incarnation uint64 `cbor:"1,keyasint"`
+	Sequence    uint64 `cbor:"2,keyasint"`
+}
+
+func (f Floor) below(other Floor) bool {
+	return f.Incarnation < other.Incarnation || f.Incarnation == other.Incarnation && f.Sequence < other.Sequence
+}
+
+// Resident is an item that takes memory or may take it because of an open order.
+type Resident struct {
+	Item  Item
+	State targetapi.ResidentState
+	Bytes int64
+}
+
+// Errors of Reserve.
+var (
+	ErrNoReport  = errors.New("no report of the target is new enough")
+	ErrOpenOrder = errors.New("an order on the same model or adapter is open")
+	ErrResident  = errors.New("the target reports the model or adapter as resident")
+	ErrNoMemory  = errors.New("not enough accelerator memory")
+)
+
+// Ledger is the account of one target. It is not safe for concurrent use.
+type Ledger struct {
+	target        string
+	floor         Floor
+	report        Floor
+	reported      bool
+	capacity      int64
+	reserve       int64
+	checksFencing bool
+	lastFence     uint64
+	residents     map[Item]Resident
+	open          map[string]targetapi.Order
+	used          int64
+	// distrustUntil and distrustFence are set when orders may be under way that the journal does not name.
+	distrustUntil time.Time
+	distrustFence uint64
+}
+
+// New makes a ledger that uses no report below the floor. The zero floor is for a target without earlier orders.
+func New(target string, floor Floor) *Ledger {
+	return &Ledger{target: target, floor: floor, residents: make(map[Item]Resident), open: make(map[string]targetapi.Order)}
+}
+
+// Adopt counts an open order of a predecessor, even if the sum exceeds the capacity.
+func (l *Ledger) Adopt(o targetapi.Order) {
+	l.open[o.ID] = o
+	l.recount()
+}
+
+// Distrust is called by a successor without a complete journal. The ledger gives no memory out until orders that the
+// successor does not know can't arrive any more: a target that checks fencing numbers has taken the new one, or their
+// last copies and the reports that miss them have passed their lifetime.
+func (l *Ledger) Distrust(now time.Time, fence uint64) {
+	l.distrustUntil, l.distrustFence = now.Add(2*CopyLifetime), fence
+}
+
+// Trusted says whether Distrust has been lifted.
+func (l *Ledger) Trusted() bool { return l.distrustFence == 0 }
+
+// Report takes an announcement and returns the orders that it settles. Older announcements change nothing.
+func (l *Ledger) Report(now time.Time, a *targetapi.Announcement) (settled []targetapi.OrderStatus, newer bool) {
+	at := Floor{Incarnation: a.Incarnation, Sequence: a.Sequence}
+	if a.Target != l.target || at.below(l.floor) || l.reported && !l.report.below(at) {
+		return nil, false
+	}
+	replaced := at.Incarnation > max(l.report.Incarnation, l.floor.Incarnation)
+	l.report, l.reported = at, true
+	l.capacity, l.reserve = a.CapacityBytes, a.ReserveBytes
+	l.checksFencing, l.lastFence = a.ChecksFencing, a.LastFence
+	clear(l.residents)
+	for _, r := range a.Residents {
+		item := Item{Model: r.Model, Version: r.Version, Adapter: r.Adapter}
+		held := l.residents[item]
+		l.residents[item] = Resident{Item: item, State: r.State, Bytes: held.Bytes + r.Bytes}
+	}
+	settled = l.settle(a, replaced)
+	if len(settled) > 0 {
+		l.floor = at
+	}
+	if l.distrustFence != 0 && (l.checksFencing && l.lastFence >= l.distrustFence || !now.Before(l.distrustUntil)) {
+		l.distrustFence = 0
+		l.floor = at
+	}
+	l.recount()
+	return settled, true
+}
+
+// settle closes open orders. All orders to an earlier incarnation have failed with it. A target that has taken a higher
+// fencing number and does not list an order will never run it.
+func (l *Ledger) settle(a *targetapi.Announcement, replaced bool) (settled []targetapi.OrderStatus) {
+	listed := make(map[string]bool, len(a.Orders))
+	for _, s := range a.Orders {
+		listed[s.ID] = true
+		final := s.State == targetapi.OrderDone || s.State == targetapi.OrderFailed || s.State == targetapi.OrderRefused
+		if _, open := l.open[s.ID]; open && final {
+			settled = append(settled, s)
+			delete(l.open, s.ID)
+		}
+	}
+	for id, o := range l.open {
+		void := ""
+		switch {
+		case replaced:
+			void = "the target has a new incarnation"
+		case l.checksFencing && l.lastFence > o.Fence && !listed[id]:
+			void = "the target takes no orders with this fencing number any more"
+		default:
+			continue
+		}
+		settled = append(settled, targetapi.OrderStatus{ID: id, State: targetapi.OrderRefused, Error: void})
+		delete(l.open, id)
+	}
+	slices.SortFunc(settled, func(a, b targetapi.OrderStatus) int { return cmp.Compare(a.ID, b.ID) })
+	return settled
+}
+
+// recount adds up what is resident and what open loads may still make resident. An item takes memory once, so an open
+// load of a resident item counts with the larger of both.
+func (l *Ledger) recount() {
+	l.used = l.reserve
+	for _, r := range l.residents {
+		l.used += r.Bytes
+	}
+	for id, o := range l.open {
+		if IsLoad(&o) {
+			l.used += l.extra(id, &o)
+		}
+	}
+}
+
+// extra is what an open load may add to the residents and to the open loads of the same item with lower ids.
+func (l *Ledger) extra(id string, o *targetapi.Order) int64 {
+	item := ItemOf(o)
+	counted := l.residents[item].Bytes
+	for other, p := range l.open {
+		if IsLoad(&p) && ItemOf(&p) == item && (p.Bytes > o.Bytes || p.Bytes == o.Bytes && other < id) {
+			return 0
+		}
+	}
+	return max(0, o.Bytes-counted)
+}
+
+// Reserve opens an order. A load gets its bytes; the order must be in the journal before it is sent.
+func (l *Ledger) Reserve(o targetapi.Order) error {
+	item := ItemOf(&o)
+	switch {
+	case !IsLoad(&o) && !IsUnload(&o):
+		return errors.Errorf("order kind %q takes and frees no memory", o.Kind)
+	case o.ID == "" || o.Model == "":
+		return errors.New("the order has no id or no model")
+	case IsLoad(&o) && o.Bytes <= 0:
+		return errors.Errorf("the load of %q has no bytes", o.Model)
+	case !l.Usable():
+		return ErrNoReport
+	}
+	for _, p := range l.open {
+		if ItemOf(&p) == item {
+			return ErrOpenOrder
+		}
+	}
+	if IsLoad(&o) {
+		if _, resident := l.residents[item]; resident {
+			return ErrResident
+		}
+		if o.Bytes > l.Free() {
+			return ErrNoMemory
+		}
+	}
+	l.open[o.ID] = o
+	// A successor needs the incarnation that the order is sent to.
+	l.floor = l.report
+	l.recount()
+	return nil
+}
+
+// Withdraw closes an order that was never sent.
+func (l *Ledger) Withdraw(id string) {
+	delete(l.open, id)
+	l.recount()
+}
+
+// Usable says whether memory may be given out.
+func (l *Ledger) Usable() bool { return l.reported && l.distrustFence == 0 }
+
+// Free is what a load may take. It is never negative.
+func (l *Ledger) Free() int64 { return max(0, l.capacity-l.used) }
+
+// Used is what is in use or may come into use.
+func (l *Ledger) Used() int64 { return l.used }
+
+// Capacity is the reported capacity without the KV cache reserve.
+func (l *Ledger) Capacity() int64 { return l.capacity - l.reserve }
+
+// Floor is what a successor needs to know of the reports.
+func (l *Ledger) Floor() Floor { return l.floor }
+
+// Open lists the open orders by id.
+func (l *Ledger) Open() []targetapi.Order {
+	list := make([]targetapi.Order, 0, len(l.open))
+	for _, o := range l.open {
+		list = append(list, o)
+	}
+	slices.SortFunc(list, func(a, b targetapi.Order) int { return cmp.Compare(a.ID, b.ID) })
+	return list
+}
+
+// NeedsRaise says whether the target still accepts orders of earlier controllers although it checks fencing numbers.
+func (l *Ledger) NeedsRaise(fence uint64) bool {
+	return l.reported && l.checksFencing && l.lastFence < fence
+}
+
+// Sendable says whether the holder of a fencing number may send an open order. An order of a predecessor keeps its id
+// and fencing number: a target that checks them would refuse it, so there it is made void by a raise instead.
+func (l *Ledger) Sendable(o *targetapi.Order, fence uint64) bool {
+	return l.reported && (o.Fence == fence || !l.checksFencing)
+}
+
+// Residents lists what is or may become resident, by item. An item with an open unload is in the state unloading, since
+// the order may arrive at any time; an item that only an open load names is loading.
+func (l *Ledger) Residents() []Resident {
+	list := make([]Resident, 0, len(l.residents)+len(l.open))
+	leaving := make(map[Item]bool)
+	for _, o := range l.open {
+		item := ItemOf(&o)
+		if IsUnload(&o) {
+			leaving[item] = true
+		} else if _, ok := l.residents[item]; !ok {
+			list = append(list, Resident{Item: item, State: targetapi.Loading, Bytes: o.Bytes})
+		}
+	}
+	for item, r := range l.residents {
+		if leaving[item] {
+			r.State = targetapi.Unloading
+		}
+		list = append(list, r)
+	}
+	slices.SortFunc(list, func(a, b Resident) int { return a.Item.Compare(b.Item) })
+	return slices.CompactFunc(list, func(a, b Resident) bool { return a.Item == b.Item })
+}
