--- /dev/null
+++ b/coordination/placement/feasible.go
@@ -0,0 +1,164 @@
+package placement
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/protocol/tomlfile"
+	"github.com/tarragonhoist/tarragonhoist/state/memledger"
+)
+
+// maxRounds bounds the search for a sequence of steps. A version change of everything takes a few rounds.
+const maxRounds = 64
+
+// Feasible says whether the models of the inputs, one input for each data centre, can be reached by steps that stay
+// within memory and keep everything in effect reachable. It runs the same planner and the same steps that the
+// controllers run, on a copy. It never accepts what it has not carried out, but it can refuse what only a longer search
+// would find. Home and Elsewhere of the models are filled in here.
+func Feasible(dataCentres []Input) []tomlfile.Finding {
+	s := simulate(dataCentres)
+	for range maxRounds {
+		if !s.round() {
+			break
+		}
+	}
+	return s.findings()
+}
+
+type simulation struct {
+	inputs []Input
+	homes  map[string]string
+}
+
+func simulate(dataCentres []Input) *simulation {
+	s := &simulation{inputs: make([]Input, len(dataCentres))}
+	capacity := make(map[string]int64, len(dataCentres))
+	for i, in := range dataCentres {
+		in.Models, in.Targets = slices.Clone(in.Models), slices.Clone(in.Targets)
+		for j := range in.Targets {
+			t := &in.Targets[j]
+			t.Residents = slices.Clone(t.Residents)
+			if !t.Leaving {
+				capacity[in.DataCentre] += t.CapacityBytes
+			}
+		}
+		s.inputs[i] = in
+	}
+	if len(s.inputs) > 0 {
+		s.homes = Homes(s.inputs[0].Models, capacity)
+	}
+	return s
+}
+
+// round lets every data centre take the steps that are permitted now and says whether there were any.
+func (s *simulation) round() bool {
+	ready := make([]readyCounts, len(s.inputs))
+	for i := range s.inputs {
+		ready[i] = countReady(s.inputs[i].Targets)
+	}
+	progress := false
+	for i := range s.inputs {
+		in := &s.inputs[i]
+		s.surroundings(i, ready)
+		wanted := Plan(*in)
+		for _, step := range NextSteps(in, &wanted) {
+			in.apply(&step)
+			progress = true
+		}
+	}
+	return progress
+}
+
+func (s *simulation) surroundings(i int, ready []readyCounts) {
+	in := &s.inputs[i]
+	for m := range in.Models {
+		model := &in.Models[m]
+		model.Home, model.Elsewhere = s.homes[model.Name] == in.DataCentre, 0
+		for j := range ready {
+			if j != i {
+				model.Elsewhere += ready[j].models[model.Name]
+			}
+		}
+	}
+}
+
+// apply carries a step out at once.
+func (in *Input) apply(step *Step) {
+	i := slices.IndexFunc(in.Targets, func(t Target) bool { return t.Name == step.Target })
+	t := &in.Targets[i]
+	if step.Load {
+		t.Residents = append(t.Residents, memledger.Resident{Item: step.Item, State: targetapi.Ready, Bytes: step.Bytes})
+		return
+	}
+	t.Residents = slices.DeleteFunc(t.Residents, func(r memledger.Resident) bool { return r.Item == step.Item })
+}
+
+// findings lists what no data centre has ready in the version in effect.
+func (s *simulation) findings() []tomlfile.Finding {
+	ready := make(map[memledger.Item]bool)
+	for i := range s.inputs {
+		for j := range s.inputs[i].Targets {
+			t := &s.inputs[i].Targets[j]
+			for _, r := range t.Residents {
+				if !t.Leaving && r.State == targetapi.Ready && (r.Item.Adapter == "" || modelReady(t, r.Item.Model)) {
+					ready[r.Item] = true
+				}
+			}
+		}
+	}
+	if len(s.inputs) == 0 {
+		return []tomlfile.Finding{{Message: "no data centre is known"}}
+	}
+	var findings []tomlfile.Finding
+	for m := range s.inputs[0].Models {
+		model := &s.inputs[0].Models[m]
+		if !ready[model.item()] {
+			findings = append(findings, s.finding(model, nil))
+			continue
+		}
+		for a := range model.Adapters {
+			if !ready[model.adapterItem(&model.Adapters[a])] {
+				findings = append(findings, s.finding(model, &model.Adapters[a]))
+			}
+		}
+	}
+	return findings
+}
+
+// finding names the data centre that lacks the fewest bytes.
+func (s *simulation) finding(m *Model, a *Adapter) tomlfile.Finding {
+	needs, what := m.MemoryBytes, fmt.Sprintf("model %q", m.Name)
+	if a != nil {
+		needs, what = a.MemoryBytes, fmt.Sprintf("adapter %q of model %q", a.Name, m.Name)
+	}
+	best, lacks := "", int64(0)
+	for i := range s.inputs {
+		if l := needs - s.inputs[i].available(m, a != nil); best == "" || l < lacks {
+			best, lacks = s.inputs[i].DataCentre, l
+		}
+	}
+	if lacks <= 0 {
+		return tomlfile.Finding{Key: "model." + m.Name, Message: fmt.Sprintf(
+			"data centre %q: no sequence of steps found within %d rounds that makes %s ready", best, maxRounds, what)}
+	}
+	return tomlfile.Finding{Key: "model." + m.Name, Message: fmt.Sprintf("data centre %q: %s lacks %d bytes", best, what, lacks)}
+}
+
+// available is the largest memory that a model, or an adapter beside its model, finds on one target beside the models
+// that must stay.
+func (in *Input) available(m *Model, adapter bool) int64 {
+	var largest int64
+	for i := range in.Targets {
+		t := &in.Targets[i]
+		if t.Leaving || adapter && !held(t, m.item()) {
+			continue
+		}
+		free := t.CapacityBytes
+		for _, r := range t.Residents {
+			free -= r.Bytes
+		}
+		largest = max(largest, free)
+	}
+	return largest
+}
--- /dev/null
+++ b/coordination/placement/placement_test.go
@@ -0,0 +1,402 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/memledger"
+)
+
+var priorities = []releasenote.Priority{releasenote.Interactive, releasenote.Standard, releasenote.Batch}
+
+// randomInput makes a data centre whose memory is the given multiple of what one replica of everything takes.
+func randomInput(random *rand.Rand, targets, models int, room float64) Input {
+	in := Input{DataCentre: "dc", ReplicaRate: 10}
+	var need, largest int64
+	for i := range models {
+		m := Model{
+			Name: fmt.Sprintf("m%03d", i), Version: "1", MemoryBytes: 10 + random.Int64N(30), Priority: priorities[random.IntN(3)],
+			MinReplicas: 1, Demand: 40 * random.Float64() * random.Float64(), Home: true,
+		}
+		for a := range random.IntN(3) {
+			m.Adapters = append(m.Adapters, Adapter{Name: fmt.Sprintf("a%d", a), Version: "1", MemoryBytes: 1 + random.Int64N(2)})
+		}
+		in.Models = append(in.Models, m)
+		need += bundleBytes(&m)
+		largest = max(largest, bundleBytes(&m))
+	}
+	for i := range targets {
+		in.Targets = append(in.Targets, Target{
+			Name: fmt.Sprintf("t%03d", i), FailureDomain: fmt.Sprintf("rack%d", i%max(2, targets/8)),
+			CapacityBytes: max(largest*2, int64(room*float64(need))/int64(targets)),
+		})
+	}
+	return in
+}
+
+// advance lets steps start and earlier ones finish, each with some probability.
+func advance(random *rand.Rand, in *Input, steps []Step, probability float64) {
+	for i := range in.Targets {
+		t := &in.Targets[i]
+		for j := range t.Residents {
+			if r := &t.Residents[j]; r.State == targetapi.Loading && random.Float64() < probability {
+				r.State = targetapi.Ready
+			}
+		}
+		t.Residents = slices.DeleteFunc(t.Residents, func(r memledger.Resident) bool {
+			return r.State == targetapi.Unloading && random.Float64() < probability
+		})
+	}
+	for _, s := range steps {
+		if random.Float64() > probability {
+			continue
+		}
+		t := &in.Targets[slices.IndexFunc(in.Targets, func(t Target) bool { return t.Name == s.Target })]
+		if s.Load {
+			t.Residents = append(t.Residents, memledger.Resident{Item: s.Item, State: targetapi.Loading, Bytes: s.Bytes})
+			continue
+		}
+		for j := range t.Residents {
+			if t.Residents[j].Item == s.Item {
+				t.Residents[j].State = targetapi.Unloading
+			}
+		}
+	}
+}
+
+func checkMemory(t *rapid.T, in *Input) {
+	for i := range in.Targets {
+		sum := int64(0)
+		for _, r := range in.Targets[i].Residents {
+			sum += r.Bytes
+		}
+		if sum > in.Targets[i].CapacityBytes {
+			t.Fatalf("target %s holds %d of %d bytes", in.Targets[i].Name, sum, in.Targets[i].CapacityBytes)
+		}
+	}
+}
+
+func unready(in *Input) (list []string) {
+	c := countReady(in.Targets)
+	for i := range in.Models {
+		m := &in.Models[i]
+		if c.models[m.Name] == 0 {
+			list = append(list, m.Name)
+		}
+		for _, a := range m.Adapters {
+			if c.adapters[[2]string{m.Name, a.Name}] == 0 {
+				list = append(list, m.Name+":"+a.Name)
+			}
+		}
+	}
+	return list
+}
+
+// settle runs steps until there are none and returns how many it took.
+func settle(t *rapid.T, random *rand.Rand, in *Input, probability float64) (moves int) {
+	reachable := map[string]bool{}
+	for busy, round := true, 0; busy; round++ {
+		if round > 600 {
+			t.Fatalf("no rest after %d rounds", round)
+		}
+		wanted := Plan(*in)
+		steps := NextSteps(in, &wanted)
+		moves += len(steps)
+		busy = len(steps) > 0 || slices.ContainsFunc(in.Targets, func(t Target) bool {
+			return slices.ContainsFunc(t.Residents, func(r memledger.Resident) bool { return r.State != targetapi.Ready })
+		})
+		advance(random, in, steps, probability)
+		checkMemory(t, in)
+		missing := unready(in)
+		for _, name := range missing {
+			if reachable[name] {
+				t.Fatalf("round %d: %s was ready and is not any more", round, name)
+			}
+		}
+		for i := range in.Models {
+			m := &in.Models[i]
+			reachable[m.Name] = !slices.Contains(missing, m.Name)
+			for _, a := range m.Adapters {
+				reachable[m.Name+":"+a.Name] = !slices.Contains(missing, m.Name+":"+a.Name)
+			}
+		}
+	}
+	return moves
+}
+
+// Guards against overcommitted memory, a lost last replica, models left out although memory suffices, and plans that
+// never come to rest, through version changes, demand changes and lost targets.
+func TestPlanAndSteps(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		in := randomInput(random, 3+random.IntN(10), 2+random.IntN(20), 2+2*random.Float64())
+		for range 5 {
+			settle(t, random, &in, 0.3+0.7*random.Float64())
+			if missing := unready(&in); len(missing) > 0 {
+				t.Fatalf("not ready at rest: %v", missing)
+			}
+			for i := range in.Targets {
+				for _, r := range in.Targets[i].Residents {
+					if m := in.Models[slices.IndexFunc(in.Models, func(m Model) bool { return m.Name == r.Item.Model })]; !inVersion(&m, r.Item) {
+						t.Fatalf("%v is still resident at rest", r.Item)
+					}
+				}
+			}
+			switch random.IntN(3) {
+			case 0:
+				for range 1 + random.IntN(3) {
+					m := &in.Models[random.IntN(len(in.Models))]
+					m.Version += "x"
+					m.Adapters = slices.Clone(m.Adapters)
+					for a := range m.Adapters {
+						m.Adapters[a].Version += strings.Repeat("x", random.IntN(2))
+					}
+				}
+			case 1:
+				for i := range in.Models {
+					in.Models[i].Demand *= 2 * random.Float64()
+				}
+			case 2:
+				in.Targets[random.IntN(len(in.Targets))].Residents = nil
+			}
+		}
+	})
+}
+
+// Guards against moves without need: a small swing of demand must not move anything.
+func TestSmallSwingsMoveNothing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		in := randomInput(random, 8, 12, 3)
+		settle(t, random, &in, 1)
+		for i := range in.Models {
+			in.Models[i].Demand *= 0.95 + 0.05*random.Float64()
+		}
+		unloads := 0
+		wanted := Plan(in)
+		for _, s := range NextSteps(&in, &wanted) {
+			unloads += btoi(!s.Load)
+		}
+		if unloads > 0 {
+			t.Fatalf("%d unloads after a swing of 5 %%", unloads)
+		}
+	})
+}
+
+// Guards against replicas of one model in one failure domain, and against a takeover out of priority order.
+func TestSpreadAndTakeoverOrder(t *testing.T) {
+	in := Input{ReplicaRate: 10}
+	for i := range 4 {
+		in.Targets = append(in.Targets, Target{Name: fmt.Sprint("t", i), FailureDomain: fmt.Sprint("rack", i/2), CapacityBytes: 100})
+	}
+	for i, p := range []releasenote.Priority{releasenote.Batch, releasenote.Interactive, releasenote.Standard} {
+		in.Models = append(in.Models, Model{Name: fmt.Sprint("m", i), Version: "1", MemoryBytes: 40, Priority: p, MinReplicas: 2, Home: true})
+	}
+	wanted := Plan(in)
+	for _, m := range in.Models {
+		racks := map[string]int{}
+		for _, target := range in.Targets {
+			if wanted.Has(target.Name, m.item()) {
+				racks[target.FailureDomain]++
+			}
+		}
+		if racks["rack0"] != 1 || racks["rack1"] != 1 {
+			t.Errorf("%s: replicas by failure domain are %v", m.Name, racks)
+		}
+	}
+	var order []string
+	for _, s := range NextSteps(&in, &wanted) {
+		if !s.Urgent {
+			t.Errorf("%v is not urgent", s)
+		}
+		order = append(order, s.Item.Model)
+	}
+	if want := []string{"m1", "m1", "m2", "m2", "m0", "m0"}; !slices.Equal(order, want) {
+		t.Errorf("loads in the order %v, want %v", order, want)
+	}
+	// With memory for one model only, the most urgent one gets it and the others are reported.
+	in.Targets = in.Targets[:1]
+	in.Targets[0].CapacityBytes = 70
+	wanted = Plan(in)
+	if !wanted.Has("t0", in.Models[1].item()) || len(wanted.Missing) != 2 || wanted.Missing[0].Bytes != 10 {
+		t.Errorf("wanted %+v", wanted)
+	}
+}
+
+// search is an exhaustive search over all sequences of steps of a small data centre.
+func search(in *Input, items []memledger.Item, bytes map[memledger.Item]int64) bool {
+	n, start := len(items), uint32(0)
+	for i, t := range in.Targets {
+		for _, r := range t.Residents {
+			start |= 1 << (i*n + slices.Index(items, r.Item))
+		}
+	}
+	has := func(state uint32, item memledger.Item, anyVersion bool) bool {
+		for i := range in.Targets {
+			for k, other := range items {
+				if state&(1<<(i*n+k)) != 0 && other.Model == item.Model && (anyVersion || other == item) {
+					return true
+				}
+			}
+		}
+		return false
+	}
+	seen, queue := map[uint32]bool{start: true}, []uint32{start}
+	for len(queue) > 0 {
+		state := queue[0]
+		queue = queue[1:]
+		goal := true
+		for i := range in.Models {
+			goal = goal && has(state, in.Models[i].item(), false)
+		}
+		if goal {
+			return true
+		}
+		for bit := range n * len(in.Targets) {
+			next := state ^ 1<<bit
+			use := int64(0)
+			for k, item := range items {
+				if next&(1<<(bit/n*n+k)) != 0 {
+					use += bytes[item]
+				}
+			}
+			ok := use <= in.Targets[bit/n].CapacityBytes
+			for i := range in.Models {
+				ok = ok && (!has(state, in.Models[i].item(), true) || has(next, in.Models[i].item(), true))
+			}
+			if ok && !seen[next] {
+				seen[next] = true
+				queue = append(queue, next)
+			}
+		}
+	}
+	return false
+}
+
+// Guards against an accepted release note that no sequence of steps can reach.
+func TestFeasibleAgainstExhaustiveSearch(t *testing.T) {
+	accepted, refused, wrong := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		in := Input{DataCentre: "dc", ReplicaRate: 10}
+		var items []memledger.Item
+		bytes := map[memledger.Item]int64{}
+		for i := range 2 {
+			in.Targets = append(in.Targets, Target{Name: fmt.Sprint("t", i), CapacityBytes: 20 + random.Int64N(20)})
+		}
+		for i := range 4 {
+			m := Model{Name: fmt.Sprint("m", i), Version: "1", MemoryBytes: 5 + random.Int64N(12), Home: true}
+			items = append(items, m.item())
+			bytes[m.item()] = m.MemoryBytes
+			free := &in.Targets[i%2]
+			free.Residents = append(free.Residents, memledger.Resident{Item: m.item(), State: targetapi.Ready, Bytes: m.MemoryBytes})
+			free.CapacityBytes = max(free.CapacityBytes, free.Residents[0].Bytes+m.MemoryBytes)
+			if random.IntN(2) == 0 {
+				m.Version, m.MemoryBytes = "2", 5+random.Int64N(12)
+				items = append(items, m.item())
+				bytes[m.item()] = m.MemoryBytes
+			}
+			in.Models = append(in.Models, m)
+		}
+		possible := search(&in, items, bytes)
+		findings := Feasible([]Input{in})
+		switch {
+		case len(findings) == 0 && !possible:
+			t.Fatalf("accepted, but no sequence exists: %+v", in)
+		case len(findings) == 0:
+			accepted++
+		case possible:
+			wrong++
+		default:
+			refused++
+		}
+	})
+	t.Logf("accepted %d, refused rightly %d, refused although a sequence exists %d", accepted, refused, wrong)
+	if accepted < 10 || refused < 10 {
+		t.Fatal("the inputs prove nothing")
+	}
+}
+
+// Guards against findings that do not name model, data centre and missing bytes.
+func TestFeasibleFindings(t *testing.T) {
+	in := Input{DataCentre: "almadies", ReplicaRate: 10, Targets: []Target{{Name: "t", CapacityBytes: 100}}}
+	in.Models = []Model{{Name: "large", Version: "1", MemoryBytes: 130}, {Name: "small", Version: "1", MemoryBytes: 30}}
+	findings := Feasible([]Input{in})
+	if len(findings) != 1 {
+		t.Fatal(findings)
+	}
+	for _, want := range []string{`"almadies"`, `"large"`, "lacks 60 bytes"} {
+		if !strings.Contains(findings[0].Message, want) {
+			t.Errorf("%q does not name %s", findings[0].Message, want)
+		}
+	}
+}
+
+// Guards against a forecast that is late for a rise or gives up memory at every dip.
+func TestForecast(t *testing.T) {
+	f, now := NewForecaster(), time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	observe := func(seconds int, rate func(i int) float64) {
+		for i := range seconds {
+			now = now.Add(time.Second)
+			f.Observe(now, "m", rate(i))
+		}
+	}
+	observe(30, func(int) float64 { return 10 })
+	observe(10, func(i int) float64 { return 10 + 5*float64(i) })
+	if d := f.Demand("m"); d < 55 {
+		t.Errorf("forecast %.1f on a rise to 55", d)
+	}
+	observe(60, func(int) float64 { return 55 })
+	high := f.Demand("m")
+	observe(20, func(int) float64 { return 5 })
+	if f.Demand("m") < high {
+		t.Error("the forecast fell during a short dip")
+	}
+	observe(60, func(int) float64 { return 5 })
+	if d := f.Demand("m"); d > 20 {
+		t.Errorf("forecast %.1f after 80 s at 5", d)
+	}
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ models, targets int }{{34, 18}, {150, 250}, {500, 860}} {
+		b.Run(fmt.Sprintf("%d models %d targets", size.models, size.targets), func(b *testing.B) {
+			random := rand.New(rand.NewPCG(1, 1))
+			in := randomInput(random, size.targets, size.models, 3)
+			for range 20 {
+				wanted := Plan(in)
+				advance(random, &in, NextSteps(&in, &wanted), 1)
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				wanted := Plan(in)
+				NextSteps(&in, &wanted)
+			}
+		})
+	}
+}
+
+func BenchmarkFeasible(b *testing.B) {
+	random := rand.New(rand.NewPCG(1, 1))
+	in := randomInput(random, 860, 500, 3)
+	for range 20 {
+		wanted := Plan(in)
+		advance(random, &in, NextSteps(&in, &wanted), 1)
+	}
+	in.Models = slices.Clone(in.Models)
+	for i := range 10 {
+		in.Models[i].Version = "2"
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		Feasible([]Input{in})
+	}
+}
