Serve HTTP with typed outcomes, and call targets without hidden repeats

Cause: net/http sends a request with an Idempotency-Key again when a reused connection breaks. Cause: a body that never arrives held its connection for ever once the read deadline was cleared; the test under a synthetic clock deadlocked. The deadline now stays in place after an error.

--- a/protocol/api/outcome.go
+++ b/protocol/api/outcome.go
@@ -16,6 +16,10 @@
 	HeaderDeadlineMs     = "Hoist-Deadline-Ms"
 )
 
+// HeaderSpilled marks a request that an instance of another data centre passes on because it has no room. Such a
+// request is not passed on again.
+const HeaderSpilled = "Hoist-Spilled-From"
+
 // Response headers of every answer.
 const (
 	HeaderOutcome       = "Hoist-Outcome"
--- a/protocol/peerapi/messages.go
+++ b/protocol/peerapi/messages.go
@@ -1,6 +1,9 @@
 package peerapi
 
-import "github.com/tarragonhoist/tarragonhoist/events"
+import (
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
 
 // GossipPull asks an instance for its latest entries of targets.
 type GossipPull struct {
@@ -28,3 +31,18 @@
 	// Applied is the index of the last applied entry of the config log.
 	Applied uint64 `json:"applied"`
 }
+
+// EnginesAnswer lists the engines of a data centre, for the check of release notes.
+type EnginesAnswer struct {
+	Engines []Engine `json:"engines"`
+}
+
+// Engine is what the check of a release note needs to know of a model engine.
+type Engine struct {
+	Name          string `json:"name"`
+	FailureDomain string `json:"failure_domain,omitempty"`
+	// CapacityBytes is without the KV cache reserve.
+	CapacityBytes int64                `json:"capacity_bytes"`
+	Leaving       bool                 `json:"leaving,omitempty"`
+	Residents     []targetapi.Resident `json:"residents,omitempty"`
+}
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -20,6 +20,8 @@
 	MethodLoadLimitReturn = "loadlimit.return"
 	MethodTimeline        = "timeline.read"
 	MethodStatus          = "status.read"
+	MethodEngines         = "placement.engines"
+	MethodUsage           = "admission.usage"
 )
 
 // Methods of the link itself.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -65,6 +65,8 @@
 	Name       string `toml:"name"`
 	DataCentre string `toml:"data_centre"`
 	Address    string `toml:"address"`
+	// HTTPAddress takes requests that other data centres can't serve themselves. Without it, none are sent there.
+	HTTPAddress string `toml:"http_address"`
 }
 
 // Identity is a caller or an operator and the SHA-256 hash of its bearer token.
@@ -168,6 +170,7 @@
 			f.Report(key+".address", "missing")
 		}
 		checkAddress(f, key+".address", p.Address)
+		checkAddress(f, key+".http_address", p.HTTPAddress)
 		if p.Name == s.Instance && p.DataCentre != s.DataCentre {
 			f.Report(key+".data_centre", "%q differs from data_centre %q of this instance", p.DataCentre, s.DataCentre)
 		}
--- a/transport/httpapi/api.go
+++ b/transport/httpapi/api.go
@@ -106,8 +106,13 @@
 		// Not every writer supports deadlines, for example the recorder of a test.
 		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
 		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
-		// A deadline left in place would cancel a long stream, since net/http keeps reading to notice a closed connection.
-		_ = control.SetReadDeadline(time.Time{})
+		if err == nil {
+			// A deadline left in place would cancel a long stream, since net/http keeps reading to notice a closed
+			// connection. After an error it stays, since net/http would wait for the rest of the body without it.
+			_ = control.SetReadDeadline(time.Time{})
+		} else {
+			w.Header().Set("Connection", "close")
+		}
 		r.Body = &bufferedBody{Reader: bytes.NewReader(body), err: err}
 		next.ServeHTTP(w, r)
 	})
--- /dev/null
+++ b/transport/httpapi/api_test.go
@@ -0,0 +1,331 @@
+package httpapi_test
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
+)
+
+// backend answers model calls with a function and records what reached it.
+type backend struct {
+	httpapi.Operators
+	chat    func(ctx context.Context, call httpapi.ChatCall, out httpapi.TokenWriter) *api.Result
+	service func(call httpapi.ServiceCall) (*httpapi.ServiceAnswer, *api.Result)
+	ready   bool
+}
+
+func (b *backend) Chat(ctx context.Context, call httpapi.ChatCall, out httpapi.TokenWriter) *api.Result {
+	return b.chat(ctx, call, out)
+}
+func (b *backend) Models(string) api.ModelList { return api.ModelList{Object: "list"} }
+func (b *backend) CallService(_ context.Context, call httpapi.ServiceCall) (*httpapi.ServiceAnswer, *api.Result) {
+	return b.service(call)
+}
+func (b *backend) Announce(a targetapi.Announcement) error { return a.Check() }
+func (b *backend) CacheEvents(targetapi.CacheEvents) error { return nil }
+func (b *backend) Ready() bool                             { return b.ready }
+func (b *backend) Metrics() any                            { return map[string]int{} }
+
+const chunk = `{"choices":[{"index":0,"delta":{"content":"word "},"finish_reason":null}]}`
+
+func answerTokens(n int) func(context.Context, httpapi.ChatCall, httpapi.TokenWriter) *api.Result {
+	return func(_ context.Context, _ httpapi.ChatCall, out httpapi.TokenWriter) *api.Result {
+		for i := range n {
+			if err := out.WriteEvent(i, []byte(chunk)); err != nil {
+				return api.Fail(api.ReasonStreamBroken, api.RepeatNow, err.Error())
+			}
+		}
+		return &api.Result{Outcome: api.Answered}
+	}
+}
+
+func tokenHash(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+func newServer(b *backend, s *settings.Settings) http.Handler {
+	if s == nil {
+		s = &settings.Settings{Instance: "a1"}
+	}
+	return httpapi.New(s, b).Handler()
+}
+
+func do(h http.Handler, method, path, body string, header map[string]string) *httptest.ResponseRecorder {
+	req := httptest.NewRequest(method, path, strings.NewReader(body))
+	for k, v := range header {
+		req.Header.Set(k, v)
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, req)
+	return w
+}
+
+const question = `{"model":"m","stream":true,"messages":[{"role":"user","content":"?"}]}`
+
+// Guards against bad input that reaches the policies, or that gets no typed and clear answer.
+func TestBadRequestsAreRefused(t *testing.T) {
+	secured := &settings.Settings{Instance: "a1", Callers: []settings.Identity{{Name: "crew", TokenSHA256: tokenHash("secret")}}}
+	for _, test := range []struct {
+		name, method, path, body string
+		header                   map[string]string
+		settings                 *settings.Settings
+		status                   int
+		reason                   api.Reason
+	}{
+		{name: "malformed JSON", method: "POST", path: "/v1/chat/completions", body: `{"model":`, status: 400, reason: api.ReasonMalformedRequest},
+		{name: "no messages", method: "POST", path: "/v1/chat/completions", body: `{"model":"m"}`, status: 400, reason: api.ReasonMalformedRequest},
+		{name: "negative limit", method: "POST", path: "/v1/chat/completions", body: `{"model":"m","max_tokens":-1,"messages":[{"role":"user","content":"?"}]}`, status: 400, reason: api.ReasonMalformedRequest},
+		{name: "oversized body", method: "POST", path: "/v1/chat/completions", body: strings.Repeat("x", httpapi.MaxBodyBytes+1), status: 413, reason: api.ReasonBodyTooLarge},
+		{name: "bad deadline", method: "POST", path: "/v1/chat/completions", body: question, header: map[string]string{api.HeaderDeadlineMs: "soon"}, status: 400, reason: api.ReasonMalformedRequest},
+		{name: "bad priority", method: "POST", path: "/v1/chat/completions", body: question, header: map[string]string{api.HeaderPriority: "first"}, status: 400, reason: api.ReasonMalformedRequest},
+		{name: "no token", method: "POST", path: "/v1/chat/completions", body: question, settings: secured, status: 401, reason: api.ReasonUnauthenticated},
+		{name: "wrong token", method: "POST", path: "/v1/chat/completions", body: question, settings: secured, header: map[string]string{"Authorization": "Bearer guess"}, status: 401, reason: api.ReasonUnauthenticated},
+		{name: "long key", method: "POST", path: "/services/desk/x", header: map[string]string{api.HeaderIdempotencyKey: strings.Repeat("k", 300)}, status: 400, reason: api.ReasonMalformedRequest},
+		{name: "announcement without capacity", method: "POST", path: targetapi.PathAnnounce, body: `{"version":1,"target":"e","incarnation":1,"data_centre":"a","address":"x","kind":"engine"}`, status: 400, reason: api.ReasonMalformedRequest},
+		{name: "oversized announcement", method: "POST", path: targetapi.PathAnnounce, body: strings.Repeat(" ", targetapi.MaxAnnouncementBytes+1), status: 413, reason: api.ReasonBodyTooLarge},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := &backend{chat: func(context.Context, httpapi.ChatCall, httpapi.TokenWriter) *api.Result {
+				t.Error("the request reached the policies")
+				return &api.Result{Outcome: api.Answered}
+			}}
+			w := do(newServer(b, test.settings), test.method, test.path, test.body, test.header)
+			var body api.ErrorBody
+			if err := json.Unmarshal(w.Body.Bytes(), &body); err != nil {
+				t.Fatal(err)
+			}
+			if w.Code != test.status || body.Error.Code != test.reason || w.Header().Get(api.HeaderOutcome) != string(api.Refused) || body.Error.Message == "" {
+				t.Errorf("got %d %+v", w.Code, body.Error)
+			}
+		})
+	}
+}
+
+// Guards against a caller name that a header can choose when tokens are configured.
+func TestTokenNamesTheCaller(t *testing.T) {
+	secured := &settings.Settings{Instance: "a1", Callers: []settings.Identity{{Name: "crew", TokenSHA256: tokenHash("secret")}}}
+	got := ""
+	b := &backend{chat: func(_ context.Context, call httpapi.ChatCall, _ httpapi.TokenWriter) *api.Result {
+		got = call.Caller
+		return &api.Result{Outcome: api.Answered}
+	}}
+	do(newServer(b, secured), "POST", "/v1/chat/completions", question,
+		map[string]string{"Authorization": "Bearer secret", api.HeaderCaller: "somebody"})
+	if got != "crew" {
+		t.Errorf("caller %q", got)
+	}
+}
+
+// Guards against a stream that ends silently after a failure, and against a refusal that hides behind status 200.
+func TestStreamEndsExplicitly(t *testing.T) {
+	broken := api.Fail(api.ReasonStreamBroken, api.RepeatAfter, "target lost")
+	for _, test := range []struct {
+		name   string
+		tokens int
+		result *api.Result
+		status int
+		last   string
+	}{
+		{"answered", 2, &api.Result{Outcome: api.Answered}, 200, "data: [DONE]\n\n"},
+		{"empty answer", 0, &api.Result{Outcome: api.Answered}, 200, "data: [DONE]\n\n"},
+		{"broken after tokens", 2, broken, 200, `"request_id":"r"}}` + "\n\n"},
+		{"refused before tokens", 0, api.RefuseFor(api.ReasonOverShare, 1500*time.Millisecond, "later"), 429, "}\n"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := &backend{chat: func(ctx context.Context, call httpapi.ChatCall, out httpapi.TokenWriter) *api.Result {
+				answerTokens(test.tokens)(ctx, call, out)
+				return test.result
+			}}
+			w := do(newServer(b, nil), "POST", "/v1/chat/completions", question, map[string]string{api.HeaderRequestID: "r"})
+			if w.Code != test.status || !strings.HasSuffix(w.Body.String(), test.last) {
+				t.Errorf("status %d, body %s", w.Code, w.Body)
+			}
+			if test.result == broken && !strings.Contains(w.Body.String(), "event: error\n") {
+				t.Errorf("no error event: %s", w.Body)
+			}
+			if test.status == 429 && (w.Header().Get("Retry-After") != "2" || w.Header().Get(api.HeaderRepeatAfterMs) != "1500") {
+				t.Errorf("headers %v", w.Header())
+			}
+		})
+	}
+}
+
+// Guards against service calls that lose their path, query or key, or that leak the caller's token to the service.
+func TestServiceCallIsForwarded(t *testing.T) {
+	var got httpapi.ServiceCall
+	b := &backend{service: func(call httpapi.ServiceCall) (*httpapi.ServiceAnswer, *api.Result) {
+		got = call
+		return &httpapi.ServiceAnswer{ServiceAnswer: targetclient.ServiceAnswer{Status: 201, ContentType: "text/plain", Body: []byte("ok")}, Replayed: true},
+			&api.Result{Outcome: api.Answered}
+	}}
+	w := do(newServer(b, nil), "PUT", "/services/desk/hauls/7%2F8?x=1", "body", map[string]string{
+		api.HeaderIdempotencyKey: "k", api.HeaderCaller: "crew", "Authorization": "Bearer secret"})
+	if got.Service != "desk" || got.Call.PathAndQuery != "/hauls/7%2F8?x=1" || got.IdempotencyKey != "k" || string(got.Call.Body) != "body" {
+		t.Errorf("call %+v", got)
+	}
+	if got.Call.Header.Get("Authorization") != "" {
+		t.Error("the token was forwarded")
+	}
+	if w.Code != 201 || w.Body.String() != "ok" || w.Header().Get(api.HeaderReplayed) == "" {
+		t.Errorf("answer %d %s %v", w.Code, w.Body, w.Header())
+	}
+}
+
+// pipeListener hands out in-memory connections, so that the server runs under a synthetic clock.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func newPipeListener() *pipeListener {
+	return &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+func (l *pipeListener) Close() error   { close(l.closed); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+func (l *pipeListener) dial() net.Conn {
+	client, server := net.Pipe()
+	l.conns <- server
+	return client
+}
+
+// serve runs a server in the bubble of the test and ends it.
+func serve(t *testing.T, b *backend, client func(l *pipeListener)) {
+	t.Helper()
+	l := newPipeListener()
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan error, 1)
+	go func() { served <- httpapi.New(&settings.Settings{Instance: "a1"}, b).Serve(ctx, l) }()
+	client(l)
+	cancel()
+	if err := <-served; err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against half-open connections that hold a place for ever: headers or a body that never end.
+func TestHalfOpenRequestsEnd(t *testing.T) {
+	for name, text := range map[string]string{
+		"headers": "POST /v1/chat/completions HTTP/1.1\r\nHost: a",
+		"body":    "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := &backend{chat: func(context.Context, httpapi.ChatCall, httpapi.TokenWriter) *api.Result {
+					t.Error("half a request reached the policies")
+					return &api.Result{Outcome: api.Answered}
+				}}
+				serve(t, b, func(l *pipeListener) {
+					conn := l.dial()
+					go func() { _, _ = io.WriteString(conn, text) }()
+					answer, _ := io.ReadAll(conn) // ends when the server gives the connection up
+					if name == "body" && !strings.Contains(string(answer), string(api.ReasonMalformedRequest)) {
+						t.Errorf("answer %q", answer)
+					}
+				})
+			})
+		})
+	}
+}
+
+// Guards against a reader that stops reading and blocks a stream, with its target's slot, for ever.
+func TestSlowReaderIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		result := make(chan *api.Result, 1)
+		b := &backend{chat: func(ctx context.Context, call httpapi.ChatCall, out httpapi.TokenWriter) *api.Result {
+			r := answerTokens(1000)(ctx, call, out)
+			result <- r
+			return r
+		}}
+		serve(t, b, func(l *pipeListener) {
+			conn := l.dial()
+			sendQuestion(t, conn)
+			if _, err := bufio.NewReader(conn).ReadString('\n'); err != nil {
+				t.Fatal(err)
+			}
+			if r := <-result; r.Outcome != api.Failed || r.Reason != api.ReasonStreamBroken {
+				t.Errorf("got %+v", r)
+			}
+			_ = conn.Close()
+		})
+	})
+}
+
+// Guards against work that goes on for a caller that has closed its connection, and against a long stream that is cut
+// off by the deadline for reading its request.
+func TestAbsentCallerAndLongStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ended := make(chan error, 2)
+		b := &backend{chat: func(ctx context.Context, _ httpapi.ChatCall, out httpapi.TokenWriter) *api.Result {
+			for i := range 10 {
+				if err := out.WriteEvent(i, []byte(chunk)); err != nil {
+					ended <- errors.Wrap(err, "write")
+					return api.Fail(api.ReasonStreamBroken, api.RepeatNow, err.Error())
+				}
+				select {
+				case <-time.After(time.Minute):
+				case <-ctx.Done():
+					ended <- ctx.Err()
+					return api.Fail(api.ReasonTimeout, api.RepeatNow, "gone")
+				}
+			}
+			ended <- nil
+			return &api.Result{Outcome: api.Answered}
+		}}
+		serve(t, b, func(l *pipeListener) {
+			conn := l.dial()
+			sendQuestion(t, conn)
+			go func() { _, _ = io.Copy(io.Discard, conn) }()
+			if err := <-ended; err != nil {
+				t.Errorf("a stream of ten minutes ended with %v", err)
+			}
+			_ = conn.Close()
+			conn = l.dial()
+			sendQuestion(t, conn)
+			if _, err := bufio.NewReader(conn).ReadString('\n'); err != nil {
+				t.Fatal(err)
+			}
+			_ = conn.Close()
+			if err := <-ended; err == nil {
+				t.Error("the work went on for an absent caller")
+			}
+		})
+	})
+}
+
+func sendQuestion(t *testing.T, conn net.Conn) {
+	t.Helper()
+	req, err := http.NewRequest(http.MethodPost, "http://a/v1/chat/completions", strings.NewReader(question))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := req.Write(conn); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/transport/httpapi/callers.go
+++ b/transport/httpapi/callers.go
@@ -11,6 +11,7 @@
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
 	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
 	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
 )
 
@@ -33,6 +34,12 @@
 	Timeout time.Duration
 	Request *api.ChatRequest
 	Body    []byte
+	// ResumeOffset is the number of tokens that the sender has received already.
+	ResumeOffset uint64
+	// SpilledFrom names the instance of another data centre that passes the request on, or is empty.
+	SpilledFrom string
+	// Identity are the headers that show who the caller is.
+	Identity http.Header
 }
 
 // TokenWriter takes the events of an answer in order. An error means that the caller is gone or too slow.
@@ -85,7 +92,10 @@
 		return
 	}
 	w.Header().Set(api.HeaderRequestID, id)
-	if call.Request.Stream {
+	if attempt := r.Header.Get(targetapi.HeaderAttemptID); attempt != "" {
+		w.Header().Set(targetapi.HeaderAttemptID, attempt)
+	}
+	if call.Request.Stream || call.SpilledFrom != "" {
 		s.streamChat(w, r, call)
 		return
 	}
@@ -113,7 +123,37 @@
 	if priority != "" && !priority.Valid() {
 		return ChatCall{}, api.Refuse(api.ReasonMalformedRequest, "header "+api.HeaderPriority+" is none of interactive, standard, batch")
 	}
-	return ChatCall{RequestID: id, Caller: caller, Priority: priority, Timeout: timeout, Request: parsed, Body: body}, nil
+	offset, result := resumeOffset(r)
+	if result != nil {
+		return ChatCall{}, result
+	}
+	return ChatCall{
+		RequestID: id, Caller: caller, Priority: priority, Timeout: timeout, Request: parsed, Body: body,
+		ResumeOffset: offset, SpilledFrom: r.Header.Get(api.HeaderSpilled), Identity: identity(r),
+	}, nil
+}
+
+func resumeOffset(r *http.Request) (uint64, *api.Result) {
+	text := r.Header.Get(targetapi.HeaderResumeOffset)
+	if text == "" {
+		return 0, nil
+	}
+	offset, err := strconv.ParseUint(text, 10, 32)
+	if err != nil {
+		return 0, api.Refuse(api.ReasonMalformedRequest, "header "+targetapi.HeaderResumeOffset+" must be a number of tokens")
+	}
+	return offset, nil
+}
+
+// identity keeps the headers by which another instance recognises the caller.
+func identity(r *http.Request) http.Header {
+	h := make(http.Header)
+	for _, name := range []string{"Authorization", api.HeaderCaller} {
+		if value := r.Header.Get(name); value != "" {
+			h.Set(name, value)
+		}
+	}
+	return h
 }
 
 func deadline(r *http.Request) (time.Duration, *api.Result) {
--- a/transport/targetclient/client.go
+++ b/transport/targetclient/client.go
@@ -93,6 +93,8 @@
 	// Offset is the number of tokens that the caller has already received.
 	Offset int
 	Body   []byte
+	// Header is sent along, for example the identity of the caller to an instance of another data centre.
+	Header http.Header
 }
 
 // Event is one event of a stream.
@@ -108,6 +110,9 @@
 	if err != nil {
 		return errors.Wrap(err, "attempt")
 	}
+	if a.Header != nil {
+		req.Header = a.Header.Clone()
+	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Accept", "text/event-stream")
 	req.Header.Set(api.HeaderRequestID, a.RequestID)
@@ -147,7 +152,7 @@
 		return &ErrOverloaded{RetryAfter: retryAfter(resp.Header)}
 	case http.StatusNotFound, http.StatusServiceUnavailable:
 		return &ErrNotReady{Message: message}
-	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
+	case http.StatusBadRequest, http.StatusUnauthorized, http.StatusForbidden, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 		return &ErrRejected{Status: resp.StatusCode, Message: message}
 	default:
 		return &ErrBroken{Cause: errors.Errorf("status %d: %s", resp.StatusCode, message)}
--- /dev/null
+++ b/transport/targetclient/client_test.go
@@ -0,0 +1,126 @@
+package targetclient_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
+)
+
+// Guards against errors that say more than is known: only a refusal by the target or a failed dial proves that an
+// attempt did not run, and a stream without an end marker is never complete.
+func TestStreamErrorsSayWhatIsKnown(t *testing.T) {
+	const event = "id: 0\ndata: {}\n\n"
+	for _, test := range []struct {
+		name    string
+		status  int
+		attempt string
+		body    string
+		want    any
+	}{
+		{"complete", 200, "a", event + "data: [DONE]\n\n", nil},
+		{"cut", 200, "a", event, new(*targetclient.ErrBroken)},
+		{"error event", 200, "a", event + "event: error\ndata: {}\n\n", new(*targetclient.ErrBroken)},
+		{"answer to another attempt", 200, "b", event + "data: [DONE]\n\n", new(*targetclient.ErrBroken)},
+		{"event without offset", 200, "a", "data: {}\n\n", new(*targetclient.ErrBroken)},
+		{"overloaded", 429, "a", "", new(*targetclient.ErrOverloaded)},
+		{"not ready", 404, "a", "", new(*targetclient.ErrNotReady)},
+		{"rejected", 400, "a", "", new(*targetclient.ErrRejected)},
+		{"internal error", 500, "a", "", new(*targetclient.ErrBroken)},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set(targetapi.HeaderAttemptID, test.attempt)
+				w.WriteHeader(test.status)
+				_, _ = io.WriteString(w, test.body)
+			}))
+			defer server.Close()
+			attempt := targetclient.Attempt{Address: strings.TrimPrefix(server.URL, "http://"), AttemptID: "a"}
+			err := targetclient.New().Stream(context.Background(), attempt, func(targetclient.Event) error { return nil })
+			if test.want == nil {
+				if err != nil {
+					t.Fatal(err)
+				}
+				return
+			}
+			if !errors.As(err, test.want) {
+				t.Errorf("got %T %v", err, err)
+			}
+		})
+	}
+	err := targetclient.New().Stream(context.Background(), targetclient.Attempt{Address: closedAddress(t)}, nil)
+	var notConnected *targetclient.ErrNotConnected
+	if !errors.As(err, &notConnected) {
+		t.Errorf("closed port: %T %v", err, err)
+	}
+}
+
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// Guards against net/http sending a non-idempotent call again by itself, which it does for requests with an idempotency
+// key on a reused connection.
+func TestServiceCallIsSentOnce(t *testing.T) {
+	var requests atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if requests.Add(1) == 1 {
+			return
+		}
+		// The second call is read and then its connection breaks, as if the service had died while working.
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	}))
+	defer server.Close()
+	client := targetclient.New()
+	call := targetclient.ServiceCall{
+		Address: strings.TrimPrefix(server.URL, "http://"), Method: http.MethodPost, PathAndQuery: "/x",
+		Header: http.Header{api.HeaderIdempotencyKey: {"k"}},
+	}
+	if _, _, err := client.Call(context.Background(), call); err != nil {
+		t.Fatal(err)
+	}
+	_, sent, err := client.Call(context.Background(), call)
+	if err == nil || !sent {
+		t.Errorf("sent %t, error %v", sent, err)
+	}
+	if n := requests.Load(); n != 2 {
+		t.Errorf("the service saw %d requests, want 2", n)
+	}
+}
+
+// Guards against a call that is reported as sent although no byte left, and the other way round.
+func TestServiceCallSaysWhetherAnythingWasSent(t *testing.T) {
+	_, sent, err := targetclient.New().Call(context.Background(), targetclient.ServiceCall{Address: closedAddress(t), Method: "POST", PathAndQuery: "/"})
+	if err == nil || sent {
+		t.Errorf("closed port: sent %t, error %v", sent, err)
+	}
+	large := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprint(w, strings.Repeat("x", targetclient.MaxServiceAnswerBytes+1))
+	}))
+	defer large.Close()
+	_, sent, err = targetclient.New().Call(context.Background(), targetclient.ServiceCall{
+		Address: strings.TrimPrefix(large.URL, "http://"), Method: "POST", PathAndQuery: "/"})
+	if err == nil || !sent {
+		t.Errorf("answer that is too large: sent %t, error %v", sent, err)
+	}
+}
--- a/transport/targetclient/events.go
+++ b/transport/targetclient/events.go
@@ -12,13 +12,16 @@
 // maxLineBytes bounds one line of a stream.
 const maxLineBytes = 1 << 20
 
-var doneMarker = []byte("[DONE]")
+var (
+	doneMarker = []byte("[DONE]")
+	errorEvent = []byte("event: error")
+)
 
 // readEvents parses server-sent events. A stream that ends without the end marker is broken.
 func readEvents(r io.Reader, onEvent func(Event) error) error {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
-	offset := -1
+	offset, failed := -1, false
 	for scanner.Scan() {
 		line := scanner.Bytes()
 		switch {
@@ -28,8 +31,13 @@
 				return &ErrBroken{Cause: errors.Errorf("event id %q is not an offset", line)}
 			}
 			offset = id
+		case bytes.Equal(line, errorEvent):
+			failed = true
 		case bytes.HasPrefix(line, []byte("data:")):
 			data := bytes.TrimSpace(line[len("data:"):])
+			if failed {
+				return &ErrBroken{Cause: errors.Errorf("error event: %.512s", data)}
+			}
 			if bytes.Equal(data, doneMarker) {
 				return onEvent(Event{Offset: offset, Done: true})
 			}
--- a/transport/targetclient/service.go
+++ b/transport/targetclient/service.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
 )
 
 // ServiceCall is one call of a plain service.
@@ -17,7 +19,9 @@
 	// PathAndQuery is what follows the service name.
 	PathAndQuery string
 	Header       http.Header
-	Body         []byte
+	// AttemptID is sent along when it is set.
+	AttemptID string
+	Body      []byte
 }
 
 // ServiceAnswer is the answer of a plain service.
@@ -39,6 +43,9 @@
 	if call.Header != nil {
 		req.Header = call.Header.Clone()
 	}
+	if call.AttemptID != "" {
+		req.Header.Set(targetapi.HeaderAttemptID, call.AttemptID)
+	}
 	resp, err := c.single.Do(req)
 	if err != nil {
 		return nil, written.Load(), errors.Wrap(err, "service call")
