--- a/coordination/stream/splicer.go
+++ b/coordination/stream/splicer.go
@@ -34,6 +34,7 @@
 // has offset 0. Several attempts may be open at the same time. A Splicer is not safe for concurrent use.
 type Splicer struct {
 	next     uint64
+	start    uint64
 	open     map[string]bool // false once the attempt has ended
 	hashes   [compareWindow]uint64
 	complete bool
@@ -41,7 +42,12 @@
 }
 
 // New returns a splicer that expects offset 0.
-func New() *Splicer { return &Splicer{open: make(map[string]bool)} }
+func New() *Splicer { return NewAt(0) }
+
+// NewAt returns a splicer for a caller that has received the tokens before an offset already.
+func NewAt(offset uint64) *Splicer {
+	return &Splicer{next: offset, start: offset, open: make(map[string]bool)}
+}
 
 // Begin opens an attempt and returns the offset from which the target has to send.
 func (s *Splicer) Begin(attempt string) (offset uint64, err error) {
@@ -71,7 +77,7 @@
 	hash := xxhash.Sum64(data)
 	slot := &s.hashes[offset%compareWindow]
 	if offset < s.next {
-		if s.next-offset <= compareWindow && *slot != hash {
+		if offset >= s.start && s.next-offset <= compareWindow && *slot != hash {
 			s.open[attempt] = false
 			return false, errors.Wrapf(ErrDiverged, "attempt %q at offset %d", attempt, offset)
 		}
--- a/instance/admit/admit.go
+++ b/instance/admit/admit.go
@@ -32,6 +32,7 @@
 	now        func() time.Time
 
 	waiting *shard.Map[string, queue]
+	changed chan struct{}
 
 	mu     sync.Mutex
 	served map[string]bool
@@ -51,7 +52,7 @@
 // New makes a waiter. instances is the number of instances of the data centre.
 func New(controller *admission.Controller, targets Targets, instances int, now func() time.Time) *Waiter {
 	return &Waiter{
-		controller: controller, targets: targets, instances: instances, now: now, served: make(map[string]bool),
+		controller: controller, targets: targets, instances: instances, now: now, served: make(map[string]bool), changed: make(chan struct{}, 1),
 		waiting: shard.New(shard.DefaultShards, maxQueues, shard.StringHash, newQueue),
 	}
 }
@@ -70,10 +71,23 @@
 			w.deliver(w.controller.Next(w.now()))
 		case <-capacities.C:
 			w.Refresh()
+		case <-w.changed:
+			w.Refresh()
 		}
 	}
 }
 
+// TargetChanged refreshes the capacities at once when a target comes, goes or holds other models.
+func (w *Waiter) TargetChanged(c membership.Change) {
+	if c.Kind == membership.Renewed {
+		return
+	}
+	select {
+	case w.changed <- struct{}{}:
+	default:
+	}
+}
+
 // Acquire waits until a request may start. The returned function ends the request.
 func (w *Waiter) Acquire(ctx context.Context, r admission.Request) (func(admission.Completion), *api.Result) {
 	granted := make(chan admission.Grant, 1)
--- a/instance/backend.go
+++ b/instance/backend.go
@@ -3,27 +3,26 @@
 import (
 	"context"
 	"sort"
-	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
 
-	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/instance/drain"
 	"github.com/tarragonhoist/tarragonhoist/instance/inforce"
 	"github.com/tarragonhoist/tarragonhoist/instance/modelcalls"
 	"github.com/tarragonhoist/tarragonhoist/instance/notes"
 	"github.com/tarragonhoist/tarragonhoist/instance/policy"
+	"github.com/tarragonhoist/tarragonhoist/instance/servicecalls"
 	"github.com/tarragonhoist/tarragonhoist/instance/targets"
 	"github.com/tarragonhoist/tarragonhoist/instance/timeline"
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
 	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
-	"github.com/tarragonhoist/tarragonhoist/state/catalog"
 	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
 )
 
 // backend answers the HTTP interface.
 type backend struct {
-	*modelcalls.Server
+	models   *modelcalls.Server
+	services *servicecalls.Server
 	*notes.Desk
 	gate     *drain.Gate
 	view     *inforce.View
@@ -36,6 +35,16 @@
 
 var _ httpapi.Backend = (*backend)(nil)
 
+// Chat answers a model call.
+func (b *backend) Chat(ctx context.Context, call httpapi.ChatCall, out httpapi.TokenWriter) *api.Result {
+	return b.models.Chat(ctx, call, out)
+}
+
+// CallService answers a call of a plain service.
+func (b *backend) CallService(ctx context.Context, call httpapi.ServiceCall) (*httpapi.ServiceAnswer, *api.Result) {
+	return b.services.CallService(ctx, call)
+}
+
 // Models lists the models and adapters that a caller may use.
 func (b *backend) Models(caller string) api.ModelList {
 	contents := b.view.Contents()
@@ -74,16 +83,3 @@
 func (b *backend) Timeline(ctx context.Context, all bool) httpapi.Timeline {
 	return b.timeline.Read(ctx, all)
 }
-
-// Verdict returns the verdict of a release note.
-func (b *backend) Verdict(number uint64) (catalog.Verdict, bool) { return b.Desk.Verdict(number) }
-
-// countEvents counts events by name in the metrics.
-func countEvents(registry metrics.Registry) func(events.Definition) {
-	return func(d events.Definition) {
-		metrics.GetOrRegisterCounter("events."+d.Name, registry).Inc(1)
-	}
-}
-
-// clock is the time source of the daemon. Its values carry the monotonic clock, which leases need.
-func clock() time.Time { return time.Now() }
--- /dev/null
+++ b/instance/feasibility/feasibility.go
@@ -0,0 +1,121 @@
+// Package feasibility checks release notes against the memory of all targets that can be reached.
+package feasibility
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
+	"github.com/tarragonhoist/tarragonhoist/coordination/placement"
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/protocol/tomlfile"
+	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/state/catalog"
+	"github.com/tarragonhoist/tarragonhoist/state/memledger"
+)
+
+const readTimeout = time.Second
+
+// Peers calls other instances.
+type Peers interface {
+	Call(ctx context.Context, peer, method string, params, result any) error
+}
+
+// Table lists the targets of the data centre.
+type Table interface{ All() []*membership.Entry }
+
+// Checker checks release notes.
+type Checker struct {
+	settings *settings.Settings
+	table    Table
+	peers    Peers
+	now      func() time.Time
+}
+
+// New makes a checker.
+func New(s *settings.Settings, table Table, peers Peers, now func() time.Time) *Checker {
+	return &Checker{settings: s, table: table, peers: peers, now: now}
+}
+
+// Engines lists the engines of this data centre and what is resident on them.
+func (c *Checker) Engines() []peerapi.Engine {
+	now := c.now()
+	var list []peerapi.Engine
+	for _, e := range c.table.All() {
+		a := &e.Announcement
+		if a.Kind != targetapi.Engine {
+			continue
+		}
+		list = append(list, peerapi.Engine{
+			Name: a.Target, FailureDomain: a.FailureDomain, CapacityBytes: a.CapacityBytes - a.ReserveBytes,
+			Leaving: !e.Usable(now), Residents: a.Residents,
+		})
+	}
+	return list
+}
+
+// Targets turns engines into the input of the placement.
+func Targets(engines []peerapi.Engine) []placement.Target {
+	list := make([]placement.Target, 0, len(engines))
+	for _, e := range engines {
+		t := placement.Target{Name: e.Name, FailureDomain: e.FailureDomain, CapacityBytes: e.CapacityBytes, Leaving: e.Leaving}
+		for _, r := range e.Residents {
+			t.Residents = append(t.Residents, memledger.Resident{
+				Item: memledger.Item{Model: r.Model, Version: r.Version, Adapter: r.Adapter}, Bytes: r.Bytes, State: r.State,
+			})
+		}
+		list = append(list, t)
+	}
+	return list
+}
+
+// Check lists what a release note lacks. Data centres that can't be reached are left out: their controllers reach what
+// is in force as far as their memory allows.
+func (c *Checker) Check(ctx context.Context, next *catalog.Contents) []tomlfile.Finding {
+	models := placement.Models(next)
+	if len(models) == 0 {
+		return nil
+	}
+	var inputs []placement.Input
+	for dataCentre, targets := range c.read(ctx) {
+		inputs = append(inputs, placement.Input{DataCentre: dataCentre, Targets: targets, Models: models, ReplicaRate: 1})
+	}
+	return placement.Feasible(inputs)
+}
+
+// read asks one instance of each other data centre for its engines.
+func (c *Checker) read(ctx context.Context) map[string][]placement.Target {
+	ctx, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	all := map[string][]placement.Target{c.settings.DataCentre: Targets(c.Engines())}
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for _, dataCentre := range c.settings.DataCentres() {
+		if dataCentre == c.settings.DataCentre {
+			continue
+		}
+		wg.Go(func() {
+			targets, ok := c.readDataCentre(ctx, dataCentre)
+			if !ok {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			all[dataCentre] = targets
+		})
+	}
+	wg.Wait()
+	return all
+}
+
+func (c *Checker) readDataCentre(ctx context.Context, dataCentre string) ([]placement.Target, bool) {
+	for _, peer := range c.settings.Local(dataCentre) {
+		var answer peerapi.EnginesAnswer
+		if err := c.peers.Call(ctx, peer, peerapi.MethodEngines, peerapi.Empty{}, &answer); err == nil {
+			return Targets(answer.Engines), true
+		}
+	}
+	return nil, false
+}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -13,10 +13,14 @@
 	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/instance/admit"
+	"github.com/tarragonhoist/tarragonhoist/instance/controller"
 	"github.com/tarragonhoist/tarragonhoist/instance/drain"
+	"github.com/tarragonhoist/tarragonhoist/instance/feasibility"
 	"github.com/tarragonhoist/tarragonhoist/instance/replicalink"
+	"github.com/tarragonhoist/tarragonhoist/instance/servicecalls"
 	"github.com/tarragonhoist/tarragonhoist/instance/targets"
 	"github.com/tarragonhoist/tarragonhoist/instance/timeline"
+	"github.com/tarragonhoist/tarragonhoist/instance/usage"
 	"github.com/tarragonhoist/tarragonhoist/instance/version"
 	"github.com/tarragonhoist/tarragonhoist/settings"
 	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
@@ -31,17 +35,21 @@
 
 // Instance is one running instance.
 type Instance struct {
-	settings *settings.Settings
-	recorder *events.Recorder
-	gate     *drain.Gate
-	peers    *peer.Transport
-	groups   replicalink.Groups
-	config   *replica.Group
-	targets  *targets.Keeper
-	waiter   *admit.Waiter
-	timeline *timeline.Reader
-	backend  *backend
-	server   *httpapi.Server
+	settings    *settings.Settings
+	recorder    *events.Recorder
+	gate        *drain.Gate
+	peers       *peer.Transport
+	groups      replicalink.Groups
+	config      *replica.Group
+	targets     *targets.Keeper
+	waiter      *admit.Waiter
+	lease       *controller.Lease
+	usage       *usage.Exchange
+	feasibility *feasibility.Checker
+	ledger      *servicecalls.Ledger
+	timeline    *timeline.Reader
+	backend     *backend
+	server      *httpapi.Server
 }
 
 // Serve runs an instance until ctx ends and the last request in progress is answered.
@@ -69,7 +77,7 @@
 	defer stop()
 	tasks, background := errgroup.WithContext(background)
 	for method, serve := range i.handlers() {
-		i.peers.Handle(method, peer.Handler(serve))
+		i.peers.Handle(method, serve)
 	}
 	tasks.Go(func() error { return i.peers.Serve(background, peerListener) })
 	for _, group := range i.groups {
@@ -77,6 +85,16 @@
 	}
 	tasks.Go(func() error { i.targets.Run(background); return nil })
 	tasks.Go(func() error { i.waiter.Run(background); return nil })
+	tasks.Go(func() error { i.usage.Run(background); return nil })
+	tasks.Go(func() error { i.ledger.Serve(background); return nil })
+	leaseCtx, giveUpLease := context.WithCancel(background)
+	defer giveUpLease()
+	released := make(chan struct{})
+	tasks.Go(func() error {
+		defer close(released)
+		i.lease.Run(leaseCtx)
+		return nil
+	})
 	tasks.Go(func() error { return i.server.Serve(background, httpListener) })
 	tasks.Go(func() error { i.becomeReady(background); return nil })
 	tasks.Go(func() error {
@@ -84,6 +102,8 @@
 		select {
 		case <-ctx.Done():
 			i.drain()
+			giveUpLease()
+			<-released
 		case <-background.Done():
 		}
 		return nil
@@ -140,4 +160,14 @@
 	i.recorder.Record(events.DrainRefusing, events.Fields{"active": i.gate.Active()})
 	// The platform bounds this wait by its own kill timeout; a limit here could only cut off requests earlier.
 	_ = i.gate.Wait(context.Background())
+	i.finishCalls()
+}
+
+// finishCalls gives the outcomes of the last calls time to be recorded. What is not recorded by then becomes a call
+// that may have run.
+func (i *Instance) finishCalls() {
+	deadline := time.Now().Add(stopTimeout)
+	for i.ledger.Pending() > 0 && time.Now().Before(deadline) {
+		time.Sleep(readyInterval)
+	}
 }
--- a/instance/logs.go
+++ b/instance/logs.go
@@ -1,13 +1,16 @@
 package instance
 
 import (
+	"context"
 	"slices"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
 	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/controller"
 	"github.com/tarragonhoist/tarragonhoist/instance/inforce"
 	"github.com/tarragonhoist/tarragonhoist/instance/replicalink"
 	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/state/callledger"
 	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
 )
 
@@ -23,9 +26,18 @@
 	machineElectors = "electors"
 )
 
-func openConfig(s *settings.Settings, peers replicalink.Peers, view *inforce.View, recorder *events.Recorder) (*replica.Group, error) {
+func openConfig(s *settings.Settings, peers replicalink.Peers, view *inforce.View, electors *controller.Electors,
+	recorder *events.Recorder) (*replica.Group, error) {
 	options := groupOptions(s, groupConfig, peers, recorder)
-	options.Machine = replica.NewMux(map[string]replica.StateMachine{machineNotes: view})
+	options.Machine = replica.NewMux(map[string]replica.StateMachine{machineNotes: view, machineElectors: electors})
+	return replica.Open(options)
+}
+
+// openCalls opens the calls log. Only voters hold it; other instances just send proposals.
+func openCalls(s *settings.Settings, peers replicalink.Peers, ledger *callledger.Machine, recorder *events.Recorder) (*replica.Group, error) {
+	options := groupOptions(s, groupCalls, peers, recorder)
+	options.Machine = ledger
+	options.Parents = func() []string { return nil }
 	return replica.Open(options)
 }
 
@@ -77,3 +89,14 @@
 		Group: name, Role: s.Role, Leader: s.Leader, Term: s.Term, Commit: s.Commit, Applied: s.Applied, Voters: s.Voters,
 	}
 }
+
+// machineLog puts commands for one state machine into a group.
+type machineLog struct {
+	group   *replica.Group
+	machine string
+}
+
+// Propose commits a command and returns its result.
+func (l machineLog) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	return l.group.Propose(ctx, replica.EncodeCommand(l.machine, command))
+}
--- a/instance/modelcalls/run.go
+++ b/instance/modelcalls/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/google/uuid"
@@ -54,7 +55,7 @@
 type run struct {
 	server   *Server
 	work     *Work
-	body     []byte
+	call     *httpapi.ChatCall
 	out      httpapi.TokenWriter
 	splicer  *stream.Splicer
 	messages chan message
@@ -66,9 +67,9 @@
 	attempts   int
 }
 
-func newRun(s *Server, w *Work, body []byte, out httpapi.TokenWriter) *run {
+func newRun(s *Server, w *Work, call *httpapi.ChatCall, out httpapi.TokenWriter) *run {
 	return &run{
-		server: s, work: w, body: body, out: out, splicer: stream.New(), messages: make(chan message, eventBuffer),
+		server: s, work: w, call: call, out: out, splicer: stream.NewAt(call.ResumeOffset), messages: make(chan message, eventBuffer),
 		open: make(map[string]*attempt), excluded: make(map[string]bool),
 	}
 }
@@ -140,7 +141,12 @@
 func (r *run) stream(ctx context.Context, a *attempt, offset int) {
 	request := targetclient.Attempt{
 		Address: a.placed.Address, RequestID: r.work.RequestID, AttemptID: a.id, Priority: r.work.Priority,
-		Offset: offset, Body: r.body,
+		Offset: offset, Body: r.call.Body,
+	}
+	if a.placed.Remote {
+		request.Header = r.call.Identity.Clone()
+		request.Header.Set(api.HeaderSpilled, r.server.Instance)
+		request.Header.Set(api.HeaderDeadlineMs, strconv.FormatInt(max(1, r.work.Deadline.Sub(r.server.Now()).Milliseconds()), 10))
 	}
 	err := r.server.Client.Stream(ctx, request, func(e targetclient.Event) error {
 		e.Data = append([]byte(nil), e.Data...)
@@ -233,7 +239,9 @@
 		r.mayHaveRun = true
 		r.server.Recorder.Record(events.AttemptBroken, events.Fields{
 			"request": r.work.RequestID, "target": a.placed.Target, "offset": r.splicer.Resume(), "error": err.Error()})
-		r.server.Suspects.Strike(ctx, r.work, a.placed)
+		if !a.placed.Remote {
+			r.server.Suspects.Strike(ctx, r.work, a.placed)
+		}
 	}
 	if len(r.open) > 0 {
 		return nil
@@ -330,7 +338,8 @@
 	delete(r.open, a.id)
 	a.cancel()
 	a.done(Result{FirstToken: a.first, Total: r.server.Now().Sub(a.started), Tokens: a.tokens, Err: err})
-	if !errors.Is(err, context.Canceled) {
+	if !errors.Is(err, context.Canceled) || a.placed.Remote {
+		// An instance of another data centre notices the closed connection by itself.
 		return
 	}
 	go func() {
--- a/instance/modelcalls/server.go
+++ b/instance/modelcalls/server.go
@@ -33,6 +33,10 @@
 	PromptTokens int
 	TokenLimit   int
 	Deadline     time.Time
+	// MaySpill says that the request may be passed on to another data centre. Spilled is set when it has to be, since
+	// this data centre has no room.
+	MaySpill bool
+	Spilled  bool
 }
 
 // Placed is a target that was picked for an attempt.
@@ -40,6 +44,8 @@
 	Target      string
 	Incarnation uint64
 	Address     string
+	// Remote says that the target is an instance of another data centre.
+	Remote bool
 }
 
 // Result is how an attempt ended.
@@ -110,13 +116,15 @@
 	Recorder       *events.Recorder
 	RequestTimeout time.Duration
 	Now            func() time.Time
+	// Instance is the name of this instance.
+	Instance string
 }
 
 // Chat answers one call.
 func (s *Server) Chat(ctx context.Context, call httpapi.ChatCall, out httpapi.TokenWriter) *api.Result {
 	leave, ok := s.Gate.Enter()
 	if !ok {
-		return draining()
+		return Draining()
 	}
 	defer leave()
 	result := s.answer(ctx, &call, out)
@@ -124,7 +132,8 @@
 	return result
 }
 
-func draining() *api.Result {
+// Draining refuses a request of an instance that shuts down.
+func Draining() *api.Result {
 	return &api.Result{Outcome: api.Refused, Reason: api.ReasonDraining, Repeat: api.RepeatNow,
 		Message: "this instance is shutting down; another one takes the request"}
 }
@@ -143,7 +152,7 @@
 	if refusal != nil {
 		return refusal
 	}
-	r := newRun(s, work, call.Body, out)
+	r := newRun(s, work, call, out)
 	defer func() { release(r.forwarded) }()
 	return r.run(ctx)
 }
@@ -167,6 +176,7 @@
 		RequestID: call.RequestID, Caller: call.Caller, Weight: permission.Weight, Model: model, Adapter: adapter,
 		Priority: priority, Fingerprint: fingerprint(call), PrefixHashes: targetapi.PrefixHashes(call.Request),
 		PromptTokens: call.Request.PromptTokens(), TokenLimit: call.Request.TokenLimit(), Deadline: s.Now().Add(timeout),
+		MaySpill: call.SpilledFrom == "",
 	}, nil
 }
 
--- a/instance/notes/notes.go
+++ b/instance/notes/notes.go
@@ -28,7 +28,7 @@
 
 // Feasibility checks a note against the memory of the targets.
 type Feasibility interface {
-	Check(next *catalog.Contents, note *releasenote.Note) []tomlfile.Finding
+	Check(ctx context.Context, next *catalog.Contents) []tomlfile.Finding
 }
 
 // InForce gives what is in force on this instance.
@@ -63,7 +63,7 @@
 	submission := catalog.Submission{Note: *note, Digest: digest, Operator: operator, AtMs: d.now().UnixMilli()}
 	if _, held := d.inForce.Verdict(note.Number); !held {
 		// A number that is held already gets its verdict from the log alone, whatever the targets can hold by now.
-		submission.Findings = d.feasible(note)
+		submission.Findings = d.feasible(ctx, note)
 	}
 	command, err := cbor.Marshal(submission)
 	if err != nil {
@@ -100,13 +100,13 @@
 	return v
 }
 
-func (d *Desk) feasible(note *releasenote.Note) []tomlfile.Finding {
+func (d *Desk) feasible(ctx context.Context, note *releasenote.Note) []tomlfile.Finding {
 	next, findings := catalog.Check(d.inForce.Contents(), note)
 	if len(findings) > 0 {
 		// The log reports these findings itself, against the contents at that point.
 		return nil
 	}
-	return d.feasibility.Check(next, note)
+	return d.feasibility.Check(ctx, next)
 }
 
 // noVerdict reports a submission whose result is not known.
@@ -118,14 +118,14 @@
 }
 
 // Check lists all findings of a note without submitting it.
-func (d *Desk) Check(_ context.Context, file string, data []byte) (tomlfile.Findings, *api.Result) {
+func (d *Desk) Check(ctx context.Context, file string, data []byte) (tomlfile.Findings, *api.Result) {
 	note, findings := releasenote.Parse(file, data)
 	if len(findings) > 0 {
 		return findings, nil
 	}
 	_, conflicts := catalog.Check(d.inForce.Contents(), note)
 	findings = append(findings, conflicts...)
-	findings = append(findings, d.feasible(note)...)
+	findings = append(findings, d.feasible(ctx, note)...)
 	for i := range findings {
 		findings[i].File = file
 	}
--- a/instance/policy/candidates.go
+++ b/instance/policy/candidates.go
@@ -6,6 +6,7 @@
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
 	"github.com/tarragonhoist/tarragonhoist/coordination/routing"
+	"github.com/tarragonhoist/tarragonhoist/instance/modelcalls"
 )
 
 // entryCandidate is a sampled target.
@@ -46,3 +47,34 @@
 		MeasuredAt: time.UnixMilli(a.Load.MeasuredAtMs),
 	}}
 }
+
+// remoteCandidates stand for the replicas of other data centres that have room.
+func (p *Policy) remoteCandidates(now time.Time, w *modelcalls.Work, excluded map[string]bool) candidates {
+	if !w.MaySpill {
+		return nil
+	}
+	var list candidates
+	for _, summary := range p.table.RemoteReplicas(now, w.Model, w.Adapter) {
+		target := remotePrefix + summary.DataCentre
+		if summary.Ready == 0 || summary.FreeWork == 0 || excluded[target] {
+			continue
+		}
+		list = append(list, entryCandidate{candidate: routing.Candidate{
+			Target: target, DataCentre: summary.DataCentre, LeaseUntil: now.Add(time.Second), ModelReady: true, AdapterReady: true,
+			Slots: summary.FreeWork, MeasuredAt: now.Add(-time.Duration(summary.AgeMs) * time.Millisecond),
+		}})
+	}
+	return list
+}
+
+// remotePrefix marks targets that stand for another data centre.
+const remotePrefix = "data-centre:"
+
+func (p *Policy) hasRemoteRoom(w *modelcalls.Work) bool {
+	return len(p.remoteCandidates(p.now(), w, nil)) > 0
+}
+
+// finishedRemote counts the end of an attempt in another data centre, whose latency says nothing about local targets.
+func (p *Policy) finishedRemote(w *modelcalls.Work, placed modelcalls.Placed, r modelcalls.Result) {
+	p.router.Finished(p.now(), routing.Finish{Target: placed.Target, Model: w.Model, Service: r.Total})
+}
--- a/instance/policy/policy.go
+++ b/instance/policy/policy.go
@@ -29,6 +29,8 @@
 type Table interface {
 	Target(name string) (*membership.Entry, bool)
 	Sample(now time.Time, random *rand.Rand, limit int, model, adapter string) []*membership.Entry
+	SampleServices(now time.Time, random *rand.Rand, limit int, name string) []*membership.Entry
+	RemoteReplicas(now time.Time, model, adapter string) []membership.ModelSummary
 }
 
 // Policy decides for model calls. It is safe for concurrent use.
@@ -39,12 +41,19 @@
 	detector *straggler.Detector
 	budget   *retry.Budget
 	suspects Isolation
+	remote   Remote
 	now      func() time.Time
 
 	// generators holds one random generator per concurrent use, since a generator is not safe for sharing.
 	generators sync.Pool
 }
 
+// Remote knows the instances of other data centres.
+type Remote interface {
+	// Address gives the HTTP address of an instance of a data centre, or false when none takes requests.
+	Address(dataCentre string, rng *rand.Rand) (address string, ok bool)
+}
+
 // Isolation keeps suspects of crashes apart.
 type Isolation interface {
 	// Avoid lists the targets that a suspect must not share with another suspect, or nil for a request without strikes.
@@ -56,8 +65,10 @@
 
 // New makes the policy of one instance.
 func New(table Table, waiter *admit.Waiter, router *routing.Router, detector *straggler.Detector, budget *retry.Budget,
-	suspects Isolation, now func() time.Time) *Policy {
-	p := &Policy{table: table, admit: waiter, router: router, detector: detector, budget: budget, suspects: suspects, now: now}
+	suspects Isolation, remote Remote, now func() time.Time) *Policy {
+	p := &Policy{
+		table: table, admit: waiter, router: router, detector: detector, budget: budget, suspects: suspects, remote: remote, now: now,
+	}
 	p.generators.New = func() any { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	return p
 }
@@ -74,6 +85,11 @@
 		PromptTokens: w.PromptTokens, TokenLimit: w.TokenLimit, AdapterResident: true, Deadline: w.Deadline,
 	})
 	if refusal != nil {
+		if refusal.Reason != api.ReasonOverShare && p.hasRemoteRoom(w) {
+			// The other data centre charges the caller's share.
+			w.Spilled = true
+			return func(int) {}, nil
+		}
 		return nil, refusal
 	}
 	started := p.now()
@@ -84,20 +100,45 @@
 
 // Pick implements modelcalls.Picker.
 func (p *Policy) Pick(w *modelcalls.Work, excluded map[string]bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
+	return p.pick(w, excluded, p.suspects.Avoid(w.Fingerprint), func(now time.Time, rng *rand.Rand) []*membership.Entry {
+		if w.Spilled {
+			return nil
+		}
+		return p.table.Sample(now, rng, sampleLimit, w.Model, w.Adapter)
+	})
+}
+
+// PickService picks a target of a plain service, whose name is the model of the work.
+func (p *Policy) PickService(w *modelcalls.Work, excluded map[string]bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
+	return p.pick(w, excluded, nil, func(now time.Time, rng *rand.Rand) []*membership.Entry {
+		return p.table.SampleServices(now, rng, sampleLimit, w.Model)
+	})
+}
+
+func (p *Policy) pick(w *modelcalls.Work, excluded, avoid map[string]bool,
+	sample func(now time.Time, rng *rand.Rand) []*membership.Entry) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
 	now := p.now()
 	rng := p.generators.Get().(*rand.Rand)
 	defer p.generators.Put(rng)
-	avoid := p.suspects.Avoid(w.Fingerprint)
 	var local candidates
-	for _, e := range p.table.Sample(now, rng, sampleLimit, w.Model, w.Adapter) {
+	for _, e := range sample(now, rng) {
 		if name := e.Announcement.Target; !excluded[name] && !avoid[name] {
 			local = append(local, candidate(e))
 		}
 	}
 	request := p.request(w)
-	chosen, _, err := p.router.Pick(now, rng, request, routing.Candidates{Local: local})
+	remote := p.remoteCandidates(now, w, excluded)
+	chosen, scores, err := p.router.Pick(now, rng, request, routing.Candidates{Local: local, Remote: []routing.Set{remote}})
+	if err == nil && scores.Remote {
+		if address, ok := p.remote.Address(chosen.DataCentre, rng); ok {
+			p.router.Started(now, chosen.Target, &request)
+			placed := modelcalls.Placed{Target: chosen.Target, Address: address, Remote: true}
+			return placed, func(r modelcalls.Result) { p.finishedRemote(w, placed, r) }, nil
+		}
+		chosen, _, err = p.router.Pick(now, rng, request, routing.Candidates{Local: local})
+	}
 	if err != nil {
-		return modelcalls.Placed{}, nil, api.RefuseFor(api.ReasonNoTarget, noTargetRetry, "no ready target may take a request of model \""+w.Model+"\"")
+		return modelcalls.Placed{}, nil, api.RefuseFor(api.ReasonNoTarget, noTargetRetry, "no ready target may take a request of \""+w.Model+"\"")
 	}
 	entry := local.entry(chosen.Target)
 	placed := modelcalls.Placed{Target: entry.Announcement.Target, Incarnation: entry.Announcement.Incarnation, Address: entry.Announcement.Address}
--- a/instance/providers.go
+++ b/instance/providers.go
@@ -5,7 +5,6 @@
 	"os"
 	"time"
 
-	"github.com/google/wire"
 	metrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
@@ -16,15 +15,21 @@
 	"github.com/tarragonhoist/tarragonhoist/coordination/straggler"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/instance/admit"
+	"github.com/tarragonhoist/tarragonhoist/instance/controller"
 	"github.com/tarragonhoist/tarragonhoist/instance/drain"
+	"github.com/tarragonhoist/tarragonhoist/instance/feasibility"
 	"github.com/tarragonhoist/tarragonhoist/instance/inforce"
 	"github.com/tarragonhoist/tarragonhoist/instance/modelcalls"
 	"github.com/tarragonhoist/tarragonhoist/instance/notes"
 	"github.com/tarragonhoist/tarragonhoist/instance/policy"
 	"github.com/tarragonhoist/tarragonhoist/instance/replicalink"
+	"github.com/tarragonhoist/tarragonhoist/instance/servicecalls"
+	"github.com/tarragonhoist/tarragonhoist/instance/suspects"
 	"github.com/tarragonhoist/tarragonhoist/instance/targets"
 	"github.com/tarragonhoist/tarragonhoist/instance/timeline"
+	"github.com/tarragonhoist/tarragonhoist/instance/usage"
 	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/state/callledger"
 	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
 	"github.com/tarragonhoist/tarragonhoist/transport/peer"
 	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
@@ -36,13 +41,6 @@
 // incarnation identifies this start of the process.
 type incarnation uint64
 
-var providers = wire.NewSet(
-	provideClock, provideIncarnation, provideLog, metrics.NewRegistry, provideRecorder, provideGate, providePeers,
-	provideView, provideConfig, provideGroups, provideTargets, provideAdmission, provideWaiter, provideDetector,
-	provideRouter, provideBudget, providePolicy, provideDesk, provideModelCalls, provideTimeline, targetclient.New,
-	wire.Struct(new(statusReader), "*"), wire.Struct(new(backend), "*"), provideServer, wire.Struct(new(Instance), "*"),
-)
-
 func provideClock() timeSource { return time.Now }
 
 // provideIncarnation uses the start time, which is larger at each start of one machine.
@@ -74,26 +72,93 @@
 
 func provideView(recorder *events.Recorder) *inforce.View { return inforce.New(recorder) }
 
-func provideConfig(s *settings.Settings, peers *peer.Transport, view *inforce.View, recorder *events.Recorder) (*replica.Group, error) {
-	return openConfig(s, peers, view, recorder)
+func provideLedgerMachine() *callledger.Machine { return callledger.New() }
+
+func provideElectors() *controller.Electors { return controller.NewElectors() }
+
+func provideLease(s *settings.Settings, start incarnation, electors *controller.Electors, peers *peer.Transport,
+	config *replica.Group, recorder *events.Recorder, now timeSource) (*controller.Lease, error) {
+	identity := controller.Identity{
+		Instance: s.Instance, Incarnation: uint64(start), DataCentre: s.DataCentre, Electorate: s.Local(s.DataCentre),
+		DataFolder: s.DataFolder,
+	}
+	return controller.OpenLease(identity, electors, peers, machineLog{config, machineElectors}, recorder, now)
+}
+
+func provideUsage(s *settings.Settings, admission *admission.Controller, peers *peer.Transport, now timeSource) *usage.Exchange {
+	return usage.New(admission, peers, others(s, func(p settings.Peer) bool { return p.DataCentre == s.DataCentre }), now)
+}
+
+// others names the other instances that fit.
+func others(s *settings.Settings, fits func(settings.Peer) bool) []string {
+	var names []string
+	for _, p := range s.Peers {
+		if p.Name != s.Instance && fits(p) {
+			names = append(names, p.Name)
+		}
+	}
+	return names
 }
 
-func provideGroups(config *replica.Group) replicalink.Groups {
-	return replicalink.Groups{groupConfig: config}
+// logs are the two replicated logs.
+type logs struct{ config, calls *replica.Group }
+
+func provideLogs(s *settings.Settings, peers *peer.Transport, view *inforce.View, electors *controller.Electors,
+	ledger *callledger.Machine, recorder *events.Recorder) (logs, error) {
+	config, err := openConfig(s, peers, view, electors, recorder)
+	if err != nil {
+		return logs{}, err
+	}
+	calls, err := openCalls(s, peers, ledger, recorder)
+	return logs{config: config, calls: calls}, err
+}
+
+func provideConfig(l logs) *replica.Group { return l.config }
+
+func provideGroups(l logs) replicalink.Groups {
+	return replicalink.Groups{groupConfig: l.config, groupCalls: l.calls}
+}
+
+func providePeers(s *settings.Settings, start incarnation, registry metrics.Registry, recorder *events.Recorder) (*peer.Transport, error) {
+	options := peer.Options{
+		Cluster: s.Cluster, Self: s.Instance, Incarnation: uint64(start), BytesPerSecond: s.PeerBytesPerSecond,
+		Registry: registry, OnEvent: func(e peer.Event) { recordPeer(recorder, e) },
+		Resolve: func(name string) (string, bool) {
+			p, ok := s.Peer(name)
+			return p.Address, ok
+		},
+	}
+	if s.TLS.Enabled() {
+		var err error
+		if options.TLS, err = peer.LoadTLS(s.TLS.Certificate, s.TLS.Key, s.TLS.Authority); err != nil {
+			return nil, err
+		}
+	}
+	return peer.New(options)
+}
+
+func recordPeer(recorder *events.Recorder, e peer.Event) {
+	fields := events.Fields{"peer": e.Peer}
+	if e.Err != nil {
+		fields["error"] = e.Err.Error()
+	}
+	switch e.Kind {
+	case peer.Unreachable:
+		recorder.Record(events.PeerUnreachable, fields)
+	case peer.Reachable:
+		recorder.Record(events.PeerReachable, fields)
+	case peer.Rejected:
+		recorder.Record(events.PeerRejected, fields)
+	}
 }
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
 func provideTargets(s *settings.Settings, peers *peer.Transport, recorder *events.Recorder, now timeSource) *targets.Keeper {
-	options := targets.Options{DataCentre: s.DataCentre, Lease: s.TargetLease.Duration}
-	for _, p := range s.Peers {
-		switch {
-		case p.Name == s.Instance:
-		case p.DataCentre == s.DataCentre:
-			options.Local = append(options.Local, p.Name)
-		default:
-			options.Remote = append(options.Remote, p.Name)
-		}
+	options := targets.Options{
+		DataCentre: s.DataCentre, Lease: s.TargetLease.Duration,
+		Local:  others(s, func(p settings.Peer) bool { return p.DataCentre == s.DataCentre }),
+		Remote: others(s, func(p settings.Peer) bool { return p.DataCentre != s.DataCentre }),
 	}
 	return targets.New(options, peers, recorder, now, newRand())
 }
@@ -103,7 +168,9 @@
 }
 
 func provideWaiter(s *settings.Settings, controller *admission.Controller, keeper *targets.Keeper, now timeSource) *admit.Waiter {
-	return admit.New(controller, keeper.Table(), len(s.Local(s.DataCentre)), now)
+	waiter := admit.New(controller, keeper.Table(), len(s.Local(s.DataCentre)), now)
+	keeper.Subscribe(waiter)
+	return waiter
 }
 
 func provideDetector() *straggler.Detector { return straggler.New(straggler.Options{}) }
@@ -112,38 +179,64 @@
 	return routing.New(routing.Options{Instances: len(s.Local(s.DataCentre)), Health: detector})
 }
 
+func provideSuspects() *suspects.Table { return &suspects.Table{} }
+
 func provideBudget() *retry.Budget { return retry.New(retry.Options{}) }
 
-func providePolicy(keeper *targets.Keeper, waiter *admit.Waiter, router *routing.Router, detector *straggler.Detector,
-	budget *retry.Budget, now timeSource) *policy.Policy {
-	p := policy.New(keeper.Table(), waiter, router, detector, budget, now)
+func providePolicy(s *settings.Settings, keeper *targets.Keeper, waiter *admit.Waiter, router *routing.Router, detector *straggler.Detector,
+	budget *retry.Budget, table *suspects.Table, now timeSource) *policy.Policy {
+	p := policy.New(keeper.Table(), waiter, router, detector, budget, table, remoteInstances{s}, now)
 	keeper.Subscribe(p)
 	return p
 }
 
-// noteLog puts release notes into the config log.
-type noteLog struct{ group *replica.Group }
+func provideFeasibility(s *settings.Settings, keeper *targets.Keeper, peers *peer.Transport, now timeSource) *feasibility.Checker {
+	return feasibility.New(s, keeper.Table(), peers, now)
+}
+
+// remoteInstances are the instances of other data centres that take requests.
+type remoteInstances struct{ settings *settings.Settings }
+
+// Address implements policy.Remote.
+func (r remoteInstances) Address(dataCentre string, rng *rand.Rand) (string, bool) {
+	var addresses []string
+	for _, p := range r.settings.Peers {
+		if p.DataCentre == dataCentre && p.HTTPAddress != "" {
+			addresses = append(addresses, p.HTTPAddress)
+		}
+	}
+	if len(addresses) == 0 {
+		return "", false
+	}
+	return addresses[rng.IntN(len(addresses))], true
+}
 
-func provideDesk(config *replica.Group, view *inforce.View, recorder *events.Recorder, now timeSource) *notes.Desk {
-	return notes.New(noteLog{config}, view, nil, recorder, now)
+func provideDesk(config *replica.Group, checker *feasibility.Checker, view *inforce.View, recorder *events.Recorder, now timeSource) *notes.Desk {
+	return notes.New(machineLog{config, machineNotes}, view, checker, recorder, now)
 }
 
 func provideModelCalls(s *settings.Settings, view *inforce.View, gate *drain.Gate, p *policy.Policy, client *targetclient.Client,
-	recorder *events.Recorder, now timeSource) *modelcalls.Server {
+	table *suspects.Table, recorder *events.Recorder, now timeSource) *modelcalls.Server {
 	return &modelcalls.Server{
-		InForce: view, Gate: gate, Admission: p, Picker: p, Retries: p, Client: client, Recorder: recorder,
+		InForce: view, Gate: gate, Admission: p, Picker: p, Retries: p, Suspects: table, Client: client, Recorder: recorder,
+		RequestTimeout: s.RequestTimeout.Duration, Now: now, Instance: s.Instance,
+	}
+}
+
+func provideLedger(s *settings.Settings, l logs, start incarnation, recorder *events.Recorder, now timeSource) (*servicecalls.Ledger, error) {
+	return servicecalls.NewLedger(l.calls, s.Instance, uint64(start), recorder, now)
+}
+
+func provideServiceCalls(s *settings.Settings, view *inforce.View, gate *drain.Gate, p *policy.Policy, client *targetclient.Client,
+	ledger *servicecalls.Ledger, recorder *events.Recorder, now timeSource) *servicecalls.Server {
+	return &servicecalls.Server{
+		InForce: view, Gate: gate, Policy: p, Client: client, Ledger: ledger, Recorder: recorder,
 		RequestTimeout: s.RequestTimeout.Duration, Now: now,
 	}
 }
 
 func provideTimeline(s *settings.Settings, recorder *events.Recorder, peers *peer.Transport) *timeline.Reader {
-	var others []string
-	for _, p := range s.Peers {
-		if p.Name != s.Instance {
-			others = append(others, p.Name)
-		}
-	}
-	return timeline.New(recorder, peers, others)
+	return timeline.New(recorder, peers, others(s, func(settings.Peer) bool { return true }))
 }
 
 func provideServer(s *settings.Settings, b *backend) *httpapi.Server { return httpapi.New(s, b) }
--- /dev/null
+++ b/instance/servicecalls/server.go
@@ -0,0 +1,210 @@
+// Package servicecalls answers calls of plain services. Calls that must run at most once go through the call ledger.
+package servicecalls
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/drain"
+	"github.com/tarragonhoist/tarragonhoist/instance/modelcalls"
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/state/catalog"
+	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
+)
+
+// InForce gives what is in force.
+type InForce interface{ Contents() *catalog.Contents }
+
+// Caller sends calls to targets.
+type Caller interface {
+	Call(ctx context.Context, call targetclient.ServiceCall) (answer *targetclient.ServiceAnswer, sent bool, err error)
+}
+
+// Policy admits calls and picks targets.
+type Policy interface {
+	modelcalls.Admission
+	PickService(w *modelcalls.Work, excluded map[string]bool) (p modelcalls.Placed, done func(modelcalls.Result), refusal *api.Result)
+	modelcalls.Retries
+}
+
+// Server answers service calls.
+type Server struct {
+	InForce        InForce
+	Gate           *drain.Gate
+	Policy         Policy
+	Client         Caller
+	Ledger         *Ledger
+	Recorder       *events.Recorder
+	RequestTimeout time.Duration
+	Now            func() time.Time
+}
+
+// CallService answers one call.
+func (s *Server) CallService(ctx context.Context, call httpapi.ServiceCall) (*httpapi.ServiceAnswer, *api.Result) {
+	leave, ok := s.Gate.Enter()
+	if !ok {
+		return nil, modelcalls.Draining()
+	}
+	defer leave()
+	answer, result := s.answer(ctx, &call)
+	s.record(&call, answer, result)
+	return answer, result
+}
+
+func (s *Server) answer(ctx context.Context, call *httpapi.ServiceCall) (*httpapi.ServiceAnswer, *api.Result) {
+	permission, nonIdempotent, refusal := s.InForce.Contents().PermitService(call.Caller, call.Service, call.Call.Method)
+	if refusal != nil {
+		return nil, refusal
+	}
+	if nonIdempotent && call.IdempotencyKey == "" {
+		return nil, api.Refuse(api.ReasonMalformedRequest, "calls with method "+call.Call.Method+" of this service need the header "+api.HeaderIdempotencyKey)
+	}
+	timeout := s.RequestTimeout
+	if call.Timeout > 0 {
+		timeout = min(timeout, call.Timeout)
+	}
+	work := &modelcalls.Work{
+		RequestID: call.RequestID, Caller: call.Caller, Weight: permission.Weight, Model: call.Service,
+		Priority: permission.Priority, Deadline: s.Now().Add(timeout),
+	}
+	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
+	defer cancel()
+	if nonIdempotent {
+		return s.once(ctx, call, work)
+	}
+	release, refusal := s.Policy.Acquire(ctx, work)
+	if refusal != nil {
+		return nil, refusal
+	}
+	started := s.Now()
+	defer func() { release(serviceUnits(s.Now().Sub(started))) }()
+	return s.repeatable(ctx, call, work)
+}
+
+// unitDuration is the duration of a service call that counts as one unit of work.
+const unitDuration = 40 * time.Millisecond
+
+func serviceUnits(d time.Duration) int { return max(1, int(d/unitDuration)) }
+
+// repeatable sends an idempotent call, also again to another target after a failure.
+func (s *Server) repeatable(ctx context.Context, call *httpapi.ServiceCall, work *modelcalls.Work) (*httpapi.ServiceAnswer, *api.Result) {
+	excluded := make(map[string]bool)
+	mayHaveRun := false
+	for attempts := 1; ; attempts++ {
+		placed, done, refusal := s.Policy.PickService(work, excluded)
+		if refusal != nil {
+			return nil, failedOrRefused(mayHaveRun, refusal)
+		}
+		if attempts == 1 {
+			s.Policy.First(work, placed)
+		}
+		started := s.Now()
+		request := call.Call
+		request.Address = placed.Address
+		answer, sent, err := s.Client.Call(ctx, request)
+		done(modelcalls.Result{FirstToken: s.Now().Sub(started), Total: s.Now().Sub(started), Err: err})
+		if err == nil && answer.Status != http.StatusTooManyRequests {
+			return &httpapi.ServiceAnswer{ServiceAnswer: *answer}, &api.Result{Outcome: api.Answered}
+		}
+		mayHaveRun = mayHaveRun || sent && err != nil
+		if ctx.Err() != nil {
+			return nil, api.Fail(api.ReasonTimeout, api.RepeatNow, "the deadline passed before the service answered")
+		}
+		excluded[placed.Target] = true
+		if err == nil {
+			err = &targetclient.ErrOverloaded{}
+		}
+		delay, ok := s.Policy.Allow(work, placed, attempts, err)
+		if !ok {
+			return nil, failedOrRefused(mayHaveRun, api.RefuseFor(api.ReasonNoCapacity, time.Second, err.Error()))
+		}
+		if !sleep(ctx, delay) {
+			return nil, api.Fail(api.ReasonTimeout, api.RepeatNow, "the deadline passed before the service answered")
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// failedOrRefused turns a refusal into a failure when an earlier attempt may have run.
+func failedOrRefused(mayHaveRun bool, refusal *api.Result) *api.Result {
+	if !mayHaveRun {
+		return refusal
+	}
+	return &api.Result{Outcome: api.Failed, Reason: api.ReasonTargetFailed, Repeat: api.RepeatAfter, RepeatAfter: time.Second, Message: refusal.Message}
+}
+
+// once sends a call that must run at most once. The dispatch outlives the caller, so that its answer is recorded.
+func (s *Server) once(ctx context.Context, call *httpapi.ServiceCall, work *modelcalls.Work) (*httpapi.ServiceAnswer, *api.Result) {
+	leave, ok := s.Gate.Enter()
+	if !ok {
+		return nil, modelcalls.Draining()
+	}
+	release, refusal := s.Policy.Acquire(ctx, work)
+	if refusal != nil {
+		leave()
+		return nil, refusal
+	}
+	started := s.Now()
+	told := s.Ledger.Run(ctx, call, work.Deadline, func(attempt string) (*targetclient.ServiceAnswer, bool, error) {
+		return s.dispatch(call, work, attempt)
+	}, func() {
+		release(serviceUnits(s.Now().Sub(started)))
+		leave()
+	})
+	if told.Answer == nil {
+		return nil, told.Result
+	}
+	return &httpapi.ServiceAnswer{ServiceAnswer: *told.Answer, Replayed: told.Replayed}, told.Result
+}
+
+// dispatch sends a reserved call once. It is never tried on a second target, not even when nothing seems to have been
+// sent: the caller repeats it under the same key.
+func (s *Server) dispatch(call *httpapi.ServiceCall, work *modelcalls.Work, attempt string) (*targetclient.ServiceAnswer, bool, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.RequestTimeout)
+	defer cancel()
+	placed, done, refusal := s.Policy.PickService(work, nil)
+	if refusal != nil {
+		return nil, false, errors.New(refusal.Message)
+	}
+	request := call.Call
+	request.Address = placed.Address
+	request.AttemptID = attempt
+	started := s.Now()
+	answer, sent, err := s.Client.Call(ctx, request)
+	done(modelcalls.Result{FirstToken: s.Now().Sub(started), Total: s.Now().Sub(started), Err: err})
+	return answer, sent, err
+}
+
+func (s *Server) record(call *httpapi.ServiceCall, answer *httpapi.ServiceAnswer, result *api.Result) {
+	fields := events.Fields{"request": call.RequestID, "caller": call.Caller, "service": call.Service}
+	if call.IdempotencyKey != "" {
+		fields["key"] = call.IdempotencyKey
+	}
+	switch {
+	case answer != nil && answer.Replayed:
+		s.Recorder.Record(events.CallReplayed, fields)
+	case answer != nil:
+		s.Recorder.Record(events.RequestAnswered, fields)
+	case result.Outcome == api.Refused:
+		fields["reason"] = result.Reason
+		s.Recorder.Record(events.RequestRefused, fields)
+	default:
+		fields["reason"] = result.Reason
+		s.Recorder.Record(events.RequestFailed, fields)
+	}
+}
--- a/instance/status.go
+++ b/instance/status.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
+	"github.com/tarragonhoist/tarragonhoist/instance/controller"
 	"github.com/tarragonhoist/tarragonhoist/instance/drain"
 	"github.com/tarragonhoist/tarragonhoist/instance/inforce"
 	"github.com/tarragonhoist/tarragonhoist/instance/policy"
@@ -17,6 +18,7 @@
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
 	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
 	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/state/callledger"
 	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
 	"github.com/tarragonhoist/tarragonhoist/transport/peer"
 )
@@ -36,6 +38,8 @@
 	policy   *policy.Policy
 	groups   replicalink.Groups
 	peers    *peer.Transport
+	ledger   *callledger.Machine
+	lease    *controller.Lease
 }
 
 func (r *statusReader) read(ctx context.Context) httpapi.Status {
@@ -49,6 +53,9 @@
 			status.Logs = append(status.Logs, logStatus(name, group))
 		}
 	}
+	if fence, ok := r.lease.Held(); ok {
+		status.Control = httpapi.ControlStatus{Holder: s.Instance, Fence: fence}
+	}
 	entries := r.targets.Table().All()
 	status.Models = r.models(entries)
 	for _, m := range status.Models {
@@ -57,9 +64,26 @@
 		}
 	}
 	status.Targets = r.targetStatus(entries)
+	status.UnresolvedCalls = r.unresolved()
 	return status
 }
 
+// maxUnresolved bounds the calls that one overview lists.
+const maxUnresolved = 100
+
+// unresolved lists the calls that are in progress or may have run. Only voters hold the ledger.
+func (r *statusReader) unresolved() []httpapi.UnresolvedStatus {
+	records, _ := r.ledger.Unresolved(maxUnresolved)
+	list := make([]httpapi.UnresolvedStatus, 0, len(records))
+	for _, record := range records {
+		list = append(list, httpapi.UnresolvedStatus{
+			Caller: record.Call.Caller, Service: record.Call.Service, Key: record.Call.Key, State: string(record.State),
+			Since: record.ReservedMs,
+		})
+	}
+	return list
+}
+
 // instances asks the other instances how far they have applied the config log.
 func (r *statusReader) instances(ctx context.Context) []httpapi.InstanceStatus {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
--- a/instance/targets/targets.go
+++ b/instance/targets/targets.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
@@ -199,7 +200,7 @@
 }
 
 func (k *Keeper) changed(c membership.Change) {
-	fields := events.Fields{"target": c.Target, "incarnation": c.Incarnation}
+	fields := events.Fields{"target": c.Target, "incarnation": strconv.FormatUint(c.Incarnation, 10)}
 	switch c.Kind {
 	case membership.Unchanged:
 		return
@@ -208,7 +209,7 @@
 	case membership.Left:
 		k.recorder.Record(events.TargetLeaving, fields)
 	case membership.Replaced:
-		fields["failed_incarnation"] = c.FailedIncarnation
+		fields["failed_incarnation"] = strconv.FormatUint(c.FailedIncarnation, 10)
 		k.recorder.Record(events.TargetReplaced, fields)
 	case membership.Expired:
 		k.recorder.Record(events.TargetExpired, fields)
--- /dev/null
+++ b/instance/usage/usage.go
@@ -0,0 +1,76 @@
+// Package usage exchanges the use of shares among the instances of a data centre.
+package usage
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/admission"
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
+)
+
+const (
+	interval = 500 * time.Millisecond
+	// budgetBytesPerSecond is the part of an instance's byte limit that usage reports may take. With many instances in
+	// a data centre the reports become rarer instead of larger in sum.
+	budgetBytesPerSecond = 6_000
+)
+
+// Peers notifies other instances.
+type Peers interface {
+	Notify(peer, method string, params any) error
+}
+
+// Exchange sends and takes usage reports.
+type Exchange struct {
+	controller *admission.Controller
+	peers      Peers
+	local      []string
+	now        func() time.Time
+}
+
+// New makes an exchange with the other instances of the data centre.
+func New(controller *admission.Controller, peers Peers, local []string, now func() time.Time) *Exchange {
+	return &Exchange{controller: controller, peers: peers, local: local, now: now}
+}
+
+// Run reports until ctx ends.
+func (e *Exchange) Run(ctx context.Context) {
+	timer := time.NewTimer(interval)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			timer.Reset(e.round())
+		}
+	}
+}
+
+// round sends one report to all and returns the time until the next one.
+func (e *Exchange) round() time.Duration {
+	report := e.controller.Usage(e.now())
+	if len(e.local) == 0 {
+		return interval
+	}
+	data, err := json.Marshal(report)
+	if err != nil {
+		return interval
+	}
+	for _, peer := range e.local {
+		// A lost report is made up for by the next one as far as requests in flight are concerned.
+		_ = e.peers.Notify(peer, peerapi.MethodUsage, json.RawMessage(data))
+	}
+	return pause(len(data), len(e.local))
+}
+
+// pause keeps the reports within the byte budget.
+func pause(reportBytes, peers int) time.Duration {
+	needed := time.Duration(reportBytes*peers) * time.Second / budgetBytesPerSecond
+	return max(interval, needed)
+}
+
+// Handle takes the report of another instance.
+func (e *Exchange) Handle(u admission.Usage) { e.controller.MergeUsage(e.now(), u) }
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -4,8 +4,17 @@
 
 import (
 	"github.com/google/wire"
+	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
+)
+
+var providers = wire.NewSet(
+	provideClock, provideIncarnation, provideLog, metrics.NewRegistry, provideRecorder, provideGate, providePeers,
+	provideView, provideLedgerMachine, provideElectors, provideLease, provideUsage, provideLogs, provideGroups, provideConfig, provideTargets, provideAdmission, provideWaiter, provideDetector,
+	provideRouter, provideBudget, provideSuspects, providePolicy, provideFeasibility, provideDesk, provideModelCalls, provideLedger, provideServiceCalls, provideTimeline, targetclient.New,
+	wire.Struct(new(statusReader), "*"), wire.Struct(new(backend), "*"), provideServer, wire.Struct(new(Instance), "*"),
 )
 
 func build(s *settings.Settings) (*Instance, error) {
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tarragonhoist/tarragonhoist/standin/relay"
+	"github.com/tarragonhoist/tarragonhoist/standin/target"
 	"github.com/tarragonhoist/tarragonhoist/transport/opsclient"
 )
 
@@ -56,7 +57,7 @@
 	peer      map[string]string
 	processes map[string]*Process
 	targets   map[string]*Target
-	relays    map[[2]string]*relay.Relay
+	relays    map[[2]string][]*relay.Relay
 }
 
 // Target is a running stand-in target.
@@ -69,7 +70,7 @@
 func New(spec Spec, folder, bin string) (*Cluster, error) {
 	c := &Cluster{
 		spec: spec, folder: folder, bin: bin, http: make(map[string]string), peer: make(map[string]string),
-		processes: make(map[string]*Process), targets: make(map[string]*Target), relays: make(map[[2]string]*relay.Relay),
+		processes: make(map[string]*Process), targets: make(map[string]*Target), relays: make(map[[2]string][]*relay.Relay),
 	}
 	for _, i := range spec.Instances {
 		for _, addresses := range []map[string]string{c.http, c.peer} {
@@ -114,26 +115,32 @@
 	}
 	fmt.Fprintf(&b, "voters = [%s]\n%s\n", strings.Join(voters, ", "), c.spec.Settings)
 	for _, other := range c.spec.Instances {
-		address, err := c.linkAddress(self, other)
+		address, err := c.linkAddress(self, other, c.peer)
 		if err != nil {
 			return err
 		}
-		fmt.Fprintf(&b, "[[peer]]\nname = %q\ndata_centre = %q\naddress = %q\n", other.Name, other.DataCentre, address)
+		httpAddress, err := c.linkAddress(self, other, c.http)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(&b, "[[peer]]\nname = %q\ndata_centre = %q\naddress = %q\nhttp_address = %q\n",
+			other.Name, other.DataCentre, address, httpAddress)
 	}
 	b.WriteString(c.spec.Tables)
 	return errors.Wrap(os.WriteFile(c.settingsFile(self.Name), []byte(b.String()), 0o600), "settings file")
 }
 
 // linkAddress gives the address under which one instance reaches another, which may be a relay.
-func (c *Cluster) linkAddress(from, to InstanceSpec) (string, error) {
+func (c *Cluster) linkAddress(from, to InstanceSpec, addresses map[string]string) (string, error) {
 	if from.Name == to.Name || !c.spec.RelayAll && from.DataCentre == to.DataCentre {
-		return c.peer[to.Name], nil
+		return addresses[to.Name], nil
 	}
-	r, err := relay.New(c.peer[to.Name])
+	r, err := relay.New(addresses[to.Name])
 	if err != nil {
 		return "", err
 	}
-	c.relays[[2]string{from.Name, to.Name}] = r
+	link := [2]string{from.Name, to.Name}
+	c.relays[link] = append(c.relays[link], r)
 	return r.Addr(), nil
 }
 
@@ -278,7 +285,7 @@
 			if in(from) == in(to) {
 				continue
 			}
-			if r, ok := c.relays[[2]string{from.Name, to.Name}]; ok {
+			for _, r := range c.relays[[2]string{from.Name, to.Name}] {
 				f(r)
 			}
 		}
@@ -332,8 +339,10 @@
 	for _, p := range c.processes {
 		p.end()
 	}
-	for _, r := range c.relays {
-		_ = r.Close()
+	for _, relays := range c.relays {
+		for _, r := range relays {
+			_ = r.Close()
+		}
 	}
 }
 
@@ -343,3 +352,18 @@
 		p.Kill()
 	}
 }
+
+// Executions reads how often a stand-in service has run each idempotency key.
+func (t *Target) Executions(ctx context.Context) (map[string]int, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.Address+target.PathExecutions, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "request")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrap(err, "executions")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var counts map[string]int
+	return counts, errors.Wrap(json.NewDecoder(resp.Body).Decode(&counts), "executions")
+}
--- /dev/null
+++ b/test/process/calls_test.go
@@ -0,0 +1,331 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/standin/caller"
+	"github.com/tarragonhoist/tarragonhoist/standin/cluster"
+	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+)
+
+const serviceNote = `number = 1
+[[service]]
+action = "add"
+name = "desk"
+callers = ["crew"]
+`
+
+// book repeats a booking until it has an answer other than a refusal that may be repeated.
+func book(ctx context.Context, t *testing.T, c *cluster.Cluster, instance, key, path string) *caller.Answer {
+	t.Helper()
+	var last *caller.Answer
+	wait(t, c, "booking "+key+" has a final answer", func() error {
+		answer, err := caller.New("crew").Book(ctx, c.URL(instance), "desk", path, key, `{"n":1}`)
+		if err != nil {
+			return err
+		}
+		last = answer
+		if answer.Outcome != api.Answered && answer.Repeat == api.RepeatAfter {
+			return errors.Errorf("%s %s: %s", answer.Outcome, answer.Reason, answer.Error.Message)
+		}
+		return nil
+	})
+	return last
+}
+
+func startDesk(t *testing.T) (context.Context, *cluster.Cluster, *cluster.Target) {
+	t.Helper()
+	ctx, c := start(t, dataCentres(3, 3, "a"))
+	desk := service(t, c, "desk-1", "a")
+	submit(ctx, t, c, "a1", serviceNote)
+	for i := 1; i <= 3; i++ {
+		waitTargets(ctx, t, c, fmt.Sprintf("a%d", i), 1)
+		waitNote(ctx, t, c, fmt.Sprintf("a%d", i), 1)
+	}
+	return ctx, c, desk
+}
+
+func waitNote(ctx context.Context, t *testing.T, c *cluster.Cluster, instance string, number uint64) {
+	t.Helper()
+	wait(t, c, fmt.Sprintf("note %d is in force at %s", number, instance), func() error {
+		_, err := c.Operator(instance).Verdict(ctx, number)
+		return err
+	})
+}
+
+// Guards against a booking that runs again when its caller repeats it through other instances, also at the same time.
+func TestRepeatedBookingRunsOnce(t *testing.T) {
+	t.Parallel()
+	ctx, c, desk := startDesk(t)
+	var wg sync.WaitGroup
+	for i := range 12 {
+		wg.Go(func() { book(ctx, t, c, fmt.Sprintf("a%d", i%3+1), "k", "/x?delay=100ms") })
+	}
+	wg.Wait()
+	if n := executions(ctx, t, desk)["k"]; n != 1 {
+		t.Errorf("the booking ran %d times", n)
+	}
+}
+
+// Guards against a second run, or a lost booking, when the dispatching instance is killed while the service works.
+func TestInstanceKilledBetweenDispatchAndAnswer(t *testing.T) {
+	t.Parallel()
+	ctx, c, desk := startDesk(t)
+	go func() {
+		_, _ = caller.New("crew").Book(ctx, c.URL("a2"), "desk", "/x?delay=2s", "k", `{"n":1}`)
+	}()
+	wait(t, c, "the service works on the booking", func() error {
+		if executions(ctx, t, desk)["k"] == 0 {
+			return errors.New("not yet")
+		}
+		return nil
+	})
+	c.Process("a2").Kill()
+	if err := c.Start("a2"); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.WaitReady("a2"); err != nil {
+		t.Fatal(err)
+	}
+	answer := book(ctx, t, c, "a1", "k", "/x?delay=2s")
+	if answer.Reason != api.ReasonMayHaveRun || answer.Repeat != api.RepeatNever {
+		t.Errorf("a repeat got %+v", answer)
+	}
+	if n := executions(ctx, t, desk)["k"]; n != 1 {
+		t.Errorf("the booking ran %d times", n)
+	}
+	unresolved(ctx, t, c, "a1", "k")
+}
+
+// unresolved expects that operators see a call whose outcome is not known.
+func unresolved(ctx context.Context, t *testing.T, c *cluster.Cluster, instance, key string) {
+	t.Helper()
+	status, err := c.Operator(instance).Status(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, u := range status.UnresolvedCalls {
+		if u.Key == key {
+			return
+		}
+	}
+	t.Errorf("call %q is not listed for operators: %+v", key, status.UnresolvedCalls)
+}
+
+// Guards against a run by a successor, or a lost booking, when the instance is killed after the reservation and before
+// the dispatch. The service accepts no connection at that time, so the dispatcher can't have sent anything.
+func TestInstanceKilledBetweenReservationAndDispatch(t *testing.T) {
+	t.Parallel()
+	ctx, c := start(t, dataCentres(3, 3, "a"))
+	submit(ctx, t, c, "a1", serviceNote)
+	waitNote(ctx, t, c, "a2", 1)
+	blackhole := fullBacklog(t)
+	stop := announce(ctx, t, c, "desk-1", blackhole)
+	waitTargets(ctx, t, c, "a2", 1)
+	go func() {
+		_, _ = caller.New("crew").Book(ctx, c.URL("a2"), "desk", "/x", "k", `{"n":1}`)
+	}()
+	wait(t, c, "the call is reserved", func() error {
+		status, err := c.Operator("a1").Status(ctx)
+		if err != nil {
+			return err
+		}
+		if len(status.UnresolvedCalls) == 0 {
+			return errors.New("no open call")
+		}
+		return nil
+	})
+	c.Process("a2").Kill()
+	stop()
+	if err := c.Start("a2"); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.WaitReady("a2"); err != nil {
+		t.Fatal(err)
+	}
+	desk := service(t, c, "desk-2", "a")
+	waitTargetNamed(ctx, t, c, "a1", "desk-2")
+	answer := book(ctx, t, c, "a1", "k", "/x")
+	// The successor can't know that nothing was sent, so it must not run the call.
+	if answer.Reason != api.ReasonMayHaveRun {
+		t.Errorf("a repeat got %+v", answer)
+	}
+	if n := executions(ctx, t, desk)["k"]; n != 0 {
+		t.Errorf("the booking ran %d times", n)
+	}
+	unresolved(ctx, t, c, "a1", "k")
+}
+
+func waitTargetNamed(ctx context.Context, t *testing.T, c *cluster.Cluster, instance, name string) {
+	t.Helper()
+	wait(t, c, instance+" offers "+name, func() error {
+		status, err := c.Operator(instance).Status(ctx)
+		if err != nil {
+			return err
+		}
+		for _, target := range status.Targets {
+			if target.Name == name && target.State == "serving" {
+				return nil
+			}
+		}
+		return errors.Errorf("targets %+v", status.Targets)
+	})
+}
+
+// fullBacklog listens without accepting and fills the queue of connections, so that further dials get no answer.
+func fullBacklog(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Listen(fd, 0); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for {
+		conn, err := net.DialTimeout("tcp", address, 200*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		t.Cleanup(func() { _ = conn.Close() })
+	}
+}
+
+// announce announces a service at an address to all instances until stop is called.
+func announce(ctx context.Context, t *testing.T, c *cluster.Cluster, name, address string) (stop func()) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for sequence := 1; ctx.Err() == nil; sequence++ {
+			for _, url := range c.DataCentreURLs("a") {
+				body := fmt.Sprintf(`{"version":1,"target":%q,"incarnation":1,"sequence":%d,"data_centre":"a","address":%q,`+
+					`"kind":"service","service":"desk","slots":4,"load":{"measured_at_ms":%d}}`, name, sequence, address, time.Now().UnixMilli())
+				resp, err := http.Post(url+"/hoist/v1/targets/announce", "application/json", strings.NewReader(body))
+				if err == nil {
+					_ = resp.Body.Close()
+				}
+			}
+			time.Sleep(200 * time.Millisecond)
+		}
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// Guards against lost records when a voter loses its disk and a second voter is lost right after the repair.
+func TestBookingSurvivesALostDiskAndASecondLoss(t *testing.T) {
+	t.Parallel()
+	ctx, c, desk := startDesk(t)
+	if answer := book(ctx, t, c, "a3", "k", "/x"); answer.Outcome != api.Answered {
+		t.Fatalf("%+v", answer)
+	}
+	before, err := c.Operator("a3").Status(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Process("a1").Kill()
+	if err := c.LoseDisk("a1"); err != nil {
+		t.Fatal(err)
+	}
+	if err := c.Start("a1"); err != nil {
+		t.Fatal(err)
+	}
+	waitVoter(ctx, t, c, "a3", "a1", before)
+	c.Process("a2").Kill()
+	answer := book(ctx, t, c, "a1", "k", "/x")
+	if answer.Outcome != api.Answered || !answer.Replayed {
+		t.Errorf("a repeat got %+v", answer)
+	}
+	if n := executions(ctx, t, desk)["k"]; n != 1 {
+		t.Errorf("the booking ran %d times", n)
+	}
+}
+
+// waitVoter waits until an instance votes in both logs under a member id that it did not have before.
+func waitVoter(ctx context.Context, t *testing.T, c *cluster.Cluster, asked, name string, before httpapi.Status) {
+	t.Helper()
+	old := make(map[string]bool)
+	for _, log := range before.Logs {
+		for _, voter := range log.Voters {
+			old[log.Group+voter] = true
+		}
+	}
+	wait(t, c, name+" votes again with a new disk", func() error {
+		status, err := c.Operator(asked).Status(ctx)
+		if err != nil {
+			return err
+		}
+		for _, log := range status.Logs {
+			joined := slices.ContainsFunc(log.Voters, func(voter string) bool {
+				return strings.HasPrefix(voter, name+"@") && !old[log.Group+voter]
+			})
+			if !joined || len(log.Voters) != len(before.Logs[0].Voters) {
+				return errors.Errorf("%s has voters %v", log.Group, log.Voters)
+			}
+		}
+		return nil
+	})
+}
+
+// Guards against a cut-off data centre that takes bookings it can't record, or that can't book after the heal.
+func TestCutOffDataCentreRefusesBookingsHonestly(t *testing.T) {
+	t.Parallel()
+	spec := dataCentres(2, 2, "a", "b")
+	spec.Instances[3].Voter = false // three voters: a1, a2 and b1
+	ctx, c := start(t, spec)
+	deskA, deskB := service(t, c, "desk-a", "a"), service(t, c, "desk-b", "b")
+	submit(ctx, t, c, "b2", serviceNote)
+	for _, i := range spec.Instances {
+		waitNote(ctx, t, c, i.Name, 1)
+		waitTargets(ctx, t, c, i.Name, 1)
+	}
+	c.CutDataCentre("b")
+	wait(t, c, "b refuses bookings", func() error {
+		answer, err := caller.New("crew").Book(ctx, c.URL("b2"), "desk", "/x", "cut", `{"n":1}`)
+		if err != nil {
+			return err
+		}
+		if answer.Outcome == api.Answered {
+			t.Fatal("a data centre without a majority answered a booking")
+		}
+		if answer.Outcome != api.Refused || answer.Reason != api.ReasonNoQuorum {
+			return errors.Errorf("%+v", answer)
+		}
+		return nil
+	})
+	if answer := book(ctx, t, c, "a1", "other", "/x"); answer.Outcome != api.Answered {
+		t.Errorf("the majority answered %+v", answer)
+	}
+	c.HealDataCentre("b")
+	if answer := book(ctx, t, c, "b2", "cut", "/x"); answer.Outcome != api.Answered {
+		t.Errorf("after the heal: %+v", answer)
+	}
+	if n := executions(ctx, t, deskA)["cut"] + executions(ctx, t, deskB)["cut"]; n != 1 {
+		t.Errorf("the refused booking ran %d times", n)
+	}
+}
--- /dev/null
+++ b/test/process/cluster_test.go
@@ -0,0 +1,204 @@
+// Package process tests whole deployments of real processes on loopback: kills, freezes, lost disks and cut links.
+package process
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/standin/caller"
+	"github.com/tarragonhoist/tarragonhoist/standin/cluster"
+	"github.com/tarragonhoist/tarragonhoist/standin/target"
+)
+
+// binaries is the folder of the commands, built once.
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	var err error
+	if binaries, err = os.MkdirTemp("", "hoist-process-"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(binaries) }()
+	if err := cluster.Build(binaries, false); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// testLimit ends a test that hangs. No verdict depends on it.
+const testLimit = 90 * time.Second
+
+// start runs a deployment and prints the logs of all instances when the test fails.
+func start(t *testing.T, spec cluster.Spec) (context.Context, *cluster.Cluster) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	t.Cleanup(cancel)
+	spec.Settings += "\ndrain_delay = \"200ms\"\n"
+	c, err := cluster.New(spec, t.TempDir(), binaries)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if t.Failed() {
+			for _, i := range spec.Instances {
+				if p := c.Process(i.Name); p != nil {
+					log := p.Log()
+					t.Logf("--- %s\n%s", i.Name, log[max(0, len(log)-4000):])
+				}
+			}
+		}
+		c.Close()
+	})
+	if err := c.StartAll(); err != nil {
+		t.Fatal(err)
+	}
+	return ctx, c
+}
+
+// dataCentres describes n instances in each data centre; the first voters of each vote.
+func dataCentres(n, voters int, names ...string) cluster.Spec {
+	var spec cluster.Spec
+	for _, dc := range names {
+		for i := 1; i <= n; i++ {
+			spec.Instances = append(spec.Instances, cluster.InstanceSpec{
+				Name: fmt.Sprintf("%s%d", dc, i), DataCentre: dc, Voter: i <= voters, Disk: true})
+		}
+	}
+	return spec
+}
+
+func engine(t *testing.T, c *cluster.Cluster, name, dataCentre string, flags ...string) *cluster.Target {
+	t.Helper()
+	flags = append([]string{"--kind", "engine", "--capacity-bytes", "1000", "--reserve-bytes", "100", "--slots", "8",
+		"--token-interval", "10ms", "--load-delay", "100ms"}, flags...)
+	e, err := c.StartTarget(name, dataCentre, flags...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func service(t *testing.T, c *cluster.Cluster, name, dataCentre string) *cluster.Target {
+	t.Helper()
+	s, err := c.StartTarget(name, dataCentre, "--kind", "service", "--service", "desk", "--slots", "16")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// note puts a model and a service in force.
+const note = `number = 1
+[[model]]
+action = "add"
+name = "m"
+version = "1"
+memory_bytes = 300
+priority = "interactive"
+callers = ["crew"]
+[[service]]
+action = "add"
+name = "desk"
+callers = ["crew"]
+`
+
+// submit waits until a note gets a verdict and expects that it is accepted.
+func submit(ctx context.Context, t *testing.T, c *cluster.Cluster, instance, text string) {
+	t.Helper()
+	wait(t, c, "the note is accepted", func() error {
+		verdict, err := c.Operator(instance).Submit(ctx, "note.toml", []byte(text))
+		if err != nil {
+			return err
+		}
+		if !verdict.Accepted {
+			t.Fatalf("refused: %v", verdict.Findings)
+		}
+		return nil
+	})
+}
+
+func wait(t *testing.T, c *cluster.Cluster, what string, condition func() error) {
+	t.Helper()
+	if err := c.Wait(what, condition); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// waitTargets waits until an instance offers a number of targets.
+func waitTargets(ctx context.Context, t *testing.T, c *cluster.Cluster, instance string, n int) {
+	t.Helper()
+	wait(t, c, fmt.Sprintf("%s knows %d targets", instance, n), func() error {
+		status, err := c.Operator(instance).Status(ctx)
+		if err != nil {
+			return err
+		}
+		if len(status.Targets) != n {
+			return errors.Errorf("%d targets", len(status.Targets))
+		}
+		return nil
+	})
+}
+
+// waitReady waits until a model has ready replicas in the data centre of an instance.
+func waitReady(ctx context.Context, t *testing.T, c *cluster.Cluster, instance, model string, replicas int) {
+	t.Helper()
+	wait(t, c, fmt.Sprintf("%s has %d ready replicas at %s", model, replicas, instance), func() error {
+		status, err := c.Operator(instance).Status(ctx)
+		if err != nil {
+			return err
+		}
+		for _, m := range status.Models {
+			if m.Name == model && m.Ready >= replicas {
+				return nil
+			}
+		}
+		return errors.Errorf("models %+v, targets %+v, control %+v", status.Models, status.Targets, status.Control)
+	})
+}
+
+// checkAnswer checks a whole stream against the tokens that the stand-in engine computes.
+func checkAnswer(answer *caller.Answer, requestID string, tokens int) error {
+	want := ""
+	for i := range tokens {
+		want += target.Token(requestID, i)
+	}
+	if answer.Outcome != api.Answered || !answer.Ended || answer.Text != want {
+		return errors.Errorf("outcome %s, reason %s, %s, ended %t, %d tokens: got %q, want %q",
+			answer.Outcome, answer.Reason, answer.Error.Message, answer.Ended, len(answer.Offsets), answer.Text, want)
+	}
+	return nil
+}
+
+// streamOK sends one stream and checks its answer.
+func streamOK(ctx context.Context, t *testing.T, c *cluster.Cluster, instance, requestID string) {
+	t.Helper()
+	answer, err := caller.New("crew").Stream(ctx, c.URL(instance), caller.Chat{Model: "m", Prompt: "?", MaxTokens: 5, RequestID: requestID})
+	if err == nil {
+		err = checkAnswer(answer, requestID, 5)
+	}
+	if err != nil {
+		t.Fatalf("%s: %v", instance, err)
+	}
+}
+
+// executions reads how often a service ran each key.
+func executions(ctx context.Context, t *testing.T, s *cluster.Target) map[string]int {
+	t.Helper()
+	counts, err := s.Executions(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return counts
+}
--- /dev/null
+++ b/test/process/models_test.go
@@ -0,0 +1,332 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/standin/caller"
+	"github.com/tarragonhoist/tarragonhoist/standin/cluster"
+	"github.com/tarragonhoist/tarragonhoist/standin/target"
+	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+)
+
+// twoReplicas puts a model with two replicas in force.
+const twoReplicas = `number = 1
+[[model]]
+action = "add"
+name = "m"
+version = "1"
+memory_bytes = 300
+priority = "interactive"
+callers = ["crew"]
+min_replicas = 2
+`
+
+func startModel(t *testing.T, spec cluster.Spec, engineFlags ...string) (context.Context, *cluster.Cluster) {
+	t.Helper()
+	ctx, c := start(t, spec)
+	for _, name := range []string{"e1", "e2"} {
+		engine(t, c, name, "a", engineFlags...)
+	}
+	for _, i := range spec.Instances {
+		waitTargets(ctx, t, c, i.Name, 2)
+	}
+	submit(ctx, t, c, "a1", twoReplicas)
+	for _, i := range spec.Instances {
+		waitReady(ctx, t, c, i.Name, "m", 2)
+	}
+	return ctx, c
+}
+
+// busy names the target on which an instance has a request in flight.
+func busy(ctx context.Context, t *testing.T, c *cluster.Cluster, instance string) string {
+	t.Helper()
+	status, err := c.Operator(instance).Status(ctx)
+	if err != nil {
+		t.Error(err)
+		return ""
+	}
+	for _, s := range status.Targets {
+		if s.InFlight > 0 {
+			return s.Name
+		}
+	}
+	return ""
+}
+
+// Guards against gaps, repeats and silent ends when the target of a stream is killed or freezes.
+func TestStreamSurvivesItsTarget(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		name   string
+		signal syscall.Signal
+	}{{"killed", syscall.SIGKILL}, {"frozen", syscall.SIGSTOP}} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			ctx, c := startModel(t, dataCentres(1, 1, "a"))
+			hit := ""
+			answer, err := caller.New("crew").Stream(ctx, c.URL("a1"), caller.Chat{
+				Model: "m", Prompt: "?", MaxTokens: 60, RequestID: "r",
+				OnToken: func(offset int) {
+					if offset == 10 {
+						hit = busy(ctx, t, c, "a1")
+						if hit != "" {
+							_ = c.Target(hit).Signal(test.signal)
+						}
+					}
+				}})
+			if err == nil {
+				err = checkAnswer(answer, "r", 60)
+			}
+			if err != nil || hit == "" {
+				t.Errorf("target %q: %v", hit, err)
+			}
+		})
+	}
+}
+
+// Guards against a shutdown that cuts off streams or refuses work that the balancer still sends.
+func TestShutdownUnderStreamsCutsNothing(t *testing.T) {
+	t.Parallel()
+	spec := dataCentres(2, 1, "a")
+	ctx, c := startModel(t, spec, "--token-interval", "50ms")
+	const streams = 6
+	started := make(chan struct{}, streams)
+	results := make([]error, streams)
+	var wg sync.WaitGroup
+	for i := range streams {
+		wg.Go(func() {
+			id := fmt.Sprintf("r%d", i)
+			answer, err := caller.New("crew").Stream(ctx, c.URL("a2"), caller.Chat{
+				Model: "m", Prompt: "?", MaxTokens: 60, RequestID: id,
+				OnToken: func(offset int) {
+					if offset == 0 {
+						started <- struct{}{}
+					}
+				}})
+			if err == nil {
+				err = checkAnswer(answer, id, 60)
+			}
+			results[i] = err
+		})
+	}
+	for range streams {
+		<-started
+	}
+	p := c.Process("a2")
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	wg.Wait()
+	for i, err := range results {
+		if err != nil {
+			t.Errorf("stream %d: %v", i, err)
+		}
+	}
+	if code, err := p.Wait(20 * time.Second); err != nil || code != 0 {
+		t.Errorf("exit code %d, %v", code, err)
+	}
+}
+
+// Guards against new work on a target that leaves, also through an instance that the target did not tell.
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	ctx, c := startModel(t, dataCentres(2, 1, "a"))
+	if err := c.Target("e1").Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"a1", "a2"} {
+		wait(t, c, name+" knows that e1 leaves", func() error {
+			status, err := c.Operator(name).Status(ctx)
+			if err != nil {
+				return err
+			}
+			for _, s := range status.Targets {
+				if s.Name == "e1" && s.State == "serving" {
+					return errors.New("e1 is still serving")
+				}
+			}
+			return nil
+		})
+		for i := range 10 {
+			streamOK(ctx, t, c, name, fmt.Sprintf("%s-%d", name, i))
+		}
+	}
+	if code, err := c.Target("e1").Wait(20 * time.Second); err != nil || code != 0 {
+		t.Errorf("e1 ended with %d, %v: %s", code, err, c.Target("e1").Log())
+	}
+}
+
+// controlOf asks an instance which fencing number it holds, 0 for none.
+func controlOf(ctx context.Context, c *cluster.Cluster, instance string) (httpapi.ControlStatus, error) {
+	status, err := c.Operator(instance).Status(ctx)
+	return status.Control, err
+}
+
+// holder waits until one of the instances is controller.
+func holder(ctx context.Context, t *testing.T, c *cluster.Cluster, instances ...string) (name string, fence uint64) {
+	t.Helper()
+	wait(t, c, "there is a controller", func() error {
+		for _, i := range instances {
+			control, err := controlOf(ctx, c, i)
+			if err == nil && control.Holder == i {
+				name, fence = i, control.Fence
+				return nil
+			}
+		}
+		return errors.New("no controller")
+	})
+	return name, fence
+}
+
+func without(names []string, name string) []string {
+	var rest []string
+	for _, n := range names {
+		if n != name {
+			rest = append(rest, n)
+		}
+	}
+	return rest
+}
+
+// Guards against two controllers and against orders of a controller that was frozen past its lease.
+func TestControllerFrozenPastItsLease(t *testing.T) {
+	t.Parallel()
+	for _, engines := range []string{"--checks-fencing", "--no-checks-fencing"} {
+		t.Run(strings.TrimPrefix(engines, "--"), func(t *testing.T) {
+			t.Parallel()
+			names := []string{"a1", "a2", "a3"}
+			ctx, c := startModel(t, dataCentres(3, 3, "a"), engines)
+			old, fence := holder(ctx, t, c, names...)
+			if err := c.Process(old).Signal(syscall.SIGSTOP); err != nil {
+				t.Fatal(err)
+			}
+			successor, next := holder(ctx, t, c, without(names, old)...)
+			if next <= fence {
+				t.Errorf("the fencing number went from %d to %d", fence, next)
+			}
+			verdictOf(ctx, t, c, successor, strings.Replace(strings.Replace(twoReplicas, "number = 1", "number = 2", 1), `name = "m"`, `name = "n"`, 1))
+			if err := c.Process(old).Signal(syscall.SIGCONT); err != nil {
+				t.Fatal(err)
+			}
+			wait(t, c, "the old controller knows that it is not", func() error {
+				control, err := controlOf(ctx, c, old)
+				if err == nil && control.Holder == old && control.Fence <= fence {
+					return errors.New("it still holds the old number")
+				}
+				return err
+			})
+			waitReady(ctx, t, c, successor, "n", 2)
+			checkEngines(t, c, "e1", "e2")
+		})
+	}
+}
+
+// checkEngines expects that no engine ended, which a stand-in does when an order overcommits its memory.
+func checkEngines(t *testing.T, c *cluster.Cluster, names ...string) {
+	t.Helper()
+	for _, name := range names {
+		if e := c.Target(name); !e.Running() {
+			code, _ := e.Wait(time.Second)
+			t.Errorf("%s ended with code %d (%d is overcommit): %s", name, code, target.ExitOvercommit, e.Log())
+		}
+	}
+}
+
+// Guards against a data centre that stops serving, or loses control of its targets, when it is cut off, and against
+// notes that it misses after the heal.
+func TestDataCentreCutOffAndHealed(t *testing.T) {
+	t.Parallel()
+	spec := dataCentres(2, 2, "a", "b")
+	spec.Instances[3].Voter = false // voters a1, a2 and b1
+	ctx, c := start(t, spec)
+	for _, dc := range []string{"a", "b"} {
+		engine(t, c, dc+"-e1", dc)
+		engine(t, c, dc+"-e2", dc)
+	}
+	for _, i := range spec.Instances {
+		waitTargets(ctx, t, c, i.Name, 2)
+	}
+	submit(ctx, t, c, "b2", twoReplicas)
+	for _, i := range spec.Instances {
+		waitReady(ctx, t, c, i.Name, "m", 2)
+	}
+	c.CutDataCentre("b")
+	for _, i := range spec.Instances {
+		streamOK(ctx, t, c, i.Name, "cut-"+i.Name)
+	}
+	// A lost replica in the cut-off data centre is replaced by its own controller.
+	c.Target("b-e1").Kill()
+	engine(t, c, "b-e3", "b")
+	waitReady(ctx, t, c, "b1", "m", 2)
+	verdictOf(ctx, t, c, "a1", serviceNoteN(2))
+	c.HealDataCentre("b")
+	for _, i := range spec.Instances {
+		waitNote(ctx, t, c, i.Name, 2)
+		streamOK(ctx, t, c, i.Name, "healed-"+i.Name)
+	}
+	checkEngines(t, c, "a-e1", "a-e2", "b-e2", "b-e3")
+}
+
+// Guards against a crashing request that takes down a third target when its caller sends it again through another
+// instance with other headers, and against innocent requests that suffer with it.
+func TestCrashingRequestIsStopped(t *testing.T) {
+	t.Parallel()
+	spec := dataCentres(2, 1, "a")
+	ctx, c := start(t, spec)
+	engines := []string{"e1", "e2", "e3", "e4"}
+	for _, name := range engines {
+		engine(t, c, name, "a")
+	}
+	for _, i := range spec.Instances {
+		waitTargets(ctx, t, c, i.Name, len(engines))
+	}
+	submit(ctx, t, c, "a1", strings.Replace(twoReplicas, "min_replicas = 2", "min_replicas = 4", 1))
+	for _, i := range spec.Instances {
+		waitReady(ctx, t, c, i.Name, "m", 4)
+	}
+	var wg sync.WaitGroup
+	for i := range 4 {
+		wg.Go(func() {
+			id := fmt.Sprintf("innocent-%d", i)
+			answer, err := caller.New("crew").Stream(ctx, c.URL(fmt.Sprintf("a%d", i%2+1)), caller.Chat{
+				Model: "m", Prompt: id, MaxTokens: 200, RequestID: id})
+			if err == nil {
+				err = checkAnswer(answer, id, 200)
+			}
+			if err != nil {
+				t.Errorf("%s: %v", id, err)
+			}
+		})
+	}
+	var last *caller.Answer
+	for i := range 6 {
+		answer, err := caller.New("crew").Stream(ctx, c.URL(fmt.Sprintf("a%d", i%2+1)), caller.Chat{
+			Model: "m", Prompt: target.CrashContent, MaxTokens: 5, RequestID: fmt.Sprintf("crash-%d", i), Priority: "batch"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		last = answer
+	}
+	wg.Wait()
+	if last.Reason != api.ReasonQuarantined {
+		t.Errorf("the last repeat got %+v", last)
+	}
+	crashed := 0
+	for _, name := range engines {
+		if !c.Target(name).Running() {
+			crashed++
+		}
+	}
+	if crashed > 2 {
+		t.Errorf("%d targets crashed", crashed)
+	}
+}
--- /dev/null
+++ b/test/process/notes_test.go
@@ -0,0 +1,161 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/standin/cluster"
+	"github.com/tarragonhoist/tarragonhoist/state/catalog"
+)
+
+// serviceNoteN is a note with its own number and item.
+func serviceNoteN(n int) string {
+	return fmt.Sprintf("number = %d\n[[service]]\naction = \"add\"\nname = \"desk-%d\"\ncallers = [\"crew\"]\n", n, n)
+}
+
+// verdictOf submits a note until it has a verdict.
+func verdictOf(ctx context.Context, t *testing.T, c *cluster.Cluster, instance, text string) (verdict catalog.Verdict) {
+	t.Helper()
+	wait(t, c, "there is a verdict", func() (err error) {
+		verdict, err = c.Operator(instance).Submit(ctx, "note.toml", []byte(text))
+		return err
+	})
+	return verdict
+}
+
+// Guards against notes that are lost, reverted or decided twice when leaders die in the middle of submissions.
+func TestLeaderKilledInTheMiddleOfNotes(t *testing.T) {
+	t.Parallel()
+	ctx, c := start(t, dataCentres(5, 5, "a"))
+	const notes = 12
+	first := make([]catalog.Verdict, notes+1)
+	for n := 1; n <= notes; n++ {
+		if n == 4 || n == 8 {
+			leader := leaderOf(ctx, t, c)
+			var wg sync.WaitGroup
+			asked := another(leader)
+			wg.Go(func() { first[n] = verdictOf(ctx, t, c, asked, serviceNoteN(n)) })
+			c.Process(leader).Kill()
+			wg.Wait()
+			if err := c.Start(leader); err != nil {
+				t.Fatal(err)
+			}
+			continue
+		}
+		first[n] = verdictOf(ctx, t, c, fmt.Sprintf("a%d", n%5+1), serviceNoteN(n))
+	}
+	for n := 1; n <= notes; n++ {
+		if !first[n].Accepted {
+			t.Errorf("note %d was refused: %v", n, first[n].Findings)
+		}
+		for i := 1; i <= 5; i++ {
+			name := fmt.Sprintf("a%d", i)
+			waitNote(ctx, t, c, name, uint64(n))
+			if got, err := c.Operator(name).Verdict(ctx, uint64(n)); err != nil || got.Index != first[n].Index {
+				t.Errorf("%s: note %d has index %d, its submitter saw %d (%v)", name, n, got.Index, first[n].Index, err)
+			}
+		}
+	}
+}
+
+func leaderOf(ctx context.Context, t *testing.T, c *cluster.Cluster) (leader string) {
+	t.Helper()
+	wait(t, c, "the config log has a leader", func() error {
+		for _, asked := range []string{"a1", "a2"} {
+			name, err := c.Leader(ctx, asked, "config")
+			if err == nil {
+				leader = name
+				return nil
+			}
+		}
+		return errors.New("no leader")
+	})
+	return leader
+}
+
+func another(name string) string {
+	if name == "a1" {
+		return "a2"
+	}
+	return "a1"
+}
+
+// Guards against two accepted notes under one number when operators race through different instances.
+func TestOperatorsRaceWithEqualNumbers(t *testing.T) {
+	t.Parallel()
+	ctx, c := start(t, dataCentres(3, 3, "a"))
+	verdicts := make([]catalog.Verdict, 9)
+	var wg sync.WaitGroup
+	for i := range verdicts {
+		text := strings.Replace(serviceNoteN(1), "desk-1", fmt.Sprintf("desk-%d", i%3), 1)
+		wg.Go(func() { verdicts[i] = verdictOf(ctx, t, c, fmt.Sprintf("a%d", i%3+1), text) })
+	}
+	wg.Wait()
+	accepted := make(map[string]int)
+	for _, v := range verdicts {
+		if v.Accepted {
+			accepted[v.Digest]++
+		} else if !strings.Contains(v.Findings[0].Message, "is held by a note of operator") {
+			t.Errorf("a refusal does not name the holder: %v", v.Findings)
+		}
+	}
+	if len(accepted) != 1 {
+		t.Fatalf("%d different notes were accepted under one number", len(accepted))
+	}
+	for _, n := range accepted {
+		if n != 3 {
+			t.Errorf("the accepted note got its verdict %d times out of 3", n)
+		}
+	}
+}
+
+// Guards against a learner that needs long to catch up, or that goes back, after hundreds of changes passed it by.
+func TestFrozenLearnerCatchesUpAfterHundredsOfChanges(t *testing.T) {
+	t.Parallel()
+	spec := dataCentres(4, 3, "a")
+	ctx, c := start(t, spec)
+	verdictOf(ctx, t, c, "a1", serviceNoteN(1))
+	waitNote(ctx, t, c, "a4", 1)
+	if err := c.Process("a4").Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	const notes = 300
+	for n := 2; n <= notes; n++ {
+		verdictOf(ctx, t, c, "a1", serviceNoteN(n))
+	}
+	if err := c.Process("a4").Signal(syscall.SIGCONT); err != nil {
+		t.Fatal(err)
+	}
+	waitNote(ctx, t, c, "a4", notes)
+}
+
+// Guards against a note that reverts on an instance that restarts, with and without its disk.
+func TestAppliedNotesSurviveRestarts(t *testing.T) {
+	t.Parallel()
+	ctx, c := start(t, dataCentres(4, 3, "a"))
+	verdictOf(ctx, t, c, "a1", serviceNoteN(1))
+	for _, name := range []string{"a2", "a4"} {
+		waitNote(ctx, t, c, name, 1)
+		c.Process(name).Kill()
+		if name == "a4" {
+			if err := c.LoseDisk(name); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := c.Start(name); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.WaitReady(name); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Operator(name).Verdict(ctx, 1); err != nil {
+			t.Errorf("%s is ready without note 1: %v", name, err)
+		}
+	}
+}
