--- /dev/null
+++ b/instance/modelcalls/run_test.go
@@ -0,0 +1,217 @@
+package modelcalls_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/drain"
+	"github.com/tarragonhoist/tarragonhoist/instance/modelcalls"
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/state/catalog"
+	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
+)
+
+// script says how a fake target behaves in one attempt.
+type script struct {
+	// refuse is returned before anything runs.
+	refuse error
+	// tokens are sent at the given interval from the resume offset on; then the attempt ends, breaks or hangs.
+	tokens   int
+	interval time.Duration
+	first    time.Duration
+	breaks   bool
+	hangs    bool
+	// skip leaves out one offset, which makes a gap.
+	skip int
+}
+
+const answerTokens = 10
+
+// fake is the policy and the client of a test: targets are used in the order of the scripts.
+type fake struct {
+	scripts []script
+	hedge   time.Duration
+
+	mu        sync.Mutex
+	picked    int
+	cancelled []string
+	ran       int
+}
+
+func (f *fake) Acquire(context.Context, *modelcalls.Work) (func(int), *api.Result) {
+	return func(int) {}, nil
+}
+func (f *fake) Pick(*modelcalls.Work, map[string]bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.picked == len(f.scripts) {
+		return modelcalls.Placed{}, nil, api.RefuseFor(api.ReasonNoTarget, time.Second, "no target")
+	}
+	name := fmt.Sprint(f.picked)
+	f.picked++
+	return modelcalls.Placed{Target: name, Address: name}, func(modelcalls.Result) {}, nil
+}
+func (f *fake) Expected(*modelcalls.Work) time.Duration                       { return time.Second }
+func (f *fake) Overdue(*modelcalls.Work, modelcalls.Placed, time.Duration)    {}
+func (f *fake) Hedge(*modelcalls.Work, modelcalls.Placed, time.Duration) bool { return f.hedge > 0 }
+func (f *fake) First(*modelcalls.Work, modelcalls.Placed)                     {}
+func (f *fake) Verdict(uint64) *api.Result                                    { return nil }
+func (f *fake) Strike(context.Context, *modelcalls.Work, modelcalls.Placed)   {}
+func (f *fake) Cleared(uint64)                                                {}
+func (f *fake) HedgeDelay(*modelcalls.Work) time.Duration {
+	if f.hedge > 0 {
+		return f.hedge
+	}
+	return time.Hour
+}
+func (f *fake) Allow(_ *modelcalls.Work, _ modelcalls.Placed, attempts int, _ error) (time.Duration, bool) {
+	return 10 * time.Millisecond, attempts < 4
+}
+func (f *fake) Contents() *catalog.Contents {
+	return &catalog.Contents{Models: map[string]releasenote.Model{
+		"m": {Name: "m", Version: "1", Priority: releasenote.Standard, Callers: []string{"crew"}}}}
+}
+func (f *fake) Cancel(_ context.Context, address, _ string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cancelled = append(f.cancelled, address)
+	return nil
+}
+
+func token(i int) string {
+	return fmt.Sprintf(`{"choices":[{"delta":{"content":"t%d "}}],"created":%d}`, i, time.Now().UnixNano())
+}
+
+func (f *fake) Stream(ctx context.Context, a targetclient.Attempt, onEvent func(targetclient.Event) error) error {
+	var n int
+	_, _ = fmt.Sscan(a.Address, &n)
+	s := f.scripts[n]
+	if s.refuse != nil {
+		return s.refuse
+	}
+	f.mu.Lock()
+	f.ran++
+	f.mu.Unlock()
+	time.Sleep(s.first)
+	for i := a.Offset; i < min(a.Offset+s.tokens, answerTokens); i++ {
+		if s.skip > 0 && i == s.skip {
+			continue
+		}
+		time.Sleep(s.interval)
+		if err := onEvent(targetclient.Event{Offset: i, Data: []byte(token(i))}); err != nil {
+			return err
+		}
+	}
+	switch {
+	case s.hangs:
+		// A frozen target does not react to the cancellation either.
+		time.Sleep(24 * time.Hour)
+		return nil
+	case s.breaks:
+		return &targetclient.ErrBroken{Cause: errors.New("connection reset")}
+	}
+	return onEvent(targetclient.Event{Offset: answerTokens - 1, Done: true})
+}
+
+// collected is the answer that a caller receives.
+type collected struct{ offsets []int }
+
+func (c *collected) WriteEvent(offset int, _ []byte) error {
+	c.offsets = append(c.offsets, offset)
+	return nil
+}
+
+func run(f *fake, timeout time.Duration) (*api.Result, *collected, time.Duration) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	gate := drain.NewGate()
+	server := &modelcalls.Server{
+		InForce: f, Gate: gate, Admission: f, Picker: f, Retries: f, Suspects: f, Client: f,
+		Recorder: events.NewRecorder(log, "a1", "a", time.Now), RequestTimeout: timeout, Now: time.Now,
+	}
+	out := &collected{}
+	request := &api.ChatRequest{Model: "m", Messages: []api.ChatMessage{{Role: "user", Content: "?"}}}
+	started := time.Now()
+	result := server.Chat(context.Background(), httpapi.ChatCall{RequestID: "r", Caller: "crew", Request: request}, out)
+	return result, out, time.Since(started)
+}
+
+// Guards against gaps, repeats, silent ends, refusals of requests that ran, and waits without end.
+func TestAnswersOverSeveralAttempts(t *testing.T) {
+	whole := script{tokens: answerTokens, interval: 10 * time.Millisecond}
+	overloaded := script{refuse: &targetclient.ErrOverloaded{}}
+	for _, test := range []struct {
+		name    string
+		scripts []script
+		hedge   time.Duration
+		outcome api.Outcome
+		reason  api.Reason
+		tokens  int
+		atMost  time.Duration
+		cancels string
+	}{
+		{name: "one attempt", scripts: []script{whole}, outcome: api.Answered, tokens: answerTokens, atMost: time.Second},
+		{name: "break and resume", scripts: []script{{tokens: 4, breaks: true}, {tokens: 3, breaks: true}, whole}, outcome: api.Answered, tokens: answerTokens, atMost: time.Second},
+		{name: "gap", scripts: []script{{tokens: 6, skip: 2}, whole}, outcome: api.Answered, tokens: answerTokens, atMost: time.Second},
+		{name: "silent end", scripts: []script{{tokens: 5}, whole}, outcome: api.Answered, tokens: answerTokens, atMost: time.Second},
+		{name: "frozen in the stream", scripts: []script{{tokens: 4, hangs: true}, whole}, outcome: api.Answered, tokens: answerTokens, atMost: 7 * time.Second},
+		{name: "frozen before the first token", scripts: []script{{hangs: true}, whole}, outcome: api.Answered, tokens: answerTokens, atMost: 17 * time.Second},
+		{name: "overloaded, then free", scripts: []script{overloaded, whole}, outcome: api.Answered, tokens: answerTokens, atMost: time.Second},
+		{name: "all overloaded", scripts: []script{overloaded, overloaded}, outcome: api.Refused, reason: api.ReasonNoTarget, atMost: time.Second},
+		{name: "all breaking", scripts: []script{{breaks: true}, {breaks: true}}, outcome: api.Failed, reason: api.ReasonNoTarget, atMost: time.Second},
+		{name: "not connected", scripts: []script{{refuse: &targetclient.ErrNotConnected{Cause: io.EOF}}}, outcome: api.Refused, reason: api.ReasonNoTarget, atMost: time.Second},
+		{name: "rejected", scripts: []script{{refuse: &targetclient.ErrRejected{Status: 400}}}, outcome: api.Refused, reason: api.ReasonMalformedRequest, atMost: time.Second},
+		{name: "deadline", scripts: []script{{tokens: 3, hangs: true}}, outcome: api.Failed, reason: api.ReasonNoTarget, tokens: 3, atMost: 21 * time.Second},
+		{name: "slow first token, hedged", scripts: []script{{first: 10 * time.Second, tokens: answerTokens}, whole}, hedge: 500 * time.Millisecond, outcome: api.Answered, tokens: answerTokens, atMost: time.Second, cancels: "0"},
+		{name: "hedge without another target", scripts: []script{{first: 2 * time.Second, tokens: answerTokens}}, hedge: 500 * time.Millisecond, outcome: api.Answered, tokens: answerTokens, atMost: 3 * time.Second},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fake{scripts: test.scripts, hedge: test.hedge}
+				result, out, took := run(f, 20*time.Second)
+				if result.Outcome != test.outcome || result.Reason != test.reason {
+					t.Errorf("got %s %s: %s", result.Outcome, result.Reason, result.Message)
+				}
+				if result.Outcome == api.Refused && f.ran > 0 {
+					t.Error("a request that ran was refused as not run")
+				}
+				for i, offset := range out.offsets {
+					if offset != i {
+						t.Fatalf("offsets %v", out.offsets)
+					}
+				}
+				if len(out.offsets) != test.tokens || took > test.atMost {
+					t.Errorf("%d tokens in %s", len(out.offsets), took)
+				}
+				time.Sleep(25 * time.Hour) // lets frozen targets end
+				if got := strings.Join(f.cancelled, ","); test.cancels != "" && got != test.cancels {
+					t.Errorf("cancelled %q, want %q", got, test.cancels)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an instance that takes work while it shuts down.
+func TestClosedGateRefuses(t *testing.T) {
+	f := &fake{}
+	gate := drain.NewGate()
+	gate.Close()
+	server := &modelcalls.Server{InForce: f, Gate: gate}
+	result := server.Chat(context.Background(), httpapi.ChatCall{}, &collected{})
+	if result.Outcome != api.Refused || result.Reason != api.ReasonDraining || result.Repeat != api.RepeatNow {
+		t.Errorf("got %+v", result)
+	}
+}
