--- /dev/null
+++ b/instance/incarnation/incarnation.go
@@ -0,0 +1,45 @@
+// Package incarnation numbers the starts of an instance.
+package incarnation
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/state/wal"
+)
+
+const (
+	fileName   = "incarnation"
+	folderMode = 0o750
+)
+
+// Next returns the number of this start. It is the time in nanoseconds, but larger than that of the last start even if
+// the clock was set back, where a data folder remembers it. Without a folder, an instance whose clock was set back is
+// refused by its peers until the clock has caught up.
+func Next(dataFolder string, now time.Time) (uint64, error) {
+	next := uint64(now.UnixNano())
+	if dataFolder == "" {
+		return next, nil
+	}
+	if err := os.MkdirAll(dataFolder, folderMode); err != nil {
+		return 0, errors.Wrap(err, "data folder")
+	}
+	path := filepath.Join(dataFolder, fileName)
+	text, err := os.ReadFile(path)
+	if err != nil && !os.IsNotExist(err) {
+		return 0, errors.Wrap(err, "incarnation")
+	}
+	if err == nil {
+		last, err := strconv.ParseUint(strings.TrimSpace(string(text)), 10, 64)
+		if err != nil {
+			return 0, errors.Wrapf(err, "incarnation in %s", path)
+		}
+		next = max(next, last+1)
+	}
+	return next, wal.WriteFile(path, []byte(strconv.FormatUint(next, 10)+"\n"))
+}
--- a/instance/providers.go
+++ b/instance/providers.go
@@ -18,6 +18,7 @@
 	"github.com/tarragonhoist/tarragonhoist/instance/controller"
 	"github.com/tarragonhoist/tarragonhoist/instance/drain"
 	"github.com/tarragonhoist/tarragonhoist/instance/feasibility"
+	"github.com/tarragonhoist/tarragonhoist/instance/incarnation"
 	"github.com/tarragonhoist/tarragonhoist/instance/inforce"
 	"github.com/tarragonhoist/tarragonhoist/instance/modelcalls"
 	"github.com/tarragonhoist/tarragonhoist/instance/notes"
@@ -38,13 +39,15 @@
 // timeSource gives the time. It is a type of its own for the wiring.
 type timeSource func() time.Time
 
-// incarnation identifies this start of the process.
-type incarnation uint64
+// startNumber identifies this start of the process.
+type startNumber uint64
 
 func provideClock() timeSource { return time.Now }
 
-// provideIncarnation uses the start time, which is larger at each start of one machine.
-func provideIncarnation(now timeSource) incarnation { return incarnation(now().UnixNano()) }
+func provideStartNumber(s *settings.Settings, now timeSource) (startNumber, error) {
+	number, err := incarnation.Next(s.DataFolder, now())
+	return startNumber(number), err
+}
 
 func provideLog(s *settings.Settings) (*logrus.Logger, error) {
 	log := logrus.New()
@@ -76,7 +79,7 @@
 
 func provideElectors() *controller.Electors { return controller.NewElectors() }
 
-func provideLease(s *settings.Settings, start incarnation, electors *controller.Electors, peers *peer.Transport,
+func provideLease(s *settings.Settings, start startNumber, electors *controller.Electors, peers *peer.Transport,
 	config *replica.Group, recorder *events.Recorder, now timeSource) (*controller.Lease, error) {
 	identity := controller.Identity{
 		Instance: s.Instance, Incarnation: uint64(start), DataCentre: s.DataCentre, Electorate: s.Local(s.DataCentre),
@@ -119,7 +122,7 @@
 	return replicalink.Groups{groupConfig: l.config, groupCalls: l.calls}
 }
 
-func providePeers(s *settings.Settings, start incarnation, registry metrics.Registry, recorder *events.Recorder) (*peer.Transport, error) {
+func providePeers(s *settings.Settings, start startNumber, registry metrics.Registry, recorder *events.Recorder) (*peer.Transport, error) {
 	options := peer.Options{
 		Cluster: s.Cluster, Self: s.Instance, Incarnation: uint64(start), BytesPerSecond: s.PeerBytesPerSecond,
 		Registry: registry, OnEvent: func(e peer.Event) { recordPeer(recorder, e) },
@@ -163,7 +166,7 @@
 	return targets.New(options, peers, recorder, now, newRand())
 }
 
-func provideAdmission(s *settings.Settings, now timeSource, start incarnation) *admission.Controller {
+func provideAdmission(s *settings.Settings, now timeSource, start startNumber) *admission.Controller {
 	return admission.New(now(), admission.Options{Instance: s.Instance, Incarnation: uint64(start)})
 }
 
@@ -223,7 +226,7 @@
 	}
 }
 
-func provideLedger(s *settings.Settings, l logs, start incarnation, recorder *events.Recorder, now timeSource) (*servicecalls.Ledger, error) {
+func provideLedger(s *settings.Settings, l logs, start startNumber, recorder *events.Recorder, now timeSource) (*servicecalls.Ledger, error) {
 	return servicecalls.NewLedger(l.calls, s.Instance, uint64(start), recorder, now)
 }
 
--- a/instance/wire_gen.go
+++ b/instance/wire_gen.go
@@ -24,8 +24,11 @@
 	registry := metrics.NewRegistry()
 	recorder := provideRecorder(logger, s, instanceTimeSource, registry)
 	gate := provideGate()
-	instanceIncarnation := provideIncarnation(instanceTimeSource)
-	transport, err := providePeers(s, instanceIncarnation, registry, recorder)
+	instanceStartNumber, err := provideStartNumber(s, instanceTimeSource)
+	if err != nil {
+		return nil, err
+	}
+	transport, err := providePeers(s, instanceStartNumber, registry, recorder)
 	if err != nil {
 		return nil, err
 	}
@@ -39,15 +42,15 @@
 	groups := provideGroups(instanceLogs)
 	group := provideConfig(instanceLogs)
 	keeper := provideTargets(s, transport, recorder, instanceTimeSource)
-	controller := provideAdmission(s, instanceTimeSource, instanceIncarnation)
+	controller := provideAdmission(s, instanceTimeSource, instanceStartNumber)
 	waiter := provideWaiter(s, controller, keeper, instanceTimeSource)
-	lease, err := provideLease(s, instanceIncarnation, electors, transport, group, recorder, instanceTimeSource)
+	lease, err := provideLease(s, instanceStartNumber, electors, transport, group, recorder, instanceTimeSource)
 	if err != nil {
 		return nil, err
 	}
 	exchange := provideUsage(s, controller, transport, instanceTimeSource)
 	checker := provideFeasibility(s, keeper, transport, instanceTimeSource)
-	ledger, err := provideLedger(s, instanceLogs, instanceIncarnation, recorder, instanceTimeSource)
+	ledger, err := provideLedger(s, instanceLogs, instanceStartNumber, recorder, instanceTimeSource)
 	if err != nil {
 		return nil, err
 	}
@@ -108,7 +111,7 @@
 // wire.go:
 
 var providers = wire.NewSet(
-	provideClock, provideIncarnation, provideLog, metrics.NewRegistry, provideRecorder, provideGate, providePeers,
+	provideClock, provideStartNumber, provideLog, metrics.NewRegistry, provideRecorder, provideGate, providePeers,
 	provideView, provideLedgerMachine, provideElectors, provideLease, provideUsage, provideLogs, provideGroups, provideConfig, provideTargets, provideAdmission, provideWaiter, provideDetector,
 	provideRouter, provideBudget, provideSuspects, providePolicy, provideFeasibility, provideDesk, provideModelCalls, provideLedger, provideServiceCalls, provideTimeline, targetclient.New, wire.Struct(new(statusReader), "*"), wire.Struct(new(backend), "*"), provideServer, wire.Struct(new(Instance), "*"),
 )
