Add the call ledger state machine

A Reserve is decided on once per attempt number. Each instance has a window of 65536 bits for the numbers used in its incarnation; Release uses the number up, so it also holds against a Reserve that is committed later. Ruled out: a list of released attempts with a time limit. Calls in progress are charged with the largest answer, so an accepted call always has room for its answer; a full ledger refuses new calls.

Proof, each with the mechanism switched off in a scratch edit: - Release not remembered: "release before the reserve" granted, want released - attempt numbers not checked: three cases granted, want released - body digest ignored: in_progress, want key_reused - age of a Reserve ignored: granted, want stale - byte bound off: call beyond the bound granted - retention 1 ms short: TestFull and "retention" fail Restored: all tests pass under -race.

--- /dev/null
+++ b/state/callledger/ledger.go
@@ -0,0 +1,382 @@
+// Package callledger is the deterministic state machine of non-idempotent calls. It decides which attempt may dispatch
+// a call and keeps what became of it.
+package callledger
+
+import (
+	"bytes"
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Retention is how long a record is kept after its call ended. A Reserve older than this is refused, so that forgetting
+// a record never lets an old Reserve through.
+const Retention = 24 * time.Hour
+
+// Bounds of the ledger. They are constants because all voters have to decide alike.
+const (
+	// maxBytes bounds the memory of records. A voter has 128 MB for all of its state.
+	maxBytes = 64 << 20
+	// recordBytes is charged for each record in addition to its strings and body.
+	recordBytes = 256
+)
+
+// Status is the result of a command or the state of a call.
+type Status string
+
+// Results of Reserve. Only Granted allows the attempt to dispatch.
+const (
+	Granted    Status = "granted"
+	Answered   Status = "answered"
+	InProgress Status = "in_progress"
+	MayHaveRun Status = "may_have_run"
+	KeyReused  Status = "key_reused"
+	// Released means that the attempt was released or refused before.
+	Released Status = "released"
+	// Stale means that the command is older than Retention or of a past incarnation.
+	Stale Status = "stale"
+	// Full means that there is no room for another call.
+	Full Status = "full"
+)
+
+// Results of other commands. Ignored means that the record belongs to another attempt or has ended.
+const (
+	Done    Status = "done"
+	Ignored Status = "ignored"
+)
+
+// Result is what Apply returns, encoded.
+type Result struct {
+	Status Status  `cbor:"1,keyasint"`
+	Answer *Answer `cbor:"2,keyasint,omitempty"`
+	// Owner is the attempt that holds the key.
+	Owner Attempt `cbor:"3,keyasint"`
+	// Count is the number of records that changed.
+	Count int `cbor:"4,keyasint,omitempty"`
+}
+
+// DecodeResult decodes what Apply returned.
+func DecodeResult(data []byte) (*Result, error) {
+	var r Result
+	err := cbor.Unmarshal(data, &r)
+	return &r, errors.Wrap(err, "call ledger result")
+}
+
+// Record is the state of one call. State is InProgress, Answered or MayHaveRun.
+type Record struct {
+	Call       CallKey `cbor:"1,keyasint"`
+	Digest     []byte  `cbor:"2,keyasint"`
+	Owner      Attempt `cbor:"3,keyasint"`
+	State      Status  `cbor:"4,keyasint"`
+	ReservedMs int64   `cbor:"5,keyasint"`
+	// EndedMs is when the call was answered or marked, or 0.
+	EndedMs int64   `cbor:"6,keyasint,omitempty"`
+	Answer  *Answer `cbor:"7,keyasint,omitempty"`
+}
+
+// chargedBytes is the share of the record in maxBytes. A call in progress is charged with the largest answer, so that
+// its answer can always be recorded.
+func (r *Record) chargedBytes() int {
+	n := recordBytes + len(r.Call.Caller) + len(r.Call.Service) + len(r.Call.Key) + len(r.Owner.Instance)
+	switch r.State {
+	case InProgress:
+		return n + MaxAnswerBytes + MaxHeaderBytes
+	case Answered:
+		return n + len(r.Answer.Body) + len(r.Answer.ContentType)
+	}
+	return n
+}
+
+// instance is what is known of one instance.
+type instance struct {
+	// Incarnation is the highest known one.
+	Incarnation uint64 `cbor:"1,keyasint"`
+	// Used holds the attempts of that incarnation that were decided on.
+	Used window `cbor:"2,keyasint"`
+	// SeenMs is the time of the ledger at the latest command that names the instance.
+	SeenMs int64 `cbor:"3,keyasint"`
+}
+
+// deadline is an ended call that is to be forgotten.
+type deadline struct {
+	atMs int64
+	call CallKey
+}
+
+// Machine applies commands in log order. Apply, Snapshot and Restore have one caller; reading is safe at any time.
+type Machine struct {
+	mu        sync.RWMutex
+	nowMs     int64
+	calls     map[CallKey]*Record
+	instances map[string]*instance
+	// open holds the calls in progress by instance.
+	open      map[string]map[CallKey]*Record
+	openCount int
+	// queue is in the order of time, because the time of the ledger never goes back.
+	queue    []deadline
+	bytes    int
+	maxBytes int
+}
+
+// New returns an empty ledger.
+func New() *Machine { return newMachine(maxBytes) }
+
+func newMachine(maxBytes int) *Machine {
+	m := &Machine{maxBytes: maxBytes}
+	m.reset()
+	return m
+}
+
+func (m *Machine) reset() {
+	m.nowMs, m.bytes, m.queue, m.openCount = 0, 0, nil, 0
+	m.calls = make(map[CallKey]*Record)
+	m.instances = make(map[string]*instance)
+	m.open = make(map[string]map[CallKey]*Record)
+}
+
+// Apply applies one command. A command that cannot be decoded changes nothing.
+func (m *Machine) Apply(_ uint64, data []byte) ([]byte, error) {
+	c, err := DecodeCommand(data)
+	if err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.nowMs = max(m.nowMs, c.AtMs)
+	count := m.forget()
+	var result Result
+	switch {
+	case c.Reserve != nil:
+		m.see(&c.Reserve.Attempt)
+		result = m.reserve(c.AtMs, c.Reserve)
+	case c.Release != nil:
+		m.see(&c.Release.Attempt)
+		result = m.release(c.AtMs, c.Release)
+	case c.Complete != nil:
+		m.see(&c.Complete.Attempt)
+		result = m.complete(c.Complete)
+	case c.MarkUncertain != nil:
+		m.see(&c.MarkUncertain.Attempt)
+		result = m.markUncertain(c.MarkUncertain)
+	case c.InstanceStarted != nil:
+		started := Attempt{Instance: c.InstanceStarted.Instance, Incarnation: c.InstanceStarted.Incarnation}
+		result = Result{Status: Done, Count: m.see(&started)}
+	case c.Expire != nil:
+		m.forgetInstances()
+		result = Result{Status: Done, Count: count}
+	}
+	return cbor.Marshal(&result)
+}
+
+// past reports whether a command of an attempt is too old to be acted on.
+func (m *Machine) past(a *Attempt, atMs int64) bool {
+	return a.Incarnation < m.instances[a.Instance].Incarnation || atMs+Retention.Milliseconds() <= m.nowMs
+}
+
+// reserve decides on an attempt once. A repeated or late Reserve of an attempt that does not hold the key is never
+// granted, because its process has given the attempt up.
+func (m *Machine) reserve(atMs int64, c *Reserve) Result {
+	r, held := m.calls[c.Call]
+	if held && r.Owner == c.Attempt {
+		return m.repeat(r, c)
+	}
+	if m.past(&c.Attempt, atMs) {
+		return Result{Status: Stale}
+	}
+	if !m.instances[c.Attempt.Instance].Used.use(c.Attempt.Number) {
+		return Result{Status: Released}
+	}
+	if held {
+		return m.repeat(r, c)
+	}
+	r = &Record{Call: c.Call, Digest: c.Digest, Owner: c.Attempt, State: InProgress, ReservedMs: m.nowMs}
+	if m.bytes+r.chargedBytes() > m.maxBytes {
+		return Result{Status: Full}
+	}
+	m.bytes += r.chargedBytes()
+	m.calls[c.Call] = r
+	m.setOpen(r)
+	return Result{Status: Granted, Owner: r.Owner}
+}
+
+// repeat answers a Reserve of a key that is held. A repeated proposal of the holder is granted again; the holder itself
+// dispatches once.
+func (m *Machine) repeat(r *Record, c *Reserve) Result {
+	result := Result{Status: r.State, Owner: r.Owner, Answer: r.Answer}
+	switch {
+	case !bytes.Equal(r.Digest, c.Digest):
+		return Result{Status: KeyReused}
+	case r.Owner == c.Attempt && r.State == InProgress:
+		result.Status = Granted
+	}
+	return result
+}
+
+func (m *Machine) release(atMs int64, c *Release) Result {
+	result := Result{Status: Ignored}
+	r, ok := m.calls[c.Call]
+	if ok && r.Owner == c.Attempt && r.State != Answered {
+		m.remove(r)
+		result = Result{Status: Done, Count: 1}
+	}
+	if !m.past(&c.Attempt, atMs) && m.instances[c.Attempt.Instance].Used.use(c.Attempt.Number) {
+		result.Status = Done
+	}
+	return result
+}
+
+// complete records an answer. The call may have been marked as uncertain in the meantime, for example by a restart of
+// the instance while this command was under way; the answer is the better knowledge.
+func (m *Machine) complete(c *Complete) Result {
+	r, ok := m.calls[c.Call]
+	if !ok || r.Owner != c.Attempt || r.State == Answered {
+		return Result{Status: Ignored}
+	}
+	answer := c.Answer
+	m.end(r, Answered, &answer)
+	if m.bytes > m.maxBytes { // only after MayHaveRun, which keeps no room for an answer
+		m.bytes -= len(answer.Body)
+		answer.Body, answer.TooLarge = nil, true
+	}
+	return Result{Status: Done, Count: 1}
+}
+
+// end closes a call. It can end twice, as MayHaveRun and then as Answered.
+func (m *Machine) end(r *Record, state Status, answer *Answer) {
+	m.bytes -= r.chargedBytes()
+	m.clearOpen(r)
+	r.State, r.Answer, r.EndedMs = state, answer, m.nowMs
+	m.bytes += r.chargedBytes()
+	m.queue = append(m.queue, deadline{call: r.Call, atMs: r.EndedMs + Retention.Milliseconds()})
+}
+
+func (m *Machine) markUncertain(c *MarkUncertain) Result {
+	r, ok := m.calls[c.Call]
+	if !ok || r.Owner != c.Attempt || r.State != InProgress {
+		return Result{Status: Ignored}
+	}
+	m.end(r, MayHaveRun, nil)
+	return Result{Status: Done, Count: 1}
+}
+
+// see notes the incarnation of an instance. A higher one proves that the lower process has ended: its calls in progress
+// may have run, and its attempts need no memory because past refuses them. see returns the number of calls marked.
+func (m *Machine) see(a *Attempt) int {
+	known := m.instances[a.Instance]
+	if known == nil {
+		known = &instance{}
+		m.instances[a.Instance] = known
+	}
+	known.SeenMs = m.nowMs
+	if a.Incarnation <= known.Incarnation {
+		return 0
+	}
+	known.Incarnation, known.Used = a.Incarnation, window{}
+	count := 0
+	for _, r := range m.open[a.Instance] { // the order does not matter, since all get the same time
+		if r.Owner.Incarnation < a.Incarnation {
+			m.end(r, MayHaveRun, nil)
+			count++
+		}
+	}
+	return count
+}
+
+// forgetInstances drops instances that no command named for the retention. Any older command of them is past.
+func (m *Machine) forgetInstances() {
+	for name, known := range m.instances {
+		if known.SeenMs+Retention.Milliseconds() <= m.nowMs {
+			delete(m.instances, name)
+		}
+	}
+}
+
+func (m *Machine) setOpen(r *Record) {
+	calls := m.open[r.Owner.Instance]
+	if calls == nil {
+		calls = make(map[CallKey]*Record)
+		m.open[r.Owner.Instance] = calls
+	}
+	calls[r.Call] = r
+	m.openCount++
+}
+
+func (m *Machine) clearOpen(r *Record) {
+	calls := m.open[r.Owner.Instance]
+	if _, ok := calls[r.Call]; !ok {
+		return
+	}
+	m.openCount--
+	delete(calls, r.Call)
+	if len(calls) == 0 {
+		delete(m.open, r.Owner.Instance)
+	}
+}
+
+func (m *Machine) remove(r *Record) {
+	m.bytes -= r.chargedBytes()
+	m.clearOpen(r)
+	delete(m.calls, r.Call)
+}
+
+// forget drops the calls that ended before the retention. An item whose call ended again later is skipped.
+func (m *Machine) forget() int {
+	count := 0
+	for len(m.queue) > 0 && m.queue[0].atMs <= m.nowMs {
+		d := m.queue[0]
+		m.queue = m.queue[1:]
+		r, ok := m.calls[d.call]
+		if ok && r.State != InProgress && r.EndedMs+Retention.Milliseconds() == d.atMs {
+			m.remove(r)
+			count++
+		}
+	}
+	return count
+}
+
+// Lookup returns a copy of the record of a call.
+func (m *Machine) Lookup(call CallKey) (Record, bool) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	r, ok := m.calls[call]
+	if !ok {
+		return Record{}, false
+	}
+	return *r, true
+}
+
+// Unresolved lists the calls in progress and those that may have run, oldest first, and their total number. Operators
+// see it.
+func (m *Machine) Unresolved(limit int) ([]Record, int) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var list []Record
+	for _, r := range m.calls {
+		if r.State != Answered {
+			list = append(list, *r)
+		}
+	}
+	slices.SortFunc(list, compareRecords)
+	return list[:min(limit, len(list))], len(list)
+}
+
+func compareRecords(a, b Record) int {
+	return cmp.Or(cmp.Compare(a.ReservedMs, b.ReservedMs), cmp.Compare(a.Call.Caller, b.Call.Caller),
+		cmp.Compare(a.Call.Service, b.Call.Service), cmp.Compare(a.Call.Key, b.Call.Key))
+}
+
+// Stats counts what the ledger holds.
+type Stats struct {
+	Records, InProgress, Bytes, MaxBytes int
+}
+
+// Stats returns the current counts.
+func (m *Machine) Stats() Stats {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	return Stats{Records: len(m.calls), InProgress: m.openCount, Bytes: m.bytes, MaxBytes: m.maxBytes}
+}
--- /dev/null
+++ b/state/callledger/ledger_test.go
@@ -0,0 +1,159 @@
+package callledger
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const startMs = int64(1_700_000_000_000)
+
+func at(number uint64) Attempt { return Attempt{Instance: "i0", Incarnation: 1, Number: number} }
+
+func key(n int) CallKey { return CallKey{Caller: "c", Service: "haul-desk", Key: fmt.Sprint(n)} }
+
+func reserve(k int, a Attempt, body string) Command {
+	return Command{Reserve: &Reserve{Call: key(k), Digest: Digest("POST", "/", []byte(body)), Attempt: a}}
+}
+
+func release(k int, a Attempt) Command { return Command{Release: &Release{Call: key(k), Attempt: a}} }
+
+func complete(k int, a Attempt, bytes int) Command {
+	return Command{Complete: &Complete{Call: key(k), Attempt: a, Answer: Answer{Status: 200, Body: make([]byte, bytes)}}}
+}
+
+func uncertain(k int, a Attempt) Command {
+	return Command{MarkUncertain: &MarkUncertain{Call: key(k), Attempt: a}}
+}
+
+type step struct {
+	after   time.Duration
+	command Command
+	want    Status
+}
+
+func apply(t *testing.T, m *Machine, nowMs int64, c Command) *Result {
+	t.Helper()
+	c.AtMs = nowMs
+	data, err := c.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	encoded, err := m.Apply(1, data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	result, err := DecodeResult(encoded)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+// Guards against a key that is granted again, withheld or forgotten at the wrong time. Times are offsets from the start,
+// so that a step may carry an old command.
+func TestDecisions(t *testing.T) {
+	started := func(incarnation uint64) Command {
+		return Command{InstanceStarted: &InstanceStarted{Instance: "i0", Incarnation: incarnation}}
+	}
+	expire := Command{Expire: &Expire{}}
+	other := Attempt{Instance: "i1", Incarnation: 1, Number: 1}
+	tests := map[string][]step{
+		"release before the reserve of the attempt": {
+			{0, release(1, at(1)), Done}, {0, reserve(1, at(1), "a"), Released}, {0, reserve(1, at(2), "a"), Granted}},
+		"repeated reserve after its release": {
+			{0, reserve(1, at(1), "a"), Granted}, {0, release(1, at(1)), Done}, {0, reserve(1, at(1), "a"), Released}},
+		"repeated reserve of a refused attempt": {
+			{0, reserve(1, other, "a"), Granted}, {0, reserve(1, at(1), "a"), InProgress}, {0, release(1, other), Done},
+			{0, reserve(1, at(1), "a"), Released}},
+		"other body": {
+			{0, reserve(1, at(1), "a"), Granted}, {0, reserve(1, at(2), "b"), KeyReused}, {0, complete(1, at(1), 1), Done},
+			{0, reserve(1, at(3), "b"), KeyReused}, {0, reserve(1, at(4), "a"), Answered}},
+		"restart": {
+			{0, reserve(1, at(1), "a"), Granted}, {0, started(2), Done}, {0, reserve(1, other, "a"), MayHaveRun},
+			{0, reserve(2, at(2), "a"), Stale}, {0, complete(1, at(1), 1), Done},
+			{0, reserve(1, Attempt{Instance: "i1", Incarnation: 1, Number: 2}, "a"), Answered}},
+		"foreign attempt": {
+			{0, reserve(1, at(1), "a"), Granted}, {0, release(1, other), Done}, {0, uncertain(1, other), Ignored},
+			{0, complete(1, other, 1), Ignored}, {0, reserve(1, at(2), "a"), InProgress}},
+		"retention": {
+			{0, reserve(1, at(1), "a"), Granted}, {time.Hour, uncertain(1, at(1)), Done},
+			{time.Hour + Retention - time.Millisecond, reserve(1, at(2), "a"), MayHaveRun},
+			{time.Hour + Retention, reserve(1, at(3), "a"), Granted}},
+		"old reserve": {
+			{Retention, expire, Done}, {0, reserve(1, at(1), "a"), Stale}, {time.Millisecond, reserve(1, at(2), "a"), Granted}},
+		"attempt that was overtaken by a whole window": {
+			{0, reserve(1, at(windowAttempts+1), "a"), Granted}, {0, reserve(2, at(1), "a"), Released},
+			{0, reserve(2, at(2), "a"), Granted}},
+	}
+	for name, steps := range tests {
+		t.Run(name, func(t *testing.T) {
+			m := New()
+			for i, s := range steps {
+				if got := apply(t, m, startMs+s.after.Milliseconds(), s.command).Status; got != s.want {
+					t.Fatalf("step %d: %s, want %s", i, got, s.want)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a ledger that grows without bound or has no room for the answer of an accepted call.
+func TestFull(t *testing.T) {
+	m := newMachine(3 * (MaxAnswerBytes + MaxHeaderBytes + 2*recordBytes))
+	for i := range 3 {
+		if got := apply(t, m, startMs, reserve(i, at(uint64(i+1)), "a")).Status; got != Granted {
+			t.Fatalf("call %d: %s", i, got)
+		}
+	}
+	if got := apply(t, m, startMs, reserve(3, at(4), "a")).Status; got != Full {
+		t.Fatalf("call beyond the bound: %s", got)
+	}
+	for i := range 3 {
+		apply(t, m, startMs, complete(i, at(uint64(i+1)), MaxAnswerBytes))
+		if r, _ := m.Lookup(key(i)); r.State != Answered || r.Answer.TooLarge {
+			t.Fatalf("answer %d was not recorded: %s", i, r.State)
+		}
+	}
+	apply(t, m, startMs+Retention.Milliseconds(), Command{Expire: &Expire{}})
+	if diff := cmp.Diff(Stats{MaxBytes: m.maxBytes}, m.Stats()); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// Guards against commands and snapshots that change the ledger although they are not valid.
+func TestBadInput(t *testing.T) {
+	m := New()
+	apply(t, m, startMs, reserve(1, at(1), "a"))
+	before, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []Command{
+		{AtMs: startMs}, {Expire: &Expire{}}, {AtMs: 1, Expire: &Expire{}, Release: &Release{Call: key(1), Attempt: at(1)}},
+		{AtMs: startMs, Release: &Release{Call: key(1)}}, {AtMs: startMs, Reserve: &Reserve{Call: key(1), Attempt: at(2)}},
+		{AtMs: startMs, Complete: &Complete{Call: key(1), Attempt: at(1), Answer: Answer{Body: make([]byte, MaxAnswerBytes+1)}}},
+	} {
+		if _, err := c.Encode(); err == nil {
+			t.Errorf("%+v was encoded", c)
+		}
+	}
+	if _, err := m.Apply(2, []byte{0xa1}); err == nil {
+		t.Error("truncated command was applied")
+	}
+	if err := m.Restore(before[:len(before)/2]); err == nil {
+		t.Error("truncated snapshot was restored")
+	}
+	after, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(before, after); diff != "" {
+		t.Error(diff)
+	}
+	if list, total := m.Unresolved(10); total != 1 || list[0].Call != key(1) {
+		t.Errorf("unresolved calls: %v", list)
+	}
+}
--- /dev/null
+++ b/state/callledger/snapshot.go
@@ -0,0 +1,76 @@
+package callledger
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+type instanceRecord struct {
+	Name  string   `cbor:"1,keyasint"`
+	Known instance `cbor:"2,keyasint"`
+}
+
+// snapshot lists everything in a fixed order, so that equal ledgers have equal snapshots.
+type snapshot struct {
+	NowMs     int64            `cbor:"1,keyasint"`
+	Calls     []Record         `cbor:"2,keyasint"`
+	Instances []instanceRecord `cbor:"3,keyasint"`
+}
+
+// Snapshot encodes the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	s := snapshot{NowMs: m.nowMs}
+	for _, r := range m.calls {
+		s.Calls = append(s.Calls, *r)
+	}
+	slices.SortFunc(s.Calls, compareRecords)
+	for _, name := range slices.Sorted(maps.Keys(m.instances)) {
+		s.Instances = append(s.Instances, instanceRecord{Name: name, Known: *m.instances[name]})
+	}
+	data, err := cbor.Marshal(&s)
+	return data, errors.Wrap(err, "encode a call ledger snapshot")
+}
+
+// Restore replaces the state by a snapshot. On an error the state stays as it was.
+func (m *Machine) Restore(data []byte) error {
+	var s snapshot
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return errors.Wrap(err, "call ledger snapshot")
+	}
+	for i := range s.Calls {
+		r := &s.Calls[i]
+		if r.State != InProgress && r.State != MayHaveRun && (r.State != Answered || r.Answer == nil) {
+			return errors.Errorf("call ledger snapshot: record %d has state %q without what belongs to it", i, r.State)
+		}
+	}
+	for _, r := range s.Instances {
+		if n := len(r.Known.Used.Bits); n != 0 && n != windowAttempts/wordBits {
+			return errors.Errorf("call ledger snapshot: instance %q has a window of %d words", r.Name, n)
+		}
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.reset()
+	m.nowMs = s.NowMs
+	for i := range s.Calls {
+		r := &s.Calls[i]
+		m.calls[r.Call] = r
+		m.bytes += r.chargedBytes()
+		if r.State == InProgress {
+			m.setOpen(r)
+			continue
+		}
+		m.queue = append(m.queue, deadline{call: r.Call, atMs: r.EndedMs + Retention.Milliseconds()})
+	}
+	for i := range s.Instances {
+		m.instances[s.Instances[i].Name] = &s.Instances[i].Known
+	}
+	slices.SortStableFunc(m.queue, func(a, b deadline) int { return cmp.Compare(a.atMs, b.atMs) })
+	return nil
+}
