--- /dev/null
+++ b/coordination/calls/property_test.go
@@ -0,0 +1,359 @@
+package calls
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/state/callledger"
+)
+
+// process is one incarnation of an instance.
+type process struct {
+	dispatcher *Dispatcher
+	dead       bool
+}
+
+// sentProposal is a proposal between its process and the log.
+type sentProposal struct {
+	from    *process
+	id      uint64
+	command []byte
+}
+
+type sentAttempt struct {
+	from    *process
+	attempt string
+}
+
+type run struct {
+	attempt string
+	at      time.Time
+}
+
+// cluster simulates instances, the log with its faults, and a plain service that counts what it runs.
+type cluster struct {
+	t            *rapid.T
+	now          time.Time
+	ledger       *callledger.Machine
+	replica      *callledger.Machine
+	index        uint64
+	processes    []*process
+	incarnations []uint64
+	proposals    []sentProposal
+	attempts     []sentAttempt
+	// lateCommits and lateRuns are under way although their sender has no answer or is dead.
+	lateCommits [][]byte
+	lateRuns    []string
+	keyOf       map[string]callledger.CallKey
+	runs        map[callledger.CallKey][]run
+	refused     map[string]bool
+	granted     map[string]bool
+	released    map[string]bool
+	dayBegan    time.Time
+}
+
+func newCluster(t *rapid.T, instances int) *cluster {
+	c := &cluster{
+		t: t, now: time.Unix(1_700_000_000, 0), ledger: callledger.New(), replica: callledger.New(),
+		keyOf: map[string]callledger.CallKey{}, runs: map[callledger.CallKey][]run{}, refused: map[string]bool{},
+		granted: map[string]bool{}, released: map[string]bool{},
+		processes: make([]*process, instances), incarnations: make([]uint64, instances),
+	}
+	for i := range instances {
+		c.start(i)
+	}
+	return c
+}
+
+func (c *cluster) must(err error) {
+	if err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cluster) start(i int) {
+	c.incarnations[i]++
+	d, out, err := New(c.now, Options{Instance: fmt.Sprintf("i%d", i), Incarnation: c.incarnations[i]})
+	c.must(err)
+	c.processes[i] = &process{dispatcher: d}
+	c.do(c.processes[i], out)
+}
+
+func (c *cluster) kill(i int) {
+	c.processes[i].dead = true
+	c.start(i)
+}
+
+func (c *cluster) call(i, key int, body string) {
+	k := callledger.CallKey{Caller: "c", Service: "haul-desk", Key: fmt.Sprintf("k%d", key)}
+	attempt, out, refusal := c.processes[i].dispatcher.Begin(c.now, Call{Key: k, Digest: callledger.Digest("POST", "/", []byte(body))})
+	if refusal != nil {
+		c.t.Fatal(refusal)
+	}
+	if _, used := c.keyOf[attempt]; used {
+		c.t.Fatalf("attempt id %s was used before", attempt)
+	}
+	c.keyOf[attempt] = k
+	c.do(c.processes[i], out)
+}
+
+func (c *cluster) do(p *process, out Actions) {
+	for _, proposal := range out.Proposals {
+		c.proposals = append(c.proposals, sentProposal{from: p, id: proposal.ID, command: proposal.Command})
+	}
+	for _, attempt := range out.Dispatch {
+		c.attempts = append(c.attempts, sentAttempt{from: p, attempt: attempt})
+	}
+	for _, tell := range out.Tells {
+		switch tell.Result.Outcome {
+		case api.Refused:
+			c.refused[tell.Attempt] = true
+		case api.Answered:
+			if runs := c.runs[c.keyOf[tell.Attempt]]; len(runs) == 0 || !tell.Replayed && runs[len(runs)-1].attempt != tell.Attempt {
+				c.t.Fatalf("%s is answered but ran as %v", tell.Attempt, runs)
+			} else if got, want := string(tell.Answer.Body), "ran "+runs[len(runs)-1].attempt; got != want {
+				c.t.Fatalf("answer %q, want %q", got, want)
+			}
+		}
+	}
+}
+
+// commit applies a command on both replicas. The second is restored from a snapshot each time.
+func (c *cluster) commit(data []byte) []byte {
+	c.index++
+	result, err := c.ledger.Apply(c.index, data)
+	c.must(err)
+	again, err := c.replica.Apply(c.index, data)
+	c.must(err)
+	want, err := c.ledger.Snapshot()
+	c.must(err)
+	got, err := c.replica.Snapshot()
+	c.must(err)
+	if !bytes.Equal(result, again) || !bytes.Equal(want, got) {
+		c.t.Fatalf("replicas differ after entry %d", c.index)
+	}
+	c.replica = callledger.New()
+	c.must(c.replica.Restore(got))
+	command, err := callledger.DecodeCommand(data)
+	c.must(err)
+	decoded, err := callledger.DecodeResult(result)
+	c.must(err)
+	if command.Reserve != nil && decoded.Status == callledger.Granted {
+		c.granted[command.Reserve.Attempt.ID()] = true
+	}
+	if command.Release != nil && decoded.Status == callledger.Done {
+		c.released[command.Release.Attempt.ID()] = true
+	}
+	return result
+}
+
+// Fates of a proposal.
+const (
+	commits = iota
+	commitsUnreported
+	neverCommits
+	commitsLate
+	commitsTwice
+	hangs
+	fates
+)
+
+func (c *cluster) propose(s sentProposal, fate int) {
+	if s.from.dead { // what a dead process sent may still commit; nobody waits for it
+		if fate != neverCommits {
+			c.lateCommits = append(c.lateCommits, s.command)
+		}
+		return
+	}
+	outcome, result := ProposalUnknown, []byte(nil)
+	switch fate {
+	case commits, commitsTwice:
+		outcome, result = Committed, c.commit(s.command)
+	case commitsUnreported:
+		c.commit(s.command)
+	case neverCommits:
+		outcome = NotCommitted
+	case commitsLate, hangs:
+	}
+	if fate == commitsLate || fate == commitsTwice || fate == hangs {
+		c.lateCommits = append(c.lateCommits, s.command)
+	}
+	if fate == hangs {
+		return
+	}
+	out, err := s.from.dispatcher.ProposalDone(c.now, s.id, outcome, result)
+	c.must(err)
+	c.do(s.from, out)
+}
+
+func (c *cluster) run(attempt string) {
+	key := c.keyOf[attempt]
+	for _, earlier := range c.runs[key] {
+		if c.now.Sub(earlier.at) < callledger.Retention-time.Hour {
+			c.t.Fatalf("%v ran as %s and %v later as %s", key, earlier.attempt, c.now.Sub(earlier.at), attempt)
+		}
+	}
+	c.runs[key] = append(c.runs[key], run{attempt: attempt, at: c.now})
+}
+
+// attempt gives an HTTP attempt one of the fates: nothing written, lost, runs without an answer, runs late, answered.
+func (c *cluster) attempt(s sentAttempt, fate int) {
+	outcome, answer := WrittenNoAnswer, (*callledger.Answer)(nil)
+	switch fate {
+	case 0:
+		outcome = NothingWritten
+	case 2:
+		c.run(s.attempt)
+	case 3:
+		c.lateRuns = append(c.lateRuns, s.attempt)
+	case 4:
+		c.run(s.attempt)
+		outcome, answer = AnswerReceived, &callledger.Answer{Status: 200, Body: []byte("ran " + s.attempt)}
+	}
+	if s.from.dead {
+		return
+	}
+	out, err := s.from.dispatcher.AttemptDone(c.now, s.attempt, outcome, answer)
+	c.must(err)
+	c.do(s.from, out)
+}
+
+func (c *cluster) tick() {
+	for _, p := range c.processes {
+		out, err := p.dispatcher.Tick(c.now)
+		c.must(err)
+		c.do(p, out)
+	}
+}
+
+func take[T any](list *[]T, i int) T {
+	item := (*list)[i]
+	*list = append((*list)[:i], (*list)[i+1:]...)
+	return item
+}
+
+// check asserts that nothing accepted has disappeared and that refusals are true.
+func (c *cluster) check() {
+	for key, runs := range c.runs {
+		for _, r := range runs {
+			if c.refused[r.attempt] {
+				c.t.Fatalf("%s was refused and ran", r.attempt)
+			}
+		}
+		if last := runs[len(runs)-1]; !last.at.Before(c.dayBegan) {
+			if record, ok := c.ledger.Lookup(key); !ok || record.Owner.ID() != last.attempt {
+				c.t.Fatalf("%v ran as %s, and the record is %v", key, last.attempt, record)
+			}
+		}
+	}
+	for attempt := range c.granted {
+		if record, ok := c.ledger.Lookup(c.keyOf[attempt]); !c.released[attempt] && (!ok || record.Owner.ID() != attempt) {
+			c.t.Fatalf("accepted attempt %s has disappeared", attempt)
+		}
+	}
+}
+
+// settle lets everything that is under way end without further faults.
+func (c *cluster) settle() {
+	for range 100 {
+		for len(c.lateRuns) > 0 {
+			c.run(take(&c.lateRuns, 0))
+		}
+		for len(c.lateCommits) > 0 {
+			c.commit(take(&c.lateCommits, 0))
+		}
+		for len(c.attempts) > 0 {
+			c.attempt(take(&c.attempts, 0), 4)
+		}
+		for len(c.proposals) > 0 {
+			c.propose(take(&c.proposals, 0), commits)
+		}
+		c.now = c.now.Add(maxRetryDelay)
+		c.tick()
+	}
+	c.check()
+	for i, p := range c.processes {
+		if p.dispatcher.Pending() > 0 && len(p.dispatcher.proposals) == 0 {
+			c.t.Fatalf("instance %d has %d calls that nothing moves on", i, p.dispatcher.Pending())
+		}
+	}
+	unresolved, _ := c.ledger.Unresolved(1000)
+	for _, record := range unresolved {
+		owner := c.processes[int(record.Owner.Instance[1]-'0')]
+		if record.State == callledger.InProgress && !owner.dispatcher.InProgress(record.Owner.ID()) {
+			c.t.Fatalf("%v is in progress, and nobody works on it", record.Owner)
+		}
+	}
+}
+
+// Guards against a call that runs twice, a refusal of a call that ran, and an accepted call that nobody knows of, under
+// kills, restarts, lost, late and repeated commits, late runs and repeats through other instances.
+func TestCallsRunAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, rapid.IntRange(1, 3).Draw(t, "instances"))
+		instance := rapid.IntRange(0, len(c.processes)-1)
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			switch action := rapid.IntRange(0, 39).Draw(t, "action"); {
+			case action < 10:
+				body := rapid.SampledFrom([]string{"a", "a", "a", "b"}).Draw(t, "body")
+				c.call(instance.Draw(t, "instance"), rapid.IntRange(0, 2).Draw(t, "key"), body)
+			case action < 24 && len(c.proposals) > 0:
+				i := rapid.IntRange(0, len(c.proposals)-1).Draw(t, "proposal")
+				c.propose(take(&c.proposals, i), rapid.IntRange(0, fates-1).Draw(t, "fate"))
+			case action < 29 && len(c.attempts) > 0:
+				i := rapid.IntRange(0, len(c.attempts)-1).Draw(t, "attempt")
+				c.attempt(take(&c.attempts, i), rapid.IntRange(0, 4).Draw(t, "fate"))
+			case action < 33 && len(c.lateCommits) > 0:
+				i := rapid.IntRange(0, len(c.lateCommits)-1).Draw(t, "late commit")
+				command := c.lateCommits[i]
+				if rapid.Bool().Draw(t, "keep") { // it may be committed once more
+					take(&c.lateCommits, i)
+				}
+				c.commit(command)
+			case action < 35 && len(c.lateRuns) > 0:
+				c.run(take(&c.lateRuns, rapid.IntRange(0, len(c.lateRuns)-1).Draw(t, "late run")))
+			case action < 36:
+				c.kill(instance.Draw(t, "killed"))
+			case action < 39:
+				c.now = c.now.Add(time.Duration(rapid.IntRange(1, 40_000).Draw(t, "ms")) * time.Millisecond)
+				c.tick()
+			default:
+				c.day()
+			}
+			c.check()
+		}
+		c.settle()
+	})
+}
+
+// day lets a day pass. Requests that were on their way to the target are lost; proposals may still be committed.
+func (c *cluster) day() {
+	c.lateRuns = nil
+	for i := len(c.attempts) - 1; i >= 0; i-- {
+		if c.attempts[i].from.dead {
+			take(&c.attempts, i)
+		}
+	}
+	c.expire() // the driver proposes it regularly, so that the time of the ledger is never late by much
+	c.now = c.now.Add(callledger.Retention + time.Hour)
+	c.dayBegan = c.now
+	for attempt := range c.granted {
+		if record, ok := c.ledger.Lookup(c.keyOf[attempt]); !ok || record.State != callledger.InProgress {
+			delete(c.granted, attempt) // its record may be forgotten from now on
+		}
+	}
+	c.expire()
+	c.tick()
+}
+
+func (c *cluster) expire() {
+	command := callledger.Command{AtMs: c.now.UnixMilli(), Expire: &callledger.Expire{}}
+	data, err := command.Encode()
+	c.must(err)
+	c.commit(data)
+}
