--- a/coordination/calls/dispatcher.go
+++ b/coordination/calls/dispatcher.go
@@ -3,7 +3,6 @@
 package calls
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -167,10 +166,9 @@
 		return "", out, api.RefuseFor(api.ReasonNoCapacity, repeatDelay, "this instance has too many calls in progress")
 	}
 	d.lastCall++
-	attempt = fmt.Sprintf("%s.%d.%d", d.opts.Instance, d.opts.Incarnation, d.lastCall)
 	entry := &call{
 		key:      c.Key,
-		attempt:  callledger.Attempt{Instance: d.opts.Instance, Incarnation: d.opts.Incarnation, ID: attempt},
+		attempt:  callledger.Attempt{Instance: d.opts.Instance, Incarnation: d.opts.Incarnation, Number: d.lastCall},
 		deadline: now.Add(reserveTimeout),
 	}
 	if !c.Deadline.IsZero() && c.Deadline.Before(entry.deadline) {
@@ -181,8 +179,8 @@
 	if err != nil {
 		return "", Actions{}, api.Refuse(api.ReasonMalformedRequest, err.Error())
 	}
-	d.calls[attempt] = entry
-	return attempt, out, nil
+	d.calls[entry.attempt.ID()] = entry
+	return entry.attempt.ID(), out, nil
 }
 
 // Cancel notes that the caller of an attempt does not wait any more. A call that was not dispatched will not be; a
@@ -213,10 +211,10 @@
 		return out, d.reserved(now, &out, p.call, outcome, decoded)
 	}
 	d.flushTell(&out, p.call)
-	if outcome == Committed && decoded.Status != callledger.Full {
+	if outcome == Committed {
 		delete(d.proposals, id)
 		if p.call != nil {
-			delete(d.calls, p.call.attempt.ID)
+			delete(d.calls, p.call.attempt.ID())
 		}
 		return out, nil
 	}
@@ -243,7 +241,7 @@
 		return nil
 	case outcome == ProposalUnknown:
 		// This attempt never dispatches, so the refusal holds whether or not the reservation is committed later.
-		c.tell = &Tell{Attempt: c.attempt.ID, Result: refuseNoQuorum()}
+		c.tell = &Tell{Attempt: c.attempt.ID(), Result: refuseNoQuorum()}
 		d.flushTell(out, c)
 		return d.release(now, out, c)
 	case r.Status != callledger.Granted:
@@ -251,12 +249,12 @@
 		d.finishWith(out, c, Tell{Result: result, Answer: answerOf(r, result), Replayed: result.Outcome == api.Answered})
 		return nil
 	case c.cancelled || !now.Before(c.deadline):
-		c.tell = &Tell{Attempt: c.attempt.ID,
+		c.tell = &Tell{Attempt: c.attempt.ID(),
 			Result: api.RefuseFor(api.ReasonTimeout, repeatDelay, "the reservation was not granted in time; nothing was sent")}
 		return d.release(now, out, c)
 	}
 	c.phase = dispatched
-	out.Dispatch = append(out.Dispatch, c.attempt.ID)
+	out.Dispatch = append(out.Dispatch, c.attempt.ID())
 	return nil
 }
 
@@ -373,10 +371,10 @@
 
 // finishWith ends a call that needs no further command.
 func (d *Dispatcher) finishWith(out *Actions, c *call, tell Tell) {
-	tell.Attempt = c.attempt.ID
+	tell.Attempt = c.attempt.ID()
 	c.tell = &tell
 	d.flushTell(out, c)
-	delete(d.calls, c.attempt.ID)
+	delete(d.calls, c.attempt.ID())
 }
 
 func (d *Dispatcher) flushTell(out *Actions, c *call) {
--- a/state/callledger/command.go
+++ b/state/callledger/command.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"fmt"
 	"math"
 
 	"github.com/fxamacker/cbor/v2"
@@ -27,14 +28,18 @@
 	Key     string
 }
 
-// Attempt names the only process and try that may dispatch a call. The id is never used again by its incarnation.
+// Attempt names the only process and try that may dispatch a call. An incarnation numbers its attempts from 1 and uses
+// no number again.
 type Attempt struct {
 	_           struct{} `cbor:",toarray"`
 	Instance    string
 	Incarnation uint64
-	ID          string
+	Number      uint64
 }
 
+// ID is the attempt id that targets see.
+func (a Attempt) ID() string { return fmt.Sprintf("%s.%d.%d", a.Instance, a.Incarnation, a.Number) }
+
 // Answer is a response of a plain service.
 type Answer struct {
 	Status      int    `cbor:"1,keyasint"`
@@ -162,8 +167,8 @@
 	if err := CheckKey(call); err != nil {
 		return err
 	}
-	if attempt.ID == "" || len(attempt.ID) > maxNameBytes {
-		return errors.Errorf("attempt id must have 1 to %d bytes", maxNameBytes)
+	if attempt.Number == 0 {
+		return errors.New("attempt numbers start at 1")
 	}
 	return checkInstance(attempt.Instance, attempt.Incarnation)
 }
--- a/state/callledger/ledger.go
+++ b/state/callledger/ledger.go
@@ -17,20 +17,12 @@
 // a record never lets an old Reserve through.
 const Retention = 24 * time.Hour
 
-// ReserveWindow is how long after it was proposed a Reserve may be committed, on the clock of its own instance. A
-// released attempt is remembered for as long. Clocks of different instances are not compared for this, so that one
-// wrong clock does not stop the calls of the others.
-const ReserveWindow = 10 * time.Minute
-
 // Bounds of the ledger. They are constants because all voters have to decide alike.
 const (
 	// maxBytes bounds the memory of records. A voter has 128 MB for all of its state.
 	maxBytes = 64 << 20
 	// recordBytes is charged for each record in addition to its strings and body.
 	recordBytes = 256
-	// maxReleased bounds the released attempts and the calls in progress, which may become released ones. It allows
-	// about 330 releases a second for the length of ReserveWindow.
-	maxReleased = 200_000
 )
 
 // Status is the result of a command or the state of a call.
@@ -43,9 +35,9 @@
 	InProgress Status = "in_progress"
 	MayHaveRun Status = "may_have_run"
 	KeyReused  Status = "key_reused"
-	// Released means that the attempt itself was released before.
+	// Released means that the attempt was released or refused before.
 	Released Status = "released"
-	// Stale means that the command was committed too late or is of a past incarnation.
+	// Stale means that the command is older than Retention or of a past incarnation.
 	Stale Status = "stale"
 	// Full means that there is no room for another call.
 	Full Status = "full"
@@ -89,7 +81,7 @@
 // chargedBytes is the share of the record in maxBytes. A call in progress is charged with the largest answer, so that
 // its answer can always be recorded.
 func (r *Record) chargedBytes() int {
-	n := recordBytes + len(r.Call.Caller) + len(r.Call.Service) + len(r.Call.Key) + len(r.Owner.Instance) + len(r.Owner.ID)
+	n := recordBytes + len(r.Call.Caller) + len(r.Call.Service) + len(r.Call.Key) + len(r.Owner.Instance)
 	switch r.State {
 	case InProgress:
 		return n + MaxAnswerBytes + MaxHeaderBytes
@@ -103,8 +95,8 @@
 type instance struct {
 	// Incarnation is the highest known one.
 	Incarnation uint64 `cbor:"1,keyasint"`
-	// ClockMs is the highest time of a command of that incarnation.
-	ClockMs int64 `cbor:"2,keyasint"`
+	// Used holds the attempts of that incarnation that were decided on.
+	Used window `cbor:"2,keyasint"`
 	// SeenMs is the time of the ledger at the latest command that names the instance.
 	SeenMs int64 `cbor:"3,keyasint"`
 }
@@ -120,25 +112,21 @@
 	mu        sync.RWMutex
 	nowMs     int64
 	calls     map[CallKey]*Record
-	instances map[string]instance
-	// released holds, by attempt, the clock of its instance at the release. releasedOf is in the order of these times.
-	released   map[Attempt]int64
-	releasedOf map[string][]Attempt
+	instances map[string]*instance
 	// open holds the calls in progress by instance.
 	open      map[string]map[CallKey]*Record
 	openCount int
 	// queue is in the order of time, because the time of the ledger never goes back.
-	queue       []deadline
-	bytes       int
-	maxBytes    int
-	maxReleased int
+	queue    []deadline
+	bytes    int
+	maxBytes int
 }
 
 // New returns an empty ledger.
-func New() *Machine { return newMachine(maxBytes, maxReleased) }
+func New() *Machine { return newMachine(maxBytes) }
 
-func newMachine(maxBytes, maxReleased int) *Machine {
-	m := &Machine{maxBytes: maxBytes, maxReleased: maxReleased}
+func newMachine(maxBytes int) *Machine {
+	m := &Machine{maxBytes: maxBytes}
 	m.reset()
 	return m
 }
@@ -146,9 +134,7 @@
 func (m *Machine) reset() {
 	m.nowMs, m.bytes, m.queue, m.openCount = 0, 0, nil, 0
 	m.calls = make(map[CallKey]*Record)
-	m.instances = make(map[string]instance)
-	m.released = make(map[Attempt]int64)
-	m.releasedOf = make(map[string][]Attempt)
+	m.instances = make(map[string]*instance)
 	m.open = make(map[string]map[CallKey]*Record)
 }
 
@@ -165,20 +151,20 @@
 	var result Result
 	switch {
 	case c.Reserve != nil:
-		m.see(&c.Reserve.Attempt, c.AtMs)
+		m.see(&c.Reserve.Attempt)
 		result = m.reserve(c.AtMs, c.Reserve)
 	case c.Release != nil:
-		m.see(&c.Release.Attempt, c.AtMs)
+		m.see(&c.Release.Attempt)
 		result = m.release(c.AtMs, c.Release)
 	case c.Complete != nil:
-		m.see(&c.Complete.Attempt, c.AtMs)
+		m.see(&c.Complete.Attempt)
 		result = m.complete(c.Complete)
 	case c.MarkUncertain != nil:
-		m.see(&c.MarkUncertain.Attempt, c.AtMs)
+		m.see(&c.MarkUncertain.Attempt)
 		result = m.markUncertain(c.MarkUncertain)
 	case c.InstanceStarted != nil:
 		started := Attempt{Instance: c.InstanceStarted.Instance, Incarnation: c.InstanceStarted.Incarnation}
-		result = Result{Status: Done, Count: m.see(&started, c.AtMs)}
+		result = Result{Status: Done, Count: m.see(&started)}
 	case c.Expire != nil:
 		m.forgetInstances()
 		result = Result{Status: Done, Count: count}
@@ -188,23 +174,27 @@
 
 // past reports whether a command of an attempt is too old to be acted on.
 func (m *Machine) past(a *Attempt, atMs int64) bool {
-	known := m.instances[a.Instance]
-	return a.Incarnation < known.Incarnation || atMs+ReserveWindow.Milliseconds() <= known.ClockMs ||
-		atMs+Retention.Milliseconds() <= m.nowMs
+	return a.Incarnation < m.instances[a.Instance].Incarnation || atMs+Retention.Milliseconds() <= m.nowMs
 }
 
+// reserve decides on an attempt once. A repeated or late Reserve of an attempt that does not hold the key is never
+// granted, because its process has given the attempt up.
 func (m *Machine) reserve(atMs int64, c *Reserve) Result {
-	if _, ok := m.released[c.Attempt]; ok {
-		return Result{Status: Released}
-	}
-	if r, ok := m.calls[c.Call]; ok {
+	r, held := m.calls[c.Call]
+	if held && r.Owner == c.Attempt {
 		return m.repeat(r, c)
 	}
 	if m.past(&c.Attempt, atMs) {
 		return Result{Status: Stale}
 	}
-	r := &Record{Call: c.Call, Digest: c.Digest, Owner: c.Attempt, State: InProgress, ReservedMs: m.nowMs}
-	if m.bytes+r.chargedBytes() > m.maxBytes || m.openCount+len(m.released) >= m.maxReleased {
+	if !m.instances[c.Attempt.Instance].Used.use(c.Attempt.Number) {
+		return Result{Status: Released}
+	}
+	if held {
+		return m.repeat(r, c)
+	}
+	r = &Record{Call: c.Call, Digest: c.Digest, Owner: c.Attempt, State: InProgress, ReservedMs: m.nowMs}
+	if m.bytes+r.chargedBytes() > m.maxBytes {
 		return Result{Status: Full}
 	}
 	m.bytes += r.chargedBytes()
@@ -233,16 +223,10 @@
 		m.remove(r)
 		result = Result{Status: Done, Count: 1}
 	}
-	if _, ok := m.released[c.Attempt]; ok || m.past(&c.Attempt, atMs) {
-		return result // a later Reserve of the attempt would be refused anyway
+	if !m.past(&c.Attempt, atMs) && m.instances[c.Attempt.Instance].Used.use(c.Attempt.Number) {
+		result.Status = Done
 	}
-	if len(m.released) >= m.maxReleased {
-		// Without room the attempt cannot be remembered. The proposer repeats the command until there is some.
-		return Result{Status: Full}
-	}
-	m.released[c.Attempt] = m.instances[c.Attempt.Instance].ClockMs
-	m.releasedOf[c.Attempt.Instance] = append(m.releasedOf[c.Attempt.Instance], c.Attempt)
-	return Result{Status: Done, Count: result.Count}
+	return result
 }
 
 // complete records an answer. The call may have been marked as uncertain in the meantime, for example by a restart of
@@ -279,54 +263,33 @@
 	return Result{Status: Done, Count: 1}
 }
 
-// see notes the incarnation and clock of an instance. A higher incarnation proves that the lower process has ended: its
-// calls in progress may have run, and its released attempts need no memory because past refuses it. see returns the
-// number of calls that it marked.
-func (m *Machine) see(a *Attempt, atMs int64) int {
+// see notes the incarnation of an instance. A higher one proves that the lower process has ended: its calls in progress
+// may have run, and its attempts need no memory because past refuses them. see returns the number of calls marked.
+func (m *Machine) see(a *Attempt) int {
 	known := m.instances[a.Instance]
-	count := 0
-	switch {
-	case a.Incarnation > known.Incarnation:
-		known.Incarnation, known.ClockMs = a.Incarnation, atMs
-		m.forgetReleased(a.Instance, len(m.releasedOf[a.Instance]))
-		for _, r := range m.open[a.Instance] { // the order does not matter, since all get the same time
-			if r.Owner.Incarnation < a.Incarnation {
-				m.end(r, MayHaveRun, nil)
-				count++
-			}
-		}
-	case a.Incarnation == known.Incarnation:
-		known.ClockMs = max(known.ClockMs, atMs)
-		n := 0
-		for _, old := range m.releasedOf[a.Instance] {
-			if m.released[old]+ReserveWindow.Milliseconds() > known.ClockMs {
-				break
-			}
-			n++
-		}
-		m.forgetReleased(a.Instance, n)
+	if known == nil {
+		known = &instance{}
+		m.instances[a.Instance] = known
 	}
 	known.SeenMs = m.nowMs
-	m.instances[a.Instance] = known
-	return count
-}
-
-// forgetReleased drops the oldest released attempts of an instance.
-func (m *Machine) forgetReleased(instance string, n int) {
-	list := m.releasedOf[instance]
-	for _, old := range list[:n] {
-		delete(m.released, old)
+	if a.Incarnation <= known.Incarnation {
+		return 0
 	}
-	if m.releasedOf[instance] = list[n:]; n == len(list) {
-		delete(m.releasedOf, instance)
+	known.Incarnation, known.Used = a.Incarnation, window{}
+	count := 0
+	for _, r := range m.open[a.Instance] { // the order does not matter, since all get the same time
+		if r.Owner.Incarnation < a.Incarnation {
+			m.end(r, MayHaveRun, nil)
+			count++
+		}
 	}
+	return count
 }
 
 // forgetInstances drops instances that no command named for the retention. Any older command of them is past.
 func (m *Machine) forgetInstances() {
 	for name, known := range m.instances {
 		if known.SeenMs+Retention.Milliseconds() <= m.nowMs {
-			m.forgetReleased(name, len(m.releasedOf[name]))
 			delete(m.instances, name)
 		}
 	}
@@ -408,12 +371,12 @@
 
 // Stats counts what the ledger holds.
 type Stats struct {
-	Records, InProgress, Released, Bytes, MaxBytes int
+	Records, InProgress, Bytes, MaxBytes int
 }
 
 // Stats returns the current counts.
 func (m *Machine) Stats() Stats {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	return Stats{Records: len(m.calls), InProgress: m.openCount, Released: len(m.released), Bytes: m.bytes, MaxBytes: m.maxBytes}
+	return Stats{Records: len(m.calls), InProgress: m.openCount, Bytes: m.bytes, MaxBytes: m.maxBytes}
 }
--- a/state/callledger/snapshot.go
+++ b/state/callledger/snapshot.go
@@ -9,11 +9,6 @@
 	"github.com/pkg/errors"
 )
 
-type releasedRecord struct {
-	Attempt Attempt `cbor:"1,keyasint"`
-	AtMs    int64   `cbor:"2,keyasint"`
-}
-
 type instanceRecord struct {
 	Name  string   `cbor:"1,keyasint"`
 	Known instance `cbor:"2,keyasint"`
@@ -23,8 +18,7 @@
 type snapshot struct {
 	NowMs     int64            `cbor:"1,keyasint"`
 	Calls     []Record         `cbor:"2,keyasint"`
-	Released  []releasedRecord `cbor:"3,keyasint"`
-	Instances []instanceRecord `cbor:"4,keyasint"`
+	Instances []instanceRecord `cbor:"3,keyasint"`
 }
 
 // Snapshot encodes the whole state.
@@ -37,10 +31,7 @@
 	}
 	slices.SortFunc(s.Calls, compareRecords)
 	for _, name := range slices.Sorted(maps.Keys(m.instances)) {
-		s.Instances = append(s.Instances, instanceRecord{Name: name, Known: m.instances[name]})
-		for _, attempt := range m.releasedOf[name] {
-			s.Released = append(s.Released, releasedRecord{Attempt: attempt, AtMs: m.released[attempt]})
-		}
+		s.Instances = append(s.Instances, instanceRecord{Name: name, Known: *m.instances[name]})
 	}
 	data, err := cbor.Marshal(&s)
 	return data, errors.Wrap(err, "encode a call ledger snapshot")
@@ -58,6 +49,11 @@
 			return errors.Errorf("call ledger snapshot: record %d has state %q without what belongs to it", i, r.State)
 		}
 	}
+	for _, r := range s.Instances {
+		if n := len(r.Known.Used.Bits); n != 0 && n != windowAttempts/wordBits {
+			return errors.Errorf("call ledger snapshot: instance %q has a window of %d words", r.Name, n)
+		}
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.reset()
@@ -72,12 +68,8 @@
 		}
 		m.queue = append(m.queue, deadline{call: r.Call, atMs: r.EndedMs + Retention.Milliseconds()})
 	}
-	for _, r := range s.Released {
-		m.released[r.Attempt] = r.AtMs
-		m.releasedOf[r.Attempt.Instance] = append(m.releasedOf[r.Attempt.Instance], r.Attempt)
-	}
-	for _, r := range s.Instances {
-		m.instances[r.Name] = r.Known
+	for i := range s.Instances {
+		m.instances[s.Instances[i].Name] = &s.Instances[i].Known
 	}
 	slices.SortStableFunc(m.queue, func(a, b deadline) int { return cmp.Compare(a.atMs, b.atMs) })
 	return nil
