--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -16,6 +16,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
 	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
 )
 
@@ -273,6 +274,73 @@
 	}
 }
 
+// Guards against memory that is freed under a running request, and against requests that a leaving model still accepts.
+func TestUnloadWaitsForRequests(t *testing.T) {
+	f := start(t, func(c *Config) { c.TokenInterval = time.Hour })
+	f.loadModel(t, "redac")
+	ctx, cancel := context.WithCancel(t.Context())
+	resp, err := f.send(ctx, "POST", targetapi.PathChat, chat("redac", "x", 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	f.order(t, targetapi.Order{ID: "u", Kind: targetapi.UnloadModel, Model: "redac", ModelVersion: "1"})
+	eventually(t, "the unload delay is over", func() bool {
+		f.memory.mu.Lock()
+		defer f.memory.mu.Unlock()
+		return f.memory.residents[residentKey{model: "redac", version: "1"}].settled
+	})
+	want := []targetapi.Resident{{Model: "redac", Version: "1", State: targetapi.Unloading, Bytes: 20}}
+	if diff := cmp.Diff(want, f.Announcement(time.Now()).Residents); diff != "" {
+		t.Error(diff)
+	}
+	if status, _ := f.call(t, "POST", targetapi.PathChat, chat("redac", "x", 1)); status != http.StatusNotFound {
+		t.Errorf("status %d for an unloading model", status)
+	}
+	cancel()
+	if s := f.settled(t, "u"); s != targetapi.OrderDone || len(f.Announcement(time.Now()).Residents) != 0 {
+		t.Errorf("unload ended as %s with %v", s, f.Announcement(time.Now()).Residents)
+	}
+}
+
+// Guards against a queue that ignores priorities or leaks slots of cancelled requests, and against load without lag.
+func TestSlots(t *testing.T) {
+	s := newSlots(1, 3, 100)
+	before := time.Now()
+	if full, err := s.acquire(t.Context(), ""); full || err != nil {
+		t.Fatal(full, err)
+	}
+	started := make(chan string, 3)
+	cancelled, cancel := context.WithCancel(t.Context())
+	for i, p := range []releasenote.Priority{releasenote.Batch, releasenote.Standard, releasenote.Interactive} {
+		ctx := t.Context()
+		if p == releasenote.Standard {
+			ctx = cancelled
+		}
+		go func() {
+			if _, err := s.acquire(ctx, p); err == nil {
+				started <- string(p)
+			} else {
+				started <- "cancelled"
+			}
+		}()
+		eventually(t, "request is queued", func() bool { return s.loadAt(time.Now()).Queued == i+1 })
+	}
+	if full, _ := s.acquire(t.Context(), ""); !full {
+		t.Error("the queue took more than its limit")
+	}
+	cancel()
+	for _, want := range []string{"cancelled", string(releasenote.Interactive), string(releasenote.Batch)} {
+		if got := <-started; got != want {
+			t.Errorf("%q came next, want %q", got, want)
+		}
+		s.release() // first the slot taken at the start, then those of the requests that started
+	}
+	if now, lagged := s.loadAt(time.Now()), s.loadAt(before); now.Running != 0 || now.Queued != 0 || lagged.Running != 0 {
+		t.Errorf("load %+v, before the start %+v", now, lagged)
+	}
+}
+
 // Guards against announcements that an instance would refuse and against a balancer URL that is used twice in a row.
 func TestAnnouncesInTurnAndLeaves(t *testing.T) {
 	type seen struct {
--- a/transport/peer/inbound.go
+++ b/transport/peer/inbound.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -297,16 +298,29 @@
 	return &hello, in.checkEnvelope(&hello, req)
 }
 
+// knownIncarnation is the incarnation of the last connection of a sender.
+type knownIncarnation struct {
+	incarnation uint64
+	at          time.Time
+}
+
 // admit makes a connection the only one of its sender and returns the one that it replaces.
 func (t *Transport) admit(in *inbound, hello *peerapi.Hello) (old *inbound, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if known, ok := t.known.Get(hello.Sender); ok && hello.Incarnation < known {
+	old = t.inbound[hello.Sender]
+	newest := uint64(0)
+	if known, ok := t.known.Get(hello.Sender); ok && time.Since(known.at) < incarnationMemory {
+		newest = known.incarnation
+	}
+	if old != nil {
+		newest = max(newest, old.greeted().Incarnation)
+	}
+	if hello.Incarnation < newest {
 		return nil, errors.Errorf("incarnation %d of %q is older than %d, which connected before", hello.Incarnation,
-			hello.Sender, known)
+			hello.Sender, newest)
 	}
-	t.known.Add(hello.Sender, hello.Incarnation)
-	old = t.inbound[hello.Sender]
+	t.known.Add(hello.Sender, knownIncarnation{hello.Incarnation, time.Now()})
 	t.inbound[hello.Sender] = in
 	t.ungreeted--
 	in.mu.Lock()
@@ -412,9 +426,13 @@
 }
 
 func (in *inbound) answer(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, result any, err error) {
+	response := &jsonrpc2.Response{ID: req.ID}
+	if err == nil {
+		err = errors.Wrap(response.SetResult(result), "answer cannot be encoded")
+	}
 	if err != nil {
 		err = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: peerapi.CodeFailed, Message: err.Error()})
-	} else if err = rpc.Reply(ctx, req.ID, result); errors.Is(err, ErrFrameTooLarge) {
+	} else if err = rpc.SendResponse(ctx, response); errors.Is(err, ErrFrameTooLarge) {
 		err = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: peerapi.CodeTooLarge, Message: err.Error()})
 	}
 	if err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -44,6 +44,9 @@
 	// maxUngreeted bounds inbound connections whose handshake is not complete, so that strangers cannot use up the
 	// limit for all connections.
 	maxUngreeted = 64
+	// incarnationMemory is how long an older incarnation is refused after the last connection of a newer one. It ends,
+	// because an instance without a disk whose clock was set back could otherwise never return.
+	incarnationMemory = 10 * time.Minute
 	// maxKnownIncarnations bounds the memory for the incarnations of senders.
 	maxKnownIncarnations = 4096
 	// maxPendingAge is the age after which a notification that waits for a connection is dropped. Older consensus and
@@ -208,7 +211,7 @@
 	inbound     map[string]*inbound
 	connections map[*inbound]struct{}
 	ungreeted   int
-	known       *lru.Cache[string, uint64]
+	known       *lru.Cache[string, knownIncarnation]
 	closed      bool
 	running     sync.WaitGroup
 	rejections  *rate.Limiter
@@ -222,7 +225,7 @@
 	if err := opts.setDefaults(); err != nil {
 		return nil, errors.Wrap(err, "options of the peer transport")
 	}
-	known, err := lru.New[string, uint64](maxKnownIncarnations)
+	known, err := lru.New[string, knownIncarnation](maxKnownIncarnations)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -146,6 +146,7 @@
 	b.Handle("large", func(context.Context, Sender, json.RawMessage) (any, error) {
 		return strings.Repeat("x", peerapi.MaxFrameBytes), nil
 	})
+	b.Handle("unencodable", func(context.Context, Sender, json.RawMessage) (any, error) { return func() {}, nil })
 	var got echo
 	if err := a.Call(t.Context(), "b", "echo", 7, &got); err != nil || got.From != (Sender{"a", 1}) || got.Params != 7.0 {
 		t.Fatalf("%+v, %v", got, err)
@@ -161,6 +162,7 @@
 		{"itself", "a", "echo", nil, true, "is this instance"},
 		{"unknown method", "b", "nothing", nil, true, "method nothing is not known"},
 		{"handler error", "b", "fail", nil, false, "disk is full"},
+		{"unencodable answer", "b", "unencodable", nil, false, "answer cannot be encoded"},
 		{"large request", "b", "echo", strings.Repeat("x", peerapi.MaxFrameBytes), true, ErrFrameTooLarge.Error()},
 		{"large answer", "b", "large", nil, false, ErrFrameTooLarge.Error()},
 		{"busy", "b", "echo", nil, true, "1 calls with 0 bytes run already"},
@@ -332,6 +334,17 @@
 	})
 }
 
+// Guards against an instance that is locked out for ever because its clock was set back.
+func TestOlderIncarnationIsAdmittedAfterAWhile(t *testing.T) {
+	n := newNetwork()
+	b := n.start(t, "b", nil)
+	a := n.start(t, "a", nil)
+	b.known.Add("a", knownIncarnation{9, time.Now().Add(-incarnationMemory - time.Second)})
+	if err := a.Call(t.Context(), "b", "echo", 1, nil); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against links that do not recover from a restart, and against an old process that takes over from its successor.
 func TestRestartWithNewIncarnation(t *testing.T) {
 	n := newNetwork()
