standin/load: compare answers with the tokens of the stand-in

Cause: an answer that belongs to another request counted as answered. Ruled out: comparing without request ids of the generator's own, since the text depends on them. The schedule no longer adds up a rounded interval, which sent 241 instead of 240 requests in 4 s at 60/s.

--- a/cmd/hoist-load/main.go
+++ b/cmd/hoist-load/main.go
@@ -37,6 +37,7 @@
 	app.Flag("priority", "Priority sent with model calls.").StringVar(&cfg.Priority)
 	app.Flag("max-tokens", "Token limit of model calls.").Default("16").IntVar(&cfg.MaxTokens)
 	app.Flag("prompt-bytes", "Length of prompts.").Default("64").IntVar(&cfg.PromptBytes)
+	app.Flag("check-tokens", "Compare answers with the tokens of hoist-target.").BoolVar(&cfg.CheckTokens)
 	app.Flag("token", "Bearer token.").Envar("HOIST_TOKEN").StringVar(&cfg.Token)
 	app.Flag("seed", "Seed for the choice of callers, models and kinds.").Default("1").Uint64Var(&cfg.Seed)
 	app.Flag("json", "Print the report as JSON.").BoolVar(&asJSON)
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -16,6 +16,7 @@
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
 	"github.com/tarragonhoist/tarragonhoist/standin/caller"
+	"github.com/tarragonhoist/tarragonhoist/standin/target"
 )
 
 // Defaults and bounds of a run.
@@ -54,6 +55,8 @@
 	Priority       string
 	MaxTokens      int
 	PromptBytes    int
+	// CheckTokens compares the text of answered model calls with the tokens of the stand-in target.
+	CheckTokens bool
 	// Token is sent as a bearer token when it is not empty.
 	Token string
 	// Seed makes the choice of callers, models and kinds repeatable.
@@ -103,6 +106,8 @@
 	url, caller, model string
 	stream, service    bool
 	due                time.Time
+	// text is the expected answer, empty when it is not checked.
+	text string
 }
 
 // Run sends requests until the duration or the number of requests is reached or ctx ends, waits for the answers, each
@@ -134,10 +139,10 @@
 // send starts requests on schedule.
 func (r *runner) send(ctx context.Context, started time.Time) {
 	random := rand.New(rand.NewPCG(r.cfg.Seed, 0))
-	interval := time.Duration(float64(time.Second) / r.cfg.Rate)
 	slots := make(chan struct{}, r.cfg.MaxInFlight)
 	for i := 0; i < r.cfg.MaxRequests; i++ {
-		due := started.Add(time.Duration(i) * interval)
+		// Adding a rounded interval up would drift from the rate.
+		due := started.Add(time.Duration(float64(i) * float64(time.Second) / r.cfg.Rate))
 		if due.Sub(started) >= r.cfg.Duration {
 			return
 		}
@@ -195,6 +200,9 @@
 			}
 		},
 	}
+	if r.cfg.CheckTokens && !req.service {
+		req.text = expectedText(chat.RequestID, r.cfg.MaxTokens)
+	}
 	var answer *caller.Answer
 	var err error
 	switch {
@@ -208,6 +216,18 @@
 	r.report.record(req, answer, err, ctx.Err(), firstToken, time.Since(req.due))
 }
 
+// expectedText is what the stand-in target answers to a request.
+func expectedText(requestID string, maxTokens int) string {
+	if maxTokens == 0 {
+		maxTokens = target.DefaultMaxTokens
+	}
+	var text strings.Builder
+	for offset := range maxTokens {
+		text.WriteString(target.Token(requestID, offset))
+	}
+	return text.String()
+}
+
 // bearer adds the token to every request.
 type bearer struct {
 	token string
@@ -240,7 +260,7 @@
 const (
 	// NoAnswer means that the request got no answer, or only a part of one.
 	NoAnswer api.Outcome = "no_answer"
-	// WrongAnswer means that an answer has gaps or repeats.
+	// WrongAnswer means that an answer has gaps or repeats, or is not the answer to its request.
 	WrongAnswer api.Outcome = "wrong_answer"
 	// NotSent means that too many requests were in progress.
 	NotSent api.Outcome = "not_sent"
--- a/standin/load/load_test.go
+++ b/standin/load/load_test.go
@@ -87,6 +87,7 @@
 		{"", "guichet", 0, 0, Result{api.Answered, ""}, 0},
 		{"full", "", 1, 0, Result{api.Refused, api.ReasonOverShare}, 0},
 		{"failing", "", 1, 0, Result{api.Failed, api.ReasonStreamBroken}, 0},
+		{"redac:other", "", 1, 0, Result{WrongAnswer, "other_text"}, 0},
 		{"gap", "", 1, 0, Result{WrongAnswer, "offsets_out_of_order"}, 0},
 		{"broken", "", 1, 0, Result{NoAnswer, "incomplete_answer"}, 0},
 		{"late", "", 1, 10 * time.Millisecond, Result{NoAnswer, "generator_timeout"}, 0},
@@ -95,6 +96,7 @@
 			URLs: []string{url}, Callers: []string{"a", "b"}, Models: []string{c.model}, Service: c.service, Path: "/book",
 			StreamShare: c.streams, Rate: 2000, Duration: time.Hour, MaxRequests: 20, RequestTimeout: c.timeout, Token: "secret",
 		}
+		cfg.CheckTokens = c.model == "redac:other"
 		if c.service != "" {
 			cfg.ServiceShare = 1
 		}
--- a/standin/load/report.go
+++ b/standin/load/report.go
@@ -92,6 +92,8 @@
 		return Result{answer.Outcome, reason}
 	case req.stream && !req.service && !inOrder(answer.Offsets):
 		return Result{WrongAnswer, "offsets_out_of_order"}
+	case req.text != "" && answer.Text != req.text:
+		return Result{WrongAnswer, "other_text"}
 	default:
 		return Result{Outcome: api.Answered}
 	}
