transport/peer: return the booked bytes of frames that are not sent

Cause: a bulk frame books its bytes before it waits for the limit. When the link ended meanwhile, up to 37 s of the limit of all links were lost. Ruled out: booking only when the frame is due, which lets other links overtake it without end. The new test fails after 30 s without the cancellation.

--- a/transport/peer/limit.go
+++ b/transport/peer/limit.go
@@ -21,10 +21,8 @@
 	return &byteLimit{limiter: rate.NewLimiter(rate.Limit(bytesPerSecond), burstBytes), overLimit: overLimit}
 }
 
-// reserve books a bulk frame and tells how long it must wait.
-func (l *byteLimit) reserve(n int) time.Duration {
-	return l.limiter.ReserveN(time.Now(), n).Delay()
-}
+// reserve books a bulk frame. Cancel the reservation when the frame is not sent, so that other links get its bytes.
+func (l *byteLimit) reserve(n int) *rate.Reservation { return l.limiter.ReserveN(time.Now(), n) }
 
 // charge books an urgent frame, which does not wait.
 func (l *byteLimit) charge(n int) {
--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -556,6 +556,34 @@
 	}
 }
 
+// Guards against links that keep bytes of the limit which they no longer need.
+func TestClosedLinkReturnsItsBytes(t *testing.T) {
+	n := newNetwork()
+	a := n.start(t, "a", func(o *Options) { o.BytesPerSecond, o.BurstBytes = 10_000, peerapi.MaxFrameBytes+headerBytes })
+	bulk := make(chan struct{}, 16)
+	count := func(context.Context, Sender, json.RawMessage) (any, error) {
+		bulk <- struct{}{}
+		return nil, nil
+	}
+	nodes := []*node{n.start(t, "b", nil), n.start(t, "c", nil)}
+	for _, node := range nodes {
+		node.Handle(peerapi.MethodGossip, count)
+	}
+	for range 2 { // the second one must wait for 35 s
+		if err := a.Notify("b", peerapi.MethodGossip, strings.Repeat("x", 700_000)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wait(t, bulk, "first bulk message")
+	eventually(t, "the second message has booked its bytes", func() bool { return a.limit.limiter.Tokens() < 0 })
+	nodes[0].stop()
+	eventually(t, "the bytes are returned", func() bool { return a.limit.limiter.Tokens() > 0 })
+	if err := a.Notify("c", peerapi.MethodGossip, strings.Repeat("x", 100_000)); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, bulk, "message on the other link")
+}
+
 // Guards against idle connections that stay open, and against calls that fail because one was closed.
 func TestIdleConnectionIsClosedAndReopened(t *testing.T) {
 	n := newNetwork()
--- a/transport/peer/stream.go
+++ b/transport/peer/stream.go
@@ -206,11 +206,13 @@
 
 // sendBulk waits for the byte limit; urgent frames that arrive meanwhile go first.
 func (s *stream) sendBulk(f frame) bool {
-	timer := time.NewTimer(s.limit.reserve(len(f.data)))
+	reservation := s.limit.reserve(len(f.data))
+	timer := time.NewTimer(reservation.Delay())
 	defer timer.Stop()
 	for {
 		select {
 		case <-s.closed:
+			reservation.Cancel()
 			return false
 		case <-timer.C:
 			return s.send(f)
@@ -219,10 +221,12 @@
 		for urgent, ok := s.take(peerapi.Urgent); ok; urgent, ok = s.take(peerapi.Urgent) {
 			s.limit.charge(len(urgent.data))
 			if !s.send(urgent) {
+				reservation.Cancel()
 				return false
 			}
 		}
 		if s.isFinishing() {
+			reservation.Cancel()
 			return true
 		}
 	}
