standin/target: test that leaving finishes streams

Ruled out: nothing; the code is unchanged. Conclusion: a stream of 60 tokens ends complete after the target leaves.

--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -392,6 +392,34 @@
 	}
 }
 
+// Guards against a graceful end that interrupts a stream.
+func TestLeavingFinishesStreams(t *testing.T) {
+	f := start(t, func(c *Config) { c.Listen, c.TokenInterval = "127.0.0.1:0", 5*time.Millisecond })
+	f.loadModel(t, "redac")
+	ctx, leave := context.WithCancel(t.Context())
+	reader, out := io.Pipe()
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx, out) }()
+	var started Started
+	if err := json.NewDecoder(reader).Decode(&started); err != nil {
+		t.Fatal(err)
+	}
+	f.url = "http://" + started.Address
+	resp, err := f.send(t.Context(), "POST", targetapi.PathChat, chat("redac", "x", 60))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	leave()
+	text, err := io.ReadAll(resp.Body)
+	if ids, _, done := tokens(t, string(text)); err != nil || !done || len(ids) != 60 {
+		t.Errorf("%d tokens, done %v, %v", len(ids), done, err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against a request that ought to crash its target and does not.
 func TestCrash(t *testing.T) {
 	f := start(t, nil)
