--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -168,6 +168,13 @@
 	return l.holder.Held(l.now())
 }
 
+// Known names the holder for which this elector voted last, and its fencing number. It may have lost the lease since.
+func (l *Lease) Known() (holder string, fence uint64) {
+	l.voteMu.Lock()
+	defer l.voteMu.Unlock()
+	return l.saved.Promise.Holder.Name, l.saved.Promise.Fence
+}
+
 // Journals are the copies of the order journal that came with the votes.
 func (l *Lease) Journals() []electorate.JournalCopy {
 	l.holderMu.Lock()
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -18,6 +18,7 @@
 	"github.com/tarragonhoist/tarragonhoist/instance/feasibility"
 	"github.com/tarragonhoist/tarragonhoist/instance/replicalink"
 	"github.com/tarragonhoist/tarragonhoist/instance/servicecalls"
+	"github.com/tarragonhoist/tarragonhoist/instance/suspects"
 	"github.com/tarragonhoist/tarragonhoist/instance/targets"
 	"github.com/tarragonhoist/tarragonhoist/instance/timeline"
 	"github.com/tarragonhoist/tarragonhoist/instance/usage"
@@ -43,6 +44,7 @@
 	config      *replica.Group
 	targets     *targets.Keeper
 	waiter      *admit.Waiter
+	suspects    *suspects.Table
 	lease       *controller.Lease
 	usage       *usage.Exchange
 	feasibility *feasibility.Checker
@@ -86,6 +88,7 @@
 	tasks.Go(func() error { i.targets.Run(background); return nil })
 	tasks.Go(func() error { i.waiter.Run(background); return nil })
 	tasks.Go(func() error { i.usage.Run(background); return nil })
+	tasks.Go(func() error { i.suspects.Run(background); return nil })
 	tasks.Go(func() error { i.ledger.Serve(background); return nil })
 	leaseCtx, giveUpLease := context.WithCancel(background)
 	defer giveUpLease()
--- a/instance/modelcalls/run.go
+++ b/instance/modelcalls/run.go
@@ -10,6 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"github.com/tarragonhoist/tarragonhoist/coordination/quarantine"
 	"github.com/tarragonhoist/tarragonhoist/coordination/stream"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
@@ -27,6 +28,8 @@
 	nextTokenTimeout = 5 * time.Second
 	cancelTimeout    = time.Second
 	eventBuffer      = 64
+	// suspectInterval is the pause before a suspect looks for a target without another suspect again.
+	suspectInterval = 50 * time.Millisecond
 )
 
 // attempt is one try on one target.
@@ -119,8 +122,13 @@
 // start sends an attempt to a picked target.
 func (r *run) start(ctx context.Context, placed Placed, done func(Result)) *api.Result {
 	id := uuid.NewString()
+	if !placed.Remote && !r.server.Suspects.Begin(ctx, quarantine.Attempt{ID: id, Fingerprint: r.work.Fingerprint, Target: targetOf(placed)}) {
+		done(Result{Err: context.Canceled})
+		return r.waitForPlace(ctx)
+	}
 	offset, err := r.splicer.Begin(id)
 	if err != nil {
+		r.server.Suspects.Ended(id)
 		done(Result{Err: err})
 		return r.fail(err)
 	}
@@ -137,6 +145,28 @@
 	return nil
 }
 
+// waitForPlace tries again after a suspect met another one on its target.
+func (r *run) waitForPlace(ctx context.Context) *api.Result {
+	if refusal := r.server.Suspects.Verdict(r.work.Fingerprint); refusal != nil {
+		return r.cannotContinue(refusal)
+	}
+	if len(r.open) > 0 {
+		return nil
+	}
+	timer := time.NewTimer(suspectInterval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return r.begin(ctx)
+	case <-ctx.Done():
+		return r.timedOut(ctx)
+	}
+}
+
+func targetOf(p Placed) quarantine.Target {
+	return quarantine.Target{Name: p.Target, Incarnation: p.Incarnation}
+}
+
 // stream runs in a goroutine of its own. It always sends one last message.
 func (r *run) stream(ctx context.Context, a *attempt, offset int) {
 	request := targetclient.Attempt{
@@ -216,7 +246,7 @@
 		return r.ended(ctx, a, err)
 	}
 	r.close(a, nil)
-	r.server.Suspects.Cleared(r.work.Fingerprint)
+	r.server.Suspects.Succeeded(a.id)
 	return &api.Result{Outcome: api.Answered}
 }
 
@@ -240,7 +270,7 @@
 		r.server.Recorder.Record(events.AttemptBroken, events.Fields{
 			"request": r.work.RequestID, "target": a.placed.Target, "offset": r.splicer.Resume(), "error": err.Error()})
 		if !a.placed.Remote {
-			r.server.Suspects.Strike(ctx, r.work, a.placed)
+			r.server.Suspects.Failed(ctx, a.id, targetOf(a.placed))
 		}
 	}
 	if len(r.open) > 0 {
@@ -337,6 +367,9 @@
 func (r *run) close(a *attempt, err error) {
 	delete(r.open, a.id)
 	a.cancel()
+	if err != nil && !r.broken(err) {
+		r.server.Suspects.Ended(a.id)
+	}
 	a.done(Result{FirstToken: a.first, Total: r.server.Now().Sub(a.started), Tokens: a.tokens, Err: err})
 	if !errors.Is(err, context.Canceled) || a.placed.Remote {
 		// An instance of another data centre notices the closed connection by itself.
--- a/instance/modelcalls/run_test.go
+++ b/instance/modelcalls/run_test.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/tarragonhoist/tarragonhoist/coordination/quarantine"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/instance/drain"
 	"github.com/tarragonhoist/tarragonhoist/instance/modelcalls"
@@ -67,9 +68,11 @@
 func (f *fake) Overdue(*modelcalls.Work, modelcalls.Placed, time.Duration)    {}
 func (f *fake) Hedge(*modelcalls.Work, modelcalls.Placed, time.Duration) bool { return f.hedge > 0 }
 func (f *fake) First(*modelcalls.Work, modelcalls.Placed)                     {}
-func (f *fake) Verdict(uint64) *api.Result                                    { return nil }
-func (f *fake) Strike(context.Context, *modelcalls.Work, modelcalls.Placed)   {}
-func (f *fake) Cleared(uint64)                                                {}
+func (f *fake) Verdict(quarantine.Fingerprint) *api.Result                    { return nil }
+func (f *fake) Begin(context.Context, quarantine.Attempt) bool                { return true }
+func (f *fake) Succeeded(string)                                              {}
+func (f *fake) Ended(string)                                                  {}
+func (f *fake) Failed(context.Context, string, quarantine.Target)             {}
 func (f *fake) HedgeDelay(*modelcalls.Work) time.Duration {
 	if f.hedge > 0 {
 		return f.hedge
--- a/instance/modelcalls/server.go
+++ b/instance/modelcalls/server.go
@@ -6,8 +6,9 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/tarragonhoist/tarragonhoist/coordination/quarantine"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/instance/drain"
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
@@ -26,7 +27,7 @@
 	Model       string
 	Adapter     string
 	Priority    releasenote.Priority
-	Fingerprint uint64
+	Fingerprint quarantine.Fingerprint
 	// PrefixHashes are the hashes of the prompt up to each block boundary.
 	PrefixHashes []uint64
 	// PromptTokens is estimated from the bytes of the prompt; TokenLimit is the caller's, or 0.
@@ -88,11 +89,15 @@
 // Suspects knows the requests that were in flight on targets that died.
 type Suspects interface {
 	// Verdict refuses a request that is quarantined.
-	Verdict(fingerprint uint64) *api.Result
-	// Strike reports a broken attempt and returns when the other instances know of it.
-	Strike(ctx context.Context, w *Work, p Placed)
-	// Cleared reports that a request was answered.
-	Cleared(fingerprint uint64)
+	Verdict(fingerprint quarantine.Fingerprint) *api.Result
+	// Begin registers an attempt and says whether it may be sent now.
+	Begin(ctx context.Context, a quarantine.Attempt) bool
+	// Succeeded clears a request that was answered completely.
+	Succeeded(attemptID string)
+	// Failed reports a broken attempt and returns when the other instances know of it.
+	Failed(ctx context.Context, attemptID string, target quarantine.Target)
+	// Ended removes an attempt whose end says nothing about the request.
+	Ended(attemptID string)
 }
 
 // InForce gives what is in force.
@@ -116,6 +121,8 @@
 	Recorder       *events.Recorder
 	RequestTimeout time.Duration
 	Now            func() time.Time
+	// Metrics receives the timers; nil means none.
+	Metrics metrics.Registry
 	// Instance is the name of this instance.
 	Instance string
 }
@@ -127,11 +134,34 @@
 		return Draining()
 	}
 	defer leave()
-	result := s.answer(ctx, &call, out)
+	timed := &timedWriter{TokenWriter: out, now: s.Now}
+	started := s.Now()
+	result := s.answer(ctx, &call, timed)
+	if result.Outcome == api.Answered && s.Metrics != nil {
+		metrics.GetOrRegisterTimer("model_calls.total", s.Metrics).Update(s.Now().Sub(started))
+		if !timed.first.IsZero() {
+			metrics.GetOrRegisterTimer("model_calls.first_token", s.Metrics).Update(timed.first.Sub(started))
+		}
+	}
 	s.record(&call, result)
 	return result
 }
 
+// timedWriter notes when the first token was passed on.
+type timedWriter struct {
+	httpapi.TokenWriter
+	now   func() time.Time
+	first time.Time
+}
+
+// WriteEvent passes a token on.
+func (w *timedWriter) WriteEvent(offset int, chunk []byte) error {
+	if w.first.IsZero() {
+		w.first = w.now()
+	}
+	return w.TokenWriter.WriteEvent(offset, chunk)
+}
+
 // Draining refuses a request of an instance that shuts down.
 func Draining() *api.Result {
 	return &api.Result{Outcome: api.Refused, Reason: api.ReasonDraining, Repeat: api.RepeatNow,
@@ -174,26 +204,20 @@
 	}
 	return &Work{
 		RequestID: call.RequestID, Caller: call.Caller, Weight: permission.Weight, Model: model, Adapter: adapter,
-		Priority: priority, Fingerprint: fingerprint(call), PrefixHashes: targetapi.PrefixHashes(call.Request),
+		Priority: priority, Fingerprint: fingerprint(call, model, adapter), PrefixHashes: targetapi.PrefixHashes(call.Request),
 		PromptTokens: call.Request.PromptTokens(), TokenLimit: call.Request.TokenLimit(), Deadline: s.Now().Add(timeout),
 		MaySpill: call.SpilledFrom == "",
 	}, nil
 }
 
-// fingerprint identifies a request by caller and body alone, since a caller that sends a crashing request again may
-// change its headers.
-func fingerprint(call *httpapi.ChatCall) uint64 {
-	d := xxhash.New()
-	_, _ = d.WriteString(call.Caller)
-	_, _ = d.Write([]byte{0})
-	_, _ = d.WriteString(call.Request.Model)
+// fingerprint identifies a request by caller, model and messages, since a caller that sends a crashing request again may
+// change its headers or its token limit.
+func fingerprint(call *httpapi.ChatCall, model, adapter string) quarantine.Fingerprint {
+	var body []byte
 	for _, m := range call.Request.Messages {
-		_, _ = d.Write([]byte{0})
-		_, _ = d.WriteString(m.Role)
-		_, _ = d.Write([]byte{0})
-		_, _ = d.WriteString(m.Content)
+		body = append(append(append(append(body, m.Role...), 0), m.Content...), 0)
 	}
-	return d.Sum64()
+	return quarantine.FingerprintOf(call.Caller, model, adapter, body)
 }
 
 func (s *Server) record(call *httpapi.ChatCall, result *api.Result) {
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -9,6 +9,7 @@
 	"github.com/tarragonhoist/tarragonhoist/coordination/admission"
 	"github.com/tarragonhoist/tarragonhoist/coordination/control"
 	"github.com/tarragonhoist/tarragonhoist/instance/replicalink"
+	"github.com/tarragonhoist/tarragonhoist/instance/suspects"
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
 	"github.com/tarragonhoist/tarragonhoist/state/electorate"
 	"github.com/tarragonhoist/tarragonhoist/transport/peer"
@@ -53,6 +54,9 @@
 			i.usage.Handle(u)
 			return peerapi.Empty{}, nil
 		}),
+		peerapi.MethodStrike: typed(func(_ context.Context, _ peer.Sender, m suspects.Message) (any, error) {
+			return i.suspects.Handle(m)
+		}),
 		peerapi.MethodEngines: typed(func(context.Context, peer.Sender, peerapi.Empty) (any, error) {
 			return peerapi.EnginesAnswer{Engines: i.feasibility.Engines()}, nil
 		}),
--- a/instance/policy/candidates.go
+++ b/instance/policy/candidates.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
+	"github.com/tarragonhoist/tarragonhoist/coordination/quarantine"
 	"github.com/tarragonhoist/tarragonhoist/coordination/routing"
 	"github.com/tarragonhoist/tarragonhoist/instance/modelcalls"
 )
@@ -48,6 +49,26 @@
 	}}
 }
 
+// localCandidates keeps requests away from targets on which a suspect runs: another suspect always, so that the culprit
+// can be told apart, and other requests where they can go elsewhere, so that they are not struck with it.
+func (p *Policy) localCandidates(w *modelcalls.Work, excluded map[string]bool, entries []*membership.Entry) candidates {
+	var free, claimed candidates
+	for _, e := range entries {
+		a := &e.Announcement
+		switch {
+		case excluded[a.Target]:
+		case p.suspects.Claimed(quarantine.Target{Name: a.Target, Incarnation: a.Incarnation}):
+			claimed = append(claimed, candidate(e))
+		default:
+			free = append(free, candidate(e))
+		}
+	}
+	if len(free) == 0 && !p.suspects.Suspect(w.Fingerprint) {
+		return claimed
+	}
+	return free
+}
+
 // remoteCandidates stand for the replicas of other data centres that have room.
 func (p *Policy) remoteCandidates(now time.Time, w *modelcalls.Work, excluded map[string]bool) candidates {
 	if !w.MaySpill {
--- a/instance/policy/policy.go
+++ b/instance/policy/policy.go
@@ -12,6 +12,7 @@
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/admission"
 	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
+	"github.com/tarragonhoist/tarragonhoist/coordination/quarantine"
 	"github.com/tarragonhoist/tarragonhoist/coordination/retry"
 	"github.com/tarragonhoist/tarragonhoist/coordination/routing"
 	"github.com/tarragonhoist/tarragonhoist/coordination/straggler"
@@ -56,11 +57,10 @@
 
 // Isolation keeps suspects of crashes apart.
 type Isolation interface {
-	// Avoid lists the targets that a suspect must not share with another suspect, or nil for a request without strikes.
-	Avoid(fingerprint uint64) map[string]bool
-	// Placed and Ended bracket an attempt of a request on a target.
-	Placed(fingerprint uint64, target string)
-	Ended(fingerprint uint64, target string)
+	// Suspect says whether a request has a strike.
+	Suspect(fingerprint quarantine.Fingerprint) bool
+	// Claimed says whether a suspect runs on a target.
+	Claimed(target quarantine.Target) bool
 }
 
 // New makes the policy of one instance.
@@ -100,7 +100,7 @@
 
 // Pick implements modelcalls.Picker.
 func (p *Policy) Pick(w *modelcalls.Work, excluded map[string]bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
-	return p.pick(w, excluded, p.suspects.Avoid(w.Fingerprint), func(now time.Time, rng *rand.Rand) []*membership.Entry {
+	return p.pick(w, excluded, func(now time.Time, rng *rand.Rand) []*membership.Entry {
 		if w.Spilled {
 			return nil
 		}
@@ -110,22 +110,17 @@
 
 // PickService picks a target of a plain service, whose name is the model of the work.
 func (p *Policy) PickService(w *modelcalls.Work, excluded map[string]bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
-	return p.pick(w, excluded, nil, func(now time.Time, rng *rand.Rand) []*membership.Entry {
+	return p.pick(w, excluded, func(now time.Time, rng *rand.Rand) []*membership.Entry {
 		return p.table.SampleServices(now, rng, sampleLimit, w.Model)
 	})
 }
 
-func (p *Policy) pick(w *modelcalls.Work, excluded, avoid map[string]bool,
+func (p *Policy) pick(w *modelcalls.Work, excluded map[string]bool,
 	sample func(now time.Time, rng *rand.Rand) []*membership.Entry) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
 	now := p.now()
 	rng := p.generators.Get().(*rand.Rand)
 	defer p.generators.Put(rng)
-	var local candidates
-	for _, e := range sample(now, rng) {
-		if name := e.Announcement.Target; !excluded[name] && !avoid[name] {
-			local = append(local, candidate(e))
-		}
-	}
+	local := p.localCandidates(w, excluded, sample(now, rng))
 	request := p.request(w)
 	remote := p.remoteCandidates(now, w, excluded)
 	chosen, scores, err := p.router.Pick(now, rng, request, routing.Candidates{Local: local, Remote: []routing.Set{remote}})
@@ -143,7 +138,6 @@
 	entry := local.entry(chosen.Target)
 	placed := modelcalls.Placed{Target: entry.Announcement.Target, Incarnation: entry.Announcement.Incarnation, Address: entry.Announcement.Address}
 	p.router.Started(now, chosen.Target, &request)
-	p.suspects.Placed(w.Fingerprint, placed.Target)
 	return placed, func(r modelcalls.Result) { p.finished(w, placed, r) }, nil
 }
 
@@ -183,7 +177,6 @@
 		Target: id, Model: w.Model, Answered: r.Err == nil,
 		Units: float64(w.PromptTokens)/promptTokensPerUnit + float64(r.Tokens), Service: r.Total,
 	})
-	p.suspects.Ended(w.Fingerprint, placed.Target)
 	var broken *targetclient.ErrBroken
 	var notConnected *targetclient.ErrNotConnected
 	switch {
@@ -219,7 +212,7 @@
 
 // Hedge implements modelcalls.Picker. A suspect is never hedged, since it could take down two targets at once.
 func (p *Policy) Hedge(w *modelcalls.Work, _ modelcalls.Placed, waited time.Duration) bool {
-	if p.suspects.Avoid(w.Fingerprint) != nil {
+	if p.suspects.Suspect(w.Fingerprint) {
 		return false
 	}
 	now := p.now()
--- a/instance/providers.go
+++ b/instance/providers.go
@@ -182,7 +182,10 @@
 	return routing.New(routing.Options{Instances: len(s.Local(s.DataCentre)), Health: detector})
 }
 
-func provideSuspects() *suspects.Table { return &suspects.Table{} }
+func provideSuspects(s *settings.Settings, peers *peer.Transport, recorder *events.Recorder, now timeSource) *suspects.Table {
+	local := others(s, func(p settings.Peer) bool { return p.DataCentre == s.DataCentre })
+	return suspects.New(peers, local, others(s, func(settings.Peer) bool { return true }), recorder, now)
+}
 
 func provideBudget() *retry.Budget { return retry.New(retry.Options{}) }
 
@@ -219,10 +222,10 @@
 }
 
 func provideModelCalls(s *settings.Settings, view *inforce.View, gate *drain.Gate, p *policy.Policy, client *targetclient.Client,
-	table *suspects.Table, recorder *events.Recorder, now timeSource) *modelcalls.Server {
+	table *suspects.Table, recorder *events.Recorder, registry metrics.Registry, now timeSource) *modelcalls.Server {
 	return &modelcalls.Server{
 		InForce: view, Gate: gate, Admission: p, Picker: p, Retries: p, Suspects: table, Client: client, Recorder: recorder,
-		RequestTimeout: s.RequestTimeout.Duration, Now: now, Instance: s.Instance,
+		RequestTimeout: s.RequestTimeout.Duration, Now: now, Instance: s.Instance, Metrics: registry,
 	}
 }
 
--- a/instance/status.go
+++ b/instance/status.go
@@ -53,9 +53,7 @@
 			status.Logs = append(status.Logs, logStatus(name, group))
 		}
 	}
-	if fence, ok := r.lease.Held(); ok {
-		status.Control = httpapi.ControlStatus{Holder: s.Instance, Fence: fence}
-	}
+	status.Control = r.control()
 	entries := r.targets.Table().All()
 	status.Models = r.models(entries)
 	for _, m := range status.Models {
@@ -68,6 +66,17 @@
 	return status
 }
 
+// control names the controller as far as this instance knows it. Only the holder itself is sure.
+func (r *statusReader) control() httpapi.ControlStatus {
+	if fence, ok := r.lease.Held(); ok {
+		return httpapi.ControlStatus{Holder: r.settings.Instance, Fence: fence}
+	}
+	if holder, fence := r.lease.Known(); holder != r.settings.Instance {
+		return httpapi.ControlStatus{Holder: holder, Fence: fence}
+	}
+	return httpapi.ControlStatus{}
+}
+
 // maxUnresolved bounds the calls that one overview lists.
 const maxUnresolved = 100
 
--- a/instance/suspects/suspects.go
+++ b/instance/suspects/suspects.go
@@ -1,18 +1,216 @@
+// Package suspects shares what the instances know of requests that crash targets.
 package suspects
 
 import (
 	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
 
-	"github.com/tarragonhoist/tarragonhoist/instance/modelcalls"
+	"github.com/tarragonhoist/tarragonhoist/coordination/quarantine"
+	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
 )
 
-// Table is temporary.
-type Table struct{}
+const (
+	// acknowledgeTimeout bounds how long a failure is held back until the other instances know of the strike, and how
+	// long a suspect waits for the agreement of the others.
+	acknowledgeTimeout = 200 * time.Millisecond
+	gossipInterval     = time.Second
+	gossipBytes        = quarantine.MinDeltaBytes
+	renewInterval      = quarantine.DefaultClaimLease / 3
+)
+
+// Peers calls other instances.
+type Peers interface {
+	Call(ctx context.Context, peer, method string, params, result any) error
+	Notify(peer, method string, params any) error
+}
+
+// Message carries strikes or a claim to another instance.
+type Message struct {
+	Claim *quarantine.Claim `json:"claim,omitempty"`
+	Frame []byte            `json:"frame,omitempty"`
+}
+
+// Answer says whether the other instance agrees with a claim.
+type Answer struct {
+	Agreed bool `json:"agreed"`
+}
+
+// Table tracks the requests in flight and the suspects among them.
+type Table struct {
+	core     *quarantine.Table
+	peers    Peers
+	local    []string
+	all      []string
+	recorder *events.Recorder
+	now      func() time.Time
+}
+
+// New makes a table. Local are the other instances of the data centre, all those of the deployment.
+func New(peers Peers, local, all []string, recorder *events.Recorder, now func() time.Time) *Table {
+	return &Table{core: quarantine.NewTable(quarantine.Options{}), peers: peers, local: local, all: all, recorder: recorder, now: now}
+}
+
+// Verdict refuses a request that is quarantined.
+func (t *Table) Verdict(fingerprint quarantine.Fingerprint) *api.Result {
+	verdict, left := t.core.Verdict(t.now(), fingerprint)
+	if verdict != quarantine.Quarantined {
+		return nil
+	}
+	return api.RefuseFor(api.ReasonQuarantined, left, "this request has taken down two targets and is not run again for now")
+}
+
+// Suspect says whether a request has a strike.
+func (t *Table) Suspect(fingerprint quarantine.Fingerprint) bool {
+	verdict, _ := t.core.Verdict(t.now(), fingerprint)
+	return verdict != quarantine.Clean
+}
+
+// Claimed says whether a suspect runs on a target, or is about to.
+func (t *Table) Claimed(target quarantine.Target) bool { return t.core.Avoid(t.now(), target) }
+
+// Begin registers an attempt and says whether it may be sent now. A suspect needs the agreement of all instances of the
+// data centre that answer, so that no two suspects meet on one target.
+func (t *Table) Begin(ctx context.Context, a quarantine.Attempt) bool {
+	if t.Suspect(a.Fingerprint) && !t.claim(ctx, a) {
+		return false
+	}
+	started, ok := t.core.Start(t.now(), a)
+	if started != nil {
+		for _, peer := range t.local {
+			_ = t.peers.Notify(peer, peerapi.MethodStrike, Message{Claim: started})
+		}
+	}
+	if !ok {
+		t.Ended(a.ID)
+	}
+	return ok
+}
+
+func (t *Table) claim(ctx context.Context, a quarantine.Attempt) bool {
+	claim, ok := t.core.Claim(t.now(), a)
+	if !ok {
+		return false
+	}
+	var refused atomic.Bool
+	t.broadcast(ctx, Message{Claim: &claim}, func(answer Answer) {
+		if !answer.Agreed {
+			refused.Store(true)
+		}
+	})
+	if refused.Load() {
+		t.Ended(a.ID)
+		return false
+	}
+	return true
+}
+
+// broadcast calls all instances of the data centre and returns when they have answered or time is up. Instances that
+// can't be reached learn of strikes by gossip.
+func (t *Table) broadcast(ctx context.Context, m Message, onAnswer func(Answer)) {
+	ctx, cancel := context.WithTimeout(ctx, acknowledgeTimeout)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, peer := range t.local {
+		wg.Go(func() {
+			var answer Answer
+			if err := t.peers.Call(ctx, peer, peerapi.MethodStrike, m, &answer); err == nil {
+				onAnswer(answer)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Succeeded clears a request that was answered completely.
+func (t *Table) Succeeded(attemptID string) {
+	effect, err := t.core.Succeeded(t.now(), attemptID)
+	t.spread(effect, err)
+}
+
+// Ended removes an attempt whose end says nothing about the request.
+func (t *Table) Ended(attemptID string) { t.spread(t.core.Ended(attemptID), nil) }
+
+// Failed gives a strike to every request in flight on a target that broke a connection. It returns when the other
+// instances know, so that a caller that sends the request again meets no instance that has not heard of it.
+func (t *Table) Failed(ctx context.Context, attemptID string, target quarantine.Target) {
+	effect, err := t.core.TargetFailed(t.now(), target)
+	for _, fingerprint := range effect.Struck {
+		t.recorder.Record(events.CrashStrike, events.Fields{"target": target.Name, "fingerprint": fingerprint.String()})
+	}
+	if len(effect.Frame) > 0 {
+		// The caller may be gone; the strike has to be told all the same.
+		t.broadcast(context.WithoutCancel(ctx), Message{Frame: effect.Frame}, func(Answer) {})
+	}
+	effect.Frame = nil
+	t.spread(effect, err)
+	t.Ended(attemptID)
+}
+
+// spread tells the other instances without waiting for them.
+func (t *Table) spread(effect quarantine.Effect, err error) {
+	if err != nil {
+		t.recorder.Record(events.InternalError, events.Fields{"task": "crash suspects", "error": err.Error()})
+	}
+	if len(effect.Frame) > 0 {
+		t.notify(Message{Frame: effect.Frame})
+	}
+	for _, claim := range effect.Ended {
+		t.notify(Message{Claim: &claim})
+	}
+}
+
+func (t *Table) notify(m Message) {
+	for _, peer := range t.local {
+		_ = t.peers.Notify(peer, peerapi.MethodStrike, m)
+	}
+}
+
+// Handle takes a message of another instance.
+func (t *Table) Handle(m Message) (Answer, error) {
+	if len(m.Frame) > 0 {
+		if err := t.core.Merge(t.now(), acknowledgeTimeout, m.Frame); err != nil {
+			return Answer{}, err
+		}
+	}
+	if m.Claim != nil {
+		return Answer{Agreed: t.core.HandleClaim(t.now(), *m.Claim)}, nil
+	}
+	return Answer{Agreed: true}, nil
+}
+
+// Run renews claims and passes strikes on until ctx ends.
+func (t *Table) Run(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	gossip := time.NewTicker(gossipInterval)
+	defer gossip.Stop()
+	renew := time.NewTicker(renewInterval)
+	defer renew.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-renew.C:
+			for _, claim := range t.core.Renew(t.now()) {
+				t.notify(Message{Claim: &claim})
+			}
+		case <-gossip.C:
+			t.gossip(rng)
+		}
+	}
+}
 
-func (Table) Avoid(uint64) map[string]bool                                { return nil }
-func (Table) Placed(uint64, string)                                       {}
-func (Table) Ended(uint64, string)                                        {}
-func (Table) Verdict(uint64) *api.Result                                  { return nil }
-func (Table) Strike(context.Context, *modelcalls.Work, modelcalls.Placed) {}
-func (Table) Cleared(uint64)                                              {}
+func (t *Table) gossip(rng *rand.Rand) {
+	if len(t.all) == 0 {
+		return
+	}
+	frame, err := t.core.Delta(t.now(), gossipBytes)
+	if err != nil || len(frame) == 0 {
+		return
+	}
+	_ = t.peers.Notify(t.all[rng.IntN(len(t.all))], peerapi.MethodStrike, Message{Frame: frame})
+}
--- a/instance/wire_gen.go
+++ b/instance/wire_gen.go
@@ -44,6 +44,7 @@
 	keeper := provideTargets(s, transport, recorder, instanceTimeSource)
 	controller := provideAdmission(s, instanceTimeSource, instanceStartNumber)
 	waiter := provideWaiter(s, controller, keeper, instanceTimeSource)
+	table := provideSuspects(s, transport, recorder, instanceTimeSource)
 	lease, err := provideLease(s, instanceStartNumber, electors, transport, group, recorder, instanceTimeSource)
 	if err != nil {
 		return nil, err
@@ -58,10 +59,9 @@
 	detector := provideDetector()
 	router := provideRouter(s, detector)
 	budget := provideBudget()
-	table := provideSuspects()
 	policy := providePolicy(s, keeper, waiter, router, detector, budget, table, instanceTimeSource)
 	client := targetclient.New()
-	server := provideModelCalls(s, view, gate, policy, client, table, recorder, instanceTimeSource)
+	server := provideModelCalls(s, view, gate, policy, client, table, recorder, registry, instanceTimeSource)
 	servicecallsServer := provideServiceCalls(s, view, gate, policy, client, ledger, recorder, instanceTimeSource)
 	desk := provideDesk(group, checker, view, recorder, instanceTimeSource)
 	instanceStatusReader := &statusReader{
@@ -97,6 +97,7 @@
 		config:      group,
 		targets:     keeper,
 		waiter:      waiter,
+		suspects:    table,
 		lease:       lease,
 		usage:       exchange,
 		feasibility: checker,
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -2,6 +2,7 @@
 package catalog
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -67,15 +68,26 @@
 	}
 }
 
+// MaxVerdicts bounds the verdicts that are kept, about 26 days of 3,800 notes. The number of a forgotten note is free
+// again. Without a bound, the history alone would fill the memory of an instance within a year.
+const MaxVerdicts = 100_000
+
 // Machine applies submissions in log order. It is not safe for concurrent use.
 type Machine struct {
 	contents *Contents
 	verdicts map[uint64]Verdict
+	// order lists the numbers of the verdicts by log index.
+	order []uint64
+	limit int
 }
 
 // New makes a machine with nothing in force.
 func New() *Machine {
-	return &Machine{contents: emptyContents(), verdicts: make(map[uint64]Verdict)}
+	return newMachine(MaxVerdicts)
+}
+
+func newMachine(limit int) *Machine {
+	return &Machine{contents: emptyContents(), verdicts: make(map[uint64]Verdict), limit: limit}
 }
 
 func emptyContents() *Contents {
@@ -96,11 +108,23 @@
 
 // History lists all verdicts by log index.
 func (m *Machine) History() []Verdict {
-	list := slices.Collect(maps.Values(m.verdicts))
-	sort.Slice(list, func(i, j int) bool { return list[i].Index < list[j].Index })
+	list := make([]Verdict, len(m.order))
+	for i, number := range m.order {
+		list[i] = m.verdicts[number]
+	}
 	return list
 }
 
+// keep adds a verdict and forgets the oldest beyond the limit.
+func (m *Machine) keep(v Verdict) {
+	m.verdicts[v.Number] = v
+	m.order = append(m.order, v.Number)
+	if len(m.order) > m.limit {
+		delete(m.verdicts, m.order[0])
+		m.order = m.order[1:]
+	}
+}
+
 // Apply decides on one submission. The first submission of a number holds it for good, accepted or refused, so that a
 // repeated submission of the same content always gets the same verdict.
 func (m *Machine) Apply(index uint64, data []byte) ([]byte, error) {
@@ -129,7 +153,7 @@
 		next.Index = index
 		m.contents = next
 	}
-	m.verdicts[s.Note.Number] = verdict
+	m.keep(verdict)
 	return verdict
 }
 
@@ -153,6 +177,8 @@
 		s.Verdicts = make(map[uint64]Verdict)
 	}
 	m.contents, m.verdicts = s.Contents, s.Verdicts
+	m.order = slices.Collect(maps.Keys(m.verdicts))
+	slices.SortFunc(m.order, func(a, b uint64) int { return cmp.Compare(m.verdicts[a].Index, m.verdicts[b].Index) })
 	return nil
 }
 
--- a/state/catalog/catalog_test.go
+++ b/state/catalog/catalog_test.go
@@ -1,6 +1,7 @@
 package catalog_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -164,3 +165,29 @@
 		t.Errorf("POST to a service: non-idempotent %t, result %v", nonIdempotent, result)
 	}
 }
+
+// Guards against a history that grows without bound, and against machines that forget differently after a snapshot.
+func TestHistoryIsBounded(t *testing.T) {
+	m := catalog.NewWithLimit(3)
+	for n := 1; n <= 5; n++ {
+		submit(t, m, uint64(n), "ana", strings.Replace(strings.Replace(addModel, "number = 1", fmt.Sprintf("number = %d", 10-n), 1), "net-assistant", fmt.Sprintf("m%d", n), 1))
+	}
+	data, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := catalog.NewWithLimit(3)
+	if err := restored.Restore(data); err != nil {
+		t.Fatal(err)
+	}
+	for _, machine := range []*catalog.Machine{m, restored} {
+		submit(t, machine, 6, "ana", strings.Replace(strings.Replace(addModel, "number = 1", "number = 20", 1), "net-assistant", "m6", 1))
+		var numbers []uint64
+		for _, v := range machine.History() {
+			numbers = append(numbers, v.Number)
+		}
+		if diff := cmp.Diff([]uint64{6, 5, 20}, numbers); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
