--- a/transport/peer/inbound.go
+++ b/transport/peer/inbound.go
@@ -1,11 +1,13 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
 	"encoding/json"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -13,27 +15,79 @@
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
 )
 
-// inboundQueueLength bounds the notifications of one sender and class that wait for their handler.
-const inboundQueueLength = 256
+const (
+	// inboundQueueLength and inboundQueueBytes bound the notifications of one sender and class that wait for their
+	// handler. A bound on their number alone would let one sender take 256 MiB.
+	inboundQueueLength = 256
+	inboundQueueBytes  = 2 << 20
+	// maxRunningBytes bounds the parameters of the calls of one sender that run at the same time.
+	maxRunningBytes = 4 << 20
+)
+
+// requestQueue holds notifications for one worker.
+type requestQueue struct {
+	mu       sync.Mutex
+	requests []*jsonrpc2.Request
+	bytes    int
+	wake     chan struct{}
+}
+
+// put adds a notification and drops the oldest ones when there are too many.
+func (q *requestQueue) put(req *jsonrpc2.Request) (dropped int64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.requests = append(q.requests, req)
+	q.bytes += len(params(req))
+	for len(q.requests) > inboundQueueLength || q.bytes > inboundQueueBytes {
+		q.removeLocked()
+		dropped++
+	}
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+	return dropped
+}
+
+func (q *requestQueue) take() (*jsonrpc2.Request, bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.requests) == 0 {
+		return nil, false
+	}
+	return q.removeLocked(), true
+}
+
+func (q *requestQueue) removeLocked() *jsonrpc2.Request {
+	req := q.requests[0]
+	q.requests[0] = nil
+	q.requests = q.requests[1:]
+	q.bytes -= len(params(req))
+	return req
+}
 
 // inbound is one connection that this instance accepted.
 type inbound struct {
-	t       *Transport
-	conn    net.Conn
-	stream  *stream
-	running chan struct{} // one element per running call
-	queues  [2]chan *jsonrpc2.Request
-
-	mu     sync.Mutex
-	hello  *peerapi.Hello
-	reason error
+	t      *Transport
+	conn   net.Conn
+	stream *stream
+	queues [2]requestQueue // by peerapi.Class
+
+	// checkedMeta is the last envelope that matched; only the read loop uses it.
+	checkedMeta []byte
+
+	mu           sync.Mutex
+	hello        *peerapi.Hello
+	reason       error
+	running      int // calls
+	runningBytes int
 }
 
 // accept serves a connection unless there are too many.
 func (t *Transport) accept(conn net.Conn) {
-	in := &inbound{t: t, conn: conn, running: make(chan struct{}, t.opts.MaxInboundCalls)}
+	in := &inbound{t: t, conn: conn}
 	for class := range in.queues {
-		in.queues[class] = make(chan *jsonrpc2.Request, inboundQueueLength)
+		in.queues[class].wake = make(chan struct{}, 1)
 	}
 	t.mu.Lock()
 	full := t.closed || len(t.connections) >= t.opts.MaxConnections || t.ungreeted >= maxUngreeted
@@ -49,8 +103,12 @@
 	}
 }
 
+// reject counts and reports a refused connection.
 func (t *Transport) reject(peer string, err error) {
 	t.metrics.rejected.Inc(1)
+	if !t.rejections.Allow() {
+		return
+	}
 	t.opts.OnEvent(Event{Kind: Rejected, Peer: peer, Err: err})
 }
 
@@ -76,8 +134,8 @@
 		jsonrpc2.SetLogger(debugLogger{in.t.opts.Log}))
 	defer func() { _ = rpc.Close() }()
 	var workers sync.WaitGroup
-	for _, queue := range in.queues {
-		workers.Go(func() { in.notifications(rpc, queue) })
+	for class := range in.queues {
+		workers.Go(func() { in.notifications(rpc, &in.queues[class]) })
 	}
 	select {
 	case <-rpc.DisconnectNotify():
@@ -187,7 +245,7 @@
 	switch {
 	case req.Notif && h == nil:
 	case req.Notif:
-		in.enqueue(req)
+		in.t.metrics.dropped.Inc(in.queues[peerapi.ClassOf(req.Method)].put(req))
 	case h == nil:
 		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{
 			Code: jsonrpc2.CodeMethodNotFound, Message: "method " + req.Method + " is not known",
@@ -244,16 +302,29 @@
 	return &hello, in.checkEnvelope(&hello, req)
 }
 
+// knownIncarnation is the incarnation of the last connection of a sender.
+type knownIncarnation struct {
+	incarnation uint64
+	at          time.Time
+}
+
 // admit makes a connection the only one of its sender and returns the one that it replaces.
 func (t *Transport) admit(in *inbound, hello *peerapi.Hello) (old *inbound, err error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if known, ok := t.known.Get(hello.Sender); ok && hello.Incarnation < known {
+	old = t.inbound[hello.Sender]
+	newest := uint64(0)
+	if known, ok := t.known.Get(hello.Sender); ok && time.Since(known.at) < incarnationMemory {
+		newest = known.incarnation
+	}
+	if old != nil {
+		newest = max(newest, old.greeted().Incarnation)
+	}
+	if hello.Incarnation < newest {
 		return nil, errors.Errorf("incarnation %d of %q is older than %d, which connected before", hello.Incarnation,
-			hello.Sender, known)
+			hello.Sender, newest)
 	}
-	t.known.Add(hello.Sender, hello.Incarnation)
-	old = t.inbound[hello.Sender]
+	t.known.Add(hello.Sender, knownIncarnation{hello.Incarnation, time.Now()})
 	t.inbound[hello.Sender] = in
 	t.ungreeted--
 	in.mu.Lock()
@@ -268,6 +339,9 @@
 	if req.Meta == nil {
 		return errors.Errorf("message %q has no envelope", req.Method)
 	}
+	if bytes.Equal(*req.Meta, in.checkedMeta) {
+		return nil // as in the messages before, which spares decoding it
+	}
 	if err := json.Unmarshal(*req.Meta, &e); err != nil {
 		return errors.Wrapf(err, "envelope of message %q", req.Method)
 	}
@@ -277,29 +351,12 @@
 	if e != want {
 		return errors.Errorf("envelope %+v of message %q does not match the handshake %+v", e, req.Method, want)
 	}
+	in.checkedMeta = bytes.Clone(*req.Meta)
 	return nil
 }
 
-// enqueue passes a notification to the worker of its class and drops the oldest one when the queue is full. Only the
-// read loop sends to the queue.
-func (in *inbound) enqueue(req *jsonrpc2.Request) {
-	queue := in.queues[peerapi.ClassOf(req.Method)]
-	for {
-		select {
-		case queue <- req:
-			return
-		default:
-		}
-		select {
-		case <-queue:
-			in.t.metrics.dropped.Inc(1)
-		default:
-		}
-	}
-}
-
 // notifications handles the notifications of one class in order.
-func (in *inbound) notifications(rpc *jsonrpc2.Conn, queue <-chan *jsonrpc2.Request) {
+func (in *inbound) notifications(rpc *jsonrpc2.Conn, queue *requestQueue) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go func() {
@@ -309,14 +366,17 @@
 		case <-ctx.Done():
 		}
 	}()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case req := <-queue:
-			if h := in.t.handler(req.Method); h != nil {
-				_, _ = h(ctx, in.sender(), params(req))
+	for ctx.Err() == nil {
+		req, ok := queue.take()
+		if !ok {
+			select {
+			case <-ctx.Done():
+			case <-queue.wake:
 			}
+			continue
+		}
+		if h := in.t.handler(req.Method); h != nil {
+			_, _ = h(ctx, in.sender(), params(req))
 		}
 	}
 }
@@ -333,31 +393,54 @@
 	return *req.Params
 }
 
-// call runs a handler in a goroutine of its own, unless too many calls of the peer run already.
+// begin books a call; it refuses when too many calls of the peer run already.
+func (in *inbound) begin(size int) error {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	if in.running >= in.t.opts.MaxInboundCalls || in.runningBytes+size > maxRunningBytes {
+		return errors.Errorf("%d calls with %d bytes run already", in.running, in.runningBytes)
+	}
+	in.running++
+	in.runningBytes += size
+	return nil
+}
+
+func (in *inbound) end(size int) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.running--
+	in.runningBytes -= size
+}
+
+// call runs a handler in a goroutine of its own. The sender gives up after CallTimeout, so the handler's context ends
+// then too.
 func (in *inbound) call(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, h Handler) {
 	in.stream.expectReply(req)
-	select {
-	case in.running <- struct{}{}:
-	default:
-		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{
-			Code: peerapi.CodeBusy, Message: errors.Errorf("%d calls run already", cap(in.running)).Error(),
-		})
+	size := len(params(req))
+	if err := in.begin(size); err != nil {
+		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: peerapi.CodeBusy, Message: err.Error()})
 		return
 	}
 	started := in.t.start(func() {
-		defer func() { <-in.running }()
-		result, err := h(ctx, in.sender(), params(req))
+		defer in.end(size)
+		callCtx, cancel := context.WithTimeout(ctx, in.t.opts.CallTimeout)
+		defer cancel()
+		result, err := h(callCtx, in.sender(), params(req))
 		in.answer(ctx, rpc, req, result, err)
 	})
 	if !started {
-		<-in.running
+		in.end(size)
 	}
 }
 
 func (in *inbound) answer(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, result any, err error) {
+	response := &jsonrpc2.Response{ID: req.ID}
+	if err == nil {
+		err = errors.Wrap(response.SetResult(result), "answer cannot be encoded")
+	}
 	if err != nil {
 		err = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: peerapi.CodeFailed, Message: err.Error()})
-	} else if err = rpc.Reply(ctx, req.ID, result); errors.Is(err, ErrFrameTooLarge) {
+	} else if err = rpc.SendResponse(ctx, response); errors.Is(err, ErrFrameTooLarge) {
 		err = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: peerapi.CodeTooLarge, Message: err.Error()})
 	}
 	if err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -17,6 +17,7 @@
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 	"github.com/sourcegraph/jsonrpc2"
+	"golang.org/x/time/rate"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
 )
@@ -26,7 +27,7 @@
 	DefaultBytesPerSecond  = 28_000
 	DefaultBurstBytes      = 4 << 20
 	DefaultQueueLength     = 256
-	DefaultQueueBytes      = 4 << 20
+	DefaultQueueBytes      = 2 << 20
 	DefaultMaxInboundCalls = 64
 	DefaultMaxConnections  = 1024
 	DefaultCallTimeout     = 5 * time.Second
@@ -43,6 +44,9 @@
 	// maxUngreeted bounds inbound connections whose handshake is not complete, so that strangers cannot use up the
 	// limit for all connections.
 	maxUngreeted = 64
+	// incarnationMemory is how long an older incarnation is refused after the last connection of a newer one. It ends,
+	// because an instance without a disk whose clock was set back could otherwise never return.
+	incarnationMemory = 10 * time.Minute
 	// maxKnownIncarnations bounds the memory for the incarnations of senders.
 	maxKnownIncarnations = 4096
 	// maxPendingAge is the age after which a notification that waits for a connection is dropped. Older consensus and
@@ -51,6 +55,9 @@
 	// maxTimedOutCalls closes a connection that answers pings but no calls, since jsonrpc2 keeps an entry for every
 	// call without an answer.
 	maxTimedOutCalls = 1024
+	// Rejections are reported at most at this rate, so that a stranger cannot push other events out of the log.
+	rejectionsPerSecond = 1
+	rejectionsBurst     = 16
 )
 
 // Sender is the instance that sent a message. A higher incarnation means that it was restarted.
@@ -72,7 +79,8 @@
 	Unreachable EventKind = iota
 	// Reachable is reported once when it can be reached again.
 	Reachable
-	// Rejected is reported when an inbound connection was refused or closed for a violation; Err says why.
+	// Rejected is reported when an inbound connection was refused or closed for a violation; Err says why. It is
+	// reported about once a second at most; the counter peer.rejected_connections counts all.
 	Rejected
 )
 
@@ -105,7 +113,7 @@
 	MaxInboundCalls int
 	// MaxConnections bounds inbound connections.
 	MaxConnections int
-	// CallTimeout bounds a call whose context has no earlier deadline.
+	// CallTimeout bounds a call whose context has no earlier deadline, on both sides.
 	CallTimeout time.Duration
 	// DialTimeout bounds connecting, TLS and handshake together, on both sides.
 	DialTimeout  time.Duration
@@ -195,6 +203,7 @@
 	opts    Options
 	limit   *byteLimit
 	metrics counters
+	meta    json.RawMessage // the envelope of every message
 
 	mu       sync.Mutex
 	handlers map[string]Handler
@@ -203,9 +212,10 @@
 	inbound     map[string]*inbound
 	connections map[*inbound]struct{}
 	ungreeted   int
-	known       *lru.Cache[string, uint64]
+	known       *lru.Cache[string, knownIncarnation]
 	closed      bool
 	running     sync.WaitGroup
+	rejections  *rate.Limiter
 	// ctx ends with Close.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -216,14 +226,19 @@
 	if err := opts.setDefaults(); err != nil {
 		return nil, errors.Wrap(err, "options of the peer transport")
 	}
-	known, err := lru.New[string, uint64](maxKnownIncarnations)
+	known, err := lru.New[string, knownIncarnation](maxKnownIncarnations)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
 	t := &Transport{
 		opts: opts, metrics: newCounters(opts.Registry), handlers: make(map[string]Handler),
 		links: make(map[string]*link), inbound: make(map[string]*inbound), connections: make(map[*inbound]struct{}),
-		known: known,
+		known: known, rejections: rate.NewLimiter(rejectionsPerSecond, rejectionsBurst),
+	}
+	if t.meta, err = json.Marshal(peerapi.Envelope{
+		Cluster: opts.Cluster, Sender: opts.Self, Incarnation: opts.Incarnation, Version: peerapi.Version,
+	}); err != nil {
+		return nil, errors.Wrap(err, "envelope")
 	}
 	t.ctx, t.cancel = context.WithCancel(context.Background())
 	t.limit = newByteLimit(opts.BytesPerSecond, opts.BurstBytes, func() { t.metrics.overLimit.Inc(1) })
@@ -345,11 +360,7 @@
 // maxFrameOverhead is room for method, envelope and punctuation around the parameters of a notification.
 const maxFrameOverhead = 1024
 
-func (t *Transport) envelope() jsonrpc2.CallOption {
-	return jsonrpc2.Meta(peerapi.Envelope{
-		Cluster: t.opts.Cluster, Sender: t.opts.Self, Incarnation: t.opts.Incarnation, Version: peerapi.Version,
-	})
-}
+func (t *Transport) envelope() jsonrpc2.CallOption { return jsonrpc2.Meta(t.meta) }
 
 func (t *Transport) link(peer string) (*link, error) {
 	if peer == t.opts.Self {
--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -20,8 +20,10 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"pgregory.net/rapid"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
+	"github.com/tarragonhoist/tarragonhoist/standin/relay"
 )
 
 // bound is how long a test waits for an event before it gives up.
@@ -48,7 +50,7 @@
 	n.addresses[name] = address
 }
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -65,14 +67,14 @@
 	stop    func()
 }
 
-func (n *network) start(t *testing.T, name string, change func(*Options)) *node {
+func (n *network) start(t testing.TB, name string, change func(*Options)) *node {
 	t.Helper()
 	l := listen(t)
 	n.set(name, l.Addr().String())
 	return n.startOn(t, name, l, change)
 }
 
-func (n *network) startOn(t *testing.T, name string, l net.Listener, change func(*Options)) *node {
+func (n *network) startOn(t testing.TB, name string, l net.Listener, change func(*Options)) *node {
 	t.Helper()
 	events := make(chan Event, 1024)
 	opts := Options{
@@ -105,7 +107,7 @@
 	return &node{tr, l.Addr().String(), events, stop}
 }
 
-func wait[T any](t *testing.T, c <-chan T, what string) T {
+func wait[T any](t testing.TB, c <-chan T, what string) T {
 	t.Helper()
 	select {
 	case v := <-c:
@@ -145,6 +147,7 @@
 	b.Handle("large", func(context.Context, Sender, json.RawMessage) (any, error) {
 		return strings.Repeat("x", peerapi.MaxFrameBytes), nil
 	})
+	b.Handle("unencodable", func(context.Context, Sender, json.RawMessage) (any, error) { return func() {}, nil })
 	var got echo
 	if err := a.Call(t.Context(), "b", "echo", 7, &got); err != nil || got.From != (Sender{"a", 1}) || got.Params != 7.0 {
 		t.Fatalf("%+v, %v", got, err)
@@ -160,9 +163,10 @@
 		{"itself", "a", "echo", nil, true, "is this instance"},
 		{"unknown method", "b", "nothing", nil, true, "method nothing is not known"},
 		{"handler error", "b", "fail", nil, false, "disk is full"},
+		{"unencodable answer", "b", "unencodable", nil, false, "answer cannot be encoded"},
 		{"large request", "b", "echo", strings.Repeat("x", peerapi.MaxFrameBytes), true, ErrFrameTooLarge.Error()},
 		{"large answer", "b", "large", nil, false, ErrFrameTooLarge.Error()},
-		{"busy", "b", "echo", nil, true, "1 calls run already"},
+		{"busy", "b", "echo", nil, true, "1 calls with 0 bytes run already"},
 	} {
 		if c.name == "busy" {
 			go func() { blocked <- a.Call(context.Background(), "b", "block", nil, nil) }()
@@ -272,6 +276,40 @@
 	}
 }
 
+// Guards against frames that crash the receiver or disturb its other links.
+func TestHostileFramesDoNoHarm(t *testing.T) {
+	n := newNetwork()
+	n.set("a", "-")
+	b := n.start(t, "b", nil)
+	c := n.start(t, "c", nil)
+	members := rapid.SampledFrom([]string{
+		`"jsonrpc":"2.0"`, `"id":0`, `"id":null`, `"id":"x"`, `"id":1e99`, `"id":{}`, `"method":"echo"`, `"method":"ping"`,
+		`"method":"hello"`, `"method":null`, `"method":7`, `"params":null`, `"params":[]`, `"params":{"sender":7}`,
+		`"result":null`, `"result":{}`, `"error":null`, `"error":{"code":1}`, `"error":"x"`, rawEnvelope, `"meta":null`, `"meta":7`,
+	})
+	message := rapid.Custom(func(r *rapid.T) string {
+		return "{" + strings.Join(rapid.SliceOfN(members, 0, 6).Draw(r, "members"), ",") + "}"
+	})
+	frame := rapid.OneOf(message, rapid.SampledFrom([]string{"", "null", "[]", "[null]", "[{}]", `""`, "{}{}", "{}x"}),
+		rapid.Map(message, func(m string) string { return "[" + m + "]" }), rapid.String())
+	rapid.Check(t, func(r *rapid.T) {
+		conn, err := net.Dial("tcp", b.address)
+		if err != nil {
+			r.Fatal(err)
+		}
+		defer func() { _ = conn.Close() }()
+		if rapid.Bool().Draw(r, "greets") {
+			_, _ = conn.Write(rawHello("1"))
+		}
+		for _, f := range rapid.SliceOfN(frame, 1, 5).Draw(r, "frames") {
+			_, _ = conn.Write(rawFrame(f)) // the receiver may have ended the connection already
+		}
+		if err := c.Call(context.Background(), "b", "echo", 1, nil); err != nil {
+			r.Errorf("another link: %v", err)
+		}
+	})
+}
+
 // Guards against waiting for ever on a peer that is frozen or gone without closing its connection.
 func TestFrozenPeers(t *testing.T) {
 	quick := func(o *Options) {
@@ -331,6 +369,17 @@
 	})
 }
 
+// Guards against an instance that is locked out for ever because its clock was set back.
+func TestOlderIncarnationIsAdmittedAfterAWhile(t *testing.T) {
+	n := newNetwork()
+	b := n.start(t, "b", nil)
+	a := n.start(t, "a", nil)
+	b.known.Add("a", knownIncarnation{9, time.Now().Add(-incarnationMemory - time.Second)})
+	if err := a.Call(t.Context(), "b", "echo", 1, nil); err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against links that do not recover from a restart, and against an old process that takes over from its successor.
 func TestRestartWithNewIncarnation(t *testing.T) {
 	n := newNetwork()
@@ -357,6 +406,85 @@
 	}
 }
 
+// Guards against links that do not recover after a cut or a long freeze, and against calls that wait for a frozen link
+// without end.
+func TestLinkFaultsHeal(t *testing.T) {
+	n := newNetwork()
+	b := n.start(t, "b", nil)
+	r, err := relay.New(b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Close() }()
+	n.set("b", r.Addr())
+	a := n.start(t, "a", func(o *Options) {
+		o.PingInterval, o.PingTimeout, o.DialTimeout = 5*time.Millisecond, 50*time.Millisecond, 100*time.Millisecond
+	})
+	reached := func() bool { return a.Call(t.Context(), "b", "echo", 1, nil) == nil }
+	// A link without use is not dialled, so calls go on until the report.
+	reported := func(kind EventKind) func() bool {
+		return func() bool {
+			_ = reached()
+			select {
+			case e := <-a.events:
+				if e.Kind != kind || e.Peer != "b" {
+					t.Errorf("reported %+v", e)
+				}
+				return true
+			default:
+				return false
+			}
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		fault func()
+	}{{"cut", r.Cut}, {"freeze", r.Freeze}} {
+		eventually(t, "the peer is reached before the "+c.name, reached)
+		c.fault()
+		eventually(t, "the call fails after the "+c.name, func() bool { return !reached() })
+		eventually(t, "report of the "+c.name, reported(Unreachable))
+		r.Heal()
+		eventually(t, "report of the recovery after the "+c.name, reported(Reachable))
+	}
+}
+
+// Guards against a sender that fills the memory of its receiver with notifications or calls.
+func TestInboundBytesAreBounded(t *testing.T) {
+	n := newNetwork()
+	a := n.start(t, "a", func(o *Options) { o.BytesPerSecond, o.QueueBytes, o.BurstBytes = 1<<30, 64<<20, 64<<20 })
+	b := n.start(t, "b", nil)
+	entered, release := make(chan struct{}, 64), make(chan struct{})
+	block := func(context.Context, Sender, json.RawMessage) (any, error) {
+		entered <- struct{}{}
+		<-release
+		return nil, nil
+	}
+	b.Handle(peerapi.MethodGossip, block)
+	b.Handle("block", block)
+	large := strings.Repeat("x", 1_000_000)
+	for range 5 {
+		if err := a.Notify("b", peerapi.MethodGossip, large); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// One notification is with its handler, two fit into the queue.
+	eventually(t, "old notifications are dropped", func() bool { return b.metrics.dropped.Count() == 2 })
+	results := make(chan error, 5)
+	for range 5 {
+		go func() { results <- a.Call(context.Background(), "b", "block", large, nil) }()
+	}
+	if err := wait(t, results, "refused call"); !NotRun(err) || !strings.Contains(err.Error(), "4 calls with 4000008 bytes") {
+		t.Errorf("call beyond the bound: %v", err)
+	}
+	close(release)
+	for range 4 {
+		if err := wait(t, results, "call within the bound"); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
 // Guards against notifications out of order, and against queues without a bound or that keep old messages.
 func TestNotificationsDropOldest(t *testing.T) {
 	n := newNetwork()
