Serve demand within shares first when slots are apportioned, and estimate waits by use

Cause of the neighbours' loss in the burst: the burster's demand took slots from models that its neighbours used, and the estimated wait counted the burster's queue although it is served after them. Ruled out: rounding every window up, since it queued 48 requests in the engines and neighbours timed out.

--- a/coordination/admission/apportion.go
+++ b/coordination/admission/apportion.go
@@ -8,10 +8,22 @@
 	Models []string
 }
 
+// ModelDemand is the number of requests in flight and waiting over all instances.
+type ModelDemand struct {
+	// First counts requests of callers within their share, without batch work. Apportion serves it before the rest, so
+	// that a burst for some models takes no slots from the neighbours' requests for others.
+	First float64
+	// Rest counts requests of callers above their share and batch work.
+	Rest float64
+}
+
+// minSlots keeps a ready model reachable when the demand for others takes all slots.
+const minSlots = 1
+
 // Apportion divides the slots of replicas that hold several models by the demand for each. A model gets its max-min
 // fair part of every replica it is ready on; slots without demand are offered to each model of the replica, since
 // they are free until one of them uses them.
-func Apportion(replicas []ReplicaSlots, demand map[string]float64) map[string]float64 {
+func Apportion(replicas []ReplicaSlots, demand map[string]ModelDemand) map[string]float64 {
 	count := make(map[string]int)
 	for i := range replicas {
 		for _, m := range replicas[i].Models {
@@ -23,13 +35,21 @@
 	for i := range replicas {
 		parts = parts[:0]
 		for _, m := range replicas[i].Models {
-			parts = append(parts, part{model: m, wanted: demand[m] / float64(count[m])})
+			parts = append(parts, part{model: m, wanted: demand[m].First / float64(count[m])})
 		}
 		free := fairParts(float64(replicas[i].Slots), parts)
+		for j := range parts {
+			slots[parts[j].model] += parts[j].given
+			parts[j].wanted = demand[parts[j].model].Rest / float64(count[parts[j].model])
+		}
+		free = fairParts(free, parts)
 		for _, p := range parts {
 			slots[p.model] += p.given + free
 		}
 	}
+	for m := range slots {
+		slots[m] = max(slots[m], minSlots)
+	}
 	return slots
 }
 
--- a/coordination/admission/controller.go
+++ b/coordination/admission/controller.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"sync/atomic"
 	"time"
@@ -100,6 +101,7 @@
 	Estimate Estimate
 
 	lane    lane
+	rest    bool // counts as ModelDemand.Rest
 	state   ticketState
 	charged float64
 	waiter  *waiter
@@ -183,6 +185,7 @@
 		t.lane = longLane
 	}
 	above := c.ledger.aboveShare(now, r.Caller, r.weight())
+	t.rest = above || r.Priority.Rank() == releasenote.Batch.Rank()
 	var d Decision
 	c.pools.Update(r.Model, func(p *pool) { d = c.offer(now, p, t, above, unitsPerSec) })
 	return d
@@ -200,6 +203,7 @@
 			"the deadline in %v is shorter than the shortest expected answer of %v", rounded(remaining), rounded(service)))}
 	}
 	if c.startsAtOnce(p, t, above) {
+		p.count(t, 1)
 		c.start(now, p, t)
 		return Decision{Action: Admit, Ticket: t}
 	}
@@ -220,6 +224,7 @@
 	t.waiter = &waiter{ticket: t, since: now, waitFor: wait}
 	p.classes[t.lane][rank].push(t.waiter, c.ledger.order)
 	p.waiting++
+	p.count(t, 1)
 	return Decision{Action: Queue, Ticket: t, Wait: wait}
 }
 
@@ -247,7 +252,8 @@
 // one slot would be a large part of them.
 func (p *pool) hasHeadroom() bool {
 	w := window(p.capacity.Slots, p.total(), p.others.inFlight, p.capacity.Instances)
-	return float64(p.total())+1 <= w-float64(int(headroomPart*w))
+	reserved := math.Floor(headroomPart * w)
+	return reserved == 0 || float64(p.total())+1 <= w-reserved
 }
 
 func (c *Controller) start(now time.Time, p *pool, t *Ticket) {
@@ -317,6 +323,7 @@
 				}
 				c.dequeue(p, w)
 				cl.learnWait(w.waitFor, now.Sub(w.since))
+				p.count(w.ticket, -1)
 				w.ticket.state = ended
 				wait := p.estimateWait(w.ticket, w.queue.order, c.ledger.usePerWeight(now), unitsPerSec, c.opts.LongShare)
 				refusal := refuse(api.ReasonDeadlineUnreachable, wait, "waited %v and cannot end before its deadline any more", rounded(now.Sub(w.since)))
@@ -341,6 +348,7 @@
 		if wasRunning = t.state == running; wasRunning {
 			t.state = ended
 			p.inFlight[t.lane]--
+			p.count(t, -1)
 		}
 	})
 	if !wasRunning || !done.Answered {
@@ -357,6 +365,7 @@
 		if wasQueued = t.state == queued && t.waiter != nil; wasQueued {
 			t.state = ended
 			c.dequeue(p, t.waiter)
+			p.count(t, -1)
 		}
 	})
 	return wasQueued
@@ -370,7 +379,7 @@
 	c.pools.Range(func(model string, p *pool) bool {
 		// A model without requests is listed once more, so that the peers do not wait for the timeout.
 		if active := p.total()+p.waiting > 0; active || p.reported {
-			u.Models = append(u.Models, ModelUsage{Model: model, InFlight: p.total(), LongInFlight: p.inFlight[longLane], Queued: p.waiting})
+			u.Models = append(u.Models, ModelUsage{Model: model, InFlight: p.total(), LongInFlight: p.inFlight[longLane], Queued: p.waiting, Rest: p.rest})
 			p.reported = active
 		}
 		return true
@@ -400,18 +409,19 @@
 	c.ledger.merge(now, u.Callers)
 	for _, m := range u.Models {
 		c.pools.Update(m.Model, func(p *pool) {
-			p.setPeer(now, u.Instance, peerUse{inFlight: m.InFlight, longInFlight: m.LongInFlight, queued: m.Queued})
+			p.setPeer(now, u.Instance, peerUse{inFlight: m.InFlight, longInFlight: m.LongInFlight, queued: m.Queued, rest: m.Rest})
 		})
 	}
 	return true
 }
 
-// Demand lists the requests in flight and waiting per model over all instances, for Apportion and placement.
-func (c *Controller) Demand() map[string]float64 {
-	demand := make(map[string]float64)
+// Demand lists the demand per model over all instances, for Apportion and placement.
+func (c *Controller) Demand() map[string]ModelDemand {
+	demand := make(map[string]ModelDemand)
 	c.pools.Range(func(model string, p *pool) bool {
+		rest := p.rest + p.others.rest
 		if n := p.total() + p.waiting + p.others.inFlight + p.others.queued; n > 0 {
-			demand[model] = float64(n)
+			demand[model] = ModelDemand{First: float64(n - rest), Rest: float64(rest)}
 		}
 		return true
 	})
--- a/coordination/admission/controller_test.go
+++ b/coordination/admission/controller_test.go
@@ -212,7 +212,7 @@
 	if !b.ledger.aboveShare(start, "burst", 1) || b.ledger.aboveShare(start, "quiet", 1) {
 		t.Fatal("only the caller with more use over both instances is above its share")
 	}
-	if b.Demand()[model] < 8 {
+	if d := b.Demand()[model]; d.First+d.Rest < 8 {
 		t.Fatalf("demand %v lacks the peer's requests", b.Demand())
 	}
 }
@@ -272,10 +272,14 @@
 // Guards against slots that are given twice while replicas are full, and against models without any.
 func TestApportion(t *testing.T) {
 	replicas := []ReplicaSlots{{Slots: 8, Models: []string{"a", "b"}}, {Slots: 8, Models: []string{"a"}}}
-	got := Apportion(replicas, map[string]float64{"a": 40, "b": 2})
+	got := Apportion(replicas, map[string]ModelDemand{"a": {First: 40}, "b": {First: 2}})
 	if got["a"] != 14 || got["b"] != 2 {
 		t.Errorf("full replicas: %v", got)
 	}
+	burst := map[string]ModelDemand{"a": {Rest: 400}, "b": {First: 5}}
+	if got = Apportion(replicas, burst); got["a"] != 11 || got["b"] != 5 {
+		t.Errorf("a burst for one model: %v", got)
+	}
 	if got = Apportion(replicas, nil); got["a"] != 16 || got["b"] != 8 {
 		t.Errorf("idle replicas: %v", got)
 	}
@@ -302,8 +306,8 @@
 		})
 	}
 	wg.Wait()
-	if d := c.Demand(); d[model] != 0 {
-		t.Fatalf("%v requests are left", d[model])
+	if d := c.Demand()[model]; d != (ModelDemand{}) {
+		t.Fatalf("%v requests are left", d)
 	}
 }
 
--- a/coordination/admission/pool.go
+++ b/coordination/admission/pool.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 )
 
@@ -22,6 +23,7 @@
 	inFlight     int
 	longInFlight int
 	queued       int
+	rest         int
 }
 
 // pool is the admission state of one model or plain service. It is used under the lock of its shard.
@@ -31,12 +33,20 @@
 	inFlight [lanes]int
 	classes  [lanes][ranks]class
 	waiting  int
+	rest     int // requests in flight or waiting that count as ModelDemand.Rest
 	peers    map[string]peerUse
 	others   peerUse // sum over peers
 	reported bool    // the last usage report listed this model
 	grants   int
 }
 
+// count adds a ticket that starts or waits to the demand, or takes it away.
+func (p *pool) count(t *Ticket, n int) {
+	if t.rest {
+		p.rest += n
+	}
+}
+
 func (p *pool) total() int { return p.inFlight[shortLane] + p.inFlight[longLane] }
 
 // window is how many requests the instance may have in flight: its equal part, or what it has plus its part of the
@@ -51,11 +61,14 @@
 // and the others use all of them.
 const starvedAfter = time.Second
 
+// fits reports whether one more request may start. A part of a slot counts as a whole one while the last reports show
+// a free slot; otherwise the parts of small models would stay idle.
 func fits(slots float64, own, others, instances int, waited time.Duration) bool {
 	if slots <= 0 {
 		return false
 	}
-	if float64(own) < window(slots, own, others, instances) {
+	w := window(slots, own, others, instances)
+	if float64(own)+1 <= w || float64(own) < w && float64(own+others)+1 <= slots {
 		return true
 	}
 	return own == 0 && (float64(others) < slots || waited > starvedAfter)
@@ -78,40 +91,45 @@
 		fits(p.longSlots(longShare), p.inFlight[longLane], p.others.longInFlight, c.Instances, waited)
 }
 
-// slots is the number of requests of a lane that the instance can expect to run at once.
+// slots is the number of requests of a lane that the instance can expect to run at once. It is at least one, since the
+// slots of a model follow its demand.
 func (p *pool) slots(l lane, longShare float64) float64 {
 	c := &p.capacity
 	if l == longLane {
-		return max(window(p.longSlots(longShare), p.inFlight[longLane], p.others.longInFlight, c.Instances), 1/float64(max(c.Instances, 1)))
+		return math.Ceil(max(1, window(p.longSlots(longShare), p.inFlight[longLane], p.others.longInFlight, c.Instances)))
 	}
-	return max(window(c.Slots, p.total(), p.others.inFlight, c.Instances)-float64(p.inFlight[longLane]), 1/float64(max(c.Instances, 1)))
+	return max(1, math.Ceil(window(c.Slots, p.total(), p.others.inFlight, c.Instances))-float64(p.inFlight[longLane]))
 }
 
+// maxWaitCallers bounds the callers looked at for an estimate; more are extrapolated.
+const maxWaitCallers = 32
+
 // estimateWait is how long a new request would wait: for all work of higher priority and, within its priority, for the
-// caller's earlier work and the parts that the other waiting callers get meanwhile. A caller that used less than the
-// others is served alone until it has caught up. usePerWeight gives the present use of an order.
+// caller's earlier work and for the work of other callers that is served until the caller has had the same use per
+// weight. usePerWeight gives the present use of an order.
 func (p *pool) estimateWait(t *Ticket, order float64, usePerWeight func(order float64) float64, unitsPerSec, longShare float64) time.Duration {
 	if p.capacity.Slots <= 0 {
 		return p.capacity.ReadyIn
 	}
 	rank, weight := t.Request.Priority.Rank(), t.Request.weight()
-	units := 0.0
-	for r := range rank {
-		units += p.classes[t.lane][r].units
-	}
 	c := &p.classes[t.lane][rank]
-	own, others := t.Estimate.Units, c.weights
+	own := t.Estimate.Units
 	if q := c.callers[t.Request.Caller]; q != nil {
 		own += q.units
-		others -= q.weight
 	}
-	behind := 0.0
-	if next := c.order.lowestExcept(t.Request.Caller); next != nil {
-		behind = max(0, weight*(usePerWeight(next.order)-usePerWeight(order)))
+	others := 0.0
+	reached := usePerWeight(order) + own/weight
+	looked := min(len(c.order), maxWaitCallers)
+	for _, q := range c.order[:looked] {
+		if q.caller != t.Request.Caller {
+			others += min(q.units, max(0, reached-usePerWeight(q.order))*q.weight)
+		}
+	}
+	// own includes the new request: the slot that becomes free is still busy with one of about the same size.
+	units := own + others*float64(len(c.order))/float64(max(looked, 1))
+	for r := range rank {
+		units += p.classes[t.lane][r].units
 	}
-	units += min(c.units, own-t.Estimate.Units+max(0, own-behind)*others/weight)
-	// The slot that becomes free is still busy with a request of about the same size.
-	units += t.Estimate.Units
 	seconds := units / (p.slots(t.lane, longShare) * unitsPerSec) * c.correction()
 	return time.Duration(seconds * float64(time.Second))
 }
@@ -174,5 +192,6 @@
 		p.others.inFlight += use.inFlight
 		p.others.longInFlight += use.longInFlight
 		p.others.queued += use.queued
+		p.others.rest += use.rest
 	}
 }
--- a/coordination/admission/queue.go
+++ b/coordination/admission/queue.go
@@ -44,7 +44,6 @@
 	order   callerHeap
 	oldest  list.List
 	units   float64
-	weights float64 // of the callers that wait
 	// estimatedSec and realSec are decayed sums of waits; their ratio corrects estimates, so that times to come back
 	// stay truthful. Ratios of sums keep short waits, which are noisy, from dominating.
 	estimatedSec float64
@@ -61,7 +60,6 @@
 			c.callers = make(map[string]*callerQueue)
 		}
 		c.callers[q.caller] = q
-		c.weights += q.weight
 		heap.Push(&c.order, q)
 	}
 	w.queue = q
@@ -98,10 +96,9 @@
 	if q.items.Len() == 0 {
 		heap.Remove(&c.order, q.index)
 		delete(c.callers, q.caller)
-		c.weights -= q.weight
 	}
 	if c.oldest.Len() == 0 {
-		c.units, c.weights = 0, 0 // drops rounding errors
+		c.units = 0 // drops rounding errors
 	}
 }
 
@@ -145,20 +142,6 @@
 	h[i].index, h[j].index = i, j
 }
 
-// lowestExcept returns the caller that is served first apart from one.
-func (h callerHeap) lowestExcept(caller string) *callerQueue {
-	switch {
-	case len(h) == 0 || len(h) == 1 && h[0].caller == caller:
-		return nil
-	case h[0].caller != caller:
-		return h[0]
-	case len(h) > 2 && h.Less(2, 1):
-		return h[2]
-	default:
-		return h[1]
-	}
-}
-
 // Push implements heap.Interface.
 func (h *callerHeap) Push(x any) {
 	q := x.(*callerQueue)
--- a/coordination/admission/share.go
+++ b/coordination/admission/share.go
@@ -35,6 +35,8 @@
 	InFlight     int    `json:"in_flight"`
 	LongInFlight int    `json:"long_in_flight"`
 	Queued       int    `json:"queued"`
+	// Rest is the part of InFlight and Queued that counts as ModelDemand.Rest.
+	Rest int `json:"rest"`
 }
 
 // Usage is what an instance tells its peers every 500 ms. Callers with less work than the 64 listed are reported later,
--- a/measure/policy.go
+++ b/measure/policy.go
@@ -67,7 +67,7 @@
 	done(now time.Time, req *request, answered bool, at time.Duration)
 	cancel(req *request)
 	exchange(now time.Time, from *instance, all []*instance)
-	demand() map[string]float64
+	demand() map[string]admission.ModelDemand
 	setCapacity(now time.Time, model string, c admission.Capacity)
 }
 
@@ -79,7 +79,7 @@
 func (admitAll) done(time.Time, *request, bool, time.Duration)     {}
 func (admitAll) cancel(*request)                                   {}
 func (admitAll) exchange(time.Time, *instance, []*instance)        {}
-func (admitAll) demand() map[string]float64                        { return nil }
+func (admitAll) demand() map[string]admission.ModelDemand          { return nil }
 func (admitAll) setCapacity(time.Time, string, admission.Capacity) {}
 
 // firstCome starts requests in the order of arrival while the slots have room. All instances share one queue without
@@ -122,10 +122,10 @@
 
 func (a *firstCome) done(_ time.Time, req *request, _ bool, _ time.Duration) { a.inFlight[req.model]-- }
 
-func (a *firstCome) demand() map[string]float64 {
-	demand := make(map[string]float64)
+func (a *firstCome) demand() map[string]admission.ModelDemand {
+	demand := make(map[string]admission.ModelDemand)
 	for model, n := range a.inFlight {
-		demand[model] = float64(n + len(a.queues[model]))
+		demand[model] = admission.ModelDemand{First: float64(n + len(a.queues[model]))}
 	}
 	return demand
 }
@@ -176,7 +176,7 @@
 	}
 }
 
-func (a *productAdmission) demand() map[string]float64 { return a.Demand() }
+func (a *productAdmission) demand() map[string]admission.ModelDemand { return a.Demand() }
 
 func (a *productAdmission) setCapacity(now time.Time, model string, c admission.Capacity) {
 	a.SetCapacity(now, model, c)
