--- a/coordination/admission/controller.go
+++ b/coordination/admission/controller.go
@@ -4,7 +4,6 @@
 
 import (
 	"fmt"
-	"math"
 	"sort"
 	"sync/atomic"
 	"time"
@@ -24,8 +23,6 @@
 	defaultMaxQueued = 2048
 	// aboveShareQueuePart is the part of a queue that one caller above its share may fill.
 	aboveShareQueuePart = 4
-	// headroomPart of the slots stays free for callers within their share while others are above theirs.
-	headroomPart = 0.1
 	// minRetryAfter keeps refused callers from coming back at once.
 	minRetryAfter = 50 * time.Millisecond
 	// unknownCapacityRetry is the announcement interval of targets.
@@ -185,7 +182,7 @@
 		t.lane = longLane
 	}
 	above := c.ledger.aboveShare(now, r.Caller, r.weight())
-	t.rest = above || r.Priority.Rank() == releasenote.Batch.Rank()
+	t.rest = above || isBatch(&r)
 	var d Decision
 	c.pools.Update(r.Model, func(p *pool) { d = c.offer(now, p, t, above, unitsPerSec) })
 	return d
@@ -202,8 +199,7 @@
 		return Decision{Refusal: api.Refuse(api.ReasonDeadlineUnreachable, fmt.Sprintf(
 			"the deadline in %v is shorter than the shortest expected answer of %v", rounded(remaining), rounded(service)))}
 	}
-	if c.startsAtOnce(p, t, above) {
-		p.count(t, 1)
+	if c.startsAtOnce(p, t) {
 		c.start(now, p, t)
 		return Decision{Action: Admit, Ticket: t}
 	}
@@ -218,13 +214,12 @@
 	if q := p.classes[t.lane][rank].callers[t.Request.Caller]; q != nil {
 		own = q.items.Len()
 	}
-	if p.waiting >= c.opts.MaxQueued || above && own >= c.opts.MaxQueued/aboveShareQueuePart {
-		return refuse(overloadReason(above), wait+service, "%d requests of %q are waiting", p.waiting, t.Request.Model)
+	if p.own.queued >= c.opts.MaxQueued || above && own >= c.opts.MaxQueued/aboveShareQueuePart {
+		return refuse(overloadReason(above), wait+service, "%d requests of %q are waiting", p.own.queued, t.Request.Model)
 	}
 	t.waiter = &waiter{ticket: t, since: now, waitFor: wait}
 	p.classes[t.lane][rank].push(t.waiter, c.ledger.order)
-	p.waiting++
-	p.count(t, 1)
+	p.countWaiting(t, 1)
 	return Decision{Action: Queue, Ticket: t, Wait: wait}
 }
 
@@ -235,9 +230,11 @@
 	return api.ReasonDeadlineUnreachable
 }
 
+func isBatch(r *Request) bool { return r.Priority.Rank() == releasenote.Batch.Rank() }
+
 // startsAtOnce reports whether there is room and nobody waits who goes first. Long work also waits for queued short work,
 // which takes the slots that have just become free.
-func (c *Controller) startsAtOnce(p *pool, t *Ticket, above bool) bool {
+func (c *Controller) startsAtOnce(p *pool, t *Ticket) bool {
 	for l := range t.lane + 1 {
 		for r := range t.Request.Priority.Rank() + 1 {
 			if p.classes[l][r].oldest.Len() > 0 {
@@ -245,22 +242,14 @@
 			}
 		}
 	}
-	return p.hasRoom(t.lane, c.opts.LongShare, 0) && (!above || p.hasHeadroom())
-}
-
-// hasHeadroom reports whether a caller above its share may take one more slot. Small windows keep no headroom, since
-// one slot would be a large part of them.
-func (p *pool) hasHeadroom() bool {
-	w := window(p.capacity.Slots, p.total(), p.others.inFlight, p.capacity.Instances)
-	reserved := math.Floor(headroomPart * w)
-	return reserved == 0 || float64(p.total())+1 <= w-reserved
+	return p.hasRoom(t, c.opts.LongShare, 0)
 }
 
 func (c *Controller) start(now time.Time, p *pool, t *Ticket) {
 	t.state = running
 	t.charged = t.Estimate.Units
 	t.waiter = nil
-	p.inFlight[t.lane]++
+	p.countRunning(t, 1)
 	p.grants++
 	c.ledger.charge(now, t.Request.Caller, t.Request.weight(), t.charged)
 }
@@ -271,7 +260,7 @@
 	var grants []Grant
 	var models []string
 	c.pools.Range(func(model string, p *pool) bool {
-		if p.waiting > 0 {
+		if p.own.queued > 0 {
 			models = append(models, model)
 		}
 		return true
@@ -287,20 +276,18 @@
 	var unitsPerSec float64 = defaultUnitsPerSec
 	c.estimator.paces.View(model, func(m *modelPace) { unitsPerSec = m.unitsPerSec })
 	var grants []Grant
+	stillAbove := func(t *Ticket) bool {
+		return isBatch(&t.Request) || t.rest && c.ledger.aboveShare(now, t.Request.Caller, t.Request.weight())
+	}
 	c.pools.View(model, func(p *pool) {
 		grants = c.expire(now, p, unitsPerSec)
-		for p.waiting > 0 {
-			cl, _ := p.next(now, c.opts.LongShare)
-			if cl == nil {
-				return
-			}
-			w := cl.first(c.ledger.order)
-			above := c.ledger.aboveShare(now, w.queue.caller, w.queue.weight)
-			if above && !p.hasHeadroom() {
+		for p.own.queued > 0 {
+			w := p.next(now, c.opts.LongShare, c.ledger.order, stillAbove)
+			if w == nil {
 				return
 			}
 			c.dequeue(p, w)
-			cl.learnWait(w.waitFor, now.Sub(w.since))
+			p.classes[w.ticket.lane][w.ticket.Request.Priority.Rank()].learnWait(w.waitFor, now.Sub(w.since))
 			c.start(now, p, w.ticket)
 			grants = append(grants, Grant{Ticket: w.ticket})
 		}
@@ -323,7 +310,6 @@
 				}
 				c.dequeue(p, w)
 				cl.learnWait(w.waitFor, now.Sub(w.since))
-				p.count(w.ticket, -1)
 				w.ticket.state = ended
 				wait := p.estimateWait(w.ticket, w.queue.order, c.ledger.usePerWeight(now), unitsPerSec, c.opts.LongShare)
 				refusal := refuse(api.ReasonDeadlineUnreachable, wait, "waited %v and cannot end before its deadline any more", rounded(now.Sub(w.since)))
@@ -336,7 +322,7 @@
 
 func (c *Controller) dequeue(p *pool, w *waiter) {
 	p.classes[w.ticket.lane][w.ticket.Request.Priority.Rank()].remove(w)
-	p.waiting--
+	p.countWaiting(w.ticket, -1)
 }
 
 // Done ends an admitted request, corrects the charge by the real work and learns from it. Repeated calls for the same
@@ -347,8 +333,7 @@
 	c.pools.View(t.Request.Model, func(p *pool) {
 		if wasRunning = t.state == running; wasRunning {
 			t.state = ended
-			p.inFlight[t.lane]--
-			p.count(t, -1)
+			p.countRunning(t, -1)
 		}
 	})
 	if !wasRunning || !done.Answered {
@@ -365,7 +350,6 @@
 		if wasQueued = t.state == queued && t.waiter != nil; wasQueued {
 			t.state = ended
 			c.dequeue(p, t.waiter)
-			p.count(t, -1)
 		}
 	})
 	return wasQueued
@@ -378,8 +362,11 @@
 	u.Callers = c.ledger.unsent()
 	c.pools.Range(func(model string, p *pool) bool {
 		// A model without requests is listed once more, so that the peers do not wait for the timeout.
-		if active := p.total()+p.waiting > 0; active || p.reported {
-			u.Models = append(u.Models, ModelUsage{Model: model, InFlight: p.total(), LongInFlight: p.inFlight[longLane], Queued: p.waiting, Rest: p.rest})
+		if active := p.own.inFlight+p.own.queued > 0; active || p.reported {
+			u.Models = append(u.Models, ModelUsage{
+				Model: model, InFlight: p.own.inFlight, LongInFlight: p.own.longInFlight, Queued: p.own.queued,
+				RestInFlight: p.own.restInFlight, RestQueued: p.own.restQueued,
+			})
 			p.reported = active
 		}
 		return true
@@ -409,7 +396,10 @@
 	c.ledger.merge(now, u.Callers)
 	for _, m := range u.Models {
 		c.pools.Update(m.Model, func(p *pool) {
-			p.setPeer(now, u.Instance, peerUse{inFlight: m.InFlight, longInFlight: m.LongInFlight, queued: m.Queued, rest: m.Rest})
+			p.setPeer(now, u.Instance, use{
+				inFlight: m.InFlight, longInFlight: m.LongInFlight, queued: m.Queued,
+				restInFlight: m.RestInFlight, restQueued: m.RestQueued,
+			})
 		})
 	}
 	return true
@@ -419,9 +409,9 @@
 func (c *Controller) Demand() map[string]ModelDemand {
 	demand := make(map[string]ModelDemand)
 	c.pools.Range(func(model string, p *pool) bool {
-		rest := p.rest + p.others.rest
-		if n := p.total() + p.waiting + p.others.inFlight + p.others.queued; n > 0 {
-			demand[model] = ModelDemand{First: float64(n - rest), Rest: float64(rest)}
+		d := ModelDemand{First: float64(p.own.first() + p.others.first()), Rest: float64(p.own.rest() + p.others.rest())}
+		if d != (ModelDemand{}) {
+			demand[model] = d
 		}
 		return true
 	})
--- a/coordination/admission/pool.go
+++ b/coordination/admission/pool.go
@@ -17,37 +17,63 @@
 	ReadyIn time.Duration
 }
 
-// peerUse is what another instance has in flight.
-type peerUse struct {
-	at           time.Time
+// use counts requests of one model on one instance or, as a sum, on several.
+type use struct {
 	inFlight     int
 	longInFlight int
 	queued       int
-	rest         int
+	// restInFlight and restQueued are the parts that count as ModelDemand.Rest.
+	restInFlight int
+	restQueued   int
+}
+
+func (u *use) add(v use) {
+	u.inFlight += v.inFlight
+	u.longInFlight += v.longInFlight
+	u.queued += v.queued
+	u.restInFlight += v.restInFlight
+	u.restQueued += v.restQueued
+}
+
+// first is the number of requests in flight and waiting that count as ModelDemand.First.
+func (u *use) first() int { return u.inFlight + u.queued - u.restInFlight - u.restQueued }
+
+func (u *use) rest() int { return u.restInFlight + u.restQueued }
+
+type peerUse struct {
+	use
+	at time.Time
 }
 
 // pool is the admission state of one model or plain service. It is used under the lock of its shard.
 type pool struct {
 	capacity Capacity
 	known    bool
-	inFlight [lanes]int
-	classes  [lanes][ranks]class
-	waiting  int
-	rest     int // requests in flight or waiting that count as ModelDemand.Rest
+	own      use
+	others   use // sum over peers
 	peers    map[string]peerUse
-	others   peerUse // sum over peers
-	reported bool    // the last usage report listed this model
+	classes  [lanes][ranks]class
+	reported bool // the last usage report listed this model
 	grants   int
 }
 
-// count adds a ticket that starts or waits to the demand, or takes it away.
-func (p *pool) count(t *Ticket, n int) {
+// countWaiting and countRunning add a ticket to the counts, or take it away.
+func (p *pool) countWaiting(t *Ticket, n int) {
+	p.own.queued += n
 	if t.rest {
-		p.rest += n
+		p.own.restQueued += n
 	}
 }
 
-func (p *pool) total() int { return p.inFlight[shortLane] + p.inFlight[longLane] }
+func (p *pool) countRunning(t *Ticket, n int) {
+	p.own.inFlight += n
+	if t.lane == longLane {
+		p.own.longInFlight += n
+	}
+	if t.rest {
+		p.own.restInFlight += n
+	}
+}
 
 // window is how many requests the instance may have in flight: its equal part, or what it has plus its part of the
 // free slots. Reports of the other instances are late; taking only a part of the free slots keeps the instances from
@@ -81,24 +107,43 @@
 	return min(max(1, share*p.capacity.Slots), p.capacity.Slots)
 }
 
-// hasRoom reports whether one more request of a lane may start.
-func (p *pool) hasRoom(l lane, longShare float64, waited time.Duration) bool {
+// hasRoom reports whether a request may start. Requests within shares go ahead of the rest over all instances: they may
+// use the slots that the rest has in flight, since these become free, and the rest may only use what the demand within
+// shares leaves. Without the former, a request within its share would wait until the instance's own slot became free.
+func (p *pool) hasRoom(t *Ticket, longShare float64, waited time.Duration) bool {
 	c := &p.capacity
-	if !fits(c.Slots, p.total(), p.others.inFlight, c.Instances, waited) {
+	if t.lane == longLane &&
+		!fits(p.longSlots(longShare), p.own.longInFlight, p.others.longInFlight, c.Instances, waited) {
 		return false
 	}
-	return l == shortLane ||
-		fits(p.longSlots(longShare), p.inFlight[longLane], p.others.longInFlight, c.Instances, waited)
+	if !t.rest {
+		return fits(c.Slots, p.own.inFlight-p.own.restInFlight, p.others.inFlight-p.others.restInFlight, c.Instances, waited)
+	}
+	left := c.Slots - float64(p.own.first()+p.others.first())
+	if fits(left, p.own.restInFlight, p.others.restInFlight, c.Instances, 0) {
+		return true
+	}
+	// The rest always finishes: one request per model may start once it has waited.
+	return c.Slots > 0 && waited > restAgedAfter && p.own.restInFlight+p.others.restInFlight == 0
 }
 
-// slots is the number of requests of a lane that the instance can expect to run at once. It is at least one, since the
+// restAgedAfter is how long the rest waits for slots that the demand within shares does not leave.
+const restAgedAfter = 10 * time.Second
+
+// slots is the number of requests of a kind that the instance can expect to run at once. It is at least one, since the
 // slots of a model follow its demand.
-func (p *pool) slots(l lane, longShare float64) float64 {
+func (p *pool) slots(t *Ticket, longShare float64) float64 {
 	c := &p.capacity
-	if l == longLane {
-		return math.Ceil(max(1, window(p.longSlots(longShare), p.inFlight[longLane], p.others.longInFlight, c.Instances)))
+	switch {
+	case t.lane == longLane:
+		return math.Ceil(max(1, window(p.longSlots(longShare), p.own.longInFlight, p.others.longInFlight, c.Instances)))
+	case t.rest:
+		left := c.Slots - float64(p.own.first()+p.others.first())
+		return max(1, math.Ceil(window(left, p.own.restInFlight, p.others.restInFlight, c.Instances)))
+	default:
+		w := window(c.Slots, p.own.inFlight-p.own.restInFlight, p.others.inFlight-p.others.restInFlight, c.Instances)
+		return max(1, math.Ceil(w))
 	}
-	return max(1, math.Ceil(window(c.Slots, p.total(), p.others.inFlight, c.Instances))-float64(p.inFlight[longLane]))
 }
 
 // maxWaitCallers bounds the callers looked at for an estimate; more are extrapolated.
@@ -130,7 +175,7 @@
 	for r := range rank {
 		units += p.classes[t.lane][r].units
 	}
-	seconds := units / (p.slots(t.lane, longShare) * unitsPerSec) * c.correction()
+	seconds := units / (p.slots(t, longShare) * unitsPerSec) * c.correction()
 	return time.Duration(seconds * float64(time.Second))
 }
 
@@ -141,10 +186,10 @@
 	agedAfter      = 2 * time.Second
 )
 
-// next chooses the class to serve: by priority, short before long, except for aged work.
-func (p *pool) next(now time.Time, longShare float64) (*class, lane) {
-	var best, aged *class
-	var bestLane, agedLane lane
+// next chooses the request to start: by priority, short before long, except for aged work. orderOf gives the order of
+// a caller, and above tells whether a caller is still above its share.
+func (p *pool) next(now time.Time, longShare float64, orderOf func(string, float64) float64, above func(*Ticket) bool) *waiter {
+	var best, aged *waiter
 	agedWait := agedAfter
 	for r := range ranks {
 		for l := range lanes {
@@ -152,46 +197,47 @@
 			if c.oldest.Len() == 0 {
 				continue
 			}
-			waited := c.oldestWait(now)
-			if !p.hasRoom(l, longShare, waited) {
+			w, waited := c.first(orderOf), c.oldestWait(now)
+			if rest := above(w.ticket); rest != w.ticket.rest {
+				p.countWaiting(w.ticket, -1)
+				w.ticket.rest = rest
+				p.countWaiting(w.ticket, 1)
+			}
+			if !p.hasRoom(w.ticket, longShare, now.Sub(w.since)) {
 				continue
 			}
 			if best == nil {
-				best, bestLane = c, l
+				best = w
 			}
 			if waited > agedWait {
-				aged, agedLane, agedWait = c, l, waited
+				aged, agedWait = w, waited
 			}
 		}
 	}
 	if aged != nil && p.grants%agedGrantEvery == agedGrantEvery-1 {
-		return aged, agedLane
+		return aged
 	}
-	return best, bestLane
+	return best
 }
 
 // peerTimeout is how long the last report of an instance counts: four reports.
 const peerTimeout = 2 * time.Second
 
-func (p *pool) setPeer(now time.Time, peer string, use peerUse) {
+func (p *pool) setPeer(now time.Time, peer string, u use) {
 	if p.peers == nil {
 		p.peers = make(map[string]peerUse)
 	}
-	use.at = now
-	p.peers[peer] = use
+	p.peers[peer] = peerUse{use: u, at: now}
 	p.sumPeers(now)
 }
 
 func (p *pool) sumPeers(now time.Time) {
-	p.others = peerUse{}
-	for peer, use := range p.peers {
-		if now.Sub(use.at) > peerTimeout || use.inFlight+use.queued == 0 {
+	p.others = use{}
+	for peer, u := range p.peers {
+		if now.Sub(u.at) > peerTimeout || u.inFlight+u.queued == 0 {
 			delete(p.peers, peer)
 			continue
 		}
-		p.others.inFlight += use.inFlight
-		p.others.longInFlight += use.longInFlight
-		p.others.queued += use.queued
-		p.others.rest += use.rest
+		p.others.add(u.use)
 	}
 }
--- a/coordination/admission/share.go
+++ b/coordination/admission/share.go
@@ -13,8 +13,9 @@
 	// usageMemory is the time constant of usage. Shares are kept over tens of seconds, so that a short burst of a
 	// caller that was idle is served.
 	usageMemory = 10 * time.Second
-	// aboveShareFactor is how far above the mean use per weight a caller must be to count as above its share.
-	aboveShareFactor = 1.2
+	// aboveShareFactor is how far above the mean use per weight a caller must be to count as above its share. The use of
+	// equal callers varies by about a third, since usageMemory covers some ten requests of each.
+	aboveShareFactor = 1.5
 	// maxReportedCallers and maxReportedModels bound a usage report (section 5.7).
 	maxReportedCallers = 64
 	maxReportedModels  = 64
@@ -35,8 +36,9 @@
 	InFlight     int    `json:"in_flight"`
 	LongInFlight int    `json:"long_in_flight"`
 	Queued       int    `json:"queued"`
-	// Rest is the part of InFlight and Queued that counts as ModelDemand.Rest.
-	Rest int `json:"rest"`
+	// RestInFlight and RestQueued are the parts that count as ModelDemand.Rest.
+	RestInFlight int `json:"rest_in_flight"`
+	RestQueued   int `json:"rest_queued"`
 }
 
 // Usage is what an instance tells its peers every 500 ms. Callers with less work than the 64 listed are reported later,
