--- a/coordination/admission/controller.go
+++ b/coordination/admission/controller.go
@@ -205,6 +205,8 @@
 	}
 	rank := t.Request.Priority.Rank()
 	wait := p.estimateWait(t, c.ledger.order(t.Request.Caller, t.Request.weight()), c.ledger.usePerWeight(now), unitsPerSec, c.opts.LongShare)
+	// Waiting means that others need the slots, so a request that would probably end too late is not started.
+	service = serviceTime(t.Estimate.LikelyUnits, unitsPerSec)
 	if late := wait + service - remaining; late > 0 {
 		// One more answer is added, because the running requests may all have just started.
 		after := late + serviceTime(t.Estimate.Units, unitsPerSec)
@@ -304,7 +306,7 @@
 			cl := &p.classes[l][r]
 			for front := cl.oldest.Front(); front != nil; front = cl.oldest.Front() {
 				w := front.Value.(*waiter)
-				late := serviceTime(w.ticket.Estimate.OptimisticUnits, unitsPerSec) - w.ticket.Request.Deadline.Sub(now)
+				late := serviceTime(w.ticket.Estimate.LikelyUnits, unitsPerSec) - w.ticket.Request.Deadline.Sub(now)
 				if late <= 0 {
 					break
 				}
--- a/coordination/admission/estimate.go
+++ b/coordination/admission/estimate.go
@@ -35,6 +35,8 @@
 	Units float64
 	// OptimisticUnits is what the request needs if its answer is as short as those of its kind get.
 	OptimisticUnits float64
+	// LikelyUnits is Units once an answer of this kind was seen, and OptimisticUnits before.
+	LikelyUnits float64
 	// Long work runs many times longer than the usual work of its model.
 	Long bool
 }
@@ -106,7 +108,7 @@
 		}
 	}
 	if l.samples == 0 {
-		l.mean, l.spread = defaultOutputTokens, defaultOutputTokens
+		l.mean = defaultOutputTokens
 	}
 	if r.TokenLimit > 0 {
 		l.mean = min(l.mean, float64(r.TokenLimit))
@@ -117,6 +119,10 @@
 	}
 	est.Units = fixed + l.mean
 	est.OptimisticUnits = fixed
+	est.LikelyUnits = est.Units
+	if l.samples == 0 {
+		est.LikelyUnits = fixed
+	}
 	if l.samples >= minLengthSamples {
 		est.OptimisticUnits += max(0, l.mean-2*l.spread)
 	}
--- a/coordination/straggler/straggler.go
+++ b/coordination/straggler/straggler.go
@@ -317,7 +317,7 @@
 	defaultHedgeShare = 0.05
 	// defaultHedgeBurst lets an instance hedge what is in flight on one target that becomes slow.
 	defaultHedgeBurst = 10
-	// hedgeMargin is added to the tail of the group, so that a hedge is not sent for an answer that is about to come.
+	// hedgeMargin is added to the tail of the group, so that a hedge is not sent for a step that is about to end.
 	hedgeMargin = 1.2
 )
 
@@ -348,15 +348,16 @@
 // Request counts a first attempt towards the hedge budget.
 func (d *Detector) Request() { d.hedges.add() }
 
-// HedgeDelay is how long to wait for a step before a hedge is worthwhile: the 95th percentile of the group.
+// HedgeDelay is how long to wait for a step before a hedge is worthwhile: as long as a straggler takes, and longer than
+// the 95th percentile of the group. With the percentile alone, one step in twenty would be hedged when nothing is slow.
 func (d *Detector) HedgeDelay(groupName string, expected time.Duration) time.Duration {
 	ratio := d.opts.SlowRatio
 	d.groups.View(groupName, func(g *group) {
 		if g.samples >= minGroupSamples {
-			ratio = min(math.Exp(g.tailLog), ratio*g.usual())
+			ratio = max(hedgeMargin*math.Exp(g.tailLog), ratio*g.usual())
 		}
 	})
-	return time.Duration(hedgeMargin * ratio * float64(expected))
+	return time.Duration(ratio * float64(expected))
 }
 
 // HedgeRequest describes an attempt that might be hedged.
