--- a/coordination/admission/apportion.go
+++ b/coordination/admission/apportion.go
@@ -22,15 +22,15 @@
 
 // Apportion divides the slots of replicas that hold several models by the demand for each. A model gets its max-min
 // fair part of every replica it is ready on; slots without demand are offered to each model of the replica, since
-// they are free until one of them uses them.
-func Apportion(replicas []ReplicaSlots, demand map[string]ModelDemand) map[string]float64 {
+// they are free until one of them uses them. The result holds Slots and RestSlots of each model.
+func Apportion(replicas []ReplicaSlots, demand map[string]ModelDemand) map[string]Capacity {
 	count := make(map[string]int)
 	for i := range replicas {
 		for _, m := range replicas[i].Models {
 			count[m]++
 		}
 	}
-	slots := make(map[string]float64, len(count))
+	slots := make(map[string]Capacity, len(count))
 	var parts []part
 	for i := range replicas {
 		parts = parts[:0]
@@ -39,16 +39,22 @@
 		}
 		free := fairParts(float64(replicas[i].Slots), parts)
 		for j := range parts {
-			slots[parts[j].model] += parts[j].given
+			c := slots[parts[j].model]
+			c.Slots += parts[j].given
+			slots[parts[j].model] = c
 			parts[j].wanted = demand[parts[j].model].Rest / float64(count[parts[j].model])
 		}
 		free = fairParts(free, parts)
 		for _, p := range parts {
-			slots[p.model] += p.given + free
+			c := slots[p.model]
+			c.Slots += p.given + free
+			c.RestSlots += p.given + free
+			slots[p.model] = c
 		}
 	}
-	for m := range slots {
-		slots[m] = max(slots[m], minSlots)
+	for m, c := range slots {
+		c.Slots = max(c.Slots, minSlots)
+		slots[m] = c
 	}
 	return slots
 }
--- a/coordination/admission/controller.go
+++ b/coordination/admission/controller.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"sync/atomic"
 	"time"
@@ -102,6 +103,11 @@
 	state   ticketState
 	charged float64
 	waiter  *waiter
+	// service is the expected duration when the request was offered.
+	service   time.Duration
+	startedAt time.Time
+	ran       time.Duration // before the last interruption
+	reclaims  int
 }
 
 type ticketState uint8
@@ -183,6 +189,7 @@
 	}
 	above := c.ledger.aboveShare(now, r.Caller, r.weight())
 	t.rest = above || isBatch(&r)
+	t.service = serviceTime(est.Units, unitsPerSec)
 	var d Decision
 	c.pools.Update(r.Model, func(p *pool) { d = c.offer(now, p, t, above, unitsPerSec) })
 	return d
@@ -199,7 +206,7 @@
 		return Decision{Refusal: api.Refuse(api.ReasonDeadlineUnreachable, fmt.Sprintf(
 			"the deadline in %v is shorter than the shortest expected answer of %v", rounded(remaining), rounded(service)))}
 	}
-	if c.startsAtOnce(p, t) {
+	if c.startsAtOnce(now, p, t) {
 		c.start(now, p, t)
 		return Decision{Action: Admit, Ticket: t}
 	}
@@ -236,7 +243,7 @@
 
 // startsAtOnce reports whether there is room and nobody waits who goes first. Long work also waits for queued short work,
 // which takes the slots that have just become free.
-func (c *Controller) startsAtOnce(p *pool, t *Ticket) bool {
+func (c *Controller) startsAtOnce(now time.Time, p *pool, t *Ticket) bool {
 	for l := range t.lane + 1 {
 		for r := range t.Request.Priority.Rank() + 1 {
 			if p.classes[l][r].oldest.Len() > 0 {
@@ -244,16 +251,22 @@
 			}
 		}
 	}
-	return p.hasRoom(t, c.opts.LongShare, 0)
+	return p.hasRoom(now, t, c.opts.LongShare, 0)
 }
 
 func (c *Controller) start(now time.Time, p *pool, t *Ticket) {
 	t.state = running
-	t.charged = t.Estimate.Units
+	t.startedAt = now
 	t.waiter = nil
 	p.countRunning(t, 1)
 	p.grants++
-	c.ledger.charge(now, t.Request.Caller, t.Request.weight(), t.charged)
+	if isBatch(&t.Request) {
+		p.batch = append(p.batch, t)
+	}
+	if t.charged == 0 { // a resumed request was charged when it started first
+		t.charged = t.Estimate.Units
+		c.ledger.charge(now, t.Request.Caller, t.Request.weight(), t.charged)
+	}
 }
 
 // Next returns the queued requests of all models that may start, or that can no longer meet their deadline. The driver
@@ -327,18 +340,50 @@
 	p.countWaiting(w.ticket, -1)
 }
 
+// Reclaim interrupts running batch work of a model whose slots are needed by work within shares, if its deadline leaves
+// enough time. The returned tickets are queued again. The driver cancels their attempts, keeps the offset that their
+// streams reached, and resumes them from there when they are granted.
+func (c *Controller) Reclaim(now time.Time, model string) (reclaimed []*Ticket) {
+	c.pools.View(model, func(p *pool) {
+		reclaimed = p.reclaim(now)
+		for _, t := range reclaimed {
+			c.stop(p, t)
+			t.ran += now.Sub(t.startedAt)
+			t.state = queued
+			t.reclaims++
+			t.waiter = &waiter{ticket: t, since: now}
+			p.classes[t.lane][t.Request.Priority.Rank()].push(t.waiter, c.ledger.order)
+			p.countWaiting(t, 1)
+		}
+	})
+	return reclaimed
+}
+
+func (c *Controller) stop(p *pool, t *Ticket) {
+	p.countRunning(t, -1)
+	if isBatch(&t.Request) {
+		p.batch = slices.DeleteFunc(p.batch, func(other *Ticket) bool { return other == t })
+	}
+}
+
 // Done ends an admitted request, corrects the charge by the real work and learns from it. Repeated calls for the same
 // ticket have no effect.
 func (c *Controller) Done(now time.Time, done Completion) {
 	t := done.Ticket
-	wasRunning := false
+	ran := false
 	c.pools.View(t.Request.Model, func(p *pool) {
-		if wasRunning = t.state == running; wasRunning {
-			t.state = ended
-			p.countRunning(t, -1)
+		switch {
+		case t.state == running:
+			c.stop(p, t)
+			ran = true
+		case t.state == queued && t.waiter != nil && t.reclaims > 0:
+			// It ended before the driver could interrupt it.
+			c.dequeue(p, t.waiter)
+			ran = true
 		}
+		t.state = ended
 	})
-	if !wasRunning || !done.Answered {
+	if !ran || !done.Answered {
 		return
 	}
 	units := c.estimator.learn(&t.Request, done.OutputTokens, done.Service)
--- a/coordination/admission/pool.go
+++ b/coordination/admission/pool.go
@@ -9,6 +9,9 @@
 type Capacity struct {
 	// Slots is the number of requests that all instances together may have in flight.
 	Slots float64
+	// RestSlots is the part of Slots that batch work and callers above their share may use, apart from aged work. It
+	// equals Slots for a service or model that shares its replicas with no other.
+	RestSlots float64
 	// LongSlots is the part of Slots that long work may use; 0 means a share set by Options.LongShare.
 	LongSlots float64
 	// Instances is the number of instances that share the slots, at least 1.
@@ -55,6 +58,10 @@
 	classes  [lanes][ranks]class
 	reported bool // the last usage report listed this model
 	grants   int
+	// batch holds the running batch tickets, which may be interrupted.
+	batch []*Ticket
+	// crowdedSince is when the demand within shares began to exceed what the rest left; zero when it does not.
+	crowdedSince time.Time
 }
 
 // countWaiting and countRunning add a ticket to the counts, or take it away.
@@ -107,10 +114,15 @@
 	return min(max(1, share*p.capacity.Slots), p.capacity.Slots)
 }
 
+// left is what the demand within shares leaves to the rest.
+func (p *pool) left() float64 {
+	return min(p.capacity.Slots-float64(p.own.first()+p.others.first()), p.capacity.RestSlots)
+}
+
 // hasRoom reports whether a request may start. Requests within shares go ahead of the rest over all instances: they may
 // use the slots that the rest has in flight, since these become free, and the rest may only use what the demand within
 // shares leaves. Without the former, a request within its share would wait until the instance's own slot became free.
-func (p *pool) hasRoom(t *Ticket, longShare float64, waited time.Duration) bool {
+func (p *pool) hasRoom(now time.Time, t *Ticket, longShare float64, waited time.Duration) bool {
 	c := &p.capacity
 	if t.lane == longLane &&
 		!fits(p.longSlots(longShare), p.own.longInFlight, p.others.longInFlight, c.Instances, waited) {
@@ -119,16 +131,72 @@
 	if !t.rest {
 		return fits(c.Slots, p.own.inFlight-p.own.restInFlight, p.others.inFlight-p.others.restInFlight, c.Instances, waited)
 	}
-	left := c.Slots - float64(p.own.first()+p.others.first())
-	if fits(left, p.own.restInFlight, p.others.restInFlight, c.Instances, 0) {
+	if fits(p.left(), p.own.restInFlight, p.others.restInFlight, c.Instances, 0) {
 		return true
 	}
 	// The rest always finishes: one request per model may start once it has waited.
-	return c.Slots > 0 && waited > restAgedAfter && p.own.restInFlight+p.others.restInFlight == 0
+	return c.Slots > 0 && waited > t.patience(now, waited) && p.own.restInFlight+p.others.restInFlight == 0
 }
 
-// restAgedAfter is how long the rest waits for slots that the demand within shares does not leave.
-const restAgedAfter = 10 * time.Second
+const (
+	// restAgedAfter is how long a caller above its share waits for slots that the demand within shares does not leave.
+	restAgedAfter = 10 * time.Second
+	// batchAgedAfter is the same for batch work, which may wait longer than a peak of demand lasts.
+	batchAgedAfter = time.Minute
+	// batchSlack is how much of the time until its deadline batch work keeps in reserve, as a multiple of its service.
+	batchSlack = 1.5
+)
+
+// patience is how long a request of the rest waits before it may go ahead of the demand within shares.
+func (t *Ticket) patience(now time.Time, waited time.Duration) time.Duration {
+	if !isBatch(&t.Request) {
+		return restAgedAfter
+	}
+	slack := t.Request.Deadline.Sub(now) - time.Duration(batchSlack*float64(t.remaining(now)))
+	return min(batchAgedAfter, waited+slack)
+}
+
+// minRemainingPart of the expected duration is kept as the remaining one, since lengths are only estimated.
+const minRemainingPart = 0.2
+
+// remaining is the expected duration of what a request has not run yet.
+func (t *Ticket) remaining(now time.Time) time.Duration {
+	ran := t.ran
+	if t.state == running {
+		ran += now.Sub(t.startedAt)
+	}
+	return max(t.service-ran, time.Duration(minRemainingPart*float64(t.service)))
+}
+
+const (
+	// reclaimAfter leaves time for slots to become free by themselves.
+	reclaimAfter = time.Second
+	// maxReclaims bounds the interruptions of one request, each of which repeats the processing of its prompt.
+	maxReclaims = 2
+)
+
+// reclaim chooses the running batch work to interrupt: the part of the instance in what exceeds the slots.
+func (p *pool) reclaim(now time.Time) (chosen []*Ticket) {
+	running := p.own.restInFlight + p.others.restInFlight
+	excess := float64(running) - p.left()
+	if excess <= 0 || running == 0 || p.capacity.Slots <= 0 {
+		p.crowdedSince = time.Time{}
+		return nil
+	}
+	if p.crowdedSince.IsZero() {
+		p.crowdedSince = now
+	}
+	if now.Sub(p.crowdedSince) < reclaimAfter {
+		return nil
+	}
+	n := int(math.Ceil(min(excess, float64(running)) * float64(p.own.restInFlight) / float64(running)))
+	for _, t := range p.batch {
+		if len(chosen) < n && t.reclaims < maxReclaims && t.patience(now, 0) > 0 {
+			chosen = append(chosen, t)
+		}
+	}
+	return chosen
+}
 
 // slots is the number of requests of a kind that the instance can expect to run at once. It is at least one, since the
 // slots of a model follow its demand.
@@ -138,8 +206,7 @@
 	case t.lane == longLane:
 		return math.Ceil(max(1, window(p.longSlots(longShare), p.own.longInFlight, p.others.longInFlight, c.Instances)))
 	case t.rest:
-		left := c.Slots - float64(p.own.first()+p.others.first())
-		return max(1, math.Ceil(window(left, p.own.restInFlight, p.others.restInFlight, c.Instances)))
+		return max(1, math.Ceil(window(p.left(), p.own.restInFlight, p.others.restInFlight, c.Instances)))
 	default:
 		w := window(c.Slots, p.own.inFlight-p.own.restInFlight, p.others.inFlight-p.others.restInFlight, c.Instances)
 		return max(1, math.Ceil(w))
@@ -203,7 +270,7 @@
 				w.ticket.rest = rest
 				p.countWaiting(w.ticket, 1)
 			}
-			if !p.hasRoom(w.ticket, longShare, now.Sub(w.since)) {
+			if !p.hasRoom(now, w.ticket, longShare, now.Sub(w.since)) {
 				continue
 			}
 			if best == nil {
--- a/measure/policy.go
+++ b/measure/policy.go
@@ -47,7 +47,7 @@
 	in.incarnation++
 	in.detector = straggler.New(straggler.Options{})
 	in.budget = retry.New(retry.Options{})
-	in.admit = &productAdmission{admission.New(origin, admission.Options{Instance: in.name, Incarnation: in.incarnation})}
+	in.admit = &productAdmission{admission.New(origin, admission.Options{Instance: in.name, Incarnation: in.incarnation}), f.models}
 	in.dispatch = &productDispatch{f: f, in: in, router: routing.New(routing.Options{
 		Instances: f.d.Instances, Health: in.detector, PromptMs: 1000 / f.s.Engine.PromptTokensPerSecond,
 		AdapterLoadMs: f.d.AdapterLoadMs,
@@ -66,6 +66,7 @@
 	next(now time.Time, model string) []grant
 	done(now time.Time, req *request, answered bool, at time.Duration)
 	cancel(req *request)
+	reclaim(now time.Time) (ids []string)
 	exchange(now time.Time, from *instance, all []*instance)
 	demand() map[string]admission.ModelDemand
 	setCapacity(now time.Time, model string, c admission.Capacity)
@@ -77,6 +78,7 @@
 func (admitAll) offer(time.Time, *request) admission.Action        { return admission.Admit }
 func (admitAll) next(time.Time, string) []grant                    { return nil }
 func (admitAll) done(time.Time, *request, bool, time.Duration)     {}
+func (admitAll) reclaim(time.Time) []string                        { return nil }
 func (admitAll) cancel(*request)                                   {}
 func (admitAll) exchange(time.Time, *instance, []*instance)        {}
 func (admitAll) demand() map[string]admission.ModelDemand          { return nil }
@@ -135,7 +137,10 @@
 }
 
 // productAdmission adapts admission.Controller.
-type productAdmission struct{ *admission.Controller }
+type productAdmission struct {
+	*admission.Controller
+	models []string
+}
 
 func (a *productAdmission) offer(now time.Time, req *request) admission.Action {
 	d := a.Offer(now, admission.Request{
@@ -165,6 +170,15 @@
 	})
 }
 
+func (a *productAdmission) reclaim(now time.Time) (ids []string) {
+	for _, model := range a.models {
+		for _, t := range a.Reclaim(now, model) {
+			ids = append(ids, t.Request.ID)
+		}
+	}
+	return ids
+}
+
 func (a *productAdmission) cancel(req *request) { a.Cancel(req.ticket) }
 
 func (a *productAdmission) exchange(now time.Time, from *instance, all []*instance) {
