--- a/coordination/routing/router.go
+++ b/coordination/routing/router.go
@@ -34,6 +34,9 @@
 	// defaultAdapterLoadMs is the upper end of an undisturbed adapter load.
 	defaultAdapterLoadMs = 10
 	defaultRemoteMs      = 50
+	// defaultSpillAt is the load of a replica from which on other data centres are looked at. Below it, the slower steps
+	// of the fuller batch cost less than the distance.
+	defaultSpillAt = 0.5
 )
 
 // ErrNoTarget means that no candidate may get the request.
@@ -124,6 +127,7 @@
 	PromptMs       float64
 	AdapterLoadMs  float64
 	RemoteMs       float64
+	SpillAt        float64 // part of the slots in use
 	Targets        int
 	Prefixes       int
 	Health         Health
@@ -145,6 +149,7 @@
 	setDefault(&o.PromptMs, defaultPromptMsPerToken)
 	setDefault(&o.AdapterLoadMs, defaultAdapterLoadMs)
 	setDefault(&o.RemoteMs, defaultRemoteMs)
+	setDefault(&o.SpillAt, defaultSpillAt)
 	setDefault(&o.Targets, defaultTargets)
 	setDefault(&o.Prefixes, defaultPrefixes)
 	o.PeerCorrection = max(o.PeerCorrection, 0)
@@ -314,10 +319,11 @@
 	return true
 }
 
-// wantsRemote reports whether every local candidate of the sample is full.
+// wantsRemote reports whether every local candidate of the sample is loaded enough to look at other data centres; the
+// score then decides.
 func (r *Router) wantsRemote(views []View) bool {
 	for i := range views {
-		if !views[i].full() {
+		if views[i].EstimatedLoad < r.opts.SpillAt*views[i].slots() {
 			return false
 		}
 	}
--- a/coordination/routing/score.go
+++ b/coordination/routing/score.go
@@ -25,9 +25,6 @@
 
 func (v *View) slots() float64 { return float64(max(v.Slots, 1)) }
 
-// full reports whether a new request would wait in the target's queue.
-func (v *View) full() bool { return v.EstimatedLoad >= v.slots() }
-
 // Filter excludes candidates. Soft filters are dropped when no candidate passes all of them.
 type Filter interface {
 	Name() string
