--- a/instance/admit/admit.go
+++ b/instance/admit/admit.go
@@ -3,6 +3,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,7 +33,7 @@
 	instances  int
 	now        func() time.Time
 
-	waiting *shard.Map[string, queue]
+	places  *shard.Map[string, queue]
 	changed chan struct{}
 
 	mu     sync.Mutex
@@ -41,8 +43,8 @@
 // maxQueues is more than the models that a deployment declares.
 const maxQueues = 8192
 
-// queue holds the requests of one model that wait for a grant.
-type queue map[*admission.Ticket]chan admission.Grant
+// queue holds the requests of one model that wait or run.
+type queue map[*admission.Ticket]*Place
 
 func newQueue(string) *queue {
 	q := make(queue)
@@ -53,7 +55,7 @@
 func New(controller *admission.Controller, targets Targets, instances int, now func() time.Time) *Waiter {
 	return &Waiter{
 		controller: controller, targets: targets, instances: instances, now: now, served: make(map[string]bool), changed: make(chan struct{}, 1),
-		waiting: shard.New(shard.DefaultShards, maxQueues, shard.StringHash, newQueue),
+		places: shard.New(shard.DefaultShards, maxQueues, shard.StringHash, newQueue),
 	}
 }
 
@@ -68,6 +70,7 @@
 		case <-ctx.Done():
 			return
 		case <-grants.C:
+			w.reclaim()
 			w.deliver(w.controller.Next(w.now()))
 		case <-capacities.C:
 			w.Refresh()
@@ -88,63 +91,38 @@
 	}
 }
 
-// Acquire waits until a request may start. The returned function ends the request.
-func (w *Waiter) Acquire(ctx context.Context, r admission.Request) (func(admission.Completion), *api.Result) {
-	granted := make(chan admission.Grant, 1)
+// Acquire waits until a request may start. The place must be released.
+func (w *Waiter) Acquire(ctx context.Context, r admission.Request) (*Place, *api.Result) {
 	var decision admission.Decision
+	var place *Place
 	// The lock covers both steps, so that no grant can arrive before the request is registered.
-	w.waiting.Update(r.Model, func(q *queue) {
+	w.places.Update(r.Model, func(q *queue) {
 		decision = w.controller.Offer(w.now(), r)
-		if decision.Action == admission.Queue {
-			(*q)[decision.Ticket] = granted
+		if decision.Ticket != nil {
+			place = w.newPlace(decision.Ticket)
+			(*q)[decision.Ticket] = place
 		}
 	})
 	switch decision.Action {
 	case admission.Refuse:
 		return nil, decision.Refusal
 	case admission.Admit:
-		return w.release(decision.Ticket), nil
+		return place, nil
 	}
-	select {
-	case g := <-granted:
-		if g.Refusal != nil {
-			return nil, g.Refusal
-		}
-		return w.release(decision.Ticket), nil
-	case <-ctx.Done():
-		return nil, w.abandon(decision.Ticket)
-	}
-}
-
-// abandon takes a request out of the queue whose caller left or whose deadline passed.
-func (w *Waiter) abandon(t *admission.Ticket) *api.Result {
-	w.waiting.Update(t.Request.Model, func(q *queue) { delete(*q, t) })
-	if !w.controller.Cancel(t) {
-		w.release(t)(admission.Completion{})
-	}
-	return &api.Result{Outcome: api.Refused, Reason: api.ReasonDeadlineUnreachable, Repeat: api.RepeatNow,
-		Message: "the deadline passed or the caller left while the request was queued"}
-}
-
-func (w *Waiter) release(t *admission.Ticket) func(admission.Completion) {
-	return func(c admission.Completion) {
-		c.Ticket = t
-		now := w.now()
-		w.controller.Done(now, c)
-		w.deliver(w.controller.NextOf(now, t.Request.Model))
+	if refusal := place.wait(ctx); refusal != nil {
+		place.Release(admission.Completion{})
+		return nil, refusal
 	}
+	return place, nil
 }
 
 func (w *Waiter) deliver(grants []admission.Grant) {
 	for _, g := range grants {
-		var granted chan admission.Grant
-		w.waiting.Update(g.Ticket.Request.Model, func(q *queue) {
-			granted = (*q)[g.Ticket]
-			delete(*q, g.Ticket)
-		})
+		var place *Place
+		w.places.Update(g.Ticket.Request.Model, func(q *queue) { place = (*q)[g.Ticket] })
 		switch {
-		case granted != nil:
-			granted <- g
+		case place != nil:
+			place.granted <- g
 		case g.Refusal == nil:
 			// The request gave up between the grant and its delivery.
 			w.controller.Done(w.now(), admission.Completion{Ticket: g.Ticket})
@@ -152,6 +130,29 @@
 	}
 }
 
+// reclaim interrupts batch work whose slots are needed.
+func (w *Waiter) reclaim() {
+	for _, model := range w.servedModels() {
+		var interrupted []*Place
+		w.places.Update(model, func(q *queue) {
+			for _, t := range w.controller.Reclaim(w.now(), model) {
+				if place := (*q)[t]; place != nil {
+					interrupted = append(interrupted, place)
+				}
+			}
+		})
+		for _, place := range interrupted {
+			place.interrupt()
+		}
+	}
+}
+
+func (w *Waiter) servedModels() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Collect(maps.Keys(w.served))
+}
+
 // Refresh tells the controller what the targets can run.
 func (w *Waiter) Refresh() {
 	now := w.now()
@@ -169,7 +170,9 @@
 	}
 	slots := admission.Apportion(replicas, w.controller.Demand())
 	for name := range ready {
-		w.controller.SetCapacity(now, name, admission.Capacity{Slots: slots[name], Instances: w.instances})
+		capacity := slots[name]
+		capacity.Instances = w.instances
+		w.controller.SetCapacity(now, name, capacity)
 	}
 	w.clearMissing(now, ready)
 }
--- a/instance/modelcalls/run.go
+++ b/instance/modelcalls/run.go
@@ -59,6 +59,7 @@
 	server   *Server
 	work     *Work
 	call     *httpapi.ChatCall
+	place    Place
 	out      httpapi.TokenWriter
 	splicer  *stream.Splicer
 	messages chan message
@@ -70,9 +71,9 @@
 	attempts   int
 }
 
-func newRun(s *Server, w *Work, call *httpapi.ChatCall, out httpapi.TokenWriter) *run {
+func newRun(s *Server, w *Work, call *httpapi.ChatCall, place Place, out httpapi.TokenWriter) *run {
 	return &run{
-		server: s, work: w, call: call, out: out, splicer: stream.NewAt(call.ResumeOffset), messages: make(chan message, eventBuffer),
+		server: s, work: w, call: call, place: place, out: out, splicer: stream.NewAt(call.ResumeOffset), messages: make(chan message, eventBuffer),
 		open: make(map[string]*attempt), excluded: make(map[string]bool),
 	}
 }
@@ -101,12 +102,31 @@
 			if result := r.endStalled(ctx); result != nil {
 				return result
 			}
+		case <-r.place.Interrupted():
+			if result := r.interrupt(ctx); result != nil {
+				return result
+			}
 		case <-ctx.Done():
 			return r.timedOut(ctx)
 		}
 	}
 }
 
+// interrupt gives the slot up for more urgent work and goes on from the offset reached when it is granted again.
+func (r *run) interrupt(ctx context.Context) *api.Result {
+	r.server.Recorder.Record(events.RequestInterrupted, events.Fields{"request": r.work.RequestID, "offset": r.splicer.Resume()})
+	for _, a := range slices.Collect(maps.Values(r.open)) {
+		r.splicer.Break(a.id)
+		r.close(a, context.Canceled)
+		// An interruption is no failure, so it does not count against the limit on attempts.
+		r.attempts = max(1, r.attempts-1)
+	}
+	if refusal := r.place.Resume(ctx); refusal != nil {
+		return r.cannotContinue(refusal)
+	}
+	return r.begin(ctx)
+}
+
 // begin picks a target and starts an attempt there.
 func (r *run) begin(ctx context.Context) *api.Result {
 	placed, done, refusal := r.server.Picker.Pick(r.work, r.excluded)
--- a/instance/modelcalls/run_test.go
+++ b/instance/modelcalls/run_test.go
@@ -44,6 +44,8 @@
 type fake struct {
 	scripts []script
 	hedge   time.Duration
+	// interrupt is the time after which the request loses its slot for a minute.
+	interrupt time.Duration
 
 	mu        sync.Mutex
 	picked    int
@@ -51,9 +53,24 @@
 	ran       int
 }
 
-func (f *fake) Acquire(context.Context, *modelcalls.Work) (func(int), *api.Result) {
-	return func(int) {}, nil
+func (f *fake) Acquire(context.Context, *modelcalls.Work) (modelcalls.Place, *api.Result) {
+	interrupted := make(chan struct{})
+	if f.interrupt > 0 {
+		time.AfterFunc(f.interrupt, func() { close(interrupted) })
+	}
+	return &place{interrupted: interrupted}, nil
+}
+
+// place is interrupted once and may go on after a minute.
+type place struct{ interrupted chan struct{} }
+
+func (p *place) Interrupted() <-chan struct{} { return p.interrupted }
+func (p *place) Resume(context.Context) *api.Result {
+	p.interrupted = nil
+	time.Sleep(time.Minute)
+	return nil
 }
+func (p *place) Release(int, bool) {}
 func (f *fake) Pick(*modelcalls.Work, map[string]bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -207,6 +224,23 @@
 	}
 }
 
+// Guards against batch work that loses tokens, or its place on the target, when it is interrupted and resumed.
+func TestInterruptedWorkGoesOnFromItsOffset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fake{
+			scripts: []script{{tokens: answerTokens, interval: time.Second}, {tokens: answerTokens, interval: time.Second}}, interrupt: 3500 * time.Millisecond,
+		}
+		result, out, took := run(f, 10*time.Minute)
+		if result.Outcome != api.Answered || len(out.offsets) != answerTokens || took > 75*time.Second {
+			t.Errorf("%+v, offsets %v, %s", result, out.offsets, took)
+		}
+		time.Sleep(time.Minute)
+		if strings.Join(f.cancelled, ",") != "0" {
+			t.Errorf("cancelled %v", f.cancelled)
+		}
+	})
+}
+
 // Guards against an instance that takes work while it shuts down.
 func TestClosedGateRefuses(t *testing.T) {
 	f := &fake{}
--- a/instance/modelcalls/server.go
+++ b/instance/modelcalls/server.go
@@ -59,8 +59,17 @@
 
 // Admission holds work back until it may start.
 type Admission interface {
-	// Acquire waits for a place. Release must be called with the number of tokens that were generated.
-	Acquire(ctx context.Context, w *Work) (release func(tokens int), refusal *api.Result)
+	// Acquire waits for a place. The place must be released.
+	Acquire(ctx context.Context, w *Work) (Place, *api.Result)
+}
+
+// Place is the permission to run.
+type Place interface {
+	// Interrupted is closed when the work has to stop until Resume returns.
+	Interrupted() <-chan struct{}
+	Resume(ctx context.Context) *api.Result
+	// Release ends the work, with the number of tokens that were generated and whether the answer is complete.
+	Release(tokens int, answered bool)
 }
 
 // Picker picks targets and learns from attempts.
@@ -178,13 +187,14 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, work.Deadline)
 	defer cancel()
-	release, refusal := s.Admission.Acquire(ctx, work)
+	place, refusal := s.Admission.Acquire(ctx, work)
 	if refusal != nil {
 		return refusal
 	}
-	r := newRun(s, work, call, out)
-	defer func() { release(r.forwarded) }()
-	return r.run(ctx)
+	r := newRun(s, work, call, place, out)
+	result := r.run(ctx)
+	place.Release(r.forwarded, result.Outcome == api.Answered)
+	return result
 }
 
 // work authorizes a call and gathers what the policies need.
--- a/instance/policy/policy.go
+++ b/instance/policy/policy.go
@@ -79,25 +79,46 @@
 }
 
 // Acquire implements modelcalls.Admission.
-func (p *Policy) Acquire(ctx context.Context, w *modelcalls.Work) (func(tokens int), *api.Result) {
-	release, refusal := p.admit.Acquire(ctx, admission.Request{
+func (p *Policy) Acquire(ctx context.Context, w *modelcalls.Work) (modelcalls.Place, *api.Result) {
+	admitted, refusal := p.admit.Acquire(ctx, admission.Request{
 		ID: w.RequestID, Caller: w.Caller, Weight: w.Weight, Model: w.Model, Adapter: w.Adapter, Priority: w.Priority,
 		PromptTokens: w.PromptTokens, TokenLimit: w.TokenLimit, AdapterResident: true, Deadline: w.Deadline,
 	})
-	if refusal != nil {
-		if refusal.Reason != api.ReasonOverShare && p.hasRemoteRoom(w) {
-			// The other data centre charges the caller's share.
-			w.Spilled = true
-			return func(int) {}, nil
-		}
-		return nil, refusal
+	if refusal == nil {
+		return &place{Place: admitted, now: p.now, started: p.now()}, nil
+	}
+	if refusal.Reason != api.ReasonOverShare && p.hasRemoteRoom(w) {
+		// The other data centre charges the caller's share.
+		w.Spilled = true
+		return spilledPlace{}, nil
 	}
-	started := p.now()
-	return func(tokens int) {
-		release(admission.Completion{Answered: tokens > 0, OutputTokens: tokens, Service: p.now().Sub(started)})
-	}, nil
+	return nil, refusal
+}
+
+// place reports the end of admitted work.
+type place struct {
+	*admit.Place
+	now     func() time.Time
+	started time.Time
+}
+
+// Release implements modelcalls.Place.
+func (p *place) Release(tokens int, answered bool) {
+	p.Place.Release(admission.Completion{Answered: answered, OutputTokens: tokens, Service: p.now().Sub(p.started)})
 }
 
+// spilledPlace belongs to work that another data centre admits.
+type spilledPlace struct{}
+
+// Interrupted implements modelcalls.Place; the other data centre interrupts.
+func (spilledPlace) Interrupted() <-chan struct{} { return nil }
+
+// Resume implements modelcalls.Place.
+func (spilledPlace) Resume(context.Context) *api.Result { return nil }
+
+// Release implements modelcalls.Place.
+func (spilledPlace) Release(int, bool) {}
+
 // Pick implements modelcalls.Picker.
 func (p *Policy) Pick(w *modelcalls.Work, excluded map[string]bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
 	return p.pick(w, excluded, func(now time.Time, rng *rand.Rand) []*membership.Entry {
--- a/instance/servicecalls/server.go
+++ b/instance/servicecalls/server.go
@@ -77,13 +77,14 @@
 	if nonIdempotent {
 		return s.once(ctx, call, work)
 	}
-	release, refusal := s.Policy.Acquire(ctx, work)
+	place, refusal := s.Policy.Acquire(ctx, work)
 	if refusal != nil {
 		return nil, refusal
 	}
 	started := s.Now()
-	defer func() { release(serviceUnits(s.Now().Sub(started))) }()
-	return s.repeatable(ctx, call, work)
+	answer, result := s.repeatable(ctx, call, work)
+	place.Release(serviceUnits(s.Now().Sub(started)), answer != nil)
+	return answer, result
 }
 
 // unitDuration is the duration of a service call that counts as one unit of work.
@@ -154,7 +155,7 @@
 	if !ok {
 		return nil, modelcalls.Draining()
 	}
-	release, refusal := s.Policy.Acquire(ctx, work)
+	place, refusal := s.Policy.Acquire(ctx, work)
 	if refusal != nil {
 		leave()
 		return nil, refusal
@@ -163,7 +164,8 @@
 	told := s.Ledger.Run(ctx, call, work.Deadline, func(attempt string) (*targetclient.ServiceAnswer, bool, error) {
 		return s.dispatch(call, work, attempt)
 	}, func() {
-		release(serviceUnits(s.Now().Sub(started)))
+		// The duration of a call that waited for its record says little about the work, so nothing is learnt from it.
+		place.Release(serviceUnits(s.Now().Sub(started)), false)
 		leave()
 	})
 	if told.Answer == nil {
