Add the quarantine of requests that crash targets

Cause: a request that crashes each target must be recognised before it takes a third one down, also when its caller sends it again through another instance, and requests that ran beside it must still be answered. A strike is (request, incarnation of a target), so any number of reports of one failure count once; merging is a union with the earliest time and a clearing mark. A suspect needs a claim on its target that all connected instances agree to. Claims exist because the local view alone cannot keep two suspects of different instances apart, nor two copies of one suspect. When both of two competing claims were refused, a trial of the property test found that they could refuse each other for ever; now the one with the higher attempt id gives way. Making the owner of a target the only instance that may send suspects there was ruled out: with two replicas most instances would own none. A started claim becomes a strike when its target fails, so the death of its instance together with the target is not lost.

--- /dev/null
+++ b/coordination/quarantine/property_test.go
@@ -0,0 +1,282 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// request is one request of a caller, with all its tries.
+type request struct {
+	fingerprint Fingerprint
+	crashes     bool
+	instance    int
+	attempt     *Attempt // in flight
+	claim       *Claim   // being sent round
+	asked       int
+	refused     bool
+	answered    bool
+}
+
+// deployment simulates instances that are all connected, targets and callers who send again after a failure.
+type deployment struct {
+	t        *rapid.T
+	now      time.Time
+	tables   []*Table
+	targets  []Target
+	requests []*request
+	attempts int
+	// killed counts the targets that a body took down.
+	killed map[Fingerprint]int
+	// delayed frames are delivered later, in any order and repeatedly.
+	delayed [][]byte
+}
+
+func (d *deployment) must(err error) {
+	if err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// broadcast delivers a strike to all instances before the failure is reported, some of them twice.
+func (d *deployment) broadcast(frame []byte) {
+	if frame == nil {
+		return
+	}
+	for _, table := range d.tables {
+		for range rapid.IntRange(1, 2).Draw(d.t, "copies") {
+			d.must(table.Merge(d.now, 0, frame))
+		}
+	}
+}
+
+func (d *deployment) withdraw(claims []Claim) {
+	for _, c := range claims {
+		for _, table := range d.tables {
+			table.HandleClaim(d.now, c)
+		}
+	}
+}
+
+// try moves a waiting request on by one step of the driver: claim, ask one other instance, start.
+func (d *deployment) try(r *request) {
+	table := d.tables[r.instance]
+	if r.claim != nil && r.asked < len(d.tables) {
+		agreed := r.asked == r.instance || d.tables[r.asked].HandleClaim(d.now, *r.claim)
+		r.asked++
+		if !agreed {
+			d.withdraw(table.Ended(r.claim.AttemptID).Ended)
+			r.claim = nil
+		}
+		return
+	}
+	d.attempts++
+	a := Attempt{ID: fmt.Sprint(d.attempts), Fingerprint: r.fingerprint, Target: rapid.SampledFrom(d.targets).Draw(d.t, "target")}
+	if r.claim != nil {
+		a.ID, a.Target = r.claim.AttemptID, r.claim.Target
+		r.claim = nil
+	} else if v, _ := table.Verdict(d.now, r.fingerprint); v == Quarantined {
+		r.refused = true
+		return
+	} else if v == Suspect {
+		if claim, ok := table.Claim(d.now, a); ok {
+			r.claim, r.asked = &claim, 0
+		}
+		return
+	}
+	claim, ok := table.Start(d.now, a)
+	if !ok {
+		d.withdraw(table.Ended(a.ID).Ended)
+		return
+	}
+	r.attempt = &a
+	if claim != nil {
+		for _, other := range d.tables {
+			other.HandleClaim(d.now, *claim)
+		}
+	}
+}
+
+// end lets an attempt reach its end: a crashing request takes the target and everything on it down.
+func (d *deployment) end(r *request) {
+	target := r.attempt.Target
+	if !r.crashes {
+		effect, err := d.tables[r.instance].Succeeded(d.now, r.attempt.ID)
+		d.must(err)
+		d.withdraw(effect.Ended)
+		if effect.Frame != nil { // nobody waits for this one
+			d.delayed = append(d.delayed, effect.Frame)
+		}
+		r.attempt, r.answered = nil, true
+		return
+	}
+	d.killed[r.fingerprint]++
+	if d.killed[r.fingerprint] > 2 {
+		d.t.Fatalf("request %v took down a third target", r.fingerprint)
+	}
+	for _, table := range d.tables {
+		effect, err := table.TargetFailed(d.now, target)
+		d.must(err)
+		d.withdraw(effect.Ended)
+		d.broadcast(effect.Frame)
+	}
+	for _, other := range d.requests {
+		if other.claim != nil && other.claim.Target == target {
+			d.withdraw(d.tables[other.instance].Ended(other.claim.AttemptID).Ended)
+			other.claim = nil
+		}
+		if other.attempt != nil && other.attempt.Target == target {
+			other.attempt = nil
+			other.instance = rapid.IntRange(0, len(d.tables)-1).Draw(d.t, "resent through")
+		}
+	}
+	for i := range d.targets {
+		if d.targets[i] == target {
+			d.targets[i].Incarnation++
+		}
+	}
+}
+
+func (d *deployment) pick(label string, want func(*request) bool) *request {
+	var list []*request
+	for _, r := range d.requests {
+		if want(r) {
+			list = append(list, r)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	return list[rapid.IntRange(0, len(list)-1).Draw(d.t, label)]
+}
+
+func waiting(r *request) bool  { return r.attempt == nil && !r.refused && !r.answered }
+func inFlight(r *request) bool { return r.attempt != nil }
+
+// Guards against a crashing request that takes down a third target, sent again through other instances, and against
+// innocent requests that are refused or never answered because they ran beside it.
+func TestCrashingRequestReachesTwoTargets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := &deployment{t: t, now: start, killed: map[Fingerprint]int{}}
+		for range rapid.IntRange(1, 4).Draw(t, "instances") {
+			d.tables = append(d.tables, NewTable(Options{}))
+		}
+		for i := range rapid.IntRange(1, 6).Draw(t, "targets") {
+			d.targets = append(d.targets, Target{Name: fmt.Sprintf("net-assistant-%d", i), Incarnation: 1})
+		}
+		crashing := rapid.IntRange(1, 3).Draw(t, "crashing bodies")
+		for i := range rapid.IntRange(crashing, 16).Draw(t, "requests") {
+			body := fmt.Sprintf("body %d", i)
+			copies := 1
+			if i < crashing { // its caller sends it twice at the same time
+				copies = rapid.IntRange(1, 2).Draw(t, "copies")
+			}
+			for range copies {
+				d.requests = append(d.requests, &request{fingerprint: FingerprintOf("c", "m", "", []byte(body)), crashes: i < crashing})
+			}
+		}
+		for range rapid.IntRange(20, 200).Draw(t, "steps") {
+			switch action := rapid.IntRange(0, 9).Draw(t, "action"); {
+			case action < 5:
+				if r := d.pick("waiting", waiting); r != nil {
+					d.try(r)
+				}
+			case action < 8:
+				if r := d.pick("in flight", inFlight); r != nil {
+					d.end(r)
+				}
+			case action == 8:
+				d.now = d.now.Add(time.Second)
+				for _, table := range d.tables {
+					for _, c := range table.Renew(d.now) {
+						for _, other := range d.tables {
+							other.HandleClaim(d.now, c)
+						}
+					}
+				}
+			case len(d.delayed) > 0:
+				frame := rapid.SampledFrom(d.delayed).Draw(t, "frame")
+				d.must(rapid.SampledFrom(d.tables).Draw(t, "table").Merge(d.now, 0, frame))
+			}
+		}
+		d.settle(crashing)
+	})
+}
+
+// settle runs everything to its end. With one crashing body no innocent request is ever refused; with more of them an
+// innocent one may have been beside two, and is answered after the period.
+func (d *deployment) settle(crashing int) {
+	for round := range 3 {
+		for range 100 {
+			for _, r := range d.requests {
+				if inFlight(r) {
+					d.end(r)
+				}
+				if waiting(r) {
+					d.try(r)
+				}
+			}
+		}
+		for _, r := range d.requests {
+			if r.crashes && !r.refused {
+				d.t.Fatalf("crashing request %v is not refused", r.fingerprint)
+			}
+			if !r.crashes && !r.answered && (crashing == 1 || round == 2) {
+				d.t.Fatalf("innocent request %v: refused %v", r.fingerprint, r.refused)
+			}
+			if !r.crashes {
+				r.refused = false
+			}
+		}
+		d.now = d.now.Add(DefaultPeriod)
+	}
+}
+
+// Guards against instances that judge a request differently after the same strikes in another order.
+func TestMergeIsCommutativeAndIdempotent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var frames [][]byte
+		for range rapid.IntRange(1, 8).Draw(t, "frames") {
+			table := NewTable(Options{})
+			for i := range rapid.IntRange(1, 20).Draw(t, "strikes") {
+				fingerprint := FingerprintOf("c", "m", "", []byte{byte(rapid.IntRange(0, 2).Draw(t, "body"))})
+				s := strike{target: Target{Name: fmt.Sprint(rapid.IntRange(0, 30).Draw(t, "target")), Incarnation: 1},
+					at:      start.Add(-time.Duration(rapid.IntRange(0, 700).Draw(t, "age")) * time.Second),
+					cleared: rapid.Bool().Draw(t, "cleared")}
+				table.merge(start.Add(-time.Duration(i)), fingerprint, []strike{s})
+			}
+			frame, err := table.Delta(start, MinDeltaBytes)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if frame != nil {
+				frames = append(frames, frame)
+			}
+		}
+		if len(frames) == 0 {
+			return
+		}
+		order := rapid.Permutation(frames).Draw(t, "order")
+		order = append(order, rapid.SliceOf(rapid.SampledFrom(frames)).Draw(t, "repeats")...)
+		view := func(frames [][]byte) map[Fingerprint][]strike {
+			table, seen := NewTable(Options{}), map[Fingerprint][]strike{}
+			for _, frame := range frames {
+				if err := table.Merge(start, 0, frame); err != nil {
+					t.Fatal(err)
+				}
+			}
+			for fingerprint, r := range table.records {
+				seen[fingerprint] = r.strikes
+			}
+			return seen
+		}
+		if diff := cmp.Diff(view(frames), view(order), cmp.AllowUnexported(strike{}), cmp.AllowUnexported(Target{})); diff != "" {
+			t.Fatal(diff)
+		}
+	})
+}
--- /dev/null
+++ b/coordination/quarantine/table.go
@@ -0,0 +1,491 @@
+// Package quarantine recognises requests that crash targets, over all instances, and keeps them from a third target.
+package quarantine
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+)
+
+// Defaults of Options.
+const (
+	DefaultMaxRecords = 10_000
+	DefaultPeriod     = 10 * time.Minute
+	// DefaultClaimLease bounds how long the claim of an instance that died keeps suspects from a target.
+	DefaultClaimLease = 30 * time.Second
+)
+
+// strikesToQuarantine is the number of targets that a request may take down.
+const strikesToQuarantine = 2
+
+// Verdict says how a request may be run.
+type Verdict int
+
+// Verdicts. A suspect needs a claim on its target before it is sent. A quarantined request is refused.
+const (
+	Clean Verdict = iota
+	Suspect
+	Quarantined
+)
+
+// Options of a table. Zero values select the defaults.
+type Options struct {
+	MaxRecords int
+	// Period is the life of a record after its latest strike.
+	Period     time.Duration
+	ClaimLease time.Duration
+}
+
+// Attempt is one try of a request on one target. The id is unique over all instances.
+type Attempt struct {
+	ID          string
+	Fingerprint Fingerprint
+	Target      Target
+}
+
+// Claim reserves a target for one suspect, over all instances. It is sent to all connected instances of the data centre
+// before the suspect is, again when the suspect starts and before half of its lease has passed. Ended withdraws it.
+type Claim struct {
+	AttemptID   string      `json:"attempt_id"`
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Target      Target      `json:"target"`
+	// Started is set once the suspect may have reached the target.
+	Started bool `json:"started,omitempty"`
+	Ended   bool `json:"ended,omitempty"`
+}
+
+// heldClaim is a claim of this or another instance.
+type heldClaim struct {
+	Claim
+	own     bool
+	expires time.Time
+	// yielded is set when an own claim gave way to another one. It is kept until it is withdrawn everywhere.
+	yielded bool
+}
+
+// Table holds the strikes, the claims and this instance's requests in flight. It is safe for concurrent use.
+type Table struct {
+	opts Options
+
+	mu       sync.Mutex
+	records  map[Fingerprint]*record
+	changes  uint64
+	inFlight map[string]Attempt
+	// byRequest counts the attempts in flight by request, byTarget lists them by target.
+	byRequest map[Fingerprint]int
+	byTarget  map[Target]map[string]Fingerprint
+	// claims are by attempt id; there are as many as suspects in flight in the data centre.
+	claims map[string]*heldClaim
+}
+
+// NewTable returns an empty table.
+func NewTable(opts Options) *Table {
+	if opts.MaxRecords <= 0 {
+		opts.MaxRecords = DefaultMaxRecords
+	}
+	if opts.Period <= 0 {
+		opts.Period = DefaultPeriod
+	}
+	if opts.ClaimLease <= 0 {
+		opts.ClaimLease = DefaultClaimLease
+	}
+	return &Table{
+		opts: opts, records: make(map[Fingerprint]*record), inFlight: make(map[string]Attempt),
+		byRequest: make(map[Fingerprint]int), byTarget: make(map[Target]map[string]Fingerprint),
+		claims: make(map[string]*heldClaim),
+	}
+}
+
+// Verdict says how a request may be run and, for a quarantined one, how long it will be refused.
+func (t *Table) Verdict(now time.Time, fingerprint Fingerprint) (Verdict, time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.verdict(now, fingerprint)
+}
+
+func (t *Table) verdict(now time.Time, fingerprint Fingerprint) (Verdict, time.Duration) {
+	r := t.live(now, fingerprint)
+	if r == nil {
+		return Clean, 0
+	}
+	switch n := r.open(); {
+	case n >= strikesToQuarantine:
+		return Quarantined, r.latest().Add(t.opts.Period).Sub(now)
+	case n > 0:
+		return Suspect, 0
+	}
+	return Clean, 0
+}
+
+// live returns a record that has not expired.
+func (t *Table) live(now time.Time, fingerprint Fingerprint) *record {
+	r := t.records[fingerprint]
+	if r == nil || now.Sub(r.latest()) >= t.opts.Period {
+		return nil
+	}
+	return r
+}
+
+// Start registers an attempt right before it is sent and reports whether it may be. A clean request may always; a
+// suspect needs a claim of this instance for the same attempt, a quarantined one may not. A claim that is returned is
+// sent to the other instances without waiting for their answers.
+func (t *Table) Start(now time.Time, a Attempt) (started *Claim, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, used := t.inFlight[a.ID]; used {
+		return nil, false
+	}
+	switch v, _ := t.verdict(now, a.Fingerprint); v {
+	case Quarantined:
+		return nil, false
+	case Suspect:
+		c := t.claims[a.ID]
+		if c == nil || !c.own || c.yielded || c.Fingerprint != a.Fingerprint || c.Target != a.Target || !now.Before(c.expires) {
+			return nil, false
+		}
+		c.Started = true
+		claim := c.Claim
+		started = &claim
+	}
+	t.inFlight[a.ID] = a
+	t.byRequest[a.Fingerprint]++
+	if t.byTarget[a.Target] == nil {
+		t.byTarget[a.Target] = make(map[string]Fingerprint)
+	}
+	t.byTarget[a.Target][a.ID] = a.Fingerprint
+	return started, true
+}
+
+// Claim reserves a target for a suspect on this instance. The driver then sends the claim to the other instances, and
+// starts the attempt only if none of them refused it; otherwise it calls Ended and tries again after a short delay.
+func (t *Table) Claim(now time.Time, a Attempt) (Claim, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if v, _ := t.verdict(now, a.Fingerprint); v != Suspect {
+		return Claim{}, false
+	}
+	if _, used := t.claims[a.ID]; used {
+		return Claim{}, false
+	}
+	c := Claim{AttemptID: a.ID, Fingerprint: a.Fingerprint, Target: a.Target}
+	if t.busy(now, &c) || len(t.competing(now, &c)) > 0 {
+		return Claim{}, false
+	}
+	t.claims[a.ID] = &heldClaim{Claim: c, own: true, expires: now.Add(t.opts.ClaimLease)}
+	return c, true
+}
+
+// HandleClaim takes a claim of another instance and reports whether this one agrees. Of two claims that compete before
+// either has started, the one with the lower attempt id wins: its holder refuses the other, whose holder gives way. So
+// at most one of them is agreed to by all, and one of them goes on.
+func (t *Table) HandleClaim(now time.Time, c Claim) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	held := t.claims[c.AttemptID]
+	if held != nil && held.own {
+		return false
+	}
+	if c.Ended {
+		delete(t.claims, c.AttemptID)
+		return true
+	}
+	if !c.Started {
+		if t.busy(now, &c) {
+			return false
+		}
+		competing := t.competing(now, &c)
+		for _, other := range competing {
+			if other.Started || other.AttemptID < c.AttemptID {
+				return false
+			}
+		}
+		for _, other := range competing {
+			other.yielded = other.own
+		}
+	}
+	t.claims[c.AttemptID] = &heldClaim{Claim: c, expires: now.Add(t.opts.ClaimLease)}
+	return true
+}
+
+// busy reports whether the same request is in flight here, or another suspect is in flight on the target.
+func (t *Table) busy(now time.Time, c *Claim) bool {
+	if t.byRequest[c.Fingerprint] > 0 {
+		return true
+	}
+	for _, fingerprint := range t.byTarget[c.Target] {
+		if v, _ := t.verdict(now, fingerprint); v != Clean {
+			return true
+		}
+	}
+	return false
+}
+
+// competing lists the other claims of the same request or the same target.
+func (t *Table) competing(now time.Time, c *Claim) []*heldClaim {
+	var list []*heldClaim
+	for id, held := range t.claims {
+		if id != c.AttemptID && !held.yielded && now.Before(held.expires) && (held.Fingerprint == c.Fingerprint || held.Target == c.Target) {
+			list = append(list, held)
+		}
+	}
+	return list
+}
+
+// Avoid reports whether a suspect has claimed a target. Other requests are better sent elsewhere, because they would be
+// struck together with it.
+func (t *Table) Avoid(now time.Time, target Target) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, held := range t.claims {
+		if held.Target == target && !held.yielded && now.Before(held.expires) {
+			return true
+		}
+	}
+	return false
+}
+
+// Renew extends the claims of attempts in flight and returns them to be sent again. It drops claims whose lease has
+// ended. The driver calls it every third of the claim lease.
+func (t *Table) Renew(now time.Time) []Claim {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var renewed []Claim
+	for id, held := range t.claims {
+		_, running := t.inFlight[id]
+		switch {
+		case held.own && running:
+			held.expires = now.Add(t.opts.ClaimLease)
+			renewed = append(renewed, held.Claim)
+		case !now.Before(held.expires):
+			delete(t.claims, id)
+		}
+	}
+	slices.SortFunc(renewed, func(a, b Claim) int { return cmp.Compare(a.AttemptID, b.AttemptID) })
+	return renewed
+}
+
+// Effect is what the driver has to send to the other instances. Frame is nil when no strike changed.
+type Effect struct {
+	// Frame holds the changed records for Merge. A strike is to be acknowledged before the failure is reported.
+	Frame []byte
+	// Struck lists the requests that got a strike.
+	Struck []Fingerprint
+	// Ended lists own claims to be withdrawn.
+	Ended []Claim
+}
+
+// Ended removes an attempt that was not sent or ended without saying anything about the request: refused, cancelled or
+// overloaded.
+func (t *Table) Ended(attemptID string) Effect {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return Effect{Ended: t.drop(attemptID)}
+}
+
+// Succeeded removes an attempt whose response was complete and clears the request of its strikes.
+func (t *Table) Succeeded(now time.Time, attemptID string) (Effect, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a, ok := t.inFlight[attemptID]
+	if !ok {
+		return Effect{}, nil
+	}
+	effect := Effect{Ended: t.drop(attemptID)}
+	r := t.live(now, a.Fingerprint)
+	if r == nil || r.open() == 0 {
+		return effect, nil
+	}
+	for i := range r.strikes {
+		r.strikes[i].cleared = true
+	}
+	t.touch(r)
+	var err error
+	effect.Frame, err = t.frameOf(now, []Fingerprint{a.Fingerprint})
+	return effect, err
+}
+
+// TargetFailed gives a strike to every request in flight on a target that died or broke a connection before the
+// response was complete. It includes suspects that other instances started on it, because their instance may have died
+// too.
+func (t *Table) TargetFailed(now time.Time, target Target) (Effect, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	struck := make(map[Fingerprint]bool)
+	var effect Effect
+	for id, fingerprint := range maps.Clone(t.byTarget[target]) {
+		struck[fingerprint] = true
+		effect.Ended = append(effect.Ended, t.drop(id)...)
+	}
+	for id, held := range t.claims {
+		if held.Target == target && held.Started && !held.own {
+			struck[held.Fingerprint] = true
+			delete(t.claims, id)
+		}
+	}
+	for fingerprint := range struck {
+		if t.merge(now, fingerprint, []strike{{target: target, at: now}}) {
+			effect.Struck = append(effect.Struck, fingerprint)
+		}
+	}
+	slices.SortFunc(effect.Struck, func(a, b Fingerprint) int { return slices.Compare(a[:], b[:]) })
+	if len(effect.Struck) == 0 {
+		return effect, nil
+	}
+	var err error
+	effect.Frame, err = t.frameOf(now, effect.Struck)
+	return effect, err
+}
+
+// drop removes an attempt and its own claim.
+func (t *Table) drop(attemptID string) []Claim {
+	if a, ok := t.inFlight[attemptID]; ok {
+		delete(t.inFlight, attemptID)
+		if t.byRequest[a.Fingerprint]--; t.byRequest[a.Fingerprint] == 0 {
+			delete(t.byRequest, a.Fingerprint)
+		}
+		delete(t.byTarget[a.Target], attemptID)
+		if len(t.byTarget[a.Target]) == 0 {
+			delete(t.byTarget, a.Target)
+		}
+	}
+	held := t.claims[attemptID]
+	if held == nil || !held.own {
+		return nil
+	}
+	delete(t.claims, attemptID)
+	ended := held.Claim
+	ended.Ended = true
+	return []Claim{ended}
+}
+
+// Merge takes a frame of another instance. transit is an upper bound of the time that it was under way. Frames may come
+// in any order and repeatedly.
+func (t *Table) Merge(now time.Time, transit time.Duration, frame []byte) error {
+	records, err := decodeFrame(frame)
+	if err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, w := range records {
+		strikes := make([]strike, len(w.Strikes))
+		for i, s := range w.Strikes {
+			age := time.Duration(s.AgeMs)*time.Millisecond + max(transit, 0)
+			strikes[i] = strike{target: s.Target, at: now.Add(-age), cleared: s.Cleared}
+		}
+		t.merge(now, w.Fingerprint, strikes)
+	}
+	return nil
+}
+
+// merge adds strikes to a record unless all of it has expired.
+func (t *Table) merge(now time.Time, fingerprint Fingerprint, strikes []strike) bool {
+	r := t.live(now, fingerprint)
+	if r == nil {
+		r = &record{}
+	}
+	if !r.merge(strikes) || now.Sub(r.latest()) >= t.opts.Period {
+		return false
+	}
+	if t.records[fingerprint] == nil && len(t.records) >= t.opts.MaxRecords {
+		t.evict(now)
+	}
+	t.records[fingerprint] = r
+	t.touch(r)
+	return true
+}
+
+func (t *Table) touch(r *record) {
+	t.changes++
+	r.changed, r.sent = t.changes, 0
+}
+
+// evict makes room for one record: expired ones first, then the cleared one and then the one with the oldest strike.
+func (t *Table) evict(now time.Time) {
+	t.expire(now)
+	if len(t.records) < t.opts.MaxRecords {
+		return
+	}
+	var victim Fingerprint
+	var worst *record
+	for fingerprint, r := range t.records {
+		if worst == nil || (r.open() == 0) != (worst.open() == 0) && r.open() == 0 ||
+			(r.open() == 0) == (worst.open() == 0) && r.latest().Before(worst.latest()) {
+			victim, worst = fingerprint, r
+		}
+	}
+	delete(t.records, victim)
+}
+
+// Expire drops the records whose period has ended and returns the number that remain.
+func (t *Table) Expire(now time.Time) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	return len(t.records)
+}
+
+func (t *Table) expire(now time.Time) {
+	for fingerprint := range t.records {
+		if t.live(now, fingerprint) == nil {
+			delete(t.records, fingerprint)
+		}
+	}
+}
+
+func (t *Table) frameOf(now time.Time, fingerprints []Fingerprint) ([]byte, error) {
+	items := make([]cbor.RawMessage, 0, len(fingerprints))
+	for _, fingerprint := range fingerprints {
+		item, err := encodeRecord(now, fingerprint, t.records[fingerprint])
+		if err != nil {
+			return nil, err
+		}
+		items = append(items, item)
+	}
+	return encodeFrame(items)
+}
+
+// MinDeltaBytes is the smallest byte limit of a frame: one record with the largest number of strikes and long names.
+const MinDeltaBytes = 4096
+
+// frameOverheadBytes covers a frame without its records.
+const frameOverheadBytes = 16
+
+// Delta returns a frame of at most limitBytes for gossip: the records sent least often since they changed, newest
+// changes first. It returns nil when there is nothing to tell.
+func (t *Table) Delta(now time.Time, limitBytes int) ([]byte, error) {
+	if limitBytes < MinDeltaBytes {
+		return nil, errors.Errorf("byte limit %d of a strike frame is below %d", limitBytes, MinDeltaBytes)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	fingerprints := slices.Collect(maps.Keys(t.records))
+	slices.SortFunc(fingerprints, func(a, b Fingerprint) int {
+		x, y := t.records[a], t.records[b]
+		return cmp.Or(cmp.Compare(x.sent, y.sent), cmp.Compare(y.changed, x.changed))
+	})
+	left := limitBytes - frameOverheadBytes
+	var items []cbor.RawMessage
+	for _, fingerprint := range fingerprints {
+		item, err := encodeRecord(now, fingerprint, t.records[fingerprint])
+		if err != nil {
+			return nil, err
+		}
+		if len(item) > left {
+			break
+		}
+		left -= len(item)
+		t.records[fingerprint].sent++
+		items = append(items, item)
+	}
+	if len(items) == 0 {
+		return nil, nil
+	}
+	return encodeFrame(items)
+}
--- /dev/null
+++ b/coordination/quarantine/table_test.go
@@ -0,0 +1,184 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+func body(n int) Fingerprint { return FingerprintOf("c", "m", "a", fmt.Append(nil, n)) }
+
+func target(n int) Target { return Target{Name: fmt.Sprint("t", n), Incarnation: 1} }
+
+func fail(t *testing.T, table *Table, now time.Time, n int) []byte {
+	t.Helper()
+	effect, err := table.TargetFailed(now, target(n))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return effect.Frame
+}
+
+func want(t *testing.T, table *Table, now time.Time, n int, verdict Verdict) {
+	t.Helper()
+	if got, _ := table.Verdict(now, body(n)); got != verdict {
+		t.Fatalf("verdict on request %d after %v is %d, want %d", n, now.Sub(start), got, verdict)
+	}
+}
+
+// Guards against a suspect that is sent without a claim, or on the strength of a verdict from before a strike.
+func TestStartChecksAgain(t *testing.T) {
+	table := NewTable(Options{})
+	table.Start(start, Attempt{ID: "1", Fingerprint: body(1), Target: target(1)})
+	want(t, table, start, 1, Clean)
+	fail(t, table, start, 1)
+	second := Attempt{ID: "2", Fingerprint: body(1), Target: target(2)}
+	starts := func(now time.Time, a Attempt) bool { _, ok := table.Start(now, a); return ok }
+	if starts(start, second) {
+		t.Fatal("a suspect started without a claim")
+	}
+	if _, ok := table.Claim(start, second); !ok || !table.Avoid(start, target(2)) || table.Avoid(start, target(3)) {
+		t.Fatal("the claim was refused or is not seen")
+	}
+	if starts(start, Attempt{ID: "2", Fingerprint: body(1), Target: target(3)}) {
+		t.Fatal("a suspect started on another target than the claimed one")
+	}
+	if starts(start.Add(DefaultClaimLease), second) || !starts(start, second) || starts(start, second) {
+		t.Fatal("a claim holds for one start within its lease")
+	}
+	fail(t, table, start, 2)
+	want(t, table, start, 1, Quarantined)
+	if starts(start, Attempt{ID: "3", Fingerprint: body(1), Target: target(3)}) {
+		t.Fatal("a quarantined request started")
+	}
+	if _, ok := table.Claim(start, Attempt{ID: "3", Fingerprint: body(1), Target: target(3)}); ok {
+		t.Fatal("a quarantined request got a claim")
+	}
+}
+
+// Guards against a quarantine that ends early or never, and against innocent requests that keep old strikes.
+func TestClearingAndPeriod(t *testing.T) {
+	table := NewTable(Options{})
+	run := func(now time.Time, id string, n, on int) {
+		a := Attempt{ID: id, Fingerprint: body(n), Target: target(on)}
+		table.Claim(now, a)
+		if _, ok := table.Start(now, a); !ok {
+			t.Fatalf("attempt %s did not start", id)
+		}
+	}
+	run(start, "1", 1, 1)
+	run(start, "2", 2, 1)
+	fail(t, table, start, 1)
+	run(start, "3", 1, 2) // innocent
+	if effect, err := table.Succeeded(start, "3"); err != nil || len(effect.Ended) != 1 || effect.Frame == nil {
+		t.Fatalf("success of a suspect: %+v, %v", effect, err)
+	}
+	want(t, table, start, 1, Clean)
+	minute := start.Add(time.Minute)
+	run(minute, "4", 1, 3)
+	run(minute, "5", 2, 3)
+	fail(t, table, minute, 3)
+	want(t, table, minute, 1, Suspect)
+	want(t, table, minute.Add(DefaultPeriod-1), 2, Quarantined) // counts from the second strike
+	want(t, table, minute.Add(DefaultPeriod), 2, Clean)
+	if n := table.Expire(minute.Add(DefaultPeriod)); n != 0 {
+		t.Fatalf("%d records are left after the period", n)
+	}
+}
+
+// Guards against a missing strike when the instance that runs a suspect dies together with the target, and against a
+// dead instance whose claims hold suspects up for ever.
+func TestClaimOfDeadInstance(t *testing.T) {
+	x, y := NewTable(Options{}), NewTable(Options{})
+	x.Start(start, Attempt{ID: "x1", Fingerprint: body(1), Target: target(1)})
+	if err := y.Merge(start, 0, fail(t, x, start, 1)); err != nil {
+		t.Fatal(err)
+	}
+	second := Attempt{ID: "x2", Fingerprint: body(1), Target: target(2)}
+	claim, ok := x.Claim(start, second)
+	if !ok || !y.HandleClaim(start, claim) {
+		t.Fatal("the claim was refused")
+	}
+	fail(t, y, start, 2)
+	want(t, y, start, 1, Suspect) // it was not sent yet
+	if started, ok := x.Start(start, second); !ok || !y.HandleClaim(start, *started) {
+		t.Fatal("the start of the claim was refused")
+	}
+	again := Attempt{ID: "y1", Fingerprint: body(1), Target: target(3)}
+	if _, ok := y.Claim(start, again); ok {
+		t.Fatal("a request in flight elsewhere was claimed again")
+	}
+	if _, ok := y.Claim(start.Add(DefaultClaimLease), again); !ok {
+		t.Fatal("the claim of a dead instance holds on")
+	}
+	fail(t, y, start, 2)
+	want(t, y, start, 1, Quarantined)
+}
+
+// Guards against tables that grow without bound, and against bad frames that change them.
+func TestBounds(t *testing.T) {
+	table := NewTable(Options{MaxRecords: 10})
+	for n := range 12 {
+		now := start.Add(time.Duration(n) * time.Second)
+		table.Start(now, Attempt{ID: fmt.Sprint(n), Fingerprint: body(n), Target: target(n)})
+		fail(t, table, now, n)
+	}
+	now := start.Add(time.Minute)
+	if n := table.Expire(now); n != 10 {
+		t.Fatalf("%d records", n)
+	}
+	want(t, table, now, 0, Clean) // the oldest made room
+	want(t, table, now, 11, Suspect)
+	frame, err := table.Delta(now, MinDeltaBytes)
+	if err != nil || len(frame) > MinDeltaBytes {
+		t.Fatal(len(frame), err)
+	}
+	other := NewTable(Options{})
+	if err := other.Merge(now, 0, frame[:len(frame)-1]); err == nil || other.Expire(now) != 0 {
+		t.Fatal("a truncated frame was taken")
+	}
+	if err := other.Merge(now, DefaultPeriod, frame); err != nil || other.Expire(now) != 0 {
+		t.Fatal("strikes became younger on their way")
+	}
+}
+
+// Guards against two requests that are taken for one because of where their parts begin.
+func TestFingerprintSeparatesParts(t *testing.T) {
+	if FingerprintOf("ab", "c", "", nil) == FingerprintOf("a", "bc", "", nil) {
+		t.Fatal("fingerprints of different requests are equal")
+	}
+}
+
+// Guards against two suspects on one target: one that became suspect while it was in flight there, and one that claims
+// the target at the same time through another instance.
+func TestSuspectsAreKeptApart(t *testing.T) {
+	x, y := NewTable(Options{}), NewTable(Options{})
+	x.Start(start, Attempt{ID: "x1", Fingerprint: body(1), Target: target(1)})
+	x.Start(start, Attempt{ID: "x2", Fingerprint: body(2), Target: target(1)})
+	y.Start(start, Attempt{ID: "y1", Fingerprint: body(2), Target: target(2)})
+	if err := y.Merge(start, 0, fail(t, x, start, 1)); err != nil {
+		t.Fatal(err)
+	}
+	if claim, _ := x.Claim(start, Attempt{ID: "x3", Fingerprint: body(1), Target: target(2)}); y.HandleClaim(start, claim) {
+		t.Fatal("a target with a suspect in flight was claimed for another one")
+	}
+	if _, err := y.Succeeded(start, "y1"); err != nil {
+		t.Fatal(err)
+	}
+	x.Ended("x3")
+	high := Attempt{ID: "z9", Fingerprint: body(1), Target: target(3)}
+	claimed, ok := x.Claim(start, high)
+	if !ok {
+		t.Fatal("a free target was refused")
+	}
+	competitor := Claim{AttemptID: "y5", Fingerprint: body(3), Target: target(3)}
+	if !x.HandleClaim(start, competitor) || y.HandleClaim(start, competitor) && y.HandleClaim(start, claimed) {
+		t.Fatal("of two competing claims, not only the lower one goes on")
+	}
+	if _, ok := x.Start(start, high); ok {
+		t.Fatal("a claim that gave way was started")
+	}
+	if len(x.Ended(high.ID).Ended) != 1 {
+		t.Fatal("a claim that gave way is not withdrawn")
+	}
+}
