--- a/instance/logs.go
+++ b/instance/logs.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"slices"
+	"sync"
+	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
 	"github.com/tarragonhoist/tarragonhoist/events"
@@ -46,9 +48,29 @@
 	return replica.Options{
 		Name: name, Self: s.Instance, Voters: s.Voters, DataDir: s.DataFolder, Sender: link, Caller: link,
 		Parents: func() []string { return parents(s) },
-		OnEvent: func(kind replica.EventKind, detail string) {
-			recorder.Record(events.LogChanged, events.Fields{"group": name, "kind": string(kind), "detail": detail})
-		},
+		OnEvent: recordLog(name, recorder),
+	}
+}
+
+// repeatedEventInterval bounds how often an event is recorded that recurs as long as its cause lasts.
+const repeatedEventInterval = 10 * time.Second
+
+func recordLog(group string, recorder *events.Recorder) func(replica.EventKind, string) {
+	var mu sync.Mutex
+	last := make(map[replica.EventKind]time.Time)
+	return func(kind replica.EventKind, detail string) {
+		if kind == replica.EventJoinFailed || kind == replica.EventMessageRefused {
+			mu.Lock()
+			recent := time.Since(last[kind]) < repeatedEventInterval
+			if !recent {
+				last[kind] = time.Now()
+			}
+			mu.Unlock()
+			if recent {
+				return
+			}
+		}
+		recorder.Record(events.LogChanged, events.Fields{"group": group, "kind": string(kind), "detail": detail})
 	}
 }
 
