--- a/coordination/admission/controller.go
+++ b/coordination/admission/controller.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"sync/atomic"
 	"time"
@@ -23,8 +24,6 @@
 	defaultMaxQueued = 2048
 	// aboveShareQueuePart is the part of a queue that one caller above its share may fill.
 	aboveShareQueuePart = 4
-	// headroomPart of the slots stays free for callers within their share while others are above theirs.
-	headroomPart = 0.1
 	// minRetryAfter keeps refused callers from coming back at once.
 	minRetryAfter = 50 * time.Millisecond
 	// unknownCapacityRetry is the announcement interval of targets.
@@ -100,9 +99,15 @@
 	Estimate Estimate
 
 	lane    lane
+	rest    bool // counts as ModelDemand.Rest
 	state   ticketState
 	charged float64
 	waiter  *waiter
+	// service is the expected duration when the request was offered.
+	service   time.Duration
+	startedAt time.Time
+	ran       time.Duration // before the last interruption
+	reclaims  int
 }
 
 type ticketState uint8
@@ -183,6 +188,8 @@
 		t.lane = longLane
 	}
 	above := c.ledger.aboveShare(now, r.Caller, r.weight())
+	t.rest = above || isBatch(&r)
+	t.service = serviceTime(est.Units, unitsPerSec)
 	var d Decision
 	c.pools.Update(r.Model, func(p *pool) { d = c.offer(now, p, t, above, unitsPerSec) })
 	return d
@@ -199,12 +206,14 @@
 		return Decision{Refusal: api.Refuse(api.ReasonDeadlineUnreachable, fmt.Sprintf(
 			"the deadline in %v is shorter than the shortest expected answer of %v", rounded(remaining), rounded(service)))}
 	}
-	if c.startsAtOnce(p, t, above) {
+	if c.startsAtOnce(now, p, t) {
 		c.start(now, p, t)
 		return Decision{Action: Admit, Ticket: t}
 	}
 	rank := t.Request.Priority.Rank()
 	wait := p.estimateWait(t, c.ledger.order(t.Request.Caller, t.Request.weight()), c.ledger.usePerWeight(now), unitsPerSec, c.opts.LongShare)
+	// Waiting means that others need the slots, so a request that would probably end too late is not started.
+	service = serviceTime(t.Estimate.LikelyUnits, unitsPerSec)
 	if late := wait + service - remaining; late > 0 {
 		// One more answer is added, because the running requests may all have just started.
 		after := late + serviceTime(t.Estimate.Units, unitsPerSec)
@@ -214,12 +223,12 @@
 	if q := p.classes[t.lane][rank].callers[t.Request.Caller]; q != nil {
 		own = q.items.Len()
 	}
-	if p.waiting >= c.opts.MaxQueued || above && own >= c.opts.MaxQueued/aboveShareQueuePart {
-		return refuse(overloadReason(above), wait+service, "%d requests of %q are waiting", p.waiting, t.Request.Model)
+	if p.own.queued >= c.opts.MaxQueued || above && own >= c.opts.MaxQueued/aboveShareQueuePart {
+		return refuse(overloadReason(above), wait+service, "%d requests of %q are waiting", p.own.queued, t.Request.Model)
 	}
 	t.waiter = &waiter{ticket: t, since: now, waitFor: wait}
 	p.classes[t.lane][rank].push(t.waiter, c.ledger.order)
-	p.waiting++
+	p.countWaiting(t, 1)
 	return Decision{Action: Queue, Ticket: t, Wait: wait}
 }
 
@@ -230,9 +239,11 @@
 	return api.ReasonDeadlineUnreachable
 }
 
+func isBatch(r *Request) bool { return r.Priority.Rank() == releasenote.Batch.Rank() }
+
 // startsAtOnce reports whether there is room and nobody waits who goes first. Long work also waits for queued short work,
 // which takes the slots that have just become free.
-func (c *Controller) startsAtOnce(p *pool, t *Ticket, above bool) bool {
+func (c *Controller) startsAtOnce(now time.Time, p *pool, t *Ticket) bool {
 	for l := range t.lane + 1 {
 		for r := range t.Request.Priority.Rank() + 1 {
 			if p.classes[l][r].oldest.Len() > 0 {
@@ -240,23 +251,22 @@
 			}
 		}
 	}
-	return p.hasRoom(t.lane, c.opts.LongShare, 0) && (!above || p.hasHeadroom())
-}
-
-// hasHeadroom reports whether a caller above its share may take one more slot. Small windows keep no headroom, since
-// one slot would be a large part of them.
-func (p *pool) hasHeadroom() bool {
-	w := window(p.capacity.Slots, p.total(), p.others.inFlight, p.capacity.Instances)
-	return float64(p.total())+1 <= w-float64(int(headroomPart*w))
+	return p.hasRoom(now, t, c.opts.LongShare, 0)
 }
 
 func (c *Controller) start(now time.Time, p *pool, t *Ticket) {
 	t.state = running
-	t.charged = t.Estimate.Units
+	t.startedAt = now
 	t.waiter = nil
-	p.inFlight[t.lane]++
+	p.countRunning(t, 1)
 	p.grants++
-	c.ledger.charge(now, t.Request.Caller, t.Request.weight(), t.charged)
+	if isBatch(&t.Request) {
+		p.batch = append(p.batch, t)
+	}
+	if t.charged == 0 { // a resumed request was charged when it started first
+		t.charged = t.Estimate.Units
+		c.ledger.charge(now, t.Request.Caller, t.Request.weight(), t.charged)
+	}
 }
 
 // Next returns the queued requests of all models that may start, or that can no longer meet their deadline. The driver
@@ -265,7 +275,7 @@
 	var grants []Grant
 	var models []string
 	c.pools.Range(func(model string, p *pool) bool {
-		if p.waiting > 0 {
+		if p.own.queued > 0 {
 			models = append(models, model)
 		}
 		return true
@@ -281,20 +291,18 @@
 	var unitsPerSec float64 = defaultUnitsPerSec
 	c.estimator.paces.View(model, func(m *modelPace) { unitsPerSec = m.unitsPerSec })
 	var grants []Grant
+	stillAbove := func(t *Ticket) bool {
+		return isBatch(&t.Request) || t.rest && c.ledger.aboveShare(now, t.Request.Caller, t.Request.weight())
+	}
 	c.pools.View(model, func(p *pool) {
 		grants = c.expire(now, p, unitsPerSec)
-		for p.waiting > 0 {
-			cl, _ := p.next(now, c.opts.LongShare)
-			if cl == nil {
-				return
-			}
-			w := cl.first(c.ledger.order)
-			above := c.ledger.aboveShare(now, w.queue.caller, w.queue.weight)
-			if above && !p.hasHeadroom() {
+		for p.own.queued > 0 {
+			w := p.next(now, c.opts.LongShare, c.ledger.order, stillAbove)
+			if w == nil {
 				return
 			}
 			c.dequeue(p, w)
-			cl.learnWait(w.waitFor, now.Sub(w.since))
+			p.classes[w.ticket.lane][w.ticket.Request.Priority.Rank()].learnWait(w.waitFor, now.Sub(w.since))
 			c.start(now, p, w.ticket)
 			grants = append(grants, Grant{Ticket: w.ticket})
 		}
@@ -311,7 +319,7 @@
 			cl := &p.classes[l][r]
 			for front := cl.oldest.Front(); front != nil; front = cl.oldest.Front() {
 				w := front.Value.(*waiter)
-				late := serviceTime(w.ticket.Estimate.OptimisticUnits, unitsPerSec) - w.ticket.Request.Deadline.Sub(now)
+				late := serviceTime(w.ticket.Estimate.LikelyUnits, unitsPerSec) - w.ticket.Request.Deadline.Sub(now)
 				if late <= 0 {
 					break
 				}
@@ -329,21 +337,53 @@
 
 func (c *Controller) dequeue(p *pool, w *waiter) {
 	p.classes[w.ticket.lane][w.ticket.Request.Priority.Rank()].remove(w)
-	p.waiting--
+	p.countWaiting(w.ticket, -1)
+}
+
+// Reclaim interrupts running batch work of a model whose slots are needed by work within shares, if its deadline leaves
+// enough time. The returned tickets are queued again. The driver cancels their attempts, keeps the offset that their
+// streams reached, and resumes them from there when they are granted.
+func (c *Controller) Reclaim(now time.Time, model string) (reclaimed []*Ticket) {
+	c.pools.View(model, func(p *pool) {
+		reclaimed = p.reclaim(now)
+		for _, t := range reclaimed {
+			c.stop(p, t)
+			t.ran += now.Sub(t.startedAt)
+			t.state = queued
+			t.reclaims++
+			t.waiter = &waiter{ticket: t, since: now}
+			p.classes[t.lane][t.Request.Priority.Rank()].push(t.waiter, c.ledger.order)
+			p.countWaiting(t, 1)
+		}
+	})
+	return reclaimed
+}
+
+func (c *Controller) stop(p *pool, t *Ticket) {
+	p.countRunning(t, -1)
+	if isBatch(&t.Request) {
+		p.batch = slices.DeleteFunc(p.batch, func(other *Ticket) bool { return other == t })
+	}
 }
 
 // Done ends an admitted request, corrects the charge by the real work and learns from it. Repeated calls for the same
 // ticket have no effect.
 func (c *Controller) Done(now time.Time, done Completion) {
 	t := done.Ticket
-	wasRunning := false
+	ran := false
 	c.pools.View(t.Request.Model, func(p *pool) {
-		if wasRunning = t.state == running; wasRunning {
-			t.state = ended
-			p.inFlight[t.lane]--
+		switch {
+		case t.state == running:
+			c.stop(p, t)
+			ran = true
+		case t.state == queued && t.waiter != nil && t.reclaims > 0:
+			// It ended before the driver could interrupt it.
+			c.dequeue(p, t.waiter)
+			ran = true
 		}
+		t.state = ended
 	})
-	if !wasRunning || !done.Answered {
+	if !ran || !done.Answered {
 		return
 	}
 	units := c.estimator.learn(&t.Request, done.OutputTokens, done.Service)
@@ -369,8 +409,11 @@
 	u.Callers = c.ledger.unsent()
 	c.pools.Range(func(model string, p *pool) bool {
 		// A model without requests is listed once more, so that the peers do not wait for the timeout.
-		if active := p.total()+p.waiting > 0; active || p.reported {
-			u.Models = append(u.Models, ModelUsage{Model: model, InFlight: p.total(), LongInFlight: p.inFlight[longLane], Queued: p.waiting})
+		if active := p.own.inFlight+p.own.queued > 0; active || p.reported {
+			u.Models = append(u.Models, ModelUsage{
+				Model: model, InFlight: p.own.inFlight, LongInFlight: p.own.longInFlight, Queued: p.own.queued,
+				RestInFlight: p.own.restInFlight, RestQueued: p.own.restQueued,
+			})
 			p.reported = active
 		}
 		return true
@@ -400,18 +443,22 @@
 	c.ledger.merge(now, u.Callers)
 	for _, m := range u.Models {
 		c.pools.Update(m.Model, func(p *pool) {
-			p.setPeer(now, u.Instance, peerUse{inFlight: m.InFlight, longInFlight: m.LongInFlight, queued: m.Queued})
+			p.setPeer(now, u.Instance, use{
+				inFlight: m.InFlight, longInFlight: m.LongInFlight, queued: m.Queued,
+				restInFlight: m.RestInFlight, restQueued: m.RestQueued,
+			})
 		})
 	}
 	return true
 }
 
-// Demand lists the requests in flight and waiting per model over all instances, for Apportion and placement.
-func (c *Controller) Demand() map[string]float64 {
-	demand := make(map[string]float64)
+// Demand lists the demand per model over all instances, for Apportion and placement.
+func (c *Controller) Demand() map[string]ModelDemand {
+	demand := make(map[string]ModelDemand)
 	c.pools.Range(func(model string, p *pool) bool {
-		if n := p.total() + p.waiting + p.others.inFlight + p.others.queued; n > 0 {
-			demand[model] = float64(n)
+		d := ModelDemand{First: float64(p.own.first() + p.others.first()), Rest: float64(p.own.rest() + p.others.rest())}
+		if d != (ModelDemand{}) {
+			demand[model] = d
 		}
 		return true
 	})
