Direct the residency of a data centre from the instance that holds its lease

The controller plans, journals its orders with a majority of the electorate and sends them; reports settle them.

--- a/cmd/hoist-demo/demo.go
+++ b/cmd/hoist-demo/demo.go
@@ -134,7 +134,7 @@
 
 func (d *demo) leader() (leader string, err error) {
 	err = d.cluster.Wait("the config log has a leader", func() error {
-		leader, err = d.cluster.Leader(context.Background(), "north-4", "config")
+		leader, err = d.cluster.Leader(context.Background(), "north-1", "config")
 		return err
 	})
 	return leader, err
--- a/instance/feasibility/feasibility.go
+++ b/instance/feasibility/feasibility.go
@@ -79,14 +79,14 @@
 		return nil
 	}
 	var inputs []placement.Input
-	for dataCentre, targets := range c.read(ctx) {
+	for dataCentre, targets := range c.Read(ctx) {
 		inputs = append(inputs, placement.Input{DataCentre: dataCentre, Targets: targets, Models: models, ReplicaRate: 1})
 	}
 	return placement.Feasible(inputs)
 }
 
-// read asks one instance of each other data centre for its engines.
-func (c *Checker) read(ctx context.Context) map[string][]placement.Target {
+// Read lists the engines of this data centre and asks one instance of each other for those there.
+func (c *Checker) Read(ctx context.Context) map[string][]placement.Target {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	all := map[string][]placement.Target{c.settings.DataCentre: Targets(c.Engines())}
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -46,6 +46,7 @@
 	waiter      *admit.Waiter
 	suspects    *suspects.Table
 	lease       *controller.Lease
+	director    *controller.Director
 	usage       *usage.Exchange
 	feasibility *feasibility.Checker
 	ledger      *servicecalls.Ledger
@@ -89,6 +90,7 @@
 	tasks.Go(func() error { i.waiter.Run(background); return nil })
 	tasks.Go(func() error { i.usage.Run(background); return nil })
 	tasks.Go(func() error { i.suspects.Run(background); return nil })
+	tasks.Go(func() error { i.director.Run(background); return nil })
 	tasks.Go(func() error { i.ledger.Serve(background); return nil })
 	leaseCtx, giveUpLease := context.WithCancel(background)
 	defer giveUpLease()
--- a/instance/peers.go
+++ b/instance/peers.go
@@ -8,6 +8,7 @@
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/admission"
 	"github.com/tarragonhoist/tarragonhoist/coordination/control"
+	"github.com/tarragonhoist/tarragonhoist/coordination/loadlimit"
 	"github.com/tarragonhoist/tarragonhoist/instance/replicalink"
 	"github.com/tarragonhoist/tarragonhoist/instance/suspects"
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
@@ -54,6 +55,12 @@
 			i.usage.Handle(u)
 			return peerapi.Empty{}, nil
 		}),
+		peerapi.MethodLoadLimitBorrow: typed(func(_ context.Context, _ peer.Sender, r loadlimit.BorrowRequest) (any, error) {
+			return i.director.Lend(r)
+		}),
+		peerapi.MethodLoadLimitReturn: typed(func(_ context.Context, _ peer.Sender, r loadlimit.Return) (any, error) {
+			return peerapi.Empty{}, i.director.TakeBack(r)
+		}),
 		peerapi.MethodStrike: typed(func(_ context.Context, _ peer.Sender, m suspects.Message) (any, error) {
 			return i.suspects.Handle(m)
 		}),
--- a/instance/providers.go
+++ b/instance/providers.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/admission"
+	"github.com/tarragonhoist/tarragonhoist/coordination/loadlimit"
 	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
 	"github.com/tarragonhoist/tarragonhoist/coordination/retry"
 	"github.com/tarragonhoist/tarragonhoist/coordination/routing"
@@ -88,6 +89,19 @@
 	return controller.OpenLease(identity, electors, peers, machineLog{config, machineElectors}, recorder, now)
 }
 
+func provideDirector(s *settings.Settings, lease *controller.Lease, keeper *targets.Keeper, view *inforce.View, demand *admission.Controller,
+	client *targetclient.Client, checker *feasibility.Checker, recorder *events.Recorder, now timeSource) *controller.Director {
+	options := controller.Options{
+		DataCentres: s.DataCentres(), Local: s.Local,
+		Limits: loadlimit.Limits{
+			WeightLoadsPerSecond: s.Store.LoadsPerSecond, WeightLoads: s.Store.LoadsAtOnce, AdapterLoads: s.Store.AdapterLoadsAtOnce,
+		},
+	}
+	director := controller.NewDirector(options, lease, keeper.Table(), view, demand, client, checker, recorder, now)
+	keeper.Subscribe(director)
+	return director
+}
+
 func provideUsage(s *settings.Settings, admission *admission.Controller, peers *peer.Transport, now timeSource) *usage.Exchange {
 	return usage.New(admission, peers, others(s, func(p settings.Peer) bool { return p.DataCentre == s.DataCentre }), now)
 }
--- a/instance/status.go
+++ b/instance/status.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
+	"github.com/tarragonhoist/tarragonhoist/coordination/placement"
 	"github.com/tarragonhoist/tarragonhoist/instance/controller"
 	"github.com/tarragonhoist/tarragonhoist/instance/drain"
 	"github.com/tarragonhoist/tarragonhoist/instance/inforce"
@@ -19,6 +20,7 @@
 	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
 	"github.com/tarragonhoist/tarragonhoist/settings"
 	"github.com/tarragonhoist/tarragonhoist/state/callledger"
+	"github.com/tarragonhoist/tarragonhoist/state/catalog"
 	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
 	"github.com/tarragonhoist/tarragonhoist/transport/peer"
 )
@@ -40,6 +42,7 @@
 	peers    *peer.Transport
 	ledger   *callledger.Machine
 	lease    *controller.Lease
+	director *controller.Director
 }
 
 func (r *statusReader) read(ctx context.Context) httpapi.Status {
@@ -61,15 +64,25 @@
 			status.Waiting = append(status.Waiting, fmt.Sprintf("%s has no ready replica in %s", m.Name, s.DataCentre))
 		}
 	}
+	for _, m := range r.director.Missing() {
+		status.Waiting = append(status.Waiting, fmt.Sprintf("%s has no place in memory in %s: %d bytes are missing", missingName(m), s.DataCentre, m.Bytes))
+	}
 	status.Targets = r.targetStatus(entries)
 	status.UnresolvedCalls = r.unresolved()
 	return status
 }
 
+func missingName(m placement.Missing) string {
+	if m.Adapter == "" {
+		return m.Model
+	}
+	return catalog.AdapterKey(m.Model, m.Adapter)
+}
+
 // control names the controller as far as this instance knows it. Only the holder itself is sure.
 func (r *statusReader) control() httpapi.ControlStatus {
 	if fence, ok := r.lease.Held(); ok {
-		return httpapi.ControlStatus{Holder: r.settings.Instance, Fence: fence}
+		return httpapi.ControlStatus{Holder: r.settings.Instance, Fence: fence, OpenOrders: r.director.OpenOrders()}
 	}
 	if holder, fence := r.lease.Known(); holder != r.settings.Instance {
 		return httpapi.ControlStatus{Holder: holder, Fence: fence}
--- a/instance/wire_gen.go
+++ b/instance/wire_gen.go
@@ -49,8 +49,10 @@
 	if err != nil {
 		return nil, err
 	}
-	exchange := provideUsage(s, controller, transport, instanceTimeSource)
+	client := targetclient.New()
 	checker := provideFeasibility(s, keeper, transport, instanceTimeSource)
+	director := provideDirector(s, lease, keeper, view, controller, client, checker, recorder, instanceTimeSource)
+	exchange := provideUsage(s, controller, transport, instanceTimeSource)
 	ledger, err := provideLedger(s, instanceLogs, instanceStartNumber, recorder, instanceTimeSource)
 	if err != nil {
 		return nil, err
@@ -60,7 +62,6 @@
 	router := provideRouter(s, detector)
 	budget := provideBudget()
 	policy := providePolicy(s, keeper, waiter, router, detector, budget, table, instanceTimeSource)
-	client := targetclient.New()
 	server := provideModelCalls(s, view, gate, policy, client, table, recorder, registry, instanceTimeSource)
 	servicecallsServer := provideServiceCalls(s, view, gate, policy, client, ledger, recorder, instanceTimeSource)
 	desk := provideDesk(group, checker, view, recorder, instanceTimeSource)
@@ -74,6 +75,7 @@
 		peers:    transport,
 		ledger:   machine,
 		lease:    lease,
+		director: director,
 	}
 	instanceBackend := &backend{
 		models:   server,
@@ -99,6 +101,7 @@
 		waiter:      waiter,
 		suspects:    table,
 		lease:       lease,
+		director:    director,
 		usage:       exchange,
 		feasibility: checker,
 		ledger:      ledger,
@@ -113,6 +116,6 @@
 
 var providers = wire.NewSet(
 	provideClock, provideStartNumber, provideLog, metrics.NewRegistry, provideRecorder, provideGate, providePeers,
-	provideView, provideLedgerMachine, provideElectors, provideLease, provideUsage, provideLogs, provideGroups, provideConfig, provideTargets, provideAdmission, provideWaiter, provideDetector,
+	provideView, provideLedgerMachine, provideElectors, provideLease, provideDirector, provideUsage, provideLogs, provideGroups, provideConfig, provideTargets, provideAdmission, provideWaiter, provideDetector,
 	provideRouter, provideBudget, provideSuspects, providePolicy, provideFeasibility, provideDesk, provideModelCalls, provideLedger, provideServiceCalls, provideTimeline, targetclient.New, wire.Struct(new(statusReader), "*"), wire.Struct(new(backend), "*"), provideServer, wire.Struct(new(Instance), "*"),
 )
--- a/protocol/targetapi/targetapi.go
+++ b/protocol/targetapi/targetapi.go
@@ -121,7 +121,9 @@
 	Adapter      string `json:"adapter,omitempty"`
 	Bytes        int64  `json:"bytes,omitempty"`
 	Role         string `json:"role,omitempty"`
-	KVKey        string `json:"kv_key,omitempty"`
+	// TargetIncarnation is the incarnation that the order is meant for; another one refuses it. 0 means any.
+	TargetIncarnation uint64 `json:"target_incarnation,omitempty"`
+	KVKey             string `json:"kv_key,omitempty"`
 }
 
 // CacheEventKind is a change of a target's prefix cache.
--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -81,9 +83,15 @@
 
 func engine(t *testing.T, c *cluster.Cluster, name, dataCentre string, flags ...string) *cluster.Target {
 	t.Helper()
-	flags = append([]string{"--kind", "engine", "--capacity-bytes", "1000", "--reserve-bytes", "100", "--slots", "8",
-		"--token-interval", "10ms", "--load-delay", "100ms"}, flags...)
-	e, err := c.StartTarget(name, dataCentre, flags...)
+	defaults := []string{"--capacity-bytes=1000", "--reserve-bytes=100", "--slots=8", "--token-interval=10ms", "--load-delay=100ms"}
+	args := append([]string{"--kind=engine"}, flags...)
+	for _, flag := range defaults {
+		option, _, _ := strings.Cut(flag, "=")
+		if !slices.ContainsFunc(flags, func(given string) bool { return strings.HasPrefix(given, option+"=") }) {
+			args = append(args, flag)
+		}
+	}
+	e, err := c.StartTarget(name, dataCentre, args...)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/test/process/models_test.go
+++ b/test/process/models_test.go
@@ -97,7 +97,7 @@
 func TestShutdownUnderStreamsCutsNothing(t *testing.T) {
 	t.Parallel()
 	spec := dataCentres(2, 1, "a")
-	ctx, c := startModel(t, spec, "--token-interval", "50ms")
+	ctx, c := startModel(t, spec, "--token-interval=50ms")
 	const streams = 6
 	started := make(chan struct{}, streams)
 	results := make([]error, streams)
