--- a/transport/httpapi/api_test.go
+++ b/transport/httpapi/api_test.go
@@ -169,6 +169,16 @@
 	}
 }
 
+// Guards against a refusal of clients that ask for an event stream or send no content type.
+func TestAnyAcceptHeaderIsServed(t *testing.T) {
+	for _, accept := range []string{"", "*/*", "text/event-stream", "application/json"} {
+		w := do(newServer(&backend{chat: answerTokens(1)}, nil), "POST", "/v1/chat/completions", question, map[string]string{"Accept": accept})
+		if w.Code != http.StatusOK {
+			t.Errorf("Accept %q: status %d", accept, w.Code)
+		}
+	}
+}
+
 // Guards against service calls that lose their path, query or key, or that leak the caller's token to the service.
 func TestServiceCallIsForwarded(t *testing.T) {
 	var got httpapi.ServiceCall
--- a/transport/httpapi/callers.go
+++ b/transport/httpapi/callers.go
@@ -66,7 +66,7 @@
 
 func (s *Server) callerRoutes() *restful.WebService {
 	ws := new(restful.WebService)
-	ws.Path("/v1")
+	ws.Path("/v1").Consumes("*/*").Produces("*/*")
 	ws.Route(ws.POST("/chat/completions").To(s.chat))
 	ws.Route(ws.GET("/models").To(s.models))
 	return ws
--- a/transport/httpapi/operators.go
+++ b/transport/httpapi/operators.go
@@ -46,7 +46,7 @@
 
 func (s *Server) operatorRoutes() *restful.WebService {
 	ws := new(restful.WebService)
-	ws.Path("/hoist/v1").Consumes("*/*")
+	ws.Path("/hoist/v1").Consumes("*/*").Produces("*/*")
 	ws.Route(ws.POST("/notes").To(s.submit))
 	ws.Route(ws.POST("/notes/check").To(s.check))
 	ws.Route(ws.GET("/notes").To(s.history))
@@ -145,7 +145,7 @@
 
 func (s *Server) targetRoutes() *restful.WebService {
 	ws := new(restful.WebService)
-	ws.Path("/hoist/v1/targets").Consumes("*/*")
+	ws.Path("/hoist/v1/targets").Consumes("*/*").Produces("*/*")
 	ws.Route(ws.POST("/announce").To(func(req *restful.Request, resp *restful.Response) {
 		handleMessage(req, resp, s.backend.Announce)
 	}))
@@ -177,7 +177,7 @@
 
 func (s *Server) platformRoutes() *restful.WebService {
 	ws := new(restful.WebService)
-	ws.Path("/")
+	ws.Path("/").Produces("*/*")
 	ws.Route(ws.GET("/healthz").To(func(_ *restful.Request, resp *restful.Response) {
 		writeJSON(resp.ResponseWriter, http.StatusOK, map[string]string{"status": "alive"})
 	}))
