Add load limits split between data centres

A limit is divided into slots with fixed shares; slots are lent whole. A slot of the weight store starts one load per interval (3 s with 9 slots and 3 loads/s), so concurrency and rate travel together. Half of a share is never lent and a new controller counts the other half as lent for a loan period, because it does not know the loans of its predecessor. A borrowed slot starts a load only while the time limit of a load remains of the loan. Ruled out: shares of the rate as fractions, since token buckets of four data centres start 4 loads at once where 3 are allowed.

--- /dev/null
+++ b/coordination/loadlimit/loadlimit.go
@@ -0,0 +1,438 @@
+// Package loadlimit keeps the loads of one data centre within its part of the limits of the whole deployment: rate and
+// concurrency of the weight store, and adapter loads in flight. It is pure.
+//
+// A limit is divided into slots; each data centre owns a fixed number of them and may lend some to others. A slot of the
+// weight store carries a share of the rate: it starts at most one load per interval. The sum over all data centres
+// therefore needs no agreement.
+package loadlimit
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// Kind is one of the limits.
+type Kind string
+
+// Kinds of load.
+const (
+	Weights  Kind = "weights"
+	Adapters Kind = "adapters"
+)
+
+// Times of a loan. A borrowed slot starts a load only while MaxLoadTime of the loan remains, so that the load has ended
+// when the lender takes the slot back.
+const (
+	LoanPeriod  = 30 * time.Second
+	MaxLoadTime = 15 * time.Second
+	// DriftMargin covers the difference of two monotonic clocks over one loan.
+	DriftMargin = 3 * time.Second
+	// requestTimeout is how long a borrower waits for a response before it asks again.
+	requestTimeout = 2 * time.Second
+	// idleReturn is how long an unused borrowed slot is kept.
+	idleReturn = 2 * time.Second
+)
+
+// Limits are those of the whole deployment.
+type Limits struct {
+	WeightLoadsPerSecond float64
+	WeightLoads          int
+	AdapterLoads         int
+}
+
+// Shares divides a number of slots between data centres as evenly as possible; the first ones by name get one more. The
+// shares add up to the total.
+func Shares(total int, dataCentres []string) map[string]int {
+	names := slices.Sorted(slices.Values(dataCentres))
+	shares := make(map[string]int, len(names))
+	for i, name := range names {
+		shares[name] = total / len(names)
+		if i < total%len(names) {
+			shares[name]++
+		}
+	}
+	return shares
+}
+
+// BorrowRequest asks a data centre for slots.
+type BorrowRequest struct {
+	// ID is unique over restarts of the borrower.
+	ID    string `json:"id"`
+	From  string `json:"from"`
+	To    string `json:"to"`
+	Kind  Kind   `json:"kind"`
+	Slots int    `json:"slots"`
+}
+
+// BorrowResponse lends slots, possibly none. The loan lasts LoanPeriod from before the request was sent.
+type BorrowResponse struct {
+	ID    string `json:"id"`
+	From  string `json:"from"`
+	To    string `json:"to"`
+	Kind  Kind   `json:"kind"`
+	Slots int    `json:"slots"`
+}
+
+// Return gives the slots of a loan back.
+type Return struct {
+	ID   string `json:"id"`
+	From string `json:"from"`
+	To   string `json:"to"`
+	Kind Kind   `json:"kind"`
+}
+
+// Load is a load that wants a slot.
+type Load struct {
+	ID   string
+	Kind Kind
+	// Urgent loads bring back what has no ready replica. They get slots first and may borrow.
+	Urgent bool
+}
+
+// Limiter is the part of one data centre. It is not safe for concurrent use. A controller makes a new one when its lease
+// starts and drops it with the lease.
+type Limiter struct {
+	self  string
+	epoch uint64
+	peers []string
+	pools map[Kind]*pool
+	ids   uint64
+}
+
+// New makes the limiter of a data centre. The epoch differs for each limiter of the data centre, as the fencing number
+// does. Slots that a predecessor may have lent, and the rate that it may have used, are free only after a while.
+func New(now time.Time, self string, epoch uint64, dataCentres []string, limits Limits) (*Limiter, error) {
+	if !slices.Contains(dataCentres, self) {
+		return nil, errors.Errorf("data centre %q is not among %v", self, dataCentres)
+	}
+	if limits.WeightLoadsPerSecond <= 0 || limits.WeightLoads <= 0 || limits.AdapterLoads <= 0 {
+		return nil, errors.Errorf("load limits must be larger than 0, got %+v", limits)
+	}
+	l := &Limiter{self: self, epoch: epoch, pools: make(map[Kind]*pool, 2)}
+	for _, name := range slices.Sorted(slices.Values(dataCentres)) {
+		if name != self {
+			l.peers = append(l.peers, name)
+		}
+	}
+	interval := time.Duration(float64(limits.WeightLoads) / limits.WeightLoadsPerSecond * float64(time.Second))
+	l.pools[Weights] = newPool(now, Weights, Shares(limits.WeightLoads, dataCentres)[self], interval)
+	l.pools[Adapters] = newPool(now, Adapters, Shares(limits.AdapterLoads, dataCentres)[self], 0)
+	return l, nil
+}
+
+// Adopt counts a load of a predecessor that has not been settled.
+func (l *Limiter) Adopt(id string, kind Kind) { l.pools[kind].adopt(id) }
+
+// Start gives slots to loads, urgent ones first, otherwise in the order given, and returns the ids of those that may
+// start. Urgent loads left over are remembered as the need to borrow.
+func (l *Limiter) Start(now time.Time, loads []Load) []string {
+	var started []string
+	for _, p := range l.pools {
+		p.need = 0
+	}
+	for _, urgent := range []bool{true, false} {
+		for _, load := range loads {
+			if load.Urgent != urgent {
+				continue
+			}
+			p := l.pools[load.Kind]
+			switch {
+			case p.start(now, load.ID):
+				started = append(started, load.ID)
+			case urgent:
+				p.need++
+			}
+		}
+	}
+	return started
+}
+
+// Done frees the slot of a load that has been settled or withdrawn.
+func (l *Limiter) Done(now time.Time, id string) {
+	for _, p := range l.pools {
+		p.done(now, id)
+	}
+}
+
+// InUse is the number of loads of a kind in flight.
+func (l *Limiter) InUse(kind Kind) int { return len(l.pools[kind].inFlight) }
+
+// Tick returns requests to borrow for urgent loads without a slot, and returns of borrowed slots that are not used.
+func (l *Limiter) Tick(now time.Time) (requests []BorrowRequest, returns []Return) {
+	for _, kind := range []Kind{Weights, Adapters} {
+		p := l.pools[kind]
+		returns = append(returns, p.returnIdle(now, l.self)...)
+		if p.need == 0 || len(l.peers) == 0 || !p.mayAsk(now) {
+			continue
+		}
+		l.ids++
+		// The peers are asked in turn.
+		peer := l.peers[int(l.ids)%len(l.peers)]
+		r := BorrowRequest{ID: fmt.Sprintf("%s-%d-%d", l.self, l.epoch, l.ids), From: l.self, To: peer, Kind: kind, Slots: p.need}
+		p.pending, p.pendingAt, p.pendingPeer = r.ID, now, peer
+		requests = append(requests, r)
+	}
+	return requests, returns
+}
+
+// Lend answers a request. A repeated request gets the same answer.
+func (l *Limiter) Lend(now time.Time, r BorrowRequest) BorrowResponse {
+	response := BorrowResponse{ID: r.ID, From: l.self, To: r.From, Kind: r.Kind}
+	p := l.pools[r.Kind]
+	if p == nil || r.To != l.self || r.Slots <= 0 || !slices.Contains(l.peers, r.From) || !strings.HasPrefix(r.ID, r.From+"-") {
+		return response
+	}
+	response.Slots = p.lend(now, r.ID, r.Slots)
+	return response
+}
+
+// Borrowed takes the answer to a request. An answer that comes twice or too late changes nothing.
+func (l *Limiter) Borrowed(now time.Time, r BorrowResponse) {
+	if p := l.pools[r.Kind]; p != nil && r.To == l.self {
+		p.borrowed(now, r)
+	}
+}
+
+// TakeBack takes returned slots back. Repeats change nothing.
+func (l *Limiter) TakeBack(now time.Time, r Return) {
+	if p := l.pools[r.Kind]; p != nil && r.To == l.self {
+		p.takeBack(now, r.ID)
+	}
+}
+
+// slot is the right to one load at a time.
+type slot struct {
+	// load is the id of the load in flight, empty for none.
+	load string
+	// readyAt is when the rate permits the next start.
+	readyAt time.Time
+	// loan is the id of the loan for a borrowed slot.
+	loan string
+}
+
+type lent struct {
+	slots int
+	until time.Time
+}
+
+type borrowedLoan struct {
+	lender   string
+	until    time.Time
+	lastUsed time.Time
+}
+
+type pool struct {
+	kind     Kind
+	interval time.Duration
+	slots    []slot
+	// inFlight names all loads, with and without a slot of their own; adopted ones beyond the slots have none.
+	inFlight map[string]bool
+	lent     map[string]lent
+	loans    map[string]borrowedLoan
+	keep     int
+	need     int
+
+	pending     string
+	pendingAt   time.Time
+	pendingPeer string
+}
+
+// coldLoan is the name of the slots that a predecessor may have lent.
+const coldLoan = "predecessor"
+
+func newPool(now time.Time, kind Kind, share int, interval time.Duration) *pool {
+	p := &pool{
+		kind: kind, interval: interval, inFlight: make(map[string]bool), lent: make(map[string]lent),
+		// Half of the share is never lent, so that a new controller can work at once.
+		loans: make(map[string]borrowedLoan), keep: (share + 1) / 2,
+	}
+	for range p.keep {
+		p.slots = append(p.slots, slot{readyAt: now.Add(interval)})
+	}
+	if share > p.keep {
+		p.lent[coldLoan] = lent{slots: share - p.keep, until: now.Add(LoanPeriod + DriftMargin)}
+	}
+	return p
+}
+
+// adopt puts a load of a predecessor into a free slot. Beyond the slots it still blocks starts until it is done.
+func (p *pool) adopt(id string) {
+	if p.inFlight[id] {
+		return
+	}
+	p.inFlight[id] = true
+	for i := range p.slots {
+		if p.slots[i].load == "" && p.slots[i].loan == "" {
+			p.slots[i].load = id
+			return
+		}
+	}
+}
+
+// unslotted is the number of adopted loads without a slot. They ran on slots that are lent or borrowed now or then.
+func (p *pool) unslotted() int {
+	n := len(p.inFlight)
+	for i := range p.slots {
+		n -= btoi(p.slots[i].load != "")
+	}
+	return n
+}
+
+func btoi(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (p *pool) start(now time.Time, id string) bool {
+	if p.inFlight[id] {
+		return false
+	}
+	p.expire(now)
+	free := p.free(now)
+	if len(free) <= p.unslotted() {
+		return false
+	}
+	i := free[0]
+	p.slots[i].load, p.slots[i].readyAt = id, now.Add(p.interval)
+	p.inFlight[id] = true
+	if loan, ok := p.loans[p.slots[i].loan]; ok {
+		loan.lastUsed = now
+		p.loans[p.slots[i].loan] = loan
+	}
+	return true
+}
+
+// free lists the slots that may start a load, own ones first.
+func (p *pool) free(now time.Time) []int {
+	var own, foreign []int
+	for i := range p.slots {
+		s := &p.slots[i]
+		switch {
+		case s.load != "" || now.Before(s.readyAt):
+		case s.loan == "":
+			own = append(own, i)
+		case now.Add(MaxLoadTime).Before(p.loans[s.loan].until):
+			foreign = append(foreign, i)
+		}
+	}
+	return append(own, foreign...)
+}
+
+func (p *pool) done(now time.Time, id string) {
+	if !p.inFlight[id] {
+		return
+	}
+	delete(p.inFlight, id)
+	for i := range p.slots {
+		if p.slots[i].load == id {
+			p.slots[i].load = ""
+		}
+	}
+	p.expire(now)
+}
+
+// expire drops borrowed slots whose loan has ended and takes lent ones back. A load that outlasts its loan stays in
+// flight without a slot, so that the own slots make up for it.
+func (p *pool) expire(now time.Time) {
+	p.slots = slices.DeleteFunc(p.slots, func(s slot) bool {
+		return s.loan != "" && !now.Before(p.loans[s.loan].until)
+	})
+	maps.DeleteFunc(p.loans, func(_ string, l borrowedLoan) bool { return !now.Before(l.until) })
+	for id, l := range p.lent {
+		if !now.Before(l.until) {
+			p.takeBack(now, id)
+		}
+	}
+}
+
+// lend gives idle own slots away, but never those that keep this data centre working.
+func (p *pool) lend(now time.Time, id string, slots int) int {
+	p.expire(now)
+	if l, ok := p.lent[id]; ok {
+		return l.slots
+	}
+	own := 0
+	for i := range p.slots {
+		own += btoi(p.slots[i].loan == "")
+	}
+	given := 0
+	if p.need == 0 {
+		given = max(0, min(slots, own-p.keep, p.idleOwn(now)-p.unslotted()))
+	}
+	if given == 0 {
+		return 0
+	}
+	left := given
+	p.slots = slices.DeleteFunc(p.slots, func(s slot) bool {
+		if left == 0 || s.loan != "" || s.load != "" || now.Before(s.readyAt) {
+			return false
+		}
+		left--
+		return true
+	})
+	p.lent[id] = lent{slots: given, until: now.Add(LoanPeriod + DriftMargin)}
+	return given
+}
+
+func (p *pool) idleOwn(now time.Time) (n int) {
+	for i := range p.slots {
+		s := &p.slots[i]
+		n += btoi(s.loan == "" && s.load == "" && !now.Before(s.readyAt))
+	}
+	return n
+}
+
+// takeBack makes lent slots own ones again. The borrower may have started a load just before, so the rate permits the
+// next start only after an interval.
+func (p *pool) takeBack(now time.Time, id string) {
+	l, ok := p.lent[id]
+	if !ok || id == coldLoan && now.Before(l.until) {
+		return
+	}
+	delete(p.lent, id)
+	for range l.slots {
+		p.slots = append(p.slots, slot{readyAt: now.Add(p.interval)})
+	}
+}
+
+func (p *pool) mayAsk(now time.Time) bool {
+	return p.pending == "" || now.Sub(p.pendingAt) >= requestTimeout
+}
+
+func (p *pool) borrowed(now time.Time, r BorrowResponse) {
+	if r.ID != p.pending || r.From != p.pendingPeer {
+		return
+	}
+	p.pending = ""
+	until := p.pendingAt.Add(LoanPeriod)
+	if r.Slots <= 0 || !now.Before(until) {
+		return
+	}
+	p.loans[r.ID] = borrowedLoan{lender: r.From, until: until, lastUsed: now}
+	for range r.Slots {
+		p.slots = append(p.slots, slot{loan: r.ID})
+	}
+}
+
+// returnIdle gives back loans that have not been used for a while. The slots are dropped before the message is sent.
+func (p *pool) returnIdle(now time.Time, self string) (returns []Return) {
+	p.expire(now)
+	for _, id := range slices.Sorted(maps.Keys(p.loans)) {
+		loan := p.loans[id]
+		busy := slices.ContainsFunc(p.slots, func(s slot) bool { return s.loan == id && s.load != "" })
+		if busy || now.Sub(loan.lastUsed) < idleReturn || p.need > 0 && now.Add(MaxLoadTime).Before(loan.until) {
+			continue
+		}
+		p.slots = slices.DeleteFunc(p.slots, func(s slot) bool { return s.loan == id })
+		delete(p.loans, id)
+		returns = append(returns, Return{ID: id, From: self, To: loan.lender, Kind: p.kind})
+	}
+	return returns
+}
--- /dev/null
+++ b/coordination/loadlimit/loadlimit_test.go
@@ -0,0 +1,260 @@
+package loadlimit
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// realLoad is a load as the weight store or the targets see it.
+type realLoad struct {
+	id    string
+	kind  Kind
+	until time.Duration
+}
+
+// centre is one data centre with its own clock rate.
+type centre struct {
+	name    string
+	rate    float64
+	epoch   uint64
+	limiter *Limiter
+	running []realLoad
+	// unsettled are the loads in the journal: those whose end has not been reported.
+	unsettled map[string]Kind
+	cutUntil  time.Duration
+	demand    float64
+}
+
+func (c *centre) clock(t time.Duration) time.Time {
+	return epoch.Add(time.Duration(float64(t) * c.rate))
+}
+
+type delivery struct {
+	at  time.Duration
+	run func()
+}
+
+type deployment struct {
+	t       *rapid.T
+	random  *rand.Rand
+	now     time.Duration
+	limits  Limits
+	names   []string
+	centres []*centre
+	queue   []delivery
+	starts  []time.Duration
+	peak    map[Kind]int
+	loans   int
+	ids     int
+}
+
+func (d *deployment) restart(c *centre) {
+	c.epoch++
+	limiter, err := New(c.clock(d.now), c.name, c.epoch, d.names, d.limits)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.unsettled)) {
+		limiter.Adopt(id, c.unsettled[id])
+	}
+	c.limiter = limiter
+}
+
+// send delivers zero, one or two times, sometimes very late, and not across a partition.
+func (d *deployment) send(from, to string, run func(c *centre)) {
+	for range []int{0, 1, 1, 1, 1, 2}[d.random.IntN(6)] {
+		at := d.now + time.Duration(d.random.Int64N(int64(200*time.Millisecond)))
+		if d.random.IntN(8) == 0 {
+			at += time.Duration(d.random.Int64N(int64(90 * time.Second)))
+		}
+		d.queue = append(d.queue, delivery{at, func() {
+			for _, c := range d.centres {
+				if c.name == from && c.cutUntil > d.now {
+					return
+				}
+			}
+			for _, c := range d.centres {
+				if c.name == to && c.cutUntil <= d.now {
+					run(c)
+				}
+			}
+		}})
+	}
+}
+
+func (d *deployment) tick(c *centre) {
+	now := c.clock(d.now)
+	for i := 0; i < len(c.running); i++ {
+		if r := c.running[i]; r.until <= d.now {
+			c.running = append(c.running[:i], c.running[i+1:]...)
+			i--
+			// The report of the end arrives late.
+			at := d.now + time.Duration(d.random.Int64N(int64(3*time.Second)))
+			d.queue = append(d.queue, delivery{at, func() {
+				delete(c.unsettled, r.id)
+				c.limiter.Done(c.clock(d.now), r.id)
+			}})
+		}
+	}
+	var loads []Load
+	kinds := map[string]Kind{}
+	for range 4 {
+		if d.random.Float64() < c.demand {
+			d.ids++
+			kind := []Kind{Weights, Adapters}[d.random.IntN(2)]
+			load := Load{ID: fmt.Sprint(d.ids), Kind: kind, Urgent: d.random.IntN(2) == 0}
+			loads, kinds[load.ID] = append(loads, load), kind
+		}
+	}
+	for _, id := range c.limiter.Start(now, loads) {
+		length := time.Duration(d.random.Int64N(int64(MaxLoadTime * 9 / 10)))
+		c.running = append(c.running, realLoad{id, kinds[id], d.now + length})
+		c.unsettled[id] = kinds[id]
+		if kinds[id] == Weights {
+			d.starts = append(d.starts, d.now)
+		}
+	}
+	requests, returns := c.limiter.Tick(now)
+	for _, r := range requests {
+		d.send(c.name, r.To, func(lender *centre) {
+			response := lender.limiter.Lend(lender.clock(d.now), r)
+			d.loans += btoi(response.Slots > 0)
+			d.send(lender.name, response.To, func(c *centre) { c.limiter.Borrowed(c.clock(d.now), response) })
+		})
+	}
+	for _, r := range returns {
+		d.send(c.name, r.To, func(c *centre) { c.limiter.TakeBack(c.clock(d.now), r) })
+	}
+}
+
+func (d *deployment) check() {
+	use := map[Kind]int{}
+	for _, c := range d.centres {
+		for _, r := range c.running {
+			use[r.kind]++
+		}
+	}
+	for kind, limit := range map[Kind]int{Weights: d.limits.WeightLoads, Adapters: d.limits.AdapterLoads} {
+		if use[kind] > limit {
+			d.t.Fatalf("at %v %d %s loads are in flight, the limit is %d", d.now, use[kind], kind, limit)
+		}
+		d.peak[kind] = max(d.peak[kind], use[kind])
+	}
+	// Each slot starts one load per interval on a clock that is at most 4 % fast.
+	interval := time.Duration(float64(d.limits.WeightLoads) / d.limits.WeightLoadsPerSecond / 1.04 * float64(time.Second))
+	recent := 0
+	for i := len(d.starts) - 1; i >= 0 && d.starts[i] > d.now-interval; i-- {
+		recent++
+	}
+	if recent > d.limits.WeightLoads {
+		d.t.Fatalf("at %v %d weight loads started within %v, the rate permits %d", d.now, recent, interval, d.limits.WeightLoads)
+	}
+}
+
+func (d *deployment) run(steps int) {
+	for range steps {
+		d.now += 250 * time.Millisecond
+		due := d.queue
+		d.queue = nil
+		for _, m := range due {
+			if m.at > d.now {
+				d.queue = append(d.queue, m)
+				continue
+			}
+			m.run()
+		}
+		for _, c := range d.centres {
+			switch {
+			case d.random.IntN(400) == 0:
+				d.restart(c)
+			case d.random.IntN(400) == 0:
+				c.cutUntil = d.now + time.Duration(d.random.Int64N(int64(80*time.Second)))
+			case d.random.IntN(100) == 0:
+				c.demand = []float64{0, 0.05, 0.9}[d.random.IntN(3)]
+			}
+			d.tick(c)
+			d.check()
+		}
+	}
+}
+
+// Guards against more loads in flight or per interval than the deployment permits, under partitions, lost, late and
+// repeated messages, clock drift and restarts.
+func TestSumNeverExceedsLimit(t *testing.T) {
+	for _, limits := range []Limits{{3, 9, 70}, {1.5, 6, 50}} {
+		for _, size := range []int{1, 3, 4} {
+			t.Run(fmt.Sprintf("%+v in %d", limits, size), func(t *testing.T) {
+				peak, loans := map[Kind]int{}, 0
+				rapid.Check(t, func(t *rapid.T) {
+					d := &deployment{t: t, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), limits: limits, peak: peak}
+					for i := range size {
+						d.names = append(d.names, fmt.Sprintf("dc%d", i))
+					}
+					for _, name := range d.names {
+						c := &centre{name: name, rate: 0.96 + 0.08*d.random.Float64(), unsettled: map[string]Kind{}, demand: 0.5}
+						d.centres = append(d.centres, c)
+						d.restart(c)
+					}
+					d.run(1200)
+					loans += d.loans
+				})
+				t.Logf("peak %v, %d loans", peak, loans)
+				if peak[Weights] < limits.WeightLoads || size > 1 && loans < 100 {
+					t.Fatalf("peak %v with %d loans: the schedules prove nothing", peak, loans)
+				}
+			})
+		}
+	}
+}
+
+// Guards against urgent loads behind others, and against shares that do not add up.
+func TestUrgentFirstAndShares(t *testing.T) {
+	shares := Shares(9, []string{"d", "b", "c", "a"})
+	if shares["a"] != 3 || shares["b"]+shares["c"]+shares["d"] != 6 {
+		t.Errorf("shares %v", shares)
+	}
+	l, err := New(epoch, "a", 1, []string{"a", "b"}, Limits{1, 2, 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := epoch.Add(time.Minute)
+	started := l.Start(now, []Load{{"1", Weights, false}, {"2", Weights, true}, {"3", Weights, true}})
+	if len(started) != 1 || started[0] != "2" {
+		t.Errorf("started %v, want the first urgent load", started)
+	}
+	if requests, _ := l.Tick(now); len(requests) != 1 || requests[0].Slots != 1 {
+		t.Errorf("requests %+v, want one slot", requests)
+	}
+	for _, bad := range []Limits{{0, 9, 70}, {3, 0, 70}, {3, 9, -1}} {
+		if _, err := New(epoch, "a", 1, []string{"a"}, bad); err == nil {
+			t.Errorf("limits %+v were accepted", bad)
+		}
+	}
+	if _, err := New(epoch, "x", 1, []string{"a"}, Limits{1, 1, 1}); err == nil {
+		t.Error("an unknown data centre was accepted")
+	}
+}
+
+func BenchmarkStart(b *testing.B) {
+	l, err := New(epoch, "a", 1, []string{"a", "b", "c", "d"}, Limits{3, 9, 70})
+	if err != nil {
+		b.Fatal(err)
+	}
+	now := epoch.Add(time.Minute)
+	loads := []Load{{"1", Weights, true}, {"2", Adapters, false}, {"3", Adapters, true}}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(time.Second)
+		for _, id := range l.Start(now, loads) {
+			l.Done(now, id)
+		}
+	}
+}
