Add the issuer of orders

Electors refuse records below their promised fencing number, so a successor that has read a majority knows every order that was sent. Ruled out: sending orders of a predecessor again with a new fencing number to targets that check it, since a refused copy under the same id would settle an order that can still run; there a raise makes them void. Blank copies (lost disks) do not count; without enough intact ones every target is distrusted for two copy lifetimes.

Not tested yet.

--- /dev/null
+++ b/coordination/orders/orders.go
@@ -0,0 +1,358 @@
+// Package orders turns the wanted residency of a data centre into fenced orders. Every order is reserved in the memory
+// ledger of its target and written to the journal, which must be copied to a majority of the electorate before the order
+// is sent. It is pure: the driver syncs, copies and sends.
+package orders
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/control"
+	"github.com/tarragonhoist/tarragonhoist/coordination/loadlimit"
+	"github.com/tarragonhoist/tarragonhoist/coordination/placement"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/electorate"
+	"github.com/tarragonhoist/tarragonhoist/state/memledger"
+)
+
+const (
+	// repeatInterval is how often an order is sent until a report settles it.
+	repeatInterval = time.Second
+	// maxOpenOrders per target stays far below the orders that a target reports.
+	maxOpenOrders = 32
+	// forgetAfter is how long the journal remembers a target that does not report.
+	forgetAfter = time.Hour
+)
+
+// Slots limits the loads of the whole deployment; *loadlimit.Limiter is one.
+type Slots interface {
+	Adopt(id string, kind loadlimit.Kind)
+	Start(now time.Time, loads []loadlimit.Load) []string
+	Done(now time.Time, id string)
+}
+
+// Send is an order that may go to one incarnation of a target. The driver asks the holder for its lease directly before
+// it sends, and uses a connection that it opened to this incarnation.
+type Send struct {
+	Target      string
+	Incarnation uint64
+	Address     string
+	Order       targetapi.Order
+}
+
+// Issuer gives the orders of one data centre while its instance is controller. It is not safe for concurrent use.
+type Issuer struct {
+	electorate control.Electorate
+	// active is false between Drop and Take.
+	active   bool
+	fence    uint64
+	ids      uint64
+	slots    Slots
+	targets  map[string]*target
+	complete bool
+	// distrustedAt is when a controller without a complete journal took over.
+	distrustedAt time.Time
+	changed      map[string]bool
+	journal      *replication
+}
+
+type target struct {
+	ledger *memledger.Ledger
+	report *targetapi.Announcement
+	// present says that the target was among the reports of the last step.
+	present  bool
+	lastSeen time.Time
+	sent     map[string]time.Time
+	// written is the journal sequence of each open order.
+	written  map[string]uint64
+	raisedAt time.Time
+}
+
+// New makes an issuer that gives no orders before Take.
+func New(e control.Electorate) *Issuer { return &Issuer{electorate: e} }
+
+// Take starts the term of a controller. It takes over the open orders from the journal copies that came with the votes.
+// Without enough intact copies it distrusts every target for a while.
+func (o *Issuer) Take(now time.Time, fence uint64, copies []electorate.JournalCopy, slots Slots) error {
+	o.Drop()
+	best, certain := latest(copies, o.electorate.IntactCopies())
+	state, err := replay(&best)
+	if err != nil {
+		return errors.Wrap(err, "take over the order journal")
+	}
+	o.fence, o.ids, o.slots = fence, 0, slots
+	o.complete, o.distrustedAt = certain && state.Complete, now
+	o.targets, o.changed = make(map[string]*target), make(map[string]bool)
+	o.journal = newReplication(o.electorate, fence)
+	for _, name := range slices.Sorted(maps.Keys(state.Targets)) {
+		saved := state.Targets[name]
+		t := o.addTarget(now, name, saved.Floor)
+		for _, order := range saved.Open {
+			t.ledger.Adopt(order)
+			t.written[order.ID] = 1
+			if memledger.IsLoad(&order) {
+				slots.Adopt(order.ID, kindOf(&order))
+			}
+		}
+	}
+	if err := o.writeBase(now); err != nil {
+		return err
+	}
+	o.active = true
+	return nil
+}
+
+// Drop ends the term. Nothing is sent or planned until the next Take.
+func (o *Issuer) Drop() {
+	o.active, o.targets, o.journal, o.changed, o.slots = false, nil, nil, nil, nil
+}
+
+// Fence is the fencing number of the term, 0 outside of one.
+func (o *Issuer) Fence() uint64 {
+	if !o.active {
+		return 0
+	}
+	return o.fence
+}
+
+// Complete says whether the journal names every order that may be under way.
+func (o *Issuer) Complete() bool { return o.active && o.complete }
+
+func kindOf(order *targetapi.Order) loadlimit.Kind {
+	if order.Kind == targetapi.LoadAdapter {
+		return loadlimit.Adapters
+	}
+	return loadlimit.Weights
+}
+
+func (o *Issuer) addTarget(now time.Time, name string, floor memledger.Floor) *target {
+	t := &target{ledger: memledger.New(name, floor), lastSeen: now, sent: make(map[string]time.Time), written: make(map[string]uint64)}
+	if !o.complete {
+		t.ledger.Distrust(o.distrustedAt, o.fence)
+	}
+	o.targets[name] = t
+	return t
+}
+
+// Step takes the latest announcements of all targets of the data centre that are present, and settles orders. It
+// returns the statuses of the orders that are settled.
+func (o *Issuer) Step(now time.Time, reports []*targetapi.Announcement) ([]targetapi.OrderStatus, error) {
+	if !o.active {
+		return nil, nil
+	}
+	for _, t := range o.targets {
+		t.present = false
+	}
+	var settled []targetapi.OrderStatus
+	for _, a := range reports {
+		if a.Kind != targetapi.Engine {
+			continue
+		}
+		t := o.targets[a.Target]
+		if t == nil {
+			t = o.addTarget(now, a.Target, memledger.Floor{})
+		}
+		done, newer := t.ledger.Report(now, a)
+		if newer {
+			t.report = a
+		}
+		if t.report == nil || t.report.Incarnation > a.Incarnation {
+			continue
+		}
+		t.present, t.lastSeen = true, now
+		for _, s := range done {
+			delete(t.sent, s.ID)
+			delete(t.written, s.ID)
+			o.slots.Done(now, s.ID)
+		}
+		if len(done) > 0 {
+			o.changed[a.Target] = true
+		}
+		settled = append(settled, done...)
+	}
+	o.forget(now)
+	if !o.complete && now.Sub(o.distrustedAt) >= 2*memledger.CopyLifetime {
+		o.complete = true
+		return settled, o.writeBase(now)
+	}
+	return settled, o.write(now)
+}
+
+// forget drops targets that have been gone for long. None of their orders can arrive any more.
+func (o *Issuer) forget(now time.Time) {
+	for name, t := range o.targets {
+		if t.present || now.Sub(t.lastSeen) < forgetAfter {
+			continue
+		}
+		for _, order := range t.ledger.Open() {
+			o.slots.Done(now, order.ID)
+		}
+		delete(o.targets, name)
+	}
+}
+
+// Targets is the input for a plan: the present targets as the ledgers see them.
+func (o *Issuer) Targets() []placement.Target {
+	list := make([]placement.Target, 0, len(o.targets))
+	for name, t := range o.targets {
+		if !t.present {
+			continue
+		}
+		list = append(list, placement.Target{
+			Name: name, FailureDomain: t.report.FailureDomain, CapacityBytes: t.ledger.Capacity(), Leaving: t.report.Leaving,
+			Residents: t.ledger.Residents(),
+		})
+	}
+	slices.SortFunc(list, func(a, b placement.Target) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// Plan reserves and journals the next orders towards a residency that was planned from Targets. The orders appear in
+// Sends once their record is copied.
+func (o *Issuer) Plan(now time.Time, in *placement.Input, wanted *placement.Residency) ([]targetapi.Order, error) {
+	if !o.active {
+		return nil, nil
+	}
+	type reserved struct {
+		target string
+		order  targetapi.Order
+	}
+	var list []reserved
+	var loads []loadlimit.Load
+	waiting := make(map[string]bool)
+	for _, step := range placement.NextSteps(in, wanted) {
+		t := o.targets[step.Target]
+		if t == nil || len(t.written) >= maxOpenOrders {
+			continue
+		}
+		order := o.order(&step)
+		if t.ledger.Reserve(order) != nil {
+			continue
+		}
+		if step.Load {
+			loads = append(loads, loadlimit.Load{ID: order.ID, Kind: kindOf(&order), Urgent: step.Urgent})
+			waiting[order.ID] = true
+		}
+		list = append(list, reserved{step.Target, order})
+	}
+	for _, id := range o.slots.Start(now, loads) {
+		delete(waiting, id)
+	}
+	orders := make([]targetapi.Order, 0, len(list))
+	for _, r := range list {
+		if waiting[r.order.ID] {
+			o.targets[r.target].ledger.Withdraw(r.order.ID)
+			continue
+		}
+		o.targets[r.target].written[r.order.ID] = o.journal.last + 1
+		o.changed[r.target] = true
+		orders = append(orders, r.order)
+	}
+	return orders, o.write(now)
+}
+
+func (o *Issuer) order(step *placement.Step) targetapi.Order {
+	o.ids++
+	order := targetapi.Order{
+		Version: targetapi.Version, ID: fmt.Sprintf("%x-%d", o.fence, o.ids), Fence: o.fence, Kind: targetapi.UnloadModel,
+		Model: step.Item.Model, ModelVersion: step.Item.Version, Adapter: step.Item.Adapter,
+	}
+	switch {
+	case step.Load && step.Item.Adapter != "":
+		order.Kind, order.Bytes = targetapi.LoadAdapter, step.Bytes
+	case step.Load:
+		order.Kind, order.Bytes = targetapi.LoadModel, step.Bytes
+	case step.Item.Adapter != "":
+		order.Kind = targetapi.UnloadAdapter
+	}
+	return order
+}
+
+// write adds a record with the targets that changed.
+func (o *Issuer) write(now time.Time) error {
+	if len(o.changed) == 0 {
+		return nil
+	}
+	if len(o.journal.records) >= maxRecords {
+		return o.writeBase(now)
+	}
+	entry := journalEntry{Changed: make(map[string]targetState, len(o.changed))}
+	for name := range o.changed {
+		entry.Changed[name] = o.targets[name].state()
+	}
+	clear(o.changed)
+	return o.journal.append(now, entry)
+}
+
+// writeBase adds a record with the whole state.
+func (o *Issuer) writeBase(now time.Time) error {
+	state := &journalState{Targets: make(map[string]targetState, len(o.targets)), Complete: o.complete}
+	for name, t := range o.targets {
+		state.Targets[name] = t.state()
+	}
+	clear(o.changed)
+	return o.journal.append(now, journalEntry{Base: state})
+}
+
+func (t *target) state() targetState {
+	return targetState{Floor: t.ledger.Floor(), Open: t.ledger.Open()}
+}
+
+// Records lists the journal records that electors lack, for control.record. They are sent again until Copied reports
+// them as held.
+func (o *Issuer) Records(now time.Time) []Record {
+	if !o.active {
+		return nil
+	}
+	return o.journal.pending(now)
+}
+
+// Copied takes the answer of an elector, or of the witness as control.Witness.
+func (o *Issuer) Copied(response control.RecordResponse) {
+	if o.active {
+		o.journal.copied(response)
+	}
+}
+
+// Sends lists the orders that are due: those in the journal of a majority, until a report settles them, and raises of
+// the fencing number for targets that still take orders of earlier controllers.
+func (o *Issuer) Sends(now time.Time) []Send {
+	if !o.active {
+		return nil
+	}
+	var list []Send
+	for _, name := range slices.Sorted(maps.Keys(o.targets)) {
+		t := o.targets[name]
+		if !t.present {
+			continue
+		}
+		send := Send{Target: name, Incarnation: t.report.Incarnation, Address: t.report.Address}
+		if t.ledger.NeedsRaise(o.fence) && now.Sub(t.raisedAt) >= repeatInterval {
+			t.raisedAt = now
+			send.Order = targetapi.Order{Version: targetapi.Version, ID: fmt.Sprintf("raise-%x", o.fence), Fence: o.fence, Kind: targetapi.Raise}
+			list = append(list, send)
+		}
+		if len(t.written) == 0 {
+			continue
+		}
+		for _, order := range t.ledger.Open() {
+			due := now.Sub(t.sent[order.ID]) >= repeatInterval
+			if !due || t.written[order.ID] > o.journal.committed || !t.ledger.Sendable(&order, o.fence) {
+				continue
+			}
+			t.sent[order.ID] = now
+			send.Order = order
+			list = append(list, send)
+		}
+	}
+	return list
+}
