--- /dev/null
+++ b/coordination/raft/focused_test.go
@@ -0,0 +1,411 @@
+package raft
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+func (s *sim) named(name string) *host {
+	return s.hosts[slices.IndexFunc(s.hosts, func(h *host) bool { return h.name == name })]
+}
+
+func (s *sim) isolate(hosts ...*host) {
+	clear(s.side)
+	for i, h := range hosts {
+		s.side[h.name] = i + 1
+	}
+}
+
+func (s *sim) followers() []*host {
+	l := s.leader()
+	return slices.DeleteFunc(slices.Clone(s.hosts), func(h *host) bool { return h == l })
+}
+
+func (s *sim) mustCommit(count int) {
+	for range count {
+		if !s.commit(20 * time.Second) {
+			s.t.Fatalf("no progress")
+		}
+	}
+}
+
+// rejoin starts a host and asks to join until it is a voter.
+func (s *sim) rejoin(h *host) {
+	if h.node == nil {
+		s.start(h)
+	}
+	if !s.run(30*time.Second, func() bool { s.join(h.id()); return s.isVoter(h) }) {
+		s.t.Fatalf("%s did not become a voter: %+v", h.id(), s.members)
+	}
+}
+
+// Guards against a member that was cut off and raises the term, or deposes the leader, when it returns.
+func TestPreVote(t *testing.T) {
+	s := newSim(t, 1, 3, 0).startAll()
+	l := s.awaitLeader()
+	term := l.node.Term()
+	away := s.followers()[0]
+	s.isolate(away)
+	s.run(30*time.Second, nil)
+	if got := away.node.Term(); got != term {
+		t.Fatalf("the isolated member raised its term from %d to %d", term, got)
+	}
+	clear(s.side)
+	s.run(5*time.Second, nil)
+	if s.leader() != l || l.node.Term() != term {
+		t.Fatalf("leader %s in term %d, was %s in term %d", s.leader().id(), l.node.Term(), l.id(), term)
+	}
+}
+
+// Guards against a member that gets votes for a higher term while the others still hear their leader.
+func TestVoteIgnoredWhileLeaderIsHeard(t *testing.T) {
+	s := newSim(t, 2, 3, 0).startAll()
+	l := s.awaitLeader()
+	s.run(time.Second, nil)
+	f := s.followers()
+	last := f[0].node.LastIndex()
+	for _, kind := range []MessageType{MsgPreVote, MsgVote} {
+		s.network = append(s.network, Message{Type: kind, From: f[0].id(), To: f[1].id(), Term: l.node.Term() + 5,
+			Index: last + 5, LogTerm: l.node.Term() + 4})
+	}
+	s.run(time.Second, nil)
+	if s.leader() != l || f[1].node.Term() != l.node.Term() {
+		t.Fatalf("a disruptive vote request was granted: terms %d and %d", f[1].node.Term(), l.node.Term())
+	}
+}
+
+// Guards against a leader without a quorum that keeps accepting proposals and read barriers.
+func TestCheckQuorum(t *testing.T) {
+	s := newSim(t, 3, 3, 0).startAll()
+	l := s.awaitLeader()
+	s.isolate(l)
+	if !s.run(3*time.Second, func() bool { return l.node.Role() != Leader }) {
+		t.Fatal("the isolated leader did not step down within 3 s")
+	}
+	if s.propose(l) {
+		t.Fatal("a proposal without a quorum was accepted")
+	}
+	if err := l.node.ReadIndex(s.now, 1); err == nil {
+		t.Fatal("a read without a quorum was accepted")
+	}
+}
+
+// Guards against a read served by a leader that was replaced without noticing it yet.
+func TestReadOfReplacedLeader(t *testing.T) {
+	s := newSim(t, 4, 3, 0).startAll()
+	old := s.awaitLeader()
+	s.isolate(old)
+	// The old leader's clock stands still, so that check-quorum cannot help.
+	node := old.node
+	old.node = nil
+	s.awaitLeader()
+	s.mustCommit(2)
+	old.node = node
+	s.nextRead++
+	old.reads[s.nextRead] = s.commitIndex()
+	if err := node.ReadIndex(s.now, s.nextRead); err != nil {
+		t.Fatal(err)
+	}
+	if r, _ := node.Ready(); len(r.Reads) > 0 && !r.Reads[0].Lost {
+		t.Fatalf("the replaced leader served a read at index %d, committed is %d", r.Reads[0].Index, s.commitIndex())
+	}
+}
+
+// Guards against a voter that lost its disk and counts with its empty log: after the repair of one disk a second loss
+// must keep everything that was committed.
+func TestLostDiskThenSecondLoss(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newSim(t, seed, 3, 0).startAll()
+		s.awaitLeader()
+		s.mustCommit(20)
+		first, second := s.leader(), s.followers()[0]
+		if seed%2 == 1 {
+			first, second = second, first
+		}
+		s.loseDisk(first)
+		s.rejoin(first)
+		s.mustCommit(5)
+		s.loseDisk(second)
+		s.rejoin(second)
+		s.mustCommit(5)
+		if len(s.members.Voters) != 3 || len(s.members.Learners) != 0 {
+			t.Fatalf("seed %d: membership after both repairs: %+v", seed, s.members)
+		}
+	}
+}
+
+// Guards against an emptied voter that helps to elect a member without the committed entries. Two of three members
+// hold the entries; one of these loses its disk, and the other one is cut off.
+func TestEmptiedVoterDoesNotVote(t *testing.T) {
+	s := newSim(t, 5, 3, 0).startAll()
+	l := s.awaitLeader()
+	f := s.followers()
+	behind, holder := f[0], f[1]
+	s.isolate(behind)
+	s.mustCommit(5)
+	s.loseDisk(holder)
+	s.start(holder)
+	s.isolate(l)
+	if s.run(30*time.Second, func() bool { return behind.node.Role() == Leader || holder.node.Role() == Leader }) {
+		t.Fatal("a leader without the committed entries was elected")
+	}
+	clear(s.side)
+	s.rejoin(holder)
+	s.mustCommit(1)
+	if err := s.leader().node.ProposeChange(s.now, MembershipChange{Kind: ChangeJoin, ID: MemberID(holder.name, "0")}); err == nil {
+		t.Fatal("the id of a lost disk joined again")
+	}
+}
+
+// Guards against a learner that counts for quorums before it has caught up.
+func TestLearnerIsPromotedOnlyWhenCaughtUp(t *testing.T) {
+	s := newSim(t, 6, 3, 1).startAll()
+	s.awaitLeader()
+	s.mustCommit(50)
+	joining := s.named("d")
+	s.join(joining.id())
+	for !s.isVoter(joining) {
+		s.run(10*time.Millisecond, nil)
+		l := s.leader().node
+		if m := l.current(); m.IsVoter(joining.id()) && l.progress[joining.id()].match+1 < l.membershipIndex() {
+			t.Fatalf("promoted by entry %d with match %d", l.membershipIndex(), l.progress[joining.id()].match)
+		}
+	}
+}
+
+// Guards against a second membership change before the first one is committed, and before the leader has committed an
+// entry of its term.
+func TestOneChangeAtATime(t *testing.T) {
+	s := newSim(t, 7, 3, 2).startAll()
+	l := s.awaitLeader()
+	s.isolate(l)
+	join := func(name string) error {
+		return l.node.ProposeChange(s.now, MembershipChange{Kind: ChangeJoin, ID: s.named(name).id()})
+	}
+	if err := join("d"); err != nil {
+		t.Fatal(err)
+	}
+	if err := join("e"); err != ErrChangePending {
+		t.Fatalf("second change: error %v", err)
+	}
+}
+
+// Guards against a leader that serves a change before it has committed an entry of its own term.
+func TestNoChangeBeforeFirstCommit(t *testing.T) {
+	s := newSim(t, 8, 3, 1).startAll()
+	old := s.awaitLeader()
+	s.isolate(old)
+	s.run(20*time.Second, func() bool { l := s.leader(); return l != nil && l != old })
+	l := s.leader()
+	if l.node.Commit() >= l.node.termStart {
+		t.Fatal("the test needs a leader that has committed nothing")
+	}
+	if err := l.node.ProposeChange(s.now, MembershipChange{Kind: ChangeJoin, ID: s.named("d").id()}); err != ErrChangePending {
+		t.Fatalf("error %v", err)
+	}
+}
+
+// Guards against an old entry that is committed by counting copies and overwritten afterwards.
+func TestOldTermIsNotCommittedByCounting(t *testing.T) {
+	cfg := Config{ID: "a@0", Rand: rand.New(rand.NewPCG(1, 1))}
+	snapshot := BootstrapSnapshot([]string{"a@0", "b@0", "c@0"})
+	n, err := New(cfg, SavedState{HardState: HardState{Term: 2, Commit: 1}, Snapshot: snapshot,
+		Entries: []Entry{{Index: 2, Term: 2}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Unix(0, 0)
+	n.startElection(now)
+	if err := n.Step(now, Message{Type: MsgVoteResponse, From: "b@0", To: "a@0", Term: 3}); err != nil {
+		t.Fatal(err)
+	}
+	r, _ := n.Ready()
+	n.Advance(now, r)
+	ack := Message{Type: MsgAppendResponse, From: "b@0", To: "a@0", Term: 3, Index: 2}
+	if err := n.Step(now, ack); err != nil {
+		t.Fatal(err)
+	}
+	if n.Commit() != 1 {
+		t.Fatalf("entry 2 of term 2 was committed in term 3 before an entry of term 3: commit %d", n.Commit())
+	}
+	ack.Index = 3
+	if err := n.Step(now, ack); err != nil {
+		t.Fatal(err)
+	}
+	if n.Commit() != 3 {
+		t.Fatalf("commit index %d, want 3", n.Commit())
+	}
+}
+
+// Guards against a leader that counts its own entries before they are synced.
+func TestLeaderSyncsBeforeCommit(t *testing.T) {
+	s := newSim(t, 9, 1, 0).startAll()
+	n := s.awaitLeader().node
+	for range 2 {
+		r, _ := n.Ready()
+		if _, _, err := n.Propose(s.now, "late", nil); err != nil {
+			t.Fatal(err)
+		}
+		n.Advance(s.now, r)
+		if n.Commit() == n.LastIndex() {
+			t.Fatalf("entry %d is committed and not synced", n.Commit())
+		}
+	}
+}
+
+// Guards against a new leader that serves a read before it knows what its predecessor committed.
+func TestReadOfNewLeader(t *testing.T) {
+	s := newSim(t, 13, 3, 0).startAll()
+	old := s.awaitLeader()
+	s.mustCommit(3)
+	s.network = nil // holds the messages with the last commit index
+	s.crash(old)
+	var l *host
+	s.run(20*time.Second, func() bool { l = s.leader(); return l != nil })
+	if l.node.Commit() >= s.commitIndex() {
+		t.Fatal("the test needs a leader that does not know the last commit")
+	}
+	s.read(l)
+	if len(l.node.reads) != 1 {
+		t.Fatal("the read does not wait")
+	}
+	// sim.apply compares the index of the result with what was committed.
+	if !s.run(5*time.Second, func() bool { return len(l.node.reads) == 0 }) {
+		t.Fatal("the read was not answered within 5 s")
+	}
+}
+
+// Guards against a membership that stays in effect after its entry was replaced.
+func TestMembershipRollsBackWithTheLog(t *testing.T) {
+	s := newSim(t, 14, 3, 1).startAll()
+	old := s.awaitLeader()
+	s.isolate(old)
+	if err := old.node.ProposeChange(s.now, MembershipChange{Kind: ChangeJoin, ID: s.named("d").id()}); err != nil {
+		t.Fatal(err)
+	}
+	if !old.node.current().IsLearner(s.named("d").id()) {
+		t.Fatal("a membership is not in effect when its entry is in the log")
+	}
+	s.run(20*time.Second, func() bool { l := s.leader(); return l != nil && l != old })
+	s.mustCommit(2)
+	clear(s.side)
+	s.run(5*time.Second, nil)
+	if m := old.node.Membership(); len(m.Learners) != 0 {
+		t.Fatalf("membership %+v after its entry was replaced", m)
+	}
+}
+
+// Guards against a member that is ignored for good because its term is higher than the leader's.
+func TestMemberWithHigherTermComesBack(t *testing.T) {
+	s := newSim(t, 15, 3, 0).startAll()
+	s.awaitLeader()
+	away := s.followers()[0]
+	s.crash(away)
+	s.mustCommit(3)
+	away.disk.HardState.Term += 5
+	away.disk.HardState.Vote = ""
+	s.start(away)
+	if !s.run(20*time.Second, func() bool { return away.node.Applied() >= s.commitIndex() }) {
+		t.Fatalf("applied %d of %d", away.node.Applied(), s.commitIndex())
+	}
+	s.mustCommit(1)
+}
+
+// Guards against a member that cannot catch up after hundreds of missed entries, with and without the entries still in
+// the leader's log, and against a window that is not bounded.
+func TestManyMissedEntries(t *testing.T) {
+	for _, compacted := range []bool{false, true} {
+		t.Run(fmt.Sprint("compacted ", compacted), func(t *testing.T) {
+			s := newSim(t, 10, 3, 0).startAll()
+			s.awaitLeader()
+			away := s.followers()[0]
+			s.crash(away)
+			for range 80 {
+				for range 10 {
+					s.propose(s.leader())
+				}
+				s.mustCommit(1)
+			}
+			if compacted {
+				for _, h := range s.hosts {
+					if h.node != nil {
+						s.compact(h, 2)
+					}
+				}
+			}
+			missed := s.commitIndex()
+			s.start(away)
+			caughtUp := s.run(10*time.Second, func() bool {
+				if p := s.leader().node.progress[away.id()]; len(p.inflight) > s.cfg.MaxInflight {
+					t.Fatalf("%d appends in flight, limit %d", len(p.inflight), s.cfg.MaxInflight)
+				}
+				return away.node.Applied() >= missed
+			})
+			if !caughtUp || missed < 600 {
+				t.Fatalf("applied %d of %d after 10 s", away.node.Applied(), missed)
+			}
+			if (s.delivered[MsgSnapshot] > 0) != compacted {
+				t.Fatalf("%d snapshot parts were sent", s.delivered[MsgSnapshot])
+			}
+		})
+	}
+}
+
+// Guards against a snapshot that is never completed when parts and their responses are lost.
+func TestSnapshotInPartsWithLoss(t *testing.T) {
+	s := newSim(t, 11, 3, 0)
+	s.cfg.MaxMessageBytes = 20
+	s.startAll()
+	s.awaitLeader()
+	away := s.followers()[0]
+	s.crash(away)
+	s.mustCommit(30)
+	for _, h := range s.hosts {
+		if h.node != nil {
+			s.compact(h, 0)
+		}
+	}
+	s.start(away)
+	caughtUp := s.run(120*time.Second, func() bool {
+		s.network = slices.DeleteFunc(s.network, func(m Message) bool {
+			return (m.Type == MsgSnapshot || m.Type == MsgSnapshotResponse) && s.rand.IntN(3) == 0
+		})
+		return away.node.Applied() >= s.commitIndex()
+	})
+	if !caughtUp || s.delivered[MsgSnapshot] < 10 {
+		t.Fatalf("applied %d of %d, %d parts", away.node.Applied(), s.commitIndex(), s.delivered[MsgSnapshot])
+	}
+}
+
+// Guards against a leader that stays after it was removed, or leaves before the change is committed.
+func TestLeaderRemovesItself(t *testing.T) {
+	s := newSim(t, 12, 3, 0).startAll()
+	l := s.awaitLeader()
+	if err := l.node.ProposeChange(s.now, MembershipChange{Kind: ChangeRemove, ID: l.id()}); err != nil {
+		t.Fatal(err)
+	}
+	if !s.run(10*time.Second, func() bool { next := s.leader(); return next != nil && next != l && len(s.members.Voters) == 2 }) {
+		t.Fatalf("no new leader: %+v", s.members)
+	}
+	s.mustCommit(3)
+}
+
+// Guards against saved states that are accepted although they contradict themselves.
+func TestNewRefusesDamagedState(t *testing.T) {
+	snapshot := BootstrapSnapshot([]string{"a@0"})
+	for name, saved := range map[string]SavedState{
+		"commit after the log": {HardState: HardState{Term: 1, Commit: 9}, Snapshot: snapshot},
+		"gap":                  {Snapshot: snapshot, Entries: []Entry{{Index: 2, Term: 1}, {Index: 4, Term: 1}}},
+		"gap after snapshot":   {Snapshot: snapshot, Entries: []Entry{{Index: 3, Term: 1}}},
+		"term goes back":       {Snapshot: snapshot, Entries: []Entry{{Index: 2, Term: 2}, {Index: 3, Term: 1}}},
+		"snapshot conflicts":   {Snapshot: snapshot, Entries: []Entry{{Index: 1, Term: 2}, {Index: 2, Term: 2}}},
+		"bad membership":       {Snapshot: snapshot, Entries: []Entry{{Index: 2, Term: 1, Kind: EntryMembership, Data: []byte{0xff}}}},
+	} {
+		if _, err := New(Config{ID: "a@0", Rand: rand.New(rand.NewPCG(1, 1))}, saved); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
--- /dev/null
+++ b/coordination/raft/sim_test.go
@@ -0,0 +1,393 @@
+package raft
+
+import (
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// failer is *testing.T or *rapid.T.
+type failer interface {
+	Fatalf(format string, args ...any)
+	Logf(format string, args ...any)
+}
+
+// host is one instance with its disk. What is on disk is only what was synced.
+type host struct {
+	name    string
+	inc     int
+	disk    SavedState
+	node    *Node // nil while the process is down
+	state   uint64
+	applied uint64 // highest index ever applied with this disk
+	reads   map[uint64]uint64
+}
+
+func (h *host) id() string { return MemberID(h.name, fmt.Sprint(h.inc)) }
+
+type logKey struct{ index, term uint64 }
+
+// sim runs a group in one goroutine and checks the safety properties after every step.
+type sim struct {
+	t         failer
+	now       time.Time
+	rand      *rand.Rand
+	hosts     []*host
+	network   []Message
+	side      map[string]int // partition of each host
+	joins     []string
+	nextID    int
+	nextRead  uint64
+	lost      map[string]bool // member ids whose disk was lost
+	cfg       Config
+	trace     bool
+	delivered map[MessageType]int
+
+	leaders   map[uint64]string // by term
+	entries   map[logKey]string // content and term of the entry before
+	committed []Entry           // committed[i] has index i+2
+	states    map[uint64]uint64 // state after each index
+	members   Membership        // latest committed
+	proposed  map[logKey]Membership
+}
+
+func newSim(t failer, seed uint64, voters int, spares int) *sim {
+	s := &sim{t: t, now: time.Unix(0, 0), rand: rand.New(rand.NewPCG(seed, 1)), side: map[string]int{}, lost: map[string]bool{},
+		leaders: map[uint64]string{}, entries: map[logKey]string{}, states: map[uint64]uint64{1: 0}, delivered: map[MessageType]int{}, proposed: map[logKey]Membership{}}
+	var ids []string
+	for i := range voters + spares {
+		h := &host{name: string(rune('a' + i))}
+		s.hosts = append(s.hosts, h)
+		if i < voters {
+			ids = append(ids, h.id())
+		}
+	}
+	for i := range voters {
+		s.hosts[i].disk = SavedState{HardState: HardState{Term: 1, Commit: 1}, Snapshot: BootstrapSnapshot(ids)}
+	}
+	s.members = Membership{Voters: ids}
+	s.cfg = Config{MaxMessageBytes: 300, MaxInflight: 4}
+	return s
+}
+
+func (s *sim) startAll() *sim {
+	for _, h := range s.hosts {
+		s.start(h)
+	}
+	return s
+}
+
+func (s *sim) start(h *host) {
+	cfg := s.cfg
+	cfg.ID, cfg.Rand = h.id(), s.rand
+	disk := h.disk
+	disk.Entries = slices.Clone(disk.Entries)
+	n, err := New(cfg, disk)
+	if err != nil {
+		s.t.Fatalf("start %s: %v", h.id(), err)
+	}
+	h.node, h.reads = n, map[uint64]uint64{}
+	h.state = s.restored(&h.disk.Snapshot)
+	s.pump(h, 3)
+	if n.applied < h.applied {
+		s.t.Fatalf("%s: applied index went back from %d to %d over a restart", h.id(), h.applied, n.applied)
+	}
+	n.Tick(s.now)
+}
+
+func (s *sim) restored(snapshot *Snapshot) uint64 {
+	if len(snapshot.Data) == 0 {
+		return 0
+	}
+	var index, state uint64
+	if _, err := fmt.Sscanf(string(snapshot.Data), "%d %d", &index, &state); err != nil {
+		s.t.Fatalf("snapshot %q: %v", snapshot.Data, err)
+	}
+	if index != snapshot.Index || s.states[index] != state {
+		s.t.Fatalf("snapshot at %d holds state %d of index %d, expected %d", snapshot.Index, state, index, s.states[index])
+	}
+	return state
+}
+
+func (s *sim) crash(h *host) { h.node = nil }
+
+// loseDisk ends a process and empties its disk. The host starts again under a new incarnation.
+func (s *sim) loseDisk(h *host) {
+	s.lost[h.id()] = true
+	h.inc++
+	h.node, h.disk, h.applied = nil, SavedState{}, 0
+}
+
+// mayLose tells whether the group is meant to survive the loss of one more disk. A membership that is in some log counts
+// from the moment it is there. A learner counts as a voter, because an acknowledgement that it sent before the loss can
+// still promote it; with one other voter, that group has no majority any more.
+func (s *sim) mayLose(h *host) bool {
+	if !survives(&s.members, s.lost, h.id()) {
+		return false
+	}
+	for key, m := range s.proposed {
+		if key.index > s.commitIndex() && !survives(&m, s.lost, h.id()) {
+			return false
+		}
+	}
+	return true
+}
+
+func survives(m *Membership, lost map[string]bool, next string) bool {
+	voters := slices.Clone(m.Voters)
+	if m.IsLearner(next) {
+		voters = append(voters, next)
+	}
+	gone := 0
+	for _, id := range voters {
+		if lost[id] || id == next {
+			gone++
+		}
+	}
+	return !slices.Contains(voters, next) || gone <= (len(voters)-1)/2
+}
+
+// pump does the work of Ready. stage is the number of steps that happen before the process dies: 0 nothing, 1 sync,
+// 2 send as well, 3 all.
+func (s *sim) pump(h *host, stage int) {
+	for h.node != nil {
+		r, ok := h.node.Ready()
+		if !ok {
+			return
+		}
+		if stage >= 1 {
+			s.sync(h, &r)
+		}
+		if stage >= 2 {
+			s.network = append(s.network, r.Messages...)
+		}
+		if stage < 3 {
+			s.crash(h)
+			return
+		}
+		s.apply(h, &r)
+		h.node.Advance(s.now, r)
+		s.check(h)
+	}
+}
+
+func (s *sim) sync(h *host, r *Ready) {
+	d := &h.disk
+	if r.Snapshot != nil {
+		d.Snapshot, d.Entries = *r.Snapshot, nil
+	}
+	if r.SyncHardState {
+		d.HardState = r.HardState
+	}
+	for _, e := range r.Entries {
+		if len(d.Entries) > 0 {
+			keep := e.Index - d.Entries[0].Index
+			d.Entries = d.Entries[:keep:keep]
+		}
+		d.Entries = append(d.Entries, e)
+	}
+}
+
+func (s *sim) apply(h *host, r *Ready) {
+	if r.Snapshot != nil {
+		h.state = s.restored(r.Snapshot)
+		h.applied = max(h.applied, r.Snapshot.Index)
+	}
+	for _, e := range r.Committed {
+		if h.disk.HardState.Commit < e.Index {
+			s.t.Fatalf("%s: entry %d applied before the commit index was synced", h.id(), e.Index)
+		}
+		hash := fnv.New64a()
+		fmt.Fprint(hash, h.state, e.Index, e.Term, e.ID, e.Kind)
+		h.state = hash.Sum64()
+		if want, ok := s.states[e.Index]; ok && want != h.state {
+			s.t.Fatalf("%s: state after entry %d differs from another replica", h.id(), e.Index)
+		}
+		s.states[e.Index] = h.state
+		h.applied = max(h.applied, e.Index)
+	}
+	for _, read := range r.Reads {
+		if !read.Lost && read.Index < h.reads[read.ID] {
+			s.t.Fatalf("%s: read index %d, but %d was committed before the read began", h.id(), read.Index, h.reads[read.ID])
+		}
+	}
+}
+
+func (s *sim) commitIndex() uint64 { return uint64(len(s.committed)) + 1 }
+
+// check verifies the safety properties for a host that just did something.
+func (s *sim) check(h *host) {
+	n := h.node
+	if n == nil {
+		return
+	}
+	// Log matching: entries with the same index and term are equal and follow entries of the same term. An entry that was
+	// never synced was never sent; a single voter that crashed may use its index and term again.
+	for _, e := range n.log.entries[max(0, len(n.log.entries)-8):] {
+		key := logKey{e.Index, e.Term}
+		if e.Kind == EntryMembership && e.Index > s.commitIndex() {
+			s.proposed[key] = n.membershipBefore(e.Index)
+		}
+		if e.Index > n.stable {
+			continue
+		}
+		prev, _ := n.log.term(e.Index - 1)
+		content := fmt.Sprint(e.Kind, e.ID, len(e.Data), prev)
+		if other, ok := s.entries[key]; ok && other != content {
+			s.t.Fatalf("%s: entry %d of term %d is %q, elsewhere %q", n.cfg.ID, e.Index, e.Term, content, other)
+		}
+		s.entries[key] = content
+	}
+	// State machine safety: no index is committed with two entries.
+	for index := s.commitIndex() + 1; index <= n.hard.Commit; index++ {
+		e := n.log.slice(index, index, 1)
+		if e == nil {
+			s.t.Fatalf("%s: entry %d is committed but unknown", n.cfg.ID, index)
+		}
+		s.committed = append(s.committed, e[0])
+		if e[0].Kind == EntryMembership {
+			s.members = n.membershipBefore(index)
+		}
+	}
+	for index := n.hard.Commit; index > n.log.baseIndex && index+20 > n.hard.Commit; index-- {
+		if t, _ := n.log.term(index); t != s.committed[index-2].Term {
+			s.t.Fatalf("%s: entry %d has term %d, but was committed with term %d", n.cfg.ID, index, t, s.committed[index-2].Term)
+		}
+	}
+	if n.role != Leader {
+		return
+	}
+	// Election safety.
+	if other, ok := s.leaders[n.hard.Term]; ok && other != n.cfg.ID {
+		s.t.Fatalf("term %d has leaders %s and %s", n.hard.Term, other, n.cfg.ID)
+	} else if ok {
+		return
+	}
+	s.leaders[n.hard.Term] = n.cfg.ID
+	// Leader completeness: a new leader holds everything that was committed in earlier terms.
+	for i, e := range s.committed {
+		index := uint64(i) + 2
+		if e.Term < n.hard.Term && index >= n.log.baseIndex && !n.log.matches(index, e.Term) {
+			s.t.Fatalf("%s leads term %d without committed entry %d of term %d", n.cfg.ID, n.hard.Term, index, e.Term)
+		}
+	}
+}
+
+func (s *sim) host(id string) *host {
+	for _, h := range s.hosts {
+		if h.id() == id {
+			return h
+		}
+	}
+	return nil
+}
+
+func (s *sim) deliver(m Message) {
+	h := s.host(m.To)
+	if h == nil || h.node == nil || s.side[MemberName(m.From)] != s.side[h.name] {
+		return
+	}
+	if s.trace {
+		s.t.Logf("%v %+v", s.now.Sub(time.Unix(0, 0)), m)
+	}
+	s.delivered[m.Type]++
+	if err := h.node.Step(s.now, m); err != nil {
+		s.t.Fatalf("%s: %v", h.id(), err)
+	}
+	s.check(h)
+}
+
+// run lets time pass and delivers everything in order, until done returns true.
+func (s *sim) run(limit time.Duration, done func() bool) bool {
+	for end := s.now.Add(limit); s.now.Before(end); {
+		if done != nil && done() {
+			return true
+		}
+		s.now = s.now.Add(10 * time.Millisecond)
+		for _, h := range s.hosts {
+			if h.node != nil {
+				h.node.Tick(s.now)
+				s.check(h)
+				s.pump(h, 3)
+			}
+		}
+		messages := s.network
+		s.network = nil
+		for _, m := range messages {
+			s.deliver(m)
+		}
+		for _, h := range s.hosts {
+			s.pump(h, 3)
+		}
+	}
+	return done != nil && done()
+}
+
+// leader returns the leader with the highest term.
+func (s *sim) leader() *host {
+	var best *host
+	for _, h := range s.hosts {
+		if h.node != nil && h.node.role == Leader && (best == nil || h.node.hard.Term > best.node.hard.Term) {
+			best = h
+		}
+	}
+	return best
+}
+
+func (s *sim) awaitLeader() *host {
+	if !s.run(20*time.Second, func() bool { l := s.leader(); return l != nil && l.node.hard.Commit >= l.node.termStart }) {
+		s.t.Fatalf("no leader within 20 s")
+	}
+	return s.leader()
+}
+
+func (s *sim) propose(h *host) bool {
+	s.nextID++
+	_, _, err := h.node.Propose(s.now, fmt.Sprint("p", s.nextID), make([]byte, s.rand.IntN(60)))
+	return err == nil
+}
+
+// commit proposes on the current leader until one more entry is committed.
+func (s *sim) commit(limit time.Duration) bool {
+	target := s.commitIndex() + 1
+	return s.run(limit, func() bool {
+		if l := s.leader(); l != nil && l.node.log.lastIndex() < l.node.hard.Commit+8 {
+			s.propose(l)
+		}
+		return s.commitIndex() >= target && s.leader() != nil
+	})
+}
+
+func (s *sim) read(h *host) {
+	s.nextRead++
+	h.reads[s.nextRead] = s.commitIndex()
+	_ = h.node.ReadIndex(s.now, s.nextRead)
+}
+
+func (s *sim) compact(h *host, keep uint64) {
+	n := h.node
+	if n.applied <= n.snapshot.Index || n.applied != h.applied {
+		return
+	}
+	snapshot, err := n.Compact(n.applied, n.applied-min(keep, n.applied), fmt.Appendf(nil, "%d %d %200d", n.applied, h.state, 0))
+	if err != nil {
+		s.t.Fatalf("%s: %v", h.id(), err)
+	}
+	h.disk.Snapshot = snapshot
+	h.disk.Entries = slices.DeleteFunc(slices.Clone(h.disk.Entries), func(e Entry) bool { return e.Index <= n.log.baseIndex })
+}
+
+// join sends the request that a host makes that is not a voter.
+func (s *sim) join(id string) {
+	l := s.leader()
+	if h := s.host(id); l == nil || h == nil || s.side[h.name] != s.side[l.name] {
+		return
+	}
+	_ = l.node.ProposeChange(s.now, MembershipChange{Kind: ChangeJoin, ID: id})
+	s.check(l)
+}
+
+// isVoter tells whether the committed membership holds the host with its current disk.
+func (s *sim) isVoter(h *host) bool { return s.members.IsVoter(h.id()) }
