coordination/replica: test groups with failures in virtual time

Restarts, lost disks, founding, lost answers, missed changes and load with kills were not covered. The tests run whole groups with data folders under testing/synctest; everything between instances is encoded and decoded.

--- /dev/null
+++ b/coordination/replica/applier_test.go
@@ -0,0 +1,147 @@
+package replica
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
+)
+
+func command(index uint64, id string, base uint64, data string) *raft.Entry {
+	return &raft.Entry{Index: index, ID: id, Data: encodeCommand(base, []byte(data))}
+}
+
+// Guards against a repeat that is applied after its record was forgotten, a table that grows without bound, and
+// replicas that differ after a snapshot.
+func TestProposalTable(t *testing.T) {
+	a := &applier{machine: &register{t: t}, table: newProposalTable()}
+	for i := uint64(1); i <= maxRecentProposals+10; i++ {
+		for range 2 {
+			a.apply(command(i, fmt.Sprint("id", i), i-1, "x"))
+		}
+	}
+	b := &applier{machine: &register{t: t}, table: newProposalTable()}
+	snapshot, err := a.snapshot()
+	if err == nil {
+		err = b.restore(snapshot)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	index := uint64(maxRecentProposals + 11)
+	for name, replica := range map[string]*applier{"original": a, "restored": b} {
+		if r := replica.apply(command(index, "id1", 0, "x")); r.Outcome != OutcomeExpired {
+			t.Errorf("%s: repeat of a forgotten command: %+v", name, r)
+		}
+		if r := replica.apply(command(index, "id20", 0, "x")); string(r.Result) != "20" || r.Index != 20 {
+			t.Errorf("%s: repeat of a remembered command: %+v", name, r)
+		}
+		if r := replica.apply(command(index, "new", index-1, "x")); string(r.Result) != fmt.Sprint(index) {
+			t.Errorf("%s: new command: %+v", name, r)
+		}
+	}
+	first, _ := a.snapshot()
+	second, _ := b.snapshot()
+	if !bytes.Equal(first, second) || len(b.table.order) != maxRecentProposals {
+		t.Errorf("snapshots differ, or the table holds %d records", len(b.table.order))
+	}
+}
+
+// Guards against results that are kept without a bound on their size.
+func TestProposalTableBytes(t *testing.T) {
+	table := newProposalTable()
+	for i := range uint64(100) {
+		table.add(&record{ID: fmt.Sprint(i), Index: i, Result: make([]byte, 100<<10)})
+	}
+	if table.resultBytes > maxRecentResultBytes || table.forgotten == 0 || len(table.records) != len(table.order) {
+		t.Fatalf("%d bytes in %d records, forgotten up to %d", table.resultBytes, len(table.records), table.forgotten)
+	}
+}
+
+// Guards against commands that reach the wrong machine, and snapshots that lose a machine.
+func TestMux(t *testing.T) {
+	one, two := &register{t: t}, &register{t: t}
+	m := NewMux(map[string]StateMachine{"one": one, "two": two})
+	for i, name := range []string{"one", "two", "two"} {
+		if _, err := m.Apply(uint64(i+1), EncodeCommand(name, []byte(name))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := m.Apply(9, EncodeCommand("three", nil)); err == nil {
+		t.Error("a command for an unknown machine was accepted")
+	}
+	snapshot, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	copies := map[string]StateMachine{"one": &register{t: t}, "two": &register{t: t}}
+	if err := NewMux(copies).Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if got := copies["two"].(*register).list(); len(got) != 2 || got[0] != "two" {
+		t.Errorf("machine two after restore: %v", got)
+	}
+	if err := NewMux(map[string]StateMachine{"one": one}).Restore(snapshot); err == nil {
+		t.Error("a snapshot of an unknown machine was accepted")
+	}
+}
+
+type discard struct{}
+
+func (discard) Apply(uint64, []byte) ([]byte, error) { return nil, nil }
+func (discard) Snapshot() ([]byte, error)            { return nil, nil }
+func (discard) Restore([]byte) error                 { return nil }
+
+// BenchmarkApply measures one committed command, with the table of recent proposals full.
+func BenchmarkApply(b *testing.B) {
+	for _, size := range []int{128, 4 << 10, 64 << 10} {
+		b.Run(fmt.Sprintf("%dB", size), func(b *testing.B) {
+			a := &applier{machine: discard{}, table: newProposalTable()}
+			data := encodeCommand(0, make([]byte, size))
+			index := uint64(0)
+			b.ReportAllocs()
+			b.SetBytes(int64(size))
+			for b.Loop() {
+				index++
+				e := raft.Entry{Index: index, ID: fmt.Sprint(index), Data: data}
+				a.apply(&e)
+			}
+		})
+	}
+}
+
+// BenchmarkPropose measures a proposal on a single voter with its syncs, from parallel callers.
+func BenchmarkPropose(b *testing.B) {
+	for _, size := range []int{128, 4 << 10, 64 << 10} {
+		b.Run(fmt.Sprintf("%dB", size), func(b *testing.B) {
+			g, err := Open(Options{Name: "config", Self: "a", Voters: []string{"a"}, DataDir: b.TempDir(), Machine: discard{},
+				Sender: endpoint{}, Caller: endpoint{}})
+			if err != nil {
+				b.Fatal(err)
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- g.Run(b.Context()) }()
+			b.Cleanup(func() {
+				if err := <-ended; err != nil {
+					b.Error(err)
+				}
+			})
+			for g.Status().Role != "leader" {
+				time.Sleep(time.Millisecond)
+			}
+			data := make([]byte, size)
+			b.ReportAllocs()
+			b.SetBytes(int64(size))
+			b.SetParallelism(8)
+			b.RunParallel(func(pb *testing.PB) {
+				for pb.Next() {
+					if _, err := g.Propose(b.Context(), data); err != nil {
+						b.Error(err)
+					}
+				}
+			})
+		})
+	}
+}
--- a/coordination/replica/group_test.go
+++ b/coordination/replica/group_test.go
@@ -3,8 +3,19 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
 )
 
 // Guards against a single voter that waits for an election or cannot restart.
@@ -49,3 +60,398 @@
 		c.awaitCommands(want, "a", "b", "c", "learner")
 	}, "a", "b", "c")
 }
+
+// Guards against a group whose voters do not return with everything that they had applied.
+func TestRestartKeepsAppliedIndex(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		names := []string{"a", "b", "c", "learner"}
+		c.start(names...)
+		c.awaitLeader()
+		var want []string
+		for i := range 30 {
+			want = append(want, fmt.Sprint(i))
+			c.propose("b", want[i])
+		}
+		c.awaitCommands(want, names...)
+		applied := map[string]uint64{}
+		for _, name := range names {
+			applied[name] = c.instances[name].Status().Applied
+			c.kill(name)
+		}
+		c.set(func() {
+			for _, name := range names {
+				c.cut[name] = true
+			}
+		})
+		c.start(names...)
+		for _, name := range names {
+			if got := c.instances[name].Status().Applied; got < applied[name] {
+				t.Errorf("%s: applied index went back from %d to %d", name, applied[name], got)
+			}
+			if got := c.instances[name].machine.list(); !slices.Equal(got, want) {
+				t.Errorf("%s: state after a restart without any peer: %v", name, got)
+			}
+		}
+	}, "a", "b", "c")
+}
+
+// Guards against a voter with an emptied folder that counts as the voter that it was, also when it is the founder, and
+// against data that a second loss takes away after the repair.
+func TestLostDisks(t *testing.T) {
+	for _, first := range []string{"a", "b"} {
+		t.Run(first, func(t *testing.T) {
+			inBubble(t, func(c *cluster) {
+				c.start("a", "b", "c")
+				c.awaitVoters("a", "b", "c")
+				want := []string{"x"}
+				c.propose("c", "x")
+				for _, name := range []string{first, "c"} {
+					founded := c.instances["b"].Status().Cluster
+					old := c.instances[name].Status().ID
+					c.loseDisk(name)
+					c.awaitVoters("a", "b", "c")
+					s := c.instances[name].Status()
+					if s.ID == old || s.Cluster != founded {
+						t.Fatalf("%s came back as %s of cluster %s, was %s of cluster %s", name, s.ID, s.Cluster, old, founded)
+					}
+					want = append(want, "after "+name)
+					c.propose(name, "after "+name)
+					c.awaitCommands(want, "a", "b", "c")
+				}
+			}, "a", "b", "c")
+		})
+	}
+}
+
+// Guards against an emptied voter that founds a second group, or votes, while the member with the data is unreachable.
+func TestEmptiedVotersDoNotFormAGroup(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.start("a", "b", "c")
+		c.awaitVoters("a", "b", "c")
+		c.propose("a", "x")
+		c.awaitCommands([]string{"x"}, "a", "b", "c")
+		c.set(func() { c.cut["c"] = true })
+		c.loseDisk("a")
+		c.loseDisk("b")
+		time.Sleep(time.Minute)
+		for _, name := range []string{"a", "b"} {
+			if s := c.instances[name].Status(); s.Cluster != "" || s.Role == "leader" || s.Problem == "" {
+				t.Fatalf("%s: %+v", name, s)
+			}
+		}
+		if _, err := c.instances["a"].Propose(context.Background(), []byte("y")); !errors.Is(err, ErrNoQuorum) {
+			t.Fatalf("error %v", err)
+		}
+	}, "a", "b", "c")
+}
+
+// Guards against a group that is founded by some of its voters, or with different settings.
+func TestFounding(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.start("a", "b")
+		time.Sleep(30 * time.Second)
+		if s := c.instances["a"].Status(); s.Cluster != "" || !strings.Contains(s.Problem, "voter c cannot be reached") {
+			t.Fatalf("founded without c: %+v", s)
+		}
+		c.voters = []string{"a", "c"}
+		c.start("c")
+		time.Sleep(30 * time.Second)
+		if s := c.instances["a"].Status(); s.Cluster != "" || !strings.Contains(s.Problem, "in its settings") {
+			t.Fatalf("founded with different settings: %+v", s)
+		}
+		c.voters = []string{"a", "b", "c"}
+		c.kill("c")
+		c.start("c")
+		c.awaitVoters("a", "b", "c")
+	}, "a", "b", "c")
+}
+
+// Guards against a founder that dies right after it founded the group, so that nobody knows the members.
+func TestFounderLosesItsDiskAtOnce(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.start("a", "b", "c")
+		c.await("the group is founded", time.Minute, func() bool {
+			return c.instances["b"].Status().Cluster != "" || c.instances["c"].Status().Cluster != ""
+		})
+		c.loseDisk("a")
+		c.awaitVoters("a", "b", "c")
+		c.propose("a", "x")
+	}, "a", "b", "c")
+}
+
+// Guards against a wrong claim about a command that was proposed without a quorum, and against a repeat that runs
+// twice.
+func TestErrorsWithoutQuorum(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.start("a", "b", "c", "learner")
+		l := c.awaitLeader()
+		c.propose("learner", "x")
+		others := slices.DeleteFunc([]string{"a", "b", "c"}, func(name string) bool { return name == l.opts.Self })
+		c.set(func() { c.cut[l.opts.Self] = true })
+		_, err := l.ProposeWithID(context.Background(), "on the old leader", []byte("y"))
+		if !errors.Is(err, ErrUnknownResult) {
+			t.Fatalf("on the isolated leader: error %v", err)
+		}
+		if _, err := l.Propose(context.Background(), []byte("never")); !errors.Is(err, ErrNoQuorum) {
+			t.Fatalf("on the deposed leader: error %v", err)
+		}
+		if err := l.Barrier(context.Background()); !errors.Is(err, ErrNoQuorum) {
+			t.Fatalf("barrier without a quorum: error %v", err)
+		}
+		c.await("another leader", 10*time.Second, func() bool { return c.leader() != nil })
+		c.set(func() { clear(c.cut); c.cut[others[0]], c.cut[others[1]] = true, true })
+		if _, err := c.instances["learner"].Propose(context.Background(), []byte("never")); !errors.Is(err, ErrNoQuorum) {
+			t.Fatalf("on a learner: error %v", err)
+		}
+		c.set(func() { clear(c.cut) })
+		for range 2 {
+			if r, err := l.ProposeWithID(context.Background(), "on the old leader", []byte("y")); err != nil || string(r) != "2" {
+				t.Fatalf("repeat after the partition: result %q, error %v", r, err)
+			}
+		}
+		c.awaitCommands([]string{"x", "y"}, "a", "b", "c", "learner")
+	}, "a", "b", "c")
+}
+
+// Guards against a command that is applied twice because the proposer did not get the answer and tried again.
+func TestLostAnswer(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.start("a", "b", "c", "learner")
+		l := c.awaitLeader()
+		c.set(func() { c.loseAnswers[l.opts.Self] = true })
+		time.AfterFunc(time.Second, func() { c.set(func() { clear(c.loseAnswers) }) })
+		if got := c.propose("learner", "x"); got != "1" {
+			t.Fatalf("result %q", got)
+		}
+		if _, err := c.instances["learner"].Propose(context.Background(), []byte("bad")); err == nil || err.Error() != "bad command" {
+			t.Fatalf("error %v of the state machine", err)
+		}
+		c.set(func() { c.loseAnswers = map[string]bool{"a": true, "b": true, "c": true} })
+		if _, err := c.instances["learner"].Propose(context.Background(), []byte("y")); !errors.Is(err, ErrUnknownResult) {
+			t.Fatalf("error %v of a command whose answers were lost", err)
+		}
+		c.awaitCommands([]string{"x", "y"}, "a", "b", "c", "learner")
+	}, "a", "b", "c")
+}
+
+// Guards against a proposer that waits for an entry that a new leader replaced, instead of proposing again.
+func TestReplacedProposal(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.start("a", "b", "c")
+		l := c.awaitLeader()
+		c.awaitVoters("a", "b", "c")
+		c.set(func() { c.cut[l.opts.Self] = true })
+		time.AfterFunc(3*time.Second, func() { c.set(func() { clear(c.cut) }) })
+		if got := c.propose(l.opts.Self, "x"); got != "1" {
+			t.Fatalf("result %q", got)
+		}
+		c.awaitCommands([]string{"x"}, "a", "b", "c")
+	}, "a", "b", "c")
+}
+
+// Guards against messages and requests of another cluster, or for an earlier disk, that are taken for valid.
+func TestForeignMessages(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.start("a")
+		a := c.instances["a"]
+		m := raft.Message{Type: raft.MsgAppend, Cluster: "other", From: "b@1", To: "a@old", Term: 9}
+		a.HandleMessage(m)
+		time.Sleep(time.Second)
+		if s := a.Status(); s.Cluster != "" {
+			t.Fatalf("adopted the cluster of a message for an earlier disk: %+v", s)
+		}
+		c.start("b")
+		c.awaitVoters("a", "b")
+		m.To = a.Status().ID
+		a.HandleMessage(m)
+		time.Sleep(time.Second)
+		if term := a.Status().Term; term >= m.Term {
+			t.Fatalf("term %d after a message of another cluster", term)
+		}
+		r := ProposeRequest{Kind: RequestCommand, ID: "x", Command: []byte("x"), Cluster: "other"}
+		if response, err := c.awaitLeader().HandlePropose(context.Background(), r); err != nil || response.Outcome != OutcomeRefused {
+			t.Fatalf("command for another cluster: %+v, error %v", response, err)
+		}
+	}, "a", "b")
+}
+
+// Guards against instances that cannot catch up after hundreds of changes, with snapshots and entries that do not fit
+// into one response, and against responses above the size limit.
+func TestHundredsOfChangesMissed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		c.tune = func(o *Options) { o.SnapshotEvery = 100 }
+		defer c.stopAll()
+		c.start("a", "b", "c", "learner", "other")
+		c.awaitVoters("a", "b", "c")
+		c.propose("a", "first")
+		want := []string{"first"}
+		c.awaitCommands(want, "learner", "other")
+		c.kill("learner")
+		c.kill("c")
+		c.set(func() { c.cut["other"] = true })
+		for i := range 700 {
+			command := fmt.Sprint("command ", i)
+			if i%100 == 99 {
+				command = strings.Repeat(fmt.Sprint(i%7), 150<<10)
+			}
+			want = append(want, command)
+			c.propose("a", command)
+		}
+		c.start("c", "learner")
+		c.set(func() { clear(c.cut) })
+		c.awaitCommands(want, "a", "b", "c", "learner", "other")
+		c.propose("learner", strings.Repeat("z", 200<<10))
+		want = append(want, strings.Repeat("z", 200<<10))
+		c.awaitCommands(want, "a", "b", "c", "learner", "other")
+		if c.biggest > MaxFetchBytes || c.biggest < MaxFetchBytes/2 {
+			t.Fatalf("largest response of a parent: %d bytes, limit %d", c.biggest, MaxFetchBytes)
+		}
+		applied := c.instances["learner"].Status().Applied
+		c.kill("learner")
+		c.set(func() { c.cut["learner"] = true })
+		c.start("learner")
+		if s := c.instances["learner"].Status(); s.Applied < applied || s.CaughtUp {
+			t.Fatalf("learner after a restart without a parent: %+v, applied before %d", s, applied)
+		}
+	})
+}
+
+// Guards against learners that can only be served by voters, and against learners without a disk.
+func TestTreeOfLearners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a")
+		c.tune = func(o *Options) {
+			if o.Self == "leaf" {
+				o.DataDir = ""
+				o.Parents = func() []string { return []string{"gone", "middle"} }
+			}
+		}
+		defer c.stopAll()
+		c.start("a", "middle", "leaf")
+		c.propose("leaf", "x")
+		c.awaitCommands([]string{"x"}, "a", "middle", "leaf")
+		if err := c.instances["leaf"].Barrier(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if s := c.instances["leaf"].Status(); !s.CaughtUp || s.Voter || s.Role != "learner" {
+			t.Fatalf("%+v", s)
+		}
+	})
+}
+
+// Guards against a removed voter that joins again by itself.
+func TestRemove(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.start("a", "b", "c")
+		c.awaitVoters("a", "b", "c")
+		if err := c.instances["a"].Remove(context.Background(), "c"); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(10 * time.Second)
+		s := c.awaitLeader().Status()
+		if len(s.Voters) != 2 || len(s.Learners) != 0 {
+			t.Fatalf("%+v", s)
+		}
+		c.propose("c", "x")
+		c.loseDisk("c")
+		c.awaitVoters("a", "b", "c")
+	}, "a", "b", "c")
+}
+
+// Guards against a folder of another instance, or a folder that lost its log or its identity, that is taken for good.
+func TestDamagedFolders(t *testing.T) {
+	for name, damage := range map[string]func(folder string) error{
+		"log is missing":       func(f string) error { return os.RemoveAll(filepath.Join(f, logFolder)) },
+		"identity is missing":  func(f string) error { return os.Remove(filepath.Join(f, identityFile)) },
+		"identity is damaged":  func(f string) error { return os.WriteFile(filepath.Join(f, identityFile), []byte{1}, 0o600) },
+		"belongs to the other": func(string) error { return nil },
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(c *cluster) {
+				c.start("a")
+				c.propose("a", "x")
+				c.kill("a")
+				opts := Options{Name: "config", Self: "a", Voters: []string{"a"}, DataDir: c.dirs["a"], Machine: &register{t: t},
+					Sender: endpoint{}, Caller: endpoint{}}
+				if name == "belongs to the other" {
+					opts.Self, opts.Voters = "b", []string{"b"}
+				}
+				if err := damage(filepath.Join(c.dirs["a"], "config")); err != nil {
+					t.Fatal(err)
+				}
+				if _, err := Open(opts); err == nil {
+					t.Fatal("the folder was opened")
+				}
+			}, "a")
+		})
+	}
+}
+
+// Guards against lost, repeated or differently ordered commands while processes are killed, disks are lost and
+// messages disappear under load from every instance.
+func TestLoadWithFailures(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { loadWithFailures(t, seed) })
+		})
+	}
+}
+
+func loadWithFailures(t *testing.T, seed uint64) {
+	c := newCluster(t, "a", "b", "c")
+	c.seed = seed * 1000
+	c.tune = func(o *Options) { o.SnapshotEvery = 40 }
+	defer c.stopAll()
+	c.start("a", "b", "c", "learner")
+	c.awaitVoters("a", "b", "c")
+	random := rand.New(rand.NewPCG(seed, 7))
+	losses := rand.New(rand.NewPCG(seed, 8)) // used under the lock of the network
+	c.set(func() { c.loss = func(*raft.Message) bool { return losses.IntN(20) == 0 } })
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	accepted, refused := map[string]bool{}, map[string]bool{}
+	g := c.instances["learner"]
+	for proposer := range 4 {
+		wg.Go(func() {
+			for i := range 60 {
+				time.Sleep(time.Duration(100*proposer+i) * time.Millisecond)
+				command := fmt.Sprint(proposer, "-", i)
+				_, err := g.Propose(context.Background(), []byte(command))
+				mu.Lock()
+				accepted[command], refused[command] = err == nil, errors.Is(err, ErrNoQuorum)
+				mu.Unlock()
+			}
+		})
+	}
+	for range 12 {
+		name := c.voters[random.IntN(3)]
+		if random.IntN(3) == 0 {
+			c.loseDisk(name)
+		} else {
+			c.kill(name)
+			time.Sleep(time.Duration(random.IntN(3000)) * time.Millisecond)
+			c.start(name)
+		}
+		c.awaitVoters("a", "b", "c")
+	}
+	wg.Wait()
+	c.set(func() { c.loss = nil })
+	if err := c.instances["learner"].Barrier(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	want := c.instances["learner"].machine.list()
+	c.awaitCommands(want, "a", "b", "c")
+	times := map[string]int{}
+	for _, command := range want {
+		times[command]++
+	}
+	if len(want) < len(accepted)/2 {
+		t.Errorf("only %d of %d commands were applied", len(want), len(accepted))
+	}
+	for command, ok := range accepted {
+		if times[command] > 1 || ok && times[command] == 0 || refused[command] && times[command] > 0 {
+			t.Errorf("command %s: accepted %v, refused %v, applied %d times", command, ok, refused[command], times[command])
+		}
+	}
+}
