coordination/raft: send proposals that share a sync in one message

Every proposal sent its own append until the window was full. Appends and new commit indexes are now sent once per Ready. Waiting for a timer was ruled out: it delays a single proposal and Ready already marks the sync.

--- a/coordination/raft/focused_test.go
+++ b/coordination/raft/focused_test.go
@@ -314,6 +314,20 @@
 	s.mustCommit(1)
 }
 
+// Guards against one message per proposal when proposals share a sync.
+func TestProposalsShareMessages(t *testing.T) {
+	s := newSim(t, 16, 3, 0)
+	s.cfg.MaxMessageBytes = 1 << 20
+	l := s.startAll().awaitLeader()
+	s.run(time.Second, nil)
+	for range 100 {
+		s.propose(l)
+	}
+	if r, _ := l.node.Ready(); len(r.Messages) != 2 {
+		t.Fatalf("%d messages for 100 proposals to two followers", len(r.Messages))
+	}
+}
+
 // Guards against a member that cannot catch up after hundreds of missed entries, with and without the entries still in
 // the leader's log, and against a window that is not bounded.
 func TestManyMissedEntries(t *testing.T) {
--- a/coordination/raft/membership.go
+++ b/coordination/raft/membership.go
@@ -127,7 +127,7 @@
 	for _, id := range m.members() {
 		n.addProgress(now, id)
 	}
-	n.broadcastAppend(now, false)
+	n.appendDue, n.now = true, now
 	return nil
 }
 
--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -36,6 +36,11 @@
 	readSeq      uint64
 	reads        []pendingRead
 
+	// appendDue and commitDue ask Ready to tell the followers about new entries and a new commit index. now is the time
+	// of the call that set them.
+	appendDue, commitDue bool
+	now                  time.Time
+
 	incoming  *SnapshotPart // Data holds what has arrived
 	installed *Snapshot     // received, not yet handed out by Ready
 
@@ -271,6 +276,7 @@
 
 // Ready returns the work to do, and false when there is none. Advance must be called before the next Ready.
 func (n *Node) Ready() (Ready, bool) {
+	n.flushAppends()
 	r := Ready{HardState: n.hard, SyncHardState: n.hard != n.saved, Snapshot: n.installed,
 		Messages: n.messages, Reads: n.readResults}
 	last := n.log.lastIndex()
--- a/coordination/raft/replication.go
+++ b/coordination/raft/replication.go
@@ -54,10 +54,19 @@
 func (n *Node) appendLocal(now time.Time, e Entry) uint64 {
 	e.Index, e.Term = n.log.lastIndex()+1, n.hard.Term
 	n.log.append(e)
-	n.broadcastAppend(now, false)
+	n.appendDue, n.now = true, now
 	return e.Index
 }
 
+// flushAppends sends what was proposed and committed since the last Ready. Proposals that share a sync also share
+// messages.
+func (n *Node) flushAppends() {
+	if n.role == Leader && (n.appendDue || n.commitDue) {
+		n.broadcastAppend(n.now, n.commitDue)
+	}
+	n.appendDue, n.commitDue = false, false
+}
+
 func (n *Node) broadcastAppend(now time.Time, allowEmpty bool) {
 	for _, id := range n.current().members() {
 		if p := n.progress[id]; p != nil {
@@ -215,8 +224,8 @@
 		n.becomeFollower(now, n.hard.Term, "")
 		return
 	}
+	n.commitDue, n.now = true, now
 	n.releaseReads(now)
-	n.broadcastAppend(now, true)
 }
 
 func (n *Node) handleLeaderMessage(m *Message) error {
