--- /dev/null
+++ b/measure/measure_test.go
@@ -0,0 +1,168 @@
+package measure
+
+import (
+	"bytes"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func readSettings(t testing.TB) *Settings {
+	t.Helper()
+	data, err := os.ReadFile("settings.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, findings := ReadSettings("settings.toml", data)
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	return s
+}
+
+// shorten keeps one deployment and one swing, so that a test takes seconds.
+func shorten(s *Settings) {
+	s.Run.Seconds, s.Run.WarmupSeconds = 60, 10
+	s.Loss.AtSeconds, s.Loss.BackSeconds = 30, 45
+	s.Swing.PeriodSeconds, s.Swing.PeakSeconds = 60, 20
+	s.Deployments = s.Deployments[1:]
+}
+
+// Guards against figures that cannot be reproduced, for example by the order of a map.
+func TestTableDependsOnlyOnTheSeed(t *testing.T) {
+	var first, second, other bytes.Buffer
+	for _, run := range []struct {
+		out  *bytes.Buffer
+		seed uint64
+	}{{&first, 1}, {&second, 1}, {&other, 2}} {
+		s := readSettings(t)
+		shorten(s)
+		if err := Run(run.out, s, run.seed); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if first.String() != second.String() {
+		t.Errorf("two runs with seed 1 differ:\n%s\n%s", first.String(), second.String())
+	}
+	if first.String() == other.String() {
+		t.Error("the seed has no effect")
+	}
+}
+
+// Guards against policies that are compared on different work, and against requests that are lost or counted twice.
+func TestPoliciesSeeTheSameWork(t *testing.T) {
+	s := readSettings(t)
+	shorten(s)
+	offered := -1
+	for _, p := range Policies() {
+		f := newFleet(s, &s.Deployments[0], p, scenario{name: steady}, 1)
+		r := f.run()
+		if offered >= 0 && r.all.offered != offered {
+			t.Errorf("%s was offered %d requests instead of %d", p.Name, r.all.offered, offered)
+		}
+		offered = r.all.offered
+		for _, in := range f.instances {
+			if len(in.open) > 0 {
+				t.Errorf("%s left %d requests open", p.Name, len(in.open))
+			}
+		}
+	}
+}
+
+// Guards against settings that are silently ignored or divide by zero.
+func TestReadSettingsReportsFindings(t *testing.T) {
+	_, findings := ReadSettings("s.toml", []byte("[engine]\nslots = 0\nslot = 3\n"))
+	text := findings.Error()
+	for _, want := range []string{"s.toml:3: engine.slot: unknown key"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("%q is missing in:\n%s", want, text)
+		}
+	}
+	_, findings = ReadSettings("s.toml", []byte("[engine]\nslots = 0\n"))
+	if text = findings.Error(); !strings.Contains(text, "s.toml:2: engine.slots: must be larger than 0") {
+		t.Errorf("the value of engine.slots was accepted:\n%s", text)
+	}
+}
+
+// Guards against a straggler that gains or loses work: an amount of work takes its own time plus the factor's time for
+// what falls into slow windows.
+func TestAdvanceConservesWork(t *testing.T) {
+	s := readSettings(t)
+	rapid.Check(t, func(t *rapid.T) {
+		r := &replica{f: &fleet{s: s}}
+		at := time.Duration(0)
+		for range rapid.IntRange(0, 5).Draw(t, "windows") {
+			at += time.Duration(rapid.IntRange(1, 5000).Draw(t, "gapMs")) * time.Millisecond
+			end := at + time.Duration(rapid.IntRange(1, 5000).Draw(t, "slowMs"))*time.Millisecond
+			r.slow = append(r.slow, window{at, end})
+			at = end
+		}
+		from := time.Duration(rapid.IntRange(0, 20000).Draw(t, "fromMs")) * time.Millisecond
+		work := time.Duration(rapid.IntRange(0, 20000).Draw(t, "workMs")) * time.Millisecond
+		end := r.advance(from, work)
+		done := float64(end - from)
+		for _, w := range r.slow {
+			if overlap := min(w.end, end) - max(w.start, from); overlap > 0 {
+				done -= float64(overlap) * (1 - 1/s.Straggle.Factor)
+			}
+		}
+		if diff := time.Duration(done) - work; diff < -time.Microsecond || diff > time.Microsecond {
+			t.Fatalf("%v of %v work done from %v to %v", time.Duration(done), work, from, end)
+		}
+	})
+}
+
+// Guards against placements that exceed memory or leave a model without a replica, which would make any comparison of
+// moves worthless.
+func TestPlacementsKeepEveryModel(t *testing.T) {
+	s := readSettings(t)
+	f := newFleet(s, &s.Deployments[0], Policies()[0], scenario{name: steady}, 1)
+	rapid.Check(t, func(t *rapid.T) {
+		demand := make(map[string]float64)
+		for _, m := range f.models {
+			demand[m] = float64(rapid.IntRange(0, 200).Draw(t, m))
+		}
+		in := f.placementInput(demand)
+		for _, p := range []Placement{staticPlacement{}, &reactivePlacement{slots: s.Engine.Slots}} {
+			counts := make(map[string]int)
+			for _, r := range in.Replicas {
+				models := p.Plan(in)[r.Name]
+				if len(models) > r.Memory {
+					t.Fatalf("%T puts %d models on %s", p, len(models), r.Name)
+				}
+				for _, m := range models {
+					counts[m]++
+				}
+			}
+			for _, m := range in.Models {
+				if counts[m] == 0 {
+					t.Fatalf("%T leaves %s without a replica", p, m)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a weight store that is faster than the deployment's.
+func TestWeightStoreLimitsItsRate(t *testing.T) {
+	s := readSettings(t)
+	f := newFleet(s, &s.Deployments[0], Policies()[0], scenario{name: steady}, 1)
+	r := f.replicas[0]
+	r.residents = make(map[string]*resident)
+	for _, m := range f.models {
+		f.store.load(r, m)
+	}
+	f.runUntil(seconds(s.Placement.LoadSeconds) + time.Second)
+	ready := 0
+	for _, res := range r.residents {
+		if res.ready {
+			ready++
+		}
+	}
+	if ready == 0 || ready > 4 {
+		t.Fatalf("%d models were loaded in %v s and one more second at 3 loads/s", ready, s.Placement.LoadSeconds)
+	}
+}
