--- /dev/null
+++ b/instance/policy/candidates.go
@@ -0,0 +1,101 @@
+package policy
+
+import (
+	"slices"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
+	"github.com/tarragonhoist/tarragonhoist/coordination/quarantine"
+	"github.com/tarragonhoist/tarragonhoist/coordination/routing"
+	"github.com/tarragonhoist/tarragonhoist/instance/modelcalls"
+)
+
+// entryCandidate is a sampled target.
+type entryCandidate struct {
+	candidate routing.Candidate
+	entry     *membership.Entry
+}
+
+// candidates is a sample of the targets of a model. It implements routing.Set.
+type candidates []entryCandidate
+
+// Len implements routing.Set.
+func (c candidates) Len() int { return len(c) }
+
+// At implements routing.Set.
+func (c candidates) At(i int) routing.Candidate { return c[i].candidate }
+
+// Find implements routing.Set.
+func (c candidates) Find(target string) (routing.Candidate, bool) {
+	if i := c.index(target); i >= 0 {
+		return c[i].candidate, true
+	}
+	return routing.Candidate{}, false
+}
+
+func (c candidates) index(target string) int {
+	return slices.IndexFunc(c, func(e entryCandidate) bool { return e.candidate.Target == target })
+}
+
+func (c candidates) entry(target string) *membership.Entry { return c[c.index(target)].entry }
+
+func candidate(e *membership.Entry) entryCandidate {
+	a := &e.Announcement
+	return entryCandidate{entry: e, candidate: routing.Candidate{
+		Target: TargetID(a.Target, a.Incarnation), DataCentre: a.DataCentre, Leaving: a.Leaving, LeaseUntil: e.ExpiresAt,
+		// The sample holds only targets on which model and adapter are ready.
+		ModelReady: true, AdapterReady: true, Slots: a.Slots, Reported: a.Load.Running + a.Load.Queued,
+		MeasuredAt: time.UnixMilli(a.Load.MeasuredAtMs),
+	}}
+}
+
+// localCandidates keeps requests away from targets on which a suspect runs: another suspect always, so that the culprit
+// can be told apart, and other requests where they can go elsewhere, so that they are not struck with it.
+func (p *Policy) localCandidates(w *modelcalls.Work, excluded map[string]bool, entries []*membership.Entry) candidates {
+	var free, claimed candidates
+	for _, e := range entries {
+		a := &e.Announcement
+		switch {
+		case excluded[a.Target]:
+		case p.suspects.Claimed(quarantine.Target{Name: a.Target, Incarnation: a.Incarnation}):
+			claimed = append(claimed, candidate(e))
+		default:
+			free = append(free, candidate(e))
+		}
+	}
+	if len(free) == 0 && !p.suspects.Suspect(w.Fingerprint) {
+		return claimed
+	}
+	return free
+}
+
+// remoteCandidates stand for the replicas of other data centres that have room.
+func (p *Policy) remoteCandidates(now time.Time, w *modelcalls.Work, excluded map[string]bool) candidates {
+	if !w.MaySpill {
+		return nil
+	}
+	var list candidates
+	for _, summary := range p.table.RemoteReplicas(now, w.Model, w.Adapter) {
+		target := remotePrefix + summary.DataCentre
+		if summary.Ready == 0 || summary.FreeWork == 0 || excluded[target] {
+			continue
+		}
+		list = append(list, entryCandidate{candidate: routing.Candidate{
+			Target: target, DataCentre: summary.DataCentre, LeaseUntil: now.Add(time.Second), ModelReady: true, AdapterReady: true,
+			Slots: summary.FreeWork, MeasuredAt: now.Add(-time.Duration(summary.AgeMs) * time.Millisecond),
+		}})
+	}
+	return list
+}
+
+// remotePrefix marks targets that stand for another data centre.
+const remotePrefix = "data-centre:"
+
+func (p *Policy) hasRemoteRoom(w *modelcalls.Work) bool {
+	return len(p.remoteCandidates(p.now(), w, nil)) > 0
+}
+
+// finishedRemote counts the end of an attempt in another data centre, whose latency says nothing about local targets.
+func (p *Policy) finishedRemote(w *modelcalls.Work, placed modelcalls.Placed, r modelcalls.Result) {
+	p.router.Finished(p.now(), routing.Finish{Target: placed.Target, Model: w.Model, Service: r.Total})
+}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -2,6 +2,7 @@
 package catalog
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -67,15 +68,26 @@
 	}
 }
 
+// MaxVerdicts bounds the verdicts that are kept, about 26 days of 3,800 notes. The number of a forgotten note is free
+// again. Without a bound, the history alone would fill the memory of an instance within a year.
+const MaxVerdicts = 100_000
+
 // Machine applies submissions in log order. It is not safe for concurrent use.
 type Machine struct {
 	contents *Contents
 	verdicts map[uint64]Verdict
+	// order lists the numbers of the verdicts by log index.
+	order []uint64
+	limit int
 }
 
 // New makes a machine with nothing in force.
 func New() *Machine {
-	return &Machine{contents: emptyContents(), verdicts: make(map[uint64]Verdict)}
+	return newMachine(MaxVerdicts)
+}
+
+func newMachine(limit int) *Machine {
+	return &Machine{contents: emptyContents(), verdicts: make(map[uint64]Verdict), limit: limit}
 }
 
 func emptyContents() *Contents {
@@ -96,13 +108,25 @@
 
 // History lists all verdicts by log index.
 func (m *Machine) History() []Verdict {
-	list := slices.Collect(maps.Values(m.verdicts))
-	sort.Slice(list, func(i, j int) bool { return list[i].Index < list[j].Index })
+	list := make([]Verdict, len(m.order))
+	for i, number := range m.order {
+		list[i] = m.verdicts[number]
+	}
 	return list
 }
 
-// Apply decides on one submission. A refused number stays free for a corrected note; an accepted number is held for
-// good, so that a repeated submission of the same content gets the same verdict.
+// keep adds a verdict and forgets the oldest beyond the limit.
+func (m *Machine) keep(v Verdict) {
+	m.verdicts[v.Number] = v
+	m.order = append(m.order, v.Number)
+	if len(m.order) > m.limit {
+		delete(m.verdicts, m.order[0])
+		m.order = m.order[1:]
+	}
+}
+
+// Apply decides on one submission. The first submission of a number holds it for good, accepted or refused, so that a
+// repeated submission of the same content always gets the same verdict.
 func (m *Machine) Apply(index uint64, data []byte) ([]byte, error) {
 	var s Submission
 	if err := cbor.Unmarshal(data, &s); err != nil {
@@ -115,14 +139,12 @@
 func (m *Machine) decide(index uint64, s *Submission) Verdict {
 	verdict := Verdict{Number: s.Note.Number, Digest: s.Digest, Operator: s.Operator, AtMs: s.AtMs, Index: index}
 	if held, ok := m.verdicts[s.Note.Number]; ok {
-		if held.Digest == s.Digest && held.Accepted {
+		if held.Digest == s.Digest {
 			return held
 		}
-		if held.Accepted {
-			verdict.Findings = []tomlfile.Finding{{Key: "number", Message: fmt.Sprintf(
-				"number %d is held by a note of operator %q with digest %.12s", held.Number, held.Operator, held.Digest)}}
-			return verdict
-		}
+		verdict.Findings = []tomlfile.Finding{{Key: "number", Message: fmt.Sprintf(
+			"number %d is held by a note of operator %q with digest %.12s; use another number", held.Number, held.Operator, held.Digest)}}
+		return verdict
 	}
 	next, findings := Check(m.contents, &s.Note)
 	verdict.Findings = append(findings, s.Findings...)
@@ -131,7 +153,7 @@
 		next.Index = index
 		m.contents = next
 	}
-	m.verdicts[s.Note.Number] = verdict
+	m.keep(verdict)
 	return verdict
 }
 
@@ -155,5 +177,14 @@
 		s.Verdicts = make(map[uint64]Verdict)
 	}
 	m.contents, m.verdicts = s.Contents, s.Verdicts
+	m.order = slices.Collect(maps.Keys(m.verdicts))
+	slices.SortFunc(m.order, func(a, b uint64) int { return cmp.Compare(m.verdicts[a].Index, m.verdicts[b].Index) })
 	return nil
 }
+
+// DecodeVerdict reads the result of Apply.
+func DecodeVerdict(result []byte) (Verdict, error) {
+	var v Verdict
+	err := cbor.Unmarshal(result, &v)
+	return v, errors.Wrap(err, "verdict")
+}
