--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -107,21 +107,6 @@
 	return s
 }
 
-// note puts a model and a service in force.
-const note = `number = 1
-[[model]]
-action = "add"
-name = "m"
-version = "1"
-memory_bytes = 300
-priority = "interactive"
-callers = ["crew"]
-[[service]]
-action = "add"
-name = "desk"
-callers = ["crew"]
-`
-
 // submit waits until a note gets a verdict and expects that it is accepted.
 func submit(ctx context.Context, t *testing.T, c *cluster.Cluster, instance, text string) {
 	t.Helper()
