coordination/replica: do not announce a group that was not founded

When an instance learned of a cluster between the answers of the other voters and the founding, become did nothing, but the other voters were still told to join the new cluster. become now reports whether it founded the group. The window is too small for a test in virtual time; the fault was found by reading.

Incarnations and cluster names use 22 characters instead of 36. Every heartbeat carries three of them.

--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
@@ -95,13 +94,18 @@
 // found starts a new group. The other voters are told at once, so that the loss of this disk right after does not
 // leave a cluster whose members nobody knows.
 func (g *Group) found(ctx context.Context, members []string) error {
-	cluster := uuid.NewString()
+	cluster := newIncarnation()
 	failed := make(chan error, 1)
-	err := g.do(ctx, func(time.Time) { failed <- g.become(cluster, members) })
+	founded := false
+	err := g.do(ctx, func(time.Time) {
+		var err error
+		founded, err = g.become(cluster, members)
+		failed <- err
+	})
 	if err != nil {
 		return nil // the group is stopping
 	}
-	if err := <-failed; err != nil {
+	if err := <-failed; err != nil || !founded {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
@@ -123,24 +127,24 @@
 	if r.Cluster == "" || !slices.Contains(r.Voters, g.store.identity.id()) || !g.opts.isVoter() {
 		return refused(g.store.identity.id() + " is not among the founders")
 	}
-	if err := g.become(r.Cluster, r.Voters); err != nil {
+	if _, err := g.become(r.Cluster, r.Voters); err != nil {
 		return refused(err.Error())
 	}
 	return ProposeResponse{Outcome: OutcomeDone}
 }
 
-// become makes this empty instance a member of a new cluster. It does nothing when the instance belongs to a
-// cluster already.
-func (g *Group) become(cluster string, members []string) error {
+// become makes this empty instance a member of a new cluster. It returns false when the instance belongs to a cluster
+// already, which can happen between the answers of the other voters and the call.
+func (g *Group) become(cluster string, members []string) (bool, error) {
 	if g.store.identity.Cluster != "" {
-		return nil
+		return false, nil
 	}
 	if g.node.LastIndex() != 0 {
-		return errors.New("the log is not empty, but belongs to no cluster")
+		return false, errors.New("the log is not empty, but belongs to no cluster")
 	}
 	if err := g.store.adopt(cluster, members); err != nil {
-		return err
+		return false, err
 	}
 	g.opts.OnEvent(EventFounded, fmt.Sprintf("cluster %s, members %v", cluster, members))
-	return g.start(raft.SavedState{})
+	return true, g.start(raft.SavedState{})
 }
--- a/coordination/replica/storage.go
+++ b/coordination/replica/storage.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"encoding/base64"
 	"os"
 	"path/filepath"
 	"slices"
@@ -19,7 +20,8 @@
 )
 
 // identity binds a data folder to an instance, to one incarnation of its disk and, once it is known, to a cluster. A
-// folder without it is new: it gets a new incarnation and so a member id that was never in any membership.
+// folder without it is new: it gets a new incarnation and so a member id that was never in any membership. A folder must
+// not be copied or restored from a backup: its votes and acknowledgements since then would be missing.
 type identity struct {
 	Group       string `cbor:"1,keyasint"`
 	Name        string `cbor:"2,keyasint"`
@@ -29,6 +31,12 @@
 	Founders []string `cbor:"5,keyasint"`
 }
 
+// newIncarnation makes a random name. Base64 keeps the heartbeats smaller than the usual form of a UUID would.
+func newIncarnation() string {
+	id := uuid.New()
+	return base64.RawURLEncoding.EncodeToString(id[:])
+}
+
 func (i *identity) id() string { return raft.MemberID(i.Name, i.Incarnation) }
 
 // storage keeps identity and log of a replica. Without a folder it keeps nothing.
@@ -39,7 +47,7 @@
 }
 
 func openStorage(o *Options) (*storage, raft.SavedState, int64, error) {
-	s := &storage{identity: identity{Group: o.Name, Name: o.Self, Incarnation: uuid.NewString()}}
+	s := &storage{identity: identity{Group: o.Name, Name: o.Self, Incarnation: newIncarnation()}}
 	if o.DataDir == "" {
 		return s, raft.SavedState{}, 0, nil
 	}
