coordination: hand leadership over when a leader stops in good order

A leader that stops asks a voter that holds the whole log to start an election at once; its vote requests are exempt from the rule that protects a leader that is still heard. Reads do not depend on that rule, so the exemption does not make them stale. Waiting in the new leader was ruled out: it cannot tell a stop from a pause.

The random schedules contain hand-overs now.

--- a/coordination/raft/bench_test.go
+++ b/coordination/raft/bench_test.go
@@ -15,7 +15,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
-	n.startElection(now)
+	n.startElection(now, false)
 	if err := n.Step(now, Message{Type: MsgVoteResponse, From: "b@0", To: "a@0", Term: 2}); err != nil {
 		b.Fatal(err)
 	}
--- a/coordination/raft/election.go
+++ b/coordination/raft/election.go
@@ -21,28 +21,28 @@
 func (n *Node) startPreVote(now time.Time) {
 	n.role, n.leader = PreCandidate, ""
 	n.votes = map[string]bool{n.cfg.ID: true}
-	n.requestVotes(MsgPreVote, n.hard.Term+1)
+	n.requestVotes(MsgPreVote, n.hard.Term+1, false)
 	if n.granted() {
-		n.startElection(now)
+		n.startElection(now, false)
 	}
 }
 
-func (n *Node) startElection(now time.Time) {
+func (n *Node) startElection(now time.Time, transfer bool) {
 	n.role, n.leader = Candidate, ""
 	n.hard.Term++
 	n.hard.Vote = n.cfg.ID
 	n.votes = map[string]bool{n.cfg.ID: true}
 	n.resetElectionDeadline(now)
-	n.requestVotes(MsgVote, n.hard.Term)
+	n.requestVotes(MsgVote, n.hard.Term, transfer)
 	if n.granted() {
 		n.becomeLeader(now)
 	}
 }
 
-func (n *Node) requestVotes(t MessageType, term uint64) {
+func (n *Node) requestVotes(t MessageType, term uint64, transfer bool) {
 	for _, id := range n.current().Voters {
 		if id != n.cfg.ID {
-			n.send(Message{Type: t, To: id, Term: term, Index: n.log.lastIndex(), LogTerm: n.log.lastTerm()})
+			n.send(Message{Type: t, To: id, Term: term, Index: n.log.lastIndex(), LogTerm: n.log.lastTerm(), Transfer: transfer})
 		}
 	}
 }
@@ -73,7 +73,7 @@
 	}
 	n.votes[m.From] = true
 	if n.granted() {
-		n.startElection(now)
+		n.startElection(now, false)
 	}
 }
 
@@ -108,6 +108,21 @@
 	n.heartbeatDue = now.Add(n.cfg.HeartbeatInterval)
 }
 
+// TransferLeadership asks the most advanced voter to take over without waiting for its election timeout. It returns
+// false when there is no voter that holds the whole log. The leader steps down when it sees the new term.
+func (n *Node) TransferLeadership() bool {
+	if n.role != Leader {
+		return false
+	}
+	for _, id := range n.current().Voters {
+		if p := n.progress[id]; p != nil && p.match == n.log.lastIndex() {
+			n.send(Message{Type: MsgTimeoutNow, To: id})
+			return true
+		}
+	}
+	return false
+}
+
 // tickLeader gives up leadership when no majority of voters answered within the election timeout. Clients of a leader
 // that was cut off then learn early that there is no quorum.
 func (n *Node) tickLeader(now time.Time) {
--- a/coordination/raft/focused_test.go
+++ b/coordination/raft/focused_test.go
@@ -218,7 +218,7 @@
 		t.Fatal(err)
 	}
 	now := time.Unix(0, 0)
-	n.startElection(now)
+	n.startElection(now, false)
 	if err := n.Step(now, Message{Type: MsgVoteResponse, From: "b@0", To: "a@0", Term: 3}); err != nil {
 		t.Fatal(err)
 	}
--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -193,7 +193,7 @@
 		n.handlePreVote(now, &m)
 		return nil
 	case MsgVote:
-		if m.Term > n.hard.Term && n.leaderIsRecent(now) {
+		if m.Term > n.hard.Term && n.leaderIsRecent(now) && !m.Transfer {
 			// A member that was removed or cut off must not depose a leader that the others still hear.
 			return nil
 		}
@@ -237,6 +237,10 @@
 		}
 		n.follow(now, m.From)
 		return n.handleLeaderMessage(m)
+	case MsgTimeoutNow:
+		if n.role != Leader && n.current().IsVoter(n.cfg.ID) {
+			n.startElection(now, true)
+		}
 	case MsgAppendResponse, MsgSnapshotResponse, MsgHeartbeatResponse:
 		if n.role == Leader {
 			n.handleFollowerMessage(now, m)
--- a/coordination/raft/property_test.go
+++ b/coordination/raft/property_test.go
@@ -136,9 +136,13 @@
 	if h == nil {
 		return
 	}
-	if s.number(3) != 0 {
+	switch s.number(6) {
+	case 0, 1, 2:
 		s.read(h)
 		return
+	case 3:
+		h.node.TransferLeadership()
+		return
 	}
 	if l := s.leader(); l != nil && len(s.members.Voters) > 2 {
 		s.removed = true
--- a/coordination/raft/types.go
+++ b/coordination/raft/types.go
@@ -128,10 +128,11 @@
 	MsgSnapshotResponse
 	MsgHeartbeat // keeps a follower that receives a snapshot from starting an election
 	MsgHeartbeatResponse
+	MsgTimeoutNow // asks a voter to start an election at once, because the leader leaves
 )
 
 var messageNames = [...]string{"", "PreVote", "PreVoteResponse", "Vote", "VoteResponse", "Append", "AppendResponse",
-	"Snapshot", "SnapshotResponse", "Heartbeat", "HeartbeatResponse"}
+	"Snapshot", "SnapshotResponse", "Heartbeat", "HeartbeatResponse", "TimeoutNow"}
 
 // String names the type.
 func (t MessageType) String() string {
@@ -158,6 +159,8 @@
 	HintTerm uint64        `cbor:"12,keyasint,omitempty" json:"hint_term,omitempty"`
 	ReadSeq  uint64        `cbor:"13,keyasint,omitempty" json:"read_seq,omitempty"`
 	Part     *SnapshotPart `cbor:"14,keyasint,omitempty" json:"part,omitempty"`
+	// Transfer marks a vote request that the leader asked for, so that members vote although they hear their leader.
+	Transfer bool `cbor:"15,keyasint,omitempty" json:"transfer,omitempty"`
 }
 
 // Config holds the parameters of a node. Zero durations and sizes take their defaults.
--- a/coordination/replica/group.go
+++ b/coordination/replica/group.go
@@ -17,6 +17,8 @@
 	inboxSize = 1024
 	// maxEventsPerSync bounds how many messages and requests share one sync.
 	maxEventsPerSync = 256
+	// handOverTimeout bounds how long a leader that stops waits for its successor.
+	handOverTimeout = 500 * time.Millisecond
 	// compactKeep is the number of applied entries kept after a snapshot for members and learners that are a little
 	// behind.
 	compactKeep = 512
@@ -125,7 +127,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			return nil
+			return g.handOver()
 		case m := <-g.inbox:
 			if err := g.step(time.Now(), m); err != nil {
 				return err
@@ -150,6 +152,29 @@
 	}
 }
 
+// handOver lets a leader that stops pass on its role, so that the group need not wait for an election timeout. It serves
+// messages until another leader is known or time is up.
+func (g *Group) handOver() error {
+	deadline := time.NewTimer(handOverTimeout)
+	defer deadline.Stop()
+	for asked := false; g.node.Role() == raft.Leader && len(g.membership.Voters) > 1; {
+		asked = asked || g.node.TransferLeadership()
+		if err := g.work(time.Now()); err != nil {
+			return err
+		}
+		select {
+		case m := <-g.inbox:
+			if err := g.step(time.Now(), m); err != nil {
+				return err
+			}
+		case <-deadline.C:
+			return nil
+		}
+	}
+	// The vote for the new leader is synced and sent.
+	return g.work(time.Now())
+}
+
 // drain handles what is waiting already, so that it shares one sync.
 func (g *Group) drain() error {
 	for range maxEventsPerSync {
--- a/coordination/replica/group_test.go
+++ b/coordination/replica/group_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -340,6 +341,24 @@
 	})
 }
 
+// Guards against a group that waits for an election timeout when its leader stops in good order.
+func TestLeaderHandsOver(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.start("a", "b", "c")
+		c.awaitVoters("a", "b", "c")
+		c.propose("a", "x")
+		old := c.awaitLeader()
+		began := time.Now()
+		old.stop()
+		<-old.ended
+		c.kill(old.opts.Self)
+		c.propose(slices.Collect(maps.Keys(c.instances))[0], "y")
+		if waited := time.Since(began); waited > 500*time.Millisecond {
+			t.Fatalf("no proposal for %v", waited)
+		}
+	}, "a", "b", "c")
+}
+
 // Guards against a removed voter that joins again by itself.
 func TestRemove(t *testing.T) {
 	inBubble(t, func(c *cluster) {
