--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -231,7 +231,8 @@
 	waiting := make(map[string]bool)
 	for _, step := range placement.NextSteps(in, wanted) {
 		t := o.targets[step.Target]
-		if t == nil || len(t.written) >= maxOpenOrders {
+		// Without a complete journal an unload that nobody knows of may still take the replica that would remain.
+		if t == nil || len(t.written) >= maxOpenOrders || !step.Load && !o.complete {
 			continue
 		}
 		order := o.order(&step)
--- /dev/null
+++ b/coordination/orders/orders_test.go
@@ -0,0 +1,386 @@
+package orders
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/control"
+	"github.com/tarragonhoist/tarragonhoist/coordination/loadlimit"
+	"github.com/tarragonhoist/tarragonhoist/coordination/placement"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/electorate"
+	"github.com/tarragonhoist/tarragonhoist/state/memledger"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// engine is a target that runs every order it accepts without looking at its memory.
+type engine struct {
+	name        string
+	fencing     bool
+	capacity    int64
+	incarnation uint64
+	sequence    uint64
+	lastFence   uint64
+	residents   map[memledger.Item]targetapi.Resident
+	orders      map[string]targetapi.OrderStatus
+	running     map[string]targetapi.Order
+}
+
+func (e *engine) restart() {
+	e.incarnation++
+	e.sequence, e.lastFence = 0, 0
+	e.residents = make(map[memledger.Item]targetapi.Resident)
+	e.orders = make(map[string]targetapi.OrderStatus)
+	e.running = make(map[string]targetapi.Order)
+}
+
+func (e *engine) receive(o targetapi.Order) {
+	if _, known := e.orders[o.ID]; known || e.fencing && o.Fence < e.lastFence {
+		return
+	}
+	e.lastFence = max(e.lastFence, o.Fence)
+	if o.Kind == targetapi.Raise {
+		return
+	}
+	e.orders[o.ID] = targetapi.OrderStatus{ID: o.ID, State: targetapi.OrderAccepted}
+	e.running[o.ID] = o
+	item := memledger.ItemOf(&o)
+	if held, resident := e.residents[item]; memledger.IsLoad(&o) && !resident {
+		e.residents[item] = targetapi.Resident{Model: o.Model, Version: o.ModelVersion, Adapter: o.Adapter, State: targetapi.Loading, Bytes: o.Bytes}
+	} else if memledger.IsUnload(&o) && resident {
+		held.State = targetapi.Unloading
+		e.residents[item] = held
+	}
+}
+
+func (e *engine) finish(id string, fail bool) {
+	o := e.running[id]
+	delete(e.running, id)
+	item, state := memledger.ItemOf(&o), targetapi.OrderDone
+	held, resident := e.residents[item]
+	switch {
+	case memledger.IsLoad(&o) && fail && held.State == targetapi.Loading:
+		state = targetapi.OrderFailed
+		delete(e.residents, item)
+	case memledger.IsLoad(&o) && resident && held.State == targetapi.Loading:
+		held.State = targetapi.Ready
+		e.residents[item] = held
+	case memledger.IsUnload(&o):
+		delete(e.residents, item)
+	}
+	e.orders[id] = targetapi.OrderStatus{ID: id, State: state}
+}
+
+func (e *engine) announce() *targetapi.Announcement {
+	e.sequence++
+	return &targetapi.Announcement{
+		Version: 1, Target: e.name, Incarnation: e.incarnation, Sequence: e.sequence, Kind: targetapi.Engine,
+		CapacityBytes: e.capacity, ChecksFencing: e.fencing, LastFence: e.lastFence,
+		Residents: slices.Collect(maps.Values(e.residents)), Orders: slices.Collect(maps.Values(e.orders)),
+	}
+}
+
+// freeSlots permits every load.
+type freeSlots struct{}
+
+func (freeSlots) Adopt(string, loadlimit.Kind) {}
+func (freeSlots) Done(time.Time, string)       {}
+func (freeSlots) Start(_ time.Time, loads []loadlimit.Load) []string {
+	ids := make([]string, len(loads))
+	for i := range loads {
+		ids[i] = loads[i].ID
+	}
+	return ids
+}
+
+type delivery struct {
+	at  time.Time
+	run func()
+}
+
+// world is a data centre with three electors, several engines and one controller at a time. A deposed controller goes on
+// with what it had decided: its messages stay under way.
+type world struct {
+	t          *rapid.T
+	random     *rand.Rand
+	now        time.Time
+	electorate control.Electorate
+	copies     map[string]*electorate.JournalCopy
+	promised   map[string]uint64
+	engines    []*engine
+	issuer     *Issuer
+	// deposed goes on for a while as if it knew nothing of its successor.
+	deposed      *Issuer
+	deposedUntil time.Time
+	fence        uint64
+	models       []placement.Model
+	table        map[string]*targetapi.Announcement
+	queue        []delivery
+	maxLate      time.Duration
+	delivered    int
+	takeovers    int
+	journaled    map[string]bool
+	// lost says that an elector has lost copies that it had acknowledged.
+	lost      bool
+	lossy     bool
+	ready     map[string]bool
+	restarted time.Time
+}
+
+func (w *world) post(run func()) {
+	for range []int{0, 1, 1, 1, 1, 2}[w.random.IntN(6)] {
+		at := w.now.Add(time.Duration(w.random.Int64N(int64(300 * time.Millisecond))))
+		if w.random.IntN(8) == 0 {
+			at = w.now.Add(time.Duration(w.random.Int64N(int64(w.maxLate))))
+		}
+		w.queue = append(w.queue, delivery{at, run})
+	}
+}
+
+// takeOver makes a new controller with the copies of a majority: those of the named electors and of random others.
+func (w *world) takeOver(names ...string) {
+	w.fence++
+	w.takeovers++
+	others := slices.Clone(w.electorate.Instances)
+	w.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	for _, name := range others {
+		if !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
+	var copies []electorate.JournalCopy
+	for _, name := range names[:w.electorate.Majority()] {
+		w.promised[name] = w.fence
+		copies = append(copies, w.copies[name].Clone())
+	}
+	w.deposed, w.deposedUntil = w.issuer, w.now.Add(time.Duration(w.random.Int64N(int64(20*time.Second))))
+	w.issuer = New(w.electorate)
+	if err := w.issuer.Take(w.now, w.fence, copies, freeSlots{}); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+func (w *world) control(issuer *Issuer) {
+	if _, err := issuer.Step(w.now, slices.Collect(maps.Values(w.table))); err != nil {
+		w.t.Fatal(err)
+	}
+	in := placement.Input{Targets: issuer.Targets(), Models: w.models, ReplicaRate: 10}
+	wanted := placement.Plan(in)
+	if _, err := issuer.Plan(w.now, &in, &wanted); err != nil {
+		w.t.Fatal(err)
+	}
+	for _, r := range issuer.Records(w.now) {
+		if r.Elector == "c" && w.random.IntN(10) > 0 {
+			// This elector lags behind.
+			continue
+		}
+		w.post(func() {
+			held, state := w.copies[r.Elector].Add(r.Record, w.promised[r.Elector])
+			w.post(func() { issuer.Copied(control.RecordResponse{Elector: r.Elector, Held: held, State: state}) })
+		})
+	}
+	for _, s := range issuer.Sends(w.now) {
+		e := w.engines[slices.IndexFunc(w.engines, func(e *engine) bool { return e.name == s.Target })]
+		if s.Order.Kind != targetapi.Raise && !w.lost && !w.journaled[s.Order.ID] {
+			w.checkJournaled(s.Order.ID)
+		}
+		w.post(func() {
+			if e.incarnation == s.Incarnation {
+				e.receive(s.Order)
+				w.delivered++
+			}
+		})
+	}
+}
+
+// checkJournaled is the rule that an order is sent only after a majority holds its record.
+func (w *world) checkJournaled(id string) {
+	holders := 0
+	for _, c := range w.copies {
+		state, err := replay(c)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		for _, t := range state.Targets {
+			if slices.ContainsFunc(t.Open, func(o targetapi.Order) bool { return o.ID == id }) {
+				holders++
+			}
+		}
+	}
+	if holders < w.electorate.Majority() {
+		w.t.Fatalf("order %s was sent with %d copies", id, holders)
+	}
+	w.journaled[id] = true
+}
+
+func (w *world) step() {
+	w.now = w.now.Add(100 * time.Millisecond)
+	due := w.queue
+	w.queue = nil
+	for _, m := range due {
+		if m.at.After(w.now) {
+			w.queue = append(w.queue, m)
+			continue
+		}
+		m.run()
+	}
+	for _, e := range w.engines {
+		for _, id := range slices.Sorted(maps.Keys(e.running)) {
+			if w.random.IntN(5) == 0 {
+				e.finish(id, w.random.IntN(10) == 0)
+			}
+		}
+		if w.random.IntN(5) == 0 {
+			a := e.announce()
+			w.post(func() {
+				// The table of targets keeps the newest announcement; a new controller may see an older one first.
+				if old := w.table[a.Target]; old == nil || w.random.IntN(4) == 0 || old.Incarnation < a.Incarnation ||
+					old.Incarnation == a.Incarnation && old.Sequence < a.Sequence {
+					w.table[a.Target] = a
+				}
+			})
+		}
+		use := int64(0)
+		for _, r := range e.residents {
+			use += r.Bytes
+		}
+		if use > e.capacity {
+			w.t.Fatalf("at %v %s uses %d of %d bytes", w.now.Sub(epoch), e.name, use, e.capacity)
+		}
+	}
+	refusing := 0
+	for _, p := range w.promised {
+		if p > w.fence {
+			refusing++
+		}
+	}
+	if refusing >= w.electorate.Majority() {
+		// The holder's renewals are refused by a majority, so its lease ends.
+		w.takeOver()
+	}
+	w.checkReachable()
+	w.control(w.issuer)
+	if !w.lossy && w.deposed != nil && w.now.Before(w.deposedUntil) {
+		w.control(w.deposed)
+	}
+}
+
+func newWorld(t *rapid.T, lossy bool) *world {
+	w := &world{
+		t: t, random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), now: epoch, maxLate: 20 * time.Second,
+		electorate: control.Electorate{DataCentre: "dc", Instances: []string{"a", "b", "c"}}, journaled: map[string]bool{},
+		copies: map[string]*electorate.JournalCopy{}, promised: map[string]uint64{}, table: map[string]*targetapi.Announcement{},
+	}
+	w.lossy = lossy
+	if lossy {
+		w.maxLate = memledger.CopyLifetime
+	}
+	for _, name := range w.electorate.Instances {
+		w.copies[name] = &electorate.JournalCopy{}
+	}
+	for i := range 3 {
+		e := &engine{name: fmt.Sprint("t", i), fencing: w.random.IntN(2) == 0, capacity: 70}
+		e.restart()
+		w.engines = append(w.engines, e)
+	}
+	for i := range 4 {
+		m := placement.Model{Name: fmt.Sprint("m", i), Version: "1", MemoryBytes: 10 + w.random.Int64N(12), Home: true, Demand: 30 * w.random.Float64()}
+		m.Adapters = []placement.Adapter{{Name: "a", Version: "1", MemoryBytes: 2}}
+		w.models = append(w.models, m)
+	}
+	w.takeOver()
+	return w
+}
+
+// checkReachable is the rule that a model or adapter with a ready replica keeps one, in any version, unless a target was
+// restarted a short time ago.
+func (w *world) checkReachable() {
+	ready := map[string]bool{}
+	for _, e := range w.engines {
+		for item, r := range e.residents {
+			model := false
+			for other, m := range e.residents {
+				model = model || other.Model == item.Model && other.Adapter == "" && m.State == targetapi.Ready
+			}
+			if r.State == targetapi.Ready && (item.Adapter == "" || model) {
+				ready[item.Model+":"+item.Adapter] = true
+			}
+		}
+	}
+	for name := range w.ready {
+		if !ready[name] && w.now.Sub(w.restarted) > w.maxLate+10*time.Second {
+			w.t.Fatalf("at %v %s has no ready replica any more", w.now.Sub(epoch), name)
+		}
+	}
+	w.ready = ready
+}
+
+// everywhere says whether each model and adapter is ready on some engine in the version in effect.
+func (w *world) everywhere() bool {
+	for _, m := range w.models {
+		for _, item := range []memledger.Item{{Model: m.Name, Version: m.Version}, {Model: m.Name, Version: m.Adapters[0].Version, Adapter: "a"}} {
+			if !slices.ContainsFunc(w.engines, func(e *engine) bool { return e.residents[item].State == targetapi.Ready }) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Guards against overcommitted memory, orders that are sent before a majority holds their record, and models that never
+// get ready, under lost, late and repeated messages, changes of the controller, version changes, restarted targets and,
+// in the lossy case, electors that lose their copies.
+func TestOrdersStayWithinMemory(t *testing.T) {
+	for _, lossy := range []bool{false, true} {
+		t.Run(fmt.Sprintf("copies lost %v", lossy), func(t *testing.T) {
+			delivered, takeovers := 0, 0
+			rapid.Check(t, func(t *rapid.T) {
+				w := newWorld(t, lossy)
+				for range 600 {
+					w.step()
+					switch w.random.IntN(400) {
+					case 0, 1, 2, 3:
+						w.takeOver()
+					case 4:
+						w.engines[w.random.IntN(len(w.engines))].restart()
+						w.restarted = w.now
+					case 5, 6, 7:
+						w.models = slices.Clone(w.models)
+						m := &w.models[w.random.IntN(len(w.models))]
+						m.Version += "x"
+						m.MemoryBytes = 10 + w.random.Int64N(12)
+					case 8, 9:
+						if lossy {
+							// The elector joins again, with a fencing number above all earlier ones.
+							name := w.electorate.Instances[w.random.IntN(3)]
+							*w.copies[name], w.promised[name] = electorate.JournalCopy{}, w.fence+1
+							w.lost = true
+							if w.random.IntN(2) == 0 {
+								w.takeOver(name)
+							}
+						}
+					}
+				}
+				for round := 0; !w.everywhere(); round++ {
+					if round > 1200 {
+						t.Fatal("not ready 120 s after the last disturbance")
+					}
+					w.step()
+				}
+				delivered += w.delivered
+				takeovers += w.takeovers
+			})
+			if delivered < 1000 || takeovers < 100 {
+				t.Fatalf("%d deliveries and %d takeovers prove nothing", delivered, takeovers)
+			}
+			t.Logf("%d deliveries, %d takeovers", delivered, takeovers)
+		})
+	}
+}
