Send changes of entries as differences and renew ahead of them

A renewal names the content before for two leases, so that a live target stays offered while its new content is under way; leaving contents name none. Requests for contents that nobody renews any more are dropped after a lease. KV use travels in MiB.

The property test compared the receipt time of equal content sequences; it now compares it per highest sequence that extended the lease, which is the sequence of the lease since content and lease can differ.

--- a/coordination/membership/entry.go
+++ b/coordination/membership/entry.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"bytes"
 	"cmp"
 	"slices"
 	"sync/atomic"
@@ -49,9 +50,10 @@
 
 func serviceKey(service string) string { return "s\x00" + service }
 
-// contentRecord is the part of an announcement that rarely changes. Its encoding is the same on all instances, so that
-// its hash can stand for it in renewals.
-type contentRecord struct {
+// contentHeader, residentRecord and orderRecord are the items of a content, the part of an announcement that rarely
+// changes. A content is the sorted sequence of its encoded items, so that it is the same on all instances: its hash can
+// stand for it in renewals, and a change can be sent as the items that differ. Items are told apart by their length.
+type contentHeader struct {
 	_             struct{} `cbor:",toarray"`
 	Target        string
 	Incarnation   uint64
@@ -66,8 +68,6 @@
 	ChecksFencing bool
 	LastFence     uint64
 	Leaving       bool
-	Residents     []residentRecord
-	Orders        []orderRecord
 }
 
 type residentRecord struct {
@@ -86,6 +86,13 @@
 	Error string
 }
 
+// First bytes of the items, which are CBOR arrays.
+const (
+	headerItem   = 0x80 + 13
+	residentItem = 0x80 + 5
+	orderItem    = 0x80 + 3
+)
+
 // newEntry builds an entry from a checked announcement. It copies and sorts the residents.
 func newEntry(a targetapi.Announcement, received time.Time, lease time.Duration) (*Entry, error) {
 	a.Residents = slices.Clone(a.Residents)
@@ -93,49 +100,159 @@
 	slices.SortFunc(a.Residents, func(x, y targetapi.Resident) int {
 		return cmp.Or(cmp.Compare(x.Model, y.Model), cmp.Compare(x.Adapter, y.Adapter), cmp.Compare(x.Version, y.Version))
 	})
-	record := contentRecord{
+	items := make([][]byte, 0, 1+len(a.Residents)+len(a.Orders))
+	add := func(item any) error {
+		data, err := cbor.Marshal(item)
+		items = append(items, data)
+		return errors.Wrapf(err, "encode the entry of target %q", a.Target)
+	}
+	err := add(&contentHeader{
 		Target: a.Target, Incarnation: a.Incarnation, DataCentre: a.DataCentre, FailureDomain: a.FailureDomain,
 		Address: a.Address, Kind: a.Kind, Service: a.Service, CapacityBytes: a.CapacityBytes,
 		ReserveBytes: a.ReserveBytes, Slots: a.Slots, ChecksFencing: a.ChecksFencing, LastFence: a.LastFence,
 		Leaving: a.Leaving,
-	}
+	})
 	for _, r := range a.Residents {
-		record.Residents = append(record.Residents,
-			residentRecord{Model: r.Model, Version: r.Version, Adapter: r.Adapter, State: r.State, Bytes: r.Bytes})
+		if err == nil {
+			err = add(&residentRecord{Model: r.Model, Version: r.Version, Adapter: r.Adapter, State: r.State, Bytes: r.Bytes})
+		}
 	}
 	for _, o := range a.Orders {
-		record.Orders = append(record.Orders, orderRecord{ID: o.ID, State: o.State, Error: o.Error})
+		if err == nil {
+			err = add(&orderRecord{ID: o.ID, State: o.State, Error: o.Error})
+		}
 	}
-	content, err := cbor.Marshal(&record)
 	if err != nil {
-		return nil, errors.Wrapf(err, "encode the entry of target %q", a.Target)
+		return nil, err
 	}
+	content := joinItems(items)
 	return &Entry{
 		Announcement: a, ReceivedAt: received, ExpiresAt: received.Add(lease),
 		fingerprint: xxhash.Sum64(content), content: content, keys: keysOf(&a),
 	}, nil
 }
 
+// joinItems sorts items and makes a content of them.
+func joinItems(items [][]byte) []byte {
+	slices.SortFunc(items, bytes.Compare)
+	return bytes.Join(items, nil)
+}
+
+// splitItems is the reverse of joinItems.
+func splitItems(content []byte) ([][]byte, error) {
+	var items [][]byte
+	for len(content) > 0 {
+		var item cbor.RawMessage
+		rest, err := cbor.UnmarshalFirst(content, &item)
+		if err != nil {
+			return nil, errors.Wrap(err, "entry content")
+		}
+		items = append(items, content[:len(content)-len(rest)])
+		content = rest
+	}
+	return items, nil
+}
+
 // decodeContent is the reverse of the encoding in newEntry.
-func decodeContent(data []byte) (targetapi.Announcement, error) {
-	var r contentRecord
-	if err := cbor.Unmarshal(data, &r); err != nil {
-		return targetapi.Announcement{}, errors.Wrap(err, "entry content")
+func decodeContent(content []byte) (targetapi.Announcement, error) {
+	a := targetapi.Announcement{Version: targetapi.Version}
+	items, err := splitItems(content)
+	for _, item := range items {
+		if err == nil {
+			err = decodeItem(&a, item)
+		}
 	}
-	a := targetapi.Announcement{
-		Version: targetapi.Version, Target: r.Target, Incarnation: r.Incarnation, DataCentre: r.DataCentre,
-		FailureDomain: r.FailureDomain, Address: r.Address, Kind: r.Kind, Service: r.Service,
-		CapacityBytes: r.CapacityBytes, ReserveBytes: r.ReserveBytes, Slots: r.Slots, ChecksFencing: r.ChecksFencing,
-		LastFence: r.LastFence, Leaving: r.Leaving,
+	if err != nil {
+		return targetapi.Announcement{}, errors.Wrap(err, "entry content")
 	}
-	for _, x := range r.Residents {
+	return a, a.Check()
+}
+
+func decodeItem(a *targetapi.Announcement, item []byte) error {
+	switch item[0] {
+	case headerItem:
+		var h contentHeader
+		if err := cbor.Unmarshal(item, &h); err != nil {
+			return err
+		}
+		a.Target, a.Incarnation, a.DataCentre, a.FailureDomain = h.Target, h.Incarnation, h.DataCentre, h.FailureDomain
+		a.Address, a.Kind, a.Service, a.CapacityBytes = h.Address, h.Kind, h.Service, h.CapacityBytes
+		a.ReserveBytes, a.Slots, a.ChecksFencing, a.LastFence = h.ReserveBytes, h.Slots, h.ChecksFencing, h.LastFence
+		a.Leaving = h.Leaving
+	case residentItem:
+		var r residentRecord
+		if err := cbor.Unmarshal(item, &r); err != nil {
+			return err
+		}
 		a.Residents = append(a.Residents,
-			targetapi.Resident{Model: x.Model, Version: x.Version, Adapter: x.Adapter, State: x.State, Bytes: x.Bytes})
+			targetapi.Resident{Model: r.Model, Version: r.Version, Adapter: r.Adapter, State: r.State, Bytes: r.Bytes})
+	case orderItem:
+		var o orderRecord
+		if err := cbor.Unmarshal(item, &o); err != nil {
+			return err
+		}
+		a.Orders = append(a.Orders, targetapi.OrderStatus{ID: o.ID, State: o.State, Error: o.Error})
+	default:
+		return errors.Errorf("item begins with byte %#x", item[0])
 	}
-	for _, x := range r.Orders {
-		a.Orders = append(a.Orders, targetapi.OrderStatus{ID: x.ID, State: x.State, Error: x.Error})
+	return nil
+}
+
+// contentDiff turns a content into its successor: the items at some places are removed and others are added.
+type contentDiff struct {
+	_           struct{} `cbor:",toarray"`
+	Fingerprint uint64
+	Previous    uint64
+	Removed     []int
+	Added       []cbor.RawMessage
+}
+
+// diff compares two contents item by item.
+func diff(previous, next *Entry) (*contentDiff, error) {
+	before, err := splitItems(previous.content)
+	if err != nil {
+		return nil, err
 	}
-	return a, a.Check()
+	after, err := splitItems(next.content)
+	if err != nil {
+		return nil, err
+	}
+	d := &contentDiff{Fingerprint: next.fingerprint, Previous: previous.fingerprint}
+	i := 0
+	for _, item := range after {
+		for i < len(before) && bytes.Compare(before[i], item) < 0 {
+			d.Removed = append(d.Removed, i)
+			i++
+		}
+		if i < len(before) && bytes.Equal(before[i], item) {
+			i++
+			continue
+		}
+		d.Added = append(d.Added, item)
+	}
+	for ; i < len(before); i++ {
+		d.Removed = append(d.Removed, i)
+	}
+	return d, nil
+}
+
+// apply makes the successor of a content. The caller checks its fingerprint.
+func (d *contentDiff) apply(content []byte) ([]byte, error) {
+	items, err := splitItems(content)
+	if err != nil {
+		return nil, err
+	}
+	for n, i := range d.Removed {
+		if i < 0 || i >= len(items) || n > 0 && i <= d.Removed[n-1] {
+			return nil, errors.Errorf("change of an entry removes item %d of %d", i, len(items))
+		}
+		items[i] = nil
+	}
+	items = slices.DeleteFunc(items, func(item []byte) bool { return item == nil })
+	for _, item := range d.Added {
+		items = append(items, item)
+	}
+	return joinItems(items), nil
 }
 
 // keysOf lists the index keys under which a target is offered, sorted. An adapter counts only with its model.
@@ -176,8 +293,10 @@
 	// entry is nil while only a leaving notice of the incarnation is known. It is read without the lock.
 	entry       atomic.Pointer[Entry]
 	incarnation uint64
-	sequence    uint64
-	leaving     bool
+	// sequence is the one of the content, alive the highest that extended the lease.
+	sequence uint64
+	alive    uint64
+	leaving  bool
 	// leavingSince is when the leaving incarnation was first known to an instance.
 	leavingSince time.Time
 	// gone is set once the expiry was reported; goneAt is when the lease ended.
@@ -185,6 +304,10 @@
 	goneAt time.Time
 	// changed is the number of the latest change of the content or of leaving.
 	changed uint64
+	// previous is the last entry with the content before the current one of the same incarnation, and changedAt the
+	// receipt of the current one.
+	previous  *Entry
+	changedAt time.Time
 
 	// The counters of gossip are guarded by gossip.mu.
 	contentSent        int
--- a/coordination/membership/gossip.go
+++ b/coordination/membership/gossip.go
@@ -25,7 +25,7 @@
 // Bounds of what gossip keeps in memory.
 const (
 	maxSuperseded = 4096
-	maxAssemblies = 64
+	maxAssemblies = 128
 	maxWants      = 64
 	// maxContentBytes exceeds the encoding of any announcement, because that is shorter than its JSON.
 	maxContentBytes = targetapi.MaxAnnouncementBytes
@@ -39,6 +39,12 @@
 // entry from before it.
 const noticeLeases = 4
 
+// previousLeases bounds, in leases, how long after a change renewals name the content before it.
+const previousLeases = 2
+
+// mibShift converts bytes to MiB, which take 3 to 5 bytes of a renewal instead of 9.
+const mibShift = 20
+
 // frameOverheadBytes covers the frame without its items.
 const frameOverheadBytes = 40
 
@@ -50,6 +56,7 @@
 	Leaving  []cbor.RawMessage
 	Wants    []cbor.RawMessage
 	Contents []cbor.RawMessage
+	Diffs    []cbor.RawMessage
 	Renewals []cbor.RawMessage
 }
 
@@ -60,11 +67,13 @@
 	AgeMs       uint32
 }
 
-// Want asks for the content with a fingerprint from a byte offset.
+// Want asks for the content with a fingerprint from a byte offset. Base is the content that the asker has of the same
+// target, or 0.
 type Want struct {
 	_           struct{} `cbor:",toarray"`
 	Fingerprint uint64
 	Offset      uint32
+	Base        uint64
 }
 
 // contentPart is a part of the encoding of a content. Contents larger than a frame travel in several parts.
@@ -77,7 +86,8 @@
 }
 
 // renewal is a later announcement of a content. AgeMs is the time since an instance received it from the target;
-// LoadLag is the time of the load report before BaseMs of the frame.
+// LoadLag is the time of the load report before BaseMs of the frame. Previous is the content before this one if it
+// changed lately; it extends the lease where the new content has not arrived yet.
 type renewal struct {
 	_           struct{} `cbor:",toarray"`
 	Fingerprint uint64
@@ -85,8 +95,9 @@
 	AgeMs       uint32
 	Running     int
 	Queued      int
-	KVUsedBytes int64
+	KVUsedMiB   int64
 	LoadLag     int64
+	Previous    uint64
 }
 
 // gossip is the sending and assembling state of a table.
@@ -101,6 +112,10 @@
 	data  []byte
 	total uint32
 	done  bool
+	// base is the content that this one follows, if that is known here.
+	base uint64
+	// seenAt is when a renewal or part of the content came last.
+	seenAt time.Time
 }
 
 // newCache panics only on a size that is not positive, which the constants exclude.
@@ -127,6 +142,7 @@
 	leaving      bool
 	leavingSince time.Time
 	changed      uint64
+	previous     *Entry
 }
 
 // Pull returns a frame that renews nothing: it only tells of leaving targets and asks for missing contents. It is meant
@@ -146,7 +162,7 @@
 	if limitBytes < MinDeltaBytes {
 		return nil, errors.Errorf("byte limit %d of a gossip frame is below %d", limitBytes, MinDeltaBytes)
 	}
-	candidates := t.candidates()
+	candidates := t.candidates(now)
 	t.gossip.mu.Lock()
 	defer t.gossip.mu.Unlock()
 	t.gossip.round++
@@ -171,13 +187,17 @@
 	return data, b.err
 }
 
-func (t *Table) candidates() []*candidate {
+func (t *Table) candidates(now time.Time) []*candidate {
 	var all []*candidate
 	t.records.eachRead(func(target string, rec *record) {
-		all = append(all, &candidate{
+		c := &candidate{
 			rec: rec, target: target, entry: rec.entry.Load(), incarnation: rec.incarnation,
 			leaving: rec.leaving, leavingSince: rec.leavingSince, changed: rec.changed,
-		})
+		}
+		if !rec.leaving && now.Sub(rec.changedAt) < previousLeases*t.opts.TargetLease {
+			c.previous = rec.previous
+		}
+		all = append(all, c)
 	})
 	slices.SortFunc(all, func(a, b *candidate) int { return cmp.Compare(b.changed, a.changed) })
 	return all
@@ -259,10 +279,14 @@
 	slices.Reverse(keys)
 	for _, fingerprint := range keys {
 		part, ok := b.t.gossip.assembly.Peek(fingerprint)
+		if ok && b.now.Sub(part.seenAt) >= b.t.opts.TargetLease { // nobody renews it any more
+			b.t.gossip.assembly.Remove(fingerprint)
+			continue
+		}
 		if !ok || part.done {
 			continue
 		}
-		want := Want{Fingerprint: fingerprint, Offset: uint32(len(part.data))}
+		want := Want{Fingerprint: fingerprint, Offset: uint32(len(part.data)), Base: part.base}
 		if len(b.frame.Wants) >= maxWants || !b.add(&b.frame.Wants, &budget, &want) {
 			return
 		}
@@ -282,7 +306,11 @@
 		c := byFingerprint[want.Fingerprint]
 		// An equal part of the budget for each content lets none of them wait for a large one.
 		share := max(budget/(len(asked)-i), MinDeltaBytes/4)
-		if c != nil && b.addPart(c.entry, want.Offset, min(share, budget), &budget) {
+		if c == nil {
+			continue
+		}
+		known := c.previous != nil && want.Offset == 0 && c.previous.fingerprint == want.Base
+		if known && b.addDiff(c, &budget) || b.addPart(c.entry, want.Offset, min(share, budget), &budget) {
 			sent[c] = true
 		}
 	}
@@ -293,7 +321,7 @@
 		if c.rec.contentSent >= contentSends || sent[c] {
 			continue
 		}
-		if !b.addPart(c.entry, 0, budget, &budget) {
+		if !b.addDiff(c, &budget) && !b.addPart(c.entry, 0, budget, &budget) {
 			break
 		}
 		c.rec.contentSent++
@@ -302,6 +330,26 @@
 	return sent
 }
 
+// addDiff sends a content as its difference to the previous one, unless the whole content is not much longer.
+func (b *frameBuilder) addDiff(c *candidate, budget *int) bool {
+	if c.previous == nil {
+		return false
+	}
+	d, err := diff(c.previous, c.entry)
+	if err != nil {
+		b.err = err
+		return false
+	}
+	size := 0
+	for _, item := range d.Added {
+		size += len(item)
+	}
+	if size > len(c.entry.content)/2 {
+		return false
+	}
+	return b.add(&b.frame.Diffs, budget, d)
+}
+
 // partOverheadBytes is the largest encoding of a contentPart without its data.
 const partOverheadBytes = 28
 
@@ -334,10 +382,14 @@
 	})
 	fair(live, func(c *candidate) uint64 { return c.rec.renewalSentInRound }, func(c *candidate, budget *int) bool {
 		a := &c.entry.Announcement
+		previous := uint64(0)
+		if c.previous != nil {
+			previous = c.previous.fingerprint
+		}
 		item := renewal{
 			Fingerprint: c.entry.fingerprint, Sequence: a.Sequence, AgeMs: ageMs(b.now, c.entry.ReceivedAt),
-			Running: a.Load.Running, Queued: a.Load.Queued, KVUsedBytes: a.Load.KVUsedBytes,
-			LoadLag: b.frame.BaseMs - a.Load.MeasuredAtMs,
+			Running: a.Load.Running, Queued: a.Load.Queued, KVUsedMiB: a.Load.KVUsedBytes >> mibShift,
+			LoadLag: b.frame.BaseMs - a.Load.MeasuredAtMs, Previous: previous,
 		}
 		if !b.add(&b.frame.Renewals, budget, &item) {
 			return false
@@ -376,6 +428,7 @@
 	each(m, f.Leaving, "leaving notice", m.leaving)
 	each(m, f.Wants, "request for content", func(w Want) { m.result.Wants = append(m.result.Wants, w) })
 	each(m, f.Contents, "content", m.content)
+	each(m, f.Diffs, "change of content", m.diff)
 	each(m, f.Renewals, "renewal", m.renewal)
 	return m.result, m.err
 }
@@ -449,11 +502,7 @@
 	g := &m.t.gossip
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	part, ok := g.assembly.Get(p.Fingerprint)
-	if !ok {
-		part = &assembly{}
-		g.assembly.Add(p.Fingerprint, part)
-	}
+	part := g.wanted(p.Fingerprint, m.now)
 	have := uint32(len(part.data))
 	if part.done || p.Offset > have || p.Offset+uint32(len(p.Data)) <= have {
 		return
@@ -471,6 +520,31 @@
 	part.done = true
 }
 
+// diff completes a content whose predecessor is known here.
+func (m *merger) diff(d contentDiff) {
+	target, ok := m.t.fingerprints.get(fingerprintKey(d.Previous))
+	if !ok {
+		return
+	}
+	entry, ok := m.t.Target(target)
+	if !ok || entry.fingerprint != d.Previous {
+		return
+	}
+	content, err := d.apply(entry.content)
+	if err == nil && (len(content) > maxContentBytes || xxhash.Sum64(content) != d.Fingerprint) {
+		err = errors.Errorf("change of the entry of target %q does not match its fingerprint %x", target, d.Fingerprint)
+	}
+	if err != nil {
+		m.fail(err)
+		return
+	}
+	g := &m.t.gossip
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	part := g.wanted(d.Fingerprint, m.now)
+	part.data, part.done = content, true
+}
+
 func (t *Table) supersede(entry *Entry) {
 	a := &entry.Announcement
 	t.superseded.Add(entry.fingerprint, identity{target: a.Target, incarnation: a.Incarnation})
@@ -499,16 +573,21 @@
 		return
 	}
 	load := targetapi.LoadReport{
-		MeasuredAtMs: m.baseMs - r.LoadLag, Running: r.Running, Queued: r.Queued, KVUsedBytes: r.KVUsedBytes,
+		MeasuredAtMs: m.baseMs - r.LoadLag, Running: r.Running, Queued: r.Queued, KVUsedBytes: r.KVUsedMiB << mibShift,
 	}
 	if target, ok := m.t.fingerprints.get(fingerprintKey(r.Fingerprint)); ok {
-		m.report(m.t.renew(target, r, received, load))
+		m.report(m.t.renew(target, r, received, load), nil)
 		return
 	}
 	if m.t.stale(&r) {
 		return
 	}
-	content, ok := m.t.gossip.take(r.Fingerprint)
+	base := uint64(0)
+	if target, ok := m.t.fingerprints.get(fingerprintKey(r.Previous)); ok && r.Previous != 0 {
+		base = r.Previous
+		m.report(m.t.extend(target, r, received, load), nil)
+	}
+	content, ok := m.t.gossip.take(r.Fingerprint, base, m.now)
 	if !ok {
 		return
 	}
@@ -530,14 +609,11 @@
 }
 
 // take removes a complete content from the assemblies. Otherwise it notes that the content is wanted.
-func (g *gossip) take(fingerprint uint64) ([]byte, bool) {
+func (g *gossip) take(fingerprint, base uint64, now time.Time) ([]byte, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	part, ok := g.assembly.Get(fingerprint)
-	if !ok {
-		g.assembly.Add(fingerprint, &assembly{})
-		return nil, false
-	}
+	part := g.wanted(fingerprint, now)
+	part.base = base
 	if !part.done {
 		return nil, false
 	}
@@ -545,8 +621,19 @@
 	return part.data, true
 }
 
+// wanted finds or creates an assembly. g.mu is held.
+func (g *gossip) wanted(fingerprint uint64, now time.Time) *assembly {
+	part, ok := g.assembly.Get(fingerprint)
+	if !ok {
+		part = &assembly{}
+		g.assembly.Add(fingerprint, part)
+	}
+	part.seenAt = now
+	return part
+}
+
 // renew applies a later announcement of the current content of a target.
-func (t *Table) renew(target string, r renewal, received time.Time, load targetapi.LoadReport) (change Change, err error) {
+func (t *Table) renew(target string, r renewal, received time.Time, load targetapi.LoadReport) (change Change) {
 	t.records.locked(target, func(items map[string]*record) {
 		rec := items[target]
 		if rec == nil {
@@ -556,14 +643,43 @@
 		if entry == nil || entry.fingerprint != r.Fingerprint || r.Sequence <= rec.sequence {
 			return
 		}
-		change = Change{Kind: Renewed, Target: target, Incarnation: rec.incarnation}
-		if rec.gone {
-			change.Kind = Added
-		}
-		next := entry.withLoad(r.Sequence, load, received, t.opts.TargetLease)
 		rec.sequence = r.Sequence
-		t.publish(rec, next)
-		change.Entry = next
+		change = t.replaceLoad(rec, entry, r.Sequence, received, load)
 	})
-	return change, err
+	return change
+}
+
+// extend applies a later announcement of a target whose new content has not arrived. The entry keeps its sequence, so
+// that the content is still taken when it comes. A leaving target is not extended in this way: its renewals name no
+// previous content, and where its leaving is known its content is another one.
+func (t *Table) extend(target string, r renewal, received time.Time, load targetapi.LoadReport) (change Change) {
+	t.records.locked(target, func(items map[string]*record) {
+		rec := items[target]
+		if rec == nil {
+			return
+		}
+		entry := rec.entry.Load()
+		if entry == nil || entry.fingerprint != r.Previous || r.Sequence <= rec.alive {
+			return
+		}
+		change = t.replaceLoad(rec, entry, r.Sequence, received, load)
+	})
+	return change
+}
+
+// replaceLoad publishes an entry with a new load and, if the announcement is the latest, a new lease. The lock of the
+// record is held.
+func (t *Table) replaceLoad(rec *record, entry *Entry, sequence uint64, received time.Time, load targetapi.LoadReport) Change {
+	a := &entry.Announcement
+	change := Change{Kind: Renewed, Target: a.Target, Incarnation: a.Incarnation}
+	if rec.gone {
+		change.Kind = Added
+	}
+	if sequence <= rec.alive {
+		received = entry.ReceivedAt
+	}
+	rec.alive = max(rec.alive, sequence)
+	change.Entry = entry.withLoad(rec.sequence, load, received, t.opts.TargetLease)
+	t.publish(rec, change.Entry)
+	return change
 }
--- a/coordination/membership/property_test.go
+++ b/coordination/membership/property_test.go
@@ -54,13 +54,19 @@
 	lastReceipt, leftAt map[string]time.Time
 	leftSeen            map[string]bool
 	received            map[string]uint64
-	seen                map[string]*Entry
+	seen                map[string]view
+}
+
+// view is what an instance knows of a target: the announcements that its content and its lease come from.
+type view struct {
+	incarnation, sequence, alive uint64
+	received                     time.Time
 }
 
 func newNetwork(t *rapid.T) *network {
 	return &network{
 		t: t, now: time.Unix(1_700_000_000, 0), lastReceipt: map[string]time.Time{}, leftAt: map[string]time.Time{},
-		leftSeen: map[string]bool{}, received: map[string]uint64{}, seen: map[string]*Entry{},
+		leftSeen: map[string]bool{}, received: map[string]uint64{}, seen: map[string]view{},
 	}
 }
 
@@ -150,17 +156,18 @@
 func (n *network) check() {
 	for i, table := range n.tables {
 		for _, entry := range table.All() {
-			a, here := &entry.Announcement, fmt.Sprintf("%d:%s", i, entry.Announcement.Target)
-			if old := n.seen[here]; old != nil {
-				b := &old.Announcement
-				if a.Incarnation < b.Incarnation || a.Incarnation == b.Incarnation && a.Sequence < b.Sequence {
-					n.t.Fatalf("instance %d went back from %d/%d to %d/%d", i, b.Incarnation, b.Sequence, a.Incarnation, a.Sequence)
+			rec, _ := table.records.get(entry.Announcement.Target)
+			v := view{entry.Announcement.Incarnation, entry.Announcement.Sequence, rec.alive, entry.ReceivedAt}
+			here := fmt.Sprintf("%d:%s", i, entry.Announcement.Target)
+			if old, ok := n.seen[here]; ok && v.incarnation <= old.incarnation {
+				if v.incarnation < old.incarnation || v.sequence < old.sequence || v.alive < old.alive {
+					n.t.Fatalf("instance %d went back from %v to %v", i, old, v)
 				}
-				if a.Incarnation == b.Incarnation && a.Sequence == b.Sequence && !entry.ReceivedAt.Equal(old.ReceivedAt) {
+				if v.alive == old.alive && !v.received.Equal(old.received) {
 					n.t.Fatalf("instance %d renewed %s by a repeated message", i, here)
 				}
 			}
-			n.seen[here] = entry
+			n.seen[here] = v
 		}
 		for _, entry := range table.Replicas(n.now, "m", "") {
 			id := idOf(entry.Announcement.Target, entry.Announcement.Incarnation)
@@ -226,9 +233,25 @@
 	})
 }
 
-// settle exchanges frames without delay until all tables should be equal, and compares them.
+// settle exchanges frames without delay until all tables are equal.
 func (n *network) settle() {
-	for range 40 {
+	for round := 0; ; round++ {
+		views := make([]string, len(n.tables))
+		differ := false
+		for i, table := range n.tables {
+			table.Expire(n.now)
+			for _, entry := range table.All() {
+				a := entry.Announcement
+				views[i] += fmt.Sprintf("%s/%d/%d %v %d;", a.Target, a.Incarnation, a.Sequence, a.Leaving, len(a.Residents))
+			}
+			differ = differ || views[i] != views[0]
+		}
+		if !differ {
+			break
+		}
+		if round == 40 {
+			n.t.Fatalf("views differ:\n%q", views)
+		}
 		for _, asker := range n.tables {
 			for _, peer := range n.tables {
 				n.exchange(asker, peer, [2]time.Duration{}, 1)
@@ -236,17 +259,6 @@
 			}
 		}
 	}
-	views := make([]string, len(n.tables))
-	for i, table := range n.tables {
-		table.Expire(n.now)
-		for _, entry := range table.All() {
-			a := entry.Announcement
-			views[i] += fmt.Sprintf("%s/%d/%d %v %d;", a.Target, a.Incarnation, a.Sequence, a.Leaving, len(a.Residents))
-		}
-		if views[i] != views[0] {
-			n.t.Fatalf("views differ:\n%s\n%s", views[0], views[i])
-		}
-	}
 	for _, target := range n.targets {
 		id := idOf(target.name, target.incarnation)
 		received, ok := n.lastReceipt[id]
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -157,6 +157,9 @@
 	previous := rec.entry.Load()
 	sameIncarnation := a.Incarnation == rec.incarnation
 	a.Leaving = a.Leaving || sameIncarnation && rec.leaving
+	if sameIncarnation && previous != nil && a.Sequence <= rec.alive {
+		received = previous.ReceivedAt // the lease was extended for this or a later announcement already
+	}
 	entry, err := newEntry(a, received, t.opts.TargetLease)
 	if err != nil {
 		return Change{}, err
@@ -169,7 +172,11 @@
 	if a.Leaving && !(sameIncarnation && rec.leaving) {
 		rec.leavingSince = received
 	}
+	if !sameIncarnation {
+		rec.alive = 0
+	}
 	rec.incarnation, rec.sequence, rec.leaving = a.Incarnation, a.Sequence, a.Leaving
+	rec.alive = max(rec.alive, a.Sequence)
 	t.publish(rec, entry)
 	return change, nil
 }
@@ -197,7 +204,7 @@
 			change.Kind, change.FailedIncarnation = Replaced, rec.incarnation
 		}
 		t.unindex(rec)
-		rec.incarnation, rec.sequence, rec.gone = incarnation, 0, false
+		rec.incarnation, rec.sequence, rec.alive, rec.gone = incarnation, 0, 0, false
 		rec.entry.Store(nil)
 	}
 	rec.leaving, rec.leavingSince = true, since
@@ -224,6 +231,10 @@
 		rec.changed = t.changes.Add(1)
 		t.fingerprints.set(fingerprintKey(entry.fingerprint), entry.Announcement.Target)
 		t.superseded.Remove(entry.fingerprint)
+		rec.previous, rec.changedAt = nil, entry.ReceivedAt
+		if previous != nil && previous.Announcement.Incarnation == entry.Announcement.Incarnation {
+			rec.previous = previous
+		}
 		if previous != nil {
 			t.fingerprints.remove(fingerprintKey(previous.fingerprint))
 			t.supersede(previous)
--- a/coordination/membership/table_test.go
+++ b/coordination/membership/table_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/google/go-cmp/cmp"
 	"github.com/pkg/errors"
 
@@ -117,6 +118,86 @@
 	}
 }
 
+// unpushed returns a frame in which contents are not sent unasked any more.
+func unpushed(t *testing.T, table *Table, now time.Time) frame {
+	t.Helper()
+	var f frame
+	for range contentSends + 1 {
+		data, err := table.Delta(now, MinDeltaBytes, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		f = frame{}
+		if err := cbor.Unmarshal(data, &f); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return f
+}
+
+func merge(t *testing.T, table *Table, now time.Time, transit time.Duration, f frame) error {
+	t.Helper()
+	data, err := cbor.Marshal(&f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = table.Merge(now, transit, data)
+	return err
+}
+
+// Guards against a live target that is not offered while its new content is under way, and against a lease that such
+// renewals extend twice or for a leaving target.
+func TestRenewalBeforeContent(t *testing.T) {
+	x, y := NewTable(Options{}), NewTable(Options{})
+	announce(t, x, start, engine("a", 1, 1, 3))
+	ask(t, start, y, x, MinDeltaBytes)
+	second := start.Add(time.Second)
+	announce(t, x, second, engine("a", 1, 2, 4))
+	f := unpushed(t, x, second)
+	late := second.Add(time.Second)
+	expect := func(sequence uint64) {
+		t.Helper()
+		entry, _ := y.Target("a")
+		if !entry.ReceivedAt.Equal(second) || entry.Announcement.Sequence != sequence {
+			t.Fatalf("entry of announcement %d received at %v", entry.Announcement.Sequence, entry.ReceivedAt.Sub(start))
+		}
+	}
+	for _, transit := range []time.Duration{0, 10 * time.Millisecond} {
+		if err := merge(t, y, second, transit, f); err != nil {
+			t.Fatal(err)
+		}
+		expect(1)
+	}
+	announce(t, y, late, engine("a", 1, 2, 4)) // a copy that the balancer delivered here as well
+	expect(2)
+	leaving := engine("a", 1, 3, 4)
+	leaving.Leaving = true
+	announce(t, x, late, leaving)
+	f = unpushed(t, x, late)
+	f.Leaving = nil // the notice was lost
+	if err := merge(t, y, late, 0, f); err != nil {
+		t.Fatal(err)
+	}
+	expect(2)
+}
+
+// Guards against a change of an entry that does not lead to the announced content.
+func TestWrongChangeIsRefused(t *testing.T) {
+	table := NewTable(Options{})
+	announce(t, table, start, engine("a", 1, 1, 3))
+	entry, _ := table.Target("a")
+	for _, d := range []contentDiff{{Removed: []int{0}}, {Removed: []int{9}}, {Added: []cbor.RawMessage{{0x80}}}} {
+		d.Fingerprint, d.Previous = 1, entry.fingerprint
+		item, err := cbor.Marshal(&d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if merge(t, table, start, 0, frame{Version: gossipVersion, Diffs: []cbor.RawMessage{item}}) == nil {
+			t.Errorf("change %+v was taken", d)
+		}
+	}
+}
+
 // Guards against a leaving target that other instances offer on until its turn in gossip comes.
 func TestLeavingTravelsFirst(t *testing.T) {
 	x, y := NewTable(Options{}), NewTable(Options{})
