coordination/replica: bound forwarded calls and state the limits

A forwarded proposal waited on the leader for as long as its connection lived, so calls piled up while there was no quorum. The leader now waits no longer than the proposer does.

Two of its four proposers now give up early.

--- a/coordination/replica/group_test.go
+++ b/coordination/replica/group_test.go
@@ -436,7 +436,11 @@
 			for i := range 60 {
 				time.Sleep(time.Duration(100*proposer+i) * time.Millisecond)
 				command := fmt.Sprint(proposer, "-", i)
-				_, err := g.Propose(context.Background(), []byte(command))
+				// Two of the proposers give up early, so that all three outcomes occur.
+				limit := []time.Duration{time.Minute, 40 * time.Millisecond}[proposer%2]
+				ctx, cancel := context.WithTimeout(context.Background(), limit)
+				_, err := g.Propose(ctx, []byte(command))
+				cancel()
 				mu.Lock()
 				accepted[command], refused[command] = err == nil, errors.Is(err, ErrNoQuorum)
 				mu.Unlock()
@@ -465,6 +469,7 @@
 	for _, command := range want {
 		times[command]++
 	}
+	t.Logf("%d commands, %d applied", len(accepted), len(want))
 	if len(want) < len(accepted)/2 {
 		t.Errorf("only %d of %d commands were applied", len(want), len(accepted))
 	}
--- a/coordination/replica/options.go
+++ b/coordination/replica/options.go
@@ -1,5 +1,3 @@
-// Package replica runs one consensus group in a process: it syncs before it sends, applies committed entries to a
-// state machine, forwards proposals to the leader and lets instances that are not voters pull committed entries.
 package replica
 
 import (
--- a/coordination/replica/propose.go
+++ b/coordination/replica/propose.go
@@ -144,8 +144,11 @@
 	return g.opts.Caller.Propose(ctx, peer, r)
 }
 
-// HandlePropose serves a request of another instance. It waits for the result until the context ends.
+// HandlePropose serves a request of another instance. It waits for the result no longer than the other instance does, so
+// that waiting calls do not pile up while there is no quorum.
 func (g *Group) HandlePropose(ctx context.Context, r ProposeRequest) (ProposeResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
 	response, err := g.handle(ctx, &r)
 	if err != nil {
 		// The request was not taken up, which a proposer must not mistake for an unknown result.
