coordination/replica: test growth from one voter to three

A learner that becomes a voter keeps the entries that it pulled; nothing had tested that. TestGrow restarts a single voter and its learner with three voters in the settings and then stops the first voter.

The comments of Sender and the callbacks state what they must not do.

--- a/coordination/replica/group_test.go
+++ b/coordination/replica/group_test.go
@@ -359,6 +359,23 @@
 	}, "a", "b", "c")
 }
 
+// Guards against a group that cannot grow, and a learner that cannot become a voter with the entries that it pulled.
+func TestGrow(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.start("a", "b")
+		c.propose("b", "x")
+		c.awaitCommands([]string{"x"}, "a", "b")
+		c.voters = []string{"a", "b", "c"}
+		c.kill("a")
+		c.kill("b")
+		c.start("a", "b", "c")
+		c.awaitVoters("a", "b", "c")
+		c.kill("a")
+		c.propose("c", "y")
+		c.awaitCommands([]string{"x", "y"}, "b", "c")
+	}, "a")
+}
+
 // Guards against a removed voter that joins again by itself.
 func TestRemove(t *testing.T) {
 	inBubble(t, func(c *cluster) {
--- a/coordination/replica/options.go
+++ b/coordination/replica/options.go
@@ -48,7 +48,8 @@
 	Restore(data []byte) error
 }
 
-// Sender sends consensus messages. It must not block; it may lose, repeat and reorder messages.
+// Sender sends consensus messages. It must not block and must not change the message, which shares memory with the log.
+// It may lose, repeat and reorder messages.
 type Sender interface {
 	Send(peer string, m raft.Message)
 }
@@ -92,7 +93,8 @@
 	Caller  Caller
 	// Parents lists the instances from which an instance that is not a voter pulls, best first. The default is Voters.
 	Parents func() []string
-	// OnApply is called by the goroutine that applies, after one or more entries.
+	// OnApply is called after one or more entries were applied, also by Open. OnApply and OnEvent run in the goroutine
+	// that applies: they must not block and must not call Propose, Barrier or Remove.
 	OnApply func(applied uint64)
 	// OnEvent is called for events that operators may want to see.
 	OnEvent func(kind EventKind, detail string)
