coordination/raft: lower the default window to 4 appends

32 appends of 64 KiB to each of six followers are 12 MiB, three times the burst of the byte rate limit between instances. Heartbeats would queue behind a follower that catches up, and the followers would start elections. Four appends keep the sum at 1.5 MiB. Not measured over a limited link; the transport has no limiter yet.

--- a/coordination/raft/types.go
+++ b/coordination/raft/types.go
@@ -28,7 +28,9 @@
 	// defaultMaxEntryBytes keeps a message with one entry below the 1 MiB frame limit even in base64.
 	defaultMaxEntryBytes   = 512 << 10
 	defaultMaxMessageBytes = 64 << 10
-	defaultMaxInflight     = 32
+	// defaultMaxInflight keeps what is under way to six followers, 1.5 MiB, below the 4 MiB burst of the byte rate limit
+	// between instances, so that heartbeats do not queue behind a follower that catches up.
+	defaultMaxInflight = 4
 )
 
 // MemberID joins an instance name and a disk incarnation.
