--- a/coordination/replica/group_test.go
+++ b/coordination/replica/group_test.go
@@ -359,6 +359,23 @@
 	}, "a", "b", "c")
 }
 
+// Guards against a group that cannot grow, and a learner that cannot become a voter with the entries that it pulled.
+func TestGrow(t *testing.T) {
+	inBubble(t, func(c *cluster) {
+		c.start("a", "b")
+		c.propose("b", "x")
+		c.awaitCommands([]string{"x"}, "a", "b")
+		c.voters = []string{"a", "b", "c"}
+		c.kill("a")
+		c.kill("b")
+		c.start("a", "b", "c")
+		c.awaitVoters("a", "b", "c")
+		c.kill("a")
+		c.propose("c", "y")
+		c.awaitCommands([]string{"x", "y"}, "b", "c")
+	}, "a")
+}
+
 // Guards against a removed voter that joins again by itself.
 func TestRemove(t *testing.T) {
 	inBubble(t, func(c *cluster) {
@@ -436,7 +453,11 @@
 			for i := range 60 {
 				time.Sleep(time.Duration(100*proposer+i) * time.Millisecond)
 				command := fmt.Sprint(proposer, "-", i)
-				_, err := g.Propose(context.Background(), []byte(command))
+				// Two of the proposers give up early, so that all three outcomes occur.
+				limit := []time.Duration{time.Minute, 40 * time.Millisecond}[proposer%2]
+				ctx, cancel := context.WithTimeout(context.Background(), limit)
+				_, err := g.Propose(ctx, []byte(command))
+				cancel()
 				mu.Lock()
 				accepted[command], refused[command] = err == nil, errors.Is(err, ErrNoQuorum)
 				mu.Unlock()
@@ -465,6 +486,7 @@
 	for _, command := range want {
 		times[command]++
 	}
+	t.Logf("%d commands, %d applied", len(accepted), len(want))
 	if len(want) < len(accepted)/2 {
 		t.Errorf("only %d of %d commands were applied", len(want), len(accepted))
 	}
