Take a present replica for an adapter before a new one

An adapter without room on the first replica got a new replica although a present one held it. The present one then counted as an extra, was dropped for a better extra, and gave the new one room again: no rest. Ruled out: the gains and their hysteresis, which had the right order in both states.

--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -481,7 +481,7 @@
 	}
 	for i := range model.Adapters {
 		a := &model.Adapters[i]
-		if p.adapterPlaced(m, a) || p.placeAdapter(m, a) {
+		if p.adapterPlaced(m, a) || p.placeAdapter(m, a) || p.takeExistingWith(m, a) {
 			continue
 		}
 		t := p.bestTarget(m, model.MemoryBytes+a.MemoryBytes)
@@ -501,6 +501,28 @@
 	}
 }
 
+// takeExistingWith chooses a present replica that has an adapter or room for it. A new replica in its place would be
+// planned again and again: the present one is dropped, which gives the new one room, and so on.
+func (p *planner) takeExistingWith(m int, a *Adapter) bool {
+	model, item := &p.models[m], p.models[m].adapterItem(a)
+	best := -1
+	for i, t := range model.existing {
+		target := &p.targets[t]
+		if _, has := target.held[item]; target.free < model.MemoryBytes+a.MemoryBytes || best >= 0 && !has {
+			continue
+		}
+		best = i
+	}
+	if best < 0 {
+		return false
+	}
+	t := model.existing[best]
+	model.existing = slices.Delete(model.existing, best, best+1)
+	p.want(t, item, a.MemoryBytes)
+	p.place(m, t)
+	return true
+}
+
 func (p *planner) adapterPlaced(m int, a *Adapter) bool {
 	item := p.models[m].adapterItem(a)
 	for _, t := range p.models[m].placed {
