Share the virtual-time engine of the memory tests

The ledger and the issuer were tested against two copies of the same engine; it is now one package that measurements can use too. With open loads not counted the ledger test still fails, with open orders not adopted the issuer test still fails.

--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -16,77 +16,11 @@
 	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
 	"github.com/tarragonhoist/tarragonhoist/state/electorate"
 	"github.com/tarragonhoist/tarragonhoist/state/memledger"
+	"github.com/tarragonhoist/tarragonhoist/state/memledger/memledgertest"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// engine is a target that runs every order it accepts without looking at its memory.
-type engine struct {
-	name        string
-	fencing     bool
-	capacity    int64
-	incarnation uint64
-	sequence    uint64
-	lastFence   uint64
-	residents   map[memledger.Item]targetapi.Resident
-	orders      map[string]targetapi.OrderStatus
-	running     map[string]targetapi.Order
-}
-
-func (e *engine) restart() {
-	e.incarnation++
-	e.sequence, e.lastFence = 0, 0
-	e.residents = make(map[memledger.Item]targetapi.Resident)
-	e.orders = make(map[string]targetapi.OrderStatus)
-	e.running = make(map[string]targetapi.Order)
-}
-
-func (e *engine) receive(o targetapi.Order) {
-	if _, known := e.orders[o.ID]; known || e.fencing && o.Fence < e.lastFence {
-		return
-	}
-	e.lastFence = max(e.lastFence, o.Fence)
-	if o.Kind == targetapi.Raise {
-		return
-	}
-	e.orders[o.ID] = targetapi.OrderStatus{ID: o.ID, State: targetapi.OrderAccepted}
-	e.running[o.ID] = o
-	item := memledger.ItemOf(&o)
-	if held, resident := e.residents[item]; memledger.IsLoad(&o) && !resident {
-		e.residents[item] = targetapi.Resident{Model: o.Model, Version: o.ModelVersion, Adapter: o.Adapter, State: targetapi.Loading, Bytes: o.Bytes}
-	} else if memledger.IsUnload(&o) && resident {
-		held.State = targetapi.Unloading
-		e.residents[item] = held
-	}
-}
-
-func (e *engine) finish(id string, fail bool) {
-	o := e.running[id]
-	delete(e.running, id)
-	item, state := memledger.ItemOf(&o), targetapi.OrderDone
-	held, resident := e.residents[item]
-	switch {
-	case memledger.IsLoad(&o) && fail && held.State == targetapi.Loading:
-		state = targetapi.OrderFailed
-		delete(e.residents, item)
-	case memledger.IsLoad(&o) && resident && held.State == targetapi.Loading:
-		held.State = targetapi.Ready
-		e.residents[item] = held
-	case memledger.IsUnload(&o):
-		delete(e.residents, item)
-	}
-	e.orders[id] = targetapi.OrderStatus{ID: id, State: state}
-}
-
-func (e *engine) announce() *targetapi.Announcement {
-	e.sequence++
-	return &targetapi.Announcement{
-		Version: 1, Target: e.name, Incarnation: e.incarnation, Sequence: e.sequence, Kind: targetapi.Engine,
-		CapacityBytes: e.capacity, ChecksFencing: e.fencing, LastFence: e.lastFence,
-		Residents: slices.Collect(maps.Values(e.residents)), Orders: slices.Collect(maps.Values(e.orders)),
-	}
-}
-
 // freeSlots permits every load.
 type freeSlots struct{}
 
@@ -114,7 +48,7 @@
 	electorate control.Electorate
 	copies     map[string]*electorate.JournalCopy
 	promised   map[string]uint64
-	engines    []*engine
+	engines    []*memledgertest.Engine
 	issuer     *Issuer
 	// deposed goes on for a while as if it knew nothing of its successor.
 	deposed      *Issuer
@@ -187,13 +121,13 @@
 		})
 	}
 	for _, s := range issuer.Sends(w.now) {
-		e := w.engines[slices.IndexFunc(w.engines, func(e *engine) bool { return e.name == s.Target })]
+		e := w.engines[slices.IndexFunc(w.engines, func(e *memledgertest.Engine) bool { return e.Name == s.Target })]
 		if s.Order.Kind != targetapi.Raise && !w.lost && !w.journaled[s.Order.ID] {
 			w.checkJournaled(s.Order.ID)
 		}
 		w.post(func() {
-			if e.incarnation == s.Incarnation {
-				e.receive(s.Order)
+			if e.Incarnation == s.Incarnation {
+				e.Receive(s.Order)
 				w.delivered++
 			}
 		})
@@ -232,13 +166,13 @@
 		m.run()
 	}
 	for _, e := range w.engines {
-		for _, id := range slices.Sorted(maps.Keys(e.running)) {
+		for _, id := range e.Running() {
 			if w.random.IntN(5) == 0 {
-				e.finish(id, w.random.IntN(10) == 0)
+				e.Finish(id, w.random.IntN(10) == 0)
 			}
 		}
 		if w.random.IntN(5) == 0 {
-			a := e.announce()
+			a := e.Announce()
 			w.post(func() {
 				// The table of targets keeps the newest announcement; a new controller may see an older one first.
 				if old := w.table[a.Target]; old == nil || w.random.IntN(4) == 0 || old.Incarnation < a.Incarnation ||
@@ -247,12 +181,8 @@
 				}
 			})
 		}
-		use := int64(0)
-		for _, r := range e.residents {
-			use += r.Bytes
-		}
-		if use > e.capacity {
-			w.t.Fatalf("at %v %s uses %d of %d bytes", w.now.Sub(epoch), e.name, use, e.capacity)
+		if use := e.UsedBytes(); use > e.CapacityBytes {
+			w.t.Fatalf("at %v %s uses %d of %d bytes", w.now.Sub(epoch), e.Name, use, e.CapacityBytes)
 		}
 	}
 	refusing := 0
@@ -286,8 +216,8 @@
 		w.copies[name] = &electorate.JournalCopy{}
 	}
 	for i := range 3 {
-		e := &engine{name: fmt.Sprint("t", i), fencing: w.random.IntN(2) == 0, capacity: 70}
-		e.restart()
+		e := &memledgertest.Engine{Name: fmt.Sprint("t", i), ChecksFencing: w.random.IntN(2) == 0, CapacityBytes: 70}
+		e.Restart()
 		w.engines = append(w.engines, e)
 	}
 	for i := range 4 {
@@ -304,9 +234,9 @@
 func (w *world) checkReachable() {
 	ready := map[string]bool{}
 	for _, e := range w.engines {
-		for item, r := range e.residents {
+		for item, r := range e.Residents {
 			model := false
-			for other, m := range e.residents {
+			for other, m := range e.Residents {
 				model = model || other.Model == item.Model && other.Adapter == "" && m.State == targetapi.Ready
 			}
 			if r.State == targetapi.Ready && (item.Adapter == "" || model) {
@@ -326,7 +256,7 @@
 func (w *world) everywhere() bool {
 	for _, m := range w.models {
 		for _, item := range []memledger.Item{{Model: m.Name, Version: m.Version}, {Model: m.Name, Version: m.Adapters[0].Version, Adapter: "a"}} {
-			if !slices.ContainsFunc(w.engines, func(e *engine) bool { return e.residents[item].State == targetapi.Ready }) {
+			if !slices.ContainsFunc(w.engines, func(e *memledgertest.Engine) bool { return e.Residents[item].State == targetapi.Ready }) {
 				return false
 			}
 		}
@@ -349,7 +279,7 @@
 					case 0, 1, 2, 3:
 						w.takeOver()
 					case 4:
-						w.engines[w.random.IntN(len(w.engines))].restart()
+						w.engines[w.random.IntN(len(w.engines))].Restart()
 						w.restarted = w.now
 					case 5, 6, 7:
 						w.models = slices.Clone(w.models)
@@ -384,3 +314,54 @@
 		})
 	}
 }
+
+// BenchmarkTick is a tick at rest: all reports, a plan, its steps, records and sends.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range []struct{ models, targets int }{{34, 18}, {150, 250}, {500, 860}} {
+		b.Run(fmt.Sprintf("%d models %d targets", size.models, size.targets), func(b *testing.B) {
+			issuer, now := New(control.Electorate{DataCentre: "dc", Instances: []string{"a"}}), epoch
+			if err := issuer.Take(now, 1, nil, freeSlots{}); err != nil {
+				b.Fatal(err)
+			}
+			in := placement.Input{ReplicaRate: 10}
+			for i := range size.models {
+				in.Models = append(in.Models, placement.Model{Name: fmt.Sprint("m", i), Version: "1", MemoryBytes: 20, Home: true, Demand: float64(i % 30)})
+			}
+			engines := make([]*memledgertest.Engine, size.targets)
+			for i := range engines {
+				engines[i] = &memledgertest.Engine{Name: fmt.Sprint("t", i), CapacityBytes: 100}
+				engines[i].Restart()
+			}
+			reports := make([]*targetapi.Announcement, size.targets)
+			tick := func() {
+				now = now.Add(time.Second)
+				_, _ = issuer.Step(now, reports)
+				in.Targets = issuer.Targets()
+				wanted := placement.Plan(in)
+				_, _ = issuer.Plan(now, &in, &wanted)
+				for _, r := range issuer.Records(now) {
+					issuer.Copied(control.RecordResponse{Elector: r.Elector, Held: true, State: electorate.JournalState{Fence: 1, Last: r.Record.Sequence}})
+				}
+			}
+			for range 30 {
+				for i, e := range engines {
+					reports[i] = e.Announce()
+				}
+				tick()
+				for _, s := range issuer.Sends(now) {
+					e := engines[slices.IndexFunc(engines, func(e *memledgertest.Engine) bool { return e.Name == s.Target })]
+					e.Receive(s.Order)
+					e.Finish(s.Order.ID, false)
+				}
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				for i := range reports {
+					reports[i].Sequence++
+				}
+				tick()
+				issuer.Sends(now)
+			}
+		})
+	}
+}
--- a/state/memledger/memledger_test.go
+++ b/state/memledger/memledger_test.go
@@ -1,10 +1,8 @@
-package memledger
+package memledger_test
 
 import (
 	"fmt"
-	"maps"
 	"math/rand/v2"
-	"slices"
 	"testing"
 	"time"
 
@@ -12,109 +10,26 @@
 	"pgregory.net/rapid"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/memledger"
+	"github.com/tarragonhoist/tarragonhoist/state/memledger/memledgertest"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// engine runs every order that it accepts without looking at its memory, so that only the ledger protects it.
-type engine struct {
-	fencing     bool
-	capacity    int64
-	reserve     int64
-	incarnation uint64
-	sequence    uint64
-	lastFence   uint64
-	residents   map[Item]targetapi.Resident
-	orders      map[string]targetapi.OrderStatus
-	running     map[string]targetapi.Order
-	peak        int64
-}
-
-func (e *engine) restart() {
-	e.incarnation++
-	e.sequence, e.lastFence = 0, 0
-	e.residents = make(map[Item]targetapi.Resident)
-	e.orders = make(map[string]targetapi.OrderStatus)
-	e.running = make(map[string]targetapi.Order)
-}
-
-func (e *engine) use() int64 {
-	use := e.reserve
-	for _, r := range e.residents {
-		use += r.Bytes
-	}
-	return use
-}
-
-func (e *engine) receive(o targetapi.Order) {
-	if _, known := e.orders[o.ID]; known {
-		return
-	}
-	if e.fencing && o.Fence < e.lastFence {
-		return
-	}
-	e.lastFence = max(e.lastFence, o.Fence)
-	if o.Kind == targetapi.Raise {
-		return
-	}
-	e.orders[o.ID] = targetapi.OrderStatus{ID: o.ID, State: targetapi.OrderAccepted}
-	e.running[o.ID] = o
-	item := ItemOf(&o)
-	held, resident := e.residents[item]
-	switch {
-	case IsLoad(&o) && !resident:
-		e.residents[item] = targetapi.Resident{Model: o.Model, Version: o.ModelVersion, Adapter: o.Adapter, State: targetapi.Loading, Bytes: o.Bytes}
-	case IsUnload(&o) && resident:
-		held.State = targetapi.Unloading
-		e.residents[item] = held
-	}
-}
-
-func (e *engine) finish(id string, fail bool) {
-	o := e.running[id]
-	delete(e.running, id)
-	item := ItemOf(&o)
-	state := targetapi.OrderDone
-	held, resident := e.residents[item]
-	switch {
-	case IsLoad(&o) && fail:
-		state = targetapi.OrderFailed
-		delete(e.residents, item)
-	case IsLoad(&o) && resident:
-		held.State = targetapi.Ready
-		e.residents[item] = held
-	case IsUnload(&o):
-		delete(e.residents, item)
-	}
-	e.orders[id] = targetapi.OrderStatus{ID: id, State: state}
-}
-
-func (e *engine) announce() *targetapi.Announcement {
-	e.sequence++
-	a := &targetapi.Announcement{
-		Version: 1, Target: "t", Incarnation: e.incarnation, Sequence: e.sequence, CapacityBytes: e.capacity,
-		ReserveBytes: e.reserve, ChecksFencing: e.fencing, LastFence: e.lastFence,
-	}
-	for _, r := range e.residents {
-		a.Residents = append(a.Residents, r)
-	}
-	for _, s := range e.orders {
-		a.Orders = append(a.Orders, s)
-	}
-	return a
-}
-
 // system is a target, its controllers and the network between them.
 type system struct {
-	random  *rand.Rand
-	now     time.Time
-	engine  *engine
-	ledger  *Ledger
-	fence   uint64
-	ids     int
-	mail    []mail
-	maxLate time.Duration
-	settled int
+	random *rand.Rand
+	now    time.Time
+	engine *memledgertest.Engine
+	ledger *memledger.Ledger
+	fence  uint64
+	// incarnation is that of the report that the controller acts on.
+	incarnation uint64
+	ids         int
+	mail        []mail
+	maxLate     time.Duration
+	peak        int64
+	settled     int
 }
 
 // mail is an order or an announcement under way.
@@ -142,18 +57,20 @@
 		switch {
 		case m.at.After(s.now):
 			s.mail = append(s.mail, m)
-		case m.order != nil && m.incarnation == s.engine.incarnation:
-			s.engine.receive(*m.order)
+		case m.order != nil && m.incarnation == s.engine.Incarnation:
+			s.engine.Receive(*m.order)
 		case m.report != nil:
-			settled, _ := s.ledger.Report(s.now, m.report)
+			settled, newer := s.ledger.Report(s.now, m.report)
+			if newer {
+				s.incarnation = m.report.Incarnation
+			}
 			s.settled += len(settled)
 		}
 	}
 }
 
 func (s *system) send(o targetapi.Order) {
-	// The controller binds each copy to the incarnation of the report it acts on.
-	s.post(mail{order: &o, incarnation: s.ledger.report.Incarnation})
+	s.post(mail{order: &o, incarnation: s.incarnation})
 }
 
 func (s *system) control() {
@@ -185,11 +102,11 @@
 	s.fence++
 	old := s.ledger
 	if journalLost {
-		s.ledger = New("t", Floor{})
+		s.ledger = memledger.New("t", memledger.Floor{})
 		s.ledger.Distrust(s.now, s.fence)
 		return
 	}
-	s.ledger = New("t", old.Floor())
+	s.ledger = memledger.New("t", old.Floor())
 	for _, o := range old.Open() {
 		s.ledger.Adopt(o)
 	}
@@ -208,20 +125,20 @@
 				rapid.Check(t, func(t *rapid.T) {
 					s := &system{
 						random: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), now: epoch, fence: 1, maxLate: 30 * time.Second,
-						engine: &engine{fencing: fencing, capacity: 100, reserve: 15}, ledger: New("t", Floor{}),
+						engine: &memledgertest.Engine{Name: "t", ChecksFencing: fencing, CapacityBytes: 100, ReserveBytes: 15}, ledger: memledger.New("t", memledger.Floor{}),
 					}
 					if loses {
-						s.maxLate = CopyLifetime
+						s.maxLate = memledger.CopyLifetime
 					}
-					s.engine.restart()
+					s.engine.Restart()
 					for range 1200 {
 						s.step(loses)
-						if use := s.engine.use(); use > s.engine.capacity {
-							t.Fatalf("real use %d of %d at %v", use, s.engine.capacity, s.now.Sub(epoch))
+						if use := s.engine.UsedBytes(); use > s.engine.CapacityBytes {
+							t.Fatalf("real use %d of %d at %v", use, s.engine.CapacityBytes, s.now.Sub(epoch))
 						}
-						s.engine.peak = max(s.engine.peak, s.engine.use())
+						s.peak = max(s.peak, s.engine.UsedBytes())
 					}
-					full += int(s.engine.peak) / 80
+					full += int(s.peak) / 80
 					settled += s.settled
 				})
 				if full < 30 || settled < 1000 {
@@ -236,14 +153,13 @@
 func (s *system) step(loses bool) {
 	s.now = s.now.Add(100 * time.Millisecond)
 	s.deliver()
-	// Maps are walked in order, so that a seed gives the same schedule again.
-	for _, id := range slices.Sorted(maps.Keys(s.engine.running)) {
+	for _, id := range s.engine.Running() {
 		if s.random.IntN(6) == 0 {
-			s.engine.finish(id, s.random.IntN(8) == 0)
+			s.engine.Finish(id, s.random.IntN(8) == 0)
 		}
 	}
 	if s.random.IntN(5) == 0 {
-		s.post(mail{report: s.engine.announce()})
+		s.post(mail{report: s.engine.Announce()})
 	}
 	if s.random.IntN(3) == 0 {
 		s.control()
@@ -252,15 +168,15 @@
 		s.succeed(loses)
 	}
 	if s.random.IntN(400) == 0 {
-		s.engine.restart()
+		s.engine.Restart()
 	}
 }
 
 // Guards against bad orders that change the account.
 func TestReserveErrors(t *testing.T) {
-	l := New("t", Floor{})
+	l := memledger.New("t", memledger.Floor{})
 	load := targetapi.Order{ID: "1", Kind: targetapi.LoadModel, Model: "m", ModelVersion: "1", Bytes: 60}
-	if err := l.Reserve(load); !errors.Is(err, ErrNoReport) {
+	if err := l.Reserve(load); !errors.Is(err, memledger.ErrNoReport) {
 		t.Fatal(err)
 	}
 	a := targetapi.Announcement{Target: "t", Incarnation: 1, Sequence: 1, CapacityBytes: 100, ReserveBytes: 10,
@@ -270,9 +186,9 @@
 		t.Fatal(err, l.Free())
 	}
 	for want, o := range map[error]targetapi.Order{
-		ErrOpenOrder: {ID: "2", Kind: targetapi.UnloadModel, Model: "m", ModelVersion: "1"},
-		ErrResident:  {ID: "3", Kind: targetapi.LoadModel, Model: "r", ModelVersion: "1", Bytes: 1},
-		ErrNoMemory:  {ID: "4", Kind: targetapi.LoadModel, Model: "x", Bytes: 11},
+		memledger.ErrOpenOrder: {ID: "2", Kind: targetapi.UnloadModel, Model: "m", ModelVersion: "1"},
+		memledger.ErrResident:  {ID: "3", Kind: targetapi.LoadModel, Model: "r", ModelVersion: "1", Bytes: 1},
+		memledger.ErrNoMemory:  {ID: "4", Kind: targetapi.LoadModel, Model: "x", Bytes: 11},
 	} {
 		if err := l.Reserve(o); !errors.Is(err, want) {
 			t.Errorf("got %v, want %v", err, want)
@@ -289,14 +205,14 @@
 }
 
 func BenchmarkReport(b *testing.B) {
-	e := &engine{capacity: 1000, reserve: 10}
-	e.restart()
+	e := &memledgertest.Engine{Name: "t", CapacityBytes: 1000, ReserveBytes: 10}
+	e.Restart()
 	for i := range 20 {
 		o := targetapi.Order{ID: fmt.Sprint(i), Kind: targetapi.LoadModel, Model: fmt.Sprint(i), Bytes: 10}
-		e.receive(o)
-		e.finish(o.ID, false)
+		e.Receive(o)
+		e.Finish(o.ID, false)
 	}
-	l, a := New("t", Floor{}), e.announce()
+	l, a := memledger.New("t", memledger.Floor{}), e.Announce()
 	b.ReportAllocs()
 	for b.Loop() {
 		a.Sequence++
