Win back electors that refuse renewals

An elector that joined again after a lost disk has promised a higher number and refused the holder's renewals for good, so the next lost elector ended the lease. Ruled out: a new campaign by the holder, which leaves a gap.

--- a/coordination/control/control.go
+++ b/coordination/control/control.go
@@ -94,6 +94,8 @@
 	Granted bool              `json:"granted"`
 	// Promised is the highest fencing number that the elector has voted for or joined with.
 	Promised uint64 `json:"promised"`
+	// WaitMs is how long the lease of another holder binds the elector.
+	WaitMs int64 `json:"wait_ms,omitempty"`
 	// Journal is the elector's copy when the request wanted it and the vote was granted.
 	Journal *electorate.JournalCopy `json:"journal,omitempty"`
 }
--- a/coordination/control/control_test.go
+++ b/coordination/control/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -350,6 +351,27 @@
 	}
 }
 
+// Guards against an elector that refuses all renewals after it joined again, so that the next lost elector would end the
+// lease.
+func TestRejoinedElectorVotesAgain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(t, 3, rapid.Uint64().Draw(t, "seed"), 0)
+		c.run(15 * time.Second)
+		i := slices.IndexFunc(c.processes, func(p *process) bool { return p.holding > 0 && p.holding == c.granted })
+		holder, rejoins, lost := c.processes[i], c.processes[(i+1)%3], c.processes[(i+2)%3]
+		rejoins.disk = nil
+		c.start(rejoins)
+		c.run(10 * time.Second)
+		lost.downUntil = time.Hour
+		for range 200 {
+			c.run(simStep)
+			if _, ok := holder.holder.Held(holder.clock(c.now)); !ok {
+				t.Fatalf("the lease ended at %v", c.now)
+			}
+		}
+	})
+}
+
 // Guards against a lease that is counted from the arrival of a vote, or from a later round than the vote's own.
 func TestLeaseCountsFromItsRequest(t *testing.T) {
 	self := electorate.Holder{Name: "i0", Incarnation: 1}
--- a/coordination/control/elector.go
+++ b/coordination/control/elector.go
@@ -61,10 +61,13 @@
 // sent; when that fails, the response must be dropped. Renewals need no promise, because a restart waits out a lease.
 func (e *Elector) Vote(now time.Time, r VoteRequest) (VoteResponse, *Promise) {
 	response := VoteResponse{Elector: e.name, Holder: r.Holder, Fence: r.Fence, Round: r.Round, Promised: e.promise.Fence}
+	current := r.Holder == e.promise.Holder
+	if !current {
+		response.WaitMs = max(0, e.leaseEnds.Sub(now).Milliseconds())
+	}
 	if !e.joined || r.DataCentre != e.dataCentre || r.Elector != e.name || r.Holder.Name == "" {
 		return response, nil
 	}
-	current := r.Holder == e.promise.Holder
 	if r.Release {
 		if current && r.Fence == e.promise.Fence {
 			e.leaseEnds = now
@@ -84,7 +87,7 @@
 		promise = &unsynced
 	}
 	e.leaseEnds = now.Add(LeaseDuration + DriftMargin)
-	response.Granted, response.Promised = true, e.promise.Fence
+	response.Granted, response.Promised, response.WaitMs = true, e.promise.Fence, 0
 	if r.WantJournal {
 		journal := e.journal.Clone()
 		response.Journal = &journal
--- a/coordination/control/holder.go
+++ b/coordination/control/holder.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/state/electorate"
@@ -20,13 +22,18 @@
 	witnessSince time.Time
 	witnessKnown bool
 
-	phase    phase
-	fence    uint64
-	round    uint64
-	sentAt   time.Time
-	votes    map[string]bool
-	refusals map[string]bool
+	phase phase
+	// fence is the number that the current round asks for; held is the one that was won last.
+	fence  uint64
+	held   uint64
+	round  uint64
+	sentAt time.Time
+	votes  map[string]bool
+	// refusals say how long each elector that refused is bound.
+	refusals map[string]time.Duration
 	asked    bool
+	// outbid says that an elector refused because it promised this number or a higher one to another candidate.
+	outbid   bool
 	leaseEnd time.Time
 	pause    time.Time
 	journals map[string]electorate.JournalCopy
@@ -78,12 +85,13 @@
 		if err != nil {
 			return Requests{}
 		}
-		h.phase, h.fence, h.seen = campaigning, fence, fence
-		h.journals = make(map[string]electorate.JournalCopy)
+		h.phase = campaigning
+		h.ask(fence)
 		return h.startRound(now)
 	case h.phase == campaigning && (h.lost() || now.Sub(h.sentAt) >= RenewInterval):
 		return h.giveUp(now)
 	case h.phase == holding && now.Sub(h.sentAt) >= RenewInterval:
+		h.rise()
 		return h.startRound(now)
 	case h.phase != idle:
 		return Requests{Witness: h.askWitness(now)}
@@ -91,14 +99,34 @@
 	return Requests{}
 }
 
+func (h *Holder) ask(fence uint64) {
+	h.fence, h.seen = fence, fence
+	h.journals = make(map[string]electorate.JournalCopy)
+}
+
+// rise asks for a higher number while the lease goes on if an elector has promised one, because it joined again or voted
+// for itself while it was cut off. It would refuse all renewals, and the next lost elector would end the lease.
+func (h *Holder) rise() {
+	if !h.outbid && h.seen <= h.fence {
+		return
+	}
+	if fence, err := nextFence(h.seen, h.joinIndex); err == nil {
+		h.ask(fence)
+	}
+}
+
+// wantsJournal says whether the votes of this round make a new grant.
+func (h *Holder) wantsJournal() bool { return h.held != h.fence }
+
 func (h *Holder) startRound(now time.Time) Requests {
 	h.round++
-	h.sentAt, h.votes, h.refusals, h.asked = now, make(map[string]bool), make(map[string]bool), false
+	h.outbid = false
+	h.sentAt, h.votes, h.refusals, h.asked = now, make(map[string]bool), make(map[string]time.Duration), false
 	requests := Requests{Votes: make([]VoteRequest, 0, len(h.electorate.Instances))}
 	for _, name := range h.electorate.Instances {
 		requests.Votes = append(requests.Votes, VoteRequest{
 			DataCentre: h.electorate.DataCentre, Elector: name, Holder: h.self, Fence: h.fence, Round: h.round,
-			WantJournal: h.phase == campaigning,
+			WantJournal: h.wantsJournal(),
 		})
 	}
 	return requests
@@ -129,7 +157,8 @@
 	}
 	if !r.Granted {
 		if r.Round == h.round {
-			h.refusals[r.Elector] = true
+			h.outbid = h.outbid || r.Promised >= h.fence
+			h.refusals[r.Elector] = time.Duration(r.WaitMs) * time.Millisecond
 		}
 		return
 	}
@@ -150,7 +179,7 @@
 	if h.phase == idle || round != h.round {
 		return
 	}
-	if h.phase == campaigning {
+	if h.wantsJournal() {
 		if journal == nil {
 			return
 		}
@@ -161,7 +190,7 @@
 		return
 	}
 	if end := h.sentAt.Add(LeaseDuration); now.Before(end) {
-		h.phase, h.leaseEnd = holding, end
+		h.phase, h.held, h.leaseEnd = holding, h.fence, end
 	}
 }
 
@@ -178,16 +207,17 @@
 }
 
 func (h *Holder) stop(now time.Time) {
-	h.phase, h.fence, h.votes, h.refusals = idle, 0, nil, nil
+	h.phase, h.fence, h.held, h.votes, h.refusals = idle, 0, 0, nil, nil
 	h.pause = now.Add(campaignPause + time.Duration(h.rand.Int64N(int64(campaignSpread))))
 }
 
-// Held returns the fencing number while the lease lasts. The driver asks directly before each order is sent.
+// Held returns the fencing number while the lease lasts. The driver asks directly before each order is sent. A number
+// that changes is a new grant: the driver takes the order journal over again.
 func (h *Holder) Held(now time.Time) (fence uint64, ok bool) {
 	if h.phase != holding || !now.Before(h.leaseEnd) {
 		return 0, false
 	}
-	return h.fence, true
+	return h.held, true
 }
 
 // LeaseEnd is when the lease ends unless it is renewed. It is the zero time without a lease.
@@ -198,7 +228,7 @@
 	return h.leaseEnd
 }
 
-// Journals returns the copies of the order journal that came with the votes that made this holder controller.
+// Journals returns the copies of the order journal that came with the votes for the number held.
 func (h *Holder) Journals() []electorate.JournalCopy {
 	list := make([]electorate.JournalCopy, 0, len(h.journals))
 	for _, copied := range h.journals {
@@ -218,7 +248,7 @@
 // giveUp ends a lease or a campaign. A lost campaign returns its votes, because two candidates that keep them would
 // block each other for a lease each time.
 func (h *Holder) giveUp(now time.Time) Requests {
-	fence := h.fence
+	fence, wait := h.fence, h.bound()
 	requests := h.startRound(now)
 	for i := range requests.Votes {
 		requests.Votes[i].Release, requests.Votes[i].WantJournal = true, false
@@ -229,5 +259,15 @@
 		}
 	}
 	h.stop(now)
+	h.pause = h.pause.Add(wait)
 	return requests
 }
+
+// bound is how long no elector that refused can vote. A candidate that asks more often raises the promise of its own
+// elector again and again, which then refuses the renewals of the holder.
+func (h *Holder) bound() time.Duration {
+	if len(h.refusals) == 0 {
+		return 0
+	}
+	return slices.Min(slices.Collect(maps.Values(h.refusals)))
+}
