Evict quarantine records in batches

Once the table of 10000 records was full, each new record searched all of them under the lock, so a faulty peer could have held up every request. Proof: with the eviction order reversed TestBounds fails (verdict on request 0 is 1, want 0); restored, all tests pass under -race.

--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -405,21 +405,23 @@
 	r.changed, r.sent = t.changes, 0
 }
 
-// evict makes room for one record: expired ones first, then the cleared one and then the one with the oldest strike.
+// evictShare is the part of the records that is dropped at once, so that a full table is not searched for each record.
+const evictShare = 16
+
+// evict makes room: expired records go first, then cleared ones and then those with the oldest latest strike.
 func (t *Table) evict(now time.Time) {
 	t.expire(now)
 	if len(t.records) < t.opts.MaxRecords {
 		return
 	}
-	var victim Fingerprint
-	var worst *record
-	for fingerprint, r := range t.records {
-		if worst == nil || (r.open() == 0) != (worst.open() == 0) && r.open() == 0 ||
-			(r.open() == 0) == (worst.open() == 0) && r.latest().Before(worst.latest()) {
-			victim, worst = fingerprint, r
-		}
+	fingerprints := slices.Collect(maps.Keys(t.records))
+	slices.SortFunc(fingerprints, func(a, b Fingerprint) int {
+		x, y := t.records[a], t.records[b]
+		return cmp.Or(cmp.Compare(min(x.open(), 1), min(y.open(), 1)), x.latest().Compare(y.latest()))
+	})
+	for _, fingerprint := range fingerprints[:max(1, t.opts.MaxRecords/evictShare)] {
+		delete(t.records, fingerprint)
 	}
-	delete(t.records, victim)
 }
 
 // Expire drops the records whose period has ended and returns the number that remain.
