Tell a timeout of a call apart from a failed target

Cause: the typed outcome has a reason for the end of our own timer, but the dispatcher had no outcome for it. TimedOut is recorded like a call without an answer and told as "timeout". The property test uses it for late runs.

--- a/coordination/calls/dispatcher.go
+++ b/coordination/calls/dispatcher.go
@@ -46,10 +46,11 @@
 type AttemptOutcome int
 
 // Outcomes of attempts. NothingWritten means that not a single byte was handed to the connection. WrittenNoAnswer
-// includes an answer that broke off and the end of the attempt's timer.
+// includes an answer that broke off. TimedOut is the end of the attempt's timer after something was written.
 const (
 	NothingWritten AttemptOutcome = iota
 	WrittenNoAnswer
+	TimedOut
 	AnswerReceived
 )
 
@@ -277,7 +278,11 @@
 			Complete: &callledger.Complete{Call: c.key, Attempt: c.attempt, Answer: recordable(answer)}})
 	}
 	c.phase = closing
-	c.tell = &Tell{Attempt: attempt, Result: api.Fail(api.ReasonTargetFailed, api.RepeatNever,
+	reason := api.ReasonTargetFailed
+	if outcome == TimedOut {
+		reason = api.ReasonTimeout
+	}
+	c.tell = &Tell{Attempt: attempt, Result: api.Fail(reason, api.RepeatNever,
 		"the request was sent and no complete answer came; it may have run")}
 	return out, d.propose(now, &out, c, callledger.Command{
 		MarkUncertain: &callledger.MarkUncertain{Call: c.key, Attempt: c.attempt}})
--- a/coordination/calls/property_test.go
+++ b/coordination/calls/property_test.go
@@ -210,6 +210,7 @@
 	case 2:
 		c.run(s.attempt)
 	case 3:
+		outcome = TimedOut
 		c.lateRuns = append(c.lateRuns, s.attempt)
 	case 4:
 		c.run(s.attempt)
