Keep an expired target expired when its leaving becomes known

Cause: a leaving notice that came after the expiry published the entry again, so the target was listed until the next Expire, which reported its expiry a second time. It was not offered, because lookups check the lease. Proof: with the fix switched off TestChanges fails; restored, all tests pass under -race.

--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -220,7 +220,9 @@
 		return Change{}, err
 	}
 	change.Entry = entry
+	gone := rec.gone
 	t.publish(rec, entry)
+	rec.gone = gone // an expired target stays so, and its expiry is not reported again
 	return change, nil
 }
 
--- a/coordination/membership/table_test.go
+++ b/coordination/membership/table_test.go
@@ -81,6 +81,13 @@
 	if len(table.Replicas(start.Add(time.Minute), "m", "crew-0")) != 1 {
 		t.Error("a target that returned is not offered")
 	}
+	later := start.Add(2 * time.Minute)
+	table.Expire(later)
+	late := engine("a", 4, 1, 1)
+	late.Leaving = true
+	if change := announce(t, table, later, late); change.Kind != Left || len(table.Expire(later)) != 0 || len(table.All()) != 0 {
+		t.Errorf("late leaving of an expired target reported as %d, or the target came back", change.Kind)
+	}
 }
 
 // Guards against bad announcements that change the table, and against a table without bound.
