Serve from disk when an instance restarts while its data centre is cut off

An instance is ready once a read barrier of the config log has passed. Without a majority it needs the word of another instance or the state of its own disk.

--- a/instance/instance.go
+++ b/instance/instance.go
@@ -30,6 +30,8 @@
 
 const (
 	readyInterval = 50 * time.Millisecond
+	// barrierTimeout covers an election.
+	barrierTimeout = 5 * time.Second
 	// stopTimeout bounds what is left to do once the last request has ended.
 	stopTimeout = 2 * time.Second
 )
@@ -144,9 +146,14 @@
 
 // becomeReady waits until the config log has been read, so that no caller meets an instance that knows no models.
 func (i *Instance) becomeReady(ctx context.Context) {
+	// The barrier keeps an instance without a disk from showing an older state than before its restart. It can't be had
+	// without a majority.
+	barrier, cancel := context.WithTimeout(ctx, barrierTimeout)
+	err := i.config.Barrier(barrier)
+	cancel()
 	ticker := time.NewTicker(readyInterval)
 	defer ticker.Stop()
-	for !i.config.Status().CaughtUp {
+	for err != nil && !i.knowsEnough() {
 		select {
 		case <-ctx.Done():
 			return
@@ -156,6 +163,13 @@
 	i.gate.SetReady(true)
 }
 
+// knowsEnough says whether this instance may serve without a majority: it has heard from another instance, or it has
+// the state of its own disk, with which a data centre that is cut off goes on.
+func (i *Instance) knowsEnough() bool {
+	status := i.config.Status()
+	return status.CaughtUp || i.settings.DataFolder != "" && status.Applied > 0
+}
+
 // drain shuts down without cutting off a request: first readiness, then new work, then the last request.
 func (i *Instance) drain() {
 	i.gate.SetReady(false)
--- a/instance/logs.go
+++ b/instance/logs.go
@@ -48,7 +48,7 @@
 	return replica.Options{
 		Name: name, Self: s.Instance, Voters: s.Voters, DataDir: s.DataFolder, Sender: link, Caller: link,
 		Parents: func() []string { return parents(s) },
-		OnEvent: recordLog(name, recorder),
+		OnEvent: recordLog(name, recorder), FetchInterval: fetchInterval,
 	}
 }
 
@@ -74,6 +74,9 @@
 	}
 }
 
+// fetchInterval is the pause between pulls of a learner that hears of no new entry. Gossip tells of new ones every second.
+const fetchInterval = 2 * time.Second
+
 // fetchFanout is the number of learners that pull from one instance. 60 instances of a data centre then form a tree of
 // two levels below its root, and no instance serves more than 8 learners and, on a voter, the roots of the data centres.
 const fetchFanout = 8
@@ -90,9 +93,10 @@
 		i = (i - 1) / fetchFanout
 		list = append(list, local[i])
 	}
-	for _, v := range s.Voters {
-		if v != s.Instance && !slices.Contains(list, v) {
-			list = append(list, v)
+	// The other local instances come last: they help a root that restarts while the data centre is cut off.
+	for _, name := range slices.Concat(s.Voters, local) {
+		if name != s.Instance && !slices.Contains(list, name) {
+			list = append(list, name)
 		}
 	}
 	return list
--- a/instance/providers.go
+++ b/instance/providers.go
@@ -171,13 +171,19 @@
 
 func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-func provideTargets(s *settings.Settings, peers *peer.Transport, recorder *events.Recorder, now timeSource) *targets.Keeper {
+// progress reports how far the config log is applied.
+type progress struct{ *replica.Group }
+
+// Applied implements targets.Progress.
+func (p progress) Applied() uint64 { return p.Status().Applied }
+
+func provideTargets(s *settings.Settings, peers *peer.Transport, config *replica.Group, recorder *events.Recorder, now timeSource) *targets.Keeper {
 	options := targets.Options{
 		DataCentre: s.DataCentre, Lease: s.TargetLease.Duration,
 		Local:  others(s, func(p settings.Peer) bool { return p.DataCentre == s.DataCentre }),
 		Remote: others(s, func(p settings.Peer) bool { return p.DataCentre != s.DataCentre }),
 	}
-	return targets.New(options, peers, recorder, now, newRand())
+	return targets.New(options, peers, progress{config}, recorder, now, newRand())
 }
 
 func provideAdmission(s *settings.Settings, now timeSource, start startNumber) *admission.Controller {
--- a/instance/replicalink/replicalink.go
+++ b/instance/replicalink/replicalink.go
@@ -9,6 +9,7 @@
 	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
 	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
+	transport "github.com/tarragonhoist/tarragonhoist/transport/peer"
 )
 
 // Peers calls and notifies other instances.
@@ -53,14 +54,22 @@
 func (l *Link) Propose(ctx context.Context, peer string, r replica.ProposeRequest) (replica.ProposeResponse, error) {
 	var response replica.ProposeResponse
 	err := l.peers.Call(ctx, peer, peerapi.MethodRaftPropose, Propose{Group: l.group, Request: r}, &response)
-	return response, err
+	return response, notSent(err)
 }
 
 // Fetch implements replica.Caller.
 func (l *Link) Fetch(ctx context.Context, peer string, r replica.FetchRequest) (replica.FetchResponse, error) {
 	var response replica.FetchResponse
 	err := l.peers.Call(ctx, peer, peerapi.MethodRaftFetch, Fetch{Group: l.group, Request: r}, &response)
-	return response, err
+	return response, notSent(err)
+}
+
+// notSent marks an error after which the call certainly did not run.
+func notSent(err error) error {
+	if err != nil && transport.NotRun(err) {
+		return errors.Wrap(replica.ErrNotSent, err.Error())
+	}
+	return err
 }
 
 // Groups are the groups of this instance by name.
--- a/instance/targets/targets.go
+++ b/instance/targets/targets.go
@@ -29,6 +29,13 @@
 	Call(ctx context.Context, peer, method string, params, result any) error
 }
 
+// Progress knows how far the config log is applied here.
+type Progress interface {
+	Applied() uint64
+	// NotifyCommit tells that an index is known to be committed.
+	NotifyCommit(index uint64)
+}
+
 // Listener hears of changes of the table.
 type Listener interface {
 	TargetChanged(c membership.Change)
@@ -48,6 +55,7 @@
 	opts     Options
 	table    *membership.Table
 	peers    Peers
+	progress Progress
 	recorder *events.Recorder
 	now      func() time.Time
 
@@ -57,9 +65,9 @@
 }
 
 // New makes a keeper with an empty table.
-func New(opts Options, peers Peers, recorder *events.Recorder, now func() time.Time, rng *rand.Rand) *Keeper {
+func New(opts Options, peers Peers, progress Progress, recorder *events.Recorder, now func() time.Time, rng *rand.Rand) *Keeper {
 	return &Keeper{
-		opts: opts, peers: peers, recorder: recorder, now: now, rng: rng,
+		opts: opts, peers: peers, progress: progress, recorder: recorder, now: now, rng: rng,
 		table: membership.NewTable(membership.Options{DataCentre: opts.DataCentre, TargetLease: opts.Lease}),
 	}
 }
@@ -151,11 +159,12 @@
 		k.recorder.Record(events.InternalError, events.Fields{"task": "gossip", "error": err.Error()})
 		return
 	}
-	request := peerapi.GossipPull{DataCentre: k.opts.DataCentre, Frame: pull}
+	request := peerapi.GossipPull{DataCentre: k.opts.DataCentre, Frame: pull, Applied: k.progress.Applied()}
 	var answer peerapi.GossipDelta
 	if err := k.peers.Call(ctx, peer, peerapi.MethodGossip, request, &answer); err != nil {
 		return
 	}
+	k.progress.NotifyCommit(answer.Applied)
 	now := k.now()
 	transit := now.Sub(sent)
 	if len(answer.Frame) > 0 {
@@ -171,7 +180,8 @@
 // HandleGossip answers the pull of another instance.
 func (k *Keeper) HandleGossip(request peerapi.GossipPull) (peerapi.GossipDelta, error) {
 	now := k.now()
-	var answer peerapi.GossipDelta
+	k.progress.NotifyCommit(request.Applied)
+	answer := peerapi.GossipDelta{Applied: k.progress.Applied()}
 	var err error
 	if request.DataCentre == k.opts.DataCentre {
 		merged, err := k.table.Merge(now, 0, request.Frame)
--- a/instance/wire_gen.go
+++ b/instance/wire_gen.go
@@ -41,7 +41,7 @@
 	}
 	groups := provideGroups(instanceLogs)
 	group := provideConfig(instanceLogs)
-	keeper := provideTargets(s, transport, recorder, instanceTimeSource)
+	keeper := provideTargets(s, transport, group, recorder, instanceTimeSource)
 	controller := provideAdmission(s, instanceTimeSource, instanceStartNumber)
 	waiter := provideWaiter(s, controller, keeper, instanceTimeSource)
 	table := provideSuspects(s, transport, recorder, instanceTimeSource)
--- a/protocol/peerapi/messages.go
+++ b/protocol/peerapi/messages.go
@@ -10,12 +10,15 @@
 	DataCentre string `json:"data_centre"`
 	// Frame tells of leaving targets and asks for missing entries. It is only used inside one data centre.
 	Frame []byte `json:"frame"`
+	// Applied is the index of the last applied entry of the config log, so that an instance that is behind pulls at once.
+	Applied uint64 `json:"applied"`
 }
 
 // GossipDelta answers a pull. Frame is empty between data centres, which only exchange summaries.
 type GossipDelta struct {
 	Frame     []byte `json:"frame,omitempty"`
 	Summaries []byte `json:"summaries,omitempty"`
+	Applied   uint64 `json:"applied"`
 }
 
 // Empty is a request without parameters.
--- a/test/process/notes_test.go
+++ b/test/process/notes_test.go
@@ -159,3 +159,32 @@
 		}
 	}
 }
+
+// Guards against a data centre that stops serving when its instance restarts while it is cut off.
+func TestInstanceRestartsWhileItsDataCentreIsCutOff(t *testing.T) {
+	t.Parallel()
+	spec := dataCentres(2, 2, "a", "b")
+	spec.Instances[3].Voter = false // voters a1, a2 and b1
+	ctx, c := start(t, spec)
+	verdictOf(ctx, t, c, "a1", serviceNoteN(1))
+	for _, name := range []string{"b1", "b2"} {
+		waitNote(ctx, t, c, name, 1)
+	}
+	c.CutDataCentre("b")
+	for _, name := range []string{"b1", "b2"} {
+		c.Process(name).Kill()
+	}
+	for _, name := range []string{"b1", "b2"} {
+		if err := c.Start(name); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, name := range []string{"b1", "b2"} {
+		if err := c.WaitReady(name); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Operator(name).Verdict(ctx, 1); err != nil {
+			t.Errorf("%s forgot note 1: %v", name, err)
+		}
+	}
+}
