--- a/coordination/loadlimit/loadlimit.go
+++ b/coordination/loadlimit/loadlimit.go
@@ -160,8 +160,36 @@
 	}
 }
 
-// InUse is the number of loads of a kind in flight.
-func (l *Limiter) InUse(kind Kind) int { return len(l.pools[kind].inFlight) }
+// Status is a summary of one limit for operators and metrics.
+type Status struct {
+	InFlight int `json:"in_flight"`
+	// Own slots are at hand; Lent ones are with other data centres or may be.
+	Own      int `json:"own"`
+	Lent     int `json:"lent"`
+	Borrowed int `json:"borrowed"`
+	// Waiting is the number of urgent loads that got no slot in the last Start.
+	Waiting int `json:"waiting"`
+}
+
+// Status returns the state of both limits.
+func (l *Limiter) Status() map[Kind]Status {
+	all := make(map[Kind]Status, len(l.pools))
+	for kind, p := range l.pools {
+		s := Status{InFlight: len(p.inFlight), Waiting: p.need}
+		for i := range p.slots {
+			if p.slots[i].loan == "" {
+				s.Own++
+			} else {
+				s.Borrowed++
+			}
+		}
+		for _, loan := range p.lent {
+			s.Lent += loan.slots
+		}
+		all[kind] = s
+	}
+	return all
+}
 
 // Tick returns requests to borrow for urgent loads without a slot, and returns of borrowed slots that are not used.
 func (l *Limiter) Tick(now time.Time) (requests []BorrowRequest, returns []Return) {
--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -76,8 +76,10 @@
 func New(e control.Electorate) *Issuer { return &Issuer{electorate: e} }
 
 // Take starts the term of a controller. It takes over the open orders from the journal copies that came with the votes.
-// Without enough intact copies it distrusts every target for a while.
+// Without enough intact copies it distrusts every target for a while. A holder whose fencing number changed takes over
+// from itself; orders that never reached the journal are given up and their slots freed.
 func (o *Issuer) Take(now time.Time, fence uint64, copies []electorate.JournalCopy, slots Slots) error {
+	abandoned := o.openLoads()
 	o.Drop()
 	best, certain := latest(copies, o.electorate.IntactCopies())
 	state, err := replay(&best)
@@ -96,9 +98,13 @@
 			t.written[order.ID] = 1
 			if memledger.IsLoad(&order) {
 				slots.Adopt(order.ID, kindOf(&order))
+				delete(abandoned, order.ID)
 			}
 		}
 	}
+	for id := range abandoned {
+		slots.Done(now, id)
+	}
 	if err := o.writeBase(now); err != nil {
 		return err
 	}
@@ -106,6 +112,54 @@
 	return nil
 }
 
+func (o *Issuer) openLoads() map[string]bool {
+	ids := make(map[string]bool)
+	for _, t := range o.targets {
+		for _, order := range t.ledger.Open() {
+			if memledger.IsLoad(&order) {
+				ids[order.ID] = true
+			}
+		}
+	}
+	return ids
+}
+
+// Status is a summary for operators and metrics.
+type Status struct {
+	Fence uint64 `json:"fence"`
+	// Complete is false while orders may be under way that the journal does not name.
+	Complete         bool   `json:"complete"`
+	JournalLast      uint64 `json:"journal_last"`
+	JournalCommitted uint64 `json:"journal_committed"`
+	Targets          int    `json:"targets"`
+	// Unusable targets have no report that is new enough, or may still receive unknown orders.
+	Unusable   int   `json:"unusable"`
+	OpenOrders int   `json:"open_orders"`
+	UsedBytes  int64 `json:"used_bytes"`
+	FreeBytes  int64 `json:"free_bytes"`
+}
+
+// Status sums up the present targets and the journal.
+func (o *Issuer) Status() Status {
+	if !o.active {
+		return Status{}
+	}
+	s := Status{Fence: o.fence, Complete: o.complete, JournalLast: o.journal.last, JournalCommitted: o.journal.committed}
+	for _, t := range o.targets {
+		s.OpenOrders += len(t.written)
+		if !t.present {
+			continue
+		}
+		s.Targets++
+		s.UsedBytes += t.ledger.Used()
+		s.FreeBytes += t.ledger.Free()
+		if !t.ledger.Usable() {
+			s.Unusable++
+		}
+	}
+	return s
+}
+
 // Drop ends the term. Nothing is sent or planned until the next Take.
 func (o *Issuer) Drop() {
 	o.active, o.targets, o.journal, o.changed, o.slots = false, nil, nil, nil, nil
