--- /dev/null
+++ b/test/process/memory_test.go
@@ -0,0 +1,80 @@
+package process
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+// versionNote changes the version of model m.
+func versionNote(number, version int) string {
+	text := strings.Replace(twoReplicas, "number = 1", fmt.Sprintf("number = %d", number), 1)
+	text = strings.Replace(text, `action = "add"`, `action = "change"`, 1)
+	return strings.Replace(text, `version = "1"`, fmt.Sprintf("version = \"%d\"", version), 1)
+}
+
+// Guards against overcommitted memory and unreachable models while notes change versions and controllers are killed in
+// the middle. Each engine holds two versions of the model and not three; an overcommitted engine ends with a code of
+// its own. One engine checks fencing numbers, the other ignores them.
+func TestVersionChangesUnderControllerCrashes(t *testing.T) {
+	t.Parallel()
+	names := []string{"a1", "a2", "a3"}
+	spec := dataCentres(3, 3, "a")
+	ctx, c := start(t, spec)
+	engine(t, c, "e1", "a", "--checks-fencing", "--load-delay=300ms")
+	engine(t, c, "e2", "a", "--load-delay=300ms")
+	for _, name := range names {
+		waitTargets(ctx, t, c, name, 2)
+	}
+	submit(ctx, t, c, "a1", twoReplicas)
+	waitReady(ctx, t, c, "a1", "m", 2)
+	for version := 2; version <= 4; version++ {
+		controller, _ := holder(ctx, t, c, names...)
+		other := without(names, controller)[0]
+		submit(ctx, t, c, other, versionNote(version, version))
+		wait(t, c, "the controller has open orders", func() error {
+			control, err := controlOf(ctx, c, controller)
+			if err == nil && control.OpenOrders == 0 {
+				return errors.New("no open orders")
+			}
+			return err
+		})
+		c.Process(controller).Kill()
+		streamOK(ctx, t, c, other, fmt.Sprintf("v%d", version))
+		if err := c.Start(controller); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.WaitReady(controller); err != nil {
+			t.Fatal(err)
+		}
+		waitReady(ctx, t, c, other, "m", 2)
+		streamOK(ctx, t, c, other, fmt.Sprintf("v%d-done", version))
+		checkEngines(t, c, "e1", "e2")
+	}
+}
+
+// Guards against a note that is accepted although memory can't hold it, and against a refusal that does not say what is
+// missing. What is in force stays as it was.
+func TestNoteBeyondMemoryIsRefused(t *testing.T) {
+	t.Parallel()
+	ctx, c := startModel(t, dataCentres(1, 1, "a"))
+	large := strings.Replace(strings.Replace(twoReplicas, "number = 1", "number = 2", 1), `name = "m"`, `name = "large"`, 1)
+	large = strings.Replace(large, "memory_bytes = 300", "memory_bytes = 950", 1)
+	verdict := verdictOf(ctx, t, c, "a1", large)
+	if verdict.Accepted {
+		t.Fatal("accepted")
+	}
+	found := false
+	for _, f := range verdict.Findings {
+		found = found || strings.Contains(f.Message, "large") && strings.Contains(f.Message, `"a"`) && strings.Contains(f.Message, "bytes")
+	}
+	if !found {
+		t.Errorf("no finding names model, data centre and bytes: %v", verdict.Findings)
+	}
+	streamOK(ctx, t, c, "a1", "after")
+	if again := verdictOf(ctx, t, c, "a1", large); again.Accepted || again.Index != verdict.Index {
+		t.Errorf("the same note got %+v", again)
+	}
+}
