--- a/standin/target/memory.go
+++ b/standin/target/memory.go
@@ -71,6 +71,11 @@
 	}
 	s := &targetapi.OrderStatus{ID: o.ID, State: targetapi.OrderAccepted}
 	m.remember(s)
+	if o.TargetIncarnation != 0 && o.TargetIncarnation != m.cfg.Incarnation {
+		s.State = targetapi.OrderRefused
+		s.Error = errors.Errorf("the order is for incarnation %d", o.TargetIncarnation).Error()
+		return *s
+	}
 	if m.cfg.ChecksFencing {
 		if o.Fence < m.lastFence {
 			s.State = targetapi.OrderRefused
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -445,3 +445,17 @@
 		t.Errorf("executions %s, %v", text, err)
 	}
 }
+
+// Guards against an order for an earlier incarnation that takes memory on the next one.
+func TestOrderForAnotherIncarnationIsRefused(t *testing.T) {
+	m := newMemory(&Config{CapacityBytes: 100, Incarnation: 7})
+	for incarnation, want := range map[uint64]targetapi.OrderState{6: targetapi.OrderRefused, 7: targetapi.OrderAccepted, 0: targetapi.OrderAccepted} {
+		order := targetapi.Order{
+			Version: targetapi.Version, ID: fmt.Sprint(incarnation), Kind: targetapi.LoadModel, Model: fmt.Sprint(incarnation),
+			ModelVersion: "1", Bytes: 10, TargetIncarnation: incarnation,
+		}
+		if got := m.apply(order); got.State != want {
+			t.Errorf("incarnation %d: %+v, want %s", incarnation, got, want)
+		}
+	}
+}
