--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -299,6 +299,42 @@
 	}
 }
 
+// Guards against a successor that trusts copies of which none needs to hold the latest orders: one elector lost its copy
+// and the other one lagged behind.
+func TestTakeCountsIntactCopies(t *testing.T) {
+	e := control.Electorate{DataCentre: "dc", Instances: []string{"a", "b", "c"}}
+	first, copies := New(e), map[string]*electorate.JournalCopy{"a": {}, "b": {}, "c": {}}
+	_ = first.Take(epoch, 1, nil, freeSlots{})
+	_, _ = first.Step(epoch.Add(2*memledger.CopyLifetime), nil)
+	for _, r := range first.Records(epoch) {
+		copies[r.Elector].Add(r.Record, 0)
+	}
+	for _, c := range []struct {
+		copies []electorate.JournalCopy
+		want   bool
+	}{
+		{nil, false}, {[]electorate.JournalCopy{{}, *copies["c"]}, false}, {[]electorate.JournalCopy{*copies["b"], *copies["c"]}, true},
+	} {
+		issuer := New(e)
+		if err := issuer.Take(epoch, 2, c.copies, freeSlots{}); err != nil || issuer.Complete() != c.want {
+			t.Errorf("with %d copies complete is %v, %v", len(c.copies), issuer.Complete(), err)
+		}
+		in := placement.Input{Models: []placement.Model{{Name: "m", Version: "1", MemoryBytes: 10, Home: true}}}
+		engine := &memledgertest.Engine{Name: "t", CapacityBytes: 100}
+		engine.Restart()
+		for _, after := range []time.Duration{0, 2*memledger.CopyLifetime - 1, 2 * memledger.CopyLifetime} {
+			now := epoch.Add(after)
+			_, _ = issuer.Step(now, []*targetapi.Announcement{engine.Announce()})
+			in.Targets = issuer.Targets()
+			wanted := placement.Plan(in)
+			want := c.want && after == 0 || !c.want && after == 2*memledger.CopyLifetime
+			if planned, _ := issuer.Plan(now, &in, &wanted); (len(planned) > 0) != want {
+				t.Errorf("%v after the takeover with %d copies %d orders are planned", after, len(c.copies), len(planned))
+			}
+		}
+	}
+}
+
 // Guards against overcommitted memory, orders that are sent before a majority holds their record, and models that never
 // get ready, under lost, late and repeated messages, changes of the controller, version changes, restarted targets and,
 // in the lossy case, electors that lose their copies.
