--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -322,9 +322,14 @@
 		in := placement.Input{Models: []placement.Model{{Name: "m", Version: "1", MemoryBytes: 10, Home: true}}}
 		engine := &memledgertest.Engine{Name: "t", CapacityBytes: 100}
 		engine.Restart()
+		// This target can be trusted at once, but has nothing to load and an item to unload.
+		full := &memledgertest.Engine{Name: "u", CapacityBytes: 10, ChecksFencing: true}
+		full.Restart()
+		full.Receive(targetapi.Order{ID: "raise", Fence: 2, Kind: targetapi.Raise})
+		full.Residents[memledger.Item{Model: "withdrawn"}] = targetapi.Resident{Model: "withdrawn", State: targetapi.Ready, Bytes: 10}
 		for _, after := range []time.Duration{0, 2*memledger.CopyLifetime - 1, 2 * memledger.CopyLifetime} {
 			now := epoch.Add(after)
-			_, _ = issuer.Step(now, []*targetapi.Announcement{engine.Announce()})
+			_, _ = issuer.Step(now, []*targetapi.Announcement{engine.Announce(), full.Announce()})
 			in.Targets = issuer.Targets()
 			wanted := placement.Plan(in)
 			want := c.want && after == 0 || !c.want && after == 2*memledger.CopyLifetime
