Measure the product's placement beside the reactive one

Cause, by a trace: one replica of every model in each data centre takes nearly all memory, so that the most popular model of Chinook has 4 replicas instead of 11. Ruled out: the rate assumed per replica, which changed nothing in a trial. Conclusion: both columns stay in the table.

--- a/measure/policy.go
+++ b/measure/policy.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/admission"
+	"github.com/tarragonhoist/tarragonhoist/coordination/placement"
 	"github.com/tarragonhoist/tarragonhoist/coordination/retry"
 	"github.com/tarragonhoist/tarragonhoist/coordination/routing"
 	"github.com/tarragonhoist/tarragonhoist/coordination/straggler"
@@ -18,9 +19,10 @@
 	equip     func(*fleet, *instance)
 }
 
-// Policies lists the baselines and, last, the product.
+// Policies lists the baselines, the product with the reactive placement and, last, the product.
 func Policies() []Policy {
 	reactive := func(f *fleet) Placement { return &reactivePlacement{slots: f.s.Engine.Slots} }
+	product := func(f *fleet) Placement { return &productPlacement{f: f, forecaster: placement.NewForecaster()} }
 	static := func(*fleet) Placement { return staticPlacement{} }
 	baseline := func(kind string) func(*fleet, *instance) {
 		return func(f *fleet, in *instance) {
@@ -39,7 +41,8 @@
 			in.dispatch = &baselineDispatch{f: f, in: in, kind: "least reported"}
 		}},
 		{"static placement", static, baseline("least reported")},
-		{"tarragonhoist", reactive, equipProduct},
+		{"product, reactive placement", reactive, equipProduct},
+		{"product", product, equipProduct},
 	}
 }
 
