--- a/coordination/admission/controller_test.go
+++ b/coordination/admission/controller_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -317,28 +318,30 @@
 
 // Guards against lost or doubled slots when handlers offer, cancel and end requests concurrently; run with -race.
 func TestConcurrentUseKeepsCounts(t *testing.T) {
-	c := controller(16)
-	var wg sync.WaitGroup
-	for i := range 8 {
-		wg.Go(func() {
-			for j := range 300 {
-				d := c.Offer(start, request(fmt.Sprint("caller", i), time.Hour, start))
-				switch {
-				case d.Action == Admit, d.Action == Queue && !c.Cancel(d.Ticket):
-					done(c, start, d.Ticket, j)
-					done(c, start, d.Ticket, j)
+	synctest.Test(t, func(t *testing.T) {
+		c := controller(16)
+		var wg sync.WaitGroup
+		for i := range 8 {
+			wg.Go(func() {
+				for j := range 300 {
+					d := c.Offer(start, request(fmt.Sprint("caller", i), time.Hour, start))
+					switch {
+					case d.Action == Admit, d.Action == Queue && !c.Cancel(d.Ticket):
+						done(c, start, d.Ticket, j)
+						done(c, start, d.Ticket, j)
+					}
+					for _, g := range c.NextOf(start, model) {
+						done(c, start, g.Ticket, j)
+					}
+					c.Usage(start)
 				}
-				for _, g := range c.NextOf(start, model) {
-					done(c, start, g.Ticket, j)
-				}
-				c.Usage(start)
-			}
-		})
-	}
-	wg.Wait()
-	if d := c.Demand()[model]; d != (ModelDemand{}) {
-		t.Fatalf("%v requests are left", d)
-	}
+			})
+		}
+		wg.Wait()
+		if d := c.Demand()[model]; d != (ModelDemand{}) {
+			t.Fatalf("%v requests are left", d)
+		}
+	})
 }
 
 // The cost of a decision must not grow with the number of callers or models.
--- a/coordination/retry/retry_test.go
+++ b/coordination/retry/retry_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -95,3 +97,26 @@
 		t.Fatalf("the budget did not recover after its window: %+v", d)
 	}
 }
+
+// Guards against budgets exceeded by handlers that ask at the same time; run with -race.
+func TestConcurrentRetriesStayWithinBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(Options{})
+		var allowed atomic.Int64
+		for i := range 8 {
+			go func() {
+				rng := rand.New(rand.NewPCG(1, uint64(i)))
+				for range 100 {
+					b.First(start, "caller", "lost")
+					if b.Allow(start, rng, attempt("caller", "next")).Denial == Allowed {
+						allowed.Add(1)
+					}
+				}
+			}()
+		}
+		synctest.Wait()
+		if n := allowed.Load(); n > 3 {
+			t.Fatalf("%d retries to a target with a budget of 3", n)
+		}
+	})
+}
--- a/coordination/routing/router_test.go
+++ b/coordination/routing/router_test.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
@@ -255,31 +256,33 @@
 
 // Guards against lost counts when handlers start and end requests concurrently; run with -race.
 func TestConcurrentUseKeepsCounts(t *testing.T) {
-	r := New(Options{})
-	targets := replicas(10)
-	var wg sync.WaitGroup
-	for i := range 8 {
-		wg.Go(func() {
-			rng := rand.New(rand.NewPCG(uint64(i), 1))
-			req := request()
-			req.PrefixHashes, req.BlockTokens = []uint64{uint64(i)}, 16
-			for range 500 {
-				c, _, err := r.Pick(start, rng, req, Candidates{Local: targets})
-				if err != nil {
-					t.Error(err)
-					return
+	synctest.Test(t, func(t *testing.T) {
+		r := New(Options{})
+		targets := replicas(10)
+		var wg sync.WaitGroup
+		for i := range 8 {
+			wg.Go(func() {
+				rng := rand.New(rand.NewPCG(uint64(i), 1))
+				req := request()
+				req.PrefixHashes, req.BlockTokens = []uint64{uint64(i)}, 16
+				for range 500 {
+					c, _, err := r.Pick(start, rng, req, Candidates{Local: targets})
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					r.Started(start, c.Target, &req)
+					r.Finished(start, Finish{Target: c.Target, Model: model, Answered: true, Units: 100, Service: time.Second})
 				}
-				r.Started(start, c.Target, &req)
-				r.Finished(start, Finish{Target: c.Target, Model: model, Answered: true, Units: 100, Service: time.Second})
+			})
+		}
+		wg.Wait()
+		for _, c := range targets {
+			if n := r.InFlight(c.Target); n != 0 {
+				t.Errorf("%s has %d requests left", c.Target, n)
 			}
-		})
-	}
-	wg.Wait()
-	for _, c := range targets {
-		if n := r.InFlight(c.Target); n != 0 {
-			t.Errorf("%s has %d requests left", c.Target, n)
 		}
-	}
+	})
 }
 
 // indexed is a Set whose Find takes constant time, like the membership table.
--- a/state/shard/shard_test.go
+++ b/state/shard/shard_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"sync"
 	"testing"
+	"testing/synctest"
 
 	"pgregory.net/rapid"
 )
@@ -34,21 +35,23 @@
 
 // Guards against lost updates when many handlers use the same keys; run with -race.
 func TestMapConcurrentUpdates(t *testing.T) {
-	m := New[uint64, int](4, 100, Uint64Hash, nil)
-	var wg sync.WaitGroup
-	for range 8 {
-		wg.Go(func() {
-			for i := range 1000 {
-				m.Update(uint64(i%10), func(v *int) { *v++ })
-			}
-		})
-	}
-	wg.Wait()
-	sum := 0
-	m.Range(func(_ uint64, v *int) bool { sum += *v; return true })
-	if sum != 8000 {
-		t.Fatalf("counted %d updates, want 8000", sum)
-	}
+	synctest.Test(t, func(t *testing.T) {
+		m := New[uint64, int](4, 100, Uint64Hash, nil)
+		var wg sync.WaitGroup
+		for range 8 {
+			wg.Go(func() {
+				for i := range 1000 {
+					m.Update(uint64(i%10), func(v *int) { *v++ })
+				}
+			})
+		}
+		wg.Wait()
+		sum := 0
+		m.Range(func(_ uint64, v *int) bool { sum += *v; return true })
+		if sum != 8000 {
+			t.Fatalf("counted %d updates, want 8000", sum)
+		}
+	})
 }
 
 // Guards against joint keys that collide when their parts are joined differently.
