--- a/coordination/admission/controller.go
+++ b/coordination/admission/controller.go
@@ -375,13 +375,12 @@
 		switch {
 		case t.state == running:
 			c.stop(p, t)
-			ran = true
+			t.state, ran = ended, true
 		case t.state == queued && t.waiter != nil && t.reclaims > 0:
 			// It ended before the driver could interrupt it.
 			c.dequeue(p, t.waiter)
-			ran = true
+			t.state, ran = ended, true
 		}
-		t.state = ended
 	})
 	if !ran || !done.Answered {
 		return
