Wait for another target when an answer has begun or a request is a suspect

It now waits for up to 15 s, and targets are avoided by incarnation, so that a restarted one can be used.

--- a/instance/modelcalls/run.go
+++ b/instance/modelcalls/run.go
@@ -28,8 +28,10 @@
 	nextTokenTimeout = 5 * time.Second
 	cancelTimeout    = time.Second
 	eventBuffer      = 64
-	// suspectInterval is the pause before a suspect looks for a target without another suspect again.
+	// suspectInterval is the pause before a request looks for a target again.
 	suspectInterval = 50 * time.Millisecond
+	// targetWait bounds how long an answer that has begun waits for another target. It covers the load of a model.
+	targetWait = 15 * time.Second
 )
 
 // attempt is one try on one target.
@@ -69,12 +71,16 @@
 	mayHaveRun bool
 	forwarded  int
 	attempts   int
+	// waited is the time spent waiting for a target.
+	waited time.Duration
+	// full holds the targets that refused an attempt, excluded the incarnations that broke one.
+	full map[string]bool
 }
 
 func newRun(s *Server, w *Work, call *httpapi.ChatCall, place Place, out httpapi.TokenWriter) *run {
 	return &run{
 		server: s, work: w, call: call, place: place, out: out, splicer: stream.NewAt(call.ResumeOffset), messages: make(chan message, eventBuffer),
-		open: make(map[string]*attempt), excluded: make(map[string]bool),
+		open: make(map[string]*attempt), excluded: make(map[string]bool), full: make(map[string]bool),
 	}
 }
 
@@ -129,9 +135,9 @@
 
 // begin picks a target and starts an attempt there.
 func (r *run) begin(ctx context.Context) *api.Result {
-	placed, done, refusal := r.server.Picker.Pick(r.work, r.excluded)
+	placed, done, refusal := r.server.Picker.Pick(r.work, r.avoided)
 	if refusal != nil {
-		return r.cannotContinue(refusal)
+		return r.withoutTarget(ctx, refusal)
 	}
 	if r.attempts == 0 {
 		r.server.Retries.First(r.work, placed)
@@ -144,7 +150,7 @@
 	id := uuid.NewString()
 	if !placed.Remote && !r.server.Suspects.Begin(ctx, quarantine.Attempt{ID: id, Fingerprint: r.work.Fingerprint, Target: targetOf(placed)}) {
 		done(Result{Err: context.Canceled})
-		return r.waitForPlace(ctx)
+		return r.waitForTarget(ctx)
 	}
 	offset, err := r.splicer.Begin(id)
 	if err != nil {
@@ -165,8 +171,20 @@
 	return nil
 }
 
-// waitForPlace tries again after a suspect met another one on its target.
-func (r *run) waitForPlace(ctx context.Context) *api.Result {
+// withoutTarget waits for a target when an answer has begun or the request is a suspect, which may have to wait until
+// other suspects have left their targets. A request that has not run is refused at once.
+func (r *run) withoutTarget(ctx context.Context, refusal *api.Result) *api.Result {
+	waits := r.forwarded > 0 || r.server.Suspects.Suspect(r.work.Fingerprint)
+	if refusal.Reason != api.ReasonNoTarget || !waits || r.waited >= targetWait {
+		return r.cannotContinue(refusal)
+	}
+	return r.waitForTarget(ctx)
+}
+
+// waitForTarget looks for a target again after a short pause.
+func (r *run) waitForTarget(ctx context.Context) *api.Result {
+	r.waited += suspectInterval
+	clear(r.full)
 	if refusal := r.server.Suspects.Verdict(r.work.Fingerprint); refusal != nil {
 		return r.cannotContinue(refusal)
 	}
@@ -183,6 +201,9 @@
 	}
 }
 
+// avoided says whether a target must not get another attempt now.
+func (r *run) avoided(id string) bool { return r.excluded[id] || r.full[id] }
+
 func targetOf(p Placed) quarantine.Target {
 	return quarantine.Target{Name: p.Target, Incarnation: p.Incarnation}
 }
@@ -280,7 +301,11 @@
 	if ctx.Err() != nil {
 		return r.timedOut(ctx)
 	}
-	r.excluded[a.placed.Target] = true
+	if r.broken(err) {
+		r.excluded[a.placed.ID()] = true
+	} else {
+		r.full[a.placed.ID()] = true
+	}
 	var rejected *targetclient.ErrRejected
 	if errors.As(err, &rejected) {
 		return r.cannotContinue(api.Refuse(api.ReasonMalformedRequest, rejected.Message))
@@ -310,9 +335,9 @@
 	if refusal := r.server.Suspects.Verdict(r.work.Fingerprint); refusal != nil {
 		return r.cannotContinue(refusal)
 	}
-	placed, done, refusal := r.server.Picker.Pick(r.work, r.excluded)
+	placed, done, refusal := r.server.Picker.Pick(r.work, r.avoided)
 	if refusal != nil {
-		return r.cannotContinue(refusal)
+		return r.withoutTarget(ctx, refusal)
 	}
 	delay, ok := r.server.Retries.Allow(r.work, placed, r.attempts, err)
 	if !ok {
@@ -341,7 +366,7 @@
 		if !r.server.Picker.Hedge(r.work, a.placed, waited) {
 			return
 		}
-		r.excluded[a.placed.Target] = true
+		r.full[a.placed.ID()] = true
 		r.server.Recorder.Record(events.RequestHedged, events.Fields{"request": r.work.RequestID, "target": a.placed.Target})
 	}
 	// Without another target the first attempt simply goes on.
--- a/instance/modelcalls/run_test.go
+++ b/instance/modelcalls/run_test.go
@@ -71,7 +71,7 @@
 	return nil
 }
 func (p *place) Release(int, bool) {}
-func (f *fake) Pick(*modelcalls.Work, map[string]bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
+func (f *fake) Pick(*modelcalls.Work, func(string) bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.picked == len(f.scripts) {
@@ -87,6 +87,7 @@
 func (f *fake) First(*modelcalls.Work, modelcalls.Placed)                     {}
 func (f *fake) Verdict(quarantine.Fingerprint) *api.Result                    { return nil }
 func (f *fake) Begin(context.Context, quarantine.Attempt) bool                { return true }
+func (f *fake) Suspect(quarantine.Fingerprint) bool                           { return false }
 func (f *fake) Succeeded(string)                                              {}
 func (f *fake) Ended(string)                                                  {}
 func (f *fake) Failed(context.Context, string, quarantine.Target)             {}
--- a/instance/modelcalls/server.go
+++ b/instance/modelcalls/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -49,6 +50,14 @@
 	Remote bool
 }
 
+// ID joins the name of a target and its incarnation, because a restarted target is a new one.
+func (p Placed) ID() string { return TargetID(p.Target, p.Incarnation) }
+
+// TargetID is Placed.ID for a name and an incarnation.
+func TargetID(name string, incarnation uint64) string {
+	return name + "@" + strconv.FormatUint(incarnation, 10)
+}
+
 // Result is how an attempt ended.
 type Result struct {
 	FirstToken time.Duration
@@ -74,8 +83,9 @@
 
 // Picker picks targets and learns from attempts.
 type Picker interface {
-	// Pick returns a target outside the excluded ones. Done must be called when the attempt has ended.
-	Pick(w *Work, excluded map[string]bool) (p Placed, done func(Result), refusal *api.Result)
+	// Pick returns a target that is not avoided; targets are named by Placed.ID. Done must be called when the attempt has
+	// ended.
+	Pick(w *Work, avoided func(id string) bool) (p Placed, done func(Result), refusal *api.Result)
 	// Expected is the usual time until the first token.
 	Expected(w *Work) time.Duration
 	// Overdue reports an attempt that has not answered for this long.
@@ -99,6 +109,8 @@
 type Suspects interface {
 	// Verdict refuses a request that is quarantined.
 	Verdict(fingerprint quarantine.Fingerprint) *api.Result
+	// Suspect says whether a request has a strike.
+	Suspect(fingerprint quarantine.Fingerprint) bool
 	// Begin registers an attempt and says whether it may be sent now.
 	Begin(ctx context.Context, a quarantine.Attempt) bool
 	// Succeeded clears a request that was answered completely.
--- a/instance/policy/candidates.go
+++ b/instance/policy/candidates.go
@@ -42,7 +42,7 @@
 func candidate(e *membership.Entry) entryCandidate {
 	a := &e.Announcement
 	return entryCandidate{entry: e, candidate: routing.Candidate{
-		Target: TargetID(a.Target, a.Incarnation), DataCentre: a.DataCentre, Leaving: a.Leaving, LeaseUntil: e.ExpiresAt,
+		Target: modelcalls.TargetID(a.Target, a.Incarnation), DataCentre: a.DataCentre, Leaving: a.Leaving, LeaseUntil: e.ExpiresAt,
 		// The sample holds only targets on which model and adapter are ready.
 		ModelReady: true, AdapterReady: true, Slots: a.Slots, Reported: a.Load.Running + a.Load.Queued,
 		MeasuredAt: time.UnixMilli(a.Load.MeasuredAtMs),
@@ -51,12 +51,12 @@
 
 // localCandidates keeps requests away from targets on which a suspect runs: another suspect always, so that the culprit
 // can be told apart, and other requests where they can go elsewhere, so that they are not struck with it.
-func (p *Policy) localCandidates(w *modelcalls.Work, excluded map[string]bool, entries []*membership.Entry) candidates {
+func (p *Policy) localCandidates(w *modelcalls.Work, avoided func(string) bool, entries []*membership.Entry) candidates {
 	var free, claimed candidates
 	for _, e := range entries {
 		a := &e.Announcement
 		switch {
-		case excluded[a.Target]:
+		case avoided(modelcalls.TargetID(a.Target, a.Incarnation)):
 		case p.suspects.Claimed(quarantine.Target{Name: a.Target, Incarnation: a.Incarnation}):
 			claimed = append(claimed, candidate(e))
 		default:
@@ -70,14 +70,14 @@
 }
 
 // remoteCandidates stand for the replicas of other data centres that have room.
-func (p *Policy) remoteCandidates(now time.Time, w *modelcalls.Work, excluded map[string]bool) candidates {
+func (p *Policy) remoteCandidates(now time.Time, w *modelcalls.Work, avoided func(string) bool) candidates {
 	if !w.MaySpill {
 		return nil
 	}
 	var list candidates
 	for _, summary := range p.table.RemoteReplicas(now, w.Model, w.Adapter) {
 		target := remotePrefix + summary.DataCentre
-		if summary.Ready == 0 || summary.FreeWork == 0 || excluded[target] {
+		if summary.Ready == 0 || summary.FreeWork == 0 || avoided(modelcalls.TargetID(target, 0)) {
 			continue
 		}
 		list = append(list, entryCandidate{candidate: routing.Candidate{
@@ -92,7 +92,7 @@
 const remotePrefix = "data-centre:"
 
 func (p *Policy) hasRemoteRoom(w *modelcalls.Work) bool {
-	return len(p.remoteCandidates(p.now(), w, nil)) > 0
+	return len(p.remoteCandidates(p.now(), w, func(string) bool { return false })) > 0
 }
 
 // finishedRemote counts the end of an attempt in another data centre, whose latency says nothing about local targets.
--- a/instance/policy/policy.go
+++ b/instance/policy/policy.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"strconv"
 	"sync"
 	"time"
 
@@ -73,11 +72,6 @@
 	return p
 }
 
-// TargetID joins the name of a target and its incarnation, because a restarted target is a new one.
-func TargetID(name string, incarnation uint64) string {
-	return name + "@" + strconv.FormatUint(incarnation, 10)
-}
-
 // Acquire implements modelcalls.Admission.
 func (p *Policy) Acquire(ctx context.Context, w *modelcalls.Work) (modelcalls.Place, *api.Result) {
 	admitted, refusal := p.admit.Acquire(ctx, admission.Request{
@@ -120,8 +114,8 @@
 func (spilledPlace) Release(int, bool) {}
 
 // Pick implements modelcalls.Picker.
-func (p *Policy) Pick(w *modelcalls.Work, excluded map[string]bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
-	return p.pick(w, excluded, func(now time.Time, rng *rand.Rand) []*membership.Entry {
+func (p *Policy) Pick(w *modelcalls.Work, avoided func(string) bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
+	return p.pick(w, avoided, func(now time.Time, rng *rand.Rand) []*membership.Entry {
 		if w.Spilled {
 			return nil
 		}
@@ -130,20 +124,20 @@
 }
 
 // PickService picks a target of a plain service, whose name is the model of the work.
-func (p *Policy) PickService(w *modelcalls.Work, excluded map[string]bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
-	return p.pick(w, excluded, func(now time.Time, rng *rand.Rand) []*membership.Entry {
+func (p *Policy) PickService(w *modelcalls.Work, avoided func(string) bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
+	return p.pick(w, avoided, func(now time.Time, rng *rand.Rand) []*membership.Entry {
 		return p.table.SampleServices(now, rng, sampleLimit, w.Model)
 	})
 }
 
-func (p *Policy) pick(w *modelcalls.Work, excluded map[string]bool,
+func (p *Policy) pick(w *modelcalls.Work, avoided func(string) bool,
 	sample func(now time.Time, rng *rand.Rand) []*membership.Entry) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
 	now := p.now()
 	rng := p.generators.Get().(*rand.Rand)
 	defer p.generators.Put(rng)
-	local := p.localCandidates(w, excluded, sample(now, rng))
+	local := p.localCandidates(w, avoided, sample(now, rng))
 	request := p.request(w)
-	remote := p.remoteCandidates(now, w, excluded)
+	remote := p.remoteCandidates(now, w, avoided)
 	chosen, scores, err := p.router.Pick(now, rng, request, routing.Candidates{Local: local, Remote: []routing.Set{remote}})
 	if err == nil && scores.Remote {
 		if address, ok := p.remote.Address(chosen.DataCentre, rng); ok {
@@ -193,7 +187,7 @@
 // finished feeds the end of an attempt back into the policies.
 func (p *Policy) finished(w *modelcalls.Work, placed modelcalls.Placed, r modelcalls.Result) {
 	now := p.now()
-	id := TargetID(placed.Target, placed.Incarnation)
+	id := placed.ID()
 	p.router.Finished(now, routing.Finish{
 		Target: id, Model: w.Model, Answered: r.Err == nil,
 		Units: float64(w.PromptTokens)/promptTokensPerUnit + float64(r.Tokens), Service: r.Total,
@@ -204,15 +198,16 @@
 	case r.FirstToken > 0:
 		p.detector.Observe(now, p.observation(w, id, r.FirstToken))
 	case errors.As(r.Err, &broken), errors.As(r.Err, &notConnected):
-		p.detector.Failed(now, id, group(w))
+		p.detector.Failed(now, id, firstTokenGroup)
 	}
 }
 
-// group is what the first tokens of targets are compared within.
-func group(w *modelcalls.Work) string { return w.Model + "/first_token" }
+// firstTokenGroup is what the first tokens of targets are compared within. It spans the models, since most models have
+// too few replicas to tell a slow one from the others.
+const firstTokenGroup = "engine/first_token"
 
 func (p *Policy) observation(w *modelcalls.Work, id string, took time.Duration) straggler.Observation {
-	return straggler.Observation{Target: id, Group: group(w), Expected: p.Expected(w), Actual: took}
+	return straggler.Observation{Target: id, Group: firstTokenGroup, Expected: p.Expected(w), Actual: took}
 }
 
 // Expected implements modelcalls.Picker.
@@ -223,12 +218,12 @@
 // HedgeDelay implements modelcalls.Picker.
 func (p *Policy) HedgeDelay(w *modelcalls.Work) time.Duration {
 	p.detector.Request()
-	return p.detector.HedgeDelay(group(w), p.Expected(w))
+	return p.detector.HedgeDelay(firstTokenGroup, p.Expected(w))
 }
 
 // Overdue implements modelcalls.Picker.
 func (p *Policy) Overdue(w *modelcalls.Work, placed modelcalls.Placed, waited time.Duration) {
-	p.detector.Overdue(p.now(), p.observation(w, TargetID(placed.Target, placed.Incarnation), waited))
+	p.detector.Overdue(p.now(), p.observation(w, placed.ID(), waited))
 }
 
 // Hedge implements modelcalls.Picker. A suspect is never hedged, since it could take down two targets at once.
@@ -238,7 +233,7 @@
 	}
 	now := p.now()
 	return p.detector.Hedge(now, straggler.HedgeRequest{
-		Group: group(w), Idempotent: true, Short: w.TokenLimit > 0 && w.TokenLimit <= shortTokens,
+		Group: firstTokenGroup, Idempotent: true, Short: w.TokenLimit > 0 && w.TokenLimit <= shortTokens,
 		Expected: p.Expected(w), Elapsed: waited, Remaining: w.Deadline.Sub(now),
 	})
 }
@@ -269,9 +264,9 @@
 func (p *Policy) TargetChanged(c membership.Change) {
 	switch c.Kind {
 	case membership.Replaced:
-		p.forget(TargetID(c.Target, c.FailedIncarnation))
+		p.forget(modelcalls.TargetID(c.Target, c.FailedIncarnation))
 	case membership.Expired:
-		p.forget(TargetID(c.Target, c.Incarnation))
+		p.forget(modelcalls.TargetID(c.Target, c.Incarnation))
 	}
 }
 
@@ -285,11 +280,11 @@
 	if e.Version != targetapi.Version {
 		return errors.Errorf("cache events version %d is not supported, want %d", e.Version, targetapi.Version)
 	}
-	p.router.CacheEvents(p.now(), TargetID(e.Target, e.Incarnation), &e)
+	p.router.CacheEvents(p.now(), modelcalls.TargetID(e.Target, e.Incarnation), &e)
 	return nil
 }
 
 // InFlight is the number of this instance's own requests on a target.
 func (p *Policy) InFlight(name string, incarnation uint64) int {
-	return p.router.InFlight(TargetID(name, incarnation))
+	return p.router.InFlight(modelcalls.TargetID(name, incarnation))
 }
--- a/instance/servicecalls/server.go
+++ b/instance/servicecalls/server.go
@@ -28,7 +28,7 @@
 // Policy admits calls and picks targets.
 type Policy interface {
 	modelcalls.Admission
-	PickService(w *modelcalls.Work, excluded map[string]bool) (p modelcalls.Placed, done func(modelcalls.Result), refusal *api.Result)
+	PickService(w *modelcalls.Work, avoided func(id string) bool) (p modelcalls.Placed, done func(modelcalls.Result), refusal *api.Result)
 	modelcalls.Retries
 }
 
@@ -97,7 +97,7 @@
 	excluded := make(map[string]bool)
 	mayHaveRun := false
 	for attempts := 1; ; attempts++ {
-		placed, done, refusal := s.Policy.PickService(work, excluded)
+		placed, done, refusal := s.Policy.PickService(work, func(id string) bool { return excluded[id] })
 		if refusal != nil {
 			return nil, failedOrRefused(mayHaveRun, refusal)
 		}
@@ -116,7 +116,7 @@
 		if ctx.Err() != nil {
 			return nil, api.Fail(api.ReasonTimeout, api.RepeatNow, "the deadline passed before the service answered")
 		}
-		excluded[placed.Target] = true
+		excluded[placed.ID()] = true
 		if err == nil {
 			err = &targetclient.ErrOverloaded{}
 		}
@@ -179,7 +179,7 @@
 func (s *Server) dispatch(call *httpapi.ServiceCall, work *modelcalls.Work, attempt string) (*targetclient.ServiceAnswer, bool, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), s.RequestTimeout)
 	defer cancel()
-	placed, done, refusal := s.Policy.PickService(work, nil)
+	placed, done, refusal := s.Policy.PickService(work, func(string) bool { return false })
 	if refusal != nil {
 		return nil, false, errors.New(refusal.Message)
 	}
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -73,15 +73,8 @@
 		spec: spec, folder: folder, bin: bin, http: make(map[string]string), peer: make(map[string]string),
 		processes: make(map[string]*Process), targets: make(map[string]*Target), relays: make(map[[2]string][]*relay.Relay),
 	}
-	ip := loopbackIP()
-	for _, i := range spec.Instances {
-		for _, addresses := range []map[string]string{c.http, c.peer} {
-			address, err := freeAddress(ip)
-			if err != nil {
-				return nil, err
-			}
-			addresses[i.Name] = address
-		}
+	if err := c.takeAddresses(); err != nil {
+		return nil, err
 	}
 	for _, from := range spec.Instances {
 		if err := c.writeSettings(from); err != nil {
@@ -102,14 +95,21 @@
 	return fmt.Sprintf("127.%d.%d.%d", 1+pid%250, pid/250%250, 1+clusters.Add(1)%250)
 }
 
-// freeAddress asks the kernel for a port. The port is given back at once, since peers need to know it beforehand.
-func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		return "", errors.Wrap(err, "no free port")
+// takeAddresses asks the kernel for ports. They are given back before the instances start, since peers need to know them
+// beforehand, but only all at once: the kernel would give a port that is free again to the next instance too.
+func (c *Cluster) takeAddresses() error {
+	ip := loopbackIP()
+	for _, i := range c.spec.Instances {
+		for _, addresses := range []map[string]string{c.http, c.peer} {
+			listener, err := net.Listen("tcp", ip+":0")
+			if err != nil {
+				return errors.Wrap(err, "no free port")
+			}
+			defer func() { _ = listener.Close() }()
+			addresses[i.Name] = listener.Addr().String()
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return nil
 }
 
 func (c *Cluster) writeSettings(self InstanceSpec) error {
