Do not try an unreachable target again in the same request

Cause of one failure in three runs of TestCrashingRequestIsStopped: while the other targets were claimed, a struck request used up its 16 attempts on a dead target that was still within its lease (connection refused every 50 ms).

--- a/instance/modelcalls/run.go
+++ b/instance/modelcalls/run.go
@@ -301,7 +301,7 @@
 	if ctx.Err() != nil {
 		return r.timedOut(ctx)
 	}
-	if r.broken(err) {
+	if r.broken(err) || unreachable(err) {
 		r.excluded[a.placed.ID()] = true
 	} else {
 		r.full[a.placed.ID()] = true
@@ -330,6 +330,13 @@
 	return errors.As(err, &broken)
 }
 
+// unreachable says whether no connection to the target could be made. It is not tried again: a restarted target is
+// another one.
+func unreachable(err error) bool {
+	var notConnected *targetclient.ErrNotConnected
+	return errors.As(err, &notConnected)
+}
+
 // again starts the next attempt if quarantine, budget and deadline allow it.
 func (r *run) again(ctx context.Context, err error) *api.Result {
 	if refusal := r.server.Suspects.Verdict(r.work.Fingerprint); refusal != nil {
