Free the load slots of a lost target

They are freed after the time limit of a load and counted again if the target returns with the same incarnation. TestTakeFreesAbandonedSlots fails with either half switched off.

--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -66,6 +66,8 @@
 	// present says that the target was among the reports of the last step.
 	present  bool
 	lastSeen time.Time
+	// slotless says that the open loads have no slots because the target has been absent for the time limit of a load.
+	slotless bool
 	sent     map[string]time.Time
 	// written is the journal sequence of each open order.
 	written  map[string]uint64
@@ -228,6 +230,9 @@
 		}
 		settled = append(settled, done...)
 	}
+	for _, t := range o.targets {
+		o.balanceSlots(now, t)
+	}
 	o.forget(now)
 	if !o.complete && now.Sub(o.distrustedAt) >= 2*memledger.CopyLifetime {
 		o.complete = true
@@ -236,15 +241,31 @@
 	return settled, o.write(now)
 }
 
+// balanceSlots frees the slots of loads on a target that is gone, so that a lost target does not take a part of the load
+// limit with it. The loads count again when the target is back, because they are then repeated.
+func (o *Issuer) balanceSlots(now time.Time, t *target) {
+	gone := !t.present && now.Sub(t.lastSeen) >= loadlimit.MaxLoadTime
+	if gone == t.slotless || !gone && !t.present {
+		return
+	}
+	t.slotless = gone
+	for _, order := range t.ledger.Open() {
+		switch {
+		case !memledger.IsLoad(&order):
+		case gone:
+			o.slots.Done(now, order.ID)
+		default:
+			o.slots.Adopt(order.ID, kindOf(&order))
+		}
+	}
+}
+
 // forget drops targets that have been gone for long. None of their orders can arrive any more.
 func (o *Issuer) forget(now time.Time) {
 	for name, t := range o.targets {
 		if t.present || now.Sub(t.lastSeen) < forgetAfter {
 			continue
 		}
-		for _, order := range t.ledger.Open() {
-			o.slots.Done(now, order.ID)
-		}
 		delete(o.targets, name)
 	}
 }
@@ -342,7 +363,9 @@
 	}
 	entry := journalEntry{Changed: make(map[string]targetState, len(o.changed))}
 	for name := range o.changed {
-		entry.Changed[name] = o.targets[name].state()
+		if t := o.targets[name]; t != nil {
+			entry.Changed[name] = t.state()
+		}
 	}
 	clear(o.changed)
 	return o.journal.append(now, entry)
--- a/coordination/orders/orders_test.go
+++ b/coordination/orders/orders_test.go
@@ -254,7 +254,8 @@
 	return true
 }
 
-// Guards against slots that stay taken by orders which never reached the journal when a holder's number changes.
+// Guards against slots that stay taken by orders which never reached the journal when a holder's number changes, or by
+// orders to a lost target.
 func TestTakeFreesAbandonedSlots(t *testing.T) {
 	limiter, err := loadlimit.New(epoch, "dc", 1, []string{"dc"}, loadlimit.Limits{WeightLoadsPerSecond: 9, WeightLoads: 9, AdapterLoads: 9})
 	if err != nil {
@@ -263,7 +264,7 @@
 	issuer, now := New(control.Electorate{DataCentre: "dc", Instances: []string{"a"}}), epoch.Add(time.Minute)
 	e := &memledgertest.Engine{Name: "t", CapacityBytes: 100, ChecksFencing: true}
 	e.Restart()
-	e.Receive(targetapi.Order{ID: "raise", Fence: 1, Kind: targetapi.Raise})
+	e.Receive(targetapi.Order{ID: "raise", Fence: 2, Kind: targetapi.Raise})
 	in := placement.Input{Models: []placement.Model{{Name: "m", Version: "1", MemoryBytes: 10, Home: true}}}
 	for fence := uint64(1); fence < 3; fence++ {
 		if err := issuer.Take(now, fence, nil, limiter); err != nil {
@@ -275,10 +276,21 @@
 		_, _ = issuer.Step(now, []*targetapi.Announcement{e.Announce()})
 		in.Targets = issuer.Targets()
 		wanted := placement.Plan(in)
-		if planned, err := issuer.Plan(now, &in, &wanted); err != nil || fence == 1 && len(planned) != 1 {
+		if planned, err := issuer.Plan(now, &in, &wanted); err != nil || len(planned) != 1 {
 			t.Fatalf("planned %v, %v", planned, err)
 		}
 	}
+	// A lost target gives its slots back and takes them again when it returns with the same incarnation.
+	for _, step := range []struct {
+		after   time.Duration
+		reports []*targetapi.Announcement
+		want    int
+	}{{time.Second, nil, 1}, {loadlimit.MaxLoadTime, nil, 0}, {loadlimit.MaxLoadTime, nil, 0}, {20 * time.Second, []*targetapi.Announcement{e.Announce()}, 1}} {
+		_, _ = issuer.Step(now.Add(step.after), step.reports)
+		if n := limiter.Status()[loadlimit.Weights].InFlight; n != step.want {
+			t.Errorf("%d loads in flight after %v, want %d", n, step.after, step.want)
+		}
+	}
 }
 
 // Guards against a successor that trusts copies of which none needs to hold the latest orders: one elector lost its copy
