--- a/coordination/orders/orders.go
+++ b/coordination/orders/orders.go
@@ -304,10 +304,10 @@
 	var list []reserved
 	var loads []loadlimit.Load
 	waiting := make(map[string]bool)
+	trusted := o.trusted()
 	for _, step := range placement.NextSteps(in, wanted) {
 		t := o.targets[step.Target]
-		// Without a complete journal an unload that nobody knows of may still take the replica that would remain.
-		if t == nil || len(t.written) >= maxOpenOrders || !step.Load && !o.complete {
+		if t == nil || len(t.written) >= maxOpenOrders || !step.Load && !trusted {
 			continue
 		}
 		order := o.order(&step)
@@ -336,6 +336,17 @@
 	return orders, o.write(now)
 }
 
+// trusted says whether the reports of all present targets can be relied on for unloads. Without a complete journal an
+// unload that nobody knows of may still take, or have taken, the replica that would remain.
+func (o *Issuer) trusted() bool {
+	for _, t := range o.targets {
+		if t.present && !t.ledger.Usable() {
+			return false
+		}
+	}
+	return o.complete
+}
+
 func (o *Issuer) order(step *placement.Step) targetapi.Order {
 	o.ids++
 	order := targetapi.Order{
