Give no verdict on a note while no model engine is known, and keep the load limiter within a term

Before any target has announced itself, every note with a model was refused and its number used up. Such a submission now gets no verdict and can be repeated.

--- a/cmd/hoistctl/main.go
+++ b/cmd/hoistctl/main.go
@@ -7,11 +7,13 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
 
 	"github.com/tarragonhoist/tarragonhoist/instance/version"
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
 	"github.com/tarragonhoist/tarragonhoist/protocol/tomlfile"
 	"github.com/tarragonhoist/tarragonhoist/transport/opsclient"
 )
@@ -92,7 +94,8 @@
 	}
 	fmt.Fprintln(os.Stderr, "hoistctl:", err)
 	var answer *opsclient.ErrAnswer
-	if errors.As(err, &answer) && (answer.Detail.Code == "no_quorum" || answer.Detail.Code == "no_verdict") {
+	noVerdict := []api.Reason{api.ReasonNoQuorum, api.ReasonNoTarget, "no_verdict"}
+	if errors.As(err, &answer) && slices.Contains(noVerdict, answer.Detail.Code) {
 		os.Exit(exitNoVerdict)
 	}
 	os.Exit(exitError)
--- a/instance/controller/director.go
+++ b/instance/controller/director.go
@@ -183,10 +183,13 @@
 
 // take starts the term of a fencing number. It runs under mu.
 func (d *Director) take(now time.Time, fence uint64) bool {
-	limiter, err := loadlimit.New(now, d.lease.identity.DataCentre, fence, d.options.DataCentres, d.options.Limits)
+	var err error
+	if d.limiter == nil {
+		// A number that rises during the lease continues the term, and the limiter with it.
+		d.limiter, err = loadlimit.New(now, d.lease.identity.DataCentre, fence, d.options.DataCentres, d.options.Limits)
+	}
 	if err == nil {
-		d.limiter = limiter
-		err = d.issuer.Take(now, fence, d.lease.Journals(), limiter)
+		err = d.issuer.Take(now, fence, d.lease.Journals(), d.limiter)
 	}
 	if err != nil {
 		d.recorder.Record(events.InternalError, events.Fields{"task": "take over control", "error": err.Error()})
@@ -244,7 +247,7 @@
 	for _, o := range issued {
 		d.recorder.Record(events.OrderIssued, orderFields(o))
 	}
-	d.openOrders = d.issuer.Open()
+	d.openOrders = d.issuer.Status().OpenOrders
 	return err
 }
 
--- a/instance/feasibility/feasibility.go
+++ b/instance/feasibility/feasibility.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
 	"github.com/tarragonhoist/tarragonhoist/coordination/placement"
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
@@ -26,6 +28,9 @@
 // Table lists the targets of the data centre.
 type Table interface{ All() []*membership.Entry }
 
+// ErrNoEngines means that a note can't be checked, for example because the system has just started.
+var ErrNoEngines = errors.New("no model engine has announced itself yet, so memory can't be checked")
+
 // Checker checks release notes.
 type Checker struct {
 	settings *settings.Settings
@@ -73,16 +78,21 @@
 
 // Check lists what a release note lacks. Data centres that can't be reached are left out: their controllers reach what
 // is in force as far as their memory allows.
-func (c *Checker) Check(ctx context.Context, next *catalog.Contents) []tomlfile.Finding {
+func (c *Checker) Check(ctx context.Context, next *catalog.Contents) ([]tomlfile.Finding, error) {
 	models := placement.Models(next)
 	if len(models) == 0 {
-		return nil
+		return nil, nil
 	}
 	var inputs []placement.Input
+	engines := 0
 	for dataCentre, targets := range c.Read(ctx) {
+		engines += len(targets)
 		inputs = append(inputs, placement.Input{DataCentre: dataCentre, Targets: targets, Models: models, ReplicaRate: 1})
 	}
-	return placement.Feasible(inputs)
+	if engines == 0 {
+		return nil, ErrNoEngines
+	}
+	return placement.Feasible(inputs), nil
 }
 
 // Read lists the engines of this data centre and asks one instance of each other for those there.
--- a/instance/notes/notes.go
+++ b/instance/notes/notes.go
@@ -28,7 +28,7 @@
 
 // Feasibility checks a note against the memory of the targets.
 type Feasibility interface {
-	Check(ctx context.Context, next *catalog.Contents) []tomlfile.Finding
+	Check(ctx context.Context, next *catalog.Contents) ([]tomlfile.Finding, error)
 }
 
 // InForce gives what is in force on this instance.
@@ -63,7 +63,11 @@
 	submission := catalog.Submission{Note: *note, Digest: digest, Operator: operator, AtMs: d.now().UnixMilli()}
 	if _, held := d.inForce.Verdict(note.Number); !held {
 		// A number that is held already gets its verdict from the log alone, whatever the targets can hold by now.
-		submission.Findings = d.feasible(ctx, note)
+		findings, err := d.feasible(ctx, note)
+		if err != nil {
+			return catalog.Verdict{}, cannotCheck(err)
+		}
+		submission.Findings = findings
 	}
 	command, err := cbor.Marshal(submission)
 	if err != nil {
@@ -100,15 +104,20 @@
 	return v
 }
 
-func (d *Desk) feasible(ctx context.Context, note *releasenote.Note) []tomlfile.Finding {
+func (d *Desk) feasible(ctx context.Context, note *releasenote.Note) ([]tomlfile.Finding, error) {
 	next, findings := catalog.Check(d.inForce.Contents(), note)
 	if len(findings) > 0 {
 		// The log reports these findings itself, against the contents at that point.
-		return nil
+		return nil, nil
 	}
 	return d.feasibility.Check(ctx, next)
 }
 
+// cannotCheck refuses a submission before it reaches the log. Its number is not used up.
+func cannotCheck(err error) *api.Result {
+	return api.RefuseFor(api.ReasonNoTarget, retryAfter, "no verdict; submit the note again: "+err.Error())
+}
+
 // noVerdict reports a submission whose result is not known.
 func noVerdict(err error) *api.Result {
 	return &api.Result{
@@ -125,7 +134,11 @@
 	}
 	_, conflicts := catalog.Check(d.inForce.Contents(), note)
 	findings = append(findings, conflicts...)
-	findings = append(findings, d.feasible(ctx, note)...)
+	infeasible, err := d.feasible(ctx, note)
+	if err != nil {
+		return nil, cannotCheck(err)
+	}
+	findings = append(findings, infeasible...)
 	for i := range findings {
 		findings[i].File = file
 	}
