admit: keep the grant timer running and survive overlapping interruptions

Cause: each newly queued request reset the 20 ms grant timer, so requests that arrived more often than that kept it from firing: queued requests were not refused at their deadline and batch work was not interrupted. Separately, a place that was interrupted and granted again before its request noticed closed its channel a second time (panic), and a second grant that nobody had taken blocked the driver. Service calls never take their grants, so both could happen to them. Grants and interruptions were also decided and delivered under different locks and could arrive in the wrong order. An answered request that was interrupted just before its end was cancelled and not learnt from.

Conclusion: decisions are delivered under the lock of the model, a later decision replaces an earlier one, and an armed timer is left alone.

--- a/instance/admit/admit.go
+++ b/instance/admit/admit.go
@@ -70,16 +70,21 @@
 	defer grants.Stop()
 	capacities := time.NewTicker(capacityInterval)
 	defer capacities.Stop()
+	armed := true
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-w.queued:
-			grants.Reset(grantInterval)
+			// An armed timer is left alone: requests that arrive more often than grantInterval would postpone it forever.
+			if !armed {
+				armed = true
+				grants.Reset(grantInterval)
+			}
 		case <-grants.C:
 			w.reclaim()
-			w.deliver(w.controller.Next(w.now()))
-			if w.waiting.Load() > 0 {
+			w.grantAll()
+			if armed = w.waiting.Load() > 0; armed {
 				grants.Reset(grantInterval)
 			}
 		case <-capacities.C:
@@ -126,34 +131,46 @@
 	return place, nil
 }
 
-func (w *Waiter) deliver(grants []admission.Grant) {
-	for _, g := range grants {
-		var place *Place
-		w.places.Update(g.Ticket.Request.Model, func(q *queue) { place = (*q)[g.Ticket] })
-		switch {
-		case place != nil:
-			place.granted <- g
-		case g.Refusal == nil:
-			// The request gave up between the grant and its delivery.
-			w.controller.Done(w.now(), admission.Completion{Ticket: g.Ticket})
+// grant starts the queued requests of a model that have a slot. Decisions of the controller and their delivery share
+// the lock, so that a request never sees a grant and a later interruption in the wrong order.
+func (w *Waiter) grant(model string) {
+	w.places.Update(model, func(q *queue) {
+		for _, g := range w.controller.NextOf(w.now(), model) {
+			switch place := (*q)[g.Ticket]; {
+			case place != nil:
+				place.grant(g)
+			case g.Refusal == nil:
+				// The request is giving up and has left the queue already.
+				w.controller.Done(w.now(), admission.Completion{Ticket: g.Ticket})
+			}
 		}
+	})
+}
+
+// grantAll does the same for all models. Deadlines pass and reports arrive without a request ending.
+func (w *Waiter) grantAll() {
+	var models []string
+	w.places.Range(func(model string, q *queue) bool {
+		if len(*q) > 0 {
+			models = append(models, model)
+		}
+		return true
+	})
+	for _, model := range models {
+		w.grant(model)
 	}
 }
 
 // reclaim interrupts batch work whose slots are needed.
 func (w *Waiter) reclaim() {
 	for _, model := range w.servedModels() {
-		var interrupted []*Place
 		w.places.Update(model, func(q *queue) {
 			for _, t := range w.controller.Reclaim(w.now(), model) {
 				if place := (*q)[t]; place != nil {
-					interrupted = append(interrupted, place)
+					place.interrupt()
 				}
 			}
 		})
-		for _, place := range interrupted {
-			place.interrupt()
-		}
 	}
 }
 
--- /dev/null
+++ b/instance/admit/admit_test.go
@@ -0,0 +1,187 @@
+package admit
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/admission"
+	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+const service = "haul-desk"
+
+// replica is a data centre with one target.
+type replica struct{ slots int }
+
+func (r replica) All() []*membership.Entry {
+	return []*membership.Entry{{
+		Announcement: targetapi.Announcement{Target: "t1", Kind: targetapi.Service, Service: service, Slots: r.slots},
+		ExpiresAt:    time.Now().Add(time.Hour),
+	}}
+}
+
+func newWaiter(slots int) *Waiter {
+	controller := admission.New(time.Now(), admission.Options{Instance: "a1", Incarnation: 1})
+	w := New(controller, replica{slots}, 1, time.Now)
+	w.Refresh()
+	return w
+}
+
+// start runs the waiter until the end of the test.
+func start(t *testing.T, w *Waiter) {
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { w.Run(ctx) })
+	t.Cleanup(func() { cancel(); wg.Wait() })
+}
+
+func request(caller string, p releasenote.Priority, timeout time.Duration) admission.Request {
+	return admission.Request{ID: caller, Caller: caller, Weight: 1, Model: service, Priority: p, PromptTokens: 1, TokenLimit: 1,
+		Deadline: time.Now().Add(timeout)}
+}
+
+func acquire(t *testing.T, w *Waiter, caller string, p releasenote.Priority) *Place {
+	t.Helper()
+	place, refusal := w.Acquire(t.Context(), request(caller, p, time.Hour))
+	if refusal != nil {
+		t.Fatal(refusal)
+	}
+	return place
+}
+
+// idle fails the test when a place or a queued request was leaked.
+func idle(t *testing.T, w *Waiter) {
+	t.Helper()
+	if demand := w.controller.Demand()[service]; demand != (admission.ModelDemand{}) {
+		t.Errorf("leaked %+v", demand)
+	}
+	if n := w.waiting.Load(); n != 0 {
+		t.Errorf("%d requests still wait", n)
+	}
+}
+
+// Guards against a queued request that hears of a freed place only at the next tick, and against a leaked place when a
+// queued caller gives up or is refused.
+func TestFreedPlaceStartsTheNextRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWaiter(1) // Run is not started, so only Release can grant
+		first := acquire(t, w, "a", releasenote.Standard)
+		ctx, cancel := context.WithCancel(t.Context())
+		var gaveUp, served *api.Result
+		var place *Place
+		var wg sync.WaitGroup
+		wg.Go(func() { _, gaveUp = w.Acquire(ctx, request("b", releasenote.Standard, time.Hour)) })
+		synctest.Wait()
+		wg.Go(func() { place, served = w.Acquire(t.Context(), request("c", releasenote.Standard, time.Hour)) })
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		if place != nil {
+			t.Fatal("the place was granted twice")
+		}
+		freed := time.Now()
+		first.Release(admission.Completion{})
+		wg.Wait()
+		if gaveUp == nil || served != nil || time.Since(freed) != 0 {
+			t.Fatalf("gave up %v, served %v after %v", gaveUp, served, time.Since(freed))
+		}
+		place.Release(admission.Completion{})
+		idle(t, w)
+	})
+}
+
+// Guards against callers that give up at the moment of their grant and take the place along.
+func TestGrantRacesWithCallersWhoLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWaiter(3)
+		start(t, w)
+		var wg sync.WaitGroup
+		for i := range 200 {
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%7+1)*20*time.Millisecond)
+				defer cancel()
+				place, refusal := w.Acquire(ctx, request(string(rune('a'+i%5)), releasenote.Standard, time.Minute))
+				if refusal == nil {
+					time.Sleep(20 * time.Millisecond)
+					place.Release(admission.Completion{Answered: true, OutputTokens: 1, Service: 20 * time.Millisecond})
+				}
+			})
+		}
+		wg.Wait()
+		idle(t, w)
+	})
+}
+
+// Guards against a grant timer that every new arrival postpones: requests that arrive more often than its interval kept
+// it from firing, so that no queued request was refused at its deadline and no batch work was interrupted.
+func TestArrivalsDoNotPostponeTheGrantTimer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWaiter(1)
+		batch := acquire(t, w, "batch", releasenote.Batch)
+		urgent := acquire(t, w, "a", releasenote.Interactive)
+		start(t, w)
+		var wg sync.WaitGroup
+		ctx, cancel := context.WithCancel(t.Context())
+		interrupted := false
+		for range 300 {
+			wg.Go(func() {
+				if place, refusal := w.Acquire(ctx, request("a", releasenote.Interactive, time.Hour)); refusal == nil {
+					place.Release(admission.Completion{})
+				}
+			})
+			time.Sleep(grantInterval / 2)
+			select {
+			case <-batch.Interrupted():
+				interrupted = true
+			default:
+			}
+		}
+		if !interrupted {
+			t.Error("the batch request was not interrupted within 3 s")
+		}
+		cancel()
+		wg.Wait()
+		urgent.Release(admission.Completion{})
+		batch.Release(admission.Completion{})
+		idle(t, w)
+	})
+}
+
+// Guards against a crash or a blocked driver when a request is interrupted and granted again before it noticed, and
+// against a request that goes on with a grant that was withdrawn.
+func TestInterruptionsOverlapGrants(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWaiter(1)
+		p := acquire(t, w, "batch", releasenote.Batch)
+		for range 3 { // a service call never takes its grants
+			p.interrupt()
+			p.interrupt()
+			p.grant(admission.Grant{Ticket: p.ticket})
+			p.grant(admission.Grant{Ticket: p.ticket})
+		}
+		select {
+		case <-p.Interrupted():
+			t.Error("a request that was granted again is interrupted")
+		default:
+		}
+		p.interrupt()
+		resumed := make(chan *api.Result, 1)
+		go func() { resumed <- p.Resume(t.Context()) }()
+		synctest.Wait()
+		if len(resumed) != 0 {
+			t.Fatal("resumed with a withdrawn grant")
+		}
+		p.grant(admission.Grant{Ticket: p.ticket})
+		if refusal := <-resumed; refusal != nil {
+			t.Fatal(refusal)
+		}
+		p.Release(admission.Completion{})
+		idle(t, w)
+	})
+}
--- a/instance/admit/place.go
+++ b/instance/admit/place.go
@@ -13,7 +13,9 @@
 	waiter *Waiter
 	ticket *admission.Ticket
 
+	// mu orders grants and interruptions. At most one grant is held; a later decision replaces it.
 	mu          sync.Mutex
+	stopped     bool
 	interrupted chan struct{}
 	granted     chan admission.Grant
 }
@@ -29,23 +31,39 @@
 	return p.interrupted
 }
 
+// interrupt withdraws the place until the next grant. A grant that the request has not taken yet no longer holds.
 func (p *Place) interrupt() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	close(p.interrupted)
+	p.dropGrant()
+	if !p.stopped {
+		p.stopped = true
+		close(p.interrupted)
+	}
 }
 
-// Resume waits until an interrupted request may go on.
-func (p *Place) Resume(ctx context.Context) *api.Result {
-	if refusal := p.wait(ctx); refusal != nil {
-		return refusal
-	}
+// grant hands the place to the request. It never blocks, because a request that does not listen for interruptions, such
+// as a service call, is granted again without having taken the grant before.
+func (p *Place) grant(g admission.Grant) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.interrupted = make(chan struct{})
-	return nil
+	p.dropGrant()
+	if p.stopped && g.Refusal == nil {
+		p.stopped, p.interrupted = false, make(chan struct{})
+	}
+	p.granted <- g
 }
 
+func (p *Place) dropGrant() {
+	select {
+	case <-p.granted:
+	default:
+	}
+}
+
+// Resume waits until an interrupted request may go on.
+func (p *Place) Resume(ctx context.Context) *api.Result { return p.wait(ctx) }
+
 // wait returns when the request is granted.
 func (p *Place) wait(ctx context.Context) *api.Result {
 	p.waiter.waiting.Add(1)
@@ -68,9 +86,10 @@
 	w, t := p.waiter, p.ticket
 	w.places.Update(t.Request.Model, func(q *queue) { delete(*q, t) })
 	now := w.now()
-	if !w.controller.Cancel(t) {
+	// An answered request ran, so it is Done even when it was interrupted, and thereby queued, just before its end.
+	if c.Answered || !w.controller.Cancel(t) {
 		c.Ticket = t
 		w.controller.Done(now, c)
 	}
-	w.deliver(w.controller.NextOf(now, t.Request.Model))
+	w.grant(t.Request.Model)
 }
