servicecalls: test calls under faults of the log, the target and the caller

The tests run the driver with a real ledger machine behind a fake log and a scripted target under synctest. Each call is repeated with its key; each test checks that nothing ran twice, that every place and gate entry was given back exactly once, and that a shutdown waits for abandoned calls.

--- /dev/null
+++ b/instance/servicecalls/ledger_test.go
@@ -0,0 +1,392 @@
+package servicecalls
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/drain"
+	"github.com/tarragonhoist/tarragonhoist/instance/modelcalls"
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/state/callledger"
+	"github.com/tarragonhoist/tarragonhoist/state/catalog"
+	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
+)
+
+const requestTimeout = 10 * time.Second
+
+// fakeLog is a calls log with one voter. fault chooses what happens to a command.
+type fakeLog struct {
+	mu      sync.Mutex
+	machine *callledger.Machine
+	fault   func(c *callledger.Command) (before, after time.Duration, err error)
+	heal    bool
+}
+
+func (f *fakeLog) Leads() bool { return true }
+
+func (f *fakeLog) Propose(_ context.Context, command []byte) ([]byte, error) {
+	c, err := callledger.DecodeCommand(command)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	fault := f.fault
+	if f.heal {
+		fault = nil
+	}
+	f.mu.Unlock()
+	var before, after time.Duration
+	if fault != nil {
+		before, after, err = fault(c)
+	}
+	time.Sleep(before)
+	if errors.Is(err, replica.ErrNoQuorum) {
+		return nil, err
+	}
+	f.mu.Lock()
+	result, applyErr := f.machine.Apply(1, command)
+	f.mu.Unlock()
+	time.Sleep(after)
+	if err != nil {
+		return nil, err
+	}
+	return result, applyErr
+}
+
+// target is the policy and the client of a test. It counts what runs and what is released.
+type target struct {
+	call func(ctx context.Context, call targetclient.ServiceCall) (*targetclient.ServiceAnswer, bool, error)
+	none bool
+
+	mu                                 sync.Mutex
+	ran                                map[string]int
+	acquired, released, picked, ending int
+}
+
+func (f *target) Contents() *catalog.Contents {
+	return &catalog.Contents{Services: map[string]releasenote.Service{"haul-desk": {
+		Name: "haul-desk", Priority: releasenote.Standard, Callers: []string{"crew"}, NonIdempotent: []string{http.MethodPost}}}}
+}
+
+type place struct{ f *target }
+
+func (p place) Interrupted() <-chan struct{}       { return nil }
+func (p place) Resume(context.Context) *api.Result { return nil }
+func (p place) Release(int, bool) {
+	p.f.mu.Lock()
+	defer p.f.mu.Unlock()
+	p.f.released++
+}
+
+func (f *target) Acquire(context.Context, *modelcalls.Work) (modelcalls.Place, *api.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.acquired++
+	return place{f}, nil
+}
+
+func (f *target) PickService(_ *modelcalls.Work, excluded map[string]bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	name := fmt.Sprint("t", len(excluded))
+	if f.none || len(excluded) == 2 {
+		return modelcalls.Placed{}, nil, api.RefuseFor(api.ReasonNoTarget, time.Second, "no target")
+	}
+	f.picked++
+	return modelcalls.Placed{Target: name, Address: name}, func(modelcalls.Result) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.ending++
+	}, nil
+}
+func (f *target) First(*modelcalls.Work, modelcalls.Placed) {}
+func (f *target) Allow(_ *modelcalls.Work, _ modelcalls.Placed, attempts int, _ error) (time.Duration, bool) {
+	return 10 * time.Millisecond, attempts < 3
+}
+
+func (f *target) Call(ctx context.Context, call targetclient.ServiceCall) (*targetclient.ServiceAnswer, bool, error) {
+	answer, sent, err := f.call(ctx, call)
+	if sent && (err != nil || answer.Status != http.StatusTooManyRequests) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.ran[string(call.Body)]++
+	}
+	return answer, sent, err
+}
+
+// Behaviours of a target.
+func answers(size int, after time.Duration) func(context.Context, targetclient.ServiceCall) (*targetclient.ServiceAnswer, bool, error) {
+	return func(ctx context.Context, _ targetclient.ServiceCall) (*targetclient.ServiceAnswer, bool, error) {
+		select {
+		case <-time.After(after):
+			return &targetclient.ServiceAnswer{Status: http.StatusCreated, Body: bytes.Repeat([]byte("x"), size)}, true, nil
+		case <-ctx.Done():
+			return nil, true, errors.Wrap(ctx.Err(), "service call")
+		}
+	}
+}
+
+func fails(sent bool) func(context.Context, targetclient.ServiceCall) (*targetclient.ServiceAnswer, bool, error) {
+	return func(context.Context, targetclient.ServiceCall) (*targetclient.ServiceAnswer, bool, error) {
+		time.Sleep(time.Millisecond)
+		return nil, sent, errors.New("connection reset")
+	}
+}
+
+func refuses(context.Context, targetclient.ServiceCall) (*targetclient.ServiceAnswer, bool, error) {
+	return &targetclient.ServiceAnswer{Status: http.StatusTooManyRequests}, true, nil
+}
+
+type bench struct {
+	*Server
+	log    *fakeLog
+	target *target
+	stop   func()
+}
+
+func newBench(t *testing.T, log *fakeLog, f *target) *bench {
+	t.Helper()
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	recorder := events.NewRecorder(quiet, "a1", "a", time.Now)
+	log.machine, f.ran = callledger.New(), make(map[string]int)
+	ledger, err := NewLedger(log, "a1", 1, recorder, time.Now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	wg.Go(func() { ledger.Serve(ctx) })
+	return &bench{log: log, target: f, stop: func() { cancel(); wg.Wait() }, Server: &Server{
+		InForce: f, Gate: drain.NewGate(), Policy: f, Client: f, Ledger: ledger, Recorder: recorder, RequestTimeout: requestTimeout, Now: time.Now}}
+}
+
+func (b *bench) post(ctx context.Context, timeout time.Duration) (*httpapi.ServiceAnswer, *api.Result) {
+	return b.CallService(ctx, httpapi.ServiceCall{RequestID: "r", Caller: "crew", Service: "haul-desk", Timeout: timeout, IdempotencyKey: "k",
+		Call: targetclient.ServiceCall{Method: http.MethodPost, PathAndQuery: "/book", Body: []byte("load 7")}})
+}
+
+// finish waits like a shutdown and checks that everything was given back exactly once.
+func (b *bench) finish(t *testing.T) {
+	t.Helper()
+	b.log.mu.Lock()
+	b.log.heal = true
+	b.log.mu.Unlock()
+	b.Gate.Close()
+	if err := b.Gate.Wait(t.Context()); err != nil {
+		t.Error(err)
+	}
+	f := b.target
+	f.mu.Lock()
+	if f.acquired != f.released || f.picked != f.ending {
+		t.Errorf("%d of %d places released, %d of %d attempts ended", f.released, f.acquired, f.ending, f.picked)
+	}
+	if f.ran["load 7"] > 1 {
+		t.Errorf("ran %d times", f.ran["load 7"])
+	}
+	f.mu.Unlock()
+	time.Sleep(time.Minute) // longer than all repetitions of background commands
+	if b.Ledger.Pending() != 0 || len(b.Ledger.running) != 0 || b.Gate.Active() != 0 {
+		t.Errorf("%d pending, %d running, %d in the gate", b.Ledger.Pending(), len(b.Ledger.running), b.Gate.Active())
+	}
+	b.stop()
+}
+
+// Fakes of faults in the log for one kind of command.
+func onReserve(before, after time.Duration, err error) func(*callledger.Command) (time.Duration, time.Duration, error) {
+	return func(c *callledger.Command) (time.Duration, time.Duration, error) {
+		if c.Reserve == nil {
+			return 0, 0, nil
+		}
+		return before, after, err
+	}
+}
+
+func onComplete(before, after time.Duration, err error) func(*callledger.Command) (time.Duration, time.Duration, error) {
+	return func(c *callledger.Command) (time.Duration, time.Duration, error) {
+		if c.Complete == nil && c.MarkUncertain == nil && c.Release == nil {
+			return 0, 0, nil
+		}
+		return before, after, err
+	}
+}
+
+type expectation struct {
+	outcome api.Outcome
+	reason  api.Reason
+}
+
+// Guards against calls that run twice, refusals of calls that ran, answers that are lost, and places or gate entries
+// that are kept or released twice, whatever the log, the target and the caller do. Each call is repeated with its key.
+func TestNonIdempotentCalls(t *testing.T) {
+	answered := expectation{outcome: api.Answered}
+	inProgress := expectation{api.Unknown, api.ReasonInProgress}
+	mayHaveRun := expectation{api.Failed, api.ReasonMayHaveRun}
+	noQuorum := expectation{api.Refused, api.ReasonNoQuorum}
+	noTarget := expectation{api.Refused, api.ReasonNoTarget}
+	for _, test := range []struct {
+		name  string
+		fault func(*callledger.Command) (time.Duration, time.Duration, error)
+		call  func(context.Context, targetclient.ServiceCall) (*targetclient.ServiceAnswer, bool, error)
+		none  bool
+		// leave is when the caller gives up.
+		leave   time.Duration
+		timeout time.Duration
+		first   expectation
+		// repeatAfter is the time until the repeat, whose log is whole.
+		repeatAfter time.Duration
+		repeat      expectation
+		ran         int
+	}{
+		{name: "answered", call: answers(10, time.Second), first: answered, repeat: answered, ran: 1},
+		{name: "caller leaves before the dispatch", fault: onReserve(0, 2*time.Second, nil), call: answers(10, 0), leave: time.Second,
+			first: inProgress, repeatAfter: 5 * time.Second, repeat: answered, ran: 1},
+		{name: "caller leaves after the dispatch", call: answers(10, 2*time.Second), leave: time.Second, first: inProgress,
+			repeatAfter: 5 * time.Second, repeat: answered, ran: 1},
+		{name: "repeat while in progress", call: answers(10, 5*time.Second), leave: time.Second, first: inProgress, repeat: inProgress, ran: 1},
+		{name: "deadline before the reservation", fault: onReserve(3*time.Second, 0, nil), call: answers(10, 0), timeout: 1050 * time.Millisecond,
+			first: inProgress, repeatAfter: 10 * time.Second, repeat: answered, ran: 1},
+		{name: "no quorum for the reservation", fault: onReserve(0, 0, replica.ErrNoQuorum), call: answers(10, 0), first: noQuorum,
+			repeat: answered, ran: 1},
+		{name: "unknown result of a committed reservation", fault: onReserve(0, 0, replica.ErrUnknownResult), call: answers(10, 0),
+			first: noQuorum, repeatAfter: time.Minute, repeat: answered, ran: 1},
+		{name: "no quorum for the answer", fault: onComplete(0, 0, replica.ErrNoQuorum), call: answers(10, 0), first: answered,
+			repeatAfter: time.Minute, repeat: answered, ran: 1},
+		{name: "unknown result of the answer", fault: onComplete(0, 0, replica.ErrUnknownResult), call: answers(10, 0), first: answered,
+			repeatAfter: time.Minute, repeat: answered, ran: 1},
+		{name: "slow log for the answer", fault: onComplete(20*time.Second, 0, nil), call: answers(10, 0), first: answered,
+			repeatAfter: time.Minute, repeat: answered, ran: 1},
+		{name: "target refuses", call: refuses, first: noTarget, repeatAfter: time.Second, repeat: noTarget},
+		{name: "no connection", call: fails(false), first: noTarget, repeatAfter: time.Second, repeat: noTarget},
+		{name: "no target", none: true, first: noTarget, repeatAfter: time.Second, repeat: noTarget},
+		{name: "broken after the request was written", call: fails(true), first: expectation{api.Failed, api.ReasonTargetFailed},
+			repeat: mayHaveRun, ran: 1},
+		{name: "answer after the attempt's timer", fault: onReserve(10*time.Millisecond, 0, nil), call: answers(10, time.Hour), first: inProgress,
+			repeatAfter: 5 * time.Second, repeat: mayHaveRun, ran: 1},
+		{name: "attempt's timer before the caller's", call: func(ctx context.Context, _ targetclient.ServiceCall) (*targetclient.ServiceAnswer, bool, error) {
+			time.Sleep(time.Second)
+			return nil, true, errors.Wrap(context.DeadlineExceeded, "service call")
+		}, first: expectation{api.Failed, api.ReasonTimeout}, repeat: mayHaveRun, ran: 1},
+		{name: "answer too large for the record", call: answers(callledger.MaxAnswerBytes+1, 0), first: answered, repeat: mayHaveRun, ran: 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, &fakeLog{fault: test.fault}, &target{call: test.call, none: test.none})
+				ctx, cancel := context.WithCancel(t.Context())
+				if test.leave > 0 {
+					ctx, cancel = context.WithTimeout(t.Context(), test.leave)
+				}
+				defer cancel()
+				started := time.Now()
+				answer, result := b.post(ctx, test.timeout)
+				if got := (expectation{result.Outcome, result.Reason}); got != test.first {
+					t.Errorf("first: %+v, want %+v", got, test.first)
+				}
+				if took := time.Since(started); took > requestTimeout {
+					t.Errorf("the caller waited %v", took)
+				}
+				if test.first == answered && (answer == nil || answer.Replayed || answer.Status != http.StatusCreated) {
+					t.Errorf("answer %+v", answer)
+				}
+				b.log.mu.Lock()
+				b.log.heal = true
+				b.log.mu.Unlock()
+				time.Sleep(test.repeatAfter)
+				answer, result = b.post(t.Context(), 0)
+				if got := (expectation{result.Outcome, result.Reason}); got != test.repeat {
+					t.Errorf("repeat: %+v, want %+v", got, test.repeat)
+				}
+				if test.first == answered && test.repeat == answered && (answer == nil || !answer.Replayed) {
+					t.Errorf("repeat: answer %+v is not the recorded one", answer)
+				}
+				b.finish(t)
+				if b.target.ran["load 7"] != test.ran {
+					t.Errorf("ran %d times, want %d", b.target.ran["load 7"], test.ran)
+				}
+			})
+		})
+	}
+}
+
+// Guards against two dispatches when many callers send the same key at the same time.
+func TestSameKeyAtTheSameTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, &fakeLog{fault: onReserve(time.Second, time.Second, nil)}, &target{call: answers(10, time.Second)})
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		outcomes := make(map[api.Outcome]int)
+		for range 20 {
+			wg.Go(func() {
+				_, result := b.post(t.Context(), 0)
+				mu.Lock()
+				defer mu.Unlock()
+				outcomes[result.Outcome]++
+			})
+		}
+		wg.Wait()
+		if outcomes[api.Answered] != 1 || outcomes[api.Unknown] != 19 || b.target.ran["load 7"] != 1 {
+			t.Errorf("outcomes %v, ran %d times", outcomes, b.target.ran["load 7"])
+		}
+		b.finish(t)
+	})
+}
+
+// Guards against a shutdown that ends while an abandoned call still runs on its target.
+func TestShutdownWaitsForAbandonedCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, &fakeLog{}, &target{call: answers(10, 8*time.Second)})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		started := time.Now()
+		b.post(ctx, 0)
+		b.Gate.Close()
+		if err := b.Gate.Wait(t.Context()); err != nil || time.Since(started) != 8*time.Second || b.Ledger.Pending() != 0 {
+			t.Errorf("the shutdown waited %v: %v, %d pending", time.Since(started), err, b.Ledger.Pending())
+		}
+		if _, result := b.post(t.Context(), 0); result.Reason != api.ReasonDraining {
+			t.Errorf("after the shutdown: %+v", result)
+		}
+		b.finish(t)
+	})
+}
+
+// Guards against idempotent calls that are refused although an attempt may have run, and against lost places.
+func TestIdempotentCalls(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		call func(context.Context, targetclient.ServiceCall) (*targetclient.ServiceAnswer, bool, error)
+		want expectation
+	}{
+		{"answered", answers(10, 0), expectation{outcome: api.Answered}},
+		{"no connection", fails(false), expectation{api.Refused, api.ReasonNoTarget}},
+		{"overloaded", refuses, expectation{api.Refused, api.ReasonNoTarget}},
+		{"broken", fails(true), expectation{api.Failed, api.ReasonTargetFailed}},
+		{"too late", answers(10, time.Hour), expectation{api.Failed, api.ReasonTimeout}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBench(t, &fakeLog{}, &target{call: test.call})
+				_, result := b.CallService(t.Context(), httpapi.ServiceCall{Caller: "crew", Service: "haul-desk",
+					Call: targetclient.ServiceCall{Method: http.MethodGet}})
+				if got := (expectation{result.Outcome, result.Reason}); got != test.want {
+					t.Errorf("got %+v, want %+v", got, test.want)
+				}
+				b.finish(t)
+			})
+		})
+	}
+}
