--- a/instance/controller/director.go
+++ b/instance/controller/director.go
@@ -357,11 +357,13 @@
 
 // deliver sends one order. The answer only speeds up the log: a report of the target settles the order.
 func (d *Director) deliver(ctx context.Context, fence uint64, s orders.Send) {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	if held, ok := d.lease.Held(); !ok || held != fence {
+	held, end, ok := d.lease.heldUntil()
+	if !ok || held != fence {
 		return
 	}
+	// A delivery over a slow link must not reach the target after the lease. A cut delivery is repeated after a renewal.
+	ctx, cancel := context.WithTimeout(ctx, min(orderTimeout, end.Sub(d.now())))
+	defer cancel()
 	order := s.Order
 	order.TargetIncarnation = s.Incarnation
 	_, err := d.client.Order(ctx, s.Address, order)
--- a/instance/controller/lease.go
+++ b/instance/controller/lease.go
@@ -63,6 +63,8 @@
 	voteMu  sync.Mutex
 	elector *control.Elector
 	saved   savedElector
+	// unsynced says that the disk does not hold saved yet.
+	unsynced bool
 
 	holderMu sync.Mutex
 	holder   *control.Holder
@@ -115,11 +117,14 @@
 	if l.identity.DataFolder == "" {
 		return nil
 	}
+	l.unsynced = true
 	data, err := cbor.Marshal(l.saved)
 	if err != nil {
 		return errors.Wrap(err, "promise of the elector")
 	}
-	return wal.WriteFile(l.path(), data)
+	err = wal.WriteFile(l.path(), data)
+	l.unsynced = err != nil
+	return err
 }
 
 // keep syncs a promise and tells the elector.
@@ -155,7 +160,8 @@
 	}
 	before := l.saved.Journal.State()
 	l.saved.Journal.Add(r, l.saved.Promise.Fence)
-	if l.saved.Journal.State() == before {
+	// A repeated record is only acknowledged when the write after its first copy succeeded.
+	if l.saved.Journal.State() == before && !l.unsynced {
 		return response, nil
 	}
 	return response, l.save()
@@ -168,6 +174,15 @@
 	return l.holder.Held(l.now())
 }
 
+// heldUntil is Held with the time at which the lease ends unless it is renewed.
+func (l *Lease) heldUntil() (fence uint64, end time.Time, ok bool) {
+	l.holderMu.Lock()
+	defer l.holderMu.Unlock()
+	now := l.now()
+	fence, ok = l.holder.Held(now)
+	return fence, l.holder.LeaseEnd(now), ok
+}
+
 // Known names the holder for which this elector voted last, and its fencing number. It may have lost the lease since.
 func (l *Lease) Known() (holder string, fence uint64) {
 	l.voteMu.Lock()
