suspects: hold back every failure on a target until its strikes are known

Cause: the first failure on a target strikes all requests in flight there and tells the other instances. The failures of the other requests found nothing left to strike and were reported at once, while that broadcast was still under way, so that a repeat could meet an instance that had not heard of the strike.

Before: TestStrikesAreKnownBeforeTheFailureIsReported found two of three failures reported before a2 and a3 knew. After: passes, 20 runs with -race.

Conclusion: a failure also waits for the broadcasts about its target that are under way, within the same bound.

--- a/instance/suspects/suspects.go
+++ b/instance/suspects/suspects.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,11 +49,18 @@
 	all      []string
 	recorder *events.Recorder
 	now      func() time.Time
+
+	mu sync.Mutex
+	// telling holds, for each target that failed, a channel for each broadcast of its strikes that is under way.
+	telling map[quarantine.Target][]chan struct{}
 }
 
 // New makes a table. Local are the other instances of the data centre, all those of the deployment.
 func New(peers Peers, local, all []string, recorder *events.Recorder, now func() time.Time) *Table {
-	return &Table{core: quarantine.NewTable(quarantine.Options{}), peers: peers, local: local, all: all, recorder: recorder, now: now}
+	return &Table{
+		core: quarantine.NewTable(quarantine.Options{}), peers: peers, local: local, all: all, recorder: recorder, now: now,
+		telling: make(map[quarantine.Target][]chan struct{}),
+	}
 }
 
 // Verdict refuses a request that is quarantined.
@@ -138,19 +146,47 @@
 // Failed gives a strike to every request in flight on a target that broke a connection. It returns when the other
 // instances know, so that a caller that sends the request again meets no instance that has not heard of it.
 func (t *Table) Failed(ctx context.Context, attemptID string, target quarantine.Target) {
-	effect, err := t.core.TargetFailed(t.now(), target)
+	effect, told, earlier, err := t.strike(target)
 	for _, fingerprint := range effect.Struck {
 		t.recorder.Record(events.CrashStrike, events.Fields{"target": target.Name, "fingerprint": fingerprint.String()})
 	}
 	if len(effect.Frame) > 0 {
 		// The caller may be gone; the strike has to be told all the same.
 		t.broadcast(context.WithoutCancel(ctx), Message{Frame: effect.Frame}, func(Answer) {})
+		t.endTelling(target, told)
+	}
+	for _, other := range earlier {
+		<-other // bounded by acknowledgeTimeout
 	}
 	effect.Frame = nil
 	t.spread(effect, err)
 	t.Ended(attemptID)
 }
 
+// strike strikes the requests in flight on a target. The first failure on a target strikes all of them, so the others
+// have nothing of their own to tell and wait for the broadcasts under way, which strike returns as earlier.
+func (t *Table) strike(target quarantine.Target) (effect quarantine.Effect, told chan struct{}, earlier []chan struct{}, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	earlier = slices.Clone(t.telling[target])
+	effect, err = t.core.TargetFailed(t.now(), target)
+	if len(effect.Frame) > 0 {
+		told = make(chan struct{})
+		t.telling[target] = append(t.telling[target], told)
+	}
+	return effect, told, earlier, err
+}
+
+func (t *Table) endTelling(target quarantine.Target, told chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	close(told)
+	t.telling[target] = slices.DeleteFunc(t.telling[target], func(other chan struct{}) bool { return other == told })
+	if len(t.telling[target]) == 0 {
+		delete(t.telling, target)
+	}
+}
+
 // spread tells the other instances without waiting for them.
 func (t *Table) spread(effect quarantine.Effect, err error) {
 	if err != nil {
--- /dev/null
+++ b/instance/suspects/suspects_test.go
@@ -0,0 +1,185 @@
+package suspects
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/quarantine"
+	"github.com/tarragonhoist/tarragonhoist/events"
+)
+
+// network connects the tables of a data centre. Hung instances take calls and never answer.
+type network struct {
+	mu     sync.Mutex
+	tables map[string]*Table
+	hung   map[string]bool
+	delay  time.Duration
+}
+
+func newNetwork(names ...string) *network {
+	n := &network{tables: make(map[string]*Table), hung: make(map[string]bool), delay: 10 * time.Millisecond}
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	for _, name := range names {
+		var others []string
+		for _, other := range names {
+			if other != name {
+				others = append(others, other)
+			}
+		}
+		n.tables[name] = New(n, others, others, events.NewRecorder(quiet, name, "a", time.Now), time.Now)
+	}
+	return n
+}
+
+func (n *network) Call(ctx context.Context, peer, _ string, params, result any) error {
+	n.mu.Lock()
+	hung := n.hung[peer]
+	n.mu.Unlock()
+	if hung {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(n.delay):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	answer, err := n.tables[peer].Handle(params.(Message))
+	*result.(*Answer) = answer
+	return err
+}
+
+func (n *network) Notify(peer, _ string, params any) error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.hung[peer] {
+		return errors.New("unreachable")
+	}
+	_, err := n.tables[peer].Handle(params.(Message))
+	return err
+}
+
+func attempt(id, body, target string) quarantine.Attempt {
+	return quarantine.Attempt{ID: id, Fingerprint: quarantine.FingerprintOf("c", "m", "", []byte(body)),
+		Target: quarantine.Target{Name: target, Incarnation: 1}}
+}
+
+// Guards against a caller who hears of a failure before the other instances know of the strike, also when another request
+// on the same target broke first and its strikes are still being told.
+func TestStrikesAreKnownBeforeTheFailureIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork("a1", "a2", "a3")
+		a := n.tables["a1"]
+		attempts := []quarantine.Attempt{attempt("1", "x", "t1"), attempt("2", "y", "t1"), attempt("3", "z", "t1")}
+		for _, other := range attempts {
+			if !a.Begin(t.Context(), other) {
+				t.Fatal("a clean request was held back")
+			}
+		}
+		var wg sync.WaitGroup
+		for i, failed := range attempts {
+			wg.Go(func() {
+				time.Sleep(time.Duration(i) * time.Millisecond)
+				gone, cancel := context.WithCancel(t.Context())
+				cancel() // the caller does not wait any more
+				a.Failed(gone, failed.ID, failed.Target)
+				for _, name := range []string{"a2", "a3"} {
+					if !n.tables[name].Suspect(failed.Fingerprint) {
+						t.Errorf("attempt %s is reported, %s does not know its strike", failed.ID, name)
+					}
+				}
+			})
+		}
+		wg.Wait()
+		if len(a.telling) != 0 {
+			t.Errorf("%d targets are still being told of", len(a.telling))
+		}
+	})
+}
+
+// Guards against instances that can't be reached and hold up a failure or a suspect longer than the bound.
+func TestHungInstancesDelayNoLongerThanTheBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork("a1", "a2", "a3")
+		n.hung["a2"], n.hung["a3"] = true, true
+		a := n.tables["a1"]
+		first := attempt("1", "x", "t1")
+		a.Begin(t.Context(), first)
+		started := time.Now()
+		a.Failed(t.Context(), first.ID, first.Target)
+		if took := time.Since(started); took != acknowledgeTimeout {
+			t.Errorf("the failure was held back for %v", took)
+		}
+		started = time.Now()
+		if !a.Begin(t.Context(), attempt("2", "x", "t2")) || time.Since(started) != acknowledgeTimeout {
+			t.Errorf("the suspect was refused or held back for %v", time.Since(started))
+		}
+	})
+}
+
+// Guards against two suspects on one target, a start that one peer refused, and a third run of a crashing request.
+func TestSuspectsNeedAgreement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork("a1", "a2", "a3")
+		a, b := n.tables["a1"], n.tables["a2"]
+		for _, body := range []string{"x", "y"} {
+			first := attempt("first "+body, body, "t "+body)
+			a.Begin(t.Context(), first)
+			a.Failed(t.Context(), first.ID, first.Target)
+		}
+		running, other := attempt("1", "x", "t1"), attempt("2", "y", "t1")
+		if !a.Begin(t.Context(), running) {
+			t.Fatal("the first suspect was refused")
+		}
+		if b.Begin(t.Context(), other) {
+			t.Error("two suspects run on one target")
+		}
+		if !b.Claimed(running.Target) {
+			t.Error("the claim is not known")
+		}
+		a.Succeeded(running.ID)
+		synctest.Wait()
+		if b.Suspect(running.Fingerprint) || b.Claimed(running.Target) {
+			t.Error("a request that completed is still a suspect, or its claim stayed")
+		}
+		if !b.Begin(t.Context(), other) {
+			t.Error("a withdrawn claim blocks the next suspect")
+		}
+		b.Failed(t.Context(), other.ID, other.Target)
+		if a.Verdict(other.Fingerprint) == nil || a.Begin(t.Context(), attempt("4", "y", "t2")) {
+			t.Error("a request with two strikes may run a third time")
+		}
+	})
+}
+
+// Guards against an instance that was cut off during a strike and never learns of it.
+func TestGossipPassesStrikesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork("a1", "a2")
+		n.hung["a2"] = true
+		first := attempt("1", "x", "t1")
+		n.tables["a1"].Begin(t.Context(), first)
+		n.tables["a1"].Failed(t.Context(), first.ID, first.Target)
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { n.tables["a1"].Run(ctx) })
+		time.Sleep(time.Second / 2)
+		n.mu.Lock()
+		n.hung["a2"] = false
+		n.mu.Unlock()
+		time.Sleep(10 * gossipInterval)
+		cancel()
+		wg.Wait()
+		if !n.tables["a2"].Suspect(first.Fingerprint) {
+			t.Error("the strike was not passed on")
+		}
+	})
+}
