targets: spread the leaving of a restarted target at once

Cause: an announcement that both replaces an incarnation and leaves counts as a replacement, and only the change "left" was told to the other instances directly. They went on using the target until the next gossip round.

Ruled out: leaving of a known incarnation, an older announcement that leaves, an unreachable peer, unreadable frames; the tests for these passed before the change as well.

Before: TestLeavingIsSpreadAtOnce/after_a_restart found a2 and a3 still using the target. After: passes, 20 runs with -race.

--- a/instance/targets/targets.go
+++ b/instance/targets/targets.go
@@ -90,7 +90,8 @@
 		return err
 	}
 	k.changed(change)
-	if change.Kind == membership.Left {
+	// A restarted target that leaves before anyone has seen its new incarnation replaces the old one.
+	if change.Kind == membership.Left || change.Kind == membership.Replaced && a.Leaving {
 		go k.spreadLeaving()
 	}
 	return nil
--- /dev/null
+++ b/instance/targets/targets_test.go
@@ -0,0 +1,185 @@
+package targets
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+const lease = 4 * time.Second
+
+// network connects keepers. Faulty ones answer with frames that can't be read, unreachable ones not at all.
+type network struct {
+	keepers     map[string]*Keeper
+	recorders   map[string]*events.Recorder
+	faulty      map[string]bool
+	unreachable map[string]bool
+}
+
+func (n *network) Call(ctx context.Context, peer, _ string, params, result any) error {
+	if n.unreachable[peer] {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(time.Millisecond)
+	if n.faulty[peer] {
+		*result.(*peerapi.GossipDelta) = peerapi.GossipDelta{Frame: []byte("?"), Summaries: []byte("?")}
+		return nil
+	}
+	if n.keepers[peer] == nil {
+		return errors.New("no such instance")
+	}
+	answer, err := n.keepers[peer].HandleGossip(params.(peerapi.GossipPull))
+	*result.(*peerapi.GossipDelta) = answer
+	return err
+}
+
+type progress struct{}
+
+func (progress) Applied() uint64     { return 0 }
+func (progress) NotifyCommit(uint64) {}
+
+func newNetwork(names ...string) *network {
+	n := &network{keepers: make(map[string]*Keeper), recorders: make(map[string]*events.Recorder), faulty: make(map[string]bool),
+		unreachable: make(map[string]bool)}
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	for i, name := range names {
+		var local []string
+		for _, other := range names {
+			if other != name {
+				local = append(local, other)
+			}
+		}
+		n.recorders[name] = events.NewRecorder(quiet, name, "a", time.Now)
+		n.keepers[name] = New(Options{DataCentre: "a", Local: local, Lease: lease}, n, progress{}, n.recorders[name], time.Now,
+			rand.New(rand.NewPCG(1, uint64(i))))
+	}
+	return n
+}
+
+func announcement(incarnation, sequence uint64, leaving bool) targetapi.Announcement {
+	return targetapi.Announcement{Version: targetapi.Version, Target: "t1", Incarnation: incarnation, Sequence: sequence, DataCentre: "a",
+		Address: "127.0.0.1:1", Kind: targetapi.Service, Service: "haul-desk", Slots: 1, Leaving: leaving}
+}
+
+// run gossips on the given instances for a time.
+func (n *network) run(d time.Duration, names ...string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	for _, name := range names {
+		wg.Go(func() { n.keepers[name].Run(ctx) })
+	}
+	time.Sleep(d)
+	cancel()
+	wg.Wait()
+}
+
+func (n *network) usable(name string) bool {
+	e, ok := n.keepers[name].Table().Target("t1")
+	return ok && e.Usable(time.Now())
+}
+
+// Guards against a leaving target that goes on to get work from the instances that it did not tell itself, until gossip
+// reaches them. The second case leaves right after a restart.
+func TestLeavingIsSpreadAtOnce(t *testing.T) {
+	for name, last := range map[string]targetapi.Announcement{
+		"same incarnation":     announcement(1, 9, true),
+		"after a restart":      announcement(2, 1, true),
+		"older announcement":   announcement(1, 1, true),
+		"one peer unreachable": announcement(1, 9, true),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				n := newNetwork("a1", "a2", "a3")
+				if err := n.keepers["a1"].Announce(announcement(1, 2, false)); err != nil {
+					t.Fatal(err)
+				}
+				n.run(gossipInterval+100*time.Millisecond, "a2", "a3")
+				if !n.usable("a2") || !n.usable("a3") {
+					t.Fatal("the target did not spread")
+				}
+				n.unreachable["a2"] = name == "one peer unreachable"
+				if err := n.keepers["a1"].Announce(last); err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(10 * time.Millisecond)
+				for _, instance := range []string{"a1", "a2", "a3"} {
+					if n.usable(instance) && !n.unreachable[instance] {
+						t.Errorf("%s still uses the target", instance)
+					}
+				}
+				time.Sleep(leaveTimeout)
+			})
+		})
+	}
+}
+
+// Guards against a peer with frames that can't be read, or one that hangs, that keeps entries from being exchanged with
+// the others, and against a fault that nobody hears of.
+func TestBadPeersAreReportedAndSkipped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork("a1", "a2", "a3")
+		n.faulty["a3"] = true
+		for i := range 5 { // the lease needs renewals
+			if err := n.keepers["a1"].Announce(announcement(1, uint64(i+1), false)); err != nil {
+				t.Fatal(err)
+			}
+			n.run(2*gossipInterval+100*time.Millisecond, "a2")
+			if !n.usable("a2") {
+				t.Errorf("round %d: the target is not known", i)
+			}
+			n.faulty["a3"], n.unreachable["a3"] = false, true
+		}
+		reported := 0
+		for _, r := range n.recorders["a2"].Since(0, events.Capacity) {
+			if r.Number == events.InternalError.Number {
+				reported++
+			}
+		}
+		if reported == 0 {
+			t.Error("the unreadable frames were not reported")
+		}
+		if _, err := n.keepers["a1"].HandleGossip(peerapi.GossipPull{DataCentre: "a", Frame: []byte("?")}); err == nil {
+			t.Error("an unreadable pull was answered")
+		}
+	})
+}
+
+// listener counts changes by kind.
+type listener struct{ kinds map[membership.ChangeKind]int }
+
+func (l *listener) TargetChanged(c membership.Change) { l.kinds[c.Kind]++ }
+
+// Guards against targets that stay in use after their lease, and against listeners that do not hear of it.
+func TestSilentTargetsExpire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := newNetwork("a1")
+		l := &listener{kinds: make(map[membership.ChangeKind]int)}
+		n.keepers["a1"].Subscribe(l)
+		if err := n.keepers["a1"].Announce(announcement(1, 1, false)); err != nil {
+			t.Fatal(err)
+		}
+		wrong := announcement(1, 2, false)
+		wrong.DataCentre = "b"
+		if n.keepers["a1"].Announce(wrong) == nil {
+			t.Error("a target of another data centre was taken")
+		}
+		n.run(lease+2*expireInterval, "a1")
+		if n.usable("a1") || l.kinds[membership.Added] != 1 || l.kinds[membership.Expired] != 1 {
+			t.Errorf("usable %v, changes %v", n.usable("a1"), l.kinds)
+		}
+	})
+}
