feasibility: ask the next instance when one hangs

Cause: the instances of a data centre are asked in turn within one second in all, and a call had no shorter limit of its own. One that hung used up the second, so the data centre counted as unreachable and a release note was judged without its memory.

Ruled out: instances that refuse connections, data centres in which all instances hang (bounded by one second, then left out), findings without model or bytes; the tests for these passed before the change as well.

Before: "first hangs" and "two hang" of TestUnreachableInstancesAndDataCentres took a second and refused a note that fits.

Conclusion: each instance has a quarter of the second.

--- a/instance/feasibility/feasibility.go
+++ b/instance/feasibility/feasibility.go
@@ -16,7 +16,11 @@
 	"github.com/tarragonhoist/tarragonhoist/state/memledger"
 )
 
-const readTimeout = time.Second
+const (
+	readTimeout = time.Second
+	// peerTimeout leaves time to ask others of a data centre when one instance hangs.
+	peerTimeout = readTimeout / 4
+)
 
 // Peers calls other instances.
 type Peers interface {
@@ -110,12 +114,23 @@
 	return all
 }
 
+// readDataCentre asks the instances of a data centre in turn until one answers.
 func (c *Checker) readDataCentre(ctx context.Context, dataCentre string) ([]placement.Target, bool) {
 	for _, peer := range c.settings.Local(dataCentre) {
-		var answer peerapi.EnginesAnswer
-		if err := c.peers.Call(ctx, peer, peerapi.MethodEngines, peerapi.Empty{}, &answer); err == nil {
-			return Targets(answer.Engines), true
+		if ctx.Err() != nil {
+			break
+		}
+		if engines, err := c.readPeer(ctx, peer); err == nil {
+			return Targets(engines), true
 		}
 	}
 	return nil, false
 }
+
+func (c *Checker) readPeer(ctx context.Context, peer string) ([]peerapi.Engine, error) {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	var answer peerapi.EnginesAnswer
+	err := c.peers.Call(ctx, peer, peerapi.MethodEngines, peerapi.Empty{}, &answer)
+	return answer.Engines, err
+}
--- /dev/null
+++ b/instance/feasibility/feasibility_test.go
@@ -0,0 +1,81 @@
+package feasibility
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/state/catalog"
+)
+
+// fake is the table of data centre a, with an engine of 100 bytes, and the instances of b, whose engine has 300 bytes.
+type fake map[string]string
+
+func (fake) All() []*membership.Entry {
+	return []*membership.Entry{{ExpiresAt: time.Now().Add(time.Hour), Announcement: targetapi.Announcement{
+		Target: "e1", Kind: targetapi.Engine, CapacityBytes: 120, ReserveBytes: 20}}}
+}
+
+func (f fake) Call(ctx context.Context, peer, _ string, _, result any) error {
+	switch f[peer] {
+	case "hangs":
+		<-ctx.Done()
+	case "down":
+		return errors.New("unreachable")
+	}
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	*result.(*peerapi.EnginesAnswer) = peerapi.EnginesAnswer{Engines: []peerapi.Engine{{Name: "e2", CapacityBytes: 300}}}
+	return nil
+}
+
+// Guards against a data centre that counts as unreachable because one of its instances hangs, against a check that waits
+// without end, and against findings that do not name model and missing bytes.
+func TestUnreachableInstancesAndDataCentres(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		peers    fake
+		bytes    int64
+		feasible bool
+		within   time.Duration
+	}{
+		{"all answer", fake{}, 250, true, 0},
+		{"first down", fake{"b1": "down"}, 250, true, 0},
+		{"first hangs", fake{"b1": "hangs"}, 250, true, peerTimeout},
+		{"two hang", fake{"b1": "hangs", "b2": "hangs"}, 250, true, 2 * peerTimeout},
+		{"all hang, fits here", fake{"b1": "hangs", "b2": "hangs", "b3": "hangs"}, 90, true, readTimeout},
+		{"all hang, does not fit here", fake{"b1": "hangs", "b2": "hangs", "b3": "hangs"}, 250, false, readTimeout},
+		{"fits nowhere", fake{}, 400, false, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &settings.Settings{DataCentre: "a", Peers: []settings.Peer{{Name: "a1", DataCentre: "a"}, {Name: "b1", DataCentre: "b"},
+					{Name: "b2", DataCentre: "b"}, {Name: "b3", DataCentre: "b"}}}
+				started := time.Now()
+				findings := New(s, test.peers, test.peers, time.Now).Check(t.Context(), &catalog.Contents{Models: map[string]releasenote.Model{
+					"net-assistant": {Name: "net-assistant", Version: "1", MemoryBytes: test.bytes, MinReplicas: 1}}})
+				if took := time.Since(started); took > test.within {
+					t.Errorf("took %v", took)
+				}
+				if (len(findings) == 0) != test.feasible {
+					t.Errorf("findings %v", findings)
+				}
+				for _, f := range findings {
+					if !strings.Contains(f.Key+f.Message, "net-assistant") || !strings.Contains(f.Message, "bytes") {
+						t.Errorf("finding %q names no model or bytes", f)
+					}
+				}
+			})
+		})
+	}
+}
