--- /dev/null
+++ b/instance/notes/notes_test.go
@@ -0,0 +1,135 @@
+package notes
+
+import (
+	"context"
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/inforce"
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/tomlfile"
+	"github.com/tarragonhoist/tarragonhoist/state/catalog"
+)
+
+const (
+	good     = "number = 1\n[[caller]]\naction = \"add\"\nname = \"crew\"\nweight = 1\n"
+	conflict = "number = 2\n[[caller]]\naction = \"withdraw\"\nname = \"nobody\"\n"
+	broken   = "number = 3\nnonsense = 1\n"
+)
+
+// fake is a log with one voter and the memory check.
+type fake struct {
+	view     *inforce.View
+	index    uint64
+	err      error
+	applies  bool
+	hangs    bool
+	findings []tomlfile.Finding
+	checks   int
+}
+
+func (f *fake) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if f.hangs {
+		<-ctx.Done()
+		return nil, replica.ErrUnknownResult
+	}
+	if f.err != nil && !f.applies {
+		return nil, f.err
+	}
+	f.index++
+	result, err := f.view.Apply(f.index, command)
+	if f.err != nil {
+		return nil, f.err
+	}
+	return result, err
+}
+
+func (f *fake) Check(context.Context, *catalog.Contents) []tomlfile.Finding {
+	f.checks++
+	return f.findings
+}
+
+func newDesk() (*Desk, *fake) {
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	recorder := events.NewRecorder(quiet, "a1", "a", time.Now)
+	f := &fake{view: inforce.New(recorder)}
+	return New(f, f.view, f, recorder, time.Now), f
+}
+
+// Guards against a verdict that no majority gave, an operator who waits without end, and a repeat after a lost verdict
+// that gets another verdict or a second memory check.
+func TestNoVerdictWithoutMajority(t *testing.T) {
+	for name, fault := range map[string]fake{
+		"no quorum":        {err: replica.ErrNoQuorum},
+		"lost verdict":     {err: replica.ErrUnknownResult, applies: true},
+		"log hangs":        {hangs: true},
+		"memory is scarce": {err: replica.ErrNoQuorum, findings: []tomlfile.Finding{{Message: "no memory"}}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d, f := newDesk()
+				f.err, f.applies, f.hangs, f.findings = fault.err, fault.applies, fault.hangs, fault.findings
+				started := time.Now()
+				verdict, result := d.Submit(t.Context(), "ops", "note.toml", []byte(good))
+				if result == nil || result.Outcome != api.Unknown || result.Reason != api.ReasonNoQuorum || verdict.Number != 0 {
+					t.Fatalf("verdict %+v, result %+v", verdict, result)
+				}
+				if time.Since(started) > verdictTimeout {
+					t.Errorf("waited %v", time.Since(started))
+				}
+				f.err, f.hangs, f.findings, f.checks = nil, false, nil, 0
+				first, result := d.Submit(t.Context(), "ops", "note.toml", []byte(good))
+				if result != nil || !first.Accepted || fault.applies && f.checks != 0 {
+					t.Fatalf("repeat: %+v, %+v, %d checks", first, result, f.checks)
+				}
+				f.findings = []tomlfile.Finding{{Message: "no memory"}} // what is accepted stays accepted
+				if again, _ := d.Submit(t.Context(), "ops", "note.toml", []byte(good)); !again.Accepted || again.Index != first.Index {
+					t.Errorf("second repeat: %+v", again)
+				}
+				if other, _ := d.Submit(t.Context(), "else", "note.toml", []byte(good+"# changed\n[[caller]]\naction=\"add\"\nname=\"x\"\nweight=1\n")); other.Accepted {
+					t.Errorf("the number was given twice: %+v", other)
+				}
+			})
+		})
+	}
+}
+
+// Guards against findings without their file, and against a faulty text that uses up its number.
+func TestFindingsNameTheirFile(t *testing.T) {
+	for _, test := range []struct {
+		name, text string
+		memory     []tomlfile.Finding
+	}{
+		{"text", broken, nil},
+		{"conflict", conflict, nil},
+		{"memory", good, []tomlfile.Finding{{Message: "no memory"}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d, f := newDesk()
+			f.findings = test.memory
+			checked, result := d.Check(t.Context(), "note.toml", []byte(test.text))
+			if result != nil || len(checked) == 0 || f.index != 0 {
+				t.Fatalf("check: %v, %+v, %d log entries", checked, result, f.index)
+			}
+			verdict, result := d.Submit(t.Context(), "ops", "note.toml", []byte(test.text))
+			if result != nil || verdict.Accepted || len(verdict.Findings) == 0 {
+				t.Fatalf("verdict %+v, result %+v", verdict, result)
+			}
+			for _, finding := range append(checked, verdict.Findings...) {
+				if finding.File != "note.toml" {
+					t.Errorf("finding %q has no file", finding)
+				}
+			}
+			if _, held := d.Verdict(verdict.Number); held != (test.name != "text") {
+				t.Errorf("number held: %v", held)
+			}
+		})
+	}
+}
