--- a/instance/admit/admit.go
+++ b/instance/admit/admit.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,7 +39,8 @@
 	waiting atomic.Int64
 	queued  chan struct{}
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// served says of each model and service that is ready whether its requests can be interrupted.
 	served map[string]bool
 }
 
@@ -70,16 +70,21 @@
 	defer grants.Stop()
 	capacities := time.NewTicker(capacityInterval)
 	defer capacities.Stop()
+	armed := true
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-w.queued:
-			grants.Reset(grantInterval)
+			// An armed timer is left alone: requests that arrive more often than grantInterval would postpone it forever.
+			if !armed {
+				armed = true
+				grants.Reset(grantInterval)
+			}
 		case <-grants.C:
 			w.reclaim()
-			w.deliver(w.controller.Next(w.now()))
-			if w.waiting.Load() > 0 {
+			w.grantAll()
+			if armed = w.waiting.Load() > 0; armed {
 				grants.Reset(grantInterval)
 			}
 		case <-capacities.C:
@@ -126,48 +131,67 @@
 	return place, nil
 }
 
-func (w *Waiter) deliver(grants []admission.Grant) {
-	for _, g := range grants {
-		var place *Place
-		w.places.Update(g.Ticket.Request.Model, func(q *queue) { place = (*q)[g.Ticket] })
-		switch {
-		case place != nil:
-			place.granted <- g
-		case g.Refusal == nil:
-			// The request gave up between the grant and its delivery.
-			w.controller.Done(w.now(), admission.Completion{Ticket: g.Ticket})
+// grant starts the queued requests of a model that have a slot. Decisions of the controller and their delivery share
+// the lock, so that a request never sees a grant and a later interruption in the wrong order.
+func (w *Waiter) grant(model string) {
+	w.places.Update(model, func(q *queue) {
+		for _, g := range w.controller.NextOf(w.now(), model) {
+			switch place := (*q)[g.Ticket]; {
+			case place != nil:
+				place.grant(g)
+			case g.Refusal == nil:
+				// The request is giving up and has left the queue already.
+				w.controller.Done(w.now(), admission.Completion{Ticket: g.Ticket})
+			}
+		}
+	})
+}
+
+// grantAll does the same for all models. Deadlines pass and reports arrive without a request ending.
+func (w *Waiter) grantAll() {
+	var models []string
+	w.places.Range(func(model string, q *queue) bool {
+		if len(*q) > 0 {
+			models = append(models, model)
 		}
+		return true
+	})
+	for _, model := range models {
+		w.grant(model)
 	}
 }
 
-// reclaim interrupts batch work whose slots are needed.
+// reclaim interrupts batch work whose slots are needed. Calls of plain services run to their end, so they keep their
+// slots.
 func (w *Waiter) reclaim() {
-	for _, model := range w.servedModels() {
-		var interrupted []*Place
+	for _, model := range w.interruptible() {
 		w.places.Update(model, func(q *queue) {
 			for _, t := range w.controller.Reclaim(w.now(), model) {
 				if place := (*q)[t]; place != nil {
-					interrupted = append(interrupted, place)
+					place.interrupt()
 				}
 			}
 		})
-		for _, place := range interrupted {
-			place.interrupt()
-		}
 	}
 }
 
-func (w *Waiter) servedModels() []string {
+func (w *Waiter) interruptible() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return slices.Collect(maps.Keys(w.served))
+	var models []string
+	for name, can := range w.served {
+		if can {
+			models = append(models, name)
+		}
+	}
+	return models
 }
 
 // Refresh tells the controller what the targets can run.
 func (w *Waiter) Refresh() {
 	now := w.now()
 	var replicas []admission.ReplicaSlots
-	ready := make(map[string]float64)
+	ready := make(map[string]bool)
 	for _, e := range w.targets.All() {
 		if !e.Usable(now) {
 			continue
@@ -175,7 +199,7 @@
 		names := readyNames(e)
 		replicas = append(replicas, admission.ReplicaSlots{Slots: max(e.Announcement.Slots, 1), Models: names})
 		for _, name := range names {
-			ready[name] = 0
+			ready[name] = e.Announcement.Kind == targetapi.Engine
 		}
 	}
 	slots := admission.Apportion(replicas, w.controller.Demand())
@@ -188,7 +212,7 @@
 }
 
 // clearMissing takes the capacity from models that have lost their last replica.
-func (w *Waiter) clearMissing(now time.Time, ready map[string]float64) {
+func (w *Waiter) clearMissing(now time.Time, ready map[string]bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for name := range w.served {
@@ -197,9 +221,7 @@
 			delete(w.served, name)
 		}
 	}
-	for name := range ready {
-		w.served[name] = true
-	}
+	maps.Copy(w.served, ready)
 }
 
 // readyNames lists the models that are ready on a target, or its plain service.
