--- a/instance/notes/notes_test.go
+++ b/instance/notes/notes_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
@@ -31,7 +32,9 @@
 	applies  bool
 	hangs    bool
 	findings []tomlfile.Finding
-	checks   int
+	// unchecked is returned when memory can't be checked.
+	unchecked error
+	checks    int
 }
 
 func (f *fake) Propose(ctx context.Context, command []byte) ([]byte, error) {
@@ -50,9 +53,9 @@
 	return result, err
 }
 
-func (f *fake) Check(context.Context, *catalog.Contents) []tomlfile.Finding {
+func (f *fake) Check(context.Context, *catalog.Contents) ([]tomlfile.Finding, error) {
 	f.checks++
-	return f.findings
+	return f.findings, f.unchecked
 }
 
 func newDesk() (*Desk, *fake) {
@@ -133,3 +136,17 @@
 		})
 	}
 }
+
+// Guards against a note whose number is used up by a refusal that only says that no engine is known yet.
+func TestNoVerdictWhileMemoryCannotBeChecked(t *testing.T) {
+	desk, f := newDesk()
+	f.unchecked = errors.New("no engine is known")
+	text := []byte("number = 1\n[[service]]\naction = \"add\"\nname = \"desk\"\ncallers = [\"crew\"]\n")
+	if verdict, result := desk.Submit(t.Context(), "ana", "n.toml", text); result == nil || result.Outcome != api.Refused || result.Repeat != api.RepeatAfter {
+		t.Fatalf("verdict %+v, result %+v", verdict, result)
+	}
+	f.unchecked = nil
+	if verdict, result := desk.Submit(t.Context(), "ana", "n.toml", text); result != nil || !verdict.Accepted {
+		t.Errorf("verdict %+v, result %+v", verdict, result)
+	}
+}
--- a/instance/servicecalls/ledger_test.go
+++ b/instance/servicecalls/ledger_test.go
@@ -126,11 +126,15 @@
 	return place{f}, nil
 }
 
-func (f *target) PickService(_ *modelcalls.Work, excluded map[string]bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
+func (f *target) PickService(_ *modelcalls.Work, avoided func(string) bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	name := fmt.Sprint("t", len(excluded))
-	if f.none || len(excluded) == 2 {
+	excluded := 0
+	for avoided(modelcalls.TargetID(fmt.Sprint("t", excluded), 0)) {
+		excluded++
+	}
+	name := fmt.Sprint("t", excluded)
+	if f.none || excluded == 2 {
 		return modelcalls.Placed{}, nil, api.RefuseFor(api.ReasonNoTarget, time.Second, "no target")
 	}
 	f.picked++
