--- a/test/process/cluster_test.go
+++ b/test/process/cluster_test.go
@@ -145,7 +145,7 @@
 }
 
 // waitReady waits until a model has ready replicas in the data centre of an instance.
-func waitReady(ctx context.Context, t *testing.T, c *cluster.Cluster, instance, model string, replicas int) {
+func waitReady(ctx context.Context, t testing.TB, c *cluster.Cluster, instance, model string, replicas int) {
 	t.Helper()
 	wait(t, c, fmt.Sprintf("%s has %d ready replicas at %s", model, replicas, instance), func() error {
 		status, err := c.Operator(instance).Status(ctx)
