--- a/coordination/quarantine/record.go
+++ b/coordination/quarantine/record.go
@@ -5,12 +5,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
-	"math"
 	"slices"
 	"time"
-
-	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
 )
 
 // fingerprintBytes keeps collisions out of reach of callers, who choose the bodies.
@@ -114,60 +110,3 @@
 	}
 	return n
 }
-
-// frameVersion is the version of the encoding between instances.
-const frameVersion = 1
-
-type wireStrike struct {
-	_       struct{} `cbor:",toarray"`
-	Target  Target
-	AgeMs   uint32
-	Cleared bool
-}
-
-type wireRecord struct {
-	_           struct{} `cbor:",toarray"`
-	Fingerprint Fingerprint
-	Strikes     []wireStrike
-}
-
-type wireFrame struct {
-	_       struct{} `cbor:",toarray"`
-	Version int
-	Records []cbor.RawMessage
-}
-
-func encodeRecord(now time.Time, fingerprint Fingerprint, r *record) (cbor.RawMessage, error) {
-	w := wireRecord{Fingerprint: fingerprint}
-	for _, s := range r.strikes {
-		age := min(max(now.Sub(s.at).Milliseconds(), 0), math.MaxUint32)
-		w.Strikes = append(w.Strikes, wireStrike{Target: s.target, AgeMs: uint32(age), Cleared: s.cleared})
-	}
-	data, err := cbor.Marshal(&w)
-	return data, errors.Wrap(err, "encode a strike record")
-}
-
-func encodeFrame(records []cbor.RawMessage) ([]byte, error) {
-	data, err := cbor.Marshal(&wireFrame{Version: frameVersion, Records: records})
-	return data, errors.Wrap(err, "encode a strike frame")
-}
-
-func decodeFrame(data []byte) ([]wireRecord, error) {
-	var f wireFrame
-	if err := cbor.Unmarshal(data, &f); err != nil {
-		return nil, errors.Wrap(err, "strike frame")
-	}
-	if f.Version != frameVersion {
-		return nil, errors.Errorf("strike frame version %d is not supported, want %d", f.Version, frameVersion)
-	}
-	records := make([]wireRecord, len(f.Records))
-	for i, item := range f.Records {
-		if err := cbor.Unmarshal(item, &records[i]); err != nil {
-			return nil, errors.Wrapf(err, "record %d of a strike frame", i)
-		}
-		if n := len(records[i].Strikes); n == 0 || n > maxStrikes {
-			return nil, errors.Errorf("record %d of a strike frame has %d strikes, want 1 to %d", i, n, maxStrikes)
-		}
-	}
-	return records, nil
-}
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -7,9 +7,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
 )
 
 // Defaults of Options.
@@ -48,26 +45,6 @@
 	Target      Target
 }
 
-// Claim reserves a target for one suspect, over all instances. It is sent to all connected instances of the data centre
-// before the suspect is, again when the suspect starts and before half of its lease has passed. Ended withdraws it.
-type Claim struct {
-	AttemptID   string      `json:"attempt_id"`
-	Fingerprint Fingerprint `json:"fingerprint"`
-	Target      Target      `json:"target"`
-	// Started is set once the suspect may have reached the target.
-	Started bool `json:"started,omitempty"`
-	Ended   bool `json:"ended,omitempty"`
-}
-
-// heldClaim is a claim of this or another instance.
-type heldClaim struct {
-	Claim
-	own     bool
-	expires time.Time
-	// yielded is set when an own claim gave way to another one. It is kept until it is withdrawn everywhere.
-	yielded bool
-}
-
 // Table holds the strikes, the claims and this instance's requests in flight. It is safe for concurrent use.
 type Table struct {
 	opts Options
@@ -161,114 +138,6 @@
 	return started, true
 }
 
-// Claim reserves a target for a suspect on this instance. The driver then sends the claim to the other instances, and
-// starts the attempt only if none of them refused it; otherwise it calls Ended and tries again after a short delay.
-func (t *Table) Claim(now time.Time, a Attempt) (Claim, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if v, _ := t.verdict(now, a.Fingerprint); v != Suspect {
-		return Claim{}, false
-	}
-	if _, used := t.claims[a.ID]; used {
-		return Claim{}, false
-	}
-	c := Claim{AttemptID: a.ID, Fingerprint: a.Fingerprint, Target: a.Target}
-	if t.busy(now, &c) || len(t.competing(now, &c)) > 0 {
-		return Claim{}, false
-	}
-	t.claims[a.ID] = &heldClaim{Claim: c, own: true, expires: now.Add(t.opts.ClaimLease)}
-	return c, true
-}
-
-// HandleClaim takes a claim of another instance and reports whether this one agrees. Of two claims that compete before
-// either has started, the one with the lower attempt id wins: its holder refuses the other, whose holder gives way. So
-// at most one of them is agreed to by all, and one of them goes on.
-func (t *Table) HandleClaim(now time.Time, c Claim) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	held := t.claims[c.AttemptID]
-	if held != nil && held.own {
-		return false
-	}
-	if c.Ended {
-		delete(t.claims, c.AttemptID)
-		return true
-	}
-	if !c.Started {
-		if t.busy(now, &c) {
-			return false
-		}
-		competing := t.competing(now, &c)
-		for _, other := range competing {
-			if other.Started || other.AttemptID < c.AttemptID {
-				return false
-			}
-		}
-		for _, other := range competing {
-			other.yielded = other.own
-		}
-	}
-	t.claims[c.AttemptID] = &heldClaim{Claim: c, expires: now.Add(t.opts.ClaimLease)}
-	return true
-}
-
-// busy reports whether the same request is in flight here, or another suspect is in flight on the target.
-func (t *Table) busy(now time.Time, c *Claim) bool {
-	if t.byRequest[c.Fingerprint] > 0 {
-		return true
-	}
-	for _, fingerprint := range t.byTarget[c.Target] {
-		if v, _ := t.verdict(now, fingerprint); v != Clean {
-			return true
-		}
-	}
-	return false
-}
-
-// competing lists the other claims of the same request or the same target.
-func (t *Table) competing(now time.Time, c *Claim) []*heldClaim {
-	var list []*heldClaim
-	for id, held := range t.claims {
-		if id != c.AttemptID && !held.yielded && now.Before(held.expires) && (held.Fingerprint == c.Fingerprint || held.Target == c.Target) {
-			list = append(list, held)
-		}
-	}
-	return list
-}
-
-// Avoid reports whether a suspect has claimed a target. Other requests are better sent elsewhere, because they would be
-// struck together with it.
-func (t *Table) Avoid(now time.Time, target Target) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, held := range t.claims {
-		if held.Target == target && !held.yielded && now.Before(held.expires) {
-			return true
-		}
-	}
-	return false
-}
-
-// Renew extends the claims of attempts in flight and returns them to be sent again. It drops claims whose lease has
-// ended. The driver calls it every third of the claim lease.
-func (t *Table) Renew(now time.Time) []Claim {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var renewed []Claim
-	for id, held := range t.claims {
-		_, running := t.inFlight[id]
-		switch {
-		case held.own && running:
-			held.expires = now.Add(t.opts.ClaimLease)
-			renewed = append(renewed, held.Claim)
-		case !now.Before(held.expires):
-			delete(t.claims, id)
-		}
-	}
-	slices.SortFunc(renewed, func(a, b Claim) int { return cmp.Compare(a.AttemptID, b.AttemptID) })
-	return renewed
-}
-
 // Effect is what the driver has to send to the other instances. Frame is nil when no strike changed.
 type Effect struct {
 	// Frame holds the changed records for Merge. A strike is to be acknowledged before the failure is reported.
@@ -363,26 +232,6 @@
 	return []Claim{ended}
 }
 
-// Merge takes a frame of another instance. transit is an upper bound of the time that it was under way. Frames may come
-// in any order and repeatedly.
-func (t *Table) Merge(now time.Time, transit time.Duration, frame []byte) error {
-	records, err := decodeFrame(frame)
-	if err != nil {
-		return err
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, w := range records {
-		strikes := make([]strike, len(w.Strikes))
-		for i, s := range w.Strikes {
-			age := time.Duration(s.AgeMs)*time.Millisecond + max(transit, 0)
-			strikes[i] = strike{target: s.Target, at: now.Add(-age), cleared: s.Cleared}
-		}
-		t.merge(now, w.Fingerprint, strikes)
-	}
-	return nil
-}
-
 // merge adds strikes to a record unless all of it has expired.
 func (t *Table) merge(now time.Time, fingerprint Fingerprint, strikes []strike) bool {
 	r := t.live(now, fingerprint)
@@ -439,55 +288,3 @@
 		}
 	}
 }
-
-func (t *Table) frameOf(now time.Time, fingerprints []Fingerprint) ([]byte, error) {
-	items := make([]cbor.RawMessage, 0, len(fingerprints))
-	for _, fingerprint := range fingerprints {
-		item, err := encodeRecord(now, fingerprint, t.records[fingerprint])
-		if err != nil {
-			return nil, err
-		}
-		items = append(items, item)
-	}
-	return encodeFrame(items)
-}
-
-// MinDeltaBytes is the smallest byte limit of a frame: one record with the largest number of strikes and long names.
-const MinDeltaBytes = 4096
-
-// frameOverheadBytes covers a frame without its records.
-const frameOverheadBytes = 16
-
-// Delta returns a frame of at most limitBytes for gossip: the records sent least often since they changed, newest
-// changes first. It returns nil when there is nothing to tell.
-func (t *Table) Delta(now time.Time, limitBytes int) ([]byte, error) {
-	if limitBytes < MinDeltaBytes {
-		return nil, errors.Errorf("byte limit %d of a strike frame is below %d", limitBytes, MinDeltaBytes)
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.expire(now)
-	fingerprints := slices.Collect(maps.Keys(t.records))
-	slices.SortFunc(fingerprints, func(a, b Fingerprint) int {
-		x, y := t.records[a], t.records[b]
-		return cmp.Or(cmp.Compare(x.sent, y.sent), cmp.Compare(y.changed, x.changed))
-	})
-	left := limitBytes - frameOverheadBytes
-	var items []cbor.RawMessage
-	for _, fingerprint := range fingerprints {
-		item, err := encodeRecord(now, fingerprint, t.records[fingerprint])
-		if err != nil {
-			return nil, err
-		}
-		if len(item) > left {
-			break
-		}
-		left -= len(item)
-		t.records[fingerprint].sent++
-		items = append(items, item)
-	}
-	if len(items) == 0 {
-		return nil, nil
-	}
-	return encodeFrame(items)
-}
