state/shard: add a map without eviction and use it in coordination/membership

shard.Map drops the least recently used entry of a full shard, which would lose targets in use, so membership had a sharded map of its own. Fingerprints are integer keys instead of strings made of their bytes, and the check for an older renewal reads the record in one step under the lock of its shard.

--- a/coordination/membership/gossip.go
+++ b/coordination/membership/gossip.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"encoding/binary"
 	"sync"
 	"time"
 
@@ -46,12 +45,6 @@
 	return cache
 }
 
-func fingerprintKey(fingerprint uint64) string {
-	var key [8]byte
-	binary.BigEndian.PutUint64(key[:], fingerprint)
-	return string(key[:])
-}
-
 // take removes a complete content from the assemblies. Otherwise it notes that the content is wanted.
 func (g *gossip) take(fingerprint, base uint64, now time.Time) ([]byte, bool) {
 	g.mu.Lock()
--- a/coordination/membership/gossip_merge.go
+++ b/coordination/membership/gossip_merge.go
@@ -83,7 +83,7 @@
 	if m.now.Sub(since) >= m.t.opts.Retention {
 		return
 	}
-	m.t.records.locked(n.Target, func(items map[string]*record) {
+	m.t.records.Update(n.Target, func(items map[string]*record) {
 		rec, err := m.t.recordOf(items, n.Target)
 		if err != nil {
 			m.fail(err)
@@ -101,7 +101,7 @@
 		m.fail(errors.Errorf("content part of %d bytes at offset %d exceeds its total of %d", len(p.Data), p.Offset, p.Total))
 		return
 	}
-	if _, current := m.t.fingerprints.get(fingerprintKey(p.Fingerprint)); current {
+	if _, current := m.t.fingerprints.Get(p.Fingerprint); current {
 		return
 	}
 	g := &m.t.gossip
@@ -127,7 +127,7 @@
 
 // diff completes a content whose predecessor is known here.
 func (m *merger) diff(d contentDiff) {
-	target, ok := m.t.fingerprints.get(fingerprintKey(d.Previous))
+	target, ok := m.t.fingerprints.Get(d.Previous)
 	if !ok {
 		return
 	}
@@ -158,7 +158,7 @@
 	load := targetapi.LoadReport{
 		MeasuredAtMs: m.baseMs - r.LoadLag, Running: r.Running, Queued: r.Queued, KVUsedBytes: r.KVUsedMiB << mibShift,
 	}
-	if target, ok := m.t.fingerprints.get(fingerprintKey(r.Fingerprint)); ok {
+	if target, ok := m.t.fingerprints.Get(r.Fingerprint); ok {
 		m.report(m.t.renew(target, r, received, load), nil)
 		return
 	}
@@ -166,7 +166,7 @@
 		return
 	}
 	base := uint64(0)
-	if target, ok := m.t.fingerprints.get(fingerprintKey(r.Previous)); ok && r.Previous != 0 {
+	if target, ok := m.t.fingerprints.Get(r.Previous); ok && r.Previous != 0 {
 		base = r.Previous
 		m.report(m.t.extend(target, r, received, load), nil)
 	}
@@ -186,7 +186,7 @@
 	}
 	a.Sequence, a.Load = r.Sequence, load
 	m.report(m.t.apply(received, a))
-	if _, current := m.t.fingerprints.get(fingerprintKey(r.Fingerprint)); !current {
+	if _, current := m.t.fingerprints.Get(r.Fingerprint); !current {
 		m.t.superseded.Add(r.Fingerprint, identity{target: a.Target, incarnation: a.Incarnation})
 	}
 }
@@ -203,19 +203,16 @@
 	if !ok {
 		return false
 	}
-	rec, ok := t.records.get(old.target)
-	if !ok {
-		return false
-	}
-	s := t.records.shard(old.target)
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return rec.incarnation > old.incarnation || rec.incarnation == old.incarnation && r.Sequence <= rec.sequence
+	older := false
+	t.records.View(old.target, func(rec *record) {
+		older = rec.incarnation > old.incarnation || rec.incarnation == old.incarnation && r.Sequence <= rec.sequence
+	})
+	return older
 }
 
 // renew applies a later announcement of the current content of a target.
 func (t *Table) renew(target string, r renewal, received time.Time, load targetapi.LoadReport) (change Change) {
-	t.records.locked(target, func(items map[string]*record) {
+	t.records.Update(target, func(items map[string]*record) {
 		rec := items[target]
 		if rec == nil {
 			return
@@ -234,7 +231,7 @@
 // that the content is still taken when it comes. A leaving target is not extended in this way: its renewals name no
 // previous content, and where its leaving is known its content is another one.
 func (t *Table) extend(target string, r renewal, received time.Time, load targetapi.LoadReport) (change Change) {
-	t.records.locked(target, func(items map[string]*record) {
+	t.records.Update(target, func(items map[string]*record) {
 		rec := items[target]
 		if rec == nil {
 			return
--- a/coordination/membership/gossip_send.go
+++ b/coordination/membership/gossip_send.go
@@ -76,7 +76,7 @@
 
 func (t *Table) candidates(now time.Time) []*candidate {
 	var all []*candidate
-	t.records.eachRead(func(target string, rec *record) {
+	t.records.Range(func(target string, rec *record) {
 		c := &candidate{
 			rec: rec, target: target, entry: rec.entry.Load(), incarnation: rec.incarnation,
 			leaving: rec.leaving, leavingSince: rec.leavingSince, changed: rec.changed,
--- a/coordination/membership/property_test.go
+++ b/coordination/membership/property_test.go
@@ -156,7 +156,7 @@
 func (n *network) check() {
 	for i, table := range n.tables {
 		for _, entry := range table.All() {
-			rec, _ := table.records.get(entry.Announcement.Target)
+			rec, _ := table.records.Get(entry.Announcement.Target)
 			v := view{entry.Announcement.Incarnation, entry.Announcement.Sequence, rec.alive, entry.ReceivedAt}
 			here := fmt.Sprintf("%d:%s", i, entry.Announcement.Target)
 			if old, ok := n.seen[here]; ok && v.incarnation <= old.incarnation {
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/shard"
 )
 
 // Defaults of Options.
@@ -24,6 +25,9 @@
 	DefaultMaxTargets = 8192
 )
 
+// shards is a power of two well above the number of cores of an instance, so that two cores rarely meet.
+const shards = 32
+
 // ErrTableFull refuses a target beyond Options.MaxTargets.
 var ErrTableFull = errors.New("the table of targets is full")
 
@@ -66,10 +70,13 @@
 
 // Table holds the targets of one data centre. It is safe for concurrent use.
 type Table struct {
-	opts         Options
-	records      *shardMap[*record]
-	index        *shardMap[[]*record]
-	fingerprints *shardMap[string]
+	opts Options
+	// records is by target name.
+	records *shard.UnboundedMap[string, *record]
+	// index lists the records by the keys of their entries. No list is empty.
+	index *shard.UnboundedMap[string, []*record]
+	// fingerprints holds the target name by the fingerprint of its current content.
+	fingerprints *shard.UnboundedMap[uint64, string]
 	size         atomic.Int64
 	changes      atomic.Uint64
 	// superseded holds contents that are no longer current, so that they are not asked for because of old renewals.
@@ -96,8 +103,10 @@
 		opts.MaxTargets = DefaultMaxTargets
 	}
 	t := &Table{
-		opts: opts, records: newShardMap[*record](), index: newShardMap[[]*record](),
-		fingerprints: newShardMap[string](),
+		opts:         opts,
+		records:      shard.NewUnboundedMap[string, *record](shards, shard.StringHash),
+		index:        shard.NewUnboundedMap[string, []*record](shards, shard.StringHash),
+		fingerprints: shard.NewUnboundedMap[uint64, string](shards, shard.Uint64Hash),
 	}
 	t.superseded = newCache[identity](maxSuperseded)
 	t.gossip.assembly = newCache[*assembly](maxAssemblies)
@@ -119,7 +128,7 @@
 
 // apply puts an announcement received at the given time into the table.
 func (t *Table) apply(received time.Time, a targetapi.Announcement) (change Change, err error) {
-	t.records.locked(a.Target, func(items map[string]*record) {
+	t.records.Update(a.Target, func(items map[string]*record) {
 		var rec *record
 		if rec, err = t.recordOf(items, a.Target); err == nil {
 			change, err = t.applyTo(rec, received, a)
@@ -231,14 +240,14 @@
 	previous := rec.entry.Load()
 	if previous == nil || previous.fingerprint != entry.fingerprint {
 		rec.changed = t.changes.Add(1)
-		t.fingerprints.set(fingerprintKey(entry.fingerprint), entry.Announcement.Target)
+		t.fingerprints.Set(entry.fingerprint, entry.Announcement.Target)
 		t.superseded.Remove(entry.fingerprint)
 		rec.previous, rec.changedAt = nil, entry.ReceivedAt
 		if previous != nil && previous.Announcement.Incarnation == entry.Announcement.Incarnation {
 			rec.previous = previous
 		}
 		if previous != nil {
-			t.fingerprints.remove(fingerprintKey(previous.fingerprint))
+			t.fingerprints.Delete(previous.fingerprint)
 			t.supersede(previous)
 		}
 	}
@@ -269,7 +278,7 @@
 	if entry == nil {
 		return
 	}
-	t.fingerprints.remove(fingerprintKey(entry.fingerprint))
+	t.fingerprints.Delete(entry.fingerprint)
 	t.supersede(entry)
 	if !rec.gone {
 		for _, key := range entry.keys {
@@ -279,11 +288,11 @@
 }
 
 func (t *Table) indexAdd(key string, rec *record) {
-	t.index.locked(key, func(items map[string][]*record) { items[key] = append(items[key], rec) })
+	t.index.Update(key, func(items map[string][]*record) { items[key] = append(items[key], rec) })
 }
 
 func (t *Table) indexRemove(key string, rec *record) {
-	t.index.locked(key, func(items map[string][]*record) {
+	t.index.Update(key, func(items map[string][]*record) {
 		list := items[key]
 		if i := slices.Index(list, rec); i >= 0 {
 			list[i] = list[len(list)-1]
@@ -302,7 +311,7 @@
 // do not depend on it, because they check the lease themselves.
 func (t *Table) Expire(now time.Time) []Change {
 	var changes []Change
-	t.records.each(func(items map[string]*record) {
+	t.records.UpdateAll(func(items map[string]*record) {
 		for target, rec := range items {
 			entry := rec.entry.Load()
 			if entry != nil && !rec.gone && !now.Before(entry.ExpiresAt) {
@@ -332,7 +341,7 @@
 
 // Target returns the latest entry of a target until it is forgotten, also when it is leaving or expired.
 func (t *Table) Target(name string) (*Entry, bool) {
-	rec, ok := t.records.get(name)
+	rec, ok := t.records.Get(name)
 	if !ok {
 		return nil, false
 	}
@@ -367,14 +376,14 @@
 	return t.lookup(now, serviceKey(name), random, limit)
 }
 
-func (t *Table) lookup(now time.Time, key string, random *rand.Rand, limit int) []*Entry {
-	s := t.index.shard(key)
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	list := s.items[key]
-	if len(list) == 0 {
-		return nil
-	}
+// lookup samples the usable entries of an index key, all of them when limit is 0.
+func (t *Table) lookup(now time.Time, key string, random *rand.Rand, limit int) (found []*Entry) {
+	t.index.View(key, func(list []*record) { found = sample(now, key, list, random, limit) })
+	return found
+}
+
+// sample walks a list that is not empty from a random place with a random stride, or in order when random is nil.
+func sample(now time.Time, key string, list []*record, random *rand.Rand, limit int) []*Entry {
 	if limit <= 0 || limit > len(list) {
 		limit = len(list)
 	}
@@ -412,7 +421,7 @@
 // All returns the entries of all targets whose expiry was not reported yet, leaving ones included, sorted by name.
 func (t *Table) All() []*Entry {
 	var all []*Entry
-	t.records.eachRead(func(_ string, rec *record) {
+	t.records.Range(func(_ string, rec *record) {
 		if entry := rec.entry.Load(); entry != nil && !rec.gone {
 			all = append(all, entry)
 		}
--- a/state/shard/shard.go
+++ b/state/shard/shard.go
@@ -1,4 +1,4 @@
-// Package shard provides a bounded map whose entries are spread over shards, each under its own lock.
+// Package shard provides maps whose entries are spread over shards, each under its own lock.
 package shard
 
 import (
