coordination/membership: check the current content of a target in one place

renew and extend repeated the look-up of the record and the comparison of its fingerprint; they now share updateContent. The lag of a load report in a renewal carries its unit in its name; frames are encoded as arrays, so they stay the same.

--- a/coordination/membership/gossip_frame.go
+++ b/coordination/membership/gossip_frame.go
@@ -60,7 +60,7 @@
 }
 
 // renewal is a later announcement of a content. AgeMs is the time since an instance received it from the target;
-// LoadLag is the time of the load report before BaseMs of the frame. Previous is the content before this one if it
+// LoadLagMs is the time of the load report before BaseMs of the frame. Previous is the content before this one if it
 // changed lately; it extends the lease where the new content has not arrived yet.
 type renewal struct {
 	_           struct{} `cbor:",toarray"`
@@ -70,7 +70,7 @@
 	Running     int
 	Queued      int
 	KVUsedMiB   int64
-	LoadLag     int64
+	LoadLagMs   int64
 	Previous    uint64
 }
 
--- a/coordination/membership/gossip_merge.go
+++ b/coordination/membership/gossip_merge.go
@@ -156,7 +156,7 @@
 		return
 	}
 	load := targetapi.LoadReport{
-		MeasuredAtMs: m.baseMs - r.LoadLag, Running: r.Running, Queued: r.Queued, KVUsedBytes: r.KVUsedMiB << mibShift,
+		MeasuredAtMs: m.baseMs - r.LoadLagMs, Running: r.Running, Queued: r.Queued, KVUsedBytes: r.KVUsedMiB << mibShift,
 	}
 	if target, ok := m.t.fingerprints.Get(r.Fingerprint); ok {
 		m.report(m.t.renew(target, r, received, load), nil)
@@ -210,19 +210,26 @@
 	return older
 }
 
-// renew applies a later announcement of the current content of a target.
-func (t *Table) renew(target string, r renewal, received time.Time, load targetapi.LoadReport) (change Change) {
+// updateContent calls f, under the lock of the record, if the current content of a target has the fingerprint.
+func (t *Table) updateContent(target string, fingerprint uint64, f func(*record, *Entry)) {
 	t.records.Update(target, func(items map[string]*record) {
 		rec := items[target]
 		if rec == nil {
 			return
 		}
-		entry := rec.entry.Load()
-		if entry == nil || entry.fingerprint != r.Fingerprint || r.Sequence <= rec.sequence {
-			return
+		if entry := rec.entry.Load(); entry != nil && entry.fingerprint == fingerprint {
+			f(rec, entry)
+		}
+	})
+}
+
+// renew applies a later announcement of the current content of a target.
+func (t *Table) renew(target string, r renewal, received time.Time, load targetapi.LoadReport) (change Change) {
+	t.updateContent(target, r.Fingerprint, func(rec *record, entry *Entry) {
+		if r.Sequence > rec.sequence {
+			rec.sequence = r.Sequence
+			change = t.replaceLoad(rec, entry, r.Sequence, received, load)
 		}
-		rec.sequence = r.Sequence
-		change = t.replaceLoad(rec, entry, r.Sequence, received, load)
 	})
 	return change
 }
@@ -231,16 +238,10 @@
 // that the content is still taken when it comes. A leaving target is not extended in this way: its renewals name no
 // previous content, and where its leaving is known its content is another one.
 func (t *Table) extend(target string, r renewal, received time.Time, load targetapi.LoadReport) (change Change) {
-	t.records.Update(target, func(items map[string]*record) {
-		rec := items[target]
-		if rec == nil {
-			return
-		}
-		entry := rec.entry.Load()
-		if entry == nil || entry.fingerprint != r.Previous || r.Sequence <= rec.alive {
-			return
+	t.updateContent(target, r.Previous, func(rec *record, entry *Entry) {
+		if r.Sequence > rec.alive {
+			change = t.replaceLoad(rec, entry, r.Sequence, received, load)
 		}
-		change = t.replaceLoad(rec, entry, r.Sequence, received, load)
 	})
 	return change
 }
--- a/coordination/membership/gossip_send.go
+++ b/coordination/membership/gossip_send.go
@@ -273,7 +273,7 @@
 		item := renewal{
 			Fingerprint: c.entry.fingerprint, Sequence: a.Sequence, AgeMs: ageMs(b.now, c.entry.ReceivedAt),
 			Running: a.Load.Running, Queued: a.Load.Queued, KVUsedMiB: a.Load.KVUsedBytes >> mibShift,
-			LoadLag: b.frame.BaseMs - a.Load.MeasuredAtMs, Previous: previous,
+			LoadLagMs: b.frame.BaseMs - a.Load.MeasuredAtMs, Previous: previous,
 		}
 		if !b.add(&b.frame.Renewals, budget, &item) {
 			return false
