--- a/coordination/calls/dispatcher.go
+++ b/coordination/calls/dispatcher.go
@@ -10,6 +10,7 @@
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
 	"github.com/tarragonhoist/tarragonhoist/state/callledger"
+	"github.com/tarragonhoist/tarragonhoist/state/defaults"
 )
 
 // Defaults of Options.
@@ -145,12 +146,8 @@
 	if opts.Instance == "" || opts.Incarnation == 0 {
 		return nil, Actions{}, errors.New("dispatcher needs an instance name and an incarnation above 0")
 	}
-	if opts.MaxCalls <= 0 {
-		opts.MaxCalls = DefaultMaxCalls
-	}
-	if opts.RetryDelay <= 0 {
-		opts.RetryDelay = DefaultRetryDelay
-	}
+	defaults.Positive(&opts.MaxCalls, DefaultMaxCalls)
+	defaults.Positive(&opts.RetryDelay, DefaultRetryDelay)
 	d := &Dispatcher{opts: opts, calls: make(map[string]*call), proposals: make(map[uint64]*proposal)}
 	var out Actions
 	err := d.propose(now, &out, nil, callledger.Command{
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/defaults"
 	"github.com/tarragonhoist/tarragonhoist/state/shard"
 )
 
@@ -93,15 +94,9 @@
 
 // NewTable returns an empty table.
 func NewTable(opts Options) *Table {
-	if opts.TargetLease <= 0 {
-		opts.TargetLease = DefaultTargetLease
-	}
-	if opts.Retention <= 0 {
-		opts.Retention = DefaultRetention
-	}
-	if opts.MaxTargets <= 0 {
-		opts.MaxTargets = DefaultMaxTargets
-	}
+	defaults.Positive(&opts.TargetLease, DefaultTargetLease)
+	defaults.Positive(&opts.Retention, DefaultRetention)
+	defaults.Positive(&opts.MaxTargets, DefaultMaxTargets)
 	t := &Table{
 		opts:         opts,
 		records:      shard.NewUnboundedMap[string, *record](shards, shard.StringHash),
--- a/coordination/quarantine/table.go
+++ b/coordination/quarantine/table.go
@@ -7,6 +7,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/state/defaults"
 )
 
 // Defaults of Options.
@@ -62,15 +64,9 @@
 
 // NewTable returns an empty table.
 func NewTable(opts Options) *Table {
-	if opts.MaxRecords <= 0 {
-		opts.MaxRecords = DefaultMaxRecords
-	}
-	if opts.Period <= 0 {
-		opts.Period = DefaultPeriod
-	}
-	if opts.ClaimLease <= 0 {
-		opts.ClaimLease = DefaultClaimLease
-	}
+	defaults.Positive(&opts.MaxRecords, DefaultMaxRecords)
+	defaults.Positive(&opts.Period, DefaultPeriod)
+	defaults.Positive(&opts.ClaimLease, DefaultClaimLease)
 	return &Table{
 		opts: opts, records: make(map[Fingerprint]*record), inFlight: make(map[string]Attempt),
 		byRequest: make(map[Fingerprint]int), byTarget: make(map[Target]map[string]Fingerprint),
--- a/coordination/replica/options.go
+++ b/coordination/replica/options.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
+	"github.com/tarragonhoist/tarragonhoist/state/defaults"
 )
 
 const (
@@ -151,18 +152,10 @@
 	if o.OnEvent == nil {
 		o.OnEvent = func(EventKind, string) {}
 	}
-	if o.SnapshotEvery == 0 {
-		o.SnapshotEvery = defaultSnapshotEvery
-	}
-	if o.SnapshotBytes <= 0 {
-		o.SnapshotBytes = defaultSnapshotBytes
-	}
-	if o.FetchInterval <= 0 {
-		o.FetchInterval = defaultFetchInterval
-	}
-	if o.ProposeTimeout <= 0 {
-		o.ProposeTimeout = defaultProposeTimeout
-	}
+	defaults.Positive(&o.SnapshotEvery, defaultSnapshotEvery)
+	defaults.Positive(&o.SnapshotBytes, defaultSnapshotBytes)
+	defaults.Positive(&o.FetchInterval, defaultFetchInterval)
+	defaults.Positive(&o.ProposeTimeout, defaultProposeTimeout)
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
--- a/coordination/retry/retry.go
+++ b/coordination/retry/retry.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/tarragonhoist/tarragonhoist/state/defaults"
 	"github.com/tarragonhoist/tarragonhoist/state/shard"
 )
 
@@ -44,24 +45,12 @@
 }
 
 func (o *Options) setDefaults() {
-	if o.Ratio <= 0 {
-		o.Ratio = defaultRatio
-	}
-	if o.Minimum <= 0 {
-		o.Minimum = defaultMinimum
-	}
-	if o.MaxAttempts <= 0 {
-		o.MaxAttempts = defaultMaxAttempts
-	}
-	if o.Capacity <= 0 {
-		o.Capacity = defaultCapacity
-	}
-	if o.BackoffBase <= 0 {
-		o.BackoffBase = defaultBackoffBase
-	}
-	if o.BackoffMax <= 0 {
-		o.BackoffMax = defaultBackoffMax
-	}
+	defaults.Positive(&o.Ratio, defaultRatio)
+	defaults.Positive(&o.Minimum, defaultMinimum)
+	defaults.Positive(&o.MaxAttempts, defaultMaxAttempts)
+	defaults.Positive(&o.Capacity, defaultCapacity)
+	defaults.Positive(&o.BackoffBase, defaultBackoffBase)
+	defaults.Positive(&o.BackoffMax, defaultBackoffMax)
 }
 
 // Attempt describes an attempt that did not succeed.
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/state/defaults"
 )
 
 const (
@@ -89,9 +91,7 @@
 
 // Open reads the log in dir, which is created when it does not exist.
 func Open(dir string, opts Options) (*Log, State, error) {
-	if opts.SegmentBytes <= 0 {
-		opts.SegmentBytes = defaultSegmentBytes
-	}
+	defaults.Positive(&opts.SegmentBytes, defaultSegmentBytes)
 	if opts.sync == nil {
 		opts.sync = (*os.File).Sync
 	}
