--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -202,8 +202,8 @@
 	if hard == nil && len(entries) == 0 {
 		return nil
 	}
-	if l.failed != nil {
-		return errors.Wrap(l.failed, "write-ahead log failed earlier")
+	if err := l.usable(); err != nil {
+		return err
 	}
 	if err := l.checkOrder(entries); err != nil {
 		return err
@@ -220,6 +220,9 @@
 	return nil
 }
 
+// usable returns an error after Close and after a failed write, since a later sync can succeed without its data.
+func (l *Log) usable() error { return errors.Wrap(l.failed, "write-ahead log failed earlier") }
+
 func (l *Log) fail(err error) error {
 	l.failed = err
 	return err
@@ -257,14 +260,8 @@
 // SaveSnapshot writes a snapshot file of state that was applied, and deletes older snapshots and the segments that
 // hold only entries up to keepAfter. The entries after keepAfter stay readable.
 func (l *Log) SaveSnapshot(s Snapshot, keepAfter uint64) error {
-	if l.failed != nil {
-		return errors.Wrap(l.failed, "write-ahead log failed earlier")
-	}
-	if err := l.writeSnapshot(&s); err != nil {
-		return l.fail(err)
-	}
-	if err := l.startSegment(); err != nil {
-		return l.fail(err)
+	if err := l.beginSnapshot(&s); err != nil {
+		return err
 	}
 	if err := l.removeOld(s.Index, s.Term, min(keepAfter, s.Index)); err != nil {
 		return l.fail(err)
@@ -275,14 +272,8 @@
 // InstallSnapshot writes a snapshot file that replaces the whole log. The next entry must follow the snapshot. The
 // hard state is written in the same frame as the end of the old log.
 func (l *Log) InstallSnapshot(s Snapshot, hard HardState) error {
-	if l.failed != nil {
-		return errors.Wrap(l.failed, "write-ahead log failed earlier")
-	}
-	if err := l.writeSnapshot(&s); err != nil {
-		return l.fail(err)
-	}
-	if err := l.startSegment(); err != nil {
-		return l.fail(err)
+	if err := l.beginSnapshot(&s); err != nil {
+		return err
 	}
 	f := &frame{Hard: &hard, ResetTo: s.Index}
 	if err := l.writeFrame(f); err != nil {
@@ -295,6 +286,20 @@
 	return nil
 }
 
+// beginSnapshot writes the file of a snapshot and starts the segment that follows it.
+func (l *Log) beginSnapshot(s *Snapshot) error {
+	if err := l.usable(); err != nil {
+		return err
+	}
+	if err := l.writeSnapshot(s); err != nil {
+		return l.fail(err)
+	}
+	if err := l.startSegment(); err != nil {
+		return l.fail(err)
+	}
+	return nil
+}
+
 // removeOld deletes files that are no longer needed. Segments go oldest first, so that a crash leaves no gap.
 func (l *Log) removeOld(index, term, keepAfter uint64) error {
 	for len(l.segments) > 1 && l.segments[0].maxIndex <= keepAfter {
