--- a/coordination/raft/types.go
+++ b/coordination/raft/types.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/state/defaults"
 )
 
 const (
@@ -185,11 +187,11 @@
 	if c.Rand == nil {
 		return errors.New("raft: random number generator is missing")
 	}
-	setDefault(&c.ElectionTimeout, defaultElectionTimeout)
-	setDefault(&c.HeartbeatInterval, defaultHeartbeatInterval)
-	setDefault(&c.MaxEntryBytes, defaultMaxEntryBytes)
-	setDefault(&c.MaxMessageBytes, defaultMaxMessageBytes)
-	setDefault(&c.MaxInflight, defaultMaxInflight)
+	defaults.Positive(&c.ElectionTimeout, defaultElectionTimeout)
+	defaults.Positive(&c.HeartbeatInterval, defaultHeartbeatInterval)
+	defaults.Positive(&c.MaxEntryBytes, defaultMaxEntryBytes)
+	defaults.Positive(&c.MaxMessageBytes, defaultMaxMessageBytes)
+	defaults.Positive(&c.MaxInflight, defaultMaxInflight)
 	if c.HeartbeatInterval >= c.ElectionTimeout {
 		return errors.Errorf("raft: heartbeat interval %v is not below the election timeout %v",
 			c.HeartbeatInterval, c.ElectionTimeout)
@@ -197,12 +199,6 @@
 	return nil
 }
 
-func setDefault[T int | time.Duration](v *T, d T) {
-	if *v <= 0 {
-		*v = d
-	}
-}
-
 // SavedState is what the disk held when the process started. Entries are contiguous; they may start before the end of
 // the snapshot.
 type SavedState struct {
