transport/peer: split the tests by what they guard against

The network of the tests, violations of the protocol, faults of links, limits and TLS are now in files of their own; no test changed.

--- /dev/null
+++ b/transport/peer/faults_test.go
@@ -0,0 +1,152 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/binary"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/standin/relay"
+)
+
+// Guards against waiting for ever on a peer that is frozen or gone without closing its connection.
+func TestFrozenPeers(t *testing.T) {
+	quick := func(o *Options) {
+		o.PingInterval, o.PingTimeout, o.DialTimeout = 5*time.Millisecond, 50*time.Millisecond, 300*time.Millisecond
+	}
+	for _, c := range []struct {
+		name   string
+		greets bool
+		want   string
+		notRun bool
+	}{
+		{"frozen before the handshake", false, "handshake with b", true},
+		{"frozen after the handshake", true, "connection to b ended", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := newNetwork()
+			l := listen(t)
+			n.set("b", l.Addr().String())
+			go func() {
+				conn, err := l.Accept()
+				if err != nil {
+					return
+				}
+				t.Cleanup(func() { _ = conn.Close() }) // open and silent until then
+				if !c.greets {
+					return
+				}
+				reader := bufio.NewReader(conn)
+				header := make([]byte, headerBytes)
+				_, _ = io.ReadFull(reader, header)
+				_, _ = reader.Discard(int(binary.BigEndian.Uint32(header)))
+				_, _ = conn.Write(rawFrame(`{"jsonrpc":"2.0","id":0,"result":{"receiver":"b","incarnation":1}}`))
+			}()
+			a := n.start(t, "a", quick)
+			err := a.Call(t.Context(), "b", "echo", 1, nil)
+			if err == nil || !strings.Contains(err.Error(), c.want) || NotRun(err) != c.notRun {
+				t.Errorf("error %v, not run %v", err, NotRun(err))
+			}
+		})
+	}
+	t.Run("half-open inbound", func(t *testing.T) {
+		n := newNetwork()
+		n.set("a", "-")
+		b := n.start(t, "b", quick)
+		for _, first := range [][]byte{rawHello("1"), nil} {
+			conn, err := net.Dial("tcp", b.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = conn.Write(first)
+			_ = conn.SetReadDeadline(time.Now().Add(bound))
+			if _, err := io.ReadAll(conn); err != nil {
+				t.Errorf("the connection was not closed: %v", err)
+			}
+		}
+	})
+}
+
+// Guards against an instance that is locked out for ever because its clock was set back.
+func TestOlderIncarnationIsAdmittedAfterAWhile(t *testing.T) {
+	n := newNetwork()
+	b := n.start(t, "b", nil)
+	a := n.start(t, "a", nil)
+	b.known.Add("a", knownIncarnation{9, time.Now().Add(-incarnationMemory - time.Second)})
+	if err := a.Call(t.Context(), "b", "echo", 1, nil); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against links that do not recover from a restart, and against an old process that takes over from its successor.
+func TestRestartWithNewIncarnation(t *testing.T) {
+	n := newNetwork()
+	a := n.start(t, "a", nil)
+	b := n.start(t, "b", nil)
+	var got echo
+	call := func(from *node, to string) bool { return from.Call(t.Context(), to, "echo", 1, &got) == nil }
+	if !call(b, "a") {
+		t.Fatal("first call failed")
+	}
+	b.stop()
+	b2 := n.start(t, "b", func(o *Options) { o.Incarnation = 2 })
+	eventually(t, "the restarted peer is reached", func() bool { return call(a, "b") })
+	if !call(b2, "a") || got.From != (Sender{"b", 2}) {
+		t.Errorf("the restarted peer is seen as %+v", got.From)
+	}
+	old := n.startOn(t, "b", listen(t), nil)
+	err := old.Call(t.Context(), "a", "echo", 1, nil)
+	if err == nil || !strings.Contains(err.Error(), `incarnation 1 of "b" is older than 2`) {
+		t.Errorf("old incarnation: %v", err)
+	}
+	if !call(b2, "a") {
+		t.Error("the old incarnation disturbed its successor")
+	}
+}
+
+// Guards against links that do not recover after a cut or a long freeze, and against calls that wait for a frozen link
+// without end.
+func TestLinkFaultsHeal(t *testing.T) {
+	n := newNetwork()
+	b := n.start(t, "b", nil)
+	r, err := relay.New(b.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Close() }()
+	n.set("b", r.Addr())
+	a := n.start(t, "a", func(o *Options) {
+		o.PingInterval, o.PingTimeout, o.DialTimeout = 5*time.Millisecond, 50*time.Millisecond, 100*time.Millisecond
+	})
+	reached := func() bool { return a.Call(t.Context(), "b", "echo", 1, nil) == nil }
+	// A link without use is not dialled, so calls go on until the report.
+	reported := func(kind EventKind) func() bool {
+		return func() bool {
+			_ = reached()
+			select {
+			case e := <-a.events:
+				if e.Kind != kind || e.Peer != "b" {
+					t.Errorf("reported %+v", e)
+				}
+				return true
+			default:
+				return false
+			}
+		}
+	}
+	for _, c := range []struct {
+		name  string
+		fault func()
+	}{{"cut", r.Cut}, {"freeze", r.Freeze}} {
+		eventually(t, "the peer is reached before the "+c.name, reached)
+		c.fault()
+		eventually(t, "the call fails after the "+c.name, func() bool { return !reached() })
+		eventually(t, "report of the "+c.name, reported(Unreachable))
+		r.Heal()
+		eventually(t, "report of the recovery after the "+c.name, reported(Reachable))
+	}
+}
--- /dev/null
+++ b/transport/peer/limits_test.go
@@ -0,0 +1,165 @@
+package peer
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
+)
+
+// Guards against a sender that fills the memory of its receiver with notifications or calls.
+func TestInboundBytesAreBounded(t *testing.T) {
+	n := newNetwork()
+	a := n.start(t, "a", func(o *Options) { o.BytesPerSecond, o.QueueBytes, o.BurstBytes = 1<<30, 64<<20, 64<<20 })
+	b := n.start(t, "b", nil)
+	entered, release := make(chan struct{}, 64), make(chan struct{})
+	block := func(context.Context, Sender, json.RawMessage) (any, error) {
+		entered <- struct{}{}
+		<-release
+		return nil, nil
+	}
+	b.Handle(peerapi.MethodGossip, block)
+	b.Handle("block", block)
+	large := strings.Repeat("x", 1_000_000)
+	for range 5 {
+		if err := a.Notify("b", peerapi.MethodGossip, large); err != nil {
+			t.Fatal(err)
+		}
+	}
+	// One notification is with its handler, two fit into the queue.
+	eventually(t, "old notifications are dropped", func() bool { return b.metrics.dropped.Count() == 2 })
+	results := make(chan error, 5)
+	for range 5 {
+		go func() { results <- a.Call(context.Background(), "b", "block", large, nil) }()
+	}
+	if err := wait(t, results, "refused call"); !NotRun(err) || !strings.Contains(err.Error(), "4 calls with 4000008 bytes") {
+		t.Errorf("call beyond the bound: %v", err)
+	}
+	close(release)
+	for range 4 {
+		if err := wait(t, results, "call within the bound"); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Guards against notifications out of order, and against queues without a bound or that keep old messages.
+func TestNotificationsDropOldest(t *testing.T) {
+	n := newNetwork()
+	l := listen(t)
+	n.set("b", l.Addr().String())
+	a := n.start(t, "a", func(o *Options) { o.QueueLength = 8 })
+	// The kernel accepts the connection, but nobody shakes hands before startOn.
+	for i := range 20 {
+		if err := a.Notify("b", peerapi.MethodRaftMessage, i); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := a.Notify("b", peerapi.MethodRaftMessage, strings.Repeat("x", peerapi.MaxFrameBytes)); !errors.Is(err, ErrFrameTooLarge) {
+		t.Errorf("large notification: %v", err)
+	}
+	got := make(chan string, 64)
+	tr, err := New(Options{Cluster: "chinook", Self: "b", Incarnation: 1, Resolve: n.resolve})
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr.Handle(peerapi.MethodRaftMessage, func(_ context.Context, _ Sender, params json.RawMessage) (any, error) {
+		got <- string(params)
+		return nil, nil
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- tr.Serve(ctx, l) }()
+	for _, want := range []string{"12", "13", "14", "15", "16", "17", "18", "19"} {
+		if s := wait(t, got, "notification "+want); s != want {
+			t.Errorf("got notification %s, want %s", s, want)
+		}
+	}
+	if dropped := a.metrics.dropped.Count(); dropped != 12 {
+		t.Errorf("%d messages counted as dropped, want 12", dropped)
+	}
+	cancel()
+	if err := wait(t, ended, "end of Serve"); err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against consensus and lease messages that wait behind bulk ones for the byte limit.
+func TestUrgentPassesBulk(t *testing.T) {
+	n := newNetwork()
+	a := n.start(t, "a", func(o *Options) { o.BytesPerSecond, o.BurstBytes = 1, peerapi.MaxFrameBytes+headerBytes })
+	b := n.start(t, "b", nil)
+	bulk := make(chan struct{}, 16)
+	b.Handle(peerapi.MethodGossip, func(context.Context, Sender, json.RawMessage) (any, error) {
+		bulk <- struct{}{}
+		return nil, nil
+	})
+	b.Handle(peerapi.MethodControlVote, func(context.Context, Sender, json.RawMessage) (any, error) { return 1, nil })
+	for range 3 {
+		if err := a.Notify("b", peerapi.MethodGossip, strings.Repeat("x", 700_000)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wait(t, bulk, "first bulk message")
+	for range 5 {
+		if err := a.Call(t.Context(), "b", peerapi.MethodControlVote, 1, nil); err != nil {
+			t.Error(err)
+		}
+	}
+	if len(bulk) > 0 {
+		t.Error("the byte limit let a second bulk message pass")
+	}
+	if a.metrics.sentBytes.Count() < 700_000 || b.metrics.receivedMessages.Count() < 6 {
+		t.Error("the counters miss traffic")
+	}
+}
+
+// Guards against links that keep bytes of the limit which they no longer need.
+func TestClosedLinkReturnsItsBytes(t *testing.T) {
+	n := newNetwork()
+	a := n.start(t, "a", func(o *Options) { o.BytesPerSecond, o.BurstBytes = 10_000, peerapi.MaxFrameBytes+headerBytes })
+	bulk := make(chan struct{}, 16)
+	count := func(context.Context, Sender, json.RawMessage) (any, error) {
+		bulk <- struct{}{}
+		return nil, nil
+	}
+	nodes := []*node{n.start(t, "b", nil), n.start(t, "c", nil)}
+	for _, node := range nodes {
+		node.Handle(peerapi.MethodGossip, count)
+	}
+	for range 2 { // the second one must wait for 35 s
+		if err := a.Notify("b", peerapi.MethodGossip, strings.Repeat("x", 700_000)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	wait(t, bulk, "first bulk message")
+	eventually(t, "the second message has booked its bytes", func() bool { return a.limit.limiter.Tokens() < 0 })
+	nodes[0].stop()
+	eventually(t, "the bytes are returned", func() bool { return a.limit.limiter.Tokens() > 0 })
+	if err := a.Notify("c", peerapi.MethodGossip, strings.Repeat("x", 100_000)); err != nil {
+		t.Fatal(err)
+	}
+	wait(t, bulk, "message on the other link")
+}
+
+// Guards against idle connections that stay open, and against calls that fail because one was closed.
+func TestIdleConnectionIsClosedAndReopened(t *testing.T) {
+	n := newNetwork()
+	a := n.start(t, "a", func(o *Options) { o.IdleTimeout, o.PingInterval = time.Millisecond, time.Millisecond })
+	b := n.start(t, "b", nil)
+	for range 20 {
+		if err := a.Call(t.Context(), "b", "echo", 1, nil); err != nil {
+			t.Fatal(err)
+		}
+		eventually(t, "the connection is closed", func() bool {
+			b.mu.Lock()
+			defer b.mu.Unlock()
+			return len(b.connections) == 0 && len(b.inbound) == 0
+		})
+	}
+}
