--- a/state/catalog/check.go
+++ b/state/catalog/check.go
@@ -10,31 +10,18 @@
 // Check applies a note to a copy of the contents and lists every conflict with what is in force.
 func Check(in *Contents, note *releasenote.Note) (*Contents, []tomlfile.Finding) {
 	c := &check{next: in.clone()}
-	for i, m := range note.Models {
-		key := fmt.Sprintf("model[%d].name", i)
-		if c.action(key, "model", m.Name, m.Action, has(c.next.Models, m.Name)) {
-			applyItem(c.next.Models, m.Name, m.Action, m)
-		}
-	}
-	for i, a := range note.Adapters {
-		key := fmt.Sprintf("adapter[%d].name", i)
-		id := AdapterKey(a.Model, a.Name)
-		if c.action(key, "adapter", id, a.Action, has(c.next.Adapters, id)) {
-			applyItem(c.next.Adapters, id, a.Action, a)
-		}
-	}
-	for i, s := range note.Services {
-		key := fmt.Sprintf("service[%d].name", i)
-		if c.action(key, "service", s.Name, s.Action, has(c.next.Services, s.Name)) {
-			applyItem(c.next.Services, s.Name, s.Action, s)
-		}
-	}
-	for i, caller := range note.Callers {
-		key := fmt.Sprintf("caller[%d].name", i)
-		if c.action(key, "caller", caller.Name, caller.Action, has(c.next.Callers, caller.Name)) {
-			applyItem(c.next.Callers, caller.Name, caller.Action, caller)
-		}
-	}
+	applyItems(c, "model", note.Models, c.next.Models, func(m *releasenote.Model) (string, releasenote.Action) {
+		return m.Name, m.Action
+	})
+	applyItems(c, "adapter", note.Adapters, c.next.Adapters, func(a *releasenote.Adapter) (string, releasenote.Action) {
+		return AdapterKey(a.Model, a.Name), a.Action
+	})
+	applyItems(c, "service", note.Services, c.next.Services, func(s *releasenote.Service) (string, releasenote.Action) {
+		return s.Name, s.Action
+	})
+	applyItems(c, "caller", note.Callers, c.next.Callers, func(caller *releasenote.Caller) (string, releasenote.Action) {
+		return caller.Name, caller.Action
+	})
 	c.references(note)
 	return c.next, c.findings
 }
@@ -83,10 +70,18 @@
 	return ok
 }
 
-func applyItem[V any](items map[string]V, name string, action releasenote.Action, value V) {
-	if action == releasenote.Withdraw {
-		delete(items, name)
-		return
+// applyItems applies the entries of one kind to the items in force, in the order of the note, and reports those that
+// conflict. identify returns the key of an entry in items and its action.
+func applyItems[V any](c *check, kind string, entries []V, items map[string]V, identify func(*V) (string, releasenote.Action)) {
+	for i := range entries {
+		name, action := identify(&entries[i])
+		if !c.action(fmt.Sprintf("%s[%d].name", kind, i), kind, name, action, has(items, name)) {
+			continue
+		}
+		if action == releasenote.Withdraw {
+			delete(items, name)
+		} else {
+			items[name] = entries[i]
+		}
 	}
-	items[name] = value
 }
