--- a/coordination/calls/dispatcher_test.go
+++ b/coordination/calls/dispatcher_test.go
@@ -23,57 +23,81 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			d, announced, err := New(start, Options{Instance: "i0", Incarnation: 1})
-			if err != nil || len(announced.Proposals) != 1 {
-				t.Fatal(announced, err)
-			}
-			ledger := callledger.New()
+			p := newSingleProcess(t, start)
 			call := Call{Key: callledger.CallKey{Caller: "c", Service: "s", Key: "k"}, Digest: callledger.Digest("POST", "/", nil)}
-			attempt, out, _ := d.Begin(start, call)
+			attempt, out, _ := p.d.Begin(start, call)
 			if test.cancel {
-				d.Cancel(attempt)
-			}
-			now := start.Add(test.after)
-			commit := func(p Propose) Actions {
-				result, err := ledger.Apply(1, p.Command)
-				if err != nil {
-					t.Fatal(err)
-				}
-				out, err := d.ProposalDone(now, p.ID, Committed, result)
-				if err != nil {
-					t.Fatal(err)
-				}
-				return out
+				p.d.Cancel(attempt)
 			}
-			granted := commit(out.Proposals[0])
-			if len(granted.Dispatch) != test.dispatch || len(commit(out.Proposals[0]).Dispatch) != 0 {
+			p.now = start.Add(test.after)
+			granted := p.commit(out.Proposals[0])
+			if len(granted.Dispatch) != test.dispatch || len(p.commit(out.Proposals[0]).Dispatch) != 0 {
 				t.Fatalf("dispatched %v", granted.Dispatch)
 			}
 			if test.dispatch == 0 {
-				told := commit(granted.Proposals[0])
-				if len(told.Tells) != 1 || told.Tells[0].Result.Outcome != api.Refused || d.Pending() != 0 {
-					t.Fatalf("told %v", told.Tells)
-				}
-				if _, held := ledger.Lookup(call.Key); held {
-					t.Fatal("the key was not released")
-				}
-				return
-			}
-			answered, err := d.AttemptDone(now, attempt, AnswerReceived, &callledger.Answer{Status: 200})
-			if err != nil || len(answered.Proposals) != 1 {
-				t.Fatal(answered, err)
-			}
-			if again, _ := d.AttemptDone(now, attempt, WrittenNoAnswer, nil); len(again.Proposals) != 0 {
-				t.Fatal("a second outcome of the attempt was taken")
-			}
-			now = now.Add(tellDelay)
-			late, err := d.Tick(now) // the log does not answer, the caller still gets the answer
-			if err != nil || len(late.Tells) != 1 || late.Tells[0].Answer == nil {
-				t.Fatal(late, err)
-			}
-			if done := commit(answered.Proposals[0]); len(done.Tells) != 0 || d.Pending() != 0 {
-				t.Fatal("the caller was told twice")
+				p.checkReleased(granted, call.Key)
+			} else {
+				p.checkAnsweredOnce(attempt)
 			}
 		})
 	}
 }
+
+// singleProcess is one dispatcher whose proposals are committed at once to a ledger that no other process uses.
+type singleProcess struct {
+	t      *testing.T
+	d      *Dispatcher
+	ledger *callledger.Machine
+	now    time.Time
+}
+
+func newSingleProcess(t *testing.T, start time.Time) *singleProcess {
+	d, announced, err := New(start, Options{Instance: "i0", Incarnation: 1})
+	if err != nil || len(announced.Proposals) != 1 {
+		t.Fatal(announced, err)
+	}
+	return &singleProcess{t: t, d: d, ledger: callledger.New(), now: start}
+}
+
+// commit applies a proposal to the ledger and reports the outcome to the dispatcher.
+func (p *singleProcess) commit(proposal Propose) Actions {
+	result, err := p.ledger.Apply(1, proposal.Command)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	out, err := p.d.ProposalDone(p.now, proposal.ID, Committed, result)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return out
+}
+
+// checkReleased checks a grant that was not used: the caller is refused and the key is free again.
+func (p *singleProcess) checkReleased(granted Actions, key callledger.CallKey) {
+	told := p.commit(granted.Proposals[0])
+	if len(told.Tells) != 1 || told.Tells[0].Result.Outcome != api.Refused || p.d.Pending() != 0 {
+		p.t.Fatalf("told %v", told.Tells)
+	}
+	if _, held := p.ledger.Lookup(key); held {
+		p.t.Fatal("the key was not released")
+	}
+}
+
+// checkAnsweredOnce answers an attempt and checks that the caller gets the answer once, although the log is late.
+func (p *singleProcess) checkAnsweredOnce(attempt string) {
+	answered, err := p.d.AttemptDone(p.now, attempt, AnswerReceived, &callledger.Answer{Status: 200})
+	if err != nil || len(answered.Proposals) != 1 {
+		p.t.Fatal(answered, err)
+	}
+	if again, _ := p.d.AttemptDone(p.now, attempt, WrittenNoAnswer, nil); len(again.Proposals) != 0 {
+		p.t.Fatal("a second outcome of the attempt was taken")
+	}
+	p.now = p.now.Add(tellDelay)
+	late, err := p.d.Tick(p.now) // the log does not answer, the caller still gets the answer
+	if err != nil || len(late.Tells) != 1 || late.Tells[0].Answer == nil {
+		p.t.Fatal(late, err)
+	}
+	if done := p.commit(answered.Proposals[0]); len(done.Tells) != 0 || p.d.Pending() != 0 {
+		p.t.Fatal("the caller was told twice")
+	}
+}
