coordination/replica: split the load test into proposers, failures and checks

Its comment claimed load from every instance; the proposals come from one instance that is not a voter, as before.

--- a/coordination/replica/group_test.go
+++ b/coordination/replica/group_test.go
@@ -425,7 +425,7 @@
 }
 
 // Guards against lost, repeated or differently ordered commands while processes are killed, disks are lost and
-// messages disappear under load from every instance.
+// messages disappear under load from an instance that is not a voter.
 func TestLoadWithFailures(t *testing.T) {
 	for seed := range uint64(4) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
@@ -444,26 +444,7 @@
 	random := rand.New(rand.NewPCG(seed, 7))
 	losses := rand.New(rand.NewPCG(seed, 8)) // used under the lock of the network
 	c.set(func() { c.loss = func(*raft.Message) bool { return losses.IntN(20) == 0 } })
-	var wg sync.WaitGroup
-	var mu sync.Mutex
-	accepted, refused := map[string]bool{}, map[string]bool{}
-	g := c.instances["learner"]
-	for proposer := range 4 {
-		wg.Go(func() {
-			for i := range 60 {
-				time.Sleep(time.Duration(100*proposer+i) * time.Millisecond)
-				command := fmt.Sprint(proposer, "-", i)
-				// Two of the proposers give up early, so that all three outcomes occur.
-				limit := []time.Duration{time.Minute, 40 * time.Millisecond}[proposer%2]
-				ctx, cancel := context.WithTimeout(context.Background(), limit)
-				_, err := g.Propose(ctx, []byte(command))
-				cancel()
-				mu.Lock()
-				accepted[command], refused[command] = err == nil, errors.Is(err, ErrNoQuorum)
-				mu.Unlock()
-			}
-		})
-	}
+	outcomes := startLoad(c.instances["learner"])
 	for range 12 {
 		name := c.voters[random.IntN(3)]
 		if random.IntN(3) == 0 {
@@ -475,24 +456,59 @@
 		}
 		c.awaitVoters("a", "b", "c")
 	}
-	wg.Wait()
+	outcomes.done.Wait()
 	c.set(func() { c.loss = nil })
 	if err := c.instances["learner"].Barrier(context.Background()); err != nil {
 		t.Fatal(err)
 	}
 	want := c.instances["learner"].machine.list()
 	c.awaitCommands(want, "a", "b", "c")
+	outcomes.check(t, want)
+}
+
+// loadOutcomes is what several proposers of one instance learned about their commands.
+type loadOutcomes struct {
+	done              sync.WaitGroup
+	mu                sync.Mutex
+	accepted, refused map[string]bool
+}
+
+// startLoad proposes commands while the cluster suffers failures.
+func startLoad(g *instance) *loadOutcomes {
+	l := &loadOutcomes{accepted: map[string]bool{}, refused: map[string]bool{}}
+	for proposer := range 4 {
+		l.done.Go(func() {
+			for i := range 60 {
+				time.Sleep(time.Duration(100*proposer+i) * time.Millisecond)
+				command := fmt.Sprint(proposer, "-", i)
+				// Two of the proposers give up early, so that all three outcomes occur.
+				limit := []time.Duration{time.Minute, 40 * time.Millisecond}[proposer%2]
+				ctx, cancel := context.WithTimeout(context.Background(), limit)
+				_, err := g.Propose(ctx, []byte(command))
+				cancel()
+				l.mu.Lock()
+				l.accepted[command], l.refused[command] = err == nil, errors.Is(err, ErrNoQuorum)
+				l.mu.Unlock()
+			}
+		})
+	}
+	return l
+}
+
+// check compares the outcomes with the commands that were applied: none twice, no accepted one lost and no refused one
+// applied.
+func (l *loadOutcomes) check(t *testing.T, applied []string) {
 	times := map[string]int{}
-	for _, command := range want {
+	for _, command := range applied {
 		times[command]++
 	}
-	t.Logf("%d commands, %d applied", len(accepted), len(want))
-	if len(want) < len(accepted)/2 {
-		t.Errorf("only %d of %d commands were applied", len(want), len(accepted))
+	t.Logf("%d commands, %d applied", len(l.accepted), len(applied))
+	if len(applied) < len(l.accepted)/2 {
+		t.Errorf("only %d of %d commands were applied", len(applied), len(l.accepted))
 	}
-	for command, ok := range accepted {
-		if times[command] > 1 || ok && times[command] == 0 || refused[command] && times[command] > 0 {
-			t.Errorf("command %s: accepted %v, refused %v, applied %d times", command, ok, refused[command], times[command])
+	for command, ok := range l.accepted {
+		if times[command] > 1 || ok && times[command] == 0 || l.refused[command] && times[command] > 0 {
+			t.Errorf("command %s: accepted %v, refused %v, applied %d times", command, ok, l.refused[command], times[command])
 		}
 	}
 }
