--- a/coordination/membership/entry.go
+++ b/coordination/membership/entry.go
@@ -293,15 +293,15 @@
 	// entry is nil while only a leaving notice of the incarnation is known. It is read without the lock.
 	entry       atomic.Pointer[Entry]
 	incarnation uint64
-	// sequence is the one of the content, alive the highest that extended the lease.
-	sequence uint64
-	alive    uint64
-	leaving  bool
+	// sequence is the one of the content, leaseSequence the highest that extended the lease.
+	sequence      uint64
+	leaseSequence uint64
+	leaving       bool
 	// leavingSince is when the leaving incarnation was first known to an instance.
 	leavingSince time.Time
-	// gone is set once the expiry was reported; goneAt is when the lease ended.
-	gone   bool
-	goneAt time.Time
+	// expired is set once the expiry was reported; expiredAt is when the lease ended.
+	expired   bool
+	expiredAt time.Time
 	// changed is the number of the latest change of the content or of leaving.
 	changed uint64
 	// previous is the last entry with the content before the current one of the same incarnation, and changedAt the
--- a/coordination/membership/gossip_merge.go
+++ b/coordination/membership/gossip_merge.go
@@ -239,7 +239,7 @@
 // previous content, and where its leaving is known its content is another one.
 func (t *Table) extend(target string, r renewal, received time.Time, load targetapi.LoadReport) (change Change) {
 	t.updateContent(target, r.Previous, func(rec *record, entry *Entry) {
-		if r.Sequence > rec.alive {
+		if r.Sequence > rec.leaseSequence {
 			change = t.replaceLoad(rec, entry, r.Sequence, received, load)
 		}
 	})
@@ -251,13 +251,13 @@
 func (t *Table) replaceLoad(rec *record, entry *Entry, sequence uint64, received time.Time, load targetapi.LoadReport) Change {
 	a := &entry.Announcement
 	change := Change{Kind: Renewed, Target: a.Target, Incarnation: a.Incarnation}
-	if rec.gone {
+	if rec.expired {
 		change.Kind = Added
 	}
-	if sequence <= rec.alive {
+	if sequence <= rec.leaseSequence {
 		received = entry.ReceivedAt
 	}
-	rec.alive = max(rec.alive, sequence)
+	rec.leaseSequence = max(rec.leaseSequence, sequence)
 	change.Entry = entry.withLoad(rec.sequence, load, received, t.opts.TargetLease)
 	t.publish(rec, change.Entry)
 	return change
--- a/coordination/membership/property_test.go
+++ b/coordination/membership/property_test.go
@@ -59,8 +59,8 @@
 
 // view is what an instance knows of a target: the announcements that its content and its lease come from.
 type view struct {
-	incarnation, sequence, alive uint64
-	received                     time.Time
+	incarnation, sequence, leaseSequence uint64
+	received                             time.Time
 }
 
 func newNetwork(t *rapid.T) *network {
@@ -157,13 +157,13 @@
 	for i, table := range n.tables {
 		for _, entry := range table.All() {
 			rec, _ := table.records.Get(entry.Announcement.Target)
-			v := view{entry.Announcement.Incarnation, entry.Announcement.Sequence, rec.alive, entry.ReceivedAt}
+			v := view{entry.Announcement.Incarnation, entry.Announcement.Sequence, rec.leaseSequence, entry.ReceivedAt}
 			here := fmt.Sprintf("%d:%s", i, entry.Announcement.Target)
 			if old, ok := n.seen[here]; ok && v.incarnation <= old.incarnation {
-				if v.incarnation < old.incarnation || v.sequence < old.sequence || v.alive < old.alive {
+				if v.incarnation < old.incarnation || v.sequence < old.sequence || v.leaseSequence < old.leaseSequence {
 					n.t.Fatalf("instance %d went back from %v to %v", i, old, v)
 				}
-				if v.alive == old.alive && !v.received.Equal(old.received) {
+				if v.leaseSequence == old.leaseSequence && !v.received.Equal(old.received) {
 					n.t.Fatalf("instance %d renewed %s by a repeated message", i, here)
 				}
 			}
--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -161,7 +161,7 @@
 	previous := rec.entry.Load()
 	sameIncarnation := a.Incarnation == rec.incarnation
 	a.Leaving = a.Leaving || sameIncarnation && rec.leaving
-	if sameIncarnation && previous != nil && a.Sequence <= rec.alive {
+	if sameIncarnation && previous != nil && a.Sequence <= rec.leaseSequence {
 		received = previous.ReceivedAt // the lease was extended for this or a later announcement already
 	}
 	entry, err := newEntry(a, received, t.opts.TargetLease)
@@ -177,10 +177,10 @@
 		rec.leavingSince = received
 	}
 	if !sameIncarnation {
-		rec.alive = 0
+		rec.leaseSequence = 0
 	}
 	rec.incarnation, rec.sequence, rec.leaving = a.Incarnation, a.Sequence, a.Leaving
-	rec.alive = max(rec.alive, a.Sequence)
+	rec.leaseSequence = max(rec.leaseSequence, a.Sequence)
 	t.publish(rec, entry)
 	return change, nil
 }
@@ -192,7 +192,7 @@
 		return Replaced
 	case a.Leaving && !rec.leaving:
 		return Left
-	case previous == nil || rec.gone:
+	case previous == nil || rec.expired:
 		return Added
 	case previous.fingerprint != entry.fingerprint:
 		return Updated
@@ -208,7 +208,7 @@
 			change.Kind, change.FailedIncarnation = Replaced, rec.incarnation
 		}
 		t.unindex(rec)
-		rec.incarnation, rec.sequence, rec.alive, rec.gone = incarnation, 0, 0, false
+		rec.incarnation, rec.sequence, rec.leaseSequence, rec.expired = incarnation, 0, 0, false
 		rec.entry.Store(nil)
 	}
 	rec.leaving, rec.leavingSince = true, since
@@ -224,9 +224,9 @@
 		return Change{}, err
 	}
 	change.Entry = entry
-	gone := rec.gone
+	expired := rec.expired
 	t.publish(rec, entry)
-	rec.gone = gone // an expired target stays so, and its expiry is not reported again
+	rec.expired = expired // its expiry is not reported again
 	return change, nil
 }
 
@@ -247,10 +247,10 @@
 		}
 	}
 	var before []string
-	if previous != nil && !rec.gone {
+	if previous != nil && !rec.expired {
 		before = previous.keys
 	}
-	rec.gone = false
+	rec.expired = false
 	rec.entry.Store(entry)
 	if slices.Equal(before, entry.keys) {
 		return
@@ -275,7 +275,7 @@
 	}
 	t.fingerprints.Delete(entry.fingerprint)
 	t.supersede(entry)
-	if !rec.gone {
+	if !rec.expired {
 		for _, key := range entry.keys {
 			t.indexRemove(key, rec)
 		}
@@ -309,11 +309,11 @@
 	t.records.UpdateAll(func(items map[string]*record) {
 		for target, rec := range items {
 			entry := rec.entry.Load()
-			if entry != nil && !rec.gone && !now.Before(entry.ExpiresAt) {
+			if entry != nil && !rec.expired && !now.Before(entry.ExpiresAt) {
 				for _, key := range entry.keys {
 					t.indexRemove(key, rec)
 				}
-				rec.gone, rec.goneAt = true, entry.ExpiresAt
+				rec.expired, rec.expiredAt = true, entry.ExpiresAt
 				changes = append(changes, Change{Kind: Expired, Target: target, Incarnation: rec.incarnation, Entry: entry})
 			}
 			if t.forgettable(now, rec, entry) {
@@ -331,7 +331,7 @@
 	if entry == nil {
 		return now.Sub(rec.leavingSince) >= t.opts.Retention
 	}
-	return rec.gone && now.Sub(rec.goneAt) >= t.opts.Retention
+	return rec.expired && now.Sub(rec.expiredAt) >= t.opts.Retention
 }
 
 // Target returns the latest entry of a target until it is forgotten, also when it is leaving or expired.
@@ -417,7 +417,7 @@
 func (t *Table) All() []*Entry {
 	var all []*Entry
 	t.records.Range(func(_ string, rec *record) {
-		if entry := rec.entry.Load(); entry != nil && !rec.gone {
+		if entry := rec.entry.Load(); entry != nil && !rec.expired {
 			all = append(all, entry)
 		}
 	})
