--- a/coordination/replica/fetch.go
+++ b/coordination/replica/fetch.go
@@ -269,7 +269,7 @@
 	if response.Cluster != id.Cluster {
 		return errors.Errorf("the parent belongs to cluster %s, this instance to %s", response.Cluster, id.Cluster)
 	}
-	g.known = max(g.known, response.Applied)
+	g.knownCommit = max(g.knownCommit, response.Applied)
 	if err := learn(g.node); err != nil {
 		return errors.Wrap(err, fmt.Sprintf("response of a parent with applied index %d", response.Applied))
 	}
--- a/coordination/replica/group.go
+++ b/coordination/replica/group.go
@@ -45,10 +45,10 @@
 	heldParts  raft.Snapshot
 	heldUntil  time.Time
 	lastLeader string
-	// membership is a copy of the membership at memberAt, shared by all copies of the status.
-	membership raft.Membership
-	memberAt   uint64
-	known      uint64 // highest commit index heard of
+	// membership is a copy of the membership at membershipIndex, shared by all copies of the status.
+	membership      raft.Membership
+	membershipIndex uint64
+	knownCommit     uint64 // highest commit index heard of
 
 	mu      sync.Mutex
 	status  Status
@@ -66,7 +66,7 @@
 	if err := opts.complete(); err != nil {
 		return nil, err
 	}
-	store, saved, cut, err := openStorage(&opts)
+	store, saved, cutBytes, err := openStorage(&opts)
 	if err != nil {
 		return nil, errors.WithMessagef(err, "replica: group %s", opts.Name)
 	}
@@ -74,8 +74,8 @@
 		learned: make(chan struct{}, 1), done: make(chan struct{}), pending: make(map[string]*pending),
 		byIndex: make(map[uint64]*pending), reads: make(map[uint64]func(raft.ReadResult)),
 		applier: &applier{machine: opts.Machine, table: newProposalTable()}}
-	if cut > 0 {
-		opts.OnEvent(EventIncompleteRecord, fmt.Sprintf("%d bytes", cut))
+	if cutBytes > 0 {
+		opts.OnEvent(EventIncompleteRecord, fmt.Sprintf("%d bytes", cutBytes))
 	}
 	if err := g.start(saved); err != nil {
 		_ = store.close()
@@ -219,7 +219,7 @@
 		g.problem(fmt.Sprintf("%s belongs to cluster %s, this instance to %s", m.From, m.Cluster, id.Cluster))
 		return nil
 	}
-	g.known = max(g.known, m.Commit)
+	g.knownCommit = max(g.knownCommit, m.Commit)
 	if err := g.node.Step(now, m); err != nil {
 		g.opts.OnEvent(EventMessageRefused, err.Error())
 	}
@@ -326,9 +326,9 @@
 }
 
 func (g *Group) publish() {
-	changed := g.memberAt != g.node.MembershipIndex()
+	changed := g.membershipIndex != g.node.MembershipIndex()
 	if changed {
-		g.membership, g.memberAt = g.node.Membership(), g.node.MembershipIndex()
+		g.membership, g.membershipIndex = g.node.Membership(), g.node.MembershipIndex()
 	}
 	m := &g.membership
 	s := Status{ID: g.node.ID(), Cluster: g.store.identity.Cluster, Voter: m.IsVoter(g.node.ID()), Role: g.node.Role().String(),
@@ -337,8 +337,8 @@
 	if !g.opts.isVoter() {
 		s.Role = "learner"
 	}
-	heard := g.node.Leader() != "" || !g.opts.isVoter() && g.known > 0
-	s.CaughtUp = heard && s.Applied >= g.known
+	heard := g.node.Leader() != "" || !g.opts.isVoter() && g.knownCommit > 0
+	s.CaughtUp = heard && s.Applied >= g.knownCommit
 	g.mu.Lock()
 	s.Problem = g.status.Problem
 	if s.Voter {
