--- a/state/wal/segment.go
+++ b/state/wal/segment.go
@@ -232,7 +232,7 @@
 	if err := decoder.Unmarshal(payload, &f); err != nil {
 		return errors.Wrapf(ErrCorrupt, "decode: %v", err)
 	}
-	l.note(&f, s)
+	l.track(&f, s)
 	if f.ResetTo != 0 {
 		state.Entries = nil
 	}
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -174,7 +174,7 @@
 	if err := l.writeFrame(f); err != nil {
 		return err
 	}
-	l.note(f, &l.segments[len(l.segments)-1])
+	l.track(f, &l.segments[len(l.segments)-1])
 	state.Entries = nil
 	return nil
 }
@@ -216,7 +216,7 @@
 	if err := l.writeFrame(&frame{Hard: hard, Entries: entries}); err != nil {
 		return l.fail(err)
 	}
-	l.note(&frame{Hard: hard, Entries: entries}, &l.segments[len(l.segments)-1])
+	l.track(&frame{Hard: hard, Entries: entries}, &l.segments[len(l.segments)-1])
 	return nil
 }
 
@@ -240,8 +240,8 @@
 	return nil
 }
 
-// note updates the bounds of the log for a frame that was written or read.
-func (l *Log) note(f *frame, s *segment) {
+// track updates the bounds of the log for a frame that was written or read.
+func (l *Log) track(f *frame, s *segment) {
 	if f.Hard != nil {
 		l.hard = *f.Hard
 	}
@@ -279,7 +279,7 @@
 	if err := l.writeFrame(f); err != nil {
 		return l.fail(err)
 	}
-	l.note(f, &l.segments[len(l.segments)-1])
+	l.track(f, &l.segments[len(l.segments)-1])
 	if err := l.removeOld(s.Index, s.Term, ^uint64(0)); err != nil {
 		return l.fail(err)
 	}
