--- a/transport/peer/inbound.go
+++ b/transport/peer/inbound.go
@@ -90,10 +90,10 @@
 		in.queues[class].wake = make(chan struct{}, 1)
 	}
 	t.mu.Lock()
-	full := t.closed || len(t.connections) >= t.opts.MaxConnections || t.ungreeted >= maxUngreeted
+	full := t.closed || len(t.connections) >= t.opts.MaxConnections || t.handshaking >= maxHandshaking
 	if !full {
 		t.connections[in] = struct{}{}
-		t.ungreeted++
+		t.handshaking++
 		t.running.Go(in.serve)
 	}
 	t.mu.Unlock()
@@ -140,7 +140,7 @@
 	select {
 	case <-rpc.DisconnectNotify():
 	case <-ctx.Done():
-		if in.greeted() == nil && in.t.ctx.Err() == nil {
+		if in.peerHello() == nil && in.t.ctx.Err() == nil {
 			in.setReason(errors.Errorf("no handshake within %s", in.t.opts.DialTimeout))
 			break
 		}
@@ -157,7 +157,7 @@
 // report tells about a connection that ended for a violation.
 func (in *inbound) report(s *stream) {
 	name := in.conn.RemoteAddr().String()
-	if hello := in.greeted(); hello != nil {
+	if hello := in.peerHello(); hello != nil {
 		name = hello.Sender
 	}
 	in.mu.Lock()
@@ -176,12 +176,12 @@
 
 func (in *inbound) forget() {
 	_ = in.conn.Close()
-	hello := in.greeted()
+	hello := in.peerHello()
 	in.t.mu.Lock()
 	defer in.t.mu.Unlock()
 	delete(in.t.connections, in)
 	if hello == nil {
-		in.t.ungreeted--
+		in.t.handshaking--
 		return
 	}
 	if in.t.inbound[hello.Sender] == in {
@@ -198,7 +198,8 @@
 	}
 }
 
-func (in *inbound) greeted() *peerapi.Hello {
+// peerHello returns nil until the handshake is complete.
+func (in *inbound) peerHello() *peerapi.Hello {
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	return in.hello
@@ -217,15 +218,15 @@
 	if !req.Notif {
 		_ = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: peerapi.CodeRefused, Message: err.Error()})
 	}
-	in.stream.sayClosing(err)
+	in.stream.sendClosing(err)
 }
 
 // Handle implements jsonrpc2.Handler. It runs in the read loop and never waits for a handler.
 func (in *inbound) Handle(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
-	hello := in.greeted()
+	hello := in.peerHello()
 	switch {
 	case hello == nil:
-		in.greet(ctx, rpc, req)
+		in.handshake(ctx, rpc, req)
 		return
 	case req.Method == peerapi.MethodHello:
 		in.refuse(ctx, rpc, req, errors.New("the handshake is complete already"))
@@ -255,8 +256,8 @@
 	}
 }
 
-// greet checks the first request of a connection.
-func (in *inbound) greet(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
+// handshake checks the first request of a connection.
+func (in *inbound) handshake(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request) {
 	hello, err := in.checkHello(req)
 	if err == nil {
 		var old *inbound
@@ -318,7 +319,7 @@
 		newest = known.incarnation
 	}
 	if old != nil {
-		newest = max(newest, old.greeted().Incarnation)
+		newest = max(newest, old.peerHello().Incarnation)
 	}
 	if hello.Incarnation < newest {
 		return nil, errors.Errorf("incarnation %d of %q is older than %d, which connected before", hello.Incarnation,
@@ -326,7 +327,7 @@
 	}
 	t.known.Add(hello.Sender, knownIncarnation{hello.Incarnation, time.Now()})
 	t.inbound[hello.Sender] = in
-	t.ungreeted--
+	t.handshaking--
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.hello = hello
@@ -382,7 +383,7 @@
 }
 
 func (in *inbound) sender() Sender {
-	hello := in.greeted()
+	hello := in.peerHello()
 	return Sender{Name: hello.Sender, Incarnation: hello.Incarnation}
 }
 
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -41,9 +41,9 @@
 )
 
 const (
-	// maxUngreeted bounds inbound connections whose handshake is not complete, so that strangers cannot use up the
+	// maxHandshaking bounds inbound connections whose handshake is not complete, so that strangers cannot use up the
 	// limit for all connections.
-	maxUngreeted = 64
+	maxHandshaking = 64
 	// incarnationMemory is how long an older incarnation is refused after the last connection of a newer one. It ends,
 	// because an instance without a disk whose clock was set back could otherwise never return.
 	incarnationMemory = 10 * time.Minute
@@ -208,10 +208,10 @@
 	mu       sync.Mutex
 	handlers map[string]Handler
 	links    map[string]*link
-	// inbound holds the greeted connection of each sender.
+	// inbound holds, for each sender, the connection whose handshake is complete.
 	inbound     map[string]*inbound
 	connections map[*inbound]struct{}
-	ungreeted   int
+	handshaking int // connections whose handshake is not complete
 	known       *lru.Cache[string, knownIncarnation]
 	closed      bool
 	running     sync.WaitGroup
@@ -267,6 +267,7 @@
 	Cause      error
 }
 
+// Error says whether the call may have run.
 func (e *CallError) Error() string {
 	ran := "did not run"
 	if e.MayHaveRun {
@@ -284,6 +285,7 @@
 	Message string
 }
 
+// Error returns the message and the code of the peer.
 func (e *RemoteError) Error() string {
 	return fmt.Sprintf("peer answered: %s (code %d)", e.Message, e.Code)
 }
--- a/transport/peer/stream.go
+++ b/transport/peer/stream.go
@@ -285,7 +285,7 @@
 	if size > peerapi.MaxFrameBytes {
 		err := errors.Errorf("frame of %d bytes is larger than the limit of %d", size, peerapi.MaxFrameBytes)
 		s.t.metrics.oversize.Inc(1)
-		s.sayClosing(err)
+		s.sendClosing(err)
 		return err
 	}
 	data := make([]byte, size)
@@ -299,14 +299,14 @@
 	s.mu.Unlock()
 	if err := decode(data, v); err != nil {
 		err = errors.Wrap(err, "frame is not a JSON-RPC message")
-		s.sayClosing(err)
+		s.sendClosing(err)
 		return err
 	}
 	return nil
 }
 
-// sayClosing queues the reason for closing as the last frame and ends the sending direction.
-func (s *stream) sayClosing(violation error) {
+// sendClosing queues the reason for closing as the last frame and ends the sending direction.
+func (s *stream) sendClosing(violation error) {
 	data, err := json.Marshal(map[string]any{
 		"jsonrpc": "2.0", "method": peerapi.MethodClosing, "params": peerapi.Closing{Reason: violation.Error()},
 	})
