--- a/transport/httpapi/api.go
+++ b/transport/httpapi/api.go
@@ -124,6 +124,7 @@
 	err error
 }
 
+// Close implements io.Closer; the body is in memory already.
 func (b *bufferedBody) Close() error { return nil }
 
 // readBody returns the body of a request that limitBody has read.
--- a/transport/opsclient/client.go
+++ b/transport/opsclient/client.go
@@ -42,6 +42,7 @@
 	Detail api.ErrorDetail
 }
 
+// Error includes the status, the reason code and the message of the instance.
 func (e *ErrAnswer) Error() string {
 	return strconv.Itoa(e.Status) + " " + string(e.Detail.Code) + ": " + e.Detail.Message
 }
--- a/transport/targetclient/client.go
+++ b/transport/targetclient/client.go
@@ -57,11 +57,13 @@
 // ErrOverloaded means that the target refused the attempt because it is full. It did not run.
 type ErrOverloaded struct{ RetryAfter time.Duration }
 
+// Error implements error.
 func (e *ErrOverloaded) Error() string { return "the target is overloaded" }
 
 // ErrNotReady means that the target does not hold the model or is leaving. The attempt did not run.
 type ErrNotReady struct{ Message string }
 
+// Error includes the message of the target.
 func (e *ErrNotReady) Error() string { return "the target is not ready: " + e.Message }
 
 // ErrRejected means that the target found fault with the request itself.
@@ -70,6 +72,7 @@
 	Message string
 }
 
+// Error includes the status and the message of the target.
 func (e *ErrRejected) Error() string {
 	return "the target rejected the request with status " + strconv.Itoa(e.Status) + ": " + e.Message
 }
@@ -77,11 +80,13 @@
 // ErrNotConnected means that no connection could be made, so that the attempt did not run.
 type ErrNotConnected struct{ Cause error }
 
+// Error includes the cause.
 func (e *ErrNotConnected) Error() string { return "no connection to the target: " + e.Cause.Error() }
 
 // ErrBroken means that the connection ended before the answer did. The attempt may have run.
 type ErrBroken struct{ Cause error }
 
+// Error includes the cause.
 func (e *ErrBroken) Error() string { return "the connection to the target broke: " + e.Cause.Error() }
 
 // Attempt is one attempt at a model call.
