--- a/coordination/stream/splicer_test.go
+++ b/coordination/stream/splicer_test.go
@@ -12,68 +12,93 @@
 // they were given up, end early or carry the tokens of another request.
 func TestOutputIsWholeResponseOrExplicitError(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		length := rapid.IntRange(0, 40).Draw(t, "length")
-		token := func(i int) string { return fmt.Sprintf("t%d.", i) }
-		type attempt struct {
-			id       string
-			position int
-			foreign  bool
-		}
-		s := New()
-		var attempts []*attempt
-		var out []string
-		for step := 0; step < 400 && !s.Complete() && s.Err() == nil; step++ {
+		r := &response{t: t, s: New(), length: rapid.IntRange(0, 40).Draw(t, "length")}
+		for step := 0; step < 400 && !r.s.Complete() && r.s.Err() == nil; step++ {
 			action := rapid.IntRange(0, 19).Draw(t, "action")
-			if len(attempts) == 0 || s.NeedsAttempt() || action == 0 {
-				a := &attempt{id: fmt.Sprintf("a%d", len(attempts)), foreign: rapid.IntRange(0, 5).Draw(t, "foreign") == 0}
-				offset, err := s.Begin(a.id)
-				if errors.Is(err, ErrTooManyAttempts) {
-					s.Abort(err)
+			if len(r.attempts) == 0 || r.s.NeedsAttempt() || action == 0 {
+				if !r.begin() {
 					break
 				}
-				if err != nil {
-					t.Fatal(err)
-				}
-				a.position = int(offset)
-				if a.foreign {
-					a.id = "of another request"
-				}
-				attempts = append(attempts, a)
-			}
-			a := rapid.SampledFrom(attempts).Draw(t, "attempt") // includes attempts that have ended
-			switch {
-			case action == 1:
-				s.Break(a.id)
-			case action == 2:
-				a.position += rapid.IntRange(-3, 3).Draw(t, "jump")
-				a.position = min(max(a.position, 0), length)
-			case a.position == length || action == 3:
-				if a.position == length || a.foreign { // a target of this request marks the end only at the end
-					_ = s.End(a.id, uint64(a.position))
-				}
-			default:
-				data := token(a.position)
-				if a.foreign {
-					data = "foreign"
-				}
-				if forward, _ := s.Token(a.id, uint64(a.position), []byte(data)); forward {
-					out = append(out, data)
-				}
-				a.position++
 			}
+			r.event(rapid.SampledFrom(r.attempts).Draw(t, "attempt"), action) // includes attempts that have ended
 		}
-		for i, got := range out {
-			if got != token(i) {
-				t.Fatalf("token %d is %q", i, got)
-			}
+		r.check()
+	})
+}
+
+// response is one response, the attempts at it and what was forwarded.
+type response struct {
+	t        *rapid.T
+	s        *Splicer
+	length   int
+	attempts []*simAttempt
+	out      []string
+}
+
+// simAttempt is an attempt that has sent the tokens before position. A foreign one answers another request.
+type simAttempt struct {
+	id       string
+	position int
+	foreign  bool
+}
+
+func token(i int) string { return fmt.Sprintf("t%d.", i) }
+
+// begin opens an attempt. It aborts the response and returns false when there were too many.
+func (r *response) begin() bool {
+	a := &simAttempt{id: fmt.Sprintf("a%d", len(r.attempts)), foreign: rapid.IntRange(0, 5).Draw(r.t, "foreign") == 0}
+	offset, err := r.s.Begin(a.id)
+	if errors.Is(err, ErrTooManyAttempts) {
+		r.s.Abort(err)
+		return false
+	}
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	a.position = int(offset)
+	if a.foreign {
+		a.id = "of another request"
+	}
+	r.attempts = append(r.attempts, a)
+	return true
+}
+
+// event lets an attempt break, jump, end or send its next token.
+func (r *response) event(a *simAttempt, action int) {
+	switch {
+	case action == 1:
+		r.s.Break(a.id)
+	case action == 2:
+		a.position += rapid.IntRange(-3, 3).Draw(r.t, "jump")
+		a.position = min(max(a.position, 0), r.length)
+	case a.position == r.length || action == 3:
+		if a.position == r.length || a.foreign { // a target of this request marks the end only at the end
+			_ = r.s.End(a.id, uint64(a.position))
 		}
-		if s.Complete() && len(out) != length {
-			t.Fatalf("complete after %d of %d tokens", len(out), length)
+	default:
+		data := token(a.position)
+		if a.foreign {
+			data = "foreign"
 		}
-		if s.Complete() && s.Err() != nil {
-			t.Fatal("both complete and aborted")
+		if forward, _ := r.s.Token(a.id, uint64(a.position), []byte(data)); forward {
+			r.out = append(r.out, data)
 		}
-	})
+		a.position++
+	}
+}
+
+func (r *response) check() {
+	for i, got := range r.out {
+		if got != token(i) {
+			r.t.Fatalf("token %d is %q", i, got)
+		}
+	}
+	if r.s.Complete() && len(r.out) != r.length {
+		r.t.Fatalf("complete after %d of %d tokens", len(r.out), r.length)
+	}
+	if r.s.Complete() && r.s.Err() != nil {
+		r.t.Fatal("both complete and aborted")
+	}
 }
 
 // Guards against the wrong reaction to each fault of a single attempt.
