--- a/transport/peer/faults_test.go
+++ b/transport/peer/faults_test.go
@@ -12,16 +12,18 @@
 	"github.com/tarragonhoist/tarragonhoist/standin/relay"
 )
 
+// quickTimeouts lets a transport notice a silent peer soon.
+func quickTimeouts(o *Options) {
+	o.PingInterval, o.PingTimeout, o.DialTimeout = 5*time.Millisecond, 50*time.Millisecond, 300*time.Millisecond
+}
+
 // Guards against waiting for ever on a peer that is frozen or gone without closing its connection.
 func TestFrozenPeers(t *testing.T) {
-	quick := func(o *Options) {
-		o.PingInterval, o.PingTimeout, o.DialTimeout = 5*time.Millisecond, 50*time.Millisecond, 300*time.Millisecond
-	}
 	for _, c := range []struct {
-		name   string
-		greets bool
-		want   string
-		notRun bool
+		name      string
+		handshake bool
+		want      string
+		notRun    bool
 	}{
 		{"frozen before the handshake", false, "handshake with b", true},
 		{"frozen after the handshake", true, "connection to b ended", false},
@@ -30,45 +32,50 @@
 			n := newNetwork()
 			l := listen(t)
 			n.set("b", l.Addr().String())
-			go func() {
-				conn, err := l.Accept()
-				if err != nil {
-					return
-				}
-				t.Cleanup(func() { _ = conn.Close() }) // open and silent until then
-				if !c.greets {
-					return
-				}
-				reader := bufio.NewReader(conn)
-				header := make([]byte, headerBytes)
-				_, _ = io.ReadFull(reader, header)
-				_, _ = reader.Discard(int(binary.BigEndian.Uint32(header)))
-				_, _ = conn.Write(rawFrame(`{"jsonrpc":"2.0","id":0,"result":{"receiver":"b","incarnation":1}}`))
-			}()
-			a := n.start(t, "a", quick)
+			go acceptAndFreeze(t, l, c.handshake)
+			a := n.start(t, "a", quickTimeouts)
 			err := a.Call(t.Context(), "b", "echo", 1, nil)
 			if err == nil || !strings.Contains(err.Error(), c.want) || NotRun(err) != c.notRun {
 				t.Errorf("error %v, not run %v", err, NotRun(err))
 			}
 		})
 	}
-	t.Run("half-open inbound", func(t *testing.T) {
-		n := newNetwork()
-		n.set("a", "-")
-		b := n.start(t, "b", quick)
-		for _, first := range [][]byte{rawHello("1"), nil} {
-			conn, err := net.Dial("tcp", b.address)
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = conn.Close() }()
-			_, _ = conn.Write(first)
-			_ = conn.SetReadDeadline(time.Now().Add(bound))
-			if _, err := io.ReadAll(conn); err != nil {
-				t.Errorf("the connection was not closed: %v", err)
-			}
+}
+
+// acceptAndFreeze accepts one connection, answers its handshake if asked to, and stays silent from then on.
+func acceptAndFreeze(t *testing.T, l net.Listener, handshake bool) {
+	conn, err := l.Accept()
+	if err != nil {
+		return
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if !handshake {
+		return
+	}
+	reader := bufio.NewReader(conn)
+	header := make([]byte, headerBytes)
+	_, _ = io.ReadFull(reader, header)
+	_, _ = reader.Discard(int(binary.BigEndian.Uint32(header)))
+	_, _ = conn.Write(rawFrame(`{"jsonrpc":"2.0","id":0,"result":{"receiver":"b","incarnation":1}}`))
+}
+
+// Guards against inbound connections that stay open although the peer is silent, before or after the handshake.
+func TestSilentInboundConnectionsAreClosed(t *testing.T) {
+	n := newNetwork()
+	n.set("a", "-")
+	b := n.start(t, "b", quickTimeouts)
+	for _, first := range [][]byte{rawHello("1"), nil} {
+		conn, err := net.Dial("tcp", b.address)
+		if err != nil {
+			t.Fatal(err)
 		}
-	})
+		defer func() { _ = conn.Close() }()
+		_, _ = conn.Write(first)
+		_ = conn.SetReadDeadline(time.Now().Add(bound))
+		if _, err := io.ReadAll(conn); err != nil {
+			t.Errorf("the connection was not closed: %v", err)
+		}
+	}
 }
 
 // Guards against an instance that is locked out for ever because its clock was set back.
