--- a/transport/httpapi/callers.go
+++ b/transport/httpapi/callers.go
@@ -103,11 +103,7 @@
 }
 
 func (s *Server) chatCall(r *http.Request, id string) (ChatCall, *api.Result) {
-	caller, result := s.callers.identify(r)
-	if result != nil {
-		return ChatCall{}, result
-	}
-	body, result := readBody(r, MaxBodyBytes)
+	caller, body, result := s.callerAndBody(r)
 	if result != nil {
 		return ChatCall{}, result
 	}
@@ -133,6 +129,15 @@
 	}, nil
 }
 
+// callerAndBody identifies the caller before it looks at the body.
+func (s *Server) callerAndBody(r *http.Request) (caller string, body []byte, result *api.Result) {
+	if caller, result = s.callers.identify(r); result != nil {
+		return "", nil, result
+	}
+	body, result = readBody(r, MaxBodyBytes)
+	return caller, body, result
+}
+
 func resumeOffset(r *http.Request) (uint64, *api.Result) {
 	text := r.Header.Get(targetapi.HeaderResumeOffset)
 	if text == "" {
@@ -221,11 +226,7 @@
 
 func (s *Server) serviceCall(req *restful.Request, id string) (ServiceCall, *api.Result) {
 	r := req.Request
-	caller, result := s.callers.identify(r)
-	if result != nil {
-		return ServiceCall{}, result
-	}
-	body, result := readBody(r, MaxBodyBytes)
+	caller, body, result := s.callerAndBody(r)
 	if result != nil {
 		return ServiceCall{}, result
 	}
