--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"math"
 	"time"
 
 	"github.com/pkg/errors"
@@ -285,19 +286,19 @@
 		Messages: n.messages, Reads: n.readResults}
 	last := n.log.lastIndex()
 	if n.stable < last {
-		r.Entries = n.log.slice(n.stable+1, last, int(^uint(0)>>1))
+		r.Entries = n.log.slice(n.stable+1, last, math.MaxInt)
 	}
 	from := n.applied
 	if n.installed != nil {
 		from = max(from, n.installed.Index)
 	}
 	if from < n.hard.Commit {
-		r.Committed = n.log.slice(from+1, n.hard.Commit, int(^uint(0)>>1))
+		r.Committed = n.log.slice(from+1, n.hard.Commit, math.MaxInt)
 	}
 	n.messages, n.readResults = nil, nil
-	any := r.SyncHardState || r.Snapshot != nil || len(r.Entries) > 0 || len(r.Messages) > 0 ||
+	work := r.SyncHardState || r.Snapshot != nil || len(r.Entries) > 0 || len(r.Messages) > 0 ||
 		len(r.Committed) > 0 || len(r.Reads) > 0
-	return r, any
+	return r, work
 }
 
 // Advance tells the node that the work of a Ready is done.
--- a/coordination/raft/replication.go
+++ b/coordination/raft/replication.go
@@ -20,6 +20,7 @@
 // are large compared with the byte rate between instances, so they are not repeated with every heartbeat.
 const snapshotRetryHeartbeats = 5
 
+// progress is the state of replication to one follower.
 type progress struct {
 	mode        mode
 	match, next uint64
--- a/coordination/raft/sim_test.go
+++ b/coordination/raft/sim_test.go
@@ -219,12 +219,19 @@
 
 // check verifies the safety properties for a host that just did something.
 func (s *sim) check(h *host) {
-	n := h.node
-	if n == nil {
+	if h.node == nil {
 		return
 	}
-	// Log matching: entries with the same index and term are equal and follow entries of the same term. An entry that was
-	// never synced was never sent; a single voter that crashed may use its index and term again.
+	s.checkLog(h.node)
+	s.checkCommitted(h.node)
+	if h.node.role == Leader {
+		s.checkLeader(h.node)
+	}
+}
+
+// checkLog checks log matching: entries with the same index and term are equal and follow entries of the same term. An
+// entry that was never synced was never sent; a single voter that crashed may use its index and term again.
+func (s *sim) checkLog(n *Node) {
 	for _, e := range n.log.entries[max(0, len(n.log.entries)-8):] {
 		key := logKey{e.Index, e.Term}
 		if e.Kind == EntryMembership && e.Index > s.commitIndex() {
@@ -240,7 +247,10 @@
 		}
 		s.entries[key] = content
 	}
-	// State machine safety: no index is committed with two entries.
+}
+
+// checkCommitted checks state machine safety: no index is committed with two entries.
+func (s *sim) checkCommitted(n *Node) {
 	for index := s.commitIndex() + 1; index <= n.hard.Commit; index++ {
 		e := n.log.slice(index, index, 1)
 		if e == nil {
@@ -256,17 +266,17 @@
 			s.t.Fatalf("%s: entry %d has term %d, but was committed with term %d", n.cfg.ID, index, t, s.committed[index-2].Term)
 		}
 	}
-	if n.role != Leader {
-		return
-	}
-	// Election safety.
+}
+
+// checkLeader checks election safety, and leader completeness: a new leader holds everything that was committed in
+// earlier terms.
+func (s *sim) checkLeader(n *Node) {
 	if other, ok := s.leaders[n.hard.Term]; ok && other != n.cfg.ID {
 		s.t.Fatalf("term %d has leaders %s and %s", n.hard.Term, other, n.cfg.ID)
 	} else if ok {
 		return
 	}
 	s.leaders[n.hard.Term] = n.cfg.ID
-	// Leader completeness: a new leader holds everything that was committed in earlier terms.
 	for i, e := range s.committed {
 		index := uint64(i) + 2
 		if e.Term < n.hard.Term && index >= n.log.baseIndex && !n.log.matches(index, e.Term) {
