--- a/coordination/replica/fetch.go
+++ b/coordination/replica/fetch.go
@@ -16,8 +16,8 @@
 	MaxFetchBytes = 64 << 10
 	// fetchBudgetBytes leaves room for field names and for base64 when the response is encoded as JSON.
 	fetchBudgetBytes = 45 << 10
-	// holdSnapshot is how long a parent keeps a snapshot that a learner reads in parts, although it has a newer one.
-	holdSnapshot = 30 * time.Second
+	// snapshotHoldTime is how long a parent keeps a snapshot that a learner reads in parts, although it has a newer one.
+	snapshotHoldTime = 30 * time.Second
 )
 
 // FetchRequest asks a parent for committed entries after an index. Part continues an entry or snapshot that did not
@@ -126,7 +126,7 @@
 		}
 	}
 	if s.Index == g.heldParts.Index || now.After(g.heldUntil) {
-		g.heldParts, g.heldUntil = s, now.Add(holdSnapshot)
+		g.heldParts, g.heldUntil = s, now.Add(snapshotHoldTime)
 	}
 	part := cutPart(id, s.Data)
 	part.Term, part.Membership = s.Term, s.Membership
@@ -140,7 +140,7 @@
 		return
 	}
 	select {
-	case g.learned <- struct{}{}:
+	case g.wakeFetch <- struct{}{}:
 	default:
 	}
 }
@@ -169,7 +169,7 @@
 		}
 		select {
 		case <-time.After(g.opts.FetchInterval):
-		case <-g.learned:
+		case <-g.wakeFetch:
 		case <-ctx.Done():
 			return nil
 		}
--- a/coordination/replica/group.go
+++ b/coordination/replica/group.go
@@ -29,9 +29,9 @@
 	opts  Options
 	inbox chan raft.Message
 	calls chan func(now time.Time)
-	// learned wakes the fetch loop.
-	learned chan struct{}
-	done    chan struct{}
+	// wakeFetch ends the wait of the fetch loop.
+	wakeFetch chan struct{}
+	done      chan struct{}
 
 	// The fields below belong to the goroutine of Run.
 	store      *storage
@@ -71,7 +71,7 @@
 		return nil, errors.WithMessagef(err, "replica: group %s", opts.Name)
 	}
 	g := &Group{opts: opts, store: store, inbox: make(chan raft.Message, inboxSize), calls: make(chan func(time.Time)),
-		learned: make(chan struct{}, 1), done: make(chan struct{}), pending: make(map[string]*pending),
+		wakeFetch: make(chan struct{}, 1), done: make(chan struct{}), pending: make(map[string]*pending),
 		byIndex: make(map[uint64]*pending), reads: make(map[uint64]func(raft.ReadResult)),
 		applier: &applier{machine: opts.Machine, table: newProposalTable()}}
 	if cutBytes > 0 {
--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -23,7 +23,7 @@
 		case s.Cluster != "":
 			g.join(ctx)
 		default:
-			if err := g.form(ctx); err != nil {
+			if err := g.joinOrFound(ctx); err != nil {
 				return err
 			}
 		}
@@ -42,9 +42,9 @@
 	}
 }
 
-// form asks the other voters whether the group exists.
-func (g *Group) form(ctx context.Context) error {
-	members, exists, problem := g.greet(ctx)
+// joinOrFound joins the group if a voter knows it. Otherwise the first voter founds it once all voters are ready.
+func (g *Group) joinOrFound(ctx context.Context) error {
+	members, exists, problem := g.askVoters(ctx)
 	if ctx.Err() != nil {
 		return nil
 	}
@@ -59,9 +59,9 @@
 	return nil
 }
 
-// greet collects the member ids of all voters. The problem is empty when all are reachable, have the same settings and
+// askVoters collects the member ids of all voters. The problem is empty when all are reachable, have the same settings and
 // belong to no cluster.
-func (g *Group) greet(ctx context.Context) (members []string, exists bool, problem string) {
+func (g *Group) askVoters(ctx context.Context) (members []string, exists bool, problem string) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	var mu sync.Mutex
