--- a/state/memledger/memledger.go
+++ b/state/memledger/memledger.go
@@ -80,13 +80,13 @@
 	floor         Floor
 	report        Floor
 	reported      bool
-	capacity      int64
-	reserve       int64
+	capacityBytes int64
+	reserveBytes  int64
 	checksFencing bool
 	lastFence     uint64
 	residents     map[Item]Resident
 	open          map[string]targetapi.Order
-	used          int64
+	usedBytes     int64
 	// distrustUntil and distrustFence are set when orders may be under way that the journal does not name.
 	distrustUntil time.Time
 	distrustFence uint64
@@ -121,7 +121,7 @@
 	}
 	replaced := at.Incarnation > max(l.report.Incarnation, l.floor.Incarnation)
 	l.report, l.reported = at, true
-	l.capacity, l.reserve = a.CapacityBytes, a.ReserveBytes
+	l.capacityBytes, l.reserveBytes = a.CapacityBytes, a.ReserveBytes
 	l.checksFencing, l.lastFence = a.ChecksFencing, a.LastFence
 	clear(l.residents)
 	for _, r := range a.Residents {
@@ -173,18 +173,18 @@
 // recount adds up what is resident and what open loads may still make resident. An item takes memory once, so an open
 // load of a resident item counts with the larger of both.
 func (l *Ledger) recount() {
-	l.used = l.reserve
+	l.usedBytes = l.reserveBytes
 	for _, r := range l.residents {
-		l.used += r.Bytes
+		l.usedBytes += r.Bytes
 	}
 	for id, o := range l.open {
 		if IsLoad(&o) {
-			l.used += l.extra(id, &o)
+			l.usedBytes += l.extra(id, &o)
 		}
 	}
 }
 
-// extra is what an open load may add to the residents and to the open loads of the same item with lower ids.
+// extra is the number of bytes that an open load may add to the residents and to the open loads of the same item with lower ids.
 func (l *Ledger) extra(id string, o *targetapi.Order) int64 {
 	item := ItemOf(o)
 	counted := l.residents[item].Bytes
@@ -238,14 +238,14 @@
 // Usable says whether memory may be given out.
 func (l *Ledger) Usable() bool { return l.reported && l.distrustFence == 0 }
 
-// Free is what a load may take. It is never negative.
-func (l *Ledger) Free() int64 { return max(0, l.capacity-l.used) }
+// Free is the number of bytes that a load may take. It is never negative.
+func (l *Ledger) Free() int64 { return max(0, l.capacityBytes-l.usedBytes) }
 
-// Used is what is in use or may come into use.
-func (l *Ledger) Used() int64 { return l.used }
+// Used is the number of bytes that are in use or may come into use.
+func (l *Ledger) Used() int64 { return l.usedBytes }
 
-// Capacity is the reported capacity without the KV cache reserve.
-func (l *Ledger) Capacity() int64 { return l.capacity - l.reserve }
+// Capacity is the reported capacity in bytes without the KV cache reserve.
+func (l *Ledger) Capacity() int64 { return l.capacityBytes - l.reserveBytes }
 
 // Floor is what a successor needs to know of the reports.
 func (l *Ledger) Floor() Floor { return l.floor }
