--- a/coordination/membership/table.go
+++ b/coordination/membership/table.go
@@ -3,7 +3,6 @@
 package membership
 
 import (
-	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -13,6 +12,8 @@
 	"github.com/pkg/errors"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/defaults"
+	"github.com/tarragonhoist/tarragonhoist/state/shard"
 )
 
 // Defaults of Options.
@@ -24,6 +25,9 @@
 	DefaultMaxTargets = 8192
 )
 
+// shards is a power of two well above the number of cores of an instance, so that two cores rarely meet.
+const shards = 32
+
 // ErrTableFull refuses a target beyond Options.MaxTargets.
 var ErrTableFull = errors.New("the table of targets is full")
 
@@ -66,10 +70,13 @@
 
 // Table holds the targets of one data centre. It is safe for concurrent use.
 type Table struct {
-	opts         Options
-	records      *shardMap[*record]
-	index        *shardMap[[]*record]
-	fingerprints *shardMap[string]
+	opts Options
+	// records is by target name.
+	records *shard.UnboundedMap[string, *record]
+	// index lists the records by the keys of their entries. No list is empty.
+	index *shard.UnboundedMap[string, []*record]
+	// fingerprints holds the target name by the fingerprint of its current content.
+	fingerprints *shard.UnboundedMap[uint64, string]
 	size         atomic.Int64
 	changes      atomic.Uint64
 	// superseded holds contents that are no longer current, so that they are not asked for because of old renewals.
@@ -86,18 +93,14 @@
 
 // NewTable returns an empty table.
 func NewTable(opts Options) *Table {
-	if opts.TargetLease <= 0 {
-		opts.TargetLease = DefaultTargetLease
-	}
-	if opts.Retention <= 0 {
-		opts.Retention = DefaultRetention
-	}
-	if opts.MaxTargets <= 0 {
-		opts.MaxTargets = DefaultMaxTargets
-	}
+	defaults.Positive(&opts.TargetLease, DefaultTargetLease)
+	defaults.Positive(&opts.Retention, DefaultRetention)
+	defaults.Positive(&opts.MaxTargets, DefaultMaxTargets)
 	t := &Table{
-		opts: opts, records: newShardMap[*record](), index: newShardMap[[]*record](),
-		fingerprints: newShardMap[string](),
+		opts:         opts,
+		records:      shard.NewUnboundedMap[string, *record](shards, shard.StringHash),
+		index:        shard.NewUnboundedMap[string, []*record](shards, shard.StringHash),
+		fingerprints: shard.NewUnboundedMap[uint64, string](shards, shard.Uint64Hash),
 	}
 	t.superseded = newCache[identity](maxSuperseded)
 	t.gossip.assembly = newCache[*assembly](maxAssemblies)
@@ -119,7 +122,7 @@
 
 // apply puts an announcement received at the given time into the table.
 func (t *Table) apply(received time.Time, a targetapi.Announcement) (change Change, err error) {
-	t.records.locked(a.Target, func(items map[string]*record) {
+	t.records.Update(a.Target, func(items map[string]*record) {
 		var rec *record
 		if rec, err = t.recordOf(items, a.Target); err == nil {
 			change, err = t.applyTo(rec, received, a)
@@ -157,7 +160,7 @@
 	previous := rec.entry.Load()
 	sameIncarnation := a.Incarnation == rec.incarnation
 	a.Leaving = a.Leaving || sameIncarnation && rec.leaving
-	if sameIncarnation && previous != nil && a.Sequence <= rec.alive {
+	if sameIncarnation && previous != nil && a.Sequence <= rec.leaseSequence {
 		received = previous.ReceivedAt // the lease was extended for this or a later announcement already
 	}
 	entry, err := newEntry(a, received, t.opts.TargetLease)
@@ -173,10 +176,10 @@
 		rec.leavingSince = received
 	}
 	if !sameIncarnation {
-		rec.alive = 0
+		rec.leaseSequence = 0
 	}
 	rec.incarnation, rec.sequence, rec.leaving = a.Incarnation, a.Sequence, a.Leaving
-	rec.alive = max(rec.alive, a.Sequence)
+	rec.leaseSequence = max(rec.leaseSequence, a.Sequence)
 	t.publish(rec, entry)
 	return change, nil
 }
@@ -188,7 +191,7 @@
 		return Replaced
 	case a.Leaving && !rec.leaving:
 		return Left
-	case previous == nil || rec.gone:
+	case previous == nil || rec.expired:
 		return Added
 	case previous.fingerprint != entry.fingerprint:
 		return Updated
@@ -204,7 +207,7 @@
 			change.Kind, change.FailedIncarnation = Replaced, rec.incarnation
 		}
 		t.unindex(rec)
-		rec.incarnation, rec.sequence, rec.alive, rec.gone = incarnation, 0, 0, false
+		rec.incarnation, rec.sequence, rec.leaseSequence, rec.expired = incarnation, 0, 0, false
 		rec.entry.Store(nil)
 	}
 	rec.leaving, rec.leavingSince = true, since
@@ -220,9 +223,9 @@
 		return Change{}, err
 	}
 	change.Entry = entry
-	gone := rec.gone
+	expired := rec.expired
 	t.publish(rec, entry)
-	rec.gone = gone // an expired target stays so, and its expiry is not reported again
+	rec.expired = expired // its expiry is not reported again
 	return change, nil
 }
 
@@ -231,22 +234,22 @@
 	previous := rec.entry.Load()
 	if previous == nil || previous.fingerprint != entry.fingerprint {
 		rec.changed = t.changes.Add(1)
-		t.fingerprints.set(fingerprintKey(entry.fingerprint), entry.Announcement.Target)
+		t.fingerprints.Set(entry.fingerprint, entry.Announcement.Target)
 		t.superseded.Remove(entry.fingerprint)
 		rec.previous, rec.changedAt = nil, entry.ReceivedAt
 		if previous != nil && previous.Announcement.Incarnation == entry.Announcement.Incarnation {
 			rec.previous = previous
 		}
 		if previous != nil {
-			t.fingerprints.remove(fingerprintKey(previous.fingerprint))
+			t.fingerprints.Delete(previous.fingerprint)
 			t.supersede(previous)
 		}
 	}
 	var before []string
-	if previous != nil && !rec.gone {
+	if previous != nil && !rec.expired {
 		before = previous.keys
 	}
-	rec.gone = false
+	rec.expired = false
 	rec.entry.Store(entry)
 	if slices.Equal(before, entry.keys) {
 		return
@@ -269,9 +272,9 @@
 	if entry == nil {
 		return
 	}
-	t.fingerprints.remove(fingerprintKey(entry.fingerprint))
+	t.fingerprints.Delete(entry.fingerprint)
 	t.supersede(entry)
-	if !rec.gone {
+	if !rec.expired {
 		for _, key := range entry.keys {
 			t.indexRemove(key, rec)
 		}
@@ -279,11 +282,11 @@
 }
 
 func (t *Table) indexAdd(key string, rec *record) {
-	t.index.locked(key, func(items map[string][]*record) { items[key] = append(items[key], rec) })
+	t.index.Update(key, func(items map[string][]*record) { items[key] = append(items[key], rec) })
 }
 
 func (t *Table) indexRemove(key string, rec *record) {
-	t.index.locked(key, func(items map[string][]*record) {
+	t.index.Update(key, func(items map[string][]*record) {
 		list := items[key]
 		if i := slices.Index(list, rec); i >= 0 {
 			list[i] = list[len(list)-1]
@@ -302,14 +305,14 @@
 // do not depend on it, because they check the lease themselves.
 func (t *Table) Expire(now time.Time) []Change {
 	var changes []Change
-	t.records.each(func(items map[string]*record) {
+	t.records.UpdateAll(func(items map[string]*record) {
 		for target, rec := range items {
 			entry := rec.entry.Load()
-			if entry != nil && !rec.gone && !now.Before(entry.ExpiresAt) {
+			if entry != nil && !rec.expired && !now.Before(entry.ExpiresAt) {
 				for _, key := range entry.keys {
 					t.indexRemove(key, rec)
 				}
-				rec.gone, rec.goneAt = true, entry.ExpiresAt
+				rec.expired, rec.expiredAt = true, entry.ExpiresAt
 				changes = append(changes, Change{Kind: Expired, Target: target, Incarnation: rec.incarnation, Entry: entry})
 			}
 			if t.forgettable(now, rec, entry) {
@@ -327,98 +330,5 @@
 	if entry == nil {
 		return now.Sub(rec.leavingSince) >= t.opts.Retention
 	}
-	return rec.gone && now.Sub(rec.goneAt) >= t.opts.Retention
-}
-
-// Target returns the latest entry of a target until it is forgotten, also when it is leaving or expired.
-func (t *Table) Target(name string) (*Entry, bool) {
-	rec, ok := t.records.get(name)
-	if !ok {
-		return nil, false
-	}
-	entry := rec.entry.Load()
-	return entry, entry != nil
-}
-
-// Offered reports whether an incarnation of a target may get new work. It is meant to be asked right before dispatch.
-func (t *Table) Offered(now time.Time, name string, incarnation uint64) bool {
-	entry, ok := t.Target(name)
-	return ok && entry.Announcement.Incarnation == incarnation && entry.Usable(now)
-}
-
-// Replicas returns all targets that may get new work for a model and, if one is named, an adapter that is ready there.
-func (t *Table) Replicas(now time.Time, model, adapter string) []*Entry {
-	return t.lookup(now, modelKey(model, adapter), nil, 0)
-}
-
-// Services returns all targets of a plain service that may get new work.
-func (t *Table) Services(now time.Time, name string) []*Entry {
-	return t.lookup(now, serviceKey(name), nil, 0)
-}
-
-// Sample returns up to limit distinct random targets out of Replicas. Its cost depends on limit and on the number of
-// unusable targets passed over.
-func (t *Table) Sample(now time.Time, random *rand.Rand, limit int, model, adapter string) []*Entry {
-	return t.lookup(now, modelKey(model, adapter), random, limit)
-}
-
-// SampleServices returns up to limit distinct random targets out of Services.
-func (t *Table) SampleServices(now time.Time, random *rand.Rand, limit int, name string) []*Entry {
-	return t.lookup(now, serviceKey(name), random, limit)
-}
-
-func (t *Table) lookup(now time.Time, key string, random *rand.Rand, limit int) []*Entry {
-	s := t.index.shard(key)
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	list := s.items[key]
-	if len(list) == 0 {
-		return nil
-	}
-	if limit <= 0 || limit > len(list) {
-		limit = len(list)
-	}
-	start, stride := 0, 1
-	if random != nil {
-		start, stride = random.IntN(len(list)), randomStride(random, len(list))
-	}
-	found := make([]*Entry, 0, limit)
-	for i := 0; i < len(list) && len(found) < limit; i++ {
-		entry := list[(start+i*stride)%len(list)].entry.Load()
-		if entry != nil && entry.Usable(now) && entry.hasKey(key) {
-			found = append(found, entry)
-		}
-	}
-	return found
-}
-
-// randomStride draws a number that is coprime to n, so that its multiples visit all positions modulo n once.
-func randomStride(random *rand.Rand, n int) int {
-	for range 8 {
-		if stride := 1 + random.IntN(n); gcd(stride, n) == 1 {
-			return stride
-		}
-	}
-	return 1
-}
-
-func gcd(a, b int) int {
-	for b != 0 {
-		a, b = b, a%b
-	}
-	return a
-}
-
-// All returns the entries of all targets whose expiry was not reported yet, leaving ones included, sorted by name.
-func (t *Table) All() []*Entry {
-	var all []*Entry
-	t.records.eachRead(func(_ string, rec *record) {
-		if entry := rec.entry.Load(); entry != nil && !rec.gone {
-			all = append(all, entry)
-		}
-	})
-	slices.SortFunc(all, func(a, b *Entry) int {
-		return strings.Compare(a.Announcement.Target, b.Announcement.Target)
-	})
-	return all
+	return rec.expired && now.Sub(rec.expiredAt) >= t.opts.Retention
 }
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -11,6 +11,8 @@
 	"syscall"
 
 	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/state/defaults"
 )
 
 const (
@@ -89,9 +91,7 @@
 
 // Open reads the log in dir, which is created when it does not exist.
 func Open(dir string, opts Options) (*Log, State, error) {
-	if opts.SegmentBytes <= 0 {
-		opts.SegmentBytes = defaultSegmentBytes
-	}
+	defaults.Positive(&opts.SegmentBytes, defaultSegmentBytes)
 	if opts.sync == nil {
 		opts.sync = (*os.File).Sync
 	}
@@ -174,7 +174,7 @@
 	if err := l.writeFrame(f); err != nil {
 		return err
 	}
-	l.note(f, &l.segments[len(l.segments)-1])
+	l.track(f, &l.segments[len(l.segments)-1])
 	state.Entries = nil
 	return nil
 }
@@ -202,8 +202,8 @@
 	if hard == nil && len(entries) == 0 {
 		return nil
 	}
-	if l.failed != nil {
-		return errors.Wrap(l.failed, "write-ahead log failed earlier")
+	if err := l.usable(); err != nil {
+		return err
 	}
 	if err := l.checkOrder(entries); err != nil {
 		return err
@@ -216,10 +216,13 @@
 	if err := l.writeFrame(&frame{Hard: hard, Entries: entries}); err != nil {
 		return l.fail(err)
 	}
-	l.note(&frame{Hard: hard, Entries: entries}, &l.segments[len(l.segments)-1])
+	l.track(&frame{Hard: hard, Entries: entries}, &l.segments[len(l.segments)-1])
 	return nil
 }
 
+// usable returns an error after Close and after a failed write, since a later sync can succeed without its data.
+func (l *Log) usable() error { return errors.Wrap(l.failed, "write-ahead log failed earlier") }
+
 func (l *Log) fail(err error) error {
 	l.failed = err
 	return err
@@ -237,8 +240,8 @@
 	return nil
 }
 
-// note updates the bounds of the log for a frame that was written or read.
-func (l *Log) note(f *frame, s *segment) {
+// track updates the bounds of the log for a frame that was written or read.
+func (l *Log) track(f *frame, s *segment) {
 	if f.Hard != nil {
 		l.hard = *f.Hard
 	}
@@ -257,14 +260,8 @@
 // SaveSnapshot writes a snapshot file of state that was applied, and deletes older snapshots and the segments that
 // hold only entries up to keepAfter. The entries after keepAfter stay readable.
 func (l *Log) SaveSnapshot(s Snapshot, keepAfter uint64) error {
-	if l.failed != nil {
-		return errors.Wrap(l.failed, "write-ahead log failed earlier")
-	}
-	if err := l.writeSnapshot(&s); err != nil {
-		return l.fail(err)
-	}
-	if err := l.startSegment(); err != nil {
-		return l.fail(err)
+	if err := l.beginSnapshot(&s); err != nil {
+		return err
 	}
 	if err := l.removeOld(s.Index, s.Term, min(keepAfter, s.Index)); err != nil {
 		return l.fail(err)
@@ -275,21 +272,29 @@
 // InstallSnapshot writes a snapshot file that replaces the whole log. The next entry must follow the snapshot. The
 // hard state is written in the same frame as the end of the old log.
 func (l *Log) InstallSnapshot(s Snapshot, hard HardState) error {
-	if l.failed != nil {
-		return errors.Wrap(l.failed, "write-ahead log failed earlier")
+	if err := l.beginSnapshot(&s); err != nil {
+		return err
 	}
-	if err := l.writeSnapshot(&s); err != nil {
+	f := &frame{Hard: &hard, ResetTo: s.Index}
+	if err := l.writeFrame(f); err != nil {
 		return l.fail(err)
 	}
-	if err := l.startSegment(); err != nil {
+	l.track(f, &l.segments[len(l.segments)-1])
+	if err := l.removeOld(s.Index, s.Term, ^uint64(0)); err != nil {
 		return l.fail(err)
 	}
-	f := &frame{Hard: &hard, ResetTo: s.Index}
-	if err := l.writeFrame(f); err != nil {
+	return nil
+}
+
+// beginSnapshot writes the file of a snapshot and starts the segment that follows it.
+func (l *Log) beginSnapshot(s *Snapshot) error {
+	if err := l.usable(); err != nil {
+		return err
+	}
+	if err := l.writeSnapshot(s); err != nil {
 		return l.fail(err)
 	}
-	l.note(f, &l.segments[len(l.segments)-1])
-	if err := l.removeOld(s.Index, s.Term, ^uint64(0)); err != nil {
+	if err := l.startSegment(); err != nil {
 		return l.fail(err)
 	}
 	return nil
