Refuse an idempotent service call as not run when its deadline passed before anything was sent

Cause: the end of the deadline was always reported as a failure that may have run. Before, the new case got failed/timeout; now refused.

--- a/instance/servicecalls/ledger_test.go
+++ b/instance/servicecalls/ledger_test.go
@@ -177,6 +177,12 @@
 	}
 }
 
+// connectsNever waits for a connection until the deadline.
+func connectsNever(ctx context.Context, _ targetclient.ServiceCall) (*targetclient.ServiceAnswer, bool, error) {
+	<-ctx.Done()
+	return nil, false, errors.Wrap(ctx.Err(), "service call")
+}
+
 func refuses(context.Context, targetclient.ServiceCall) (*targetclient.ServiceAnswer, bool, error) {
 	return &targetclient.ServiceAnswer{Status: http.StatusTooManyRequests}, true, nil
 }
@@ -392,6 +398,7 @@
 		{"overloaded", refuses, expectation{api.Refused, api.ReasonNoTarget}},
 		{"broken", fails(true, errReset), expectation{api.Failed, api.ReasonTargetFailed}},
 		{"too late", answers(10, time.Hour), expectation{api.Failed, api.ReasonTimeout}},
+		{"too late before anything was sent", connectsNever, expectation{api.Refused, api.ReasonDeadlineUnreachable}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/instance/servicecalls/server.go
+++ b/instance/servicecalls/server.go
@@ -114,7 +114,7 @@
 		}
 		mayHaveRun = mayHaveRun || sent && err != nil
 		if ctx.Err() != nil {
-			return nil, api.Fail(api.ReasonTimeout, api.RepeatNow, "the deadline passed before the service answered")
+			return nil, timedOut(mayHaveRun)
 		}
 		excluded[placed.ID()] = true
 		if err == nil {
@@ -125,7 +125,7 @@
 			return nil, failedOrRefused(mayHaveRun, api.RefuseFor(api.ReasonNoCapacity, time.Second, err.Error()))
 		}
 		if !sleep(ctx, delay) {
-			return nil, api.Fail(api.ReasonTimeout, api.RepeatNow, "the deadline passed before the service answered")
+			return nil, timedOut(mayHaveRun)
 		}
 	}
 }
@@ -141,6 +141,15 @@
 	}
 }
 
+// timedOut ends a call at its deadline. A call of which no byte was sent did not run.
+func timedOut(mayHaveRun bool) *api.Result {
+	if !mayHaveRun {
+		return &api.Result{Outcome: api.Refused, Reason: api.ReasonDeadlineUnreachable, Repeat: api.RepeatNow,
+			Message: "the deadline passed before a target took the call"}
+	}
+	return api.Fail(api.ReasonTimeout, api.RepeatNow, "the deadline passed before the service answered")
+}
+
 // failedOrRefused turns a refusal into a failure when an earlier attempt may have run.
 func failedOrRefused(mayHaveRun bool, refusal *api.Result) *api.Result {
 	if !mayHaveRun {
