--- a/coordination/placement/extras.go
+++ b/coordination/placement/extras.go
@@ -12,7 +12,7 @@
 
 const (
 	// keepFactor makes a present replica worth more than a new one, so that small swings move nothing.
-	keepFactor = 1.5
+	keepFactor = 4
 	// minGainShare of the rate of a replica is the smallest gain that is worth a load.
 	minGainShare = 0.05
 	// saturation shapes how the served work bends towards the demand as replicas are added: bursts leave some work
@@ -72,7 +72,7 @@
 // next returns the next replica of a model that is worth its memory.
 func (p *planner) next(m int) (extra, bool) {
 	model := &p.models[m]
-	if len(model.placed) == 0 || model.MaxReplicas > 0 && len(model.placed) >= model.MaxReplicas {
+	if len(model.placed) == 0 && !model.optional || model.MaxReplicas > 0 && len(model.placed) >= model.MaxReplicas {
 		return extra{}, false
 	}
 	value, work := p.gain(m)
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -137,7 +137,16 @@
 func Plan(in Input) Residency {
 	p := newPlanner(&in)
 	p.pinOld()
-	order := p.urgency()
+	required, optional := p.split(p.urgency())
+	p.placeMinimum(required)
+	p.placeExtras()
+	p.placeMinimum(optional)
+	p.keepOld()
+	return p.result()
+}
+
+// placeMinimum keeps or places the replicas that models must have.
+func (p *planner) placeMinimum(order []int) {
 	for _, m := range order {
 		p.keepFirst(m)
 	}
@@ -149,9 +158,33 @@
 		for len(p.models[m].placed) < p.minReplicas(m) && p.placeMore(m) {
 		}
 	}
-	p.placeExtras()
-	p.keepOld()
-	return p.result()
+}
+
+// split separates the models that another data centre keeps when memory is too short for all models here. They compete
+// for memory by their demand. When every data centre first placed as many models as fit, the most popular ones lacked
+// replicas at a peak.
+func (p *planner) split(order []int) (required, optional []int) {
+	var need, capacity int64
+	for i := range p.models {
+		need += bundleBytes(p.models[i].Model)
+	}
+	for i := range p.targets {
+		if !p.targets[i].Leaving {
+			capacity += p.targets[i].CapacityBytes
+		}
+	}
+	if need <= capacity {
+		return order, nil
+	}
+	for _, m := range order {
+		if p.models[m].spared() == 1 {
+			p.models[m].optional = true
+			optional = append(optional, m)
+			continue
+		}
+		required = append(required, m)
+	}
+	return required, optional
 }
 
 // modelPlan is the state of one model while planning.
@@ -160,6 +193,8 @@
 	// existing are the targets that hold the model in the version in effect and have not been chosen yet, best first.
 	existing []int
 	placed   []int
+	// optional models compete for memory from their first replica on.
+	optional bool
 	ready    int
 	old      []oldReplica
 }
--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -399,3 +399,39 @@
 		Feasible([]Input{in})
 	}
 }
+
+// Guards against models without demand that take the memory of popular ones although another data centre keeps them, and
+// against models that are left out although one replica of each fits.
+func TestScarceMemoryGoesToDemand(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		capacity int64
+		popular  int
+		rare     int
+	}{
+		{"one replica of each fits", 20, 1, 1},
+		{"memory is scarce", 10, 2, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			in := Input{
+				DataCentre: "a", ReplicaRate: 10,
+				Targets: []Target{{Name: "t1", CapacityBytes: test.capacity}, {Name: "t2", CapacityBytes: test.capacity}},
+				Models: []Model{
+					{Name: "popular", Version: "1", MemoryBytes: 10, MinReplicas: 1, Demand: 20, Home: true},
+					{Name: "rare-1", Version: "1", MemoryBytes: 10, MinReplicas: 1, Elsewhere: 1},
+					{Name: "rare-2", Version: "1", MemoryBytes: 10, MinReplicas: 1, Elsewhere: 1},
+				},
+			}
+			wanted := Plan(in)
+			count := make(map[string]int)
+			for _, items := range wanted.Wanted {
+				for item := range items {
+					count[item.Model]++
+				}
+			}
+			if count["popular"] < test.popular || count["rare-1"] != test.rare || count["rare-2"] != test.rare {
+				t.Errorf("replicas %v", count)
+			}
+		})
+	}
+}
