--- a/coordination/placement/placement_test.go
+++ b/coordination/placement/placement_test.go
@@ -400,6 +400,29 @@
 	}
 }
 
+// Guards against an adapter that is loaded beside a model version which the same plan unloads: once ready, it would count
+// as reachable and then lose its model.
+func TestAdapterIsNotLoadedBesideAVersionThatLeaves(t *testing.T) {
+	model := func(version string) memledger.Item { return memledger.Item{Model: "m", Version: version} }
+	adapter := memledger.Item{Model: "m", Version: "1", Adapter: "a"}
+	resident := func(item memledger.Item) memledger.Resident {
+		return memledger.Resident{Item: item, State: targetapi.Ready, Bytes: 10}
+	}
+	in := Input{
+		Targets: []Target{
+			{Name: "t1", CapacityBytes: 30, Residents: []memledger.Resident{resident(model("1"))}},
+			{Name: "t2", CapacityBytes: 30, Residents: []memledger.Resident{resident(model("2"))}},
+		},
+		Models: []Model{{Name: "m", Version: "2", MemoryBytes: 10, MinReplicas: 1, Home: true, Adapters: []Adapter{{Name: "a", Version: "1", MemoryBytes: 2}}}},
+	}
+	wanted := Residency{Wanted: map[string]map[memledger.Item]int64{"t1": {adapter: 2}, "t2": {model("2"): 10, adapter: 2}}}
+	for _, step := range NextSteps(&in, &wanted) {
+		if step.Load && step.Target == "t1" {
+			t.Errorf("step %+v", step)
+		}
+	}
+}
+
 // Guards against models without demand that take the memory of popular ones although another data centre keeps them, and
 // against models that are left out although one replica of each fits.
 func TestScarceMemoryGoesToDemand(t *testing.T) {
--- a/coordination/placement/steps.go
+++ b/coordination/placement/steps.go
@@ -116,7 +116,7 @@
 	items := s.wanted.Wanted[t.Name]
 	missing := make([]Step, 0, 4)
 	for item, bytes := range items {
-		if held(t, item) || item.Adapter != "" && !modelReady(t, item.Model) {
+		if held(t, item) || item.Adapter != "" && !s.modelStays(t, item.Model) {
 			continue
 		}
 		step := Step{Target: t.Name, Load: true, Item: item, Bytes: bytes}
@@ -142,6 +142,14 @@
 	}
 }
 
+// modelStays says whether a version of a model is ready on a target and wanted there. An adapter that is loaded beside a
+// version which is being unloaded would count as ready and then lose its model.
+func (s *stepper) modelStays(t *Target, model string) bool {
+	return slices.ContainsFunc(t.Residents, func(r memledger.Resident) bool {
+		return r.Item.Model == model && r.Item.Adapter == "" && serving(&r) && s.wanted.Has(t.Name, r.Item)
+	})
+}
+
 func held(t *Target, item memledger.Item) bool {
 	for i := range t.Residents {
 		if t.Residents[i].Item == item {
