--- a/Makefile
+++ b/Makefile
@@ -4,8 +4,10 @@
 KNOWN_RED = $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | tr '\n' '|' | sed 's/|$$//')
 SKIP = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
+VERSION = $(shell git describe --tags --always --dirty 2>/dev/null || echo 0.1.0-dev)
+
 build:
-	go build -o bin/ ./cmd/...
+	go build -ldflags "-X github.com/tarragonhoist/tarragonhoist/instance/version.Number=$(VERSION)" -o bin/ ./cmd/...
 
 lint:
 	@unformatted=$$(git ls-files '*.go' | xargs -r gofmt -l); \
--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -20,7 +20,9 @@
 // Client sends requests as one caller.
 type Client struct {
 	Name string
-	HTTP *http.Client
+	// Token is sent instead of the name when it is not empty.
+	Token string
+	HTTP  *http.Client
 }
 
 // New makes a client of a deployment without tokens.
@@ -101,7 +103,7 @@
 		return nil, errors.Wrap(err, "request")
 	}
 	req.Header.Set("Content-Type", "application/json")
-	req.Header.Set(api.HeaderCaller, c.Name)
+	c.identify(req)
 	setOptional(req.Header, api.HeaderRequestID, chat.RequestID)
 	setOptional(req.Header, api.HeaderPriority, chat.Priority)
 	if chat.Deadline > 0 {
@@ -111,6 +113,14 @@
 	return resp, errors.Wrap(err, "no answer")
 }
 
+func (c *Client) identify(req *http.Request) {
+	if c.Token != "" {
+		req.Header.Set("Authorization", "Bearer "+c.Token)
+		return
+	}
+	req.Header.Set(api.HeaderCaller, c.Name)
+}
+
 func setOptional(h http.Header, name, value string) {
 	if value != "" {
 		h.Set(name, value)
@@ -123,7 +133,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "request")
 	}
-	req.Header.Set(api.HeaderCaller, c.Name)
+	c.identify(req)
 	setOptional(req.Header, api.HeaderIdempotencyKey, key)
 	resp, err := c.HTTP.Do(req)
 	if err != nil {
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -36,13 +36,18 @@
 	Disk bool
 }
 
+// InstanceMark is replaced by the name of the instance in Spec.Tables.
+const InstanceMark = "INSTANCE"
+
 // Spec describes a deployment.
 type Spec struct {
 	Instances []InstanceSpec
 	// Settings are further lines at the top of every settings file.
 	Settings string
-	// Tables are further tables at the end of every settings file.
+	// Tables are further tables at the end of every settings file. InstanceMark stands for the name of the instance.
 	Tables string
+	// OperatorToken is the bearer token of Operator, empty in a deployment without tokens.
+	OperatorToken string
 	// RelayAll puts a relay into every link, not only into those between data centres.
 	RelayAll bool
 }
@@ -138,7 +143,7 @@
 		fmt.Fprintf(&b, "[[peer]]\nname = %q\ndata_centre = %q\naddress = %q\nhttp_address = %q\n",
 			other.Name, other.DataCentre, address, httpAddress)
 	}
-	b.WriteString(c.spec.Tables)
+	b.WriteString(strings.ReplaceAll(c.spec.Tables, InstanceMark, self.Name))
 	return errors.Wrap(os.WriteFile(c.settingsFile(self.Name), []byte(b.String()), 0o600), "settings file")
 }
 
@@ -234,7 +239,7 @@
 
 // Operator is the operators' client of an instance.
 func (c *Cluster) Operator(name string) *opsclient.Client {
-	return opsclient.New(c.URL(name), "", "operator")
+	return opsclient.New(c.URL(name), c.spec.OperatorToken, "operator")
 }
 
 // DataCentreURLs are the URLs of the instances of a data centre, as its balancer knows them.
--- /dev/null
+++ b/test/process/security_test.go
@@ -0,0 +1,117 @@
+package process
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/hex"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/standin/caller"
+	"github.com/tarragonhoist/tarragonhoist/standin/cluster"
+)
+
+// certificates writes an authority and one certificate for each instance into a folder.
+func certificates(t *testing.T, folder string, instances []cluster.InstanceSpec) {
+	t.Helper()
+	authority := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, NotAfter: time.Now().Add(time.Hour), IsCA: true,
+		BasicConstraintsValid: true, KeyUsage: x509.KeyUsageCertSign,
+	}
+	key := newKey(t)
+	writePEM(t, filepath.Join(folder, "authority.pem"), "CERTIFICATE", sign(t, authority, authority, key, key))
+	for i, instance := range instances {
+		own := newKey(t)
+		certificate := &x509.Certificate{
+			SerialNumber: big.NewInt(int64(i + 2)), Subject: pkix.Name{CommonName: instance.Name}, DNSNames: []string{instance.Name},
+			NotAfter:    time.Now().Add(time.Hour),
+			ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+		}
+		writePEM(t, filepath.Join(folder, instance.Name+".pem"), "CERTIFICATE", sign(t, certificate, authority, own, key))
+		der, err := x509.MarshalECPrivateKey(own)
+		if err != nil {
+			t.Fatal(err)
+		}
+		writePEM(t, filepath.Join(folder, instance.Name+".key"), "EC PRIVATE KEY", der)
+	}
+}
+
+func newKey(t *testing.T) *ecdsa.PrivateKey {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func sign(t *testing.T, certificate, parent *x509.Certificate, key, parentKey *ecdsa.PrivateKey) []byte {
+	t.Helper()
+	der, err := x509.CreateCertificate(rand.Reader, certificate, parent, &key.PublicKey, parentKey)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return der
+}
+
+func writePEM(t *testing.T, path, kind string, der []byte) {
+	t.Helper()
+	if err := os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func hashOf(token string) string {
+	sum := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(sum[:])
+}
+
+// Guards against a deployment with keys and tokens that does not work, or that lets strangers in.
+func TestDeploymentWithKeysAndTokens(t *testing.T) {
+	t.Parallel()
+	spec := dataCentres(3, 3, "a")
+	folder := t.TempDir()
+	certificates(t, folder, spec.Instances)
+	spec.OperatorToken = "operator-secret"
+	spec.Tables = fmt.Sprintf("[[caller]]\nname = \"crew\"\ntoken_sha256 = %q\n[[operator]]\nname = \"ana\"\ntoken_sha256 = %q\n"+
+		"[tls]\ncertificate = \"%[3]s/INSTANCE.pem\"\nkey = \"%[3]s/INSTANCE.key\"\nauthority = \"%[3]s/authority.pem\"\n",
+		hashOf("crew-secret"), hashOf("operator-secret"), folder)
+	ctx, c := start(t, spec)
+	desk := service(t, c, "desk-1", "a")
+	submit(ctx, t, c, "a2", serviceNote)
+	waitNote(ctx, t, c, "a3", 1)
+	waitTargets(ctx, t, c, "a3", 1)
+	status, err := c.Operator("a3").Status(ctx)
+	if err != nil || len(status.Insecure) != 0 {
+		t.Errorf("not secured: %v, %v", status.Insecure, err)
+	}
+	if verdict, err := c.Operator("a3").Verdict(ctx, 1); err != nil || verdict.Operator != "ana" {
+		t.Errorf("verdict %+v, %v", verdict, err)
+	}
+	for _, test := range []struct {
+		client *caller.Client
+		want   api.Outcome
+	}{
+		{&caller.Client{Token: "crew-secret", HTTP: caller.New("").HTTP}, api.Answered},
+		{&caller.Client{Token: "guess", HTTP: caller.New("").HTTP}, api.Refused},
+		{caller.New("crew"), api.Refused},
+	} {
+		answer, err := test.client.Book(ctx, c.URL("a3"), "desk", "/x", "k", "{}")
+		if err != nil || answer.Outcome != test.want {
+			t.Errorf("token %q, name %q: %+v, %v", test.client.Token, test.client.Name, answer, err)
+		}
+	}
+	if n := executions(ctx, t, desk)["k"]; n != 1 {
+		t.Errorf("the booking ran %d times", n)
+	}
+}
