--- a/instance/admit/place.go
+++ b/instance/admit/place.go
@@ -24,6 +24,9 @@
 	return &Place{waiter: w, ticket: t, interrupted: make(chan struct{}), granted: make(chan admission.Grant, 1)}
 }
 
+// Estimate is the expected work of the request.
+func (p *Place) Estimate() admission.Estimate { return p.ticket.Estimate }
+
 // Interrupted is closed when the request has to stop for a time. The request then calls Resume.
 func (p *Place) Interrupted() <-chan struct{} {
 	p.mu.Lock()
--- a/instance/modelcalls/server.go
+++ b/instance/modelcalls/server.go
@@ -35,6 +35,9 @@
 	PromptTokens int
 	TokenLimit   int
 	Deadline     time.Time
+	// Units is the work that admission expects and Long its class. Units is 0 for work that is not admitted here.
+	Units float64
+	Long  bool
 	// MaySpill says that the request may be passed on to another data centre. Spilled is set when it has to be, since
 	// this data centre has no room.
 	MaySpill bool
--- a/instance/policy/candidates.go
+++ b/instance/policy/candidates.go
@@ -97,5 +97,5 @@
 
 // finishedRemote counts the end of an attempt in another data centre, whose latency says nothing about local targets.
 func (p *Policy) finishedRemote(w *modelcalls.Work, placed modelcalls.Placed, r modelcalls.Result) {
-	p.router.Finished(p.now(), routing.Finish{Target: placed.Target, Model: w.Model, Service: r.Total})
+	p.router.Finished(p.now(), routing.Finish{Target: placed.Target, Model: w.Model, Long: w.Long, Service: r.Total})
 }
--- a/instance/policy/policy.go
+++ b/instance/policy/policy.go
@@ -79,6 +79,8 @@
 		PromptTokens: w.PromptTokens, TokenLimit: w.TokenLimit, AdapterResident: true, Deadline: w.Deadline,
 	})
 	if refusal == nil {
+		estimate := admitted.Estimate()
+		w.Units, w.Long = estimate.Units, estimate.Long
 		return &place{Place: admitted, now: p.now, started: p.now()}, nil
 	}
 	if refusal.Reason != api.ReasonOverShare && p.hasRemoteRoom(w) {
@@ -158,16 +160,12 @@
 
 func (p *Policy) request(w *modelcalls.Work) routing.Request {
 	return routing.Request{
-		Model: w.Model, Adapter: w.Adapter, Units: units(w), PromptTokens: w.PromptTokens,
+		Model: w.Model, Adapter: w.Adapter, Units: w.Units, Long: w.Long, PromptTokens: w.PromptTokens,
 		PrefixHashes: w.PrefixHashes, BlockTokens: targetapi.PrefixBlockBytes / api.BytesPerToken, MayProbe: true,
 	}
 }
 
 const (
-	// expectedTokens stands for the answer of a request without a token limit.
-	expectedTokens = 200
-	// shortTokens bounds the answers that are hedged.
-	shortTokens = 256
 	// promptTokensPerUnit: engines process prompt tokens in parallel, about twenty times faster than output tokens.
 	promptTokensPerUnit = 20
 	// sampleLimit covers the sample of the router and the holders of a prefix.
@@ -176,20 +174,12 @@
 	firstTokenExpected = 250 * time.Millisecond
 )
 
-func units(w *modelcalls.Work) float64 {
-	tokens := w.TokenLimit
-	if tokens == 0 {
-		tokens = expectedTokens
-	}
-	return float64(w.PromptTokens)/promptTokensPerUnit + float64(tokens)
-}
-
 // finished feeds the end of an attempt back into the policies.
 func (p *Policy) finished(w *modelcalls.Work, placed modelcalls.Placed, r modelcalls.Result) {
 	now := p.now()
 	id := placed.ID()
 	p.router.Finished(now, routing.Finish{
-		Target: id, Model: w.Model, Answered: r.Err == nil,
+		Target: id, Model: w.Model, Long: w.Long, Answered: r.Err == nil,
 		Units: float64(w.PromptTokens)/promptTokensPerUnit + float64(r.Tokens), Service: r.Total,
 	})
 	var broken *targetclient.ErrBroken
@@ -233,7 +223,7 @@
 	}
 	now := p.now()
 	return p.detector.Hedge(now, straggler.HedgeRequest{
-		Group: firstTokenGroup, Idempotent: true, Short: w.TokenLimit > 0 && w.TokenLimit <= shortTokens,
+		Group: firstTokenGroup, Idempotent: true, Short: !w.Long,
 		Expected: p.Expected(w), Elapsed: waited, Remaining: w.Deadline.Sub(now),
 	})
 }
--- /dev/null
+++ b/instance/policy/policy_test.go
@@ -0,0 +1,108 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/admission"
+	"github.com/tarragonhoist/tarragonhoist/coordination/membership"
+	"github.com/tarragonhoist/tarragonhoist/coordination/quarantine"
+	"github.com/tarragonhoist/tarragonhoist/coordination/retry"
+	"github.com/tarragonhoist/tarragonhoist/coordination/routing"
+	"github.com/tarragonhoist/tarragonhoist/coordination/straggler"
+	"github.com/tarragonhoist/tarragonhoist/instance/admit"
+	"github.com/tarragonhoist/tarragonhoist/instance/modelcalls"
+	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+)
+
+// clean has no suspects and no other data centre.
+type clean struct{}
+
+func (clean) Suspect(quarantine.Fingerprint) bool       { return false }
+func (clean) Claimed(quarantine.Target) bool            { return false }
+func (clean) Address(string, *rand.Rand) (string, bool) { return "", false }
+
+func newPolicy(t *testing.T, engines ...string) *Policy {
+	t.Helper()
+	table := membership.NewTable(membership.Options{DataCentre: "a", TargetLease: time.Hour})
+	for _, name := range engines {
+		_, err := table.Announce(time.Now(), targetapi.Announcement{
+			Version: targetapi.Version, Target: name, Incarnation: 1, Sequence: 1, DataCentre: "a", Address: name, Kind: targetapi.Engine,
+			CapacityBytes: 100, Slots: 8, Residents: []targetapi.Resident{{Model: "m", Version: "1", State: targetapi.Ready, Bytes: 10}},
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	waiter := admit.New(admission.New(time.Now(), admission.Options{}), table, 1, time.Now)
+	waiter.Refresh()
+	detector := straggler.New(straggler.Options{})
+	router := routing.New(routing.Options{Health: detector})
+	return New(table, waiter, router, detector, retry.New(retry.Options{}), clean{}, clean{}, time.Now)
+}
+
+func work(tokenLimit int) *modelcalls.Work {
+	return &modelcalls.Work{
+		Caller: "crew", Weight: 1, Model: "m", Priority: releasenote.Standard, PromptTokens: 10, TokenLimit: tokenLimit,
+		Deadline: time.Now().Add(time.Hour),
+	}
+}
+
+func avoidNone(string) bool { return false }
+
+// Guards against long work that routing does not recognise, so that it fills a replica and short work waits behind it.
+func TestLongWorkIsSpreadOverReplicas(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPolicy(t, "e1", "e2", "e3", "e4")
+		learn := func(limit, tokens, times int) {
+			for range times {
+				place, refusal := p.Acquire(t.Context(), work(limit))
+				if refusal != nil {
+					t.Fatal(refusal)
+				}
+				time.Sleep(time.Duration(tokens) * time.Millisecond)
+				place.Release(tokens, true)
+			}
+		}
+		learn(16, 10, 40)
+		learn(8000, 5000, 10)
+		perTarget := make(map[string]int)
+		for range 8 {
+			w := work(8000)
+			if _, refusal := p.Acquire(t.Context(), w); refusal != nil {
+				t.Fatal(refusal)
+			}
+			if !w.Long {
+				t.Fatalf("work of %g units is not long", w.Units)
+			}
+			placed, _, refusal := p.Pick(w, avoidNone)
+			if refusal != nil {
+				t.Fatal(refusal)
+			}
+			perTarget[placed.Target]++
+		}
+		for name, n := range perTarget {
+			if n > 2 {
+				t.Errorf("%s runs %d of 8 long requests, its share of 8 slots is 2", name, n)
+			}
+		}
+	})
+}
+
+// Guards against a target that is picked although the request must avoid it.
+func TestAvoidedTargetsAreNotPicked(t *testing.T) {
+	p := newPolicy(t, "e1", "e2")
+	for range 20 {
+		placed, done, refusal := p.Pick(work(10), func(id string) bool { return id == modelcalls.TargetID("e1", 1) })
+		if refusal != nil || placed.Target != "e2" {
+			t.Fatalf("%+v, %v", placed, refusal)
+		}
+		done(modelcalls.Result{Err: nil, Tokens: 10, Total: time.Second})
+	}
+	if _, _, refusal := p.Pick(work(10), func(string) bool { return true }); refusal == nil {
+		t.Error("a target was picked although all are avoided")
+	}
+}
