Say that an attempt may have run unless its end proves the contrary

Cause, found in the read-through: an attempt that was interrupted, or cut off by the deadline, before its first token left the request marked as not run, and it was then refused as not run although its target may have run it. The mark was set in three places on some paths; it is now set where attempts are closed, from the error. An attempt that broke at the moment of the deadline was also left in the table of suspects.

--- a/instance/modelcalls/run.go
+++ b/instance/modelcalls/run.go
@@ -67,7 +67,7 @@
 	messages chan message
 	open     map[string]*attempt
 	excluded map[string]bool
-	// mayHaveRun is set as soon as any attempt may have reached a target.
+	// mayHaveRun is set when an attempt was closed without proof that its target did not run it.
 	mayHaveRun bool
 	forwarded  int
 	attempts   int
@@ -259,7 +259,6 @@
 	}
 	a.tokens++
 	a.latest = now
-	r.mayHaveRun = true
 	content, err := targetapi.ChunkContent(e.Data)
 	if err != nil {
 		return r.ended(ctx, a, err)
@@ -299,6 +298,7 @@
 	r.splicer.Break(a.id)
 	r.close(a, err)
 	if ctx.Err() != nil {
+		r.server.Suspects.Ended(a.id)
 		return r.timedOut(ctx)
 	}
 	if r.broken(err) || unreachable(err) {
@@ -311,7 +311,6 @@
 		return r.cannotContinue(api.Refuse(api.ReasonMalformedRequest, rejected.Message))
 	}
 	if r.broken(err) {
-		r.mayHaveRun = true
 		r.server.Recorder.Record(events.AttemptBroken, events.Fields{
 			"request": r.work.RequestID, "target": a.placed.Target, "offset": r.splicer.Resume(), "error": err.Error()})
 		if !a.placed.Remote {
@@ -330,6 +329,14 @@
 	return errors.As(err, &broken)
 }
 
+// didNotRun says whether an error proves that the target did not run an attempt.
+func didNotRun(err error) bool {
+	var overloaded *targetclient.ErrOverloaded
+	var notReady *targetclient.ErrNotReady
+	var rejected *targetclient.ErrRejected
+	return unreachable(err) || errors.As(err, &overloaded) || errors.As(err, &notReady) || errors.As(err, &rejected)
+}
+
 // unreachable says whether no connection to the target could be made. It is not tried again: a restarted target is
 // another one.
 func unreachable(err error) bool {
@@ -419,6 +426,7 @@
 func (r *run) close(a *attempt, err error) {
 	delete(r.open, a.id)
 	a.cancel()
+	r.mayHaveRun = r.mayHaveRun || !didNotRun(err)
 	if err != nil && !r.broken(err) {
 		r.server.Suspects.Ended(a.id)
 	}
@@ -435,9 +443,12 @@
 	}()
 }
 
+// ran says whether any attempt may have run. One that is still open may be running on its target.
+func (r *run) ran() bool { return r.mayHaveRun || len(r.open) > 0 }
+
 // cannotContinue turns a refusal into a failure when an earlier attempt may have run.
 func (r *run) cannotContinue(refusal *api.Result) *api.Result {
-	if !r.mayHaveRun {
+	if !r.ran() {
 		return refusal
 	}
 	return &api.Result{Outcome: api.Failed, Reason: refusal.Reason, Repeat: refusal.Repeat, RepeatAfter: refusal.RepeatAfter,
@@ -445,7 +456,7 @@
 }
 
 func (r *run) fail(err error) *api.Result {
-	if !r.mayHaveRun {
+	if !r.ran() {
 		return api.RefuseFor(api.ReasonNoCapacity, time.Second, "no target took the request: "+err.Error())
 	}
 	reason := api.ReasonTargetFailed
@@ -459,8 +470,7 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return api.Fail(api.ReasonTimeout, api.RepeatNow, "the caller closed the connection")
 	}
-	// An attempt that is still open may be running on its target.
-	if r.mayHaveRun || len(r.open) > 0 {
+	if r.ran() {
 		return api.Fail(api.ReasonTimeout, api.RepeatNow, "the deadline passed before the answer was complete")
 	}
 	return &api.Result{Outcome: api.Refused, Reason: api.ReasonDeadlineUnreachable, Repeat: api.RepeatNow,
--- a/instance/modelcalls/run_test.go
+++ b/instance/modelcalls/run_test.go
@@ -46,6 +46,8 @@
 	hedge   time.Duration
 	// interrupt is the time after which the request loses its slot for a minute.
 	interrupt time.Duration
+	// resumed is the refusal after an interruption, or nil.
+	resumed *api.Result
 
 	mu        sync.Mutex
 	picked    int
@@ -58,17 +60,20 @@
 	if f.interrupt > 0 {
 		time.AfterFunc(f.interrupt, func() { close(interrupted) })
 	}
-	return &place{interrupted: interrupted}, nil
+	return &place{interrupted: interrupted, refusal: f.resumed}, nil
 }
 
 // place is interrupted once and may go on after a minute.
-type place struct{ interrupted chan struct{} }
+type place struct {
+	interrupted chan struct{}
+	refusal     *api.Result
+}
 
 func (p *place) Interrupted() <-chan struct{} { return p.interrupted }
 func (p *place) Resume(context.Context) *api.Result {
 	p.interrupted = nil
 	time.Sleep(time.Minute)
-	return nil
+	return p.refusal
 }
 func (p *place) Release(int, bool) {}
 func (f *fake) Pick(*modelcalls.Work, func(string) bool) (modelcalls.Placed, func(modelcalls.Result), *api.Result) {
@@ -246,6 +251,28 @@
 	})
 }
 
+// Guards against a refusal as not run of a request whose attempt was interrupted, or cut off by the deadline, before its
+// first token: the target may have run it.
+func TestAttemptWithoutTokensMayHaveRun(t *testing.T) {
+	silent := script{first: time.Hour, tokens: answerTokens}
+	for _, test := range []struct {
+		name string
+		fake *fake
+	}{
+		{"interrupted", &fake{scripts: []script{silent}, interrupt: time.Second, resumed: api.Refuse(api.ReasonDeadlineUnreachable, "no slot")}},
+		{"deadline after a silent target", &fake{scripts: []script{silent}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				if result, _, _ := run(test.fake, 2*time.Minute); result.Outcome != api.Failed {
+					t.Errorf("got %s %s: %s", result.Outcome, result.Reason, result.Message)
+				}
+				time.Sleep(2 * time.Hour)
+			})
+		})
+	}
+}
+
 // Guards against an instance that takes work while it shuts down.
 func TestClosedGateRefuses(t *testing.T) {
 	f := &fake{}
