--- a/standin/caller/caller.go
+++ b/standin/caller/caller.go
@@ -59,21 +59,26 @@
 
 // Stream sends a streaming model call to an instance.
 func (c *Client) Stream(ctx context.Context, url string, chat Chat) (*Answer, error) {
-	resp, err := c.send(ctx, url, chat, true)
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	answer := answerOf(resp)
-	if resp.StatusCode != http.StatusOK {
-		return answer, readError(resp.Body, answer)
-	}
-	return answer, readStream(resp.Body, answer, chat.OnToken)
+	return c.chat(ctx, url, chat, true, func(body io.Reader, answer *Answer) error {
+		return readStream(body, answer, chat.OnToken)
+	})
 }
 
 // Whole sends a model call that is answered at once.
 func (c *Client) Whole(ctx context.Context, url string, chat Chat) (*Answer, error) {
-	resp, err := c.send(ctx, url, chat, false)
+	return c.chat(ctx, url, chat, false, func(body io.Reader, answer *Answer) error {
+		var completion api.ChatCompletion
+		if err := json.NewDecoder(body).Decode(&completion); err != nil {
+			return errors.Wrap(err, "answer")
+		}
+		answer.Text, answer.Ended = completion.Choices[0].Message.Content, true
+		return nil
+	})
+}
+
+// chat sends a model call and reads its answer or its error.
+func (c *Client) chat(ctx context.Context, url string, chat Chat, stream bool, read func(io.Reader, *Answer) error) (*Answer, error) {
+	resp, err := c.send(ctx, url, chat, stream)
 	if err != nil {
 		return nil, err
 	}
@@ -82,12 +87,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return answer, readError(resp.Body, answer)
 	}
-	var completion api.ChatCompletion
-	if err := json.NewDecoder(resp.Body).Decode(&completion); err != nil {
-		return answer, errors.Wrap(err, "answer")
-	}
-	answer.Text, answer.Ended = completion.Choices[0].Message.Content, true
-	return answer, nil
+	return answer, read(resp.Body, answer)
 }
 
 func (c *Client) send(ctx context.Context, url string, chat Chat, stream bool) (*http.Response, error) {
--- a/standin/cluster/cluster.go
+++ b/standin/cluster/cluster.go
@@ -319,16 +319,6 @@
 	c.links(func(i InstanceSpec) bool { return i.DataCentre == name }, (*relay.Relay).Heal)
 }
 
-// CutInstance cuts all relayed links of one instance.
-func (c *Cluster) CutInstance(name string) {
-	c.links(func(i InstanceSpec) bool { return i.Name == name }, (*relay.Relay).Cut)
-}
-
-// HealInstance restores the links that CutInstance cut.
-func (c *Cluster) HealInstance(name string) {
-	c.links(func(i InstanceSpec) bool { return i.Name == name }, (*relay.Relay).Heal)
-}
-
 // LoseDisk deletes the data folder of an instance that does not run.
 func (c *Cluster) LoseDisk(name string) error { return removeAll(c.DataFolder(name)) }
 
