--- /dev/null
+++ b/coordination/placement/versions.go
@@ -0,0 +1,71 @@
+package placement
+
+import "github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+
+// pinOld keeps the memory of the replicas of an old version that must not be unloaded yet: one as long as no replica of
+// the version in effect is ready, and those with the last replica of an adapter.
+func (p *planner) pinOld() {
+	for m := range p.models {
+		model := &p.models[m]
+		if len(model.old) == 0 {
+			continue
+		}
+		covered := make(map[string]bool, len(model.Adapters))
+		for _, t := range model.existing {
+			if p.targets[t].held[model.item()].State == targetapi.Ready {
+				p.coverAdapters(m, t, covered)
+			}
+		}
+		needed := model.ready == 0
+		for _, r := range model.old {
+			if r.ready && (p.coverAdapters(m, r.target, covered) || needed) {
+				p.keepAll(m, r.target)
+				needed = false
+			}
+		}
+	}
+}
+
+// coverAdapters notes the adapters in effect that are ready on a target, in any version, and says whether one is new.
+func (p *planner) coverAdapters(m, t int, covered map[string]bool) (added bool) {
+	for item, held := range p.targets[t].held {
+		if item.Model != p.models[m].Name || item.Adapter == "" || held.State != targetapi.Ready || covered[item.Adapter] || !inEffect(p.models[m].Model, item.Adapter) {
+			continue
+		}
+		covered[item.Adapter], added = true, true
+	}
+	return added
+}
+
+// keepOld keeps further replicas of an old version where there is room, until the new ones that take their place are
+// ready.
+func (p *planner) keepOld() {
+	for m := range p.models {
+		model := &p.models[m]
+		keep := len(model.placed) - model.ready
+		for _, r := range model.old {
+			if t := &p.targets[r.target]; r.ready && keep > 0 && t.free >= p.heldBytes(m, r.target) {
+				p.keepAll(m, r.target)
+				keep--
+			}
+		}
+	}
+}
+
+// keepAll keeps what a target holds of a model, in any version.
+func (p *planner) keepAll(m, t int) {
+	for item, held := range p.targets[t].held {
+		if item.Model == p.models[m].Name {
+			p.want(t, item, held.Bytes)
+		}
+	}
+}
+
+func (p *planner) heldBytes(m, t int) (sum int64) {
+	for item, held := range p.targets[t].held {
+		if _, wanted := p.targets[t].wanted[item]; item.Model == p.models[m].Name && !wanted {
+			sum += held.Bytes
+		}
+	}
+	return sum
+}
