--- /dev/null
+++ b/cmd/tarragonhoist-fleet/main.go
@@ -0,0 +1,69 @@
+// Command tarragonhoist-fleet runs the gateways and control instances of a deployment on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/tarragonhoist/tarragonhoist/instance/fleet"
+	"github.com/tarragonhoist/tarragonhoist/instance/hub"
+	"github.com/tarragonhoist/tarragonhoist/instance/version"
+	"github.com/tarragonhoist/tarragonhoist/platform"
+	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
+)
+
+// Exit codes, documented in docs/OPERATIONS.md.
+const (
+	exitOK       = 0
+	exitError    = 1
+	exitSettings = 2
+)
+
+func main() {
+	app := kingpin.New("tarragonhoist-fleet", "Serves routes and models on the platform.")
+	app.Version(version.String())
+	app.HelpFlag.Short('h')
+	path := app.Flag("settings", "Settings file (TOML).").Envar(platform.SettingsVariable).Default(platform.DefaultSettings).String()
+	gateway := app.Command("gateway", "Serve callers until SIGTERM.")
+	control := app.Command("control", "Serve targets and operators until SIGTERM.")
+	check := app.Command("check-settings", "Check the settings file and print every finding.")
+	command := kingpin.MustParse(app.Parse(os.Args[1:]))
+	node, err := settings.LoadNode(*path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	run := fleet.RunGateway
+	switch command {
+	case check.FullCommand():
+		fmt.Println("settings are in order")
+		os.Exit(exitOK)
+	case control.FullCommand():
+		run = fleet.RunControl
+	case gateway.FullCommand():
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	if err := run(ctx, *path, node, adapter(), reloads); err != nil {
+		fmt.Fprintln(os.Stderr, "tarragonhoist-fleet:", err)
+		os.Exit(exitError)
+	}
+}
+
+func adapter() *fleet.Adapter {
+	return &fleet.Adapter{
+		Headers: platform.Headers(), ReadPrompt: platform.ReadPrompt, ReadyPath: platform.ReadyPath,
+		DecodeConfig: platform.DecodeConfig,
+		Orders:       func(c *upstream.Client) hub.Orders { return platform.Orders{Client: c} },
+		API:          func(h *hub.Hub) http.Handler { return platform.NewAPI(h) },
+	}
+}
--- /dev/null
+++ b/coordination/dispatch/board.go
@@ -0,0 +1,417 @@
+// Package dispatch picks the target of a request: it filters the targets that can run it, scores each by the delay to
+// expect there, and takes the best. It answers bursts, targets that are slow, dark or fail part of their requests, and
+// load that other gateways have sent lately.
+package dispatch
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+)
+
+const (
+	// failureHalfLife halves the weight of an observed failure.
+	failureHalfLife = 2 * time.Second
+	// connectBackoff keeps a target that refuses connections out of the choice.
+	connectBackoff = 500 * time.Millisecond
+	// silentAfter is the age of a heartbeat after which a target may be dead: three heartbeats of 1.2 s, one of them late.
+	silentAfter = 4500 * time.Millisecond
+	// overdueAfter is the time without a first byte after which a request tells against its target.
+	overdueAfter = 1500 * time.Millisecond
+)
+
+// Weights of the score, in ms of expected delay.
+const (
+	defaultPrefillTokensPerMs = 30.0
+	// runningMs is the slowdown by each request that a target runs already, in proportion to its slots.
+	runningMs = 40.0
+	// queuedMs is the wait behind each request that has no slot.
+	queuedMs = 60.0
+	// remoteMs is the cost of another data centre: the way there and the bytes between data centres.
+	remoteMs = 1.0
+	// failureMs is the weight of one recent failure.
+	failureMs = 150.0
+	// overdueMs is the weight of one request without a first byte.
+	overdueMs = 400.0
+	// silentMs is the weight of missing heartbeats.
+	silentMs = 400.0
+	// slowMs weighs the latency of a target against that of all targets of its service.
+	slowMs = 60.0
+	// noiseMs spreads gateways that see the same loads.
+	noiseMs = 1.5
+	// latencyWeight is the weight of a new sample in the moving average of latencies.
+	latencyWeight = 0.2
+)
+
+// Load is the work on one target.
+type Load struct {
+	Running      int
+	Unstarted    int
+	PromptTokens int // of unstarted requests
+}
+
+func (l *Load) add(other Load, sign int) {
+	l.Running += sign * other.Running
+	l.Unstarted += sign * other.Unstarted
+	l.PromptTokens += sign * other.PromptTokens
+}
+
+type targetState struct {
+	own      Load
+	others   Load
+	byModel  map[string]int // own running requests
+	pending  map[*Ticket]struct{}
+	failures float64
+	failedAt time.Time
+	downTill time.Time
+	latency  float64 // moving average of the time to the first byte over what was expected, 0 when unknown
+	lastUsed time.Time
+}
+
+// Board is what a gateway knows of the load and health of targets. It is safe for concurrent use.
+type Board struct {
+	mu       sync.Mutex
+	targets  map[string]*targetState // by target id
+	retiring map[modelAt]bool
+	// lacking are models and adapters that a target said it does not hold, adapters those that were ordered, each until
+	// the time at which heartbeats tell.
+	lacking  map[heldAt]time.Time
+	adapters map[heldAt]time.Time
+}
+
+type modelAt struct{ id, model string }
+
+type heldAt struct{ id, model, adapter string }
+
+// NewBoard returns an empty board.
+func NewBoard() *Board {
+	return &Board{targets: make(map[string]*targetState), retiring: make(map[modelAt]bool),
+		lacking: make(map[heldAt]time.Time), adapters: make(map[heldAt]time.Time)}
+}
+
+func (b *Board) state(id string) *targetState {
+	s := b.targets[id]
+	if s == nil {
+		s = &targetState{byModel: make(map[string]int), pending: make(map[*Ticket]struct{})}
+		b.targets[id] = s
+	}
+	return s
+}
+
+// Query describes a request that needs a target.
+type Query struct {
+	Service    string
+	Model      string // empty for plain services
+	Adapter    string
+	Tokens     int // of the prompt
+	DataCentre string
+	Exclude    []string // target ids that failed this request
+	Slots      int      // per target, used when the target does not tell
+	// OnlyFree leaves out targets whose slots are taken, with this many more requests for each slot.
+	MaxPerSlot float64
+}
+
+// Reason says why there is no target.
+type Reason string
+
+// Reasons.
+const (
+	Found      Reason = ""
+	NoTarget   Reason = "no target of the service is known"
+	NotLoaded  Reason = "no target holds the model"
+	NoAdapter  Reason = "no target holds the adapter"
+	AllFull    Reason = "all targets are full"
+	AllExclude Reason = "every target that could run the request has failed it or is away"
+)
+
+// Pick returns the best target for a request.
+func (b *Board) Pick(now time.Time, rng *rand.Rand, q Query, targets []roster.Entry) (*roster.Entry, Reason) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	reason := NoTarget
+	worse := func(r Reason, rank int) {
+		if rank > reasonRank[reason] {
+			reason = r
+		}
+	}
+	var best *roster.Entry
+	bestScore := 0.0
+	for i := range targets {
+		t := &targets[i]
+		if t.Service != q.Service || t.State != roster.Ready {
+			continue
+		}
+		if q.Model != "" && (t.Holds(q.Model) == nil || b.retiring[modelAt{t.ID, q.Model}]) {
+			worse(NotLoaded, reasonRank[NotLoaded])
+			continue
+		}
+		if q.Model != "" && now.Before(b.lacking[heldAt{t.ID, q.Model, ""}]) {
+			worse(NotLoaded, reasonRank[NotLoaded])
+			continue
+		}
+		if q.Adapter != "" && !b.holdsAdapter(now, t, &q) {
+			worse(NoAdapter, reasonRank[NoAdapter])
+			continue
+		}
+		s := b.state(t.ID)
+		if contains(q.Exclude, t.ID) || now.Before(s.downTill) {
+			worse(AllExclude, reasonRank[AllExclude])
+			continue
+		}
+		slots := slotsOf(t, q.Slots)
+		if q.MaxPerSlot > 0 && float64(s.own.Running+s.others.Running) >= q.MaxPerSlot*float64(slots) {
+			worse(AllFull, reasonRank[AllFull])
+			continue
+		}
+		score := s.score(now, t, &q, slots) + rng.Float64()*noiseMs
+		if best == nil || score < bestScore {
+			best, bestScore = t, score
+		}
+	}
+	if best != nil {
+		return best, Found
+	}
+	return nil, reason
+}
+
+func (b *Board) holdsAdapter(now time.Time, t *roster.Entry, q *Query) bool {
+	at := heldAt{t.ID, q.Model, q.Adapter}
+	if now.Before(b.lacking[at]) {
+		return false
+	}
+	return now.Before(b.adapters[at]) || t.HoldsAdapter(q.Model, q.Adapter)
+}
+
+const (
+	// lackingFor is how long the word of a target that it does not hold something counts more than its heartbeats, which
+	// come every 1.2 s.
+	lackingFor = 1500 * time.Millisecond
+	// orderedFor is how long an adapter that was ordered counts as held without a heartbeat that says so.
+	orderedFor = 2500 * time.Millisecond
+)
+
+// Lacks notes that a target rejected a request because it does not hold the model or the adapter.
+func (b *Board) Lacks(now time.Time, id, model, adapter string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	expire(now, b.lacking)
+	b.lacking[heldAt{id, model, adapter}] = now.Add(lackingFor)
+	delete(b.adapters, heldAt{id, model, adapter})
+}
+
+// Ordered notes that a target was ordered to load an adapter.
+func (b *Board) Ordered(now time.Time, id, model, adapter string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	expire(now, b.adapters)
+	b.adapters[heldAt{id, model, adapter}] = now.Add(orderedFor)
+	delete(b.lacking, heldAt{id, model, adapter})
+}
+
+func expire(now time.Time, m map[heldAt]time.Time) {
+	for at, until := range m {
+		if !now.Before(until) {
+			delete(m, at)
+		}
+	}
+}
+
+// reasonRank orders reasons by how far the best target came through the filters.
+var reasonRank = map[Reason]int{NoTarget: 0, NotLoaded: 1, NoAdapter: 2, AllExclude: 3, AllFull: 4}
+
+func contains(list []string, id string) bool {
+	for _, one := range list {
+		if one == id {
+			return true
+		}
+	}
+	return false
+}
+
+func slotsOf(t *roster.Entry, otherwise int) int {
+	if t.Slots > 0 {
+		return t.Slots
+	}
+	return max(otherwise, 1)
+}
+
+// score is the delay to expect at the target, in ms.
+func (s *targetState) score(now time.Time, t *roster.Entry, q *Query, slots int) float64 {
+	running := s.own.Running + s.others.Running
+	ms := float64(s.own.PromptTokens+s.others.PromptTokens+q.Tokens) / defaultPrefillTokensPerMs
+	ms += runningMs * float64(running) / float64(slots)
+	if queued := running - slots + 1; queued > 0 {
+		ms += queuedMs * float64(queued)
+	}
+	if t.DataCentre != q.DataCentre {
+		ms += remoteMs
+	}
+	if s.latency > 1 {
+		ms += slowMs * (s.latency - 1)
+	}
+	ms += failureMs * s.recentFailures(now)
+	overdue := 0
+	for ticket := range s.pending {
+		if now.Sub(ticket.sentAt) > overdueAfter {
+			overdue++
+		}
+	}
+	ms += overdueMs * float64(overdue)
+	if now.Sub(t.HeardAt) > silentAfter {
+		ms += silentMs
+	}
+	return ms
+}
+
+func (s *targetState) recentFailures(now time.Time) float64 {
+	if s.failures == 0 {
+		return 0
+	}
+	age := now.Sub(s.failedAt)
+	for ; age >= failureHalfLife && s.failures > 0.01; age -= failureHalfLife {
+		s.failures /= 2
+		s.failedAt = s.failedAt.Add(failureHalfLife)
+	}
+	if s.failures <= 0.01 {
+		s.failures = 0
+	}
+	return s.failures
+}
+
+// Ticket is one request on its way to or at a target.
+type Ticket struct {
+	id      string
+	model   string
+	tokens  int
+	sentAt  time.Time
+	started bool
+	ended   bool
+}
+
+// Start counts a request that is being sent.
+func (b *Board) Start(now time.Time, id, model string, tokens int) *Ticket {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(id)
+	t := &Ticket{id: id, model: model, tokens: tokens, sentAt: now}
+	s.own.add(Load{Running: 1, Unstarted: 1, PromptTokens: tokens}, 1)
+	s.byModel[model]++
+	s.pending[t] = struct{}{}
+	s.lastUsed = now
+	return t
+}
+
+// FirstByte tells that the answer has begun. expected is the time that it should have taken, 0 if unknown.
+func (b *Board) FirstByte(now time.Time, t *Ticket, expected time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t.started || t.ended {
+		return
+	}
+	s := b.state(t.id)
+	t.begin(s)
+	if expected > 0 {
+		ratio := min(float64(now.Sub(t.sentAt))/float64(expected), 10)
+		if s.latency == 0 {
+			s.latency = 1
+		}
+		s.latency += latencyWeight * (ratio - s.latency)
+	}
+}
+
+func (t *Ticket) begin(s *targetState) {
+	t.started = true
+	s.own.add(Load{Unstarted: 1, PromptTokens: t.tokens}, -1)
+	delete(s.pending, t)
+}
+
+// End is how a request ended.
+type End uint8
+
+// Ends.
+const (
+	// Complete answers say that the target is well.
+	Complete End = iota
+	// Neutral ends say nothing of the target: the caller left, or the target rejected the request.
+	Neutral
+	// Failed answers and broken connections tell against the target.
+	Failed
+	// Unreachable targets are left out for a moment.
+	Unreachable
+)
+
+// Finish ends the request.
+func (b *Board) Finish(now time.Time, t *Ticket, end End) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if t.ended {
+		return
+	}
+	s := b.state(t.id)
+	if !t.started {
+		t.begin(s)
+	}
+	t.ended = true
+	s.own.Running--
+	if s.byModel[t.model]--; s.byModel[t.model] <= 0 {
+		delete(s.byModel, t.model)
+	}
+	switch end {
+	case Complete:
+		s.failures = s.recentFailures(now) * 0.7
+	case Failed:
+		s.failures = s.recentFailures(now) + 1
+		s.failedAt = now
+	case Unreachable:
+		s.failures = s.recentFailures(now) + 1
+		s.failedAt = now
+		s.downTill = now.Add(connectBackoff)
+	}
+}
+
+// Own returns the load that this gateway has sent, by target, and its running requests by model.
+func (b *Board) Own() (targets map[string]Load, models map[string]int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	targets, models = make(map[string]Load), make(map[string]int)
+	for id, s := range b.targets {
+		if s.own.Running > 0 {
+			targets[id] = s.own
+		}
+		for model, n := range s.byModel {
+			models[model] += n
+		}
+	}
+	return targets, models
+}
+
+// SetOthers takes the load of the other gateways and the models that targets are about to unload.
+func (b *Board) SetOthers(loads map[string]Load, retiring map[string][]string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.targets {
+		s.others = loads[id]
+	}
+	for id, l := range loads {
+		b.state(id).others = l
+	}
+	clear(b.retiring)
+	for id, models := range retiring {
+		for _, model := range models {
+			b.retiring[modelAt{id, model}] = true
+		}
+	}
+}
+
+// Forget drops targets that are not wanted and have no requests.
+func (b *Board) Forget(wanted map[string]bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, s := range b.targets {
+		if !wanted[id] && s.own.Running == 0 {
+			delete(b.targets, id)
+		}
+	}
+}
--- a/coordination/raft/election.go
+++ b/coordination/raft/election.go
@@ -103,6 +103,9 @@
 	for _, id := range n.current().members() {
 		n.addProgress(now, id)
 	}
+	for _, p := range n.progress {
+		p.joined = time.Time{}
+	}
 	n.termStart = n.log.lastIndex() + 1
 	n.appendLocal(now, Entry{Kind: EntryNoop})
 	n.heartbeatDue = now.Add(n.cfg.HeartbeatInterval)
--- a/coordination/raft/membership.go
+++ b/coordination/raft/membership.go
@@ -178,3 +178,43 @@
 		n.hard.Term = max(n.hard.Term, s.Term)
 	}
 }
+
+// minVotersAfterRemoval keeps a group able to lose one voter when a silent one is removed without a successor.
+const minVotersAfterRemoval = 3
+
+// SilentTimeouts say when a silent voter may be removed.
+type SilentTimeouts struct {
+	// Replaced applies once another voter was added after the silent one was heard for the last time.
+	Replaced time.Duration
+	// Lost applies without a successor, as long as at least three voters remain.
+	Lost time.Duration
+}
+
+// SilentVoter returns a voter that the leader has not heard for longer than the timeouts allow. All other voters must
+// answer, so that the removal commits without it; two silent voters point to a partition.
+func (n *Node) SilentVoter(now time.Time, timeouts SilentTimeouts) (id string, ok bool) {
+	if n.role != Leader || !n.changeAllowed() {
+		return "", false
+	}
+	m := n.current()
+	for _, voter := range m.Voters {
+		p := n.progress[voter]
+		if voter == n.cfg.ID || p == nil || now.Sub(p.lastHeard) < timeouts.Replaced {
+			continue
+		}
+		if id != "" {
+			return "", false
+		}
+		id = voter
+	}
+	if id == "" {
+		return "", false
+	}
+	silentSince := n.progress[id].lastHeard
+	for voter, p := range n.progress {
+		if m.IsVoter(voter) && voter != id && p.joined.After(silentSince) {
+			return id, true
+		}
+	}
+	return id, now.Sub(silentSince) >= timeouts.Lost && len(m.Voters) > minVotersAfterRemoval
+}
--- a/coordination/raft/replication.go
+++ b/coordination/raft/replication.go
@@ -27,6 +27,7 @@
 	probeSent   bool
 	inflight    []uint64 // last index of each append that is not acknowledged
 	lastHeard   time.Time
+	joined      time.Time // when this leader added the member; zero for those that it found at its election
 	readAck     uint64
 
 	snapshot *Snapshot
@@ -38,7 +39,7 @@
 	if id == n.cfg.ID || n.progress[id] != nil {
 		return
 	}
-	n.progress[id] = &progress{next: n.log.lastIndex() + 1, lastHeard: now}
+	n.progress[id] = &progress{next: n.log.lastIndex() + 1, lastHeard: now, joined: now}
 }
 
 // Propose appends a command to the leader's log. It is committed once Ready hands it out with the same term.
--- a/coordination/replica/group.go
+++ b/coordination/replica/group.go
@@ -142,6 +142,7 @@
 		now := time.Now()
 		if g.opts.isVoter() {
 			g.node.Tick(now)
+			g.removeSilentVoter(now)
 		}
 		if err := g.work(now); err != nil {
 			return err
@@ -152,6 +153,20 @@
 	}
 }
 
+// removeSilentVoter removes a voter that is gone for good, so that it does not count against the majority.
+func (g *Group) removeSilentVoter(now time.Time) {
+	if !g.opts.Dynamic || g.opts.SilentVoters.Lost == 0 {
+		return
+	}
+	id, ok := g.node.SilentVoter(now, g.opts.SilentVoters)
+	if !ok {
+		return
+	}
+	if err := g.node.ProposeChange(now, raft.MembershipChange{Kind: raft.ChangeRemove, ID: id}); err == nil {
+		g.opts.OnEvent(EventMembership, "removing silent voter "+id)
+	}
+}
+
 // handOver lets a leader that stops pass on its role, so that the group need not wait for an election timeout. It serves
 // messages until another leader is known or time is up.
 func (g *Group) handOver() error {
--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -19,7 +19,9 @@
 	for {
 		s := g.Status()
 		switch {
+		case s.Voter && (!g.opts.Dynamic || s.Leader != ""):
 		case s.Voter:
+			g.checkRemoved(ctx, s.ID)
 		case s.Cluster != "":
 			g.join(ctx)
 		default:
@@ -28,7 +30,7 @@
 			}
 		}
 		select {
-		case <-time.After(joinInterval):
+		case <-time.After(g.opts.JoinInterval):
 		case <-ctx.Done():
 			return nil
 		}
@@ -42,6 +44,24 @@
 	}
 }
 
+// checkRemoved asks the others whether this member was removed while it was away. Without this it would wait for a
+// leader that no longer knows it.
+func (g *Group) checkRemoved(ctx context.Context, member string) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	for _, peer := range g.contacts() {
+		if peer == g.opts.Self {
+			continue
+		}
+		r, err := g.opts.Caller.Propose(ctx, peer, ProposeRequest{Kind: RequestHello, Member: member})
+		if err == nil && r.Removed && r.Cluster == g.Status().Cluster {
+			g.opts.OnEvent(EventMembership, member+" was removed while it was away")
+			g.opts.OnRemoved()
+			return
+		}
+	}
+}
+
 // joinOrFound joins the group if a voter knows it. Otherwise the first voter founds it once all voters are ready.
 func (g *Group) joinOrFound(ctx context.Context) error {
 	members, exists, problem := g.askVoters(ctx)
@@ -53,6 +73,9 @@
 		return nil
 	}
 	g.problem(problem)
+	if g.opts.Dynamic {
+		return nil // only founders start a group, see Options.Founders
+	}
 	if problem == "" && g.opts.Self == g.opts.Voters[0] {
 		return g.found(ctx, members)
 	}
--- a/coordination/replica/options.go
+++ b/coordination/replica/options.go
@@ -18,9 +18,9 @@
 	defaultFetchInterval  = 500 * time.Millisecond
 	defaultProposeTimeout = 5 * time.Second
 	// attemptTimeout bounds one forwarded call, so that a frozen peer leaves time for another one.
-	attemptTimeout = 2 * time.Second
-	retryInterval  = 100 * time.Millisecond
-	joinInterval   = 500 * time.Millisecond
+	attemptTimeout      = 2 * time.Second
+	retryInterval       = 100 * time.Millisecond
+	defaultJoinInterval = 500 * time.Millisecond
 )
 
 // Errors of proposals and barriers.
@@ -87,6 +87,20 @@
 	// Voters are the names of the voters in the settings. The first one in sorted order founds a new group once all of
 	// them are reachable and empty.
 	Voters []string
+	// Dynamic lets any instance with a DataDir become a voter, whether Voters names it or not. Voters are then only the
+	// first instances to ask.
+	Dynamic bool
+	// Founders, when it names Self and the data folder is new, makes this instance a founder of a new group without
+	// asking anybody: every founder derives the same first membership from the same list. It must only be set at the
+	// first start of the whole deployment.
+	Founders []string
+	// SilentVoters lets the leader of a dynamic group remove voters that are gone. Zero keeps them.
+	SilentVoters raft.SilentTimeouts
+	// OnRemoved is called when the group has removed this instance while its data folder still says that it is a
+	// member. The folder is of no more use then.
+	OnRemoved func()
+	// JoinInterval is the pause between attempts to become a voter.
+	JoinInterval time.Duration
 	// DataDir holds a folder per group. Voters need it; other instances keep their state in memory when it is empty.
 	DataDir string
 	Machine StateMachine
@@ -156,12 +170,16 @@
 	defaults.Positive(&o.SnapshotBytes, defaultSnapshotBytes)
 	defaults.Positive(&o.FetchInterval, defaultFetchInterval)
 	defaults.Positive(&o.ProposeTimeout, defaultProposeTimeout)
+	defaults.Positive(&o.JoinInterval, defaultJoinInterval)
+	if o.OnRemoved == nil {
+		o.OnRemoved = func() {}
+	}
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 }
 
-func (o *Options) isVoter() bool { return slices.Contains(o.Voters, o.Self) }
+func (o *Options) isVoter() bool { return o.Dynamic || slices.Contains(o.Voters, o.Self) }
 
 // Status describes a replica.
 type Status struct {
@@ -231,6 +249,8 @@
 	Member  string   `cbor:"6,keyasint,omitempty" json:"member,omitempty"`
 	Cluster string   `cbor:"7,keyasint,omitempty" json:"cluster,omitempty"`
 	Voters  []string `cbor:"8,keyasint,omitempty" json:"voters,omitempty"`
+	// Removed tells in the answer to a hello that the member id in the request was removed from the group.
+	Removed bool `cbor:"10,keyasint,omitempty" json:"removed,omitempty"`
 	// Failed tells that the state machine returned Failure for the command.
 	Failed bool `cbor:"9,keyasint,omitempty" json:"failed,omitempty"`
 }
--- a/coordination/replica/propose.go
+++ b/coordination/replica/propose.go
@@ -126,13 +126,19 @@
 	if s.Leader != "" && attempt%2 == 0 {
 		return s.Leader
 	}
+	names := g.contacts()
+	return names[attempt%len(names)]
+}
+
+// contacts are the voters of the settings and those of the membership.
+func (g *Group) contacts() []string {
 	names := slices.Clone(g.opts.Voters)
-	for _, id := range s.Voters {
+	for _, id := range g.Status().Voters {
 		if name := raft.MemberName(id); !slices.Contains(names, name) {
 			names = append(names, name)
 		}
 	}
-	return names[attempt%len(names)]
+	return names
 }
 
 func (g *Group) call(ctx context.Context, peer string, r ProposeRequest) (ProposeResponse, error) {
@@ -179,7 +185,9 @@
 	id := &g.store.identity
 	switch {
 	case r.Kind == RequestHello:
-		answer <- ProposeResponse{Outcome: OutcomeDone, Member: id.id(), Cluster: id.Cluster, Voters: g.opts.Voters}
+		m := g.node.Membership()
+		answer <- ProposeResponse{Outcome: OutcomeDone, Member: id.id(), Cluster: id.Cluster, Voters: g.opts.Voters,
+			Removed: r.Member != "" && slices.Contains(m.Removed, r.Member) && g.node.MembershipIndex() <= g.node.Commit()}
 	case r.Kind == RequestFound:
 		answer <- g.serveFound(r)
 	case r.Cluster != "" && id.Cluster != "" && r.Cluster != id.Cluster:
@@ -257,7 +265,7 @@
 			return ProposeResponse{Outcome: OutcomeNotCommitted}
 		}
 		member = ids[i]
-	} else if name := raft.MemberName(member); !slices.Contains(g.opts.Voters, name) || !strings.Contains(member, "@") {
+	} else if name := raft.MemberName(member); !g.opts.Dynamic && !slices.Contains(g.opts.Voters, name) || !strings.Contains(member, "@") {
 		return refused(name + " is not among the voters in the settings of the leader")
 	}
 	err := g.node.ProposeChange(now, raft.MembershipChange{Kind: kind, ID: member})
--- a/coordination/replica/storage.go
+++ b/coordination/replica/storage.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/google/uuid"
@@ -66,6 +67,7 @@
 	s.log = log
 	saved, err := fromDisk(&state)
 	if err == nil && !known {
+		s.foundIfAsked(o)
 		err = s.firstStart(&saved)
 	}
 	if err != nil {
@@ -104,6 +106,23 @@
 	return true, nil
 }
 
+// founderIncarnation is the disk incarnation of the founders of a dynamic group. It is the same everywhere, so that each
+// founder knows the member ids of the others without asking. A disk that is lost later gets a random one.
+const founderIncarnation = "founder"
+
+// foundIfAsked makes a new folder a founder of the group that Founders describe.
+func (s *storage) foundIfAsked(o *Options) {
+	if !slices.Contains(o.Founders, o.Self) {
+		return
+	}
+	s.identity.Incarnation = founderIncarnation
+	for _, name := range o.Founders {
+		s.identity.Founders = append(s.identity.Founders, raft.MemberID(name, founderIncarnation))
+	}
+	slices.Sort(s.identity.Founders)
+	s.identity.Cluster = o.Name + ":" + strings.Join(s.identity.Founders, ",")
+}
+
 func (s *storage) firstStart(saved *raft.SavedState) error {
 	if saved.HardState != (raft.HardState{}) || saved.Snapshot.Index != 0 || len(saved.Entries) != 0 {
 		return errors.Errorf("the identity of %s is missing, but its log is not empty", s.folder)
--- /dev/null
+++ b/coordination/residency/plan.go
@@ -0,0 +1,223 @@
+// Package residency decides which models targets hold. It answers demand that moves from one model to others within
+// seconds, and targets that come and go, with as few loads as possible. It never gives up the last copy of a model.
+package residency
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+const (
+	// busyPerSlot is the demand for each copy, in requests for each slot of a target, from which another copy is worth a
+	// load: prompts that are read delay the tokens of all other requests long before the slots are full.
+	busyPerSlot = 0.15
+	// donorShare bounds the demand per copy that the model which gives up a copy may have afterwards, in proportion to
+	// that of the model which gains one. It keeps two models from taking places from each other in turn.
+	donorShare = 0.55
+	// maxMoves bounds the moves that run at the same time, in proportion to the targets.
+	maxMoves = 0.4
+)
+
+// Target is one target that holds models of a service.
+type Target struct {
+	ID         string
+	CapacityMB float64
+	Slots      int
+	Models     []string // held, or being loaded
+	UsedMB     float64  // by models and adapters, held or being loaded
+	// InMemory and OnDisk are models that load faster here than from the weight store.
+	InMemory, OnDisk []string
+	// Moving targets carry out a move already.
+	Moving bool
+	// Running is the number of requests that run here.
+	Running int
+}
+
+func (t *Target) holds(model string) bool { return slices.Contains(t.Models, model) }
+
+// Model is one model of the service.
+type Model struct {
+	Name      string
+	WeightsMB float64
+	// Demand is the smoothed number of requests that run, wait or were turned away lately.
+	Demand float64
+}
+
+// Move is a model to load on a target, in place of another one unless Unload is empty.
+type Move struct {
+	Target string
+	Load   string
+	Unload string
+	// FromStore tells that the load counts against the rate of the weight store.
+	FromStore bool
+}
+
+// Input is what a plan is made from. Targets are those that are ready and known well.
+type Input struct {
+	Targets []Target
+	Models  []Model
+	// StoreLoads is the number of loads from the weight store that may begin now.
+	StoreLoads int
+}
+
+// Plan returns the moves to begin now, the most urgent first.
+func Plan(in Input) []Move {
+	p := newPlanner(in)
+	limit := max(1, int(maxMoves*float64(len(p.targets))))
+	var moves []Move
+	for p.moving < limit {
+		move, ok := p.next()
+		if !ok {
+			break
+		}
+		p.apply(move)
+		moves = append(moves, move)
+	}
+	return moves
+}
+
+type planner struct {
+	targets    []Target
+	models     []Model
+	byName     map[string]*Model
+	copies     map[string]int
+	storeLoads int
+	moving     int
+	slots      float64
+}
+
+func newPlanner(in Input) *planner {
+	p := &planner{targets: slices.Clone(in.Targets), models: slices.Clone(in.Models), byName: make(map[string]*Model),
+		copies: make(map[string]int), storeLoads: in.StoreLoads, slots: 1}
+	for i := range p.models {
+		p.byName[p.models[i].Name] = &p.models[i]
+	}
+	// The order must not depend on that of maps, so that equal inputs give equal plans.
+	slices.SortFunc(p.targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	for i := range p.targets {
+		t := &p.targets[i]
+		t.Models = slices.Clone(t.Models)
+		if t.Moving {
+			p.moving++
+		}
+		p.slots = max(p.slots, float64(t.Slots))
+		for _, m := range t.Models {
+			p.copies[m]++
+		}
+	}
+	slices.SortStableFunc(p.models, func(a, b Model) int {
+		if c := cmp.Compare(p.pressure(&b), p.pressure(&a)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.Name, b.Name)
+	})
+	for i := range p.models {
+		p.byName[p.models[i].Name] = &p.models[i]
+	}
+	return p
+}
+
+// pressure is the demand for each copy. A model without a copy comes first, the more wanted one before the others.
+func (p *planner) pressure(m *Model) float64 {
+	if n := p.copies[m.Name]; n > 0 {
+		return m.Demand / float64(n)
+	}
+	return math.MaxFloat64/2 + m.Demand
+}
+
+// next returns the most urgent move that is possible.
+func (p *planner) next() (Move, bool) {
+	order := slices.Clone(p.models)
+	slices.SortStableFunc(order, func(a, b Model) int { return cmp.Compare(p.pressure(&b), p.pressure(&a)) })
+	for i := range order {
+		m := &order[i]
+		if p.copies[m.Name] > 0 && p.pressure(m) < busyPerSlot*p.slots {
+			break
+		}
+		if move, ok := p.place(m); ok {
+			return move, true
+		}
+	}
+	return Move{}, false
+}
+
+// place finds the best target for another copy of a model.
+func (p *planner) place(m *Model) (Move, bool) {
+	var best Move
+	bestCost := math.Inf(1)
+	for i := range p.targets {
+		t := &p.targets[i]
+		if t.Moving || t.holds(m.Name) {
+			continue
+		}
+		fromStore := !slices.Contains(t.InMemory, m.Name) && !slices.Contains(t.OnDisk, m.Name)
+		if fromStore && p.storeLoads <= 0 {
+			continue
+		}
+		victim, loss, ok := p.victim(t, m)
+		if !ok {
+			continue
+		}
+		cost := loss + float64(t.Running)/p.slots
+		if fromStore {
+			cost += storeCost
+		} else if !slices.Contains(t.InMemory, m.Name) {
+			cost += diskCost
+		}
+		if cost < bestCost {
+			best, bestCost = Move{Target: t.ID, Load: m.Name, Unload: victim, FromStore: fromStore}, cost
+		}
+	}
+	return best, !math.IsInf(bestCost, 1)
+}
+
+// Costs that order the places for a copy, against the demand of the model that makes room, in slots.
+const (
+	storeCost = 2.0
+	diskCost  = 0.3
+)
+
+// victim returns the model that makes room for another one, empty if there is room, and the demand that it has per copy.
+func (p *planner) victim(t *Target, m *Model) (name string, loss float64, ok bool) {
+	if t.UsedMB+m.WeightsMB <= t.CapacityMB {
+		return "", 0, true
+	}
+	loss = math.Inf(1)
+	for _, held := range t.Models {
+		other := p.byName[held]
+		weights := 0.0
+		demand := 0.0
+		if other != nil {
+			weights, demand = other.WeightsMB, other.Demand
+		}
+		if p.copies[held] < 2 || t.UsedMB-weights+m.WeightsMB > t.CapacityMB {
+			continue
+		}
+		after := demand / float64(p.copies[held]-1)
+		if p.copies[m.Name] > 0 && after > donorShare*p.pressure(m) {
+			continue
+		}
+		if after/p.slots < loss {
+			name, loss = held, after/p.slots
+		}
+	}
+	return name, loss, name != ""
+}
+
+// apply changes the state as if the move were done.
+func (p *planner) apply(move Move) {
+	p.moving++
+	if move.FromStore {
+		p.storeLoads--
+	}
+	p.copies[move.Load]++
+	if move.Unload != "" {
+		p.copies[move.Unload]--
+	}
+	for i := range p.targets {
+		if t := &p.targets[i]; t.ID == move.Target {
+			t.Moving = true
+		}
+	}
+}
--- a/events/events.go
+++ b/events/events.go
@@ -33,6 +33,8 @@
 	now        func() time.Time
 	onEvent    func(Definition)
 
+	capacity uint64
+
 	mu       sync.Mutex
 	ring     []Record
 	sequence uint64
@@ -40,7 +42,13 @@
 
 // NewRecorder makes a recorder for one instance.
 func NewRecorder(log *logrus.Logger, instance, dataCentre string, now func() time.Time) *Recorder {
-	return &Recorder{log: log, instance: instance, dataCentre: dataCentre, now: now, ring: make([]Record, 0, 256)}
+	return NewBoundedRecorder(log, instance, dataCentre, now, Capacity)
+}
+
+// NewBoundedRecorder makes a recorder that keeps fewer events, for processes with little memory.
+func NewBoundedRecorder(log *logrus.Logger, instance, dataCentre string, now func() time.Time, capacity int) *Recorder {
+	return &Recorder{log: log, instance: instance, dataCentre: dataCentre, now: now, capacity: uint64(capacity),
+		ring: make([]Record, 0, min(capacity, 256))}
 }
 
 // Record writes one event to the log and to the ring. Debug events stay out of the ring, since one per request would
@@ -61,11 +69,11 @@
 		AtUs: r.now().UnixMicro(), Sequence: r.sequence, Instance: r.instance, DataCentre: r.dataCentre,
 		Number: d.Number, Name: d.Name, Fields: fields,
 	}
-	if len(r.ring) < Capacity {
+	if uint64(len(r.ring)) < r.capacity {
 		r.ring = append(r.ring, record)
 		return
 	}
-	r.ring[(r.sequence-1)%Capacity] = record
+	r.ring[(r.sequence-1)%r.capacity] = record
 }
 
 // Since returns the kept events after a sequence number, oldest first, at most limit.
@@ -73,8 +81,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	oldest := uint64(1)
-	if r.sequence > Capacity {
-		oldest = r.sequence - Capacity + 1
+	if r.sequence > r.capacity {
+		oldest = r.sequence - r.capacity + 1
 	}
 	first := max(sequence+1, oldest)
 	if r.sequence >= first && r.sequence-first+1 > uint64(limit) {
@@ -82,7 +90,7 @@
 	}
 	var list []Record
 	for s := first; s <= r.sequence; s++ {
-		list = append(list, r.ring[(s-1)%Capacity])
+		list = append(list, r.ring[(s-1)%r.capacity])
 	}
 	return list
 }
--- /dev/null
+++ b/instance/fleet/fleet.go
@@ -0,0 +1,234 @@
+// Package fleet assembles gateways and control instances from their settings and an adapter for the platform on which
+// they run.
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
+	"github.com/tarragonhoist/tarragonhoist/instance/gateway"
+	"github.com/tarragonhoist/tarragonhoist/instance/hub"
+	"github.com/tarragonhoist/tarragonhoist/instance/logsink"
+	"github.com/tarragonhoist/tarragonhoist/instance/version"
+	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
+	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/transport/peer"
+	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
+)
+
+// Adapter translates between a platform and the product.
+type Adapter struct {
+	Headers      dialect.Headers
+	ReadPrompt   dialect.ReadPrompt
+	ReadyPath    string
+	DecodeConfig fleetview.Decode
+	// Orders and API are used by control instances.
+	Orders func(*upstream.Client) hub.Orders
+	API    func(*hub.Hub) http.Handler
+}
+
+const (
+	// cluster names the deployment in the handshake between processes.
+	cluster = "fleet"
+	// peerPing and peerPingTimeout find links that went silent well within the time in which a change must arrive.
+	peerPing        = 500 * time.Millisecond
+	peerPingTimeout = 700 * time.Millisecond
+	peerDialTimeout = 800 * time.Millisecond
+	peerMaxBackoff  = 400 * time.Millisecond
+	// incarnationMemory is short, since the clock of an instance without a disk may be set back.
+	incarnationMemory = time.Second
+	// peerBytesPerSecond bounds the traffic between processes well below the slowest link, 10 Mbit/s.
+	peerBytesPerSecond = 1 << 20
+	// memoryShare is the part of the memory limit at which the garbage collector works harder.
+	memoryShare = 0.6
+	// garbagePercent trades processor time for memory, which costs more on these instances.
+	garbagePercent = 50
+	// keptEvents bounds the time line of one process.
+	keptEvents = 2000
+	// repeatShare is the part of the allowance for repeated sends that is used, so that uneven gateways stay below it.
+	repeatShare = 0.6
+	// orderConnectTimeout bounds a connection to a target for an order.
+	orderConnectTimeout = 300 * time.Millisecond
+)
+
+// process is what gateways and control instances have in common.
+type process struct {
+	node     *settings.Node
+	sink     *logsink.Sink
+	recorder *events.Recorder
+	registry metrics.Registry
+	view     *fleetview.View
+	watcher  *fleetview.Watcher
+	peers    *peer.Transport
+	number   uint64 // of this start
+}
+
+func newProcess(node *settings.Node, adapter *Adapter, watchAll bool) (*process, error) {
+	debug.SetGCPercent(garbagePercent)
+	if node.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(node.MemoryMB) * (1 << 20)))
+	}
+	p := &process{node: node, registry: metrics.NewRegistry(), number: uint64(time.Now().UnixNano())}
+	p.sink = logsink.New(os.Stdout, logsink.DefaultLinesPerSecond)
+	log := logrus.New()
+	log.SetOutput(p.sink)
+	level, err := logrus.ParseLevel(node.Log.Level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log.level")
+	}
+	log.SetLevel(level)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	p.recorder = events.NewBoundedRecorder(log, node.Name, node.DataCentre, time.Now, keptEvents)
+	p.recorder.OnEvent(func(d events.Definition) { metrics.GetOrRegisterCounter("events."+d.Name, p.registry).Inc(1) })
+	p.view = fleetview.New(adapter.DecodeConfig, node.SeedNames())
+	self := node.PeerName()
+	p.peers, err = peer.New(peer.Options{
+		Cluster: cluster, Self: self, Incarnation: p.number,
+		Resolve:        func(name string) (string, bool) { return name, isAddress(name) },
+		BytesPerSecond: peerBytesPerSecond, DialTimeout: peerDialTimeout, PingInterval: peerPing, PingTimeout: peerPingTimeout,
+		MaxBackoff: peerMaxBackoff, IncarnationMemory: incarnationMemory, Registry: p.registry, OnEvent: p.onPeerEvent,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.watcher = fleetview.NewWatcher(p.view, p.peers, self, watchAll, func(problem string, err error) {
+		p.recorder.Record(events.InternalError, events.Fields{"problem": problem, "error": err.Error()})
+	})
+	return p, nil
+}
+
+// isAddress tells whether a peer is named by its address.
+func isAddress(name string) bool {
+	_, _, err := net.SplitHostPort(name)
+	return err == nil
+}
+
+func (p *process) onPeerEvent(e peer.Event) {
+	definition := events.PeerUnreachable
+	switch e.Kind {
+	case peer.Reachable:
+		definition = events.PeerReachable
+	case peer.Rejected:
+		definition = events.PeerRejected
+	}
+	fields := events.Fields{"peer": e.Peer}
+	if e.Err != nil {
+		fields["error"] = e.Err.Error()
+	}
+	p.recorder.Record(definition, fields)
+}
+
+func (p *process) start(ctx context.Context, role string) error {
+	go p.sink.Run(ctx, func(lines int64) { p.recorder.Record(events.LogsDropped, events.Fields{"lines": lines}) })
+	p.recorder.Record(events.Starting, events.Fields{"version": version.String(), "role": role, "name": p.node.Name,
+		"data_centre": p.node.DataCentre, "peer": p.node.PeerName(), "first_start": p.node.FirstStart, "seeds": p.node.SeedNames()})
+	if p.node.ListenMetrics == "" {
+		return nil
+	}
+	listener, err := net.Listen("tcp", p.node.ListenMetrics)
+	if err != nil {
+		return errors.Wrap(err, "listen for metrics")
+	}
+	go func() {
+		err := http.Serve(listener, http.HandlerFunc(p.serveMetrics))
+		p.recorder.Record(events.InternalError, events.Fields{"problem": "metrics", "error": err.Error()})
+	}()
+	return nil
+}
+
+func (p *process) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	metrics.WriteOnce(p.registry, w)
+}
+
+// Reload reads the settings again. Only the seeds may change while a process runs.
+func (p *process) reload(path string) {
+	node, err := settings.LoadNode(path)
+	if err != nil {
+		p.recorder.Record(events.InternalError, events.Fields{"problem": "settings", "error": err.Error()})
+		return
+	}
+	if !slices.Equal(node.SeedNames(), p.node.SeedNames()) {
+		p.view.AddControl(node.SeedNames())
+	}
+	p.recorder.Record(events.Reloaded, events.Fields{"seeds": node.SeedNames()})
+}
+
+// RunGateway serves callers until ctx ends. Each value from reloads reads the settings file at path again.
+func RunGateway(ctx context.Context, path string, node *settings.Node, adapter *Adapter, reloads <-chan os.Signal) error {
+	p, err := newProcess(node, adapter, false)
+	if err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	if err := p.start(background, "gateway"); err != nil {
+		return err
+	}
+	go p.reloadOn(background, path, reloads)
+	g := gateway.New(gateway.Options{
+		Name: node.PeerName(), DataCentre: node.DataCentre, Callers: node.ListenCallers, Ready: node.ListenReady,
+		ReadyPath: adapter.ReadyPath, Headers: adapter.Headers, ReadPrompt: adapter.ReadPrompt, Grace: node.Grace(),
+		Budget: dispatch.BudgetLimits{Ratio: node.RepeatRatio, Slack: node.RepeatSlack, Share: repeatShare,
+			Window: time.Duration(node.RepeatWindowS * float64(time.Second))},
+	}, p.view, p.watcher, p.peers, p.recorder, p.registry, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	err = g.Run(ctx)
+	stop()
+	p.peers.Close()
+	return err
+}
+
+// RunControl serves targets, operators and gateways until ctx ends.
+func RunControl(ctx context.Context, path string, node *settings.Node, adapter *Adapter, reloads <-chan os.Signal) error {
+	p, err := newProcess(node, adapter, true)
+	if err != nil {
+		return err
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	if err := p.start(background, "control"); err != nil {
+		return err
+	}
+	go p.reloadOn(background, path, reloads)
+	listener, err := net.Listen("tcp", node.PeerName())
+	if err != nil {
+		return errors.Wrap(err, "listen for other processes")
+	}
+	h, err := hub.New(hub.Options{
+		Name: node.PeerName(), DataCentre: node.DataCentre, ControlListen: node.ListenControl, DataDir: node.DataFolder,
+		Seeds: node.SeedNames(), Found: node.FirstStart, Lease: time.Duration(node.LeaseMs) * time.Millisecond,
+	}, p.number, p.view, p.watcher, p.peers, adapter.DecodeConfig, adapter.Orders(upstream.New(orderConnectTimeout, p.registry)),
+		p.recorder, p.registry)
+	if err != nil {
+		return err
+	}
+	err = h.Run(ctx, adapter.API(h), listener)
+	if errors.Is(err, hub.ErrRemoved) {
+		return errors.Wrap(hub.RemoveData(node.DataFolder), "remove the data of a former member")
+	}
+	return err
+}
+
+func (p *process) reloadOn(ctx context.Context, path string, reloads <-chan os.Signal) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-reloads:
+			p.reload(path)
+		}
+	}
+}
--- /dev/null
+++ b/instance/fleetview/view.go
@@ -0,0 +1,179 @@
+// Package fleetview keeps what a process knows of the deployment: the targets, the configuration in force and the
+// control instances. Gateways and control instances fill it by watching control instances.
+package fleetview
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
+)
+
+// forgetAfter drops targets that nobody has heard for so long.
+const forgetAfter = 30 * time.Second
+
+// Decode reads a document as operators send it.
+type Decode func(source []byte) (*routes.Document, error)
+
+// View is safe for concurrent use.
+type View struct {
+	decode Decode
+
+	table atomic.Pointer[routes.Table]
+
+	mu      sync.Mutex
+	roster  *roster.Table
+	packed  routes.Packed
+	leader  string
+	members []string
+	// changed is closed and replaced when something new is known; beats do not count.
+	changed chan struct{}
+	// snapshot is the list of targets, rebuilt when the roster changes.
+	snapshot atomic.Pointer[[]roster.Entry]
+}
+
+// New returns an empty view that first asks the given control instances.
+func New(decode Decode, members []string) *View {
+	v := &View{decode: decode, roster: roster.New(), changed: make(chan struct{}), members: slices.Clone(members)}
+	v.snapshot.Store(&[]roster.Entry{})
+	return v
+}
+
+// Table returns the configuration in force, or nil before the first one is known.
+func (v *View) Table() *routes.Table { return v.table.Load() }
+
+// Targets returns all known targets. The list must not be changed.
+func (v *View) Targets() []roster.Entry { return *v.snapshot.Load() }
+
+// Packed returns the configuration in force as it was received.
+func (v *View) Packed() routes.Packed {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.packed
+}
+
+// SetDocument takes a configuration. An older one than the one held changes nothing, so that a process never goes back.
+func (v *View) SetDocument(p routes.Packed) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if p.Version <= v.packed.Version {
+		return nil
+	}
+	source, err := p.Unpack()
+	if err != nil {
+		return err
+	}
+	document, err := v.decode(source)
+	if err != nil {
+		return errors.WithMessagef(err, "document version %d", p.Version)
+	}
+	v.packed = p
+	v.table.Store(routes.NewTable(document))
+	v.notifyLocked()
+	return nil
+}
+
+func (v *View) notifyLocked() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// Observe takes a heartbeat of a target.
+func (v *View) Observe(now time.Time, target roster.Target) (roster.Outcome, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	outcome, err := v.roster.Observe(now, target)
+	v.publishLocked(outcome == roster.Changed)
+	return outcome, err
+}
+
+// Leave takes the goodbye of a target.
+func (v *View) Leave(id string, born int64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	changed := v.roster.Leave(id, born)
+	v.publishLocked(changed)
+	return changed
+}
+
+// Merge takes what a control instance told.
+func (v *View) Merge(now time.Time, d roster.Delta) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	changed := v.roster.Merge(now, d)
+	v.publishLocked(changed || len(d.Beats) > 0)
+	return changed
+}
+
+// Tick drops targets that nobody has heard for long.
+func (v *View) Tick(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if len(v.roster.Forget(now, forgetAfter)) > 0 {
+		v.publishLocked(true)
+	}
+}
+
+func (v *View) publishLocked(changed bool) {
+	if !changed {
+		return
+	}
+	list := make([]roster.Entry, 0, len(*v.snapshot.Load())+1)
+	v.roster.Each(func(e *roster.Entry) bool {
+		list = append(list, *e)
+		return true
+	})
+	slices.SortFunc(list, func(a, b roster.Entry) int {
+		switch {
+		case a.ID < b.ID:
+			return -1
+		case a.ID > b.ID:
+			return 1
+		}
+		return 0
+	})
+	v.snapshot.Store(&list)
+	v.notifyLocked()
+}
+
+// Control returns the known leader, empty if there is none, and the control instances.
+func (v *View) Control() (leader string, members []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.leader, v.members
+}
+
+// SetControl takes what a control instance knows of its group. Nothing known changes nothing.
+func (v *View) SetControl(leader string, members []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if leader != "" {
+		v.leader = leader
+	}
+	if len(members) > 0 && !slices.Equal(members, v.members) {
+		v.members = slices.Clone(members)
+	}
+}
+
+// Changes returns a channel that is closed at the next change, and what changed after a change number.
+func (v *View) Changes(now time.Time, change uint64) (next <-chan struct{}, delta roster.Delta, news bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.changed, v.roster.Since(now, change), v.roster.ContentChangedAfter(change)
+}
+
+// AddControl adds control instances to ask, next to those that the group names.
+func (v *View) AddControl(names []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, name := range names {
+		if !slices.Contains(v.members, name) {
+			v.members = append(slices.Clone(v.members), name)
+		}
+	}
+}
--- /dev/null
+++ b/instance/gateway/exchange.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
+)
+
+const (
+	// exchangeInterval is the time between load reports.
+	exchangeInterval = 100 * time.Millisecond
+	// exchangeTimeout bounds one report, so that a slow leader does not hold up the next one.
+	exchangeTimeout = 400 * time.Millisecond
+	// adapterTimeout bounds the request for an adapter.
+	adapterTimeout = 700 * time.Millisecond
+)
+
+type modelOf struct{ service, model string }
+
+// demand counts what callers ask for between load reports.
+type demand struct {
+	mu       sync.Mutex
+	models   map[modelOf]*fleetapi.ModelLoad
+	adapters map[fleetapi.AdapterUse]bool
+}
+
+func newDemand() *demand {
+	return &demand{models: make(map[modelOf]*fleetapi.ModelLoad), adapters: make(map[fleetapi.AdapterUse]bool)}
+}
+
+func (d *demand) update(q *request, f func(*fleetapi.ModelLoad)) {
+	if q.prompt.Model == "" {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := modelOf{q.service.Name, q.prompt.Model}
+	m := d.models[key]
+	if m == nil {
+		m = &fleetapi.ModelLoad{Service: key.service, Model: key.model}
+		d.models[key] = m
+	}
+	f(m)
+}
+
+func (d *demand) waiting(q *request, n int) {
+	d.update(q, func(m *fleetapi.ModelLoad) { m.Waiting += n })
+}
+
+func (d *demand) refused(q *request) { d.update(q, func(m *fleetapi.ModelLoad) { m.Refused++ }) }
+
+func (d *demand) running(q *request, n int) {
+	d.update(q, func(m *fleetapi.ModelLoad) {
+		m.Running += n
+		if n > 0 {
+			m.Arrived++
+		}
+	})
+}
+
+func (d *demand) usedAdapter(id, model, adapter string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.adapters[fleetapi.AdapterUse{ID: id, Model: model, Adapter: adapter}] = true
+}
+
+// take returns the demand and begins to count anew what came since the last report.
+func (d *demand) take() (models []fleetapi.ModelLoad, adapters []fleetapi.AdapterUse) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, m := range d.models {
+		models = append(models, *m)
+		m.Refused, m.Arrived = 0, 0
+		if m.Running == 0 && m.Waiting == 0 {
+			delete(d.models, key)
+		}
+	}
+	for use := range d.adapters {
+		adapters = append(adapters, use)
+	}
+	clear(d.adapters)
+	return models, adapters
+}
+
+// exchange reports the load to the leader and takes that of the other gateways.
+func (g *Gateway) exchange(ctx context.Context) {
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	connected := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		err := g.exchangeOnce(ctx)
+		if ok := err == nil; ok != connected {
+			connected = ok
+			if ok {
+				g.recorder.Record(events.LeaderReached, nil)
+			} else {
+				g.recorder.Record(events.LeaderLost, events.Fields{"error": err.Error()})
+			}
+		}
+	}
+}
+
+func (g *Gateway) exchangeOnce(ctx context.Context) error {
+	leader, _ := g.view.Control()
+	if leader == "" {
+		return errNoLeader
+	}
+	own, _ := g.board.Own()
+	report := fleetapi.LoadReport{Gateway: g.opts.Name, Strikes: g.suspected.take()}
+	report.Models, report.Adapters = g.demand.take()
+	for id, l := range own {
+		report.Targets = append(report.Targets, fleetapi.TargetLoad{ID: id, Running: l.Running, Unstarted: l.Unstarted, PromptTokens: l.PromptTokens})
+	}
+	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	var summary fleetapi.LoadSummary
+	if err := g.peers.Call(callCtx, leader, peerapi.MethodFleetLoad, report, &summary); err != nil {
+		g.board.SetOthers(nil, nil)
+		return err
+	}
+	g.take(time.Now(), &summary)
+	return nil
+}
+
+func (g *Gateway) take(now time.Time, summary *fleetapi.LoadSummary) {
+	loads := make(map[string]dispatch.Load, len(summary.Targets))
+	for _, t := range summary.Targets {
+		loads[t.ID] = dispatch.Load{Running: t.Running, Unstarted: t.Unstarted, PromptTokens: t.PromptTokens}
+	}
+	retiring := make(map[string][]string, len(summary.Retiring))
+	for _, r := range summary.Retiring {
+		retiring[r.ID] = append(retiring[r.ID], r.Model)
+	}
+	g.board.SetOthers(loads, retiring)
+	arriving := make([]arrival, 0, len(summary.Arriving))
+	for _, a := range summary.Arriving {
+		arriving = append(arriving, arrival{a.Service, a.Model, now.Add(time.Duration(a.LeftMs) * time.Millisecond)})
+	}
+	g.arriving.Store(&arriving)
+	g.budget.SetGateways(summary.Gateways)
+	g.suspected.setQuarantined(summary.Quarantined)
+}
+
+// loadAdapter asks the leader for a target that holds the adapter, which it loads where there is none.
+func (g *Gateway) loadAdapter(q *request, exclude []string, otherwise dispatch.Reason) (*roster.Entry, dispatch.Reason) {
+	leader, _ := g.view.Control()
+	if leader == "" {
+		return nil, otherwise
+	}
+	ctx, cancel := context.WithTimeout(q.ctx, min(adapterTimeout, time.Until(q.deadline)))
+	defer cancel()
+	var answer fleetapi.AdapterAnswer
+	ask := fleetapi.AdapterRequest{Service: q.service.Name, Model: q.prompt.Model, Adapter: q.prompt.Adapter, Exclude: exclude}
+	if err := g.peers.Call(ctx, leader, peerapi.MethodFleetAdapter, ask, &answer); err != nil || answer.ID == "" {
+		return nil, otherwise
+	}
+	if answer.ReadyMs > 0 && !sleep(q, time.Duration(answer.ReadyMs)*time.Millisecond) {
+		return nil, otherwise
+	}
+	g.board.Ordered(time.Now(), answer.ID, q.prompt.Model, q.prompt.Adapter)
+	targets := g.view.Targets()
+	for i := range targets {
+		if t := &targets[i]; t.ID == answer.ID && t.State == roster.Ready && !excluded(exclude, t.ID) {
+			return t, dispatch.Found
+		}
+	}
+	return nil, otherwise
+}
+
+// fingerprint identifies a request that its caller sends again: other attempts have other ids and headers.
+func fingerprint(q *request) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{q.method, q.host, q.uri, q.prompt.Model, q.prompt.Adapter} {
+		_, _ = d.WriteString(part)
+		_, _ = d.WriteString("\x00")
+	}
+	_, _ = d.Write(q.body)
+	return d.Sum64()
+}
--- /dev/null
+++ b/instance/gateway/gateway.go
@@ -0,0 +1,202 @@
+// Package gateway serves callers: it matches their requests with the routes in force, sends them to targets and passes
+// the answers on.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
+	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
+	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
+)
+
+const (
+	// headerTimeout bounds reading the head of a request; callers have sent theirs within 3 s.
+	headerTimeout = 10 * time.Second
+	// idleTimeout closes kept connections of callers. It is well above the time for which callers reuse them.
+	idleTimeout = 60 * time.Second
+	// maxHeaderBytes bounds the head of a request, with room above the limit that operators set.
+	maxHeaderBytes = 64 << 10
+	// defaultBodyBytes bounds a body when the configuration states no limit.
+	defaultBodyBytes = 4 << 20
+	// outOfRotation is the time after which the platform sends no new connections to an instance that is not ready: it
+	// asks once a second and needs two misses.
+	outOfRotation = 2500 * time.Millisecond
+	// refuseAfter is the time after the start of a shutdown from which new requests are refused.
+	refuseAfter = 3 * time.Second
+	// activePoll is the time between looks at the requests in progress during a shutdown.
+	activePoll = 20 * time.Millisecond
+	// housekeepingInterval is the time between closing idle connections to targets.
+	housekeepingInterval = time.Second
+)
+
+// Options of a gateway.
+type Options struct {
+	Name       string
+	DataCentre string
+	Callers    string // address for callers
+	Ready      string // address for readiness checks
+	ReadyPath  string
+	Headers    dialect.Headers
+	ReadPrompt dialect.ReadPrompt
+	Budget     dispatch.BudgetLimits
+	// Grace is the time from the signal to stop until the process is killed.
+	Grace time.Duration
+}
+
+// Gateway is one process that serves callers.
+type Gateway struct {
+	opts     Options
+	view     *fleetview.View
+	watcher  *fleetview.Watcher
+	peers    fleetview.Caller
+	client   *upstream.Client
+	board    *dispatch.Board
+	budget   *dispatch.Budget
+	demand   *demand
+	recorder *events.Recorder
+	metrics  *counters
+	owned    map[string]bool // canonical names of headers that only the system sets
+
+	rngMu sync.Mutex
+	rng   *rand.Rand
+
+	ready     atomic.Bool
+	stopping  atomic.Bool
+	refusing  atomic.Bool
+	active    atomic.Int64
+	arriving  atomic.Pointer[[]arrival]
+	suspected *suspects
+}
+
+// New assembles a gateway.
+func New(opts Options, view *fleetview.View, watcher *fleetview.Watcher, peers fleetview.Caller, recorder *events.Recorder,
+	registry metrics.Registry, rng *rand.Rand) *Gateway {
+	g := &Gateway{
+		opts: opts, view: view, watcher: watcher, peers: peers, recorder: recorder, rng: rng,
+		client: upstream.New(upstream.DefaultConnectTimeout, registry), board: dispatch.NewBoard(),
+		budget: dispatch.NewBudget(opts.Budget), demand: newDemand(), metrics: newCounters(registry),
+		owned: make(map[string]bool), suspected: newSuspects(),
+	}
+	g.arriving.Store(&[]arrival{})
+	for _, name := range opts.Headers.Owned {
+		g.owned[http.CanonicalHeaderKey(name)] = true
+	}
+	return g
+}
+
+// draw returns a uniform number in [0, 1).
+func (g *Gateway) draw() float64 {
+	g.rngMu.Lock()
+	defer g.rngMu.Unlock()
+	return g.rng.Float64()
+}
+
+// Run serves until ctx ends and the requests in progress are answered.
+func (g *Gateway) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", g.opts.Callers)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	checks, err := net.Listen("tcp", g.opts.Ready)
+	if err != nil {
+		return errors.Wrap(err, "listen for readiness checks")
+	}
+	background, stop := context.WithCancel(context.Background())
+	defer stop()
+	server := &http.Server{
+		Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+	}
+	readiness := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 2)
+	go func() { failed <- server.Serve(callers) }()
+	go func() { failed <- readiness.Serve(checks) }()
+	go g.watcher.Run(background)
+	go g.exchange(background)
+	go g.housekeeping(background)
+	g.recorder.Record(events.Listening, events.Fields{"callers": g.opts.Callers, "ready": g.opts.Ready})
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "serve")
+	case <-ctx.Done():
+	}
+	g.shutdown(server)
+	_ = readiness.Close()
+	g.recorder.Record(events.Stopped, nil)
+	return nil
+}
+
+// shutdown leaves the rotation first, then refuses new requests, then waits for the last answer.
+func (g *Gateway) shutdown(server *http.Server) {
+	began := time.Now()
+	g.stopping.Store(true)
+	g.recorder.Record(events.DrainStarted, events.Fields{"active": g.active.Load()})
+	time.Sleep(outOfRotation)
+	server.SetKeepAlivesEnabled(false)
+	time.Sleep(refuseAfter - outOfRotation)
+	g.refusing.Store(true)
+	g.recorder.Record(events.DrainRefusing, events.Fields{"active": g.active.Load()})
+	// The process is killed at the end of the grace period; ending by itself shortly before closes connections in order.
+	deadline := began.Add(g.opts.Grace - 200*time.Millisecond)
+	for g.active.Load() > 0 && time.Now().Before(deadline) {
+		time.Sleep(activePoll)
+	}
+	_ = server.Close()
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != g.opts.ReadyPath {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	if g.isReady() {
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// isReady becomes true once the configuration and a target are known. It stays so when the control instances cannot be
+// reached, since what is known still serves callers.
+func (g *Gateway) isReady() bool {
+	if g.stopping.Load() {
+		return false
+	}
+	if !g.ready.Load() && g.view.Table() != nil && len(g.view.Targets()) > 0 {
+		g.ready.Store(true)
+		g.recorder.Record(events.GatewayReady, events.Fields{"version": g.view.Table().Version(), "targets": len(g.view.Targets())})
+	}
+	return g.ready.Load()
+}
+
+func (g *Gateway) housekeeping(ctx context.Context) {
+	ticker := time.NewTicker(housekeepingInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		ids, addresses := make(map[string]bool), make(map[string]bool)
+		for _, t := range g.view.Targets() {
+			ids[t.ID] = true
+			addresses[t.Address] = true
+		}
+		now := time.Now()
+		g.client.CloseIdle(now, func(address string) bool { return addresses[address] })
+		g.board.Forget(ids)
+	}
+}
--- /dev/null
+++ b/instance/gateway/metrics.go
@@ -0,0 +1,25 @@
+package gateway
+
+import (
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+// histogramSamples is the size of the reservoir of a latency histogram.
+const histogramSamples = 512
+
+type counters struct {
+	answered, refused, failed, cancelled, repeated metrics.Counter
+	firstByteMs, totalMs, heldMs                   metrics.Histogram
+}
+
+func newCounters(r metrics.Registry) *counters {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("gateway."+name, r) }
+	histogram := func(name string) metrics.Histogram {
+		return metrics.GetOrRegisterHistogram("gateway."+name, r, metrics.NewExpDecaySample(histogramSamples, 0.015))
+	}
+	return &counters{
+		answered: counter("answered"), refused: counter("refused"), failed: counter("failed"),
+		cancelled: counter("cancelled"), repeated: counter("repeated_sends"),
+		firstByteMs: histogram("first_byte_ms"), totalMs: histogram("total_ms"), heldMs: histogram("held_ms"),
+	}
+}
--- /dev/null
+++ b/instance/gateway/relay.go
@@ -0,0 +1,235 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
+	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
+)
+
+const (
+	// maxBuffered is the size up to which an answer is read whole before it is passed on, so that a broken one can be
+	// replaced.
+	maxBuffered = 256 << 10
+	// streamBuffer is the size of one read of a stream.
+	streamBuffer = 4 << 10
+	// maxEventBytes bounds an event of a stream that is held back until it is complete.
+	maxEventBytes = 1 << 20
+)
+
+// relay passes the answers of targets on to one caller.
+type relay struct {
+	g *Gateway
+	w http.ResponseWriter
+	q *request
+	// begun is set once the head of an answer went to the caller.
+	begun     bool
+	lastEvent string // id of the last event passed on
+	bytes     int64
+}
+
+// pass passes an answer on.
+func (r *relay) pass(a *upstream.Answer) (outcome, dispatch.End) {
+	success := a.StatusCode >= 200 && a.StatusCode < 300
+	stream := r.q.route.Kind == routes.Stream && success
+	switch {
+	case success && a.Header.Get(r.g.opts.Headers.Seal) == "":
+		// Only sealed answers are those of the target; this one may be damaged.
+		return mayHaveRun, dispatch.Failed
+	case r.begun && !success:
+		return mayHaveRun, dispatch.Failed
+	case stream:
+		return r.passStream(a)
+	case a.ContentLength > maxBuffered:
+		return r.passLong(a)
+	}
+	return r.passWhole(a, success)
+}
+
+// passWhole reads the answer to its end before it begins to pass it on.
+func (r *relay) passWhole(a *upstream.Answer, success bool) (outcome, dispatch.End) {
+	body, err := io.ReadAll(io.LimitReader(a, maxBuffered+1))
+	if err != nil {
+		return bodyFailed(err)
+	}
+	if len(body) > maxBuffered {
+		r.begin(a)
+		if err := r.write(body, false); err != nil {
+			return abandoned, dispatch.Neutral
+		}
+		return r.copy(a)
+	}
+	end := dispatch.Complete
+	if !success && a.StatusCode >= http.StatusInternalServerError {
+		end = dispatch.Failed
+		if r.q.route.Repeatable() && r.q.sends+1 < max(r.q.route.MaxAttempts, 1) && time.Now().Before(r.q.deadline.Add(-leastTimeLeft)) {
+			return mayHaveRun, end
+		}
+	}
+	if r.q.method != http.MethodHead && bodyAllowed(a.StatusCode) {
+		r.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	r.begin(a)
+	if err := r.write(body, false); err != nil {
+		return abandoned, dispatch.Neutral
+	}
+	r.done(a)
+	return delivered, end
+}
+
+func bodyAllowed(status int) bool {
+	return status >= 200 && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// passLong passes a long answer on while it arrives.
+func (r *relay) passLong(a *upstream.Answer) (outcome, dispatch.End) {
+	r.w.Header().Set("Content-Length", strconv.FormatInt(a.ContentLength, 10))
+	r.begin(a)
+	return r.copy(a)
+}
+
+func (r *relay) copy(a *upstream.Answer) (outcome, dispatch.End) {
+	buffer := make([]byte, maxBuffered/4)
+	for {
+		n, err := a.Read(buffer)
+		if n > 0 {
+			if writeErr := r.write(buffer[:n], false); writeErr != nil {
+				return abandoned, dispatch.Neutral
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			r.done(a)
+			return delivered, dispatch.Complete
+		}
+		if err != nil {
+			return bodyFailed(err)
+		}
+	}
+}
+
+// passStream passes complete events on as they arrive. An incomplete event at a break is dropped, so that the next
+// target can go on after the last complete one.
+func (r *relay) passStream(a *upstream.Answer) (outcome, dispatch.End) {
+	if !r.begun {
+		r.begin(a)
+	}
+	var held []byte
+	buffer := make([]byte, streamBuffer)
+	for {
+		n, err := a.Read(buffer)
+		held = append(held, buffer[:n]...)
+		if end := eventsEnd(held); end > 0 {
+			r.noteEvents(held[:end])
+			if writeErr := r.write(held[:end], true); writeErr != nil {
+				return abandoned, dispatch.Neutral
+			}
+			held = append(held[:0], held[end:]...)
+		}
+		switch {
+		case errors.Is(err, io.EOF):
+			if len(held) > 0 {
+				if writeErr := r.write(held, true); writeErr != nil {
+					return abandoned, dispatch.Neutral
+				}
+			}
+			r.done(a)
+			return delivered, dispatch.Complete
+		case err != nil:
+			return bodyFailed(err)
+		case len(held) > maxEventBytes:
+			return mayHaveRun, dispatch.Failed
+		}
+	}
+}
+
+// eventsEnd returns the length of the complete events at the start of b.
+func eventsEnd(b []byte) int {
+	end := 0
+	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
+		end = i + 2
+	}
+	if i := bytes.LastIndex(b, []byte("\n\r\n")); i >= 0 {
+		end = max(end, i+3)
+	}
+	return end
+}
+
+// noteEvents keeps the id of the last event.
+func (r *relay) noteEvents(b []byte) {
+	i := bytes.LastIndex(b, []byte("\nid:"))
+	switch {
+	case i >= 0:
+		i++
+	case bytes.HasPrefix(b, []byte("id:")):
+		i = 0
+	default:
+		return
+	}
+	line := b[i+len("id:"):]
+	if end := bytes.IndexByte(line, '\n'); end >= 0 {
+		line = line[:end]
+	}
+	r.lastEvent = string(bytes.TrimSpace(line))
+}
+
+// begin sends the head of an answer.
+func (r *relay) begin(a *upstream.Answer) {
+	header := r.w.Header()
+	dropped := connectionOptions(a.Header)
+	for name, values := range a.Header {
+		if connectionHeaders[name] || dropped[name] {
+			continue
+		}
+		header[name] = values
+	}
+	if header["Content-Type"] == nil {
+		header["Content-Type"] = nil // keeps the server from guessing one
+	}
+	r.w.WriteHeader(a.StatusCode)
+	r.begun = true
+}
+
+// write passes bytes on. An error means that the caller has left.
+func (r *relay) write(b []byte, flush bool) error {
+	n, err := r.w.Write(b)
+	r.bytes += int64(n)
+	if err == nil && flush {
+		err = http.NewResponseController(r.w).Flush()
+	}
+	return err
+}
+
+// done notes an answer that was passed on whole.
+func (r *relay) done(a *upstream.Answer) {
+	g, q := r.g, r.q
+	took := time.Since(q.arrived)
+	g.metrics.answered.Inc(1)
+	g.metrics.totalMs.Update(took.Milliseconds())
+	g.metrics.heldMs.Update(q.held.Milliseconds())
+	g.recorder.Record(events.RequestAnswered, events.Fields{
+		"request": q.id, "route": q.route.Name, "version": q.version, "target": q.lastTarget, "status": a.StatusCode,
+		"sends": q.sends + 1, "held_ms": q.held.Milliseconds(), "took_ms": took.Milliseconds(), "bytes": r.bytes,
+	})
+}
+
+// bodyFailed judges an answer whose body did not come to its end.
+func bodyFailed(err error) (outcome, dispatch.End) {
+	var failure *upstream.Error
+	if errors.As(err, &failure) {
+		switch failure.Failure {
+		case upstream.Cancelled:
+			return abandoned, dispatch.Neutral
+		case upstream.TimedOut:
+			return expired, dispatch.Failed
+		}
+	}
+	return mayHaveRun, dispatch.Failed
+}
--- /dev/null
+++ b/instance/gateway/request.go
@@ -0,0 +1,185 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
+)
+
+// request is one attempt of a caller.
+type request struct {
+	ctx      context.Context
+	id       string
+	method   string
+	uri      string
+	host     string
+	header   http.Header // without what concerns one connection and what only the system sets
+	body     []byte
+	route    *routes.Route
+	service  *routes.Service
+	version  uint64 // of the configuration that decided the route
+	prompt   dialect.Prompt
+	arrived  time.Time
+	deadline time.Time
+	// fingerprint identifies the request when its caller sends it again.
+	fingerprint uint64
+	held        time.Duration // time without a target
+	sends       int
+	lastTarget  string
+}
+
+// connectionHeaders concern one connection only and are not forwarded.
+var connectionHeaders = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Content-Length": true, "Expect": true,
+}
+
+var errBodyTooLarge = errors.New("the body exceeds the limit")
+
+func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	arrived := time.Now()
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	table := g.view.Table()
+	if g.refusing.Load() || table == nil {
+		g.answerEarly(w, r, http.StatusServiceUnavailable, "no configuration is known or the instance stops")
+		return
+	}
+	uri := r.RequestURI
+	if !strings.HasPrefix(uri, "/") {
+		uri = r.URL.RequestURI()
+	}
+	path, _, _ := strings.Cut(uri, "?")
+	route := table.Match(r.Host, path)
+	if route == nil {
+		g.answerEarly(w, r, http.StatusNotFound, "no route")
+		return
+	}
+	limit := table.Document().Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyBytes
+	}
+	body, err := readBody(r, limit)
+	if errors.Is(err, errBodyTooLarge) {
+		w.Header().Set("Connection", "close")
+		g.answerEarly(w, r, http.StatusRequestEntityTooLarge, "body too large")
+		return
+	}
+	if err != nil {
+		// The caller left or stopped sending; nobody reads an answer.
+		panic(http.ErrAbortHandler)
+	}
+	q := &request{
+		ctx: r.Context(), id: r.Header.Get(g.opts.Headers.RequestID), method: r.Method, uri: uri, host: r.Host, body: body,
+		route: route, version: table.Version(), arrived: arrived, deadline: arrived.Add(route.Timeout),
+		header: g.forwardedHeader(r.Header),
+	}
+	if ms, err := strconv.ParseInt(r.Header.Get(g.opts.Headers.TimeLeftMs), 10, 64); err == nil && ms >= 0 {
+		if left := arrived.Add(time.Duration(ms) * time.Millisecond); left.Before(q.deadline) {
+			q.deadline = left
+		}
+	}
+	q.service = table.Service(route.Pick(g.draw()))
+	if q.service.Engine != nil {
+		if p, ok := g.opts.ReadPrompt(r.Header); ok {
+			q.prompt = p
+		}
+	}
+	q.fingerprint = fingerprint(q)
+	if g.suspected.isQuarantined(q.fingerprint) {
+		g.answerEarly(w, r, http.StatusServiceUnavailable, "the request took several targets down")
+		return
+	}
+	g.budget.Request(arrived, q.service.Name)
+	g.serve(w, q)
+}
+
+// readBody reads a whole body, so that it can be sent again and the end of the caller's connection is noticed.
+func readBody(r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, errBodyTooLarge
+	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if r.ContentLength > 0 {
+		body := make([]byte, r.ContentLength)
+		if _, err := io.ReadFull(r.Body, body); err != nil {
+			return nil, err
+		}
+		// Reading the end starts the detection of a caller that leaves.
+		var one [1]byte
+		if _, err := r.Body.Read(one[:]); err != nil && !errors.Is(err, io.EOF) {
+			return nil, err
+		}
+		return body, nil
+	}
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > limit {
+		return nil, errBodyTooLarge
+	}
+	return body, nil
+}
+
+// forwardedHeader copies the headers that go on to a target.
+func (g *Gateway) forwardedHeader(h http.Header) http.Header {
+	forwarded := make(http.Header, len(h)+2)
+	dropped := connectionOptions(h)
+	for name, values := range h {
+		if connectionHeaders[name] || g.owned[name] || dropped[name] || name == g.opts.Headers.TimeLeftMs {
+			continue
+		}
+		forwarded[name] = values
+	}
+	return forwarded
+}
+
+// connectionOptions returns the headers that the Connection header names.
+func connectionOptions(h http.Header) map[string]bool {
+	values := h["Connection"]
+	if len(values) == 0 {
+		return nil
+	}
+	named := make(map[string]bool)
+	for _, value := range values {
+		for _, option := range strings.Split(value, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(option))] = true
+		}
+	}
+	return named
+}
+
+// answerEarly answers a request that has no route or cannot be read.
+func (g *Gateway) answerEarly(w http.ResponseWriter, r *http.Request, status int, why string) {
+	g.metrics.refused.Inc(1)
+	g.recorder.Record(events.RequestRefused, events.Fields{
+		"request": r.Header.Get(g.opts.Headers.RequestID), "status": status, "reason": why, "host": r.Host, "path": r.URL.Path,
+	})
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set(g.opts.Headers.RetryAfter, formatSeconds(earlyRetryAfter))
+	}
+	w.WriteHeader(status)
+}
+
+// earlyRetryAfter sends callers of an instance that cannot serve on to another one.
+const earlyRetryAfter = 100 * time.Millisecond
+
+func formatSeconds(d time.Duration) string {
+	return strconv.FormatFloat(max(d.Seconds(), 0), 'f', 2, 64)
+}
--- /dev/null
+++ b/instance/gateway/send.go
@@ -0,0 +1,121 @@
+package gateway
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
+	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
+)
+
+// mostUrgent and leastUrgent bound the priorities that targets know.
+const (
+	mostUrgent  = 0
+	leastUrgent = 9
+)
+
+// send sends a request to one target and passes the answer on if it is one to keep.
+func (g *Gateway) send(r *relay, q *request, target *roster.Entry) outcome {
+	now := time.Now()
+	ticket := g.board.Start(now, target.ID, q.prompt.Model, q.prompt.Tokens)
+	end := dispatch.Neutral
+	g.demand.running(q, 1)
+	defer func() {
+		g.demand.running(q, -1)
+		g.board.Finish(time.Now(), ticket, end)
+	}()
+	answer, err := g.client.Do(q.ctx, target.Address, g.outgoing(q, target, now, r.lastEvent))
+	if err != nil {
+		var result outcome
+		result, end = g.failed(q, target, err)
+		return result
+	}
+	defer answer.Close()
+	firstByte := time.Now()
+	g.board.FirstByte(firstByte, ticket, q.route.Objective)
+	if g.opts.Headers.Rejected(answer.Response) {
+		end = g.rejectedBy(q, target, answer)
+		return notRun
+	}
+	g.metrics.firstByteMs.Update(firstByte.Sub(q.arrived).Milliseconds())
+	var result outcome
+	result, end = r.pass(answer)
+	if result == mayHaveRun || result == expired {
+		g.recorder.Record(events.AttemptBroken, events.Fields{
+			"request": q.id, "target": target.ID, "status": answer.StatusCode, "bytes": r.bytes,
+		})
+	}
+	if result == mayHaveRun {
+		g.suspected.broken(q.fingerprint, target.Key)
+	}
+	return result
+}
+
+// rejectedBy learns from a rejection and drains it, so that the connection can be used again.
+func (g *Gateway) rejectedBy(q *request, target *roster.Entry, answer *upstream.Answer) dispatch.End {
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxBuffered))
+	g.recorder.Record(events.TargetRejectedRequest, events.Fields{
+		"request": q.id, "target": target.ID, "status": answer.StatusCode, "model": q.prompt.Model, "adapter": q.prompt.Adapter,
+	})
+	if answer.StatusCode != dialect.RejectedElsewhere {
+		return dispatch.Neutral
+	}
+	if id := answer.Header.Get(g.opts.Headers.TargetID); id != "" && id != target.ID {
+		return dispatch.Unreachable // another target lives at the address
+	}
+	if q.prompt.Model != "" {
+		g.board.Lacks(time.Now(), target.ID, q.prompt.Model, q.prompt.Adapter)
+	}
+	return dispatch.Neutral
+}
+
+// failed judges a send without an answer.
+func (g *Gateway) failed(q *request, target *roster.Entry, err error) (outcome, dispatch.End) {
+	var failure *upstream.Error
+	if !errors.As(err, &failure) {
+		return mayHaveRun, dispatch.Failed
+	}
+	if failure.Failure == upstream.Cancelled {
+		return abandoned, dispatch.Neutral
+	}
+	g.recorder.Record(events.AttemptBroken, events.Fields{
+		"request": q.id, "target": target.ID, "failure": string(failure.Failure), "sent": failure.Sent, "error": failure.Cause.Error(),
+	})
+	switch {
+	case failure.Failure == upstream.ConnectFailed:
+		g.suspected.died(target.Key)
+		return unsent, dispatch.Unreachable
+	case failure.Failure == upstream.TimedOut:
+		return expired, dispatch.Failed
+	}
+	g.suspected.broken(q.fingerprint, target.Key)
+	return mayHaveRun, dispatch.Failed
+}
+
+// outgoing makes the request to a target. lastEvent is the event after which a stream goes on.
+func (g *Gateway) outgoing(q *request, target *roster.Entry, now time.Time, lastEvent string) *upstream.Request {
+	names := &g.opts.Headers
+	header := make(http.Header, len(q.header)+4)
+	for name, values := range q.header {
+		header[name] = values
+	}
+	header[names.TimeLeftMs] = []string{strconv.FormatInt(max(q.deadline.Sub(now).Milliseconds(), 1), 10)}
+	header[names.ExpectTarget] = []string{target.ID}
+	if q.service.Engine != nil {
+		header[names.TargetPriority] = []string{strconv.Itoa(min(max(q.route.Rank, mostUrgent), leastUrgent))}
+	}
+	if lastEvent != "" {
+		header[names.LastEvent] = []string{lastEvent}
+	}
+	return &upstream.Request{
+		Method: q.method, URI: q.uri, Host: q.host, Header: header, Body: q.body, ID: q.id,
+		EchoHeader: names.RequestID, Unechoed: names.Rejected, Deadline: q.deadline,
+	}
+}
--- /dev/null
+++ b/instance/gateway/serve.go
@@ -0,0 +1,272 @@
+package gateway
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/events"
+)
+
+const (
+	// maxSends bounds the sends of one request, among them those that targets rejected without running it.
+	maxSends = 5
+	// leastTimeLeft is the time below which a request is not sent any more.
+	leastTimeLeft = 20 * time.Millisecond
+	// rejectedPause follows a rejection by a full target.
+	rejectedPause = 5 * time.Millisecond
+	// defaultRetryAfter is the pause that a refused caller is asked for when nothing better is known.
+	defaultRetryAfter = 400 * time.Millisecond
+	// retryAfterSpread varies the pause, so that callers that were refused together do not return together.
+	retryAfterSpread = 0.5
+)
+
+// outcome is what one send brought.
+type outcome uint8
+
+const (
+	delivered  outcome = iota // an answer was passed on, or the caller's connection was ended
+	notRun                    // the target did not run the request
+	unsent                    // nothing was sent
+	mayHaveRun                // the request was sent and brought no complete answer
+	expired                   // the time is up and the request may run
+	abandoned                 // the caller has left
+)
+
+// serve sends a request to targets until one has answered it.
+func (g *Gateway) serve(w http.ResponseWriter, q *request) {
+	var exclude []string
+	ran := 0
+	relay := &relay{g: g, w: w, q: q}
+	for q.sends < maxSends {
+		target, reason := g.choose(q, exclude)
+		if q.ctx.Err() != nil {
+			g.left(q)
+			return
+		}
+		if target == nil {
+			g.giveUp(relay, q, ran, string(reason))
+			return
+		}
+		if q.sends > 0 && !g.budget.Repeat(time.Now(), q.service.Name) {
+			g.giveUp(relay, q, ran, "the budget for repeated sends is used up")
+			return
+		}
+		if q.sends > 0 {
+			g.metrics.repeated.Inc(1)
+		}
+		q.lastTarget = target.ID
+		result := g.send(relay, q, target)
+		switch result {
+		case delivered:
+			return
+		case abandoned:
+			g.left(q)
+			return
+		case expired:
+			g.giveUp(relay, q, ran+1, "the time is up")
+			return
+		case mayHaveRun:
+			ran++
+			q.sends++
+			if !q.route.Repeatable() || ran >= max(q.route.MaxAttempts, 1) {
+				g.giveUp(relay, q, ran, "the target broke off")
+				return
+			}
+		case notRun:
+			q.sends++
+			if !sleep(q, rejectedPause) {
+				g.left(q)
+				return
+			}
+		}
+		exclude = append(exclude, target.ID)
+	}
+	g.giveUp(relay, q, ran, "too many sends")
+}
+
+// choose finds a target, and waits for one within bounds when there is none.
+func (g *Gateway) choose(q *request, exclude []string) (*roster.Entry, dispatch.Reason) {
+	began := time.Now()
+	patience := g.patience(q, began)
+	waiting := false
+	defer func() {
+		if waiting {
+			g.demand.waiting(q, -1)
+		}
+		q.held += time.Since(began)
+	}()
+	for {
+		now := time.Now()
+		if q.deadline.Sub(now) < leastTimeLeft {
+			return nil, "the time is up"
+		}
+		target, reason := g.pick(now, q, exclude)
+		if target != nil {
+			return target, reason
+		}
+		if reason == dispatch.AllExclude && len(exclude) > 0 {
+			// A target that failed a request is better than none, if the request may run there again.
+			exclude = nil
+			if q.sends == 0 || q.route.Repeatable() {
+				continue
+			}
+		}
+		left := patience - now.Sub(began)
+		if reason == dispatch.NotLoaded {
+			left = max(left, g.arrivalPatience(q, now))
+		}
+		if left <= 0 {
+			if reason == dispatch.NotLoaded {
+				g.demand.refused(q)
+			}
+			return nil, reason
+		}
+		if !waiting {
+			waiting = true
+			g.demand.waiting(q, 1)
+		}
+		if !sleep(q, min(left, waitPoll)) {
+			return nil, reason
+		}
+	}
+}
+
+// pick asks the board, and the leader when an adapter has to be loaded.
+func (g *Gateway) pick(now time.Time, q *request, exclude []string) (*roster.Entry, dispatch.Reason) {
+	targets := g.view.Targets()
+	query := dispatch.Query{
+		Service: q.service.Name, Model: q.prompt.Model, Adapter: q.prompt.Adapter, Tokens: q.prompt.Tokens,
+		DataCentre: g.opts.DataCentre, Exclude: exclude, MaxPerSlot: plainPerSlot,
+	}
+	if q.service.Engine != nil {
+		query.Slots, query.MaxPerSlot = q.service.Engine.Slots, enginePerSlot
+	}
+	g.rngMu.Lock()
+	target, reason := g.board.Pick(now, g.rng, query, targets)
+	g.rngMu.Unlock()
+	if target != nil || query.Adapter == "" || reason == dispatch.NotLoaded || reason == dispatch.NoTarget {
+		if target != nil && query.Adapter != "" {
+			g.demand.usedAdapter(target.ID, query.Model, query.Adapter)
+		}
+		return target, reason
+	}
+	return g.loadAdapter(q, exclude, reason)
+}
+
+const (
+	// plainPerSlot bounds the requests at a plain target for each of its slots; it queues a few itself.
+	plainPerSlot = 3.0
+	// enginePerSlot bounds the requests at a model engine for each of its slots. It serves its queue by priority, so a
+	// short one is better held there than here.
+	enginePerSlot = 1.5
+	// waitPoll is the time between looks for a target.
+	waitPoll = 10 * time.Millisecond
+	// patienceShare is the part of the time left that a request may wait here for a free target.
+	patienceShare = 0.25
+	// arrivalShare is the part of the time left that a request may wait for a model that is being loaded.
+	arrivalShare = 0.45
+)
+
+// patience is how long a request may wait here for a target before it is refused.
+func (g *Gateway) patience(q *request, now time.Time) time.Duration {
+	left := time.Duration(float64(q.deadline.Sub(now)) * patienceShare)
+	if q.route.Objective > 0 {
+		left = min(left, q.route.Objective)
+	}
+	return left
+}
+
+// arrival is a model that a target loads.
+type arrival struct {
+	service, model string
+	at             time.Time
+}
+
+// arrivalPatience is how long it is worth to wait for a model that is being loaded.
+func (g *Gateway) arrivalPatience(q *request, now time.Time) time.Duration {
+	at, ok := g.arrivalOf(q)
+	if !ok || at.Sub(now) > time.Duration(float64(q.deadline.Sub(now))*arrivalShare) {
+		return 0
+	}
+	return max(at.Sub(now), waitPoll)
+}
+
+func (g *Gateway) arrivalOf(q *request) (at time.Time, ok bool) {
+	for _, a := range *g.arriving.Load() {
+		if a.service == q.service.Name && a.model == q.prompt.Model && (!ok || a.at.Before(at)) {
+			at, ok = a.at, true
+		}
+	}
+	return at, ok
+}
+
+// sleep waits and reports whether the caller is still there.
+func sleep(q *request, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-q.ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// giveUp ends a request without an answer of a target.
+func (g *Gateway) giveUp(r *relay, q *request, ran int, reason string) {
+	fields := events.Fields{
+		"request": q.id, "route": q.route.Name, "version": q.version, "service": q.service.Name, "model": q.prompt.Model,
+		"target": q.lastTarget, "sends": q.sends, "held_ms": q.held.Milliseconds(), "reason": reason,
+		"after_ms": time.Since(q.arrived).Milliseconds(),
+	}
+	if r.begun {
+		g.metrics.failed.Inc(1)
+		fields["status"] = "cut"
+		g.recorder.Record(events.RequestFailed, fields)
+		panic(http.ErrAbortHandler)
+	}
+	status := http.StatusServiceUnavailable
+	switch {
+	case ran == 0:
+	case !time.Now().Before(q.deadline.Add(-leastTimeLeft)):
+		status = http.StatusGatewayTimeout
+	default:
+		status = http.StatusBadGateway
+	}
+	fields["status"] = status
+	if status == http.StatusServiceUnavailable {
+		g.metrics.refused.Inc(1)
+		pause := g.retryAfter(q)
+		fields["retry_after_ms"] = pause.Milliseconds()
+		r.w.Header().Set(g.opts.Headers.RetryAfter, formatSeconds(pause))
+		g.recorder.Record(events.RequestRefused, fields)
+	} else {
+		g.metrics.failed.Inc(1)
+		g.recorder.Record(events.RequestFailed, fields)
+	}
+	r.w.WriteHeader(status)
+}
+
+// retryAfter is when the caller should come back: when the model is expected, or after a pause that spreads the return.
+func (g *Gateway) retryAfter(q *request) time.Duration {
+	now := time.Now()
+	pause := defaultRetryAfter
+	if at, ok := g.arrivalOf(q); ok && at.After(now) {
+		pause = at.Sub(now) + rejectedPause
+	}
+	return pause + time.Duration(retryAfterSpread*g.draw()*float64(defaultRetryAfter))
+}
+
+// left notes a caller that closed its connection.
+func (g *Gateway) left(q *request) {
+	g.metrics.cancelled.Inc(1)
+	g.recorder.Record(events.CallerLeft, events.Fields{
+		"request": q.id, "route": q.route.Name, "target": q.lastTarget, "after_ms": time.Since(q.arrived).Milliseconds(),
+	})
+}
+
+// excluded tells whether a target failed this request.
+func excluded(list []string, id string) bool { return slices.Contains(list, id) }
--- /dev/null
+++ b/instance/hub/director.go
@@ -0,0 +1,421 @@
+package hub
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
+	"github.com/tarragonhoist/tarragonhoist/coordination/residency"
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
+)
+
+const (
+	// tickInterval is the time between looks at demand and moves.
+	tickInterval = 100 * time.Millisecond
+	// gatewayTimeout drops the load of a gateway that no longer reports.
+	gatewayTimeout = time.Second
+	// settleTime is the time after the first load report of a leader from which it plans, so that it knows the demand.
+	settleTime = 500 * time.Millisecond
+	// targetSilence leaves out targets without heartbeats.
+	targetSilence = 5 * time.Second
+	// refusedWeight counts a request that was turned away for lack of a target, which would otherwise not show.
+	refusedWeight = 2.0
+	// waitingWeight counts a request without a target.
+	waitingWeight = 2.0
+	// strikesToQuarantine is the number of targets that a request may take down.
+	strikesToQuarantine = 2
+	// quarantineTime is how long a request that took targets down is refused.
+	quarantineTime = 5 * time.Minute
+)
+
+type modelOf struct{ service, model string }
+
+type gatewayLoad struct {
+	at     time.Time
+	report fleetapi.LoadReport
+	models map[modelOf]fleetapi.ModelLoad
+}
+
+// Director collects the load of all gateways and, while this instance may give orders, moves models and loads adapters.
+type Director struct {
+	opts     Options
+	view     *fleetview.View
+	lease    *lease
+	orders   Orders
+	recorder *events.Recorder
+
+	ordersSent, ordersRefused, storeLoads metrics.Counter
+
+	mu       sync.Mutex
+	gateways map[string]*gatewayLoad
+	// lately holds requests that were refused or arrived, by model, until they are added to the demand.
+	refusals  map[modelOf]float64
+	demand    map[modelOf]*residency.Smoothed
+	smoothed  map[modelOf]float64
+	targets   map[string]*commanded // by target id
+	rates     map[string]*residency.Rate
+	strikes   map[uint64]map[string]time.Time // by fingerprint, the targets that died
+	fence     uint64
+	planAfter time.Time
+}
+
+func newDirector(opts Options, view *fleetview.View, group *replica.Group, orders Orders, recorder *events.Recorder,
+	registry metrics.Registry) *Director {
+	counter := func(name string) metrics.Counter { return metrics.GetOrRegisterCounter("control."+name, registry) }
+	return &Director{
+		opts: opts, view: view, lease: newLease(group, opts.Lease, recorder), orders: orders, recorder: recorder,
+		ordersSent: counter("orders_sent"), ordersRefused: counter("orders_refused"), storeLoads: counter("store_loads"),
+		gateways: make(map[string]*gatewayLoad), refusals: make(map[modelOf]float64),
+		demand: make(map[modelOf]*residency.Smoothed), smoothed: make(map[modelOf]float64),
+		targets: make(map[string]*commanded), rates: make(map[string]*residency.Rate),
+		strikes: make(map[uint64]map[string]time.Time),
+	}
+}
+
+// Run plans and carries out moves until ctx ends.
+func (d *Director) Run(ctx context.Context) {
+	go d.lease.run(ctx)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			d.tick(ctx, time.Now())
+		}
+	}
+}
+
+// Stop gives no more orders.
+func (d *Director) Stop() { d.lease.stop() }
+
+// Exchange takes the load of a gateway and returns that of the others.
+func (d *Director) Exchange(now time.Time, r *fleetapi.LoadReport) (fleetapi.LoadSummary, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	g := &gatewayLoad{at: now, report: *r, models: make(map[modelOf]fleetapi.ModelLoad, len(r.Models))}
+	for _, m := range r.Models {
+		key := modelOf{m.Service, m.Model}
+		g.models[key] = m
+		d.refusals[key] += refusedWeight * float64(m.Refused)
+	}
+	d.gateways[r.Gateway] = g
+	for _, use := range r.Adapters {
+		if c := d.targets[use.ID]; c != nil {
+			c.used(now, use.Model, use.Adapter)
+		}
+	}
+	for _, s := range r.Strikes {
+		d.strike(now, s)
+	}
+	return d.summary(now, r.Gateway), nil
+}
+
+func (d *Director) strike(now time.Time, s fleetapi.Strike) {
+	if d.strikes[s.Fingerprint] == nil {
+		d.strikes[s.Fingerprint] = make(map[string]time.Time)
+	}
+	d.strikes[s.Fingerprint][s.Target.ID] = now
+	d.recorder.Record(events.CrashStrike, events.Fields{"fingerprint": s.Fingerprint, "target": s.Target.ID,
+		"strikes": len(d.strikes[s.Fingerprint])})
+}
+
+func (d *Director) summary(now time.Time, except string) fleetapi.LoadSummary {
+	sums := make(map[string]*fleetapi.TargetLoad)
+	s := fleetapi.LoadSummary{}
+	for name, g := range d.gateways {
+		if now.Sub(g.at) > gatewayTimeout {
+			continue
+		}
+		s.Gateways++
+		if name == except {
+			continue
+		}
+		for _, l := range g.report.Targets {
+			sum := sums[l.ID]
+			if sum == nil {
+				sum = &fleetapi.TargetLoad{ID: l.ID}
+				sums[l.ID] = sum
+			}
+			sum.Running += l.Running
+			sum.Unstarted += l.Unstarted
+			sum.PromptTokens += l.PromptTokens
+		}
+	}
+	for _, sum := range sums {
+		s.Targets = append(s.Targets, *sum)
+	}
+	for id, c := range d.targets {
+		c.describe(now, id, &s)
+	}
+	for fingerprint, targets := range d.strikes {
+		if len(targets) >= strikesToQuarantine {
+			s.Quarantined = append(s.Quarantined, fingerprint)
+		}
+	}
+	return s
+}
+
+// runningOn sums the requests on each target. The caller holds the lock.
+func (d *Director) runningOn(now time.Time) map[string]int {
+	running := make(map[string]int)
+	for _, g := range d.gateways {
+		if now.Sub(g.at) > gatewayTimeout {
+			continue
+		}
+		for _, l := range g.report.Targets {
+			running[l.ID] += l.Running
+		}
+	}
+	return running
+}
+
+// tick takes one step: it forgets what is old, smooths the demand, and plans while orders are allowed.
+func (d *Director) tick(ctx context.Context, now time.Time) {
+	fence, allowed := d.lease.Fence()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.expire(now)
+	d.smooth(now)
+	if !allowed {
+		if fence != d.fence {
+			d.targets = make(map[string]*commanded) // another leader may give orders meanwhile
+		}
+		d.planAfter = time.Time{}
+		return
+	}
+	if fence != d.fence {
+		d.fence = fence
+		d.targets = make(map[string]*commanded)
+		d.rates = make(map[string]*residency.Rate)
+	}
+	if d.planAfter.IsZero() {
+		d.planAfter = now.Add(settleTime)
+	}
+	table := d.view.Table()
+	if table == nil {
+		return
+	}
+	d.followTargets(now)
+	for _, c := range d.targets {
+		c.step(ctx, now, d)
+	}
+	if now.Before(d.planAfter) {
+		return
+	}
+	services := table.Document().Services
+	for i := range services {
+		if services[i].Engine != nil {
+			d.plan(now, &services[i])
+		}
+	}
+}
+
+func (d *Director) expire(now time.Time) {
+	for name, g := range d.gateways {
+		if now.Sub(g.at) > 5*gatewayTimeout {
+			delete(d.gateways, name)
+		}
+	}
+	for fingerprint, targets := range d.strikes {
+		for id, at := range targets {
+			if now.Sub(at) > quarantineTime {
+				delete(targets, id)
+			}
+		}
+		if len(targets) == 0 {
+			delete(d.strikes, fingerprint)
+		}
+	}
+}
+
+// smooth adds the latest samples to the demand.
+func (d *Director) smooth(now time.Time) {
+	samples := make(map[modelOf]float64)
+	for _, g := range d.gateways {
+		if now.Sub(g.at) > gatewayTimeout {
+			continue
+		}
+		for key, m := range g.models {
+			samples[key] += float64(m.Running) + waitingWeight*float64(m.Waiting)
+		}
+	}
+	for key, n := range d.refusals {
+		samples[key] += n
+		if n *= 0.8; n < 0.1 { // fades within a second of ticks
+			delete(d.refusals, key)
+		} else {
+			d.refusals[key] = n
+		}
+	}
+	for key := range samples {
+		if d.demand[key] == nil {
+			d.demand[key] = &residency.Smoothed{}
+		}
+	}
+	for key, s := range d.demand {
+		d.smoothed[key] = s.Add(now, samples[key])
+		if d.smoothed[key] < 0.01 && samples[key] == 0 {
+			delete(d.demand, key)
+			delete(d.smoothed, key)
+		}
+	}
+}
+
+// followTargets begins to command targets that are new and forgets those that left.
+func (d *Director) followTargets(now time.Time) {
+	present := make(map[string]bool)
+	for _, t := range d.view.Targets() {
+		if t.State != roster.Ready || now.Sub(t.HeardAt) > targetSilence {
+			continue
+		}
+		present[t.ID] = true
+		c := d.targets[t.ID]
+		if c == nil || c.target.Born != t.Born {
+			c = newCommanded(t.Target)
+			d.targets[t.ID] = c
+		}
+		c.heard(t.Target)
+	}
+	for id := range d.targets {
+		if !present[id] {
+			delete(d.targets, id)
+		}
+	}
+}
+
+// plan decides on the moves of one service and begins them.
+func (d *Director) plan(now time.Time, service *routes.Service) {
+	running := d.runningOn(now)
+	input := residency.Input{}
+	unknown := false
+	for id, c := range d.targets {
+		if c.target.Service != service.Name {
+			continue
+		}
+		if !c.reportedOnce() {
+			unknown = true // a copy that is not known of would be loaded once more
+			continue
+		}
+		t := c.planned(service.Engine)
+		t.ID, t.Running = id, running[id]
+		input.Targets = append(input.Targets, t)
+	}
+	if len(input.Targets) == 0 || unknown {
+		return
+	}
+	for i := range service.Engine.Models {
+		m := &service.Engine.Models[i]
+		input.Models = append(input.Models, residency.Model{Name: m.Name, WeightsMB: m.WeightsMB,
+			Demand: d.smoothed[modelOf{service.Name, m.Name}]})
+	}
+	rate := d.rates[service.Name]
+	if rate == nil {
+		r := residency.NewRate(now)
+		rate = &r
+		d.rates[service.Name] = rate
+	}
+	input.StoreLoads = rate.Available(now, service.Engine.LoadsPerSecond)
+	for _, move := range residency.Plan(input) {
+		if move.FromStore {
+			rate.Take()
+			d.storeLoads.Inc(1)
+		}
+		c := d.targets[move.Target]
+		c.begin(now, move, service.Engine)
+		d.recorder.Record(events.MovePlanned, events.Fields{"target": move.Target, "load": move.Load, "unload": move.Unload,
+			"from_store": move.FromStore, "fence": d.fence,
+			"demand": round(d.smoothed[modelOf{service.Name, move.Load}]), "demand_unload": round(d.smoothed[modelOf{service.Name, move.Unload}])})
+	}
+}
+
+func round(v float64) float64 { return float64(int(v*10+0.5)) / 10 }
+
+// Adapter finds or makes a target that holds an adapter.
+func (d *Director) Adapter(ctx context.Context, r *fleetapi.AdapterRequest) (fleetapi.AdapterAnswer, error) {
+	now := time.Now()
+	if _, ok := d.lease.Fence(); !ok {
+		return fleetapi.AdapterAnswer{Problem: "no orders may be given now"}, nil
+	}
+	table := d.view.Table()
+	if table == nil {
+		return fleetapi.AdapterAnswer{Problem: "no configuration is known"}, nil
+	}
+	service := table.Service(r.Service)
+	if service == nil || service.Engine == nil {
+		return fleetapi.AdapterAnswer{Problem: "the service has no engines"}, nil
+	}
+	model := service.Engine.Model(r.Model)
+	if model == nil {
+		return fleetapi.AdapterAnswer{Problem: "the model does not exist"}, nil
+	}
+	d.mu.Lock()
+	candidates := d.adapterCandidates(now, r, service.Engine)
+	d.mu.Unlock()
+	for _, c := range candidates {
+		wait, ok := c.ensureAdapter(ctx, d, r.Model, r.Adapter, service.Engine, model)
+		if ok {
+			return fleetapi.AdapterAnswer{ID: c.target.ID, ReadyMs: wait.Milliseconds()}, nil
+		}
+	}
+	return fleetapi.AdapterAnswer{Problem: "no target can take the adapter"}, nil
+}
+
+// maxAdapterCandidates bounds the targets that are tried for one request.
+const maxAdapterCandidates = 3
+
+// adapterCandidates orders the targets that hold the model: those with the adapter, then those with a free place, then
+// those where a place can be made, each by load. The caller holds the lock.
+func (d *Director) adapterCandidates(now time.Time, r *fleetapi.AdapterRequest, engine *routes.Engine) []*commanded {
+	running := d.runningOn(now)
+	type ranked struct {
+		c    *commanded
+		cost float64
+	}
+	var list []ranked
+	for id, c := range d.targets {
+		if c.target.Service != r.Service || slices.Contains(r.Exclude, id) || !c.serves(r.Model) {
+			continue
+		}
+		cost := float64(running[id])
+		switch place := c.place(now, r.Model, r.Adapter, engine); place {
+		case placeHeld:
+		case placeFree:
+			cost += freePlaceCost
+		case placeEvict:
+			cost += evictCost
+		default:
+			continue
+		}
+		list = append(list, ranked{c, cost})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		switch {
+		case a.cost < b.cost:
+			return -1
+		case a.cost > b.cost:
+			return 1
+		}
+		return 0
+	})
+	var chosen []*commanded
+	for _, l := range list[:min(len(list), maxAdapterCandidates)] {
+		chosen = append(chosen, l.c)
+	}
+	return chosen
+}
+
+// Costs of a load and of an eviction, against the requests that run on a target.
+const (
+	freePlaceCost = 3
+	evictCost     = 8
+)
--- /dev/null
+++ b/instance/logsink/logsink.go
@@ -0,0 +1,104 @@
+// Package logsink writes log lines without ever blocking the writer: lines above a rate, and lines that the output does
+// not take, are dropped and counted.
+package logsink
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+const (
+	// queueLines bounds the lines that wait for the output.
+	queueLines = 512
+	// DefaultLinesPerSecond and defaultBurst bound the volume under load.
+	DefaultLinesPerSecond = 150
+	defaultBurst          = 600
+	// reportInterval is the time between reports of dropped lines.
+	reportInterval = 5 * time.Second
+	// flushBytes and flushPause collect lines, so that not every line costs a system call.
+	flushBytes = 8 << 10
+	flushPause = 100 * time.Millisecond
+)
+
+// Sink is an io.Writer of lines. It is safe for concurrent use.
+type Sink struct {
+	out     io.Writer
+	lines   chan []byte
+	limiter *rate.Limiter
+	dropped atomic.Int64
+}
+
+// New returns a sink for an output. Nothing is written before Run.
+func New(out io.Writer, linesPerSecond float64) *Sink {
+	return &Sink{out: out, lines: make(chan []byte, queueLines), limiter: rate.NewLimiter(rate.Limit(linesPerSecond), defaultBurst)}
+}
+
+// Write queues one line, or drops and counts it.
+func (s *Sink) Write(line []byte) (int, error) {
+	if !s.limiter.Allow() {
+		s.dropped.Add(1)
+		return len(line), nil
+	}
+	copied := append([]byte(nil), line...)
+	select {
+	case s.lines <- copied:
+	default:
+		s.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns the lines that were dropped since the last call.
+func (s *Sink) Dropped() int64 { return s.dropped.Swap(0) }
+
+// Run writes lines until ctx ends, then those that wait. report is called when lines were dropped.
+func (s *Sink) Run(ctx context.Context, report func(lines int64)) {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case line := <-s.lines:
+			s.flush(ctx, line)
+		case <-ticker.C:
+			if n := s.Dropped(); n > 0 {
+				report(n)
+			}
+		case <-ctx.Done():
+			s.rest()
+			return
+		}
+	}
+}
+
+// flush writes a line together with those that follow shortly.
+func (s *Sink) flush(ctx context.Context, batch []byte) {
+	timer := time.NewTimer(flushPause)
+	defer timer.Stop()
+	for len(batch) < flushBytes {
+		select {
+		case line := <-s.lines:
+			batch = append(batch, line...)
+			continue
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+		break
+	}
+	// An output that fails takes no log lines; there is nowhere else to report it.
+	_, _ = s.out.Write(batch)
+}
+
+func (s *Sink) rest() {
+	for {
+		select {
+		case line := <-s.lines:
+			_, _ = s.out.Write(line)
+		default:
+			return
+		}
+	}
+}
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -22,6 +22,9 @@
 	MethodStatus          = "status.read"
 	MethodEngines         = "placement.engines"
 	MethodUsage           = "admission.usage"
+	MethodFleetWatch      = "fleet.watch"
+	MethodFleetLoad       = "fleet.load"
+	MethodFleetAdapter    = "fleet.adapter"
 )
 
 // Methods of the link itself.
@@ -47,7 +50,8 @@
 func ClassOf(method string) Class {
 	switch method {
 	case MethodRaftMessage, MethodRaftPropose, MethodControlVote, MethodControlRecord, MethodStrike,
-		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodHello, MethodPing, MethodClosing:
+		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodFleetWatch, MethodFleetLoad, MethodFleetAdapter,
+		MethodHello, MethodPing, MethodClosing:
 		return Urgent
 	default:
 		return Bulk
--- /dev/null
+++ b/settings/node.go
@@ -0,0 +1,127 @@
+package settings
+
+import (
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/tomlfile"
+)
+
+// Node are the settings of a gateway or control instance, which finds the others by itself.
+type Node struct {
+	Name       string `toml:"name"`
+	DataCentre string `toml:"data_centre"`
+	// Address and PeerPort are where other processes of the system reach this one. The port is the same everywhere.
+	Address  string `toml:"address"`
+	PeerPort int    `toml:"peer_port"`
+	// ListenCallers and ListenReady are set for gateways, ListenControl for control instances.
+	ListenCallers string `toml:"listen_callers"`
+	ListenReady   string `toml:"listen_ready"`
+	ListenControl string `toml:"listen_control"`
+	ListenMetrics string `toml:"listen_metrics"`
+	// Seeds are control instances to ask first, with any port.
+	Seeds []string `toml:"seeds"`
+	// FirstStart is true only when the whole deployment starts for the first time.
+	FirstStart bool   `toml:"first_start"`
+	DataFolder string `toml:"data_folder"`
+	MemoryMB   int    `toml:"memory_mb"`
+	// LeaseMs is the time within which two instances must not give orders to targets in turn.
+	LeaseMs int `toml:"lease_ms"`
+	// GraceSeconds is the time from SIGTERM until the process is killed.
+	GraceSeconds float64 `toml:"grace_s"`
+	// Repeated sends to a service in a window are bounded to a ratio of its requests and a slack.
+	RepeatRatio   float64 `toml:"repeat_ratio"`
+	RepeatSlack   float64 `toml:"repeat_slack"`
+	RepeatWindowS float64 `toml:"repeat_window_s"`
+	Log           Log     `toml:"log"`
+}
+
+// Defaults of a node.
+const (
+	DefaultLeaseMs       = 3000
+	DefaultGraceSeconds  = 8
+	DefaultRepeatRatio   = 0.2
+	DefaultRepeatSlack   = 50
+	DefaultRepeatWindowS = 10
+	// DefaultNodeLogLevel shows each request.
+	DefaultNodeLogLevel = "debug"
+)
+
+// LoadNode reads and checks the settings of a gateway or control instance.
+func LoadNode(path string) (*Node, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "settings file")
+	}
+	n, findings := ParseNode(path, data)
+	if len(findings) > 0 {
+		return nil, findings
+	}
+	return n, nil
+}
+
+// ParseNode decodes and checks settings.
+func ParseNode(name string, data []byte) (*Node, tomlfile.Findings) {
+	n := &Node{
+		LeaseMs: DefaultLeaseMs, GraceSeconds: DefaultGraceSeconds, RepeatRatio: DefaultRepeatRatio,
+		RepeatSlack: DefaultRepeatSlack, RepeatWindowS: DefaultRepeatWindowS, Log: Log{Level: DefaultNodeLogLevel, Format: "json"},
+	}
+	f := tomlfile.Decode(name, data, n)
+	if n.Name == "" {
+		f.Report("name", "is required")
+	}
+	if n.DataCentre == "" {
+		f.Report("data_centre", "is required")
+	}
+	if net.ParseIP(n.Address) == nil {
+		f.Report("address", "%q is not an IP address", n.Address)
+	}
+	if n.PeerPort < 1 || n.PeerPort > 65535 {
+		f.Report("peer_port", "%d is not a port", n.PeerPort)
+	}
+	for key, address := range map[string]string{"listen_callers": n.ListenCallers, "listen_ready": n.ListenReady,
+		"listen_control": n.ListenControl, "listen_metrics": n.ListenMetrics} {
+		if _, _, err := net.SplitHostPort(address); address != "" && err != nil {
+			f.Report(key, "%q is not host:port", address)
+		}
+	}
+	for _, seed := range n.Seeds {
+		if _, _, err := net.SplitHostPort(seed); err != nil {
+			f.Report("seeds", "%q is not host:port", seed)
+		}
+	}
+	if (n.ListenCallers == "") != (n.ListenReady == "") {
+		f.Report("listen_ready", "stands with listen_callers")
+	}
+	if n.ListenControl != "" && n.DataFolder == "" {
+		f.Report("data_folder", "is required for a control instance")
+	}
+	if n.RepeatRatio < 0 || n.RepeatSlack < 0 || n.RepeatWindowS <= 0 {
+		f.Report("repeat_window_s", "the window must be positive, ratio and slack not negative")
+	}
+	if n.LeaseMs < 0 || n.GraceSeconds < 0 || n.MemoryMB < 0 {
+		f.Report("lease_ms", "durations and memory must not be negative")
+	}
+	return n, f.Findings()
+}
+
+// PeerName returns the name of this process for others: its address and peer port.
+func (n *Node) PeerName() string { return net.JoinHostPort(n.Address, strconv.Itoa(n.PeerPort)) }
+
+// SeedNames returns the names of the control instances to ask first.
+func (n *Node) SeedNames() []string {
+	names := make([]string, 0, len(n.Seeds))
+	for _, seed := range n.Seeds {
+		if host, _, err := net.SplitHostPort(seed); err == nil {
+			names = append(names, net.JoinHostPort(host, strconv.Itoa(n.PeerPort)))
+		}
+	}
+	return names
+}
+
+// Grace is the time from SIGTERM until the process is killed.
+func (n *Node) Grace() time.Duration { return time.Duration(n.GraceSeconds * float64(time.Second)) }
--- /dev/null
+++ b/state/routes/check.go
@@ -0,0 +1,92 @@
+package routes
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Finding is one fault of a document with its place.
+type Finding struct {
+	Place   string
+	Message string
+}
+
+// Findings are all faults of a document.
+type Findings []Finding
+
+// Error joins the findings.
+func (f Findings) Error() string {
+	lines := make([]string, len(f))
+	for i, one := range f {
+		lines[i] = one.Place + ": " + one.Message
+	}
+	return strings.Join(lines, "; ")
+}
+
+// Check returns every fault of a document; none means that it may come into force.
+func (d *Document) Check() Findings {
+	var found Findings
+	add := func(place, format string, args ...any) {
+		found = append(found, Finding{Place: place, Message: fmt.Sprintf(format, args...)})
+	}
+	services := make(map[string]bool, len(d.Services))
+	for i := range d.Services {
+		name := d.Services[i].Name
+		place := fmt.Sprintf("service %d", i)
+		switch {
+		case name == "":
+			add(place, "the name is missing")
+		case services[name]:
+			add(place, "the name %q stands twice", name)
+		}
+		services[name] = true
+	}
+	type place struct{ host, prefix string }
+	seen := make(map[place]string, len(d.Routes))
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		label := fmt.Sprintf("route %d (%s)", i, r.Name)
+		r.check(services, func(format string, args ...any) { add(label, format, args...) })
+		key := place{canonicalHost(r.Host), r.PathPrefix}
+		if other, ok := seen[key]; ok {
+			add(label, "host %q and prefix %q are those of route %q", r.Host, r.PathPrefix, other)
+		}
+		seen[key] = r.Name
+	}
+	return found
+}
+
+func (r *Route) check(services map[string]bool, add func(format string, args ...any)) {
+	if r.Host == "" {
+		add("the host is missing")
+	}
+	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+		add("the prefix %q does not begin and end with a slash", r.PathPrefix)
+	}
+	switch r.Kind {
+	case Idempotent, NonIdempotent, Stream:
+	default:
+		add("the kind %q is unknown", r.Kind)
+	}
+	if r.Timeout <= 0 {
+		add("the timeout is not positive")
+	}
+	if len(r.Split) == 0 {
+		add("no service is named")
+	}
+	sum := 0.0
+	for _, w := range r.Split {
+		if !services[w.Service] {
+			add("the service %q does not exist", w.Service)
+		}
+		if w.Weight < 0 {
+			add("the weight of service %q is negative", w.Service)
+		}
+		sum += w.Weight
+	}
+	if len(r.Split) > 0 && sum <= 0 {
+		add("the weights add up to 0")
+	}
+}
+
+func canonicalHost(host string) string { return strings.ToLower(host) }
--- /dev/null
+++ b/state/routes/store.go
@@ -0,0 +1,113 @@
+package routes
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/binary"
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Packed is a version of the document as it was received, compressed.
+type Packed struct {
+	Version uint64
+	Data    []byte
+}
+
+const (
+	versionBytes = 8
+	// MaxDocumentBytes bounds an unpacked document, against a corrupt one that unpacks without end.
+	MaxDocumentBytes = 16 << 20
+)
+
+// Pack compresses a document as received.
+func Pack(version uint64, source []byte) (Packed, error) {
+	var b bytes.Buffer
+	w, err := flate.NewWriter(&b, flate.BestSpeed)
+	if err != nil {
+		return Packed{}, errors.Wrap(err, "compress document")
+	}
+	if _, err = w.Write(source); err == nil {
+		err = w.Close()
+	}
+	return Packed{Version: version, Data: b.Bytes()}, errors.Wrap(err, "compress document")
+}
+
+// Unpack returns the document as received.
+func (p Packed) Unpack() ([]byte, error) {
+	data, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(p.Data)), MaxDocumentBytes+1))
+	if err != nil {
+		return nil, errors.Wrapf(err, "unpack document version %d", p.Version)
+	}
+	if len(data) > MaxDocumentBytes {
+		return nil, errors.Errorf("document version %d unpacks to more than %d bytes", p.Version, MaxDocumentBytes)
+	}
+	return data, nil
+}
+
+// Encode returns the command that proposes the version.
+func (p Packed) Encode() []byte {
+	return append(binary.BigEndian.AppendUint64(nil, p.Version), p.Data...)
+}
+
+func decodePacked(b []byte) (Packed, error) {
+	if len(b) < versionBytes {
+		return Packed{}, errors.New("document command is shorter than its version")
+	}
+	return Packed{Version: binary.BigEndian.Uint64(b), Data: bytes.Clone(b[versionBytes:])}, nil
+}
+
+// Store keeps the highest version that was applied. It is a replicated state machine; it is safe for concurrent use.
+type Store struct {
+	onChange func(Packed)
+
+	mu   sync.Mutex
+	held Packed
+}
+
+// NewStore returns an empty store. onChange is called for each version that comes into force; it must not block.
+func NewStore(onChange func(Packed)) *Store { return &Store{onChange: onChange} }
+
+// Held returns the version in force; Version is 0 before the first one.
+func (s *Store) Held() Packed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.held
+}
+
+// Apply takes a proposed version. One that is not higher than the version held changes nothing, whatever its content.
+func (s *Store) Apply(_ uint64, command []byte) ([]byte, error) {
+	p, err := decodePacked(command)
+	if err != nil {
+		return nil, err
+	}
+	s.set(p)
+	return nil, nil
+}
+
+func (s *Store) set(p Packed) {
+	s.mu.Lock()
+	newer := p.Version > s.held.Version
+	if newer {
+		s.held = p
+	}
+	s.mu.Unlock()
+	if newer {
+		s.onChange(p)
+	}
+}
+
+// Snapshot returns the version held.
+func (s *Store) Snapshot() ([]byte, error) { return s.Held().Encode(), nil }
+
+// Restore replaces the state by a snapshot.
+func (s *Store) Restore(data []byte) error {
+	p, err := decodePacked(data)
+	if err != nil {
+		return err
+	}
+	s.set(p)
+	return nil
+}
--- /dev/null
+++ b/state/routes/table.go
@@ -0,0 +1,77 @@
+package routes
+
+import (
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table finds the route of a request. It does not change after NewTable.
+type Table struct {
+	document *Document
+	byHost   map[string][]*Route // longest prefix first
+	services map[string]*Service
+}
+
+// NewTable indexes a document that has passed its check.
+func NewTable(d *Document) *Table {
+	t := &Table{document: d, byHost: make(map[string][]*Route), services: make(map[string]*Service, len(d.Services))}
+	for i := range d.Services {
+		t.services[d.Services[i].Name] = &d.Services[i]
+	}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		host := canonicalHost(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, list := range t.byHost {
+		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
+	}
+	return t
+}
+
+// Version returns the version of the document.
+func (t *Table) Version() uint64 { return t.document.Version }
+
+// Document returns the document, which must not be changed.
+func (t *Table) Document() *Document { return t.document }
+
+// Service returns the service of a name, or nil.
+func (t *Table) Service(name string) *Service { return t.services[name] }
+
+// Match returns the route with the longest prefix of the path, or nil.
+func (t *Table) Match(host, path string) *Route {
+	list, ok := t.byHost[canonicalHost(host)]
+	if !ok {
+		if bare, _, err := net.SplitHostPort(host); err == nil {
+			list = t.byHost[canonicalHost(bare)]
+		}
+	}
+	for _, r := range list {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Pick chooses the service of a request. draw is uniform in [0, 1).
+func (r *Route) Pick(draw float64) string {
+	sum := 0.0
+	for _, w := range r.Split {
+		sum += w.Weight
+	}
+	left := draw * sum
+	last := ""
+	for _, w := range r.Split {
+		if w.Weight <= 0 {
+			continue
+		}
+		last = w.Service
+		if left < w.Weight {
+			return w.Service
+		}
+		left -= w.Weight
+	}
+	return last
+}
--- a/transport/peer/faults_test.go
+++ b/transport/peer/faults_test.go
@@ -83,7 +83,7 @@
 	n := newNetwork()
 	b := n.start(t, "b", nil)
 	a := n.start(t, "a", nil)
-	b.known.Add("a", knownIncarnation{9, time.Now().Add(-incarnationMemory - time.Second)})
+	b.known.Add("a", knownIncarnation{9, time.Now().Add(-DefaultIncarnationMemory - time.Second)})
 	if err := a.Call(t.Context(), "b", "echo", 1, nil); err != nil {
 		t.Error(err)
 	}
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -38,15 +38,15 @@
 	DefaultPingTimeout     = 5 * time.Second
 	DefaultMinBackoff      = 50 * time.Millisecond
 	DefaultMaxBackoff      = time.Second
+	// DefaultIncarnationMemory ends, because an instance without a disk whose clock was set back could otherwise never
+	// return.
+	DefaultIncarnationMemory = 10 * time.Minute
 )
 
 const (
 	// maxHandshaking bounds inbound connections whose handshake is not complete, so that strangers cannot use up the
 	// limit for all connections.
 	maxHandshaking = 64
-	// incarnationMemory is how long an older incarnation is refused after the last connection of a newer one. It ends,
-	// because an instance without a disk whose clock was set back could otherwise never return.
-	incarnationMemory = 10 * time.Minute
 	// maxKnownIncarnations bounds the memory for the incarnations of senders.
 	maxKnownIncarnations = 4096
 	// maxPendingAge is the age after which a notification that waits for a connection is dropped. Older consensus and
@@ -125,6 +125,8 @@
 	PingTimeout  time.Duration
 	MinBackoff   time.Duration
 	MaxBackoff   time.Duration
+	// IncarnationMemory is how long an older incarnation of a sender is refused after the last connection of a newer one.
+	IncarnationMemory time.Duration
 	// Registry receives the counters; nil means a private registry.
 	Registry metrics.Registry
 	// OnEvent is called for changes of links; it must not block.
@@ -160,6 +162,7 @@
 	setDefault(&o.PingTimeout, DefaultPingTimeout)
 	setDefault(&o.MinBackoff, DefaultMinBackoff)
 	setDefault(&o.MaxBackoff, DefaultMaxBackoff)
+	setDefault(&o.IncarnationMemory, DefaultIncarnationMemory)
 	if largest := peerapi.MaxFrameBytes + headerBytes; o.BurstBytes < largest || o.QueueBytes < largest {
 		return errors.Errorf("burst and queue must hold at least one frame of %d bytes", largest)
 	}
--- /dev/null
+++ b/transport/upstream/upstream.go
@@ -0,0 +1,328 @@
+// Package upstream sends HTTP/1.1 requests to targets. Unlike http.Transport it never repeats a request by itself, tells
+// whether a failed one may have run, and never takes bytes that belong to another request.
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+const (
+	// DefaultConnectTimeout bounds opening a connection. Targets are a few ms away; one that is dark must leave time for
+	// another.
+	DefaultConnectTimeout = 400 * time.Millisecond
+	// maxIdlePerTarget bounds the idle connections to one target.
+	maxIdlePerTarget = 64
+	// largeBody is written beside the reading of the answer, which may come before the target has read the body.
+	largeBody = 32 << 10
+	// maxForeignAnswers bounds the answers to earlier requests that are skipped on one connection.
+	maxForeignAnswers = 4
+	// maxForeignBytes bounds the body of such an answer.
+	maxForeignBytes = 1 << 20
+	// maxResponseHeaderBytes bounds the head of an answer.
+	maxResponseHeaderBytes = 64 << 10
+)
+
+// Failure says why there is no answer.
+type Failure string
+
+// Failures.
+const (
+	ConnectFailed Failure = "connect failed"
+	Broken        Failure = "connection broken"
+	Malformed     Failure = "malformed answer"
+	TimedOut      Failure = "timed out"
+	Cancelled     Failure = "cancelled"
+)
+
+// Error is a request without a complete answer.
+type Error struct {
+	Failure Failure
+	// Sent tells that the target may have read the request and run it.
+	Sent  bool
+	Cause error
+}
+
+// Error says whether the request may have run.
+func (e *Error) Error() string {
+	sent := "not sent"
+	if e.Sent {
+		sent = "may have run"
+	}
+	return fmt.Sprintf("%s (%s): %v", e.Failure, sent, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// Request is one request to one target.
+type Request struct {
+	Method string
+	URI    string // path and query as the caller sent them
+	Host   string
+	Header http.Header
+	Body   []byte
+	// ID is what the answer must echo in the header EchoHeader. An empty ID accepts every answer.
+	ID         string
+	EchoHeader string
+	// Unechoed tells which answers need not echo the id.
+	Unechoed func(*http.Response) bool
+	Deadline   time.Time
+}
+
+// Client keeps connections to targets. It is safe for concurrent use.
+type Client struct {
+	dialer *net.Dialer
+
+	mu   sync.Mutex
+	idle map[string][]*conn // by address, the latest used last
+
+	opened, reused, foreign metrics.Counter
+}
+
+// New returns a client without connections.
+func New(connectTimeout time.Duration, registry metrics.Registry) *Client {
+	return &Client{
+		dialer: dialer(connectTimeout), idle: make(map[string][]*conn),
+		opened:  metrics.GetOrRegisterCounter("upstream.connections_opened", registry),
+		reused:  metrics.GetOrRegisterCounter("upstream.connections_reused", registry),
+		foreign: metrics.GetOrRegisterCounter("upstream.foreign_answers", registry),
+	}
+}
+
+// Answer is the answer of a target. Close must be called.
+type Answer struct {
+	*http.Response
+	client  *Client
+	address string
+	conn    *conn
+	stop    func() bool
+	written <-chan error // nil when the request was written before the answer
+	ended   bool         // the body was read to its end
+	foreign bool
+	ctx     context.Context
+}
+
+// Do sends a request and reads the head of the answer. The error is an *Error.
+func (c *Client) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
+	conn, err := c.take(ctx, address)
+	if err != nil {
+		if ctx.Err() != nil {
+			return nil, &Error{Failure: Cancelled, Cause: err}
+		}
+		return nil, &Error{Failure: ConnectFailed, Cause: err}
+	}
+	_ = conn.SetDeadline(r.Deadline)
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	a := &Answer{client: c, address: address, conn: conn, stop: stop, ctx: ctx}
+	if err := a.write(r); err != nil {
+		return nil, a.fail(err)
+	}
+	if err := a.readHead(r); err != nil {
+		return nil, a.fail(err)
+	}
+	return a, nil
+}
+
+// fail closes the connection and classifies the error of a request that was sent.
+func (a *Answer) fail(err error) error {
+	a.stop()
+	_ = a.conn.Close()
+	var timeout net.Error
+	switch {
+	case a.ctx.Err() != nil:
+		return &Error{Failure: Cancelled, Sent: true, Cause: err}
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return &Error{Failure: TimedOut, Sent: true, Cause: err}
+	case errors.Is(err, errMalformed):
+		return &Error{Failure: Malformed, Sent: true, Cause: err}
+	}
+	return &Error{Failure: Broken, Sent: true, Cause: err}
+}
+
+var errMalformed = errors.New("malformed answer")
+
+// take returns a clean idle connection or opens one.
+func (c *Client) take(ctx context.Context, address string) (*conn, error) {
+	now := time.Now()
+	for {
+		c.mu.Lock()
+		list := c.idle[address]
+		var candidate *conn
+		if n := len(list); n > 0 {
+			candidate, c.idle[address] = list[n-1], list[:n-1]
+		}
+		c.mu.Unlock()
+		if candidate == nil {
+			break
+		}
+		if now.Before(candidate.usableUntil) && candidate.clean() {
+			c.reused.Inc(1)
+			return candidate, nil
+		}
+		_ = candidate.Close()
+	}
+	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c.opened.Inc(1)
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+}
+
+// CloseIdle closes idle connections that may not be reused any more, and all those to addresses that are not wanted.
+func (c *Client) CloseIdle(now time.Time, wanted func(address string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, list := range c.idle {
+		kept := list[:0]
+		for _, one := range list {
+			if wanted(address) && now.Before(one.usableUntil) {
+				kept = append(kept, one)
+			} else {
+				_ = one.Close()
+			}
+		}
+		if c.idle[address] = kept; len(kept) == 0 {
+			delete(c.idle, address)
+		}
+	}
+}
+
+func (a *Answer) write(r *Request) error {
+	var b bytes.Buffer
+	b.Grow(512 + len(r.Body))
+	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	if err := r.Header.Write(&b); err != nil {
+		return err
+	}
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(r.Body)
+	if len(r.Body) < largeBody {
+		_, err := a.conn.Write(b.Bytes())
+		return err
+	}
+	written := make(chan error, 1)
+	a.written = written
+	go func() {
+		_, err := a.conn.Write(b.Bytes())
+		written <- err
+	}()
+	return nil
+}
+
+// readHead reads the head of the answer to the request and skips what belongs to earlier requests.
+func (a *Answer) readHead(r *Request) error {
+	for range maxForeignAnswers {
+		response, err := a.readOne(r)
+		if err != nil {
+			return err
+		}
+		echo := response.Header.Get(r.EchoHeader)
+		if r.ID == "" || echo == r.ID || echo == "" && r.Unechoed != nil && r.Unechoed(response) {
+			a.Response = response
+			return nil
+		}
+		if echo == "" {
+			return errors.Wrap(errMalformed, "the answer does not tell its request")
+		}
+		a.foreign = true
+		a.client.foreign.Inc(1)
+		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxForeignBytes+1)); err != nil || n > maxForeignBytes {
+			return errors.Wrap(errMalformed, "an answer to an earlier request does not end")
+		}
+		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+			return errors.Wrap(errMalformed, "the connection ended with an answer to an earlier request")
+		}
+	}
+	return errors.Wrap(errMalformed, "too many answers to earlier requests")
+}
+
+func (a *Answer) readOne(r *Request) (*http.Response, error) {
+	for {
+		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
+		switch {
+		case err == nil && response.StatusCode >= 100 && response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols:
+			continue
+		case err == nil:
+			return response, nil
+		}
+		var netErr net.Error
+		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || a.ctx.Err() != nil {
+			return nil, err
+		}
+		return nil, errors.Wrap(errMalformed, err.Error())
+	}
+}
+
+// Read reads the body. io.EOF means that it is complete.
+func (a *Answer) Read(p []byte) (int, error) {
+	n, err := a.Body.Read(p)
+	if errors.Is(err, io.EOF) {
+		a.ended = true
+		return n, io.EOF
+	}
+	if err != nil {
+		var timeout net.Error
+		failure := Broken
+		switch {
+		case a.ctx.Err() != nil:
+			failure = Cancelled
+		case errors.As(err, &timeout) && timeout.Timeout():
+			failure = TimedOut
+		}
+		return n, &Error{Failure: failure, Sent: true, Cause: err}
+	}
+	return n, nil
+}
+
+// Close ends the exchange. The connection is kept when the answer was read to its end and nothing else came.
+func (a *Answer) Close() {
+	cancelled := !a.stop()
+	if cancelled || !a.reusable() {
+		_ = a.conn.Close()
+		return
+	}
+	a.conn.usableUntil = time.Now().Add(idleLimit(a.Header.Get("Keep-Alive")))
+	_ = a.conn.SetDeadline(time.Time{})
+	c := a.client
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.idle[a.address]) >= maxIdlePerTarget {
+		_ = a.conn.Close()
+		return
+	}
+	c.idle[a.address] = append(c.idle[a.address], a.conn)
+}
+
+func (a *Answer) reusable() bool {
+	framed := a.ContentLength >= 0 || len(a.TransferEncoding) > 0
+	if !a.ended || a.foreign || !framed || a.Response.Close || a.conn.reader.Buffered() > 0 ||
+		strings.EqualFold(a.Header.Get("Connection"), "close") {
+		return false
+	}
+	if a.written == nil {
+		return true
+	}
+	select {
+	case err := <-a.written:
+		return err == nil
+	default:
+		return false // the target answered before it read the body
+	}
+}
