--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -30,10 +30,8 @@
 	maxHeaderBytes = 64 << 10
 	// defaultBodyBytes bounds a body when the configuration states no limit.
 	defaultBodyBytes = 4 << 20
-	// outOfRotation is the time after which the platform sends no new connections to an instance that is not ready: it
-	// asks once a second and needs two misses.
-	outOfRotation = 2500 * time.Millisecond
-	// refuseAfter is the time after the start of a shutdown from which new requests are refused.
+	// refuseAfter is the time after the start of a shutdown from which new requests are refused. The platform asks for
+	// readiness once a second and sends no new connections after two misses.
 	refuseAfter = 3 * time.Second
 	// activePoll is the time between looks at the requests in progress during a shutdown.
 	activePoll = 20 * time.Millisecond
@@ -143,9 +141,9 @@
 	began := time.Now()
 	g.stopping.Store(true)
 	g.recorder.Record(events.DrainStarted, events.Fields{"active": g.active.Load()})
-	time.Sleep(outOfRotation)
-	server.SetKeepAlivesEnabled(false)
-	time.Sleep(refuseAfter - outOfRotation)
+	// Kept connections are not closed here: each answer asks its caller to close. Closing idle ones, as the server's own
+	// shutdown does, races with a request that was just read.
+	time.Sleep(refuseAfter)
 	g.refusing.Store(true)
 	g.recorder.Record(events.DrainRefusing, events.Fields{"active": g.active.Load()})
 	// The process is killed at the end of the grace period; ending by itself shortly before closes connections in order.
