--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -11,12 +11,12 @@
 const (
 	// busyPerSlot is the demand for each copy, in requests for each slot of a target, from which another copy is worth a
 	// load: prompts that are read delay the tokens of all other requests long before the slots are full.
-	busyPerSlot = 0.15
+	busyPerSlot = 0.04
 	// donorShare bounds the demand per copy that the model which gives up a copy may have afterwards, in proportion to
 	// that of the model which gains one. It keeps two models from taking places from each other in turn.
-	donorShare = 0.55
+	donorShare = 0.7
 	// maxMoves bounds the moves that run at the same time, in proportion to the targets.
-	maxMoves = 0.4
+	maxMoves = 0.5
 )
 
 // Target is one target that holds models of a service.
@@ -159,7 +159,7 @@
 		if !ok {
 			continue
 		}
-		cost := loss + float64(t.Running)/p.slots
+		cost := loss + runningCost*float64(t.Running)/p.slots
 		if fromStore {
 			cost += storeCost
 		} else if !slices.Contains(t.InMemory, m.Name) {
@@ -176,6 +176,8 @@
 const (
 	storeCost = 2.0
 	diskCost  = 0.3
+	// runningCost prefers targets with little work, which the copy is meant to use.
+	runningCost = 6.0
 )
 
 // victim returns the model that makes room for another one, empty if there is room, and the demand that it has per copy.
--- a/instance/gateway/relay.go
+++ b/instance/gateway/relay.go
@@ -34,6 +34,19 @@
 	begun     bool
 	lastEvent string // id of the last event passed on
 	bytes     int64
+	// firstAt and lastAt are the times of the first and the latest event of a stream, maxGap the longest pause.
+	firstAt, lastAt time.Time
+	maxGap          time.Duration
+}
+
+// noteTime keeps the time of an event.
+func (r *relay) noteTime(now time.Time) {
+	if r.firstAt.IsZero() {
+		r.firstAt = now
+	} else {
+		r.maxGap = max(r.maxGap, now.Sub(r.lastAt))
+	}
+	r.lastAt = now
 }
 
 // pass passes an answer on.
@@ -128,6 +141,7 @@
 		held = append(held, buffer[:n]...)
 		if end := eventsEnd(held); end > 0 {
 			r.noteEvents(held[:end])
+			r.noteTime(time.Now())
 			if writeErr := r.write(held[:end], true); writeErr != nil {
 				return abandoned, dispatch.Neutral
 			}
@@ -214,10 +228,15 @@
 	g.metrics.answered.Inc(1)
 	g.metrics.totalMs.Update(took.Milliseconds())
 	g.metrics.heldMs.Update(q.held.Milliseconds())
-	g.recorder.Record(events.RequestAnswered, events.Fields{
+	fields := events.Fields{
 		"request": q.id, "route": q.route.Name, "version": q.version, "target": q.lastTarget, "status": a.StatusCode,
 		"sends": q.sends + 1, "held_ms": q.held.Milliseconds(), "took_ms": took.Milliseconds(), "bytes": r.bytes,
-	})
+	}
+	if q.prompt.Model != "" {
+		fields["model"], fields["adapter"] = q.prompt.Model, q.prompt.Adapter
+		fields["first_ms"], fields["max_gap_ms"] = r.firstAt.Sub(q.arrived).Milliseconds(), r.maxGap.Milliseconds()
+	}
+	g.recorder.Record(events.RequestAnswered, fields)
 }
 
 // bodyFailed judges an answer whose body did not come to its end.
