Avoid targets whose streams pause

Cause: nine in ten late generations had a pause above the objective. Pauses by target over time show that targets are slow by 2.5 for 600 ms and longer; new prompts sent there meanwhile delay its streams further. Ruled out: time to the first event (1 to 3 in 100 late), and too few copies alone (a lower threshold changed nothing).

--- a/coordination/dispatch/board.go
+++ b/coordination/dispatch/board.go
@@ -37,8 +37,13 @@
 	overdueMs = 400.0
 	// silentMs is the weight of missing heartbeats.
 	silentMs = 400.0
-	// slowMs weighs the latency of a target against that of all targets of its service.
-	slowMs = 60.0
+	// latencyMs weighs the time to the first byte against what was expected.
+	latencyMs = 60.0
+	// slownessMs weighs the pauses of running streams against the usual ones. A new prompt on a target that is slow for
+	// a moment makes its streams late as well.
+	slownessMs = 120.0
+	// slownessMargin is slowness that is within the usual spread.
+	slownessMargin = 0.25
 	// noiseMs spreads gateways that see the same loads.
 	noiseMs = 1.5
 	// latencyWeight is the weight of a new sample in the moving average of latencies.
@@ -61,13 +66,14 @@
 type targetState struct {
 	own      Load
 	others   Load
-	byModel  map[string]int // own running requests
 	pending  map[*Ticket]struct{}
 	failures float64
 	failedAt time.Time
 	downTill time.Time
 	latency  float64 // moving average of the time to the first byte over what was expected, 0 when unknown
-	lastUsed time.Time
+	pace     pace
+	// othersSlowness is the highest that other gateways observed lately.
+	othersSlowness float64
 }
 
 // Board is what a gateway knows of the load and health of targets. It is safe for concurrent use.
@@ -94,7 +100,7 @@
 func (b *Board) state(id string) *targetState {
 	s := b.targets[id]
 	if s == nil {
-		s = &targetState{byModel: make(map[string]int), pending: make(map[*Ticket]struct{})}
+		s = &targetState{pending: make(map[*Ticket]struct{}), pace: newPace()}
 		b.targets[id] = s
 	}
 	return s
@@ -249,7 +255,10 @@
 		ms += remoteMs
 	}
 	if s.latency > 1 {
-		ms += slowMs * (s.latency - 1)
+		ms += latencyMs * (s.latency - 1)
+	}
+	if slowness := max(s.pace.slowness(now), s.othersSlowness) - 1 - slownessMargin; slowness > 0 {
+		ms += slownessMs * slowness
 	}
 	ms += failureMs * s.recentFailures(now)
 	overdue := 0
@@ -297,9 +306,7 @@
 	s := b.state(id)
 	t := &Ticket{id: id, model: model, tokens: tokens, sentAt: now}
 	s.own.add(Load{Running: 1, Unstarted: 1, PromptTokens: tokens}, 1)
-	s.byModel[model]++
 	s.pending[t] = struct{}{}
-	s.lastUsed = now
 	return t
 }
 
@@ -355,9 +362,6 @@
 	}
 	t.ended = true
 	s.own.Running--
-	if s.byModel[t.model]--; s.byModel[t.model] <= 0 {
-		delete(s.byModel, t.model)
-	}
 	switch end {
 	case Complete:
 		s.failures = s.recentFailures(now) * 0.7
@@ -371,31 +375,45 @@
 	}
 }
 
-// Own returns the load that this gateway has sent, by target, and its running requests by model.
-func (b *Board) Own() (targets map[string]Load, models map[string]int) {
+// Observed is the load that a gateway has sent to a target, and how slow the target is.
+type Observed struct {
+	Load
+	// Slowness is the pause between events against the usual one, 0 when nothing was observed lately.
+	Slowness float64
+}
+
+// Own returns what this gateway has sent to targets and observes of them.
+func (b *Board) Own(now time.Time) map[string]Observed {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	targets, models = make(map[string]Load), make(map[string]int)
+	observed := make(map[string]Observed)
 	for id, s := range b.targets {
-		if s.own.Running > 0 {
-			targets[id] = s.own
-		}
-		for model, n := range s.byModel {
-			models[model] += n
+		o := Observed{Load: s.own, Slowness: s.pace.slowness(now)}
+		if o.Running > 0 || o.Slowness > 1+slownessMargin {
+			observed[id] = o
 		}
 	}
-	return targets, models
+	return observed
+}
+
+// Event notes the pause before an event of a stream.
+func (b *Board) Event(now time.Time, t *Ticket, pause time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(t.id).pace.event(now, t.model, pause)
 }
 
-// SetOthers takes the load of the other gateways and the models that targets are about to unload.
-func (b *Board) SetOthers(loads map[string]Load, retiring map[string][]string) {
+// SetOthers takes what the other gateways observe and the models that targets are about to unload.
+func (b *Board) SetOthers(others map[string]Observed, retiring map[string][]string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.targets {
-		s.others = loads[id]
+		o := others[id]
+		s.others, s.othersSlowness = o.Load, o.Slowness
 	}
-	for id, l := range loads {
-		b.state(id).others = l
+	for id, o := range others {
+		s := b.state(id)
+		s.others, s.othersSlowness = o.Load, o.Slowness
 	}
 	clear(b.retiring)
 	for id, models := range retiring {
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -23,6 +23,9 @@
 	adapterTimeout = 700 * time.Millisecond
 )
 
+// percent is the unit of slowness in messages.
+const percent = 100
+
 type modelOf struct{ service, model string }
 
 // demand counts what callers ask for between load reports.
@@ -118,11 +121,12 @@
 	if leader == "" {
 		return errNoLeader
 	}
-	own, _ := g.board.Own()
+	own := g.board.Own(time.Now())
 	report := fleetapi.LoadReport{Gateway: g.opts.Name, Strikes: g.suspected.take()}
 	report.Models, report.Adapters = g.demand.take()
 	for id, l := range own {
-		report.Targets = append(report.Targets, fleetapi.TargetLoad{ID: id, Running: l.Running, Unstarted: l.Unstarted, PromptTokens: l.PromptTokens})
+		report.Targets = append(report.Targets, fleetapi.TargetLoad{ID: id, Running: l.Running, Unstarted: l.Unstarted,
+			PromptTokens: l.PromptTokens, SlownessPercent: int(l.Slowness * percent)})
 	}
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -136,15 +140,18 @@
 }
 
 func (g *Gateway) take(now time.Time, summary *fleetapi.LoadSummary) {
-	loads := make(map[string]dispatch.Load, len(summary.Targets))
+	others := make(map[string]dispatch.Observed, len(summary.Targets))
 	for _, t := range summary.Targets {
-		loads[t.ID] = dispatch.Load{Running: t.Running, Unstarted: t.Unstarted, PromptTokens: t.PromptTokens}
+		others[t.ID] = dispatch.Observed{
+			Load:     dispatch.Load{Running: t.Running, Unstarted: t.Unstarted, PromptTokens: t.PromptTokens},
+			Slowness: float64(t.SlownessPercent) / percent,
+		}
 	}
 	retiring := make(map[string][]string, len(summary.Retiring))
 	for _, r := range summary.Retiring {
 		retiring[r.ID] = append(retiring[r.ID], r.Model)
 	}
-	g.board.SetOthers(loads, retiring)
+	g.board.SetOthers(others, retiring)
 	arriving := make([]arrival, 0, len(summary.Arriving))
 	for _, a := range summary.Arriving {
 		arriving = append(arriving, arrival{a.Service, a.Model, now.Add(time.Duration(a.LeftMs) * time.Millisecond)})
--- a/instance/gateway/relay.go
+++ b/instance/gateway/relay.go
@@ -37,6 +37,7 @@
 	// firstAt and lastAt are the times of the first and the latest event of a stream, maxGap the longest pause.
 	firstAt, lastAt time.Time
 	maxGap          time.Duration
+	ticket          *dispatch.Ticket
 }
 
 // noteTime keeps the time of an event.
@@ -44,7 +45,9 @@
 	if r.firstAt.IsZero() {
 		r.firstAt = now
 	} else {
-		r.maxGap = max(r.maxGap, now.Sub(r.lastAt))
+		pause := now.Sub(r.lastAt)
+		r.maxGap = max(r.maxGap, pause)
+		r.g.board.Event(now, r.ticket, pause)
 	}
 	r.lastAt = now
 }
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -26,6 +26,7 @@
 	now := time.Now()
 	ticket := g.board.Start(now, target.ID, q.prompt.Model, q.prompt.Tokens)
 	end := dispatch.Neutral
+	r.ticket = ticket
 	g.demand.running(q, 1)
 	defer func() {
 		g.demand.running(q, -1)
--- a/instance/hub/director.go
+++ b/instance/hub/director.go
@@ -149,6 +149,7 @@
 			sum.Running += l.Running
 			sum.Unstarted += l.Unstarted
 			sum.PromptTokens += l.PromptTokens
+			sum.SlownessPercent = max(sum.SlownessPercent, l.SlownessPercent)
 		}
 	}
 	for _, sum := range sums {
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -31,6 +31,8 @@
 	Unstarted int `json:"u,omitempty"`
 	// PromptTokens are those of the unstarted requests.
 	PromptTokens int `json:"p,omitempty"`
+	// SlownessPercent is the pause between events against the usual one; of several gateways, the longest.
+	SlownessPercent int `json:"s,omitempty"`
 }
 
 // ModelLoad is the demand for one model.
