--- a/instance/hub/commanded.go
+++ b/instance/hub/commanded.go
@@ -70,11 +70,12 @@
 	known    bool // sequence and holdings are known for certain
 	reported bool // they were known once
 	asking   bool // a report or an order of a move is on its way
-	askAfter time.Time
-	sequence uint64
-	models   map[string]bool
-	adapters map[adapterKey]time.Time // when they were last used
-	move     *move
+	// reportAfter is the time from which a report tells something new.
+	reportAfter time.Time
+	sequence    uint64
+	models      map[string]bool
+	adapters    map[adapterKey]time.Time // when they were last used
+	move        *move
 }
 
 func newCommanded(t roster.Target) *commanded {
@@ -208,6 +209,9 @@
 			used += m.AdapterMB
 		}
 	}
+	if c.move != nil && c.move.phase == loading && c.move.ordered && !c.models[c.move.Load] {
+		used += c.move.weightsMB
+	}
 	return used
 }
 
@@ -237,7 +241,7 @@
 func (c *commanded) step(ctx context.Context, now time.Time, d *Director) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.asking || now.Before(c.askAfter) {
+	if c.asking {
 		return
 	}
 	if !c.known {
@@ -252,6 +256,7 @@
 	}
 	if now.Sub(m.began) > moveTimeout {
 		c.endLocked(d, "timed out")
+		c.known = false // the order may still be carried out
 		return
 	}
 	if m.phase == retiring {
@@ -317,6 +322,9 @@
 
 // askLocked asks for a report and takes it as the truth.
 func (c *commanded) askLocked(ctx context.Context, d *Director) {
+	if time.Now().Before(c.reportAfter) {
+		return
+	}
 	c.asking = true
 	target := c.target
 	go func() {
@@ -326,7 +334,7 @@
 		cancel()
 		c.mu.Lock()
 		c.asking = false
-		c.askAfter = time.Now().Add(reportPause)
+		c.reportAfter = time.Now().Add(reportPause)
 		if err == nil {
 			c.takeReportLocked(&report)
 		}
@@ -335,7 +343,12 @@
 	}()
 }
 
+// A report that is older than the last accepted order, or that comes while an order of unknown effect is carried out,
+// tells nothing to rely on.
 func (c *commanded) takeReportLocked(r *Report) {
+	if r.Sequence < c.sequence || r.Busy && (c.move == nil || !c.move.ordered) {
+		return
+	}
 	c.known, c.reported = true, true
 	c.sequence = r.Sequence
 	before := c.adapters
@@ -372,6 +385,10 @@
 	o := Order{Model: m.Load}
 	if m.phase == unloading {
 		o = Order{Unload: true, Model: m.Unload}
+	} else if service := d.view.Table().Service(c.target.Service); service == nil || service.Engine == nil ||
+		c.usedMBLocked(service.Engine)+m.weightsMB > service.Engine.CapacityMB {
+		c.endLocked(d, "no room")
+		return
 	}
 	c.asking = true
 	go func() {
@@ -408,7 +425,7 @@
 			// It may be carried out later. A report tells the number of orders; until then nothing is assumed.
 			m.orderFrom = now.Add(reportLag)
 			c.known = false
-			c.askAfter = now.Add(reportLag)
+			c.reportAfter = now.Add(reportLag)
 		}
 	}()
 }
@@ -435,6 +452,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if outcome != "" {
+		c.reportAfter = time.Now().Add(reportLag) // reports until then may be from before the order
+	}
 	switch outcome {
 	case Accepted:
 		c.sequence++
@@ -442,11 +462,8 @@
 		if o.Adapter != "" && o.Unload {
 			c.sequence++
 		}
-	case Conflict, Unknown:
-		d.ordersRefused.Inc(1)
-		d.recorder.Record(events.OrderRefused, fields)
-		return outcome
 	default:
+		c.known, c.sequence = false, 0 // a report after the pause tells
 		d.ordersRefused.Inc(1)
 		d.recorder.Record(events.OrderRefused, fields)
 		return outcome
@@ -519,7 +536,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.known = false
-	c.askAfter = time.Now().Add(reportLag)
+	c.reportAfter = time.Now().Add(reportLag)
 }
 
 // isEngine tells whether the targets of a service hold models.
