--- a/coordination/dispatch/board.go
+++ b/coordination/dispatch/board.go
@@ -14,8 +14,10 @@
 const (
 	// failureHalfLife halves the weight of an observed failure.
 	failureHalfLife = 2 * time.Second
-	// connectBackoff keeps a target that refuses connections out of the choice.
-	connectBackoff = 500 * time.Millisecond
+	// connectBackoff keeps a target that accepts no connections out of the choice. It doubles with each failure up to
+	// maxConnectBackoff, and one request after the other finds out whether the target is back.
+	connectBackoff    = 400 * time.Millisecond
+	maxConnectBackoff = 1600 * time.Millisecond
 	// silentAfter is the age of a heartbeat after which a target may be dead: three heartbeats of 1.2 s, one of them late.
 	silentAfter = 4500 * time.Millisecond
 	// overdueAfter is the time without a first byte after which a request tells against its target.
@@ -70,6 +72,8 @@
 	failures float64
 	failedAt time.Time
 	downTill time.Time
+	downFor  time.Duration // the latest backoff, 0 once the target was reached
+	downAt   time.Time
 	latency  float64 // moving average of the time to the first byte over what was expected, 0 when unknown
 	pace     pace
 	// othersSlowness is the highest that other gateways observed lately.
@@ -319,6 +323,7 @@
 	}
 	s := b.state(t.id)
 	t.begin(s)
+	s.downFor = 0
 	if expected > 0 {
 		ratio := min(float64(now.Sub(t.sentAt))/float64(expected), 10)
 		if s.latency == 0 {
@@ -364,6 +369,7 @@
 	s.own.Running--
 	switch end {
 	case Complete:
+		s.downFor = 0
 		s.failures = s.recentFailures(now) * 0.7
 	case Failed:
 		s.failures = s.recentFailures(now) + 1
@@ -371,7 +377,8 @@
 	case Unreachable:
 		s.failures = s.recentFailures(now) + 1
 		s.failedAt = now
-		s.downTill = now.Add(connectBackoff)
+		s.downFor = min(max(2*s.downFor, connectBackoff), maxConnectBackoff)
+		s.downTill, s.downAt = now.Add(s.downFor), now
 	}
 }
 
@@ -396,6 +403,19 @@
 	return observed
 }
 
+// Unreachable returns the targets that accepted no connection within the period and none since.
+func (b *Board) Unreachable(now time.Time, period time.Duration) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ids []string
+	for id, s := range b.targets {
+		if s.downFor > 0 && now.Sub(s.downAt) <= period {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Event notes the pause before an event of a stream.
 func (b *Board) Event(now time.Time, t *Ticket, pause time.Duration) {
 	b.mu.Lock()
--- /dev/null
+++ b/coordination/dispatch/board_test.go
@@ -0,0 +1,223 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+)
+
+var start = time.Unix(5000, 0)
+
+func engines(n int) []roster.Entry {
+	list := make([]roster.Entry, n)
+	for i := range list {
+		list[i] = roster.Entry{HeardAt: start, Target: roster.Target{
+			Key: roster.Key{ID: fmt.Sprint("t", i), Born: 1}, Service: "s", DataCentre: "a", Slots: 8,
+			Models: []roster.Held{{Model: "m", Adapters: []string{"x"}}},
+		}}
+	}
+	return list
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+func pickID(t *testing.T, b *Board, now time.Time, q Query, targets []roster.Entry) string {
+	t.Helper()
+	q.Service = "s"
+	got, reason := b.Pick(now, newRand(), q, targets)
+	if got == nil {
+		return string(reason)
+	}
+	return got.ID
+}
+
+// Guards against requests to targets that cannot run them, and against a wrong reason in the log.
+func TestPickFilters(t *testing.T) {
+	cases := []struct {
+		name  string
+		query Query
+		spoil func(*Board, []roster.Entry)
+		want  string
+	}{
+		{"held", Query{Model: "m"}, func(*Board, []roster.Entry) {}, "t0"},
+		{"other model", Query{Model: "n"}, func(*Board, []roster.Entry) {}, string(NotLoaded)},
+		{"retiring", Query{Model: "m"}, func(b *Board, _ []roster.Entry) {
+			b.SetOthers(nil, map[string][]string{"t0": {"m"}})
+		}, string(NotLoaded)},
+		{"said to lack the model", Query{Model: "m"}, func(b *Board, _ []roster.Entry) { b.Lacks(start, "t0", "m", "") }, string(NotLoaded)},
+		{"adapter", Query{Model: "m", Adapter: "x"}, func(*Board, []roster.Entry) {}, "t0"},
+		{"other adapter", Query{Model: "m", Adapter: "y"}, func(*Board, []roster.Entry) {}, string(NoAdapter)},
+		{"ordered adapter", Query{Model: "m", Adapter: "y"}, func(b *Board, _ []roster.Entry) { b.Ordered(start, "t0", "m", "y") }, "t0"},
+		{"adapter said to be lacking", Query{Model: "m", Adapter: "x"}, func(b *Board, _ []roster.Entry) {
+			b.Lacks(start, "t0", "m", "x")
+		}, string(NoAdapter)},
+		{"draining", Query{Model: "m"}, func(_ *Board, l []roster.Entry) { l[0].State = roster.Draining }, string(NoTarget)},
+		{"other service", Query{Model: "m"}, func(_ *Board, l []roster.Entry) { l[0].Service = "z" }, string(NoTarget)},
+		{"excluded", Query{Model: "m", Exclude: []string{"t0"}}, func(*Board, []roster.Entry) {}, string(AllExclude)},
+		{"full", Query{Model: "m", MaxPerSlot: 1}, func(b *Board, _ []roster.Entry) {
+			for range 8 {
+				b.Start(start, "t0", "m", 1)
+			}
+		}, string(AllFull)},
+		{"full of the requests of others", Query{Model: "m", MaxPerSlot: 1}, func(b *Board, _ []roster.Entry) {
+			b.SetOthers(map[string]Observed{"t0": {Load: Load{Running: 8}}}, nil)
+		}, string(AllFull)},
+		{"down", Query{Model: "m"}, func(b *Board, _ []roster.Entry) {
+			b.Finish(start, b.Start(start, "t0", "m", 1), Unreachable)
+		}, string(AllExclude)},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b, targets := NewBoard(), engines(1)
+			c.spoil(b, targets)
+			if got := pickID(t, b, start, c.query, targets); got != c.want {
+				t.Fatalf("picked %q, want %q", got, c.want)
+			}
+		})
+	}
+}
+
+// Replays a burst at one gateway: guards against a target that gets many times the mean.
+func TestBurstSpreads(t *testing.T) {
+	b, targets, rng := NewBoard(), engines(4), newRand()
+	counts := map[string]int{}
+	for range 40 {
+		got, _ := b.Pick(start, rng, Query{Service: "s", Model: "m", Tokens: 700, DataCentre: "a"}, targets)
+		b.Start(start, got.ID, "m", 700)
+		counts[got.ID]++
+	}
+	for id, n := range counts {
+		if n < 8 || n > 12 {
+			t.Errorf("%s got %d of 40 requests", id, n)
+		}
+	}
+}
+
+// Replays a target whose streams turn slow for a moment: guards against new prompts there, and against leaving it out
+// once it has recovered.
+func TestSlowTargetIsAvoidedForAMoment(t *testing.T) {
+	b, targets := NewBoard(), engines(2)
+	stream := b.Start(start, "t0", "m", 10)
+	other := b.Start(start, "t1", "m", 10)
+	b.FirstByte(start, stream, 0)
+	b.FirstByte(start, other, 0)
+	now := start
+	run := func(events int, pause time.Duration) {
+		for range events {
+			now = now.Add(pause)
+			b.Event(now, stream, pause)
+			b.Event(now, other, 27*time.Millisecond)
+		}
+	}
+	run(20, 27*time.Millisecond)
+	run(3, 70*time.Millisecond)
+	for range 5 {
+		if got := pickID(t, b, now, Query{Model: "m", DataCentre: "a"}, targets); got != "t1" {
+			t.Fatalf("picked %s while t0 was slow", got)
+		}
+	}
+	run(10, 27*time.Millisecond)
+	b.Finish(now, stream, Complete)
+	if got := pickID(t, b, now, Query{Model: "m", DataCentre: "a"}, targets); got != "t0" {
+		t.Fatalf("picked %s after t0 recovered and has less work", got)
+	}
+}
+
+// Replays a target that fails part of its requests while it looks well, and one that answers nothing.
+func TestFailingTargetIsAvoidedAndForgiven(t *testing.T) {
+	b, targets := NewBoard(), engines(2)
+	b.Finish(start, b.Start(start, "t0", "m", 1), Failed)
+	query := Query{Model: "m", DataCentre: "a"}
+	if got := pickID(t, b, start, query, targets); got != "t1" {
+		t.Fatalf("picked %s right after a failure", got)
+	}
+	later := start.Add(30 * time.Second)
+	targets[0].HeardAt, targets[1].HeardAt = later, later
+	b.Finish(later, b.Start(later, "t1", "m", 1), Failed)
+	if got := pickID(t, b, later, query, targets); got != "t0" {
+		t.Fatalf("picked %s long after the failure", got)
+	}
+	silent := NewBoard()
+	silent.Start(start, "t0", "m", 1)
+	after := start.Add(2 * time.Second)
+	for range 3 {
+		silent.Start(after, "t1", "m", 1)
+	}
+	targets[0].HeardAt, targets[1].HeardAt = after, after
+	if got := pickID(t, silent, after, query, targets); got != "t1" {
+		t.Fatalf("picked %s, which has not answered for 2 s", got)
+	}
+}
+
+// Guards against a target that accepts no connections and takes a request from every caller again and again.
+func TestConnectBackoffDoubles(t *testing.T) {
+	b, targets := NewBoard(), engines(1)
+	b.Finish(start, b.Start(start, "t0", "m", 1), Unreachable)
+	second := start.Add(connectBackoff)
+	if got := pickID(t, b, second, Query{Model: "m"}, targets); got != "t0" {
+		t.Fatalf("after the first backoff: %s", got)
+	}
+	b.Finish(second, b.Start(second, "t0", "m", 1), Unreachable)
+	if got := pickID(t, b, second.Add(connectBackoff), Query{Model: "m"}, targets); got != string(AllExclude) {
+		t.Fatalf("within the second backoff: %s", got)
+	}
+	if got := b.Unreachable(second, time.Second); len(got) != 1 {
+		t.Fatalf("unreachable %v", got)
+	}
+	reached := b.Start(second, "t0", "m", 1)
+	b.FirstByte(second, reached, 0)
+	if got := b.Unreachable(second, time.Second); len(got) != 0 {
+		t.Fatalf("unreachable after an answer: %v", got)
+	}
+}
+
+// Guards against loads that stay counted, or are counted twice, after requests that end in any way.
+func TestLoadsReturnToZero(t *testing.T) {
+	b := NewBoard()
+	for i, end := range []End{Complete, Neutral, Failed, Unreachable} {
+		ticket := b.Start(start, "t0", "m", 100)
+		if i%2 == 0 {
+			b.FirstByte(start, ticket, time.Second)
+			b.FirstByte(start, ticket, time.Second)
+		}
+		b.Finish(start, ticket, end)
+		b.Finish(start, ticket, end)
+	}
+	if own := b.Own(start)["t0"]; own.Load != (Load{}) {
+		t.Fatalf("%+v", own)
+	}
+	b.Forget(nil)
+	if len(b.targets) != 0 {
+		t.Fatal("a target without requests was kept")
+	}
+}
+
+// Replays a wave of failures: guards against repeated sends beyond the allowance that all gateways share.
+func TestBudgetBoundsRepeats(t *testing.T) {
+	b := NewBudget(BudgetLimits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: 1})
+	b.SetGateways(5)
+	now := start
+	allowed := 0
+	for range 100 {
+		b.Request(now, "s")
+		if b.Repeat(now, "s") {
+			allowed++
+		}
+		now = now.Add(10 * time.Millisecond)
+	}
+	if allowed != 30 { // 0.2 x 100 + 50 / 5
+		t.Fatalf("%d repeats were allowed, want 30", allowed)
+	}
+	if b.Repeat(now.Add(5*time.Second), "s") {
+		t.Error("a repeat within the window was allowed")
+	}
+	if !b.Repeat(now.Add(11*time.Second), "s") {
+		t.Error("a repeat in the next window was refused")
+	}
+	if !b.Repeat(now, "other") {
+		t.Error("the repeats of one service count for another")
+	}
+}
--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -154,7 +154,7 @@
 		return
 	}
 	if n.electionDeadline.IsZero() {
-		n.resetElectionDeadline(now)
+		n.firstElectionDeadline(now)
 		if !n.aloneVoter() {
 			return
 		}
@@ -173,6 +173,13 @@
 	return len(m.Voters) == 1 && m.Voters[0] == n.cfg.ID
 }
 
+// firstElectionDeadline is short: after a restart of the whole group nobody leads, and the pre-vote keeps a member that
+// restarts alone from disturbing a leader that the others hear.
+func (n *Node) firstElectionDeadline(now time.Time) {
+	spread := time.Duration(n.cfg.Rand.Int64N(int64(n.cfg.ElectionTimeout) / 2))
+	n.electionDeadline = now.Add(n.cfg.HeartbeatInterval + spread)
+}
+
 func (n *Node) resetElectionDeadline(now time.Time) {
 	spread := time.Duration(n.cfg.Rand.Int64N(int64(n.cfg.ElectionTimeout)))
 	n.electionDeadline = now.Add(n.cfg.ElectionTimeout + spread)
--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -12,6 +12,9 @@
 	// busyPerSlot is the demand for each copy, in requests for each slot of a target, from which another copy is worth a
 	// load: prompts that are read delay the tokens of all other requests long before the slots are full.
 	busyPerSlot = 0.04
+	// missingPressure is the pressure of a model without a copy, in slots, and missingWeight that of each request for it.
+	missingPressure = 0.25
+	missingWeight   = 1.0
 	// donorShare bounds the demand per copy that the model which gives up a copy may have afterwards, in proportion to
 	// that of the model which gains one. It keeps two models from taking places from each other in turn.
 	donorShare = 0.7
@@ -118,12 +121,13 @@
 	return p
 }
 
-// pressure is the demand for each copy. A model without a copy comes first, the more wanted one before the others.
+// pressure is the demand for each copy. A model without a copy comes before those whose copies are not overloaded, and
+// before all others once requests for it wait.
 func (p *planner) pressure(m *Model) float64 {
 	if n := p.copies[m.Name]; n > 0 {
 		return m.Demand / float64(n)
 	}
-	return math.MaxFloat64/2 + m.Demand
+	return p.slots * (missingPressure + missingWeight*m.Demand)
 }
 
 // next returns the most urgent move that is possible.
--- /dev/null
+++ b/coordination/residency/plan_test.go
@@ -0,0 +1,179 @@
+package residency
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+const weights = 70.0
+
+func engine(id string, models ...string) Target {
+	return Target{ID: id, CapacityMB: 3*weights + 5, Slots: 32, Models: models, UsedMB: weights * float64(len(models))}
+}
+
+func models(demand map[string]float64, names ...string) []Model {
+	list := make([]Model, len(names))
+	for i, name := range names {
+		list[i] = Model{Name: name, WeightsMB: weights, Demand: demand[name]}
+	}
+	return list
+}
+
+// Replays demand that moves from one model to another: the rising model takes places from the falling one, on the target
+// that loads it fastest, and no last copy goes.
+func TestRisingModelTakesPlacesOfTheFallingOne(t *testing.T) {
+	disk := engine("c", "old", "x", "y")
+	disk.OnDisk = []string{"new"}
+	in := Input{
+		Targets:    []Target{engine("a", "old", "new", "z"), engine("b", "old", "u", "v"), disk},
+		Models:     models(map[string]float64{"new": 40, "old": 1}, "new", "old", "u", "v", "x", "y", "z"),
+		StoreLoads: 1,
+	}
+	want := []Move{{Target: "c", Load: "new", Unload: "old"}}
+	if diff := cmp.Diff(want, Plan(in)); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
+// Guards against two models that take places from each other in turn.
+func TestBalancedDemandMovesNothing(t *testing.T) {
+	in := Input{
+		Targets:    []Target{engine("a", "p", "q", "z"), engine("b", "p", "q", "w"), engine("c", "p", "q", "v")},
+		Models:     models(map[string]float64{"p": 60, "q": 50}, "p", "q", "v", "w", "z"),
+		StoreLoads: 3,
+	}
+	if got := Plan(in); len(got) != 0 {
+		t.Fatalf("planned %+v", got)
+	}
+}
+
+// Guards against a model that stays unreachable after its only target died, and against an idle one that delays a
+// model for which callers wait.
+func TestMissingModelsReturnByDemand(t *testing.T) {
+	in := Input{
+		Targets:    []Target{engine("a", "p"), engine("b", "p")},
+		Models:     models(map[string]float64{"wanted": 3}, "idle", "p", "wanted"),
+		StoreLoads: 1,
+	}
+	got := Plan(in)
+	if len(got) != 1 || got[0].Load != "wanted" || got[0].Unload != "" || !got[0].FromStore {
+		t.Fatalf("planned %+v", got)
+	}
+	in.Models[2].Demand = 0
+	in.StoreLoads = 5
+	if got := Plan(in); len(got) != 1 || got[0].Load != "idle" {
+		t.Fatalf("planned %+v, want one move at a time for two targets", got)
+	}
+}
+
+// Guards against a plan that overcommits a target, gives up a last copy, moves a busy target or exceeds the rate of the
+// weight store, whatever the demand.
+func TestPlansKeepTheLimits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		in := Input{StoreLoads: rapid.IntRange(0, 4).Draw(t, "loads")}
+		names := make([]string, 8)
+		for i := range names {
+			names[i] = fmt.Sprint("m", i)
+			in.Models = append(in.Models, Model{Name: names[i], WeightsMB: float64(rapid.IntRange(60, 80).Draw(t, "weights")),
+				Demand: rapid.Float64Range(0, 200).Draw(t, "demand")})
+		}
+		size := map[string]float64{}
+		for _, m := range in.Models {
+			size[m.Name] = m.WeightsMB
+		}
+		copies := map[string]int{}
+		for i := range rapid.IntRange(1, 6).Draw(t, "targets") {
+			target := Target{ID: fmt.Sprint("t", i), CapacityMB: 225, Slots: 32, Moving: rapid.Bool().Draw(t, "moving")}
+			for _, name := range rapid.SliceOfNDistinct(rapid.SampledFrom(names), 0, 2, rapid.ID[string]).Draw(t, "held") {
+				target.Models = append(target.Models, name)
+				target.UsedMB += size[name]
+				copies[name]++
+			}
+			target.OnDisk = rapid.SliceOfNDistinct(rapid.SampledFrom(names), 0, 3, rapid.ID[string]).Draw(t, "disk")
+			in.Targets = append(in.Targets, target)
+		}
+		before := map[string]int{}
+		for name, n := range copies {
+			before[name] = n
+		}
+		store := 0
+		byID := map[string]*Target{}
+		for i := range in.Targets {
+			byID[in.Targets[i].ID] = &in.Targets[i]
+		}
+		for _, move := range Plan(in) {
+			target := byID[move.Target]
+			if target.Moving || target.holds(move.Load) {
+				t.Fatalf("%+v on %+v", move, target)
+			}
+			target.Moving = true
+			used := target.UsedMB + size[move.Load]
+			if move.Unload != "" {
+				used -= size[move.Unload]
+				copies[move.Unload]--
+			}
+			if used > target.CapacityMB {
+				t.Fatalf("%+v needs %v of %v", move, used, target.CapacityMB)
+			}
+			if move.FromStore {
+				store++
+			}
+		}
+		for name, n := range before {
+			if n > 0 && copies[name] < 1 {
+				t.Fatalf("the last copy of %s goes", name)
+			}
+		}
+		if store > in.StoreLoads {
+			t.Fatalf("%d loads from the store, %d allowed", store, in.StoreLoads)
+		}
+	})
+}
+
+// Guards against loads from the weight store above its rate, also right after a change of the leader.
+func TestRateBoundsLoads(t *testing.T) {
+	now := time.Unix(100, 0)
+	r := NewRate(now)
+	if n := r.Available(now, 2); n != 0 {
+		t.Fatalf("%d loads at once after a change", n)
+	}
+	taken := 0
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		for range r.Available(now, 2) {
+			r.Take()
+			taken++
+		}
+	}
+	if taken != 10 { // 5 s at 2 a second
+		t.Fatalf("%d loads in 5 s", taken)
+	}
+	if n := r.Available(now.Add(time.Hour), 2); n != loadBurst {
+		t.Fatalf("a burst of %d", n)
+	}
+}
+
+// Guards against moves for a pause of a moment and against a rise that is noticed late.
+func TestSmoothedDemand(t *testing.T) {
+	now := time.Unix(100, 0)
+	var s Smoothed
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		s.Add(now, 50)
+	}
+	now = now.Add(100 * time.Millisecond)
+	if got := s.Add(now, 0); got < 45 {
+		t.Errorf("%v after one sample of 0", got)
+	}
+	for range 5 {
+		now = now.Add(100 * time.Millisecond)
+		s.Add(now, 100)
+	}
+	if got := s.Add(now, 100); got < 80 {
+		t.Errorf("%v half a second after the rise", got)
+	}
+}
--- a/coordination/residency/rate.go
+++ b/coordination/residency/rate.go
@@ -6,6 +6,9 @@
 // window.
 const loadBurst = 3.0
 
+// roundingSlack keeps the sum of many small steps from staying just below a whole load.
+const roundingSlack = 1e-6
+
 // Rate bounds the loads from the weight store.
 type Rate struct {
 	tokens float64
@@ -21,7 +24,7 @@
 		r.tokens = min(r.tokens+passed*perSecond, loadBurst)
 	}
 	r.at = now
-	return int(r.tokens)
+	return int(r.tokens + roundingSlack)
 }
 
 // Take counts a load that begins.
--- /dev/null
+++ b/coordination/roster/roster_test.go
@@ -0,0 +1,151 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func target(id string, born int64, beat uint64, state State) Target {
+	return Target{Key: Key{id, born}, Service: "s", Address: "10.0.0.1:1", DataCentre: "a", Slots: 4, State: state, Beat: beat}
+}
+
+func observe(t *testing.T, table *Table, target Target, want Outcome) {
+	t.Helper()
+	got, err := table.Observe(start, target)
+	if err != nil || got != want {
+		t.Fatalf("%+v: outcome %v, error %v, want %v", target, got, err, want)
+	}
+}
+
+// Guards against a late heartbeat that brings a draining or replaced target back.
+func TestLateHeartbeatsChangeNothing(t *testing.T) {
+	table := New()
+	observe(t, table, target("a", 10, 1, Ready), Changed)
+	observe(t, table, target("a", 10, 2, Ready), Refreshed)
+	observe(t, table, target("a", 10, 4, Draining), Changed)
+	observe(t, table, target("a", 10, 3, Ready), Stale)
+	observe(t, table, target("a", 10, 5, Ready), Refreshed) // draining is final, even if a later heartbeat forgets it
+	if got := table.Get("a").State; got != Draining {
+		t.Fatalf("state %v", got)
+	}
+	observe(t, table, target("a", 20, 1, Ready), Changed) // the next incarnation under the same id
+	observe(t, table, target("a", 10, 9, Draining), Stale)
+	if got := table.Get("a"); got.State != Ready || got.Born != 20 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// Guards against a draining notice that is lost because a later heartbeat overtook it.
+func TestOvertakenDrainingNoticeCounts(t *testing.T) {
+	table := New()
+	observe(t, table, target("a", 10, 5, Ready), Changed)
+	observe(t, table, target("a", 10, 4, Draining), Changed)
+	if got := table.Get("a"); got.State != Draining || got.Target.Beat != 5 {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// Guards against requests to the address of a target that has ended, after a heartbeat that a partition held back.
+func TestOnlyTheLastTargetAtAnAddressIsUsed(t *testing.T) {
+	table := New()
+	observe(t, table, target("old", 10, 1, Ready), Changed)
+	observe(t, table, target("new", 20, 1, Ready), Changed)
+	observe(t, table, target("old", 10, 2, Ready), Stale)
+	if table.Get("old").State != Gone || table.Get("new").State != Ready {
+		t.Fatalf("old %+v, new %+v", table.Get("old"), table.Get("new"))
+	}
+}
+
+// Guards against heartbeats of another writer that name a target to use.
+func TestIncompleteHeartbeatsAreRefused(t *testing.T) {
+	for name, spoil := range map[string]func(*Target){
+		"id":      func(t *Target) { t.ID = "" },
+		"born":    func(t *Target) { t.Born = 0 },
+		"service": func(t *Target) { t.Service = "" },
+		"address": func(t *Target) { t.Address = "" },
+	} {
+		bad := target("a", 10, 1, Ready)
+		spoil(&bad)
+		if _, err := New().Observe(start, bad); err == nil {
+			t.Errorf("a heartbeat without %s was taken", name)
+		}
+	}
+}
+
+// Guards against a goodbye of an earlier incarnation that takes the present one out.
+func TestGoodbyeOfAnEarlierIncarnation(t *testing.T) {
+	table := New()
+	observe(t, table, target("a", 20, 1, Ready), Changed)
+	if table.Leave("a", 10) || table.Get("a").State != Ready {
+		t.Fatal("an earlier goodbye counted")
+	}
+	if !table.Leave("a", 20) || table.Get("a").State != Gone {
+		t.Fatal("the goodbye did not count")
+	}
+}
+
+// Guards against control instances that disagree for good after the same heartbeats came in another order: what a table
+// tells another one must bring both to the same state.
+func TestTablesAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		beats := rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Target {
+			b := target(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"), rapid.Int64Range(1, 4).Draw(t, "born"),
+				rapid.Uint64Range(1, 5).Draw(t, "beat"), State(rapid.IntRange(0, 1).Draw(t, "state")))
+			b.Address = "10.0.0.1:" + b.ID // addresses of their own
+			return b
+		}), 1, 12).Draw(t, "beats")
+		one, two := New(), New()
+		for i := range beats {
+			if _, err := one.Observe(start, beats[i]); err != nil {
+				t.Fatal(err)
+			}
+			if _, err := two.Observe(start, beats[len(beats)-1-i]); err != nil {
+				t.Fatal(err)
+			}
+		}
+		one.Merge(start, two.Since(start, 0))
+		two.Merge(start, one.Since(start, 0))
+		for _, id := range []string{"a", "b"} {
+			var a, b Target
+			if e := one.Get(id); e != nil {
+				a = e.Target
+			}
+			if e := two.Get(id); e != nil {
+				b = e.Target
+			}
+			if diff := cmp.Diff(a, b); diff != "" {
+				t.Fatalf("%s: %s", id, diff)
+			}
+		}
+	})
+}
+
+// Guards against deltas that leave changes out, or wake every gateway for a heartbeat that says nothing new.
+func TestDelta(t *testing.T) {
+	table := New()
+	observe(t, table, target("a", 10, 1, Ready), Changed)
+	first := table.Since(start.Add(time.Second), 0)
+	if len(first.Targets) != 1 || first.Targets[0].SilentMs != 1000 {
+		t.Fatalf("%+v", first)
+	}
+	observe(t, table, target("a", 10, 2, Ready), Refreshed)
+	second := table.Since(start, first.Change)
+	if len(second.Targets) != 0 || len(second.Beats) != 1 || table.ContentChangedAfter(first.Change) {
+		t.Fatalf("%+v", second)
+	}
+	other := New()
+	if !other.Merge(start.Add(time.Second), first) || other.Merge(start.Add(2*time.Second), second) {
+		t.Fatal("a merge reported the wrong change")
+	}
+	if got := other.Get("a"); got.Target.Beat != 2 || !got.HeardAt.Equal(start.Add(2*time.Second)) {
+		t.Fatalf("%+v", got)
+	}
+	if forgotten := other.Forget(start.Add(time.Hour), time.Minute); len(forgotten) != 1 || other.Get("a") != nil {
+		t.Fatalf("forgotten %v", forgotten)
+	}
+}
--- a/instance/fleetview/watch.go
+++ b/instance/fleetview/watch.go
@@ -20,7 +20,7 @@
 	// watchTimeout bounds one watch: the pause after which it is answered without news, and a slow link.
 	watchTimeout = newsPause + 1500*time.Millisecond
 	// retryPause follows a failed watch.
-	retryPause = 150 * time.Millisecond
+	retryPause = 60 * time.Millisecond
 	// manageInterval is the time between looks at the list of control instances.
 	manageInterval = 250 * time.Millisecond
 
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -19,6 +19,8 @@
 	exchangeInterval = 100 * time.Millisecond
 	// exchangeTimeout bounds one report, so that a slow leader does not hold up the next one.
 	exchangeTimeout = 400 * time.Millisecond
+	// unreachablePeriod is how long a failed connection to a target is reported.
+	unreachablePeriod = 2 * time.Second
 	// adapterTimeout bounds the request for an adapter.
 	adapterTimeout = 700 * time.Millisecond
 )
@@ -122,7 +124,8 @@
 		return errNoLeader
 	}
 	own := g.board.Own(time.Now())
-	report := fleetapi.LoadReport{Gateway: g.opts.Name, Strikes: g.suspected.take()}
+	report := fleetapi.LoadReport{Gateway: g.opts.Name, Strikes: g.suspected.take(),
+		Unreachable: g.board.Unreachable(time.Now(), unreachablePeriod)}
 	report.Models, report.Adapters = g.demand.take()
 	for id, l := range own {
 		report.Targets = append(report.Targets, fleetapi.TargetLoad{ID: id, Running: l.Running, Unstarted: l.Unstarted,
--- /dev/null
+++ b/instance/gateway/gateway_test.go
@@ -0,0 +1,553 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
+	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
+)
+
+var names = dialect.Headers{
+	RequestID: "Request-Id", TimeLeftMs: "Time-Left", Seal: "Seal", ExpectTarget: "Expect-Target", NotRun: "Not-Run",
+	TargetID: "Target-Id", TargetPriority: "Target-Priority", LastEvent: "Last-Event", RetryAfter: "Retry-After",
+	Owned: []string{"Expect-Target", "Target-Priority", "Secret-Option"},
+}
+
+// noPeers is a deployment without control instances.
+type noPeers struct{}
+
+func (noPeers) Call(context.Context, string, string, any, any) error { return errors.New("no control instance") }
+
+// fixture is a gateway in front of scripted targets.
+type fixture struct {
+	t       *testing.T
+	gateway *Gateway
+	server  *httptest.Server
+	view    *fleetview.View
+	mu      sync.Mutex
+	runs    map[string]int // requests that reached a target, by request id
+}
+
+func readPrompt(h http.Header) (dialect.Prompt, bool) {
+	model := h.Get("Model")
+	return dialect.Prompt{Model: model, Tokens: 10}, model != ""
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	recorder := events.NewRecorder(log, "g", "a", time.Now)
+	document := &routes.Document{
+		Version: 1,
+		Routes: []routes.Route{
+			{Name: "safe", Host: "h", PathPrefix: "/safe/", Kind: routes.Idempotent, Timeout: 2 * time.Second, Objective: time.Second,
+				Split: []routes.Weight{{Service: "plain", Weight: 1}}, MaxAttempts: 2},
+			{Name: "once", Host: "h", PathPrefix: "/once/", Kind: routes.NonIdempotent, Timeout: 2 * time.Second, Objective: time.Second,
+				Split: []routes.Weight{{Service: "plain", Weight: 1}}, MaxAttempts: 2},
+			{Name: "short", Host: "h", PathPrefix: "/short/", Kind: routes.NonIdempotent, Timeout: 150 * time.Millisecond,
+				Split: []routes.Weight{{Service: "plain", Weight: 1}}, MaxAttempts: 1},
+			{Name: "stream", Host: "h", PathPrefix: "/stream/", Kind: routes.Stream, Timeout: 2 * time.Second, Objective: time.Second,
+				Split: []routes.Weight{{Service: "engine", Weight: 1}}, MaxAttempts: 1, Rank: 2},
+			{Name: "resumed", Host: "h", PathPrefix: "/resumed/", Kind: routes.Stream, Timeout: 2 * time.Second, Objective: time.Second,
+				Split: []routes.Weight{{Service: "engine", Weight: 1}}, MaxAttempts: 2, Resumable: true},
+		},
+		Services: []routes.Service{{Name: "plain"}, {Name: "engine", Engine: &routes.Engine{Slots: 4}}},
+		Limits:   routes.Limits{BodyBytes: 1000},
+	}
+	f := &fixture{t: t, runs: make(map[string]int)}
+	f.view = fleetview.New(func([]byte) (*routes.Document, error) { return document, nil }, nil)
+	watcher := fleetview.NewWatcher(f.view, noPeers{}, "g", false, func(string, error) {})
+	f.gateway = New(Options{
+		Name: "g", DataCentre: "a", ReadyPath: "/ready", Headers: names, ReadPrompt: readPrompt, Grace: 5 * time.Second,
+		Budget: dispatch.BudgetLimits{Ratio: 1, Slack: 100, Window: 10 * time.Second, Share: 1},
+	}, f.view, watcher, noPeers{}, recorder, metrics.NewRegistry(), rand.New(rand.NewPCG(1, 2)))
+	f.server = httptest.NewServer(http.HandlerFunc(f.gateway.serveCaller))
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fixture) configure() {
+	f.t.Helper()
+	packed, err := routes.Pack(1, []byte("{}"))
+	if err == nil {
+		err = f.view.SetDocument(packed)
+	}
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// target starts a target. Its handler gets the raw connection of each request.
+func (f *fixture) target(id, service string, serve func(conn net.Conn, r *http.Request, body string)) {
+	f.t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go f.serveTarget(conn, serve)
+		}
+	}()
+	_, err = f.view.Observe(time.Now(), roster.Target{Key: roster.Key{ID: id, Born: 1}, Service: service, DataCentre: "a",
+		Address: listener.Addr().String(), Slots: 4, Beat: 1, Models: []roster.Held{{Model: "m"}}})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+func (f *fixture) serveTarget(conn net.Conn, serve func(conn net.Conn, r *http.Request, body string)) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		f.mu.Lock()
+		f.runs[r.Header.Get(names.RequestID)]++
+		f.mu.Unlock()
+		counted := &countedConn{Conn: conn}
+		serve(counted, r, string(body))
+		if counted.closed {
+			return
+		}
+	}
+}
+
+// countedConn remembers that a handler closed it.
+type countedConn struct {
+	net.Conn
+	closed bool
+}
+
+func (c *countedConn) Close() error {
+	c.closed = true
+	return c.Conn.Close()
+}
+
+func (f *fixture) ran(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[id]
+}
+
+func respond(conn net.Conn, r *http.Request, status int, body string, headers ...string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\n%s: %s\r\nContent-Length: %d\r\n", status, names.RequestID, r.Header.Get(names.RequestID), len(body))
+	for _, h := range headers {
+		_, _ = io.WriteString(conn, h+"\r\n")
+	}
+	_, _ = io.WriteString(conn, "\r\n"+body)
+}
+
+const sealed = "Seal: s"
+
+func ok(conn net.Conn, r *http.Request, body string) { respond(conn, r, 200, "did "+body, sealed) }
+
+func reset(conn net.Conn, _ *http.Request, _ string) { _ = conn.Close() }
+
+func full(conn net.Conn, r *http.Request, _ string) { respond(conn, r, 503, "", "Not-Run: 1") }
+
+// call sends a request and returns status, body and the error of reading the body.
+func (f *fixture) call(id, path string, headers ...string) (*http.Response, string, error) {
+	f.t.Helper()
+	r, err := http.NewRequest(http.MethodPost, f.server.URL+path, strings.NewReader("work"))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set(names.RequestID, id)
+	r.Header.Set(names.TimeLeftMs, "1500")
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		r.Header.Set(name, value)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+// Guards against requests that run more often than allowed, and against refusals that say "not run" although the request
+// may have run.
+func TestOutcomes(t *testing.T) {
+	type behaviour = func(net.Conn, *http.Request, string)
+	failing := func(conn net.Conn, r *http.Request, _ string) { respond(conn, r, 500, "broken", sealed) }
+	unsealed := func(conn net.Conn, r *http.Request, _ string) { respond(conn, r, 200, "whose?") }
+	cut := func(conn net.Conn, r *http.Request, _ string) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\nContent-Length: 50\r\n\r\nhalf", names.RequestID, r.Header.Get(names.RequestID), sealed)
+		_ = conn.Close()
+	}
+	elsewhere := func(conn net.Conn, r *http.Request, _ string) {
+		_, _ = io.WriteString(conn, "HTTP/1.1 421 X\r\nTarget-Id: other\r\nContent-Length: 0\r\n\r\n")
+	}
+	cases := []struct {
+		name    string
+		path    string
+		targets []behaviour
+		status  int
+		body    string
+		runs    int
+	}{
+		{"answered", "/safe/x", []behaviour{ok}, 200, "did work", 1},
+		{"no route", "/none/x", []behaviour{ok}, 404, "", 0},
+		{"non-idempotent and broken off", "/once/x", []behaviour{reset, reset}, 502, "", 1},
+		{"non-idempotent and cut", "/once/x", []behaviour{cut, cut}, 502, "", 1},
+		{"non-idempotent and not sealed", "/once/x", []behaviour{unsealed, unsealed}, 502, "", 1},
+		{"idempotent and broken off", "/safe/x", []behaviour{reset, reset}, 502, "", 2},
+		{"failure of the target", "/once/x", []behaviour{failing, failing}, 500, "broken", 1},
+		{"idempotent, both fail", "/safe/x", []behaviour{failing, failing}, 500, "broken", 2},
+		{"rejected", "/once/x", []behaviour{full, full}, 503, "", 2},
+		{"other target at the address", "/once/x", []behaviour{elsewhere, elsewhere}, 503, "", 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.configure()
+			for i, serve := range c.targets {
+				f.target(fmt.Sprint("t", i), "plain", serve)
+			}
+			response, body, err := f.call("r1", c.path)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if response.StatusCode != c.status || body != c.body {
+				t.Errorf("status %d, body %q, want %d, %q", response.StatusCode, body, c.status, c.body)
+			}
+			runs := f.ran("r1")
+			if c.status == 503 {
+				if runs < c.runs {
+					t.Errorf("%d targets were asked, want all %d", runs, c.runs)
+				}
+				if response.Header.Get(names.RetryAfter) == "" {
+					t.Error("the refusal does not tell when to return")
+				}
+			} else if runs != c.runs {
+				t.Errorf("%d runs, want %d", runs, c.runs)
+			}
+		})
+	}
+}
+
+// Guards against a request that fails although another target would have answered it.
+func TestAnotherTargetAnswers(t *testing.T) {
+	for name, first := range map[string]func(net.Conn, *http.Request, string){"reset": reset, "full": full} {
+		path := "/safe/x"
+		if name == "full" {
+			path = "/once/x"
+		}
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.configure()
+			var mu sync.Mutex
+			asked := 0
+			for i := range 2 {
+				f.target(fmt.Sprint("t", i), "plain", func(conn net.Conn, r *http.Request, body string) {
+					mu.Lock()
+					asked++
+					isFirst := asked == 1
+					mu.Unlock()
+					if isFirst {
+						first(conn, r, body)
+						return
+					}
+					ok(conn, r, body)
+				})
+			}
+			response, body, err := f.call("r1", path)
+			if err != nil || response.StatusCode != 200 || body != "did work" {
+				t.Fatalf("%v, %q, %v", response, body, err)
+			}
+		})
+	}
+}
+
+// Guards against headers of callers that only the system may set, and against a deadline that is not handed on.
+func TestForwardedRequest(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	var seen *http.Request
+	f.target("t0", "engine", func(conn net.Conn, r *http.Request, body string) {
+		seen = r
+		ok(conn, r, body)
+	})
+	_, _, err := f.call("r1", "/stream/a%2Fb?q=1&q=2", "Model: m", "Expect-Target: other", "Target-Priority: 0",
+		"Secret-Option: 1", "Connection: X-Hop", "X-Hop: 1", "X-Kept: yes")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if seen.RequestURI != "/stream/a%2Fb?q=1&q=2" || seen.Host != "h" || seen.Method != http.MethodPost {
+		t.Errorf("%s %s at %s", seen.Method, seen.RequestURI, seen.Host)
+	}
+	for header, want := range map[string]string{"Expect-Target": "t0", "Target-Priority": "2", "Secret-Option": "", "X-Hop": "",
+		"X-Kept": "yes", "Model": "m", names.RequestID: "r1", "Content-Length": "4"} {
+		if got := seen.Header.Get(header); got != want {
+			t.Errorf("%s is %q, want %q", header, got, want)
+		}
+	}
+	var left int
+	if _, err := fmt.Sscan(seen.Header.Get(names.TimeLeftMs), &left); err != nil || left > 1500 || left < 1000 {
+		t.Errorf("time left %q", seen.Header.Get(names.TimeLeftMs))
+	}
+}
+
+// stream writes the head of a stream and events as chunks.
+func stream(conn net.Conn, r *http.Request, end bool, list ...string) {
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+		names.RequestID, r.Header.Get(names.RequestID), sealed)
+	for _, e := range list {
+		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(e), e)
+	}
+	if end {
+		_, _ = io.WriteString(conn, "0\r\n\r\n")
+	}
+}
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", id) }
+
+// Guards against streams with missing, repeated or incomplete events, and against a broken one that looks complete.
+func TestStreams(t *testing.T) {
+	t.Run("complete", func(t *testing.T) {
+		f := newFixture(t)
+		f.configure()
+		f.target("t0", "engine", func(conn net.Conn, r *http.Request, _ string) { stream(conn, r, true, event(1), event(2)) })
+		response, body, err := f.call("r1", "/stream/x", "Model: m")
+		if err != nil || body != event(1)+event(2) || response.Header.Get("Seal") != "s" {
+			t.Fatalf("%q, %v", body, err)
+		}
+	})
+	t.Run("broken off", func(t *testing.T) {
+		f := newFixture(t)
+		f.configure()
+		f.target("t0", "engine", func(conn net.Conn, r *http.Request, _ string) {
+			stream(conn, r, false, event(1), "id: 2\nda")
+			_ = conn.Close()
+		})
+		_, body, err := f.call("r1", "/stream/x", "Model: m")
+		if err == nil || body != event(1) {
+			t.Fatalf("%q, %v; want the first event and a broken connection", body, err)
+		}
+		if f.ran("r1") != 1 {
+			t.Fatalf("%d runs", f.ran("r1"))
+		}
+	})
+	t.Run("resumed", func(t *testing.T) {
+		f := newFixture(t)
+		f.configure()
+		serve := func(conn net.Conn, r *http.Request, _ string) {
+			if r.Header.Get(names.LastEvent) == "1" {
+				stream(conn, r, true, event(2), event(3))
+				return
+			}
+			stream(conn, r, false, event(1), "id: 2\nda")
+			_ = conn.Close()
+		}
+		f.target("t0", "engine", serve)
+		f.target("t1", "engine", serve)
+		_, body, err := f.call("r1", "/resumed/x", "Model: m")
+		if err != nil || body != event(1)+event(2)+event(3) {
+			t.Fatalf("%q, %v", body, err)
+		}
+	})
+}
+
+// Guards against targets that work on for a caller that has left, and requests sent for one.
+func TestCallerLeaves(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	gone := make(chan time.Time, 1)
+	f.target("t0", "plain", func(conn net.Conn, _ *http.Request, _ string) {
+		var one [1]byte
+		_, _ = conn.Read(one[:])
+		gone <- time.Now()
+		_ = conn.Close()
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, f.server.URL+"/safe/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Host = "h"
+	r.Header.Set(names.RequestID, "r1")
+	if response, err := http.DefaultClient.Do(r); err == nil {
+		_ = response.Body.Close()
+		t.Fatal("the call was answered")
+	}
+	left := time.Now()
+	select {
+	case at := <-gone:
+		if at.Sub(left) > 400*time.Millisecond {
+			t.Fatalf("the target noticed after %v", at.Sub(left))
+		}
+	case <-time.After(2 * time.Second):
+		t.Fatal("the target works on")
+	}
+	time.Sleep(50 * time.Millisecond)
+	if f.ran("r1") != 1 {
+		t.Fatalf("%d runs", f.ran("r1"))
+	}
+}
+
+// Guards against requests without a final answer at the timeout of their route.
+func TestRouteTimeout(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	f.target("t0", "plain", func(conn net.Conn, _ *http.Request, _ string) {
+		var one [1]byte
+		_, _ = conn.Read(one[:])
+		_ = conn.Close()
+	})
+	began := time.Now()
+	response, _, err := f.call("r1", "/short/x")
+	if err != nil || response.StatusCode != http.StatusGatewayTimeout {
+		t.Fatalf("%v, %v", response, err)
+	}
+	if took := time.Since(began); took > 500*time.Millisecond {
+		t.Fatalf("answered after %v", took)
+	}
+}
+
+// Replays a restart of the whole deployment: requests that arrive before the configuration are held and served.
+func TestRequestsWaitForTheFirstConfiguration(t *testing.T) {
+	f := newFixture(t)
+	f.target("t0", "plain", ok)
+	time.AfterFunc(150*time.Millisecond, f.configure)
+	response, body, err := f.call("r1", "/safe/x")
+	if err != nil || response.StatusCode != 200 || body != "did work" {
+		t.Fatalf("%v, %q, %v", response, body, err)
+	}
+	other := newFixture(t)
+	response, _, err = other.call("r2", "/safe/x", "Time-Left: 200")
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("without a configuration: %v, %v", response, err)
+	}
+}
+
+// Guards against bodies above the limit that are read or passed on.
+func TestBodyLimit(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	f.target("t0", "plain", ok)
+	for name, body := range map[string]io.Reader{
+		"length": strings.NewReader(strings.Repeat("x", 1001)),
+		"chunks": io.MultiReader(strings.NewReader(strings.Repeat("x", 1001))),
+	} {
+		r, err := http.NewRequest(http.MethodPost, f.server.URL+"/safe/x", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Host = "h"
+		r.Header.Set(names.RequestID, name)
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusRequestEntityTooLarge || f.ran(name) != 0 {
+			t.Errorf("%s: status %d, %d runs", name, response.StatusCode, f.ran(name))
+		}
+	}
+}
+
+// Guards against a kept connection that is closed under a request when the instance stops, which lost the request.
+func TestShutdownAnswersRequestsOnKeptConnections(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	f.target("t0", "plain", func(conn net.Conn, r *http.Request, body string) {
+		time.Sleep(time.Millisecond)
+		ok(conn, r, body)
+	})
+	f.gateway.opts.Callers, f.gateway.opts.Ready = freeAddress(t), freeAddress(t)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.gateway.Run(ctx) }()
+	url := "http://" + f.gateway.opts.Callers
+	waitFor(t, func() bool { return status(url+"/safe/x") == 200 })
+	waitFor(t, func() bool { return status("http://"+f.gateway.opts.Ready+"/ready") == 200 })
+	stop()
+	waitFor(t, func() bool { return status("http://"+f.gateway.opts.Ready+"/ready") == 503 })
+	began := time.Now()
+	for i := 0; time.Since(began) < refuseAfter+200*time.Millisecond; i++ {
+		switch got := status(url + "/safe/x"); got {
+		case 200, 503:
+		case 0: // the process may end once it refuses new requests
+			if time.Since(began) < refuseAfter-100*time.Millisecond {
+				t.Fatalf("request %d after %v got no answer", i, time.Since(began))
+			}
+		default:
+			t.Fatalf("request %d after %v: status %d", i, time.Since(began), got)
+		}
+	}
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+func status(url string) int {
+	r, err := http.NewRequest(http.MethodGet, url, nil)
+	if err != nil {
+		return 0
+	}
+	r.Host = "h"
+	r.Header.Set(names.RequestID, "s")
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return response.StatusCode
+}
+
+func waitFor(t *testing.T, what func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if what() {
+			return
+		}
+	}
+	t.Fatal("the condition did not come true in time")
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -53,9 +53,13 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	table := g.view.Table()
-	if g.refusing.Load() || table == nil {
-		g.answerEarly(w, r, http.StatusServiceUnavailable, "no configuration is known or the instance stops")
+	if g.refusing.Load() {
+		g.answerEarly(w, r, http.StatusServiceUnavailable, "the instance stops")
+		return
+	}
+	table := g.awaitTable(r, arrived)
+	if table == nil {
+		g.answerEarly(w, r, http.StatusServiceUnavailable, "no configuration is known yet")
 		return
 	}
 	uri := r.RequestURI
@@ -87,10 +91,8 @@
 		route: route, version: table.Version(), arrived: arrived, deadline: arrived.Add(route.Timeout),
 		header: g.forwardedHeader(r.Header),
 	}
-	if ms, err := strconv.ParseInt(r.Header.Get(g.opts.Headers.TimeLeftMs), 10, 64); err == nil && ms >= 0 {
-		if left := arrived.Add(time.Duration(ms) * time.Millisecond); left.Before(q.deadline) {
-			q.deadline = left
-		}
+	if left, ok := g.timeLeft(r); ok {
+		q.deadline = arrived.Add(min(left, route.Timeout))
 	}
 	q.service = table.Service(route.Pick(g.draw()))
 	if q.service.Engine != nil {
@@ -107,6 +109,45 @@
 	g.serve(w, q)
 }
 
+// timeLeft reads how long the caller waits.
+func (g *Gateway) timeLeft(r *http.Request) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(r.Header.Get(g.opts.Headers.TimeLeftMs), 10, 64)
+	if err != nil || ms < 0 || ms > maxTimeLeftMs {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
+const (
+	// maxTimeLeftMs bounds what a caller may state, a day.
+	maxTimeLeftMs = 24 * 60 * 60 * 1000
+	// defaultTablePatience is the wait for the first configuration when the caller does not state its time.
+	defaultTablePatience = time.Second
+)
+
+// awaitTable returns the configuration in force. Right after the start it waits for the first one, which arrives within a
+// second or two when the whole deployment restarts.
+func (g *Gateway) awaitTable(r *http.Request, arrived time.Time) *routes.Table {
+	if table := g.view.Table(); table != nil {
+		return table
+	}
+	patience := defaultTablePatience
+	if left, ok := g.timeLeft(r); ok {
+		patience = time.Duration(float64(left) * patienceShare)
+	}
+	for time.Since(arrived) < patience {
+		select {
+		case <-r.Context().Done():
+			return nil
+		case <-time.After(waitPoll):
+		}
+		if table := g.view.Table(); table != nil {
+			return table
+		}
+	}
+	return nil
+}
+
 // readBody reads a whole body, so that it can be sent again and the end of the caller's connection is noticed.
 func readBody(r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -90,7 +90,6 @@
 // choose finds a target, and waits for one within bounds when there is none.
 func (g *Gateway) choose(q *request, exclude []string) (*roster.Entry, dispatch.Reason) {
 	began := time.Now()
-	patience := g.patience(q, began)
 	waiting := false
 	defer func() {
 		if waiting {
@@ -114,9 +113,9 @@
 				continue
 			}
 		}
-		left := patience - now.Sub(began)
-		if reason == dispatch.NotLoaded {
-			left = max(left, g.arrivalPatience(q, now))
+		left := g.patience(q, reason, began) - now.Sub(began)
+		if at, ok := g.arrivalOf(q); ok && at.Sub(now) > left {
+			left = 0 // it is known not to be served in time: the caller is told when to return
 		}
 		if left <= 0 {
 			if reason == dispatch.NotLoaded {
@@ -164,19 +163,20 @@
 	enginePerSlot = 1.5
 	// waitPoll is the time between looks for a target.
 	waitPoll = 10 * time.Millisecond
-	// patienceShare is the part of the time left that a request may wait here for a free target.
-	patienceShare = 0.25
-	// arrivalShare is the part of the time left that a request may wait for a model that is being loaded.
-	arrivalShare = 0.45
+	// patienceShare is the part of the time left that a request may wait here for a target. A late answer is worth
+	// more than a refusal, and the rest is enough for the longest answers.
+	patienceShare = 0.45
+	// fullShare is the part while all targets are full: the callers are too many, and most of them have to return later.
+	fullShare = 0.25
 )
 
 // patience is how long a request may wait here for a target before it is refused.
-func (g *Gateway) patience(q *request, now time.Time) time.Duration {
-	left := time.Duration(float64(q.deadline.Sub(now)) * patienceShare)
-	if q.route.Objective > 0 {
-		left = min(left, q.route.Objective)
+func (g *Gateway) patience(q *request, reason dispatch.Reason, now time.Time) time.Duration {
+	share := patienceShare
+	if reason == dispatch.AllFull {
+		share = fullShare
 	}
-	return left
+	return time.Duration(float64(q.deadline.Sub(now)) * share)
 }
 
 // arrival is a model that a target loads.
@@ -185,15 +185,6 @@
 	at             time.Time
 }
 
-// arrivalPatience is how long it is worth to wait for a model that is being loaded.
-func (g *Gateway) arrivalPatience(q *request, now time.Time) time.Duration {
-	at, ok := g.arrivalOf(q)
-	if !ok || at.Sub(now) > time.Duration(float64(q.deadline.Sub(now))*arrivalShare) {
-		return 0
-	}
-	return max(at.Sub(now), waitPoll)
-}
-
 func (g *Gateway) arrivalOf(q *request) (at time.Time, ok bool) {
 	for _, a := range *g.arriving.Load() {
 		if a.service == q.service.Name && a.model == q.prompt.Model && (!ok || a.at.Before(at)) {
--- /dev/null
+++ b/instance/hub/commanded_test.go
@@ -0,0 +1,340 @@
+package hub
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/residency"
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
+)
+
+const (
+	modelMB     = 70.0
+	capacityMB  = 145.0
+	reportDelay = 200 * time.Millisecond
+)
+
+var testEngine = &routes.Engine{Slots: 8, CapacityMB: capacityMB, AdapterSlots: 2, LoadsPerSecond: 10, Models: []routes.Model{
+	{Name: "m", WeightsMB: modelMB, LoadTime: 300 * time.Millisecond, Adapters: 9, AdapterMB: 1},
+	{Name: "n", WeightsMB: modelMB, LoadTime: 300 * time.Millisecond},
+	{Name: "o", WeightsMB: modelMB, LoadTime: 300 * time.Millisecond},
+}}
+
+// fakeEngine is a target that reports its state late, loses answers to orders and carries some out late. It notes every
+// order that it was checked against a state in which it does not fit.
+type fakeEngine struct {
+	t        *testing.T
+	mu       sync.Mutex
+	models   map[string]bool
+	adapters map[string]bool
+	loading  string
+	sequence uint64
+	history  []engineState
+	late     func() bool // whether the next order gets no answer and is carried out later
+	rng      *rand.Rand
+	orders   int
+}
+
+type engineState struct {
+	at     time.Time
+	report Report
+}
+
+func newFakeEngine(t *testing.T, models ...string) *fakeEngine {
+	e := &fakeEngine{t: t, models: map[string]bool{}, adapters: map[string]bool{}, late: func() bool { return false },
+		rng: rand.New(rand.NewPCG(3, 4))}
+	for _, m := range models {
+		e.models[m] = true
+	}
+	e.note()
+	return e
+}
+
+// note keeps the state for late reports. The caller holds the lock or is alone.
+func (e *fakeEngine) note() {
+	r := Report{Busy: e.loading != "", Sequence: e.sequence}
+	for m := range e.models {
+		held := roster.Held{Model: m}
+		for a := range e.adapters {
+			if m == "m" {
+				held.Adapters = append(held.Adapters, a)
+			}
+		}
+		r.Models = append(r.Models, held)
+	}
+	e.history = append(e.history, engineState{time.Now(), r})
+}
+
+func (e *fakeEngine) Report(context.Context, roster.Target) (Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	limit := time.Now().Add(-reportDelay)
+	best := e.history[0].report
+	for _, s := range e.history {
+		if s.at.After(limit) {
+			break
+		}
+		best = s.report
+	}
+	return best, nil
+}
+
+func (e *fakeEngine) Order(_ context.Context, _ roster.Target, o Order) (Outcome, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders++
+	if e.late() {
+		time.AfterFunc(time.Duration(2+e.rng.IntN(5))*time.Second, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.carryOut(o)
+		})
+		return Unknown, nil
+	}
+	return e.carryOut(o), nil
+}
+
+func (e *fakeEngine) carryOut(o Order) Outcome {
+	if e.loading != "" || o.Sequence != e.sequence {
+		return Conflict
+	}
+	outcome := Accepted
+	switch {
+	case o.Adapter != "" && o.Unload:
+		delete(e.adapters, o.Adapter)
+		outcome = Holds
+	case o.Adapter != "":
+		e.adapters[o.Adapter] = true
+		if len(e.adapters) > testEngine.AdapterSlots {
+			e.t.Errorf("ordered to hold %d adapters", len(e.adapters))
+		}
+	case o.Unload:
+		delete(e.models, o.Model)
+		clear(e.adapters)
+	case e.models[o.Model]:
+		return Holds
+	default:
+		if used := float64(len(e.models)+1) * modelMB; used > capacityMB {
+			e.t.Errorf("ordered to load %s beside %v: %v of %v", o.Model, e.models, used, capacityMB)
+		}
+		e.loading = o.Model
+		time.AfterFunc(300*time.Millisecond, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			e.models[e.loading], e.loading = true, ""
+			e.note()
+		})
+	}
+	e.sequence++
+	e.note()
+	return outcome
+}
+
+func (e *fakeEngine) holds(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.models[model]
+}
+
+// directorOf makes a director that may always give orders, in front of one engine.
+func directorOf(t *testing.T, engine *fakeEngine) (*Director, *commanded) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	recorder := events.NewRecorder(log, "hub", "a", time.Now)
+	view := fleetview.New(func([]byte) (*routes.Document, error) {
+		return &routes.Document{Version: 1, Services: []routes.Service{{Name: "s", Engine: testEngine}}}, nil
+	}, nil)
+	packed, err := routes.Pack(1, nil)
+	if err == nil {
+		err = view.SetDocument(packed)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := newDirector(Options{Name: "hub"}, view, nil, engine, recorder, metrics.NewRegistry())
+	d.lease = &lease{term: 7, until: bootTime() + time.Hour}
+	c := newCommanded(roster.Target{Key: roster.Key{ID: "t", Born: 1}, Service: "s", Slots: 8})
+	d.targets["t"] = c
+	return d, c
+}
+
+func stepUntil(d *Director, c *commanded, what func() bool) bool {
+	for range 600 {
+		c.step(context.Background(), time.Now(), d)
+		time.Sleep(tickInterval)
+		synctest.Wait()
+		if what() {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *commanded) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known && c.move == nil && !c.asking
+}
+
+// Guards against a second load that is checked against a report from before the first one (LIMIT): reports lag, so one
+// that was asked for right after an order shows the target before it.
+func TestLateReportsDoNotOvercommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := newFakeEngine(t, "m", "n")
+		d, c := directorOf(t, engine)
+		if !stepUntil(d, c, c.idle) {
+			t.Fatal("the target did not become known")
+		}
+		c.begin(time.Now(), residency.Move{Target: "t", Load: "o", Unload: "n"}, testEngine)
+		if !stepUntil(d, c, c.idle) {
+			t.Fatal("the move did not end")
+		}
+		if !engine.holds("o") || engine.holds("n") {
+			t.Fatalf("holds %v", engine.models)
+		}
+	})
+}
+
+// Replays orders that get no answer and are carried out seconds later, after newer ones: guards against memory and adapter
+// places that are exceeded by them.
+func TestOrdersCarriedOutLateDoNotOvercommit(t *testing.T) {
+	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				engine := newFakeEngine(t, "m", "n")
+				rng := rand.New(rand.NewPCG(seed, 1))
+				engine.late = func() bool { return rng.IntN(3) == 0 }
+				d, c := directorOf(t, engine)
+				others := []string{"n", "o"}
+				for round := range 12 {
+					if !stepUntil(d, c, c.idle) {
+						t.Fatal("the target did not become known again")
+					}
+					adapter := fmt.Sprint("a", rng.IntN(5))
+					c.ensureAdapter(context.Background(), d, "m", adapter, testEngine, &testEngine.Models[0])
+					if !stepUntil(d, c, c.idle) {
+						t.Fatal("the target did not become known again")
+					}
+					load, unload := others[round%2], others[(round+1)%2]
+					c.mu.Lock()
+					possible := c.models[unload] && !c.models[load]
+					c.mu.Unlock()
+					if possible {
+						c.begin(time.Now(), residency.Move{Target: "t", Load: load, Unload: unload}, testEngine)
+					}
+				}
+				time.Sleep(10 * time.Second) // orders that are still on their way
+			})
+		})
+	}
+}
+
+// Guards against an adapter that is unloaded while requests use it, and against more adapters than places.
+func TestAdapterInUseIsNotEvicted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := newFakeEngine(t, "m")
+		d, c := directorOf(t, engine)
+		if !stepUntil(d, c, c.idle) {
+			t.Fatal("the target did not become known")
+		}
+		ensure := func(adapter string) bool {
+			_, ok := c.ensureAdapter(context.Background(), d, "m", adapter, testEngine, &testEngine.Models[0])
+			return ok
+		}
+		if !ensure("a1") || !ensure("a2") {
+			t.Fatal("adapters with free places were not loaded")
+		}
+		if ensure("a3") {
+			t.Fatal("an adapter that was just asked for was evicted")
+		}
+		time.Sleep(adapterKeep)
+		c.used(time.Now(), "m", "a2")
+		time.Sleep(adapterKeep / 2)
+		if !ensure("a3") {
+			t.Fatal("no place was made")
+		}
+		if engine.adapters["a1"] || !engine.adapters["a2"] || !engine.adapters["a3"] {
+			t.Fatalf("adapters %v", engine.adapters)
+		}
+	})
+}
+
+// Guards against orders without the right to give them.
+func TestNoOrdersWithoutLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engine := newFakeEngine(t, "m", "n")
+		d, c := directorOf(t, engine)
+		if !stepUntil(d, c, c.idle) {
+			t.Fatal("the target did not become known")
+		}
+		d.lease.until = 0
+		c.begin(time.Now(), residency.Move{Target: "t", Load: "o", Unload: "n"}, testEngine)
+		stepUntil(d, c, func() bool { return false })
+		if engine.orders != 0 {
+			t.Fatalf("%d orders", engine.orders)
+		}
+	})
+}
+
+// Guards against a gateway that sees its own load as that of others, and against loads of gateways that are gone.
+func TestExchangeSumsTheOthers(t *testing.T) {
+	engine := newFakeEngine(t, "m")
+	d, _ := directorOf(t, engine)
+	now := time.Unix(100, 0)
+	report := func(name string, running int, at time.Time) fleetapi.LoadSummary {
+		s, err := d.Exchange(at, &fleetapi.LoadReport{Gateway: name, Targets: []fleetapi.TargetLoad{{ID: "t", Running: running, SlownessPercent: 100 * running}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	report("one", 3, now)
+	report("two", 4, now)
+	s := report("three", 5, now)
+	if len(s.Targets) != 1 || s.Targets[0].Running != 7 || s.Targets[0].SlownessPercent != 400 || s.Gateways != 3 {
+		t.Fatalf("%+v", s)
+	}
+	if s = report("three", 5, now.Add(2*gatewayTimeout)); len(s.Targets) != 0 || s.Gateways != 1 {
+		t.Fatalf("%+v", s)
+	}
+}
+
+// Guards against a request that crashes one target after the other: two targets that died under it are enough.
+func TestRequestThatCrashesTargetsIsQuarantined(t *testing.T) {
+	d, _ := directorOf(t, newFakeEngine(t, "m"))
+	now := time.Unix(100, 0)
+	strike := func(target string, at time.Time) []uint64 {
+		s, err := d.Exchange(at, &fleetapi.LoadReport{Gateway: "g", Strikes: []fleetapi.Strike{{Fingerprint: 9, Target: roster.Key{ID: target}}}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s.Quarantined
+	}
+	if got := strike("t1", now); len(got) != 0 {
+		t.Fatalf("quarantined after one target: %v", got)
+	}
+	if got := strike("t1", now); len(got) != 0 {
+		t.Fatalf("quarantined after the same target twice: %v", got)
+	}
+	if got := strike("t2", now); len(got) != 1 || got[0] != 9 {
+		t.Fatalf("quarantined %v", got)
+	}
+	d.expire(now.Add(quarantineTime + time.Second))
+	if got := strike("t3", now.Add(quarantineTime+time.Second)); len(got) != 0 {
+		t.Fatalf("quarantined for good: %v", got)
+	}
+}
--- a/instance/hub/director.go
+++ b/instance/hub/director.go
@@ -26,6 +26,8 @@
 	settleTime = 500 * time.Millisecond
 	// targetSilence leaves out targets without heartbeats.
 	targetSilence = 5 * time.Second
+	// unreachableSilence is the same for targets to which gateways cannot connect: a heartbeat is overdue.
+	unreachableSilence = 1500 * time.Millisecond
 	// refusedWeight counts a request that was turned away for lack of a target, which would otherwise not show.
 	refusedWeight = 2.0
 	// waitingWeight counts a request without a target.
@@ -275,8 +277,10 @@
 // followTargets begins to command targets that are new and forgets those that left.
 func (d *Director) followTargets(now time.Time) {
 	present := make(map[string]bool)
+	unreachable := d.unreachable(now)
 	for _, t := range d.view.Targets() {
-		if t.State != roster.Ready || now.Sub(t.HeardAt) > targetSilence {
+		silent := now.Sub(t.HeardAt)
+		if t.State != roster.Ready || silent > targetSilence || unreachable[t.ID] && silent > unreachableSilence {
 			continue
 		}
 		present[t.ID] = true
@@ -294,6 +298,20 @@
 	}
 }
 
+// unreachable returns the targets to which a gateway could not connect lately.
+func (d *Director) unreachable(now time.Time) map[string]bool {
+	ids := make(map[string]bool)
+	for _, g := range d.gateways {
+		if now.Sub(g.at) > gatewayTimeout {
+			continue
+		}
+		for _, id := range g.report.Unreachable {
+			ids[id] = true
+		}
+	}
+	return ids
+}
+
 // plan decides on the moves of one service and begins them.
 func (d *Director) plan(now time.Time, service *routes.Service) {
 	running := d.runningOn(now)
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -53,6 +53,8 @@
 	Gateway string       `json:"g"`
 	Targets []TargetLoad `json:"t,omitempty"`
 	Models  []ModelLoad  `json:"m,omitempty"`
+	// Unreachable targets accepted no connection lately.
+	Unreachable []string `json:"u,omitempty"`
 	// Adapters were used since the last report.
 	Adapters []AdapterUse `json:"a,omitempty"`
 	// Strikes are fingerprints of requests that were running on a target when it died.
--- /dev/null
+++ b/state/routes/routes_test.go
@@ -0,0 +1,135 @@
+package routes
+
+import (
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func validDocument() *Document {
+	return &Document{
+		Version: 3,
+		Routes: []Route{
+			{Name: "all", Host: "a.example", PathPrefix: "/x/", Kind: Idempotent, Timeout: time.Second, Split: []Weight{{"one", 1}}},
+			{Name: "deep", Host: "A.example", PathPrefix: "/x/y/", Kind: Stream, Timeout: time.Second, Split: []Weight{{"one", 9}, {"two", 1}}},
+		},
+		Services: []Service{{Name: "one"}, {Name: "two"}},
+	}
+}
+
+// Guards against an invalid configuration that is acknowledged.
+func TestCheckFindsEveryFault(t *testing.T) {
+	if found := validDocument().Check(); len(found) > 0 {
+		t.Fatalf("valid document: %v", found)
+	}
+	cases := []struct {
+		name  string
+		spoil func(*Document)
+		want  string
+	}{
+		{"unknown service", func(d *Document) { d.Routes[0].Split[0].Service = "three" }, `service "three" does not exist`},
+		{"same place", func(d *Document) { d.Routes[1].PathPrefix = "/x/" }, `are those of route "all"`},
+		{"weights of zero", func(d *Document) { d.Routes[0].Split[0].Weight = 0 }, "weights add up to 0"},
+		{"negative weight", func(d *Document) { d.Routes[1].Split[1].Weight = -1 }, "is negative"},
+		{"no timeout", func(d *Document) { d.Routes[0].Timeout = 0 }, "timeout is not positive"},
+		{"no service", func(d *Document) { d.Routes[0].Split = nil }, "no service is named"},
+		{"unknown kind", func(d *Document) { d.Routes[0].Kind = "" }, "kind"},
+		{"prefix without slash", func(d *Document) { d.Routes[0].PathPrefix = "/x" }, "slash"},
+		{"no host", func(d *Document) { d.Routes[0].Host = "" }, "host is missing"},
+		{"service twice", func(d *Document) { d.Services[1].Name = "one" }, "stands twice"},
+		{"service without name", func(d *Document) { d.Services = append(d.Services, Service{}) }, "name is missing"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			d := validDocument()
+			c.spoil(d)
+			if found := d.Check(); !strings.Contains(found.Error(), c.want) {
+				t.Fatalf("findings %q, want %q", found.Error(), c.want)
+			}
+		})
+	}
+}
+
+// Guards against a request that takes a shorter prefix or none because of the form of its host.
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	table := NewTable(validDocument())
+	cases := []struct{ host, path, want string }{
+		{"a.example", "/x/1", "all"},
+		{"a.example", "/x/y/1", "deep"},
+		{"A.EXAMPLE:80", "/x/y/", "deep"},
+		{"a.example", "/x", ""},
+		{"a.example", "/z/", ""},
+		{"b.example", "/x/1", ""},
+	}
+	for _, c := range cases {
+		got := ""
+		if r := table.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+// Guards against a split that sends requests to a service with the weight 0 or not in proportion.
+func TestPickFollowsTheWeights(t *testing.T) {
+	r := Route{Split: []Weight{{"none", 0}, {"most", 9}, {"few", 1}, {"never", 0}}}
+	counts := map[string]int{}
+	const draws = 1000
+	for i := range draws {
+		counts[r.Pick(float64(i)/draws)]++
+	}
+	if diff := cmp.Diff(map[string]int{"most": 900, "few": 100}, counts); diff != "" {
+		t.Fatal(diff)
+	}
+	if got := r.Pick(math.Nextafter(1, 0)); got != "few" {
+		t.Fatalf("the last draw picks %q", got)
+	}
+}
+
+// Guards against an older configuration, or other content under the version held, that comes into force.
+func TestStoreKeepsTheHighestVersion(t *testing.T) {
+	var seen []uint64
+	s := NewStore(func(p Packed) { seen = append(seen, p.Version) })
+	propose := func(version uint64, text string) {
+		t.Helper()
+		p, err := Pack(version, []byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := s.Apply(0, p.Encode()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	propose(5, "five")
+	propose(4, "four")
+	propose(5, "other")
+	propose(9, "nine")
+	snapshot, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	restored := NewStore(func(Packed) {})
+	if err := restored.Restore(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	for name, store := range map[string]*Store{"store": s, "restored": restored} {
+		text, err := store.Held().Unpack()
+		if err != nil || string(text) != "nine" {
+			t.Errorf("%s: %q, %v", name, text, err)
+		}
+	}
+	if diff := cmp.Diff([]uint64{5, 9}, seen); diff != "" {
+		t.Fatal(diff)
+	}
+	if _, err := s.Apply(0, []byte{1}); err == nil {
+		t.Error("a command without a version was applied")
+	}
+	if _, err := (Packed{Version: 1, Data: []byte{0xff, 0xff}}).Unpack(); err == nil {
+		t.Error("damaged data was unpacked")
+	}
+}
--- /dev/null
+++ b/transport/upstream/upstream_test.go
@@ -0,0 +1,279 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+const echo = "Request-Id"
+
+// script serves each connection with one function, which gets the number of the connection.
+func script(t *testing.T, serve func(conn net.Conn, r *bufio.Reader, number int)) (address string, connections *atomic.Int64) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	connections = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			number := int(connections.Add(1))
+			go func() {
+				defer func() { _ = conn.Close() }()
+				serve(conn, bufio.NewReader(conn), number)
+			}()
+		}
+	}()
+	return listener.Addr().String(), connections
+}
+
+func readRequest(r *bufio.Reader) (*http.Request, string) {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, ""
+	}
+	body, _ := io.ReadAll(request.Body)
+	return request, string(body)
+}
+
+func answer(conn net.Conn, id, body string, more ...string) {
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n", echo, id, len(body))
+	_, _ = io.WriteString(conn, head+strings.Join(more, "")+"\r\n"+body)
+}
+
+func request(id string) *Request {
+	return &Request{Method: "POST", URI: "/a?b=c", Host: "h", Header: http.Header{echo: {id}}, Body: []byte("hello"), ID: id,
+		EchoHeader: echo, Deadline: time.Now().Add(5 * time.Second)}
+}
+
+func newClient() *Client { return New(time.Second, metrics.NewRegistry()) }
+
+func do(t *testing.T, c *Client, address, id string) (string, error) {
+	t.Helper()
+	a, err := c.Do(context.Background(), address, request(id))
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := io.ReadAll(a)
+	return string(body), err
+}
+
+func failureOf(t *testing.T, err error) *Error {
+	t.Helper()
+	var e *Error
+	if !errors.As(err, &e) {
+		t.Fatalf("error %v is not an *Error", err)
+	}
+	return e
+}
+
+// Guards against new connections for each request, and against a request that is not passed on as it was.
+func TestConnectionsAreReused(t *testing.T) {
+	address, connections := script(t, func(conn net.Conn, r *bufio.Reader, _ int) {
+		for {
+			q, body := readRequest(r)
+			if q == nil {
+				return
+			}
+			answer(conn, q.Header.Get(echo), q.Method+q.RequestURI+q.Host+body)
+		}
+	})
+	c := newClient()
+	for i := range 3 {
+		body, err := do(t, c, address, fmt.Sprint(i))
+		if err != nil || body != "POST/a?b=chhello" {
+			t.Fatalf("%q, %v", body, err)
+		}
+	}
+	if connections.Load() != 1 {
+		t.Fatalf("%d connections", connections.Load())
+	}
+}
+
+// Guards against an answer to another request: one that arrives late at the place of the next answer, and bytes after a
+// complete answer.
+func TestForeignAnswersAreSkipped(t *testing.T) {
+	address, connections := script(t, func(conn net.Conn, r *bufio.Reader, number int) {
+		q, _ := readRequest(r)
+		if q == nil {
+			return
+		}
+		if number == 1 {
+			answer(conn, "earlier", "not yours")
+		}
+		answer(conn, q.Header.Get(echo), "yours", "")
+		if number == 2 {
+			answer(conn, q.Header.Get(echo), "again")
+		}
+		_, _ = readRequest(r)
+	})
+	c := newClient()
+	for i := range 3 {
+		if body, err := do(t, c, address, fmt.Sprint("r", i)); err != nil || body != "yours" {
+			t.Fatalf("request %d: %q, %v", i, body, err)
+		}
+		time.Sleep(20 * time.Millisecond) // the second answer of connection 2 arrives while it is idle
+	}
+	if connections.Load() != 3 {
+		t.Fatalf("%d connections, want one for each request: none of them was clean", connections.Load())
+	}
+}
+
+// Guards against a request on a connection that the target has closed meanwhile, which might be lost or run twice.
+func TestClosedIdleConnectionIsNotUsed(t *testing.T) {
+	address, _ := script(t, func(conn net.Conn, r *bufio.Reader, _ int) {
+		q, _ := readRequest(r)
+		if q != nil {
+			answer(conn, q.Header.Get(echo), "ok")
+		}
+	})
+	c := newClient()
+	for i := range 3 {
+		if _, err := do(t, c, address, fmt.Sprint(i)); err != nil {
+			t.Fatalf("request %d: %v", i, err)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// Guards against answers that are cut, damaged or missing and look complete, and against a wrong word on whether the
+// request may have run.
+func TestFailures(t *testing.T) {
+	cases := []struct {
+		name  string
+		serve func(conn net.Conn, r *bufio.Reader, number int)
+		want  Failure
+	}{
+		{"closed without an answer", func(_ net.Conn, r *bufio.Reader, _ int) { readRequest(r) }, Broken},
+		{"not an answer", func(conn net.Conn, r *bufio.Reader, _ int) {
+			readRequest(r)
+			_, _ = io.WriteString(conn, "what is this\r\n\r\n")
+		}, Malformed},
+		{"no id", func(conn net.Conn, r *bufio.Reader, _ int) {
+			readRequest(r)
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}, Malformed},
+		{"cut body", func(conn net.Conn, r *bufio.Reader, _ int) {
+			q, _ := readRequest(r)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 10\r\n\r\nhalf", echo, q.Header.Get(echo))
+		}, Broken},
+		{"cut chunks", func(conn net.Conn, r *bufio.Reader, _ int) {
+			q, _ := readRequest(r)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", echo, q.Header.Get(echo))
+		}, Broken},
+		{"reset without a length", func(conn net.Conn, r *bufio.Reader, _ int) {
+			q, _ := readRequest(r)
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n\r\nhalf", echo, q.Header.Get(echo))
+			time.Sleep(20 * time.Millisecond)
+			_ = conn.(*net.TCPConn).SetLinger(0)
+		}, Broken},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			address, _ := script(t, c.serve)
+			_, err := do(t, newClient(), address, "id")
+			if got := failureOf(t, err); got.Failure != c.want || !got.Sent {
+				t.Fatalf("failure %+v, want %q that may have run", got, c.want)
+			}
+		})
+	}
+}
+
+// Guards against a request that is said to have been sent although no connection was made.
+func TestConnectFailureIsNotSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, err = do(t, newClient(), address, "id")
+	if got := failureOf(t, err); got.Failure != ConnectFailed || got.Sent {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// Guards against a request that outlives its deadline or its caller.
+func TestDeadlineAndCancel(t *testing.T) {
+	address, _ := script(t, func(conn net.Conn, r *bufio.Reader, _ int) {
+		readRequest(r)
+		_, _ = r.ReadByte()
+	})
+	q := request("id")
+	q.Deadline = time.Now().Add(50 * time.Millisecond)
+	_, err := newClient().Do(context.Background(), address, q)
+	if got := failureOf(t, err); got.Failure != TimedOut {
+		t.Fatalf("%+v", got)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err = newClient().Do(ctx, address, request("id"))
+	if got := failureOf(t, err); got.Failure != Cancelled {
+		t.Fatalf("%+v", got)
+	}
+}
+
+// Guards against bytes of a body that reach a target in the place of the next request, when it answered early.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	address, connections := script(t, func(conn net.Conn, r *bufio.Reader, number int) {
+		if number > 1 {
+			q, _ := readRequest(r)
+			answer(conn, q.Header.Get(echo), "second")
+			return
+		}
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		answer(conn, q.Header.Get(echo), "early")
+		time.Sleep(200 * time.Millisecond)
+	})
+	c := newClient()
+	q := request("big")
+	q.Body = make([]byte, 8<<20)
+	a, err := c.Do(context.Background(), address, q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(a)
+	a.Close()
+	if err != nil || string(body) != "early" {
+		t.Fatalf("%q, %v", body, err)
+	}
+	if body, err := do(t, c, address, "next"); err != nil || body != "second" {
+		t.Fatalf("%q, %v", body, err)
+	}
+	if connections.Load() != 2 {
+		t.Fatalf("%d connections", connections.Load())
+	}
+}
+
+// Guards against the reuse of a connection for longer than the target keeps it.
+func TestIdleLimit(t *testing.T) {
+	cases := map[string]time.Duration{
+		"": defaultIdle, "timeout=5": 4500 * time.Millisecond, "max=3, Timeout=2": 1500 * time.Millisecond,
+		"timeout=x": 0, "timeout=-1": 0, "timeout=0": -idleMargin,
+	}
+	for header, want := range cases {
+		if got := idleLimit(header); got != want {
+			t.Errorf("%q: %v, want %v", header, got, want)
+		}
+	}
+}
