Count a model as unloaded only when a heartbeat or a report proves it

A heartbeat from before the model's load arrived late and lacked it, so the director took the unload as done at once and ordered the next load while the old weights were still there. Ruled out: lagging reports (guarded before; the test does not fail without that guard).

--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -35,7 +35,9 @@
 // noPeers is a deployment without control instances.
 type noPeers struct{}
 
-func (noPeers) Call(context.Context, string, string, any, any) error { return errors.New("no control instance") }
+func (noPeers) Call(context.Context, string, string, any, any) error {
+	return errors.New("no control instance")
+}
 
 // fixture is a gateway in front of scripted targets.
 type fixture struct {
--- a/instance/hub/commanded.go
+++ b/instance/hub/commanded.go
@@ -76,10 +76,14 @@
 	models      map[string]bool
 	adapters    map[adapterKey]time.Time // when they were last used
 	move        *move
+	// presentAt is the latest heartbeat that showed a model since it was loaded. Heartbeats come late, so only one after
+	// it proves that the model is gone.
+	presentAt map[string]uint64
 }
 
 func newCommanded(t roster.Target) *commanded {
-	return &commanded{target: t, models: make(map[string]bool), adapters: make(map[adapterKey]time.Time)}
+	return &commanded{target: t, models: make(map[string]bool), adapters: make(map[adapterKey]time.Time),
+		presentAt: make(map[string]uint64)}
 }
 
 // heard takes the latest heartbeat.
@@ -87,6 +91,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.target = t
+	for _, m := range t.Models {
+		if c.models[m.Model] {
+			c.presentAt[m.Model] = t.Beat
+		}
+	}
+}
+
+// provenGoneLocked tells whether a heartbeat proves that a model which was held is no longer.
+func (c *commanded) provenGoneLocked(model string) bool {
+	at, ok := c.presentAt[model]
+	return ok && c.target.Beat > at && c.target.Holds(model) == nil
 }
 
 // used notes that an adapter is in use.
@@ -286,7 +301,7 @@
 	m := c.move
 	switch m.phase {
 	case unloading:
-		if c.target.Holds(m.Unload) == nil {
+		if c.provenGoneLocked(m.Unload) {
 			c.unloadedLocked(now)
 			return
 		}
@@ -306,6 +321,7 @@
 func (c *commanded) unloadedLocked(now time.Time) {
 	m := c.move
 	delete(c.models, m.Unload)
+	delete(c.presentAt, m.Unload)
 	for key := range c.adapters {
 		if key.model == m.Unload {
 			delete(c.adapters, key)
@@ -407,6 +423,7 @@
 			m.ordered = true
 			if !o.Unload {
 				m.loadedFrom = now
+				delete(c.presentAt, m.Load)
 			}
 		case Holds:
 			if o.Unload {
--- a/instance/hub/commanded_test.go
+++ b/instance/hub/commanded_test.go
@@ -36,16 +36,17 @@
 // fakeEngine is a target that reports its state late, loses answers to orders and carries some out late. It notes every
 // order that it was checked against a state in which it does not fit.
 type fakeEngine struct {
-	t        *testing.T
-	mu       sync.Mutex
-	models   map[string]bool
-	adapters map[string]bool
-	loading  string
-	sequence uint64
-	history  []engineState
-	late     func() bool // whether the next order gets no answer and is carried out later
-	rng      *rand.Rand
-	orders   int
+	t         *testing.T
+	mu        sync.Mutex
+	models    map[string]bool
+	adapters  map[string]bool
+	loading   string
+	unloading bool
+	sequence  uint64
+	history   []engineState
+	late      func() bool // whether the next order gets no answer and is carried out later
+	rng       *rand.Rand
+	orders    int
 }
 
 type engineState struct {
@@ -65,7 +66,7 @@
 
 // note keeps the state for late reports. The caller holds the lock or is alone.
 func (e *fakeEngine) note() {
-	r := Report{Busy: e.loading != "", Sequence: e.sequence}
+	r := Report{Busy: e.loading != "" || e.unloading, Sequence: e.sequence}
 	for m := range e.models {
 		held := roster.Held{Model: m}
 		for a := range e.adapters {
@@ -108,7 +109,11 @@
 }
 
 func (e *fakeEngine) carryOut(o Order) Outcome {
-	if e.loading != "" || o.Sequence != e.sequence {
+	if used := float64(len(e.models)+1) * modelMB; o.Sequence == e.sequence && !o.Unload && o.Adapter == "" &&
+		!e.models[o.Model] && used > capacityMB {
+		e.t.Errorf("ordered to load %s beside %v: %v of %v", o.Model, e.models, used, capacityMB)
+	}
+	if e.loading != "" || e.unloading || o.Sequence != e.sequence {
 		return Conflict
 	}
 	outcome := Accepted
@@ -121,15 +126,21 @@
 		if len(e.adapters) > testEngine.AdapterSlots {
 			e.t.Errorf("ordered to hold %d adapters", len(e.adapters))
 		}
+	case o.Unload && !e.models[o.Model]:
+		return Holds
 	case o.Unload:
-		delete(e.models, o.Model)
-		clear(e.adapters)
+		e.unloading = true
+		time.AfterFunc(time.Duration(e.rng.IntN(1500))*time.Millisecond, func() { // its runs end first
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			delete(e.models, o.Model)
+			clear(e.adapters)
+			e.unloading = false
+			e.note()
+		})
 	case e.models[o.Model]:
 		return Holds
 	default:
-		if used := float64(len(e.models)+1) * modelMB; used > capacityMB {
-			e.t.Errorf("ordered to load %s beside %v: %v of %v", o.Model, e.models, used, capacityMB)
-		}
 		e.loading = o.Model
 		time.AfterFunc(300*time.Millisecond, func() {
 			e.mu.Lock()
@@ -149,8 +160,24 @@
 	return e.models[model]
 }
 
+// heartbeatLater delivers the present state as a heartbeat after a delay, unless a newer one overtakes it.
+func (e *fakeEngine) heartbeatLater(c *commanded, beat uint64, delay time.Duration) {
+	e.mu.Lock()
+	state := e.history[len(e.history)-1].report
+	e.mu.Unlock()
+	time.AfterFunc(delay, func() {
+		c.mu.Lock()
+		target := c.target
+		c.mu.Unlock()
+		if target.Beat < beat {
+			target.Beat, target.Models = beat, state.Models
+			c.heard(target)
+		}
+	})
+}
+
 // directorOf makes a director that may always give orders, in front of one engine.
-func directorOf(t *testing.T, engine *fakeEngine) (*Director, *commanded) {
+func directorOf(t *testing.T, engine Orders) (*Director, *commanded) {
 	t.Helper()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -243,6 +270,59 @@
 	}
 }
 
+// fakeFleet is several engines.
+type fakeFleet map[string]*fakeEngine
+
+func (f fakeFleet) Report(ctx context.Context, t roster.Target) (Report, error) {
+	return f[t.ID].Report(ctx, t)
+}
+
+func (f fakeFleet) Order(ctx context.Context, t roster.Target, o Order) (Outcome, error) {
+	return f[t.ID].Order(ctx, t, o)
+}
+
+// Replays demand that jumps between models while reports lag and orders are lost or carried out late: guards against a
+// load that is planned on what an old report shows (LIMIT).
+func TestPlansOnLateReportsDoNotOvercommit(t *testing.T) {
+	for seed := range uint64(30) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(seed, 2))
+				fleet := fakeFleet{"t1": newFakeEngine(t, "m", "n"), "t2": newFakeEngine(t, "m", "o"), "t3": newFakeEngine(t, "m")}
+				d, _ := directorOf(t, fleet["t1"])
+				d.orders = fleet
+				clear(d.targets)
+				for id, e := range fleet {
+					e.late = func() bool { return rng.IntN(4) == 0 }
+					d.targets[id] = newCommanded(roster.Target{Key: roster.Key{ID: id, Born: 1}, Service: "s", Slots: 8})
+				}
+				service := &d.view.Table().Document().Services[0]
+				beats := map[string]uint64{}
+				for round := range 300 {
+					if round%4 == 0 {
+						for id, e := range fleet {
+							beats[id]++
+							e.heartbeatLater(d.targets[id], beats[id], time.Duration(rng.IntN(1500))*time.Millisecond)
+						}
+					}
+					if round%15 == 0 {
+						for _, m := range testEngine.Models {
+							d.smoothed[modelOf{"s", m.Name}] = float64(rng.IntN(60))
+						}
+					}
+					for _, c := range d.targets {
+						c.step(context.Background(), time.Now(), d)
+					}
+					d.plan(time.Now(), service)
+					time.Sleep(tickInterval)
+					synctest.Wait()
+				}
+				time.Sleep(10 * time.Second) // orders that are still on their way
+			})
+		})
+	}
+}
+
 // Guards against an adapter that is unloaded while requests use it, and against more adapters than places.
 func TestAdapterInUseIsNotEvicted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
