--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -79,7 +79,7 @@
 	EchoHeader string
 	// Unechoed tells which answers need not echo the id.
 	Unechoed func(*http.Response) bool
-	Deadline   time.Time
+	Deadline time.Time
 }
 
 // Client keeps connections to targets. It is safe for concurrent use.
