--- /dev/null
+++ b/coordination/residency/adapters.go
@@ -0,0 +1,60 @@
+package residency
+
+import (
+	"cmp"
+	"slices"
+)
+
+// AdapterModel is a model with adapters.
+type AdapterModel struct {
+	Name     string
+	Adapters []string
+}
+
+// AdapterTarget is a target with places for adapters.
+type AdapterTarget struct {
+	ID     string
+	Models []string
+	// Held are the adapters that the target holds, by model.
+	Held map[string][]string
+	Free int // places
+}
+
+// AdapterLoad is an adapter to load ahead of demand.
+type AdapterLoad struct{ Target, Model, Adapter string }
+
+// Prefetch fills free places with adapters that no target holds, at most one for each target. A request for one of them
+// then needs no order, which cannot be given while the leader changes.
+func Prefetch(models []AdapterModel, targets []AdapterTarget) []AdapterLoad {
+	type key struct{ model, adapter string }
+	copies := make(map[key]int)
+	for _, t := range targets {
+		for model, adapters := range t.Held {
+			for _, a := range adapters {
+				copies[key{model, a}]++
+			}
+		}
+	}
+	ordered := slices.Clone(targets)
+	slices.SortFunc(ordered, func(a, b AdapterTarget) int { return cmp.Compare(a.ID, b.ID) })
+	var loads []AdapterLoad
+	for _, t := range ordered {
+		if t.Free <= 0 {
+			continue
+		}
+		for i := range models {
+			m := &models[i]
+			if !slices.Contains(t.Models, m.Name) {
+				continue
+			}
+			at := slices.IndexFunc(m.Adapters, func(a string) bool { return copies[key{m.Name, a}] == 0 })
+			if at < 0 {
+				continue
+			}
+			copies[key{m.Name, m.Adapters[at]}]++
+			loads = append(loads, AdapterLoad{Target: t.ID, Model: m.Name, Adapter: m.Adapters[at]})
+			break
+		}
+	}
+	return loads
+}
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -8,6 +8,7 @@
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
 
 const (
@@ -176,7 +177,27 @@
 	if reason == dispatch.AllFull {
 		share = fullShare
 	}
-	return time.Duration(float64(q.deadline.Sub(now)) * share)
+	left := time.Duration(float64(q.deadline.Sub(now)) * share)
+	if q.route.Kind == routes.Stream {
+		left = min(left, streamPatience(q.route)-now.Sub(q.arrived))
+	}
+	return left
+}
+
+const (
+	// Callers leave a stream without a first event after the longest of leastStreamWait, objectiveFactor times the
+	// objective and pauseFactor times the pause that they expect.
+	leastStreamWait = 2 * time.Second
+	objectiveFactor = 4
+	pauseFactor     = 8
+	// streamWaitShare leaves time for the first event.
+	streamWaitShare = 0.75
+)
+
+// streamPatience is how long a request for a stream may wait here before its caller would leave.
+func streamPatience(r *routes.Route) time.Duration {
+	wait := max(leastStreamWait, objectiveFactor*r.Objective, pauseFactor*r.PauseObjective)
+	return time.Duration(float64(wait) * streamWaitShare)
 }
 
 // arrival is a model that a target loads.
--- a/instance/hub/director.go
+++ b/instance/hub/director.go
@@ -67,6 +67,8 @@
 	strikes   map[uint64]map[string]time.Time // by fingerprint, the targets that died
 	fence     uint64
 	planAfter time.Time
+	// prefetchAfter is the time of the next look for adapters to load ahead of demand.
+	prefetchAfter time.Time
 }
 
 func newDirector(opts Options, view *fleetview.View, group *replica.Group, orders Orders, recorder *events.Recorder,
@@ -219,6 +221,7 @@
 	for i := range services {
 		if services[i].Engine != nil {
 			d.plan(now, &services[i])
+			d.prefetch(ctx, &services[i])
 		}
 	}
 }
--- /dev/null
+++ b/instance/hub/prefetch.go
@@ -0,0 +1,66 @@
+package hub
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/residency"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
+)
+
+// prefetchInterval is the time between adapters that are loaded ahead of demand on one target. Loads of adapters slow
+// each other down when many are on their way, and demand comes first.
+const prefetchInterval = 300 * time.Millisecond
+
+// prefetch loads adapters that no target holds into free places. The caller holds the lock.
+func (d *Director) prefetch(ctx context.Context, service *routes.Service) {
+	now := time.Now()
+	if now.Before(d.prefetchAfter) {
+		return
+	}
+	d.prefetchAfter = now.Add(prefetchInterval)
+	var models []residency.AdapterModel
+	for i := range service.Engine.Models {
+		if m := &service.Engine.Models[i]; m.Adapters > 0 {
+			models = append(models, residency.AdapterModel{Name: m.Name, Adapters: m.AdapterNames()})
+		}
+	}
+	if len(models) == 0 {
+		return
+	}
+	var targets []residency.AdapterTarget
+	for id, c := range d.targets {
+		if c.target.Service != service.Name {
+			continue
+		}
+		t, ok := c.adapterTarget(service.Engine)
+		if !ok {
+			continue
+		}
+		t.ID = id
+		targets = append(targets, t)
+	}
+	for _, load := range residency.Prefetch(models, targets) {
+		c := d.targets[load.Target]
+		go c.ensureAdapter(ctx, d, load.Model, load.Adapter, service.Engine, service.Engine.Model(load.Model))
+	}
+}
+
+// adapterTarget describes the adapters of a target. ok is false while nothing may be ordered there.
+func (c *commanded) adapterTarget(engine *routes.Engine) (t residency.AdapterTarget, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t.Held = make(map[string][]string)
+	for key := range c.adapters {
+		t.Held[key.model] = append(t.Held[key.model], key.adapter)
+	}
+	for model := range c.models {
+		t.Models = append(t.Models, model)
+	}
+	slices.Sort(t.Models)
+	if c.known && c.move == nil && !c.asking {
+		t.Free = engine.AdapterSlots - len(c.adapters)
+	}
+	return t, c.reported
+}
--- a/state/routes/document.go
+++ b/state/routes/document.go
@@ -2,7 +2,10 @@
 // lookup of a request's route, and the state machine that keeps the highest version in force.
 package routes
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Kind says what may be repeated on a route.
 type Kind string
@@ -35,6 +38,8 @@
 	Timeout time.Duration
 	// Objective is the time to the answer, or to the first event of a stream, that callers expect.
 	Objective time.Duration
+	// PauseObjective is the longest pause between the events of a stream that callers expect.
+	PauseObjective time.Duration
 	// Rank orders routes by urgency; 0 is the most urgent.
 	Rank int
 	// Split holds the services of the route with their weights.
@@ -98,6 +103,15 @@
 	return nil
 }
 
+// AdapterNames returns the names of the adapters of the model.
+func (m *Model) AdapterNames() []string {
+	names := make([]string, m.Adapters)
+	for i := range names {
+		names[i] = "a" + strconv.Itoa(i+1)
+	}
+	return names
+}
+
 // Limits bound what callers may send. Zero values state no bound.
 type Limits struct {
 	HeaderBytes int
