Let the leader place prompts

Cause: before nine in ten late pauses, six or more prompts had been sent to one target within a moment: gateways that see the same loads all take the target that had least to do at the last report.

--- a/coordination/dispatch/board.go
+++ b/coordination/dispatch/board.go
@@ -52,6 +52,10 @@
 	latencyWeight = 0.2
 )
 
+// EnginePerSlot bounds the requests at a model engine for each of its slots. It serves its queue by priority, so a short
+// one is better held there than at the gateways.
+const EnginePerSlot = 1.5
+
 // Load is the work on one target.
 type Load struct {
 	Running      int
@@ -76,8 +80,37 @@
 	downAt   time.Time
 	latency  float64 // moving average of the time to the first byte over what was expected, 0 when unknown
 	pace     pace
-	// othersSlowness is the highest that other gateways observed lately.
+	// othersSlowness and othersTrouble are the highest that other gateways observed lately.
 	othersSlowness float64
+	othersTrouble  float64 // ms
+	// promptsTill is when the target is expected to have read the prompts that it was given. A report of what runs
+	// comes too late for prompts that are read within 20 ms.
+	promptsTill time.Time
+	// placed are the times of the latest reservations, which reports do not show yet.
+	placed []time.Time
+}
+
+// reportDelay is the age of the load that reports show: the pause between two, and their way.
+const reportDelay = 150 * time.Millisecond
+
+// unreported counts the reservations that reports do not show yet.
+func (s *targetState) unreported(now time.Time) int {
+	old := 0
+	for old < len(s.placed) && now.Sub(s.placed[old]) > reportDelay {
+		old++
+	}
+	s.placed = s.placed[old:]
+	return len(s.placed)
+}
+
+// backlog is the time until the prompts given to the target are read.
+func (s *targetState) backlog(now time.Time) time.Duration { return max(s.promptsTill.Sub(now), 0) }
+
+// addPrompt adds the time that a prompt takes to the backlog.
+func (s *targetState) addPrompt(now time.Time, tokens float64) {
+	slowness := max(s.pace.slowness(now), s.othersSlowness, 1)
+	took := time.Duration(tokens / defaultPrefillTokensPerMs * slowness * float64(time.Millisecond))
+	s.promptsTill = now.Add(s.backlog(now) + took)
 }
 
 // Board is what a gateway knows of the load and health of targets. It is safe for concurrent use.
@@ -249,8 +282,9 @@
 
 // score is the delay to expect at the target, in ms.
 func (s *targetState) score(now time.Time, t *roster.Entry, q *Query, slots int) float64 {
-	running := s.own.Running + s.others.Running
-	ms := float64(s.own.PromptTokens+s.others.PromptTokens+q.Tokens) / defaultPrefillTokensPerMs
+	running := s.own.Running + s.others.Running + s.unreported(now)
+	unread := float64(s.own.PromptTokens+s.others.PromptTokens) / defaultPrefillTokensPerMs
+	ms := max(unread, float64(s.backlog(now))/float64(time.Millisecond)) + float64(q.Tokens)/defaultPrefillTokensPerMs
 	ms += runningMs * float64(running) / float64(slots)
 	if queued := running - slots + 1; queued > 0 {
 		ms += queuedMs * float64(queued)
@@ -264,17 +298,21 @@
 	if slowness := max(s.pace.slowness(now), s.othersSlowness) - 1 - slownessMargin; slowness > 0 {
 		ms += slownessMs * slowness
 	}
-	ms += failureMs * s.recentFailures(now)
-	overdue := 0
+	ms += max(s.trouble(now), s.othersTrouble)
+	if now.Sub(t.HeardAt) > silentAfter {
+		ms += silentMs
+	}
+	return ms
+}
+
+// trouble is the delay, in ms, that stands for failures and for requests without a first byte.
+func (s *targetState) trouble(now time.Time) float64 {
+	ms := failureMs * s.recentFailures(now)
 	for ticket := range s.pending {
 		if now.Sub(ticket.sentAt) > overdueAfter {
-			overdue++
+			ms += overdueMs
 		}
 	}
-	ms += overdueMs * float64(overdue)
-	if now.Sub(t.HeardAt) > silentAfter {
-		ms += silentMs
-	}
 	return ms
 }
 
@@ -387,6 +425,8 @@
 	Load
 	// Slowness is the pause between events against the usual one, 0 when nothing was observed lately.
 	Slowness float64
+	// TroubleMs stands for failures and requests without a first byte.
+	TroubleMs float64
 }
 
 // Own returns what this gateway has sent to targets and observes of them.
@@ -395,8 +435,8 @@
 	defer b.mu.Unlock()
 	observed := make(map[string]Observed)
 	for id, s := range b.targets {
-		o := Observed{Load: s.own, Slowness: s.pace.slowness(now)}
-		if o.Running > 0 || o.Slowness > 1+slownessMargin {
+		o := Observed{Load: s.own, Slowness: s.pace.slowness(now), TroubleMs: s.trouble(now)}
+		if o.Running > 0 || o.Slowness > 1+slownessMargin || o.TroubleMs > 0 {
 			observed[id] = o
 		}
 	}
@@ -428,12 +468,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, s := range b.targets {
-		o := others[id]
-		s.others, s.othersSlowness = o.Load, o.Slowness
+		s.takeOthers(others[id])
 	}
 	for id, o := range others {
-		s := b.state(id)
-		s.others, s.othersSlowness = o.Load, o.Slowness
+		b.state(id).takeOthers(o)
 	}
 	clear(b.retiring)
 	for id, models := range retiring {
@@ -443,6 +481,35 @@
 	}
 }
 
+func (s *targetState) takeOthers(o Observed) {
+	s.others, s.othersSlowness, s.othersTrouble = o.Load, o.Slowness, o.TroubleMs
+}
+
+// Reserve counts a prompt that is being sent to a target. scale is the number of gateways when each of them picks by
+// itself: they see the same loads, so each has to expect that the others pick as it does.
+func (b *Board) Reserve(now time.Time, id string, tokens int, scale float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(id)
+	s.addPrompt(now, float64(tokens)*scale)
+	for range int(scale) {
+		s.placed = append(s.placed, now)
+	}
+}
+
+// Down returns the targets that accept no connections at the moment.
+func (b *Board) Down(now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ids []string
+	for id, s := range b.targets {
+		if now.Before(s.downTill) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // Forget drops targets that are not wanted and have no requests.
 func (b *Board) Forget(wanted map[string]bool) {
 	b.mu.Lock()
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -7,8 +7,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
-	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
@@ -21,13 +19,8 @@
 	exchangeTimeout = 400 * time.Millisecond
 	// unreachablePeriod is how long a failed connection to a target is reported.
 	unreachablePeriod = 2 * time.Second
-	// adapterTimeout bounds the request for an adapter.
-	adapterTimeout = 700 * time.Millisecond
 )
 
-// percent is the unit of slowness in messages.
-const percent = 100
-
 type modelOf struct{ service, model string }
 
 // demand counts what callers ask for between load reports.
@@ -128,8 +121,7 @@
 		Unreachable: g.board.Unreachable(time.Now(), unreachablePeriod)}
 	report.Models, report.Adapters = g.demand.take()
 	for id, l := range own {
-		report.Targets = append(report.Targets, fleetapi.TargetLoad{ID: id, Running: l.Running, Unstarted: l.Unstarted,
-			PromptTokens: l.PromptTokens, SlownessPercent: int(l.Slowness * percent)})
+		report.Targets = append(report.Targets, fleetapi.LoadOf(id, l))
 	}
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
@@ -143,53 +135,17 @@
 }
 
 func (g *Gateway) take(now time.Time, summary *fleetapi.LoadSummary) {
-	others := make(map[string]dispatch.Observed, len(summary.Targets))
-	for _, t := range summary.Targets {
-		others[t.ID] = dispatch.Observed{
-			Load:     dispatch.Load{Running: t.Running, Unstarted: t.Unstarted, PromptTokens: t.PromptTokens},
-			Slowness: float64(t.SlownessPercent) / percent,
-		}
-	}
-	retiring := make(map[string][]string, len(summary.Retiring))
-	for _, r := range summary.Retiring {
-		retiring[r.ID] = append(retiring[r.ID], r.Model)
-	}
-	g.board.SetOthers(others, retiring)
+	g.board.SetOthers(summary.Observed(), summary.RetiringModels())
 	arriving := make([]arrival, 0, len(summary.Arriving))
 	for _, a := range summary.Arriving {
 		arriving = append(arriving, arrival{a.Service, a.Model, now.Add(time.Duration(a.LeftMs) * time.Millisecond)})
 	}
 	g.arriving.Store(&arriving)
 	g.budget.SetGateways(summary.Gateways)
+	g.gateways.Store(int64(max(summary.Gateways, 1)))
 	g.suspected.setQuarantined(summary.Quarantined)
 }
 
-// loadAdapter asks the leader for a target that holds the adapter, which it loads where there is none.
-func (g *Gateway) loadAdapter(q *request, exclude []string, otherwise dispatch.Reason) (*roster.Entry, dispatch.Reason) {
-	leader, _ := g.view.Control()
-	if leader == "" {
-		return nil, otherwise
-	}
-	ctx, cancel := context.WithTimeout(q.ctx, min(adapterTimeout, time.Until(q.deadline)))
-	defer cancel()
-	var answer fleetapi.AdapterAnswer
-	ask := fleetapi.AdapterRequest{Service: q.service.Name, Model: q.prompt.Model, Adapter: q.prompt.Adapter, Exclude: exclude}
-	if err := g.peers.Call(ctx, leader, peerapi.MethodFleetAdapter, ask, &answer); err != nil || answer.ID == "" {
-		return nil, otherwise
-	}
-	if answer.ReadyMs > 0 && !sleep(q, time.Duration(answer.ReadyMs)*time.Millisecond) {
-		return nil, otherwise
-	}
-	g.board.Ordered(time.Now(), answer.ID, q.prompt.Model, q.prompt.Adapter)
-	targets := g.view.Targets()
-	for i := range targets {
-		if t := &targets[i]; t.ID == answer.ID && t.State == roster.Ready && !excluded(exclude, t.ID) {
-			return t, dispatch.Found
-		}
-	}
-	return nil, otherwise
-}
-
 // fingerprint identifies a request that its caller sends again: other attempts have other ids and headers.
 func fingerprint(q *request) uint64 {
 	d := xxhash.New()
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
@@ -134,34 +133,7 @@
 	}
 }
 
-// pick asks the board, and the leader when an adapter has to be loaded.
-func (g *Gateway) pick(now time.Time, q *request, exclude []string) (*roster.Entry, dispatch.Reason) {
-	targets := g.view.Targets()
-	query := dispatch.Query{
-		Service: q.service.Name, Model: q.prompt.Model, Adapter: q.prompt.Adapter, Tokens: q.prompt.Tokens,
-		DataCentre: g.opts.DataCentre, Exclude: exclude, MaxPerSlot: plainPerSlot,
-	}
-	if q.service.Engine != nil {
-		query.Slots, query.MaxPerSlot = q.service.Engine.Slots, enginePerSlot
-	}
-	g.rngMu.Lock()
-	target, reason := g.board.Pick(now, g.rng, query, targets)
-	g.rngMu.Unlock()
-	if target != nil || query.Adapter == "" || reason == dispatch.NotLoaded || reason == dispatch.NoTarget {
-		if target != nil && query.Adapter != "" {
-			g.demand.usedAdapter(target.ID, query.Model, query.Adapter)
-		}
-		return target, reason
-	}
-	return g.loadAdapter(q, exclude, reason)
-}
-
 const (
-	// plainPerSlot bounds the requests at a plain target for each of its slots; it queues a few itself.
-	plainPerSlot = 3.0
-	// enginePerSlot bounds the requests at a model engine for each of its slots. It serves its queue by priority, so a
-	// short one is better held there than here.
-	enginePerSlot = 1.5
 	// waitPoll is the time between looks for a target.
 	waitPoll = 10 * time.Millisecond
 	// patienceShare is the part of the time left that a request may wait here for a target. A late answer is worth
@@ -279,6 +251,3 @@
 		"request": q.id, "route": q.route.Name, "target": q.lastTarget, "after_ms": time.Since(q.arrived).Milliseconds(),
 	})
 }
-
-// excluded tells whether a target failed this request.
-func excluded(list []string, id string) bool { return slices.Contains(list, id) }
--- a/instance/hub/director.go
+++ b/instance/hub/director.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
 
+	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
 	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
 	"github.com/tarragonhoist/tarragonhoist/coordination/residency"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
@@ -56,6 +58,11 @@
 
 	ordersSent, ordersRefused, storeLoads metrics.Counter
 
+	// board picks targets for the gateways. It has a lock of its own.
+	board *dispatch.Board
+	rngMu sync.Mutex
+	rng   *rand.Rand
+
 	mu       sync.Mutex
 	gateways map[string]*gatewayLoad
 	// lately holds requests that were refused or arrived, by model, until they are added to the demand.
@@ -81,6 +88,7 @@
 		demand: make(map[modelOf]*residency.Smoothed), smoothed: make(map[modelOf]float64),
 		targets: make(map[string]*commanded), rates: make(map[string]*residency.Rate),
 		strikes: make(map[uint64]map[string]time.Time),
+		board:   dispatch.NewBoard(), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -154,6 +162,7 @@
 			sum.Unstarted += l.Unstarted
 			sum.PromptTokens += l.PromptTokens
 			sum.SlownessPercent = max(sum.SlownessPercent, l.SlownessPercent)
+			sum.TroubleMs = max(sum.TroubleMs, l.TroubleMs)
 		}
 	}
 	for _, sum := range sums {
@@ -191,6 +200,7 @@
 	defer d.mu.Unlock()
 	d.expire(now)
 	d.smooth(now)
+	d.refreshBoard(now)
 	if !allowed {
 		if fence != d.fence {
 			d.targets = make(map[string]*commanded) // another leader may give orders meanwhile
@@ -362,42 +372,12 @@
 
 func round(v float64) float64 { return float64(int(v*10+0.5)) / 10 }
 
-// Adapter finds or makes a target that holds an adapter.
-func (d *Director) Adapter(ctx context.Context, r *fleetapi.AdapterRequest) (fleetapi.AdapterAnswer, error) {
-	now := time.Now()
-	if _, ok := d.lease.Fence(); !ok {
-		return fleetapi.AdapterAnswer{Problem: "no orders may be given now"}, nil
-	}
-	table := d.view.Table()
-	if table == nil {
-		return fleetapi.AdapterAnswer{Problem: "no configuration is known"}, nil
-	}
-	service := table.Service(r.Service)
-	if service == nil || service.Engine == nil {
-		return fleetapi.AdapterAnswer{Problem: "the service has no engines"}, nil
-	}
-	model := service.Engine.Model(r.Model)
-	if model == nil {
-		return fleetapi.AdapterAnswer{Problem: "the model does not exist"}, nil
-	}
-	d.mu.Lock()
-	candidates := d.adapterCandidates(now, r, service.Engine)
-	d.mu.Unlock()
-	for _, c := range candidates {
-		wait, ok := c.ensureAdapter(ctx, d, r.Model, r.Adapter, service.Engine, model)
-		if ok {
-			return fleetapi.AdapterAnswer{ID: c.target.ID, ReadyMs: wait.Milliseconds()}, nil
-		}
-	}
-	return fleetapi.AdapterAnswer{Problem: "no target can take the adapter"}, nil
-}
-
 // maxAdapterCandidates bounds the targets that are tried for one request.
 const maxAdapterCandidates = 3
 
 // adapterCandidates orders the targets that hold the model: those with the adapter, then those with a free place, then
 // those where a place can be made, each by load. The caller holds the lock.
-func (d *Director) adapterCandidates(now time.Time, r *fleetapi.AdapterRequest, engine *routes.Engine) []*commanded {
+func (d *Director) adapterCandidates(now time.Time, r *fleetapi.Place, engine *routes.Engine) []*commanded {
 	running := d.runningOn(now)
 	type ranked struct {
 		c    *commanded
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -2,7 +2,10 @@
 // targets and operators.
 package fleetapi
 
-import "github.com/tarragonhoist/tarragonhoist/coordination/roster"
+import (
+	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+)
 
 // Watch asks a control instance for what is new. It is answered when there is news or after a pause.
 type Watch struct {
@@ -33,6 +36,8 @@
 	PromptTokens int `json:"p,omitempty"`
 	// SlownessPercent is the pause between events against the usual one; of several gateways, the longest.
 	SlownessPercent int `json:"s,omitempty"`
+	// TroubleMs is the delay that stands for failures seen there; of several gateways, the longest.
+	TroubleMs int `json:"f,omitempty"`
 }
 
 // ModelLoad is the demand for one model.
@@ -99,17 +104,50 @@
 	Quarantined []uint64 `json:"q,omitempty"`
 }
 
-// AdapterRequest asks the leader for a target that holds an adapter.
-type AdapterRequest struct {
-	Service string   `json:"s"`
-	Model   string   `json:"m"`
-	Adapter string   `json:"a"`
-	Exclude []string `json:"x,omitempty"` // targets that failed this request
+// percent is the unit of slowness.
+const percent = 100
+
+// LoadOf describes what a gateway observes of a target.
+func LoadOf(id string, o dispatch.Observed) TargetLoad {
+	return TargetLoad{ID: id, Running: o.Running, Unstarted: o.Unstarted, PromptTokens: o.PromptTokens,
+		SlownessPercent: int(o.Slowness * percent), TroubleMs: int(o.TroubleMs)}
+}
+
+// Observed returns the loads by target.
+func (s *LoadSummary) Observed() map[string]dispatch.Observed {
+	observed := make(map[string]dispatch.Observed, len(s.Targets))
+	for _, t := range s.Targets {
+		observed[t.ID] = dispatch.Observed{
+			Load:     dispatch.Load{Running: t.Running, Unstarted: t.Unstarted, PromptTokens: t.PromptTokens},
+			Slowness: float64(t.SlownessPercent) / percent, TroubleMs: float64(t.TroubleMs),
+		}
+	}
+	return observed
+}
+
+// RetiringModels returns the models that targets are about to unload, by target.
+func (s *LoadSummary) RetiringModels() map[string][]string {
+	retiring := make(map[string][]string, len(s.Retiring))
+	for _, r := range s.Retiring {
+		retiring[r.ID] = append(retiring[r.ID], r.Model)
+	}
+	return retiring
+}
+
+// Place asks the leader for the target of a request to a model. The leader knows of every prompt that it has placed,
+// while gateways that choose by themselves all take the target that had least to do at the last report.
+type Place struct {
+	Service    string   `json:"s"`
+	Model      string   `json:"m"`
+	Adapter    string   `json:"a,omitempty"`
+	Tokens     int      `json:"t"` // of the prompt
+	DataCentre string   `json:"d"`
+	Exclude    []string `json:"x,omitempty"` // targets that failed this request or cannot be reached
 }
 
-// AdapterAnswer names the target. The adapter is there after ReadyMs.
-type AdapterAnswer struct {
+// Placed names the target. An adapter that was ordered is there after ReadyMs.
+type Placed struct {
 	ID      string `json:"i,omitempty"`
 	ReadyMs int64  `json:"r,omitempty"`
-	Problem string `json:"p,omitempty"`
+	Reason  string `json:"p,omitempty"` // why there is none
 }
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -24,7 +24,7 @@
 	MethodUsage           = "admission.usage"
 	MethodFleetWatch      = "fleet.watch"
 	MethodFleetLoad       = "fleet.load"
-	MethodFleetAdapter    = "fleet.adapter"
+	MethodFleetPlace      = "fleet.place"
 )
 
 // Methods of the link itself.
@@ -50,7 +50,7 @@
 func ClassOf(method string) Class {
 	switch method {
 	case MethodRaftMessage, MethodRaftPropose, MethodControlVote, MethodControlRecord, MethodStrike,
-		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodFleetWatch, MethodFleetLoad, MethodFleetAdapter,
+		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodFleetWatch, MethodFleetLoad, MethodFleetPlace,
 		MethodHello, MethodPing, MethodClosing:
 		return Urgent
 	default:
