--- a/coordination/dispatch/board.go
+++ b/coordination/dispatch/board.go
@@ -83,6 +83,9 @@
 	// othersSlowness and othersTrouble are the highest that other gateways observed lately.
 	othersSlowness float64
 	othersTrouble  float64 // ms
+	// toldSlowness is what a gateway saw a moment ago.
+	toldSlowness float64
+	toldAt       time.Time
 	// promptsTill is when the target is expected to have read the prompts that it was given. A report of what runs
 	// comes too late for prompts that are read within 20 ms.
 	promptsTill time.Time
@@ -106,10 +109,18 @@
 // backlog is the time until the prompts given to the target are read.
 func (s *targetState) backlog(now time.Time) time.Duration { return max(s.promptsTill.Sub(now), 0) }
 
+// slowness is the highest that anybody observed lately.
+func (s *targetState) slowness(now time.Time) float64 {
+	slowness := max(s.pace.slowness(now), s.othersSlowness)
+	if now.Sub(s.toldAt) <= reportDelay {
+		slowness = max(slowness, s.toldSlowness)
+	}
+	return slowness
+}
+
 // addPrompt adds the time that a prompt takes to the backlog.
 func (s *targetState) addPrompt(now time.Time, tokens float64) {
-	slowness := max(s.pace.slowness(now), s.othersSlowness, 1)
-	took := time.Duration(tokens / defaultPrefillTokensPerMs * slowness * float64(time.Millisecond))
+	took := time.Duration(tokens / defaultPrefillTokensPerMs * max(s.slowness(now), 1) * float64(time.Millisecond))
 	s.promptsTill = now.Add(s.backlog(now) + took)
 }
 
@@ -295,7 +306,7 @@
 	if s.latency > 1 {
 		ms += latencyMs * (s.latency - 1)
 	}
-	if slowness := max(s.pace.slowness(now), s.othersSlowness) - 1 - slownessMargin; slowness > 0 {
+	if slowness := s.slowness(now) - 1 - slownessMargin; slowness > 0 {
 		ms += slownessMs * slowness
 	}
 	ms += max(s.trouble(now), s.othersTrouble)
@@ -497,6 +508,29 @@
 	}
 }
 
+// Slow returns the targets that this gateway sees to be slow right now.
+func (b *Board) Slow(now time.Time) map[string]float64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	slow := make(map[string]float64)
+	for id, s := range b.targets {
+		if v := s.pace.slowness(now); v > 1+slownessMargin {
+			slow[id] = v
+		}
+	}
+	return slow
+}
+
+// TellSlow takes what a gateway sees right now.
+func (b *Board) TellSlow(now time.Time, slow map[string]float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for id, v := range slow {
+		s := b.state(id)
+		s.toldSlowness, s.toldAt = v, now
+	}
+}
+
 // Down returns the targets that accept no connections at the moment.
 func (b *Board) Down(now time.Time) []string {
 	b.mu.Lock()
--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -71,6 +71,9 @@
 	var moves []Move
 	for p.moving < limit {
 		move, ok := p.next()
+		if !ok {
+			move, ok = p.spread()
+		}
 		if !ok {
 			break
 		}
@@ -211,6 +214,87 @@
 	return name, loss, name != ""
 }
 
+// spreadPressure bounds the demand per copy, in slots, of a model that gives up a copy to spread the last copies.
+const spreadPressure = 0.3
+
+// spread copies a model from a target that holds only last copies to one that holds several spare ones. The first target
+// can then take a busy model in its place. Without this, a few targets with spare copies carry all the demand, and
+// those that hold the rarely used models stand idle.
+func (p *planner) spread() (Move, bool) {
+	var best Move
+	bestCost := math.Inf(1)
+	for i := range p.targets {
+		from := &p.targets[i]
+		if from.Moving || p.spare(from) > 0 || len(from.Models) == 0 {
+			continue
+		}
+		for j := range p.targets {
+			to := &p.targets[j]
+			if to.Moving || p.spare(to) < 2 {
+				continue
+			}
+			if move, cost, ok := p.spreadTo(from, to); ok && cost < bestCost {
+				best, bestCost = move, cost
+			}
+		}
+	}
+	return best, !math.IsInf(bestCost, 1)
+}
+
+// spare counts the models of a target that other targets hold as well.
+func (p *planner) spare(t *Target) int {
+	n := 0
+	for _, m := range t.Models {
+		if p.copies[m] > 1 {
+			n++
+		}
+	}
+	return n
+}
+
+// spreadTo returns the cheapest move that copies a model of one target to another.
+func (p *planner) spreadTo(from, to *Target) (best Move, cost float64, ok bool) {
+	cost = math.Inf(1)
+	for _, name := range from.Models {
+		m := p.byName[name]
+		if m == nil || to.holds(name) {
+			continue
+		}
+		fromStore := !slices.Contains(to.InMemory, name) && !slices.Contains(to.OnDisk, name)
+		if fromStore && p.storeLoads <= 0 {
+			continue
+		}
+		victim, loss, found := p.spareVictim(to, m)
+		if !found {
+			continue
+		}
+		c := loss + m.Demand/p.slots
+		if fromStore {
+			c += storeCost
+		}
+		if c < cost {
+			best, cost, ok = Move{Target: to.ID, Load: name, Unload: victim, FromStore: fromStore}, c, true
+		}
+	}
+	return best, cost, ok
+}
+
+// spareVictim returns the spare copy on a target that is missed least.
+func (p *planner) spareVictim(t *Target, m *Model) (name string, loss float64, ok bool) {
+	loss = math.Inf(1)
+	for _, held := range t.Models {
+		other := p.byName[held]
+		if other == nil || p.copies[held] < 2 || t.UsedMB-other.WeightsMB+m.WeightsMB > t.CapacityMB {
+			continue
+		}
+		after := other.Demand / float64(p.copies[held]-1) / p.slots
+		if after <= spreadPressure && after < loss {
+			name, loss, ok = held, after, true
+		}
+	}
+	return name, loss, ok
+}
+
 // apply changes the state as if the move were done.
 func (p *planner) apply(move Move) {
 	p.moving++
--- a/coordination/residency/plan_test.go
+++ b/coordination/residency/plan_test.go
@@ -51,6 +51,39 @@
 	}
 }
 
+// Replays a start at which some targets hold only rarely used models: guards against targets that stand idle because
+// they hold nothing but last copies, while others carry all the demand.
+func TestLastCopiesAreSpread(t *testing.T) {
+	targets := []Target{engine("a", "hot", "busy", "warm"), engine("b", "hot", "busy", "warm"), engine("c", "x", "y", "z")}
+	names := []string{"busy", "hot", "warm", "x", "y", "z"}
+	step := func(demand map[string]float64) []Move {
+		moves := Plan(Input{Targets: targets, Models: models(demand, names...), StoreLoads: 3})
+		for _, m := range moves {
+			for i := range targets {
+				if targets[i].ID != m.Target {
+					continue
+				}
+				for j, held := range targets[i].Models {
+					if held == m.Unload {
+						targets[i].Models[j] = m.Load
+					}
+				}
+			}
+		}
+		return moves
+	}
+	first := step(map[string]float64{"hot": 1, "busy": 2, "warm": 3})
+	if len(first) != 1 || first[0].Target == "c" || first[0].Unload != "hot" || first[0].Load != "x" {
+		t.Fatalf("planned %+v, want a copy of x in place of the model that is missed least", first)
+	}
+	for range 3 {
+		step(map[string]float64{"hot": 30, "busy": 30})
+	}
+	if !targets[2].holds("hot") && !targets[2].holds("busy") {
+		t.Fatalf("the idle target still holds %v only", targets[2].Models)
+	}
+}
+
 // Guards against a model that stays unreachable after its only target died, and against an idle one that delays a
 // model for which callers wait.
 func TestMissingModelsReturnByDemand(t *testing.T) {
--- a/instance/gateway/place.go
+++ b/instance/gateway/place.go
@@ -65,7 +65,7 @@
 	ctx, cancel := context.WithTimeout(q.ctx, min(timeout, q.deadline.Sub(now)))
 	defer cancel()
 	ask := fleetapi.Place{Service: q.service.Name, Model: q.prompt.Model, Adapter: q.prompt.Adapter, Tokens: q.prompt.Tokens,
-		DataCentre: g.opts.DataCentre, Exclude: slices.Concat(exclude, g.board.Down(now))}
+		DataCentre: g.opts.DataCentre, Exclude: slices.Concat(exclude, g.board.Down(now)), Slow: fleetapi.SlownessOf(g.board.Slow(now))}
 	var placed fleetapi.Placed
 	if err := g.peers.Call(ctx, leader, peerapi.MethodFleetPlace, ask, &placed); err != nil {
 		if q.ctx.Err() == nil {
--- a/instance/hub/place.go
+++ b/instance/hub/place.go
@@ -31,6 +31,7 @@
 		Service: r.Service, Model: r.Model, Adapter: r.Adapter, Tokens: r.Tokens, DataCentre: r.DataCentre,
 		Exclude: r.Exclude, Slots: service.Engine.Slots, MaxPerSlot: dispatch.EnginePerSlot,
 	}
+	d.board.TellSlow(now, r.Slowness())
 	d.rngMu.Lock()
 	target, reason := d.board.Pick(now, d.rng, query, d.view.Targets())
 	d.rngMu.Unlock()
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -143,6 +143,32 @@
 	Tokens     int      `json:"t"` // of the prompt
 	DataCentre string   `json:"d"`
 	Exclude    []string `json:"x,omitempty"` // targets that failed this request or cannot be reached
+	// Slow are targets that the gateway sees to be slow right now. Reports tell it too late to keep prompts away.
+	Slow []TargetSlowness `json:"w,omitempty"`
+}
+
+// TargetSlowness is the pause between events of a target against the usual one.
+type TargetSlowness struct {
+	ID      string `json:"i"`
+	Percent int    `json:"p"`
+}
+
+// SlownessOf describes slow targets.
+func SlownessOf(slow map[string]float64) []TargetSlowness {
+	list := make([]TargetSlowness, 0, len(slow))
+	for id, s := range slow {
+		list = append(list, TargetSlowness{ID: id, Percent: int(s * percent)})
+	}
+	return list
+}
+
+// Slowness returns the pauses by target.
+func (p *Place) Slowness() map[string]float64 {
+	slow := make(map[string]float64, len(p.Slow))
+	for _, s := range p.Slow {
+		slow[s.ID] = float64(s.Percent) / percent
+	}
+	return slow
 }
 
 // Placed names the target. An adapter that was ordered is there after ReadyMs.
