--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -71,6 +71,9 @@
 	var moves []Move
 	for p.moving < limit {
 		move, ok := p.next()
+		if !ok {
+			move, ok = p.fill()
+		}
 		if !ok {
 			move, ok = p.spread()
 		}
@@ -158,7 +161,7 @@
 		if t.Moving || t.holds(m.Name) {
 			continue
 		}
-		fromStore := !slices.Contains(t.InMemory, m.Name) && !slices.Contains(t.OnDisk, m.Name)
+		fromStore := p.fromStore(t, m.Name)
 		if fromStore && p.storeLoads <= 0 {
 			continue
 		}
@@ -185,6 +188,8 @@
 	diskCost  = 0.3
 	// runningCost prefers targets with little work, which the copy is meant to use.
 	runningCost = 6.0
+	// runsCost is that of the runs of a model which have to end before it is unloaded.
+	runsCost = 4.0
 )
 
 // victim returns the model that makes room for another one, empty if there is room, and the demand that it has per copy.
@@ -207,13 +212,46 @@
 		if p.copies[m.Name] > 0 && after > donorShare*p.pressure(m) {
 			continue
 		}
-		if after/p.slots < loss {
-			name, loss = held, after/p.slots
+		// The runs of the victim have to end before its place is free.
+		l := after/p.slots + runsCost*demand/float64(p.copies[held])/p.slots
+		if l < loss {
+			name, loss = held, l
 		}
 	}
 	return name, loss, name != ""
 }
 
+// fill uses room that is left with another copy of the model that is wanted most. Before any demand is known, that is
+// the model with the most copies.
+func (p *planner) fill() (Move, bool) {
+	for i := range p.targets {
+		t := &p.targets[i]
+		if t.Moving {
+			continue
+		}
+		var best *Model
+		for j := range p.models {
+			m := &p.models[j]
+			if t.holds(m.Name) || t.UsedMB+m.WeightsMB > t.CapacityMB || p.fromStore(t, m.Name) && p.storeLoads <= 0 {
+				continue
+			}
+			if best == nil || p.pressure(m) > p.pressure(best) ||
+				p.pressure(m) == p.pressure(best) && p.copies[m.Name] > p.copies[best.Name] {
+				best = m
+			}
+		}
+		if best != nil {
+			return Move{Target: t.ID, Load: best.Name, FromStore: p.fromStore(t, best.Name)}, true
+		}
+	}
+	return Move{}, false
+}
+
+// fromStore tells whether a model would be loaded from the weight store.
+func (p *planner) fromStore(t *Target, model string) bool {
+	return !slices.Contains(t.InMemory, model) && !slices.Contains(t.OnDisk, model)
+}
+
 // spreadPressure bounds the demand per copy, in slots, of a model that gives up a copy to spread the last copies.
 const spreadPressure = 0.3
 
@@ -260,7 +298,7 @@
 		if m == nil || to.holds(name) {
 			continue
 		}
-		fromStore := !slices.Contains(to.InMemory, name) && !slices.Contains(to.OnDisk, name)
+		fromStore := p.fromStore(to, name)
 		if fromStore && p.storeLoads <= 0 {
 			continue
 		}
--- a/coordination/residency/plan_test.go
+++ b/coordination/residency/plan_test.go
@@ -103,6 +103,19 @@
 	}
 }
 
+// Replays the time before the first request: guards against room that stays empty until the demand is there.
+func TestRoomIsFilledBeforeTheDemand(t *testing.T) {
+	in := Input{
+		Targets:    []Target{engine("a", "p", "q", "x"), engine("b", "p", "q", "y"), engine("c", "p", "z")},
+		Models:     models(nil, "p", "q", "x", "y", "z"),
+		StoreLoads: 1,
+	}
+	want := []Move{{Target: "c", Load: "q", FromStore: true}}
+	if diff := cmp.Diff(want, Plan(in)); diff != "" {
+		t.Fatal(diff)
+	}
+}
+
 // Guards against a plan that overcommits a target, gives up a last copy, moves a busy target or exceeds the rate of the
 // weight store, whatever the demand.
 func TestPlansKeepTheLimits(t *testing.T) {
--- a/instance/hub/director.go
+++ b/instance/hub/director.go
@@ -25,7 +25,7 @@
 	// gatewayTimeout drops the load of a gateway that no longer reports.
 	gatewayTimeout = time.Second
 	// settleTime is the time after the first load report of a leader from which it plans, so that it knows the demand.
-	settleTime = 500 * time.Millisecond
+	settleTime = 250 * time.Millisecond
 	// targetSilence leaves out targets without heartbeats.
 	targetSilence = 5 * time.Second
 	// unreachableSilence is the same for targets to which gateways cannot connect: a heartbeat is overdue.
--- a/instance/hub/lease.go
+++ b/instance/hub/lease.go
@@ -14,11 +14,11 @@
 
 const (
 	// renewInterval is the time between confirmations of the leadership.
-	renewInterval = 150 * time.Millisecond
+	renewInterval = 100 * time.Millisecond
 	// leaseTime is how long a confirmation allows orders.
-	leaseTime = 500 * time.Millisecond
+	leaseTime = 350 * time.Millisecond
 	// takeoverMargin covers an order that is on its way when the lease of the predecessor ends, and slow timers.
-	takeoverMargin = 400 * time.Millisecond
+	takeoverMargin = 250 * time.Millisecond
 )
 
 // bootTime is a clock that goes on while the machine is suspended, unlike the monotonic clock of the runtime. A lease
