--- a/coordination/dispatch/board.go
+++ b/coordination/dispatch/board.go
@@ -83,9 +83,6 @@
 	// othersSlowness and othersTrouble are the highest that other gateways observed lately.
 	othersSlowness float64
 	othersTrouble  float64 // ms
-	// toldSlowness is what a gateway saw a moment ago.
-	toldSlowness float64
-	toldAt       time.Time
 	// promptsTill is when the target is expected to have read the prompts that it was given. A report of what runs
 	// comes too late for prompts that are read within 20 ms.
 	promptsTill time.Time
@@ -111,11 +108,7 @@
 
 // slowness is the highest that anybody observed lately.
 func (s *targetState) slowness(now time.Time) float64 {
-	slowness := max(s.pace.slowness(now), s.othersSlowness)
-	if now.Sub(s.toldAt) <= reportDelay {
-		slowness = max(slowness, s.toldSlowness)
-	}
-	return slowness
+	return max(s.pace.slowness(now), s.othersSlowness)
 }
 
 // addPrompt adds the time that a prompt takes to the backlog.
@@ -508,29 +501,6 @@
 	}
 }
 
-// Slow returns the targets that this gateway sees to be slow right now.
-func (b *Board) Slow(now time.Time) map[string]float64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	slow := make(map[string]float64)
-	for id, s := range b.targets {
-		if v := s.pace.slowness(now); v > 1+slownessMargin {
-			slow[id] = v
-		}
-	}
-	return slow
-}
-
-// TellSlow takes what a gateway sees right now.
-func (b *Board) TellSlow(now time.Time, slow map[string]float64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for id, v := range slow {
-		s := b.state(id)
-		s.toldSlowness, s.toldAt = v, now
-	}
-}
-
 // Down returns the targets that accept no connections at the moment.
 func (b *Board) Down(now time.Time) []string {
 	b.mu.Lock()
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -70,15 +70,13 @@
 	rngMu sync.Mutex
 	rng   *rand.Rand
 
-	ready    atomic.Bool
-	stopping atomic.Bool
-	refusing atomic.Bool
-	active   atomic.Int64
-	gateways atomic.Int64 // that share the targets
-	// leaderAfter is the Unix time in ns before which the leader is not asked for targets.
-	leaderAfter atomic.Int64
-	arriving    atomic.Pointer[[]arrival]
-	suspected   *suspects
+	ready     atomic.Bool
+	stopping  atomic.Bool
+	refusing  atomic.Bool
+	active    atomic.Int64
+	gateways  atomic.Int64 // that share the targets
+	arriving  atomic.Pointer[[]arrival]
+	suspected *suspects
 }
 
 // New assembles a gateway.
--- /dev/null
+++ b/instance/hub/adapters.go
@@ -0,0 +1,88 @@
+package hub
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
+)
+
+// Adapter finds or makes a target that holds an adapter.
+func (d *Director) Adapter(ctx context.Context, r *fleetapi.AdapterRequest) fleetapi.AdapterAnswer {
+	if _, ok := d.lease.Fence(); !ok {
+		return fleetapi.AdapterAnswer{Problem: "no orders may be given now"}
+	}
+	table := d.view.Table()
+	if table == nil {
+		return fleetapi.AdapterAnswer{Problem: "no configuration is known"}
+	}
+	service := table.Service(r.Service)
+	if service == nil || service.Engine == nil {
+		return fleetapi.AdapterAnswer{Problem: "the service has no engines"}
+	}
+	model := service.Engine.Model(r.Model)
+	if model == nil {
+		return fleetapi.AdapterAnswer{Problem: "the model does not exist"}
+	}
+	d.mu.Lock()
+	candidates := d.adapterCandidates(time.Now(), r, service.Engine)
+	d.mu.Unlock()
+	for _, c := range candidates {
+		if wait, ok := c.ensureAdapter(ctx, d, r.Model, r.Adapter, service.Engine, model); ok {
+			return fleetapi.AdapterAnswer{ID: c.target.ID, ReadyMs: wait.Milliseconds()}
+		}
+	}
+	return fleetapi.AdapterAnswer{Problem: "no target can take the adapter"}
+}
+
+// maxAdapterCandidates bounds the targets that are tried for one request.
+const maxAdapterCandidates = 3
+
+// adapterCandidates orders the targets that hold the model: those with the adapter, then those with a free place, then
+// those where a place can be made, each by load. The caller holds the lock.
+func (d *Director) adapterCandidates(now time.Time, r *fleetapi.AdapterRequest, engine *routes.Engine) []*commanded {
+	running := d.runningOn(now)
+	type ranked struct {
+		c    *commanded
+		cost float64
+	}
+	var list []ranked
+	for id, c := range d.targets {
+		if c.target.Service != r.Service || slices.Contains(r.Exclude, id) || !c.serves(r.Model) {
+			continue
+		}
+		cost := float64(running[id])
+		switch place := c.place(now, r.Model, r.Adapter, engine); place {
+		case placeHeld:
+		case placeFree:
+			cost += freePlaceCost
+		case placeEvict:
+			cost += evictCost
+		default:
+			continue
+		}
+		list = append(list, ranked{c, cost})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		switch {
+		case a.cost < b.cost:
+			return -1
+		case a.cost > b.cost:
+			return 1
+		}
+		return 0
+	})
+	var chosen []*commanded
+	for _, l := range list[:min(len(list), maxAdapterCandidates)] {
+		chosen = append(chosen, l.c)
+	}
+	return chosen
+}
+
+// Costs of a load and of an eviction, against the requests that run on a target.
+const (
+	freePlaceCost = 3
+	evictCost     = 8
+)
--- a/instance/hub/director.go
+++ b/instance/hub/director.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
 
-	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
 	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
 	"github.com/tarragonhoist/tarragonhoist/coordination/residency"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
@@ -58,11 +55,6 @@
 
 	ordersSent, ordersRefused, storeLoads metrics.Counter
 
-	// board picks targets for the gateways. It has a lock of its own.
-	board *dispatch.Board
-	rngMu sync.Mutex
-	rng   *rand.Rand
-
 	mu       sync.Mutex
 	gateways map[string]*gatewayLoad
 	// lately holds requests that were refused or arrived, by model, until they are added to the demand.
@@ -88,7 +80,6 @@
 		demand: make(map[modelOf]*residency.Smoothed), smoothed: make(map[modelOf]float64),
 		targets: make(map[string]*commanded), rates: make(map[string]*residency.Rate),
 		strikes: make(map[uint64]map[string]time.Time),
-		board:   dispatch.NewBoard(), rng: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -200,7 +191,6 @@
 	defer d.mu.Unlock()
 	d.expire(now)
 	d.smooth(now)
-	d.refreshBoard(now)
 	if !allowed {
 		if fence != d.fence {
 			d.targets = make(map[string]*commanded) // another leader may give orders meanwhile
@@ -371,53 +361,3 @@
 }
 
 func round(v float64) float64 { return float64(int(v*10+0.5)) / 10 }
-
-// maxAdapterCandidates bounds the targets that are tried for one request.
-const maxAdapterCandidates = 3
-
-// adapterCandidates orders the targets that hold the model: those with the adapter, then those with a free place, then
-// those where a place can be made, each by load. The caller holds the lock.
-func (d *Director) adapterCandidates(now time.Time, r *fleetapi.Place, engine *routes.Engine) []*commanded {
-	running := d.runningOn(now)
-	type ranked struct {
-		c    *commanded
-		cost float64
-	}
-	var list []ranked
-	for id, c := range d.targets {
-		if c.target.Service != r.Service || slices.Contains(r.Exclude, id) || !c.serves(r.Model) {
-			continue
-		}
-		cost := float64(running[id])
-		switch place := c.place(now, r.Model, r.Adapter, engine); place {
-		case placeHeld:
-		case placeFree:
-			cost += freePlaceCost
-		case placeEvict:
-			cost += evictCost
-		default:
-			continue
-		}
-		list = append(list, ranked{c, cost})
-	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		switch {
-		case a.cost < b.cost:
-			return -1
-		case a.cost > b.cost:
-			return 1
-		}
-		return 0
-	})
-	var chosen []*commanded
-	for _, l := range list[:min(len(list), maxAdapterCandidates)] {
-		chosen = append(chosen, l.c)
-	}
-	return chosen
-}
-
-// Costs of a load and of an eviction, against the requests that run on a target.
-const (
-	freePlaceCost = 3
-	evictCost     = 8
-)
--- a/instance/hub/hub.go
+++ b/instance/hub/hub.go
@@ -233,8 +233,8 @@
 	handle(h, peerapi.MethodFleetLoad, func(_ context.Context, r fleetapi.LoadReport) (any, error) {
 		return h.director.Exchange(time.Now(), &r)
 	})
-	handle(h, peerapi.MethodFleetPlace, func(ctx context.Context, r fleetapi.Place) (any, error) {
-		return h.director.Place(ctx, &r)
+	handle(h, peerapi.MethodFleetAdapter, func(ctx context.Context, r fleetapi.AdapterRequest) (any, error) {
+		return h.director.Adapter(ctx, &r), nil
 	})
 }
 
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -134,46 +134,17 @@
 	return retiring
 }
 
-// Place asks the leader for the target of a request to a model. The leader knows of every prompt that it has placed,
-// while gateways that choose by themselves all take the target that had least to do at the last report.
-type Place struct {
-	Service    string   `json:"s"`
-	Model      string   `json:"m"`
-	Adapter    string   `json:"a,omitempty"`
-	Tokens     int      `json:"t"` // of the prompt
-	DataCentre string   `json:"d"`
-	Exclude    []string `json:"x,omitempty"` // targets that failed this request or cannot be reached
-	// Slow are targets that the gateway sees to be slow right now. Reports tell it too late to keep prompts away.
-	Slow []TargetSlowness `json:"w,omitempty"`
+// AdapterRequest asks the leader for a target that holds an adapter, which it loads where there is none.
+type AdapterRequest struct {
+	Service string   `json:"s"`
+	Model   string   `json:"m"`
+	Adapter string   `json:"a"`
+	Exclude []string `json:"x,omitempty"` // targets that failed this request or cannot be reached
 }
 
-// TargetSlowness is the pause between events of a target against the usual one.
-type TargetSlowness struct {
-	ID      string `json:"i"`
-	Percent int    `json:"p"`
-}
-
-// SlownessOf describes slow targets.
-func SlownessOf(slow map[string]float64) []TargetSlowness {
-	list := make([]TargetSlowness, 0, len(slow))
-	for id, s := range slow {
-		list = append(list, TargetSlowness{ID: id, Percent: int(s * percent)})
-	}
-	return list
-}
-
-// Slowness returns the pauses by target.
-func (p *Place) Slowness() map[string]float64 {
-	slow := make(map[string]float64, len(p.Slow))
-	for _, s := range p.Slow {
-		slow[s.ID] = float64(s.Percent) / percent
-	}
-	return slow
-}
-
-// Placed names the target. An adapter that was ordered is there after ReadyMs.
-type Placed struct {
+// AdapterAnswer names the target. An adapter that was ordered is there after ReadyMs.
+type AdapterAnswer struct {
 	ID      string `json:"i,omitempty"`
 	ReadyMs int64  `json:"r,omitempty"`
-	Reason  string `json:"p,omitempty"` // why there is none
+	Problem string `json:"p,omitempty"` // why there is none
 }
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -24,7 +24,7 @@
 	MethodUsage           = "admission.usage"
 	MethodFleetWatch      = "fleet.watch"
 	MethodFleetLoad       = "fleet.load"
-	MethodFleetPlace      = "fleet.place"
+	MethodFleetAdapter    = "fleet.adapter"
 )
 
 // Methods of the link itself.
@@ -50,7 +50,7 @@
 func ClassOf(method string) Class {
 	switch method {
 	case MethodRaftMessage, MethodRaftPropose, MethodControlVote, MethodControlRecord, MethodStrike,
-		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodFleetWatch, MethodFleetLoad, MethodFleetPlace,
+		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodFleetWatch, MethodFleetLoad, MethodFleetAdapter,
 		MethodHello, MethodPing, MethodClosing:
 		return Urgent
 	default:
