--- a/cmd/hoistctl/main.go
+++ b/cmd/hoistctl/main.go
@@ -18,7 +18,7 @@
 	"github.com/tarragonhoist/tarragonhoist/transport/opsclient"
 )
 
-// Exit codes, documented in docs/operations.md.
+// Exit codes, documented in docs/OPERATIONS.md.
 const (
 	exitOK        = 0
 	exitError     = 1
--- a/cmd/tarragonhoist/main.go
+++ b/cmd/tarragonhoist/main.go
@@ -15,7 +15,7 @@
 	"github.com/tarragonhoist/tarragonhoist/settings"
 )
 
-// Exit codes, documented in docs/operations.md.
+// Exit codes, documented in docs/OPERATIONS.md.
 const (
 	exitOK       = 0
 	exitError    = 1
--- a/coordination/dispatch/board.go
+++ b/coordination/dispatch/board.go
@@ -43,7 +43,7 @@
 	latencyMs = 60.0
 	// slownessMs weighs the pauses of running streams against the usual ones. A new prompt on a target that is slow for
 	// a moment makes its streams late as well.
-	slownessMs = 120.0
+	slownessMs = 300.0
 	// slownessMargin is slowness that is within the usual spread.
 	slownessMargin = 0.25
 	// noiseMs spreads gateways that see the same loads.
--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -45,6 +45,8 @@
 	WeightsMB float64
 	// Demand is the smoothed number of requests that run, wait or were turned away lately.
 	Demand float64
+	// HasAdapters is set for models whose adapters are loaded by orders as well.
+	HasAdapters bool
 }
 
 // Move is a model to load on a target, in place of another one unless Unload is empty.
@@ -158,7 +160,7 @@
 	bestCost := math.Inf(1)
 	for i := range p.targets {
 		t := &p.targets[i]
-		if t.Moving || t.holds(m.Name) {
+		if t.Moving || t.holds(m.Name) || p.blocksAdapters(t) {
 			continue
 		}
 		fromStore := p.fromStore(t, m.Name)
@@ -192,6 +194,25 @@
 	runsCost = 4.0
 )
 
+// adapterDemand is the demand from which a model must keep a target that can load its adapters.
+const adapterDemand = 1.0
+
+// blocksAdapters tells whether a move would leave a wanted model without a target that accepts orders for its adapters:
+// a target carries out one order at a time, and a load takes seconds.
+func (p *planner) blocksAdapters(t *Target) bool {
+	for _, name := range t.Models {
+		m := p.byName[name]
+		if m == nil || !m.HasAdapters || m.Demand < adapterDemand {
+			continue
+		}
+		others := slices.ContainsFunc(p.targets, func(o Target) bool { return o.ID != t.ID && !o.Moving && o.holds(name) })
+		if !others {
+			return true
+		}
+	}
+	return false
+}
+
 // victim returns the model that makes room for another one, empty if there is room, and the demand that it has per copy.
 func (p *planner) victim(t *Target, m *Model) (name string, loss float64, ok bool) {
 	if t.UsedMB+m.WeightsMB <= t.CapacityMB {
@@ -226,7 +247,7 @@
 func (p *planner) fill() (Move, bool) {
 	for i := range p.targets {
 		t := &p.targets[i]
-		if t.Moving {
+		if t.Moving || p.blocksAdapters(t) {
 			continue
 		}
 		var best *Model
@@ -268,7 +289,7 @@
 		}
 		for j := range p.targets {
 			to := &p.targets[j]
-			if to.Moving || p.spare(to) < 2 {
+			if to.Moving || p.spare(to) < 2 || p.blocksAdapters(to) {
 				continue
 			}
 			if move, cost, ok := p.spreadTo(from, to); ok && cost < bestCost {
--- a/coordination/residency/plan_test.go
+++ b/coordination/residency/plan_test.go
@@ -103,6 +103,24 @@
 	}
 }
 
+// Replays requests for adapters while models move: guards against moves on every target that could load the adapters of
+// a wanted model, which are refused until the moves end.
+func TestOneTargetStaysFreeForAdapters(t *testing.T) {
+	in := Input{
+		Targets:    []Target{engine("a", "p", "x", "y"), engine("b", "p", "x", "z"), engine("c", "q", "u", "v")},
+		Models:     models(map[string]float64{"p": 2, "q": 90, "x": 1}, "p", "q", "u", "v", "x", "y", "z"),
+		StoreLoads: 3,
+	}
+	if got := Plan(in); len(got) != 1 {
+		t.Fatalf("planned %+v, want one move", got)
+	}
+	in.Models[0].HasAdapters = true
+	in.Targets[1].Moving = true
+	if got := Plan(in); len(got) != 0 {
+		t.Fatalf("planned %+v on the last target that can load adapters of p", got)
+	}
+}
+
 // Replays the time before the first request: guards against room that stays empty until the demand is there.
 func TestRoomIsFilledBeforeTheDemand(t *testing.T) {
 	in := Input{
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -127,7 +127,11 @@
 			waiting = true
 			g.demand.waiting(q, 1)
 		}
-		if !sleep(q, min(left, waitPoll)) {
+		poll := waitPoll
+		if reason == dispatch.NoAdapter {
+			poll = adapterPoll
+		}
+		if !sleep(q, min(left, poll)) {
 			return nil, reason
 		}
 	}
@@ -136,6 +140,8 @@
 const (
 	// waitPoll is the time between looks for a target.
 	waitPoll = 10 * time.Millisecond
+	// adapterPoll is the same while an adapter is missing, since each look asks the leader.
+	adapterPoll = 50 * time.Millisecond
 	// patienceShare is the part of the time left that a request may wait here for a target. A late answer is worth
 	// more than a refusal, and the rest is enough for the longest answers.
 	patienceShare = 0.45
--- a/instance/hub/director.go
+++ b/instance/hub/director.go
@@ -338,7 +338,7 @@
 	for i := range service.Engine.Models {
 		m := &service.Engine.Models[i]
 		input.Models = append(input.Models, residency.Model{Name: m.Name, WeightsMB: m.WeightsMB,
-			Demand: d.smoothed[modelOf{service.Name, m.Name}]})
+			Demand: d.smoothed[modelOf{service.Name, m.Name}], HasAdapters: m.Adapters > 0})
 	}
 	rate := d.rates[service.Name]
 	if rate == nil {
