--- a/coordination/dispatch/board.go
+++ b/coordination/dispatch/board.go
@@ -156,7 +156,7 @@
 	DataCentre string
 	Exclude    []string // target ids that failed this request
 	Slots      int      // per target, used when the target does not tell
-	// OnlyFree leaves out targets whose slots are taken, with this many more requests for each slot.
+	// MaxPerSlot leaves out targets with this many requests for each of their slots; 0 leaves out none.
 	MaxPerSlot float64
 }
 
--- a/instance/fleet/fleet.go
+++ b/instance/fleet/fleet.go
@@ -60,6 +60,8 @@
 	keptEvents = 2000
 	// repeatShare is the part of the allowance for repeated sends that is used, so that uneven gateways stay below it.
 	repeatShare = 0.6
+	// reloadInterval is the time without a control instance after which the settings are read again.
+	reloadInterval = 5 * time.Second
 	// orderConnectTimeout bounds a connection to a target for an order.
 	orderConnectTimeout = 300 * time.Millisecond
 )
@@ -222,13 +224,21 @@
 	return err
 }
 
+// reloadOn reads the settings again at each signal, and while no control instance answers: the seeds may have changed
+// without a signal.
 func (p *process) reloadOn(ctx context.Context, path string, reloads <-chan os.Signal) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-reloads:
 			p.reload(path)
+		case <-ticker.C:
+			if p.watcher.Heard(time.Now(), reloadInterval) == 0 {
+				p.reload(path)
+			}
 		}
 	}
 }
--- /dev/null
+++ b/instance/fleet/fleet_test.go
@@ -0,0 +1,295 @@
+package fleet_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/instance/fleet"
+	"github.com/tarragonhoist/tarragonhoist/instance/hub"
+	"github.com/tarragonhoist/tarragonhoist/platform"
+	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
+)
+
+// deployment is three control instances and a gateway, each at a loopback address of its own with the same ports.
+type deployment struct {
+	t                    *testing.T
+	peerPort, callerPort int
+	controlPort          int
+	folder               string
+	stops                map[string]func()
+	seeds                []string
+}
+
+func adapter() *fleet.Adapter {
+	return &fleet.Adapter{
+		Headers: platform.Headers(), ReadPrompt: platform.ReadPrompt, ReadyPath: platform.ReadyPath, DecodeConfig: platform.DecodeConfig,
+		Orders: func(c *upstream.Client) hub.Orders { return platform.Orders{Client: c} },
+		API:    func(h *hub.Hub) http.Handler { return platform.NewAPI(h) },
+	}
+}
+
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func newDeployment(t *testing.T) *deployment {
+	d := &deployment{t: t, peerPort: freePort(t), callerPort: freePort(t), controlPort: freePort(t), folder: t.TempDir(), stops: map[string]func(){}}
+	for i := 1; i <= 3; i++ {
+		d.seeds = append(d.seeds, fmt.Sprintf("127.0.1.%d:%d", i, d.controlPort))
+	}
+	t.Cleanup(func() {
+		for name := range d.stops {
+			d.stop(name)
+		}
+	})
+	return d
+}
+
+// start runs a control instance or the gateway at an address.
+func (d *deployment) start(ip string, control, first bool) {
+	d.t.Helper()
+	node := &settings.Node{Name: ip, DataCentre: "a", Address: ip, PeerPort: d.peerPort, Seeds: d.seeds, FirstStart: first,
+		LeaseMs: 200, GraceSeconds: 3, RepeatRatio: 0.2, RepeatSlack: 50, RepeatWindowS: 10, Log: settings.Log{Level: "error"}}
+	run := fleet.RunGateway
+	if control {
+		run = fleet.RunControl
+		node.ListenControl = fmt.Sprintf("%s:%d", ip, d.controlPort)
+		node.DataFolder = filepath.Join(d.folder, ip)
+	} else {
+		node.ListenCallers = fmt.Sprintf("%s:%d", ip, d.callerPort)
+		node.ListenReady = fmt.Sprintf("%s:%d", ip, d.controlPort)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- run(ctx, "", node, adapter(), make(chan os.Signal)) }()
+	d.stops[ip] = func() {
+		cancel()
+		if err := <-done; err != nil {
+			d.t.Errorf("%s: %v", ip, err)
+		}
+	}
+}
+
+func (d *deployment) stop(ip string) {
+	d.stops[ip]()
+	delete(d.stops, ip)
+}
+
+// control sends a call to a control instance.
+func (d *deployment) control(ip, method, path, body string) (int, string) {
+	r, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", ip, d.controlPort, path), strings.NewReader(body))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	return do(r)
+}
+
+func do(r *http.Request) (int, string) {
+	response, err := (&http.Client{Timeout: 5 * time.Second}).Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(body)
+}
+
+func (d *deployment) call(ip, path string) (int, string) {
+	r, err := http.NewRequest(http.MethodPost, fmt.Sprintf("http://%s:%d%s", ip, d.callerPort, path), strings.NewReader("work"))
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	r.Host = "h.example"
+	r.Header.Set("X-Attempt-Id", "id-1")
+	r.Header.Set("X-Time-Budget", "2000")
+	return do(r)
+}
+
+func (d *deployment) await(what string, done func() bool) {
+	d.t.Helper()
+	for deadline := time.Now().Add(15 * time.Second); !done(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			d.t.Fatalf("%s: not in time", what)
+		}
+	}
+}
+
+func configuration(version int, prefix, service string) string {
+	return fmt.Sprintf(`{"version":%d,"routes":[{"name":"r","host":"h.example","path_prefix":"%s","kind":"non_idempotent","timeout_ms":2000,"slo_ms":500,"service":"%s","max_attempts":1}],`+
+		`"services":[{"name":"one","health_path":"/health"},{"name":"two","health_path":"/health"}]}`, version, prefix, service)
+}
+
+// target serves a plain service and returns its heartbeat.
+func (d *deployment) target(service, id string, born int) (beat func(state string, sequence int) string) {
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Response-Seal", "s")
+		_, _ = io.WriteString(w, service)
+	})}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	d.t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	return func(state string, sequence int) string {
+		b, err := json.Marshal(map[string]any{"service": service, "address": listener.Addr().String(), "zone": "a", "slots": 4,
+			"state": state, "sequence": sequence, "born": born})
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		return string(b)
+	}
+}
+
+// Guards against a deployment that does not hold together: configuration in force at the gateway and read back whole,
+// heartbeats at any control instance, a draining target without new requests, the loss of the leader, of everything,
+// and of a disk.
+func TestDeployment(t *testing.T) {
+	d := newDeployment(t)
+	const gateway = "127.0.1.9"
+	controls := []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"}
+	for _, ip := range controls {
+		d.start(ip, true, true)
+	}
+	d.start(gateway, false, true)
+	put := func(ip, source string, want int) {
+		t.Helper()
+		d.await("configuration", func() bool {
+			status, _ := d.control(ip, "POST", "/api/Config.Replace", source)
+			if status/100 == 4 && want/100 != 4 {
+				t.Fatalf("refused: %d", status)
+			}
+			return status == want
+		})
+	}
+	serves := func(what, path, want string) {
+		t.Helper()
+		d.await(what, func() bool { status, body := d.call(gateway, path); return status == 200 && body == want })
+	}
+	one, two := d.target("one", "i-1", 1), d.target("two", "i-2", 2)
+	beat := func(ip, id, body string) {
+		t.Helper()
+		d.await("heartbeat", func() bool {
+			status, _ := d.control(ip, "POST", "/api/Replicas.Heartbeat/"+id, body)
+			return status == 200
+		})
+	}
+	put(controls[0], configuration(3, "/x/", "one"), 200)
+	beat(controls[1], "i-1", one("ready", 1))
+	beat(controls[2], "i-2", two("ready", 1))
+	serves("first configuration", "/x/1", "one")
+	if status, _ := d.call(gateway, "/y/1"); status != 404 {
+		t.Errorf("a path without a route: %d", status)
+	}
+	put(controls[1], configuration(2, "/y/", "two"), 200) // older: acknowledged without effect
+	put(controls[1], configuration(3, "/y/", "two"), 200) // other content under the version held
+	put(controls[1], configuration(4, "/x/", "none"), 400)
+	serves("after changes without effect", "/x/1", "one")
+	put(controls[2], configuration(7, "/x/", "two"), 200)
+	serves("a newer version", "/x/1", "two")
+
+	// All control instances restart; the newest version is read back whole, whichever is asked.
+	for _, ip := range controls {
+		d.stop(ip)
+	}
+	for _, ip := range controls {
+		d.start(ip, true, false)
+	}
+	readsBack := func(ip string, want string) {
+		t.Helper()
+		d.await("read "+ip, func() bool {
+			status, body := d.control(ip, "GET", "/api/Config.Read", "")
+			if status == 200 && body != want {
+				t.Fatalf("%s reads back %q", ip, body)
+			}
+			return status == 200
+		})
+	}
+	for _, ip := range controls {
+		readsBack(ip, configuration(7, "/x/", "two"))
+	}
+
+	// One of them loses its disk and returns as a new member, and another one is replaced at a new address.
+	d.stop(controls[0])
+	if err := os.RemoveAll(filepath.Join(d.folder, controls[0])); err != nil {
+		t.Fatal(err)
+	}
+	d.start(controls[0], true, false)
+	readsBack(controls[0], configuration(7, "/x/", "two"))
+	d.stop(controls[1])
+	d.start("127.0.1.4", true, false)
+	readsBack("127.0.1.4", configuration(7, "/x/", "two"))
+	put("127.0.1.4", configuration(9, "/x/", "two"), 200)
+
+	// A draining target gets no new requests from a gateway that never spoke to the instance that heard of it.
+	d.await("a second target of the service", func() bool {
+		status, _ := d.control("127.0.1.4", "POST", "/api/Replicas.Heartbeat/i-2", two("draining", 5))
+		return status == 200
+	})
+	d.await("no target", func() bool { status, _ := d.call(gateway, "/x/1"); return status == 503 })
+}
+
+// Guards against a gateway that cannot be stopped while requests run, and against a lost one.
+func TestGatewayStopsAfterItsRequests(t *testing.T) {
+	d := newDeployment(t)
+	const gateway = "127.0.1.9"
+	for _, ip := range []string{"127.0.1.1", "127.0.1.2", "127.0.1.3"} {
+		d.start(ip, true, true)
+	}
+	d.start(gateway, false, true)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	started := make(chan struct{}, 1)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		time.Sleep(time.Second)
+		w.Header().Set("X-Attempt-Id", r.Header.Get("X-Attempt-Id"))
+		w.Header().Set("X-Response-Seal", "s")
+		_, _ = w.Write(bytes.Repeat([]byte("x"), 10))
+	})}
+	t.Cleanup(func() { _ = server.Close() })
+	go func() { _ = server.Serve(listener) }()
+	beat := fmt.Sprintf(`{"service":"one","address":"%s","zone":"a","slots":4,"state":"ready","sequence":1,"born":5}`, listener.Addr())
+	d.await("configuration", func() bool {
+		status, _ := d.control("127.0.1.1", "POST", "/api/Config.Replace", configuration(1, "/x/", "one"))
+		return status == 200
+	})
+	d.await("heartbeat", func() bool {
+		status, _ := d.control("127.0.1.1", "POST", "/api/Replicas.Heartbeat/i-1", beat)
+		return status == 200
+	})
+	d.await("ready", func() bool { status, _ := d.control(gateway, "GET", "/api/ready", ""); return status == 200 })
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		if status, body := d.call(gateway, "/x/1"); status != 200 || len(body) != 10 {
+			t.Errorf("the request in progress got %d, %q", status, body)
+		}
+	})
+	<-started
+	d.stop(gateway)
+	wg.Wait()
+}
