--- a/instance/fleet/fleet.go
+++ b/instance/fleet/fleet.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -14,12 +13,9 @@
 
 	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
-	"github.com/sirupsen/logrus"
 
-	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
-	"github.com/tarragonhoist/tarragonhoist/instance/gateway"
 	"github.com/tarragonhoist/tarragonhoist/instance/hub"
 	"github.com/tarragonhoist/tarragonhoist/instance/logsink"
 	"github.com/tarragonhoist/tarragonhoist/instance/version"
@@ -75,41 +71,6 @@
 	view     *fleetview.View
 	watcher  *fleetview.Watcher
 	peers    *peer.Transport
-	number   uint64 // of this start
-}
-
-func newProcess(node *settings.Node, adapter *Adapter, watchAll bool) (*process, error) {
-	debug.SetGCPercent(garbagePercent)
-	if node.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(node.MemoryMB) * (1 << 20)))
-	}
-	p := &process{node: node, registry: metrics.NewRegistry(), number: uint64(time.Now().UnixNano())}
-	p.sink = logsink.New(os.Stdout, logsink.DefaultLinesPerSecond)
-	log := logrus.New()
-	log.SetOutput(p.sink)
-	level, err := logrus.ParseLevel(node.Log.Level)
-	if err != nil {
-		return nil, errors.Wrap(err, "log.level")
-	}
-	log.SetLevel(level)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	p.recorder = events.NewBoundedRecorder(log, node.Name, node.DataCentre, time.Now, keptEvents)
-	p.recorder.OnEvent(func(d events.Definition) { metrics.GetOrRegisterCounter("events."+d.Name, p.registry).Inc(1) })
-	p.view = fleetview.New(adapter.DecodeConfig, node.SeedNames())
-	self := node.PeerName()
-	p.peers, err = peer.New(peer.Options{
-		Cluster: cluster, Self: self, Incarnation: p.number,
-		Resolve:        func(name string) (string, bool) { return name, isAddress(name) },
-		BytesPerSecond: peerBytesPerSecond, DialTimeout: peerDialTimeout, PingInterval: peerPing, PingTimeout: peerPingTimeout,
-		MaxBackoff: peerMaxBackoff, IncarnationMemory: incarnationMemory, Registry: p.registry, OnEvent: p.onPeerEvent,
-	})
-	if err != nil {
-		return nil, err
-	}
-	p.watcher = fleetview.NewWatcher(p.view, p.peers, self, watchAll, func(problem string, err error) {
-		p.recorder.Record(events.InternalError, events.Fields{"problem": problem, "error": err.Error()})
-	})
-	return p, nil
 }
 
 // isAddress tells whether a peer is named by its address.
@@ -118,7 +79,8 @@
 	return err == nil
 }
 
-func (p *process) onPeerEvent(e peer.Event) {
+// recordPeerEvent records changes of the links to other processes.
+func recordPeerEvent(recorder *events.Recorder, e peer.Event) {
 	definition := events.PeerUnreachable
 	switch e.Kind {
 	case peer.Reachable:
@@ -130,7 +92,7 @@
 	if e.Err != nil {
 		fields["error"] = e.Err.Error()
 	}
-	p.recorder.Record(definition, fields)
+	recorder.Record(definition, fields)
 }
 
 func (p *process) start(ctx context.Context, role string) error {
@@ -171,59 +133,55 @@
 
 // RunGateway serves callers until ctx ends. Each value from reloads reads the settings file at path again.
 func RunGateway(ctx context.Context, path string, node *settings.Node, adapter *Adapter, reloads <-chan os.Signal) error {
-	p, err := newProcess(node, adapter, false)
+	limitMemory(node)
+	built, err := buildGateway(node, adapter)
 	if err != nil {
 		return err
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	if err := p.start(background, "gateway"); err != nil {
+	if err := built.process.start(background, "gateway"); err != nil {
 		return err
 	}
-	go p.reloadOn(background, path, reloads)
-	g := gateway.New(gateway.Options{
-		Name: node.PeerName(), DataCentre: node.DataCentre, Callers: node.ListenCallers, Ready: node.ListenReady,
-		ReadyPath: adapter.ReadyPath, Headers: adapter.Headers, ReadPrompt: adapter.ReadPrompt, Grace: node.Grace(),
-		Budget: dispatch.BudgetLimits{Ratio: node.RepeatRatio, Slack: node.RepeatSlack, Share: repeatShare,
-			Window: time.Duration(node.RepeatWindowS * float64(time.Second))},
-	}, p.view, p.watcher, p.peers, p.recorder, p.registry, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
-	err = g.Run(ctx)
+	go built.process.reloadOn(background, path, reloads)
+	err = built.gateway.Run(ctx)
 	stop()
-	p.peers.Close()
+	built.process.peers.Close()
 	return err
 }
 
 // RunControl serves targets, operators and gateways until ctx ends.
 func RunControl(ctx context.Context, path string, node *settings.Node, adapter *Adapter, reloads <-chan os.Signal) error {
-	p, err := newProcess(node, adapter, true)
+	limitMemory(node)
+	built, err := buildControl(node, adapter)
 	if err != nil {
 		return err
 	}
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
-	if err := p.start(background, "control"); err != nil {
+	if err := built.process.start(background, "control"); err != nil {
 		return err
 	}
-	go p.reloadOn(background, path, reloads)
+	go built.process.reloadOn(background, path, reloads)
 	listener, err := net.Listen("tcp", node.PeerName())
 	if err != nil {
 		return errors.Wrap(err, "listen for other processes")
 	}
-	h, err := hub.New(hub.Options{
-		Name: node.PeerName(), DataCentre: node.DataCentre, ControlListen: node.ListenControl, DataDir: node.DataFolder,
-		Seeds: node.SeedNames(), Found: node.FirstStart, Lease: time.Duration(node.LeaseMs) * time.Millisecond,
-	}, p.number, p.view, p.watcher, p.peers, adapter.DecodeConfig, adapter.Orders(upstream.New(orderConnectTimeout, p.registry)),
-		p.recorder, p.registry)
-	if err != nil {
-		return err
-	}
-	err = h.Run(ctx, adapter.API(h), listener)
+	err = built.hub.Run(ctx, adapter.API(built.hub), listener)
 	if errors.Is(err, hub.ErrRemoved) {
 		return errors.Wrap(hub.RemoveData(node.DataFolder), "remove the data of a former member")
 	}
 	return err
 }
 
+// limitMemory makes the garbage collector work harder well below the memory of the machine.
+func limitMemory(node *settings.Node) {
+	debug.SetGCPercent(garbagePercent)
+	if node.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(node.MemoryMB) * (1 << 20)))
+	}
+}
+
 // reloadOn reads the settings again at each signal, and while no control instance answers: the seeds may have changed
 // without a signal.
 func (p *process) reloadOn(ctx context.Context, path string, reloads <-chan os.Signal) {
--- /dev/null
+++ b/instance/fleet/providers.go
@@ -0,0 +1,98 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
+	"github.com/tarragonhoist/tarragonhoist/instance/gateway"
+	"github.com/tarragonhoist/tarragonhoist/instance/hub"
+	"github.com/tarragonhoist/tarragonhoist/instance/logsink"
+	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/transport/peer"
+	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
+)
+
+// startNumber identifies this start of the process.
+type startNumber uint64
+
+// watchAll says whether a process watches all control instances.
+type watchAll bool
+
+type gatewayProcess struct {
+	process *process
+	gateway *gateway.Gateway
+}
+
+type controlProcess struct {
+	process *process
+	hub     *hub.Hub
+}
+
+func provideStartNumber() startNumber { return startNumber(time.Now().UnixNano()) }
+
+func provideRegistry() metrics.Registry { return metrics.NewRegistry() }
+
+func provideSink() *logsink.Sink { return logsink.New(os.Stdout, logsink.DefaultLinesPerSecond) }
+
+func provideRecorder(node *settings.Node, sink *logsink.Sink, registry metrics.Registry) (*events.Recorder, error) {
+	log := logrus.New()
+	log.SetOutput(sink)
+	level, err := logrus.ParseLevel(node.Log.Level)
+	if err != nil {
+		return nil, errors.Wrap(err, "log.level")
+	}
+	log.SetLevel(level)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	recorder := events.NewBoundedRecorder(log, node.Name, node.DataCentre, time.Now, keptEvents)
+	recorder.OnEvent(func(d events.Definition) { metrics.GetOrRegisterCounter("events."+d.Name, registry).Inc(1) })
+	return recorder, nil
+}
+
+func provideView(node *settings.Node, adapter *Adapter) *fleetview.View {
+	return fleetview.New(adapter.DecodeConfig, node.SeedNames())
+}
+
+func providePeers(node *settings.Node, number startNumber, registry metrics.Registry, recorder *events.Recorder) (*peer.Transport, error) {
+	return peer.New(peer.Options{
+		Cluster: cluster, Self: node.PeerName(), Incarnation: uint64(number),
+		Resolve:        func(name string) (string, bool) { return name, isAddress(name) },
+		BytesPerSecond: peerBytesPerSecond, DialTimeout: peerDialTimeout, PingInterval: peerPing, PingTimeout: peerPingTimeout,
+		MaxBackoff: peerMaxBackoff, IncarnationMemory: incarnationMemory, Registry: registry,
+		OnEvent: func(e peer.Event) { recordPeerEvent(recorder, e) },
+	})
+}
+
+func provideWatcher(view *fleetview.View, peers *peer.Transport, node *settings.Node, all watchAll, recorder *events.Recorder) *fleetview.Watcher {
+	return fleetview.NewWatcher(view, peers, node.PeerName(), bool(all), func(problem string, err error) {
+		recorder.Record(events.InternalError, events.Fields{"problem": problem, "error": err.Error()})
+	})
+}
+
+func provideGateway(node *settings.Node, adapter *Adapter, view *fleetview.View, watcher *fleetview.Watcher, peers *peer.Transport,
+	recorder *events.Recorder, registry metrics.Registry) *gateway.Gateway {
+	options := gateway.Options{
+		Name: node.PeerName(), DataCentre: node.DataCentre, Callers: node.ListenCallers, Ready: node.ListenReady,
+		ReadyPath: adapter.ReadyPath, Headers: adapter.Headers, ReadPrompt: adapter.ReadPrompt, Grace: node.Grace(),
+		Budget: dispatch.BudgetLimits{Ratio: node.RepeatRatio, Slack: node.RepeatSlack, Share: repeatShare,
+			Window: time.Duration(node.RepeatWindowS * float64(time.Second))},
+	}
+	return gateway.New(options, view, watcher, peers, recorder, registry, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+}
+
+func provideHub(node *settings.Node, adapter *Adapter, number startNumber, view *fleetview.View, watcher *fleetview.Watcher,
+	peers *peer.Transport, recorder *events.Recorder, registry metrics.Registry) (*hub.Hub, error) {
+	options := hub.Options{
+		Name: node.PeerName(), DataCentre: node.DataCentre, ControlListen: node.ListenControl, DataDir: node.DataFolder,
+		Seeds: node.SeedNames(), Found: node.FirstStart, Lease: time.Duration(node.LeaseMs) * time.Millisecond,
+	}
+	orders := adapter.Orders(upstream.New(orderConnectTimeout, registry))
+	return hub.New(options, uint64(number), view, watcher, peers, adapter.DecodeConfig, orders, recorder, registry)
+}
--- /dev/null
+++ b/instance/fleet/wire.go
@@ -0,0 +1,20 @@
+//go:build wireinject
+
+package fleet
+
+import (
+	"github.com/google/wire"
+
+	"github.com/tarragonhoist/tarragonhoist/settings"
+)
+
+var common = wire.NewSet(provideStartNumber, provideRegistry, provideSink, provideRecorder, provideView, providePeers,
+	provideWatcher, wire.Struct(new(process), "*"))
+
+func buildGateway(node *settings.Node, adapter *Adapter) (*gatewayProcess, error) {
+	panic(wire.Build(common, provideGateway, wire.Value(watchAll(false)), wire.Struct(new(gatewayProcess), "*")))
+}
+
+func buildControl(node *settings.Node, adapter *Adapter) (*controlProcess, error) {
+	panic(wire.Build(common, provideHub, wire.Value(watchAll(true)), wire.Struct(new(controlProcess), "*")))
+}
