--- /dev/null
+++ b/instance/logsink/logsink_test.go
@@ -0,0 +1,75 @@
+package logsink
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// blockedOutput takes nothing until it is released.
+type blockedOutput struct {
+	release chan struct{}
+	mu      sync.Mutex
+	written bytes.Buffer
+}
+
+func (o *blockedOutput) Write(b []byte) (int, error) {
+	<-o.release
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.written.Write(b)
+}
+
+// Guards against requests that wait for an output which takes no log lines, and against a volume without bound.
+func TestWritingNeverBlocks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := &blockedOutput{release: make(chan struct{})}
+		s := New(out, 100)
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		reported := int64(0)
+		go func() {
+			defer close(done)
+			s.Run(ctx, func(n int64) { reported += n })
+		}()
+		began := time.Now()
+		const lines = 5000
+		for range lines {
+			if _, err := s.Write([]byte("line\n")); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if took := time.Since(began); took != 0 {
+			t.Fatalf("writing took %v", took)
+		}
+		close(out.release)
+		time.Sleep(2 * reportInterval)
+		cancel()
+		<-done
+		got := int64(strings.Count(out.written.String(), "line\n"))
+		if got == 0 || got > defaultBurst || got+reported != lines {
+			t.Fatalf("%d lines written, %d reported as dropped, of %d", got, reported, lines)
+		}
+	})
+}
+
+// Guards against the last lines of a process that are lost at its end.
+func TestLastLinesAreWritten(t *testing.T) {
+	var out bytes.Buffer
+	s := New(&out, 100)
+	for range 3 {
+		if _, err := s.Write([]byte("last\n")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	s.Run(ctx, func(int64) {})
+	if got := strings.Count(out.String(), "last\n"); got != 3 {
+		t.Fatalf("%d lines", got)
+	}
+}
--- /dev/null
+++ b/settings/node_test.go
@@ -0,0 +1,66 @@
+package settings
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const validNode = `
+name = "front-a-1"
+data_centre = "a"
+address = "10.1.0.38"
+peer_port = 7380
+listen_callers = "10.1.0.38:8149"
+listen_ready = "10.1.0.38:8141"
+listen_control = ""
+seeds = ["10.1.0.40:8144", "10.2.0.42:8144"]
+first_start = true
+data_folder = ""
+memory_mb = 284
+grace_s = 8.5
+`
+
+// Guards against seeds and names that other processes do not recognize.
+func TestNodeNames(t *testing.T) {
+	n, findings := ParseNode("node.toml", []byte(validNode))
+	if len(findings) > 0 {
+		t.Fatal(findings)
+	}
+	if diff := cmp.Diff([]string{"10.1.0.40:7380", "10.2.0.42:7380"}, n.SeedNames()); diff != "" || n.PeerName() != "10.1.0.38:7380" {
+		t.Fatalf("%s %s", n.PeerName(), diff)
+	}
+	if n.LeaseMs != DefaultLeaseMs || n.Grace().Milliseconds() != 8500 || n.RepeatRatio != DefaultRepeatRatio || n.Log.Level != DefaultNodeLogLevel {
+		t.Fatalf("%+v", n)
+	}
+}
+
+// Guards against a process that starts with settings that cannot work, and against findings that are reported one by one.
+func TestNodeFindings(t *testing.T) {
+	cases := map[string]struct{ old, new, want string }{
+		"no name":              {`name = "front-a-1"`, ``, "name: is required"},
+		"no data centre":       {`data_centre = "a"`, ``, "data_centre: is required"},
+		"host as address":      {`address = "10.1.0.38"`, `address = "localhost"`, "is not an IP address"},
+		"no port":              {`peer_port = 7380`, ``, "is not a port"},
+		"listen without port":  {`"10.1.0.38:8149"`, `"10.1.0.38"`, "is not host:port"},
+		"seed without port":    {`"10.1.0.40:8144"`, `"10.1.0.40"`, "is not host:port"},
+		"no readiness":         {`listen_ready = "10.1.0.38:8141"`, ``, "stands with listen_callers"},
+		"control without disk": {`listen_control = ""`, `listen_control = "10.1.0.38:1"`, "is required for a control instance"},
+		"negative memory":      {`memory_mb = 284`, `memory_mb = -1`, "must not be negative"},
+		"unknown key":          {`memory_mb = 284`, `memory = 284`, "memory"},
+		"wrong type":           {`peer_port = 7380`, `peer_port = "x"`, "peer_port"},
+	}
+	for name, c := range cases {
+		if _, findings := ParseNode("node.toml", []byte(strings.Replace(validNode, c.old, c.new, 1))); !strings.Contains(findings.Error(), c.want) {
+			t.Errorf("%s: findings %q, want %q", name, findings.Error(), c.want)
+		}
+	}
+	both := strings.NewReplacer(`name = "front-a-1"`, ``, `peer_port = 7380`, ``).Replace(validNode)
+	if _, findings := ParseNode("node.toml", []byte(both)); len(findings) != 2 {
+		t.Errorf("findings %v, want two", findings)
+	}
+	if _, err := LoadNode("does-not-exist.toml"); err == nil {
+		t.Error("a missing file was read")
+	}
+}
