--- a/instance/fleetview/serve.go
+++ b/instance/fleetview/serve.go
@@ -16,7 +16,7 @@
 // longer one when nothing did.
 func (v *View) ServeWatch(ctx context.Context, epoch uint64, control Control, r fleetapi.Watch) fleetapi.News {
 	if r.Epoch != epoch {
-		r.Change, r.Version = 0, min(r.Version, v.Packed().Version)
+		r.Change = 0 // the changes of another start are counted anew
 	}
 	started := time.Now()
 	leaderBefore, _ := control()
--- a/instance/hub/commanded.go
+++ b/instance/hub/commanded.go
@@ -469,9 +469,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if outcome != "" {
-		c.reportAfter = time.Now().Add(reportLag) // reports until then may be from before the order
-	}
+	c.reportAfter = time.Now().Add(reportLag) // reports until then may be from before the order
 	switch outcome {
 	case Accepted:
 		c.sequence++
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -31,8 +31,6 @@
 	maxForeignAnswers = 4
 	// maxForeignBytes bounds the body of such an answer.
 	maxForeignBytes = 1 << 20
-	// maxResponseHeaderBytes bounds the head of an answer.
-	maxResponseHeaderBytes = 64 << 10
 )
 
 // Failure says why there is no answer.
