Refuse streams just before their callers leave, and ask callers to return later

Cause: a request for a model or adapter that loads within seconds was refused after 1.5 s and its caller was back 0.5 s later, too early for the second and last time.

--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -19,6 +19,9 @@
 	rejectedPause = 5 * time.Millisecond
 	// defaultRetryAfter is the pause that a refused caller is asked for when nothing better is known.
 	defaultRetryAfter = 400 * time.Millisecond
+	// returnShare is the part of the time left after which a refused caller should return, up to maxRetryAfter.
+	returnShare   = 0.25
+	maxRetryAfter = 2 * time.Second
 	// retryAfterSpread varies the pause, so that callers that were refused together do not return together.
 	retryAfterSpread = 0.5
 )
@@ -168,8 +171,8 @@
 	leastStreamWait = 2 * time.Second
 	objectiveFactor = 4
 	pauseFactor     = 8
-	// streamWaitShare leaves time for the first event.
-	streamWaitShare = 0.75
+	// streamWaitShare leaves time for the refusal to arrive, after which the caller returns once more.
+	streamWaitShare = 0.94
 )
 
 // streamPatience is how long a request for a stream may wait here before its caller would leave.
@@ -243,7 +246,9 @@
 // retryAfter is when the caller should come back: when the model is expected, or after a pause that spreads the return.
 func (g *Gateway) retryAfter(q *request) time.Duration {
 	now := time.Now()
-	pause := defaultRetryAfter
+	// What is missing takes seconds to load, so the caller returns late in the time that it has; more than a third of it
+	// would not be honoured.
+	pause := min(max(time.Duration(float64(q.deadline.Sub(now))*returnShare), defaultRetryAfter), maxRetryAfter)
 	if at, ok := g.arrivalOf(q); ok && at.After(now) {
 		pause = at.Sub(now) + rejectedPause
 	}
