--- a/coordination/dispatch/board.go
+++ b/coordination/dispatch/board.go
@@ -47,7 +47,7 @@
 	// slownessMargin is slowness that is within the usual spread.
 	slownessMargin = 0.25
 	// noiseMs spreads gateways that see the same loads.
-	noiseMs = 1.5
+	noiseMs = 6.0
 	// latencyWeight is the weight of a new sample in the moving average of latencies.
 	latencyWeight = 0.2
 )
