--- a/instance/gateway/patience_test.go
+++ b/instance/gateway/patience_test.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
 
@@ -40,3 +43,20 @@
 		}
 	}
 }
+
+// Replays a model that moves while one of its adapters is asked for: guards against a refusal at once because another copy
+// of the model arrives too late, although its present targets can load the adapter.
+func TestArrivingCopyDoesNotRefuseRequestsForAdapters(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	f.gateway.opts.ReadPrompt = func(http.Header) (dialect.Prompt, bool) {
+		return dialect.Prompt{Model: "m", Adapter: "a1", Tokens: 10}, true
+	}
+	f.target("t0", "engine", func(conn net.Conn, r *http.Request, _ string) { stream(conn, r, true, event(1)) })
+	f.gateway.arriving.Store(&[]arrival{{"engine", "m", time.Now().Add(time.Minute)}})
+	time.AfterFunc(300*time.Millisecond, func() { f.gateway.board.Ordered(time.Now(), "t0", "m", "a1") })
+	response, body, err := f.call("r1", "/stream/x", "Model: m/a1")
+	if err != nil || response.StatusCode != 200 || body != event(1) {
+		t.Fatalf("%v, %q, %v", response, body, err)
+	}
+}
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -35,6 +35,8 @@
 	held        time.Duration // time without a target
 	sends       int
 	lastTarget  string
+	// notLoaded is set when no target held the model at the end of the wait.
+	notLoaded bool
 }
 
 // connectionHeaders concern one connection only and are not forwarded.
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -117,11 +117,12 @@
 			}
 		}
 		left := g.patience(q, reason, began) - now.Sub(began)
-		if at, ok := g.arrivalOf(q); ok && at.Sub(now) > left {
+		if at, ok := g.arrivalOf(q); reason == dispatch.NotLoaded && ok && at.Sub(now) > left {
 			left = 0 // it is known not to be served in time: the caller is told when to return
 		}
 		if left <= 0 {
-			if reason == dispatch.NotLoaded {
+			q.notLoaded = reason == dispatch.NotLoaded
+			if q.notLoaded {
 				g.demand.refused(q)
 			}
 			return nil, reason
@@ -249,7 +250,7 @@
 	// What is missing takes seconds to load, so the caller returns late in the time that it has; more than a third of it
 	// would not be honoured.
 	pause := min(max(time.Duration(float64(q.deadline.Sub(now))*returnShare), defaultRetryAfter), maxRetryAfter)
-	if at, ok := g.arrivalOf(q); ok && at.After(now) {
+	if at, ok := g.arrivalOf(q); q.notLoaded && ok && at.After(now) {
 		pause = at.Sub(now) + rejectedPause
 	}
 	return pause + time.Duration(retryAfterSpread*g.draw()*float64(defaultRetryAfter))
