--- /dev/null
+++ b/instance/hub/lease_test.go
@@ -0,0 +1,81 @@
+package hub
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
+	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
+)
+
+// alone is the link of a group of one.
+type alone struct{}
+
+func (alone) Send(string, raft.Message) {}
+func (alone) Propose(context.Context, string, replica.ProposeRequest) (replica.ProposeResponse, error) {
+	return replica.ProposeResponse{}, replica.ErrNotSent
+}
+func (alone) Fetch(context.Context, string, replica.FetchRequest) (replica.FetchResponse, error) {
+	return replica.FetchResponse{}, replica.ErrNotSent
+}
+
+// Guards against orders of a new leader while its predecessor may still give some, against orders of a leader that cannot
+// confirm itself any more, and against orders after a stop.
+func TestLeaseWaitsAndEnds(t *testing.T) {
+	group, err := replica.Open(replica.Options{Name: GroupName, Self: "a", Voters: []string{"a"}, Dynamic: true, Founders: []string{"a"},
+		DataDir: t.TempDir(), Machine: routes.NewStore(func(routes.Packed) {}), Sender: alone{}, Caller: alone{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- group.Run(ctx) }()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	const period = 200 * time.Millisecond
+	l := newLease(group, period, events.NewRecorder(log, "a", "a", time.Now))
+	leaseCtx, stopLease := context.WithCancel(context.Background())
+	defer stopLease()
+	go l.run(leaseCtx)
+	await := func(what string, done func() bool) {
+		t.Helper()
+		for deadline := time.Now().Add(10 * time.Second); !done(); time.Sleep(5 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: not in time", what)
+			}
+		}
+	}
+	leads := func() bool { return group.Status().Role == raft.Leader.String() }
+	await("a leader", leads)
+	elected := time.Now()
+	allowed := func() bool { _, ok := l.Fence(); return ok }
+	await("the right to give orders", allowed)
+	if waited := time.Since(elected); waited < period+leaseTime {
+		t.Errorf("orders are allowed %v after the election, while the predecessor may hold a lease of %v and the period is %v", waited, leaseTime, period)
+	}
+	if fence, _ := l.Fence(); fence != group.Status().Term {
+		t.Errorf("fence %d in term %d", fence, group.Status().Term)
+	}
+	stop()
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+	lost := time.Now()
+	await("the end of the lease", func() bool { return !allowed() })
+	if took := time.Since(lost); took > leaseTime+renewInterval {
+		t.Errorf("orders were allowed for %v without a confirmation", took)
+	}
+	l.stop()
+	l.mu.Lock()
+	l.until, l.firstFrom = bootTime()+time.Hour, 0
+	l.mu.Unlock()
+	if allowed() {
+		t.Error("orders are allowed after a stop")
+	}
+}
