End the booking of a call before its answer, and read fixed fields of targets without a race

Between the answer of a call and the end of its booking a new call could be refused as busy; that is closed.

--- a/instance/hub/adapters.go
+++ b/instance/hub/adapters.go
@@ -31,7 +31,7 @@
 	d.mu.Unlock()
 	for _, c := range candidates {
 		if wait, ok := c.ensureAdapter(ctx, d, r.Model, r.Adapter, service.Engine, model); ok {
-			return fleetapi.AdapterAnswer{ID: c.target.ID, ReadyMs: wait.Milliseconds()}
+			return fleetapi.AdapterAnswer{ID: c.id, ReadyMs: wait.Milliseconds()}
 		}
 	}
 	return fleetapi.AdapterAnswer{Problem: "no target can take the adapter"}
@@ -50,7 +50,7 @@
 	}
 	var list []ranked
 	for id, c := range d.targets {
-		if c.target.Service != r.Service || slices.Contains(r.Exclude, id) || !c.serves(r.Model) {
+		if c.service != r.Service || slices.Contains(r.Exclude, id) || !c.serves(r.Model) {
 			continue
 		}
 		cost := float64(running[id])
--- a/instance/hub/commanded.go
+++ b/instance/hub/commanded.go
@@ -62,6 +62,10 @@
 // orders that it accepted since a report with a known number of orders; each order names that number, so that none
 // is carried out in another state than the one it was checked against.
 type commanded struct {
+	// id, born and service never change.
+	id      string
+	born    int64
+	service string
 	// wire serializes calls to the target.
 	wire sync.Mutex
 
@@ -82,7 +86,7 @@
 }
 
 func newCommanded(t roster.Target) *commanded {
-	return &commanded{target: t, models: make(map[string]bool), adapters: make(map[adapterKey]time.Time),
+	return &commanded{id: t.ID, born: t.Born, service: t.Service, target: t, models: make(map[string]bool), adapters: make(map[adapterKey]time.Time),
 		presentAt: make(map[string]uint64)}
 }
 
--- a/instance/hub/director.go
+++ b/instance/hub/director.go
@@ -288,7 +288,7 @@
 		}
 		present[t.ID] = true
 		c := d.targets[t.ID]
-		if c == nil || c.target.Born != t.Born {
+		if c == nil || c.born != t.Born {
 			c = newCommanded(t.Target)
 			d.targets[t.ID] = c
 		}
@@ -321,7 +321,7 @@
 	input := residency.Input{}
 	unknown := false
 	for id, c := range d.targets {
-		if c.target.Service != service.Name {
+		if c.service != service.Name {
 			continue
 		}
 		if !c.reportedOnce() {
--- a/instance/hub/prefetch.go
+++ b/instance/hub/prefetch.go
@@ -31,7 +31,7 @@
 	}
 	var targets []residency.AdapterTarget
 	for id, c := range d.targets {
-		if c.target.Service != service.Name {
+		if c.service != service.Name {
 			continue
 		}
 		t, ok := c.adapterTarget(service.Engine)
--- a/transport/peer/inbound.go
+++ b/transport/peer/inbound.go
@@ -423,10 +423,7 @@
 		return
 	}
 	started := in.t.start(func() {
-		defer in.end(size)
-		callCtx, cancel := context.WithTimeout(ctx, in.t.opts.CallTimeout)
-		defer cancel()
-		result, err := h(callCtx, in.sender(), params(req))
+		result, err := in.run(ctx, req, h, size)
 		in.answer(ctx, rpc, req, result, err)
 	})
 	if !started {
@@ -434,6 +431,15 @@
 	}
 }
 
+// run ends the booking of a call before its answer is sent: a sender that calls again right after the answer must not be
+// refused because of the call that was answered.
+func (in *inbound) run(ctx context.Context, req *jsonrpc2.Request, h Handler, size int) (any, error) {
+	defer in.end(size)
+	callCtx, cancel := context.WithTimeout(ctx, in.t.opts.CallTimeout)
+	defer cancel()
+	return h(callCtx, in.sender(), params(req))
+}
+
 func (in *inbound) answer(ctx context.Context, rpc *jsonrpc2.Conn, req *jsonrpc2.Request, result any, err error) {
 	response := &jsonrpc2.Response{ID: req.ID}
 	if err == nil {
--- a/transport/peer/peer_test.go
+++ b/transport/peer/peer_test.go
@@ -97,3 +97,16 @@
 		})
 	}
 }
+
+// Guards against a call that is refused as busy because of one whose answer the sender has read already.
+func TestCallRightAfterAnAnswer(t *testing.T) {
+	n := newNetwork()
+	a := n.start(t, "a", nil)
+	n.start(t, "b", func(o *Options) { o.MaxInboundCalls = 1 })
+	for i := range 2000 {
+		var got echo
+		if err := a.Call(t.Context(), "b", "echo", i, &got); err != nil {
+			t.Fatalf("call %d: %v", i, err)
+		}
+	}
+}
