Remove an index that was built twice and an unused method

The planner filled its index of models, sorted them and filled it again; nothing read it in between. The roster's change number is part of each delta, so its own method had no caller. The director reads the fixed field of a target's service here as elsewhere. Behaviour is as before; tests of the packages and the linter pass.

--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -101,9 +101,6 @@
 func newPlanner(in Input) *planner {
 	p := &planner{targets: slices.Clone(in.Targets), models: slices.Clone(in.Models), byName: make(map[string]*Model),
 		copies: make(map[string]int), storeLoads: in.StoreLoads, slots: 1}
-	for i := range p.models {
-		p.byName[p.models[i].Name] = &p.models[i]
-	}
 	// The order must not depend on that of maps, so that equal inputs give equal plans.
 	slices.SortFunc(p.targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 	for i := range p.targets {
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -91,9 +91,6 @@
 	return &Table{entries: make(map[string]*Entry), byAddress: make(map[string]string)}
 }
 
-// Change returns the number of changes so far.
-func (t *Table) Change() uint64 { return t.change }
-
 // ErrIncomplete is returned for heartbeats that cannot name a target to use.
 var ErrIncomplete = errors.New("the heartbeat lacks id, start time, service or address")
 
--- a/instance/hub/commanded.go
+++ b/instance/hub/commanded.go
@@ -264,7 +264,7 @@
 		return
 	}
 	if !c.known {
-		if d.isEngine(c.target.Service) {
+		if d.isEngine(c.service) {
 			c.askLocked(ctx, d)
 		}
 		return
