Report the adapters that are in use instead of those that requests began to use

A stream was reported once, at its start, so the leader kept each adapter for 700 ms after it: too long after a short request, too short in a long stream. Evicting an adapter in use leaves the target unknown for 350 ms, in which it takes no order at all.

Gateways now count running requests for each adapter and report those in use every 100 ms; an adapter can be evicted 300 ms after the last report.

TestAdaptersAreReportedWhileInUse guards it.

--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -25,13 +25,14 @@
 
 // demand counts what callers ask for between load reports.
 type demand struct {
-	mu       sync.Mutex
-	models   map[modelOf]*fleetapi.ModelLoad
-	adapters map[fleetapi.AdapterUse]bool
+	mu     sync.Mutex
+	models map[modelOf]*fleetapi.ModelLoad
+	// adapters counts the requests that use an adapter now. Those that ended since the last report stay with 0.
+	adapters map[fleetapi.AdapterUse]int
 }
 
 func newDemand() *demand {
-	return &demand{models: make(map[modelOf]*fleetapi.ModelLoad), adapters: make(map[fleetapi.AdapterUse]bool)}
+	return &demand{models: make(map[modelOf]*fleetapi.ModelLoad), adapters: make(map[fleetapi.AdapterUse]int)}
 }
 
 func (d *demand) update(q *request, f func(*fleetapi.ModelLoad)) {
@@ -55,21 +56,19 @@
 
 func (d *demand) refused(q *request) { d.update(q, func(m *fleetapi.ModelLoad) { m.Refused++ }) }
 
-func (d *demand) running(q *request, n int) {
+// running counts a request that is sent to a target, and again with -1 when that has ended.
+func (d *demand) running(q *request, target string, n int) {
 	d.update(q, func(m *fleetapi.ModelLoad) {
 		m.Running += n
 		if n > 0 {
 			m.Arrived++
 		}
+		if q.prompt.Adapter != "" {
+			d.adapters[fleetapi.AdapterUse{ID: target, Model: q.prompt.Model, Adapter: q.prompt.Adapter}] += n
+		}
 	})
 }
 
-func (d *demand) usedAdapter(id, model, adapter string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.adapters[fleetapi.AdapterUse{ID: id, Model: model, Adapter: adapter}] = true
-}
-
 // take returns the demand and begins to count anew what came since the last report.
 func (d *demand) take() (models []fleetapi.ModelLoad, adapters []fleetapi.AdapterUse) {
 	d.mu.Lock()
@@ -81,10 +80,12 @@
 			delete(d.models, key)
 		}
 	}
-	for use := range d.adapters {
+	for use, n := range d.adapters {
 		adapters = append(adapters, use)
+		if n == 0 {
+			delete(d.adapters, use)
+		}
 	}
-	clear(d.adapters)
 	return models, adapters
 }
 
--- /dev/null
+++ b/instance/gateway/exchange_test.go
@@ -0,0 +1,34 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
+)
+
+// Guards against adapters that are evicted in the middle of a long stream because only its start was reported, and
+// against places that stay taken after the last request has ended.
+func TestAdaptersAreReportedWhileInUse(t *testing.T) {
+	d := newDemand()
+	q := &request{service: &routes.Service{Name: "s"}, prompt: dialect.Prompt{Model: "m", Adapter: "a1"}}
+	want := []fleetapi.AdapterUse{{ID: "t0", Model: "m", Adapter: "a1"}}
+	d.running(q, "t0", 1)
+	d.running(q, "t0", 1)
+	d.running(q, "t0", -1)
+	for range 3 {
+		if _, got := d.take(); !cmp.Equal(got, want) {
+			t.Fatalf("reported %v while a request runs", got)
+		}
+	}
+	d.running(q, "t0", -1)
+	if _, got := d.take(); !cmp.Equal(got, want) {
+		t.Fatalf("reported %v after the end; the use since the last report is missing", got)
+	}
+	if _, got := d.take(); len(got) != 0 {
+		t.Fatalf("reported %v without a request", got)
+	}
+}
--- a/instance/gateway/place.go
+++ b/instance/gateway/place.go
@@ -34,9 +34,6 @@
 	if target == nil {
 		return nil, reason
 	}
-	if q.prompt.Adapter != "" {
-		g.demand.usedAdapter(target.ID, q.prompt.Model, q.prompt.Adapter)
-	}
 	// The other gateways see the same loads and are expected to pick in the same way.
 	g.board.Reserve(now, target.ID, q.prompt.Tokens, float64(max(g.gateways.Load(), 1)))
 	return target, dispatch.Found
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -27,9 +27,9 @@
 	ticket := g.board.Start(now, target.ID, q.prompt.Model, q.prompt.Tokens)
 	end := dispatch.Neutral
 	r.ticket = ticket
-	g.demand.running(q, 1)
+	g.demand.running(q, target.ID, 1)
 	defer func() {
-		g.demand.running(q, -1)
+		g.demand.running(q, target.ID, -1)
 		g.board.Finish(time.Now(), ticket, end)
 	}()
 	answer, err := g.client.Do(q.ctx, target.Address, g.outgoing(q, target, now, r.lastEvent))
--- a/instance/hub/commanded.go
+++ b/instance/hub/commanded.go
@@ -30,8 +30,9 @@
 	maxOrderTries = 6
 	// adapterWait is the time until an adapter is loaded, with some room.
 	adapterWait = 12 * time.Millisecond
-	// adapterKeep protects an adapter that was used lately from eviction.
-	adapterKeep = 700 * time.Millisecond
+	// adapterKeep protects an adapter from eviction after the last report of a request that uses it. It covers a lost
+	// report, and a request on its way to the target.
+	adapterKeep = 300 * time.Millisecond
 )
 
 type phase uint8
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -60,7 +60,7 @@
 	Models  []ModelLoad  `json:"m,omitempty"`
 	// Unreachable targets accepted no connection lately.
 	Unreachable []string `json:"u,omitempty"`
-	// Adapters were used since the last report.
+	// Adapters are in use, or were since the last report.
 	Adapters []AdapterUse `json:"a,omitempty"`
 	// Strikes are fingerprints of requests that were running on a target when it died.
 	Strikes []Strike `json:"s,omitempty"`
