Plan moves although a target has not answered yet, and keep last copies until the next one is loaded

Cause: after a change of the leader one target that answers no report, while its heartbeats arrive, held up the moves of all others until it was dropped. And a copy that was still being loaded made the last copy elsewhere a spare one, so a rarely used model could be nowhere for 4 s.

Until its first report a target is planned with what its heartbeat shows: a copy there keeps the model from being loaded once more, but does not make another one spare, and nothing is ordered there. Copies being loaded do not count for the last-copy rule either.

Both tests fail on the code before.

--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -28,7 +28,11 @@
 	CapacityMB float64
 	Slots      int
 	Models     []string // held, or being loaded
-	UsedMB     float64  // by models and adapters, held or being loaded
+	// Arriving is the model that is being loaded, if any.
+	Arriving string
+	// Unsure targets have not told yet what they hold; Models is what a heartbeat showed.
+	Unsure bool
+	UsedMB float64 // by models and adapters, held or being loaded
 	// InMemory and OnDisk are models that load faster here than from the weight store.
 	InMemory, OnDisk []string
 	// Moving targets carry out a move already.
@@ -89,10 +93,13 @@
 }
 
 type planner struct {
-	targets    []Target
-	models     []Model
-	byName     map[string]*Model
-	copies     map[string]int
+	targets []Target
+	models  []Model
+	byName  map[string]*Model
+	copies  map[string]int
+	// present counts the copies that requests can use now. A copy that is still being loaded, or that only a heartbeat
+	// showed, does not make a last copy a spare one.
+	present    map[string]int
 	storeLoads int
 	moving     int
 	slots      float64
@@ -100,7 +107,7 @@
 
 func newPlanner(in Input) *planner {
 	p := &planner{targets: slices.Clone(in.Targets), models: slices.Clone(in.Models), byName: make(map[string]*Model),
-		copies: make(map[string]int), storeLoads: in.StoreLoads, slots: 1}
+		copies: make(map[string]int), present: make(map[string]int), storeLoads: in.StoreLoads, slots: 1}
 	// The order must not depend on that of maps, so that equal inputs give equal plans.
 	slices.SortFunc(p.targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 	for i := range p.targets {
@@ -112,6 +119,9 @@
 		p.slots = max(p.slots, float64(t.Slots))
 		for _, m := range t.Models {
 			p.copies[m]++
+			if m != t.Arriving && !t.Unsure {
+				p.present[m]++
+			}
 		}
 	}
 	slices.SortStableFunc(p.models, func(a, b Model) int {
@@ -223,7 +233,7 @@
 		if other != nil {
 			weights, demand = other.WeightsMB, other.Demand
 		}
-		if p.copies[held] < 2 || t.UsedMB-weights+m.WeightsMB > t.CapacityMB {
+		if p.present[held] < 2 || t.UsedMB-weights+m.WeightsMB > t.CapacityMB {
 			continue
 		}
 		after := demand / float64(p.copies[held]-1)
@@ -340,7 +350,7 @@
 	loss = math.Inf(1)
 	for _, held := range t.Models {
 		other := p.byName[held]
-		if other == nil || p.copies[held] < 2 || t.UsedMB-other.WeightsMB+m.WeightsMB > t.CapacityMB {
+		if other == nil || p.present[held] < 2 || t.UsedMB-other.WeightsMB+m.WeightsMB > t.CapacityMB {
 			continue
 		}
 		after := other.Demand / float64(p.copies[held]-1) / p.slots
@@ -360,6 +370,7 @@
 	p.copies[move.Load]++
 	if move.Unload != "" {
 		p.copies[move.Unload]--
+		p.present[move.Unload]--
 	}
 	for i := range p.targets {
 		if t := &p.targets[i]; t.ID == move.Target {
--- a/coordination/residency/plan_test.go
+++ b/coordination/residency/plan_test.go
@@ -241,3 +241,26 @@
 		t.Errorf("%v half a second after the rise", got)
 	}
 }
+
+// Guards against a model that no target holds for seconds: its last copy must not go while the next one is still being
+// loaded, or is on a target that has not told what it holds.
+func TestCopyThatIsNotThereYetSparesNoLastCopy(t *testing.T) {
+	loading := engine("b", "busy", "rare", "u")
+	loading.Arriving, loading.Moving = "rare", true
+	unsure := engine("b", "busy", "rare", "u")
+	unsure.Unsure, unsure.Moving = true, true
+	for name, other := range map[string]Target{"being loaded": loading, "shown by a heartbeat only": unsure} {
+		in := Input{
+			Targets:    []Target{engine("a", "rare", "v", "w"), other},
+			Models:     models(map[string]float64{"busy": 40}, "busy", "rare", "u", "v", "w"),
+			StoreLoads: 1,
+		}
+		if got := Plan(in); len(got) != 0 {
+			t.Errorf("%s: planned %+v", name, got)
+		}
+		in.Targets[1].Arriving, in.Targets[1].Unsure, in.Targets[1].Moving = "", false, false
+		if got := Plan(in); len(got) != 1 || got[0].Load != "busy" || got[0].Unload != "rare" {
+			t.Errorf("%s: planned %+v once the copy is there", name, got)
+		}
+	}
+}
--- a/instance/hub/commanded.go
+++ b/instance/hub/commanded.go
@@ -190,19 +190,21 @@
 // unloadEstimate is the time that the runs of a model that is unloaded take to end.
 const unloadEstimate = 800 * time.Millisecond
 
-// reportedOnce tells whether anything is known of what the target holds.
-func (c *commanded) reportedOnce() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.reported
-}
-
-// planned describes the target for the planner.
+// planned describes the target for the planner. Until its first report, its heartbeat tells what it holds: a copy that
+// is not known of would be loaded once more. Nothing is ordered there before the report.
 func (c *commanded) planned(engine *routes.Engine) residency.Target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := residency.Target{CapacityMB: engine.CapacityMB, Slots: c.target.Slots, InMemory: c.target.InMemory,
 		OnDisk: c.target.OnDisk, Moving: c.move != nil || !c.known}
+	if !c.reported {
+		for _, held := range c.target.Models {
+			t.Models = append(t.Models, held.Model)
+		}
+		slices.Sort(t.Models)
+		t.Unsure = true
+		return t
+	}
 	for name := range c.models {
 		if c.move != nil && c.move.Unload == name {
 			continue
@@ -211,6 +213,7 @@
 	}
 	if c.move != nil && !slices.Contains(t.Models, c.move.Load) {
 		t.Models = append(t.Models, c.move.Load)
+		t.Arriving = c.move.Load
 	}
 	slices.Sort(t.Models)
 	t.UsedMB = c.usedMBLocked(engine)
--- a/instance/hub/commanded_test.go
+++ b/instance/hub/commanded_test.go
@@ -323,6 +323,60 @@
 	}
 }
 
+// silentEngine never answers.
+type silentEngine struct{}
+
+func (silentEngine) Report(ctx context.Context, _ roster.Target) (Report, error) {
+	<-ctx.Done()
+	return Report{}, ctx.Err()
+}
+
+func (silentEngine) Order(ctx context.Context, _ roster.Target, _ Order) (Outcome, error) {
+	<-ctx.Done()
+	return Unknown, ctx.Err()
+}
+
+type mixedFleet map[string]Orders
+
+func (f mixedFleet) Report(ctx context.Context, t roster.Target) (Report, error) {
+	return f[t.ID].Report(ctx, t)
+}
+
+func (f mixedFleet) Order(ctx context.Context, t roster.Target, o Order) (Outcome, error) {
+	return f[t.ID].Order(ctx, t, o)
+}
+
+// Guards against one target that answers nothing, while its heartbeats arrive, and holds up the moves of all others after
+// a change of the leader.
+func TestSilentTargetDoesNotHoldUpPlans(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fleet := mixedFleet{"t1": newFakeEngine(t, "m", "n"), "t2": newFakeEngine(t, "m"), "t3": silentEngine{}}
+		d, _ := directorOf(t, fleet)
+		clear(d.targets)
+		for id := range fleet {
+			d.targets[id] = newCommanded(roster.Target{Key: roster.Key{ID: id, Born: 1}, Service: "s", Slots: 8,
+				Models: []roster.Held{{Model: "o"}}})
+		}
+		d.smoothed[modelOf{"s", "n"}] = 60
+		service := &d.view.Table().Document().Services[0]
+		for range 30 {
+			for _, c := range d.targets {
+				c.step(context.Background(), time.Now(), d)
+			}
+			d.plan(time.Now(), service)
+			time.Sleep(tickInterval)
+			synctest.Wait()
+		}
+		if engine := fleet["t2"].(*fakeEngine); !engine.holds("n") {
+			t.Errorf("no copy of the busy model was loaded: %v", engine.models)
+		}
+		if d.targets["t3"].move != nil {
+			t.Error("a move was begun on the silent target")
+		}
+		time.Sleep(2 * reportTimeout) // calls that are still on their way
+	})
+}
+
 // Guards against an adapter that is unloaded while requests use it, and against more adapters than places.
 func TestAdapterInUseIsNotEvicted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/instance/hub/director.go
+++ b/instance/hub/director.go
@@ -319,20 +319,15 @@
 func (d *Director) plan(now time.Time, service *routes.Service) {
 	running := d.runningOn(now)
 	input := residency.Input{}
-	unknown := false
 	for id, c := range d.targets {
 		if c.service != service.Name {
 			continue
 		}
-		if !c.reportedOnce() {
-			unknown = true // a copy that is not known of would be loaded once more
-			continue
-		}
 		t := c.planned(service.Engine)
 		t.ID, t.Running = id, running[id]
 		input.Targets = append(input.Targets, t)
 	}
-	if len(input.Targets) == 0 || unknown {
+	if len(input.Targets) == 0 {
 		return
 	}
 	for i := range service.Engine.Models {
