Count only moves against the limit of moves, not targets that have to report first

Targets that must report first now take no order, and their copies make no last copy spare, but they do not use up the limit.

--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -30,7 +30,7 @@
 	Models     []string // held, or being loaded
 	// Arriving is the model that is being loaded, if any.
 	Arriving string
-	// Unsure targets have not told yet what they hold; Models is what a heartbeat showed.
+	// Unsure targets have to tell what they hold before they get an order; Models is what was known last.
 	Unsure bool
 	UsedMB float64 // by models and adapters, held or being loaded
 	// InMemory and OnDisk are models that load faster here than from the weight store.
@@ -41,6 +41,9 @@
 	Running int
 }
 
+// busy targets take no order at the moment.
+func (t *Target) busy() bool { return t.Moving || t.Unsure }
+
 func (t *Target) holds(model string) bool { return slices.Contains(t.Models, model) }
 
 // Model is one model of the service.
@@ -97,8 +100,8 @@
 	models  []Model
 	byName  map[string]*Model
 	copies  map[string]int
-	// present counts the copies that requests can use now. A copy that is still being loaded, or that only a heartbeat
-	// showed, does not make a last copy a spare one.
+	// present counts the copies that requests can use for certain. A copy that is still being loaded, or one on a target
+	// that has to tell first what it holds, does not make a last copy a spare one.
 	present    map[string]int
 	storeLoads int
 	moving     int
@@ -167,7 +170,7 @@
 	bestCost := math.Inf(1)
 	for i := range p.targets {
 		t := &p.targets[i]
-		if t.Moving || t.holds(m.Name) || p.blocksAdapters(t) {
+		if t.busy() || t.holds(m.Name) || p.blocksAdapters(t) {
 			continue
 		}
 		fromStore := p.fromStore(t, m.Name)
@@ -212,7 +215,7 @@
 		if m == nil || !m.HasAdapters || m.Demand < adapterDemand {
 			continue
 		}
-		others := slices.ContainsFunc(p.targets, func(o Target) bool { return o.ID != t.ID && !o.Moving && o.holds(name) })
+		others := slices.ContainsFunc(p.targets, func(o Target) bool { return o.ID != t.ID && !o.busy() && o.holds(name) })
 		if !others {
 			return true
 		}
@@ -254,7 +257,7 @@
 func (p *planner) fill() (Move, bool) {
 	for i := range p.targets {
 		t := &p.targets[i]
-		if t.Moving || p.blocksAdapters(t) {
+		if t.busy() || p.blocksAdapters(t) {
 			continue
 		}
 		var best *Model
@@ -291,12 +294,12 @@
 	bestCost := math.Inf(1)
 	for i := range p.targets {
 		from := &p.targets[i]
-		if from.Moving || p.spare(from) > 0 || len(from.Models) == 0 {
+		if from.busy() || p.spare(from) > 0 || len(from.Models) == 0 {
 			continue
 		}
 		for j := range p.targets {
 			to := &p.targets[j]
-			if to.Moving || p.spare(to) < 2 || p.blocksAdapters(to) {
+			if to.busy() || p.spare(to) < 2 || p.blocksAdapters(to) {
 				continue
 			}
 			if move, cost, ok := p.spreadTo(from, to); ok && cost < bestCost {
--- a/instance/hub/commanded.go
+++ b/instance/hub/commanded.go
@@ -196,13 +196,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := residency.Target{CapacityMB: engine.CapacityMB, Slots: c.target.Slots, InMemory: c.target.InMemory,
-		OnDisk: c.target.OnDisk, Moving: c.move != nil || !c.known}
+		OnDisk: c.target.OnDisk, Moving: c.move != nil, Unsure: !c.known}
 	if !c.reported {
 		for _, held := range c.target.Models {
 			t.Models = append(t.Models, held.Model)
 		}
 		slices.Sort(t.Models)
-		t.Unsure = true
 		return t
 	}
 	for name := range c.models {
