Give a model more targets while requests ask for more adapters than its targets have places for

The demand of a model counted requests only.

The demand for each copy now grows with the adapters asked for within a second over the places on its targets.

TestModelWithManyAdaptersInDemandGetsMoreTargets replays the load.

--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -27,7 +27,9 @@
 	ID         string
 	CapacityMB float64
 	Slots      int
-	Models     []string // held, or being loaded
+	// AdapterSlots is the number of adapters that it can hold.
+	AdapterSlots int
+	Models       []string // held, or being loaded
 	// Arriving is the model that is being loaded, if any.
 	Arriving string
 	// Unsure targets have to tell what they hold before they get an order; Models is what was known last.
@@ -54,6 +56,8 @@
 	Demand float64
 	// HasAdapters is set for models whose adapters are loaded by orders as well.
 	HasAdapters bool
+	// Adapters is the number of its adapters that requests asked for lately.
+	Adapters int
 }
 
 // Move is a model to load on a target, in place of another one unless Unload is empty.
@@ -106,6 +110,8 @@
 	storeLoads int
 	moving     int
 	slots      float64
+	// adapterSlots is the number of adapters that one target holds at most.
+	adapterSlots int
 }
 
 func newPlanner(in Input) *planner {
@@ -120,6 +126,7 @@
 			p.moving++
 		}
 		p.slots = max(p.slots, float64(t.Slots))
+		p.adapterSlots = max(p.adapterSlots, t.AdapterSlots)
 		for _, m := range t.Models {
 			p.copies[m]++
 			if m != t.Arriving && !t.Unsure {
@@ -139,11 +146,16 @@
 	return p
 }
 
-// pressure is the demand for each copy. A model without a copy comes before those whose copies are not overloaded, and
+// pressure is the demand for each copy, and more while requests ask for more adapters of the model than its targets have
+// places for: those that find no place wait although their targets have slots left. A model without a copy comes before those whose copies are not overloaded, and
 // before all others once requests for it wait.
 func (p *planner) pressure(m *Model) float64 {
 	if n := p.copies[m.Name]; n > 0 {
-		return m.Demand / float64(n)
+		pressure := m.Demand / float64(n)
+		if places := n * p.adapterSlots; places > 0 && m.Adapters > places {
+			pressure *= float64(m.Adapters) / float64(places)
+		}
+		return pressure
 	}
 	return p.slots * (missingPressure + missingWeight*m.Demand)
 }
--- a/coordination/residency/plan_test.go
+++ b/coordination/residency/plan_test.go
@@ -264,3 +264,23 @@
 		}
 	}
 }
+
+// Replays requests for more adapters of a model than its targets have places for: guards against requests that wait for a
+// place for seconds although another target could hold the model.
+func TestModelWithManyAdaptersInDemandGetsMoreTargets(t *testing.T) {
+	in := Input{
+		Targets:    []Target{engine("a", "adapted", "x", "y"), engine("b", "plain", "u", "v"), engine("c", "plain", "w", "z")},
+		Models:     models(map[string]float64{"adapted": 20, "plain": 30}, "adapted", "plain", "u", "v", "w", "x", "y", "z"),
+		StoreLoads: 1,
+	}
+	for i := range in.Targets {
+		in.Targets[i].AdapterSlots = 4
+	}
+	if got := Plan(in); len(got) != 0 {
+		t.Fatalf("planned %+v for an even demand", got)
+	}
+	in.Models[0].Adapters = 20
+	if got := Plan(in); len(got) != 1 || got[0].Load != "adapted" || got[0].Unload != "plain" {
+		t.Fatalf("planned %+v, want another copy of the model with many adapters", got)
+	}
+}
--- a/instance/hub/adapters.go
+++ b/instance/hub/adapters.go
@@ -27,6 +27,7 @@
 		return fleetapi.AdapterAnswer{Problem: "the model does not exist"}
 	}
 	d.mu.Lock()
+	d.ask(time.Now(), modelOf{r.Service, r.Model}, r.Adapter)
 	candidates := d.adapterCandidates(time.Now(), r, service.Engine)
 	d.mu.Unlock()
 	for _, c := range candidates {
--- a/instance/hub/commanded.go
+++ b/instance/hub/commanded.go
@@ -195,7 +195,7 @@
 func (c *commanded) planned(engine *routes.Engine) residency.Target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t := residency.Target{CapacityMB: engine.CapacityMB, Slots: c.target.Slots, InMemory: c.target.InMemory,
+	t := residency.Target{CapacityMB: engine.CapacityMB, Slots: c.target.Slots, AdapterSlots: engine.AdapterSlots, InMemory: c.target.InMemory,
 		OnDisk: c.target.OnDisk, Moving: c.move != nil, Unsure: !c.known}
 	if !c.reported {
 		for _, held := range c.target.Models {
--- a/instance/hub/director.go
+++ b/instance/hub/director.go
@@ -31,6 +31,8 @@
 	refusedWeight = 2.0
 	// waitingWeight counts a request without a target.
 	waitingWeight = 2.0
+	// askedPeriod is how long an adapter that was asked for counts as wanted.
+	askedPeriod = time.Second
 	// strikesToQuarantine is the number of targets that a request may take down.
 	strikesToQuarantine = 2
 	// quarantineTime is how long a request that took targets down is refused.
@@ -58,10 +60,12 @@
 	mu       sync.Mutex
 	gateways map[string]*gatewayLoad
 	// lately holds requests that were refused or arrived, by model, until they are added to the demand.
-	refusals  map[modelOf]float64
-	demand    map[modelOf]*residency.Smoothed
-	smoothed  map[modelOf]float64
-	targets   map[string]*commanded // by target id
+	refusals map[modelOf]float64
+	demand   map[modelOf]*residency.Smoothed
+	smoothed map[modelOf]float64
+	targets  map[string]*commanded // by target id
+	// asked are the times at which requests for adapters were last seen.
+	asked     map[modelOf]map[string]time.Time
 	rates     map[string]*residency.Rate
 	strikes   map[uint64]map[string]time.Time // by fingerprint, the targets that died
 	fence     uint64
@@ -78,7 +82,7 @@
 		ordersSent: counter("orders_sent"), ordersRefused: counter("orders_refused"), storeLoads: counter("store_loads"),
 		gateways: make(map[string]*gatewayLoad), refusals: make(map[modelOf]float64),
 		demand: make(map[modelOf]*residency.Smoothed), smoothed: make(map[modelOf]float64),
-		targets: make(map[string]*commanded), rates: make(map[string]*residency.Rate),
+		targets: make(map[string]*commanded), asked: make(map[modelOf]map[string]time.Time), rates: make(map[string]*residency.Rate),
 		strikes: make(map[uint64]map[string]time.Time),
 	}
 }
@@ -115,6 +119,7 @@
 	for _, use := range r.Adapters {
 		if c := d.targets[use.ID]; c != nil {
 			c.used(now, use.Model, use.Adapter)
+			d.ask(now, modelOf{c.service, use.Model}, use.Adapter)
 		}
 	}
 	for _, s := range r.Strikes {
@@ -123,6 +128,14 @@
 	return d.summary(now, r.Gateway), nil
 }
 
+// ask notes a request for an adapter. The caller holds the lock.
+func (d *Director) ask(now time.Time, key modelOf, adapter string) {
+	if d.asked[key] == nil {
+		d.asked[key] = make(map[string]time.Time)
+	}
+	d.asked[key][adapter] = now
+}
+
 func (d *Director) strike(now time.Time, s fleetapi.Strike) {
 	if d.strikes[s.Fingerprint] == nil {
 		d.strikes[s.Fingerprint] = make(map[string]time.Time)
@@ -232,6 +245,16 @@
 			delete(d.gateways, name)
 		}
 	}
+	for key, adapters := range d.asked {
+		for adapter, at := range adapters {
+			if now.Sub(at) > askedPeriod {
+				delete(adapters, adapter)
+			}
+		}
+		if len(adapters) == 0 {
+			delete(d.asked, key)
+		}
+	}
 	for fingerprint, targets := range d.strikes {
 		for id, at := range targets {
 			if now.Sub(at) > quarantineTime {
@@ -333,7 +356,8 @@
 	for i := range service.Engine.Models {
 		m := &service.Engine.Models[i]
 		input.Models = append(input.Models, residency.Model{Name: m.Name, WeightsMB: m.WeightsMB,
-			Demand: d.smoothed[modelOf{service.Name, m.Name}], HasAdapters: m.Adapters > 0})
+			Demand: d.smoothed[modelOf{service.Name, m.Name}], HasAdapters: m.Adapters > 0,
+			Adapters: len(d.asked[modelOf{service.Name, m.Name}])})
 	}
 	rate := d.rates[service.Name]
 	if rate == nil {
