Simulate orders in virtual time, and refresh the list of targets for heartbeats without news

The simulation runs three control instances (replicated log, lease, director) in virtual time against engines that check each order as it arrives: one holder within the lease period, rising fences, memory and adapter places, the rate of the weight store, no order to unload a last copy; at the end every model is loaded. Cuts, freezes, restarts with and without disks, restarts of all, silent and restarted engines, lost answers and orders that are carried out late are drawn by rapid.

The list is now remade for such heartbeats, at most every 200 ms; nobody who waits for news is woken. TestHeartbeatsWithoutNewsAreSeen fails without this.

A call to a target that waits for the one before it now ends with its context: in the simulation a goroutine waited on a mutex for a call to a silent engine, and virtual time stood still.

--- a/instance/fleetview/view.go
+++ b/instance/fleetview/view.go
@@ -33,8 +33,10 @@
 	members []string
 	// changed is closed and replaced when something new is known; beats do not count.
 	changed chan struct{}
-	// snapshot is the list of targets, rebuilt when the roster changes.
-	snapshot atomic.Pointer[[]roster.Entry]
+	// snapshot is the list of targets, rebuilt when the roster changes and, at refreshedAt last, for heartbeats that
+	// change nothing else.
+	snapshot    atomic.Pointer[[]roster.Entry]
+	refreshedAt time.Time
 }
 
 // New returns an empty view that first asks the given control instances.
@@ -89,9 +91,17 @@
 	defer v.mu.Unlock()
 	outcome, err := v.roster.Observe(now, target)
 	v.publishLocked(outcome == roster.Changed)
+	if outcome == roster.Refreshed && now.Sub(v.refreshedAt) >= refreshInterval {
+		v.refreshedAt = now
+		v.storeLocked()
+	}
 	return outcome, err
 }
 
+// refreshInterval is the least time between lists that differ only in when targets were heard. Hundreds of targets send
+// a heartbeat a second, and a list is made from all of them.
+const refreshInterval = 200 * time.Millisecond
+
 // Leave takes the goodbye of a target.
 func (v *View) Leave(id string, born int64) bool {
 	v.mu.Lock()
@@ -123,6 +133,12 @@
 	if !changed {
 		return
 	}
+	v.storeLocked()
+	v.notifyLocked()
+}
+
+// storeLocked makes the list that Targets returns.
+func (v *View) storeLocked() {
 	list := make([]roster.Entry, 0, len(*v.snapshot.Load())+1)
 	v.roster.Each(func(e *roster.Entry) bool {
 		list = append(list, *e)
@@ -138,7 +154,6 @@
 		return 0
 	})
 	v.snapshot.Store(&list)
-	v.notifyLocked()
 }
 
 // Control returns the known leader, empty if there is none, and the control instances.
--- /dev/null
+++ b/instance/fleetview/view_test.go
@@ -0,0 +1,34 @@
+package fleetview
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+)
+
+// Guards against targets that look silent although their heartbeats arrive: a control instance that alone hears all
+// heartbeats, none of which says anything new, took its targets for gone after 5 s and gave no more orders.
+func TestHeartbeatsWithoutNewsAreSeen(t *testing.T) {
+	v := New(nil, nil)
+	start := time.Unix(100, 0)
+	beat := func(n int) {
+		t.Helper()
+		_, err := v.Observe(start.Add(time.Duration(n)*time.Second), roster.Target{Key: roster.Key{ID: "t", Born: 1}, Service: "s",
+			Address: "t:1", Beat: uint64(n)})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for n := 1; n <= 10; n++ {
+		beat(n)
+		if got := v.Targets()[0].HeardAt.Sub(start); got != time.Duration(n)*time.Second {
+			t.Fatalf("heard at %v after the heartbeat at %v s", got, n)
+		}
+	}
+	changed := v.changed
+	beat(11)
+	if changed != v.changed {
+		t.Error("a heartbeat without news woke those who wait for news")
+	}
+}
--- a/instance/hub/commanded.go
+++ b/instance/hub/commanded.go
@@ -67,8 +67,8 @@
 	id      string
 	born    int64
 	service string
-	// wire serializes calls to the target.
-	wire sync.Mutex
+	// wire holds one token while a call to the target runs.
+	wire chan struct{}
 
 	mu       sync.Mutex
 	target   roster.Target
@@ -87,10 +87,22 @@
 }
 
 func newCommanded(t roster.Target) *commanded {
-	return &commanded{id: t.ID, born: t.Born, service: t.Service, target: t, models: make(map[string]bool), adapters: make(map[adapterKey]time.Time),
-		presentAt: make(map[string]uint64)}
+	return &commanded{id: t.ID, born: t.Born, service: t.Service, wire: make(chan struct{}, 1), target: t,
+		models: make(map[string]bool), adapters: make(map[adapterKey]time.Time), presentAt: make(map[string]uint64)}
 }
 
+// takeWire waits until no call to the target runs, and reports whether ctx allows to begin one.
+func (c *commanded) takeWire(ctx context.Context) bool {
+	select {
+	case c.wire <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (c *commanded) releaseWire() { <-c.wire }
+
 // heard takes the latest heartbeat.
 func (c *commanded) heard(t roster.Target) {
 	c.mu.Lock()
@@ -351,18 +363,20 @@
 	c.asking = true
 	target := c.target
 	go func() {
-		c.wire.Lock()
+		if !c.takeWire(ctx) {
+			return
+		}
+		defer c.releaseWire()
 		callCtx, cancel := context.WithTimeout(ctx, reportTimeout)
 		report, err := d.orders.Report(callCtx, target)
 		cancel()
 		c.mu.Lock()
+		defer c.mu.Unlock()
 		c.asking = false
 		c.reportAfter = time.Now().Add(reportPause)
 		if err == nil {
 			c.takeReportLocked(&report)
 		}
-		c.mu.Unlock()
-		c.wire.Unlock()
 	}()
 }
 
@@ -415,8 +429,10 @@
 	}
 	c.asking = true
 	go func() {
-		c.wire.Lock()
-		defer c.wire.Unlock()
+		if !c.takeWire(ctx) {
+			return
+		}
+		defer c.releaseWire()
 		outcome := c.give(ctx, d, o)
 		now := time.Now()
 		c.mu.Lock()
@@ -497,8 +513,10 @@
 // ensureAdapter makes the target hold an adapter and tells how long until it does.
 func (c *commanded) ensureAdapter(ctx context.Context, d *Director, modelName, adapter string, engine *routes.Engine,
 	model *routes.Model) (wait time.Duration, ok bool) {
-	c.wire.Lock()
-	defer c.wire.Unlock()
+	if !c.takeWire(ctx) {
+		return 0, false
+	}
+	defer c.releaseWire()
 	key := adapterKey{modelName, adapter}
 	c.mu.Lock()
 	if !c.known || !c.models[modelName] || c.move != nil && c.move.phase != retiring {
--- a/instance/hub/commanded_test.go
+++ b/instance/hub/commanded_test.go
@@ -193,7 +193,7 @@
 		t.Fatal(err)
 	}
 	d := newDirector(Options{Name: "hub"}, view, nil, engine, recorder, metrics.NewRegistry())
-	d.lease = &lease{term: 7, until: bootTime() + time.Hour}
+	d.lease = &lease{term: 7, until: bootTime() + time.Hour, clock: bootTime}
 	c := newCommanded(roster.Target{Key: roster.Key{ID: "t", Born: 1}, Service: "s", Slots: 8})
 	d.targets["t"] = c
 	return d, c
--- a/instance/hub/lease.go
+++ b/instance/hub/lease.go
@@ -37,21 +37,22 @@
 	group    *replica.Group
 	quiet    time.Duration // after an election
 	recorder *events.Recorder
+	clock    func() time.Duration // goes on while the machine is suspended
 
 	mu        sync.Mutex
 	term      uint64
-	firstFrom time.Duration // boot time from which orders are allowed in the term
-	until     time.Duration // boot time at which the last confirmation ends
+	firstFrom time.Duration // time of the clock from which orders are allowed in the term
+	until     time.Duration // time of the clock at which the last confirmation ends
 	stopped   bool
 }
 
 func newLease(group *replica.Group, period time.Duration, recorder *events.Recorder) *lease {
-	return &lease{group: group, quiet: period + leaseTime + takeoverMargin, recorder: recorder}
+	return &lease{group: group, quiet: period + leaseTime + takeoverMargin, recorder: recorder, clock: bootTime}
 }
 
 // Fence returns the fencing number if an order may be given now.
 func (l *lease) Fence() (fence uint64, ok bool) {
-	now := bootTime()
+	now := l.clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.term, l.term > 0 && !l.stopped && now >= l.firstFrom && now < l.until
@@ -73,7 +74,7 @@
 // renew confirms the leadership by a round of a majority. A leader elected later by another majority starts after the
 // begin of that round, so it waits longer than the confirmation lasts.
 func (l *lease) renew(ctx context.Context) {
-	began := bootTime()
+	began := l.clock()
 	before := l.group.Status()
 	if before.Role != raft.Leader.String() {
 		l.lose()
@@ -90,7 +91,7 @@
 	defer l.mu.Unlock()
 	if l.term != after.Term {
 		l.term = after.Term
-		l.firstFrom = bootTime() + l.quiet
+		l.firstFrom = l.clock() + l.quiet
 		l.recorder.Record(events.ControlGained, events.Fields{"fence": l.term, "orders_after_ms": l.quiet.Milliseconds()})
 	}
 	l.until = began + leaseTime
--- /dev/null
+++ b/instance/hub/simulation_test.go
@@ -0,0 +1,612 @@
+package hub
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
+	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
+)
+
+// The simulation runs control instances with their replicated log, lease and director in virtual time, against engines
+// that check each order when it arrives.
+
+const (
+	simPeriod        = 3 * time.Second // within which no two instances may give orders
+	simCeilingWindow = 5 * time.Second
+	simCeilingExcess = 1.1
+	simCeilingSlack  = 3
+	// simGhost is how long a director may still count on an engine that ended without a word.
+	simGhost = targetSilence + 3*time.Second
+)
+
+var simService = routes.Service{Name: "s", Engine: &routes.Engine{Slots: 8, CapacityMB: capacityMB, AdapterSlots: 2, LoadsPerSecond: 0.2,
+	Models: []routes.Model{
+		{Name: "m", WeightsMB: modelMB, LoadTime: time.Second, DiskLoadTime: 300 * time.Millisecond, Adapters: 9, AdapterMB: 1},
+		{Name: "n", WeightsMB: modelMB, LoadTime: time.Second, DiskLoadTime: 300 * time.Millisecond},
+		{Name: "o", WeightsMB: modelMB, LoadTime: time.Second, DiskLoadTime: 300 * time.Millisecond},
+		{Name: "p", WeightsMB: modelMB, LoadTime: time.Second, DiskLoadTime: 300 * time.Millisecond},
+	}}}
+
+// simulation is one schedule.
+type simulation struct {
+	t   *testing.T
+	dir string
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	hubs     []*simHub
+	engines  []*simEngine
+	cut      map[int]bool // hubs that reach no other hub
+	frozen   map[int]bool // hubs that neither send nor receive
+	lossy    bool         // orders and their answers get lost or late
+	loads    []time.Time  // from the weight store
+	ghosts   []simGhostCopy
+	failures []string
+}
+
+// simGhostCopy is a model on an engine that ended without a word.
+type simGhostCopy struct {
+	model string
+	until time.Time
+}
+
+func (s *simulation) failf(format string, args ...any) {
+	s.failures = append(s.failures, fmt.Sprintf(format, args...))
+}
+
+// simHub is one control instance.
+type simHub struct {
+	s        *simulation
+	number   int
+	view     *fleetview.View
+	group    *replica.Group
+	director *Director
+	stop     context.CancelFunc
+	done     chan struct{}
+}
+
+func simName(number int) string { return string(rune('a' + number)) }
+
+func (s *simulation) startHub(number int, found bool) {
+	names := []string{"a", "b", "c"}
+	dir := filepath.Join(s.dir, simName(number))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		s.t.Fatal(err)
+	}
+	h := &simHub{s: s, number: number, done: make(chan struct{})}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	recorder := events.NewRecorder(log, simName(number), "a", time.Now)
+	h.view = fleetview.New(func([]byte) (*routes.Document, error) {
+		return &routes.Document{Version: 1, Services: []routes.Service{simService}}, nil
+	}, nil)
+	packed, err := routes.Pack(1, nil)
+	if err == nil {
+		err = h.view.SetDocument(packed)
+	}
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	options := replica.Options{
+		Name: GroupName, Self: simName(number), Voters: names, Dynamic: true, DataDir: dir,
+		Machine: routes.NewStore(func(routes.Packed) {}), Sender: simLink{s, number}, Caller: simLink{s, number},
+		ElectionTimeout: electionTimeout, HeartbeatInterval: heartbeatPause, ProposeTimeout: proposeTimeout,
+		JoinInterval: joinInterval, SilentVoters: raft.SilentTimeouts{Replaced: replacedVoterTimeout, Lost: lostVoterTimeout},
+		OnRemoved: func() { go s.rejoin(number) },
+	}
+	if found {
+		options.Founders = names
+	}
+	if h.group, err = replica.Open(options); err != nil {
+		s.t.Fatal(err)
+	}
+	h.director = newDirector(Options{Name: simName(number), Lease: simPeriod}, h.view, h.group, simWire{s, number}, recorder,
+		metrics.NewRegistry())
+	began := time.Unix(0, 0)
+	h.director.lease.clock = func() time.Duration { return time.Since(began) }
+	ctx, stop := context.WithCancel(context.Background())
+	h.stop = stop
+	var running sync.WaitGroup
+	running.Go(func() {
+		if err := h.group.Run(ctx); err != nil {
+			s.t.Error(err)
+		}
+	})
+	running.Go(func() { h.director.Run(ctx) })
+	go func() { running.Wait(); close(h.done) }()
+	s.mu.Lock()
+	s.hubs[number] = h
+	s.mu.Unlock()
+}
+
+func (s *simulation) stopHub(number int) {
+	s.mu.Lock()
+	h := s.hubs[number]
+	s.hubs[number] = nil
+	s.mu.Unlock()
+	if h != nil {
+		h.stop()
+		<-h.done
+	}
+}
+
+// rejoin starts a removed instance with an empty folder, as its process does.
+func (s *simulation) rejoin(number int) {
+	s.stopHub(number)
+	if err := os.RemoveAll(filepath.Join(s.dir, simName(number))); err != nil {
+		s.t.Error(err)
+	}
+	s.startHub(number, false)
+}
+
+// hub returns a hub unless it is down or cannot be reached from another one.
+func (s *simulation) hub(from, to int) *simHub {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cut[from] || s.cut[to] || s.frozen[from] || s.frozen[to] {
+		return nil
+	}
+	return s.hubs[to]
+}
+
+// simLink connects the logs of the hubs.
+type simLink struct {
+	s    *simulation
+	from int
+}
+
+func (l simLink) Send(name string, m raft.Message) {
+	time.AfterFunc(time.Millisecond, func() {
+		if h := l.s.hub(l.from, int(name[0]-'a')); h != nil {
+			h.group.HandleMessage(m)
+		}
+	})
+}
+
+func (l simLink) Propose(ctx context.Context, name string, r replica.ProposeRequest) (replica.ProposeResponse, error) {
+	if h := l.s.hub(l.from, int(name[0]-'a')); h != nil {
+		return h.group.HandlePropose(ctx, r)
+	}
+	return replica.ProposeResponse{}, replica.ErrNotSent
+}
+
+func (l simLink) Fetch(ctx context.Context, name string, r replica.FetchRequest) (replica.FetchResponse, error) {
+	if h := l.s.hub(l.from, int(name[0]-'a')); h != nil {
+		return h.group.HandleFetch(ctx, r)
+	}
+	return replica.FetchResponse{}, replica.ErrNotSent
+}
+
+// simEngine is one engine replica. All fields are guarded by the lock of the simulation.
+type simEngine struct {
+	s         *simulation
+	id        string
+	born      int64
+	beat      uint64
+	models    map[string]bool
+	onDisk    map[string]bool
+	adapters  map[string]bool
+	loading   string
+	unloading string
+	sequence  uint64
+	fence     uint64
+	holder    string
+	heardAt   time.Time // of the last order
+	silent    bool      // answers nothing
+	history   []engineState
+}
+
+func (e *simEngine) reset(models ...string) {
+	e.born, e.beat, e.sequence, e.fence, e.holder, e.loading, e.unloading = e.born+1, 0, 0, 0, "", "", ""
+	e.models, e.adapters, e.history = make(map[string]bool), make(map[string]bool), nil
+	for _, m := range models {
+		e.models[m] = true
+		e.onDisk[m] = true
+	}
+	e.note()
+}
+
+func (e *simEngine) held() []roster.Held {
+	var list []roster.Held
+	for _, m := range simService.Engine.Models {
+		if !e.models[m.Name] {
+			continue
+		}
+		held := roster.Held{Model: m.Name}
+		if m.Name == "m" {
+			for a := range e.adapters {
+				held.Adapters = append(held.Adapters, a)
+			}
+			slices.Sort(held.Adapters)
+		}
+		list = append(list, held)
+	}
+	return list
+}
+
+func (e *simEngine) note() {
+	e.history = append(e.history, engineState{time.Now(), Report{Models: e.held(), Busy: e.loading+e.unloading != "", Sequence: e.sequence}})
+}
+
+func (e *simEngine) usedMB() float64 {
+	return modelMB*float64(len(e.models)) + float64(len(e.adapters))
+}
+
+// receive checks an order at its arrival.
+func (e *simEngine) receive(o *Order) {
+	s, now := e.s, time.Now()
+	switch {
+	case o.Fence < e.fence:
+		s.failf("%s: fence %d of %s after %d of %s", e.id, o.Fence, o.Holder, e.fence, e.holder)
+	case o.Fence == e.fence && o.Holder != e.holder:
+		s.failf("%s: fence %d of both %s and %s", e.id, o.Fence, o.Holder, e.holder)
+	case e.holder != "" && o.Holder != e.holder && now.Sub(e.heardAt) < simPeriod:
+		s.failf("%s: order of %s %v after one of %s", e.id, o.Holder, now.Sub(e.heardAt), e.holder)
+	}
+	e.fence, e.holder, e.heardAt = o.Fence, o.Holder, now
+	if o.Unload && o.Adapter == "" && e.models[o.Model] && !s.elsewhere(e, o.Model) {
+		s.failf("%s: order to unload the last copy of %s", e.id, o.Model)
+	}
+}
+
+// elsewhere tells whether another engine holds a model, or did until a moment ago.
+func (s *simulation) elsewhere(e *simEngine, model string) bool {
+	for _, other := range s.engines {
+		if other != e && other.models[model] && other.unloading != model {
+			return true
+		}
+	}
+	return slices.ContainsFunc(s.ghosts, func(g simGhostCopy) bool { return g.model == model && time.Now().Before(g.until) })
+}
+
+// carryOut does what an order says. It may come late.
+func (e *simEngine) carryOut(born int64, o *Order) Outcome {
+	s := e.s
+	switch {
+	case born != e.born:
+		return Replaced
+	case o.Sequence != e.sequence || e.loading+e.unloading != "":
+		return Conflict
+	case o.Adapter != "" && !e.models[o.Model]:
+		return Refused
+	}
+	outcome := Accepted
+	switch {
+	case o.Adapter != "" && o.Unload:
+		delete(e.adapters, o.Adapter)
+		outcome = Holds
+	case o.Adapter != "":
+		e.adapters[o.Adapter] = true
+	case e.models[o.Model] != o.Unload:
+		return Holds
+	case o.Unload:
+		e.unloading = o.Model
+		e.later(time.Duration(s.rng.IntN(1500))*time.Millisecond, func() { // its runs end first
+			delete(e.models, o.Model)
+			if o.Model == "m" {
+				clear(e.adapters)
+			}
+			e.unloading = ""
+		})
+	default:
+		e.load(o.Model)
+	}
+	e.sequence++
+	e.note()
+	if used := e.usedMB(); used > capacityMB || len(e.adapters) > simService.Engine.AdapterSlots {
+		s.failf("%s: %v of %v MB and %d adapters after %+v", e.id, used, capacityMB, len(e.adapters), *o)
+	}
+	return outcome
+}
+
+func (e *simEngine) load(model string) {
+	took := time.Second
+	if e.onDisk[model] {
+		took = 300 * time.Millisecond
+	} else {
+		e.s.countLoad()
+	}
+	e.loading = model
+	if used := e.usedMB() + modelMB; used > capacityMB {
+		e.s.failf("%s: ordered to load %s: %v of %v MB", e.id, model, used, capacityMB)
+	}
+	e.later(took, func() {
+		e.models[model], e.onDisk[model], e.loading = true, true, ""
+	})
+}
+
+// later runs f unless the engine has restarted by then.
+func (e *simEngine) later(d time.Duration, f func()) {
+	born := e.born
+	time.AfterFunc(d, func() {
+		e.s.mu.Lock()
+		defer e.s.mu.Unlock()
+		if born == e.born {
+			f()
+			e.note()
+		}
+	})
+}
+
+func (s *simulation) countLoad() {
+	now := time.Now()
+	s.loads = append(s.loads, now)
+	s.loads = slices.DeleteFunc(s.loads, func(at time.Time) bool { return now.Sub(at) > simCeilingWindow })
+	limit := simService.Engine.LoadsPerSecond*simCeilingWindow.Seconds()*simCeilingExcess + simCeilingSlack
+	if float64(len(s.loads)) > limit {
+		s.failf("%d loads from the weight store within %v", len(s.loads), simCeilingWindow)
+	}
+}
+
+// simWire is what one hub reaches of the engines.
+type simWire struct {
+	s    *simulation
+	from int
+}
+
+func (w simWire) engine(target roster.Target) *simEngine {
+	at := slices.IndexFunc(w.s.engines, func(e *simEngine) bool { return e.id == target.ID })
+	if e := w.s.engines[at]; !e.silent && !w.s.frozen[w.from] && w.s.hubs[w.from] != nil {
+		return e
+	}
+	return nil
+}
+
+func (w simWire) Report(ctx context.Context, target roster.Target) (Report, error) {
+	w.s.mu.Lock()
+	defer w.s.mu.Unlock()
+	e := w.engine(target)
+	if e == nil || e.born != target.Born {
+		w.s.mu.Unlock()
+		<-ctx.Done()
+		w.s.mu.Lock()
+		return Report{}, ctx.Err()
+	}
+	limit := time.Now().Add(-reportDelay)
+	best := e.history[0].report
+	for _, h := range e.history {
+		if h.at.After(limit) {
+			break
+		}
+		best = h.report
+	}
+	return best, nil
+}
+
+func (w simWire) Order(ctx context.Context, target roster.Target, o Order) (Outcome, error) {
+	w.s.mu.Lock()
+	defer w.s.mu.Unlock()
+	e := w.engine(target)
+	if e == nil {
+		w.s.mu.Unlock()
+		<-ctx.Done()
+		w.s.mu.Lock()
+		return Unknown, ctx.Err()
+	}
+	if e.born != target.Born {
+		return Replaced, nil
+	}
+	e.receive(&o)
+	if !w.s.lossy || w.s.rng.IntN(3) > 0 {
+		return e.carryOut(target.Born, &o), nil
+	}
+	if w.s.rng.IntN(2) == 0 { // only the answer is lost
+		e.carryOut(target.Born, &o)
+	} else {
+		time.AfterFunc(time.Duration(1000+w.s.rng.IntN(5000))*time.Millisecond, func() {
+			w.s.mu.Lock()
+			defer w.s.mu.Unlock()
+			e.carryOut(target.Born, &o)
+		})
+	}
+	return Unknown, errors.New("the answer was lost")
+}
+
+// heartbeats tells the hubs what an engine holds, late by up to two seconds.
+func (s *simulation) heartbeats(ctx context.Context, e *simEngine) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		e.beat++
+		target := roster.Target{Key: roster.Key{ID: e.id, Born: e.born}, Service: "s", DataCentre: "a", Address: e.id + ":1", Slots: 8,
+			State: roster.Ready, Beat: e.beat, Models: e.held()}
+		for m := range e.onDisk {
+			target.OnDisk = append(target.OnDisk, m)
+		}
+		slices.Sort(target.OnDisk)
+		delay := time.Duration(s.rng.IntN(100)) * time.Millisecond
+		if s.rng.IntN(8) == 0 {
+			delay = time.Duration(s.rng.IntN(2000)) * time.Millisecond
+		}
+		s.mu.Unlock()
+		time.AfterFunc(delay, func() {
+			for number := range s.hubs {
+				if h := s.hub(number, number); h != nil {
+					if _, err := h.view.Observe(time.Now(), target); err != nil {
+						s.t.Error(err)
+					}
+				}
+			}
+		})
+		time.Sleep(1200 * time.Millisecond)
+	}
+}
+
+// gateway reports a demand that moves between the models and asks for adapters.
+func (s *simulation) gateway(ctx context.Context) {
+	for round := 0; ctx.Err() == nil; round++ {
+		s.mu.Lock()
+		busy := simService.Engine.Models[round/50%4].Name
+		adapter := fmt.Sprint("a", s.rng.IntN(6))
+		s.mu.Unlock()
+		report := fleetapi.LoadReport{Gateway: "g", Models: []fleetapi.ModelLoad{
+			{Service: "s", Model: busy, Running: 30}, {Service: "s", Model: "m", Running: 3}}}
+		for number := range s.hubs {
+			if h := s.hub(number, number); h != nil {
+				if _, err := h.director.Exchange(time.Now(), &report); err != nil {
+					s.t.Error(err)
+				}
+				if round%3 == 0 {
+					go h.director.Adapter(ctx, &fleetapi.AdapterRequest{Service: "s", Model: "m", Adapter: adapter})
+				}
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// describe tells what the engines hold and what the directors believe. The caller holds the lock.
+func (s *simulation) describe() string {
+	var b strings.Builder
+	for _, e := range s.engines {
+		fmt.Fprintf(&b, "\n%s: born %d, sequence %d, holds %v, adapters %v, loads %q, unloads %q", e.id, e.born, e.sequence, e.models,
+			e.adapters, e.loading, e.unloading)
+	}
+	for _, h := range s.hubs {
+		if h == nil {
+			continue
+		}
+		_, allowed := h.director.lease.Fence()
+		fmt.Fprintf(&b, "\n%s: orders allowed %v, status %+v", simName(h.number), allowed, h.group.Status())
+		if !allowed {
+			continue
+		}
+		h.director.mu.Lock()
+		for id, c := range h.director.targets {
+			c.mu.Lock()
+			fmt.Fprintf(&b, "\n  %s: born %d, known %v, asking %v, sequence %d, models %v, adapters %v, move %+v", id, c.born, c.known, c.asking,
+				c.sequence, c.models, c.adapters, c.move)
+			c.mu.Unlock()
+		}
+		for _, t := range h.view.Targets() {
+			fmt.Fprintf(&b, "\n  %s heard %v ago: born %d, beat %d, state %v", t.ID, time.Since(t.HeardAt), t.Born, t.Beat, t.State)
+		}
+		fmt.Fprintf(&b, "\n  demand %v, rates %+v", h.director.smoothed, h.director.rates["s"])
+		h.director.mu.Unlock()
+	}
+	return b.String()
+}
+
+// disturb does one thing for a while.
+func (s *simulation) disturb(kind, victim int, length time.Duration) {
+	set := func(change func()) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		change()
+	}
+	hub, engine := victim%len(s.hubs), s.engines[victim%len(s.engines)]
+	switch kind {
+	case 0:
+		set(func() { s.cut[hub] = true })
+		time.Sleep(length)
+		set(func() { s.cut[hub] = false })
+	case 1:
+		set(func() { s.frozen[hub] = true })
+		time.Sleep(length)
+		set(func() { s.frozen[hub] = false })
+	case 2:
+		s.stopHub(hub)
+		time.Sleep(length)
+		s.startHub(hub, false)
+	case 3:
+		for number := range s.hubs {
+			s.stopHub(number)
+		}
+		time.Sleep(length)
+		for number := range s.hubs {
+			s.startHub(number, false)
+		}
+	case 4:
+		set(func() {
+			for m := range engine.models {
+				s.ghosts = append(s.ghosts, simGhostCopy{m, time.Now().Add(simGhost)})
+			}
+			engine.reset()
+		})
+	case 5:
+		set(func() { engine.silent = true })
+		time.Sleep(length)
+		set(func() { engine.silent = false })
+	case 6:
+		s.rejoin(hub) // with an empty disk
+		time.Sleep(length)
+	default:
+		set(func() { s.lossy = true })
+		time.Sleep(length)
+		set(func() { s.lossy = false })
+	}
+}
+
+// Guards the rules of orders as a whole, whatever control instances and engines go through: one holder at a time, a
+// fence that only rises, memory and adapter places never exceeded, the rate of the weight store, no order to unload a
+// last copy; and when all are well again, every model is loaded.
+func TestOrdersKeepTheRules(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		seed := rapid.Uint64().Draw(rt, "seed")
+		kinds := rapid.SliceOfN(rapid.IntRange(0, 8), 1, 6).Draw(rt, "disturbances")
+		victims := rapid.SliceOfN(rapid.IntRange(0, 11), len(kinds), len(kinds)).Draw(rt, "victims")
+		lengths := rapid.SliceOfN(rapid.IntRange(100, 6000), len(kinds), len(kinds)).Draw(rt, "lengths in ms")
+		pauses := rapid.SliceOfN(rapid.IntRange(0, 5000), len(kinds), len(kinds)).Draw(rt, "pauses in ms")
+		var failures []string
+		synctest.Test(t, func(t *testing.T) {
+			s := &simulation{t: t, dir: t.TempDir(), rng: rand.New(rand.NewPCG(seed, 5)), hubs: make([]*simHub, 3),
+				cut: map[int]bool{}, frozen: map[int]bool{}}
+			for i, models := range [][]string{{"m", "n"}, {"m", "o"}, {"m", "p"}, {"n"}} {
+				e := &simEngine{s: s, id: fmt.Sprint("t", i), onDisk: map[string]bool{}}
+				e.reset(models...)
+				s.engines = append(s.engines, e)
+			}
+			ctx, stop := context.WithCancel(context.Background())
+			for number := range s.hubs {
+				s.startHub(number, true)
+			}
+			for _, e := range s.engines {
+				go s.heartbeats(ctx, e)
+			}
+			go s.gateway(ctx)
+			time.Sleep(6 * time.Second)
+			for i, kind := range kinds {
+				s.disturb(kind, victims[i], time.Duration(lengths[i])*time.Millisecond)
+				time.Sleep(time.Duration(pauses[i]) * time.Millisecond)
+			}
+			time.Sleep(40 * time.Second)
+			s.mu.Lock()
+			for _, m := range simService.Engine.Models {
+				if !s.elsewhere(nil, m.Name) {
+					s.failf("no engine holds %s at the end:%s", m.Name, s.describe())
+				}
+			}
+			failures = slices.Clone(s.failures)
+			s.mu.Unlock()
+			stop()
+			for number := range s.hubs {
+				s.stopHub(number)
+			}
+			time.Sleep(10 * time.Second) // orders that are still on their way
+			synctest.Wait()
+		})
+		if len(failures) > 0 {
+			rt.Fatal(failures)
+		}
+	})
+}
