Probe targets that accept no connection apart from requests, and serve what ends before a stop

A target that accepted no connection gets no requests until a probe has opened one, which the next request then uses; failures together count as one. From 3 s after the signal on, a stopping gateway serves requests whose time ends before the process does, and refuses the others.

Ruled out: targets that are down for a moment only (first backoff unchanged, 400 ms).

TestConnectBackoffDoubles checked that a request may try after the first backoff; that is what changed. TestTargetWithoutConnectionsIsProbed replaces it: it checks the same times for probes, and besides that no request is sent before one succeeds.

--- a/coordination/dispatch/board.go
+++ b/coordination/dispatch/board.go
@@ -14,8 +14,8 @@
 const (
 	// failureHalfLife halves the weight of an observed failure.
 	failureHalfLife = 2 * time.Second
-	// connectBackoff keeps a target that accepts no connections out of the choice. It doubles with each failure up to
-	// maxConnectBackoff, and one request after the other finds out whether the target is back.
+	// connectBackoff is the pause before it is tried whether a target that accepted no connection accepts one again. It
+	// doubles with each failure up to maxConnectBackoff.
 	connectBackoff    = 400 * time.Millisecond
 	maxConnectBackoff = 1600 * time.Millisecond
 	// silentAfter is the age of a heartbeat after which a target may be dead: three heartbeats of 1.2 s, one of them late.
@@ -75,8 +75,10 @@
 	pending  map[*Ticket]struct{}
 	failures float64
 	failedAt time.Time
+	// downFor is the latest backoff of a target that accepted no connection, 0 once it was reached. Until then it gets no
+	// requests: each one would wait for the connection to time out. From downTill on it may be probed.
+	downFor  time.Duration
 	downTill time.Time
-	downFor  time.Duration // the latest backoff, 0 once the target was reached
 	downAt   time.Time
 	latency  float64 // moving average of the time to the first byte over what was expected, 0 when unknown
 	pace     pace
@@ -203,7 +205,7 @@
 			continue
 		}
 		s := b.state(t.ID)
-		if contains(q.Exclude, t.ID) || now.Before(s.downTill) {
+		if contains(q.Exclude, t.ID) || s.downFor > 0 {
 			worse(AllExclude, reasonRank[AllExclude])
 			continue
 		}
@@ -419,7 +421,44 @@
 	case Unreachable:
 		s.failures = s.recentFailures(now) + 1
 		s.failedAt = now
+		s.down(now)
+	}
+}
+
+// down begins the next backoff. Requests that failed together count once.
+func (s *targetState) down(now time.Time) {
+	if s.downFor == 0 || !now.Before(s.downTill) {
 		s.downFor = min(max(2*s.downFor, connectBackoff), maxConnectBackoff)
+	}
+	s.downTill, s.downAt = now.Add(s.downFor), now
+}
+
+// TakeProbes returns the targets for which it is time to try a connection. Each is returned again after another backoff
+// unless Probed tells more before.
+func (b *Board) TakeProbes(now time.Time) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var ids []string
+	for id, s := range b.targets {
+		if s.downFor > 0 && !now.Before(s.downTill) {
+			s.downTill = now.Add(s.downFor)
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// Probed tells whether a target accepted a connection.
+func (b *Board) Probed(now time.Time, id string, accepted bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.targets[id]
+	switch {
+	case s == nil:
+	case accepted:
+		s.downFor = 0
+	case s.downFor > 0:
+		s.downFor = min(2*s.downFor, maxConnectBackoff)
 		s.downTill, s.downAt = now.Add(s.downFor), now
 	}
 }
@@ -502,12 +541,12 @@
 }
 
 // Down returns the targets that accept no connections at the moment.
-func (b *Board) Down(now time.Time) []string {
+func (b *Board) Down() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var ids []string
 	for id, s := range b.targets {
-		if now.Before(s.downTill) {
+		if s.downFor > 0 {
 			ids = append(ids, id)
 		}
 	}
--- a/coordination/dispatch/board_test.go
+++ b/coordination/dispatch/board_test.go
@@ -152,25 +152,54 @@
 	}
 }
 
-// Guards against a target that accepts no connections and takes a request from every caller again and again.
-func TestConnectBackoffDoubles(t *testing.T) {
+// Guards against a target that accepts no connections and makes one request after the other wait for it: only a probe
+// brings it back, and probes become rarer.
+func TestTargetWithoutConnectionsIsProbed(t *testing.T) {
 	b, targets := NewBoard(), engines(1)
-	b.Finish(start, b.Start(start, "t0", "m", 1), Unreachable)
+	for range 2 { // requests that failed together
+		b.Finish(start, b.Start(start, "t0", "m", 1), Unreachable)
+	}
 	second := start.Add(connectBackoff)
-	if got := pickID(t, b, second, Query{Model: "m"}, targets); got != "t0" {
-		t.Fatalf("after the first backoff: %s", got)
+	if got := b.TakeProbes(second.Add(-time.Millisecond)); len(got) != 0 {
+		t.Fatalf("probes of %v within the first backoff", got)
+	}
+	if got := b.TakeProbes(second); len(got) != 1 || got[0] != "t0" {
+		t.Fatalf("probes of %v after the first backoff", got)
 	}
-	b.Finish(second, b.Start(second, "t0", "m", 1), Unreachable)
-	if got := pickID(t, b, second.Add(connectBackoff), Query{Model: "m"}, targets); got != string(AllExclude) {
-		t.Fatalf("within the second backoff: %s", got)
+	if got := b.TakeProbes(second); len(got) != 0 {
+		t.Fatalf("two probes at once: %v", got)
+	}
+	if got := pickID(t, b, second, Query{Model: "m"}, targets); got != string(AllExclude) {
+		t.Fatalf("picked %s before the probe has ended", got)
+	}
+	b.Probed(second, "t0", false)
+	if got := b.TakeProbes(second.Add(connectBackoff)); len(got) != 0 {
+		t.Fatalf("the second backoff is not longer: %v", got)
 	}
 	if got := b.Unreachable(second, time.Second); len(got) != 1 {
 		t.Fatalf("unreachable %v", got)
 	}
-	reached := b.Start(second, "t0", "m", 1)
-	b.FirstByte(second, reached, 0)
-	if got := b.Unreachable(second, time.Second); len(got) != 0 {
-		t.Fatalf("unreachable after an answer: %v", got)
+	third := second.Add(2 * connectBackoff)
+	if got := b.TakeProbes(third); len(got) != 1 {
+		t.Fatalf("probes of %v after the second backoff", got)
+	}
+	b.Probed(third, "t0", true)
+	if got := pickID(t, b, third, Query{Model: "m"}, targets); got != "t0" {
+		t.Fatalf("after a probe that succeeded: %s", got)
+	}
+	if got := b.Unreachable(third, time.Second); len(got) != 0 {
+		t.Fatalf("unreachable after a probe that succeeded: %v", got)
+	}
+}
+
+// Guards against a target that is left out although a request, sent before it failed others, was answered.
+func TestAnswerBringsATargetBack(t *testing.T) {
+	b, targets := NewBoard(), engines(1)
+	answered := b.Start(start, "t0", "m", 1)
+	b.Finish(start, b.Start(start, "t0", "m", 1), Unreachable)
+	b.FirstByte(start, answered, 0)
+	if got := pickID(t, b, start, Query{Model: "m"}, targets); got != "t0" {
+		t.Fatalf("picked %s", got)
 	}
 }
 
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,11 +31,16 @@
 	maxHeaderBytes = 64 << 10
 	// defaultBodyBytes bounds a body when the configuration states no limit.
 	defaultBodyBytes = 4 << 20
-	// refuseAfter is the time after the start of a shutdown from which new requests are refused. The platform asks for
-	// readiness once a second and sends no new connections after two misses.
+	// refuseAfter is the time after the start of a shutdown from which new requests are refused, unless they end before
+	// the process does. The platform asks for readiness once a second and sends no new connections after two misses.
 	refuseAfter = 3 * time.Second
 	// activePoll is the time between looks at the requests in progress during a shutdown.
 	activePoll = 20 * time.Millisecond
+	// probeInterval is the time between looks for targets to probe.
+	probeInterval = 100 * time.Millisecond
+	// exitMargin is the time before the kill at which the process ends, and answerMargin that within which answers leave.
+	exitMargin   = 200 * time.Millisecond
+	answerMargin = 300 * time.Millisecond
 	// housekeepingInterval is the time between closing idle connections to targets.
 	housekeepingInterval = time.Second
 )
@@ -70,13 +76,14 @@
 	rngMu sync.Mutex
 	rng   *rand.Rand
 
-	ready     atomic.Bool
-	stopping  atomic.Bool
-	refusing  atomic.Bool
-	active    atomic.Int64
-	gateways  atomic.Int64 // that share the targets
-	arriving  atomic.Pointer[[]arrival]
-	suspected *suspects
+	ready    atomic.Bool
+	stopping atomic.Bool
+	// lastDeadline is set once a shutdown refuses requests: the latest deadline of a request that is still served.
+	lastDeadline atomic.Pointer[time.Time]
+	active       atomic.Int64
+	gateways     atomic.Int64 // that share the targets
+	arriving     atomic.Pointer[[]arrival]
+	suspected    *suspects
 }
 
 // New assembles a gateway.
@@ -125,6 +132,7 @@
 	go g.watcher.Run(background)
 	go g.exchange(background)
 	go g.housekeeping(background)
+	go g.probe(background)
 	g.recorder.Record(events.Listening, events.Fields{"callers": g.opts.Callers, "ready": g.opts.Ready})
 	select {
 	case err := <-failed:
@@ -145,10 +153,11 @@
 	// Kept connections are not closed here: each answer asks its caller to close. Closing idle ones, as the server's own
 	// shutdown does, races with a request that was just read.
 	time.Sleep(refuseAfter)
-	g.refusing.Store(true)
-	g.recorder.Record(events.DrainRefusing, events.Fields{"active": g.active.Load()})
 	// The process is killed at the end of the grace period; ending by itself shortly before closes connections in order.
-	deadline := began.Add(g.opts.Grace - 200*time.Millisecond)
+	deadline := began.Add(g.opts.Grace - exitMargin)
+	last := deadline.Add(-answerMargin)
+	g.lastDeadline.Store(&last)
+	g.recorder.Record(events.DrainRefusing, events.Fields{"active": g.active.Load()})
 	for g.active.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(activePoll)
 	}
@@ -180,6 +189,32 @@
 	return g.ready.Load()
 }
 
+// probe finds out when targets that accepted no connection do so again.
+func (g *Gateway) probe(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		due := g.board.TakeProbes(time.Now())
+		if len(due) == 0 {
+			continue
+		}
+		targets := g.view.Targets()
+		for i := range targets {
+			if t := &targets[i]; slices.Contains(due, t.ID) {
+				go func() {
+					err := g.client.Connect(ctx, t.Address)
+					g.board.Probed(time.Now(), t.ID, err == nil)
+				}()
+			}
+		}
+	}
+}
+
 func (g *Gateway) housekeeping(ctx context.Context) {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -518,6 +518,64 @@
 	}
 }
 
+// Replays restarts in turn, in which a process that waits for a long stream refused short requests for 5 s: guards against
+// a refusal of what ends in time, and against a request that the end of the process cuts off.
+func TestShutdownServesWhatEndsInTime(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	f.target("t0", "plain", ok)
+	last := time.Now().Add(time.Second)
+	f.gateway.lastDeadline.Store(&last)
+	for left, want := range map[string]int{"500": http.StatusOK, "1500": http.StatusServiceUnavailable} {
+		response, _, err := f.call("r"+left, "/safe/x", names.TimeLeftMs+": "+left)
+		if err != nil || response.StatusCode != want {
+			t.Errorf("%s ms left: %v, %v, want %d", left, response, err, want)
+		}
+	}
+	if f.ran("r1500") != 0 {
+		t.Error("a request that was refused has run")
+	}
+}
+
+// Replays a data centre that is cut off and joined again: guards against requests that wait for a connection to a target
+// that accepts none, and against a target that stays away when it accepts them again.
+func TestUnreachableTargetIsProbed(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	address := freeAddress(t)
+	if _, err := f.view.Observe(time.Now(), roster.Target{Key: roster.Key{ID: "t0", Born: 1}, Service: "plain", DataCentre: "a",
+		Address: address, Slots: 4, Beat: 1}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go f.gateway.probe(ctx)
+	if response, _, err := f.call("r1", "/once/x"); err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("without a listener: %v, %v", response, err)
+	}
+	if down := f.gateway.board.Down(); len(down) != 1 {
+		t.Fatalf("down: %v", down)
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go f.serveTarget(conn, ok)
+		}
+	}()
+	waitFor(t, func() bool { return len(f.gateway.board.Down()) == 0 })
+	if response, _, err := f.call("r2", "/once/x"); err != nil || response.StatusCode != http.StatusOK {
+		t.Fatalf("after the probe: %v, %v", response, err)
+	}
+}
+
 func status(url string) int {
 	r, err := http.NewRequest(http.MethodGet, url, nil)
 	if err != nil {
--- a/instance/gateway/place.go
+++ b/instance/gateway/place.go
@@ -62,7 +62,7 @@
 	ctx, cancel := context.WithTimeout(q.ctx, min(adapterTimeout, q.deadline.Sub(now)))
 	defer cancel()
 	ask := fleetapi.AdapterRequest{Service: q.service.Name, Model: q.prompt.Model, Adapter: q.prompt.Adapter,
-		Exclude: slices.Concat(exclude, g.board.Down(now))}
+		Exclude: slices.Concat(exclude, g.board.Down())}
 	var answer fleetapi.AdapterAnswer
 	err := g.peers.Call(ctx, leader, peerapi.MethodFleetAdapter, ask, &answer)
 	if err != nil || answer.ID == "" {
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -55,10 +55,6 @@
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	if g.refusing.Load() {
-		g.answerEarly(w, r, http.StatusServiceUnavailable, "the instance stops")
-		return
-	}
 	table := g.awaitTable(r, arrived)
 	if table == nil {
 		g.answerEarly(w, r, http.StatusServiceUnavailable, "no configuration is known yet")
@@ -96,6 +92,10 @@
 	if left, ok := g.timeLeft(r); ok {
 		q.deadline = arrived.Add(min(left, route.Timeout))
 	}
+	if last := g.lastDeadline.Load(); last != nil && q.deadline.After(*last) {
+		g.answerEarly(w, r, http.StatusServiceUnavailable, "the instance stops")
+		return
+	}
 	q.service = table.Service(route.Pick(g.draw()))
 	if q.service.Engine != nil {
 		if p, ok := g.opts.ReadPrompt(r.Header); ok {
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -180,6 +180,23 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
 
+// probedIdle is how long a connection that Connect opened may wait for a request.
+const probedIdle = time.Second
+
+// Connect finds out whether a target accepts connections, and keeps the connection for the next request.
+func (c *Client) Connect(ctx context.Context, address string) error {
+	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	c.opened.Inc(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle[address] = append(c.idle[address], &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes),
+		usableUntil: time.Now().Add(probedIdle)})
+	return nil
+}
+
 // CloseIdle closes idle connections that may not be reused any more, and all those to addresses that are not wanted.
 func (c *Client) CloseIdle(now time.Time, wanted func(address string) bool) {
 	c.mu.Lock()
