Keep a connection open that a call waits for

A call that opens a connection goes on in another goroutine; when that was late by more than the idle timeout (1 ms in the test, a minute in the daemon), the new connection counted as idle and was closed, and the call failed as not run.

A link now counts the calls that wait for a connection, and does not close one meanwhile.

Ruled out: the other side (it reported no refusal, and the error of a closed connection is another).

TestConnectionThatACallWaitsForIsNotIdle fails without the mend.

--- a/transport/peer/limits_test.go
+++ b/transport/peer/limits_test.go
@@ -147,6 +147,39 @@
 	wait(t, bulk, "message on the other link")
 }
 
+// Guards against a call that fails because the connection which was opened for it counted as idle before the call went on,
+// as on a busy machine.
+func TestConnectionThatACallWaitsForIsNotIdle(t *testing.T) {
+	n := newNetwork()
+	a := n.start(t, "a", func(o *Options) { o.IdleTimeout, o.PingInterval = time.Millisecond, time.Millisecond })
+	n.start(t, "b", nil)
+	l, err := a.link("b")
+	if err != nil {
+		t.Fatal(err)
+	}
+	connected := func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.conn != nil
+	}
+	wait := func(n int) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.waiting += n
+	}
+	wait(1)
+	if err := a.Call(t.Context(), "b", "echo", 1, nil); err != nil {
+		t.Fatal(err)
+	}
+	for began := time.Now(); time.Since(began) < 30*time.Millisecond; time.Sleep(time.Millisecond) {
+		if !connected() {
+			t.Fatal("the connection was closed while a call waited for it")
+		}
+	}
+	wait(-1)
+	eventually(t, "the connection is closed", func() bool { return !connected() })
+}
+
 // Guards against idle connections that stay open, and against calls that fail because one was closed.
 func TestIdleConnectionIsClosedAndReopened(t *testing.T) {
 	n := newNetwork()
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -28,6 +28,7 @@
 
 	mu      sync.Mutex
 	conn    *outbound
+	waiting int           // calls that wait for the connection that is being opened
 	dialing chan struct{} // closed at the end of the attempt in progress, nil without one
 	retry   *time.Timer   // set while notifications wait for the next attempt
 	retryAt time.Time
@@ -55,18 +56,21 @@
 		l.dialLocked()
 	}
 	dialing := l.dialing
+	l.waiting++
 	l.mu.Unlock()
 	select {
 	case <-dialing:
 	case <-ctx.Done():
-		return nil, errors.Wrap(ctx.Err(), "not connected in time")
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.conn != nil {
+	l.waiting--
+	switch {
+	case l.conn != nil:
 		return l.conn.begin(), nil
-	}
-	if l.lastErr == nil {
+	case ctx.Err() != nil:
+		return nil, errors.Wrap(ctx.Err(), "not connected in time")
+	case l.lastErr == nil:
 		return nil, errors.New("the connection was closed at once")
 	}
 	return nil, l.lastErr
@@ -247,7 +251,8 @@
 func (l *link) closeIdle(out *outbound) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if out.idleFor() <= l.t.opts.IdleTimeout {
+	// A connection that a call waits for is not idle, however long the call takes to go on.
+	if l.waiting > 0 || out.idleFor() <= l.t.opts.IdleTimeout {
 		return false
 	}
 	if l.conn == out {
