Share what the director and its tests wrote twice, and drop a counter that nobody read

Read of the whole change, behaviour as before: gateways that reported lately are yielded by one iterator instead of four equal loops; times by key are noted and dropped by one pair of functions for adapters asked for and for strikes; the backoff of a target is computed in one place; slices.Contains, cmp.Compare and strings.Compare replace code of our own; the rank of a reason is looked up instead of passed along. Arrived was counted and sent with every load report and read by nobody.

--- a/coordination/dispatch/board.go
+++ b/coordination/dispatch/board.go
@@ -5,6 +5,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -180,8 +181,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	reason := NoTarget
-	worse := func(r Reason, rank int) {
-		if rank > reasonRank[reason] {
+	leftOut := func(r Reason) {
+		if reasonRank[r] > reasonRank[reason] {
 			reason = r
 		}
 	}
@@ -192,26 +193,23 @@
 		if t.Service != q.Service || t.State != roster.Ready {
 			continue
 		}
-		if q.Model != "" && (t.Holds(q.Model) == nil || b.retiring[modelAt{t.ID, q.Model}]) {
-			worse(NotLoaded, reasonRank[NotLoaded])
-			continue
-		}
-		if q.Model != "" && now.Before(b.lacking[heldAt{t.ID, q.Model, ""}]) {
-			worse(NotLoaded, reasonRank[NotLoaded])
+		if q.Model != "" && (t.Holds(q.Model) == nil || b.retiring[modelAt{t.ID, q.Model}] ||
+			now.Before(b.lacking[heldAt{t.ID, q.Model, ""}])) {
+			leftOut(NotLoaded)
 			continue
 		}
 		if q.Adapter != "" && !b.holdsAdapter(now, t, &q) {
-			worse(NoAdapter, reasonRank[NoAdapter])
+			leftOut(NoAdapter)
 			continue
 		}
 		s := b.state(t.ID)
-		if contains(q.Exclude, t.ID) || s.downFor > 0 {
-			worse(AllExclude, reasonRank[AllExclude])
+		if slices.Contains(q.Exclude, t.ID) || s.downFor > 0 {
+			leftOut(AllExclude)
 			continue
 		}
 		slots := slotsOf(t, q.Slots)
 		if q.MaxPerSlot > 0 && float64(s.own.Running+s.others.Running) >= q.MaxPerSlot*float64(slots) {
-			worse(AllFull, reasonRank[AllFull])
+			leftOut(AllFull)
 			continue
 		}
 		score := s.score(now, t, &q, slots) + rng.Float64()*noiseMs
@@ -270,15 +268,6 @@
 // reasonRank orders reasons by how far the best target came through the filters.
 var reasonRank = map[Reason]int{NoTarget: 0, NotLoaded: 1, NoAdapter: 2, AllExclude: 3, AllFull: 4}
 
-func contains(list []string, id string) bool {
-	for _, one := range list {
-		if one == id {
-			return true
-		}
-	}
-	return false
-}
-
 func slotsOf(t *roster.Entry, otherwise int) int {
 	if t.Slots > 0 {
 		return t.Slots
@@ -425,11 +414,18 @@
 	}
 }
 
-// down begins the next backoff. Requests that failed together count once.
+// down notes a request that found the target unreachable. Requests that failed together count once.
 func (s *targetState) down(now time.Time) {
-	if s.downFor == 0 || !now.Before(s.downTill) {
-		s.downFor = min(max(2*s.downFor, connectBackoff), maxConnectBackoff)
+	if s.downFor > 0 && now.Before(s.downTill) {
+		s.downTill, s.downAt = now.Add(s.downFor), now
+		return
 	}
+	s.backOff(now)
+}
+
+// backOff begins the next backoff.
+func (s *targetState) backOff(now time.Time) {
+	s.downFor = min(max(2*s.downFor, connectBackoff), maxConnectBackoff)
 	s.downTill, s.downAt = now.Add(s.downFor), now
 }
 
@@ -458,8 +454,7 @@
 	case accepted:
 		s.downFor = 0
 	case s.downFor > 0:
-		s.downFor = min(2*s.downFor, maxConnectBackoff)
-		s.downTill, s.downAt = now.Add(s.downFor), now
+		s.backOff(now)
 	}
 }
 
--- a/instance/fleetview/view.go
+++ b/instance/fleetview/view.go
@@ -4,6 +4,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -144,15 +145,7 @@
 		list = append(list, *e)
 		return true
 	})
-	slices.SortFunc(list, func(a, b roster.Entry) int {
-		switch {
-		case a.ID < b.ID:
-			return -1
-		case a.ID > b.ID:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(list, func(a, b roster.Entry) int { return strings.Compare(a.ID, b.ID) })
 	v.snapshot.Store(&list)
 }
 
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -60,9 +60,6 @@
 func (d *demand) running(q *request, target string, n int) {
 	d.update(q, func(m *fleetapi.ModelLoad) {
 		m.Running += n
-		if n > 0 {
-			m.Arrived++
-		}
 		if q.prompt.Adapter != "" {
 			d.adapters[fleetapi.AdapterUse{ID: target, Model: q.prompt.Model, Adapter: q.prompt.Adapter}] += n
 		}
@@ -75,7 +72,7 @@
 	defer d.mu.Unlock()
 	for key, m := range d.models {
 		models = append(models, *m)
-		m.Refused, m.Arrived = 0, 0
+		m.Refused = 0
 		if m.Running == 0 && m.Waiting == 0 {
 			delete(d.models, key)
 		}
--- a/instance/hub/adapters.go
+++ b/instance/hub/adapters.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -27,8 +28,9 @@
 		return fleetapi.AdapterAnswer{Problem: "the model does not exist"}
 	}
 	d.mu.Lock()
-	d.ask(time.Now(), modelOf{r.Service, r.Model}, r.Adapter)
-	candidates := d.adapterCandidates(time.Now(), r, service.Engine)
+	now := time.Now()
+	note(d.asked, modelOf{r.Service, r.Model}, r.Adapter, now)
+	candidates := d.adapterCandidates(now, r, service.Engine)
 	d.mu.Unlock()
 	for _, c := range candidates {
 		if wait, ok := c.ensureAdapter(ctx, d, r.Model, r.Adapter, service.Engine, model); ok {
@@ -66,15 +68,7 @@
 		}
 		list = append(list, ranked{c, cost})
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		switch {
-		case a.cost < b.cost:
-			return -1
-		case a.cost > b.cost:
-			return 1
-		}
-		return 0
-	})
+	slices.SortFunc(list, func(a, b ranked) int { return cmp.Compare(a.cost, b.cost) })
 	var chosen []*commanded
 	for _, l := range list[:min(len(list), maxAdapterCandidates)] {
 		chosen = append(chosen, l.c)
--- a/instance/hub/commanded_test.go
+++ b/instance/hub/commanded_test.go
@@ -82,15 +82,20 @@
 func (e *fakeEngine) Report(context.Context, roster.Target) (Report, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return lateReport(e.history), nil
+}
+
+// lateReport is what an engine reports: its state as of reportDelay ago.
+func lateReport(history []engineState) Report {
 	limit := time.Now().Add(-reportDelay)
-	best := e.history[0].report
-	for _, s := range e.history {
+	best := history[0].report
+	for _, s := range history {
 		if s.at.After(limit) {
 			break
 		}
 		best = s.report
 	}
-	return best, nil
+	return best
 }
 
 func (e *fakeEngine) Order(_ context.Context, _ roster.Target, o Order) (Outcome, error) {
@@ -176,14 +181,18 @@
 	})
 }
 
-// directorOf makes a director that may always give orders, in front of one engine.
-func directorOf(t *testing.T, engine Orders) (*Director, *commanded) {
-	t.Helper()
+// discardEvents returns a recorder whose events nobody reads.
+func discardEvents(name string) *events.Recorder {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	recorder := events.NewRecorder(log, "hub", "a", time.Now)
+	return events.NewRecorder(log, name, "a", time.Now)
+}
+
+// viewOf returns a view with a configuration of one service in force.
+func viewOf(t *testing.T, service routes.Service) *fleetview.View {
+	t.Helper()
 	view := fleetview.New(func([]byte) (*routes.Document, error) {
-		return &routes.Document{Version: 1, Services: []routes.Service{{Name: "s", Engine: testEngine}}}, nil
+		return &routes.Document{Version: 1, Services: []routes.Service{service}}, nil
 	}, nil)
 	packed, err := routes.Pack(1, nil)
 	if err == nil {
@@ -192,7 +201,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := newDirector(Options{Name: "hub"}, view, nil, engine, recorder, metrics.NewRegistry())
+	return view
+}
+
+// directorOf makes a director that may always give orders, in front of one engine.
+func directorOf(t *testing.T, engine Orders) (*Director, *commanded) {
+	t.Helper()
+	view := viewOf(t, routes.Service{Name: "s", Engine: testEngine})
+	d := newDirector(Options{Name: "hub"}, view, nil, engine, discardEvents("hub"), metrics.NewRegistry())
 	d.lease = &lease{term: 7, until: bootTime() + time.Hour, clock: bootTime}
 	c := newCommanded(roster.Target{Key: roster.Key{ID: "t", Born: 1}, Service: "s", Slots: 8})
 	d.targets["t"] = c
@@ -271,7 +287,7 @@
 }
 
 // fakeFleet is several engines.
-type fakeFleet map[string]*fakeEngine
+type fakeFleet map[string]Orders
 
 func (f fakeFleet) Report(ctx context.Context, t roster.Target) (Report, error) {
 	return f[t.ID].Report(ctx, t)
@@ -288,11 +304,12 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				rng := rand.New(rand.NewPCG(seed, 2))
-				fleet := fakeFleet{"t1": newFakeEngine(t, "m", "n"), "t2": newFakeEngine(t, "m", "o"), "t3": newFakeEngine(t, "m")}
-				d, _ := directorOf(t, fleet["t1"])
-				d.orders = fleet
+				engines := map[string]*fakeEngine{"t1": newFakeEngine(t, "m", "n"), "t2": newFakeEngine(t, "m", "o"), "t3": newFakeEngine(t, "m")}
+				fleet := fakeFleet{}
+				d, _ := directorOf(t, fleet)
 				clear(d.targets)
-				for id, e := range fleet {
+				for id, e := range engines {
+					fleet[id] = e
 					e.late = func() bool { return rng.IntN(4) == 0 }
 					d.targets[id] = newCommanded(roster.Target{Key: roster.Key{ID: id, Born: 1}, Service: "s", Slots: 8})
 				}
@@ -300,7 +317,7 @@
 				beats := map[string]uint64{}
 				for round := range 300 {
 					if round%4 == 0 {
-						for id, e := range fleet {
+						for id, e := range engines {
 							beats[id]++
 							e.heartbeatLater(d.targets[id], beats[id], time.Duration(rng.IntN(1500))*time.Millisecond)
 						}
@@ -336,21 +353,11 @@
 	return Unknown, ctx.Err()
 }
 
-type mixedFleet map[string]Orders
-
-func (f mixedFleet) Report(ctx context.Context, t roster.Target) (Report, error) {
-	return f[t.ID].Report(ctx, t)
-}
-
-func (f mixedFleet) Order(ctx context.Context, t roster.Target, o Order) (Outcome, error) {
-	return f[t.ID].Order(ctx, t, o)
-}
-
 // Guards against one target that answers nothing, while its heartbeats arrive, and holds up the moves of all others after
 // a change of the leader.
 func TestSilentTargetDoesNotHoldUpPlans(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		fleet := mixedFleet{"t1": newFakeEngine(t, "m", "n"), "t2": newFakeEngine(t, "m"), "t3": silentEngine{}}
+		fleet := fakeFleet{"t1": newFakeEngine(t, "m", "n"), "t2": newFakeEngine(t, "m"), "t3": silentEngine{}}
 		d, _ := directorOf(t, fleet)
 		clear(d.targets)
 		for id := range fleet {
--- a/instance/hub/director.go
+++ b/instance/hub/director.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"iter"
 	"sync"
 	"time"
 
@@ -59,7 +60,7 @@
 
 	mu       sync.Mutex
 	gateways map[string]*gatewayLoad
-	// lately holds requests that were refused or arrived, by model, until they are added to the demand.
+	// refusals are requests that were turned away lately. They fade.
 	refusals map[modelOf]float64
 	demand   map[modelOf]*residency.Smoothed
 	smoothed map[modelOf]float64
@@ -119,7 +120,7 @@
 	for _, use := range r.Adapters {
 		if c := d.targets[use.ID]; c != nil {
 			c.used(now, use.Model, use.Adapter)
-			d.ask(now, modelOf{c.service, use.Model}, use.Adapter)
+			note(d.asked, modelOf{c.service, use.Model}, use.Adapter, now)
 		}
 	}
 	for _, s := range r.Strikes {
@@ -128,19 +129,8 @@
 	return d.summary(now, r.Gateway), nil
 }
 
-// ask notes a request for an adapter. The caller holds the lock.
-func (d *Director) ask(now time.Time, key modelOf, adapter string) {
-	if d.asked[key] == nil {
-		d.asked[key] = make(map[string]time.Time)
-	}
-	d.asked[key][adapter] = now
-}
-
 func (d *Director) strike(now time.Time, s fleetapi.Strike) {
-	if d.strikes[s.Fingerprint] == nil {
-		d.strikes[s.Fingerprint] = make(map[string]time.Time)
-	}
-	d.strikes[s.Fingerprint][s.Target.ID] = now
+	note(d.strikes, s.Fingerprint, s.Target.ID, now)
 	d.recorder.Record(events.CrashStrike, events.Fields{"fingerprint": s.Fingerprint, "target": s.Target.ID,
 		"strikes": len(d.strikes[s.Fingerprint])})
 }
@@ -148,10 +138,7 @@
 func (d *Director) summary(now time.Time, except string) fleetapi.LoadSummary {
 	sums := make(map[string]*fleetapi.TargetLoad)
 	s := fleetapi.LoadSummary{}
-	for name, g := range d.gateways {
-		if now.Sub(g.at) > gatewayTimeout {
-			continue
-		}
+	for name, g := range d.reporting(now) {
 		s.Gateways++
 		if name == except {
 			continue
@@ -183,13 +170,21 @@
 	return s
 }
 
+// reporting yields the gateways that reported lately, by name. The caller holds the lock.
+func (d *Director) reporting(now time.Time) iter.Seq2[string, *gatewayLoad] {
+	return func(yield func(string, *gatewayLoad) bool) {
+		for name, g := range d.gateways {
+			if now.Sub(g.at) <= gatewayTimeout && !yield(name, g) {
+				return
+			}
+		}
+	}
+}
+
 // runningOn sums the requests on each target. The caller holds the lock.
 func (d *Director) runningOn(now time.Time) map[string]int {
 	running := make(map[string]int)
-	for _, g := range d.gateways {
-		if now.Sub(g.at) > gatewayTimeout {
-			continue
-		}
+	for _, g := range d.reporting(now) {
 		for _, l := range g.report.Targets {
 			running[l.ID] += l.Running
 		}
@@ -245,24 +240,28 @@
 			delete(d.gateways, name)
 		}
 	}
-	for key, adapters := range d.asked {
-		for adapter, at := range adapters {
-			if now.Sub(at) > askedPeriod {
-				delete(adapters, adapter)
-			}
-		}
-		if len(adapters) == 0 {
-			delete(d.asked, key)
-		}
+	dropBefore(d.asked, now.Add(-askedPeriod))
+	dropBefore(d.strikes, now.Add(-quarantineTime))
+}
+
+// note sets the time of one entry.
+func note[K comparable](m map[K]map[string]time.Time, key K, name string, at time.Time) {
+	if m[key] == nil {
+		m[key] = make(map[string]time.Time)
 	}
-	for fingerprint, targets := range d.strikes {
-		for id, at := range targets {
-			if now.Sub(at) > quarantineTime {
-				delete(targets, id)
+	m[key][name] = at
+}
+
+// dropBefore drops the entries from before a time, and keys without entries.
+func dropBefore[K comparable](m map[K]map[string]time.Time, before time.Time) {
+	for key, entries := range m {
+		for name, at := range entries {
+			if at.Before(before) {
+				delete(entries, name)
 			}
 		}
-		if len(targets) == 0 {
-			delete(d.strikes, fingerprint)
+		if len(entries) == 0 {
+			delete(m, key)
 		}
 	}
 }
@@ -270,10 +269,7 @@
 // smooth adds the latest samples to the demand.
 func (d *Director) smooth(now time.Time) {
 	samples := make(map[modelOf]float64)
-	for _, g := range d.gateways {
-		if now.Sub(g.at) > gatewayTimeout {
-			continue
-		}
+	for _, g := range d.reporting(now) {
 		for key, m := range g.models {
 			samples[key] += float64(m.Running) + waitingWeight*float64(m.Waiting)
 		}
@@ -327,10 +323,7 @@
 // unreachable returns the targets to which a gateway could not connect lately.
 func (d *Director) unreachable(now time.Time) map[string]bool {
 	ids := make(map[string]bool)
-	for _, g := range d.gateways {
-		if now.Sub(g.at) > gatewayTimeout {
-			continue
-		}
+	for _, g := range d.reporting(now) {
 		for _, id := range g.report.Unreachable {
 			ids[id] = true
 		}
--- a/instance/hub/lease_test.go
+++ b/instance/hub/lease_test.go
@@ -2,15 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
 	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
-	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
 
@@ -36,10 +32,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- group.Run(ctx) }()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	const period = 200 * time.Millisecond
-	l := newLease(group, period, events.NewRecorder(log, "a", "a", time.Now))
+	l := newLease(group, period, discardEvents("a"))
 	leaseCtx, stopLease := context.WithCancel(context.Background())
 	defer stopLease()
 	go l.run(leaseCtx)
--- a/instance/hub/simulation_test.go
+++ b/instance/hub/simulation_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -16,13 +15,11 @@
 
 	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
-	"github.com/sirupsen/logrus"
 	"pgregory.net/rapid"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
 	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
-	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
@@ -94,20 +91,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		s.t.Fatal(err)
 	}
-	h := &simHub{s: s, number: number, done: make(chan struct{})}
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	recorder := events.NewRecorder(log, simName(number), "a", time.Now)
-	h.view = fleetview.New(func([]byte) (*routes.Document, error) {
-		return &routes.Document{Version: 1, Services: []routes.Service{simService}}, nil
-	}, nil)
-	packed, err := routes.Pack(1, nil)
-	if err == nil {
-		err = h.view.SetDocument(packed)
-	}
-	if err != nil {
-		s.t.Fatal(err)
-	}
+	h := &simHub{s: s, number: number, view: viewOf(s.t, simService), done: make(chan struct{})}
 	options := replica.Options{
 		Name: GroupName, Self: simName(number), Voters: names, Dynamic: true, DataDir: dir,
 		Machine: routes.NewStore(func(routes.Packed) {}), Sender: simLink{s, number}, Caller: simLink{s, number},
@@ -118,10 +102,11 @@
 	if found {
 		options.Founders = names
 	}
+	var err error
 	if h.group, err = replica.Open(options); err != nil {
 		s.t.Fatal(err)
 	}
-	h.director = newDirector(Options{Name: simName(number), Lease: simPeriod}, h.view, h.group, simWire{s, number}, recorder,
+	h.director = newDirector(Options{Name: simName(number), Lease: simPeriod}, h.view, h.group, simWire{s, number}, discardEvents(simName(number)),
 		metrics.NewRegistry())
 	began := time.Unix(0, 0)
 	h.director.lease.clock = func() time.Duration { return time.Since(began) }
@@ -383,15 +368,7 @@
 		w.s.mu.Lock()
 		return Report{}, ctx.Err()
 	}
-	limit := time.Now().Add(-reportDelay)
-	best := e.history[0].report
-	for _, h := range e.history {
-		if h.at.After(limit) {
-			break
-		}
-		best = h.report
-	}
-	return best, nil
+	return lateReport(e.history), nil
 }
 
 func (w simWire) Order(ctx context.Context, target roster.Target, o Order) (Outcome, error) {
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -49,8 +49,6 @@
 	Running int `json:"r,omitempty"`
 	Waiting int `json:"w,omitempty"`
 	Refused int `json:"f,omitempty"`
-	// Arrived requests came since the last report.
-	Arrived int `json:"a,omitempty"`
 }
 
 // LoadReport tells the leader the load of a gateway.
