Reset the connection of a request that is given up

The client closed the connection of the abandoned order regularly, which leaves unacknowledged bytes to the kernel: it retransmits them until the partition heals.

Change: connections to targets are reset when a request is given up, and by the system when the process is killed. Connections without a request in flight are still closed regularly.

--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -35,6 +35,25 @@
 	usableUntil time.Time
 }
 
+// newConn wraps a connection to a target. Close resets it: a request that was given up must not be
+// delivered by a later retransmission, for example once a partition has healed, because by then another process may
+// have taken over. The system also resets it if this process is killed.
+func newConn(raw net.Conn) *conn {
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+}
+
+// closeGracefully closes a connection without a request in flight. Close would reset it, and the reset could destroy
+// bytes that the target has not read yet.
+func (c *conn) closeGracefully() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(-1)
+	}
+	_ = c.Close()
+}
+
 func dialer(timeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout: timeout,
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -3,7 +3,6 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -171,14 +170,14 @@
 			c.reused.Inc(1)
 			return candidate, nil
 		}
-		_ = candidate.Close()
+		candidate.closeGracefully()
 	}
 	raw, err := c.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	c.opened.Inc(1)
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return newConn(raw), nil
 }
 
 // unusedConnTimeout is how long a connection that Connect opened may wait for a request.
@@ -193,8 +192,9 @@
 	c.opened.Inc(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle[address] = append(c.idle[address], &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes),
-		usableUntil: time.Now().Add(unusedConnTimeout)})
+	unused := newConn(raw)
+	unused.usableUntil = time.Now().Add(unusedConnTimeout)
+	c.idle[address] = append(c.idle[address], unused)
 	return nil
 }
 
@@ -209,7 +209,7 @@
 			if wanted(address) && now.Before(candidate.usableUntil) {
 				kept = append(kept, candidate)
 			} else {
-				_ = candidate.Close()
+				candidate.closeGracefully()
 			}
 		}
 		if c.idle[address] = kept; len(kept) == 0 {
@@ -311,10 +311,13 @@
 // Close ends the use of the answer. The connection is kept for reuse when the answer was read to its end and no other
 // bytes arrived.
 func (a *Answer) Close() {
-	cancelled := !a.stop()
-	if cancelled || !a.reusable() {
+	switch cancelled := !a.stop(); {
+	case cancelled || !a.bodyRead:
 		_ = a.conn.Close()
 		return
+	case !a.reusable():
+		a.conn.closeGracefully()
+		return
 	}
 	a.conn.usableUntil = time.Now().Add(idleTimeout(a.Header.Get("Keep-Alive")))
 	_ = a.conn.SetDeadline(time.Time{})
@@ -322,7 +325,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.idle[a.address]) >= maxIdlePerTarget {
-		_ = a.conn.Close()
+		a.conn.closeGracefully()
 		return
 	}
 	c.idle[a.address] = append(c.idle[a.address], a.conn)
