Let models share places where there are more models than places

Change: where the models exceed the places, an idle last copy yields to a model that requests wait for, or to an overloaded one. A model that was just loaded stays for 2 s. Elsewhere each model keeps its copy as before. Average demand over 20 s tells which idle model is likely to be asked for next.

--- a/coordination/residency/loadlimiter.go
+++ b/coordination/residency/loadlimiter.go
@@ -35,13 +35,15 @@
 // drop moves no models.
 type SmoothedDemand struct {
 	value     float64
+	recent    float64
 	updatedAt time.Time
 }
 
-// Time constants of the moving average.
+// Time constants of the moving averages.
 const (
-	riseTimeConstant = 300 * time.Millisecond
-	fallTimeConstant = 2500 * time.Millisecond
+	riseTimeConstant   = 300 * time.Millisecond
+	fallTimeConstant   = 2500 * time.Millisecond
+	recentTimeConstant = 20 * time.Second
 )
 
 // Add adds a sample and returns the smoothed value.
@@ -56,10 +58,15 @@
 	}
 	elapsed := now.Sub(s.updatedAt)
 	s.updatedAt = now
-	if sampleWeight := float64(elapsed) / float64(timeConstant); sampleWeight < 1 {
-		s.value += sampleWeight * (sample - s.value)
-	} else {
-		s.value = sample
-	}
+	s.value = approach(s.value, sample, elapsed, timeConstant)
+	s.recent = approach(s.recent, sample, elapsed, recentTimeConstant)
 	return s.value
 }
+
+// Recent returns the average over a longer period than that of Add.
+func (s *SmoothedDemand) Recent() float64 { return s.recent }
+
+// approach moves a value towards a sample by the share of the time constant that has elapsed.
+func approach(value, sample float64, elapsed, timeConstant time.Duration) float64 {
+	return value + min(float64(elapsed)/float64(timeConstant), 1)*(sample-value)
+}
--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -1,5 +1,7 @@
 // Package residency plans which models each target holds. It follows demand that shifts between models within seconds,
-// and targets that join and leave, with as few loads as possible. It never unloads the last copy of a model.
+// and targets that join and leave, with as few loads as possible. Each model keeps a copy, unless there
+// are more models than places. Models then share the places over time: a model that requests wait for replaces an idle
+// one, even its last copy. See victim.go.
 package residency
 
 import (
@@ -16,9 +18,14 @@
 	// and absentModelDemandWeight that of each request for it.
 	absentModelPressure     = 0.25
 	absentModelDemandWeight = 1.0
-	// maxDonorDemandShare is the maximum demand per copy of a model after it loses a copy, in proportion to the
-	// pressure of the model that gains one. It keeps two models from replacing each other in turn.
-	maxDonorDemandShare = 0.7
+	// minAbsentDemand is the demand from which requests wait for a model without a copy.
+	minAbsentDemand = 0.2
+	// waitingDemandFactor is the factor by which requests that wait for the first copy of a model count more in its
+	// demand than they will once they run.
+	waitingDemandFactor = 2.0
+	// minLoadingOverloadPerSlot replaces minOverloadPerSlot while the first copy of a model is being loaded. Its demand
+	// consists of waiting requests then, most of which that copy will serve.
+	minLoadingOverloadPerSlot = 0.5
 	// maxMovesPerTarget is the maximum number of concurrent moves per target of the service.
 	maxMovesPerTarget = 0.5
 )
@@ -33,6 +40,9 @@
 	Models       []string // held, or being loaded
 	// Loading is the model that is being loaded; empty if none is.
 	Loading string
+	// Settling are models that were loaded so recently that they are not unloaded yet. Otherwise models that requests
+	// wait for could replace each other before they have served these requests.
+	Settling []string
 	// AwaitingReport means that the target has to report what it holds before it gets an order; Models is the last
 	// known state.
 	AwaitingReport bool
@@ -57,6 +67,9 @@
 	WeightsMB float64
 	// Demand is the smoothed number of requests that are running, queued or were recently rejected.
 	Demand float64
+	// RecentDemand is the average of the demand over a longer period. It tells how soon requests for an idle model are
+	// to be expected again.
+	RecentDemand float64
 	// HasAdapters means that the model has adapters, which are loaded by orders too.
 	HasAdapters bool
 	// Adapters is the number of adapters of the model that were requested recently.
@@ -112,6 +125,7 @@
 	usableCopies   map[string]int
 	storeLoadsLeft int
 	runningMoves   int
+	oversubscribed bool
 	maxSlots       float64
 	// maxAdapterSlots is the largest number of adapter slots of any target.
 	maxAdapterSlots int
@@ -119,7 +133,8 @@
 
 func newPlanner(in Input) *planner {
 	p := &planner{targets: slices.Clone(in.Targets), models: slices.Clone(in.Models), byName: make(map[string]*Model),
-		copies: make(map[string]int), usableCopies: make(map[string]int), storeLoadsLeft: in.StoreLoads, maxSlots: 1}
+		copies: make(map[string]int), usableCopies: make(map[string]int), storeLoadsLeft: in.StoreLoads, maxSlots: 1,
+		oversubscribed: oversubscribed(in.Targets, in.Models)}
 	// Targets and models are sorted so that the plan doesn't depend on the iteration order of maps at the caller.
 	slices.SortFunc(p.targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 	for i := range p.targets {
@@ -155,6 +170,9 @@
 func (p *planner) pressure(m *Model) float64 {
 	if n := p.copies[m.Name]; n > 0 {
 		pressure := m.Demand / float64(n)
+		if p.usableCopies[m.Name] == 0 {
+			pressure /= waitingDemandFactor
+		}
 		if adapterCapacity := n * p.maxAdapterSlots; adapterCapacity > 0 && m.Adapters > adapterCapacity {
 			pressure *= float64(m.Adapters) / float64(adapterCapacity)
 		}
@@ -172,6 +190,9 @@
 		if p.copies[m.Name] > 0 && p.pressure(m) < minOverloadPerSlot*p.maxSlots {
 			break
 		}
+		if p.copies[m.Name] > 0 && p.usableCopies[m.Name] == 0 && p.pressure(m) < minLoadingOverloadPerSlot*p.maxSlots {
+			continue
+		}
 		if move, ok := p.place(m); ok {
 			return move, true
 		}
@@ -209,17 +230,13 @@
 	return best, !math.IsInf(bestCost, 1)
 }
 
-// Costs of a move. They are added to the demand per copy that the unloaded model has afterwards, as a fraction of the
-// slots.
+// Costs of a move. They are added to the cost of unloading the victim, see victim.
 const (
 	storeLoadCost = 2.0
 	diskLoadCost  = 0.3
 	// targetLoadCost is the weight of the running requests of the target. It favours lightly loaded targets, whose free
 	// slots the copy is meant to use.
 	targetLoadCost = 6.0
-	// victimLoadCost is the weight of the running requests of the unloaded model, which must finish before it is
-	// unloaded.
-	victimLoadCost = 4.0
 )
 
 // minAdapterDemand is the demand from which a model must keep at least one target that accepts orders for its adapters.
@@ -241,35 +258,6 @@
 	return false
 }
 
-// victim returns the model to unload for another one, empty if there is room, and the cost of unloading it.
-func (p *planner) victim(t *Target, m *Model) (name string, loss float64, ok bool) {
-	if t.UsedMB+m.WeightsMB <= t.CapacityMB {
-		return "", 0, true
-	}
-	loss = math.Inf(1)
-	for _, held := range t.Models {
-		other := p.byName[held]
-		weights := 0.0
-		demand := 0.0
-		if other != nil {
-			weights, demand = other.WeightsMB, other.Demand
-		}
-		if p.usableCopies[held] < 2 || t.UsedMB-weights+m.WeightsMB > t.CapacityMB {
-			continue
-		}
-		demandAfter := demand / float64(p.copies[held]-1)
-		if p.copies[m.Name] > 0 && demandAfter > maxDonorDemandShare*p.pressure(m) {
-			continue
-		}
-		// The running requests of the victim must finish before its memory is free.
-		cost := demandAfter/p.maxSlots + victimLoadCost*demand/float64(p.copies[held])/p.maxSlots
-		if cost < loss {
-			name, loss = held, cost
-		}
-	}
-	return name, loss, name != ""
-}
-
 // fillFreeMemory returns a move that loads the model with the highest pressure into free memory. Before any demand is
 // known, that is the model with the most copies.
 func (p *planner) fillFreeMemory() (Move, bool) {
--- a/instance/controlinstance/controlled_target.go
+++ b/instance/controlinstance/controlled_target.go
@@ -12,6 +12,10 @@
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
 
+// settleAfterLoad is the time for which a model is not unloaded after it was loaded. Gateways learn of a loaded model
+// within one heartbeat interval of its target, and requests that waited for it run for a second or two.
+const settleAfterLoad = 2 * time.Second
+
 // controlledTarget is the state that the director tracks for a target. What the target holds is derived from a report
 // and the orders accepted since. Each order carries the number of orders accepted before it, so that the target does
 // not execute it in another state than the one it was checked against.
@@ -34,6 +38,8 @@
 	models      map[string]bool
 	adapters    map[adapterKey]time.Time // time of the last use
 	move        *move
+	// loadedAt is, by model, the end of the last load that a move ordered.
+	loadedAt map[string]time.Time
 	// lastListedBeat is, by model, the number of the latest heartbeat that listed it since it was loaded. Heartbeats
 	// arrive late, so only a later one without the model proves that it was unloaded.
 	lastListedBeat map[string]uint64
@@ -41,7 +47,8 @@
 
 func newControlledTarget(t roster.Target) *controlledTarget {
 	return &controlledTarget{id: t.ID, startedAtMs: t.StartedAtMs, service: t.Service, callSlot: make(chan struct{}, 1), target: t,
-		models: make(map[string]bool), adapters: make(map[adapterKey]time.Time), lastListedBeat: make(map[string]uint64)}
+		models: make(map[string]bool), adapters: make(map[adapterKey]time.Time), lastListedBeat: make(map[string]uint64),
+		loadedAt: make(map[string]time.Time)}
 }
 
 // acquireCall waits until no other call to the target runs. It returns false if ctx ends first.
@@ -85,7 +92,7 @@
 
 // plannerTarget describes the target for the planner. Until its first report, its models are taken from the heartbeat:
 // the planner would otherwise load another copy elsewhere. No order is sent to the target before the report.
-func (c *controlledTarget) plannerTarget(engine *routes.Engine) residency.Target {
+func (c *controlledTarget) plannerTarget(now time.Time, engine *routes.Engine) residency.Target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := residency.Target{CapacityMB: engine.CapacityMB, Slots: c.target.Slots, AdapterSlots: engine.AdapterSlots, InMemory: c.target.InMemory,
@@ -109,6 +116,11 @@
 	}
 	slices.Sort(t.Models)
 	t.UsedMB = c.usedMBLocked(engine)
+	for name, at := range c.loadedAt {
+		if now.Sub(at) < settleAfterLoad {
+			t.Settling = append(t.Settling, name)
+		}
+	}
 	return t
 }
 
--- a/instance/controlinstance/director.go
+++ b/instance/controlinstance/director.go
@@ -293,7 +293,7 @@
 	}
 	for key, s := range d.demand {
 		d.smoothed[key] = s.Add(now, samples[key])
-		if d.smoothed[key] < 0.01 && samples[key] == 0 {
+		if max(d.smoothed[key], s.Recent()) < 0.01 && samples[key] == 0 {
 			delete(d.demand, key)
 			delete(d.smoothed, key)
 		}
@@ -343,7 +343,7 @@
 		if c.service != service.Name {
 			continue
 		}
-		t := c.plannerTarget(service.Engine)
+		t := c.plannerTarget(now, service.Engine)
 		t.ID, t.Running = id, running[id]
 		input.Targets = append(input.Targets, t)
 	}
@@ -352,9 +352,13 @@
 	}
 	for i := range service.Engine.Models {
 		m := &service.Engine.Models[i]
-		input.Models = append(input.Models, residency.Model{Name: m.Name, WeightsMB: m.WeightsMB,
-			Demand: d.smoothed[modelKey{service.Name, m.Name}], HasAdapters: m.Adapters > 0,
-			Adapters: len(d.adapterRequests[modelKey{service.Name, m.Name}])})
+		key := modelKey{service.Name, m.Name}
+		model := residency.Model{Name: m.Name, WeightsMB: m.WeightsMB, HasAdapters: m.Adapters > 0,
+			Adapters: len(d.adapterRequests[key])}
+		if demand := d.demand[key]; demand != nil {
+			model.Demand, model.RecentDemand = d.smoothed[key], demand.Recent()
+		}
+		input.Models = append(input.Models, model)
 	}
 	rate := d.storeRates[service.Name]
 	if rate == nil {
--- a/instance/controlinstance/moves.go
+++ b/instance/controlinstance/moves.go
@@ -153,6 +153,7 @@
 	case loading:
 		if c.target.HeldModel(m.Load) != nil {
 			c.models[m.Load] = true
+			c.loadedAt[m.Load] = now
 			c.endMoveLocked(d, "done")
 			return
 		}
@@ -166,6 +167,7 @@
 func (c *controlledTarget) finishUnloadLocked(now time.Time) {
 	m := c.move
 	delete(c.models, m.Unload)
+	delete(c.loadedAt, m.Unload)
 	delete(c.lastListedBeat, m.Unload)
 	for key := range c.adapters {
 		if key.model == m.Unload {
