Cut the control traffic of gateways

Change: - gateways watch two control instances, one in their own data centre; - they get changes of content in batches (1 ms for each watch, at most 300 ms), changes of the state of a target at once, heartbeats packed, no cached weights; - the interval of load reports grows with the gateways (1.5 ms each, at least 100 ms), the answer is packed, and the leader keeps sums; - where reports are older than 200 ms, a gateway compares two random targets instead of all: one target got 60 of 60 requests between two reports.

--- /dev/null
+++ b/coordination/dispatch/herd_test.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+)
+
+// Guards against hundreds of gateways that all send to the target that was the least loaded one in the last report: with
+// reports half a second old, one target got nearly all requests of that time.
+func TestGatewaysWithOldReportsSpreadRequests(t *testing.T) {
+	const (
+		targets            = 20
+		slots              = 12
+		requestsPerReport  = 60
+		maxRequestsPerSlot = 1.5
+	)
+	now := time.Unix(100, 0)
+	rng := rand.New(rand.NewPCG(7, 8))
+	entries := make([]roster.Entry, targets)
+	reported := make(map[string]Observation)
+	for i := range entries {
+		id := fmt.Sprint("t", i)
+		entries[i] = roster.Entry{Target: roster.Target{Key: roster.Key{ID: id, StartedAtMs: 1}, Service: "s", Slots: slots,
+			Models: []roster.Held{{Model: "m"}}}, HeardAt: now}
+		reported[id] = Observation{Load: Load{Running: 8}}
+	}
+	delete(reported, "t0") // has just loaded the model
+	sent := make(map[string]int)
+	for range requestsPerReport {
+		// Each request reaches another gateway, which knows the report and its own requests only.
+		tracker := NewLoadTracker()
+		tracker.SetPeerObservations(reported, nil)
+		picked, reason := tracker.Pick(now, rng, Query{Service: "s", Model: "m", Tokens: 500, Choices: 2, MaxPerSlot: maxRequestsPerSlot}, entries)
+		if picked == nil {
+			t.Fatal(reason)
+		}
+		sent[picked.ID]++
+	}
+	for id, n := range sent {
+		if running := reported[id].Running + n; running > slots*maxRequestsPerSlot {
+			t.Errorf("%s got %d of %d requests between two reports and runs %d, limit %v", id, n, requestsPerReport, running, slots*maxRequestsPerSlot)
+		}
+	}
+}
--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -165,6 +165,9 @@
 	Slots      int      // per target, for targets that do not announce their slots
 	// MaxPerSlot excludes targets that run at least this many requests per slot; 0 means no limit.
 	MaxPerSlot float64
+	// Choices limits the comparison to that many random eligible targets; 0 compares all. Hundreds of gateways that see the
+	// same reports, half a second old, would otherwise all send to the target that was least loaded then.
+	Choices int
 }
 
 // Reason says why Pick found no target.
@@ -189,8 +192,7 @@
 			reason = r
 		}
 	}
-	var best *roster.Entry
-	bestScore := 0.0
+	var eligible []*roster.Entry
 	for i := range targets {
 		t := &targets[i]
 		if t.Service != q.Service || t.State != roster.Ready {
@@ -215,15 +217,32 @@
 			recordReason(AllFull)
 			continue
 		}
-		score := s.score(now, t, &q, slots) + rng.Float64()*maxJitterMs
+		eligible = append(eligible, t)
+	}
+	if len(eligible) == 0 {
+		return nil, reason
+	}
+	return tracker.leastDelay(now, rng, &q, eligible), Found
+}
+
+// leastDelay returns the target with the lowest expected delay of all, or of q.Choices random ones.
+func (tracker *LoadTracker) leastDelay(now time.Time, rng *rand.Rand, q *Query, eligible []*roster.Entry) *roster.Entry {
+	if q.Choices > 0 && len(eligible) > q.Choices {
+		for i := range q.Choices {
+			j := i + rng.IntN(len(eligible)-i)
+			eligible[i], eligible[j] = eligible[j], eligible[i]
+		}
+		eligible = eligible[:q.Choices]
+	}
+	var best *roster.Entry
+	bestScore := 0.0
+	for _, t := range eligible {
+		score := tracker.state(t.ID).score(now, t, q, slotsOf(t, q.Slots)) + rng.Float64()*maxJitterMs
 		if best == nil || score < bestScore {
 			best, bestScore = t, score
 		}
 	}
-	if best != nil {
-		return best, Found
-	}
-	return nil, reason
+	return best
 }
 
 func (tracker *LoadTracker) holdsAdapter(now time.Time, t *roster.Entry, q *Query) bool {
--- /dev/null
+++ b/coordination/roster/delta.go
@@ -0,0 +1,126 @@
+package roster
+
+import (
+	"encoding/binary"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Heartbeat is a heartbeat without new content.
+type Heartbeat struct {
+	Key
+	HeartbeatSequence uint64 `json:"b"`
+}
+
+// Delta holds the updates of a table after a change number: targets with new content, and heartbeats without.
+type Delta struct {
+	Targets    []Target    `json:"t,omitempty"`
+	Heartbeats []Heartbeat `json:"bt,omitempty"`
+	// PackedHeartbeats replaces Heartbeats in a compact delta, see packHeartbeat.
+	PackedHeartbeats []byte `json:"p,omitempty"`
+	Change           uint64 `json:"c"`
+}
+
+// HasHeartbeats reports whether the delta holds heartbeats without new content.
+func (d *Delta) HasHeartbeats() bool { return len(d.Heartbeats) > 0 || len(d.PackedHeartbeats) > 0 }
+
+// Since returns the updates after a change number.
+func (t *Table) Since(now time.Time, change uint64) Delta {
+	d := Delta{Change: t.change}
+	for _, e := range t.entries {
+		switch {
+		case e.ContentChange > change:
+			d.Targets = append(d.Targets, e.sent(now))
+		case e.Change > change:
+			d.Heartbeats = append(d.Heartbeats, Heartbeat{Key: e.Key, HeartbeatSequence: e.Target.HeartbeatSequence})
+		}
+	}
+	return d
+}
+
+// CompactSince returns the same updates in fewer bytes, for the many gateways: without the cached weights, which only the
+// placement of models needs, and with packed heartbeats.
+func (t *Table) CompactSince(now time.Time, change uint64) Delta {
+	d := Delta{Change: t.change}
+	for _, e := range t.entries {
+		switch {
+		case e.ContentChange > change:
+			target := e.sent(now)
+			target.InMemory, target.OnDisk = nil, nil
+			d.Targets = append(d.Targets, target)
+		case e.Change > change:
+			d.PackedHeartbeats = packHeartbeat(d.PackedHeartbeats, e.Key, e.Target.HeartbeatSequence)
+		}
+	}
+	return d
+}
+
+// sent returns the target with the age of its latest heartbeat.
+func (e *Entry) sent(now time.Time) Target {
+	target := e.Target
+	target.SinceHeartbeatMs = now.Sub(e.HeardAt).Milliseconds()
+	return target
+}
+
+// Merge applies a delta of another table and reports whether the content of any target changed. Incomplete targets are
+// skipped.
+func (t *Table) Merge(now time.Time, d Delta) (changed bool) {
+	for _, target := range d.Targets {
+		if outcome, err := t.Observe(now, target); err == nil && outcome == Changed {
+			changed = true
+		}
+	}
+	for _, b := range d.Heartbeats {
+		if known := t.entries[b.ID]; known != nil && known.StartedAtMs == b.StartedAtMs {
+			t.renew(now, known, b.HeartbeatSequence)
+		}
+	}
+	t.mergePacked(now, d.PackedHeartbeats)
+	return changed
+}
+
+// renew applies a heartbeat without new content.
+func (t *Table) renew(now time.Time, known *Entry, sequence uint64) {
+	if sequence <= known.Target.HeartbeatSequence {
+		return
+	}
+	t.change++
+	known.Target.HeartbeatSequence, known.HeardAt, known.Change = sequence, now, t.change
+}
+
+// packHeartbeat appends a heartbeat as the hash of its incarnation, 8 bytes, and the sequence number as a varint. Hundreds
+// of gateways receive the heartbeats of hundreds of targets, so their size decides the load of the control instances.
+func packHeartbeat(packed []byte, key Key, sequence uint64) []byte {
+	packed = binary.LittleEndian.AppendUint64(packed, key.hash())
+	return binary.AppendUvarint(packed, sequence)
+}
+
+// mergePacked applies packed heartbeats. Those of unknown incarnations have no effect, and a truncated list ends early.
+func (t *Table) mergePacked(now time.Time, packed []byte) {
+	if len(packed) == 0 {
+		return
+	}
+	byHash := make(map[uint64]*Entry, len(t.entries))
+	for _, e := range t.entries {
+		byHash[e.hash()] = e
+	}
+	for len(packed) > hashBytes {
+		known := byHash[binary.LittleEndian.Uint64(packed)]
+		sequence, n := binary.Uvarint(packed[hashBytes:])
+		if n <= 0 {
+			return
+		}
+		packed = packed[hashBytes+n:]
+		if known != nil {
+			t.renew(now, known, sequence)
+		}
+	}
+}
+
+const hashBytes = 8
+
+func (k Key) hash() uint64 {
+	return xxhash.Sum64String(k.ID + "\x00" + strconv.FormatInt(k.StartedAtMs, 10))
+}
--- /dev/null
+++ b/coordination/roster/delta_test.go
@@ -0,0 +1,51 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// Guards against compact deltas that leave a gateway with other targets, or with other heartbeat ages, than complete
+// ones, and against a malformed delta that fails.
+func TestCompactDeltasAgreeWithCompleteOnes(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		source, compact, complete := New(), New(), New()
+		now := time.Unix(100, 0)
+		var compactChange, completeChange uint64
+		for step := range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			now = now.Add(100 * time.Millisecond)
+			target := Target{Key: Key{ID: fmt.Sprint("t", rapid.IntRange(0, 5).Draw(rt, "target")), StartedAtMs: 1}, Service: "s",
+				HeartbeatSequence: uint64(step + 1), Models: []Held{{Model: fmt.Sprint("m", rapid.IntRange(0, 1).Draw(rt, "model"))}},
+				OnDisk: []string{"x"}}
+			target.Address = target.ID + ":1"
+			if _, err := source.Observe(now, target); err != nil {
+				rt.Fatal(err)
+			}
+			if rapid.Bool().Draw(rt, "leave") && step%7 == 0 {
+				source.Leave(target.ID, 1)
+			}
+			d := source.CompactSince(now, compactChange)
+			compact.Merge(now, d)
+			compactChange = d.Change
+			d = source.Since(now, completeChange)
+			complete.Merge(now, d)
+			completeChange = d.Change
+		}
+		complete.Each(func(e *Entry) bool {
+			want, got := e.Target, compact.Get(e.ID)
+			want.OnDisk = nil
+			if got == nil || !got.HeardAt.Equal(e.HeardAt) {
+				rt.Fatalf("%s: compact table has %+v, complete table %+v", e.ID, got, e)
+			}
+			if diff := cmp.Diff(want, got.Target); diff != "" {
+				rt.Fatal(diff)
+			}
+			return true
+		})
+		compact.Merge(now, Delta{PackedHeartbeats: rapid.SliceOf(rapid.Byte()).Draw(rt, "malformed")})
+	})
+}
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -78,6 +78,8 @@
 	// Change is the change number of the table at the latest heartbeat, and ContentChange that at the latest heartbeat
 	// with new content.
 	Change, ContentChange uint64
+	// LifecycleChange is the change number at which the target appeared, restarted or changed its state.
+	LifecycleChange uint64
 }
 
 // Table is a set of targets with a change number that grows with each update. It is not safe for concurrent use.
@@ -85,6 +87,8 @@
 	entries   map[string]*Entry // by id
 	byAddress map[string]string // id of the target that started last at each address
 	change    uint64
+	// contentChange and lifecycleChange are the highest ContentChange and LifecycleChange of any entry.
+	contentChange, lifecycleChange uint64
 }
 
 // New returns an empty table.
@@ -145,18 +149,19 @@
 	} else if known.sameContent(&target) {
 		outcome = Refreshed
 	}
+	if known.LifecycleChange == 0 || known.Key != target.Key || known.State != target.State {
+		known.LifecycleChange, t.lifecycleChange = t.change, t.change
+	}
 	known.HeardAt = now.Add(-time.Duration(target.SinceHeartbeatMs) * time.Millisecond)
 	target.SinceHeartbeatMs = 0
 	known.Target, known.Change = target, t.change
 	if outcome == Changed {
-		known.ContentChange = t.change
+		known.ContentChange, t.contentChange = t.change, t.change
 	}
 	if id := t.byAddress[target.Address]; id != target.ID {
 		t.byAddress[target.Address] = target.ID
 		if other := t.entries[id]; other != nil && other.State != Gone {
-			other.State = Gone
-			t.change++
-			other.Change, other.ContentChange = t.change, t.change
+			t.markGone(other)
 		}
 	}
 	return outcome
@@ -177,12 +182,29 @@
 	if known == nil || known.State == Gone || startedAtMs != 0 && startedAtMs < known.StartedAtMs {
 		return false
 	}
-	known.State = Gone
-	t.change++
-	known.Change, known.ContentChange = t.change, t.change
+	t.markGone(known)
 	return true
 }
 
+func (t *Table) markGone(e *Entry) {
+	t.change++
+	e.State = Gone
+	e.Change, e.ContentChange, e.LifecycleChange = t.change, t.change, t.change
+	t.contentChange, t.lifecycleChange = t.change, t.change
+}
+
+// Change returns the change number.
+func (t *Table) Change() uint64 { return t.change }
+
+// ContentChangedAfter reports whether the content of any target changed after a change number.
+func (t *Table) ContentChangedAfter(change uint64) bool { return t.contentChange > change }
+
+// LifecycleChangedAfter reports whether any target appeared, restarted or changed its state after a change number.
+func (t *Table) LifecycleChangedAfter(change uint64) bool { return t.lifecycleChange > change }
+
+// ChangedAfter reports whether anything, heartbeats included, changed after a change number.
+func (t *Table) ChangedAfter(change uint64) bool { return t.change > change }
+
 // Get returns the entry with the given id, or nil.
 func (t *Table) Get(id string) *Entry { return t.entries[id] }
 
@@ -208,61 +230,3 @@
 	}
 	return forgotten
 }
-
-// Heartbeat is a heartbeat without new content.
-type Heartbeat struct {
-	Key
-	HeartbeatSequence uint64 `json:"b"`
-}
-
-// Delta holds the updates of a table after a change number: targets with new content, and heartbeats without.
-type Delta struct {
-	Targets    []Target    `json:"t,omitempty"`
-	Heartbeats []Heartbeat `json:"bt,omitempty"`
-	Change     uint64      `json:"c"`
-}
-
-// Since returns the updates after a change number.
-func (t *Table) Since(now time.Time, change uint64) Delta {
-	d := Delta{Change: t.change}
-	for _, e := range t.entries {
-		switch {
-		case e.ContentChange > change:
-			target := e.Target
-			target.SinceHeartbeatMs = now.Sub(e.HeardAt).Milliseconds()
-			d.Targets = append(d.Targets, target)
-		case e.Change > change:
-			d.Heartbeats = append(d.Heartbeats, Heartbeat{Key: e.Key, HeartbeatSequence: e.Target.HeartbeatSequence})
-		}
-	}
-	return d
-}
-
-// ContentChangedAfter reports whether the content of any target changed after a change number.
-func (t *Table) ContentChangedAfter(change uint64) bool {
-	for _, e := range t.entries {
-		if e.ContentChange > change {
-			return true
-		}
-	}
-	return false
-}
-
-// Merge applies a delta of another table and reports whether the content of any target changed. Incomplete targets are
-// skipped.
-func (t *Table) Merge(now time.Time, d Delta) (changed bool) {
-	for _, target := range d.Targets {
-		if outcome, err := t.Observe(now, target); err == nil && outcome == Changed {
-			changed = true
-		}
-	}
-	for _, b := range d.Heartbeats {
-		known := t.entries[b.ID]
-		if known == nil || known.StartedAtMs != b.StartedAtMs || b.HeartbeatSequence <= known.Target.HeartbeatSequence {
-			continue
-		}
-		t.change++
-		known.Target.HeartbeatSequence, known.HeardAt, known.Change = b.HeartbeatSequence, now, t.change
-	}
-	return changed
-}
--- a/instance/controlinstance/adapters.go
+++ b/instance/controlinstance/adapters.go
@@ -47,7 +47,6 @@
 // adapterLoadCost if the adapter has to be loaded into a free slot, or adapterEvictCost if another adapter has to be
 // evicted first. The caller holds d.mu.
 func (d *Director) adapterCandidates(now time.Time, r *fleetapi.AdapterRequest, engine *routes.Engine) []*controlledTarget {
-	running := d.runningByTarget(now)
 	type ranked struct {
 		c    *controlledTarget
 		cost float64
@@ -57,7 +56,7 @@
 		if c.service != r.Service || slices.Contains(r.Exclude, id) || !c.serves(r.Model) {
 			continue
 		}
-		cost := float64(running[id])
+		cost := float64(d.gateways.running(id))
 		switch state := c.adapterSlot(now, r.Model, r.Adapter, engine); state {
 		case slotHeld:
 		case slotFree:
--- a/instance/controlinstance/director.go
+++ b/instance/controlinstance/director.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"iter"
 	"sync"
 	"time"
 
@@ -20,8 +19,6 @@
 const (
 	// tickInterval is the interval at which demand is sampled, moves are planned and moves in progress are advanced.
 	tickInterval = 100 * time.Millisecond
-	// gatewayTimeout is the age from which the last load report of a gateway no longer counts.
-	gatewayTimeout = time.Second
 	// settleTime is the delay between the right to give orders and the first plan, so that the new leader knows the
 	// demand.
 	settleTime = 250 * time.Millisecond
@@ -45,12 +42,6 @@
 
 type modelKey struct{ service, model string }
 
-type gatewayLoad struct {
-	receivedAt time.Time
-	report     fleetapi.LoadReport
-	models     map[modelKey]fleetapi.ModelLoad
-}
-
 // Director collects the load of all gateways and, while this instance may give orders, moves models between targets and
 // loads adapters.
 type Director struct {
@@ -63,7 +54,7 @@
 	ordersSent, ordersRefused, storeLoads metrics.Counter
 
 	mu       sync.Mutex
-	gateways map[string]*gatewayLoad
+	gateways *gatewayLoads
 	// refusals is the demand of recently refused requests. It decays with each tick.
 	refusals map[modelKey]float64
 	demand   map[modelKey]*residency.SmoothedDemand
@@ -85,7 +76,7 @@
 	return &Director{
 		opts: opts, view: view, lease: newLease(group, opts.ExclusionPeriod, recorder), orders: orders, recorder: recorder,
 		ordersSent: counter("orders_sent"), ordersRefused: counter("orders_refused"), storeLoads: counter("store_loads"),
-		gateways: make(map[string]*gatewayLoad), refusals: make(map[modelKey]float64),
+		gateways: newGatewayLoads(), refusals: make(map[modelKey]float64),
 		demand: make(map[modelKey]*residency.SmoothedDemand), smoothed: make(map[modelKey]float64),
 		targets: make(map[string]*controlledTarget), adapterRequests: make(map[modelKey]map[string]time.Time), storeRates: make(map[string]*residency.LoadLimiter),
 		strikes: make(map[uint64]map[string]time.Time),
@@ -114,13 +105,12 @@
 func (d *Director) Exchange(now time.Time, r *fleetapi.LoadReport) (fleetapi.LoadSummary, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	g := &gatewayLoad{receivedAt: now, report: *r, models: make(map[modelKey]fleetapi.ModelLoad, len(r.Models))}
+	d.gateways.put(now, r)
 	for _, m := range r.Models {
-		key := modelKey{m.Service, m.Model}
-		g.models[key] = m
-		d.refusals[key] += refusedWeight * float64(m.Refused)
+		if m.Refused > 0 {
+			d.refusals[modelKey{m.Service, m.Model}] += refusedWeight * float64(m.Refused)
+		}
 	}
-	d.gateways[r.Gateway] = g
 	for _, use := range r.Adapters {
 		if c := d.targets[use.ID]; c != nil {
 			c.markAdapterUsed(now, use.Model, use.Adapter)
@@ -130,7 +120,7 @@
 	for _, s := range r.Strikes {
 		d.recordStrike(now, s)
 	}
-	return d.summary(now, r.Gateway), nil
+	return d.summary(now, r), nil
 }
 
 func (d *Director) recordStrike(now time.Time, s fleetapi.Strike) {
@@ -139,29 +129,13 @@
 		"strikes": len(d.strikes[s.Fingerprint])})
 }
 
-func (d *Director) summary(now time.Time, except string) fleetapi.LoadSummary {
-	sums := make(map[string]*fleetapi.TargetLoad)
-	s := fleetapi.LoadSummary{}
-	for name, g := range d.liveGateways(now) {
-		s.Gateways++
-		if name == except {
-			continue
-		}
-		for _, l := range g.report.Targets {
-			sum := sums[l.ID]
-			if sum == nil {
-				sum = &fleetapi.TargetLoad{ID: l.ID}
-				sums[l.ID] = sum
-			}
-			sum.Running += l.Running
-			sum.Unstarted += l.Unstarted
-			sum.PromptTokens += l.PromptTokens
-			sum.SlownessPercent = max(sum.SlownessPercent, l.SlownessPercent)
-			sum.FailurePenaltyMs = max(sum.FailurePenaltyMs, l.FailurePenaltyMs)
-		}
-	}
-	for _, sum := range sums {
-		s.Targets = append(s.Targets, *sum)
+func (d *Director) summary(now time.Time, r *fleetapi.LoadReport) fleetapi.LoadSummary {
+	d.gateways.expire(now)
+	s := fleetapi.LoadSummary{Gateways: d.gateways.live}
+	if others := d.gateways.others(r.Gateway); r.Packed {
+		s.PackedTargets = fleetapi.PackTargetLoads(others)
+	} else {
+		s.Targets = others
 	}
 	for id, c := range d.targets {
 		c.addToSummary(now, id, &s)
@@ -174,28 +148,6 @@
 	return s
 }
 
-// liveGateways yields the gateways whose last report is within gatewayTimeout, by name. The caller holds d.mu.
-func (d *Director) liveGateways(now time.Time) iter.Seq2[string, *gatewayLoad] {
-	return func(yield func(string, *gatewayLoad) bool) {
-		for name, g := range d.gateways {
-			if now.Sub(g.receivedAt) <= gatewayTimeout && !yield(name, g) {
-				return
-			}
-		}
-	}
-}
-
-// runningByTarget returns the number of running requests by target, summed over the gateways. The caller holds d.mu.
-func (d *Director) runningByTarget(now time.Time) map[string]int {
-	running := make(map[string]int)
-	for _, g := range d.liveGateways(now) {
-		for _, l := range g.report.Targets {
-			running[l.ID] += l.Running
-		}
-	}
-	return running
-}
-
 // tick expires old entries, updates the smoothed demand and, while orders are allowed, advances moves and plans new ones.
 func (d *Director) tick(ctx context.Context, now time.Time) {
 	fence, allowed := d.lease.Fence()
@@ -239,11 +191,7 @@
 }
 
 func (d *Director) expire(now time.Time) {
-	for name, g := range d.gateways {
-		if now.Sub(g.receivedAt) > 5*gatewayTimeout {
-			delete(d.gateways, name)
-		}
-	}
+	d.gateways.expire(now)
 	dropBefore(d.adapterRequests, now.Add(-adapterDemandPeriod))
 	dropBefore(d.strikes, now.Add(-quarantineTime))
 }
@@ -273,7 +221,7 @@
 // updateDemand adds a demand sample per model to the smoothed demand and lets the refusals decay.
 func (d *Director) updateDemand(now time.Time) {
 	samples := make(map[modelKey]float64)
-	for _, g := range d.liveGateways(now) {
+	for g := range d.gateways.counted() {
 		for key, m := range g.models {
 			samples[key] += float64(m.Running) + waitingWeight*float64(m.Waiting)
 		}
@@ -303,7 +251,7 @@
 // syncTargets adds new targets and new incarnations, and removes targets that left or whose heartbeats are overdue.
 func (d *Director) syncTargets(now time.Time) {
 	present := make(map[string]bool)
-	unreachable := d.unreachable(now)
+	unreachable := d.unreachable()
 	for _, t := range d.view.Targets() {
 		sinceHeartbeat := now.Sub(t.HeardAt)
 		if t.State != roster.Ready || sinceHeartbeat > heartbeatTimeout || unreachable[t.ID] && sinceHeartbeat > unreachableHeartbeatTimeout {
@@ -325,9 +273,9 @@
 }
 
 // unreachable returns the targets that a gateway reports as unreachable.
-func (d *Director) unreachable(now time.Time) map[string]bool {
+func (d *Director) unreachable() map[string]bool {
 	ids := make(map[string]bool)
-	for _, g := range d.liveGateways(now) {
+	for g := range d.gateways.counted() {
 		for _, id := range g.report.Unreachable {
 			ids[id] = true
 		}
@@ -337,14 +285,13 @@
 
 // plan plans the moves of one service and starts them.
 func (d *Director) plan(now time.Time, service *routes.Service) {
-	running := d.runningByTarget(now)
 	input := residency.Input{}
 	for id, c := range d.targets {
 		if c.service != service.Name {
 			continue
 		}
 		t := c.plannerTarget(now, service.Engine)
-		t.ID, t.Running = id, running[id]
+		t.ID, t.Running = id, d.gateways.running(id)
 		input.Targets = append(input.Targets, t)
 	}
 	if len(input.Targets) == 0 {
--- a/instance/controlinstance/director_test.go
+++ b/instance/controlinstance/director_test.go
@@ -193,7 +193,7 @@
 	t.Helper()
 	view := fleetview.New(func([]byte) (*routes.Document, error) {
 		return &routes.Document{Version: 1, Services: []routes.Service{service}}, nil
-	}, nil)
+	}, "", nil)
 	packed, err := routes.Pack(1, nil)
 	if err == nil {
 		err = view.SetDocument(packed)
--- /dev/null
+++ b/instance/controlinstance/gateway_loads_test.go
@@ -0,0 +1,58 @@
+package controlinstance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+)
+
+// Guards against sums that drift from the reports, when gateways report, fall silent and return in any order.
+func TestGatewayLoadSumsMatchReports(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		loads := newGatewayLoads()
+		now := time.Unix(100, 0)
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(10, 700).Draw(rt, "pause in ms")) * time.Millisecond)
+			r := fleetapi.LoadReport{Gateway: fmt.Sprint("g", rapid.IntRange(0, 4).Draw(rt, "gateway"))}
+			for i := range rapid.IntRange(0, 3).Draw(rt, "targets") {
+				r.Targets = append(r.Targets, fleetapi.TargetLoad{ID: fmt.Sprint("t", i), Running: rapid.IntRange(0, 9).Draw(rt, "running"),
+					SlownessPercent: rapid.IntRange(0, 300).Draw(rt, "slowness")})
+			}
+			loads.put(now, &r)
+			loads.expire(now)
+			running, slowness, live := map[string]int{}, map[string]int{}, 0
+			for l := range loads.counted() {
+				live++
+				if age := now.Sub(l.receivedAt); age > gatewayTimeout+expiryInterval {
+					rt.Fatalf("a report of %v ago counts", age)
+				}
+				if l.report.Gateway == r.Gateway {
+					continue
+				}
+				for _, target := range l.report.Targets {
+					running[target.ID] += target.Running
+					slowness[target.ID] = max(slowness[target.ID], target.SlownessPercent)
+				}
+			}
+			if live != loads.live {
+				rt.Fatalf("%d gateways counted, want %d", loads.live, live)
+			}
+			for _, l := range loads.others(r.Gateway) {
+				// Slowness may still be that of a report which was replaced since the last expiry.
+				if l.Running != running[l.ID] || l.SlownessPercent < slowness[l.ID] {
+					rt.Fatalf("load of the others is %+v, want %d running and a slowness of %d", l, running[l.ID], slowness[l.ID])
+				}
+				delete(running, l.ID)
+			}
+			for id, n := range running {
+				if n != 0 {
+					rt.Fatalf("the load of %s is missing, want %d running", id, n)
+				}
+			}
+		}
+	})
+}
--- a/instance/fleet/providers.go
+++ b/instance/fleet/providers.go
@@ -57,7 +57,7 @@
 }
 
 func provideView(node *settings.Node, adapter *PlatformAdapter) *fleetview.View {
-	return fleetview.New(adapter.DecodeConfig, node.SeedNames())
+	return fleetview.New(adapter.DecodeConfig, node.DataCentre, node.SeedNames())
 }
 
 func providePeers(node *settings.Node, processIncarnation incarnation, registry metrics.Registry, recorder *events.Recorder) (*peer.Transport, error) {
--- a/instance/fleetview/serve.go
+++ b/instance/fleetview/serve.go
@@ -12,35 +12,41 @@
 // ControlStatus returns the leader and the members of the control group, as a control instance knows them.
 type ControlStatus func() (leader string, members []string)
 
-// ServeWatch answers a watch, which is a long poll: at once when something has changed, after heartbeatBatchDelay when only
-// heartbeats arrived, and after longPollTimeout when nothing did.
+// ServeWatch answers a watch, which is a long poll: at once when something has changed, after a while when only heartbeats
+// arrived, and after longPollTimeout when nothing did. Gateways get changes of what targets hold in batches.
 func (v *View) ServeWatch(ctx context.Context, epoch uint64, control ControlStatus, request fleetapi.WatchRequest) fleetapi.WatchResponse {
 	if request.Epoch != epoch {
 		request.ChangeNumber = 0 // change numbers of an earlier start of this instance do not apply
 	}
 	started := time.Now()
 	leaderBefore, _ := control()
+	delays := controlDelays
+	if request.Gateway {
+		delays = gatewayDelays(v.gatewayWatches.Add(1))
+		defer v.gatewayWatches.Add(-1)
+	}
 	for {
 		now := time.Now()
-		changed, delta, contentChanged := v.ChangesSince(now, request.ChangeNumber)
-		packed := v.Packed()
 		leader, members := control()
 		waited := now.Sub(started)
-		if request.Epoch != epoch || contentChanged || packed.Version > request.Version || leader != leaderBefore ||
-			waited >= longPollTimeout || waited >= heartbeatBatchDelay && len(delta.Heartbeats) > 0 || ctx.Err() != nil {
-			answer := fleetapi.WatchResponse{Epoch: epoch, Roster: delta, Version: packed.Version, Leader: leader, Members: members}
-			if packed.Version > request.Version {
-				answer.Document = packed.Data
-			}
-			return answer
+		changes := v.changesSince(&request, waited >= delays.content)
+		if request.Epoch != epoch || changes.version > request.Version || leader != leaderBefore || ctx.Err() != nil ||
+			changes.lifecycle || waited >= longPollTimeout || waited >= delays.content && changes.content ||
+			waited >= delays.heartbeats && changes.heartbeats {
+			return v.watchResponse(epoch, leader, members, now, &request)
+		}
+		pause := longPollTimeout - waited
+		if waited < delays.content {
+			pause = min(pause, delays.content-waited)
 		}
-		pause := heartbeatBatchDelay - waited
-		if pause <= 0 {
-			pause = min(heartbeatBatchDelay/2, longPollTimeout-waited)
+		if waited < delays.heartbeats {
+			pause = min(pause, delays.heartbeats-waited)
+		} else {
+			pause = min(pause, delays.heartbeats/2)
 		}
 		timer := time.NewTimer(pause)
 		select {
-		case <-changed:
+		case <-changes.next:
 		case <-timer.C:
 		case <-ctx.Done():
 		}
@@ -48,6 +54,48 @@
 	}
 }
 
+// watchDelays are the times for which changes are collected before a watch is answered.
+type watchDelays struct {
+	content    time.Duration // changes of what a target holds
+	heartbeats time.Duration // heartbeats without a change
+}
+
+var controlDelays = watchDelays{heartbeats: 400 * time.Millisecond}
+
+const (
+	// gatewayHeartbeatDelay is long, since heartbeats count as overdue after several seconds only.
+	gatewayHeartbeatDelay = 800 * time.Millisecond
+	// contentDelayPerWatch is the delay of changes of what targets hold for each gateway that watches the instance, up to
+	// maxContentDelay. The work of the instance and its bytes grow with watches times answers, while a gateway that learns
+	// of a model later than its load ends lets requests wait.
+	contentDelayPerWatch = time.Millisecond
+	maxContentDelay      = 300 * time.Millisecond
+)
+
+// gatewayDelays returns the delays of a gateway while a number of gateways watches the instance.
+func gatewayDelays(watches int64) watchDelays {
+	return watchDelays{content: min(time.Duration(watches)*contentDelayPerWatch, maxContentDelay), heartbeats: gatewayHeartbeatDelay}
+}
+
+func (v *View) watchResponse(epoch uint64, leader string, members []string, now time.Time, request *fleetapi.WatchRequest) fleetapi.WatchResponse {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	response := fleetapi.WatchResponse{Epoch: epoch, Version: v.packed.Version, Leader: leader, Members: members,
+		DataCentre: v.ownDataCentre}
+	if request.Gateway {
+		response.Roster = v.roster.CompactSince(now, request.ChangeNumber)
+		for _, m := range members {
+			response.MemberDataCentres = append(response.MemberDataCentres, v.dataCentres[m])
+		}
+	} else {
+		response.Roster = v.roster.Since(now, request.ChangeNumber)
+	}
+	if v.packed.Version > request.Version {
+		response.Document = v.packed.Data
+	}
+	return response
+}
+
 func rendezvousHash(parts ...string) uint64 {
 	d := xxhash.New()
 	for _, p := range parts {
--- a/instance/fleetview/view.go
+++ b/instance/fleetview/view.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
 
@@ -34,15 +35,27 @@
 	members []string
 	// changed is closed and replaced at each change. Heartbeats without a change count only if they come with Merge.
 	changed chan struct{}
+	// urgentChange is the same for changes that gateways learn at once: of the configuration and of the state of targets.
+	urgentChange chan struct{}
+	// contentChange is the same for all changes but heartbeats.
+	contentChange chan struct{}
+	// gatewayWatches is the number of watches of gateways that wait for an answer.
+	gatewayWatches atomic.Int64
+	// ownDataCentre is that of this process, and dataCentres those of control instances, as far as known.
+	ownDataCentre string
+	dataCentres   map[string]string
 	// targets is the list of targets. It is rebuilt when the roster changes and, at most every minRefreshInterval, for
 	// heartbeats without a change; refreshedAt is the time of the last such rebuild.
 	targets     atomic.Pointer[[]roster.Entry]
 	refreshedAt time.Time
+	// notified is the change number of the roster at the last notification.
+	notified uint64
 }
 
-// New returns an empty view. members are the control instances that are watched first.
-func New(decode Decode, members []string) *View {
-	v := &View{decode: decode, roster: roster.New(), changed: make(chan struct{}), members: slices.Clone(members)}
+// New returns an empty view of a process in a data centre. members are the control instances that are watched first.
+func New(decode Decode, dataCentre string, members []string) *View {
+	v := &View{decode: decode, roster: roster.New(), changed: make(chan struct{}), urgentChange: make(chan struct{}), contentChange: make(chan struct{}),
+		members: slices.Clone(members), ownDataCentre: dataCentre, dataCentres: make(map[string]string)}
 	v.targets.Store(&[]roster.Entry{})
 	return v
 }
@@ -78,13 +91,22 @@
 	}
 	v.packed = p
 	v.table.Store(routes.NewTable(document))
-	v.notifyLocked()
+	v.notifyLocked(true, true)
 	return nil
 }
 
-func (v *View) notifyLocked() {
-	close(v.changed)
-	v.changed = make(chan struct{})
+func (v *View) notifyLocked(content, urgent bool) {
+	notify := func(c *chan struct{}) {
+		close(*c)
+		*c = make(chan struct{})
+	}
+	notify(&v.changed)
+	if content || urgent {
+		notify(&v.contentChange)
+	}
+	if urgent {
+		notify(&v.urgentChange)
+	}
 }
 
 // ApplyHeartbeat applies a heartbeat of a target.
@@ -119,7 +141,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	changed := v.roster.Merge(now, d)
-	v.publishLocked(changed || len(d.Heartbeats) > 0)
+	v.publishLocked(changed || d.HasHeartbeats())
 	return changed
 }
 
@@ -137,7 +159,9 @@
 		return
 	}
 	v.rebuildTargetsLocked()
-	v.notifyLocked()
+	content, lifecycle := v.roster.ContentChangedAfter(v.notified), v.roster.LifecycleChangedAfter(v.notified)
+	v.notifyLocked(content, lifecycle)
+	v.notified = v.roster.Change()
 }
 
 // rebuildTargetsLocked rebuilds the list that Targets returns.
@@ -170,12 +194,46 @@
 	}
 }
 
-// ChangesSince returns a channel that is closed at the next change, what changed after a change number, and whether that is
-// more than heartbeats.
-func (v *View) ChangesSince(now time.Time, change uint64) (next <-chan struct{}, delta roster.Delta, contentChanged bool) {
+// changes tells what changed after a change number.
+type changes struct {
+	// next is closed at the next change that has to be looked at before the delays of a watch are over.
+	next                           <-chan struct{}
+	version                        uint64 // of the configuration
+	content, lifecycle, heartbeats bool
+}
+
+// changesSince tells what changed since the response to which a watch refers. A gateway is woken by changes of what targets
+// hold only if contentDue is set.
+func (v *View) changesSince(request *fleetapi.WatchRequest, contentDue bool) changes {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	c := changes{next: v.changed, version: v.packed.Version, heartbeats: v.roster.ChangedAfter(request.ChangeNumber),
+		content: v.roster.ContentChangedAfter(request.ChangeNumber), lifecycle: v.roster.LifecycleChangedAfter(request.ChangeNumber)}
+	switch {
+	case request.Gateway && contentDue:
+		c.next = v.contentChange
+	case request.Gateway:
+		c.next = v.urgentChange
+	}
+	return c
+}
+
+// SetDataCentres records the data centres of control instances.
+func (v *View) SetDataCentres(members, dataCentres []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for i, m := range members {
+		if i < len(dataCentres) && dataCentres[i] != "" {
+			v.dataCentres[m] = dataCentres[i]
+		}
+	}
+}
+
+// inOwnDataCentre reports whether a control instance is known to be in the data centre of this process.
+func (v *View) inOwnDataCentre(member string) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.changed, v.roster.Since(now, change), v.roster.ContentChangedAfter(change)
+	return v.ownDataCentre != "" && v.dataCentres[member] == v.ownDataCentre
 }
 
 // AddControlInstances adds control instances to those that the group names.
--- a/instance/fleetview/view_test.go
+++ b/instance/fleetview/view_test.go
@@ -10,7 +10,7 @@
 // Guards against targets that look unreachable although their heartbeats arrive: a control instance that was the only one to
 // receive heartbeats, all without a change, took its targets for gone after 5 s and gave no more orders.
 func TestHeartbeatsWithoutChangeUpdateTargets(t *testing.T) {
-	v := New(nil, nil)
+	v := New(nil, "", nil)
 	start := time.Unix(100, 0)
 	heartbeat := func(n int) {
 		t.Helper()
--- a/instance/fleetview/watch.go
+++ b/instance/fleetview/watch.go
@@ -1,6 +1,7 @@
 package fleetview
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -14,9 +15,10 @@
 )
 
 const (
-	// maxWatched bounds the control instances that a gateway watches. Control instances watch all others, so three are
-	// enough; a fourth shortens the path of a change in small deployments.
-	maxWatched = 4
+	// watchedInstances is the number of control instances that a gateway watches: one in its own data centre, where there
+	// is one, and one elsewhere. Control instances watch all others, so either one knows all targets. Two of them keep a
+	// gateway informed when one fails, and when its data centre is cut off.
+	watchedInstances = 2
 	// watchTimeout bounds one watch: the time after which it is answered without a change, and 1.5 s for a slow link.
 	watchTimeout = longPollTimeout + 1500*time.Millisecond
 	// minRetryPause is the least pause after a failed watch; jitter adds up to the same again.
@@ -25,10 +27,8 @@
 	updateInterval = 250 * time.Millisecond
 
 	// longPollTimeout is the time after which a watch is answered without a change.
-	longPollTimeout = time.Second
-	// heartbeatBatchDelay is the time for which heartbeats without a change are collected, so that not each of them wakes
-	// every gateway.
-	heartbeatBatchDelay = 400 * time.Millisecond
+	longPollTimeout = time.Second // failurePause is the time for which an instance whose watch failed ranks behind the others.
+	failurePause    = 2 * time.Second
 )
 
 // PeerClient calls methods of other processes.
@@ -48,12 +48,14 @@
 	mu      sync.Mutex
 	watches map[string]context.CancelFunc
 	heardAt map[string]time.Time
+	// failedAt is, by instance, the time of the latest failed watch.
+	failedAt map[string]time.Time
 }
 
 // NewWatcher returns a watcher for the process self. report is called for a configuration that cannot be used.
 func NewWatcher(view *View, peers PeerClient, self string, watchAll bool, report func(problem string, err error)) *Watcher {
 	return &Watcher{view: view, peers: peers, self: self, watchAll: watchAll, report: report,
-		watches: make(map[string]context.CancelFunc), heardAt: make(map[string]time.Time)}
+		watches: make(map[string]context.CancelFunc), heardAt: make(map[string]time.Time), failedAt: make(map[string]time.Time)}
 }
 
 // HeardWithin returns the number of control instances that answered, or whose watch began, within the period.
@@ -93,7 +95,7 @@
 			wanted = append(wanted, m)
 		}
 	}
-	if !w.watchAll && len(wanted) > maxWatched {
+	if !w.watchAll && len(wanted) > watchedInstances {
 		wanted = w.chooseInstances(wanted)
 	}
 	w.mu.Lock()
@@ -114,37 +116,42 @@
 	}
 }
 
-// chooseInstances selects control instances by rendezvous hashing, so that gateways spread over them. Those that have not
-// answered for two watch timeouts rank last.
+// chooseInstances selects control instances by rendezvous hashing, so that gateways spread over them: one in the own data
+// centre and then others. Those that have not answered for a watch timeout, or whose watch has just failed, rank last.
 func (w *Watcher) chooseInstances(members []string) []string {
-	rank := func(name string) uint64 { return rendezvousHash(w.self, name) }
 	list := slices.Clone(members)
 	w.mu.Lock()
 	now := time.Now()
-	stale := func(name string) bool {
-		at, ok := w.heardAt[name]
-		return ok && now.Sub(at) > 2*watchTimeout
+	failing := make(map[string]bool)
+	for _, name := range list {
+		heard, watched := w.heardAt[name]
+		failing[name] = watched && now.Sub(heard) > watchTimeout || now.Sub(w.failedAt[name]) < failurePause
 	}
+	w.mu.Unlock()
 	slices.SortFunc(list, func(a, b string) int {
-		if staleA, staleB := stale(a), stale(b); staleA != staleB {
-			if staleA {
+		if failing[a] != failing[b] {
+			if failing[a] {
 				return 1
 			}
 			return -1
 		}
-		if rankA, rankB := rank(a), rank(b); rankA < rankB {
-			return -1
-		} else if rankA > rankB {
-			return 1
-		}
-		return strings.Compare(a, b)
+		return cmp.Or(cmp.Compare(rendezvousHash(w.self, a), rendezvousHash(w.self, b)), strings.Compare(a, b))
 	})
-	w.mu.Unlock()
-	return list[:maxWatched]
+	local := slices.IndexFunc(list, func(name string) bool { return !failing[name] && w.view.inOwnDataCentre(name) })
+	if local < 0 {
+		return list[:watchedInstances]
+	}
+	chosen := []string{list[local]}
+	remote := func(name string) bool { return name != list[local] && !w.view.inOwnDataCentre(name) }
+	if i := slices.IndexFunc(list, remote); i >= 0 {
+		return append(chosen, list[i])
+	}
+	list = slices.Delete(list, local, local+1)
+	return append(chosen, list[:watchedInstances-1]...)
 }
 
 func (w *Watcher) watch(ctx context.Context, name string) {
-	request := fleetapi.WatchRequest{}
+	request := fleetapi.WatchRequest{Gateway: !w.watchAll}
 	w.recordHeard(name, time.Now())
 	for ctx.Err() == nil {
 		request.Version = w.view.Packed().Version
@@ -153,6 +160,9 @@
 		err := w.peers.Call(callCtx, name, peerapi.MethodFleetWatch, request, &response)
 		cancel()
 		if err != nil {
+			if ctx.Err() == nil {
+				w.recordFailure(name, time.Now())
+			}
 			select {
 			case <-ctx.Done():
 			case <-time.After(minRetryPause + rand.N(minRetryPause)):
@@ -168,10 +178,18 @@
 		}
 		w.view.Merge(now, response.Roster)
 		w.view.SetLeaderAndMembers(response.Leader, response.Members)
+		w.view.SetDataCentres([]string{name}, []string{response.DataCentre})
+		w.view.SetDataCentres(response.Members, response.MemberDataCentres)
 		request.Epoch, request.ChangeNumber = response.Epoch, response.Roster.Change
 	}
 }
 
+func (w *Watcher) recordFailure(name string, now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.failedAt[name] = now
+}
+
 func (w *Watcher) recordHeard(name string, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -13,14 +13,19 @@
 )
 
 const (
-	// exchangeInterval is the time between load reports.
-	exchangeInterval = 100 * time.Millisecond
 	// exchangeTimeout bounds one report, so that a slow leader does not delay the next one.
 	exchangeTimeout = 400 * time.Millisecond
 	// unreachablePeriod is how long a failed connection to a target is reported to the leader.
 	unreachablePeriod = 2 * time.Second
 )
 
+// reportJitter is the maximum share by which the interval between two load reports is shortened at random.
+const reportJitter = 0.2
+
+func (g *Gateway) reportInterval() time.Duration {
+	return fleetapi.ReportInterval(int(g.gatewayCount.Load()))
+}
+
 type modelKey struct{ service, model string }
 
 // demand counts what callers ask for between load reports.
@@ -89,14 +94,17 @@
 
 // exchangeLoad reports the load to the leader and receives the load of the other gateways.
 func (g *Gateway) exchangeLoad(ctx context.Context) {
-	ticker := time.NewTicker(exchangeInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
 	connected := false
 	for {
+		// The jitter spreads the reports of gateways that started together.
+		interval := g.reportInterval()
+		timer.Reset(interval - time.Duration(reportJitter*g.randomFloat()*float64(interval)))
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
 		}
 		err := g.exchangeLoadOnce(ctx)
 		if ok := err == nil; ok != connected {
@@ -116,7 +124,7 @@
 		return errNoLeader
 	}
 	own := g.loadTracker.OwnObservations(time.Now())
-	report := fleetapi.LoadReport{Gateway: g.opts.Name, Strikes: g.suspects.takeStrikes(),
+	report := fleetapi.LoadReport{Gateway: g.opts.Name, Packed: true, Strikes: g.suspects.takeStrikes(),
 		Unreachable: g.loadTracker.Unreachable(time.Now(), unreachablePeriod)}
 	report.Models, report.Adapters = g.demand.takeReport()
 	for id, l := range own {
@@ -129,12 +137,23 @@
 		g.loadTracker.SetPeerObservations(nil, nil)
 		return err
 	}
-	g.applySummary(time.Now(), &summary)
-	return nil
+	return g.applySummary(time.Now(), &summary)
 }
 
-func (g *Gateway) applySummary(now time.Time, summary *fleetapi.LoadSummary) {
-	g.loadTracker.SetPeerObservations(summary.ObservationsByTarget(), summary.UnloadingModels())
+func (g *Gateway) applySummary(now time.Time, summary *fleetapi.LoadSummary) error {
+	loads := summary.Targets
+	if len(summary.PackedTargets) > 0 {
+		targets := g.view.Targets()
+		ids := make([]string, len(targets))
+		for i := range targets {
+			ids[i] = targets[i].ID
+		}
+		var err error
+		if loads, err = fleetapi.UnpackTargetLoads(summary.PackedTargets, ids); err != nil {
+			return err
+		}
+	}
+	g.loadTracker.SetPeerObservations(fleetapi.ObservationsByTarget(loads), summary.UnloadingModels())
 	loading := make([]loadingModel, 0, len(summary.Loading))
 	for _, a := range summary.Loading {
 		loading = append(loading, loadingModel{a.Service, a.Model, now.Add(time.Duration(a.RemainingMs) * time.Millisecond)})
@@ -143,6 +162,7 @@
 	g.budget.SetGateways(summary.Gateways)
 	g.gatewayCount.Store(int64(max(summary.Gateways, 1)))
 	g.suspects.setQuarantined(summary.Quarantined)
+	return nil
 }
 
 // fingerprint is the same when a caller sends a request again. Request id and headers are left out, since they differ between
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -77,7 +77,7 @@
 		Limits:   routes.Limits{BodyBytes: 1000},
 	}
 	f := &fixture{t: t, runs: make(map[string]int)}
-	f.view = fleetview.New(func([]byte) (*routes.Document, error) { return document, nil }, nil)
+	f.view = fleetview.New(func([]byte) (*routes.Document, error) { return document, nil }, "", nil)
 	watcher := fleetview.NewWatcher(f.view, unreachablePeers{}, "g", false, func(string, error) {})
 	f.gateway = New(Options{
 		Name: "g", DataCentre: "a", ReadyPath: "/ready", Headers: testHeaders, ReadPrompt: readPrompt, GracePeriod: 5 * time.Second,
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -17,6 +17,10 @@
 	adapterTimeout = 700 * time.Millisecond
 	// maxPlainPerSlot bounds the running requests per slot of a plain target, which queues a few itself.
 	maxPlainPerSlot = 3.0
+	// staleLoadInterval is the interval of load reports from which the picks of the other gateways since the last report
+	// matter more than the report, and randomChoices the number of targets that are compared then.
+	staleLoadInterval = 200 * time.Millisecond
+	randomChoices     = 2
 )
 
 // pick selects a target by the local view. When that yields none for a request with an adapter, the leader is asked for one.
@@ -34,17 +38,29 @@
 	if target == nil {
 		return nil, reason
 	}
-	// The other gateways see the same loads and are expected to pick the same target, so the reservation counts for each
-	// of them.
-	g.loadTracker.Reserve(now, target.ID, q.prompt.Tokens, float64(max(g.gatewayCount.Load(), 1)))
+	scale := 1.0
+	if g.choices() == 0 {
+		// The other gateways see the same loads and are expected to pick the same target, so the reservation counts for
+		// each of them.
+		scale = float64(max(g.gatewayCount.Load(), 1))
+	}
+	g.loadTracker.Reserve(now, target.ID, q.prompt.Tokens, scale)
 	return target, dispatch.Found
 }
 
+// choices returns the number of random targets to compare, 0 for all.
+func (g *Gateway) choices() int {
+	if g.reportInterval() >= staleLoadInterval {
+		return randomChoices
+	}
+	return 0
+}
+
 // pickLocally selects a target by the local view only.
 func (g *Gateway) pickLocally(now time.Time, q *request, exclude []string) (*roster.Entry, dispatch.Reason) {
 	query := dispatch.Query{
 		Service: q.service.Name, Model: q.prompt.Model, Adapter: q.prompt.Adapter, Tokens: q.prompt.Tokens,
-		DataCentre: g.opts.DataCentre, Exclude: exclude, MaxPerSlot: maxPlainPerSlot,
+		DataCentre: g.opts.DataCentre, Exclude: exclude, MaxPerSlot: maxPlainPerSlot, Choices: g.choices(),
 	}
 	if q.service.Engine != nil {
 		query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -14,6 +14,9 @@
 	Epoch        uint64 `json:"e"`
 	ChangeNumber uint64 `json:"c"`
 	Version      uint64 `json:"v"` // version of the document that the sender has
+	// Gateway is set by gateways. They are many and get compact updates, those without effect on the choice between ready
+	// and leaving targets in batches.
+	Gateway bool `json:"g,omitempty"`
 }
 
 // WatchResponse is the response to a WatchRequest.
@@ -26,6 +29,9 @@
 	Document []byte   `json:"d,omitempty"`
 	Leader   string   `json:"l,omitempty"`
 	Members  []string `json:"m,omitempty"` // control instances that are members of the group
+	// DataCentre is that of the answering instance, and MemberDataCentres those of Members, empty where unknown.
+	DataCentre        string   `json:"z,omitempty"`
+	MemberDataCentres []string `json:"mz,omitempty"`
 }
 
 // TargetLoad is the load that one gateway, or several together, have sent to one target.
@@ -67,6 +73,8 @@
 	Adapters []AdapterUse `json:"a,omitempty"`
 	// Strikes are fingerprints of requests that were running on a target when it died.
 	Strikes []Strike `json:"s,omitempty"`
+	// Packed asks for a summary with PackedTargets instead of Targets.
+	Packed bool `json:"p,omitempty"`
 }
 
 // AdapterUse is an adapter that requests use on a target.
@@ -99,10 +107,12 @@
 // LoadSummary is the response to a LoadReport.
 type LoadSummary struct {
 	// Targets is the summed load of all other gateways.
-	Targets   []TargetLoad     `json:"t,omitempty"`
-	Gateways  int              `json:"g"` // number of gateways that reported recently
-	Unloading []UnloadingModel `json:"r,omitempty"`
-	Loading   []LoadingModel   `json:"a,omitempty"`
+	Targets []TargetLoad `json:"t,omitempty"`
+	// PackedTargets replaces Targets, see PackTargetLoads.
+	PackedTargets []byte           `json:"tp,omitempty"`
+	Gateways      int              `json:"g"` // number of gateways that reported recently
+	Unloading     []UnloadingModel `json:"r,omitempty"`
+	Loading       []LoadingModel   `json:"a,omitempty"`
 	// Quarantined are fingerprints of requests that were running on several targets when those died.
 	Quarantined []uint64 `json:"q,omitempty"`
 }
@@ -116,10 +126,10 @@
 		SlownessPercent: int(o.Slowness * percent), FailurePenaltyMs: int(o.FailurePenaltyMs)}
 }
 
-// ObservationsByTarget converts the summary into observations by target.
-func (s *LoadSummary) ObservationsByTarget() map[string]dispatch.Observation {
-	observed := make(map[string]dispatch.Observation, len(s.Targets))
-	for _, t := range s.Targets {
+// ObservationsByTarget converts the loads of targets into observations.
+func ObservationsByTarget(loads []TargetLoad) map[string]dispatch.Observation {
+	observed := make(map[string]dispatch.Observation, len(loads))
+	for _, t := range loads {
 		observed[t.ID] = dispatch.Observation{
 			Load:     dispatch.Load{Running: t.Running, Unstarted: t.Unstarted, PromptTokens: t.PromptTokens},
 			Slowness: float64(t.SlownessPercent) / percent, FailurePenaltyMs: float64(t.FailurePenaltyMs),
