Bound the head of a target's answer

Cause: net/http reads a status line, headers and informational answers of any length.

Change: the head of an answer, with the informational answers before it, is read through a limit of 64 KiB. The connection is reset, the answer counts as malformed and as a failure of the target.

Ruled out: chunk extensions and trailers, which net/http bounds itself (same test).

--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -31,6 +32,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	head   *headLimit
 	// usableUntil is the time until which the idle connection may be reused.
 	usableUntil time.Time
 }
@@ -42,7 +44,39 @@
 	if tcp, ok := raw.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
-	return &conn{Conn: raw, reader: bufio.NewReaderSize(raw, readBufferBytes)}
+	head := &headLimit{Conn: raw}
+	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}
+}
+
+// maxHeadBytes bounds the status line and the headers of an answer, with the informational answers before it. Targets send
+// well below 1 KiB.
+const maxHeadBytes = 64 << 10
+
+var errHeadTooLarge = errors.Wrapf(errMalformed, "the head of the answer exceeds %d bytes", maxHeadBytes)
+
+// headLimit bounds the bytes that are read for the head of an answer. net/http reads a head of any length, so a faulty
+// target that sends header lines without end would exhaust the memory of the process.
+type headLimit struct {
+	net.Conn
+	limited bool
+	left    int
+}
+
+// begin limits the following reads until end is called.
+func (h *headLimit) begin() { h.limited, h.left = true, maxHeadBytes }
+
+func (h *headLimit) end() { h.limited = false }
+
+func (h *headLimit) Read(p []byte) (int, error) {
+	if !h.limited {
+		return h.Conn.Read(p)
+	}
+	if h.left == 0 {
+		return 0, errHeadTooLarge
+	}
+	n, err := h.Conn.Read(p[:min(len(p), h.left)])
+	h.left -= n
+	return n, err
 }
 
 // closeGracefully closes a connection without a request in flight. Close would reset it, and the reset could destroy
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -87,7 +87,7 @@
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, most recently used last
 
-	opened, reused, foreign metrics.Counter
+	opened, reused, foreign, malformed metrics.Counter
 }
 
 // New returns a client without connections.
@@ -97,6 +97,8 @@
 		opened:  metrics.GetOrRegisterCounter("upstream.connections_opened", registry),
 		reused:  metrics.GetOrRegisterCounter("upstream.connections_reused", registry),
 		foreign: metrics.GetOrRegisterCounter("upstream.foreign_answers", registry),
+
+		malformed: metrics.GetOrRegisterCounter("upstream.malformed_answers", registry),
 	}
 }
 
@@ -145,6 +147,7 @@
 	case errors.As(err, &netErr) && netErr.Timeout():
 		return &Error{Failure: TimedOut, Sent: true, Cause: err}
 	case errors.Is(err, errMalformed):
+		a.client.malformed.Inc(1)
 		return &Error{Failure: MalformedAnswer, Sent: true, Cause: err}
 	}
 	return &Error{Failure: ConnectionBroken, Sent: true, Cause: err}
@@ -271,6 +274,8 @@
 }
 
 func (a *Answer) readResponse(r *Request) (*http.Response, error) {
+	a.conn.head.begin()
+	defer a.conn.head.end()
 	for {
 		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
 		switch {
@@ -280,7 +285,7 @@
 			return response, nil
 		}
 		var netErr net.Error
-		if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || a.ctx.Err() != nil {
+		if errors.Is(err, errMalformed) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr) || a.ctx.Err() != nil {
 			return nil, err
 		}
 		return nil, errors.Wrap(errMalformed, err.Error())
