Send less urgent requests only to free slots

Cause: a model engine got 1.5 requests for each slot of every rank.

Change: requests of the most urgent rank may exceed the slots by a quarter, others wait at the gateway.

Test: TestLessUrgentRequestsWaitForAFreeSlot fails before (18 requests sent).

--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -62,9 +62,23 @@
 	latencySampleWeight = 0.2
 )
 
-// MaxEngineRequestsPerSlot is the maximum number of requests per slot that are sent to a model engine. Engines serve
-// their queue by priority, so a short queue is kept at the engine rather than at the gateways.
-const MaxEngineRequestsPerSlot = 1.5
+const (
+	// maxUrgentPerSlot and maxOtherPerSlot are the maximum numbers of requests per slot that are sent to a model engine,
+	// for requests of the most urgent rank and for all others. An engine with full slots preempts the least urgent request
+	// for a more urgent one and reads its prompt again later, so its stream pauses for too long. The few requests beyond
+	// the slots keep them busy, and the engine serves these first.
+	maxUrgentPerSlot = 1.25
+	maxOtherPerSlot  = 1.0
+	mostUrgentRank   = 0
+)
+
+// MaxEngineRequestsPerSlot returns the maximum number of requests per slot of an engine for a request of a rank.
+func MaxEngineRequestsPerSlot(rank int) float64 {
+	if rank <= mostUrgentRank {
+		return maxUrgentPerSlot
+	}
+	return maxOtherPerSlot
+}
 
 // Load is the work on one target.
 type Load struct {
--- a/coordination/dispatch/loadtracker_test.go
+++ b/coordination/dispatch/loadtracker_test.go
@@ -254,3 +254,27 @@
 		t.Error("repeated sends of one service were counted against another service")
 	}
 }
+
+// Guards against engines that preempt running streams: at the crest, less urgent requests beyond the slots of an engine
+// took turns with more urgent ones, and their streams paused for too long.
+func TestLessUrgentRequestsWaitForAFreeSlot(t *testing.T) {
+	tracker, targets := NewLoadTracker("g"), engines(1)
+	targets[0].Slots = 12
+	rng, now := newRand(), time.Unix(100, 0)
+	sent := map[int]int{}
+	for range 40 {
+		for _, rank := range []int{2, 1, 0} {
+			q := Query{Service: targets[0].Service, MaxPerSlot: MaxEngineRequestsPerSlot(rank)}
+			if picked, _ := tracker.Pick(now, rng, q, targets); picked != nil {
+				tracker.Start(now, picked.ID, "m", 100)
+				sent[rank]++
+			}
+		}
+	}
+	if total := sent[0] + sent[1] + sent[2]; total != 15 {
+		t.Errorf("%d requests sent to an engine with 12 slots, want 15", total)
+	}
+	if beyond := sent[1] + sent[2]; beyond > 8 {
+		t.Errorf("%d less urgent requests sent, want at most the 8 that found a free slot", beyond)
+	}
+}
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -64,7 +64,7 @@
 		Connected: func(address string) bool { return g.client.HasIdle(now, address) },
 	}
 	if q.service.Engine != nil {
-		query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot
+		query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot(q.route.Rank)
 	}
 	g.rngMu.Lock()
 	defer g.rngMu.Unlock()
