Keep gateways away from an unresponsive control instance

Cause: a gateway forgot that an instance had not answered as soon as it watched another one, and returned to it 250 ms later.

Change: an instance whose watch failed ranks last for 10 s, unless it answers.

Test: TestUnresponsiveInstanceIsReplaced fails without the pause.

--- a/instance/fleetview/watch.go
+++ b/instance/fleetview/watch.go
@@ -27,8 +27,10 @@
 	updateInterval = 250 * time.Millisecond
 
 	// longPollTimeout is the time after which a watch is answered without a change.
-	longPollTimeout = time.Second // failurePause is the time for which an instance whose watch failed ranks behind the others.
-	failurePause    = 2 * time.Second
+	longPollTimeout = time.Second
+	// failurePause is the time for which an instance whose watch failed ranks behind the others, unless it answers. Without
+	// it, a gateway would return to an unresponsive instance as soon as it has turned to another one.
+	failurePause = 10 * time.Second
 )
 
 // PeerClient calls methods of other processes.
@@ -170,7 +172,7 @@
 			continue
 		}
 		now := time.Now()
-		w.recordHeard(name, now)
+		w.recordAnswer(name, now)
 		if len(response.Document) > 0 {
 			if err := w.view.SetDocument(routes.CompressedDocument{Version: response.Version, Data: response.Document}); err != nil {
 				w.report("apply configuration from "+name, err)
@@ -184,6 +186,13 @@
 	}
 }
 
+func (w *Watcher) recordAnswer(name string, now time.Time) {
+	w.recordHeard(name, now)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.failedAt, name)
+}
+
 func (w *Watcher) recordFailure(name string, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/instance/fleetview/watch_test.go
+++ b/instance/fleetview/watch_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -89,3 +91,50 @@
 		}
 	}
 }
+
+// silentPeers answers the watches of all instances but one, to which calls get no answer.
+type silentPeers struct {
+	silent string
+
+	mu      sync.Mutex
+	answers map[string]int
+}
+
+func (p *silentPeers) Call(ctx context.Context, name, _ string, _, result any) error {
+	if name == p.silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(longPollTimeout):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	p.mu.Lock()
+	p.answers[name]++
+	p.mu.Unlock()
+	return json.Unmarshal([]byte(`{"e":1}`), result)
+}
+
+// Guards against a gateway that returns to an unresponsive control instance, which ranks first for it, as soon as it has
+// turned to another one.
+func TestUnresponsiveInstanceIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		members := []string{"a1", "b1", "c1"}
+		v := New(nil, "a", members)
+		v.SetDataCentres(members, []string{"a", "b", "c"})
+		peers := &silentPeers{silent: "a1", answers: map[string]int{}}
+		w := NewWatcher(v, peers, "g", false, func(string, error) {})
+		ctx, stop := context.WithCancel(t.Context())
+		go w.Run(ctx)
+		time.Sleep(20 * time.Second)
+		stop()
+		synctest.Wait()
+		for _, name := range []string{"b1", "c1"} {
+			// Two rounds of watchTimeout with the silent instance and the pauses between polls leave at least 12 s.
+			if n := peers.answers[name]; n < 12 {
+				t.Errorf("%s answered %d watches in 20 s while a1 was silent, want at least 12", name, n)
+			}
+		}
+	})
+}
