--- a/coordination/residency/plan_test.go
+++ b/coordination/residency/plan_test.go
@@ -77,6 +77,11 @@
 		}
 		return moves
 	}
+	targets[0].Settling, targets[1].Settling = []string{"busy", "hot"}, []string{"busy", "hot", "warm"}
+	if got := Plan(Input{Targets: targets, Models: models(map[string]float64{"hot": 1, "busy": 2, "warm": 3}, names...), StoreLoads: 3}); len(got) != 1 || got[0].Unload != "warm" {
+		t.Fatalf("planned %+v, want only warm, which was not just loaded, to be replaced", got)
+	}
+	targets[0].Settling, targets[1].Settling = nil, nil
 	first := applyPlan(map[string]float64{"hot": 1, "busy": 2, "warm": 3})
 	if len(first) != 1 || first[0].Target == "c" || first[0].Unload != "hot" || first[0].Load != "x" {
 		t.Fatalf("planned %+v, want x to replace hot, the spare model with the lowest demand", first)
--- a/coordination/residency/victim.go
+++ b/coordination/residency/victim.go
@@ -48,18 +48,18 @@
 }
 
 // unloadCost returns the cost of unloading a copy of a model in favour of another one, and whether that is allowed.
-func (p *planner) unloadCost(victim, gains *Model) (cost float64, allowed bool) {
+func (p *planner) unloadCost(victim, gaining *Model) (cost float64, allowed bool) {
 	copies := p.copies[victim.Name]
 	// The running requests of the victim must finish before its memory is free.
 	running := victimLoadCost * victim.Demand / float64(copies) / p.maxSlots
 	if p.usableCopies[victim.Name] >= 2 {
 		demandAfter := victim.Demand / float64(copies-1)
-		if p.copies[gains.Name] > 0 && demandAfter > maxDonorDemandShare*p.pressure(gains) {
+		if p.copies[gaining.Name] > 0 && demandAfter > maxDonorDemandShare*p.pressure(gaining) {
 			return 0, false
 		}
 		return demandAfter/p.maxSlots + running, true
 	}
-	if copies > 1 || !p.oversubscribed || !p.mayReplaceLastCopy(victim, gains) {
+	if copies > 1 || !p.oversubscribed || !p.mayReplaceLastCopy(victim, gaining) {
 		return 0, false
 	}
 	return lastCopyCost + expectedRequestCost*victim.RecentDemand + running, true
@@ -84,11 +84,11 @@
 
 // mayReplaceLastCopy reports whether the demand for a model justifies that another model loses its last copy. Without
 // this, places that are all taken by last copies would never change, and models beyond them would never be served.
-func (p *planner) mayReplaceLastCopy(victim, gains *Model) bool {
-	if p.copies[gains.Name] == 0 {
-		return gains.Demand >= minAbsentDemand && victim.Demand <= maxLastCopyDemandShare*gains.Demand
+func (p *planner) mayReplaceLastCopy(victim, gaining *Model) bool {
+	if p.copies[gaining.Name] == 0 {
+		return gaining.Demand >= minAbsentDemand && victim.Demand <= maxLastCopyDemandShare*gaining.Demand
 	}
-	pressure := p.pressure(gains)
+	pressure := p.pressure(gaining)
 	return pressure >= minLastCopyOverload*p.maxSlots &&
 		max(victim.Demand, victim.RecentDemand) <= min(maxLastCopyOverloadShare*pressure, maxIdleDemand)
 }
