Say once what the updates of a table and a replaceable model are

Found in a last read of the change; behaviour stays as it is.

- CompactSince repeated the loop of Since; it packs its result instead.
- The change number of the lifecycle of each entry was never read; the one of the table is enough.

Checked: formatter, vet and the tests of roster, residency, fleetview and controlinstance.

--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -361,7 +361,7 @@
 	loss = math.Inf(1)
 	for _, held := range t.Models {
 		other := p.byName[held]
-		if other == nil || slices.Contains(t.Settling, held) || p.usableCopies[held] < 2 || t.UsedMB-other.WeightsMB+m.WeightsMB > t.CapacityMB {
+		if other == nil || p.usableCopies[held] < 2 || !t.canReplace(other, m) {
 			continue
 		}
 		demandAfter := other.Demand / float64(p.copies[held]-1) / p.maxSlots
--- a/coordination/residency/victim.go
+++ b/coordination/residency/victim.go
@@ -37,7 +37,7 @@
 		if other == nil {
 			other = &Model{Name: held}
 		}
-		if slices.Contains(t.Settling, held) || t.UsedMB-other.WeightsMB+m.WeightsMB > t.CapacityMB {
+		if !t.canReplace(other, m) {
 			continue
 		}
 		if cost, allowed := p.unloadCost(other, m); allowed && cost < loss {
@@ -47,6 +47,11 @@
 	return name, loss, name != ""
 }
 
+// canReplace reports whether a held model has settled and its memory, with what is free, is enough for another one.
+func (t *Target) canReplace(held, m *Model) bool {
+	return !slices.Contains(t.Settling, held.Name) && t.UsedMB-held.WeightsMB+m.WeightsMB <= t.CapacityMB
+}
+
 // unloadCost returns the cost of unloading a copy of a model in favour of another one, and whether that is allowed.
 func (p *planner) unloadCost(victim, gaining *Model) (cost float64, allowed bool) {
 	copies := p.copies[victim.Name]
--- a/coordination/roster/delta.go
+++ b/coordination/roster/delta.go
@@ -32,7 +32,9 @@
 	for _, e := range t.entries {
 		switch {
 		case e.ContentChange > change:
-			d.Targets = append(d.Targets, e.sent(now))
+			target := e.Target
+			target.SinceHeartbeatMs = now.Sub(e.HeardAt).Milliseconds()
+			d.Targets = append(d.Targets, target)
 		case e.Change > change:
 			d.Heartbeats = append(d.Heartbeats, Heartbeat{Key: e.Key, HeartbeatSequence: e.Target.HeartbeatSequence})
 		}
@@ -43,27 +45,17 @@
 // CompactSince returns the same updates in fewer bytes, for the many gateways: without the cached weights, which only the
 // placement of models needs, and with packed heartbeats.
 func (t *Table) CompactSince(now time.Time, change uint64) Delta {
-	d := Delta{Change: t.change}
-	for _, e := range t.entries {
-		switch {
-		case e.ContentChange > change:
-			target := e.sent(now)
-			target.InMemory, target.OnDisk = nil, nil
-			d.Targets = append(d.Targets, target)
-		case e.Change > change:
-			d.PackedHeartbeats = packHeartbeat(d.PackedHeartbeats, e.Key, e.Target.HeartbeatSequence)
-		}
+	d := t.Since(now, change)
+	for i := range d.Targets {
+		d.Targets[i].InMemory, d.Targets[i].OnDisk = nil, nil
+	}
+	for _, b := range d.Heartbeats {
+		d.PackedHeartbeats = packHeartbeat(d.PackedHeartbeats, b.Key, b.HeartbeatSequence)
 	}
+	d.Heartbeats = nil
 	return d
 }
 
-// sent returns the target with the age of its latest heartbeat.
-func (e *Entry) sent(now time.Time) Target {
-	target := e.Target
-	target.SinceHeartbeatMs = now.Sub(e.HeardAt).Milliseconds()
-	return target
-}
-
 // Merge applies a delta of another table and reports whether the content of any target changed. Incomplete targets are
 // skipped.
 func (t *Table) Merge(now time.Time, d Delta) (changed bool) {
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -78,8 +78,6 @@
 	// Change is the change number of the table at the latest heartbeat, and ContentChange that at the latest heartbeat
 	// with new content.
 	Change, ContentChange uint64
-	// LifecycleChange is the change number at which the target appeared, restarted or changed its state.
-	LifecycleChange uint64
 }
 
 // Table is a set of targets with a change number that grows with each update. It is not safe for concurrent use.
@@ -87,7 +85,8 @@
 	entries   map[string]*Entry // by id
 	byAddress map[string]string // id of the target that started last at each address
 	change    uint64
-	// contentChange and lifecycleChange are the highest ContentChange and LifecycleChange of any entry.
+	// contentChange is the highest ContentChange of any entry, and lifecycleChange the change number at which a target last
+	// appeared, restarted or changed its state.
 	contentChange, lifecycleChange uint64
 }
 
@@ -149,8 +148,8 @@
 	} else if known.sameContent(&target) {
 		outcome = Refreshed
 	}
-	if known.LifecycleChange == 0 || known.Key != target.Key || known.State != target.State {
-		known.LifecycleChange, t.lifecycleChange = t.change, t.change
+	if known.Key != target.Key || known.State != target.State { // a new entry has an empty key
+		t.lifecycleChange = t.change
 	}
 	known.HeardAt = now.Add(-time.Duration(target.SinceHeartbeatMs) * time.Millisecond)
 	target.SinceHeartbeatMs = 0
@@ -189,7 +188,7 @@
 func (t *Table) markGone(e *Entry) {
 	t.change++
 	e.State = Gone
-	e.Change, e.ContentChange, e.LifecycleChange = t.change, t.change, t.change
+	e.Change, e.ContentChange = t.change, t.change
 	t.contentChange, t.lifecycleChange = t.change, t.change
 }
 
