Show in logs and metrics which software version goes on with a stream

Heartbeats name the version; it is kept with the target and logged. Event 404 tells of each resumption with its target, its version and, for one that a caller asks for, the attempt that began the stream. Two counters separate resumptions within one answer from those over a caller's attempts. No decision uses any of it yet.

--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -40,8 +40,11 @@
 	Service    string `json:"s"`
 	Address    string `json:"ad"`
 	DataCentre string `json:"dc"`
-	Slots      int    `json:"sl"`
-	State      State  `json:"st,omitempty"`
+	// SoftwareVersion is that of the target's program. A stream may go on only at the version that began it. Versions have
+	// no order.
+	SoftwareVersion string `json:"sv,omitempty"`
+	Slots           int    `json:"sl"`
+	State           State  `json:"st,omitempty"`
 	// HeartbeatSequence is the sequence number of the heartbeat within the incarnation.
 	HeartbeatSequence uint64 `json:"b"`
 	Models            []Held `json:"mo,omitempty"`
@@ -168,7 +171,7 @@
 
 func (e *Entry) sameContent(other *Target) bool {
 	return e.Key == other.Key && e.Service == other.Service && e.Address == other.Address && e.DataCentre == other.DataCentre &&
-		e.Slots == other.Slots && e.State == other.State && e.ShutdownAtMs == other.ShutdownAtMs &&
+		e.SoftwareVersion == other.SoftwareVersion && e.Slots == other.Slots && e.State == other.State && e.ShutdownAtMs == other.ShutdownAtMs &&
 		slices.EqualFunc(e.Models, other.Models, func(a, b Held) bool {
 			return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
 		}) && slices.Equal(e.InMemory, other.InMemory) && slices.Equal(e.OnDisk, other.OnDisk)
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -41,7 +41,7 @@
 	RequestRefused        = define(401, "request-refused", logrus.InfoLevel, "A request was refused and did not run; the field reason says why.")
 	RequestFailed         = define(402, "request-failed", logrus.WarnLevel, "A request failed and may have run; the field reason says why.")
 	AttemptBroken         = define(403, "attempt-broken", logrus.WarnLevel, "An attempt broke before its end; the field offset, or bytes and events, says how far it came, and parts names the shared parts of its prompt.")
-	StreamResumed         = define(404, "stream-resumed", logrus.InfoLevel, "A stream goes on in another attempt from the given offset.")
+	StreamResumed         = define(404, "stream-resumed", logrus.InfoLevel, "A stream goes on in another attempt, after the given offset or event; the field resumes names the caller's attempt that began it, if it is another one, and software the version of the target's program.")
 	CrashStrike           = define(405, "crash-strike", logrus.WarnLevel, "A request was in flight on a target that died; fields give its fingerprint, how many parts of its prompt are suspected, and the time from the break to the failed connection.")
 	RequestHedged         = define(406, "request-hedged", logrus.DebugLevel, "A second attempt was started because the first is slow.")
 	RequestInterrupted    = define(407, "request-interrupted", logrus.InfoLevel, "A batch request gave its slot up for more urgent work; it goes on later from the given offset.")
--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -301,7 +301,7 @@
 			definition = events.TargetLeaving
 		}
 		instance.recorder.Record(definition, events.Fields{"target": target.ID, "born": target.StartedAtMs, "beat": target.HeartbeatSequence,
-			"service": target.Service, "address": target.Address, "models": modelNames(target.Models)})
+			"service": target.Service, "software": target.SoftwareVersion, "address": target.Address, "models": modelNames(target.Models)})
 	}
 	return nil
 }
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -10,7 +10,9 @@
 type counters struct {
 	answered, refused, failed, cancelled, repeated metrics.Counter
 	crashStrikes                                   metrics.Counter
-	firstByteMs, totalMs, heldMs                   metrics.Histogram
+	// streamsResumed are resumptions within one answer, streamsTakenUp those that callers ask for in another attempt.
+	streamsResumed, streamsTakenUp metrics.Counter
+	firstByteMs, totalMs, heldMs   metrics.Histogram
 }
 
 func newCounters(r metrics.Registry) *counters {
@@ -21,7 +23,7 @@
 	return &counters{
 		answered: counter("answered"), refused: counter("refused"), failed: counter("failed"),
 		cancelled: counter("cancelled"), repeated: counter("repeated_sends"),
-		crashStrikes: counter("crash_strikes"),
-		firstByteMs:  histogram("first_byte_ms"), totalMs: histogram("total_ms"), heldMs: histogram("held_ms"),
+		crashStrikes: counter("crash_strikes"), streamsResumed: counter("streams_resumed"), streamsTakenUp: counter("streams_taken_up"),
+		firstByteMs: histogram("first_byte_ms"), totalMs: histogram("total_ms"), heldMs: histogram("held_ms"),
 	}
 }
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -31,6 +31,7 @@
 		g.demand.addRunning(q, target.ID, -1)
 		g.loadTracker.Finish(time.Now(), inFlight, end)
 	}()
+	g.recordResumption(r, q, target)
 	answer, err := g.client.Do(q.ctx, target.Address, g.upstreamRequest(q, target, now, r.lastEventID))
 	if err != nil {
 		var result outcome
@@ -50,7 +51,7 @@
 	result, end = r.relayAnswer(answer)
 	if result == mayHaveRun || result == expired {
 		g.recorder.Record(events.AttemptBroken, events.Fields{
-			"request": q.id, "target": target.ID, "status": answer.StatusCode, "bytes": r.bytes, "events": r.events,
+			"request": q.id, "target": target.ID, "software": target.SoftwareVersion, "status": answer.StatusCode, "bytes": r.bytes, "events": r.events,
 			"parts": sharedPartIDs(q),
 		})
 	}
@@ -60,6 +61,21 @@
 	return result
 }
 
+// recordResumption records that a stream goes on at a target, in the answer that began it or in another attempt of its caller.
+func (g *Gateway) recordResumption(r *relay, q *request, target *roster.Entry) {
+	fields := events.Fields{"request": q.id, "target": target.ID, "software": target.SoftwareVersion, "after_event": r.lastEventID}
+	switch lastEvent := q.header.Get(g.opts.Headers.LastEvent); {
+	case r.lastEventID != "":
+		g.metrics.streamsResumed.Inc(1)
+	case lastEvent != "":
+		g.metrics.streamsTakenUp.Inc(1)
+		fields["after_event"], fields["resumes"] = lastEvent, q.header.Get(g.opts.Headers.Resumes)
+	default:
+		return
+	}
+	g.recorder.Record(events.StreamResumed, fields)
+}
+
 // maxRejectionBytes and rejectionTimeout bound the body of a rejection. The request goes on to another target after that.
 const (
 	maxRejectionBytes = 64 << 10
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -22,6 +22,8 @@
 	TargetPriority string
 	// LastEvent holds the id of the last event of the stream that the caller received.
 	LastEvent string
+	// Resumes names, in a request that takes up a broken stream, the RequestID of the caller's attempt that began it.
+	Resumes string
 	// RetryAfter holds the delay before a retry, in seconds.
 	RetryAfter string
 	// Limit is the number of requests a second that the target that sent the response takes from all gateways together.
