--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -106,6 +106,12 @@
 
 // target starts a target. Its handler gets the raw connection of each request.
 func (f *fixture) target(id, service string, serve func(conn net.Conn, r *http.Request, body string)) {
+	f.t.Helper()
+	f.targetOf(id, service, "", serve)
+}
+
+// targetOf starts a target that runs a software version.
+func (f *fixture) targetOf(id, service, software string, serve func(conn net.Conn, r *http.Request, body string)) {
 	f.t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -125,7 +131,7 @@
 	f.listeners = append(f.listeners, listener)
 	f.mu.Unlock()
 	_, err = f.view.ApplyHeartbeat(time.Now(), roster.Target{Key: roster.Key{ID: id, StartedAtMs: 1}, Service: service, DataCentre: "a",
-		Address: listener.Addr().String(), Slots: 4, HeartbeatSequence: 1, Models: []roster.Held{{Model: "m"}}})
+		SoftwareVersion: software, Address: listener.Addr().String(), Slots: 4, HeartbeatSequence: 1, Models: []roster.Held{{Model: "m"}}})
 	if err != nil {
 		f.t.Fatal(err)
 	}
