Make the test of a resumed stream fail whenever the version is ignored

Its second case let the targets of the other version reject the stream first, which excluded them from the resumption. Now they start while the stream runs: eight of the nine candidates have the wrong version.

--- a/instance/gateway/software_version_test.go
+++ b/instance/gateway/software_version_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 )
 
@@ -31,15 +32,18 @@
 	t.Run("another target of the version", func(t *testing.T) {
 		f := newFixture(t)
 		f.configure()
-		f.targetOf("t0", "engine", "v1", breakingStream)
-		f.targetOf("t1", "engine", "v1", breakingStream)
-		for _, id := range []string{"t2", "t3"} {
-			f.targetOf(id, "engine", "v2", func(conn net.Conn, r *http.Request, _ string) {
-				if r.Header.Get(testHeaders.LastEvent) == "" {
-					respond(conn, r, 503, "", testHeaders.NotExecuted+": 1") // full, so that the stream begins at v1
-					return
-				}
-				writeStream(conn, r, true, "id: 2\ndata: v2\n\n", "id: 3\ndata: v2\n\n")
+		var newer sync.Once
+		startNewer := func() {
+			for _, id := range []string{"t2", "t3", "t4", "t5", "t6", "t7", "t8", "t9"} {
+				f.targetOf(id, "engine", "v2", func(conn net.Conn, r *http.Request, _ string) {
+					writeStream(conn, r, true, "id: 2\ndata: v2\n\n", "id: 3\ndata: v2\n\n")
+				})
+			}
+		}
+		for _, id := range []string{"t0", "t1"} {
+			f.targetOf(id, "engine", "v1", func(conn net.Conn, r *http.Request, body string) {
+				newer.Do(startNewer)
+				breakingStream(conn, r, body)
 			})
 		}
 		_, body, err := f.call("r1", "/resumed/x", "Model: m")
