Go on with a stream only at the software version that began it

Callers got texts that were joined from two software versions of a service: the first part from one, the rest from another, answered with 200 and nothing in the answer to show it.

Cause: neither the choice of a target for a resumption nor that for an attempt with a last event looked at the version. Heartbeats name it and it was not decoded, and nothing told a gateway where a stream began that another gateway, or its own process before a restart, had served. Class of fault: state that a sequence of requests depends on was not kept outside the process that served the first of them.

Change: a stream is bound to the version of its first target, within the answer and over the attempts of its caller. Gateways report where their streams began to the two control instances that they watch, right after the first event and all again when one restarts. A gateway that does not know a stream asks all control instances. A record settles it; without one the stream goes on only if a majority has seen a single version for a minute. Otherwise the request is refused with 503 and has not run. Requests to the leader for adapters name the version too.

--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -191,6 +191,8 @@
 	// gateways that see the same reports, half a second old, would otherwise all send to the target that was least loaded
 	// then. A gateway keeps to its choice, so that connections are used again.
 	Choices int
+	// SoftwareVersion leaves out targets of other versions; nil leaves out none.
+	SoftwareVersion *string
 	// Skip leaves out targets that are in need; nil leaves out none.
 	Skip func(*roster.Entry) bool
 	// Connected reports whether an idle connection to an address is open; nil if that is unknown.
@@ -201,13 +203,15 @@
 type Reason string
 
 const (
-	Found       Reason = ""
-	NoTarget    Reason = "no ready target of the service is known"
-	NotLoaded   Reason = "no target holds the model"
-	NoAdapter   Reason = "no target holds the adapter"
-	AllFull     Reason = "all eligible targets are at the request limit"
-	Limited     Reason = "every eligible target takes only a few requests a second"
-	AllExcluded Reason = "every eligible target has failed the request or is unreachable"
+	Found    Reason = ""
+	NoTarget Reason = "no ready target of the service is known"
+	// OtherVersion applies to streams, which go on at the software version that began them.
+	OtherVersion Reason = "no ready target runs the software version that began the stream"
+	NotLoaded    Reason = "no target holds the model"
+	NoAdapter    Reason = "no target holds the adapter"
+	AllFull      Reason = "all eligible targets are at the request limit"
+	Limited      Reason = "every eligible target takes only a few requests a second"
+	AllExcluded  Reason = "every eligible target has failed the request or is unreachable"
 )
 
 // Pick returns the target with the lowest expected delay for a request, or nil and the reason why there is none.
@@ -226,6 +230,10 @@
 		if t.Service != q.Service || t.State != roster.Ready {
 			continue
 		}
+		if q.SoftwareVersion != nil && t.SoftwareVersion != *q.SoftwareVersion {
+			recordReason(OtherVersion)
+			continue
+		}
 		if q.Model != "" && (t.HeldModel(q.Model) == nil || tracker.unloading[modelKey{t.ID, q.Model}] ||
 			now.Before(tracker.notHeld[residentKey{t.ID, q.Model, ""}])) {
 			recordReason(NotLoaded)
@@ -327,7 +335,7 @@
 }
 
 // reasonRank orders reasons by filter stage. Pick returns the reason of the last stage that any target reached.
-var reasonRank = map[Reason]int{NoTarget: 0, NotLoaded: 1, NoAdapter: 2, AllExcluded: 3, Limited: 4, AllFull: 5}
+var reasonRank = map[Reason]int{NoTarget: 0, OtherVersion: 1, NotLoaded: 2, NoAdapter: 3, AllExcluded: 4, Limited: 5, AllFull: 6}
 
 func slotsOf(t *roster.Entry, fallback int) int {
 	if t.Slots > 0 {
--- /dev/null
+++ b/coordination/streamorigin/versions.go
@@ -0,0 +1,100 @@
+package streamorigin
+
+import (
+	"sync"
+	"time"
+)
+
+// Versions remembers which software versions of each service have served lately. It is safe for concurrent use.
+type Versions struct {
+	since time.Time // start of the observation
+
+	mu     sync.Mutex
+	seenAt map[Origin]time.Time
+}
+
+// NewVersions returns a Versions whose observation starts now.
+func NewVersions(now time.Time) *Versions {
+	return &Versions{since: now, seenAt: make(map[Origin]time.Time)}
+}
+
+// Observe records that a target of a service runs a software version.
+func (v *Versions) Observe(now time.Time, o Origin) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.seenAt[o] = now
+}
+
+// Forget drops versions that have not been observed for MaxLife.
+func (v *Versions) Forget(now time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for o, at := range v.seenAt {
+		if now.Sub(at) > MaxLife {
+			delete(v.seenAt, o)
+		}
+	}
+}
+
+// Of returns the versions of a service that served within MaxLife. complete is set if the observation has lasted that long, so
+// that every stream of the service that a caller may still take up began at one of them.
+func (v *Versions) Of(now time.Time, service string) (versions []string, complete bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for o, at := range v.seenAt {
+		if o.Service == service && now.Sub(at) <= MaxLife {
+			versions = append(versions, o.SoftwareVersion)
+		}
+	}
+	return versions, now.Sub(v.since) >= MaxLife
+}
+
+// Answer is what one control instance knows about a stream.
+type Answer struct {
+	// Known is set if the instance has a record of the stream.
+	Known  bool
+	Origin Origin
+	// Versions and Complete are those of the service, see Versions.Of.
+	Versions []string
+	Complete bool
+}
+
+// Verdict is what the answers of the control instances say about the origin of a stream.
+type Verdict uint8
+
+const (
+	// Unanswered means that instances that have not answered yet may know the origin.
+	Unanswered Verdict = iota
+	// Found means that the origin is known.
+	Found
+	// Unknown means that no instance knows the origin.
+	Unknown
+)
+
+// Resolve concludes from the answers of control instances at which version of a service a stream began. members is the number of
+// all instances, 0 if none is known yet. A record settles it. Without one, no answer may name more than one and the same version, and a majority
+// has to know all of them: an instance that is cut off from the others may not know of a new version.
+func Resolve(service string, members int, answers []Answer) (Origin, Verdict) {
+	sole, single := "", true
+	named, complete := 0, 0
+	for _, a := range answers {
+		if a.Known {
+			return a.Origin, Found
+		}
+		if a.Complete {
+			complete++
+		}
+		for _, version := range a.Versions {
+			single = single && (named == 0 || version == sole)
+			sole = version
+			named++
+		}
+	}
+	switch {
+	case single && named > 0 && complete > members/2:
+		return Origin{Service: service, SoftwareVersion: sole}, Found
+	case len(answers) < max(members, 1):
+		return Origin{}, Unanswered
+	}
+	return Origin{}, Unknown
+}
--- a/instance/controlinstance/adapters.go
+++ b/instance/controlinstance/adapters.go
@@ -53,7 +53,8 @@
 	}
 	var list []ranked
 	for id, c := range d.targets {
-		if c.service != r.Service || slices.Contains(r.Exclude, id) || !c.serves(r.Model) {
+		if c.service != r.Service || slices.Contains(r.Exclude, id) || !c.serves(r.Model) ||
+			r.SoftwareVersion != nil && c.softwareVersion != *r.SoftwareVersion {
 			continue
 		}
 		cost := float64(d.gateways.running(id))
--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -20,6 +20,7 @@
 	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
 	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/coordination/streamorigin"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
 	"github.com/tarragonhoist/tarragonhoist/instance/replicalink"
@@ -80,6 +81,7 @@
 	decode   fleetview.Decode
 	director *Director
 	recorder *events.Recorder
+	versions *streamorigin.Versions
 	// confirmed is set once a quorum has confirmed, after the start, that the local configuration is the newest.
 	confirmed atomic.Bool
 	started   time.Time
@@ -90,7 +92,7 @@
 func New(opts Options, epoch uint64, view *fleetview.View, watcher *fleetview.Watcher, peers *peer.Transport,
 	decode fleetview.Decode, orders OrderClient, recorder *events.Recorder, registry metrics.Registry) (*Instance, error) {
 	instance := &Instance{opts: opts, epoch: epoch, view: view, watcher: watcher, peers: peers, decode: decode, recorder: recorder,
-		started: time.Now(), removed: make(chan struct{}, 1)}
+		versions: streamorigin.NewVersions(time.Now()), started: time.Now(), removed: make(chan struct{}, 1)}
 	store := routes.NewStore(instance.onConfigApplied)
 	link := replicalink.New(GroupName, peers)
 	group := replica.Options{
@@ -173,6 +175,7 @@
 	go instance.confirm(background)
 	go instance.director.Run(background)
 	go instance.keepQuarantines(background)
+	go instance.keepVersions(background)
 	instance.recorder.Record(events.Listening, events.Fields{"control": instance.opts.ControlListen, "peer": instance.opts.Name})
 	select {
 	case err := <-failed:
@@ -245,6 +248,12 @@
 		instance.view.MergeCrashes(time.Now(), r.Crashes)
 		return peerapi.Empty{}, nil
 	})
+	handle(instance, peerapi.MethodFleetStreams, func(_ context.Context, r fleetapi.StreamReport) (any, error) {
+		return peerapi.Empty{}, instance.putStreams(time.Now(), &r)
+	})
+	handle(instance, peerapi.MethodFleetOrigin, func(_ context.Context, q fleetapi.StreamQuery) (any, error) {
+		return instance.streamOrigin(time.Now(), q), nil
+	})
 	handle(instance, peerapi.MethodFleetPermit, func(_ context.Context, r fleetapi.PermitRequest) (any, error) {
 		return instance.director.Permit(time.Now(), r)
 	})
--- a/instance/controlinstance/controlled_target.go
+++ b/instance/controlinstance/controlled_target.go
@@ -20,10 +20,11 @@
 // and the orders accepted since. Each order carries the number of orders accepted before it, so that the target does
 // not execute it in another state than the one it was checked against.
 type controlledTarget struct {
-	// id, startedAtMs and service never change.
-	id          string
-	startedAtMs int64
-	service     string
+	// id, startedAtMs, service and softwareVersion never change.
+	id              string
+	startedAtMs     int64
+	service         string
+	softwareVersion string
 	// callSlot is a semaphore that allows one call to the target at a time.
 	callSlot chan struct{}
 
@@ -46,8 +47,8 @@
 }
 
 func newControlledTarget(t roster.Target) *controlledTarget {
-	return &controlledTarget{id: t.ID, startedAtMs: t.StartedAtMs, service: t.Service, callSlot: make(chan struct{}, 1), target: t,
-		models: make(map[string]bool), adapters: make(map[adapterKey]time.Time), lastListedBeat: make(map[string]uint64),
+	return &controlledTarget{id: t.ID, startedAtMs: t.StartedAtMs, service: t.Service, softwareVersion: t.SoftwareVersion,
+		callSlot: make(chan struct{}, 1), target: t, models: make(map[string]bool), adapters: make(map[adapterKey]time.Time), lastListedBeat: make(map[string]uint64),
 		loadedAt: make(map[string]time.Time)}
 }
 
--- a/instance/controlinstance/director_test.go
+++ b/instance/controlinstance/director_test.go
@@ -483,3 +483,25 @@
 		t.Fatalf("load summary after the others stopped to report: %+v, want no targets", s)
 	}
 }
+
+// Guards against an adapter that is loaded at a target of another software version than the one at which a stream goes on.
+func TestAdapterAtSoftwareVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		engines := map[string]*fakeEngine{"t1": newFakeEngine(t, "m"), "t2": newFakeEngine(t, "m")}
+		d, _ := newTestDirector(t, fakeFleet{"t1": engines["t1"], "t2": engines["t2"]})
+		clear(d.targets)
+		for id, version := range map[string]string{"t1": "v1", "t2": "v2"} {
+			d.targets[id] = newControlledTarget(roster.Target{Key: roster.Key{ID: id, StartedAtMs: 1}, Service: "s", Slots: 8, SoftwareVersion: version})
+			if !stepUntil(d, d.targets[id], d.targets[id].idle) {
+				t.Fatal("the state of a target did not become known")
+			}
+		}
+		request := fleetapi.AdapterRequest{Service: "s", Model: "m", Adapter: "a1"}
+		for version, want := range map[string]string{"v1": "t1", "v2": "t2", "v3": ""} {
+			request.SoftwareVersion = &version
+			if got := d.Adapter(context.Background(), &request); got.ID != want {
+				t.Errorf("target of version %s: %q, problem %q; want %q", version, got.ID, got.Problem, want)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/instance/controlinstance/streams.go
@@ -0,0 +1,56 @@
+package controlinstance
+
+import (
+	"context"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/streamorigin"
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+)
+
+// versionsInterval is the interval at which the software versions of the known targets are recorded.
+const versionsInterval = time.Second
+
+// putStreams records where streams of a gateway began.
+func (instance *Instance) putStreams(now time.Time, report *fleetapi.StreamReport) error {
+	records, err := fleetapi.UnpackStreams(now, report.Groups)
+	if err != nil {
+		return err
+	}
+	instance.view.MergeStreams(records)
+	return nil
+}
+
+// streamOrigin answers where a stream began, and which software versions of its service served lately.
+func (instance *Instance) streamOrigin(now time.Time, query fleetapi.StreamQuery) fleetapi.StreamAnswer {
+	instance.observeVersions(now) // targets may have appeared since the last time
+	var answer fleetapi.StreamAnswer
+	if origin, ok := instance.view.OriginOf(now, query.Stream); ok {
+		answer.Known, answer.Service, answer.SoftwareVersion = true, origin.Service, origin.SoftwareVersion
+		return answer
+	}
+	answer.Versions, answer.Complete = instance.versions.Of(now, query.Service)
+	return answer
+}
+
+// observeVersions records the software versions of the known targets, including those that have left.
+func (instance *Instance) observeVersions(now time.Time) {
+	targets := instance.view.Targets()
+	for i := range targets {
+		instance.versions.Observe(now, streamorigin.Origin{Service: targets[i].Service, SoftwareVersion: targets[i].SoftwareVersion})
+	}
+}
+
+func (instance *Instance) keepVersions(ctx context.Context) {
+	ticker := time.NewTicker(versionsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			instance.observeVersions(now)
+			instance.versions.Forget(now)
+		}
+	}
+}
--- a/instance/fleetview/view.go
+++ b/instance/fleetview/view.go
@@ -13,6 +13,7 @@
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/crashes"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/coordination/streamorigin"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
@@ -52,6 +53,10 @@
 	// notified is the change number of the roster at the last notification.
 	notified uint64
 
+	// origins is where streams began, and ownStreams those that began at this process.
+	origins    *streamorigin.Table
+	ownStreams *streamorigin.Journal
+
 	crashes *crashes.Table
 	// crashChange is closed and replaced at each change of crashes.
 	crashChange chan struct{}
@@ -63,6 +68,7 @@
 func New(decode Decode, dataCentre string, members []string) *View {
 	v := &View{decode: decode, roster: roster.New(), changed: make(chan struct{}), urgentChange: make(chan struct{}), contentChange: make(chan struct{}),
 		members: slices.Clone(members), ownDataCentre: dataCentre, dataCentres: make(map[string]string),
+		origins: streamorigin.NewTable(), ownStreams: streamorigin.NewJournal(),
 		crashes: crashes.NewTable(), crashChange: make(chan struct{})}
 	v.targets.Store(&[]roster.Entry{})
 	return v
--- a/instance/fleetview/watch.go
+++ b/instance/fleetview/watch.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
@@ -47,6 +48,9 @@
 	watchAll bool
 	report   func(problem string, err error)
 
+	// gateways is the number of gateways of the deployment, as far as known.
+	gateways atomic.Int64
+
 	mu      sync.Mutex
 	watches map[string]context.CancelFunc
 	heardAt map[string]time.Time
@@ -60,6 +64,9 @@
 		watches: make(map[string]context.CancelFunc), heardAt: make(map[string]time.Time), failedAt: make(map[string]time.Time)}
 }
 
+// SetGateways sets the number of gateways of the deployment. The more there are, the rarer are their reports.
+func (w *Watcher) SetGateways(n int) { w.gateways.Store(int64(n)) }
+
 // HeardWithin returns the number of control instances that answered, or whose watch began, within the period.
 func (w *Watcher) HeardWithin(now time.Time, period time.Duration) int {
 	w.mu.Lock()
@@ -113,12 +120,15 @@
 		if w.watches[name] == nil {
 			child, stop := context.WithCancel(ctx)
 			w.watches[name] = stop
-			// A restart that is not taken yet stands for all restarts until then.
-			restarts := make(chan struct{}, 1)
-			go w.watch(child, name, restarts)
-			if !w.watchAll {
-				go w.reportCrashes(child, name, restarts)
+			if w.watchAll {
+				go w.watch(child, name, nil)
+				continue
 			}
+			// A restart that is not taken yet stands for all restarts until then.
+			crashRestarts, streamRestarts := make(chan struct{}, 1), make(chan struct{}, 1)
+			go w.watch(child, name, []chan<- struct{}{crashRestarts, streamRestarts})
+			go w.reportCrashes(child, name, crashRestarts)
+			go w.reportStreams(child, name, streamRestarts)
 		}
 	}
 }
@@ -157,7 +167,8 @@
 	return append(chosen, list[:watchedInstances-1]...)
 }
 
-func (w *Watcher) watch(ctx context.Context, name string, restarts chan<- struct{}) {
+// watch watches a control instance. It sends to each of the channels when the instance has started again.
+func (w *Watcher) watch(ctx context.Context, name string, restarts []chan<- struct{}) {
 	request := fleetapi.WatchRequest{Gateway: !w.watchAll}
 	w.recordHeard(name, time.Now())
 	for ctx.Err() == nil {
@@ -189,9 +200,11 @@
 		w.view.SetDataCentres(response.Members, response.MemberDataCentres)
 		w.view.MergeCrashes(now, response.Crashes)
 		if response.Epoch != request.Epoch {
-			select {
-			case restarts <- struct{}{}:
-			default:
+			for _, c := range restarts {
+				select {
+				case c <- struct{}{}:
+				default:
+				}
 			}
 		}
 		request.Epoch, request.ChangeNumber, request.CrashChange = response.Epoch, response.Roster.Change, response.CrashChange
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -156,12 +156,13 @@
 	g.loadTracker.SetPeerObservations(fleetapi.ObservationsByTarget(loads), summary.UnloadingModels())
 	loading := make([]loadingModel, 0, len(summary.Loading))
 	for _, a := range summary.Loading {
-		loading = append(loading, loadingModel{a.Service, a.Model, now.Add(time.Duration(a.RemainingMs) * time.Millisecond)})
+		loading = append(loading, loadingModel{a.ID, a.Service, a.Model, now.Add(time.Duration(a.RemainingMs) * time.Millisecond)})
 	}
 	g.loading.Store(&loading)
 	g.mergeLimits(now, summary.Limits)
 	g.budget.SetGateways(summary.Gateways)
 	g.gatewayCount.Store(int64(max(summary.Gateways, 1)))
+	g.watcher.SetGateways(summary.Gateways)
 	return nil
 }
 
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -28,7 +28,7 @@
 
 var testHeaders = dialect.Headers{
 	RequestID: "Request-Id", TimeLeftMs: "Time-Left", Seal: "Seal", ExpectTarget: "Expect-Target", NotExecuted: "Not-Run",
-	TargetID: "Target-Id", TargetPriority: "Target-Priority", LastEvent: "Last-Event", RetryAfter: "Retry-After", Limit: "Takes",
+	TargetID: "Target-Id", TargetPriority: "Target-Priority", LastEvent: "Last-Event", Resumes: "Resumes", RetryAfter: "Retry-After", Limit: "Takes",
 	Reserved: []string{"Expect-Target", "Target-Priority", "Secret-Option"},
 }
 
@@ -59,6 +59,11 @@
 	return p, p.Model != ""
 }
 
+// readAdapterPrompt reads the prompt of a request for adapter a1 of model m.
+func readAdapterPrompt(http.Header) (dialect.Prompt, bool) {
+	return dialect.Prompt{Model: "m", Adapter: "a1", Tokens: 10}, true
+}
+
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
 	log := logrus.New()
--- a/instance/gateway/limits_test.go
+++ b/instance/gateway/limits_test.go
@@ -10,7 +10,6 @@
 	"testing"
 	"time"
 
-	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
 )
@@ -151,9 +150,7 @@
 	f.gateway.peers = leader
 	f.view.SetLeaderAndMembers("leader", nil)
 	f.configure()
-	f.gateway.opts.ReadPrompt = func(http.Header) (dialect.Prompt, bool) {
-		return dialect.Prompt{Model: "m", Adapter: "a1", Tokens: 10}, true
-	}
+	f.gateway.opts.ReadPrompt = readAdapterPrompt
 	serve := func(conn net.Conn, r *http.Request, _ string) { writeStream(conn, r, true, event(1)) }
 	f.target("t0", "engine", serve)
 	now := time.Now()
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -10,9 +10,10 @@
 type counters struct {
 	answered, refused, failed, cancelled, repeated metrics.Counter
 	crashStrikes                                   metrics.Counter
-	// streamsResumed are resumptions within one answer, streamsTakenUp those that callers ask for in another attempt.
-	streamsResumed, streamsTakenUp metrics.Counter
-	firstByteMs, totalMs, heldMs   metrics.Histogram
+	// streamsResumed are resumptions within one answer, streamsTakenUp those that callers ask for in another attempt, and
+	// streamsNotTakenUp those of the latter that can't go on.
+	streamsResumed, streamsTakenUp, streamsNotTakenUp metrics.Counter
+	firstByteMs, totalMs, heldMs                      metrics.Histogram
 }
 
 func newCounters(r metrics.Registry) *counters {
@@ -24,6 +25,7 @@
 		answered: counter("answered"), refused: counter("refused"), failed: counter("failed"),
 		cancelled: counter("cancelled"), repeated: counter("repeated_sends"),
 		crashStrikes: counter("crash_strikes"), streamsResumed: counter("streams_resumed"), streamsTakenUp: counter("streams_taken_up"),
-		firstByteMs: histogram("first_byte_ms"), totalMs: histogram("total_ms"), heldMs: histogram("held_ms"),
+		streamsNotTakenUp: counter("streams_not_taken_up"),
+		firstByteMs:       histogram("first_byte_ms"), totalMs: histogram("total_ms"), heldMs: histogram("held_ms"),
 	}
 }
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -50,12 +50,12 @@
 // there. Targets in need get no adapters.
 func (g *Gateway) mayLoadAdapter(q *request, reason dispatch.Reason) bool {
 	switch reason {
-	case dispatch.NoTarget, dispatch.NotLoaded:
+	case dispatch.NoTarget, dispatch.OtherVersion, dispatch.NotLoaded:
 		return false
 	case dispatch.Limited:
 		targets := g.view.Targets()
 		return slices.ContainsFunc(targets, func(t roster.Entry) bool {
-			return t.Service == q.service.Name && t.State == roster.Ready && t.HeldModel(q.prompt.Model) != nil && !g.hasLimit(&t)
+			return t.Service == q.service.Name && t.State == roster.Ready && q.mayRunAt(&t) && t.HeldModel(q.prompt.Model) != nil && !g.hasLimit(&t)
 		})
 	}
 	return true
@@ -89,7 +89,8 @@
 	query := dispatch.Query{
 		Service: q.service.Name, Model: q.prompt.Model, Adapter: q.prompt.Adapter, Tokens: q.prompt.Tokens,
 		DataCentre: g.opts.DataCentre, Exclude: exclude, MaxPerSlot: maxPlainPerSlot, Choices: g.choices(), Skip: skip,
-		Connected: func(address string) bool { return g.client.HasIdle(now, address) },
+		SoftwareVersion: q.softwareVersion,
+		Connected:       func(address string) bool { return g.client.HasIdle(now, address) },
 	}
 	if q.service.Engine != nil {
 		query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot(q.route.Rank)
@@ -108,7 +109,7 @@
 	ctx, cancel := context.WithTimeout(q.ctx, min(adapterTimeout, q.deadline.Sub(now)))
 	defer cancel()
 	adapterRequest := fleetapi.AdapterRequest{Service: q.service.Name, Model: q.prompt.Model, Adapter: q.prompt.Adapter,
-		Exclude: slices.Concat(exclude, g.loadTracker.Down(), g.limitedTargets())}
+		SoftwareVersion: q.softwareVersion, Exclude: slices.Concat(exclude, g.loadTracker.Down(), g.limitedTargets())}
 	var answer fleetapi.AdapterResponse
 	err := g.peers.Call(ctx, leader, peerapi.MethodFleetAdapter, adapterRequest, &answer)
 	if err != nil || answer.ID == "" {
--- a/instance/gateway/relay.go
+++ b/instance/gateway/relay.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
@@ -43,6 +44,7 @@
 	firstEventAt, lastEventAt time.Time
 	maxEventPause             time.Duration
 	inFlight                  *dispatch.InFlightRequest
+	target                    *roster.Entry // of the current attempt
 }
 
 // recordEventTime records the time of an event and the pause before it.
@@ -141,6 +143,7 @@
 // resume after the last complete one.
 func (r *relay) relayStream(a *upstream.Answer) (outcome, dispatch.RequestEnd) {
 	if !r.headSent {
+		r.g.recordStream(r.q, r.target)
 		r.sendHead(a)
 	}
 	var pending []byte
@@ -275,7 +278,7 @@
 	g.metrics.totalMs.Update(took.Milliseconds())
 	g.metrics.heldMs.Update(q.waited.Milliseconds())
 	fields := events.Fields{
-		"request": q.id, "route": q.route.Name, "version": q.version, "target": q.lastTarget, "status": a.StatusCode,
+		"request": q.id, "route": q.route.Name, "version": q.table.Version(), "target": q.lastTarget, "status": a.StatusCode,
 		"sends": q.sends + 1, "held_ms": q.waited.Milliseconds(), "took_ms": took.Milliseconds(), "bytes": r.bytes,
 	}
 	if q.prompt.Model != "" {
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/crashes"
+	"github.com/tarragonhoist/tarragonhoist/coordination/streamorigin"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
@@ -27,15 +28,21 @@
 	body     []byte
 	route    *routes.Route
 	service  *routes.Service
-	version  uint64 // version of the configuration that contains the route
+	table    *routes.Table // the configuration that contains the route
 	prompt   dialect.Prompt
 	arrived  time.Time
 	deadline time.Time
+	// abandonedAt is when the caller makes no more attempts.
+	abandonedAt time.Time
 	// suspects are the request as a whole and the shared parts of its prompt, see suspectsOf.
 	suspects   []crashes.Suspect
 	waited     time.Duration // time spent waiting for a target
 	sends      int
 	lastTarget string
+	// stream identifies the stream that the request begins or takes up, and softwareVersion is the version at which alone it
+	// may go on; nil as long as any may begin it.
+	stream          streamorigin.ID
+	softwareVersion *string
 	// notLoaded is set when no target held the model at the end of the wait.
 	notLoaded bool
 	// crashCheck is closed when it is known whether the target that broke the request off last has crashed; nil if none did.
@@ -91,11 +98,13 @@
 	}
 	q := &request{
 		ctx: r.Context(), id: r.Header.Get(g.opts.Headers.RequestID), method: r.Method, uri: uri, host: r.Host, body: body,
-		route: route, version: table.Version(), arrived: arrived, deadline: arrived.Add(route.Timeout),
+		route: route, table: table, arrived: arrived, deadline: arrived.Add(route.Timeout),
 		header: g.forwardedHeader(r.Header),
 	}
+	q.abandonedAt = arrived.Add(streamorigin.MaxLife)
 	if left, ok := g.timeLeft(r); ok {
 		q.deadline = arrived.Add(min(left, route.Timeout))
+		q.abandonedAt = arrived.Add(left)
 	}
 	if last := g.lastDeadline.Load(); last != nil && q.deadline.After(*last) {
 		g.refuseEarly(w, r, http.StatusServiceUnavailable, "instance is shutting down and would exit before the deadline of the request")
@@ -107,6 +116,10 @@
 			q.prompt = p
 		}
 	}
+	q.stream = g.streamOf(q)
+	if g.takesUpStream(q) && !g.findOrigin(w, q) {
+		return
+	}
 	q.suspects = suspectsOf(q)
 	g.budget.Request(arrived, q.service.Name)
 	g.serve(w, q)
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -25,7 +25,7 @@
 	now := time.Now()
 	inFlight := g.loadTracker.Start(now, target.ID, q.prompt.Model, q.prompt.Tokens)
 	end := dispatch.Neutral
-	r.inFlight = inFlight
+	r.inFlight, r.target = inFlight, target
 	g.demand.addRunning(q, target.ID, 1)
 	defer func() {
 		g.demand.addRunning(q, target.ID, -1)
@@ -61,21 +61,6 @@
 	return result
 }
 
-// recordResumption records that a stream goes on at a target, in the answer that began it or in another attempt of its caller.
-func (g *Gateway) recordResumption(r *relay, q *request, target *roster.Entry) {
-	fields := events.Fields{"request": q.id, "target": target.ID, "software": target.SoftwareVersion, "after_event": r.lastEventID}
-	switch lastEvent := q.header.Get(g.opts.Headers.LastEvent); {
-	case r.lastEventID != "":
-		g.metrics.streamsResumed.Inc(1)
-	case lastEvent != "":
-		g.metrics.streamsTakenUp.Inc(1)
-		fields["after_event"], fields["resumes"] = lastEvent, q.header.Get(g.opts.Headers.Resumes)
-	default:
-		return
-	}
-	g.recorder.Record(events.StreamResumed, fields)
-}
-
 // maxRejectionBytes and rejectionTimeout bound the body of a rejection. The request goes on to another target after that.
 const (
 	maxRejectionBytes = 64 << 10
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
@@ -168,6 +169,11 @@
 
 // maxWait is how long a request may wait for a target before it is refused.
 func (g *Gateway) maxWait(q *request, reason dispatch.Reason, now time.Time) time.Duration {
+	if _, loading := g.loadedAt(q); reason == dispatch.OtherVersion || reason == dispatch.NotLoaded && q.softwareVersion != nil && !loading {
+		// Models are placed without regard to the software versions of targets, so waiting does not help a stream that may
+		// go on only at one of them.
+		return 0
+	}
 	share := waitShare
 	if reason == dispatch.AllFull || reason == dispatch.Limited {
 		share = allFullWaitShare
@@ -202,19 +208,26 @@
 
 // loadingModel is a model that a target is loading.
 type loadingModel struct {
-	service, model string
-	loadedAt       time.Time // expected end of the load
+	target, service, model string
+	loadedAt               time.Time // expected end of the load
 }
 
+// loadedAt returns when the model of a request is expected to be loaded at a target at which it may run.
 func (g *Gateway) loadedAt(q *request) (at time.Time, ok bool) {
 	for _, a := range *g.loading.Load() {
-		if a.service == q.service.Name && a.model == q.prompt.Model && (!ok || a.loadedAt.Before(at)) {
+		if a.service == q.service.Name && a.model == q.prompt.Model && (!ok || a.loadedAt.Before(at)) && g.versionAllowed(q, a.target) {
 			at, ok = a.loadedAt, true
 		}
 	}
 	return at, ok
 }
 
+// versionAllowed reports whether a request may run at the software version of the target with the given id.
+func (g *Gateway) versionAllowed(q *request, id string) bool {
+	targets := g.view.Targets()
+	return q.softwareVersion == nil || slices.ContainsFunc(targets, func(t roster.Entry) bool { return t.ID == id && q.mayRunAt(&t) })
+}
+
 // sleep waits and reports whether the caller is still connected.
 func sleep(q *request, d time.Duration) bool {
 	timer := time.NewTimer(d)
@@ -230,7 +243,7 @@
 // giveUp ends a request without a complete answer of a target. ran is the number of sends that may have run it.
 func (g *Gateway) giveUp(r *relay, q *request, ran int, reason string) {
 	fields := events.Fields{
-		"request": q.id, "route": q.route.Name, "version": q.version, "service": q.service.Name, "model": q.prompt.Model,
+		"request": q.id, "route": q.route.Name, "version": q.table.Version(), "service": q.service.Name, "model": q.prompt.Model,
 		"target": q.lastTarget, "sends": q.sends, "held_ms": q.waited.Milliseconds(), "reason": reason,
 		"after_ms": time.Since(q.arrived).Milliseconds(),
 	}
--- a/instance/gateway/wait_test.go
+++ b/instance/gateway/wait_test.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
-	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
 
@@ -52,11 +51,9 @@
 func TestLoadingModelDoesNotRefuseRequestsForAdapters(t *testing.T) {
 	f := newFixture(t)
 	f.configure()
-	f.gateway.opts.ReadPrompt = func(http.Header) (dialect.Prompt, bool) {
-		return dialect.Prompt{Model: "m", Adapter: "a1", Tokens: 10}, true
-	}
+	f.gateway.opts.ReadPrompt = readAdapterPrompt
 	f.target("t0", "engine", func(conn net.Conn, r *http.Request, _ string) { writeStream(conn, r, true, event(1)) })
-	f.gateway.loading.Store(&[]loadingModel{{"engine", "m", time.Now().Add(time.Minute)}})
+	f.gateway.loading.Store(&[]loadingModel{{"t1", "engine", "m", time.Now().Add(time.Minute)}})
 	time.AfterFunc(300*time.Millisecond, func() { f.gateway.loadTracker.MarkAdapterOrdered(time.Now(), "t0", "m", "a1") })
 	response, body, err := f.call("r1", "/stream/x", "Model: m/a1")
 	if err != nil || response.StatusCode != 200 || body != event(1) {
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -175,6 +175,8 @@
 	Model   string   `json:"m"`
 	Adapter string   `json:"a"`
 	Exclude []string `json:"x,omitempty"` // targets that failed this request or are unreachable
+	// SoftwareVersion leaves out targets of other versions; nil leaves out none.
+	SoftwareVersion *string `json:"v,omitempty"`
 }
 
 // AdapterResponse names the target. ReadyMs is the expected time until an adapter that has yet to be loaded is ready.
--- a/protocol/fleetapi/loadsummary.go
+++ b/protocol/fleetapi/loadsummary.go
@@ -21,6 +21,15 @@
 	return max(minReportInterval, time.Duration(gateways)*reportSpacing)
 }
 
+// minStreamReportInterval is the shortest time between two reports of a gateway on where its streams began. A caller may take
+// a stream up soon after its first event.
+const minStreamReportInterval = 25 * time.Millisecond
+
+// StreamReportInterval is the least time between two such reports in a deployment of a number of gateways.
+func StreamReportInterval(gateways int) time.Duration {
+	return max(minStreamReportInterval, time.Duration(gateways)*reportSpacing)
+}
+
 // PackTargetLoads encodes the loads of targets: for each the hash of its id, 8 bytes, and its numbers as varints, about 14
 // bytes in all.
 func PackTargetLoads(loads []TargetLoad) []byte {
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -26,6 +26,8 @@
 	MethodFleetLoad       = "fleet.load"
 	MethodFleetAdapter    = "fleet.adapter"
 	MethodFleetCrashes    = "fleet.crashes"
+	MethodFleetStreams    = "fleet.streams"
+	MethodFleetOrigin     = "fleet.origin"
 	MethodFleetPermit     = "fleet.permit"
 )
 
