Resume answers of the product's own interface at their software version

An answer that broke off was resumed at any target that holds the model, so that tokens of two versions of the targets' program could be joined in one answer.

Targets may name their version in Hoist-Software-Version. An instance sends it with a resumption, also to an instance of another data centre, and drops an answer to a resumption that names another version before any of its tokens is passed on; targets of another version refuse with 503. Targets without the header count as one version.

Without the check, TestStreamDoesNotGoOnAtAnotherSoftwareVersion gets all 60 tokens, 49 of them from the other version, and TestResumedAnswerKeepsItsSoftwareVersion the events of v2 for an answer that began at v1. With it the answer breaks off.

--- a/cmd/hoist-target/main.go
+++ b/cmd/hoist-target/main.go
@@ -31,6 +31,7 @@
 	app.Flag("service", "Name of the service, for kind service.").StringVar(&cfg.Service)
 	app.Flag("capacity-bytes", "Accelerator memory in bytes, for kind engine.").Int64Var(&cfg.CapacityBytes)
 	app.Flag("reserve-bytes", "Accelerator memory in bytes that is reserved for the KV cache.").Int64Var(&cfg.ReserveBytes)
+	app.Flag("software-version", "Software version that the target names; it goes on only with answers that began at the same one.").StringVar(&cfg.SoftwareVersion)
 	app.Flag("slots", "Maximum number of requests that run concurrently.").Default("4").IntVar(&cfg.Slots)
 	app.Flag("queue", "Maximum number of requests that wait for a slot; further ones are answered with status 429.").Default("8").IntVar(&cfg.Queue)
 	app.Flag("checks-fencing", "Refuse orders with a stale fencing number.").BoolVar(&cfg.ChecksFencing)
--- a/instance/modelcalls/run.go
+++ b/instance/modelcalls/run.go
@@ -74,8 +74,10 @@
 	excluded map[string]bool
 	// mayHaveRun is set when an attempt was closed without proof that its target did not run it.
 	mayHaveRun bool
-	forwarded  int
-	attempts   int
+	// softwareVersion is the version of the targets that wrote the answer up to now. It may go on only at that version.
+	softwareVersion string
+	forwarded       int
+	attempts        int
 	// targetWaited is the time spent waiting for a target.
 	targetWaited time.Duration
 	// skipped holds the targets that refused an attempt or run one that is hedged. They are not picked until the next
@@ -86,7 +88,7 @@
 func newRun(s *Server, w *Work, call *httpapi.ChatCall, permit Permit, out httpapi.EventWriter) *run {
 	return &run{
 		server: s, work: w, call: call, permit: permit, out: out, splicer: stream.NewAt(call.ResumeOffset), messages: make(chan message, eventBuffer),
-		openAttempts: make(map[string]*attempt), excluded: make(map[string]bool), skipped: make(map[string]bool),
+		softwareVersion: call.SoftwareVersion, openAttempts: make(map[string]*attempt), excluded: make(map[string]bool), skipped: make(map[string]bool),
 	}
 }
 
@@ -172,9 +174,9 @@
 	r.openAttempts[id] = a
 	if offset > 0 {
 		r.server.Recorder.Record(events.StreamResumed, events.Fields{
-			"request": r.work.RequestID, "target": picked.Target, "offset": offset})
+			"request": r.work.RequestID, "target": picked.Target, "offset": offset, "software": r.softwareVersion})
 	}
-	go r.stream(attemptCtx, a, int(offset))
+	go r.stream(attemptCtx, a, int(offset), r.softwareVersion)
 	return nil
 }
 
@@ -217,10 +219,10 @@
 }
 
 // stream runs an attempt in its own goroutine. Unless ctx ends, its last message has ended set.
-func (r *run) stream(ctx context.Context, a *attempt, offset int) {
+func (r *run) stream(ctx context.Context, a *attempt, offset int, softwareVersion string) {
 	request := targetclient.Attempt{
 		Address: a.picked.Address, RequestID: r.work.RequestID, AttemptID: a.id, Priority: r.work.Priority,
-		Offset: offset, Body: r.call.Body,
+		Offset: offset, SoftwareVersion: softwareVersion, Body: r.call.Body,
 	}
 	if a.picked.Remote {
 		request.Header = r.call.Identity.Clone()
@@ -281,6 +283,10 @@
 	if !forward {
 		return nil
 	}
+	if r.forwarded == 0 {
+		r.softwareVersion = e.SoftwareVersion
+		r.out.Begin(e.SoftwareVersion)
+	}
 	r.forwarded++
 	if err := r.out.WriteEvent(e.Offset, e.Data); err != nil {
 		return api.Fail(api.ReasonStreamBroken, api.RetryNow, "writing the answer to the caller failed: "+err.Error())
@@ -312,7 +318,7 @@
 		r.server.Suspects.RemoveAttempt(a.id)
 		return r.timedOut(ctx)
 	}
-	if r.isBroken(err) || isUnreachable(err) {
+	if r.isBroken(err) || isUnreachable(err) || isOtherVersion(err) {
 		r.excluded[a.picked.ID()] = true
 	} else {
 		r.skipped[a.picked.ID()] = true
@@ -355,6 +361,12 @@
 	return errors.As(err, &connectErr)
 }
 
+// isOtherVersion reports whether a target can't go on with the answer because it runs another software version.
+func isOtherVersion(err error) bool {
+	var otherVersion *targetclient.OtherVersionError
+	return errors.As(err, &otherVersion)
+}
+
 // retry starts the next attempt if quarantine, retry budget and deadline allow it.
 func (r *run) retry(ctx context.Context, err error) *api.Result {
 	if refusal := r.server.Suspects.Verdict(r.work.Fingerprint, r.work.Parts); refusal != nil {
--- a/instance/modelcalls/run_test.go
+++ b/instance/modelcalls/run_test.go
@@ -29,6 +29,8 @@
 type targetScript struct {
 	// refusal is returned without running the attempt.
 	refusal error
+	// software is the software version of the target.
+	software string
 	// tokens are sent at the given interval from the resume offset on; then the attempt ends, breaks or hangs.
 	tokens          int
 	interval        time.Duration
@@ -132,6 +134,9 @@
 	if s.refusal != nil {
 		return s.refusal
 	}
+	if a.Offset > 0 && a.SoftwareVersion != s.software {
+		return &targetclient.OtherVersionError{Want: a.SoftwareVersion, Got: s.software}
+	}
 	f.mu.Lock()
 	f.ran++
 	f.mu.Unlock()
@@ -141,7 +146,7 @@
 			continue
 		}
 		time.Sleep(s.interval)
-		if err := onEvent(targetclient.Event{Offset: i, Data: []byte(token(i))}); err != nil {
+		if err := onEvent(targetclient.Event{Offset: i, Data: []byte(token(i)), SoftwareVersion: s.software}); err != nil {
 			return err
 		}
 	}
@@ -157,7 +162,13 @@
 }
 
 // collectedOffsets records the offsets that a caller receives.
-type collectedOffsets struct{ offsets []int }
+type collectedOffsets struct {
+	offsets []int
+	// begun are the software versions with which the answer began.
+	begun []string
+}
+
+func (c *collectedOffsets) Begin(softwareVersion string) { c.begun = append(c.begun, softwareVersion) }
 
 func (c *collectedOffsets) WriteEvent(offset int, _ []byte) error {
 	c.offsets = append(c.offsets, offset)
@@ -200,6 +211,9 @@
 		{name: "end without a marker", scripts: []targetScript{{tokens: 5}, complete}, outcome: api.Answered, tokens: answerTokens, maxDuration: time.Second},
 		{name: "target stalls after some tokens", scripts: []targetScript{{tokens: 4, hangs: true}, complete}, outcome: api.Answered, tokens: answerTokens, maxDuration: 7 * time.Second},
 		{name: "target stalls before the first token", scripts: []targetScript{{hangs: true}, complete}, outcome: api.Answered, tokens: answerTokens, maxDuration: 17 * time.Second},
+		{name: "break and resume at the same software version", scripts: []targetScript{{software: "v1", tokens: 4, breaks: true}, {software: "v2", tokens: answerTokens}, {software: "v1", tokens: answerTokens}}, outcome: api.Answered, tokens: answerTokens, maxDuration: time.Second},
+		{name: "break, only another software version", scripts: []targetScript{{software: "v1", tokens: 4, breaks: true}, {software: "v2", tokens: answerTokens}}, outcome: api.Failed, reason: api.ReasonNoTarget, tokens: 4, maxDuration: 21 * time.Second},
+		{name: "break before the first token, another software version", scripts: []targetScript{{software: "v1", breaks: true}, {software: "v2", tokens: answerTokens}}, outcome: api.Answered, tokens: answerTokens, maxDuration: time.Second},
 		{name: "first target overloaded", scripts: []targetScript{overloaded, complete}, outcome: api.Answered, tokens: answerTokens, maxDuration: time.Second},
 		{name: "all targets overloaded", scripts: []targetScript{overloaded, overloaded}, outcome: api.Refused, reason: api.ReasonNoTarget, maxDuration: time.Second},
 		{name: "all attempts break", scripts: []targetScript{{breaks: true}, {breaks: true}}, outcome: api.Failed, reason: api.ReasonNoTarget, maxDuration: time.Second},
@@ -221,6 +235,9 @@
 						t.Fatalf("offsets %v are not consecutive from 0", out.offsets)
 					}
 				}
+				if want := min(test.tokens, 1); len(out.begun) != want {
+					t.Errorf("the answer began %d times, want %d", len(out.begun), want)
+				}
 				if len(out.offsets) != test.tokens || took > test.maxDuration {
 					t.Errorf("got %d tokens in %s, want %d in at most %s", len(out.offsets), took, test.tokens, test.maxDuration)
 				}
--- a/protocol/targetapi/targetapi.go
+++ b/protocol/targetapi/targetapi.go
@@ -16,6 +16,9 @@
 	HeaderAttemptID    = "Hoist-Attempt-Id"
 	HeaderResumeOffset = "Hoist-Resume-Offset"
 	HeaderPriority     = "Hoist-Priority"
+	// HeaderSoftwareVersion names the version of the target's program in its answer, and the version that began the answer in a
+	// request that resumes it.
+	HeaderSoftwareVersion = "Hoist-Software-Version"
 )
 
 // Kind distinguishes model engines from plain services.
--- a/standin/target/engine.go
+++ b/standin/target/engine.go
@@ -60,6 +60,10 @@
 			t.crash()
 		}
 	}
+	if began := r.Header.Get(targetapi.HeaderSoftwareVersion); call.offset > 0 && began != t.cfg.SoftwareVersion {
+		http.Error(w, fmt.Sprintf("the answer began at software version %q", began), http.StatusServiceUnavailable)
+		return
+	}
 	ctx, forget := t.register(r)
 	defer forget()
 	model, adapter := call.req.ModelAndAdapter()
@@ -117,6 +121,9 @@
 	// Instances check that a response belongs to their attempt.
 	w.Header().Set(targetapi.HeaderAttemptID, call.attemptID)
 	w.Header().Set(api.HeaderRequestID, call.requestID)
+	if t.cfg.SoftwareVersion != "" {
+		w.Header().Set(targetapi.HeaderSoftwareVersion, t.cfg.SoftwareVersion)
+	}
 	w.WriteHeader(http.StatusOK)
 	control := http.NewResponseController(w)
 	// The headers are sent before the first token, so that the client can distinguish a slow answer from a rejection.
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -58,6 +58,8 @@
 	CapacityBytes int64
 	ReserveBytes  int64
 	Slots         int
+	// SoftwareVersion is the version of the program that the target pretends to run; empty names none.
+	SoftwareVersion string
 	// Queue is the number of requests that may wait for a slot before the target answers 429.
 	Queue            int
 	ChecksFencing    bool
--- a/test/process/models_test.go
+++ b/test/process/models_test.go
@@ -31,11 +31,16 @@
 `
 
 func startWithModel(t *testing.T, spec cluster.Spec, engineFlags ...string) (context.Context, *cluster.Cluster) {
+	t.Helper()
+	return startWithEngines(t, spec, engineFlags, engineFlags)
+}
+
+// startWithEngines is startWithModel with flags for each of the two engines.
+func startWithEngines(t *testing.T, spec cluster.Spec, flags1, flags2 []string) (context.Context, *cluster.Cluster) {
 	t.Helper()
 	ctx, c := startCluster(t, spec)
-	for _, name := range []string{"e1", "e2"} {
-		startEngine(t, c, name, "a", engineFlags...)
-	}
+	startEngine(t, c, "e1", "a", flags1...)
+	startEngine(t, c, "e2", "a", flags2...)
 	for _, i := range spec.Instances {
 		waitTargets(ctx, t, c, i.Name, 2)
 	}
@@ -93,6 +98,29 @@
 	}
 }
 
+// Guards against an answer that goes on at a target of another software version, whose tokens do not fit to those before.
+func TestStreamDoesNotGoOnAtAnotherSoftwareVersion(t *testing.T) {
+	t.Parallel()
+	ctx, c := startWithEngines(t, clusterSpec(1, 1, "a"), []string{"--software-version=v1"}, []string{"--software-version=v2"})
+	victim, tokens := "", 0
+	answer, err := caller.New("crew").Stream(ctx, c.URL("a1"), caller.Chat{
+		Model: "m", Prompt: "?", MaxTokens: 60, RequestID: "r",
+		OnToken: func(offset int) {
+			tokens++
+			if offset == 10 {
+				if victim = busyTarget(ctx, t, c, "a1"); victim != "" {
+					_ = c.Target(victim).Signal(syscall.SIGKILL)
+				}
+			}
+		}})
+	if err == nil {
+		err = checkAnswer(answer, "r", 60)
+	}
+	if err == nil || tokens >= 60 || victim == "" {
+		t.Errorf("target %q was killed: %d tokens, error %v; want an answer that breaks off", victim, tokens, err)
+	}
+}
+
 // Guards against a shutdown that aborts running streams instead of draining them.
 func TestShutdownCompletesRunningStreams(t *testing.T) {
 	t.Parallel()
--- a/transport/httpapi/callers.go
+++ b/transport/httpapi/callers.go
@@ -36,6 +36,8 @@
 	Body    []byte
 	// ResumeOffset is the number of tokens that the sender has already received.
 	ResumeOffset uint64
+	// SoftwareVersion is the version of the targets that began an answer that is resumed at an offset.
+	SoftwareVersion string
 	// SpilledFrom is the instance of another data centre that forwarded the request, or empty.
 	SpilledFrom string
 	// Identity holds the request headers that identify the caller.
@@ -45,6 +47,8 @@
 // EventWriter receives the events of an answer in order. An error usually means that the caller disconnected or reads
 // too slowly.
 type EventWriter interface {
+	// Begin is called before the first event with the software version of the targets that write the answer.
+	Begin(softwareVersion string)
 	WriteEvent(offset int, chunk []byte) error
 }
 
@@ -126,7 +130,7 @@
 	}
 	return ChatCall{
 		RequestID: id, Caller: caller, Priority: priority, Timeout: timeout, Request: parsed, Body: body,
-		ResumeOffset: offset, SpilledFrom: r.Header.Get(api.HeaderForwardedFrom), Identity: identityHeaders(r),
+		ResumeOffset: offset, SoftwareVersion: r.Header.Get(targetapi.HeaderSoftwareVersion), SpilledFrom: r.Header.Get(api.HeaderForwardedFrom), Identity: identityHeaders(r),
 	}, nil
 }
 
--- a/transport/httpapi/stream.go
+++ b/transport/httpapi/stream.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
+	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
 )
 
 // streamWriter sends an answer as server-sent events. Nothing is sent before the first event, so that a refusal can
@@ -24,6 +25,13 @@
 	return &streamWriter{w: w, control: http.NewResponseController(w)}
 }
 
+// Begin names the software version in the header of the answer.
+func (s *streamWriter) Begin(softwareVersion string) {
+	if !s.started && softwareVersion != "" {
+		s.w.Header().Set(targetapi.HeaderSoftwareVersion, softwareVersion)
+	}
+}
+
 // WriteEvent sends one chunk. It fails when the caller doesn't read it within writeTimeout.
 func (s *streamWriter) WriteEvent(offset int, chunk []byte) error {
 	s.start()
@@ -76,6 +84,9 @@
 	finishReason string
 }
 
+// Begin does nothing: an answer that does not stream is not resumed.
+func (c *completionCollector) Begin(string) {}
+
 // WriteEvent appends the content of one chunk.
 func (c *completionCollector) WriteEvent(_ int, data []byte) error {
 	var chunk api.ChatChunk
--- a/transport/targetclient/client.go
+++ b/transport/targetclient/client.go
@@ -93,6 +93,15 @@
 	return "the connection to the target broke: " + e.Cause.Error()
 }
 
+// OtherVersionError means that the target runs another software version than the one that began the answer. What two
+// versions generate does not fit together.
+type OtherVersionError struct{ Want, Got string }
+
+// Error includes both versions.
+func (e *OtherVersionError) Error() string {
+	return "the target runs software version " + strconv.Quote(e.Got) + ", the answer began at " + strconv.Quote(e.Want)
+}
+
 // Attempt is one attempt at a model call.
 type Attempt struct {
 	Address   string
@@ -101,7 +110,9 @@
 	Priority  releasenote.Priority
 	// Offset is the number of tokens that the caller has already received.
 	Offset int
-	Body   []byte
+	// SoftwareVersion is the one that began an answer that is resumed at an offset, empty if targets name none.
+	SoftwareVersion string
+	Body            []byte
 	// Header holds additional request headers, for example the identity of the caller when the target is an instance of
 	// another data centre.
 	Header http.Header
@@ -112,6 +123,8 @@
 	Offset int
 	Data   []byte
 	Done   bool
+	// SoftwareVersion is that of the target, empty if it names none.
+	SoftwareVersion string
 }
 
 // Stream sends an attempt and calls onEvent for each event until the stream ends. An error from onEvent ends the stream
@@ -131,6 +144,7 @@
 	req.Header.Set(targetapi.HeaderPriority, string(a.Priority))
 	if a.Offset > 0 {
 		req.Header.Set(targetapi.HeaderResumeOffset, strconv.Itoa(a.Offset))
+		req.Header.Set(targetapi.HeaderSoftwareVersion, a.SoftwareVersion)
 	}
 	resp, err := c.pooled.Do(req)
 	if err != nil {
@@ -143,7 +157,14 @@
 	if got := resp.Header.Get(targetapi.HeaderAttemptID); got != a.AttemptID {
 		return &IncompleteError{Cause: errors.Errorf("target answered attempt %q instead of attempt %q", got, a.AttemptID)}
 	}
-	return readEvents(resp.Body, onEvent)
+	version := resp.Header.Get(targetapi.HeaderSoftwareVersion)
+	if a.Offset > 0 && version != a.SoftwareVersion {
+		return &OtherVersionError{Want: a.SoftwareVersion, Got: version}
+	}
+	return readEvents(resp.Body, func(e Event) error {
+		e.SoftwareVersion = version
+		return onEvent(e)
+	})
 }
 
 // connectionError distinguishes a failed dial, after which nothing can have run, from a broken connection.
--- a/transport/targetclient/client_test.go
+++ b/transport/targetclient/client_test.go
@@ -150,3 +150,32 @@
 		t.Errorf("returned after %v", took)
 	}
 }
+
+// Guards against an answer that goes on at a target of another software version, also one that does not check the version.
+func TestResumedAnswerKeepsItsSoftwareVersion(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(targetapi.HeaderAttemptID, r.Header.Get(targetapi.HeaderAttemptID))
+		w.Header().Set(targetapi.HeaderSoftwareVersion, "v2")
+		_, _ = io.WriteString(w, "id: 3\ndata: {}\n\ndata: [DONE]\n\n")
+	}))
+	defer server.Close()
+	for _, test := range []struct {
+		offset  int
+		version string
+		allowed bool
+	}{{0, "", true}, {3, "v2", true}, {3, "v1", false}, {3, "", false}} {
+		attempt := targetclient.Attempt{Address: strings.TrimPrefix(server.URL, "http://"), AttemptID: "a", Offset: test.offset, SoftwareVersion: test.version}
+		var versions []string
+		err := targetclient.New().Stream(context.Background(), attempt, func(e targetclient.Event) error {
+			versions = append(versions, e.SoftwareVersion)
+			return nil
+		})
+		var otherVersion *targetclient.OtherVersionError
+		switch {
+		case test.allowed && (err != nil || len(versions) == 0 || versions[0] != "v2"):
+			t.Errorf("offset %d, version %q: events of versions %q, error %v; want events of v2", test.offset, test.version, versions, err)
+		case !test.allowed && (!errors.As(err, &otherVersion) || len(versions) > 0):
+			t.Errorf("offset %d, version %q: events of versions %q, error %v; want an OtherVersionError", test.offset, test.version, versions, err)
+		}
+	}
+}
