Remember software versions for as long as streams live

A property test of streams over releases, restarts and lost reports found two cases in which a stream whose record is lost goes on at another version than the one that began it: one that lives longer than the minute for which versions are remembered, and one that is taken up in the last millisecond of it.

--- a/coordination/streamorigin/streamorigin.go
+++ b/coordination/streamorigin/streamorigin.go
@@ -16,9 +16,8 @@
 )
 
 const (
-	// MaxLife bounds the time from the begin of a stream until its caller takes it up for the last time, for streams whose
-	// caller does not state how long it waits.
-	MaxLife = time.Minute
+	// MinLife is the least time for which a stream is expected to be taken up by a caller that does not state how long it waits.
+	MinLife = time.Minute
 	// maxStreams bounds the streams of a Table. The least recently used ones are dropped first.
 	maxStreams = 1 << 16
 	// maxJournal bounds the records of a Journal.
--- a/coordination/streamorigin/streamorigin_test.go
+++ b/coordination/streamorigin/streamorigin_test.go
@@ -99,14 +99,19 @@
 	}
 	v.Observe(at(0), v1)
 	v.Observe(at(0), Origin{"other", "v7"})
-	require(MaxLife-time.Second, false, "v1")
-	v.Observe(at(MaxLife), v1)
-	require(MaxLife, true, "v1")
-	v.Observe(at(MaxLife+time.Second), v2)
-	v.Forget(at(2 * MaxLife))
-	require(2*MaxLife, true, "v1", "v2")
-	v.Forget(at(2*MaxLife + time.Second))
-	require(2*MaxLife+time.Second, true, "v2")
+	require(MinLife-time.Second, false, "v1")
+	v.Observe(at(MinLife), v1)
+	require(MinLife, false, "v1")
+	require(MinLife+time.Millisecond, true, "v1")
+	v.Observe(at(MinLife+time.Second), v2)
+	v.Forget(at(2 * MinLife))
+	require(2*MinLife, true, "v1", "v2")
+	v.Forget(at(2*MinLife + time.Second))
+	require(2*MinLife+time.Second, true, "v2")
+	v.ExtendLife(at(2*MinLife+time.Second), 2*MinLife)
+	require(2*MinLife+2*time.Second, false, "v2") // what left more than MinLife ago is forgotten
+	v.Observe(at(3*MinLife), v2)
+	require(3*MinLife+2*time.Second, true, "v2")
 	if n := len(v.seenAt); n != 1 {
 		t.Errorf("%d versions are remembered, want 1", n)
 	}
--- a/coordination/streamorigin/versions.go
+++ b/coordination/streamorigin/versions.go
@@ -7,15 +7,17 @@
 
 // Versions remembers which software versions of each service have served lately. It is safe for concurrent use.
 type Versions struct {
-	since time.Time // start of the observation
-
 	mu     sync.Mutex
 	seenAt map[Origin]time.Time
+	// since is the time from which on all versions are known.
+	since time.Time
+	// life is the longest time from the begin of a stream until its caller takes it up for the last time.
+	life time.Duration
 }
 
 // NewVersions returns a Versions whose observation starts now.
 func NewVersions(now time.Time) *Versions {
-	return &Versions{since: now, seenAt: make(map[Origin]time.Time)}
+	return &Versions{since: now, life: MinLife, seenAt: make(map[Origin]time.Time)}
 }
 
 // Observe records that a target of a service runs a software version.
@@ -25,28 +27,41 @@
 	v.seenAt[o] = now
 }
 
-// Forget drops versions that have not been observed for MaxLife.
+// ExtendLife has versions remembered for at least as long as streams live.
+func (v *Versions) ExtendLife(now time.Time, life time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if life <= v.life {
+		return
+	}
+	if known := now.Add(-v.life); known.After(v.since) {
+		v.since = known // what ended before was forgotten
+	}
+	v.life = life
+}
+
+// Forget drops versions that have not been observed for as long as streams live.
 func (v *Versions) Forget(now time.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for o, at := range v.seenAt {
-		if now.Sub(at) > MaxLife {
+		if now.Sub(at) > v.life {
 			delete(v.seenAt, o)
 		}
 	}
 }
 
-// Of returns the versions of a service that served within MaxLife. complete is set if the observation has lasted that long, so
-// that every stream of the service that a caller may still take up began at one of them.
+// Of returns the versions of a service at which streams may have begun that callers still take up. complete is set if these
+// are all.
 func (v *Versions) Of(now time.Time, service string) (versions []string, complete bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	for o, at := range v.seenAt {
-		if o.Service == service && now.Sub(at) <= MaxLife {
+		if o.Service == service && now.Sub(at) <= v.life {
 			versions = append(versions, o.SoftwareVersion)
 		}
 	}
-	return versions, now.Sub(v.since) >= MaxLife
+	return versions, now.Sub(v.since) > v.life
 }
 
 // Answer is what one control instance knows about a stream.
--- a/instance/controlinstance/streams.go
+++ b/instance/controlinstance/streams.go
@@ -35,6 +35,9 @@
 
 // observeVersions records the software versions of the known targets, including those that have left.
 func (instance *Instance) observeVersions(now time.Time) {
+	if table := instance.view.Table(); table != nil {
+		instance.versions.ExtendLife(now, table.MaxStreamLife())
+	}
 	targets := instance.view.Targets()
 	for i := range targets {
 		instance.versions.Observe(now, streamorigin.Origin{Service: targets[i].Service, SoftwareVersion: targets[i].SoftwareVersion})
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -101,7 +101,7 @@
 		route: route, table: table, arrived: arrived, deadline: arrived.Add(route.Timeout),
 		header: g.forwardedHeader(r.Header),
 	}
-	q.abandonedAt = arrived.Add(streamorigin.MaxLife)
+	q.abandonedAt = arrived.Add(max(route.StreamLife(), streamorigin.MinLife))
 	if left, ok := g.timeLeft(r); ok {
 		q.deadline = arrived.Add(min(left, route.Timeout))
 		q.abandonedAt = arrived.Add(left)
--- a/state/routes/document.go
+++ b/state/routes/document.go
@@ -52,6 +52,12 @@
 	Resumable bool
 }
 
+// streamAttempts is the number of attempts over which a stream may last its whole timeout each.
+const streamAttempts = 2
+
+// StreamLife bounds the time from the begin of a stream until its caller takes it up for the last time.
+func (r *Route) StreamLife() time.Duration { return streamAttempts * r.Timeout }
+
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
--- a/state/routes/table.go
+++ b/state/routes/table.go
@@ -4,6 +4,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Table looks up the route of a request. It is immutable.
@@ -11,6 +12,8 @@
 	document *Document
 	byHost   map[string][]*Route // longest prefix first
 	services map[string]*Service
+	// maxStreamLife is the longest StreamLife of the routes.
+	maxStreamLife time.Duration
 }
 
 // NewTable indexes a document that has passed Check.
@@ -23,6 +26,9 @@
 		r := &d.Routes[i]
 		host := canonicalHost(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		if r.Kind == Stream {
+			t.maxStreamLife = max(t.maxStreamLife, r.StreamLife())
+		}
 	}
 	for _, list := range t.byHost {
 		slices.SortStableFunc(list, func(a, b *Route) int { return len(b.PathPrefix) - len(a.PathPrefix) })
@@ -30,6 +36,9 @@
 	return t
 }
 
+// MaxStreamLife returns the longest StreamLife of all routes of streams.
+func (t *Table) MaxStreamLife() time.Duration { return t.maxStreamLife }
+
 // Version returns the version of the document.
 func (t *Table) Version() uint64 { return t.document.Version }
 
