--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -16,6 +16,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/targetlimit"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
@@ -89,6 +90,9 @@
 	loading        atomic.Pointer[[]loadingModel]
 	suspects       *crashSuspects
 	limits         *targetlimit.Table
+	// targetsLostAt is the time at which the last target became unreachable, zero while one is reachable. It belongs to the
+	// goroutine that probes.
+	targetsLostAt time.Time
 	// permitFailure is the latest failed call for a permit.
 	permitFailure atomic.Pointer[permitFailure]
 }
@@ -208,6 +212,7 @@
 			return
 		case <-ticker.C:
 		}
+		g.recordReachability(time.Now())
 		due := g.loadTracker.TakeDueProbes(time.Now())
 		if len(due) == 0 {
 			continue
@@ -224,6 +229,30 @@
 	}
 }
 
+// recordReachability records when this gateway loses the last target that takes new work, and when it reaches one again.
+func (g *Gateway) recordReachability(now time.Time) {
+	down := g.loadTracker.Down()
+	ready, unreachable := 0, 0
+	for _, t := range g.view.Targets() {
+		if t.State != roster.Ready {
+			continue
+		}
+		ready++
+		if slices.Contains(down, t.ID) {
+			unreachable++
+		}
+	}
+	g.metrics.unreachableTargets.Update(int64(unreachable))
+	switch lost := ready > 0 && unreachable == ready; {
+	case lost && g.targetsLostAt.IsZero():
+		g.targetsLostAt = now
+		g.recorder.Record(events.TargetsLost, events.Fields{"targets": ready})
+	case !lost && !g.targetsLostAt.IsZero():
+		g.recorder.Record(events.TargetsReached, events.Fields{"lost_ms": now.Sub(g.targetsLostAt).Milliseconds()})
+		g.targetsLostAt = time.Time{}
+	}
+}
+
 func (g *Gateway) cleanUpPeriodically(ctx context.Context) {
 	ticker := time.NewTicker(housekeepingInterval)
 	defer ticker.Stop()
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -13,6 +13,7 @@
 	// streamsResumed are resumptions within one answer, streamsTakenUp those that callers ask for in another attempt, and
 	// streamsNotTakenUp those of the latter that can't go on.
 	streamsResumed, streamsTakenUp, streamsNotTakenUp metrics.Counter
+	unreachableTargets                                metrics.Gauge
 	firstByteMs, totalMs, heldMs                      metrics.Histogram
 }
 
@@ -25,7 +26,8 @@
 		answered: counter("answered"), refused: counter("refused"), failed: counter("failed"),
 		cancelled: counter("cancelled"), repeated: counter("repeated_sends"),
 		crashStrikes: counter("crash_strikes"), streamsResumed: counter("streams_resumed"), streamsTakenUp: counter("streams_taken_up"),
-		streamsNotTakenUp: counter("streams_not_taken_up"),
-		firstByteMs:       histogram("first_byte_ms"), totalMs: histogram("total_ms"), heldMs: histogram("held_ms"),
+		streamsNotTakenUp:  counter("streams_not_taken_up"),
+		unreachableTargets: metrics.GetOrRegisterGauge("gateway.unreachable_targets", r),
+		firstByteMs:        histogram("first_byte_ms"), totalMs: histogram("total_ms"), heldMs: histogram("held_ms"),
 	}
 }
