--- a/instance/fleet/fleet.go
+++ b/instance/fleet/fleet.go
@@ -31,6 +31,8 @@
 	ReadPrompt   dialect.PromptDecoder
 	ReadyPath    string
 	DecodeConfig fleetview.Decode
+	// DialTarget opens connections of gateways to targets; nil stands for plain TCP.
+	DialTarget upstream.Dial
 	// NewOrderClient and NewAPIHandler are used by control instances.
 	NewOrderClient func(*upstream.Client) controlinstance.OrderClient
 	NewAPIHandler  func(*controlinstance.Instance) http.Handler
--- a/instance/fleet/providers.go
+++ b/instance/fleet/providers.go
@@ -78,9 +78,14 @@
 
 func provideGateway(node *settings.Node, adapter *PlatformAdapter, view *fleetview.View, watcher *fleetview.Watcher, peers *peer.Transport,
 	recorder *events.Recorder, registry metrics.Registry) *gateway.Gateway {
+	dial := adapter.DialTarget
+	if dial == nil {
+		dial = upstream.Dialer(upstream.DefaultConnectTimeout)
+	}
 	options := gateway.Options{
 		Name: node.PeerName(), DataCentre: node.DataCentre, CallerAddress: node.ListenCallers, ReadinessAddress: node.ListenReady,
 		ReadyPath: adapter.ReadyPath, Headers: adapter.Headers, ReadPrompt: adapter.ReadPrompt, GracePeriod: node.Grace(),
+		DialTarget: dial,
 		Budget: dispatch.BudgetLimits{Ratio: node.RepeatRatio, Slack: node.RepeatSlack, Share: repeatBudgetShare,
 			Window: time.Duration(node.RepeatWindowS * float64(time.Second))},
 	}
@@ -93,6 +98,6 @@
 		Name: node.PeerName(), DataCentre: node.DataCentre, ControlListen: node.ListenControl, DataDir: node.DataFolder,
 		Seeds: node.SeedNames(), FirstStart: node.FirstStart, ExclusionPeriod: time.Duration(node.LeaseMs) * time.Millisecond,
 	}
-	orders := adapter.NewOrderClient(upstream.New(orderConnectTimeout, registry))
+	orders := adapter.NewOrderClient(upstream.New(upstream.Dialer(orderConnectTimeout), registry))
 	return controlinstance.New(options, uint64(processIncarnation), view, watcher, peers, adapter.DecodeConfig, orders, recorder, registry)
 }
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -60,6 +60,8 @@
 	Headers          dialect.Headers
 	ReadPrompt       dialect.PromptDecoder
 	Budget           dispatch.BudgetLimits
+	// DialTarget opens connections to targets.
+	DialTarget upstream.Dial
 	// GracePeriod is the time from the stop signal until the process is killed.
 	GracePeriod time.Duration
 }
@@ -102,7 +104,7 @@
 	registry metrics.Registry, rng *rand.Rand) *Gateway {
 	g := &Gateway{
 		opts: opts, view: view, watcher: watcher, peers: peers, recorder: recorder, rng: rng,
-		client: upstream.New(upstream.DefaultConnectTimeout, registry), loadTracker: dispatch.NewLoadTracker(opts.Name),
+		client: upstream.New(opts.DialTarget, registry), loadTracker: dispatch.NewLoadTracker(opts.Name),
 		budget: dispatch.NewBudget(opts.Budget), demand: newDemand(), metrics: newCounters(registry),
 		systemHeaders: make(map[string]bool), suspects: newCrashSuspects(),
 		limits: targetlimit.NewTable(),
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
 	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
+	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
 )
 
 var testHeaders = dialect.Headers{
@@ -90,7 +91,7 @@
 	f.view = fleetview.New(func([]byte) (*routes.Document, error) { return document, nil }, "", nil)
 	watcher := fleetview.NewWatcher(f.view, unreachablePeers{}, "g", false, func(string, error) {})
 	f.gateway = New(Options{
-		Name: "g", DataCentre: "a", ReadyPath: "/ready", Headers: testHeaders, ReadPrompt: readPrompt, GracePeriod: 5 * time.Second,
+		Name: "g", DataCentre: "a", ReadyPath: "/ready", Headers: testHeaders, ReadPrompt: readPrompt, DialTarget: upstream.Dialer(upstream.DefaultConnectTimeout), GracePeriod: 5 * time.Second,
 		Budget: dispatch.BudgetLimits{Ratio: 1, Slack: 100, Window: 10 * time.Second, Share: 1},
 	}, f.view, watcher, unreachablePeers{}, recorder, metrics.NewRegistry(), rand.New(rand.NewPCG(1, 2)))
 	f.server = httptest.NewServer(http.HandlerFunc(f.gateway.serveCaller))
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
 	"strconv"
 	"strings"
@@ -88,8 +89,12 @@
 	_ = c.Close()
 }
 
-func dialer(timeout time.Duration) *net.Dialer {
-	return &net.Dialer{
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer returns the Dial that clients of targets use. A connection is open or has failed after the timeout.
+func Dialer(timeout time.Duration) Dial {
+	dialer := &net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
 			Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes,
@@ -105,6 +110,7 @@
 			return sockoptErr
 		},
 	}
+	return dialer.DialContext
 }
 
 // clean reports whether an idle connection is open and has no bytes to read. Unsolicited bytes belong to no request,
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -82,7 +82,7 @@
 
 // Client sends requests and pools the connections to targets. It is safe for concurrent use.
 type Client struct {
-	dialer *net.Dialer
+	dial Dial
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, most recently used last
@@ -91,9 +91,9 @@
 }
 
 // New returns a client without connections.
-func New(connectTimeout time.Duration, registry metrics.Registry) *Client {
+func New(dial Dial, registry metrics.Registry) *Client {
 	return &Client{
-		dialer: dialer(connectTimeout), idle: make(map[string][]*conn),
+		dial: dial, idle: make(map[string][]*conn),
 		opened:  metrics.GetOrRegisterCounter("upstream.connections_opened", registry),
 		reused:  metrics.GetOrRegisterCounter("upstream.connections_reused", registry),
 		foreign: metrics.GetOrRegisterCounter("upstream.foreign_answers", registry),
@@ -175,7 +175,7 @@
 		}
 		candidate.closeGracefully()
 	}
-	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
@@ -188,7 +188,7 @@
 
 // Connect checks whether a target accepts connections, and keeps the connection for the next request.
 func (c *Client) Connect(ctx context.Context, address string) error {
-	raw, err := c.dialer.DialContext(ctx, "tcp", address)
+	raw, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return err
 	}
--- a/transport/upstream/upstream_test.go
+++ b/transport/upstream/upstream_test.go
@@ -62,7 +62,7 @@
 		EchoHeader: echoHeader, Deadline: time.Now().Add(5 * time.Second)}
 }
 
-func newClient() *Client { return New(time.Second, metrics.NewRegistry()) }
+func newClient() *Client { return New(Dialer(time.Second), metrics.NewRegistry()) }
 
 func do(t *testing.T, c *Client, address, id string) (string, error) {
 	t.Helper()
