Show a partition that is taken for crashes of targets, failing

A gateway whose connections to all targets break one after the other, and that gets no new ones, quarantines the parts of the prompts that were running, at all gateways: 2 parts in TestPartitionIsNotTakenForCrashes.

--- a/instance/gateway/crash_suspects_test.go
+++ b/instance/gateway/crash_suspects_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -133,3 +134,34 @@
 		t.Errorf("status %d and Retry-After %q for a request that is quarantined for ten minutes", response.StatusCode, response.Header.Get(testHeaders.RetryAfter))
 	}
 }
+
+// Guards against a partition from all targets that is taken for crashes of them: their connections break one after the other, and
+// none accepts a new one. What was running would be refused by all gateways.
+func TestPartitionIsNotTakenForCrashes(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	const targets = 6
+	partitioned := make(chan struct{})
+	for i := range targets {
+		f.target(fmt.Sprint("t", i), "engine", func(conn net.Conn, r *http.Request, _ string) {
+			writeStream(conn, r, false)
+			<-partitioned
+			time.Sleep(time.Duration(i) * 60 * time.Millisecond)
+			_ = conn.Close()
+		})
+	}
+	var calls sync.WaitGroup
+	for i := range 3 * targets {
+		calls.Go(func() {
+			_, _, _ = f.call(fmt.Sprint("r", i), "/stream/x", "Model: m", "Parts: first second own"+fmt.Sprint(i))
+		})
+	}
+	time.Sleep(300 * time.Millisecond) // until all streams have begun
+	f.unreachable.Store(true)
+	close(partitioned)
+	calls.Wait()
+	time.Sleep(200 * time.Millisecond)
+	if evidence := f.view.QuarantineEvidence(time.Now()); len(evidence) > 0 {
+		t.Errorf("%d parts of prompts are quarantined after a partition", len(evidence))
+	}
+}
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -11,6 +11,8 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -48,6 +50,8 @@
 	view    *fleetview.View
 	mu      sync.Mutex
 	runs    map[string]int // requests that reached a target, by request id
+	// unreachable has connections to all targets refused.
+	unreachable atomic.Bool
 	// listeners are those of the targets in the order of their start.
 	listeners []net.Listener
 }
@@ -91,7 +95,7 @@
 	f.view = fleetview.New(func([]byte) (*routes.Document, error) { return document, nil }, "", nil)
 	watcher := fleetview.NewWatcher(f.view, unreachablePeers{}, "g", false, func(string, error) {})
 	f.gateway = New(Options{
-		Name: "g", DataCentre: "a", ReadyPath: "/ready", Headers: testHeaders, ReadPrompt: readPrompt, DialTarget: upstream.Dialer(upstream.DefaultConnectTimeout), GracePeriod: 5 * time.Second,
+		Name: "g", DataCentre: "a", ReadyPath: "/ready", Headers: testHeaders, ReadPrompt: readPrompt, DialTarget: f.dial, GracePeriod: 5 * time.Second,
 		Budget: dispatch.BudgetLimits{Ratio: 1, Slack: 100, Window: 10 * time.Second, Share: 1},
 	}, f.view, watcher, unreachablePeers{}, recorder, metrics.NewRegistry(), rand.New(rand.NewPCG(1, 2)))
 	f.server = httptest.NewServer(http.HandlerFunc(f.gateway.serveCaller))
@@ -99,6 +103,13 @@
 	return f
 }
 
+func (f *fixture) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if f.unreachable.Load() {
+		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
+	}
+	return upstream.Dialer(upstream.DefaultConnectTimeout)(ctx, network, address)
+}
+
 func (f *fixture) configure() {
 	f.t.Helper()
 	packed, err := routes.Pack(1, []byte("{}"))
