Blame requests for a crash only while other targets are reached

A gateway that was partitioned from all targets took the partition for crashes: connections broke and new ones were refused, which is the evidence for a crash. It told all processes, and sound requests with the same parts were refused everywhere.

Cause: a failed connection was blamed on the target although the links of the gateway itself may have failed. Now another target has to be heard from after the failure, or one of three to accept a connection. Ruled out: that the short window for simultaneous crashes (30 ms) covers it; connections of a partition break over seconds.

--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -105,8 +105,10 @@
 	connectBackoff time.Duration
 	probeDueAt     time.Time
 	unreachableAt  time.Time
-	latency        float64 // moving average of actual over expected time to first byte, 0 when unknown
-	gaps           gapTracker
+	// heardAt is when the target last sent something or accepted a connection that was opened to find out.
+	heardAt time.Time
+	latency float64 // moving average of actual over expected time to first byte, 0 when unknown
+	gaps    gapTracker
 	// othersSlowness and othersPenaltyMs are the highest values that other gateways observed recently.
 	othersSlowness  float64
 	othersPenaltyMs float64
@@ -424,6 +426,7 @@
 		return
 	}
 	s := tracker.state(t.id)
+	s.heardAt = now
 	t.markStarted(s)
 	s.connectBackoff = 0
 	if expected > 0 {
@@ -531,7 +534,7 @@
 	switch {
 	case s == nil:
 	case accepted:
-		s.connectBackoff = 0
+		s.connectBackoff, s.heardAt = 0, now
 	case s.connectBackoff > 0:
 		s.startBackoff(now)
 	}
@@ -578,7 +581,9 @@
 func (tracker *LoadTracker) Event(now time.Time, t *InFlightRequest, gap time.Duration) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	tracker.state(t.id).gaps.observe(now, t.model, gap)
+	s := tracker.state(t.id)
+	s.heardAt = now
+	s.gaps.observe(now, t.model, gap)
 }
 
 // SetPeerObservations replaces the observations of the other gateways and the models that targets are about to unload.
--- a/instance/gateway/crash_suspects.go
+++ b/instance/gateway/crash_suspects.go
@@ -152,10 +152,14 @@
 }
 
 // recordUnreachable records that a target accepts no connections any more: what it worked on when it broke off lately is
-// suspected of having crashed it.
+// suspected of having crashed it, unless this gateway reaches no other target either.
 func (g *Gateway) recordUnreachable(target roster.Key) {
 	now := time.Now()
-	for _, b := range g.suspects.take(now, target) {
+	broken := g.suspects.take(now, target)
+	if len(broken) == 0 || !g.reachesOthers(target.ID, now) {
+		return
+	}
+	for _, b := range broken {
 		g.view.RecordCrash(now, crashes.Occurrence{SentAt: b.sentAt, At: b.at}, crashes.TargetID(target.ID, uint64(target.StartedAtMs)), b.suspects)
 		g.metrics.crashStrikes.Inc(1)
 		g.recorder.Record(events.CrashStrike, events.Fields{"fingerprint": b.suspects[0].Key, "target": target.ID,
--- /dev/null
+++ b/instance/gateway/partition.go
@@ -0,0 +1,59 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+)
+
+const (
+	// hearMargin is the time after a failed connection from which another target has to send something. What it sent before
+	// may still be on its way through this process.
+	hearMargin = 10 * time.Millisecond
+	// hearWait is the time for which other targets may send something before a connection to some of them is attempted.
+	hearWait = 20 * time.Millisecond
+	// partitionSample is the number of targets to which a connection is attempted to find out whether this gateway reaches
+	// any.
+	partitionSample = 3
+)
+
+// reachesOthers reports whether this gateway reaches any target but one to which a connection failed at a time. If it does
+// not, its own links have failed rather than that target.
+func (g *Gateway) reachesOthers(except string, failedAt time.Time) bool {
+	if len(g.view.Targets()) < 2 {
+		return true // there is no other to compare with
+	}
+	time.Sleep(time.Until(failedAt.Add(hearMargin + hearWait)))
+	if g.loadTracker.HeardElsewhere(except, failedAt.Add(hearMargin)) {
+		return true
+	}
+	targets := g.loadTracker.Reachable(g.view.Targets(), except)
+	g.rngMu.Lock()
+	g.rng.Shuffle(len(targets), func(i, j int) { targets[i], targets[j] = targets[j], targets[i] })
+	g.rngMu.Unlock()
+	return g.connectAny(targets[:min(len(targets), partitionSample)])
+}
+
+// connectAny reports whether any of the targets accepts a connection. Those that do not are marked as unreachable.
+func (g *Gateway) connectAny(targets []*roster.Entry) bool {
+	accepted := make(chan bool, len(targets))
+	for _, t := range targets {
+		go func() {
+			err := g.client.Connect(context.Background(), t.Address)
+			now := time.Now()
+			if err != nil {
+				g.loadTracker.RecordConnectFailure(now, t.ID)
+			} else {
+				g.loadTracker.RecordProbe(now, t.ID, true)
+			}
+			accepted <- err == nil
+		}()
+	}
+	for range targets {
+		if <-accepted {
+			return true
+		}
+	}
+	return false
+}
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -100,7 +100,7 @@
 	})
 	switch {
 	case failure.Failure == upstream.ConnectFailed:
-		g.recordUnreachable(target.Key)
+		go g.recordUnreachable(target.Key)
 		return unsent, dispatch.Unreachable
 	case failure.Failure == upstream.TimedOut:
 		return expired, dispatch.Failed
