Send requests elsewhere that wait for a target that is cut off

A request that was sent on a connection that had died silently waited until its deadline, or for the 3 s of TCP_USER_TIMEOUT: one for each idle connection when a gateway lost its links with hanging connections.

A target that owes an answer and is silent is now probed with a connection, at most once a second. If no other target can be reached either, all are probed at once, so that the following requests are handed over.

--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -107,8 +107,10 @@
 	unreachableAt  time.Time
 	// heardAt is when the target last sent something or accepted a connection that was opened to find out.
 	heardAt time.Time
-	latency float64 // moving average of actual over expected time to first byte, 0 when unknown
-	gaps    gapTracker
+	// silentProbeAt is the time of the latest probe for its silence.
+	silentProbeAt time.Time
+	latency       float64 // moving average of actual over expected time to first byte, 0 when unknown
+	gaps          gapTracker
 	// othersSlowness and othersPenaltyMs are the highest values that other gateways observed recently.
 	othersSlowness  float64
 	othersPenaltyMs float64
--- a/coordination/dispatch/reachability.go
+++ b/coordination/dispatch/reachability.go
@@ -32,3 +32,37 @@
 	}
 	return reachable
 }
+
+const (
+	// silentAfter is the time without an answer after which a target that has sent nothing else either is probed, and
+	// silentInAnswerAfter the time since it last sent something of any answer.
+	silentAfter         = 300 * time.Millisecond
+	silentInAnswerAfter = 700 * time.Millisecond
+	// silentProbeInterval is the least time between two such probes of a target, which cost it a connection each.
+	silentProbeInterval = time.Second
+)
+
+// TakeSilent returns the reachable targets that owe an answer, or the rest of one, and are silent. A target is returned again
+// after silentProbeInterval.
+func (tracker *LoadTracker) TakeSilent(now time.Time) []string {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	var ids []string
+	for id, s := range tracker.targets {
+		if s.connectBackoff == 0 && now.Sub(s.silentProbeAt) >= silentProbeInterval && s.isSilent(now) {
+			s.silentProbeAt = now
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// isSilent reports whether the target has sent nothing although a request in flight makes that unusual.
+func (s *targetState) isSilent(now time.Time) bool {
+	for r := range s.pending {
+		if now.Sub(r.sentAt) > silentAfter && !s.heardAt.After(r.sentAt) {
+			return true
+		}
+	}
+	return s.own.Running > len(s.pending) && now.Sub(s.heardAt) > silentInAnswerAfter
+}
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -95,6 +95,7 @@
 	suspects       *crashSuspects
 	limits         *targetlimit.Table
 	helpers        *helpers
+	attempts       *attempts
 	// isolated is set while this gateway reaches no target.
 	isolated atomic.Bool
 	// targetsLostAt is the time at which the last target became unreachable, zero while one is reachable. It belongs to the
@@ -112,7 +113,7 @@
 		client: upstream.New(opts.DialTarget, registry), loadTracker: dispatch.NewLoadTracker(opts.Name),
 		budget: dispatch.NewBudget(opts.Budget), demand: newDemand(), metrics: newCounters(registry),
 		systemHeaders: make(map[string]bool), suspects: newCrashSuspects(),
-		limits:  targetlimit.NewTable(),
+		limits: targetlimit.NewTable(), attempts: newAttempts(),
 		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time)},
 	}
 	g.loading.Store(&[]loadingModel{})
@@ -220,7 +221,8 @@
 	return g.ready.Load()
 }
 
-// probeUnreachable connects to unreachable targets to find out when they accept connections again.
+// probeUnreachable connects to unreachable targets to find out when they accept connections again, and to targets that owe an
+// answer and are silent, to find out whether they are unreachable.
 func (g *Gateway) probeUnreachable(ctx context.Context) {
 	ticker := time.NewTicker(probeInterval)
 	defer ticker.Stop()
@@ -230,18 +232,26 @@
 			return
 		case <-ticker.C:
 		}
-		g.recordReachability(time.Now())
-		due := g.loadTracker.TakeDueProbes(time.Now())
-		if len(due) == 0 {
+		now := time.Now()
+		g.recordReachability(now)
+		for _, id := range g.loadTracker.Down() {
+			g.attempts.cancelSilent(now, id)
+		}
+		due, silent := g.loadTracker.TakeDueProbes(now), g.loadTracker.TakeSilent(now)
+		if len(due) == 0 && len(silent) == 0 {
 			continue
 		}
 		targets := g.view.Targets()
 		for i := range targets {
-			if t := &targets[i]; slices.Contains(due, t.ID) {
+			t := &targets[i]
+			switch {
+			case slices.Contains(due, t.ID):
 				go func() {
 					err := g.client.Connect(ctx, t.Address)
 					g.loadTracker.RecordProbe(time.Now(), t.ID, err == nil)
 				}()
+			case slices.Contains(silent, t.ID):
+				go g.probeSilent(ctx, t)
 			}
 		}
 	}
--- a/instance/gateway/handover.go
+++ b/instance/gateway/handover.go
@@ -106,7 +106,7 @@
 		return g.relayRefusal(r, q, answer, ran)
 	}
 	target := takeTarget(answer.Header)
-	r.target, r.inFlight, r.final = target, nil, true
+	r.target, r.inFlight, r.attempt, r.final = target, nil, nil, true
 	q.lastTarget, q.helper = target.ID, helper
 	g.observeLimit(q.arrived, target, answer.Response)
 	result, _ := r.relayAnswer(answer)
--- a/instance/gateway/partition.go
+++ b/instance/gateway/partition.go
@@ -57,3 +57,19 @@
 	}
 	return false
 }
+
+// probeSilent finds out whether a silent target accepts connections. If it does not, and this gateway reaches no other either, the
+// connections to all of them are probed: requests on those that are dead would wait in vain.
+func (g *Gateway) probeSilent(ctx context.Context, t *roster.Entry) {
+	err := g.client.Connect(ctx, t.Address)
+	now := time.Now()
+	if err == nil {
+		g.loadTracker.RecordProbe(now, t.ID, true)
+		return
+	}
+	g.loadTracker.RecordConnectFailure(now, t.ID)
+	g.attempts.cancelSilent(now, t.ID)
+	if !g.reachesOthers(t.ID, now) {
+		g.connectAny(g.loadTracker.Reachable(g.view.Targets(), t.ID))
+	}
+}
--- a/instance/gateway/relay.go
+++ b/instance/gateway/relay.go
@@ -45,6 +45,7 @@
 	maxEventPause             time.Duration
 	inFlight                  *dispatch.InFlightRequest // nil for an answer through another gateway
 	target                    *roster.Entry             // of the current attempt
+	attempt                   *attempt                  // nil for an answer through another gateway
 	// final is set if no other attempt may follow a failure that the current one relays.
 	final bool
 }
@@ -84,7 +85,7 @@
 
 // relayBuffered buffers a short answer completely before it relays it.
 func (r *relay) relayBuffered(a *upstream.Answer, success bool) (outcome, dispatch.RequestEnd) {
-	body, err := io.ReadAll(io.LimitReader(a, maxBufferedBytes+1))
+	body, err := io.ReadAll(io.LimitReader(heardReader{a, r.attempt}, maxBufferedBytes+1))
 	if err != nil {
 		return classifyBodyError(err)
 	}
@@ -126,8 +127,9 @@
 
 func (r *relay) copyBody(a *upstream.Answer) (outcome, dispatch.RequestEnd) {
 	buffer := make([]byte, maxBufferedBytes/4)
+	body := heardReader{a, r.attempt}
 	for {
-		n, err := a.Read(buffer)
+		n, err := body.Read(buffer)
 		if n > 0 {
 			if writeErr := r.write(buffer[:n], false); writeErr != nil {
 				return abandoned, dispatch.Neutral
@@ -153,8 +155,9 @@
 	var pending []byte
 	empty := true
 	buffer := make([]byte, streamBufferBytes)
+	body := heardReader{a, r.attempt}
 	for {
-		n, err := a.Read(buffer)
+		n, err := body.Read(buffer)
 		searchFrom := max(len(pending)-(maxEventEndBytes-1), 0) // what is before it was searched already
 		pending = append(pending, buffer[:n]...)
 		empty = empty && n == 0
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"time"
@@ -21,7 +22,8 @@
 )
 
 // send sends a request to one target and relays the answer, unless the request may have to be sent again.
-func (g *Gateway) send(r *relay, q *request, target *roster.Entry) outcome {
+// ran is the number of earlier sends that may have run it.
+func (g *Gateway) send(r *relay, q *request, target *roster.Entry, ran int) outcome {
 	now := time.Now()
 	inFlight := g.loadTracker.Start(now, target.ID, q.prompt.Model, q.prompt.Tokens)
 	end := dispatch.Neutral
@@ -32,14 +34,20 @@
 		g.loadTracker.Finish(time.Now(), inFlight, end)
 	}()
 	g.recordResumption(r, q, target)
-	answer, err := g.client.Do(q.ctx, target.Address, g.upstreamRequest(q, target, now, r.lastEventID))
+	ctx, cancel := context.WithCancelCause(q.ctx)
+	defer cancel(nil)
+	r.attempt = &attempt{target: target.ID, repeatable: q.route.Repeatable() && ran+1 < q.maxRuns(), cancel: cancel}
+	g.attempts.add(r.attempt)
+	defer g.attempts.remove(r.attempt)
+	answer, err := g.client.Do(ctx, target.Address, g.upstreamRequest(q, target, now, r.lastEventID))
 	if err != nil {
 		var result outcome
-		result, end = g.classifySendError(q, target, now, err)
+		result, end = g.classifySendError(ctx, q, target, now, err)
 		return result
 	}
 	defer answer.Close()
 	firstByte := time.Now()
+	r.attempt.recordHeard(firstByte)
 	g.observeLimit(now, target, answer.Response)
 	g.loadTracker.FirstByte(firstByte, inFlight, q.route.Objective)
 	if g.opts.Headers.Rejected(answer.Response) {
@@ -49,18 +57,24 @@
 	g.metrics.firstByteMs.Update(firstByte.Sub(q.arrived).Milliseconds())
 	var result outcome
 	result, end = r.relayAnswer(answer)
+	if result == abandoned && isSilent(ctx) {
+		result, end = mayHaveRun, dispatch.Unreachable
+	}
 	if result == mayHaveRun || result == expired {
 		g.recorder.Record(events.AttemptBroken, events.Fields{
 			"request": q.id, "target": target.ID, "software": target.SoftwareVersion, "status": answer.StatusCode, "bytes": r.bytes, "events": r.events,
 			"parts": sharedPartIDs(q),
 		})
 	}
-	if r.mayHaveCrashed(answer, result) {
+	if r.mayHaveCrashed(answer, result) && !isSilent(ctx) {
 		g.recordBroken(q, target, now, r.events)
 	}
 	return result
 }
 
+// isSilent reports whether an attempt was ended because its target is silent.
+func isSilent(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errTargetSilent) }
+
 // maxRejectionBytes and rejectionTimeout bound the body of a rejection. The request goes on to another target after that.
 const (
 	maxRejectionBytes = 64 << 10
@@ -86,12 +100,13 @@
 }
 
 // classifySendError classifies a send at a time that got no answer.
-func (g *Gateway) classifySendError(q *request, target *roster.Entry, sentAt time.Time, err error) (outcome, dispatch.RequestEnd) {
+func (g *Gateway) classifySendError(ctx context.Context, q *request, target *roster.Entry, sentAt time.Time, err error) (outcome, dispatch.RequestEnd) {
 	var failure *upstream.Error
 	if !errors.As(err, &failure) {
 		return mayHaveRun, dispatch.Failed
 	}
-	if failure.Failure == upstream.Cancelled {
+	silent := isSilent(ctx)
+	if failure.Failure == upstream.Cancelled && !silent {
 		return abandoned, dispatch.Neutral
 	}
 	g.recorder.Record(events.AttemptBroken, events.Fields{
@@ -99,6 +114,10 @@
 		"parts": sharedPartIDs(q),
 	})
 	switch {
+	case silent && !failure.Sent:
+		return unsent, dispatch.Unreachable
+	case silent:
+		return mayHaveRun, dispatch.Unreachable
 	case failure.Failure == upstream.ConnectFailed:
 		go g.recordUnreachable(target.Key)
 		return unsent, dispatch.Unreachable
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -71,7 +71,7 @@
 		} else {
 			q.lastTarget = target.ID
 			exclude = append(exclude, target.ID)
-			result = g.send(relay, q, target)
+			result = g.send(relay, q, target, ran)
 		}
 		switch result {
 		case delivered:
--- a/instance/gateway/streams_test.go
+++ b/instance/gateway/streams_test.go
@@ -15,13 +15,18 @@
 	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
 		testHeaders.RequestID, r.Header.Get(testHeaders.RequestID), sealHeader)
 	for _, e := range list {
-		_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(e), e)
+		writeChunk(conn, e)
 	}
 	if end {
-		_, _ = io.WriteString(conn, "0\r\n\r\n")
+		writeChunk(conn, "")
 	}
 }
 
+// writeChunk writes a chunk. An empty one is the last.
+func writeChunk(conn net.Conn, data string) {
+	_, _ = fmt.Fprintf(conn, "%x\r\n%s\r\n", len(data), data)
+}
+
 func event(id int) string { return fmt.Sprintf("id: %d\ndata: x\n\n", id) }
 
 // Guards against streams with missing, repeated or incomplete events, and against a broken-off stream that looks complete.
