Probe and hand over only where a partition is likely

Targets that are at their limit of connections refuse new ones, and a probe took that for unreachable; and a model whose only target had crashed was handed over with each request.

A probe for silence now counts only if nothing responds. A gateway that reaches targets, but none for the request, says so, and requests for that model are not handed over for a second.

--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -114,7 +114,7 @@
 		budget: dispatch.NewBudget(opts.Budget), demand: newDemand(), metrics: newCounters(registry),
 		systemHeaders: make(map[string]bool), suspects: newCrashSuspects(),
 		limits: targetlimit.NewTable(), attempts: newAttempts(),
-		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time)},
+		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time), unservedAt: make(map[modelKey]time.Time)},
 	}
 	g.loading.Store(&[]loadingModel{})
 	for _, name := range opts.Headers.Reserved {
@@ -257,10 +257,9 @@
 	}
 }
 
-// recordReachability records when this gateway loses the last target that takes new work, and when it reaches one again.
-func (g *Gateway) recordReachability(now time.Time) {
+// countUnreachable returns the number of targets that take new work, and how many of these are unreachable.
+func (g *Gateway) countUnreachable() (ready, unreachable int) {
 	down := g.loadTracker.Down()
-	ready, unreachable := 0, 0
 	for _, t := range g.view.Targets() {
 		if t.State != roster.Ready {
 			continue
@@ -270,6 +269,18 @@
 			unreachable++
 		}
 	}
+	return ready, unreachable
+}
+
+// reachesNone reports whether every target that takes new work is unreachable.
+func (g *Gateway) reachesNone() bool {
+	ready, unreachable := g.countUnreachable()
+	return ready > 0 && unreachable == ready
+}
+
+// recordReachability records when this gateway loses the last target that takes new work, and when it reaches one again.
+func (g *Gateway) recordReachability(now time.Time) {
+	ready, unreachable := g.countUnreachable()
 	g.metrics.unreachableTargets.Update(int64(unreachable))
 	lost := ready > 0 && unreachable == ready
 	g.isolated.Store(lost)
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -52,6 +52,8 @@
 	runs    map[string]int // requests that reached a target, by request id
 	// unreachable has connections to all targets refused.
 	unreachable atomic.Bool
+	// cutOff holds the addresses of targets that respond to no connection.
+	cutOff sync.Map
 	// listeners are those of the targets in the order of their start.
 	listeners []net.Listener
 }
@@ -107,6 +109,12 @@
 	if f.unreachable.Load() {
 		return nil, &net.OpError{Op: "dial", Net: network, Err: syscall.ECONNREFUSED}
 	}
+	if _, ok := f.cutOff.Load(address); ok {
+		ctx, cancel := context.WithTimeout(ctx, upstream.DefaultConnectTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+	}
 	return upstream.Dialer(upstream.DefaultConnectTimeout)(ctx, network, address)
 }
 
--- a/instance/gateway/handover.go
+++ b/instance/gateway/handover.go
@@ -34,6 +34,8 @@
 	names    []string // peer addresses
 	change   uint64   // see fleetapi.LoadSummary
 	pausedAt map[string]time.Time
+	// unservedAt is, by service and model, when a helper could not serve it either.
+	unservedAt map[modelKey]time.Time
 }
 
 // set replaces the helpers, unless the summary of the leader leaves them out.
@@ -74,11 +76,35 @@
 	return free[int(draw*float64(len(free)))]
 }
 
+// setUnserved records that a helper reaches no target for a model of a service either.
+func (h *helpers) setUnserved(now time.Time, key modelKey) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for k, at := range h.unservedAt {
+		if now.Sub(at) > helperPause {
+			delete(h.unservedAt, k)
+		}
+	}
+	h.unservedAt[key] = now
+}
+
+// isUnserved reports whether a helper lately reached no target for a model of a service either.
+func (h *helpers) isUnserved(now time.Time, key modelKey) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at, ok := h.unservedAt[key]
+	return ok && now.Sub(at) <= helperPause
+}
+
 // hasHelper reports whether a request may be handed over to another gateway.
 func (g *Gateway) hasHelper(q *request) bool {
-	return !q.handedOver && len(q.triedHelpers) < maxHandovers && g.helpers.pick(time.Now(), q.triedHelpers, 0) != ""
+	now := time.Now()
+	return !q.handedOver && len(q.triedHelpers) < maxHandovers && !g.helpers.isUnserved(now, q.modelKey()) &&
+		g.helpers.pick(now, q.triedHelpers, 0) != ""
 }
 
+func (q *request) modelKey() modelKey { return modelKey{q.service.Name, q.prompt.Model} }
+
 // handOver has another gateway serve a request for which this one reaches no target. ran is the number of sends that may have
 // run it.
 func (g *Gateway) handOver(r *relay, q *request, ran int) outcome {
@@ -98,8 +124,12 @@
 	sealed := answer.Header.Get(g.opts.Headers.Seal) != ""
 	switch {
 	case answer.StatusCode == dialect.StatusMisdirected && !sealed:
-		// The helper reaches no target either, is stopping, or has an older configuration.
-		g.helpers.pause(time.Now(), helper)
+		// The helper is stopping or has an older configuration, or reaches no target for the request either.
+		if answer.Header.Get(fleetapi.HeaderHandoverService) == "" {
+			g.helpers.pause(time.Now(), helper)
+		} else {
+			g.helpers.setUnserved(time.Now(), q.modelKey())
+		}
 		answer.Discard(maxRejectionBytes, rejectionTimeout)
 		return unsent
 	case !sealed:
--- a/instance/gateway/handover_test.go
+++ b/instance/gateway/handover_test.go
@@ -153,7 +153,7 @@
 			f := newIsolatedFixture(t, 2)
 			f.target("t0", "plain", "", answerOK)
 			disable(t, f, f.gateway.helpers.names)
-			for i := range 6 {
+			for i := range 24 {
 				id := fmt.Sprint("r", i)
 				response, body, err := f.call(id, "/safe/x")
 				if err != nil || response.StatusCode != 200 {
--- a/instance/gateway/partition.go
+++ b/instance/gateway/partition.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"net"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 )
 
@@ -35,17 +38,17 @@
 	return g.connectAny(targets[:min(len(targets), partitionSample)])
 }
 
-// connectAny reports whether any of the targets accepts a connection. Those that do not are marked as unreachable.
+// connectAny reports whether any of the targets accepts a connection. Those that do not respond are marked as unreachable.
 func (g *Gateway) connectAny(targets []*roster.Entry) bool {
 	accepted := make(chan bool, len(targets))
 	for _, t := range targets {
 		go func() {
 			err := g.client.Connect(context.Background(), t.Address)
-			now := time.Now()
-			if err != nil {
-				g.loadTracker.RecordConnectFailure(now, t.ID)
-			} else {
-				g.loadTracker.RecordProbe(now, t.ID, true)
+			switch {
+			case err == nil:
+				g.loadTracker.RecordProbe(time.Now(), t.ID, true)
+			case isTimeout(err):
+				g.loadTracker.RecordConnectFailure(time.Now(), t.ID)
 			}
 			accepted <- err == nil
 		}()
@@ -58,8 +61,15 @@
 	return false
 }
 
-// probeSilent finds out whether a silent target accepts connections. If it does not, and this gateway reaches no other either, the
-// connections to all of them are probed: requests on those that are dead would wait in vain.
+// isTimeout reports whether nothing responded to an attempt to connect. A target that refuses a connection may do so because it
+// has too many.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.As(err, &netErr) && netErr.Timeout()
+}
+
+// probeSilent finds out whether a silent target responds to a connection. If it does not, and this gateway reaches no other either,
+// the connections to all of them are probed: requests on those that are dead would wait in vain.
 func (g *Gateway) probeSilent(ctx context.Context, t *roster.Entry) {
 	err := g.client.Connect(ctx, t.Address)
 	now := time.Now()
@@ -67,6 +77,9 @@
 		g.loadTracker.RecordProbe(now, t.ID, true)
 		return
 	}
+	if !isTimeout(err) {
+		return
+	}
 	g.loadTracker.RecordConnectFailure(now, t.ID)
 	g.attempts.cancelSilent(now, t.ID)
 	if !g.reachesOthers(t.ID, now) {
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -9,6 +9,7 @@
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
 
@@ -263,7 +264,11 @@
 	status := http.StatusServiceUnavailable
 	switch {
 	case ran == 0 && q.handedOver && reason == string(dispatch.NoneReachable):
-		status = dialect.StatusMisdirected
+		if !g.reachesNone() {
+			r.w.Header().Set(fleetapi.HeaderHandoverService, q.service.Name)
+		}
+		r.w.WriteHeader(dialect.StatusMisdirected)
+		return
 	case ran == 0:
 	case !time.Now().Before(q.deadline.Add(-minTimeLeft)):
 		status = http.StatusGatewayTimeout
--- a/instance/gateway/silence_test.go
+++ b/instance/gateway/silence_test.go
@@ -15,7 +15,7 @@
 		name    string
 		path    string
 		silence time.Duration
-		// cutOff has the target accept no connections while it is silent.
+		// cutOff has the target respond to no connection while it is silent.
 		cutOff      bool
 		maxDuration time.Duration
 		runs        int
@@ -50,9 +50,7 @@
 			f.target("t0", service, func(conn net.Conn, r *http.Request, body string) {
 				f.target("t1", service, finish)
 				if c.cutOff {
-					f.mu.Lock()
-					_ = f.listeners[0].Close()
-					f.mu.Unlock()
+					f.cutOff.Store(f.view.Targets()[0].Address, true)
 				}
 				if stream {
 					writeStream(conn, r, false, event(1))
--- a/protocol/fleetapi/handover.go
+++ b/protocol/fleetapi/handover.go
@@ -13,7 +13,8 @@
 	HeaderHandoverSoftware = "Hoist-Handover-Software"
 )
 
-// Headers of the answer, which name the target that answered, beside HeaderHandoverService and HeaderHandoverSoftware.
+// Headers of the answer, which name the target that answered, beside HeaderHandoverService and HeaderHandoverSoftware. A
+// gateway that reaches no target for the request names only the service, and one that reaches no target at all names nothing.
 const (
 	HeaderHandoverTarget = "Hoist-Handover-Target"
 	// HeaderHandoverStart is the start time of the target, in Unix ms.
