Fail the readiness check of a gateway that reaches no target while others do

The platform went on sending callers to gateways that were partitioned from all targets. Handing over serves them, at the price of a second gateway's time. New callers now go to the others at once. While no gateway reaches targets, all stay ready: there is no better one.

--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -201,7 +201,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if g.isReady() {
+	if g.isReady() && !g.leavesToOthers() {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
@@ -294,6 +294,9 @@
 	}
 }
 
+// leavesToOthers reports whether callers are served better by other gateways: this one reaches no target, and others do.
+func (g *Gateway) leavesToOthers() bool { return g.isolated.Load() && g.helpers.any() }
+
 // helps reports whether this gateway serves requests that others hand over.
 func (g *Gateway) helps() bool { return g.isReady() && !g.isolated.Load() }
 
--- a/instance/gateway/handover.go
+++ b/instance/gateway/handover.go
@@ -53,6 +53,12 @@
 	return h.change
 }
 
+func (h *helpers) any() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.names) > 0
+}
+
 // pause leaves a helper out for a while.
 func (h *helpers) pause(now time.Time, name string) {
 	h.mu.Lock()
--- a/instance/gateway/handover_test.go
+++ b/instance/gateway/handover_test.go
@@ -276,3 +276,34 @@
 		t.Errorf("limit %v of the target, want 2", limit)
 	}
 }
+
+// Guards against callers that the platform goes on sending to a gateway without a reachable target while others serve them, and
+// against gateways that all fail their readiness checks because no target is reachable for anybody.
+func TestIsolatedGatewayFailsReadinessChecks(t *testing.T) {
+	f := newIsolatedFixture(t, 1)
+	f.target("t0", "plain", "", answerOK)
+	readiness := func() int {
+		f.gateway.recordReachability(time.Now())
+		w := httptest.NewRecorder()
+		f.gateway.serveReady(w, httptest.NewRequest(http.MethodGet, "/ready", nil))
+		return w.Code
+	}
+	if status := readiness(); status != http.StatusOK {
+		t.Errorf("status %d before the partition, want 200", status)
+	}
+	if _, _, err := f.call("r1", "/safe/x"); err != nil {
+		t.Fatal(err)
+	}
+	if status := readiness(); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d of a gateway that reaches no target, want 503", status)
+	}
+	f.gateway.helpers.set(nil, 2)
+	if status := readiness(); status != http.StatusOK {
+		t.Errorf("status %d although no other gateway reaches targets, want 200", status)
+	}
+	f.gateway.helpers.set([]string{"127.0.0.1:1"}, 3)
+	f.gateway.loadTracker.RecordProbe(time.Now(), "t0", true)
+	if status := readiness(); status != http.StatusOK {
+		t.Errorf("status %d after the partition, want 200", status)
+	}
+}
