Send brittle targets only what they have room for

Targets that say that they are brittle fell over one after the other under load: gateways sent more than they have room for, and each rejection counts.

Cause: the header was not read, and the bound on requests in flight leaves room for a queue and for what the other gateways have sent since their last reports. At loads beyond the capacity all gateways send to each slot that becomes free.

Change: while any target of a service says that it is brittle, its targets get at most 0.9 requests per slot; a gateway takes only its share of what is free between two reports, or a fixed share while the loads of the others are not known; and it leaves a target alone after a rejection, the longer the more gateways there are. Gateways learn of it from their own answers and through the leader.

--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -107,6 +107,12 @@
 	unreachableAt  time.Time
 	// heardAt is when the target last sent something or accepted a connection that was opened to find out.
 	heardAt time.Time
+	// othersKnown is set while others is that of a report. allowance is the number of own requests up to which a brittle target
+	// may get more before the next report, if allowanceKnown is set.
+	othersKnown, allowanceKnown bool
+	allowance                   int
+	// pausedUntil is until when a brittle target that rejected a request gets none.
+	pausedUntil time.Time
 	// silentProbeAt is the time of the latest probe for its silence.
 	silentProbeAt time.Time
 	latency       float64 // moving average of actual over expected time to first byte, 0 when unknown
@@ -152,9 +158,15 @@
 type LoadTracker struct {
 	gateway string // name, constant
 
-	mu        sync.Mutex
-	targets   map[string]*targetState // by target id
-	unloading map[modelKey]bool
+	mu      sync.Mutex
+	targets map[string]*targetState // by target id
+	// ownBrittle is what targets said to this gateway, by target, and peerBrittle what they said to others, by service. brittle is, by
+	// service, how many requests a target may have to reject in a second.
+	ownBrittle  map[string]brittleObservation
+	peerBrittle map[string]int
+	brittle     map[string]int
+	gateways    int // number of gateways that share the targets, 0 if unknown
+	unloading   map[modelKey]bool
 	// notHeld are models and adapters that a target reported as not resident, and orderedAdapters those that a target
 	// was ordered to load. The values are expiry times, from which heartbeats are authoritative again.
 	notHeld         map[residentKey]time.Time
@@ -167,8 +179,9 @@
 
 // NewLoadTracker returns an empty load tracker of a gateway.
 func NewLoadTracker(gateway string) *LoadTracker {
-	return &LoadTracker{gateway: gateway, targets: make(map[string]*targetState), unloading: make(map[modelKey]bool),
-		notHeld: make(map[residentKey]time.Time), orderedAdapters: make(map[residentKey]time.Time)}
+	return &LoadTracker{gateway: gateway, targets: make(map[string]*targetState), unloading: make(map[modelKey]bool), brittle: make(map[string]int),
+		ownBrittle: make(map[string]brittleObservation),
+		notHeld:    make(map[residentKey]time.Time), orderedAdapters: make(map[residentKey]time.Time)}
 }
 
 func (tracker *LoadTracker) state(id string) *targetState {
@@ -261,8 +274,7 @@
 			recordReason(Limited)
 			continue
 		}
-		slots := slotsOf(t, q.Slots)
-		if q.MaxPerSlot > 0 && float64(s.own.Running+s.others.Running) >= q.MaxPerSlot*float64(slots) {
+		if !tracker.hasRoom(now, rng, s, t.ID, &q, slotsOf(t, q.Slots)) {
 			recordReason(AllFull)
 			continue
 		}
@@ -597,12 +609,13 @@
 func (tracker *LoadTracker) SetPeerObservations(others map[string]Observation, unloading map[string][]string) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	for id, s := range tracker.targets {
-		s.setOthers(others[id])
-	}
 	for id, o := range others {
 		tracker.state(id).setOthers(o)
 	}
+	for id, s := range tracker.targets {
+		s.setOthers(others[id])
+		s.othersKnown, s.allowanceKnown = others != nil, false
+	}
 	clear(tracker.unloading)
 	for id, models := range unloading {
 		for _, model := range models {
--- a/instance/controlinstance/gateway_loads.go
+++ b/instance/controlinstance/gateway_loads.go
@@ -37,6 +37,8 @@
 	sums                map[string]*fleetapi.TargetLoad
 	slowness, penalties map[string]*highest
 	expiredAt           time.Time
+	// brittle are the counted gateways to which targets said that they are brittle.
+	brittle []*gatewayLoad
 	// helping are the counted gateways that serve what others hand over, in order, and helpersChange changes with them.
 	helping       []string
 	helpersChange uint64
@@ -143,6 +145,7 @@
 	clear(g.slowness)
 	clear(g.penalties)
 	var helping []string
+	g.brittle = g.brittle[:0]
 	for name, l := range g.gateways {
 		if age := now.Sub(l.receivedAt); age > timeout {
 			g.uncount(l)
@@ -152,6 +155,9 @@
 			continue
 		}
 		g.addHealth(l)
+		if len(l.report.Brittle) > 0 {
+			g.brittle = append(g.brittle, l)
+		}
 		if l.report.Helps {
 			helping = append(helping, name)
 		}
@@ -163,6 +169,25 @@
 	}
 }
 
+// brittleServices returns, by service, the fewest rejections in a second that its targets said to gateways but one that they bear.
+func (g *gatewayLoads) brittleServices(except string) map[string]int {
+	var services map[string]int
+	for _, l := range g.brittle {
+		if l.report.Gateway == except {
+			continue
+		}
+		for service, n := range l.report.Brittle {
+			if services == nil {
+				services = make(map[string]int)
+			}
+			if known, ok := services[service]; !ok || n < known {
+				services[service] = n
+			}
+		}
+	}
+	return services
+}
+
 // maxHelpers is the number of gateways that one gateway is told to hand requests over to.
 const maxHelpers = 4
 
--- a/instance/controlinstance/gateway_loads_test.go
+++ b/instance/controlinstance/gateway_loads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -106,3 +107,22 @@
 		t.Errorf("helpers %v, change %d after %d; want only the gateway that still reports", list, g.helpersChange, before)
 	}
 }
+
+// Guards against a gateway that goes on taking targets for brittle because its own report comes back to it.
+func TestBrittleServicesOfOtherGateways(t *testing.T) {
+	g := newGatewayLoads()
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	g.put(now, &fleetapi.LoadReport{Gateway: "g1", Brittle: map[string]int{"s": 5, "other": 1}})
+	g.put(now, &fleetapi.LoadReport{Gateway: "g2", Brittle: map[string]int{"s": 3}})
+	g.put(now, &fleetapi.LoadReport{Gateway: "g3"})
+	g.expire(now.Add(expiryInterval))
+	for gateway, want := range map[string]map[string]int{"g1": {"s": 3}, "g2": {"s": 5, "other": 1}, "g3": {"s": 3, "other": 1}} {
+		if got := g.brittleServices(gateway); !maps.Equal(got, want) {
+			t.Errorf("%s is told %v, want %v", gateway, got, want)
+		}
+	}
+	g.expire(now.Add(2 * gatewayTimeout))
+	if got := g.brittleServices("g3"); len(got) != 0 {
+		t.Errorf("%v after the gateways have stopped reporting", got)
+	}
+}
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -124,7 +124,8 @@
 		return errNoLeader
 	}
 	own := g.loadTracker.OwnObservations(time.Now())
-	report := fleetapi.LoadReport{Gateway: g.opts.Name, Packed: true, Helps: g.helps(), HelpersChange: g.helpers.knownChange(), Limits: g.limits.Own(time.Now()),
+	report := fleetapi.LoadReport{Gateway: g.opts.Name, Packed: true, Helps: g.helps(), HelpersChange: g.helpers.knownChange(),
+		Brittle: g.loadTracker.OwnBrittle(time.Now()), Limits: g.limits.Own(time.Now()),
 		Unreachable: g.loadTracker.Unreachable(time.Now(), unreachablePeriod)}
 	report.Models, report.Adapters = g.demand.takeReport()
 	for id, l := range own {
@@ -163,6 +164,8 @@
 	g.budget.SetGateways(summary.Gateways)
 	g.gatewayCount.Store(int64(max(summary.Gateways, 1)))
 	g.watcher.SetGateways(summary.Gateways)
+	g.loadTracker.SetGateways(summary.Gateways)
+	g.loadTracker.SetPeerBrittle(now, summary.Brittle)
 	g.helpers.set(summary.Helpers, summary.HelpersChange)
 	return nil
 }
--- a/instance/gateway/limits.go
+++ b/instance/gateway/limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
@@ -123,3 +124,16 @@
 		g.recorder.Record(events.TargetLimited, events.Fields{"target": target.ID, "limit": perSecond})
 	}
 }
+
+// observeBrittle records how many rejections a target bears, as it names it in an answer to a request sent at a time, or that it
+// names none.
+func (g *Gateway) observeBrittle(sentAt time.Time, target *roster.Entry, response *http.Response) {
+	text := response.Header.Get(g.opts.Headers.Brittle)
+	rejections, err := strconv.Atoi(text)
+	if text != "" && (err != nil || rejections <= 0) || text == "" && response.Header.Get(g.opts.Headers.Seal) == "" {
+		return // a malformed number, or an answer that may come from elsewhere
+	}
+	if g.loadTracker.ObserveBrittle(time.Now(), sentAt, target.Service, target.ID, rejections) {
+		g.recorder.Record(events.TargetBrittle, events.Fields{"target": target.ID, "rejections": rejections})
+	}
+}
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -100,6 +100,13 @@
 	return g.loadTracker.Pick(now, g.rng, query, g.view.Targets())
 }
 
+// mayAdd reports whether a target that the leader selected may get another request.
+func (g *Gateway) mayAdd(t *roster.Entry) bool {
+	g.rngMu.Lock()
+	defer g.rngMu.Unlock()
+	return g.loadTracker.MayAdd(time.Now(), g.rng, t)
+}
+
 // loadAdapter asks the leader for a target that holds the adapter, and waits until it is loaded there.
 func (g *Gateway) loadAdapter(now time.Time, q *request, exclude []string) *roster.Entry {
 	leader, _ := g.view.LeaderAndMembers()
@@ -123,7 +130,7 @@
 	g.loadTracker.MarkAdapterOrdered(time.Now(), answer.ID, q.prompt.Model, q.prompt.Adapter)
 	targets := g.view.Targets()
 	for i := range targets {
-		if t := &targets[i]; t.ID == answer.ID && t.State == roster.Ready && !g.hasLimit(t) {
+		if t := &targets[i]; t.ID == answer.ID && t.State == roster.Ready && !g.hasLimit(t) && g.mayAdd(t) {
 			return t
 		}
 	}
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -49,6 +49,7 @@
 	firstByte := time.Now()
 	r.attempt.recordHeard(firstByte)
 	g.observeLimit(now, target, answer.Response)
+	g.observeBrittle(now, target, answer.Response)
 	g.loadTracker.FirstByte(firstByte, inFlight, q.route.Objective)
 	if g.opts.Headers.Rejected(answer.Response) {
 		end = g.handleRejection(q, target, answer)
@@ -88,6 +89,7 @@
 		"request": q.id, "target": target.ID, "status": answer.StatusCode, "model": q.prompt.Model, "adapter": q.prompt.Adapter,
 	})
 	if answer.StatusCode != dialect.StatusMisdirected {
+		g.loadTracker.RecordRejection(time.Now(), target.Service, target.ID)
 		return dispatch.Neutral
 	}
 	if id := answer.Header.Get(g.opts.Headers.TargetID); id != "" && id != target.ID {
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -28,6 +28,9 @@
 	RetryAfter string
 	// Limit is the number of requests a second that the target that sent the response takes from all gateways together.
 	Limit string
+	// Brittle is how many requests the target that sent the response bears to reject in a second for want of room; it falls over
+	// if it has to reject more.
+	Brittle string
 	// Reserved are the request headers that only the system may set. They are removed from the requests of callers.
 	Reserved []string
 }
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -89,6 +89,8 @@
 	Helps bool `json:"h,omitempty"`
 	// HelpersChange is that of the latest summary.
 	HelpersChange uint64 `json:"hc,omitempty"`
+	// Brittle is, by service, how many rejections in a second its targets said to this gateway that they bear.
+	Brittle map[string]int `json:"b,omitempty"`
 	// Packed asks for a summary with PackedTargets instead of Targets.
 	Packed bool `json:"p,omitempty"`
 }
@@ -127,6 +129,8 @@
 	// changes with them, is that of the report.
 	Helpers       []string `json:"h,omitempty"`
 	HelpersChange uint64   `json:"hc,omitempty"`
+	// Brittle is the same, as targets said to other gateways.
+	Brittle map[string]int `json:"b,omitempty"`
 	// Limits is what targets told any gateway about the requests that they take.
 	Limits []targetlimit.Observation `json:"lt,omitempty"`
 }
