--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -101,6 +101,14 @@
 // ErrIncomplete is returned for heartbeats that lack a field required to route requests to the target.
 var ErrIncomplete = errors.New("incomplete heartbeat: lacks id, start time, service or address")
 
+// ErrImplausible is returned for heartbeats whose sequence number is far ahead of the known one. Later heartbeats of the target
+// would count as stale.
+var ErrImplausible = errors.New("implausible heartbeat: its sequence number is far ahead of the latest one")
+
+// maxSequenceJump is the largest plausible difference between two heartbeats. A target without a heartbeat for some seconds is
+// forgotten.
+const maxSequenceJump = 1 << 16
+
 // Outcome is the effect of a heartbeat on a Table.
 type Outcome uint8
 
@@ -131,6 +139,8 @@
 		merged := known.Target
 		merged.State = target.State
 		target = merged
+	case target.StartedAtMs == known.StartedAtMs && target.HeartbeatSequence-known.HeartbeatSequence > maxSequenceJump:
+		return Stale, ErrImplausible
 	case target.StartedAtMs == known.StartedAtMs && target.State < known.State:
 		target.State = known.State
 	}
--- a/instance/controlinstance/controlled_target.go
+++ b/instance/controlinstance/controlled_target.go
@@ -96,7 +96,11 @@
 func (c *controlledTarget) plannerTarget(now time.Time, engine *routes.Engine) residency.Target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	t := residency.Target{CapacityMB: engine.CapacityMB, Slots: c.target.Slots, AdapterSlots: engine.AdapterSlots, InMemory: c.target.InMemory,
+	slots := c.target.Slots
+	if engine.Slots > 0 {
+		slots = min(slots, engine.Slots) // the largest number of slots decides how many copies a model needs
+	}
+	t := residency.Target{CapacityMB: engine.CapacityMB, Slots: slots, AdapterSlots: engine.AdapterSlots, InMemory: c.target.InMemory,
 		OnDisk: c.target.OnDisk, MoveInProgress: c.move != nil, AwaitingReport: !c.known}
 	if !c.reported {
 		for _, held := range c.target.Models {
