Send a list of targets that is larger than a frame in parts

A list larger than 1 MiB was one message, which the receiver refuses, so that a process that starts, or one that has lost contact, never got it: TestLargeTableIsSentInParts got a delta of 3 MB. A delta now holds at most 512 KiB of targets, those that changed first; the rest follows with the next answer. Heartbeats without news go with each part.

--- a/coordination/roster/delta.go
+++ b/coordination/roster/delta.go
@@ -1,7 +1,9 @@
 package roster
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 	"strconv"
 	"time"
 
@@ -26,22 +28,73 @@
 // HasHeartbeats reports whether the delta holds heartbeats without new content.
 func (d *Delta) HasHeartbeats() bool { return len(d.Heartbeats) > 0 || len(d.PackedHeartbeats) > 0 }
 
+// maxDeltaBytes bounds the targets of a delta, so that it fits into a frame between processes. The next delta holds the rest.
+const maxDeltaBytes = 512 << 10
+
 // Since returns the updates after a change number.
 func (t *Table) Since(now time.Time, change uint64) Delta {
 	d := Delta{Change: t.change}
+	var changed []*Entry
 	for _, e := range t.entries {
 		switch {
 		case e.ContentChange > change:
-			target := e.Target
-			target.SinceHeartbeatMs = now.Sub(e.HeardAt).Milliseconds()
-			d.Targets = append(d.Targets, target)
+			changed = append(changed, e)
 		case e.Change > change:
 			d.Heartbeats = append(d.Heartbeats, Heartbeat{Key: e.Key, HeartbeatSequence: e.Target.HeartbeatSequence})
 		}
 	}
+	size := 0
+	for _, e := range changed {
+		size += e.encodedBytes()
+	}
+	if size > maxDeltaBytes {
+		changed = firstChanges(changed)
+		d.Change = changed[len(changed)-1].ContentChange
+	}
+	for _, e := range changed {
+		target := e.Target
+		target.SinceHeartbeatMs = now.Sub(e.HeardAt).Milliseconds()
+		d.Targets = append(d.Targets, target)
+	}
 	return d
 }
 
+// firstChanges returns the entries that changed first, at least one and as many as fit into maxDeltaBytes. No two entries have the
+// same change number.
+func firstChanges(changed []*Entry) []*Entry {
+	slices.SortFunc(changed, func(a, b *Entry) int { return cmp.Compare(a.ContentChange, b.ContentChange) })
+	size := changed[0].encodedBytes()
+	n := 1
+	for n < len(changed) {
+		if size += changed[n].encodedBytes(); size > maxDeltaBytes {
+			break
+		}
+		n++
+	}
+	return changed[:n]
+}
+
+// encodedBytes estimates the size of the target in a message.
+func (t *Target) encodedBytes() int {
+	const (
+		fixed   = 200 // names and numbers of fields
+		perName = 4   // quotes and separators
+	)
+	n := fixed + len(t.ID) + len(t.Service) + len(t.Address) + len(t.DataCentre) + len(t.SoftwareVersion)
+	names := func(list []string) {
+		for _, name := range list {
+			n += len(name) + perName
+		}
+	}
+	for _, m := range t.Models {
+		n += len(m.Model) + 8*perName
+		names(m.Adapters)
+	}
+	names(t.InMemory)
+	names(t.OnDisk)
+	return n
+}
+
 // CompactSince returns the same updates in fewer bytes, for the many gateways: without the cached weights, which only the
 // placement of models needs, and with packed heartbeats.
 func (t *Table) CompactSince(now time.Time, change uint64) Delta {
