Take no earlier refusal that a target repeats for that of another request

A faulty target that wrote an earlier refusal once more on a kept connection could make a gateway tell a caller 'not run, try again' for a request that the target was running, or send it to a second target.

It could happen in two ways. A refusal without the id of its request was accepted at any time; now only as the first answer on a connection, where no earlier one exists. And a request that is sent to the same target once more, because all others had refused it too, could use the same connection, where the repeated refusal has its id; now a connection carries no request id twice among its last 16. A repeated refusal with another id was skipped before, too.

--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -36,6 +36,20 @@
 	head   *headLimit
 	// usableUntil is the time until which the idle connection may be reused.
 	usableUntil time.Time
+	// answered are the IDs of the latest requests that were answered on the connection. A faulty target may write such an answer
+	// once more, so the same request, sent again, uses another connection.
+	answered []string
+}
+
+// maxAnswered is the number of IDs that a connection remembers. Requests are sent again within seconds.
+const maxAnswered = 16
+
+// recordAnswered remembers the ID of a request that was answered.
+func (c *conn) recordAnswered(id string) {
+	if len(c.answered) == maxAnswered {
+		c.answered = c.answered[1:]
+	}
+	c.answered = append(c.answered, id)
 }
 
 // newConn wraps a connection to a target. Close resets it: a request that was given up must not be
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -75,7 +76,7 @@
 	// ID is the value that the answer must echo in the header EchoHeader. With an empty ID every answer is accepted.
 	ID         string
 	EchoHeader string
-	// AcceptUnechoed reports whether an answer that does not echo the ID is accepted. If it is nil, none is.
+	// AcceptUnechoed reports whether the first answer on a connection is accepted if it does not echo the ID. If it is nil, none is.
 	AcceptUnechoed func(*http.Response) bool
 	Deadline       time.Time
 }
@@ -117,7 +118,7 @@
 
 // Do sends a request and reads the status line and the headers of the answer. The error is an *Error.
 func (c *Client) Do(ctx context.Context, address string, r *Request) (*Answer, error) {
-	conn, err := c.getConn(ctx, address)
+	conn, err := c.getConn(ctx, address, r.ID)
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, &Error{Failure: Cancelled, Cause: err}
@@ -155,17 +156,26 @@
 
 var errMalformed = errors.New("malformed answer")
 
-// getConn returns a reusable idle connection or opens a new one.
-func (c *Client) getConn(ctx context.Context, address string) (*conn, error) {
+// takeIdle removes and returns the most recently used idle connection to an address on which no request with an ID was answered
+// lately, or returns nil.
+func (c *Client) takeIdle(address, id string) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := c.idle[address]
+	for i := len(list) - 1; i >= 0; i-- {
+		if candidate := list[i]; id == "" || !slices.Contains(candidate.answered, id) {
+			c.idle[address] = slices.Delete(list, i, i+1)
+			return candidate
+		}
+	}
+	return nil
+}
+
+// getConn returns a reusable idle connection for a request with an ID or opens a new one.
+func (c *Client) getConn(ctx context.Context, address, id string) (*conn, error) {
 	now := time.Now()
 	for {
-		c.mu.Lock()
-		list := c.idle[address]
-		var candidate *conn
-		if n := len(list); n > 0 {
-			candidate, c.idle[address] = list[n-1], list[:n-1]
-		}
-		c.mu.Unlock()
+		candidate := c.takeIdle(address, id)
 		if candidate == nil {
 			break
 		}
@@ -262,8 +272,11 @@
 			return err
 		}
 		echo := response.Header.Get(r.EchoHeader)
-		if r.ID == "" || echo == r.ID || echo == "" && r.AcceptUnechoed != nil && r.AcceptUnechoed(response) {
+		// Without an echo, an answer on a connection that was used before may be an earlier one that is written once more.
+		unechoed := echo == "" && len(a.conn.answered) == 0 && r.AcceptUnechoed != nil && r.AcceptUnechoed(response)
+		if r.ID == "" || echo == r.ID || unechoed {
 			a.Response = response
+			a.conn.recordAnswered(r.ID)
 			return nil
 		}
 		if echo == "" {
