Take a refusal without its attempt as proof only on a new connection

The product's own interface had the same fault as the gateways: a refusal on a kept connection counted as proof that the attempt did not run, whatever attempt it belonged to, so an earlier refusal that a target writes once more made an instance refuse a request as not run that was running. A refusal that names another attempt is a broken answer now, and one without a name on a used connection leaves open whether the attempt ran. TestRepeatedRefusalDoesNotProveThatTheAttemptDidNotRun: two of its four cases failed before.

--- a/instance/modelcalls/run.go
+++ b/instance/modelcalls/run.go
@@ -351,6 +351,10 @@
 	var overloaded *targetclient.OverloadedError
 	var notReady *targetclient.NotReadyError
 	var rejected *targetclient.RejectedError
+	var unproven *targetclient.UnprovenError
+	if errors.As(err, &unproven) {
+		return false
+	}
 	return isUnreachable(err) || errors.As(err, &overloaded) || errors.As(err, &notReady) || errors.As(err, &rejected)
 }
 
--- a/instance/modelcalls/run_test.go
+++ b/instance/modelcalls/run_test.go
@@ -215,6 +215,7 @@
 		{name: "break, only another software version", scripts: []targetScript{{software: "v1", tokens: 4, breaks: true}, {software: "v2", tokens: answerTokens}}, outcome: api.Failed, reason: api.ReasonNoTarget, tokens: 4, maxDuration: 21 * time.Second},
 		{name: "break before the first token, another software version", scripts: []targetScript{{software: "v1", breaks: true}, {software: "v2", tokens: answerTokens}}, outcome: api.Answered, tokens: answerTokens, maxDuration: time.Second},
 		{name: "first target overloaded", scripts: []targetScript{overloaded, complete}, outcome: api.Answered, tokens: answerTokens, maxDuration: time.Second},
+		{name: "refusal that may be an earlier one", scripts: []targetScript{{refusal: &targetclient.UnprovenError{Cause: &targetclient.OverloadedError{}}}}, outcome: api.Failed, reason: api.ReasonNoTarget, maxDuration: time.Second},
 		{name: "all targets overloaded", scripts: []targetScript{overloaded, overloaded}, outcome: api.Refused, reason: api.ReasonNoTarget, maxDuration: time.Second},
 		{name: "all attempts break", scripts: []targetScript{{breaks: true}, {breaks: true}}, outcome: api.Failed, reason: api.ReasonNoTarget, maxDuration: time.Second},
 		{name: "not connected", scripts: []targetScript{{refusal: &targetclient.ConnectError{Cause: io.EOF}}}, outcome: api.Refused, reason: api.ReasonNoTarget, maxDuration: time.Second},
--- a/standin/target/engine.go
+++ b/standin/target/engine.go
@@ -50,6 +50,8 @@
 }
 
 func (t *Target) handleChat(w http.ResponseWriter, r *http.Request) {
+	// Instances check that a response belongs to their attempt.
+	w.Header().Set(targetapi.HeaderAttemptID, r.Header.Get(targetapi.HeaderAttemptID))
 	call, err := readChat(w, r)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
@@ -118,8 +120,6 @@
 func (t *Target) streamTokens(ctx context.Context, w http.ResponseWriter, call *chatCall) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Cache-Control", "no-store")
-	// Instances check that a response belongs to their attempt.
-	w.Header().Set(targetapi.HeaderAttemptID, call.attemptID)
 	w.Header().Set(api.HeaderRequestID, call.requestID)
 	if t.cfg.SoftwareVersion != "" {
 		w.Header().Set(targetapi.HeaderSoftwareVersion, t.cfg.SoftwareVersion)
--- a/transport/targetclient/client.go
+++ b/transport/targetclient/client.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -93,6 +94,18 @@
 	return "the connection to the target broke: " + e.Cause.Error()
 }
 
+// UnprovenError is a refusal that may be an earlier one that the target wrote once more: it does not name the attempt, and the
+// connection was used before. The attempt may have run.
+type UnprovenError struct{ Cause error }
+
+// Error includes the refusal.
+func (e *UnprovenError) Error() string {
+	return "the refusal does not name the attempt, which may have run: " + e.Cause.Error()
+}
+
+// Unwrap returns the refusal.
+func (e *UnprovenError) Unwrap() error { return e.Cause }
+
 // OtherVersionError means that the target runs another software version than the one that began the answer. What two
 // versions generate does not fit together.
 type OtherVersionError struct{ Want, Got string }
@@ -130,6 +143,8 @@
 // Stream sends an attempt and calls onEvent for each event until the stream ends. An error from onEvent ends the stream
 // and is returned.
 func (c *Client) Stream(ctx context.Context, a Attempt, onEvent func(Event) error) error {
+	reused := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(c httptrace.GotConnInfo) { reused = c.Reused }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a.Address+targetapi.PathChat, bytes.NewReader(a.Body))
 	if err != nil {
 		return errors.Wrap(err, "create request for the attempt")
@@ -151,10 +166,11 @@
 		return connectionError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	got := resp.Header.Get(targetapi.HeaderAttemptID)
 	if resp.StatusCode != http.StatusOK {
-		return statusError(resp)
+		return refusalOf(a.AttemptID, got, reused, statusError(resp))
 	}
-	if got := resp.Header.Get(targetapi.HeaderAttemptID); got != a.AttemptID {
+	if got != a.AttemptID {
 		return &IncompleteError{Cause: errors.Errorf("target answered attempt %q instead of attempt %q", got, a.AttemptID)}
 	}
 	version := resp.Header.Get(targetapi.HeaderSoftwareVersion)
@@ -167,6 +183,17 @@
 	})
 }
 
+// refusalOf checks that a refusal is that of an attempt. got is the id that it names.
+func refusalOf(attempt, got string, reused bool, err error) error {
+	switch {
+	case got == attempt || got == "" && !reused:
+		return err
+	case got == "":
+		return &UnprovenError{Cause: err}
+	}
+	return &IncompleteError{Cause: errors.Errorf("target refused attempt %q instead of attempt %q", got, attempt)}
+}
+
 // connectionError distinguishes a failed dial, after which nothing can have run, from a broken connection.
 func connectionError(err error) error {
 	var op *net.OpError
--- a/transport/targetclient/client_test.go
+++ b/transport/targetclient/client_test.go
@@ -179,3 +179,50 @@
 		}
 	}
 }
+
+// Guards against an earlier refusal that a target writes once more on a kept connection, and that says of a running attempt that it did
+// not run.
+func TestRepeatedRefusalDoesNotProveThatTheAttemptDidNotRun(t *testing.T) {
+	for _, test := range []struct {
+		name, echo string // echo is the attempt that the refusal names; empty for none
+		first      bool   // on the connection
+		proven     bool
+	}{
+		{"its own", "a", false, true}, {"first without an id", "", true, true}, {"without an id", "", false, false}, {"of another attempt", "b", false, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			refuse := test.first
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if !refuse {
+					refuse = true
+					w.Header().Set(targetapi.HeaderAttemptID, r.Header.Get(targetapi.HeaderAttemptID))
+					_, _ = io.WriteString(w, "id: 0\ndata: {}\n\ndata: [DONE]\n\n")
+					return
+				}
+				if test.echo != "" {
+					w.Header().Set(targetapi.HeaderAttemptID, test.echo)
+				}
+				w.Header().Set("Retry-After", "1")
+				w.WriteHeader(http.StatusTooManyRequests)
+			}))
+			defer server.Close()
+			client := targetclient.New()
+			attempt := targetclient.Attempt{Address: strings.TrimPrefix(server.URL, "http://"), AttemptID: "a"}
+			send := func() error {
+				return client.Stream(context.Background(), attempt, func(targetclient.Event) error { return nil })
+			}
+			if !test.first {
+				if err := send(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			err := send()
+			var overloaded *targetclient.OverloadedError
+			var unproven *targetclient.UnprovenError
+			var incomplete *targetclient.IncompleteError
+			if proven := errors.As(err, &overloaded) && !errors.As(err, &unproven) && !errors.As(err, &incomplete); proven != test.proven {
+				t.Errorf("error %T %v proves that the attempt did not run: %v, want %v", err, err, proven, test.proven)
+			}
+		})
+	}
+}
