Send no new requests to a target that says in an answer that it leaves

A target that leaves says so in all its answers. Its heartbeats say so too, but may be held up, and a gateway that had passed on such an answer went on sending it requests. The gateway now takes it for draining at once, for this start of the target; a heartbeat that says ready does not undo that. An answer through another gateway counts as well; one of another target at the address does not.

--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -198,9 +198,21 @@
 	return true
 }
 
-func (t *Table) markGone(e *Entry) {
+// Drain marks a ready target as draining, for one incarnation.
+func (t *Table) Drain(key Key) (changed bool) {
+	known := t.entries[key.ID]
+	if known == nil || known.Key != key || known.State != Ready {
+		return false
+	}
+	t.setState(known, Draining)
+	return true
+}
+
+func (t *Table) markGone(e *Entry) { t.setState(e, Gone) }
+
+func (t *Table) setState(e *Entry, state State) {
 	t.change++
-	e.State = Gone
+	e.State = state
 	e.Change, e.ContentChange = t.change, t.change
 	t.contentChange, t.lifecycleChange = t.change, t.change
 }
--- a/instance/fleetview/view.go
+++ b/instance/fleetview/view.go
@@ -149,6 +149,15 @@
 	return changed
 }
 
+// MarkDraining marks a target as one that takes no new requests, and reports whether that changed anything.
+func (v *View) MarkDraining(key roster.Key) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	changed := v.roster.Drain(key)
+	v.publishLocked(changed)
+	return changed
+}
+
 // Merge applies the changes and heartbeats that a control instance sent, and reports whether anything but heartbeats was
 // new.
 func (v *View) Merge(now time.Time, d roster.Delta) bool {
--- a/instance/gateway/handover.go
+++ b/instance/gateway/handover.go
@@ -146,6 +146,7 @@
 	q.lastTarget, q.helper = target.ID, helper
 	g.observeLimit(q.arrived, target, answer.Response)
 	g.observeBrittle(q.arrived, target, answer.Response)
+	g.observeLeaving(target, answer.Response)
 	result, _ := r.relayAnswer(answer)
 	if result == mayHaveRun || result == expired {
 		g.recorder.Record(events.AttemptBroken, events.Fields{"request": q.id, "helper": helper, "target": target.ID,
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -50,6 +50,7 @@
 	r.attempt.recordHeard(firstByte)
 	g.observeLimit(now, target, answer.Response)
 	g.observeBrittle(now, target, answer.Response)
+	g.observeLeaving(target, answer.Response)
 	g.loadTracker.FirstByte(firstByte, inFlight, q.route.Objective)
 	if g.opts.Headers.Rejected(answer.Response) {
 		end = g.handleRejection(q, target, answer)
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -31,6 +31,8 @@
 	// Brittle is how many requests the target that sent the response bears to reject in a second for want of room; it falls over
 	// if it has to reject more.
 	Brittle string
+	// Leaving is set in the responses of a target that leaves and takes no new requests.
+	Leaving string
 	// Reserved are the request headers that only the system may set. They are removed from the requests of callers.
 	Reserved []string
 }
