Leave a target alone for the time that it names in a refusal

A target that turns a request away with 503 may add Retry-After: it wants nothing from that gateway for so long. The gateway sent the next requests at once, and the refused one up to five times.

Such a target now gets no request before that time. Other targets are taken; if there are none, a request waits as long as any other, or is refused at once, with the time at which the first target returns, if that comes too late. The leader is not asked to load adapters there.

--- a/coordination/dispatch/brittle.go
+++ b/coordination/dispatch/brittle.go
@@ -169,10 +169,12 @@
 	return int(whole)
 }
 
-// MayAdd reports whether a target that was selected elsewhere may get another request, if it is brittle.
+// MayAdd reports whether a target that was selected elsewhere may get another request: it did not ask to be left alone, and if it is
+// brittle it has room.
 func (tracker *LoadTracker) MayAdd(now time.Time, rng *rand.Rand, t *roster.Entry) bool {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	return tracker.brittle[t.Service] == 0 ||
-		tracker.hasRoom(now, rng, tracker.state(t.ID), t.ID, &Query{Service: t.Service}, slotsOf(t, 0))
+	s := tracker.state(t.ID)
+	return !now.Before(s.leaveAloneUntil) &&
+		(tracker.brittle[t.Service] == 0 || tracker.hasRoom(now, rng, s, t.ID, &Query{Service: t.Service}, slotsOf(t, 0)))
 }
--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -111,6 +111,8 @@
 	// may get more before the next report, if allowanceKnown is set.
 	othersKnown, allowanceKnown bool
 	allowance                   int
+	// leaveAloneUntil is the end of the time for which the target asked this gateway to send it nothing.
+	leaveAloneUntil time.Time
 	// pausedUntil is until when a brittle target that rejected a request gets none.
 	pausedUntil time.Time
 	// silentProbeAt is the time of the latest probe for its silence.
@@ -227,6 +229,7 @@
 	NotLoaded     Reason = "no target holds the model"
 	NoneReachable Reason = "no eligible target is reachable"
 	NoAdapter     Reason = "no target holds the adapter"
+	LeftAlone     Reason = "every eligible target asked to be left alone for a time"
 	AllFull       Reason = "all eligible targets are at the request limit"
 	Limited       Reason = "every eligible target takes only a few requests a second"
 	AllExcluded   Reason = "every eligible target has failed the request"
@@ -274,6 +277,10 @@
 			recordReason(Limited)
 			continue
 		}
+		if now.Before(s.leaveAloneUntil) {
+			recordReason(LeftAlone)
+			continue
+		}
 		if !tracker.hasRoom(now, rng, s, t.ID, &q, slotsOf(t, q.Slots)) {
 			recordReason(AllFull)
 			continue
@@ -356,7 +363,7 @@
 }
 
 // reasonRank orders reasons by filter stage. Pick returns the reason of the last stage that any target reached.
-var reasonRank = map[Reason]int{NoTarget: 0, OtherVersion: 1, NotLoaded: 2, NoneReachable: 3, NoAdapter: 4, AllExcluded: 5, Limited: 6, AllFull: 7}
+var reasonRank = map[Reason]int{NoTarget: 0, OtherVersion: 1, NotLoaded: 2, NoneReachable: 3, NoAdapter: 4, AllExcluded: 5, Limited: 6, LeftAlone: 7, AllFull: 8}
 
 func slotsOf(t *roster.Entry, fallback int) int {
 	if t.Slots > 0 {
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -116,7 +116,7 @@
 	ctx, cancel := context.WithTimeout(q.ctx, min(adapterTimeout, q.deadline.Sub(now)))
 	defer cancel()
 	adapterRequest := fleetapi.AdapterRequest{Service: q.service.Name, Model: q.prompt.Model, Adapter: q.prompt.Adapter,
-		SoftwareVersion: q.softwareVersion, Exclude: slices.Concat(exclude, g.loadTracker.Down(), g.limitedTargets())}
+		SoftwareVersion: q.softwareVersion, Exclude: slices.Concat(exclude, g.loadTracker.Down(), g.loadTracker.LeftAlone(now), g.limitedTargets())}
 	var answer fleetapi.AdapterResponse
 	err := g.peers.Call(ctx, leader, peerapi.MethodFleetAdapter, adapterRequest, &answer)
 	if err != nil || answer.ID == "" {
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -52,6 +52,7 @@
 	g.observeBrittle(now, target, answer.Response)
 	g.observeLeaving(target, answer.Response)
 	g.loadTracker.FirstByte(firstByte, inFlight, q.route.Objective)
+	g.observeRetryAfter(target, answer.Response)
 	if g.opts.Headers.Rejected(answer.Response) {
 		end = g.handleRejection(q, target, answer)
 		return notRun
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -140,6 +140,10 @@
 		if at, ok := g.loadedAt(q); reason == dispatch.NotLoaded && ok && at.Sub(now) > left {
 			left = 0 // the model will be loaded too late: the caller gets a Retry-After at once
 		}
+		if at, ok := g.nextReturn(now, q); reason == dispatch.LeftAlone && ok && at.Sub(now) > left {
+			left = 0 // no target takes the request in time
+			q.returnAfter = at.Sub(now) + rejectionPause
+		}
 		if left <= 0 {
 			q.notLoaded = reason == dispatch.NotLoaded
 			if q.notLoaded {
@@ -297,7 +301,7 @@
 		return q.quarantinedFor
 	}
 	if q.returnAfter > 0 {
-		return q.returnAfter
+		return q.returnAfter + time.Duration(retryAfterSpread*g.randomFloat()*float64(defaultRetryAfter))
 	}
 	// A missing model takes seconds to load, so the caller should return late. Callers do not honour a pause of more than
 	// a third of their time left.
