Blame a crash that no other reachable target confirms once its target has ended

Since a crash is blamed only while another target is reached, a part that crashes all targets of a small deployment would never have been blamed for those crashes under which no other target was up. Such a crash is now kept for 10 s, and blamed when the target has been replaced or has started again, which a partition does not cause. Found by reading the change; TestCrashesOfAllTargetsAreRecorded fails without it.

--- a/instance/gateway/crash_suspects.go
+++ b/instance/gateway/crash_suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -28,6 +29,10 @@
 	// crashCheckTimeout bounds the wait of a request for the attempt to connect to the target that broke it off, before it is
 	// sent to another target. A crashed target refuses a connection within a round trip.
 	crashCheckTimeout = 50 * time.Millisecond
+	// confirmPeriod is the time within which a crashed target is back, under another start, and maxUnconfirmed bounds the requests
+	// that are kept until then.
+	confirmPeriod  = 10 * time.Second
+	maxUnconfirmed = 256
 )
 
 // brokenRequest is a request whose answer from a target broke off.
@@ -44,6 +49,14 @@
 	broken []brokenRequest
 	// checks are the attempts to connect to targets that broke an answer off. A channel is closed when its attempt has ended.
 	checks map[roster.Key]chan struct{}
+	// unconfirmed are requests that broke off at targets that accept no connections while this gateway reached no other either.
+	unconfirmed []unconfirmedCrash
+}
+
+// unconfirmedCrash is a request that broke off and may have crashed its target.
+type unconfirmedCrash struct {
+	brokenRequest
+	failedAt time.Time // of the connection to the target
 }
 
 func newCrashSuspects() *crashSuspects {
@@ -104,6 +117,33 @@
 	return taken
 }
 
+// addUnconfirmed keeps requests that broke off at a target until it is known whether the target has ended.
+func (s *crashSuspects) addUnconfirmed(now time.Time, broken []brokenRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range broken {
+		s.unconfirmed = append(s.unconfirmed, unconfirmedCrash{b, now})
+	}
+	s.unconfirmed = s.unconfirmed[max(len(s.unconfirmed)-maxUnconfirmed, 0):]
+}
+
+// takeConfirmed returns the requests at targets that have ended, and forgets these and those that are too old.
+func (s *crashSuspects) takeConfirmed(now time.Time, ended func(roster.Key) bool) (confirmed []unconfirmedCrash) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var kept []unconfirmedCrash
+	for _, c := range s.unconfirmed {
+		switch {
+		case ended(c.target):
+			confirmed = append(confirmed, c)
+		case now.Sub(c.failedAt) < confirmPeriod:
+			kept = append(kept, c)
+		}
+	}
+	s.unconfirmed = kept
+	return confirmed
+}
+
 // mayHaveCrashed reports whether the end of an answer may be that of its target. A short stream that ends with its connection
 // looks complete even if its target ended under it.
 func (r *relay) mayHaveCrashed(a *upstream.Answer, result outcome) bool {
@@ -156,14 +196,33 @@
 func (g *Gateway) recordUnreachable(target roster.Key) {
 	now := time.Now()
 	broken := g.suspects.take(now, target)
-	if len(broken) == 0 || !g.reachesOthers(target.ID, now) {
-		return
+	switch {
+	case len(broken) == 0:
+	case g.reachesOthers(target.ID, now):
+		for _, b := range broken {
+			g.recordCrash(unconfirmedCrash{b, now})
+		}
+	default:
+		g.suspects.addUnconfirmed(now, broken)
 	}
-	for _, b := range broken {
-		g.view.RecordCrash(now, crashes.Occurrence{SentAt: b.sentAt, At: b.at}, crashes.TargetID(target.ID, uint64(target.StartedAtMs)), b.suspects)
-		g.metrics.crashStrikes.Inc(1)
-		g.recorder.Record(events.CrashStrike, events.Fields{"fingerprint": b.suspects[0].Key, "target": target.ID,
-			"parts": len(b.suspects) - 1, "after_ms": now.Sub(b.at).Milliseconds()})
+}
+
+func (g *Gateway) recordCrash(c unconfirmedCrash) {
+	g.view.RecordCrash(time.Now(), crashes.Occurrence{SentAt: c.sentAt, At: c.at}, crashes.TargetID(c.target.ID, uint64(c.target.StartedAtMs)), c.suspects)
+	g.metrics.crashStrikes.Inc(1)
+	g.recorder.Record(events.CrashStrike, events.Fields{"fingerprint": c.suspects[0].Key, "target": c.target.ID,
+		"parts": len(c.suspects) - 1, "after_ms": c.failedAt.Sub(c.at).Milliseconds()})
+}
+
+// confirmCrashes records the crashes of targets that have ended since: a partition does not end them.
+func (g *Gateway) confirmCrashes(now time.Time) {
+	ended := func(key roster.Key) bool {
+		targets := g.view.Targets()
+		i := slices.IndexFunc(targets, func(t roster.Entry) bool { return t.ID == key.ID })
+		return i < 0 || targets[i].State == roster.Gone || targets[i].StartedAtMs > key.StartedAtMs
+	}
+	for _, c := range g.suspects.takeConfirmed(now, ended) {
+		g.recordCrash(c)
 	}
 }
 
--- a/instance/gateway/crash_suspects_test.go
+++ b/instance/gateway/crash_suspects_test.go
@@ -165,3 +165,36 @@
 		t.Errorf("%d parts of prompts are quarantined after a partition", len(evidence))
 	}
 }
+
+// Guards against a part that crashes all targets and is never blamed, because no other target is reachable when one has crashed: their
+// restarts show that it was no partition.
+func TestCrashesOfAllTargetsAreRecorded(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	f.crashingTargets(3, noAnswer)
+	for i := range 3 {
+		if response, _, err := f.call(fmt.Sprint("bad", i), fmt.Sprint("/stream/", i), "Model: m", fmt.Sprint("Parts: first bad own", i)); err != nil || response.StatusCode != 502 {
+			t.Fatalf("response %v, error %v", response, err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	quarantined := func() bool {
+		_, _, found := f.view.Quarantined(time.Now(), []crashes.Suspect{{Key: crashes.PartKey("bad"), Depth: 2}})
+		return found
+	}
+	f.gateway.confirmCrashes(time.Now())
+	if quarantined() {
+		t.Fatal("the part is quarantined although the last target may only be unreachable")
+	}
+	for _, entry := range f.view.Targets() {
+		restarted := entry.Target
+		restarted.StartedAtMs++
+		if _, err := f.view.ApplyHeartbeat(time.Now(), restarted); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.gateway.confirmCrashes(time.Now())
+	if !quarantined() {
+		t.Error("the part is not quarantined after three targets have crashed under it")
+	}
+}
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -234,6 +234,7 @@
 		}
 		now := time.Now()
 		g.recordReachability(now)
+		g.confirmCrashes(now)
 		for _, id := range g.loadTracker.Down() {
 			g.attempts.cancelSilent(now, id)
 		}
