Ask another instance of the data centre for a request without a reachable target

It now forwards a request for which a connection failed and no local target is left to the other instances of the data centre in turn, as it forwards to other data centres; these serve it with their own targets only. Targets that refuse are no reason, so that overload is not passed on. Tested for the choice of the instance; no process test cuts an instance off from its targets.

--- a/instance/callpolicy/callpolicy.go
+++ b/instance/callpolicy/callpolicy.go
@@ -50,8 +50,13 @@
 	rngPool sync.Pool
 }
 
+// Neighbour is another instance of the data centre.
+type Neighbour struct{ Name, Address string }
+
 // Remote looks up instances of other data centres.
 type Remote interface {
+	// Neighbours returns the other instances of the data centre that accept forwarded requests.
+	Neighbours() []Neighbour
 	// Address returns the HTTP address of an instance of a data centre, or false if no instance there accepts requests.
 	Address(dataCentre string, rng *rand.Rand) (address string, ok bool)
 }
@@ -153,6 +158,11 @@
 		}
 		chosen, _, err = p.router.Pick(now, rng, request, routing.Candidates{Local: local})
 	}
+	if err != nil && len(local) == 0 && w.Unreached && w.MaySpill {
+		if picked, ok := p.pickNeighbour(rng, avoided); ok {
+			return picked, func(modelcalls.Result) {}, nil
+		}
+	}
 	if err != nil {
 		return modelcalls.PickedTarget{}, nil, api.RefuseWithRetry(api.ReasonNoTarget, max(pause, noTargetRetryAfter), "no ready target can accept a request for \""+w.Model+"\"")
 	}
@@ -162,6 +172,23 @@
 	return picked, func(r modelcalls.Result) { p.finished(w, picked, r) }, nil
 }
 
+// neighbourPrefix is the prefix of target names that stand for another instance of the data centre.
+const neighbourPrefix = "instance:"
+
+// pickNeighbour picks another instance of the data centre for a request for which this one reaches no target any more. That instance
+// serves the request with its own targets only.
+func (p *Policy) pickNeighbour(rng *rand.Rand, avoided func(string) bool) (modelcalls.PickedTarget, bool) {
+	neighbours := p.remote.Neighbours()
+	rng.Shuffle(len(neighbours), func(i, j int) { neighbours[i], neighbours[j] = neighbours[j], neighbours[i] })
+	for _, n := range neighbours {
+		picked := modelcalls.PickedTarget{Target: neighbourPrefix + n.Name, Address: n.Address, Remote: true}
+		if !avoided(picked.ID()) {
+			return picked, true
+		}
+	}
+	return modelcalls.PickedTarget{}, false
+}
+
 func (p *Policy) request(w *modelcalls.Work) routing.Request {
 	return routing.Request{
 		Model: w.Model, Adapter: w.Adapter, Units: w.Units, Long: w.Long, PromptTokens: w.PromptTokens,
--- a/instance/callpolicy/callpolicy_test.go
+++ b/instance/callpolicy/callpolicy_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,6 +28,51 @@
 func (noSuspectsOrRemotes) HasClaim(quarantine.Target) bool           { return false }
 func (noSuspectsOrRemotes) Address(string, *rand.Rand) (string, bool) { return "", false }
 
+func (noSuspectsOrRemotes) Neighbours() []Neighbour { return nil }
+
+// neighbours are other instances of the data centre.
+type neighbours struct {
+	noSuspectsOrRemotes
+	list []Neighbour
+}
+
+func (n neighbours) Neighbours() []Neighbour { return slices.Clone(n.list) }
+
+// Guards against an instance that refuses requests because it has lost its links to the targets, while others of its data centre
+// reach them, and against one that passes overload on to them.
+func TestInstanceWithoutReachableTargetAsksNeighbours(t *testing.T) {
+	p := newPolicy(t, "e1", "e2")
+	p.remote = neighbours{list: []Neighbour{{"a2", "10.0.0.2:80"}, {"a3", "10.0.0.3:80"}}}
+	tried := make(map[string]bool)
+	avoid := func(id string) bool { return strings.HasPrefix(id, "e") || tried[id] }
+	for _, c := range []struct {
+		name                string
+		unreached, maySpill bool
+	}{{"targets refuse", false, true}, {"request of another instance", true, false}} {
+		w := work(16)
+		w.Unreached, w.MaySpill = c.unreached, c.maySpill
+		if picked, _, refusal := p.Pick(w, avoid); refusal == nil {
+			t.Errorf("%s: picked %+v, want a refusal", c.name, picked)
+		}
+	}
+	w := work(16)
+	w.Unreached, w.MaySpill = true, true
+	if picked, _, refusal := p.Pick(w, avoidNone); refusal != nil || picked.Remote {
+		t.Errorf("picked %+v although a target is left", picked)
+	}
+	for range 2 {
+		picked, done, refusal := p.Pick(w, avoid)
+		if refusal != nil || !picked.Remote || picked.Address == "" || tried[picked.ID()] {
+			t.Fatalf("picked %+v, refusal %v; want another instance", picked, refusal)
+		}
+		done(modelcalls.Result{})
+		tried[picked.ID()] = true
+	}
+	if picked, _, refusal := p.Pick(w, avoid); refusal == nil {
+		t.Errorf("picked %+v after all instances were asked", picked)
+	}
+}
+
 func newPolicy(t *testing.T, engines ...string) *Policy {
 	t.Helper()
 	table := membership.NewTable(membership.Options{DataCentre: "a", TargetLease: time.Hour})
--- a/instance/modelcalls/run.go
+++ b/instance/modelcalls/run.go
@@ -323,6 +323,7 @@
 	} else {
 		r.skipped[a.picked.ID()] = true
 	}
+	r.work.Unreached = r.work.Unreached || isUnreachable(err)
 	var rejected *targetclient.RejectedError
 	if errors.As(err, &rejected) {
 		return r.cannotContinue(api.Refuse(api.ReasonMalformedRequest, rejected.Message))
--- a/instance/modelcalls/server.go
+++ b/instance/modelcalls/server.go
@@ -46,6 +46,9 @@
 	// data centre has no capacity.
 	MaySpill bool
 	Spilled  bool
+	// Unreached is set when a connection to a target could not be opened. If no other target is left, another instance of the
+	// data centre may reach one.
+	Unreached bool
 }
 
 // PickedTarget is the target picked for an attempt.
@@ -53,7 +56,7 @@
 	Target      string
 	Incarnation uint64
 	Address     string
-	// Remote says that the target is an instance of another data centre.
+	// Remote says that the target is an instance, of another data centre or, if this one reaches no target, of the same.
 	Remote bool
 }
 
--- a/instance/providers.go
+++ b/instance/providers.go
@@ -237,6 +237,17 @@
 	return addresses[rng.IntN(len(addresses))], true
 }
 
+// Neighbours implements callpolicy.Remote.
+func (r remoteInstances) Neighbours() []callpolicy.Neighbour {
+	var list []callpolicy.Neighbour
+	for _, p := range r.settings.Peers {
+		if p.DataCentre == r.settings.DataCentre && p.Name != r.settings.Instance && p.HTTPAddress != "" {
+			list = append(list, callpolicy.Neighbour{Name: p.Name, Address: p.HTTPAddress})
+		}
+	}
+	return list
+}
+
 func provideReleaseNotes(config *replica.Group, checker *feasibility.Checker, view *activeconfig.View, recorder *events.Recorder, now timeSource) *releasenotes.Service {
 	return releasenotes.New(machineLog{config, machineNotes}, view, checker, recorder, now)
 }
