Close the connections of other gateways during a shutdown

A gateway that hands requests over could reuse a connection at the moment at which the other one exits, and could then not tell whether the request had run. The answers of a gateway that is stopping now close the connection, as they do for callers.

--- a/instance/gateway/handover.go
+++ b/instance/gateway/handover.go
@@ -235,6 +235,9 @@
 	table := g.view.Table()
 	sends, err := strconv.Atoi(r.Header.Get(fleetapi.HeaderHandoverSends))
 	version, versionErr := strconv.ParseUint(r.Header.Get(fleetapi.HeaderHandoverVersion), 10, 64)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close") // no request is sent while the process exits
+	}
 	if err != nil || versionErr != nil || g.stopping.Load() || table == nil || table.Version() < version {
 		w.WriteHeader(dialect.StatusMisdirected)
 		return
