--- a/review/drill/client.go
+++ b/review/drill/client.go
@@ -29,6 +29,8 @@
 	method, path, body string
 	model              string
 	budget             time.Duration
+	// lastEvent and resumes are set if the client takes a stream up again.
+	lastEvent, resumes string
 }
 
 // result is what a client gets.
@@ -59,8 +61,16 @@
 		r.Header.Set("X-Token-Count", "700,40")
 		r.Header.Set("X-Prompt-Prefix", fmt.Sprintf("5c1e07a2:172,%x:528", 0xabc0000+n))
 	}
+	if a.resumes != "" {
+		r.Header.Set("Last-Event-Id", a.lastEvent)
+		r.Header.Set("Resumes", a.resumes)
+	}
 	out.sentAt = time.Now()
-	response, err := c.http.Do(r)
+	sender := c.http
+	if a.resumes != "" { // clients retry on new connections
+		sender = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	}
+	response, err := sender.Do(r)
 	if err == nil {
 		out.status, out.header = response.StatusCode, response.Header
 		var body []byte
--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -35,6 +35,7 @@
 	"term-waiting":   termWaiting,
 	"ack-kill":       ackKill,
 	"same-id":        sameID,
+	"origin-lost":    originLost,
 }
 
 func main() {
