--- a/review/drill/client.go
+++ b/review/drill/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -81,7 +80,7 @@
 	out.doneAt, out.err = time.Now(), err
 	what := fmt.Sprint(out.status)
 	if err != nil {
-		what = "no complete answer: " + errors.Unwrap(fmt.Errorf("%w", err)).Error()
+		what = "no complete answer: " + err.Error()
 	}
 	c.d.record.note("client: request %s %s model %q to %s, sent %.3f s before: %s", out.id, a.path, a.model, a.gateway.name,
 		out.doneAt.Sub(out.sentAt).Seconds(), what)
--- a/review/drill/replica.go
+++ b/review/drill/replica.go
@@ -28,8 +28,6 @@
 	stream     bool
 	onRequest  func(r *replica, id string, at time.Time)
 	onOverload func(r *replica, order string)
-	// rejecting makes it turn all requests away as full.
-	rejecting bool
 	// version is that of its software.
 	version string
 	// keepID has it start again under the id that it had, and firstHeartbeat is how late the first heartbeat after that arrives.
@@ -263,7 +261,7 @@
 		status = http.StatusBadRequest
 	case r.weightsMB > 0 && !slices.Contains(r.models, model):
 		status = http.StatusMisdirectedRequest
-	case r.rejecting || r.running+r.waiting >= r.slots+queueLength:
+	case r.running+r.waiting >= r.slots+queueLength:
 		status = http.StatusServiceUnavailable
 	}
 	self, version := r.id, cmp.Or(r.version, "v1")
