--- a/review/drill/ack_kill.go
+++ b/review/drill/ack_kill.go
@@ -24,8 +24,8 @@
 // serving for some seconds.
 func ackKill(p *play) (string, error) {
 	const (
-		rounds  = 11
-		serving = 5 * time.Second // after the acknowledgement
+		rounds  = 17
+		serving = 4300 * time.Millisecond // after the acknowledgement
 	)
 	d := p.d
 	zones := []string{"coulee-a", "ridge-b", "slough-c"}
@@ -74,12 +74,18 @@
 		if err := r.start(); err != nil {
 			return "", err
 		}
-		time.Sleep(2500 * time.Millisecond) // two heartbeats; all gateways know it
+		time.Sleep(time.Second) // all gateways know it
 		a := d.controls[round%3]
 		mu.Lock()
 		leaving, judgeFrom = r, time.Time{}
 		mu.Unlock()
+		// Its last heartbeat reaches another control instance.
 		id, body := r.heartbeat()
+		if status, _ := d.callControl(d.controls[(round+1)%3], "POST", "/api/Replicas.Heartbeat/"+id, body); status != 200 {
+			return "", fmt.Errorf("heartbeat of %s: %d", id, status)
+		}
+		time.Sleep(100 * time.Millisecond)
+		id, body = r.heartbeat()
 		r.mu.Lock()
 		r.leaving = true
 		r.mu.Unlock()
--- a/review/drill/client.go
+++ b/review/drill/client.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -10,6 +11,9 @@
 	"time"
 )
 
+// firstPart is a part that all prompts share.
+const firstPart = "5c1e07a2:172"
+
 var lastAttempt atomic.Int64
 
 // client keeps its connections open for many requests.
@@ -28,6 +32,8 @@
 	method, path, body string
 	model              string
 	budget             time.Duration
+	// parts are the parts of the prompt but the last; left out, there is one that all prompts share.
+	parts string
 	// lastEvent and resumes are set if the client takes a stream up again.
 	lastEvent, resumes string
 }
@@ -58,7 +64,7 @@
 	if a.model != "" {
 		r.Header.Set("X-Model", a.model)
 		r.Header.Set("X-Token-Count", "700,40")
-		r.Header.Set("X-Prompt-Prefix", fmt.Sprintf("5c1e07a2:172,%x:528", 0xabc0000+n))
+		r.Header.Set("X-Prompt-Prefix", fmt.Sprintf("%s,%x:528", cmp.Or(a.parts, firstPart), 0xabc0000+n))
 	}
 	if a.resumes != "" {
 		r.Header.Set("Last-Event-Id", a.lastEvent)
--- a/review/drill/main.go
+++ b/review/drill/main.go
@@ -36,6 +36,7 @@
 	"ack-kill":       ackKill,
 	"same-id":        sameID,
 	"origin-lost":    originLost,
+	"part-turns":     partTurns,
 }
 
 func main() {
--- a/review/drill/replica.go
+++ b/review/drill/replica.go
@@ -28,6 +28,9 @@
 	stream     bool
 	onRequest  func(r *replica, id string, at time.Time)
 	onOverload func(r *replica, order string)
+	onParts    func(parts string)
+	// crashesOn reports whether it crashes when it begins to write an answer on a prompt; nil if it never does.
+	crashesOn func(parts string) bool
 	// version is that of its software.
 	version string
 	// keepID has it start again under the id that it had, and firstHeartbeat is how late the first heartbeat after that arrives.
@@ -272,6 +275,9 @@
 	if r.onRequest != nil {
 		r.onRequest(r, id, now)
 	}
+	if r.onParts != nil && status == 0 {
+		r.onParts(q.Header.Get("X-Prompt-Prefix"))
+	}
 	if status != 0 {
 		r.d.record.note("replica %s: request %s rejected with %d", self, id, status)
 		w.Header().Set("X-Not-Executed", "1")
@@ -288,6 +294,12 @@
 	}
 	defer r.leave(true)
 	r.d.record.note("replica %s: request %s runs", self, id)
+	if parts := q.Header.Get("X-Prompt-Prefix"); r.crashesOn != nil && r.crashesOn(parts) {
+		r.d.record.note("replica %s crashes under request %s, %s", self, id, parts)
+		r.end()
+		go r.crash()
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("X-Response-Seal", "3e1b."+id)
 	if !r.stream {
 		select {
