--- a/review/drill/replica.go
+++ b/review/drill/replica.go
@@ -42,7 +42,8 @@
 	born     int64
 	sequence uint64 // of heartbeats
 	state    string
-	leaving  bool
+	leaving  bool // sends no more heartbeats
+	leaves   bool // says so in its answers
 	models   []string
 	loading  string
 	orders   int // accepted
@@ -77,7 +78,7 @@
 	if r.keepID && r.id != "" {
 		id = r.id
 	}
-	r.id, r.born, r.sequence, r.state, r.leaving, r.models, r.loading, r.orders = id, time.Now().UnixMilli(), 0, "ready", false, models, "", 0
+	r.id, r.born, r.sequence, r.state, r.leaving, r.leaves, r.models, r.loading, r.orders = id, time.Now().UnixMilli(), 0, "ready", false, false, models, "", 0
 	r.running, r.waiting = 0, 0
 	r.done = make(chan struct{})
 	r.server = &http.Server{Handler: http.HandlerFunc(r.serve)}
@@ -254,7 +255,7 @@
 	w.Header().Set("X-Attempt-Id", id)
 	model, _, _ := strings.Cut(q.Header.Get("X-Model"), "/")
 	r.mu.Lock()
-	if r.leaving {
+	if r.leaving || r.leaves {
 		w.Header().Set("Server-Leaving", "1")
 		w.Header().Set("Connection", "close")
 	}
--- a/review/drill/same_id.go
+++ b/review/drill/same_id.go
@@ -23,8 +23,8 @@
 		return "", err
 	}
 	var replicas []*replica
-	for i, version := range []string{"v1", "v2"} {
-		r := &replica{d: d, service: "wuno96b", host: 100 + i, zone: zones[i], slots: 32, work: 4 * time.Second, stream: true, version: version, keepID: true}
+	for i, version := range []string{"v1", "v2", "v2", "v2", "v2", "v2"} {
+		r := &replica{d: d, service: "wuno96b", host: 100 + i, zone: zones[i%3], slots: 32, work: 4 * time.Second, stream: true, version: version, keepID: true}
 		if err := r.start(); err != nil {
 			return "", err
 		}
@@ -43,9 +43,9 @@
 	var results []result
 	var clients sync.WaitGroup
 	stop := make(chan struct{})
-	for i := range 24 {
+	for i := range 72 {
 		clients.Go(func() {
-			time.Sleep(time.Duration(i) * 160 * time.Millisecond)
+			time.Sleep(time.Duration(i) * 55 * time.Millisecond)
 			for {
 				select {
 				case <-stop:
