Save where streams began on the control instances

Cause: control instances kept in memory only where streams began and which software versions had served. The gateway that knew the streams too had ended with them. A restarted instance needs a minute until its list of versions counts as complete, and so does one after the first start of a deployment.

Change: control instances save the versions, each before gateways learn of its first target, and the streams whose origin does not follow from them. The next process goes on with the saved list, unless the log's term shows that a process of another build ran in between. As an instance may have been down while a version joined, the sole version is concluded only after all instances that can answer were heard. On a route that leads to several services only a record tells where a stream began.

--- a/coordination/streamorigin/property_test.go
+++ b/coordination/streamorigin/property_test.go
@@ -8,12 +8,15 @@
 	"pgregory.net/rapid"
 )
 
-// simInstance is a control instance. It forgets all when it restarts.
+// simInstance is a control instance. It forgets all when it restarts without its disk.
 type simInstance struct {
 	table    *Table
 	versions *Versions
 	// reported is, by gateway, how much of its journal has arrived.
 	reported map[*simGateway]uint64
+	// down is set while the instance does not run, and disk is what it left then.
+	down bool
+	disk VersionHistory
 }
 
 func newSimInstance(now time.Time) *simInstance {
@@ -38,6 +41,9 @@
 		var streams []ID
 		observe := func() {
 			for _, c := range instances {
+				if c.down {
+					continue
+				}
 				for _, o := range serving {
 					c.versions.Observe(now, o)
 				}
@@ -55,6 +61,9 @@
 			},
 			"report": func(t *rapid.T) {
 				g, c := drawGateway(), instances[drawInstance("instance")]
+				if c.down {
+					return
+				}
 				records, next, _ := g.journal.Since(now, c.reported[g], rapid.IntRange(1, 3).Draw(t, "limit"))
 				for _, r := range records {
 					c.table.Put(r)
@@ -62,7 +71,41 @@
 				c.reported[g] = next
 			},
 			"restart an instance": func(t *rapid.T) {
-				instances[drawInstance("instance")] = newSimInstance(now)
+				i := drawInstance("instance")
+				if instances[i].down {
+					return
+				}
+				instances[i] = newSimInstance(now)
+				observe()
+			},
+			"end or start an instance with its disk": func(t *rapid.T) {
+				c := instances[drawInstance("instance")]
+				if c.down {
+					c.down, c.table, c.versions = false, NewTable(), NewVersions(now)
+					c.reported = make(map[*simGateway]uint64)
+					c.versions.Restore(now, c.disk)
+					observe()
+					return
+				}
+				down := 0
+				for _, other := range instances {
+					if other.down {
+						down++
+					}
+				}
+				if down < len(instances)/2 { // a majority knows each version that joins
+					c.down, c.disk = true, c.versions.History(now)
+				}
+			},
+			"restart all instances with their disks": func(*rapid.T) {
+				for _, c := range instances {
+					h := c.disk
+					if !c.down {
+						h = c.versions.History(now)
+					}
+					*c = *newSimInstance(now)
+					c.versions.Restore(now, h)
+				}
 				observe()
 			},
 			"restart a gateway": func(t *rapid.T) {
@@ -95,6 +138,9 @@
 				var answers []Answer
 				for _, i := range rapid.SliceOfNDistinct(rapid.IntRange(0, len(instances)-1), 0, len(instances), rapid.ID[int]).Draw(t, "answering") {
 					c := instances[i]
+					if c.down {
+						continue
+					}
 					var a Answer
 					if a.Origin, a.Known = c.table.Get(now, id); !a.Known {
 						a.Versions, a.Complete = c.versions.Of(now, "s")
--- a/coordination/streamorigin/streamorigin.go
+++ b/coordination/streamorigin/streamorigin.go
@@ -32,8 +32,8 @@
 
 // Origin is where a stream began.
 type Origin struct {
-	Service         string
-	SoftwareVersion string
+	Service         string `json:"service"`
+	SoftwareVersion string `json:"software_version"`
 }
 
 // Record is the origin of one stream.
--- a/coordination/streamorigin/streamorigin_test.go
+++ b/coordination/streamorigin/streamorigin_test.go
@@ -117,6 +117,39 @@
 	}
 }
 
+// Guards against streams that can't be taken up for a minute after the first start of a deployment, or after a restart with the
+// history of the process before, and against a history that counts as complete although the life of streams has grown since.
+func TestVersionHistoryOutlivesProcess(t *testing.T) {
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	v := NewVersions(start)
+	v.StartComplete()
+	if !v.Observe(start, v1) || v.Observe(start, v1) {
+		t.Error("a version is new only the first time")
+	}
+	v.ExtendLife(at(time.Second), 2*MinLife) // nothing was forgotten yet
+	h := v.History(at(time.Second))
+	if diff := cmp.Diff(VersionHistory{Versions: []Origin{v1}, Complete: true, Life: 2 * MinLife}, h); diff != "" {
+		t.Error(diff)
+	}
+	restarted := NewVersions(at(time.Hour))
+	restarted.Restore(at(time.Hour), h)
+	if versions, complete := restarted.Of(at(time.Hour), "s"); !complete || !slices.Equal(versions, []string{"v1"}) {
+		t.Errorf("after a restart: %v, complete: %v", versions, complete)
+	}
+	if !restarted.History(at(time.Hour)).Equal(h) {
+		t.Error("the history changes by a restart")
+	}
+	restarted.ExtendLife(at(time.Hour), 3*MinLife)
+	if _, complete := restarted.Of(at(time.Hour), "s"); complete {
+		t.Error("complete although older versions may have been forgotten before the restart")
+	}
+	incomplete := NewVersions(at(time.Hour))
+	incomplete.Restore(at(time.Hour), VersionHistory{Versions: []Origin{v1}})
+	if versions, complete := incomplete.Of(at(time.Hour), "s"); complete || !slices.Equal(versions, []string{"v1"}) {
+		t.Errorf("after an incomplete history: %v, complete: %v", versions, complete)
+	}
+}
+
 // Guards against a stream that goes on at a version for lack of an answer, or because an isolated instance knows no other, and
 // against streams that do not go on although only one version serves.
 func TestResolve(t *testing.T) {
--- a/coordination/streamorigin/versions.go
+++ b/coordination/streamorigin/versions.go
@@ -1,6 +1,8 @@
 package streamorigin
 
 import (
+	"cmp"
+	"slices"
 	"sync"
 	"time"
 )
@@ -13,6 +15,8 @@
 	since time.Time
 	// life is the longest time from the begin of a stream until its caller takes it up for the last time.
 	life time.Duration
+	// forgot is set once a version was dropped.
+	forgot bool
 }
 
 // NewVersions returns a Versions whose observation starts now.
@@ -20,11 +24,61 @@
 	return &Versions{since: now, life: MinLife, seenAt: make(map[Origin]time.Time)}
 }
 
-// Observe records that a target of a service runs a software version.
-func (v *Versions) Observe(now time.Time, o Origin) {
+// VersionHistory is what a Versions knows, in a form that outlives its process.
+type VersionHistory struct {
+	// Versions are sorted.
+	Versions []Origin      `json:"versions"`
+	Complete bool          `json:"complete"`
+	Life     time.Duration `json:"life_ns"`
+}
+
+// Equal reports whether two histories are the same.
+func (h VersionHistory) Equal(other VersionHistory) bool {
+	return h.Complete == other.Complete && h.Life == other.Life && slices.Equal(h.Versions, other.Versions)
+}
+
+// History returns what is known now.
+func (v *Versions) History(now time.Time) VersionHistory {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	h := VersionHistory{Complete: v.completeLocked(now), Life: v.life}
+	for o := range v.seenAt {
+		h.Versions = append(h.Versions, o)
+	}
+	slices.SortFunc(h.Versions, func(a, b Origin) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.SoftwareVersion, b.SoftwareVersion))
+	})
+	return h
+}
+
+// Restore adds the history of an earlier process of the same instance. Its versions count as observed now, since the time since
+// the end of that process is not known.
+func (v *Versions) Restore(now time.Time, h VersionHistory) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, o := range h.Versions {
+		v.seenAt[o] = now
+	}
+	v.life = max(v.life, h.Life)
+	if h.Complete {
+		v.since, v.forgot = time.Time{}, true
+	}
+}
+
+// StartComplete declares that no stream began before the observation started.
+func (v *Versions) StartComplete() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.since = time.Time{}
+}
+
+// Observe records that a target of a service runs a software version, and reports whether that is new.
+func (v *Versions) Observe(now time.Time, o Origin) (isNew bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, known := v.seenAt[o]
 	v.seenAt[o] = now
+	return !known
 }
 
 // ExtendLife has versions remembered for at least as long as streams live.
@@ -34,7 +88,7 @@
 	if life <= v.life {
 		return
 	}
-	if known := now.Add(-v.life); known.After(v.since) {
+	if known := now.Add(-v.life); v.forgot && known.After(v.since) {
 		v.since = known // what ended before was forgotten
 	}
 	v.life = life
@@ -47,6 +101,7 @@
 	for o, at := range v.seenAt {
 		if now.Sub(at) > v.life {
 			delete(v.seenAt, o)
+			v.forgot = true
 		}
 	}
 }
@@ -61,9 +116,11 @@
 			versions = append(versions, o.SoftwareVersion)
 		}
 	}
-	return versions, now.Sub(v.since) > v.life
+	return versions, v.completeLocked(now)
 }
 
+func (v *Versions) completeLocked(now time.Time) bool { return now.Sub(v.since) > v.life }
+
 // Answer is what one control instance knows about a stream.
 type Answer struct {
 	// Known is set if the instance has a record of the stream.
@@ -88,7 +145,8 @@
 
 // Resolve concludes from the answers of control instances at which version of a service a stream began. members is the number of
 // all instances, 0 if none is known yet. A record settles it. Without one, no answer may name more than one and the same version, and a majority
-// has to know all of them: an instance that is cut off from the others may not know of a new version.
+// has to know all of them: an instance that is cut off from the others may not know of a new version. An instance that was down
+// while a version joined, or has just been thawed, may not know it either, so all instances that can answer have to be heard before.
 func Resolve(service string, members int, answers []Answer) (Origin, Verdict) {
 	sole, single := "", true
 	named, complete := 0, 0
--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -82,6 +83,14 @@
 	director *Director
 	recorder *events.Recorder
 	versions *streamorigin.Versions
+	// streams are the records that gateways reported.
+	streams *streamorigin.Journal
+	// saveMu serialises saveOrigins and guards what it saved last.
+	saveMu         sync.Mutex
+	savedTerm      uint64
+	savedHistory   streamorigin.VersionHistory
+	savedStreams   uint64 // how much of streams
+	streamsSavedAt time.Time
 	// confirmed is set once a quorum has confirmed, after the start, that the local configuration is the newest.
 	confirmed atomic.Bool
 	started   time.Time
@@ -92,7 +101,7 @@
 func New(opts Options, epoch uint64, view *fleetview.View, watcher *fleetview.Watcher, peers *peer.Transport,
 	decode fleetview.Decode, orders OrderClient, recorder *events.Recorder, registry metrics.Registry) (*Instance, error) {
 	instance := &Instance{opts: opts, epoch: epoch, view: view, watcher: watcher, peers: peers, decode: decode, recorder: recorder,
-		versions: streamorigin.NewVersions(time.Now()), started: time.Now(), removed: make(chan struct{}, 1)}
+		versions: streamorigin.NewVersions(time.Now()), streams: streamorigin.NewJournal(), started: time.Now(), removed: make(chan struct{}, 1)}
 	store := routes.NewStore(instance.onConfigApplied)
 	link := replicalink.New(GroupName, peers)
 	group := replica.Options{
@@ -114,6 +123,10 @@
 		// Serving without them is better than not serving.
 		recorder.Record(events.InternalError, events.Fields{"task": "quarantines", "error": err.Error()})
 	}
+	if err := instance.loadOrigins(time.Now(), instance.term()); err != nil {
+		// Streams of earlier processes can't be taken up then.
+		recorder.Record(events.InternalError, events.Fields{"task": "origins", "error": err.Error()})
+	}
 	return instance, nil
 }
 
@@ -175,7 +188,7 @@
 	go instance.confirm(background)
 	go instance.director.Run(background)
 	go instance.keepQuarantines(background)
-	go instance.keepVersions(background)
+	go instance.keepOrigins(background)
 	instance.recorder.Record(events.Listening, events.Fields{"control": instance.opts.ControlListen, "peer": instance.opts.Name})
 	select {
 	case err := <-failed:
@@ -195,6 +208,9 @@
 	case <-groupDone:
 	case <-time.After(shutdownTimeout):
 	}
+	if err := instance.saveOrigins(time.Now(), instance.term()); err != nil {
+		instance.recorder.Record(events.InternalError, events.Fields{"task": "origins", "error": err.Error()})
+	}
 	instance.recorder.Record(events.Stopped, nil)
 	return nil
 }
@@ -299,6 +315,7 @@
 	if !instance.Joined() {
 		return ErrNotJoined
 	}
+	instance.recordVersion(now, target)
 	outcome, err := instance.view.ApplyHeartbeat(now, target)
 	if err != nil {
 		instance.recorder.Record(events.TargetRejected, events.Fields{"target": target.ID, "error": err.Error()})
@@ -381,7 +398,10 @@
 }
 
 // RemoveData deletes the replicated log of an instance that was removed from the group, so that it can join as a new
-// member.
+// member. The group may have seen versions in the meantime that this instance does not know.
 func RemoveData(dataDir string) error {
+	if err := os.Remove(filepath.Join(dataDir, originsFile)); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return errors.Wrap(err, "remove the origins of streams")
+	}
 	return errors.Wrap(os.RemoveAll(filepath.Join(dataDir, GroupName)), "remove the replicated log")
 }
--- /dev/null
+++ b/instance/controlinstance/saved_origins.go
@@ -0,0 +1,188 @@
+package controlinstance
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/coordination/streamorigin"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
+	"github.com/tarragonhoist/tarragonhoist/state/wal"
+)
+
+const (
+	originsFile = "streams.json"
+	// originsInterval is the interval at which the software versions of the known targets are recorded and compared with the saved
+	// ones, and originsRetry the pause after a failed write.
+	originsInterval = 250 * time.Millisecond
+	originsRetry    = 2 * time.Second
+	// streamSaveInterval is the least time between two saves for streams alone.
+	streamSaveInterval = 500 * time.Millisecond
+	// versionSaveTimeout bounds how long a disk can keep a target of a new software version from getting work.
+	versionSaveTimeout = 300 * time.Millisecond
+)
+
+// savedOrigins is the content of the file that tells the next process of this instance where streams began. When all processes that
+// know it end at the same moment, callers can take their streams up nevertheless.
+type savedOrigins struct {
+	// Term is that of the replicated log. If the log has gone on since, a process ran that did not write the file, as one of an
+	// earlier build, and may have seen other versions.
+	Term    uint64                      `json:"term"`
+	History streamorigin.VersionHistory `json:"history"`
+	// Streams are those whose origin does not follow from the history.
+	Streams []fleetapi.StreamGroup `json:"streams,omitempty"`
+}
+
+// term returns the term of the replicated log.
+func (instance *Instance) term() uint64 { return instance.group.Status().Term }
+
+// loadOrigins restores what the process before knew about streams.
+func (instance *Instance) loadOrigins(now time.Time, term uint64) error {
+	data, err := os.ReadFile(filepath.Join(instance.opts.DataDir, originsFile))
+	if errors.Is(err, os.ErrNotExist) {
+		if instance.opts.FirstStart {
+			instance.versions.StartComplete()
+		}
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "read origins of streams")
+	}
+	var saved savedOrigins
+	if err := json.Unmarshal(data, &saved); err != nil {
+		return errors.Wrap(err, "decode origins of streams")
+	}
+	records, err := fleetapi.UnpackStreams(now, saved.Streams)
+	if err != nil {
+		return errors.Wrap(err, "decode origins of streams")
+	}
+	if saved.Term != term {
+		saved.History.Complete = false
+	}
+	instance.versions.Restore(now, saved.History)
+	instance.addStreams(records)
+	return nil
+}
+
+// saveOrigins saves what the next process of this instance has to know about streams.
+func (instance *Instance) saveOrigins(now time.Time, term uint64) error {
+	instance.saveMu.Lock()
+	defer instance.saveMu.Unlock()
+	saved := savedOrigins{Term: term, History: instance.versions.History(now)}
+	records, next, _ := instance.streams.Since(now, 0, math.MaxInt)
+	saved.Streams = fleetapi.PackStreams(now, instance.ambiguousStreams(saved.History, records))
+	data, err := json.Marshal(saved)
+	if err != nil {
+		return errors.Wrap(err, "encode origins of streams")
+	}
+	if err := wal.WriteFile(filepath.Join(instance.opts.DataDir, originsFile), data); err != nil {
+		return errors.Wrap(err, "save origins of streams")
+	}
+	instance.savedTerm, instance.savedHistory, instance.savedStreams, instance.streamsSavedAt = saved.Term, saved.History, next, now
+	return nil
+}
+
+// ambiguousStreams returns the streams whose origin does not follow from the history: those of a service with several versions, or
+// of a route that leads to several services.
+func (instance *Instance) ambiguousStreams(h streamorigin.VersionHistory, records []streamorigin.Record) []streamorigin.Record {
+	versions := make(map[string]int)
+	for _, o := range h.Versions {
+		versions[o.Service]++
+	}
+	var shared map[string]bool
+	if table := instance.view.Table(); table != nil {
+		shared = servicesOfSplitRoutes(table.Document())
+	}
+	var ambiguous []streamorigin.Record
+	for _, r := range records {
+		if versions[r.Origin.Service] > 1 || shared[r.Origin.Service] {
+			ambiguous = append(ambiguous, r)
+		}
+	}
+	return ambiguous
+}
+
+func servicesOfSplitRoutes(d *routes.Document) map[string]bool {
+	shared := make(map[string]bool)
+	for i := range d.Routes {
+		if r := &d.Routes[i]; r.Resumable && !r.LeadsToOneService() {
+			for _, s := range r.Split {
+				shared[s.Service] = true
+			}
+		}
+	}
+	return shared
+}
+
+// originsDue reports whether something has to be saved.
+func (instance *Instance) originsDue(now time.Time, term uint64) bool {
+	instance.saveMu.Lock()
+	defer instance.saveMu.Unlock()
+	h := instance.versions.History(now)
+	if !h.Equal(instance.savedHistory) || term != instance.savedTerm {
+		return true
+	}
+	if now.Sub(instance.streamsSavedAt) < streamSaveInterval {
+		return false
+	}
+	records, next, _ := instance.streams.Since(now, instance.savedStreams, math.MaxInt)
+	if len(instance.ambiguousStreams(h, records)) > 0 {
+		return true
+	}
+	instance.savedStreams, instance.streamsSavedAt = next, now // none of them has to be saved
+	return false
+}
+
+// recordVersion records and saves a software version that a target announced, before the gateways learn of the target. A slow disk
+// delays that by versionSaveTimeout at most.
+func (instance *Instance) recordVersion(now time.Time, target roster.Target) {
+	table := instance.view.Table()
+	if target.Service == "" || table != nil && table.Service(target.Service) == nil {
+		return // it gets no work
+	}
+	if !instance.versions.Observe(now, streamorigin.Origin{Service: target.Service, SoftwareVersion: target.SoftwareVersion}) {
+		return
+	}
+	saved := make(chan struct{})
+	go func() {
+		defer close(saved)
+		if err := instance.saveOrigins(now, instance.term()); err != nil {
+			instance.recorder.Record(events.InternalError, events.Fields{"task": "origins", "error": err.Error()})
+		}
+	}()
+	select {
+	case <-saved:
+	case <-time.After(versionSaveTimeout):
+	}
+}
+
+// keepOrigins records the versions of the known targets and saves what changed until ctx ends.
+func (instance *Instance) keepOrigins(ctx context.Context) {
+	pause := originsInterval
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		pause = originsInterval
+		now := time.Now()
+		instance.observeVersions(now)
+		instance.versions.Forget(now)
+		if !instance.originsDue(now, instance.term()) {
+			continue
+		}
+		if err := instance.saveOrigins(now, instance.term()); err != nil {
+			instance.recorder.Record(events.InternalError, events.Fields{"task": "origins", "error": err.Error()})
+			pause = originsRetry
+		}
+	}
+}
--- a/instance/controlinstance/streams.go
+++ b/instance/controlinstance/streams.go
@@ -1,26 +1,29 @@
 package controlinstance
 
 import (
-	"context"
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/streamorigin"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 )
 
-// versionsInterval is the interval at which the software versions of the known targets are recorded.
-const versionsInterval = time.Second
-
 // putStreams records where streams of a gateway began.
 func (instance *Instance) putStreams(now time.Time, report *fleetapi.StreamReport) error {
 	records, err := fleetapi.UnpackStreams(now, report.Groups)
 	if err != nil {
 		return err
 	}
-	instance.view.MergeStreams(records)
+	instance.addStreams(records)
 	return nil
 }
 
+func (instance *Instance) addStreams(records []streamorigin.Record) {
+	instance.view.MergeStreams(records)
+	for _, r := range records {
+		instance.streams.Add(r)
+	}
+}
+
 // streamOrigin answers where a stream began, and which software versions of its service served lately.
 func (instance *Instance) streamOrigin(now time.Time, query fleetapi.StreamQuery) fleetapi.StreamAnswer {
 	instance.observeVersions(now) // targets may have appeared since the last time
@@ -43,17 +46,3 @@
 		instance.versions.Observe(now, streamorigin.Origin{Service: targets[i].Service, SoftwareVersion: targets[i].SoftwareVersion})
 	}
 }
-
-func (instance *Instance) keepVersions(ctx context.Context) {
-	ticker := time.NewTicker(versionsInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			instance.observeVersions(now)
-			instance.versions.Forget(now)
-		}
-	}
-}
--- a/instance/fleetview/streams.go
+++ b/instance/fleetview/streams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,6 +20,9 @@
 	maxStreamsPerReport = 4096
 	// originQueryTimeout bounds asking a control instance where a stream began.
 	originQueryTimeout = 250 * time.Millisecond
+	// originStragglerTime is how long the other instances are waited for once a majority leaves one version only. It is a multiple
+	// of the round trip between data centres and of the scheduling pauses of a process.
+	originStragglerTime = 80 * time.Millisecond
 )
 
 // RecordStream records where a stream of this process began, or goes on.
@@ -84,8 +88,8 @@
 var ErrOriginUnknown = errors.New("no control instance knows where the stream began")
 
 // QueryOrigin asks all control instances where a stream of a service began. The error is ErrOriginUnknown if all of
-// them have answered.
-func (v *View) QueryOrigin(ctx context.Context, peers PeerClient, service string, stream streamorigin.ID) (streamorigin.Origin, error) {
+// them have answered. Without a record of the stream it began at the sole version of the service, unless soleVersion is false.
+func (v *View) QueryOrigin(ctx context.Context, peers PeerClient, service string, stream streamorigin.ID, soleVersion bool) (streamorigin.Origin, error) {
 	_, members := v.LeaderAndMembers()
 	ctx, cancel := context.WithTimeout(ctx, originQueryTimeout)
 	defer cancel()
@@ -101,17 +105,35 @@
 		}()
 	}
 	var answers []streamorigin.Answer
+	var stragglersUntil <-chan time.Time
 	for range members {
-		a := <-received
+		var a *fleetapi.StreamAnswer
+		select {
+		case a = <-received:
+		case <-stragglersUntil:
+			return resolveOrigin(service, len(members), answers, soleVersion)
+		}
 		if a == nil {
 			continue
 		}
 		answers = append(answers, a.Answer())
-		if origin, verdict := streamorigin.Resolve(service, len(members), answers); verdict == streamorigin.Found {
-			return origin, nil
+		if a.Known {
+			break
+		}
+		if _, verdict := streamorigin.Resolve(service, len(members), answers); verdict == streamorigin.Found && stragglersUntil == nil {
+			stragglersUntil = time.After(originStragglerTime)
 		}
 	}
-	if _, verdict := streamorigin.Resolve(service, len(members), answers); verdict == streamorigin.Unknown {
+	return resolveOrigin(service, len(members), answers, soleVersion)
+}
+
+func resolveOrigin(service string, members int, answers []streamorigin.Answer, soleVersion bool) (streamorigin.Origin, error) {
+	origin, verdict := streamorigin.Resolve(service, members, answers)
+	recorded := func(a streamorigin.Answer) bool { return a.Known }
+	switch {
+	case verdict == streamorigin.Found && (soleVersion || slices.ContainsFunc(answers, recorded)):
+		return origin, nil
+	case verdict == streamorigin.Unknown, len(answers) >= max(members, 1):
 		return streamorigin.Origin{}, ErrOriginUnknown
 	}
 	return streamorigin.Origin{}, errOriginUnanswered
--- a/instance/gateway/streams.go
+++ b/instance/gateway/streams.go
@@ -68,7 +68,7 @@
 	wait := min(time.Duration(float64(maxStreamWait(q.route))*originWaitShare), q.deadline.Sub(q.arrived)/2)
 	reported := min(wait, fleetapi.StreamReportInterval(int(g.gatewayCount.Load()))+originReportTime)
 	for {
-		origin, err := g.view.QueryOrigin(q.ctx, g.peers, q.service.Name, q.stream)
+		origin, err := g.view.QueryOrigin(q.ctx, g.peers, q.service.Name, q.stream, q.route.LeadsToOneService())
 		if err == nil {
 			return origin, nil
 		}
--- a/state/routes/document.go
+++ b/state/routes/document.go
@@ -63,6 +63,17 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// LeadsToOneService reports whether all requests of the route go to the same service.
+func (r *Route) LeadsToOneService() bool {
+	services := 0
+	for _, s := range r.Split {
+		if s.Weight > 0 {
+			services++
+		}
+	}
+	return services <= 1
+}
+
 // WeightedService is the share of one service in the requests of a route.
 type WeightedService struct {
 	Service string
