Refuse requests that wait at a gateway during its shutdown

Cause: the shutdown refused requests that can't end before the exit only when they arrived; those that had been read before waited on until their connections were closed.

Change: one rule, endsBeforeExit, for requests that arrive and for those that no target works on, in each place where a request waits: for a target, for the first configuration, and for the origin of a stream.

--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -33,18 +33,8 @@
 	maxHeaderBytes = 64 << 10
 	// defaultBodyBytes bounds a body when the configuration states no limit.
 	defaultBodyBytes = 4 << 20
-	// refuseAfter is the delay between the start of a shutdown and the refusal of new requests whose deadline is after the
-	// exit of the process. The platform checks readiness once a second and opens no new connections after two failed
-	// checks.
-	refuseAfter = 3 * time.Second
-	// activePollInterval is the polling interval for requests in progress during a shutdown.
-	activePollInterval = 20 * time.Millisecond
 	// probeInterval is the polling interval for unreachable targets that are due for a probe.
 	probeInterval = 100 * time.Millisecond
-	// exitMargin is the time between the exit of the process and its kill at the end of the grace period. answerMargin is
-	// the time that is left before the exit to send answers that are due at the latest deadline.
-	exitMargin   = 200 * time.Millisecond
-	answerMargin = 300 * time.Millisecond
 	// housekeepingInterval is the interval at which idle connections to targets are closed and the state of targets that
 	// are no longer known is dropped.
 	housekeepingInterval = time.Second
@@ -87,7 +77,8 @@
 
 	ready    atomic.Bool
 	stopping atomic.Bool
-	// lastDeadline is set when a shutdown starts to refuse requests: those with a later deadline are refused.
+	// lastDeadline is set when a shutdown starts to refuse requests: those with a later deadline are refused, new ones and those
+	// that no target works on.
 	lastDeadline   atomic.Pointer[time.Time]
 	activeRequests atomic.Int64
 	gatewayCount   atomic.Int64 // number of gateways that share the targets
@@ -176,26 +167,6 @@
 	return nil
 }
 
-// shutdown first fails the readiness check, so that no new connections are opened, then refuses new requests that cannot end
-// before the exit, and then waits for the requests in progress.
-func (g *Gateway) shutdown(callerServer *http.Server) {
-	started := time.Now()
-	g.stopping.Store(true)
-	g.recorder.Record(events.DrainStarted, events.Fields{"active": g.activeRequests.Load()})
-	// Keep-alive connections are not closed here: each answer has the header Connection: close. Closing idle ones, as
-	// http.Server.Shutdown does, races with a request that was just read.
-	time.Sleep(refuseAfter)
-	// The process is killed at the end of the grace period; exiting shortly before that closes connections cleanly.
-	deadline := started.Add(g.opts.GracePeriod - exitMargin)
-	last := deadline.Add(-answerMargin)
-	g.lastDeadline.Store(&last)
-	g.recorder.Record(events.DrainRefusing, events.Fields{"active": g.activeRequests.Load()})
-	for g.activeRequests.Load() > 0 && time.Now().Before(deadline) {
-		time.Sleep(activePollInterval)
-	}
-	_ = callerServer.Close()
-}
-
 func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path != g.opts.ReadyPath {
 		w.WriteHeader(http.StatusNotFound)
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -130,8 +130,8 @@
 		q.deadline = arrived.Add(min(left, route.Timeout))
 		q.abandonedAt = arrived.Add(left)
 	}
-	if last := g.lastDeadline.Load(); last != nil && q.deadline.After(*last) {
-		g.refuseEarly(w, r, http.StatusServiceUnavailable, "instance is shutting down and would exit before the deadline of the request")
+	if !g.endsBeforeExit(q.deadline) {
+		g.refuseEarly(w, r, http.StatusServiceUnavailable, reasonShuttingDown)
 		return nil
 	}
 	q.service = table.Service(route.Pick(g.randomFloat()))
@@ -178,7 +178,7 @@
 	if left, ok := g.timeLeft(r); ok {
 		wait = time.Duration(float64(left) * waitShare)
 	}
-	for time.Since(arrived) < wait {
+	for time.Since(arrived) < wait && g.endsBeforeExit(arrived.Add(wait)) {
 		select {
 		case <-r.Context().Done():
 			return nil
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -49,7 +49,7 @@
 	ran := 0
 	relay := &relay{g: g, w: w, q: q}
 	for q.sends < maxSends {
-		target, reason := g.awaitTarget(q, exclude)
+		target, reason := g.awaitTarget(q, exclude, relay.headSent)
 		if q.ctx.Err() != nil {
 			g.recordCallerLeft(q)
 			return
@@ -106,8 +106,9 @@
 }
 
 // awaitTarget picks a target. When there is none, it waits for one for as long as maxWait allows. A request that is
-// quarantined, perhaps only since it began to wait, gets none.
-func (g *Gateway) awaitTarget(q *request, exclude []string) (*roster.Entry, dispatch.Reason) {
+// quarantined, perhaps only since it began to wait, gets none. Nor does one that can't end before the exit of the process, unless
+// the caller has a part of the answer already.
+func (g *Gateway) awaitTarget(q *request, exclude []string, answering bool) (*roster.Entry, dispatch.Reason) {
 	started := time.Now()
 	waiting := false
 	defer func() {
@@ -125,6 +126,9 @@
 		if q.deadline.Sub(now) < minTimeLeft {
 			return nil, "deadline exceeded before a send"
 		}
+		if !answering && !g.endsBeforeExit(q.deadline) {
+			return nil, reasonShuttingDown
+		}
 		target, reason := g.pick(now, q, exclude)
 		if target != nil || reason == dispatch.NoneReachable && q.handedOver || g.mayHandOver(q, reason) {
 			return target, reason
--- /dev/null
+++ b/instance/gateway/shutdown_test.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// runGateway runs the gateway of a fixture as a process does, and returns the address for callers and a function that sends the stop
+// signal. The function that it returns then waits for the end.
+func (f *fixture) runGateway() (url string, stop func() (wait func())) {
+	f.t.Helper()
+	f.gateway.opts.CallerAddress, f.gateway.opts.ReadinessAddress = freeAddress(f.t), freeAddress(f.t)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.gateway.Run(ctx) }()
+	f.t.Cleanup(cancel)
+	url = "http://" + f.gateway.opts.CallerAddress
+	waitFor(f.t, func() bool { return status(url+"/none/x") != 0 })
+	return url, func() func() {
+		cancel()
+		return func() {
+			if err := <-done; err != nil {
+				f.t.Error(err)
+			}
+		}
+	}
+}
+
+// ending is how a request ended.
+type ending struct {
+	status     int
+	retryAfter string
+	err        error
+	at         time.Time
+}
+
+// send sends a request on a connection of its own.
+func send(url, id, path string, headers ...string) ending {
+	r, err := http.NewRequest(http.MethodPost, url+path, strings.NewReader("work"))
+	if err != nil {
+		return ending{err: err}
+	}
+	r.Host = "h"
+	r.Header.Set(testHeaders.RequestID, id)
+	r.Header.Set(testHeaders.TimeLeftMs, "20000")
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		r.Header.Set(name, value)
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(r)
+	if err != nil {
+		return ending{err: err, at: time.Now()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.Copy(io.Discard, response.Body)
+	return ending{response.StatusCode, response.Header.Get(testHeaders.RetryAfter), err, time.Now()}
+}
+
+// Guards against requests that a shutdown cuts without an answer: those that wait at the gateway for a model, for a target with room, for
+// the first configuration or for the origin of a stream. They are refused as not run, early enough for their callers to go elsewhere.
+func TestShutdownAnswersEveryRequest(t *testing.T) {
+	type want struct {
+		status int
+		// within is the time after the stop signal.
+		within time.Duration
+	}
+	waiting := want{http.StatusServiceUnavailable, refuseAfter + 300*time.Millisecond}
+	for name, c := range map[string]struct {
+		path    string
+		headers []string
+		prepare func(f *fixture)
+		want    want
+	}{
+		"waits for a model": {"/long-stream/x", []string{"Model: other"}, func(f *fixture) {
+			f.configure()
+			f.target("e0", "engine", answerOK)
+		}, waiting},
+		"waits for any target": {"/long-once/x", nil, func(f *fixture) { f.configure() }, waiting},
+		"waits for a target that rejects": {"/long-safe/x", nil, func(f *fixture) {
+			f.configure()
+			f.target("t0", "plain", rejectFull)
+		}, waiting},
+		"waits for a configuration":        {"/long-once/x", nil, func(*fixture) {}, waiting},
+		"waits for the origin of a stream": {"/long-stream/x", []string{"Model: m", "Last-Event: 3", "Resumes: r0"}, func(f *fixture) { f.configure() }, waiting},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			c.prepare(f)
+			url, stop := f.runGateway()
+			var requests sync.WaitGroup
+			endings := make([]ending, 2)
+			requests.Go(func() { endings[0] = send(url, "before", c.path, c.headers...) })
+			time.Sleep(100 * time.Millisecond)
+			stoppedAt := time.Now()
+			wait := stop()
+			time.Sleep(500 * time.Millisecond)
+			requests.Go(func() { endings[1] = send(url, "after", c.path, c.headers...) })
+			requests.Wait()
+			wait()
+			exitedAt := time.Now()
+			for i, got := range endings {
+				after := got.at.Sub(stoppedAt)
+				switch {
+				case got.err != nil:
+					t.Errorf("request %d: %v, %v after the signal", i, got.err, after)
+				case got.status != c.want.status:
+					t.Errorf("request %d: status %d, want %d", i, got.status, c.want.status)
+				case after > c.want.within:
+					t.Errorf("request %d is answered %v after the signal, want %v at most", i, after, c.want.within)
+				case got.status == http.StatusServiceUnavailable && got.retryAfter == "":
+					t.Errorf("request %d: refused without a time to return", i)
+				}
+			}
+			if took := exitedAt.Sub(stoppedAt); took > 5*time.Second {
+				t.Errorf("the process ends %v after the signal, 5 s allowed", took)
+			}
+		})
+	}
+}
--- a/instance/gateway/streams.go
+++ b/instance/gateway/streams.go
@@ -75,6 +75,9 @@
 		if errors.Is(err, fleetview.ErrOriginUnknown) {
 			wait = reported
 		}
+		if !g.endsBeforeExit(q.deadline) {
+			return origin, errors.New(reasonShuttingDown)
+		}
 		if time.Since(q.arrived)+originRetryInterval > wait || !sleep(q, originRetryInterval) {
 			return origin, err
 		}
