Cut an answer that can't go on instead of joining it with the next attempt's

Cause: an answer without a length that outgrows the buffer of 256 KiB is relayed while it arrives. When it then broke off, the request was sent to the next target, and its body followed within the same answer, which ended as a complete one. A stream without event ids began anew in the same way.

Change: once a part of a body has reached the caller, another attempt follows only for a stream, and only after an event that it can name.

Evidence: 14 of 232 rows of TestAnswerThatBreaksOffNeverLooksComplete failed before (a complete answer of 624,280 bytes, 312,140 wanted), all on the idempotent route in chunks; none fails now. TestStreamWithoutEventIDsIsNotJoined failed before (both events twice). TestLateSecondAnswers ruled out late second answers: 180 rows pass, before and after. That this is what the users saw is suspected: it is the only fault found that gives what their record shows.

--- a/instance/gateway/relay.go
+++ b/instance/gateway/relay.go
@@ -50,6 +50,12 @@
 	final bool
 }
 
+// mayGoOn reports whether the answer of another attempt may follow. Once a part of a body has reached the caller, only a stream goes on,
+// and only after an event that it can name to the next target.
+func (r *relay) mayGoOn() bool {
+	return !r.headSent || r.q.route.Kind == routes.Stream && (r.bytes == 0 || r.lastEventID != "")
+}
+
 // recordEventTime records the time of an event and the pause before it.
 func (r *relay) recordEventTime(now time.Time) {
 	if r.firstEventAt.IsZero() {
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -86,6 +86,10 @@
 		case mayHaveRun:
 			ran++
 			q.sends++
+			if !relay.mayGoOn() {
+				g.giveUp(relay, q, ran, "answer broke off, and no other attempt can go on with it")
+				return
+			}
 			if !q.route.Repeatable() || ran >= q.maxRuns() {
 				g.giveUp(relay, q, ran, "no complete answer from a target after the last attempt of the route")
 				return
