Cut each answer that was not declared whole

Cause: net/http cancels the context of such a request, and completes an answer by itself when its handler returns; the handler returned as for a caller that is gone.

Change: the handlers for callers and for other gateways abort the connection unless the answer was declared whole. A caller that closes its sending side is cut, since it looks the same as one that is gone.

--- a/instance/gateway/framing_test.go
+++ b/instance/gateway/framing_test.go
@@ -63,7 +63,9 @@
 	{"after the first chunk", func(framing string, a wireAnswer) (string, bool) {
 		return a.head + a.body[:len(a.body)/2], strings.HasPrefix(framing, "chunks")
 	}, nil},
-	{"before the last chunk", func(framing string, a wireAnswer) (string, bool) { return a.head + a.body, strings.HasPrefix(framing, "chunks") }, nil},
+	{"before the last chunk", func(framing string, a wireAnswer) (string, bool) {
+		return a.head + a.body, strings.HasPrefix(framing, "chunks")
+	}, nil},
 	{"in the last chunk", func(framing string, a wireAnswer) (string, bool) {
 		return a.head + a.body + "0", strings.HasPrefix(framing, "chunks")
 	}, nil},
--- a/instance/gateway/handover.go
+++ b/instance/gateway/handover.go
@@ -227,9 +227,11 @@
 
 // serveHandover serves a request of another gateway that reaches no target. It answers StatusMisdirected if this one can't serve
 // it either.
-func (g *Gateway) serveHandover(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) serveHandover(rw http.ResponseWriter, r *http.Request) {
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
+	w := &answer{ResponseWriter: rw}
+	defer w.cutUnlessWhole()
 	arrived := time.Now()
 	w.Header().Set(g.opts.Headers.RequestID, r.Header.Get(g.opts.Headers.RequestID))
 	table := g.view.Table()
@@ -239,7 +241,7 @@
 		w.Header().Set("Connection", "close") // no request is sent while the process exits
 	}
 	if err != nil || versionErr != nil || g.stopping.Load() || table == nil || table.Version() < version {
-		w.WriteHeader(dialect.StatusMisdirected)
+		w.sendStatus(dialect.StatusMisdirected)
 		return
 	}
 	q := g.readRequest(w, r, table, arrived)
@@ -249,7 +251,7 @@
 	q.handedOver, q.sendsLeft = true, sends
 	service := r.Header.Get(fleetapi.HeaderHandoverService)
 	if service != q.service.Name && g.changeService(q, service) != nil {
-		w.WriteHeader(dialect.StatusMisdirected)
+		w.sendStatus(dialect.StatusMisdirected)
 		return
 	}
 	if software := r.Header[fleetapi.HeaderHandoverSoftware]; len(software) == 1 {
--- a/instance/gateway/property_test.go
+++ b/instance/gateway/property_test.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 )
@@ -185,3 +188,114 @@
 		}
 	})
 }
+
+// halfClosingCall sends a request with a raw connection, closes the sending side after a while, and returns the response, if there is
+// one, its body, and the error of reading it.
+func (f *fixture) halfClosingCall(id, path string, after time.Duration) (*http.Response, string, error) {
+	conn, err := net.Dial("tcp", strings.TrimPrefix(f.server.URL, "http://"))
+	if err != nil {
+		return nil, "", err
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: 1500\r\nModel: m\r\nContent-Length: 4\r\n\r\nwork", path, testHeaders.RequestID, id, testHeaders.TimeLeftMs)
+	time.Sleep(after)
+	_ = conn.(*net.TCPConn).CloseWrite()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return nil, "", err
+	}
+	body, err := io.ReadAll(response.Body)
+	return response, string(body), err
+}
+
+func firstEvents(n int) string {
+	events := ""
+	for i := range n {
+		events += event(i + 1)
+	}
+	return events
+}
+
+// Guards against any success without the seal and the whole body of a target: random framings, cuts and pauses of targets, and callers
+// that close their sending side at random moments.
+func TestSuccessIsAlwaysWhole(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	// script is how a target answers: framed, cut after a share of its bytes, with a pause after another.
+	type script struct {
+		framing           string
+		cutAfter, pauseAt float64
+		cut, byReset      bool
+		bodyAfter         func(lastEvent string) string
+	}
+	var mu sync.Mutex
+	scripts := make(map[string][]script)
+	serve := func(conn net.Conn, r *http.Request, _ string) {
+		id := r.Header.Get(testHeaders.RequestID)
+		mu.Lock()
+		list := scripts[id]
+		if len(list) == 0 {
+			mu.Unlock()
+			respond(conn, r, 503, "", "Not-Run: 1")
+			return
+		}
+		scripts[id] = list[1:]
+		mu.Unlock()
+		written := encode(id, list[0].framing, list[0].bodyAfter(r.Header.Get(testHeaders.LastEvent))).whole()
+		if list[0].cut {
+			written = written[:int(list[0].cutAfter*float64(len(written)))]
+		}
+		at := int(list[0].pauseAt * float64(len(written)))
+		_, _ = io.WriteString(conn, written[:at])
+		time.Sleep(3 * time.Millisecond)
+		_, _ = io.WriteString(conn, written[at:])
+		if list[0].byReset {
+			reset(conn)
+		} else {
+			finish(conn)
+		}
+	}
+	for i := range 3 {
+		f.target(fmt.Sprint("t", i), "plain", serve)
+		f.target(fmt.Sprint("e", i), "engine", serve)
+	}
+	number := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		number++
+		id := fmt.Sprint("w", number)
+		route := rapid.SampledFrom([]string{"safe", "once", "stream", "resumed"}).Draw(rt, "route")
+		body := ""
+		if route == "stream" || route == "resumed" {
+			body = firstEvents(rapid.IntRange(1, 5).Draw(rt, "events"))
+		} else {
+			body = strings.Repeat("0123456789", rapid.SampledFrom([]int{1, 80, 30_000}).Draw(rt, "size"))
+		}
+		for range rapid.IntRange(1, 2).Draw(rt, "attempts") {
+			framing := rapid.SampledFrom([]string{"length", "chunks", "chunks and a trailer", "neither"}).Draw(rt, "framing")
+			framed := framing != "neither"
+			next := script{framing: framing, cut: framed && rapid.Bool().Draw(rt, "cut"), byReset: framed && rapid.Bool().Draw(rt, "reset"),
+				cutAfter: rapid.Float64Range(0, 0.999).Draw(rt, "cut after"), pauseAt: rapid.Float64Range(0, 1).Draw(rt, "pause at")}
+			next.bodyAfter = func(lastEvent string) string {
+				last, _ := strconv.Atoi(lastEvent) // 0 for an answer that begins
+				return strings.TrimPrefix(body, firstEvents(last))
+			}
+			mu.Lock()
+			scripts[id] = append(scripts[id], next)
+			mu.Unlock()
+		}
+		var response *http.Response
+		var got string
+		var err error
+		if rapid.Bool().Draw(rt, "half-close") {
+			response, got, err = f.halfClosingCall(id, "/"+route+"/x", time.Duration(rapid.IntRange(0, 30).Draw(rt, "close after ms"))*time.Millisecond)
+		} else {
+			response, got, err = f.call(id, "/"+route+"/x", "Model: m")
+		}
+		if err != nil || response.StatusCode >= 300 {
+			return
+		}
+		if response.Header.Get("Seal") == "" || got != body {
+			rt.Fatalf("%s: a complete success, seal %q, with %d of %d bytes", route, response.Header.Get("Seal"), len(got), len(body))
+		}
+	})
+}
--- a/instance/gateway/relay.go
+++ b/instance/gateway/relay.go
@@ -30,7 +30,7 @@
 // relay relays the answers of targets to one caller.
 type relay struct {
 	g *Gateway
-	w http.ResponseWriter
+	w *answer
 	q *request
 	// headSent is set once the status and headers of an answer were sent to the caller.
 	headSent    bool
@@ -286,6 +286,7 @@
 // recordAnswered records an answer that was relayed completely.
 func (r *relay) recordAnswered(a *upstream.Answer) {
 	g, q := r.g, r.q
+	r.w.whole = true
 	if a.StatusCode >= 200 && a.StatusCode < 300 && !endsWithConnection(a) {
 		g.recordSound(q, true)
 	}
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -69,9 +69,11 @@
 
 var errBodyTooLarge = errors.New("request body exceeds the limit")
 
-func (g *Gateway) serveCaller(w http.ResponseWriter, r *http.Request) {
+func (g *Gateway) serveCaller(rw http.ResponseWriter, r *http.Request) {
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
+	w := &answer{ResponseWriter: rw}
+	defer w.cutUnlessWhole()
 	arrived := time.Now()
 	if g.stopping.Load() {
 		w.Header().Set("Connection", "close")
@@ -95,7 +97,7 @@
 
 // readRequest reads a request and selects its service. It refuses the request and returns nil if no route matches it, or if it
 // can't end before a shutdown.
-func (g *Gateway) readRequest(w http.ResponseWriter, r *http.Request, table *routes.Table, arrived time.Time) *request {
+func (g *Gateway) readRequest(w *answer, r *http.Request, table *routes.Table, arrived time.Time) *request {
 	uri := r.RequestURI
 	if !strings.HasPrefix(uri, "/") {
 		uri = r.URL.RequestURI()
@@ -250,7 +252,7 @@
 }
 
 // refuseEarly refuses a request before a target is chosen for it.
-func (g *Gateway) refuseEarly(w http.ResponseWriter, r *http.Request, status int, reason string) {
+func (g *Gateway) refuseEarly(w *answer, r *http.Request, status int, reason string) {
 	g.metrics.refused.Inc(1)
 	g.recorder.Record(events.RequestRefused, events.Fields{
 		"request": r.Header.Get(g.opts.Headers.RequestID), "status": status, "reason": reason, "host": r.Host, "path": r.URL.Path,
@@ -258,7 +260,7 @@
 	if status == http.StatusServiceUnavailable {
 		w.Header().Set(g.opts.Headers.RetryAfter, formatSeconds(earlyRetryAfter))
 	}
-	w.WriteHeader(status)
+	w.sendStatus(status)
 }
 
 // earlyRetryAfter is short, since another instance may be able to serve the request at once.
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -44,7 +44,7 @@
 )
 
 // serve sends a request to one target after the other until one has answered it.
-func (g *Gateway) serve(w http.ResponseWriter, q *request) {
+func (g *Gateway) serve(w *answer, q *request) {
 	var exclude []string
 	ran := 0
 	relay := &relay{g: g, w: w, q: q}
@@ -279,7 +279,7 @@
 		if !g.reachesNone() {
 			r.w.Header().Set(fleetapi.HeaderHandoverService, q.service.Name)
 		}
-		r.w.WriteHeader(dialect.StatusMisdirected)
+		r.w.sendStatus(dialect.StatusMisdirected)
 		return
 	case ran == 0:
 	case !time.Now().Before(q.deadline.Add(-minTimeLeft)):
@@ -298,7 +298,7 @@
 		g.metrics.failed.Inc(1)
 		g.recorder.Record(events.RequestFailed, fields)
 	}
-	r.w.WriteHeader(status)
+	r.w.sendStatus(status)
 }
 
 // retryAfter is the pause after which a refused caller should return: until the end of its quarantine, until the model is
--- a/instance/gateway/streams.go
+++ b/instance/gateway/streams.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"slices"
 	"time"
 
@@ -41,7 +40,7 @@
 
 // findOrigin finds out where the stream began that a request takes up, and has the request served there. It refuses the request
 // and returns false if the stream can't go on.
-func (g *Gateway) findOrigin(w http.ResponseWriter, q *request) bool {
+func (g *Gateway) findOrigin(w *answer, q *request) bool {
 	origin, err := g.awaitOrigin(q)
 	if q.ctx.Err() != nil {
 		g.recordCallerLeft(q)
