Answer the requests that a target works on before a gateway exits

What callers saw: requests that were sent to a gateway before its stop signal, or in the 3 s after it, and that a target still worked on at the end of the grace period, got a closed connection, also those that may not be repeated.

Cause: the shutdown closed all connections 0.2 s before the end of the grace period, whatever was under way.

Change: 0.5 s before the end of the grace period, requests without an answer get 503 if they have not run and 502 if they may have, and new ones are refused. Connections are closed after that, and handlers that have just returned get 100 ms for the ends of their answers.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -21,6 +21,7 @@
 	Stopped               = define(105, "stopped", logrus.InfoLevel, "The last request ended and the process exits.")
 	Reloaded              = define(107, "reloaded", logrus.InfoLevel, "The settings file was read again.")
 	LogsDropped           = define(108, "logs-dropped", logrus.WarnLevel, "Log lines were dropped to bound their volume; the field lines counts them.")
+	DrainEnding           = define(109, "drain-ending", logrus.WarnLevel, "The process is about to exit: requests that a target still works on are answered with 502, and streams are cut.")
 	InternalError         = define(106, "internal-error", logrus.ErrorLevel, "A background task failed; it is tried again.")
 	NoteApplied           = define(200, "note-applied", logrus.InfoLevel, "A verdict was applied; fields give number, result and log index.")
 	NoVerdict             = define(201, "no-verdict", logrus.WarnLevel, "A submitted note got no verdict because no majority answered.")
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -81,12 +81,15 @@
 	// that no target works on.
 	lastDeadline   atomic.Pointer[time.Time]
 	activeRequests atomic.Int64
-	gatewayCount   atomic.Int64 // number of gateways that share the targets
-	loading        atomic.Pointer[[]loadingModel]
-	suspects       *crashSuspects
-	limits         *targetlimit.Table
-	helpers        *helpers
-	attempts       *attempts
+	// exiting ends shortly before the process exits, and with it the requests that have no answer yet.
+	exiting      context.Context
+	startExit    context.CancelFunc
+	gatewayCount atomic.Int64 // number of gateways that share the targets
+	loading      atomic.Pointer[[]loadingModel]
+	suspects     *crashSuspects
+	limits       *targetlimit.Table
+	helpers      *helpers
+	attempts     *attempts
 	// isolated is set while this gateway reaches no target.
 	isolated atomic.Bool
 	// targetsLostAt is the time at which the last target became unreachable, zero while one is reachable. It belongs to the
@@ -108,6 +111,7 @@
 		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time), unservedAt: make(map[modelKey]time.Time)},
 	}
 	g.loading.Store(&[]loadingModel{})
+	g.exiting, g.startExit = context.WithCancel(context.Background())
 	for _, name := range opts.Headers.Reserved {
 		g.systemHeaders[http.CanonicalHeaderKey(name)] = true
 	}
@@ -160,8 +164,7 @@
 		return errors.Wrap(err, "serve callers and readiness checks")
 	case <-ctx.Done():
 	}
-	g.shutdown(callerServer)
-	_ = peerServer.Close()
+	g.shutdown(callerServer, peerServer)
 	_ = readinessServer.Close()
 	g.recorder.Record(events.Stopped, nil)
 	return nil
--- a/instance/gateway/relay.go
+++ b/instance/gateway/relay.go
@@ -6,6 +6,7 @@
 	"mime"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,7 +34,7 @@
 	w *answer
 	q *request
 	// headSent is set once the status and headers of an answer were sent to the caller.
-	headSent    bool
+	headSent    atomic.Bool
 	lastEventID string // id of the last event that was relayed
 	bytes       int64
 	events      int // complete events of the current attempt that were relayed
@@ -53,7 +54,7 @@
 // mayGoOn reports whether the answer of another attempt may follow. Once a part of a body has reached the caller, only a stream goes on,
 // and only after an event that it can name to the next target.
 func (r *relay) mayGoOn() bool {
-	return !r.headSent || r.q.route.Kind == routes.Stream && (r.bytes == 0 || r.lastEventID != "")
+	return !r.headSent.Load() || r.q.route.Kind == routes.Stream && (r.bytes == 0 || r.lastEventID != "")
 }
 
 // recordEventTime records the time of an event and the pause before it.
@@ -79,7 +80,7 @@
 	case success && a.Header.Get(r.g.opts.Headers.Seal) == "":
 		// Targets seal their answers. One without a seal may be damaged or come from elsewhere.
 		return mayHaveRun, dispatch.Failed
-	case r.headSent && !success:
+	case r.headSent.Load() && !success:
 		return mayHaveRun, dispatch.Failed
 	case stream:
 		return r.relayStream(a)
@@ -154,7 +155,7 @@
 // relayStream relays complete events as they arrive. An incomplete event at the end is dropped, so that the next target can
 // resume after the last complete one.
 func (r *relay) relayStream(a *upstream.Answer) (outcome, dispatch.RequestEnd) {
-	if !r.headSent {
+	if !r.headSent.Load() {
 		r.g.recordStream(r.q, r.target)
 		r.sendHead(a)
 	}
@@ -270,7 +271,7 @@
 		header["Content-Type"] = nil // keeps net/http from detecting one
 	}
 	r.w.WriteHeader(a.StatusCode)
-	r.headSent = true
+	r.headSent.Store(true)
 }
 
 // write sends bytes to the caller. An error means that the caller closed the connection.
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/events"
@@ -40,7 +43,7 @@
 	unsent                    // nothing was sent
 	mayHaveRun                // the request was sent and got no complete answer
 	expired                   // the deadline has passed and the request may still run
-	abandoned                 // the caller closed the connection
+	abandoned                 // the caller closed the connection, or the process is about to exit
 )
 
 // serve sends a request to one target after the other until one has answered it.
@@ -48,10 +51,11 @@
 	var exclude []string
 	ran := 0
 	relay := &relay{g: g, w: w, q: q}
+	defer g.endWithProcess(relay)()
 	for q.sends < maxSends {
-		target, reason := g.awaitTarget(q, exclude, relay.headSent)
+		target, reason := g.awaitTarget(q, exclude, relay.headSent.Load())
 		if q.ctx.Err() != nil {
-			g.recordCallerLeft(q)
+			g.endUnanswered(relay, q, ran)
 			return
 		}
 		handOver := target == nil && g.mayHandOver(q, reason)
@@ -78,7 +82,7 @@
 		case delivered:
 			return
 		case abandoned:
-			g.recordCallerLeft(q)
+			g.endUnanswered(relay, q, ran+1)
 			return
 		case expired:
 			g.giveUp(relay, q, ran+1, "deadline exceeded during a send")
@@ -101,7 +105,7 @@
 		case notRun:
 			q.sends++
 			if !sleep(q, rejectionPause) {
-				g.recordCallerLeft(q)
+				g.endUnanswered(relay, q, ran)
 				return
 			}
 		}
@@ -267,7 +271,7 @@
 		"target": q.lastTarget, "sends": q.sends, "held_ms": q.waited.Milliseconds(), "reason": reason,
 		"after_ms": time.Since(q.arrived).Milliseconds(),
 	}
-	if r.headSent {
+	if r.headSent.Load() {
 		g.metrics.failed.Inc(1)
 		fields["status"] = "cut"
 		g.recorder.Record(events.RequestFailed, fields)
@@ -320,6 +324,16 @@
 	return pause + time.Duration(retryAfterSpread*g.randomFloat()*float64(defaultRetryAfter))
 }
 
+// endUnanswered ends a request whose context has ended, or whose caller can't be written to. ran is the number of sends that may have
+// run it.
+func (g *Gateway) endUnanswered(r *relay, q *request, ran int) {
+	if errors.Is(context.Cause(q.ctx), errExiting) {
+		g.giveUp(r, q, ran, errExiting.Error())
+		return
+	}
+	g.recordCallerLeft(q)
+}
+
 // recordCallerLeft records that the caller closed its connection.
 func (g *Gateway) recordCallerLeft(q *request) {
 	g.metrics.cancelled.Inc(1)
--- a/instance/gateway/shutdown.go
+++ b/instance/gateway/shutdown.go
@@ -1,9 +1,12 @@
 package gateway
 
 import (
+	"context"
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/tarragonhoist/tarragonhoist/events"
 )
 
@@ -19,6 +22,8 @@
 	// the time that is left before the exit to send answers that are due at the latest deadline.
 	exitMargin   = 200 * time.Millisecond
 	answerMargin = 300 * time.Millisecond
+	// flushTimeout bounds sending the ends of answers whose handlers have returned.
+	flushTimeout = 100 * time.Millisecond
 )
 
 // shutdownPlan is when a shutdown goes on to its next step.
@@ -38,8 +43,8 @@
 }
 
 // shutdown first fails the readiness check, so that no new connections are opened, then refuses requests that cannot end
-// before the exit, and then waits for the requests in progress.
-func (g *Gateway) shutdown(callerServer *http.Server) {
+// before the exit, and waits for the requests in progress. Those that a target still works on at the end get an answer that says so.
+func (g *Gateway) shutdown(servers ...*http.Server) {
 	plan := planShutdown(time.Now(), g.opts.GracePeriod)
 	g.stopping.Store(true)
 	g.recorder.Record(events.DrainStarted, events.Fields{"active": g.activeRequests.Load()})
@@ -48,10 +53,55 @@
 	time.Sleep(time.Until(plan.refuse))
 	g.lastDeadline.Store(&plan.lastDeadline)
 	g.recorder.Record(events.DrainRefusing, events.Fields{"active": g.activeRequests.Load()})
-	for g.activeRequests.Load() > 0 && time.Now().Before(plan.exit) {
+	g.awaitIdle(plan.lastDeadline)
+	// A request that arrives from now on is refused, so that none is sent to a target while its connection is about to be closed.
+	g.lastDeadline.Store(&time.Time{})
+	if active := g.activeRequests.Load(); active > 0 {
+		g.recorder.Record(events.DrainEnding, events.Fields{"active": active})
+	}
+	g.startExit()
+	g.awaitIdle(plan.exit)
+	closeServers(plan.exit, servers)
+}
+
+// awaitIdle waits until no request is in progress, until a deadline.
+func (g *Gateway) awaitIdle(deadline time.Time) {
+	for g.activeRequests.Load() > 0 && time.Now().Before(deadline) {
 		time.Sleep(activePollInterval)
 	}
-	_ = callerServer.Close()
+}
+
+// closeServers closes the connections of servers. Handlers that have just returned get flushTimeout for the end of their answers.
+func closeServers(deadline time.Time, servers []*http.Server) {
+	if flushed := time.Now().Add(flushTimeout); flushed.Before(deadline) {
+		deadline = flushed
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	for _, server := range servers {
+		_ = server.Shutdown(ctx)
+	}
+	for _, server := range servers {
+		_ = server.Close()
+	}
+}
+
+// errExiting ends requests that have no answer when the process is about to exit.
+var errExiting = errors.New("instance exits before a target has answered")
+
+// endWithProcess ends a request whose answer has not begun when the process is about to exit. release must be called.
+func (g *Gateway) endWithProcess(r *relay) (release func()) {
+	ctx, cancel := context.WithCancelCause(r.q.ctx)
+	r.q.ctx = ctx
+	stop := context.AfterFunc(g.exiting, func() {
+		if !r.headSent.Load() {
+			cancel(errExiting)
+		}
+	})
+	return func() {
+		stop()
+		cancel(nil)
+	}
 }
 
 // reasonShuttingDown is why a request is refused that cannot end before the exit.
