Bound what all requests of a gateway hold of answers

What callers could see: targets that send bytes without end to many requests at once fill the memory of a gateway, and the requests of all its callers end with its process.

Cause: each request was bounded, but not all of them together; a head's bound counted its bytes and not its lines, which cost more.

--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -81,6 +81,7 @@
 	// that no target works on.
 	lastDeadline   atomic.Pointer[time.Time]
 	activeRequests atomic.Int64
+	held           heldBytes
 	// exiting ends shortly before the process exits, and with it the requests that have no answer yet.
 	exiting      context.Context
 	startExit    context.CancelFunc
--- /dev/null
+++ b/instance/gateway/memory_test.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// Guards against the end of a whole gateway, with the requests of all its callers, because targets send bytes that are no answer to many
+// requests at once, each of them below what one request may hold: in an event, in a body that is buffered, in a head, or in answers to
+// other requests.
+func TestMemoryUnderManyEndlessAnswers(t *testing.T) {
+	const (
+		requests = 200
+		// maxGrowth is half of the 0.6 that the runtime may use of the 184 MB of the smallest gateways.
+		maxGrowth = 55 << 20
+	)
+	head := func(r *http.Request, more string) string {
+		return responseHead(r, r.Header.Get(testHeaders.RequestID), more)
+	}
+	var fields strings.Builder
+	for i := 0; fields.Len() < 60<<10; i++ {
+		fmt.Fprintf(&fields, "a%x:\r\n", i)
+	}
+	for name, c := range map[string]struct {
+		path  string
+		write func(conn net.Conn, r *http.Request)
+	}{
+		"event": {"/stream/x", func(conn net.Conn, r *http.Request) {
+			_, _ = io.WriteString(conn, head(r, "Content-Type: text/event-stream\r\nConnection: close\r\n")+"data: "+strings.Repeat("x", 1_000_000))
+		}},
+		"body in chunks": {"/safe/x", func(conn net.Conn, r *http.Request) {
+			_, _ = io.WriteString(conn, head(r, "Transfer-Encoding: chunked\r\n")+"3e800\r\n"+strings.Repeat("x", 0x3e800)+"\r\n")
+		}},
+		"body without a length": {"/once/x", func(conn net.Conn, r *http.Request) {
+			_, _ = io.WriteString(conn, head(r, "Connection: close\r\n")+strings.Repeat("x", 0x3e800))
+		}},
+		"head": {"/safe/x", func(conn net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+fields.String())
+		}},
+		"answer to another request": {"/safe/x", func(conn net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+testHeaders.RequestID+": other\r\nContent-Length: 900000\r\n\r\n"+strings.Repeat("x", 890_000))
+		}},
+		"rejection": {"/safe/x", func(conn net.Conn, _ *http.Request) {
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 60000\r\n\r\n"+strings.Repeat("x", 59_000))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.configure()
+			ended := make(chan struct{})
+			for i := range 60 {
+				for _, service := range []string{"plain", "engine"} {
+					f.target(fmt.Sprint(service, i), service, func(conn net.Conn, r *http.Request, _ string) {
+						c.write(conn, r)
+						<-ended
+						reset(conn)
+					})
+				}
+			}
+			runtime.GC()
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			var calls sync.WaitGroup
+			for i := range requests {
+				calls.Go(func() {
+					if got := send(f.server.URL, fmt.Sprint("r", i), c.path, "Model: m", "Time-Left: 4000"); got.err == nil && got.status < 300 {
+						t.Errorf("request %d got a success", i)
+					}
+				})
+			}
+			time.Sleep(time.Second)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			close(ended)
+			calls.Wait()
+			growth := int64(after.HeapAlloc) - int64(before.HeapAlloc)
+			t.Logf("%d requests hold %.1f MB", requests, float64(growth)/(1<<20))
+			if growth > maxGrowth {
+				t.Errorf("%d requests hold %.1f MB, at most %d wanted", requests, float64(growth)/(1<<20), maxGrowth>>20)
+			}
+		})
+	}
+}
--- a/instance/gateway/relay.go
+++ b/instance/gateway/relay.go
@@ -24,6 +24,8 @@
 	maxBufferedBytes = 256 << 10
 	// streamBufferBytes is the size of the read buffer of a stream.
 	streamBufferBytes = 4 << 10
+	// copyBufferBytes is the size of the buffer of an answer that is relayed while it arrives.
+	copyBufferBytes = 16 << 10
 	// maxEventBytes bounds an event of a stream that is held back until it is complete.
 	maxEventBytes = 1 << 20
 )
@@ -92,17 +94,21 @@
 
 // relayBuffered buffers a short answer completely before it relays it.
 func (r *relay) relayBuffered(a *upstream.Answer, success bool) (outcome, dispatch.RequestEnd) {
-	body, err := io.ReadAll(io.LimitReader(heardReader{a, r.attempt}, maxBufferedBytes+1))
-	if err != nil {
-		return classifyBodyError(err)
-	}
-	if len(body) > maxBufferedBytes {
+	reserved := reservation{held: &r.g.held}
+	defer reserved.release()
+	body, err := readHeld(heardReader{a, r.attempt}, maxBufferedBytes, &reserved)
+	if errors.Is(err, errHeldEnough) {
 		r.sendHead(a)
 		if err := r.write(body, false); err != nil {
 			return abandoned, dispatch.Neutral
 		}
+		body = nil
+		reserved.release()
 		return r.copyBody(a)
 	}
+	if err != nil {
+		return classifyBodyError(err)
+	}
 	end := dispatch.Complete
 	if !success && a.StatusCode >= http.StatusInternalServerError {
 		end = dispatch.Failed
@@ -133,7 +139,7 @@
 }
 
 func (r *relay) copyBody(a *upstream.Answer) (outcome, dispatch.RequestEnd) {
-	buffer := make([]byte, maxBufferedBytes/4)
+	buffer := make([]byte, copyBufferBytes)
 	body := heardReader{a, r.attempt}
 	for {
 		n, err := body.Read(buffer)
@@ -159,6 +165,8 @@
 		r.g.recordStream(r.q, r.target)
 		r.sendHead(a)
 	}
+	reserved := reservation{held: &r.g.held}
+	defer reserved.release()
 	var pending []byte
 	empty := true
 	buffer := make([]byte, streamBufferBytes)
@@ -180,6 +188,10 @@
 				return abandoned, dispatch.Neutral
 			}
 			pending = append(pending[:0], pending[end:]...)
+			if cap(pending) > freeHeldBytes {
+				pending = append([]byte(nil), pending...) // after an event of unusual size
+				reserved.release()
+			}
 		}
 		switch {
 		case errors.Is(err, io.EOF) && len(pending) > 0 && (isEventStream(a) || endsWithConnection(a)):
@@ -196,7 +208,7 @@
 			return delivered, dispatch.Complete
 		case err != nil:
 			return classifyBodyError(err)
-		case len(pending) > maxEventBytes:
+		case len(pending) > maxEventBytes, !reserved.grow(cap(pending)):
 			return mayHaveRun, dispatch.Failed
 		}
 	}
--- a/transport/targetclient/client.go
+++ b/transport/targetclient/client.go
@@ -27,6 +27,7 @@
 	maxErrorBytes    = 8 << 10
 	// errorBodyTimeout bounds reading the text of an error, which only explains its status.
 	errorBodyTimeout = 50 * time.Millisecond
+	maxHeadBytes     = 64 << 10 // of an answer
 	maxControlBytes  = 64 << 10
 	// MaxServiceAnswerBytes bounds the answer of a plain service.
 	MaxServiceAnswerBytes = 4 << 20
@@ -43,13 +44,13 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		pooled: &http.Client{
-			Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerTarget, IdleConnTimeout: idleTimeout},
+			Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerTarget, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeadBytes},
 			CheckRedirect: noRedirect,
 		},
 		// net/http resends a request with an Idempotency-Key on a new connection when a reused one breaks. Calls that
 		// must run at most once therefore never use a reused connection.
 		singleUse: &http.Client{
-			Transport:     &http.Transport{DialContext: writeTrackingDial(dialer), DisableKeepAlives: true},
+			Transport:     &http.Transport{DialContext: writeTrackingDial(dialer), DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
 			CheckRedirect: noRedirect,
 		},
 	}
--- a/transport/targetclient/client_test.go
+++ b/transport/targetclient/client_test.go
@@ -226,3 +226,38 @@
 		})
 	}
 }
+
+// Guards against a faulty target that fills the memory of an instance with a head without end: each request would keep ten MB of it.
+func TestEndlessHeadIsBrokenOff(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	var written atomic.Int64
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+			for err == nil {
+				var n int
+				n, err = io.WriteString(conn, "X-Line: "+strings.Repeat("x", 1<<10)+"\r\n")
+				written.Add(int64(n))
+			}
+			_ = conn.Close()
+		}
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+	defer cancel()
+	attempt := targetclient.Attempt{Address: listener.Addr().String(), AttemptID: "a"}
+	if err := targetclient.New().Stream(ctx, attempt, func(targetclient.Event) error { return nil }); err == nil {
+		t.Error("an endless head was taken for an answer")
+	}
+	// The buffers of the sockets take some MB that nobody reads.
+	if n := written.Load(); n > 6<<20 {
+		t.Errorf("the target could write %d bytes", n)
+	}
+}
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"net"
 	"strconv"
@@ -63,11 +64,14 @@
 	return &conn{Conn: raw, reader: bufio.NewReaderSize(head, readBufferBytes), head: head}
 }
 
-// maxHeadBytes bounds the status line and the headers of an answer, with the informational answers before it. Targets send
-// well below 1 KiB.
-const maxHeadBytes = 64 << 10
+// maxHeadBytes and maxHeadLines bound the status line and the headers of an answer, with the informational answers before it. Targets
+// send well below 1 KiB. Each line costs about a hundred bytes beside its own.
+const (
+	maxHeadBytes = 64 << 10
+	maxHeadLines = 256
+)
 
-var errHeadTooLarge = errors.Wrapf(errMalformed, "the head of the answer exceeds %d bytes", maxHeadBytes)
+var errHeadTooLarge = errors.Wrapf(errMalformed, "the head of the answer exceeds %d bytes or %d lines", maxHeadBytes, maxHeadLines)
 
 // headLimit bounds the bytes that are read for the head of an answer. net/http reads a head of any length, so a faulty
 // target that sends header lines without end would exhaust the memory of the process.
@@ -75,10 +79,11 @@
 	net.Conn
 	limited bool
 	left    int
+	lines   int // that may follow
 }
 
 // begin limits the following reads until end is called.
-func (h *headLimit) begin() { h.limited, h.left = true, maxHeadBytes }
+func (h *headLimit) begin() { h.limited, h.left, h.lines = true, maxHeadBytes, maxHeadLines }
 
 func (h *headLimit) end() { h.limited = false }
 
@@ -86,11 +91,13 @@
 	if !h.limited {
 		return h.Conn.Read(p)
 	}
-	if h.left == 0 {
+	if h.left == 0 || h.lines <= 0 {
 		return 0, errHeadTooLarge
 	}
 	n, err := h.Conn.Read(p[:min(len(p), h.left)])
 	h.left -= n
+	head, _, _ := bytes.Cut(p[:n], []byte("\r\n\r\n")) // the body may follow in the same read
+	h.lines -= bytes.Count(head, []byte("\n"))
 	return n, err
 }
 
