Give targets of a new version work once a majority of control instances knows it

Cause: without a record, the version of a stream follows from what a majority of the control instances knows; but an instance told its gateways of a target of a new version before any other knew it.

Change: an instance announces a new version to the others (fleet.version) and accepts the first target of it when a majority has saved it. Only services with resumable streams are concerned.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -41,6 +41,7 @@
 	TargetsLost           = define(307, "targets-lost", logrus.WarnLevel, "The gateway reaches no target any more; the field targets is the number of those that take new work.")
 	TargetsReached        = define(308, "targets-reached", logrus.InfoLevel, "The gateway reaches targets again; the field lost_ms says for how long it reached none.")
 	TargetBrittle         = define(309, "target-brittle", logrus.InfoLevel, "A target said how many rejections in a second it bears before it falls over, or that it is no longer brittle; the field rejections is 0 then.")
+	VersionKnown          = define(310, "version-known", logrus.InfoLevel, "A majority of the control instances knows a software version of targets, so streams may begin there.")
 	RequestAnswered       = define(400, "request-answered", logrus.DebugLevel, "A request was answered completely.")
 	RequestRefused        = define(401, "request-refused", logrus.InfoLevel, "A request was refused and did not run; the field reason says why.")
 	RequestFailed         = define(402, "request-failed", logrus.WarnLevel, "A request failed and may have run; the field reason says why.")
--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -83,12 +83,14 @@
 	director *Director
 	recorder *events.Recorder
 	versions *streamorigin.Versions
+	known    *knownVersions
 	// streams are the records that gateways reported.
 	streams *streamorigin.Journal
 	// saveMu serialises saveOrigins and guards what it saved last.
 	saveMu         sync.Mutex
 	savedTerm      uint64
 	savedHistory   streamorigin.VersionHistory
+	savedKnown     int    // number of known versions
 	savedStreams   uint64 // how much of streams
 	streamsSavedAt time.Time
 	// confirmed is set once a quorum has confirmed, after the start, that the local configuration is the newest.
@@ -101,7 +103,7 @@
 func New(opts Options, epoch uint64, view *fleetview.View, watcher *fleetview.Watcher, peers *peer.Transport,
 	decode fleetview.Decode, orders OrderClient, recorder *events.Recorder, registry metrics.Registry) (*Instance, error) {
 	instance := &Instance{opts: opts, epoch: epoch, view: view, watcher: watcher, peers: peers, decode: decode, recorder: recorder,
-		versions: streamorigin.NewVersions(time.Now()), streams: streamorigin.NewJournal(), started: time.Now(), removed: make(chan struct{}, 1)}
+		versions: streamorigin.NewVersions(time.Now()), known: newKnownVersions(), streams: streamorigin.NewJournal(), started: time.Now(), removed: make(chan struct{}, 1)}
 	store := routes.NewStore(instance.onConfigApplied)
 	link := replicalink.New(GroupName, peers)
 	group := replica.Options{
@@ -270,6 +272,9 @@
 	handle(instance, peerapi.MethodFleetOrigin, func(_ context.Context, q fleetapi.StreamQuery) (any, error) {
 		return instance.streamOrigin(time.Now(), q), nil
 	})
+	handle(instance, peerapi.MethodFleetVersion, func(_ context.Context, o streamorigin.Origin) (any, error) {
+		return peerapi.Empty{}, instance.recordVersion(time.Now(), o)
+	})
 	handle(instance, peerapi.MethodFleetPermit, func(_ context.Context, r fleetapi.PermitRequest) (any, error) {
 		return instance.director.Permit(time.Now(), r)
 	})
@@ -315,7 +320,9 @@
 	if !instance.Joined() {
 		return ErrNotJoined
 	}
-	instance.recordVersion(now, target)
+	if err := instance.admitVersion(now, &target); err != nil {
+		return err
+	}
 	outcome, err := instance.view.ApplyHeartbeat(now, target)
 	if err != nil {
 		instance.recorder.Record(events.TargetRejected, events.Fields{"target": target.ID, "error": err.Error()})
--- a/instance/controlinstance/saved_origins.go
+++ b/instance/controlinstance/saved_origins.go
@@ -6,11 +6,11 @@
 	"math"
 	"os"
 	"path/filepath"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/streamorigin"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
@@ -26,8 +26,6 @@
 	originsRetry    = 2 * time.Second
 	// streamSaveInterval is the least time between two saves for streams alone.
 	streamSaveInterval = 500 * time.Millisecond
-	// versionSaveTimeout bounds how long a disk can keep a target of a new software version from getting work.
-	versionSaveTimeout = 300 * time.Millisecond
 )
 
 // savedOrigins is the content of the file that tells the next process of this instance where streams began. When all processes that
@@ -37,6 +35,8 @@
 	// earlier build, and may have seen other versions.
 	Term    uint64                      `json:"term"`
 	History streamorigin.VersionHistory `json:"history"`
+	// Known are the versions of the history that a majority of the instances knows.
+	Known []streamorigin.Origin `json:"known"`
 	// Streams are those whose origin does not follow from the history.
 	Streams []fleetapi.StreamGroup `json:"streams,omitempty"`
 }
@@ -64,7 +64,9 @@
 	if err != nil {
 		return errors.Wrap(err, "decode origins of streams")
 	}
-	if saved.Term != term {
+	if saved.Term == term {
+		instance.known.restore(saved.Known)
+	} else {
 		saved.History.Complete = false
 	}
 	instance.versions.Restore(now, saved.History)
@@ -77,6 +79,7 @@
 	instance.saveMu.Lock()
 	defer instance.saveMu.Unlock()
 	saved := savedOrigins{Term: term, History: instance.versions.History(now)}
+	saved.Known = instance.known.list(saved.History.Versions)
 	records, next, _ := instance.streams.Since(now, 0, math.MaxInt)
 	saved.Streams = fleetapi.PackStreams(now, instance.ambiguousStreams(saved.History, records))
 	data, err := json.Marshal(saved)
@@ -86,6 +89,7 @@
 	if err := wal.WriteFile(filepath.Join(instance.opts.DataDir, originsFile), data); err != nil {
 		return errors.Wrap(err, "save origins of streams")
 	}
+	instance.savedKnown = len(saved.Known)
 	instance.savedTerm, instance.savedHistory, instance.savedStreams, instance.streamsSavedAt = saved.Term, saved.History, next, now
 	return nil
 }
@@ -110,6 +114,12 @@
 	return ambiguous
 }
 
+func servesResumableRoute(d *routes.Document, service string) bool {
+	return slices.ContainsFunc(d.Routes, func(r routes.Route) bool {
+		return r.Resumable && slices.ContainsFunc(r.Split, func(s routes.WeightedService) bool { return s.Service == service })
+	})
+}
+
 func servicesOfSplitRoutes(d *routes.Document) map[string]bool {
 	shared := make(map[string]bool)
 	for i := range d.Routes {
@@ -127,7 +137,7 @@
 	instance.saveMu.Lock()
 	defer instance.saveMu.Unlock()
 	h := instance.versions.History(now)
-	if !h.Equal(instance.savedHistory) || term != instance.savedTerm {
+	if !h.Equal(instance.savedHistory) || term != instance.savedTerm || len(instance.known.list(h.Versions)) != instance.savedKnown {
 		return true
 	}
 	if now.Sub(instance.streamsSavedAt) < streamSaveInterval {
@@ -141,29 +151,6 @@
 	return false
 }
 
-// recordVersion records and saves a software version that a target announced, before the gateways learn of the target. A slow disk
-// delays that by versionSaveTimeout at most.
-func (instance *Instance) recordVersion(now time.Time, target roster.Target) {
-	table := instance.view.Table()
-	if target.Service == "" || table != nil && table.Service(target.Service) == nil {
-		return // it gets no work
-	}
-	if !instance.versions.Observe(now, streamorigin.Origin{Service: target.Service, SoftwareVersion: target.SoftwareVersion}) {
-		return
-	}
-	saved := make(chan struct{})
-	go func() {
-		defer close(saved)
-		if err := instance.saveOrigins(now, instance.term()); err != nil {
-			instance.recorder.Record(events.InternalError, events.Fields{"task": "origins", "error": err.Error()})
-		}
-	}()
-	select {
-	case <-saved:
-	case <-time.After(versionSaveTimeout):
-	}
-}
-
 // keepOrigins records the versions of the known targets and saves what changed until ctx ends.
 func (instance *Instance) keepOrigins(ctx context.Context) {
 	pause := originsInterval
--- a/instance/controlinstance/saved_origins_test.go
+++ b/instance/controlinstance/saved_origins_test.go
@@ -12,7 +12,7 @@
 
 func newOriginsInstance(dir string, firstStart bool) *Instance {
 	return &Instance{opts: Options{DataDir: dir, FirstStart: firstStart}, view: fleetview.New(nil, "dc", nil),
-		versions: streamorigin.NewVersions(time.Now()), streams: streamorigin.NewJournal()}
+		versions: streamorigin.NewVersions(time.Now()), streams: streamorigin.NewJournal(), known: newKnownVersions()}
 }
 
 // Guards against origins of streams that are lost at a restart, against a history that counts as complete although a process that
--- a/instance/controlinstance/streams.go
+++ b/instance/controlinstance/streams.go
@@ -1,8 +1,10 @@
 package controlinstance
 
 import (
+	"slices"
 	"time"
 
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/streamorigin"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 )
@@ -42,7 +44,13 @@
 		instance.versions.ExtendLife(now, table.MaxStreamLife())
 	}
 	targets := instance.view.Targets()
+	var admitted []streamorigin.Origin // few, since targets share their versions
 	for i := range targets {
-		instance.versions.Observe(now, streamorigin.Origin{Service: targets[i].Service, SoftwareVersion: targets[i].SoftwareVersion})
+		o := streamorigin.Origin{Service: targets[i].Service, SoftwareVersion: targets[i].SoftwareVersion}
+		instance.versions.Observe(now, o)
+		if targets[i].State == roster.Ready && !slices.Contains(admitted, o) {
+			admitted = append(admitted, o) // here or by the instance that told of it
+		}
 	}
+	instance.known.restore(admitted)
 }
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -29,6 +29,7 @@
 	MethodFleetStreams    = "fleet.streams"
 	MethodFleetOrigin     = "fleet.origin"
 	MethodFleetPermit     = "fleet.permit"
+	MethodFleetVersion    = "fleet.version"
 )
 
 // Methods of the transport.
@@ -54,7 +55,7 @@
 func ClassOf(method string) Class {
 	switch method {
 	case MethodRaftMessage, MethodRaftPropose, MethodControlVote, MethodControlRecord, MethodStrike,
-		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodFleetWatch, MethodFleetLoad, MethodFleetAdapter, MethodFleetCrashes, MethodFleetPermit,
+		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodFleetWatch, MethodFleetLoad, MethodFleetAdapter, MethodFleetCrashes, MethodFleetPermit, MethodFleetVersion,
 		MethodHello, MethodPing, MethodClosing:
 		return Urgent
 	default:
