Keep streams from targets that may have restarted while their gateway was out of step

What callers could see (ORDER): a stream taken up at a gateway that had stood still, or had been cut off from the control instances, goes on at another version, at a target that has started again under its id in the meantime.

Cause: a stream that is bound to a version chose its target by the last known entry, however old.

Change: such a stream goes only to targets that were heard of within 5 s and after the latest standstill of the process.

--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -212,6 +212,8 @@
 	Choices int
 	// SoftwareVersion leaves out targets of other versions; nil leaves out none.
 	SoftwareVersion *string
+	// MayHaveRestarted leaves out targets whose version may be another one by now; nil leaves out none.
+	MayHaveRestarted func(*roster.Entry) bool
 	// Skip leaves out targets that are in need; nil leaves out none.
 	Skip func(*roster.Entry) bool
 	// Connected reports whether an idle connection to an address is open; nil if that is unknown.
@@ -225,7 +227,9 @@
 	Found    Reason = ""
 	NoTarget Reason = "no ready target of the service is known"
 	// OtherVersion applies to streams, which go on at the software version that began them.
-	OtherVersion  Reason = "no ready target runs the software version that began the stream"
+	OtherVersion Reason = "no ready target runs the software version that began the stream"
+	// Unconfirmed applies to the same streams.
+	Unconfirmed   Reason = "targets of the software version that began the stream may have started again"
 	NotLoaded     Reason = "no target holds the model"
 	NoneReachable Reason = "no eligible target is reachable"
 	NoAdapter     Reason = "no target holds the adapter"
@@ -265,6 +269,10 @@
 			recordReason(NoneReachable)
 			continue
 		}
+		if q.MayHaveRestarted != nil && q.MayHaveRestarted(t) {
+			recordReason(Unconfirmed)
+			continue
+		}
 		if q.Adapter != "" && !tracker.holdsAdapter(now, t, &q) {
 			recordReason(NoAdapter)
 			continue
@@ -363,7 +371,7 @@
 }
 
 // reasonRank orders reasons by filter stage. Pick returns the reason of the last stage that any target reached.
-var reasonRank = map[Reason]int{NoTarget: 0, OtherVersion: 1, NotLoaded: 2, NoneReachable: 3, NoAdapter: 4, AllExcluded: 5, Limited: 6, LeftAlone: 7, AllFull: 8}
+var reasonRank = map[Reason]int{NoTarget: 0, OtherVersion: 1, NotLoaded: 2, NoneReachable: 3, Unconfirmed: 4, NoAdapter: 5, AllExcluded: 6, Limited: 7, LeftAlone: 8, AllFull: 9}
 
 func slotsOf(t *roster.Entry, fallback int) int {
 	if t.Slots > 0 {
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -82,6 +82,7 @@
 	lastDeadline   atomic.Pointer[time.Time]
 	activeRequests atomic.Int64
 	held           heldBytes
+	standstill     *standstill
 	// exiting ends shortly before the process exits, and with it the requests that have no answer yet.
 	exiting      context.Context
 	startExit    context.CancelFunc
@@ -108,7 +109,7 @@
 		client: upstream.New(opts.DialTarget, registry), loadTracker: dispatch.NewLoadTracker(opts.Name),
 		budget: dispatch.NewBudget(opts.Budget), demand: newDemand(), metrics: newCounters(registry),
 		systemHeaders: make(map[string]bool), suspects: newCrashSuspects(),
-		limits: targetlimit.NewTable(), attempts: newAttempts(),
+		limits: targetlimit.NewTable(), attempts: newAttempts(), standstill: newStandstill(sinceBoot),
 		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time), unservedAt: make(map[modelKey]time.Time)},
 	}
 	g.loading.Store(&[]loadingModel{})
@@ -208,6 +209,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		g.standstill.newsSince(now)
 		g.recordReachability(now)
 		g.confirmCrashes(now)
 		for _, id := range g.loadTracker.Down() {
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -92,6 +92,9 @@
 		SoftwareVersion: q.softwareVersion,
 		Connected:       func(address string) bool { return g.client.HasIdle(now, address) },
 	}
+	if q.softwareVersion != nil {
+		query.MayHaveRestarted = func(t *roster.Entry) bool { return g.mayHaveRestarted(now, t) }
+	}
 	if q.service.Engine != nil {
 		query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot(q.route.Rank)
 	}
@@ -130,7 +133,8 @@
 	g.loadTracker.MarkAdapterOrdered(time.Now(), answer.ID, q.prompt.Model, q.prompt.Adapter)
 	targets := g.view.Targets()
 	for i := range targets {
-		if t := &targets[i]; t.ID == answer.ID && t.State == roster.Ready && !g.hasLimit(t) && g.mayAdd(t) {
+		if t := &targets[i]; t.ID == answer.ID && t.State == roster.Ready && !g.hasLimit(t) &&
+			(q.softwareVersion == nil || q.mayRunAt(t) && !g.mayHaveRestarted(time.Now(), t)) && g.mayAdd(t) {
 			return t
 		}
 	}
--- /dev/null
+++ b/instance/gateway/standstill.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+)
+
+const (
+	// maxClockGap is the longest time between two looks at the clock that does not count as a standstill. It is above the scheduling pauses
+	// of a process on a shared core, and below the time that a target needs to start again.
+	maxClockGap = time.Second
+	// arrivedBefore is the time after a standstill within which messages are read that had arrived during it, and are as old.
+	arrivedBefore = 300 * time.Millisecond
+	// maxTargetAge is the age of the latest heartbeat of a target from which on the target may have started again under its id without this
+	// gateway's knowing. Heartbeats come every second or so and reach gateways within another.
+	maxTargetAge = 5 * time.Second
+)
+
+// standstill finds out whether this process stood still: stopped by a signal, or suspended with its machine.
+type standstill struct {
+	// elapsed is a clock that goes on while the machine is suspended.
+	elapsed func() time.Duration
+
+	mu   sync.Mutex
+	seen time.Duration
+	news time.Time
+}
+
+func newStandstill(elapsed func() time.Duration) *standstill {
+	return &standstill{elapsed: elapsed, seen: elapsed()}
+}
+
+// newsSince returns the time from which on what is received is news from after the latest standstill, the zero time if there was none.
+// It is called at least every probeInterval.
+func (s *standstill) newsSince(now time.Time) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	elapsed := s.elapsed()
+	if elapsed-s.seen > maxClockGap {
+		s.news = now.Add(arrivedBefore)
+	}
+	s.seen = elapsed
+	return s.news
+}
+
+// sinceBoot is the time since the start of the machine, with the time for which it was suspended.
+func sinceBoot() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0 // never a standstill
+	}
+	return time.Duration(t.Nano())
+}
+
+// mayHaveRestarted reports whether a target may have started again, perhaps at another software version, while this gateway was out of
+// step: cut off from the control instances, or standing still.
+func (g *Gateway) mayHaveRestarted(now time.Time, t *roster.Entry) bool {
+	return now.Sub(t.HeardAt) > maxTargetAge || t.HeardAt.Before(g.standstill.newsSince(now))
+}
