Keep streams from a target that refused a connection until it is heard of again

Cause: a probe made the entry of the ended start usable again, with its version, as soon as the address accepted connections.

Change: a stream that is bound to a version goes to a target only if it was heard of 2.5 s or more after its latest refused connection.

--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -83,6 +83,7 @@
 	activeRequests atomic.Int64
 	held           heldBytes
 	standstill     *standstill
+	refusals       sync.Map // time of the latest refused connection, by address
 	// exiting ends shortly before the process exits, and with it the requests that have no answer yet.
 	exiting      context.Context
 	startExit    context.CancelFunc
@@ -106,12 +107,13 @@
 	registry metrics.Registry, rng *rand.Rand) *Gateway {
 	g := &Gateway{
 		opts: opts, view: view, watcher: watcher, peers: peers, recorder: recorder, rng: rng,
-		client: upstream.New(opts.DialTarget, registry), loadTracker: dispatch.NewLoadTracker(opts.Name),
-		budget: dispatch.NewBudget(opts.Budget), demand: newDemand(), metrics: newCounters(registry),
+		loadTracker: dispatch.NewLoadTracker(opts.Name),
+		budget:      dispatch.NewBudget(opts.Budget), demand: newDemand(), metrics: newCounters(registry),
 		systemHeaders: make(map[string]bool), suspects: newCrashSuspects(),
 		limits: targetlimit.NewTable(), attempts: newAttempts(), standstill: newStandstill(sinceBoot),
 		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time), unservedAt: make(map[modelKey]time.Time)},
 	}
+	g.client = upstream.New(g.recordRefusals(opts.DialTarget), registry)
 	g.loading.Store(&[]loadingModel{})
 	g.exiting, g.startExit = context.WithCancel(context.Background())
 	for _, name := range opts.Headers.Reserved {
@@ -297,6 +299,12 @@
 		g.helpers.client.CloseIdle(now, func(string) bool { return true })
 		g.loadTracker.Forget(ids)
 		g.limits.Forget(ids)
+		g.refusals.Range(func(address, _ any) bool {
+			if !addresses[address.(string)] {
+				g.refusals.Delete(address)
+			}
+			return true
+		})
 		g.view.LogQuarantines(now, g.recorder)
 	}
 }
--- a/instance/gateway/standstill.go
+++ b/instance/gateway/standstill.go
@@ -1,12 +1,17 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
 )
 
 const (
@@ -18,6 +23,9 @@
 	// maxTargetAge is the age of the latest heartbeat of a target from which on the target may have started again under its id without this
 	// gateway's knowing. Heartbeats come every second or so and reach gateways within another.
 	maxTargetAge = 5 * time.Second
+	// restartNewsDelay is the time after a refused connection from which on a heartbeat shows that the known start of the target goes on.
+	// Heartbeats that an ended start sent arrive later than its end, some of them seconds.
+	restartNewsDelay = 2500 * time.Millisecond
 )
 
 // standstill finds out whether this process stood still: stopped by a signal, or suspended with its machine.
@@ -56,8 +64,23 @@
 	return time.Duration(t.Nano())
 }
 
-// mayHaveRestarted reports whether a target may have started again, perhaps at another software version, while this gateway was out of
-// step: cut off from the control instances, or standing still.
+// mayHaveRestarted reports whether a target may have started again since its latest heartbeat, perhaps at another software version: this
+// gateway was cut off from the control instances or stood still, or the target refused a connection.
 func (g *Gateway) mayHaveRestarted(now time.Time, t *roster.Entry) bool {
-	return now.Sub(t.HeardAt) > maxTargetAge || t.HeardAt.Before(g.standstill.newsSince(now))
+	if now.Sub(t.HeardAt) > maxTargetAge || t.HeardAt.Before(g.standstill.newsSince(now)) {
+		return true
+	}
+	refusedAt, refused := g.refusals.Load(t.Address)
+	return refused && t.HeardAt.Before(refusedAt.(time.Time).Add(restartNewsDelay))
+}
+
+// recordRefusals returns a dial function that records when an address refused a connection.
+func (g *Gateway) recordRefusals(dial upstream.Dial) upstream.Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			g.refusals.Store(address, time.Now())
+		}
+		return conn, err
+	}
 }
--- a/instance/gateway/standstill_test.go
+++ b/instance/gateway/standstill_test.go
@@ -79,3 +79,44 @@
 		t.Error("a standstill is not noticed, or not remembered")
 	}
 }
+
+// Guards against a stream that goes on at another software version because its target ended and started again under its id, before a
+// heartbeat tells of that: that the address accepts connections again says nothing about the version.
+func TestStreamWaitsForNewsOfTargetThatRefusedConnection(t *testing.T) {
+	f := newFixture(t)
+	f.view.SetLeaderAndMembers("", []string{"c1"})
+	f.gateway.peers = &originPeers{answers: map[string]*fleetapi.StreamAnswer{"c1": {Known: true, Service: "engine", SoftwareVersion: "v1"}}}
+	f.configure()
+	f.targetOf("e0", "engine", "v1", func(conn net.Conn, r *http.Request, _ string) {
+		writeStream(conn, r, true, "id: 2\ndata: written by v2\n\n")
+	})
+	entry := f.view.Targets()[0].Target
+	heard := func(at time.Time) {
+		entry.HeartbeatSequence++
+		if _, err := f.view.ApplyHeartbeat(at, entry); err != nil {
+			t.Fatal(err)
+		}
+	}
+	takeUp := func(id string) int {
+		response, _, err := f.call(id, "/resumed/x", "Model: m", testHeaders.LastEvent+": 1", testHeaders.Resumes+": r1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return response.StatusCode
+	}
+	f.unreachable.Store(true)
+	if got := takeUp("r2"); got != http.StatusServiceUnavailable {
+		t.Fatalf("status %d without a target, want 503", got)
+	}
+	f.unreachable.Store(false)
+	refused := time.Now()
+	f.gateway.loadTracker.RecordProbe(time.Now(), "e0", true)
+	heard(refused.Add(restartNewsDelay / 2)) // a heartbeat that the earlier start sent may arrive late
+	if got := takeUp("r3"); got != http.StatusServiceUnavailable || f.runCount("r3") != 0 {
+		t.Errorf("status %d after %d runs; want a refusal without any", got, f.runCount("r3"))
+	}
+	heard(time.Now().Add(restartNewsDelay))
+	if got := takeUp("r4"); got != 200 {
+		t.Errorf("status %d once the target was heard of, want 200", got)
+	}
+}
