Tell the reset of an answer without a length from its end under a long request

Cause: the system reports a reset once, to the write here, and the read sees a regular end.

Change: at the end of such an answer the state of the connection is looked up; where the system doesn't tell it, the result of the write decides.

--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -173,3 +173,26 @@
 	}
 	return defaultIdleTimeout
 }
+
+// tcpClosed is the state of a connection that was reset, see tcp_states.h. One that the target has closed is in another one until this side
+// closes it too.
+const tcpClosed = 7
+
+// wasReset reports whether the target reset the connection, if the system tells.
+func (c *conn) wasReset() (reset, known bool) {
+	raw, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false, false
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false, false
+	}
+	var info *unix.TCPInfo
+	var infoErr error
+	err = rc.Control(func(fd uintptr) { info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil || infoErr != nil {
+		return false, false
+	}
+	return info.State == tcpClosed, true
+}
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -317,6 +317,9 @@
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
 	if errors.Is(err, io.EOF) {
+		if a.written != nil && !a.framed() && a.wasReset() {
+			return n, &Error{Failure: ConnectionBroken, Sent: true, Cause: errors.New("the answer ended by a reset")}
+		}
 		a.bodyRead = true
 		return n, io.EOF
 	}
@@ -369,9 +372,28 @@
 	c.idle[a.address] = append(c.idle[a.address], a.conn)
 }
 
+// framed reports whether the body has a length or chunks. Otherwise it ends with the connection.
+func (a *Answer) framed() bool { return a.ContentLength >= 0 || len(a.TransferEncoding) > 0 }
+
+// resetWriteTimeout is how long the write of a body is waited for whose connection has ended.
+const resetWriteTimeout = 50 * time.Millisecond
+
+// wasReset reports whether the connection was reset. The system reports a reset once only, to whichever of the reading and the writing
+// comes first; the other one sees a regular end.
+func (a *Answer) wasReset() bool {
+	if reset, known := a.conn.wasReset(); known {
+		return reset
+	}
+	select {
+	case err := <-a.written:
+		return err != nil
+	case <-time.After(resetWriteTimeout):
+		return false
+	}
+}
+
 func (a *Answer) reusable() bool {
-	framed := a.ContentLength >= 0 || len(a.TransferEncoding) > 0
-	if !a.bodyRead || a.skippedForeign || !framed || a.Response.Close || a.conn.reader.Buffered() > 0 ||
+	if !a.bodyRead || a.skippedForeign || !a.framed() || a.Response.Close || a.conn.reader.Buffered() > 0 ||
 		strings.EqualFold(a.Header.Get("Connection"), "close") {
 		return false
 	}
