--- a/instance/gateway/framing_test.go
+++ b/instance/gateway/framing_test.go
@@ -100,7 +100,8 @@
 // joined with that of the next attempt.
 func TestAnswerThatBreaksOffNeverLooksComplete(t *testing.T) {
 	const small, large = 800, maxBufferedBytes + 50_000
-	for _, route := range []string{"safe", "once"} {
+	for _, route := range []string{"safe", "once", "safe through another gateway", "once through another gateway"} {
+		path, _, handedOver := strings.Cut(route, " ")
 		for _, framing := range []string{"length", "chunks", "chunks and a trailer", "neither"} {
 			for _, size := range []int{small, large} {
 				for _, row := range cutAnswers {
@@ -114,7 +115,16 @@
 						t.Run(fmt.Sprintf("%s, %s, %d bytes, %s %s", route, framing, size, end, row.name), func(t *testing.T) {
 							t.Parallel()
 							f := newFixture(t)
-							f.configure()
+							addTarget := f.target
+							if handedOver {
+								isolated := newIsolatedFixture(t, 2)
+								f = isolated.fixture
+								addTarget = func(id, service string, serve func(net.Conn, *http.Request, string)) {
+									isolated.target(id, service, "", serve)
+								}
+							} else {
+								f.configure()
+							}
 							broken := false
 							serve := func(conn net.Conn, r *http.Request, _ string) {
 								if f.mu.Lock(); broken {
@@ -132,9 +142,9 @@
 									finish(conn)
 								}
 							}
-							f.target("t0", "plain", serve)
-							f.target("t1", "plain", serve)
-							response, got, err := f.call("r", "/"+route+"/x")
+							addTarget("t0", "plain", serve)
+							addTarget("t1", "plain", serve)
+							response, got, err := f.call("r", "/"+path+"/x")
 							if err != nil || response.StatusCode >= 300 {
 								return // cut, or a failure
 							}
@@ -238,6 +248,56 @@
 	}
 }
 
+// Guards against an answer without a body, as to HEAD or with the status 204 or 304, that waits for one, gets one, or loses its length.
+func TestAnswersWithoutBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		method     string
+		status     int
+		headers    []string
+		wantLength string
+	}{
+		"HEAD with a length": {http.MethodHead, 200, []string{"Content-Length: 300000"}, "300000"},
+		"HEAD without":       {http.MethodHead, 200, nil, ""},
+		"HEAD in chunks":     {http.MethodHead, 200, []string{"Transfer-Encoding: chunked"}, ""},
+		"204":                {http.MethodGet, 204, nil, ""},
+		"304":                {http.MethodGet, 304, nil, ""},
+		"empty body":         {http.MethodGet, 200, []string{"Content-Length: 0"}, "0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.configure()
+			f.target("t0", "plain", func(conn net.Conn, r *http.Request, _ string) {
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %d X\r\n%s: %s\r\n%s\r\n", c.status, testHeaders.RequestID, r.Header.Get(testHeaders.RequestID), sealHeader)
+				for _, h := range c.headers {
+					_, _ = io.WriteString(conn, h+"\r\n")
+				}
+				_, _ = io.WriteString(conn, "\r\n")
+			})
+			for i := range 2 { // the second one on the same connection
+				r, err := http.NewRequest(c.method, f.server.URL+"/safe/x", nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				r.Host = "h"
+				r.Header.Set(testHeaders.RequestID, fmt.Sprint("r", i))
+				started := time.Now()
+				response, err := http.DefaultClient.Do(r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				body, err := io.ReadAll(response.Body)
+				_ = response.Body.Close()
+				if err != nil || response.StatusCode != c.status || len(body) > 0 || response.Header.Get("Seal") == "" || time.Since(started) > time.Second {
+					t.Errorf("request %d: status %d, %d bytes, seal %q, error %v after %v", i, response.StatusCode, len(body), response.Header.Get("Seal"), err, time.Since(started))
+				}
+				if got := response.Header.Get("Content-Length"); got != c.wantLength && c.wantLength != "" {
+					t.Errorf("request %d: Content-Length %q, want %q", i, got, c.wantLength)
+				}
+			}
+		})
+	}
+}
+
 // Guards against two runs of a stream that are joined although its events have no ids after which it could go on.
 func TestStreamWithoutEventIDsIsNotJoined(t *testing.T) {
 	f := newFixture(t)
