--- a/coordination/streamorigin/versions.go
+++ b/coordination/streamorigin/versions.go
@@ -72,13 +72,11 @@
 	v.since = time.Time{}
 }
 
-// Observe records that a target of a service runs a software version, and reports whether that is new.
-func (v *Versions) Observe(now time.Time, o Origin) (isNew bool) {
+// Observe records that a target of a service runs a software version.
+func (v *Versions) Observe(now time.Time, o Origin) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	_, known := v.seenAt[o]
 	v.seenAt[o] = now
-	return !known
 }
 
 // ExtendLife has versions remembered for at least as long as streams live.
@@ -146,7 +144,7 @@
 // Resolve concludes from the answers of control instances at which version of a service a stream began. members is the number of
 // all instances, 0 if none is known yet. A record settles it. Without one, no answer may name more than one and the same version, and a majority
 // has to know all of them: an instance that is cut off from the others may not know of a new version. An instance that was down
-// while a version joined, or has just been thawed, may not know it either, so all instances that can answer have to be heard before.
+// or stood still while a version joined may not know it either, so all instances that can answer have to be heard before.
 func Resolve(service string, members int, answers []Answer) (Origin, Verdict) {
 	sole, single := "", true
 	named, complete := 0, 0
--- a/instance/controlinstance/new_versions.go
+++ b/instance/controlinstance/new_versions.go
@@ -16,8 +16,8 @@
 	"github.com/tarragonhoist/tarragonhoist/transport/peer"
 )
 
-// versionAnnounceTimeout bounds announcing a new software version to the other instances. With versionSaveTimeout it is below the second
-// within which targets want their heartbeats acknowledged.
+// versionAnnounceTimeout bounds announcing a new software version to the other instances. It is below the second within which targets want
+// their heartbeats acknowledged.
 const versionAnnounceTimeout = 400 * time.Millisecond
 
 // knownVersions are the software versions that a majority of the control instances knows. Before, no stream may begin at one: where a
@@ -107,7 +107,7 @@
 	return nil
 }
 
-// needsMajority reports whether streams may begin at a target whose version is not known to be known, and be taken up later. A target that
+// needsMajority reports whether streams may begin at a target whose version may not be known to a majority, and be taken up later. A target that
 // another instance admitted, or that takes no work, changes nothing.
 func (instance *Instance) needsMajority(target *roster.Target) bool {
 	if target.State != roster.Ready || target.Service == "" {
