Let an answer excuse crashes of its software version only, and few later ones

Callers saw: targets are replaced by those of a version that one part of prompts crashes. Cause: an answer on a part excused it from all crashes within a minute, of targets of any version and however many there were; such crashes were not recorded. A complete answer counted at its end, not when its target had begun it. Change: crashes and answers carry the software version. An answer excuses crashes of its version: all before it, the first one within 60 s after it, the second one within 15 s, no later one. The first answer after a crash is passed on at once. Builds without versions are read and answered as before. New tests: TestAnswersExcuseOneVersion, TestEvidenceWithoutVersions, TestAnswerExcusesItsSoftwareVersion.

--- a/coordination/crashes/blame.go
+++ b/coordination/crashes/blame.go
@@ -76,14 +76,32 @@
 			list = append(list, crash)
 		}
 	}
-	slices.SortFunc(list, func(a, b Occurrence) int { return cmp.Or(a.At.Compare(b.At), a.SentAt.Compare(b.SentAt)) })
+	slices.SortFunc(list, compareOccurrences)
 	n := 0
-	var last time.Time
+	var current moment
 	for _, crash := range list {
-		if n == 0 || crash.At.Sub(last) >= simultaneousCrashes || crash.SentAt.Sub(last) >= sentAfterMargin {
+		if current.next(crash) {
 			n++
-			last = crash.At
 		}
 	}
 	return n
 }
+
+func compareOccurrences(a, b Occurrence) int {
+	return cmp.Or(a.At.Compare(b.At), a.SentAt.Compare(b.SentAt))
+}
+
+// moment is the time of a crash, and of those after it that are simultaneous with it.
+type moment struct {
+	began bool
+	at    time.Time
+}
+
+// next reports whether a crash is the first one of a new moment. Crashes have to be in the order of compareOccurrences.
+func (m *moment) next(crash Occurrence) bool {
+	if m.began && crash.At.Sub(m.at) < simultaneousCrashes && crash.SentAt.Sub(m.at) < sentAfterMargin {
+		return false
+	}
+	m.began, m.at = true, crash.At
+	return true
+}
--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -1,8 +1,8 @@
 // Package crashes finds out what crashes targets: a request that its caller sends again, or a part that many prompts share.
 //
-// A crash alone blames everything that was running on the target. A part is cleared by an answer on it: a part that crashes
-// every target that begins to write an answer never gets that far, while a sound part that was only running beside it is
-// soon answered elsewhere. What is left after several crashes is quarantined.
+// A crash alone blames everything that was running on the target. A part is cleared by an answer on it from a target of the
+// same software version: a part that crashes every target that begins to write an answer never gets that far, while a sound
+// part that was only running beside it is soon answered elsewhere. What is left after several crashes is quarantined.
 //
 // Load pattern: a few requests a second, no two alike, share one part with each other and the rest of their prompts with
 // sound requests, and arrive at every gateway.
@@ -30,21 +30,25 @@
 	// retention is the time from the latest crash for which crashes are remembered. Between the end of the quarantine and
 	// that of the retention, a single further crash renews the quarantine.
 	retention = time.Hour
-	// soundPeriod is the time for which an answer on a part excuses it from crashes. It is limited, since a new version of
-	// the weights may fail on a part that an earlier one answered.
-	soundPeriod = time.Minute
-	// soundRefresh is the least time by which an answer is newer than the known one to be passed on. It is far above the
-	// transit time that each hop adds to an age.
+	// soundPeriod is the time for which an answer excuses the first crash after it, and soundPeriodAgain that for the second
+	// one. It excuses no later one, so that a part is quarantined at the fifth crash after it was answered: new weights may
+	// fail on a part that earlier ones answered. A part that is answered again and again stays excused.
+	soundPeriod      = time.Minute
+	soundPeriodAgain = soundPeriod / 4
+	// soundRefresh is the least time by which an answer is newer than the known one to be passed on if it follows no crash. It
+	// is far above the transit time that each hop adds to an age.
 	soundRefresh = 10 * time.Second
+	// replaceAfter is the least time by which a crash is later than one that it replaces in a full record, far above the transit
+	// time that each hop adds to an age.
+	replaceAfter = 10 * time.Second
+	// maxSoundVersions bounds the software versions whose answers are kept for one key.
+	maxSoundVersions = 16
 	// maxRecords bounds the records, and maxCrashesPerRecord the crashes of each.
 	maxRecords          = 2048
 	maxCrashesPerRecord = 64
 	// evictDivisor sets the share of the records that are dropped at once, so that a full table is not sorted for each new
 	// record.
 	evictDivisor = 16
-	// replaceAfter is the least time by which a crash is later than one that it replaces in a full record, far above the transit
-	// time that each hop adds to an age.
-	replaceAfter = 10 * time.Second
 	// maxSoundParts bounds the parts that are remembered as answered.
 	maxSoundParts = 1 << 14
 )
@@ -73,8 +77,25 @@
 	Depth int
 }
 
+// Version stands for a software version of targets. An answer excuses crashes of targets of the same version.
+type Version uint32
+
+// UnknownVersion is that of targets that announce none, and of evidence of builds that do not send it. Its answers excuse
+// the crashes of all versions, and answers of all versions excuse its crashes.
+const UnknownVersion Version = 0
+
+// VersionOf returns the number that stands for the name of a software version.
+func VersionOf(name string) Version {
+	if name == "" {
+		return UnknownVersion
+	}
+	return max(Version(xxhash.Sum64String(name)), 1)
+}
+
 // Occurrence tells when a target crashed under a request.
 type Occurrence struct {
+	// Version is the software version of the target.
+	Version Version
 	// SentAt is the time at which the request was sent, or zero if it is not known.
 	SentAt time.Time
 	// At is the time at which the connection of the request broke.
@@ -82,11 +103,11 @@
 }
 
 // record is what is known about one key. Merging takes the union of the crashes with the earliest times of each, and the
-// latest answer, so that the order of merging does not matter.
+// latest answer of each version, so that the order of merging does not matter.
 type record struct {
 	depth   int
 	crashes map[uint64]Occurrence // by target
-	soundAt time.Time             // of the latest answer that is known here, zero without one
+	sounds  answers
 	// change and ownChange are the change numbers of the table at the latest change, and at the latest one by an observation
 	// of this instance.
 	change, ownChange uint64
@@ -103,9 +124,23 @@
 	return latest
 }
 
-// excuses reports whether an answer shows that a request or a part did not cause a crash.
-func excuses(soundAt, crashedAt time.Time) bool {
-	return !soundAt.IsZero() && crashedAt.Before(soundAt.Add(soundPeriod))
+// answers holds the time of the latest known answer of each version.
+type answers map[Version]time.Time
+
+// latestFor returns the time of the latest answer that excuses crashes of a version, zero without one.
+func (a answers) latestFor(version Version) time.Time {
+	var latest time.Time
+	for v, at := range a {
+		if excuses(v, version) && at.After(latest) {
+			latest = at
+		}
+	}
+	return latest
+}
+
+// excuses reports whether an answer of a version says anything about crashes of a version.
+func excuses(answered, crashed Version) bool {
+	return answered == crashed || answered == UnknownVersion || crashed == UnknownVersion
 }
 
 // Table holds the crashes that all instances observed, as far as known here. It is safe for concurrent use.
@@ -114,11 +149,17 @@
 	records map[Key]*record
 	change  uint64
 	// sound holds the times of the latest answers on parts that this instance passed on.
-	sound *lru.Cache[Key, time.Time]
+	sound *lru.Cache[answeredPart, time.Time]
 	// verdicts are replaced at each change, so that reading them takes no lock.
 	verdicts atomic.Pointer[verdicts]
 }
 
+// answeredPart is a part that targets of a version answered.
+type answeredPart struct {
+	key     Key
+	version Version
+}
+
 type verdicts struct {
 	quarantined map[Key]time.Time // the end of each quarantine
 	suspected   map[Key]bool      // parts, see suspectCrashes
@@ -126,7 +167,7 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	sound, err := lru.New[Key, time.Time](maxSoundParts)
+	sound, err := lru.New[answeredPart, time.Time](maxSoundParts)
 	if err != nil {
 		panic(err) // only a size that is not positive is an error
 	}
@@ -174,11 +215,8 @@
 	defer t.mu.Unlock()
 	changed := false
 	for _, s := range suspects {
-		soundAt, _ := t.sound.Peek(s.Key)
-		if t.records[s.Key] == nil && s.Depth > 0 && excuses(soundAt, crash.At) {
-			continue // nobody suspects the part
-		}
-		changed = t.merge(now, s, map[uint64]Occurrence{target: crash}, soundAt, true) || changed
+		known := t.passedOn(s.Key, map[uint64]Occurrence{target: crash})
+		changed = t.merge(now, s, map[uint64]Occurrence{target: crash}, known, true) || changed
 	}
 	if changed {
 		t.judge(now)
@@ -186,18 +224,40 @@
 	return changed
 }
 
-// RecordSound records that a target went on after it had begun an answer on parts, or has completed the answer to a request.
-// It reports whether this is news for other instances.
-func (t *Table) RecordSound(now time.Time, suspects []Suspect) bool {
+// passedOn returns the answers on a part that this instance passed on and that say something about crashes.
+func (t *Table) passedOn(key Key, crashes map[uint64]Occurrence) answers {
+	known := make(answers)
+	for _, version := range versionsOf(crashes) {
+		if at, ok := t.sound.Peek(answeredPart{key, version}); ok {
+			known[version] = at
+		}
+	}
+	return known
+}
+
+// versionsOf returns the versions of crashed targets, and the unknown one.
+func versionsOf(crashes map[uint64]Occurrence) []Version {
+	versions := []Version{UnknownVersion}
+	for _, crash := range crashes {
+		if !slices.Contains(versions, crash.Version) {
+			versions = append(versions, crash.Version)
+		}
+	}
+	return versions
+}
+
+// RecordSound records that a target of a version went on after it had begun an answer on parts, or has completed the answer
+// to a request. It reports whether this is news for other instances.
+func (t *Table) RecordSound(now time.Time, version Version, suspects []Suspect) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changed := false
 	for _, s := range suspects {
 		if s.Depth > 0 {
-			t.sound.Add(s.Key, now)
+			t.sound.Add(answeredPart{s.Key, version}, now)
 		}
 		if t.records[s.Key] != nil {
-			changed = t.merge(now, s, nil, now, true) || changed
+			changed = t.merge(now, s, nil, answers{version: now}, true) || changed
 		}
 	}
 	if changed {
@@ -206,12 +266,12 @@
 	return changed
 }
 
-// merge adds crashes and an answer to the record of a suspect and reports whether anything is new.
-func (t *Table) merge(now time.Time, s Suspect, crashes map[uint64]Occurrence, soundAt time.Time, own bool) bool {
+// merge adds crashes and answers to the record of a suspect and reports whether anything is new.
+func (t *Table) merge(now time.Time, s Suspect, crashes map[uint64]Occurrence, sounds answers, own bool) bool {
 	r := t.records[s.Key]
 	changed := false
 	if r == nil {
-		r = &record{depth: s.Depth, crashes: make(map[uint64]Occurrence)}
+		r = &record{depth: s.Depth, crashes: make(map[uint64]Occurrence), sounds: make(answers)}
 	}
 	r.depth = max(r.depth, s.Depth)
 	maps.DeleteFunc(r.crashes, func(_ uint64, crash Occurrence) bool { return now.Sub(crash.At) >= retention })
@@ -223,9 +283,8 @@
 	if len(r.crashes) == 0 {
 		return false
 	}
-	if soundAt.After(r.soundAt.Add(soundRefresh)) {
-		r.soundAt = soundAt
-		changed = true
+	for version, at := range sounds {
+		changed = r.addAnswer(version, at) || changed
 	}
 	if !changed {
 		return false
@@ -246,7 +305,8 @@
 // that are close to each other differ in their order at the instances, and would replace each other for ever.
 func (r *record) addCrash(target uint64, crash Occurrence) bool {
 	if known, ok := r.crashes[target]; ok {
-		r.crashes[target] = Occurrence{SentAt: earlier(known.SentAt, crash.SentAt), At: earlier(known.At, crash.At)}
+		r.crashes[target] = Occurrence{Version: max(known.Version, crash.Version), SentAt: earlier(known.SentAt, crash.SentAt),
+			At: earlier(known.At, crash.At)}
 		return false
 	}
 	if len(r.crashes) >= maxCrashesPerRecord {
@@ -260,6 +320,27 @@
 	return true
 }
 
+// addAnswer adds an answer that says something about the crashes and reports whether it is worth passing on: when it is the
+// first one after a crash, or much later than the known one.
+func (r *record) addAnswer(version Version, at time.Time) bool {
+	known, ok := r.sounds[version]
+	if !ok && len(r.sounds) >= maxSoundVersions {
+		return false
+	}
+	relevant, news := false, at.After(known.Add(soundRefresh))
+	for _, crash := range r.crashes {
+		if excuses(version, crash.Version) {
+			relevant = true
+			news = news || crash.At.After(known) && !crash.At.After(at)
+		}
+	}
+	if !relevant || !news {
+		return false
+	}
+	r.sounds[version] = at
+	return true
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -344,11 +425,30 @@
 
 // unexcused returns the crashes that no answer excuses.
 func (r *record) unexcused() map[uint64]Occurrence {
-	crashed := make(map[uint64]Occurrence, len(r.crashes))
-	for target, crash := range r.crashes {
-		if !excuses(r.soundAt, crash.At) {
-			crashed[target] = crash
+	unexcused := make(map[uint64]Occurrence, len(r.crashes))
+	for _, version := range versionsOf(r.crashes) {
+		var targets []uint64
+		for target, crash := range r.crashes {
+			if crash.Version == version {
+				targets = append(targets, target)
+			}
+		}
+		slices.SortFunc(targets, func(a, b uint64) int { return compareOccurrences(r.crashes[a], r.crashes[b]) })
+		answeredAt := r.sounds.latestFor(version)
+		var current moment
+		periods := []time.Duration{0, soundPeriod, soundPeriodAgain, 0}
+		for _, target := range targets {
+			crash := r.crashes[target]
+			if !crash.At.After(answeredAt) {
+				continue
+			}
+			if current.next(crash) && len(periods) > 1 {
+				periods = periods[1:]
+			}
+			if answeredAt.IsZero() || crash.At.Sub(answeredAt) >= periods[0] {
+				unexcused[target] = crash
+			}
 		}
 	}
-	return crashed
+	return unexcused
 }
--- a/coordination/crashes/crashes_test.go
+++ b/coordination/crashes/crashes_test.go
@@ -10,6 +10,8 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
+var v1, v2 = VersionOf("v1"), VersionOf("v2")
+
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
 // prompt returns the suspects of a request with shared parts of the given names.
@@ -24,7 +26,7 @@
 func target(n int) uint64 { return TargetID(fmt.Sprint("t", n), 1) }
 
 func crash(table *Table, ms, n int, suspects []Suspect) {
-	table.RecordCrash(at(ms), Occurrence{SentAt: at(ms - 100), At: at(ms)}, target(n), suspects)
+	table.RecordCrash(at(ms), Occurrence{Version: v1, SentAt: at(ms - 100), At: at(ms)}, target(n), suspects)
 }
 
 func requireQuarantined(t *testing.T, table *Table, now time.Time, want bool, what string, suspects ...Suspect) {
@@ -59,7 +61,7 @@
 		table := NewTable()
 		for i := range partCrashes {
 			now := 1000 * i
-			table.RecordSound(at(now), prompt(uint64(50+i), "first", "middle"))
+			table.RecordSound(at(now), v1, prompt(uint64(50+i), "first", "middle"))
 			requireQuarantined(t, table, at(now), false, name, prompt(7, order...)...)
 			crash(table, now, i, prompt(uint64(i), order...))
 			crash(table, now, i, prompt(uint64(100+i), "first", "middle")) // a sound request beside it
@@ -125,7 +127,7 @@
 		crash(table, 1000*i, i, prompt(uint64(i), "p"))
 	}
 	requireQuarantined(t, table, at(3000), true, "before an answer", prompt(7, "p")...)
-	table.RecordSound(at(3000), prompt(8, "p")[1:])
+	table.RecordSound(at(3000), v1, prompt(8, "p")[1:])
 	requireQuarantined(t, table, at(3000), false, "after an answer", prompt(7, "p")...)
 	crash(table, 4000, 10, prompt(9, "p"))
 	requireQuarantined(t, table, at(4000), false, "after an answer and a crash", prompt(7, "p")...)
@@ -138,7 +140,7 @@
 	request := prompt(99)
 	crash(table, 0, 1, request)
 	crash(table, 100, 2, request)
-	table.RecordSound(at(200), request)
+	table.RecordSound(at(200), v1, request)
 	requireQuarantined(t, table, at(200), false, "a request that was answered", request...)
 }
 
@@ -146,7 +148,7 @@
 func TestPartThatBeginsToCrashTargetsIsQuarantined(t *testing.T) {
 	const contact = 3000 // milliseconds after the fifth crash, from which at most three more requests may reach targets
 	table := NewTable()
-	table.RecordSound(at(0), prompt(100, "part")[1:])
+	table.RecordSound(at(0), v1, prompt(100, "part")[1:])
 	late, fifth := 0, 0
 	for i := range 60 {
 		ms := 1000 + 200*i
@@ -167,6 +169,55 @@
 	}
 }
 
+// Guards against a part that crashes targets of a released version and is never quarantined, since those of the version before it
+// answer it: before, during and after the release, side by side, and after the way back.
+func TestAnswersExcuseOneVersion(t *testing.T) {
+	for name, answered := range map[string][]int{ // milliseconds; crashes follow each other from 1000 to 1400
+		"before the release": {900}, "during the release": {1100, 1300}, "side by side": {900, 1050, 1150, 1250, 1350, 1450}, "after the way back": {1500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table, other := NewTable(), NewTable()
+			for ms := 900; ms <= 1500; ms += 50 {
+				for _, answeredAt := range answered {
+					if answeredAt == ms {
+						table.RecordSound(at(ms), v1, prompt(uint64(ms), "part")[1:])
+					}
+				}
+				if ms%100 == 0 && ms >= 1000 && ms <= 1400 {
+					table.RecordCrash(at(ms), Occurrence{Version: v2, SentAt: at(ms - 10), At: at(ms)}, target(ms), prompt(uint64(ms), "part"))
+				}
+			}
+			evidence, _ := table.Since(at(1510), 0)
+			other.Merge(at(1520), evidence)
+			requireQuarantined(t, table, at(1510), true, "after the crashes", prompt(7, "part")...)
+			requireQuarantined(t, other, at(1520), true, "at another instance", prompt(7, "part")...)
+			table.RecordSound(at(1530), v2, prompt(8, "part")[1:])
+			requireQuarantined(t, table, at(1530), false, "after an answer of the version", prompt(7, "part")...)
+		})
+	}
+}
+
+// Guards against evidence of a build without versions that excuses nothing, or whose crashes are blamed in spite of answers.
+func TestEvidenceWithoutVersions(t *testing.T) {
+	table := NewTable()
+	suspects := prompt(1, "part")[1:]
+	for i := range partCrashes {
+		table.Merge(at(1000*i), []Evidence{{Key: suspects[0].Key, Depth: 1, Crashes: []Crash{{Target: target(i), MsAgo: 1}}}})
+	}
+	requireQuarantined(t, table, at(2100), true, "crashes without a version", suspects...)
+	table.RecordSound(at(2200), v1, suspects)
+	requireQuarantined(t, table, at(2200), false, "an answer of any version", suspects...)
+	for i := range partCrashes {
+		crash(table, 70_000+1000*i, 10+i, suspects)
+	}
+	requireQuarantined(t, table, at(72_000), true, "crashes long after", suspects...)
+	table.Merge(at(72_100), []Evidence{{Key: suspects[0].Key, Depth: 1, Crashes: []Crash{{Target: target(10), MsAgo: 2100}}, SoundMsAgo: 50}})
+	requireQuarantined(t, table, at(72_100), false, "an answer without a version", suspects...)
+	if e := table.Of(at(72_200), suspects)[0]; e.SoundMsAgo != 150 {
+		t.Errorf("evidence for builds without versions has an answer %d ms ago, want 150", e.SoundMsAgo)
+	}
+}
+
 // Guards against a part that crashes several targets again whenever its quarantine ends.
 func TestOneCrashRenewsQuarantine(t *testing.T) {
 	table := NewTable()
@@ -187,7 +238,7 @@
 	for i := range 700 {
 		crash(tables[i%2], 10*i, i, prompt(uint64(i), "bad"))
 	}
-	tables[2].RecordSound(at(7000), prompt(1, "good"))
+	tables[2].RecordSound(at(7000), v1, prompt(1, "good"))
 	crash(tables[0], 8000, 900, prompt(5000, "good"))
 	now := at(9000)
 	sent := make(map[[2]int]uint64)
--- a/coordination/crashes/evidence.go
+++ b/coordination/crashes/evidence.go
@@ -13,8 +13,31 @@
 	Key     Key     `json:"k"`
 	Depth   int     `json:"d,omitempty"`
 	Crashes []Crash `json:"c"`
-	// SoundMsAgo is the age of the latest answer, 0 without one.
+	// SoundMsAgo is the age of the latest answer, 0 without one. It is for builds that do not read Answers.
 	SoundMsAgo int64 `json:"s,omitempty"`
+	// Answers holds the latest answer of each software version.
+	Answers []Answer `json:"v,omitempty"`
+}
+
+// Answer is the latest answer of targets of a software version.
+type Answer struct {
+	Version Version `json:"v,omitempty"`
+	MsAgo   int64   `json:"a"`
+}
+
+// Older returns evidence that is older by a number of milliseconds.
+func (e Evidence) Older(ms int64) Evidence {
+	e.Crashes, e.Answers = slices.Clone(e.Crashes), slices.Clone(e.Answers)
+	for i := range e.Crashes {
+		e.Crashes[i].MsAgo += ms
+	}
+	for i := range e.Answers {
+		e.Answers[i].MsAgo += ms
+	}
+	if e.SoundMsAgo > 0 {
+		e.SoundMsAgo += ms
+	}
+	return e
 }
 
 // Crash is the crash of a target.
@@ -23,6 +46,8 @@
 	MsAgo  int64  `json:"a"`
 	// SentMsAgo is the age of the request, 0 if it is not known.
 	SentMsAgo int64 `json:"n,omitempty"`
+	// Version is the software version of the target.
+	Version Version `json:"v,omitempty"`
 }
 
 // maxEvidence bounds the suspects in one message. What is beyond it follows in the next one.
@@ -94,19 +119,36 @@
 func (r *record) evidence(now time.Time, key Key) Evidence {
 	e := Evidence{Key: key, Depth: r.depth}
 	for target, crash := range r.crashes {
-		c := Crash{Target: target, MsAgo: now.Sub(crash.At).Milliseconds()}
+		c := Crash{Target: target, MsAgo: now.Sub(crash.At).Milliseconds(), Version: crash.Version}
 		if !crash.SentAt.IsZero() {
 			c.SentMsAgo = max(now.Sub(crash.SentAt).Milliseconds(), 1)
 		}
 		e.Crashes = append(e.Crashes, c)
 	}
 	slices.SortFunc(e.Crashes, func(a, b Crash) int { return cmp.Compare(a.Target, b.Target) })
-	if !r.soundAt.IsZero() {
-		e.SoundMsAgo = max(now.Sub(r.soundAt).Milliseconds(), 1)
+	for version, at := range r.sounds {
+		answer := Answer{Version: version, MsAgo: max(now.Sub(at).Milliseconds(), 1)}
+		e.Answers = append(e.Answers, answer)
+		if e.SoundMsAgo == 0 || answer.MsAgo < e.SoundMsAgo {
+			e.SoundMsAgo = answer.MsAgo
+		}
 	}
+	slices.SortFunc(e.Answers, func(a, b Answer) int { return cmp.Compare(a.Version, b.Version) })
 	return e
 }
 
+// answers returns the answers of the evidence. Those of a build that sends no versions are of an unknown one.
+func (e *Evidence) answers(now time.Time) answers {
+	sounds := make(answers)
+	if len(e.Answers) == 0 && e.SoundMsAgo > 0 {
+		sounds[UnknownVersion] = now.Add(-age(e.SoundMsAgo))
+	}
+	for _, answer := range e.Answers[:min(len(e.Answers), maxSoundVersions)] {
+		sounds[answer.Version] = now.Add(-age(answer.MsAgo))
+	}
+	return sounds
+}
+
 // Merge applies evidence of another instance and reports whether anything is new. Evidence may arrive in any order and more
 // than once.
 func (t *Table) Merge(now time.Time, list []Evidence) bool {
@@ -119,21 +161,17 @@
 	for _, e := range list {
 		crashes := make(map[uint64]Occurrence, len(e.Crashes))
 		for _, c := range e.Crashes[:min(len(e.Crashes), maxCrashesPerRecord)] {
-			crash := Occurrence{At: now.Add(-age(c.MsAgo))}
+			crash := Occurrence{Version: c.Version, At: now.Add(-age(c.MsAgo))}
 			if c.SentMsAgo > 0 {
 				crash.SentAt = now.Add(-age(c.SentMsAgo))
 			}
 			crashes[c.Target] = crash
 		}
-		var soundAt time.Time
-		if e.SoundMsAgo > 0 {
-			soundAt = now.Add(-age(e.SoundMsAgo))
-		}
 		s := Suspect{Key: e.Key, Depth: max(e.Depth, 0)}
-		changed = t.merge(now, s, crashes, soundAt, false) || changed
+		changed = t.merge(now, s, crashes, e.answers(now), false) || changed
 		// Answers that this instance passed on may clear what others suspect.
-		if at, ok := t.sound.Peek(e.Key); ok {
-			changed = t.merge(now, s, nil, at, true) || changed
+		if known := t.passedOn(e.Key, crashes); len(known) > 0 {
+			changed = t.merge(now, s, nil, known, true) || changed
 		}
 	}
 	if changed {
--- a/coordination/crashes/simulation_test.go
+++ b/coordination/crashes/simulation_test.go
@@ -26,6 +26,8 @@
 	simEnd       = 30_000
 	simEventTime = 30 // from one event of an answer to the next
 	simBadPart   = "bad"
+	// simMaxNews bounds the suspects in the messages of a day, far above what 46 instances need to tell each other all.
+	simMaxNews = 10_000_000
 )
 
 // simDay is what a simulated day is like.
@@ -45,9 +47,21 @@
 	racks                       float64 // losses of a quarter of the targets, a second
 	restarts                    float64 // of instances, a second
 	cuts                        float64 // of instances from all others, a second
+	answeredBefore              bool    // requests with the bad part arrive from the start and are answered until simBadFrom
+	release                     string  // of the software version that the bad part crashes
 }
 
-func drawDay(t *rapid.T) simDay {
+// Releases of a software version that the bad part crashes, while the version before it answers requests with the part.
+const (
+	noRelease  = "" // all targets have one version
+	replaced   = "replaced"
+	sideBySide = "side by side"
+	rolledBack = "rolled back"
+)
+
+const simRollBack = simBadFrom + 8000
+
+func drawDay(t *rapid.T, releases ...string) simDay {
 	rate := func(name string, rates ...float64) float64 { return rapid.SampledFrom(rates).Draw(t, name) }
 	d := simDay{
 		seed:     rapid.Uint64().Draw(t, "seed"),
@@ -58,7 +72,8 @@
 		maxDelay: rapid.SampledFrom([]int{2, 20, 100}).Draw(t, "delay"), batch: rapid.SampledFrom([]int{10, 300}).Draw(t, "batch"),
 		beginsAnswer: rapid.Bool().Draw(t, "answer begins"), repeats: rapid.Bool().Draw(t, "repeats"),
 		otherCrashes: rate("other crashes", 0, 0.1, 1), racks: rate("lost racks", 0, 0.1), restarts: rate("restarts", 0, 0.1),
-		cuts: rate("cuts", 0, 0.1),
+		cuts: rate("cuts", 0, 0.1), answeredBefore: rapid.Bool().Draw(t, "answered before"),
+		release: rapid.SampledFrom(releases).Draw(t, "release"),
 	}
 	d.badDepth = rapid.IntRange(0, d.parts-1).Draw(t, "depth of the part")
 	return d
@@ -127,6 +142,7 @@
 	// begun those of them that begin at the first attempt.
 	sound, begun [2]int
 	refused      int // sound requests
+	news         int // suspects in messages
 }
 
 func newSimulation(day simDay) *simulation {
@@ -142,7 +158,11 @@
 	}
 	s.connect()
 	s.repeat(day.soundPerSecond, 0, func() { s.arrive(false) })
-	s.repeat(day.badPerSecond, simBadFrom, func() { s.arrive(true) })
+	badFrom := simBadFrom
+	if day.answeredBefore {
+		badFrom = 0
+	}
+	s.repeat(day.badPerSecond, badFrom, func() { s.arrive(true) })
 	s.repeat(day.otherCrashes, 0, func() { s.crash(s.targets[s.rng.IntN(len(s.targets))]) })
 	s.repeat(day.racks, 0, func() {
 		for _, i := range s.rng.Perm(len(s.targets))[:len(s.targets)/4] {
@@ -206,6 +226,7 @@
 				delete(from.reported, to)
 				return
 			}
+			s.news += len(evidence)
 			receiver.Merge(at(s.now), evidence)
 		})
 	})
@@ -228,7 +249,7 @@
 }
 
 func (s *simulation) run() {
-	for len(s.queue) > 0 && s.queue[0].at <= simEnd {
+	for len(s.queue) > 0 && s.queue[0].at <= simEnd && s.news <= simMaxNews {
 		e := heap.Pop(&s.queue).(simEvent)
 		s.now = e.at
 		e.do()
@@ -301,18 +322,42 @@
 	s.after(5+s.rng.IntN(150), func() { s.begin(t, q, 2+s.rng.IntN(20)) })
 }
 
+// version returns the software version of a target.
+func (s *simulation) version(t *simTarget) Version {
+	isNew := false
+	switch s.day.release {
+	case replaced:
+		isNew = s.now >= simBadFrom
+	case sideBySide:
+		isNew = t.number%2 == 0
+	case rolledBack:
+		isNew = s.now >= simBadFrom && s.now < simRollBack
+	}
+	if isNew {
+		return v2
+	}
+	return v1
+}
+
+// crashes reports whether the bad part crashes a target.
+func (s *simulation) crashes(t *simTarget) bool {
+	return s.now >= simBadFrom && (s.day.release == noRelease || s.version(t) == v2)
+}
+
 // begin begins the answer to a request that still runs.
 func (s *simulation) begin(t *simTarget, q *simRequest, events int) {
 	switch {
 	case !slices.Contains(t.running, q):
-	case q.bad:
+	case q.bad && s.crashes(t):
 		if s.day.beginsAnswer {
 			q.events = 1
 		}
 		s.badCrashes = append(s.badCrashes, s.now)
 		s.crash(t)
 	default:
-		s.count(&s.begun, q)
+		if !q.bad {
+			s.count(&s.begun, q)
+		}
 		s.goOn(t, q, events)
 	}
 }
@@ -325,10 +370,14 @@
 	switch {
 	case q.events == events:
 		t.running = slices.DeleteFunc(t.running, func(other *simRequest) bool { return other == q })
-		q.gateway.table.RecordSound(at(s.now), q.suspects)
+		answered := q.suspects
+		if q.events > 2 {
+			answered = answered[:1] // the parts were answered at the second event
+		}
+		q.gateway.table.RecordSound(at(s.now), s.version(t), answered)
 		return
 	case q.events == 2:
-		q.gateway.table.RecordSound(at(s.now), q.suspects[1:])
+		q.gateway.table.RecordSound(at(s.now), s.version(t), q.suspects[1:])
 	}
 	s.after(simEventTime, func() { s.goOn(t, q, events) })
 }
@@ -343,6 +392,7 @@
 	t.downUntil = s.now + 1000 + s.rng.IntN(4000)
 	running := t.running
 	t.running = nil
+	version := s.version(t)
 	for _, q := range running {
 		suspects := q.suspects
 		if q.events >= 2 {
@@ -350,7 +400,7 @@
 		}
 		table, sentAt, brokeAt := q.gateway.table, at(q.sentAt), s.now+1+s.rng.IntN(3)
 		s.after(brokeAt-s.now+1, func() {
-			table.RecordCrash(at(s.now), Occurrence{SentAt: sentAt, At: at(brokeAt)}, id, suspects)
+			table.RecordCrash(at(s.now), Occurrence{Version: version, SentAt: sentAt, At: at(brokeAt)}, id, suspects)
 			if s.day.repeats && q.sends < 2 && table.MayRepeat(q.suspects) {
 				s.send(q, t)
 			}
@@ -362,28 +412,37 @@
 // requests are refused for it, with gateways and control instances that restart or are cut off and targets that are lost for
 // other reasons.
 func TestPartsThatCrashTargetsOnRandomDays(t *testing.T) {
-	rapid.Check(t, func(rt *rapid.T) {
-		day := drawDay(rt)
-		s := newSimulation(day)
-		s.run()
-		if len(s.badCrashes) >= simCrashesUntilKnown {
-			knownFrom, late := s.badCrashes[simCrashesUntilKnown-1]+simContact, 0
-			for _, sentAt := range s.badSends {
-				if sentAt > knownFrom {
-					late++
-				}
-			}
-			if late > simAllowedAfterwards {
-				rt.Errorf("%d requests with the part were sent after %d ms, at most %d allowed; %d crashes in all", late, knownFrom,
-					simAllowedAfterwards, len(s.badCrashes))
+	rapid.Check(t, func(rt *rapid.T) { checkDay(rt, drawDay(rt, noRelease, sideBySide)) })
+}
+
+// Guards against the same on days on which the targets are replaced by those of a version that the part crashes.
+func TestPartsThatCrashReleasesOnRandomDays(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) { checkDay(rt, drawDay(rt, replaced, rolledBack)) })
+}
+
+func checkDay(rt *rapid.T, day simDay) {
+	s := newSimulation(day)
+	s.run()
+	if s.news > simMaxNews {
+		rt.Fatalf("evidence is passed on without end: %d suspects in messages until %d ms", s.news, s.now)
+	}
+	if len(s.badCrashes) >= simCrashesUntilKnown {
+		knownFrom, late := s.badCrashes[simCrashesUntilKnown-1]+simContact, 0
+		for _, sentAt := range s.badSends {
+			if sentAt > knownFrom {
+				late++
 			}
 		}
-		before, after := float64(s.begun[0])/float64(s.sound[0]), float64(s.begun[1])/float64(s.sound[1])
-		if s.day.badDepth > 0 && s.sound[0] >= simMinSamples && s.sound[1] >= simMinSamples && after < before/2 {
-			rt.Errorf("%.2f of the sound requests began, and %.2f before", after, before)
-		}
-		if day.badPerSecond == 0 && s.refused > 0 {
-			rt.Errorf("%d of %d sound requests were refused on a day without a part that crashes targets", s.refused, s.requests)
+		if late > simAllowedAfterwards {
+			rt.Errorf("%d requests with the part were sent after %d ms, at most %d allowed; %d crashes in all", late, knownFrom,
+				simAllowedAfterwards, len(s.badCrashes))
 		}
-	})
+	}
+	before, after := float64(s.begun[0])/float64(s.sound[0]), float64(s.begun[1])/float64(s.sound[1])
+	if s.day.badDepth > 0 && s.sound[0] >= simMinSamples && s.sound[1] >= simMinSamples && after < before/2 {
+		rt.Errorf("%.2f of the sound requests began, and %.2f before", after, before)
+	}
+	if day.badPerSecond == 0 && s.refused > 0 {
+		rt.Errorf("%d of %d sound requests were refused on a day without a part that crashes targets", s.refused, s.requests)
+	}
 }
--- a/instance/controlinstance/quarantines.go
+++ b/instance/controlinstance/quarantines.go
@@ -46,12 +46,7 @@
 	// A clock that was set back makes the crashes younger than they are, not older than the deployment.
 	since := max(now.UnixMilli()-saved.SavedAtMs, 0)
 	for i := range saved.Crashes {
-		for j := range saved.Crashes[i].Crashes {
-			saved.Crashes[i].Crashes[j].MsAgo += since
-		}
-		if saved.Crashes[i].SoundMsAgo > 0 {
-			saved.Crashes[i].SoundMsAgo += since
-		}
+		saved.Crashes[i] = saved.Crashes[i].Older(since)
 	}
 	instance.view.MergeCrashes(now, saved.Crashes)
 	return nil
--- a/instance/crashsuspects/crashsuspects.go
+++ b/instance/crashsuspects/crashsuspects.go
@@ -139,7 +139,7 @@
 
 // Answering records that the target of an attempt goes on after it began the answer.
 func (t *Table) Answering(attemptID string) {
-	t.parts.RecordSound(t.now(), t.takeUnanswered(attemptID))
+	t.parts.RecordSound(t.now(), crashes.UnknownVersion, t.takeUnanswered(attemptID))
 }
 
 func (t *Table) claim(ctx context.Context, a quarantine.Attempt) bool {
--- a/instance/fleetview/crashes.go
+++ b/instance/fleetview/crashes.go
@@ -58,9 +58,9 @@
 	}
 }
 
-// RecordSound records that a target goes on with an answer on parts, or has completed the answer to a request.
-func (v *View) RecordSound(now time.Time, suspects []crashes.Suspect) {
-	if v.crashes.RecordSound(now, suspects) {
+// RecordSound records that a target of a version goes on with an answer on parts, or has completed the answer to a request.
+func (v *View) RecordSound(now time.Time, version crashes.Version, suspects []crashes.Suspect) {
+	if v.crashes.RecordSound(now, version, suspects) {
 		v.notifyCrashes()
 	}
 }
--- a/instance/gateway/crash_suspects.go
+++ b/instance/gateway/crash_suspects.go
@@ -40,6 +40,7 @@
 	sentAt   time.Time
 	at       time.Time
 	target   roster.Key
+	version  crashes.Version
 	suspects []crashes.Suspect
 }
 
@@ -159,7 +160,8 @@
 // recordBroken records a request that was sent at a time and whose answer broke off after a number of events, and finds out whether the
 // target crashed.
 func (g *Gateway) recordBroken(q *request, target *roster.Entry, sentAt time.Time, events int) {
-	b := brokenRequest{sentAt: sentAt, at: time.Now(), target: target.Key, suspects: q.suspects}
+	b := brokenRequest{sentAt: sentAt, at: time.Now(), target: target.Key, version: crashes.VersionOf(target.SoftwareVersion),
+		suspects: q.suspects}
 	if events >= soundEvents {
 		b.suspects = q.suspects[:1] // only the whole request
 	}
@@ -208,7 +210,8 @@
 }
 
 func (g *Gateway) recordCrash(c unconfirmedCrash) {
-	g.view.RecordCrash(time.Now(), crashes.Occurrence{SentAt: c.sentAt, At: c.at}, crashes.TargetID(c.target.ID, uint64(c.target.StartedAtMs)), c.suspects)
+	g.view.RecordCrash(time.Now(), crashes.Occurrence{Version: c.version, SentAt: c.sentAt, At: c.at},
+		crashes.TargetID(c.target.ID, uint64(c.target.StartedAtMs)), c.suspects)
 	g.metrics.crashStrikes.Inc(1)
 	g.recorder.Record(events.CrashStrike, events.Fields{"fingerprint": c.suspects[0].Key, "target": c.target.ID,
 		"parts": len(c.suspects) - 1, "after_ms": c.failedAt.Sub(c.at).Milliseconds()})
@@ -226,13 +229,9 @@
 	}
 }
 
-// recordSound records that a target goes on with the answer to a request, or has completed it.
-func (g *Gateway) recordSound(q *request, complete bool) {
-	if complete {
-		g.view.RecordSound(time.Now(), q.suspects)
-		return
-	}
-	g.view.RecordSound(time.Now(), q.suspects[1:])
+// recordSound records that a target answers suspects.
+func (g *Gateway) recordSound(target *roster.Entry, suspects []crashes.Suspect) {
+	g.view.RecordSound(time.Now(), crashes.VersionOf(target.SoftwareVersion), suspects)
 }
 
 // quarantineReason says why a request is refused, or is empty if it is not quarantined. left is how long the refusal lasts.
--- a/instance/gateway/crash_suspects_test.go
+++ b/instance/gateway/crash_suspects_test.go
@@ -198,3 +198,26 @@
 		t.Error("the part is not quarantined after three targets have crashed under it")
 	}
 }
+
+// Guards against an answer of one software version that excuses crashes of another one.
+func TestAnswerExcusesItsSoftwareVersion(t *testing.T) {
+	for crashed, want := range map[string]bool{"v1": false, "v2": true} {
+		t.Run(crashed, func(t *testing.T) {
+			f := newFixture(t)
+			f.configure()
+			f.targetOf("t1", "engine", "v1", func(conn net.Conn, r *http.Request, _ string) { writeStream(conn, r, true, event(1), event(2)) })
+			if response, _, err := f.call("sound", "/stream/sound", "Model: m", "Parts: first bad own"); err != nil || response.StatusCode != http.StatusOK {
+				t.Fatalf("response %v, error %v", response, err)
+			}
+			now := time.Now()
+			for i := range 3 {
+				at := now.Add(time.Duration(i+1) * 100 * time.Millisecond)
+				f.view.RecordCrash(at, crashes.Occurrence{Version: crashes.VersionOf(crashed), At: at}, uint64(i+1),
+					[]crashes.Suspect{{Key: crashes.PartKey("bad"), Depth: 2}})
+			}
+			if _, _, found := f.view.Quarantined(now.Add(time.Second), []crashes.Suspect{{Key: crashes.PartKey("bad"), Depth: 2}}); found != want {
+				t.Errorf("the part is quarantined: %v, want %v", found, want)
+			}
+		})
+	}
+}
--- a/instance/gateway/handover.go
+++ b/instance/gateway/handover.go
@@ -142,7 +142,7 @@
 		return g.relayRefusal(r, q, answer, ran)
 	}
 	target := takeTarget(answer.Header)
-	r.target, r.inFlight, r.attempt, r.final = target, nil, nil, true
+	r.target, r.inFlight, r.attempt, r.final, r.sound = target, nil, nil, true, false
 	q.lastTarget, q.helper = target.ID, helper
 	g.observeLimit(q.arrived, target, answer.Response)
 	g.observeBrittle(q.arrived, target, answer.Response)
--- a/instance/gateway/relay.go
+++ b/instance/gateway/relay.go
@@ -40,7 +40,7 @@
 	lastEventID string // id of the last event that was relayed
 	bytes       int64
 	events      int // complete events of the current attempt that were relayed
-	// sound is set once the target has gone on after it began the answer.
+	// sound is set once the target of the current attempt has gone on after it began the answer.
 	sound bool
 	// firstEventAt and lastEventAt are the times of the first and the latest event of a stream, maxEventPause is the longest
 	// pause between two of them.
@@ -181,7 +181,7 @@
 			r.recordLastEventID(pending[:end])
 			if r.events += eventCount(pending[:end]); r.events >= soundEvents && !r.sound {
 				r.sound = true
-				r.g.recordSound(r.q, false)
+				r.g.recordSound(r.target, r.q.suspects[1:])
 			}
 			r.recordEventTime(time.Now())
 			if writeErr := r.write(pending[:end], true); writeErr != nil {
@@ -301,7 +301,12 @@
 	g, q := r.g, r.q
 	r.w.whole = true
 	if a.StatusCode >= 200 && a.StatusCode < 300 && !endsWithConnection(a) {
-		g.recordSound(q, true)
+		suspects := q.suspects
+		if r.sound {
+			// The parts were answered earlier. In the meantime they may have begun to crash targets.
+			suspects = suspects[:1]
+		}
+		g.recordSound(r.target, suspects)
 	}
 	took := time.Since(q.arrived)
 	g.metrics.answered.Inc(1)
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -27,7 +27,7 @@
 	now := time.Now()
 	inFlight := g.loadTracker.Start(now, target.ID, q.prompt.Model, q.prompt.Tokens)
 	end := dispatch.Neutral
-	r.inFlight, r.target, r.final = inFlight, target, false
+	r.inFlight, r.target, r.final, r.sound = inFlight, target, false, false
 	g.demand.addRunning(q, target.ID, 1)
 	defer func() {
 		g.demand.addRunning(q, target.ID, -1)
