Count what a target holds at the size it was loaded with

Cause: the memory of a target was the sum of the sizes in the configuration in force, in the plan and in the last check: 0 for a withdrawn model, too little for one that was resized. The size of a load was read at the plan only. Change: each control instance keeps the largest configured size of a model until a minute after a change and while a target lists the model; a load counts at the size that was ordered. An unknown size takes all that is left. A withdrawn model yields first, and a load is checked again at its order. An adapter is evicted only if the new one fits then.

--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -47,6 +47,8 @@
 	// known state.
 	AwaitingReport bool
 	UsedMB         float64 // by models and adapters, held or being loaded
+	// HeldMB are the sizes with which models are held. Without an entry, it is that of the model.
+	HeldMB map[string]float64
 	// InMemory and OnDisk are models whose weights the target caches, so that they load faster than from the weight
 	// store.
 	InMemory, OnDisk []string
--- a/coordination/residency/victim.go
+++ b/coordination/residency/victim.go
@@ -49,11 +49,19 @@
 
 // canReplace reports whether a held model has settled and its memory, with what is free, is enough for another one.
 func (t *Target) canReplace(held, m *Model) bool {
-	return !slices.Contains(t.Settling, held.Name) && t.UsedMB-held.WeightsMB+m.WeightsMB <= t.CapacityMB
+	heldMB, ok := t.HeldMB[held.Name]
+	if !ok {
+		heldMB = held.WeightsMB
+	}
+	return !slices.Contains(t.Settling, held.Name) && t.UsedMB-heldMB+m.WeightsMB <= t.CapacityMB
 }
 
-// unloadCost returns the cost of unloading a copy of a model in favour of another one, and whether that is allowed.
+// unloadCost returns the cost of unloading a copy of a model in favour of another one, and whether that is allowed. A model that
+// was withdrawn costs nothing.
 func (p *planner) unloadCost(victim, gaining *Model) (cost float64, allowed bool) {
+	if p.byName[victim.Name] == nil {
+		return 0, true
+	}
 	copies := p.copies[victim.Name]
 	// The running requests of the victim must finish before its memory is free.
 	running := victimLoadCost * victim.Demand / float64(copies) / p.maxSlots
--- a/instance/controlinstance/adapter_slots.go
+++ b/instance/controlinstance/adapter_slots.go
@@ -86,11 +86,13 @@
 		c.mu.Unlock()
 		return 0, true
 	}
-	full := len(c.adapters) >= engine.AdapterSlots || c.usedMBLocked(engine)+model.AdapterMB > engine.CapacityMB
+	full := len(c.adapters) >= engine.AdapterSlots || !c.fitsLocked(model.AdapterMB, engine, d.sizes)
 	victim, canEvict := c.victimLocked(time.Now())
+	_, victimMB, _ := d.sizes.of(c.service, engine, victim.model)
+	fitsThen := c.fitsLocked(model.AdapterMB-victimMB, engine, d.sizes)
 	c.mu.Unlock()
 	if full {
-		if !canEvict {
+		if !canEvict || !fitsThen {
 			return 0, false
 		}
 		outcome := c.sendOrder(ctx, d, Order{Unload: true, Model: victim.model, Adapter: victim.adapter})
--- a/instance/controlinstance/controlled_target.go
+++ b/instance/controlinstance/controlled_target.go
@@ -39,6 +39,8 @@
 	models      map[string]bool
 	adapters    map[adapterKey]time.Time // time of the last use
 	move        *move
+	// loadedMB is, by model, the size with which a move loaded it.
+	loadedMB map[string]float64
 	// loadedAt is, by model, the end of the last load that a move ordered.
 	loadedAt map[string]time.Time
 	// lastListedBeat is, by model, the number of the latest heartbeat that listed it since it was loaded. Heartbeats
@@ -49,7 +51,7 @@
 func newControlledTarget(t roster.Target) *controlledTarget {
 	return &controlledTarget{id: t.ID, startedAtMs: t.StartedAtMs, service: t.Service, softwareVersion: t.SoftwareVersion,
 		callSlot: make(chan struct{}, 1), target: t, models: make(map[string]bool), adapters: make(map[adapterKey]time.Time), lastListedBeat: make(map[string]uint64),
-		loadedAt: make(map[string]time.Time)}
+		loadedAt: make(map[string]time.Time), loadedMB: make(map[string]float64)}
 }
 
 // acquireCall waits until no other call to the target runs. It returns false if ctx ends first.
@@ -93,7 +95,7 @@
 
 // plannerTarget describes the target for the planner. Until its first report, its models are taken from the heartbeat:
 // the planner would otherwise load another copy elsewhere. No order is sent to the target before the report.
-func (c *controlledTarget) plannerTarget(now time.Time, engine *routes.Engine) residency.Target {
+func (c *controlledTarget) plannerTarget(now time.Time, engine *routes.Engine, sizes *modelSizes) residency.Target {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	slots := c.target.Slots
@@ -120,7 +122,7 @@
 		t.Loading = c.move.Load
 	}
 	slices.Sort(t.Models)
-	t.UsedMB = c.usedMBLocked(engine)
+	t.UsedMB, t.HeldMB = c.usedMBLocked(engine, sizes)
 	for name, at := range c.loadedAt {
 		if now.Sub(at) < settleAfterLoad {
 			t.Settling = append(t.Settling, name)
@@ -129,22 +131,42 @@
 	return t
 }
 
-func (c *controlledTarget) usedMBLocked(engine *routes.Engine) float64 {
-	used := 0.0
+// usedMBLocked returns the memory that models and adapters take, and that of each model. A model of unknown size takes all that the
+// others leave, so that nothing is loaded beside it.
+func (c *controlledTarget) usedMBLocked(engine *routes.Engine, sizes *modelSizes) (used float64, held map[string]float64) {
+	held = make(map[string]float64, len(c.models))
+	var unknown []string
 	for name := range c.models {
-		if m := engine.Model(name); m != nil {
-			used += m.WeightsMB
+		weightsMB, _, known := sizes.of(c.service, engine, name)
+		if loadedMB, ok := c.loadedMB[name]; ok {
+			weightsMB, known = loadedMB, true
 		}
+		if !known {
+			unknown = append(unknown, name)
+			continue
+		}
+		held[name] = weightsMB
+		used += weightsMB
 	}
 	for key := range c.adapters {
-		if m := engine.Model(key.model); m != nil {
-			used += m.AdapterMB
-		}
+		_, adapterMB, _ := sizes.of(c.service, engine, key.model)
+		used += adapterMB
 	}
 	if c.move != nil && c.move.phase == loading && c.move.orderAccepted && !c.models[c.move.Load] {
 		used += c.move.weightsMB
 	}
-	return used
+	rest := max(engine.CapacityMB-used, 0)
+	for _, name := range unknown {
+		held[name] = rest
+		used = max(used, engine.CapacityMB)
+	}
+	return used, held
+}
+
+// fitsLocked reports whether memory is free.
+func (c *controlledTarget) fitsLocked(mb float64, engine *routes.Engine, sizes *modelSizes) bool {
+	used, _ := c.usedMBLocked(engine, sizes)
+	return used+mb <= engine.CapacityMB
 }
 
 // sendOrder sends one order and counts it. The caller holds callSlot but not mu. An empty outcome means that nothing
--- a/instance/controlinstance/director.go
+++ b/instance/controlinstance/director.go
@@ -58,6 +58,7 @@
 	demand   map[modelKey]*residency.SmoothedDemand
 	smoothed map[modelKey]float64
 	targets  map[string]*controlledTarget // by target id
+	sizes    *modelSizes
 	// adapterRequests holds, by adapter, the time of the latest request.
 	adapterRequests map[modelKey]map[string]time.Time
 	storeRates      map[string]*residency.LoadLimiter // by service, the rate of loads from the weight store
@@ -78,7 +79,7 @@
 		permitsGiven: counter("permits_given"), permitsDenied: counter("permits_denied"),
 		gateways: newGatewayLoads(), refusals: make(map[modelKey]float64),
 		demand: make(map[modelKey]*residency.SmoothedDemand), smoothed: make(map[modelKey]float64),
-		limits: targetlimit.NewTable(), permits: targetlimit.NewPermits(),
+		sizes: newModelSizes(), limits: targetlimit.NewTable(), permits: targetlimit.NewPermits(),
 		targets: make(map[string]*controlledTarget), adapterRequests: make(map[modelKey]map[string]time.Time), storeRates: make(map[string]*residency.LoadLimiter),
 	}
 }
@@ -166,6 +167,10 @@
 	defer d.mu.Unlock()
 	d.expire(now)
 	d.updateDemand(now)
+	table := d.view.Table()
+	if table != nil {
+		d.sizes.observe(now, table.Document(), d.view.Targets)
+	}
 	if !allowed {
 		if fence != d.fence {
 			d.targets = make(map[string]*controlledTarget) // another leader may give orders in between
@@ -181,7 +186,6 @@
 	if d.planAfter.IsZero() {
 		d.planAfter = now.Add(settleTime)
 	}
-	table := d.view.Table()
 	if table == nil {
 		return
 	}
@@ -307,7 +311,7 @@
 		if c.service != service.Name {
 			continue
 		}
-		t := c.plannerTarget(now, service.Engine)
+		t := c.plannerTarget(now, service.Engine, d.sizes)
 		t.ID, t.Running = id, d.gateways.running(id)
 		input.Targets = append(input.Targets, t)
 	}
@@ -317,7 +321,8 @@
 	for i := range service.Engine.Models {
 		m := &service.Engine.Models[i]
 		key := modelKey{service.Name, m.Name}
-		model := residency.Model{Name: m.Name, WeightsMB: m.WeightsMB, HasAdapters: m.Adapters > 0,
+		weightsMB, _, _ := d.sizes.of(service.Name, service.Engine, m.Name)
+		model := residency.Model{Name: m.Name, WeightsMB: weightsMB, HasAdapters: m.Adapters > 0,
 			Adapters: len(d.adapterRequests[key])}
 		if demand := d.demand[key]; demand != nil {
 			model.Demand, model.RecentDemand = d.smoothed[key], demand.Recent()
--- a/instance/controlinstance/director_test.go
+++ b/instance/controlinstance/director_test.go
@@ -39,6 +39,8 @@
 	t            *testing.T
 	mu           sync.Mutex
 	models       map[string]bool
+	heldMB       map[string]float64 // sizes at which models were loaded, modelMB without an entry
+	configuredMB func(model string) float64
 	adapters     map[string]bool
 	loading      string
 	unloading    bool
@@ -55,7 +57,8 @@
 }
 
 func newFakeEngine(t *testing.T, models ...string) *fakeEngine {
-	e := &fakeEngine{t: t, models: map[string]bool{}, adapters: map[string]bool{}, loseResponse: func() bool { return false },
+	e := &fakeEngine{t: t, models: map[string]bool{}, heldMB: map[string]float64{}, adapters: map[string]bool{},
+		configuredMB: func(string) float64 { return modelMB }, loseResponse: func() bool { return false },
 		rng: rand.New(rand.NewPCG(3, 4))}
 	for _, m := range models {
 		e.models[m] = true
@@ -114,9 +117,14 @@
 }
 
 func (e *fakeEngine) execute(o Order) Outcome {
-	if used := float64(len(e.models)+1) * modelMB; o.Sequence == e.sequence && !o.Unload && o.Adapter == "" &&
-		!e.models[o.Model] && used > capacityMB {
-		e.t.Errorf("ordered to load %s in addition to %v: %v MB of %v MB", o.Model, e.models, used, capacityMB)
+	if o.Sequence == e.sequence && !o.Unload && o.Adapter == "" && !e.models[o.Model] {
+		used := e.configuredMB(o.Model)
+		for m := range e.models {
+			used += e.sizeOf(m)
+		}
+		if used > capacityMB {
+			e.t.Errorf("ordered to load %s in addition to %v: %v MB of %v MB", o.Model, e.models, used, capacityMB)
+		}
 	}
 	if e.loading != "" || e.unloading || o.Sequence != e.sequence {
 		return Conflict
@@ -147,6 +155,7 @@
 		return Completed
 	default:
 		e.loading = o.Model
+		e.heldMB[o.Model] = e.configuredMB(o.Model)
 		time.AfterFunc(300*time.Millisecond, func() {
 			e.mu.Lock()
 			defer e.mu.Unlock()
@@ -159,6 +168,13 @@
 	return outcome
 }
 
+func (e *fakeEngine) sizeOf(model string) float64 {
+	if mb, ok := e.heldMB[model]; ok {
+		return mb
+	}
+	return modelMB
+}
+
 func (e *fakeEngine) holds(model string) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/instance/controlinstance/moves.go
+++ b/instance/controlinstance/moves.go
@@ -79,7 +79,6 @@
 	defer c.mu.Unlock()
 	m := &move{Move: planned, startedAt: now, phase: loading, nextOrderAt: now}
 	if model := engine.Model(planned.Load); model != nil {
-		m.weightsMB = model.WeightsMB
 		switch {
 		case slices.Contains(c.target.InMemory, planned.Load):
 			m.loadTime = model.MemoryLoadTime
@@ -168,6 +167,7 @@
 	m := c.move
 	delete(c.models, m.Unload)
 	delete(c.loadedAt, m.Unload)
+	delete(c.loadedMB, m.Unload)
 	delete(c.lastListedBeat, m.Unload)
 	for key := range c.adapters {
 		if key.model == m.Unload {
@@ -230,6 +230,11 @@
 		keep(adapterKey{p.Model, p.Adapter})
 	}
 	m := c.move
+	for name := range c.loadedMB {
+		if !c.models[name] && (m == nil || m.Load != name) {
+			delete(c.loadedMB, name)
+		}
+	}
 	if m == nil {
 		return
 	}
@@ -244,15 +249,28 @@
 	}
 }
 
+// checkLoadLocked checks a load against the configuration in force, which may have changed since the move was planned. It returns why
+// the load may not be ordered, or nothing.
+func (c *controlledTarget) checkLoadLocked(d *Director, m *move) (problem string) {
+	service := d.view.Table().Service(c.service)
+	if service == nil || service.Engine == nil || service.Engine.Model(m.Load) == nil {
+		return "model withdrawn"
+	}
+	m.weightsMB, _, _ = d.sizes.of(c.service, service.Engine, m.Load)
+	if !c.fitsLocked(m.weightsMB, service.Engine, d.sizes) {
+		return "not enough memory"
+	}
+	return ""
+}
+
 // sendMoveOrderLocked sends the order of the current phase.
 func (c *controlledTarget) sendMoveOrderLocked(ctx context.Context, d *Director) {
 	m := c.move
 	o := Order{Model: m.Load}
 	if m.phase == unloading {
 		o = Order{Unload: true, Model: m.Unload}
-	} else if service := d.view.Table().Service(c.target.Service); service == nil || service.Engine == nil ||
-		c.usedMBLocked(service.Engine)+m.weightsMB > service.Engine.CapacityMB {
-		c.endMoveLocked(d, "not enough memory")
+	} else if problem := c.checkLoadLocked(d, m); problem != "" {
+		c.endMoveLocked(d, problem)
 		return
 	}
 	c.callPending = true
@@ -274,6 +292,7 @@
 			m.orderAccepted = true
 			if !o.Unload {
 				m.loadStartedAt = now
+				c.loadedMB[m.Load] = m.weightsMB
 				delete(c.lastListedBeat, m.Load)
 			}
 		case Completed:
