--- a/coordination/raft/membership.go
+++ b/coordination/raft/membership.go
@@ -54,6 +54,9 @@
 		return ErrChangePending
 	}
 	next, err := nextMembership(m, c)
+	if errors.Is(err, ErrTooManyVoters) {
+		n.recordWaiting(now, c.ID)
+	}
 	if err != nil {
 		return err
 	}
@@ -127,6 +130,7 @@
 	}
 	for _, id := range m.members() {
 		n.addProgress(now, id)
+		delete(n.waiting, id)
 	}
 	n.appendDue, n.flushTime = true, now
 	return nil
--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -32,6 +32,7 @@
 	votes            map[string]bool
 
 	progress       map[string]*progress
+	waiting        map[string]time.Time // time of the last join request that was refused for want of a place, by member id
 	heartbeatDue   time.Time
 	termStartIndex uint64 // index of the no-op entry of the leader's term
 	readSeq        uint64
@@ -64,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{cfg: cfg, hardState: saved.HardState, syncedHardState: saved.HardState, log: log, snapshot: saved.Snapshot}
+	n := &Node{cfg: cfg, hardState: saved.HardState, syncedHardState: saved.HardState, log: log, snapshot: saved.Snapshot, waiting: make(map[string]time.Time)}
 	n.memberships = []indexedMembership{{saved.Snapshot.Index, saved.Snapshot.Membership}}
 	for i := range log.entries {
 		if log.entries[i].Index > saved.Snapshot.Index {
--- a/coordination/replica/group.go
+++ b/coordination/replica/group.go
@@ -22,6 +22,8 @@
 	// compactionKeepEntries is the number of applied entries that stay in the log after a snapshot, so that members and
 	// learners that lag slightly need no snapshot.
 	compactionKeepEntries = 512
+	// reachabilityInterval is the interval at which a leader looks for members that do not answer.
+	reachabilityInterval = 100 * time.Millisecond
 )
 
 // Group is the local replica of a Raft group.
@@ -49,6 +51,8 @@
 	membership      raft.Membership
 	membershipIndex uint64
 	knownCommit     uint64 // highest commit index received from a member or parent
+	reachability    raft.Reachability
+	reachabilityDue time.Time
 
 	mu      sync.Mutex
 	status  Status
@@ -143,6 +147,7 @@
 		now := time.Now()
 		if g.opts.isVoter() {
 			g.node.Tick(now)
+			g.checkReachability(now)
 			g.removeUnreachableVoter(now)
 		}
 		if err := g.processReady(now); err != nil {
@@ -154,6 +159,24 @@
 	}
 }
 
+// checkReachability reports a change of what the leader knows of the other members. An operator needs it to tell why a
+// change was refused or got no clear answer.
+func (g *Group) checkReachability(now time.Time) {
+	if now.Before(g.reachabilityDue) {
+		return
+	}
+	g.reachabilityDue = now.Add(reachabilityInterval)
+	r := g.node.Reachability(now)
+	if r.Equal(&g.reachability) {
+		return
+	}
+	g.reachability = r
+	if g.node.Role() == raft.Leader {
+		g.opts.OnEvent(EventReachability, fmt.Sprintf("unreachable %v, waiting for a place %v, %d further losses leave a majority",
+			r.Unreachable, r.Waiting, r.FurtherLosses))
+	}
+}
+
 // removeUnreachableVoter proposes the removal of a voter that has been unreachable for longer than
 // Options.UnreachableTimeouts allow, so that it no longer counts towards the quorum size.
 func (g *Group) removeUnreachableVoter(now time.Time) {
@@ -351,7 +374,7 @@
 	m := &g.membership
 	s := Status{ID: g.node.ID(), Cluster: g.store.identity.Cluster, Voter: m.IsVoter(g.node.ID()), Role: g.node.Role().String(),
 		Leader: raft.MemberName(g.node.Leader()), Term: g.node.Term(), Commit: g.node.Commit(), Applied: g.node.Applied(),
-		Voters: m.Voters, Learners: m.Learners}
+		Voters: m.Voters, Learners: m.Learners, Reachability: g.reachability}
 	if !g.opts.isVoter() {
 		s.Role = "learner"
 	}
--- a/coordination/replica/options.go
+++ b/coordination/replica/options.go
@@ -71,6 +71,7 @@
 const (
 	EventLeader            EventKind = "leader changed"
 	EventMembership        EventKind = "membership changed"
+	EventReachability      EventKind = "reachability changed"
 	EventSnapshotWritten   EventKind = "snapshot written"
 	EventSnapshotInstalled EventKind = "snapshot installed"
 	EventBootstrapped      EventKind = "group founded"
@@ -201,6 +202,8 @@
 	CaughtUp bool
 	Voters   []string // member ids
 	Learners []string // member ids
+	// Reachability is what this instance knows as the leader.
+	Reachability raft.Reachability
 	// Problem is the most recent reason why this instance cannot join or fetch. It is empty for a voter.
 	Problem string
 }
--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -17,6 +17,7 @@
 
 	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
+	"golang.org/x/time/rate"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
 	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
@@ -97,13 +98,16 @@
 	confirmed atomic.Bool
 	started   time.Time
 	removed   chan struct{}
+	// joinFailures limits how many failed joins are logged.
+	joinFailures *rate.Limiter
 }
 
 // New opens the replicated log and creates a control instance.
 func New(opts Options, epoch uint64, view *fleetview.View, watcher *fleetview.Watcher, peers *peer.Transport,
 	decode fleetview.Decode, orders OrderClient, recorder *events.Recorder, registry metrics.Registry) (*Instance, error) {
 	instance := &Instance{opts: opts, epoch: epoch, view: view, watcher: watcher, peers: peers, decode: decode, recorder: recorder,
-		versions: streamorigin.NewVersions(time.Now()), known: newKnownVersions(), streams: streamorigin.NewJournal(), started: time.Now(), removed: make(chan struct{}, 1)}
+		versions: streamorigin.NewVersions(time.Now()), known: newKnownVersions(), streams: streamorigin.NewJournal(), started: time.Now(), removed: make(chan struct{}, 1),
+		joinFailures: rate.NewLimiter(rate.Every(joinFailureInterval), 1)}
 	store := routes.NewStore(instance.onConfigApplied)
 	link := replicalink.New(GroupName, peers)
 	group := replica.Options{
@@ -120,6 +124,7 @@
 	if instance.group, err = replica.Open(group); err != nil {
 		return nil, err
 	}
+	instance.registerGroupMetrics(registry)
 	instance.director = newDirector(opts, view, instance.group, orders, recorder, registry)
 	if err := instance.loadQuarantines(time.Now()); err != nil {
 		// Serving without them is better than not serving.
@@ -148,13 +153,36 @@
 	instance.recorder.Record(events.ConfigInForce, events.Fields{"version": p.Version, "bytes": len(p.Data)})
 }
 
+// joinFailureInterval bounds how often a failed join is logged: its reason may change with each attempt.
+const joinFailureInterval = time.Second
+
+// onGroupEvent is called by one goroutine at a time for each kind of event.
 func (instance *Instance) onGroupEvent(kind replica.EventKind, detail string) {
-	if kind == replica.EventJoinFailed || kind == replica.EventMessageRefused {
-		return // repeated for as long as the cause lasts, and shown in the status
+	switch {
+	case kind == replica.EventMessageRefused:
+		return // repeated for as long as the cause lasts
+	case kind == replica.EventJoinFailed && !instance.joinFailures.Allow():
+		return
 	}
 	instance.recorder.Record(events.LogChanged, events.Fields{"group": GroupName, "kind": string(kind), "detail": detail})
 }
 
+// registerGroupMetrics registers gauges of the group's members. Those about reachability are 0 unless this instance leads.
+func (instance *Instance) registerGroupMetrics(registry metrics.Registry) {
+	for name, value := range map[string]func(s *replica.Status) int{
+		"voters":         func(s *replica.Status) int { return len(s.Voters) },
+		"learners":       func(s *replica.Status) int { return len(s.Learners) },
+		"unreachable":    func(s *replica.Status) int { return len(s.Reachability.Unreachable) },
+		"waiting":        func(s *replica.Status) int { return len(s.Reachability.Waiting) },
+		"further_losses": func(s *replica.Status) int { return s.Reachability.FurtherLosses },
+	} {
+		metrics.NewRegisteredFunctionalGauge("group."+name, registry, func() int64 {
+			s := instance.group.Status()
+			return int64(value(&s))
+		})
+	}
+}
+
 func (instance *Instance) onRemoved() {
 	select {
 	case instance.removed <- struct{}{}:
