Give the places of unreachable voters to instances that wait for one

Cause: a group has at most seven voters, and on a deployment with eight control instances all places are taken. While two voters were unreachable, the leader removed neither, for a partition could be the reason; with one, it waited 12 s. The successors of two replaced instances were refused meanwhile, the dead ones stayed voters for the rest of the run, and the next losses that the group should bear left 3 of 7 voters. With fewer machines the same happened where the successor starts before its predecessor ends. Change: the leader knows which instances wait for a place. While the group bears fewer than two further losses, the voter that has been unreachable longest gives its place to one of them; where places are free, unreachable voters go once the group has grown by as many, counted from 12 s before the contact was lost and by followers too, so that a new leader knows it. An even number of voters bears as many losses with one less, so an unreachable one goes after 4 s. A learner that is gone no longer keeps a place. Without a waiting instance or growth, voters behind a partition stay, as before.

--- a/coordination/raft/election.go
+++ b/coordination/raft/election.go
@@ -103,9 +103,6 @@
 	for _, id := range n.currentMembership().members() {
 		n.addProgress(now, id)
 	}
-	for _, p := range n.progress {
-		p.addedAt = time.Time{}
-	}
 	n.termStartIndex = n.log.lastIndex() + 1
 	n.appendLocal(now, Entry{Kind: EntryNoop})
 	n.heartbeatDue = now.Add(n.cfg.HeartbeatInterval)
--- a/coordination/raft/membership.go
+++ b/coordination/raft/membership.go
@@ -122,7 +122,7 @@
 	}
 	e := Entry{Index: n.log.lastIndex() + 1, Term: n.hardState.Term, Kind: EntryMembership, Data: data}
 	n.log.append(e)
-	n.memberships = append(n.memberships, indexedMembership{e.Index, m})
+	n.addMembership(now, e.Index, m)
 	for id := range n.progress {
 		if !m.IsVoter(id) && !m.IsLearner(id) {
 			delete(n.progress, id)
@@ -137,7 +137,7 @@
 }
 
 // recordMembership adds the membership of a membership entry that was just appended to the log.
-func (n *Node) recordMembership(e *Entry) error {
+func (n *Node) recordMembership(now time.Time, e *Entry) error {
 	if e.Kind != EntryMembership {
 		return nil
 	}
@@ -145,15 +145,24 @@
 	if err := cbor.Unmarshal(e.Data, &m); err != nil {
 		return errors.Wrapf(err, "raft: decode membership entry %d", e.Index)
 	}
-	n.memberships = append(n.memberships, indexedMembership{e.Index, m})
+	n.addMembership(now, e.Index, m)
 	return nil
 }
 
+func (n *Node) addMembership(now time.Time, index uint64, m Membership) {
+	n.memberships = append(n.memberships, indexedMembership{index, m})
+	n.recordVoterCount(now)
+}
+
 // truncateMemberships drops the memberships of the entries from index on, because these entries are truncated.
 func (n *Node) truncateMemberships(index uint64) {
+	before := len(n.memberships)
 	for len(n.memberships) > 1 && n.memberships[len(n.memberships)-1].index >= index {
 		n.memberships = n.memberships[:len(n.memberships)-1]
 	}
+	if len(n.memberships) < before {
+		n.recordVoterCount(n.leaderContact)
+	}
 }
 
 // AppendCommitted appends entries that are known to be committed. Instances that are not members of the group use it to
@@ -184,45 +193,3 @@
 		n.hardState.Term = max(n.hardState.Term, s.Term)
 	}
 }
-
-// minVotersAfterRemoval is the number of voters with which a group still tolerates the loss of one voter. An
-// unreachable voter without a replacement is removed only if that many remain.
-const minVotersAfterRemoval = 3
-
-// UnreachableTimeouts are the times after which an unreachable voter may be removed.
-type UnreachableTimeouts struct {
-	// WithReplacement applies if another voter was added after the last contact with the unreachable one.
-	WithReplacement time.Duration
-	// WithoutReplacement applies without a replacement, provided that at least three voters remain.
-	WithoutReplacement time.Duration
-}
-
-// UnreachableVoter returns a voter that has been unreachable from the leader for longer than the timeouts allow. All
-// other voters must be reachable, so that the removal can be committed without it. Two unreachable voters indicate a
-// network partition, and none is returned.
-func (n *Node) UnreachableVoter(now time.Time, timeouts UnreachableTimeouts) (id string, ok bool) {
-	if n.role != Leader || !n.changeAllowed() {
-		return "", false
-	}
-	m := n.currentMembership()
-	for _, voter := range m.Voters {
-		p := n.progress[voter]
-		if voter == n.cfg.ID || p == nil || now.Sub(p.lastContact) < timeouts.WithReplacement {
-			continue
-		}
-		if id != "" {
-			return "", false
-		}
-		id = voter
-	}
-	if id == "" {
-		return "", false
-	}
-	lastContact := n.progress[id].lastContact
-	for voter, p := range n.progress {
-		if m.IsVoter(voter) && voter != id && p.addedAt.After(lastContact) {
-			return id, true
-		}
-	}
-	return id, now.Sub(lastContact) >= timeouts.WithoutReplacement && len(m.Voters) > minVotersAfterRemoval
-}
--- a/coordination/raft/replication.go
+++ b/coordination/raft/replication.go
@@ -28,7 +28,6 @@
 	probeSent    bool
 	inflight     []uint64 // last index of each unacknowledged append
 	lastContact  time.Time
-	addedAt      time.Time // when this leader added the member; zero if it was a member before the election
 	ackedReadSeq uint64
 
 	snapshot       *Snapshot
@@ -40,7 +39,7 @@
 	if id == n.cfg.ID || n.progress[id] != nil {
 		return
 	}
-	n.progress[id] = &progress{next: n.log.lastIndex() + 1, lastContact: now, addedAt: now}
+	n.progress[id] = &progress{next: n.log.lastIndex() + 1, lastContact: now}
 }
 
 // Propose appends a command to the leader's log. It is committed once Ready returns an entry with this index and term
@@ -302,7 +301,7 @@
 		n.stable = min(n.stable, e.Index-1)
 		n.log.append(entries[i:]...)
 		for j := i; j < len(entries); j++ {
-			if err := n.recordMembership(&entries[j]); err != nil {
+			if err := n.recordMembership(n.leaderContact, &entries[j]); err != nil {
 				return err
 			}
 		}
@@ -350,6 +349,7 @@
 	n.snapshot = s
 	n.stable = s.Index
 	n.memberships = []indexedMembership{{s.Index, s.Membership}}
+	n.recordVoterCount(n.leaderContact)
 	n.receivedSnapshot = &s
 }
 
--- a/coordination/replica/group.go
+++ b/coordination/replica/group.go
@@ -148,7 +148,6 @@
 		if g.opts.isVoter() {
 			g.node.Tick(now)
 			g.checkReachability(now)
-			g.removeUnreachableVoter(now)
 		}
 		if err := g.processReady(now); err != nil {
 			return err
@@ -159,13 +158,14 @@
 	}
 }
 
-// checkReachability reports a change of what the leader knows of the other members. An operator needs it to tell why a
-// change was refused or got no clear answer.
+// checkReachability removes a member that has been unreachable for too long, and reports a change of what the leader
+// knows of the other members. An operator needs that to tell why a change was refused or got no clear answer.
 func (g *Group) checkReachability(now time.Time) {
 	if now.Before(g.reachabilityDue) {
 		return
 	}
 	g.reachabilityDue = now.Add(reachabilityInterval)
+	g.removeUnreachableMember(now)
 	r := g.node.Reachability(now)
 	if r.Equal(&g.reachability) {
 		return
@@ -177,18 +177,18 @@
 	}
 }
 
-// removeUnreachableVoter proposes the removal of a voter that has been unreachable for longer than
-// Options.UnreachableTimeouts allow, so that it no longer counts towards the quorum size.
-func (g *Group) removeUnreachableVoter(now time.Time) {
+// removeUnreachableMember proposes the removal of a member that has been unreachable for longer than
+// Options.UnreachableTimeouts allow, so that it no longer counts towards the quorum size or takes the place of another.
+func (g *Group) removeUnreachableMember(now time.Time) {
 	if !g.opts.Dynamic || g.opts.UnreachableTimeouts.WithoutReplacement == 0 {
 		return
 	}
-	id, ok := g.node.UnreachableVoter(now, g.opts.UnreachableTimeouts)
+	id, ok := g.node.MemberToRemove(now, g.opts.UnreachableTimeouts)
 	if !ok {
 		return
 	}
 	if err := g.node.ProposeChange(now, raft.MembershipChange{Kind: raft.ChangeRemove, ID: id}); err == nil {
-		g.opts.OnEvent(EventMembership, "proposed removal of unreachable voter "+id)
+		g.opts.OnEvent(EventMembership, "proposed removal of unreachable member "+id)
 	}
 }
 
--- a/coordination/replica/network_test.go
+++ b/coordination/replica/network_test.go
@@ -26,20 +26,22 @@
 	mu       sync.Mutex
 	groups   map[string]*Group
 	isolated map[string]bool
-	loss     func(m *raft.Message) bool
+	// split contains the instances on one side of a partition in two.
+	split map[string]bool
+	loss  func(m *raft.Message) bool
 	// dropResponses contains the instances that receive proposals, but whose responses are lost.
 	dropResponses        map[string]bool
 	largestFetchResponse int // encoded size of the largest FetchResponse
 }
 
 func newNetwork(t *testing.T) *network {
-	return &network{t: t, groups: map[string]*Group{}, isolated: map[string]bool{}, dropResponses: map[string]bool{}}
+	return &network{t: t, groups: map[string]*Group{}, isolated: map[string]bool{}, split: map[string]bool{}, dropResponses: map[string]bool{}}
 }
 
 func (n *network) reachableGroup(from, to string) *Group {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.isolated[from] || n.isolated[to] {
+	if n.isolated[from] || n.isolated[to] || n.split[from] != n.split[to] {
 		return nil
 	}
 	return n.groups[to]
--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -41,9 +41,10 @@
 	raftHeartbeatInterval = 120 * time.Millisecond
 	// joinInterval is short, since an instance that replaces another one counts as lost until it is a voter.
 	joinInterval = 200 * time.Millisecond
-	// replacedVoterTimeout and lostVoterTimeout are the times after which an unreachable voter is removed, see
-	// raft.UnreachableTimeouts.
+	// replacedVoterTimeout, evenGroupTimeout and lostVoterTimeout are the times after which an unreachable voter is removed,
+	// see raft.UnreachableTimeouts.
 	replacedVoterTimeout = 1500 * time.Millisecond
+	evenGroupTimeout     = 4 * time.Second
 	lostVoterTimeout     = 12 * time.Second
 	// proposeTimeout bounds a change of the configuration. Operators retry at another instance after one second.
 	proposeTimeout = 2500 * time.Millisecond
@@ -114,8 +115,9 @@
 		Name: GroupName, Self: opts.Name, Voters: opts.Seeds, Dynamic: true, DataDir: opts.DataDir, Machine: store,
 		Sender: link, Peers: link, OnEvent: instance.onGroupEvent, ElectionTimeout: electionTimeout, HeartbeatInterval: raftHeartbeatInterval,
 		ProposeTimeout: proposeTimeout, JoinInterval: joinInterval, OnRemoved: instance.onRemoved,
-		UnreachableTimeouts: raft.UnreachableTimeouts{WithReplacement: replacedVoterTimeout, WithoutReplacement: lostVoterTimeout},
-		MaxEntryBytes:       maxEntryBytes, SnapshotEvery: snapshotEvery, SnapshotBytes: snapshotBytes,
+		UnreachableTimeouts: raft.UnreachableTimeouts{WithReplacement: replacedVoterTimeout, FromEvenGroup: evenGroupTimeout,
+			WithoutReplacement: lostVoterTimeout},
+		MaxEntryBytes: maxEntryBytes, SnapshotEvery: snapshotEvery, SnapshotBytes: snapshotBytes,
 	}
 	if opts.FirstStart && slices.Contains(opts.Seeds, opts.Name) {
 		group.InitialVoters = opts.Seeds
