Tell an instance that knows of its removal to start over

What callers saw: nothing yet; the group bore one loss less for good. Cause: an instance whose own log shows that it is no member any more (a leader that was removed, a learner) asked to join under its old member id, which the leader refuses for ever. Only voters without a leader asked whether they had been removed. The test failed before (OnRemoved was not called within 30 s). Change: an instance of a dynamic group whose join fails asks the voters whether it was removed, too.

--- a/coordination/replica/dynamic_test.go
+++ b/coordination/replica/dynamic_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"context"
 	"os"
 	"path/filepath"
 	"testing"
@@ -141,3 +142,31 @@
 		c.awaitVoters("a", "b", "c", "d")
 	}, "a", "b", "c")
 }
+
+// Guards against an instance that knows that it is no member any more and asks to join under its old member id for ever:
+// the leader refuses that, so the instance has to be told to start over with an empty folder.
+func TestInstanceThatKnowsOfItsRemovalIsNotified(t *testing.T) {
+	runInVirtualTime(t, func(c *cluster) {
+		removed := make(chan string, 100)
+		c.adjustOptions = func(o *Options) {
+			dynamicOptions(true)(o)
+			self := o.Self
+			o.OnRemoved = func() { removed <- self }
+		}
+		c.start("a", "b", "c")
+		leader := c.awaitLeader()
+		name := leader.opts.Self
+		if err := leader.Remove(context.Background(), name); err != nil {
+			t.Fatal(err)
+		}
+		c.await("the leader knows that it was removed", 10*time.Second, func() bool { return !leader.Status().Voter })
+		select {
+		case got := <-removed:
+			if got != name {
+				t.Fatalf("OnRemoved of %s was called, %s was removed", got, name)
+			}
+		case <-time.After(30 * time.Second):
+			t.Fatal("OnRemoved was not called within 30 s")
+		}
+	}, "a", "b", "c")
+}
--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -23,7 +23,9 @@
 		case s.Voter:
 			g.checkRemoved(ctx, s.ID)
 		case s.Cluster != "":
-			g.join(ctx)
+			if !g.join(ctx) && g.opts.Dynamic {
+				g.checkRemoved(ctx, s.ID)
+			}
 		default:
 			if err := g.joinOrBootstrap(ctx); err != nil {
 				return err
@@ -37,15 +39,18 @@
 	}
 }
 
-func (g *Group) join(ctx context.Context) {
+// join asks the leader to add this instance, and reports whether the leader took the request.
+func (g *Group) join(ctx context.Context) bool {
 	r := ProposeRequest{Kind: RequestJoin, Member: g.Status().ID}
-	if _, err := g.requestLeader(ctx, r); err != nil && ctx.Err() == nil {
+	_, err := g.requestLeader(ctx, r)
+	if err != nil && ctx.Err() == nil {
 		g.setProblem("join group: " + err.Error())
 	}
+	return err == nil
 }
 
-// checkRemoved asks the other voters whether this member was removed while it was stopped or unreachable. The leader
-// sends nothing to a removed member, so it would otherwise wait for a leader indefinitely.
+// checkRemoved asks the other voters whether this member was removed. The leader sends nothing to a removed member and
+// refuses its join, so it would otherwise wait for a leader or repeat its request indefinitely.
 func (g *Group) checkRemoved(ctx context.Context, member string) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
@@ -55,7 +60,7 @@
 		}
 		r, err := g.opts.Peers.Propose(ctx, peer, ProposeRequest{Kind: RequestMemberInfo, Member: member})
 		if err == nil && r.Removed && r.Cluster == g.Status().Cluster {
-			g.opts.OnEvent(EventMembership, member+" was removed while it was stopped or unreachable")
+			g.opts.OnEvent(EventMembership, member+" was removed from the group")
 			g.opts.OnRemoved()
 			return
 		}
