Let a wiped instance ask the members that still write to it

What callers saw: nothing while the others serve; the group bore two losses less, and operators got no answer from the wiped instances. Cause: an instance with an empty disk asks only the seeds in its settings for the group. If these have lost their disks too, or are no members (the eighth of eight machines), it finds the group never, although the members keep sending it messages for the member that it was. Change: an instance that belongs to no group asks the senders of such messages, too. They are only contacts: what it believes about the group still comes from the leader that adds it.

--- a/coordination/replica/group.go
+++ b/coordination/replica/group.go
@@ -57,6 +57,9 @@
 	mu      sync.Mutex
 	status  Status
 	waiters []waiter
+	// contacts are members whose messages show that they know this instance. An instance that lost its disk needs them
+	// where all seeds in its settings have lost their disks, too.
+	contacts []string
 }
 
 type waiter struct {
@@ -246,6 +249,9 @@
 func (g *Group) step(now time.Time, m raft.Message) error {
 	id := &g.store.identity
 	if !g.opts.isVoter() || m.To != id.id() || m.Cluster == "" {
+		if m.Cluster != "" && id.Cluster == "" && raft.MemberName(m.To) == g.opts.Self {
+			g.addContact(raft.MemberName(m.From))
+		}
 		g.opts.OnEvent(EventMessageRefused, fmt.Sprintf("%v from %s for %s", m.Type, m.From, m.To))
 		return nil
 	}
@@ -266,6 +272,18 @@
 	return nil
 }
 
+// maxContacts bounds Group.contacts. Only members that lead or start an election send messages to an earlier member.
+const maxContacts = 8
+
+// addContact records a member that still sends messages to the member that this instance was before it lost its disk.
+func (g *Group) addContact(name string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !slices.Contains(g.contacts, name) && len(g.contacts) < maxContacts {
+		g.contacts = append(g.contacts, name)
+	}
+}
+
 func (g *Group) setProblem(text string) {
 	g.mu.Lock()
 	changed := g.status.Problem != text
--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -96,7 +96,11 @@
 	var mu sync.Mutex
 	var wg sync.WaitGroup
 	members = []string{g.Status().ID}
-	for _, peer := range g.opts.Voters {
+	peers := g.opts.Voters
+	if g.opts.Dynamic {
+		peers = g.voterNames()
+	}
+	for _, peer := range peers {
 		if peer == g.opts.Self {
 			continue
 		}
--- a/coordination/replica/propose.go
+++ b/coordination/replica/propose.go
@@ -132,14 +132,22 @@
 	return names[attempt%len(names)]
 }
 
-// voterNames returns the names of the voters in the settings and of those in the current membership.
+// voterNames returns the names of the voters in the settings, of those in the current membership and of the contacts.
 func (g *Group) voterNames() []string {
 	names := slices.Clone(g.opts.Voters)
-	for _, id := range g.Status().Voters {
+	g.mu.Lock()
+	voters, contacts := g.status.Voters, g.contacts
+	g.mu.Unlock()
+	for _, id := range voters {
 		if name := raft.MemberName(id); !slices.Contains(names, name) {
 			names = append(names, name)
 		}
 	}
+	for _, name := range contacts {
+		if !slices.Contains(names, name) {
+			names = append(names, name)
+		}
+	}
 	return names
 }
 
--- a/coordination/replica/replacement_test.go
+++ b/coordination/replica/replacement_test.go
@@ -122,3 +122,32 @@
 		})
 	}
 }
+
+// Guards against instances that lost their disks and never find the group again, because the seeds in their settings are
+// instances with lost disks, too, and one that is no member.
+func TestWipedSeedsFindTheGroup(t *testing.T) {
+	runInVirtualTime(t, func(c *cluster) {
+		c.startMachines(8)
+		c.propose("a", "x")
+		_, followers := c.leaderAndFollowers()
+		seeds := slices.Clone(followers[:2])
+		for _, name := range c.runningNames() {
+			if !c.instances[name].Status().Voter {
+				seeds = append(seeds, name)
+			}
+		}
+		names := c.runningNames()
+		for _, name := range names {
+			c.stop(name)
+		}
+		for _, name := range seeds[:2] {
+			c.dirs[name] = t.TempDir()
+		}
+		c.setSeeds(seeds)
+		c.start(names...)
+		c.awaitRecovery([]string{"x"})
+		c.await("the wiped instances are voters", recoveryLimit, func() bool {
+			return c.instances[seeds[0]].Status().Voter && c.instances[seeds[1]].Status().Voter
+		})
+	}, "a", "b", "c")
+}
