--- a/coordination/replica/membership_property_test.go
+++ b/coordination/replica/membership_property_test.go
@@ -22,6 +22,7 @@
 	faultTolerance int
 	lostUntil      map[string]time.Time // by name; in the far future while the machine is away
 	acknowledged   []string
+	removed        chan string // instances that were told of their removal
 	sequence       int
 	began          time.Time
 	logMu          sync.Mutex
@@ -40,9 +41,23 @@
 	f.log = append(f.log, fmt.Sprintf("%6.2f ", time.Since(f.began).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// pause waits, and restarts instances that were removed, as the daemon does.
+func (f *fleet) pause(d time.Duration) {
+	for end := time.Now().Add(d); ; time.Sleep(50 * time.Millisecond) {
+		select {
+		case name := <-f.removed:
+			f.restartRemoved(name)
+		default:
+		}
+		if !time.Now().Before(end) {
+			return
+		}
+	}
+}
+
 // awaitTolerance waits until count more machines may be lost.
 func (f *fleet) awaitTolerance(count int) {
-	for deadline := time.Now().Add(time.Minute); time.Now().Before(deadline); time.Sleep(100 * time.Millisecond) {
+	for deadline := time.Now().Add(time.Minute); time.Now().Before(deadline); f.pause(100 * time.Millisecond) {
 		lost := 0
 		for _, until := range f.lostUntil {
 			if time.Now().Before(until) {
@@ -57,7 +72,11 @@
 
 func (f *fleet) lose(name string) { f.lostUntil[name] = time.Now().Add(never) }
 
-func (f *fleet) regain(name string) { f.lostUntil[name] = time.Now().Add(catchUpLimit) }
+func (f *fleet) regain(names ...string) {
+	for _, name := range names {
+		f.lostUntil[name] = time.Now().Add(catchUpLimit)
+	}
+}
 
 // kill ends a process without a transfer of leadership.
 func (f *fleet) kill(names ...string) {
@@ -89,7 +108,12 @@
 	f.adjustOptions = func(o *Options) {
 		adjust(o)
 		self := o.Self
-		o.OnRemoved = func() { go f.restartRemoved(self) }
+		o.OnRemoved = func() {
+			select {
+			case f.removed <- self:
+			default:
+			}
+		}
 		o.OnEvent = func(kind EventKind, detail string) {
 			if kind == EventMembership || kind == EventReachability {
 				f.logf("%s: %s: %s", self, kind, detail)
@@ -99,7 +123,7 @@
 	f.start(names...)
 }
 
-// restartRemoved restarts a removed instance with an empty folder, as the daemon does.
+// restartRemoved restarts a removed instance with an empty folder.
 func (f *fleet) restartRemoved(name string) {
 	if f.instances[name] == nil {
 		return
@@ -147,11 +171,11 @@
 		f.lose(name)
 		if fault.kind == "replace planned" {
 			f.startAgain(successor)
-			time.Sleep(time.Second)
+			f.pause(time.Second)
 			f.stop(name)
 		} else {
 			f.kill(name)
-			time.Sleep(time.Second)
+			f.pause(time.Second)
 			f.startAgain(successor)
 		}
 		f.regain(name)
@@ -161,7 +185,7 @@
 		f.kill(name)
 		f.dirs[name] = f.t.TempDir()
 		if fault.kind == "wipe and away" {
-			time.Sleep(fault.away)
+			f.pause(fault.away)
 		}
 		f.startAgain(name)
 		f.regain(name)
@@ -173,29 +197,37 @@
 		} else {
 			f.stop(name)
 		}
-		time.Sleep(fault.away)
+		f.pause(fault.away)
 		f.startAgain(name)
 		f.regain(name)
 	case "cut":
 		f.awaitTolerance(1)
 		f.lose(name)
 		f.withLock(func() { f.isolated[name] = true })
-		time.Sleep(fault.away)
+		f.pause(fault.away)
 		f.withLock(func() { delete(f.isolated, name) })
 		f.regain(name)
 	case "split":
+		began := time.Now()
 		f.withLock(func() {
 			for i := range len(names) / 2 {
 				f.split[names[(fault.machine+i)%len(names)]] = true
 			}
 		})
 		f.change(name)
-		time.Sleep(fault.away)
+		f.pause(fault.away)
 		f.withLock(func() { clear(f.split) })
+		// Machines that were catching up could not do so on their side of the partition.
+		for other, until := range f.lostUntil {
+			if until.After(began) {
+				f.regain(other)
+			}
+		}
 	case "power":
 		f.kill(names...)
-		time.Sleep(fault.away)
+		f.pause(fault.away)
 		f.startAgain(names...)
+		f.regain(names...)
 	case "remove":
 		f.awaitTolerance(1)
 		f.lose(name)
@@ -208,7 +240,7 @@
 			f.change(name)
 		}
 	}
-	time.Sleep(fault.pause)
+	f.pause(fault.pause)
 }
 
 // loseDisks wipes as many machines as the group bears while all others lose power, and checks that the group recovers with
@@ -225,21 +257,19 @@
 		f.dirs[name] = f.t.TempDir()
 	}
 	f.logf("lost the disks of %v", lost)
-	time.Sleep(time.Second)
+	f.pause(time.Second)
 	f.startAgain(names...)
-	for deadline := time.Now().Add(recoveryLimit); ; time.Sleep(50 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			return fmt.Sprintf("no change was acknowledged within %v of the loss of %v", recoveryLimit, lost)
-		}
-		before := len(f.acknowledged)
-		f.change(names[(first+len(lost))%len(names)])
-		if len(f.acknowledged) > before {
-			break
+	f.regain(names...)
+	deadline := time.Now().Add(recoveryLimit)
+	for i := range names { // operators may turn to any machine
+		name := names[(first+len(lost)+i)%len(names)]
+		for before := len(f.acknowledged); len(f.acknowledged) == before; f.pause(50 * time.Millisecond) {
+			if time.Now().After(deadline) {
+				return fmt.Sprintf("no change was acknowledged by %s within %v of the loss of %v", name, recoveryLimit, lost)
+			}
+			f.change(name)
 		}
 	}
-	for _, name := range lost {
-		f.regain(name)
-	}
 	leader := f.leader()
 	if leader == nil {
 		return "no leader after the losses"
@@ -286,7 +316,8 @@
 
 // runFaults plays a sequence of faults, and then twice the losses that the group has to bear. It returns what went wrong.
 func runFaults(t *testing.T, machines int, faults []machineFault, lost int) string {
-	f := &fleet{cluster: newCluster(t, "a", "b", "c"), faultTolerance: 1, lostUntil: map[string]time.Time{}, began: time.Now()}
+	f := &fleet{cluster: newCluster(t, "a", "b", "c"), faultTolerance: 1, lostUntil: map[string]time.Time{},
+		removed: make(chan string, 64), began: time.Now()}
 	if machines >= 5 {
 		f.faultTolerance = 2
 	}
@@ -296,7 +327,7 @@
 		f.kill(name)
 		f.startAgain(name)
 	}
-	time.Sleep(startupTime)
+	f.pause(startupTime)
 	f.change("a")
 	for _, fault := range faults {
 		f.inject(fault)
