Keep to the retry budget of all gateways while their number is not known

Cause: the slack of the budget is shared by all gateways. A gateway took itself for the only one until the first answer to a load report, and a leader that has just started tells the first gateways that they are few. Change: until the number has been reported for 3 s, it counts as 400, which leaves none of the slack; after that, the largest number of the last 10 s counts. The fixture of isolated gateways, whose test sends without a leader, now knows the number as after a minute's reports; its checks are as before.

--- a/coordination/dispatch/budget.go
+++ b/coordination/dispatch/budget.go
@@ -22,7 +22,6 @@
 	limits BudgetLimits
 
 	mu       sync.Mutex
-	gateways int
 	services map[string]*budgetWindow
 }
 
@@ -33,14 +32,7 @@
 
 // NewBudget returns a budget that has seen no requests.
 func NewBudget(limits BudgetLimits) *Budget {
-	return &Budget{limits: limits, gateways: 1, services: make(map[string]*budgetWindow)}
-}
-
-// SetGateways sets the number of gateways that share the slack.
-func (b *Budget) SetGateways(n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.gateways = max(n, 1)
+	return &Budget{limits: limits, services: make(map[string]*budgetWindow)}
 }
 
 func (b *Budget) window(now time.Time, service string) *budgetWindow {
@@ -66,8 +58,9 @@
 	w.requests[w.bucket%budgetBuckets]++
 }
 
-// AllowRepeat reports whether a request may be sent once more, and counts the repeated send if so.
-func (b *Budget) AllowRepeat(now time.Time, service string) bool {
+// AllowRepeat reports whether a request may be sent once more, and counts the repeated send if so. gateways is the number
+// of gateways that share the slack.
+func (b *Budget) AllowRepeat(now time.Time, service string, gateways int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(now, service)
@@ -76,7 +69,7 @@
 		requests += w.requests[i]
 		repeats += w.repeats[i]
 	}
-	allowed := b.limits.Share * (b.limits.Ratio*float64(requests) + b.limits.Slack/float64(b.gateways))
+	allowed := b.limits.Share * (b.limits.Ratio*float64(requests) + b.limits.Slack/float64(max(gateways, 1)))
 	if float64(repeats+1) > allowed {
 		return false
 	}
--- a/coordination/dispatch/loadtracker_test.go
+++ b/coordination/dispatch/loadtracker_test.go
@@ -234,12 +234,12 @@
 // the shared budget.
 func TestBudgetLimitsRepeatedSends(t *testing.T) {
 	tracker := NewBudget(BudgetLimits{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Share: 1})
-	tracker.SetGateways(5)
+	const gateways = 5
 	now := start
 	allowed := 0
 	for range 100 {
 		tracker.Request(now, "s")
-		if tracker.AllowRepeat(now, "s") {
+		if tracker.AllowRepeat(now, "s", gateways) {
 			allowed++
 		}
 		now = now.Add(10 * time.Millisecond)
@@ -247,13 +247,13 @@
 	if allowed != 30 { // 0.2 x 100 + 50 / 5
 		t.Fatalf("%d repeated sends were allowed, want 30", allowed)
 	}
-	if tracker.AllowRepeat(now.Add(5*time.Second), "s") {
+	if tracker.AllowRepeat(now.Add(5*time.Second), "s", gateways) {
 		t.Error("a repeated send beyond the budget was allowed 5 s later, within the window of 10 s")
 	}
-	if !tracker.AllowRepeat(now.Add(11*time.Second), "s") {
+	if !tracker.AllowRepeat(now.Add(11*time.Second), "s", gateways) {
 		t.Error("a repeated send was refused 11 s later, after the window of 10 s")
 	}
-	if !tracker.AllowRepeat(now, "other") {
+	if !tracker.AllowRepeat(now, "other", gateways) {
 		t.Error("repeated sends of one service were counted against another service")
 	}
 }
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -23,7 +23,7 @@
 const reportJitter = 0.2
 
 func (g *Gateway) reportInterval() time.Duration {
-	return fleetapi.ReportInterval(int(g.gatewayCount.Load()))
+	return fleetapi.ReportInterval(g.gatewayCount.Gateways(time.Now(), 0))
 }
 
 type modelKey struct{ service, model string }
@@ -161,10 +161,9 @@
 	}
 	g.loading.Store(&loading)
 	g.mergeLimits(now, summary.Limits)
-	g.budget.SetGateways(summary.Gateways)
-	g.gatewayCount.Store(int64(max(summary.Gateways, 1)))
-	g.watcher.SetGateways(summary.Gateways)
-	g.loadTracker.SetGateways(summary.Gateways)
+	g.gatewayCount.Observe(now, summary.Gateways)
+	g.watcher.SetGateways(g.gatewayCount.Gateways(now, 0))
+	g.loadTracker.SetGateways(g.gatewayCount.Gateways(now, unknownGateways))
 	g.loadTracker.SetPeerBrittle(now, summary.Brittle)
 	g.helpers.set(summary.Helpers, summary.HelpersChange)
 	return nil
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -16,6 +16,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/gatewaycount"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/targetlimit"
 	"github.com/tarragonhoist/tarragonhoist/events"
@@ -87,7 +88,7 @@
 	// exiting ends shortly before the process exits, and with it the requests that have no answer yet.
 	exiting      context.Context
 	startExit    context.CancelFunc
-	gatewayCount atomic.Int64 // number of gateways that share the targets
+	gatewayCount gatewaycount.Counter // gateways that share the targets
 	loading      atomic.Pointer[[]loadingModel]
 	suspects     *crashSuspects
 	limits       *targetlimit.Table
--- a/instance/gateway/handover_test.go
+++ b/instance/gateway/handover_test.go
@@ -34,6 +34,9 @@
 		names = append(names, listen(t, helper.gateway.serveHandover))
 	}
 	f.gateway.helpers.set(names, 1)
+	for _, known := range append([]*fixture{f.fixture}, f.helpers...) {
+		known.gateway.gatewayCount.Observe(time.Now().Add(-time.Minute), 1+helpers)
+	}
 	return f
 }
 
--- a/instance/gateway/limits.go
+++ b/instance/gateway/limits.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/gatewaycount"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/targetlimit"
 	"github.com/tarragonhoist/tarragonhoist/events"
@@ -24,7 +25,7 @@
 	// fallbackRetry is the time for which a target is left alone when no permit can be had and the share of this gateway is
 	// used up.
 	fallbackRetry = 50 * time.Millisecond
-	// unknownGateways stands for the number of gateways before the leader has told it.
+	// unknownGateways stands for the number of gateways that share a limit until it is known.
 	unknownGateways = 20
 )
 
@@ -82,11 +83,8 @@
 		}
 		g.permitFailure.Store(&permitFailure{leader: leader, at: time.Now()})
 	}
-	gateways := int(g.gatewayCount.Load())
-	if gateways == 0 {
-		gateways = unknownGateways
-	}
 	now = time.Now()
+	gateways := g.gatewayCount.Gateways(now, unknownGateways)
 	if g.limits.TakeFallback(now, target, gateways, g.randomFloat()) {
 		return true
 	}
@@ -137,3 +135,8 @@
 		g.recorder.Record(events.TargetBrittle, events.Fields{"target": target.ID, "rejections": rejections})
 	}
 }
+
+// allowRepeat reports whether the budget of all gateways allows to send a request once more.
+func (g *Gateway) allowRepeat(now time.Time, q *request) bool {
+	return g.budget.AllowRepeat(now, q.service.Name, g.gatewayCount.Gateways(now, gatewaycount.Planned))
+}
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -70,7 +70,7 @@
 	if g.choices() == 0 {
 		// The other gateways see the same loads and are expected to pick the same target, so the reservation counts for
 		// each of them.
-		scale = float64(max(g.gatewayCount.Load(), 1))
+		scale = float64(max(g.gatewayCount.Gateways(now, 0), 1))
 	}
 	g.loadTracker.Reserve(now, target.ID, q.prompt.Tokens, scale)
 	return target
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -63,7 +63,7 @@
 			g.giveUp(relay, q, ran, string(reason))
 			return
 		}
-		if q.sends > 0 && !g.budget.AllowRepeat(time.Now(), q.service.Name) {
+		if q.sends > 0 && !g.allowRepeat(time.Now(), q) {
 			g.giveUp(relay, q, ran, "budget for repeated sends exhausted")
 			return
 		}
--- a/instance/gateway/streams.go
+++ b/instance/gateway/streams.go
@@ -65,7 +65,7 @@
 		return origin, nil
 	}
 	wait := min(time.Duration(float64(maxStreamWait(q.route))*originWaitShare), q.deadline.Sub(q.arrived)/2)
-	reported := min(wait, fleetapi.StreamReportInterval(int(g.gatewayCount.Load()))+originReportTime)
+	reported := min(wait, fleetapi.StreamReportInterval(g.gatewayCount.Gateways(q.arrived, 0))+originReportTime)
 	for {
 		origin, err := g.view.QueryOrigin(q.ctx, g.peers, q.service.Name, q.stream, q.route.LeadsToOneService())
 		if err == nil {
