Count only new instances that join while a node watches as growth of the group

What callers saw: the configuration could have become unreadable for good (CONFIG). Cause: a node that had just joined replayed the changes of the membership that were made before, and took them for growth. When it led while the group was split in halves, it removed each voter behind the partition after 1.5 s: 2, 3 and 4 voters were left of 3, 5 and 7, too few for the losses that the group has to bear. The return of a removed voter counted as the replacement of another one, too. Change: growth is counted from the changes that a node receives before they are committed, never from those that it catches up on. An instance that returns is no growth, and a removal takes away from it until the instance is back.

--- a/coordination/raft/membership.go
+++ b/coordination/raft/membership.go
@@ -122,7 +122,8 @@
 	}
 	e := Entry{Index: n.log.lastIndex() + 1, Term: n.hardState.Term, Kind: EntryMembership, Data: data}
 	n.log.append(e)
-	n.addMembership(now, e.Index, m)
+	n.recordVoterChanges(now, e.Index, n.currentMembership(), &m)
+	n.memberships = append(n.memberships, indexedMembership{e.Index, m})
 	for id := range n.progress {
 		if !m.IsVoter(id) && !m.IsLearner(id) {
 			delete(n.progress, id)
@@ -136,8 +137,9 @@
 	return nil
 }
 
-// recordMembership adds the membership of a membership entry that was just appended to the log.
-func (n *Node) recordMembership(now time.Time, e *Entry) error {
+// recordMembership adds the membership of a membership entry that was just appended to the log. isNew is false for an
+// entry that was committed before this node got it: how long ago is not known.
+func (n *Node) recordMembership(e *Entry, isNew bool) error {
 	if e.Kind != EntryMembership {
 		return nil
 	}
@@ -145,24 +147,19 @@
 	if err := cbor.Unmarshal(e.Data, &m); err != nil {
 		return errors.Wrapf(err, "raft: decode membership entry %d", e.Index)
 	}
-	n.addMembership(now, e.Index, m)
+	if isNew {
+		n.recordVoterChanges(n.leaderContact, e.Index, n.currentMembership(), &m)
+	}
+	n.memberships = append(n.memberships, indexedMembership{e.Index, m})
 	return nil
 }
 
-func (n *Node) addMembership(now time.Time, index uint64, m Membership) {
-	n.memberships = append(n.memberships, indexedMembership{index, m})
-	n.recordVoterCount(now)
-}
-
 // truncateMemberships drops the memberships of the entries from index on, because these entries are truncated.
 func (n *Node) truncateMemberships(index uint64) {
-	before := len(n.memberships)
 	for len(n.memberships) > 1 && n.memberships[len(n.memberships)-1].index >= index {
 		n.memberships = n.memberships[:len(n.memberships)-1]
 	}
-	if len(n.memberships) < before {
-		n.recordVoterCount(n.leaderContact)
-	}
+	n.voterChanges = slices.DeleteFunc(n.voterChanges, func(c voterChange) bool { return c.index >= index })
 }
 
 // AppendCommitted appends entries that are known to be committed. Instances that are not members of the group use it to
@@ -175,7 +172,7 @@
 		if entries[i].Index != n.hardState.Commit+1 {
 			return errors.Errorf("raft: committed entry %d received, expected %d", entries[i].Index, n.hardState.Commit+1)
 		}
-		if err := n.appendFromLeader(entries[i:]); err != nil {
+		if err := n.appendFromLeader(entries[i:], entries[len(entries)-1].Index); err != nil {
 			return err
 		}
 		n.hardState.Commit = entries[len(entries)-1].Index
--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -32,7 +32,7 @@
 	votes            map[string]bool
 
 	progress       map[string]*progress
-	voterCounts    []voterCount
+	voterChanges   []voterChange
 	waiting        map[string]time.Time // time of the last join request that was refused for want of a place, by member id
 	heartbeatDue   time.Time
 	termStartIndex uint64 // index of the no-op entry of the leader's term
@@ -68,10 +68,9 @@
 	}
 	n := &Node{cfg: cfg, hardState: saved.HardState, syncedHardState: saved.HardState, log: log, snapshot: saved.Snapshot, waiting: make(map[string]time.Time)}
 	n.memberships = []indexedMembership{{saved.Snapshot.Index, saved.Snapshot.Membership}}
-	n.recordVoterCount(time.Time{})
 	for i := range log.entries {
 		if log.entries[i].Index > saved.Snapshot.Index {
-			if err := n.recordMembership(time.Time{}, &log.entries[i]); err != nil {
+			if err := n.recordMembership(&log.entries[i], false); err != nil {
 				return nil, err
 			}
 		}
--- a/coordination/raft/removal.go
+++ b/coordination/raft/removal.go
@@ -56,41 +56,58 @@
 	lastContact := n.progress[longest].lastContact
 	silence := now.Sub(lastContact)
 	// In planned work, the successor starts before the contact with its predecessor is lost.
-	added := len(m.Voters) - n.votersAt(lastContact.Add(-timeouts.WithoutReplacement))
+	growth := n.growthSince(lastContact.Add(-timeouts.WithoutReplacement))
 	switch {
-	case r.FurtherLosses < sufficientFurtherLosses && (waiting || added >= len(unreachable)):
+	case r.FurtherLosses < sufficientFurtherLosses && (waiting || growth >= len(unreachable)):
 		return longest, true
 	case len(m.Voters)%2 == 0 && silence >= timeouts.FromEvenGroup && len(m.Voters) > minVotersAfterRemoval:
 		return longest, true
+	case len(unreachable) == 1 && silence >= timeouts.WithoutReplacement && len(m.Voters) > minVotersAfterRemoval:
+		return longest, true
 	}
-	return longest, len(unreachable) == 1 && silence >= timeouts.WithoutReplacement && len(m.Voters) > minVotersAfterRemoval
+	return "", false
 }
 
-// voterCount is the number of voters from a time on, as far as this node knew.
-type voterCount struct {
-	from   time.Time
-	voters int
+// voterChange is a voter that was added to the group for the first time, or removed from it.
+type voterChange struct {
+	at    time.Time
+	index uint64 // of the entry
+	name  string
+	added bool
 }
 
-// maxVoterCounts bounds how many changes are remembered. No more than a few happen within the timeouts.
-const maxVoterCounts = 64
+// maxVoterChanges bounds how many changes are remembered. No more than a few happen within the timeouts.
+const maxVoterChanges = 64
 
-// recordVoterCount records the number of voters, on leaders and followers alike: a new leader has to know whether the
-// group has grown.
-func (n *Node) recordVoterCount(now time.Time) {
-	n.voterCounts = append(n.voterCounts, voterCount{now, len(n.currentMembership().Voters)})
-	if excess := len(n.voterCounts) - maxVoterCounts; excess > 0 {
-		n.voterCounts = n.voterCounts[excess:]
+// recordVoterChanges records changes on leaders and followers alike: a new leader has to know whether the group has grown.
+// An instance that returns with a new disk takes back its own place, and is no growth.
+func (n *Node) recordVoterChanges(now time.Time, index uint64, before, after *Membership) {
+	for _, id := range after.Voters {
+		if name := MemberName(id); !before.IsVoter(id) && !before.wasRemoved(name) {
+			n.voterChanges = append(n.voterChanges, voterChange{now, index, name, true})
+		}
+	}
+	for _, id := range before.Voters {
+		if !after.IsVoter(id) {
+			n.voterChanges = append(n.voterChanges, voterChange{now, index, MemberName(id), false})
+		}
+	}
+	if excess := len(n.voterChanges) - maxVoterChanges; excess > 0 {
+		n.voterChanges = n.voterChanges[excess:]
 	}
 }
 
-// votersAt returns the number of voters at a time; for times before the first record, that of the first record.
-func (n *Node) votersAt(at time.Time) int {
-	count := n.voterCounts[0].voters
-	for _, c := range n.voterCounts {
-		if !c.from.After(at) {
-			count = c.voters
+// growthSince returns how many voters were added since a time, less those that were removed and have not returned.
+func (n *Node) growthSince(at time.Time) int {
+	growth := 0
+	for _, c := range n.voterChanges {
+		switch {
+		case !c.at.After(at):
+		case c.added:
+			growth++
+		case !n.currentMembership().hasVoterNamed(c.name):
+			growth--
 		}
 	}
-	return count
+	return growth
 }
--- a/coordination/raft/replication.go
+++ b/coordination/raft/replication.go
@@ -267,7 +267,7 @@
 		n.send(r)
 		return nil
 	}
-	if err := n.appendFromLeader(m.Entries); err != nil {
+	if err := n.appendFromLeader(m.Entries, m.Commit); err != nil {
 		return err
 	}
 	r.Index = m.Index + uint64(len(m.Entries))
@@ -287,8 +287,8 @@
 }
 
 // appendFromLeader skips entries that the log already holds, so that a delayed duplicate does not truncate newer
-// entries.
-func (n *Node) appendFromLeader(entries []Entry) error {
+// entries. committed is the commit index of the sender.
+func (n *Node) appendFromLeader(entries []Entry, committed uint64) error {
 	for i := range entries {
 		e := &entries[i]
 		if n.log.matches(e.Index, e.Term) {
@@ -301,7 +301,7 @@
 		n.stable = min(n.stable, e.Index-1)
 		n.log.append(entries[i:]...)
 		for j := i; j < len(entries); j++ {
-			if err := n.recordMembership(n.leaderContact, &entries[j]); err != nil {
+			if err := n.recordMembership(&entries[j], entries[j].Index > committed); err != nil {
 				return err
 			}
 		}
@@ -349,7 +349,6 @@
 	n.snapshot = s
 	n.stable = s.Index
 	n.memberships = []indexedMembership{{s.Index, s.Membership}}
-	n.recordVoterCount(n.leaderContact)
 	n.receivedSnapshot = &s
 }
 
