Tell a waiting instance who the members are

Cause: an instance that waits for a place asks only the seeds that its settings named at its start. Once these had been replaced, it never found the group again, and no later place went to it. Change: the answer to a refused join names the voters, and the instance asks these, too. An earlier build ignores the field, and its answers lack it, which leaves things as they were.

--- a/coordination/replica/group.go
+++ b/coordination/replica/group.go
@@ -57,8 +57,8 @@
 	mu      sync.Mutex
 	status  Status
 	waiters []waiter
-	// contacts are members whose messages show that they know this instance. An instance that lost its disk needs them
-	// where all seeds in its settings have lost their disks, too.
+	// contacts are members that this instance learned of while it is none itself: from messages to the member that it was
+	// before it lost its disk, and from refused joins. It needs them once none of its seeds is a member any more.
 	contacts []string
 }
 
@@ -250,7 +250,7 @@
 	id := &g.store.identity
 	if !g.opts.isVoter() || m.To != id.id() || m.Cluster == "" {
 		if m.Cluster != "" && id.Cluster == "" && raft.MemberName(m.To) == g.opts.Self {
-			g.addContact(raft.MemberName(m.From))
+			g.addContacts(raft.MemberName(m.From))
 		}
 		g.opts.OnEvent(EventMessageRefused, fmt.Sprintf("%v from %s for %s", m.Type, m.From, m.To))
 		return nil
@@ -272,16 +272,16 @@
 	return nil
 }
 
-// maxContacts bounds Group.contacts. Only members that lead or start an election send messages to an earlier member.
-const maxContacts = 8
+// maxContacts bounds Group.contacts to twice the members of a group.
+const maxContacts = 2 * raft.MaxVoters
 
-// addContact records a member that still sends messages to the member that this instance was before it lost its disk.
-func (g *Group) addContact(name string) {
+// addContacts records members that this instance learned of while it is none itself. The latest replace the oldest.
+func (g *Group) addContacts(names ...string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !slices.Contains(g.contacts, name) && len(g.contacts) < maxContacts {
-		g.contacts = append(g.contacts, name)
-	}
+	contacts := slices.DeleteFunc(slices.Clone(g.contacts), func(old string) bool { return slices.Contains(names, old) })
+	contacts = append(contacts, names...)
+	g.contacts = contacts[max(len(contacts)-maxContacts, 0):]
 }
 
 func (g *Group) setProblem(text string) {
--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -42,8 +42,9 @@
 // join asks the leader to add this instance, and reports whether the leader took the request.
 func (g *Group) join(ctx context.Context) bool {
 	r := ProposeRequest{Kind: RequestJoin, Member: g.Status().ID}
-	_, err := g.requestLeader(ctx, r)
+	response, err := g.requestLeader(ctx, r)
 	if err != nil && ctx.Err() == nil {
+		g.addContacts(response.Voters...)
 		g.setProblem("join group: " + err.Error())
 	}
 	return err == nil
--- a/coordination/replica/options.go
+++ b/coordination/replica/options.go
@@ -250,14 +250,16 @@
 
 // ProposeResponse answers a ProposeRequest.
 type ProposeResponse struct {
-	Outcome Outcome  `cbor:"1,keyasint" json:"outcome"`
-	Result  []byte   `cbor:"2,keyasint,omitempty" json:"result,omitempty"`
-	Failure string   `cbor:"3,keyasint,omitempty" json:"failure,omitempty"`
-	Leader  string   `cbor:"4,keyasint,omitempty" json:"leader,omitempty"`
-	Index   uint64   `cbor:"5,keyasint,omitempty" json:"index,omitempty"`
-	Member  string   `cbor:"6,keyasint,omitempty" json:"member,omitempty"`
-	Cluster string   `cbor:"7,keyasint,omitempty" json:"cluster,omitempty"`
-	Voters  []string `cbor:"8,keyasint,omitempty" json:"voters,omitempty"`
+	Outcome Outcome `cbor:"1,keyasint" json:"outcome"`
+	Result  []byte  `cbor:"2,keyasint,omitempty" json:"result,omitempty"`
+	Failure string  `cbor:"3,keyasint,omitempty" json:"failure,omitempty"`
+	Leader  string  `cbor:"4,keyasint,omitempty" json:"leader,omitempty"`
+	Index   uint64  `cbor:"5,keyasint,omitempty" json:"index,omitempty"`
+	Member  string  `cbor:"6,keyasint,omitempty" json:"member,omitempty"`
+	Cluster string  `cbor:"7,keyasint,omitempty" json:"cluster,omitempty"`
+	// Voters are the voters in the settings in the response to RequestMemberInfo, and the present ones in that to a refused
+	// RequestJoin.
+	Voters []string `cbor:"8,keyasint,omitempty" json:"voters,omitempty"`
 	// Removed is set in the response to RequestMemberInfo if the member id in the request was removed from the group.
 	Removed bool `cbor:"10,keyasint,omitempty" json:"removed,omitempty"`
 	// Failed is set if the state machine returned the error Failure for the command.
--- a/coordination/replica/propose.go
+++ b/coordination/replica/propose.go
@@ -288,5 +288,9 @@
 	case errors.Is(err, raft.ErrChangePending):
 		return ProposeResponse{Outcome: OutcomeNotCommitted}
 	}
-	return refused(err.Error())
+	response := refused(err.Error())
+	for _, id := range m.Voters {
+		response.Voters = append(response.Voters, raft.MemberName(id))
+	}
+	return response
 }
