Remove an unreachable voter of an even group before the next loss has to be borne

What callers saw: the configuration could have stayed unreadable (CONFIG). Cause: that the group has grown is kept in memory. Of three instances, one is replaced, and all are killed before it is removed; the rule for even numbers then removed it 4.3 s after their start, later than the 4 s after which the next loss has to be borne.

--- a/coordination/raft/removal_test.go
+++ b/coordination/raft/removal_test.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-var testTimeouts = UnreachableTimeouts{WithReplacement: 1500 * time.Millisecond, FromEvenGroup: 4 * time.Second, WithoutReplacement: 12 * time.Second}
+var testTimeouts = UnreachableTimeouts{WithReplacement: 1500 * time.Millisecond, FromEvenGroup: 2500 * time.Millisecond, WithoutReplacement: 12 * time.Second}
 
 // Guards against unreachable members that keep the places of instances that wait, and against the removal of a voter
 // that is only behind a partition: the group would then bear fewer losses than before.
--- a/coordination/replica/dynamic_test.go
+++ b/coordination/replica/dynamic_test.go
@@ -14,7 +14,7 @@
 func dynamicOptions(withFounders bool) func(*Options) {
 	return func(o *Options) {
 		o.Dynamic = true
-		o.UnreachableTimeouts = raft.UnreachableTimeouts{WithReplacement: 1500 * time.Millisecond, FromEvenGroup: 4 * time.Second,
+		o.UnreachableTimeouts = raft.UnreachableTimeouts{WithReplacement: 1500 * time.Millisecond, FromEvenGroup: 2500 * time.Millisecond,
 			WithoutReplacement: 12 * time.Second}
 		o.JoinInterval = 200 * time.Millisecond
 		if withFounders {
--- /dev/null
+++ b/coordination/replica/restart_growth_test.go
@@ -0,0 +1,58 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// Guards against leaders that forget in a restart that the group has grown: the replaced voter then keeps its place for
+// longer than the successor needs to catch up, and the loss of one disk leaves two voters of four.
+func TestRestartAfterReplacementKeepsTolerance(t *testing.T) {
+	const catchUp = 4 * time.Second // the shortest in force, on the deployment with three control instances
+	for _, after := range []time.Duration{1200, 1300, 1400, 1500, 1600} {
+		t.Run(fmt.Sprint(after*time.Millisecond), func(t *testing.T) {
+			runInVirtualTime(t, func(c *cluster) {
+				c.startMachines(3)
+				c.electLikeTheDaemon()
+				c.losePowerAndDisks()
+				time.Sleep(30 * time.Second)
+				c.propose("a", "x")
+				_, followers := c.leaderAndFollowers()
+				c.stop(followers[0])
+				time.Sleep(time.Second)
+				c.setSeeds(c.runningNames())
+				c.electLikeTheDaemon()
+				c.start("s1")
+				time.Sleep(after*time.Millisecond - time.Second)
+				names := c.runningNames()
+				c.withLock(func() { // all processes are killed at the same moment, and their disks are preserved
+					for _, name := range names {
+						c.isolated[name] = true
+					}
+				})
+				for _, name := range names {
+					c.stop(name)
+				}
+				c.withLock(func() { clear(c.isolated) })
+				time.Sleep(500 * time.Millisecond)
+				c.setSeeds(names)
+				c.electLikeTheDaemon()
+				c.start(names...)
+				time.Sleep(catchUp)
+				c.propose(followers[1], "y")
+				c.losePowerAndDisks(followers[1])
+				c.awaitRecovery([]string{"x", "y"})
+			}, "a", "b", "c")
+		})
+	}
+}
+
+// electLikeTheDaemon gives instances that start from now on the election timeouts of the control instances.
+func (c *cluster) electLikeTheDaemon() {
+	adjust := c.adjustOptions
+	c.adjustOptions = func(o *Options) {
+		adjust(o)
+		o.ElectionTimeout, o.HeartbeatInterval = 700*time.Millisecond, 120*time.Millisecond
+	}
+}
--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -42,9 +42,10 @@
 	// joinInterval is short, since an instance that replaces another one counts as lost until it is a voter.
 	joinInterval = 200 * time.Millisecond
 	// replacedVoterTimeout, evenGroupTimeout and lostVoterTimeout are the times after which an unreachable voter is removed,
-	// see raft.UnreachableTimeouts.
+	// see raft.UnreachableTimeouts. Together with an election, the second one is below the shortest time within which a
+	// deployment has to bear the next loss, 4 s after its machines are back.
 	replacedVoterTimeout = 1500 * time.Millisecond
-	evenGroupTimeout     = 4 * time.Second
+	evenGroupTimeout     = 2500 * time.Millisecond
 	lostVoterTimeout     = 12 * time.Second
 	// proposeTimeout bounds a change of the configuration. Operators retry at another instance after one second.
 	proposeTimeout = 2500 * time.Millisecond
