Acknowledge a deregistration once a majority of the control instances knows it

Cause: the instance acknowledged what it alone knew, and told the others with the next answers to their watches. A target repeats heartbeats, but not a deregistration that was acknowledged. Change: deregistrations are told to the other members, and acknowledged once a majority has them, as new software versions are. In memory is enough: after a loss of power of all, nobody knows the target.

--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -306,6 +306,10 @@
 	handle(instance, peerapi.MethodFleetVersion, func(_ context.Context, o streamorigin.Origin) (any, error) {
 		return peerapi.Empty{}, instance.recordVersion(time.Now(), o)
 	})
+	handle(instance, peerapi.MethodFleetDeparture, func(_ context.Context, d fleetapi.Departure) (any, error) {
+		instance.markGone(d)
+		return peerapi.Empty{}, nil
+	})
 	handle(instance, peerapi.MethodFleetPermit, func(_ context.Context, r fleetapi.PermitRequest) (any, error) {
 		return instance.director.Permit(time.Now(), r)
 	})
@@ -378,17 +382,28 @@
 	return strings.Join(names, ",")
 }
 
-// Deregister marks a target as gone. startedAtMs 0 stands for the latest known incarnation.
+// Deregister marks a target as gone, here and at a majority of the control instances: a target repeats heartbeats, but not
+// a deregistration that was acknowledged. startedAtMs 0 stands for the latest known incarnation.
 func (instance *Instance) Deregister(id string, startedAtMs int64) error {
 	if !instance.Joined() {
 		return ErrNotJoined
 	}
-	if instance.view.MarkGone(id, startedAtMs) {
-		instance.recorder.Record(events.TargetLeaving, events.Fields{"target": id, "born": startedAtMs, "state": "gone"})
+	departure := fleetapi.Departure{ID: id, StartedAtMs: startedAtMs}
+	if !instance.tellMajority(peerapi.MethodFleetDeparture, departure, func() error { instance.markGone(departure); return nil }) {
+		return ErrDepartureUncertain
 	}
 	return nil
 }
 
+func (instance *Instance) markGone(d fleetapi.Departure) {
+	if instance.view.MarkGone(d.ID, d.StartedAtMs) {
+		instance.recorder.Record(events.TargetLeaving, events.Fields{"target": d.ID, "born": d.StartedAtMs, "state": "gone"})
+	}
+}
+
+// ErrDepartureUncertain is returned for a deregistration that too few control instances know to outlive this one.
+var ErrDepartureUncertain = errors.New("no majority of control instances knows of the deregistration")
+
 // ErrUncertain is returned for a change that may or may not take effect, and for a read that can't be confirmed to
 // return the newest configuration.
 var ErrUncertain = errors.New("no majority of control instances answered in time")
--- a/instance/controlinstance/new_versions.go
+++ b/instance/controlinstance/new_versions.go
@@ -1,25 +1,18 @@
 package controlinstance
 
 import (
-	"context"
 	"slices"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/streamorigin"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
-	"github.com/tarragonhoist/tarragonhoist/transport/peer"
 )
 
-// versionAnnounceTimeout bounds announcing a new software version to the other instances. It is below the second within which targets want
-// their heartbeats acknowledged.
-const versionAnnounceTimeout = 400 * time.Millisecond
-
 // knownVersions are the software versions that a majority of the control instances knows. Before, no stream may begin at one: where a
 // stream began is concluded from what a majority knows, see streamorigin.Resolve.
 type knownVersions struct {
@@ -123,38 +116,7 @@
 
 // announceVersion records a version here and at the other instances, and reports whether a majority has saved it.
 func (instance *Instance) announceVersion(now time.Time, o streamorigin.Origin) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), versionAnnounceTimeout)
-	defer cancel()
-	_, members := instance.control()
-	acknowledged := make(chan bool, len(members)+1)
-	go func() { acknowledged <- instance.recordVersion(now, o) == nil }()
-	for _, member := range members {
-		if member == instance.opts.Name {
-			continue
-		}
-		go func() {
-			err := instance.peers.Call(ctx, member, peerapi.MethodFleetVersion, o, &peerapi.Empty{})
-			var remote *peer.RemoteError
-			// An instance of an earlier build learns versions from the list of targets only.
-			unknownMethod := errors.As(err, &remote) && remote.Code == jsonrpc2.CodeMethodNotFound
-			acknowledged <- err == nil || unknownMethod
-		}()
-	}
-	saved := 0
-	for range max(len(members), 1) {
-		select {
-		case ok := <-acknowledged:
-			if ok {
-				saved++
-			}
-		case <-ctx.Done():
-			return false
-		}
-		if saved > len(members)/2 {
-			return true
-		}
-	}
-	return false
+	return instance.tellMajority(peerapi.MethodFleetVersion, o, func() error { return instance.recordVersion(now, o) })
 }
 
 // recordVersion records and saves a version.
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -165,6 +165,12 @@
 	return unloading
 }
 
+// Departure says that a target has ended. StartedAtMs 0 stands for its latest known incarnation.
+type Departure struct {
+	ID          string `json:"id"`
+	StartedAtMs int64  `json:"started,omitempty"`
+}
+
 // PermitRequest asks the leader for a permit to send one request to a target that takes a limited number from all gateways.
 type PermitRequest struct {
 	Target roster.Key `json:"t"`
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -30,6 +30,7 @@
 	MethodFleetOrigin     = "fleet.origin"
 	MethodFleetPermit     = "fleet.permit"
 	MethodFleetVersion    = "fleet.version"
+	MethodFleetDeparture  = "fleet.departure"
 )
 
 // Methods of the transport.
@@ -55,7 +56,7 @@
 func ClassOf(method string) Class {
 	switch method {
 	case MethodRaftMessage, MethodRaftPropose, MethodControlVote, MethodControlRecord, MethodStrike,
-		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodFleetWatch, MethodFleetLoad, MethodFleetAdapter, MethodFleetCrashes, MethodFleetPermit, MethodFleetVersion,
+		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodFleetWatch, MethodFleetLoad, MethodFleetAdapter, MethodFleetCrashes, MethodFleetPermit, MethodFleetVersion, MethodFleetDeparture,
 		MethodHello, MethodPing, MethodClosing:
 		return Urgent
 	default:
