Remove several unreachable voters after the longest timeout while enough remain for two losses

What callers saw: the configuration could have stayed unreadable (CONFIG). Cause: two voters of seven that were replaced before a restart of all, with nobody waiting, matched no rule and stayed for good: several unreachable voters were always taken for a partition. A group of five bears two losses, whatever side of a partition the removed ones are on; with five or fewer, several stay, as before.

--- a/coordination/raft/removal.go
+++ b/coordination/raft/removal.go
@@ -6,6 +6,9 @@
 	// minVotersAfterRemoval is the number of voters with which a group still tolerates the loss of one voter. An
 	// unreachable voter without a replacement is removed only if that many remain.
 	minVotersAfterRemoval = 3
+	// votersForTwoLosses is the number of voters with which a group bears two losses. Beyond it, voters that have been
+	// unreachable for the longest timeout are removed although there are several.
+	votersForTwoLosses = 5
 	// sufficientFurtherLosses is the number of further losses that a group has to bear for unreachable voters to keep their
 	// places. Below it, an instance that waits takes the place of an unreachable voter. A full group that misses one voter
 	// bears two more losses; removing that one would make each short freeze end in a restart.
@@ -30,7 +33,8 @@
 //     and an instance waits for one, or if the group has grown by as many voters as are unreachable. Of several voters
 //     behind a partition, none is removed without another one in its place.
 //   - A voter of an even number of voters.
-//   - A single unreachable voter after the longest timeout. Several indicate a partition.
+//   - A single unreachable voter after the longest timeout. Several indicate a partition, so that they are removed only while
+//     enough remain for two losses.
 func (n *Node) MemberToRemove(now time.Time, timeouts UnreachableTimeouts) (id string, ok bool) {
 	if n.role != Leader || !n.changeAllowed() {
 		return "", false
@@ -62,7 +66,8 @@
 		return longest, true
 	case len(m.Voters)%2 == 0 && silence >= timeouts.FromEvenGroup && len(m.Voters) > minVotersAfterRemoval:
 		return longest, true
-	case len(unreachable) == 1 && silence >= timeouts.WithoutReplacement && len(m.Voters) > minVotersAfterRemoval:
+	case silence < timeouts.WithoutReplacement:
+	case len(unreachable) == 1 && len(m.Voters) > minVotersAfterRemoval, len(m.Voters) > votersForTwoLosses:
 		return longest, true
 	}
 	return "", false
--- a/coordination/replica/restart_growth_test.go
+++ b/coordination/replica/restart_growth_test.go
@@ -56,3 +56,58 @@
 		o.ElectionTimeout, o.HeartbeatInterval = 700*time.Millisecond, 120*time.Millisecond
 	}
 }
+
+// Guards against replaced voters that keep their places for good, because all instances restarted between the replacements
+// and forgot that the group had grown: no rule applies to two unreachable voters of an odd number.
+func TestReplacedVotersLosePlacesAfterRestart(t *testing.T) {
+	for _, test := range []struct {
+		machines, before, after, lost int // before and after: machines that are replaced before and after the restart
+		catchUp                       time.Duration
+	}{{3, 1, 1, 1, 4 * time.Second}, {4, 1, 1, 1, 4 * time.Second}, {5, 2, 1, 2, catchUpLimit}, {6, 2, 2, 2, catchUpLimit}, {8, 2, 2, 2, catchUpLimit}} {
+		t.Run(fmt.Sprint(test.machines, " machines"), func(t *testing.T) {
+			runInVirtualTime(t, func(c *cluster) {
+				c.startMachines(test.machines)
+				c.electLikeTheDaemon()
+				c.losePowerAndDisks()
+				time.Sleep(30 * time.Second)
+				c.propose("a", "x")
+				replaced := 0
+				replace := func(count int) { // in planned work, the successor starts first
+					_, followers := c.leaderAndFollowers()
+					for i := range count {
+						c.setSeeds(c.runningNames())
+						c.electLikeTheDaemon()
+						replaced++
+						c.start(fmt.Sprint("s", replaced))
+						time.Sleep(time.Second)
+						c.stop(followers[i])
+					}
+				}
+				replace(test.before)
+				time.Sleep(200 * time.Millisecond)
+				names := c.runningNames()
+				c.withLock(func() { // all machines lose power at the same moment
+					for _, name := range names {
+						c.isolated[name] = true
+					}
+				})
+				for _, name := range names {
+					c.stop(name)
+				}
+				c.withLock(func() { clear(c.isolated) })
+				time.Sleep(500 * time.Millisecond)
+				c.setSeeds(names)
+				c.electLikeTheDaemon()
+				c.start(names...)
+				time.Sleep(test.catchUp)
+				replace(test.after)
+				time.Sleep(30 * time.Second)
+				t.Logf("30 s after the last replacement, the group has %d voters", len(c.awaitLeader().Status().Voters))
+				_, followers := c.leaderAndFollowers()
+				c.propose(followers[0], "y")
+				c.losePowerAndDisks(followers[:test.lost]...)
+				c.awaitRecovery([]string{"x", "y"})
+			}, "a", "b", "c")
+		})
+	}
+}
