--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -25,7 +25,7 @@
 	InternalError         = define(106, "internal-error", logrus.ErrorLevel, "A background task failed; it is tried again.")
 	NoteApplied           = define(200, "note-applied", logrus.InfoLevel, "A verdict was applied; fields give number, result and log index.")
 	NoVerdict             = define(201, "no-verdict", logrus.WarnLevel, "A submitted note got no verdict because no majority answered.")
-	LogChanged            = define(203, "log-changed", logrus.InfoLevel, "A replicated log changed its leader, members or snapshot; fields give group, kind and detail.")
+	LogChanged            = define(203, "log-changed", logrus.InfoLevel, "A replicated log changed its leader, members, what the leader reaches of them, or snapshot, or this instance could not join it; fields give group, kind and detail.")
 	ConfigInForce         = define(210, "config-in-force", logrus.InfoLevel, "A version of the configuration came into force in this process.")
 	ConfigAccepted        = define(211, "config-accepted", logrus.InfoLevel, "A version of the configuration was committed and acknowledged.")
 	ConfigRefused         = define(212, "config-refused", logrus.WarnLevel, "A configuration was refused as invalid; the field findings says why.")
