Remove voters of an even group early only where the leader can't know of growth

What callers saw: less served. Cause: the rule for even numbers was made for leaders that a restart left without knowledge of the group's growth, and acted always. Change: a node knows from when on its record of changes is complete.

--- a/coordination/raft/membership.go
+++ b/coordination/raft/membership.go
@@ -149,6 +149,8 @@
 	}
 	if isNew {
 		n.recordVoterChanges(n.leaderContact, e.Index, n.currentMembership(), &m)
+	} else {
+		n.voterChangesFrom = n.leaderContact
 	}
 	n.memberships = append(n.memberships, indexedMembership{e.Index, m})
 	return nil
--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -31,13 +31,15 @@
 	electionDeadline time.Time
 	votes            map[string]bool
 
-	progress       map[string]*progress
-	voterChanges   []voterChange
-	waiting        map[string]time.Time // time of the last join request that was refused for want of a place, by member id
-	heartbeatDue   time.Time
-	termStartIndex uint64 // index of the no-op entry of the leader's term
-	readSeq        uint64
-	pendingReads   []pendingRead
+	progress     map[string]*progress
+	voterChanges []voterChange
+	// voterChangesFrom is the time from which voterChanges are complete: the start, or the last change that this node caught up on.
+	voterChangesFrom time.Time
+	waiting          map[string]time.Time // time of the last join request that was refused for want of a place, by member id
+	heartbeatDue     time.Time
+	termStartIndex   uint64 // index of the no-op entry of the leader's term
+	readSeq          uint64
+	pendingReads     []pendingRead
 
 	// appendDue and commitDue make the next Ready send new entries or a new commit index to the followers. flushTime is
 	// the time of the call that set them.
@@ -155,6 +157,7 @@
 		return
 	}
 	if n.electionDeadline.IsZero() {
+		n.voterChangesFrom = now
 		n.firstElectionDeadline(now)
 		if !n.isOnlyVoter() {
 			return
@@ -196,6 +199,7 @@
 		return errors.Errorf("raft: message %v has invalid sender %q", m.Type, m.From)
 	}
 	if n.electionDeadline.IsZero() {
+		n.voterChangesFrom = now
 		n.resetElectionDeadline(now)
 	}
 	switch m.Type {
--- a/coordination/raft/removal.go
+++ b/coordination/raft/removal.go
@@ -19,7 +19,8 @@
 type UnreachableTimeouts struct {
 	// WithReplacement applies if another instance takes the place of the unreachable one.
 	WithReplacement time.Duration
-	// FromEvenGroup applies while the number of voters is even: with one voter less, the group bears as many losses.
+	// FromEvenGroup applies if the leader can't know whether the unreachable voter was replaced, and the number of voters is
+	// even: with one voter less, the group bears as many losses.
 	FromEvenGroup time.Duration
 	// WithoutReplacement applies without a replacement, provided that at least three voters remain.
 	WithoutReplacement time.Duration
@@ -32,7 +33,7 @@
 //   - The voter that has been unreachable longest, while the group bears too few further losses, if all places are taken
 //     and an instance waits for one, or if the group has grown by as many voters as are unreachable. Of several voters
 //     behind a partition, none is removed without another one in its place.
-//   - A voter of an even number of voters.
+//   - A voter of an even number of voters, if the leader doesn't know of earlier growth.
 //   - A single unreachable voter after the longest timeout. Several indicate a partition, so that they are removed only while
 //     enough remain for two losses.
 func (n *Node) MemberToRemove(now time.Time, timeouts UnreachableTimeouts) (id string, ok bool) {
@@ -60,11 +61,12 @@
 	lastContact := n.progress[longest].lastContact
 	silence := now.Sub(lastContact)
 	// In planned work, the successor starts before the contact with its predecessor is lost.
-	growth := n.growthSince(lastContact.Add(-timeouts.WithoutReplacement))
+	since := lastContact.Add(-timeouts.WithoutReplacement)
+	growth := n.growthSince(since)
 	switch {
 	case r.FurtherLosses < sufficientFurtherLosses && (waiting || growth >= len(unreachable)):
 		return longest, true
-	case len(m.Voters)%2 == 0 && silence >= timeouts.FromEvenGroup && len(m.Voters) > minVotersAfterRemoval:
+	case n.voterChangesFrom.After(since) && len(m.Voters)%2 == 0 && silence >= timeouts.FromEvenGroup && len(m.Voters) > minVotersAfterRemoval:
 		return longest, true
 	case silence < timeouts.WithoutReplacement:
 	case len(unreachable) == 1 && len(m.Voters) > minVotersAfterRemoval, len(m.Voters) > votersForTwoLosses:
--- a/coordination/raft/replication.go
+++ b/coordination/raft/replication.go
@@ -349,6 +349,7 @@
 	n.snapshot = s
 	n.stable = s.Index
 	n.memberships = []indexedMembership{{s.Index, s.Membership}}
+	n.voterChangesFrom = n.leaderContact
 	n.receivedSnapshot = &s
 }
 
