--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -55,16 +56,26 @@
 func (g *Group) checkRemoved(ctx context.Context, member string) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
+	cluster := g.Status().Cluster
+	var removed atomic.Bool
+	var wg sync.WaitGroup
 	for _, peer := range g.voterNames() {
 		if peer == g.opts.Self {
 			continue
 		}
-		r, err := g.opts.Peers.Propose(ctx, peer, ProposeRequest{Kind: RequestMemberInfo, Member: member})
-		if err == nil && r.Removed && r.Cluster == g.Status().Cluster {
-			g.opts.OnEvent(EventMembership, member+" was removed from the group")
-			g.opts.OnRemoved()
-			return
-		}
+		// One after the other, some that don't answer would leave no time for the others.
+		wg.Go(func() {
+			r, err := g.opts.Peers.Propose(ctx, peer, ProposeRequest{Kind: RequestMemberInfo, Member: member})
+			if err == nil && r.Removed && r.Cluster == cluster {
+				removed.Store(true)
+				cancel()
+			}
+		})
+	}
+	wg.Wait()
+	if removed.Load() {
+		g.opts.OnEvent(EventMembership, member+" was removed from the group")
+		g.opts.OnRemoved()
 	}
 }
 
