Put a file system below the log, and fail every operation of a log in turn

Tests can now fill the disk of a log at any operation. The test shows that a log which was full at any one, two or five operations in a row, those of the next starts included, can be opened and written again and keeps what it acknowledged.

--- a/coordination/replica/options.go
+++ b/coordination/replica/options.go
@@ -10,6 +10,7 @@
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
 	"github.com/tarragonhoist/tarragonhoist/state/defaults"
+	"github.com/tarragonhoist/tarragonhoist/state/wal"
 )
 
 const (
@@ -108,6 +109,8 @@
 	// DataDir contains one folder per group. Voters require it; other instances keep their state in memory if it is
 	// empty.
 	DataDir string
+	// Files is the file system of DataDir. The default is wal.OS.
+	Files   wal.FileSystem
 	Machine StateMachine
 	Sender  Sender
 	Peers   PeerClient
@@ -166,6 +169,9 @@
 		voters := o.Voters
 		o.Parents = func() []string { return voters }
 	}
+	if o.Files == nil {
+		o.Files = wal.OS{}
+	}
 	if o.OnApply == nil {
 		o.OnApply = func(uint64) {}
 	}
--- a/coordination/replica/storage.go
+++ b/coordination/replica/storage.go
@@ -44,25 +44,26 @@
 
 // storage stores the identity and the log of a replica. If folder is empty, nothing is stored on disk.
 type storage struct {
+	files    wal.FileSystem
 	folder   string
 	identity identity
 	log      *wal.Log
 }
 
 func openStorage(o *Options) (*storage, raft.SavedState, int64, error) {
-	s := &storage{identity: identity{Group: o.Name, Name: o.Self, Incarnation: newIncarnation()}}
+	s := &storage{files: o.Files, identity: identity{Group: o.Name, Name: o.Self, Incarnation: newIncarnation()}}
 	if o.DataDir == "" {
 		return s, raft.SavedState{}, 0, nil
 	}
 	s.folder = filepath.Join(o.DataDir, o.Name)
-	if err := wal.MakeDir(s.folder); err != nil {
+	if err := wal.MakeDirIn(s.files, s.folder); err != nil {
 		return nil, raft.SavedState{}, 0, err
 	}
 	hasIdentity, err := s.readIdentity(o)
 	if err != nil {
 		return nil, raft.SavedState{}, 0, err
 	}
-	log, state, err := wal.Open(filepath.Join(s.folder, logFolder), wal.Options{})
+	log, state, err := wal.Open(filepath.Join(s.folder, logFolder), wal.Options{Files: s.files})
 	if err != nil {
 		return nil, raft.SavedState{}, 0, err
 	}
@@ -81,7 +82,7 @@
 
 func (s *storage) readIdentity(o *Options) (hasIdentity bool, err error) {
 	path := filepath.Join(s.folder, identityFile)
-	content, err := os.ReadFile(path)
+	content, err := s.files.ReadFile(path)
 	if os.IsNotExist(err) {
 		return false, nil
 	}
@@ -141,7 +142,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode identity")
 	}
-	return wal.WriteFile(filepath.Join(s.folder, identityFile), content)
+	return wal.WriteFileIn(s.files, filepath.Join(s.folder, identityFile), content)
 }
 
 // bindToCluster binds the folder to a cluster. The binding is synced before any data of that cluster is stored.
--- /dev/null
+++ b/state/wal/failing_disk_test.go
@@ -0,0 +1,266 @@
+package wal
+
+import (
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"syscall"
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+// failingDisk is a file system of which every operation that changes something fails from a chosen one on, until there is
+// room again. A write that fails leaves half of its bytes.
+type failingDisk struct {
+	OS
+	// failFrom is the number of the first operation that fails, and failCount how many fail.
+	failFrom, failCount int
+	operations          int
+	// onlyData lets all operations but writes succeed, as file systems with free inodes do.
+	onlyData bool
+	failed   []string
+}
+
+func (d *failingDisk) check(operation, path string) error {
+	if d.onlyData && operation != "write" {
+		return nil
+	}
+	d.operations++
+	if d.operations < d.failFrom || d.operations >= d.failFrom+d.failCount {
+		return nil
+	}
+	d.failed = append(d.failed, operation+" "+filepath.Base(path))
+	return &fs.PathError{Op: operation, Path: path, Err: syscall.ENOSPC}
+}
+
+func (d *failingDisk) OpenFile(path string, flag int, mode fs.FileMode) (File, error) {
+	if flag != os.O_RDONLY {
+		if err := d.check("open", path); err != nil {
+			return nil, err
+		}
+	}
+	file, err := os.OpenFile(path, flag, mode)
+	return failingFile{file, d}, err
+}
+
+func (d *failingDisk) Mkdir(path string, mode fs.FileMode) error {
+	if err := d.check("mkdir", path); err != nil {
+		return err
+	}
+	return os.Mkdir(path, mode)
+}
+
+func (d *failingDisk) Rename(from, to string) error {
+	if err := d.check("rename", to); err != nil {
+		return err
+	}
+	return os.Rename(from, to)
+}
+
+func (d *failingDisk) Remove(path string) error {
+	if err := d.check("remove", path); err != nil {
+		return err
+	}
+	return os.Remove(path)
+}
+
+type failingFile struct {
+	*os.File
+	disk *failingDisk
+}
+
+func (f failingFile) Write(b []byte) (int, error) {
+	if err := f.disk.check("write", f.Name()); err != nil {
+		n, _ := f.File.Write(b[:len(b)/2])
+		return n, err
+	}
+	return f.File.Write(b)
+}
+
+func (f failingFile) Sync() error {
+	if err := f.disk.check("sync", f.Name()); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
+
+func (f failingFile) Truncate(size int64) error {
+	if err := f.disk.check("truncate", f.Name()); err != nil {
+		return err
+	}
+	return f.File.Truncate(size)
+}
+
+// logModel is what a log has to hold.
+type logModel struct {
+	hard     HardState
+	snapshot uint64
+	entries  map[uint64]uint64 // term by index
+	last     uint64
+}
+
+func (m logModel) clone() logModel {
+	terms := make(map[uint64]uint64, len(m.entries))
+	for index, term := range m.entries {
+		terms[index] = term
+	}
+	m.entries = terms
+	return m
+}
+
+func (m logModel) append(hard *HardState, list []Entry) logModel {
+	m = m.clone()
+	if hard != nil {
+		m.hard = *hard
+	}
+	for _, e := range list {
+		m.entries[e.Index], m.last = e.Term, e.Index
+	}
+	return m
+}
+
+// difference returns how a log that was opened differs from the model, or an empty string.
+func (m logModel) difference(s *State) string {
+	last := s.Snapshot.Index
+	if n := len(s.Entries); n > 0 {
+		last = max(last, s.Entries[n-1].Index)
+	}
+	switch {
+	case s.Snapshot.Index != m.snapshot:
+		return fmt.Sprintf("snapshot %d, want %d", s.Snapshot.Index, m.snapshot)
+	case s.HardState != m.hard:
+		return fmt.Sprintf("hard state %+v, want %+v", s.HardState, m.hard)
+	case last != max(m.last, m.snapshot):
+		return fmt.Sprintf("last index %d, want %d", last, m.last)
+	}
+	for _, e := range s.Entries {
+		if e.Index > m.snapshot && m.entries[e.Index] != e.Term {
+			return fmt.Sprintf("entry %d has term %d, want %d", e.Index, e.Term, m.entries[e.Index])
+		}
+	}
+	return ""
+}
+
+// step is a change of a log. after returns what the log may contain when the step fails, besides
+// what it contained before; the last one is the content after a success.
+type step struct {
+	apply func(l *Log) error
+	after func(m logModel) []logModel
+}
+
+func appendStep(hard *HardState, list []Entry) step {
+	return step{
+		apply: func(l *Log) error { return l.Append(hard, list) },
+		after: func(m logModel) []logModel { return []logModel{m.append(hard, list)} },
+	}
+}
+
+func saveStep(index, term, keepAfter uint64) step {
+	return step{
+		apply: func(l *Log) error {
+			return l.SaveSnapshot(Snapshot{Index: index, Term: term, Data: []byte("saved")}, keepAfter)
+		},
+		after: func(m logModel) []logModel {
+			m = m.clone()
+			m.snapshot = index
+			return []logModel{m}
+		},
+	}
+}
+
+func installStep(index, term uint64, hard HardState) step {
+	return step{
+		apply: func(l *Log) error {
+			return l.InstallSnapshot(Snapshot{Index: index, Term: term, Data: []byte("installed")}, hard)
+		},
+		after: func(m logModel) []logModel {
+			partial := logModel{hard: m.hard, snapshot: index, last: index}
+			complete := partial
+			complete.hard = hard
+			return []logModel{partial, complete}
+		},
+	}
+}
+
+var failingDiskSteps = []step{
+	appendStep(&HardState{Term: 1, Vote: "a"}, entries(1, 4, 1)),
+	appendStep(nil, entries(5, 9, 1)),
+	appendStep(&HardState{Term: 2, Vote: "b", Commit: 6}, entries(8, 12, 2)),
+	saveStep(6, 1, 4),
+	appendStep(nil, entries(13, 20, 2)),
+	appendStep(&HardState{Term: 3, Commit: 20}, nil),
+	saveStep(18, 2, 18),
+	appendStep(nil, entries(21, 24, 3)),
+	installStep(60, 4, HardState{Term: 5, Commit: 60}),
+	appendStep(&HardState{Term: 5, Vote: "c", Commit: 62}, entries(61, 66, 5)),
+}
+
+// runSteps applies the steps from the given one on until one fails. It returns the number of the next step and what the
+// log may contain.
+func runSteps(l *Log, from int, model logModel) (int, []logModel) {
+	for i := from; i < len(failingDiskSteps); i++ {
+		after := failingDiskSteps[i].after(model)
+		if err := failingDiskSteps[i].apply(l); err != nil {
+			return i, append([]logModel{model}, after...)
+		}
+		model = after[len(after)-1]
+	}
+	return len(failingDiskSteps), []logModel{model}
+}
+
+// runOnFailingDisk opens a log on the disk again after each failure, as a process does that is started again, and returns
+// the number of failures.
+func runOnFailingDisk(t *testing.T, dir string, disk *failingDisk) (failures int) {
+	t.Helper()
+	next, models := 0, []logModel{{entries: map[uint64]uint64{}}}
+	for starts := 0; ; starts++ {
+		if starts > 12 {
+			t.Fatalf("the log can't be opened or written after %v", disk.failed)
+		}
+		l, state, err := Open(dir, Options{SegmentBytes: 300, Files: disk})
+		if err != nil {
+			if errors.Cause(err) == ErrCorrupt {
+				t.Fatalf("after %v: %v", disk.failed, err)
+			}
+			failures++
+			continue
+		}
+		i := slices.IndexFunc(models, func(m logModel) bool { return m.difference(&state) == "" })
+		if i < 0 {
+			t.Fatalf("after %v in step %d: %s", disk.failed, next, models[0].difference(&state))
+		}
+		if i > 0 && i == len(models)-1 {
+			next++ // the step took effect although it failed
+		}
+		next, models = runSteps(l, next, models[i])
+		requireNoError(t, l.Close())
+		if next == len(failingDiskSteps) && starts > 0 {
+			return failures
+		}
+		if next < len(failingDiskSteps) {
+			failures++
+		}
+	}
+}
+
+// Guards against a log that can't be opened again, loses what it acknowledged or stays unwritable after the disk was
+// full: every operation fails in turn, alone, and with those after it, among them those of the next starts.
+func TestDiskFailsAtEveryOperation(t *testing.T) {
+	for _, onlyData := range []bool{false, true} {
+		for _, failCount := range []int{1, 2, 5} {
+			for failFrom := 1; ; failFrom++ {
+				dir := filepath.Join(t.TempDir(), "log")
+				disk := &failingDisk{failFrom: failFrom, failCount: failCount, onlyData: onlyData}
+				if runOnFailingDisk(t, dir, disk) == 0 && len(disk.failed) == 0 {
+					if failFrom < 10 {
+						t.Fatalf("only %d operations", disk.operations)
+					}
+					break
+				}
+			}
+		}
+	}
+}
--- a/state/wal/files.go
+++ b/state/wal/files.go
@@ -33,7 +33,7 @@
 	b = append(b, snapshotMagic...)
 	b = binary.BigEndian.AppendUint32(b, crc32.Checksum(payload, checksumTable))
 	b = append(b, payload...)
-	return writeFile(filepath.Join(l.dir, snapshotName(s.Index, s.Term)), b, l.sync)
+	return WriteFileIn(l.files, filepath.Join(l.dir, snapshotName(s.Index, s.Term)), b)
 }
 
 // loadSnapshot reads the latest snapshot file. A damaged one is an error even if an older one exists, because the log may
@@ -49,7 +49,7 @@
 		return Snapshot{}, nil
 	}
 	path := filepath.Join(l.dir, slices.Max(snapshots))
-	content, err := os.ReadFile(path)
+	content, err := l.files.ReadFile(path)
 	if err != nil {
 		return Snapshot{}, errors.Wrap(err, "read snapshot")
 	}
@@ -65,7 +65,7 @@
 }
 
 func (l *Log) removeSnapshotsExcept(keep string) error {
-	names, err := listDir(l.dir)
+	names, err := listDir(l.files, l.dir)
 	if err != nil {
 		return err
 	}
@@ -73,15 +73,15 @@
 		if name == keep || !strings.HasSuffix(name, snapshotSuffix) && !strings.HasSuffix(name, temporarySuffix) {
 			continue
 		}
-		if err := os.Remove(filepath.Join(l.dir, name)); err != nil {
+		if err := l.files.Remove(filepath.Join(l.dir, name)); err != nil {
 			return errors.Wrap(err, "remove old snapshot")
 		}
 	}
-	return syncDir(l.dir, l.sync)
+	return syncDir(l.files, l.dir)
 }
 
-func listDir(dir string) ([]string, error) {
-	entries, err := os.ReadDir(dir)
+func listDir(files FileSystem, dir string) ([]string, error) {
+	entries, err := files.ReadDir(dir)
 	if err != nil {
 		return nil, errors.Wrap(err, "read log directory")
 	}
@@ -94,19 +94,18 @@
 
 // WriteFile replaces a file atomically: after a crash it holds either the old or the new content. It returns when the new
 // content is durable.
-func WriteFile(path string, content []byte) error {
-	return writeFile(path, content, (*os.File).Sync)
-}
+func WriteFile(path string, content []byte) error { return WriteFileIn(OS{}, path, content) }
 
-func writeFile(path string, content []byte, sync func(*os.File) error) error {
+// WriteFileIn is WriteFile in another file system.
+func WriteFileIn(files FileSystem, path string, content []byte) error {
 	temporary := path + temporarySuffix
-	file, err := os.OpenFile(temporary, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
+	file, err := files.OpenFile(temporary, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "create temporary file")
 	}
 	_, err = file.Write(content)
 	if err == nil {
-		err = sync(file)
+		err = file.Sync()
 	}
 	if closeErr := file.Close(); err == nil {
 		err = closeErr
@@ -114,18 +113,18 @@
 	if err != nil {
 		return errors.Wrapf(err, "write %s", temporary)
 	}
-	if err := os.Rename(temporary, path); err != nil {
+	if err := files.Rename(temporary, path); err != nil {
 		return errors.Wrap(err, "rename temporary file")
 	}
-	return syncDir(filepath.Dir(path), sync)
+	return syncDir(files, filepath.Dir(path))
 }
 
 // syncDir syncs a directory, which makes creations, renames and removals of its files durable.
-func syncDir(dir string, sync func(*os.File) error) error {
-	d, err := os.Open(dir)
+func syncDir(files FileSystem, dir string) error {
+	d, err := files.OpenFile(dir, os.O_RDONLY, 0)
 	if err != nil {
 		return errors.Wrap(err, "open directory")
 	}
 	defer d.Close()
-	return errors.Wrapf(sync(d), "sync directory %s", dir)
+	return errors.Wrapf(d.Sync(), "sync directory %s", dir)
 }
--- a/state/wal/segment.go
+++ b/state/wal/segment.go
@@ -109,7 +109,7 @@
 	if _, err := l.file.Write(b); err != nil {
 		return errors.Wrap(err, "write frame")
 	}
-	if err := l.sync(l.file); err != nil {
+	if err := l.file.Sync(); err != nil {
 		return errors.Wrap(err, "sync frame")
 	}
 	l.nextFrame++
@@ -134,10 +134,10 @@
 	}
 	path := filepath.Join(l.dir, segmentName(l.nextFrame))
 	content := append(header, first...)
-	if err := writeFile(path, content, l.sync); err != nil {
+	if err := WriteFileIn(l.files, path, content); err != nil {
 		return err
 	}
-	file, err := os.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
+	file, err := l.files.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "open new segment")
 	}
@@ -154,7 +154,7 @@
 // load reads the latest snapshot and all segments.
 func (l *Log) load() (State, error) {
 	var state State
-	names, err := listDir(l.dir)
+	names, err := listDir(l.files, l.dir)
 	if err != nil {
 		return state, err
 	}
@@ -178,7 +178,7 @@
 }
 
 func (l *Log) loadSegment(path string, first, last bool, state *State) error {
-	content, err := os.ReadFile(path)
+	content, err := l.files.ReadFile(path)
 	if err != nil {
 		return errors.Wrap(err, "read segment")
 	}
@@ -218,7 +218,7 @@
 }
 
 func (l *Log) truncateSegment(path string, size int64) error {
-	file, err := os.OpenFile(path, os.O_RDWR, fileMode)
+	file, err := l.files.OpenFile(path, os.O_RDWR, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "open segment to truncate an incomplete frame")
 	}
@@ -226,7 +226,7 @@
 	if err := file.Truncate(size); err != nil {
 		return errors.Wrapf(err, "truncate incomplete frame at offset %d", size)
 	}
-	return errors.Wrap(l.sync(file), "sync segment after truncation")
+	return errors.Wrap(file.Sync(), "sync segment after truncation")
 }
 
 func (l *Log) replay(payload []byte, s *segment, state *State) error {
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -61,19 +61,19 @@
 // Options of a log. Zero values are replaced by defaults.
 type Options struct {
 	SegmentBytes int64
-	// sync replaces (*os.File).Sync in tests.
-	sync func(*os.File) error
+	// Files is the file system of the log. The default is OS.
+	Files FileSystem
 }
 
 // Log is an open log. It is not safe for concurrent use. After a failed write it refuses further writes, because it
 // is unknown what reached the disk.
 type Log struct {
 	dir              string
-	lock             *os.File
+	lock             File
 	maxSegmentBytes  int64
-	sync             func(*os.File) error
+	files            FileSystem
 	segments         []segment
-	file             *os.File
+	file             File
 	lastSegmentBytes int64
 	nextFrame        uint64
 	salt             uint32 // of the last segment
@@ -92,11 +92,11 @@
 // Open locks and reads the log in dir. It creates dir if it does not exist.
 func Open(dir string, opts Options) (*Log, State, error) {
 	defaults.Positive(&opts.SegmentBytes, defaultSegmentBytes)
-	if opts.sync == nil {
-		opts.sync = (*os.File).Sync
+	if opts.Files == nil {
+		opts.Files = OS{}
 	}
-	l := &Log{dir: dir, maxSegmentBytes: opts.SegmentBytes, sync: opts.sync, nextFrame: 1}
-	if err := makeDir(dir, l.sync); err != nil {
+	l := &Log{dir: dir, maxSegmentBytes: opts.SegmentBytes, files: opts.Files, nextFrame: 1}
+	if err := MakeDirIn(l.files, dir); err != nil {
 		return nil, State{}, err
 	}
 	if err := l.lockDir(); err != nil {
@@ -116,7 +116,7 @@
 // lockDir prevents a second process from opening the same directory. The operating system releases the lock when the
 // process exits or crashes.
 func (l *Log) lockDir() error {
-	file, err := os.OpenFile(filepath.Join(l.dir, lockFile), os.O_RDWR|os.O_CREATE, fileMode)
+	file, err := l.files.OpenFile(filepath.Join(l.dir, lockFile), os.O_RDWR|os.O_CREATE, fileMode)
 	if err != nil {
 		return errors.Wrap(err, "open lock file")
 	}
@@ -136,7 +136,7 @@
 		}
 	} else {
 		path := l.segments[len(l.segments)-1].path
-		file, err := os.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
+		file, err := l.files.OpenFile(path, os.O_WRONLY|os.O_APPEND, fileMode)
 		if err != nil {
 			return errors.Wrap(err, "open segment")
 		}
@@ -181,21 +181,22 @@
 }
 
 // MakeDir creates a directory and its missing parents. It returns when they are durable.
-func MakeDir(dir string) error { return makeDir(dir, (*os.File).Sync) }
+func MakeDir(dir string) error { return MakeDirIn(OS{}, dir) }
 
-func makeDir(dir string, sync func(*os.File) error) error {
-	if _, err := os.Stat(dir); err == nil {
+// MakeDirIn is MakeDir in another file system.
+func MakeDirIn(files FileSystem, dir string) error {
+	if _, err := files.Stat(dir); err == nil {
 		return nil
 	}
 	if parent := filepath.Dir(dir); parent != dir {
-		if err := makeDir(parent, sync); err != nil {
+		if err := MakeDirIn(files, parent); err != nil {
 			return err
 		}
 	}
-	if err := os.Mkdir(dir, dirMode); err != nil && !os.IsExist(err) {
+	if err := files.Mkdir(dir, dirMode); err != nil && !os.IsExist(err) {
 		return errors.Wrap(err, "create directory")
 	}
-	return syncDir(filepath.Dir(dir), sync)
+	return syncDir(files, filepath.Dir(dir))
 }
 
 // Append writes the entries and, unless it is nil, the hard state in one frame and syncs it.
@@ -306,11 +307,11 @@
 // gap.
 func (l *Log) removeObsolete(index, term, keepAfter uint64) error {
 	for len(l.segments) > 1 && l.segments[0].maxIndex <= keepAfter {
-		if err := os.Remove(l.segments[0].path); err != nil {
+		if err := l.files.Remove(l.segments[0].path); err != nil {
 			return errors.Wrap(err, "remove old segment")
 		}
 		// Without a sync in between, a crash could keep an older segment and lose a newer one.
-		if err := syncDir(l.dir, l.sync); err != nil {
+		if err := syncDir(l.files, l.dir); err != nil {
 			return err
 		}
 		l.segments = l.segments[1:]
--- a/state/wal/wal_test.go
+++ b/state/wal/wal_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"testing"
@@ -197,6 +198,24 @@
 	}
 }
 
+// syncedBy is the file system of the operating system with another sync.
+type syncedBy struct {
+	OS
+	sync func(*os.File) error
+}
+
+func (s syncedBy) OpenFile(path string, flag int, mode fs.FileMode) (File, error) {
+	file, err := os.OpenFile(path, flag, mode)
+	return syncedFile{file, s.sync}, err
+}
+
+type syncedFile struct {
+	*os.File
+	sync func(*os.File) error
+}
+
+func (f syncedFile) Sync() error { return f.sync(f.File) }
+
 // Guards against an acknowledged write that is not durable: a file must be synced after a write, and the directory after a
 // file was created in it. A failed sync must stop the log, because a later sync can succeed although the data was lost.
 func TestSyncBeforeReturn(t *testing.T) {
@@ -204,7 +223,7 @@
 	syncedBytes := map[string]int64{}
 	var dirSyncs int
 	failing := false
-	l, _ := mustOpen(t, dir, Options{sync: func(f *os.File) error {
+	l, _ := mustOpen(t, dir, Options{Files: syncedBy{sync: func(f *os.File) error {
 		if failing {
 			return errors.New("disk failed")
 		}
@@ -216,7 +235,7 @@
 			syncedBytes[filepath.Base(f.Name())] = info.Size()
 		}
 		return f.Sync()
-	}})
+	}}})
 	requireNoError(t, l.Append(nil, entries(1, 3, 1)))
 	if syncedBytes[filepath.Base(l.segments[0].path)] != l.lastSegmentBytes {
 		t.Fatalf("synced sizes %v, written %d", syncedBytes, l.lastSegmentBytes)
