Remove temporary files of failed writes

Cause: WriteFile returned after a failed write, sync or rename without removing the temporary file, and Open left those of killed processes.

Evidence: TestFailedWriteLeavesNoTemporaryFile failed with "-.snap.tmp stays after a failed write", and TestOpenRemovesTemporaryFiles with "the temporary file is still there".

A removal needs no room, so the bytes are free again before the next attempt.

--- a/state/wal/files.go
+++ b/state/wal/files.go
@@ -111,9 +111,12 @@
 		err = closeErr
 	}
 	if err != nil {
+		// The bytes of the incomplete file would keep a full disk full.
+		_ = files.Remove(temporary)
 		return errors.Wrapf(err, "write %s", temporary)
 	}
 	if err := files.Rename(temporary, path); err != nil {
+		_ = files.Remove(temporary)
 		return errors.Wrap(err, "rename temporary file")
 	}
 	return syncDir(files, filepath.Dir(path))
--- a/state/wal/segment.go
+++ b/state/wal/segment.go
@@ -158,6 +158,12 @@
 	if err != nil {
 		return state, err
 	}
+	for _, name := range names {
+		if strings.HasSuffix(name, temporarySuffix) {
+			// A process that was killed left it. It is not needed, so an error does not matter.
+			_ = l.files.Remove(filepath.Join(l.dir, name))
+		}
+	}
 	if state.Snapshot, err = l.loadSnapshot(names); err != nil {
 		return state, err
 	}
