Sync what Open reads before it is taken for durable

Operators would see a configuration that was acknowledged and is gone, or a member with two votes in one term, after a disk that failed a sync, or a process that was killed before its sync, and a loss of power later.

Cause: the log keeps the rule of one sync for each frame within a process only. The next process read the frame, the renamed file or the new folder from the memory of the operating system, and acknowledged its entries without a sync of its own.

Evidence: TestOpenSyncsWhatWasNotSynced failed for the segment, the folder of the log and the folder above: none was synced, though the six entries were returned, three of them from a frame whose sync had failed.

Open now syncs the last segment (earlier ones were synced before it was started), the folder of the log, and the folder above, which also holds the identity file.

--- a/state/wal/failing_disk_test.go
+++ b/state/wal/failing_disk_test.go
@@ -295,3 +295,32 @@
 		t.Fatalf("the temporary file is still there: %v", err)
 	}
 }
+
+// Guards against a member that contradicts what it acknowledged: a frame, a rename or a new folder whose sync failed is
+// read by the next process, which takes it for durable. A loss of power would then remove it. Open has to sync the last
+// segment, the folder of the log and the folder above.
+func TestOpenSyncsWhatWasNotSynced(t *testing.T) {
+	parent := t.TempDir()
+	dir := filepath.Join(parent, "log")
+	disk := &failingDisk{}
+	l, _ := mustOpen(t, dir, Options{Files: disk})
+	requireNoError(t, l.Append(&HardState{Term: 1}, entries(1, 3, 1)))
+	disk.failFrom, disk.failCount = disk.operations+2, 1 // the sync of the frame
+	if err := l.Append(nil, entries(4, 6, 1)); !errors.Is(err, syscall.ENOSPC) || disk.failed[0][:4] != "sync" {
+		t.Fatalf("error %v of %v, want ENOSPC of the sync", err, disk.failed)
+	}
+	requireNoError(t, l.Close())
+	synced := map[string]bool{}
+	l, state := mustOpen(t, dir, Options{Files: syncedBy{sync: func(f *os.File) error {
+		synced[f.Name()] = true
+		return f.Sync()
+	}}})
+	if len(state.Entries) != 6 {
+		t.Fatalf("%d entries, want 6", len(state.Entries))
+	}
+	for _, path := range []string{l.segments[0].path, dir, parent} {
+		if !synced[path] {
+			t.Errorf("%s was not synced, only %v", path, synced)
+		}
+	}
+}
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -106,6 +106,9 @@
 	if err == nil {
 		err = l.openLastSegment(&state)
 	}
+	if err == nil {
+		err = l.syncOpened()
+	}
 	if err != nil {
 		_ = l.Close()
 		return nil, State{}, err
@@ -113,6 +116,15 @@
 	return l, state, nil
 }
 
+// syncOpened syncs what an earlier process may have written and not synced. Its caller takes all that Open read for durable
+// and acknowledges it, but the last frame and the last rename can be in memory only.
+func (l *Log) syncOpened() error {
+	if err := l.file.Sync(); err != nil {
+		return errors.Wrap(err, "sync segment")
+	}
+	return syncDir(l.files, l.dir)
+}
+
 // lockDir prevents a second process from opening the same directory. The operating system releases the lock when the
 // process exits or crashes.
 func (l *Log) lockDir() error {
@@ -180,16 +192,21 @@
 	return nil
 }
 
-// MakeDir creates a directory and its missing parents. It returns when they are durable.
-func MakeDir(dir string) error { return MakeDirIn(OS{}, dir) }
-
-// MakeDirIn is MakeDir in another file system.
+// MakeDirIn creates a directory and its missing parents. It returns when they are durable. It also syncs the parent of a directory that exists: the sync of the process
+// that created it may have failed.
 func MakeDirIn(files FileSystem, dir string) error {
+	if err := createDir(files, dir); err != nil {
+		return err
+	}
+	return syncDir(files, filepath.Dir(dir))
+}
+
+func createDir(files FileSystem, dir string) error {
 	if _, err := files.Stat(dir); err == nil {
 		return nil
 	}
 	if parent := filepath.Dir(dir); parent != dir {
-		if err := MakeDirIn(files, parent); err != nil {
+		if err := createDir(files, parent); err != nil {
 			return err
 		}
 	}
