End the process when the disk fails while a group is founded

Operators would see an instance of the release log that runs, claims a cluster and does not take part in it, after its disk was full for a moment at the first start.

Run now ends with that error, as after any other failed write, and the next process starts from what the disk holds. The identity changes in memory only once it is saved.

--- a/coordination/replica/full_disk_test.go
+++ b/coordination/replica/full_disk_test.go
@@ -405,3 +405,55 @@
 		})
 	}
 }
+
+// Guards against an instance that lives on with a log that refuses writes, or as a member of a cluster that its disk does
+// not name, because an error of the disk was answered to the founder of a group instead of ending the process.
+func TestFullDiskWhileGroupIsFounded(t *testing.T) {
+	for _, strict := range []bool{false, true} {
+		runInVirtualTime(t, func(c *cluster) {
+			disk := &fullDisk{strict: strict}
+			dir := c.t.TempDir()
+			open := func() (*Group, chan error) {
+				e := endpoint{c.network, "b"}
+				g, err := Open(Options{Name: "config", Self: "b", Voters: c.voters, DataDir: dir, Files: disk,
+					Machine: &commandRecorder{t: c.t}, Sender: e, Peers: e})
+				if err != nil {
+					c.t.Fatal(err)
+				}
+				ended := make(chan error, 1)
+				ctx, stop := context.WithCancel(context.Background())
+				context.AfterFunc(c.t.Context(), stop)
+				go func() { ended <- g.Run(ctx) }()
+				return g, ended
+			}
+			g, ended := open()
+			id := g.Status().ID
+			found := ProposeRequest{Kind: RequestBootstrap, Cluster: "x", Voters: []string{"a@1", id, "c@1"}}
+			disk.full.Store(true)
+			if response, _ := g.HandlePropose(c.t.Context(), found); response.Outcome == OutcomeDone {
+				c.t.Fatal("a member was founded on a full disk")
+			}
+			select {
+			case err := <-ended:
+				if !errors.Is(err, syscall.ENOSPC) {
+					c.t.Fatalf("the group ended with %v, want ENOSPC", err)
+				}
+			case <-time.After(5 * time.Second):
+				c.t.Fatalf("the group still runs 5 s after it could not write, with status %+v", g.Status())
+			}
+			disk.full.Store(false)
+			g, ended = open()
+			if s := g.Status(); s.ID != id || s.Cluster != "" {
+				c.t.Fatalf("status %+v after the start, want id %s and no cluster", s, id)
+			}
+			if response, err := g.HandlePropose(c.t.Context(), found); response.Outcome != OutcomeDone {
+				c.t.Fatalf("response %+v, error %v once there is room", response, err)
+			}
+			select {
+			case err := <-ended:
+				c.t.Fatalf("the group ended: %v", err)
+			case <-time.After(5 * time.Second):
+			}
+		}, "a", "b", "c")
+	}
+}
--- a/coordination/replica/group.go
+++ b/coordination/replica/group.go
@@ -53,6 +53,7 @@
 	knownCommit     uint64 // highest commit index received from a member or parent
 	reachability    raft.Reachability
 	reachabilityDue time.Time
+	failure         error // of the disk, in a request; it ends Run
 
 	mu      sync.Mutex
 	status  Status
@@ -144,6 +145,9 @@
 		if err := g.handleQueued(); err != nil {
 			return err
 		}
+		if g.failure != nil {
+			return g.failure
+		}
 		now := time.Now()
 		if g.opts.isVoter() {
 			g.node.Tick(now)
--- a/coordination/replica/join.go
+++ b/coordination/replica/join.go
@@ -171,9 +171,10 @@
 	if g.node.LastIndex() != 0 {
 		return false, errors.New("bootstrap: the log is not empty although this instance belongs to no cluster")
 	}
-	if err := g.store.bindToCluster(cluster, members); err != nil {
-		return false, err
+	if g.failure = g.store.bindToCluster(cluster, members); g.failure != nil {
+		return false, g.failure
 	}
 	g.opts.OnEvent(EventBootstrapped, fmt.Sprintf("cluster %s, members %v", cluster, members))
-	return true, g.start(raft.SavedState{})
+	g.failure = g.start(raft.SavedState{})
+	return true, g.failure
 }
--- a/coordination/replica/storage.go
+++ b/coordination/replica/storage.go
@@ -146,9 +146,15 @@
 }
 
 // bindToCluster binds the folder to a cluster. The binding is synced before any data of that cluster is stored.
+// If that fails, the identity stays as it was.
 func (s *storage) bindToCluster(cluster string, founders []string) error {
+	before := s.identity
 	s.identity.Cluster, s.identity.Founders = cluster, slices.Clone(founders)
-	return s.saveIdentity()
+	if err := s.saveIdentity(); err != nil {
+		s.identity = before
+		return err
+	}
+	return nil
 }
 
 func fromWALState(state *wal.State) (raft.SavedState, error) {
