Rename the log of a removed instance before its deletion

Operators would see a control instance that can't start again, whatever is done, after it was removed from the group: "identity file of ... is missing, but its log is not empty" or "the log of ... is missing".

Cause: RemoveData deleted the folder file by file. A process that was killed or lost power in between left a log without its identity file, or the reverse, and Open refuses both.

The folder now gets another name, durably, before its files are deleted, so that Open finds either the whole folder or none. The next start deletes what is left.

--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -29,6 +29,7 @@
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
+	"github.com/tarragonhoist/tarragonhoist/state/wal"
 	"github.com/tarragonhoist/tarragonhoist/transport/peer"
 )
 
@@ -122,7 +123,11 @@
 	if opts.FirstStart && slices.Contains(opts.Seeds, opts.Name) {
 		group.InitialVoters = opts.Seeds
 	}
-	var err error
+	err := finishRemoval(opts.DataDir)
+	if err != nil {
+		// It takes room, but nothing reads it.
+		recorder.Record(events.InternalError, events.Fields{"task": "removal", "error": err.Error()})
+	}
 	if instance.group, err = replica.Open(group); err != nil {
 		return nil, err
 	}
@@ -434,11 +439,35 @@
 	return packed.Unpack()
 }
 
+// removedSuffix ends the name of the folder of a replicated log that is being deleted.
+const removedSuffix = ".removed"
+
 // RemoveData deletes the replicated log of an instance that was removed from the group, so that it can join as a new
 // member. The group may have seen versions in the meantime that this instance does not know.
-func RemoveData(dataDir string) error {
+//
+// The folder is renamed first: a log without its identity file, or the reverse, can't be opened again, so a deletion that
+// is interrupted must not leave one.
+func RemoveData(dataDir string) error { return removeData(dataDir, os.RemoveAll) }
+
+func removeData(dataDir string, removeAll func(path string) error) error {
 	if err := os.Remove(filepath.Join(dataDir, originsFile)); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return errors.Wrap(err, "remove the origins of streams")
 	}
-	return errors.Wrap(os.RemoveAll(filepath.Join(dataDir, GroupName)), "remove the replicated log")
+	folder := filepath.Join(dataDir, GroupName)
+	if err := removeAll(folder + removedSuffix); err != nil { // of an earlier attempt
+		return errors.Wrap(err, "remove the replicated log")
+	}
+	if err := os.Rename(folder, folder+removedSuffix); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return errors.Wrap(err, "rename the replicated log")
+	}
+	// A loss of power must not undo the rename and keep the removals.
+	if err := wal.SyncDir(dataDir); err != nil {
+		return errors.Wrap(err, "rename the replicated log")
+	}
+	return errors.Wrap(removeAll(folder+removedSuffix), "remove the replicated log")
+}
+
+// finishRemoval deletes what an interrupted RemoveData has left.
+func finishRemoval(dataDir string) error {
+	return errors.Wrap(os.RemoveAll(filepath.Join(dataDir, GroupName+removedSuffix)), "remove the replicated log")
 }
--- a/state/wal/files.go
+++ b/state/wal/files.go
@@ -122,7 +122,9 @@
 	return syncDir(files, filepath.Dir(path))
 }
 
-// syncDir syncs a directory, which makes creations, renames and removals of its files durable.
+// SyncDir syncs a directory, which makes creations, renames and removals of its files durable.
+func SyncDir(dir string) error { return syncDir(OS{}, dir) }
+
 func syncDir(files FileSystem, dir string) error {
 	d, err := files.OpenFile(dir, os.O_RDONLY, 0)
 	if err != nil {
