Give the founders only to the first process in the test of full disks

The platform sets the flag of the first start for one process; a founder whose disk is full then comes back as an instance that has to join.

--- a/coordination/replica/full_disk_test.go
+++ b/coordination/replica/full_disk_test.go
@@ -90,7 +90,7 @@
 	name     string
 	dir      string
 	disk     fullDisk
-	founders []string // at the first start only
+	founders []string // for the first process
 	stop     context.CancelFunc
 	ended    chan struct{}
 
@@ -152,12 +152,11 @@
 	o := Options{Name: "config", Self: m.name, Voters: seeds, DataDir: m.dir, Files: &m.disk, Machine: recorder, Sender: e, Peers: e,
 		Rand: rand.New(rand.NewPCG(seed, 1)), SnapshotEvery: 25, OnRemoved: func() { removed.Store(true); stop() }}
 	dynamicOptions(false)(&o)
-	o.InitialVoters = m.founders
+	o.InitialVoters, m.founders = m.founders, nil // the platform sets it for the first process only
 	g, err := Open(o)
 	if err != nil {
 		return err
 	}
-	m.founders = nil
 	c.withLock(func() { c.groups[m.name] = g })
 	m.mu.Lock()
 	m.group, m.applied = g, recorder
