--- a/coordination/raft/removal.go
+++ b/coordination/raft/removal.go
@@ -6,6 +6,9 @@
 	// minVotersAfterRemoval is the number of voters with which a group still tolerates the loss of one voter. An
 	// unreachable voter without a replacement is removed only if that many remain.
 	minVotersAfterRemoval = 3
+	// votersForTwoLosses is the number of voters with which a group bears two losses. Beyond it, voters that have been
+	// unreachable for the longest timeout are removed although there are several.
+	votersForTwoLosses = 5
 	// sufficientFurtherLosses is the number of further losses that a group has to bear for unreachable voters to keep their
 	// places. Below it, an instance that waits takes the place of an unreachable voter. A full group that misses one voter
 	// bears two more losses; removing that one would make each short freeze end in a restart.
@@ -30,7 +33,8 @@
 //     and an instance waits for one, or if the group has grown by as many voters as are unreachable. Of several voters
 //     behind a partition, none is removed without another one in its place.
 //   - A voter of an even number of voters.
-//   - A single unreachable voter after the longest timeout. Several indicate a partition.
+//   - A single unreachable voter after the longest timeout. Several indicate a partition, so that they are removed only while
+//     enough remain for two losses.
 func (n *Node) MemberToRemove(now time.Time, timeouts UnreachableTimeouts) (id string, ok bool) {
 	if n.role != Leader || !n.changeAllowed() {
 		return "", false
@@ -56,41 +60,59 @@
 	lastContact := n.progress[longest].lastContact
 	silence := now.Sub(lastContact)
 	// In planned work, the successor starts before the contact with its predecessor is lost.
-	added := len(m.Voters) - n.votersAt(lastContact.Add(-timeouts.WithoutReplacement))
+	growth := n.growthSince(lastContact.Add(-timeouts.WithoutReplacement))
 	switch {
-	case r.FurtherLosses < sufficientFurtherLosses && (waiting || added >= len(unreachable)):
+	case r.FurtherLosses < sufficientFurtherLosses && (waiting || growth >= len(unreachable)):
 		return longest, true
 	case len(m.Voters)%2 == 0 && silence >= timeouts.FromEvenGroup && len(m.Voters) > minVotersAfterRemoval:
 		return longest, true
+	case silence < timeouts.WithoutReplacement:
+	case len(unreachable) == 1 && len(m.Voters) > minVotersAfterRemoval, len(m.Voters) > votersForTwoLosses:
+		return longest, true
 	}
-	return longest, len(unreachable) == 1 && silence >= timeouts.WithoutReplacement && len(m.Voters) > minVotersAfterRemoval
+	return "", false
 }
 
-// voterCount is the number of voters from a time on, as far as this node knew.
-type voterCount struct {
-	from   time.Time
-	voters int
+// voterChange is a voter that was added to the group for the first time, or removed from it.
+type voterChange struct {
+	at    time.Time
+	index uint64 // of the entry
+	name  string
+	added bool
 }
 
-// maxVoterCounts bounds how many changes are remembered. No more than a few happen within the timeouts.
-const maxVoterCounts = 64
+// maxVoterChanges bounds how many changes are remembered. No more than a few happen within the timeouts.
+const maxVoterChanges = 64
 
-// recordVoterCount records the number of voters, on leaders and followers alike: a new leader has to know whether the
-// group has grown.
-func (n *Node) recordVoterCount(now time.Time) {
-	n.voterCounts = append(n.voterCounts, voterCount{now, len(n.currentMembership().Voters)})
-	if excess := len(n.voterCounts) - maxVoterCounts; excess > 0 {
-		n.voterCounts = n.voterCounts[excess:]
+// recordVoterChanges records changes on leaders and followers alike: a new leader has to know whether the group has grown.
+// An instance that returns with a new disk takes back its own place, and is no growth.
+func (n *Node) recordVoterChanges(now time.Time, index uint64, before, after *Membership) {
+	for _, id := range after.Voters {
+		if name := MemberName(id); !before.IsVoter(id) && !before.wasRemoved(name) {
+			n.voterChanges = append(n.voterChanges, voterChange{now, index, name, true})
+		}
+	}
+	for _, id := range before.Voters {
+		if !after.IsVoter(id) {
+			n.voterChanges = append(n.voterChanges, voterChange{now, index, MemberName(id), false})
+		}
+	}
+	if excess := len(n.voterChanges) - maxVoterChanges; excess > 0 {
+		n.voterChanges = n.voterChanges[excess:]
 	}
 }
 
-// votersAt returns the number of voters at a time; for times before the first record, that of the first record.
-func (n *Node) votersAt(at time.Time) int {
-	count := n.voterCounts[0].voters
-	for _, c := range n.voterCounts {
-		if !c.from.After(at) {
-			count = c.voters
+// growthSince returns how many voters were added since a time, less those that were removed and have not returned.
+func (n *Node) growthSince(at time.Time) int {
+	growth := 0
+	for _, c := range n.voterChanges {
+		switch {
+		case !c.at.After(at):
+		case c.added:
+			growth++
+		case !n.currentMembership().hasVoterNamed(c.name):
+			growth--
 		}
 	}
-	return count
+	return growth
 }
--- a/coordination/replica/group.go
+++ b/coordination/replica/group.go
@@ -58,6 +58,9 @@
 	mu      sync.Mutex
 	status  Status
 	waiters []waiter
+	// contacts are members that this instance learned of while it is none itself: from messages to the member that it was
+	// before it lost its disk, and from refused joins. It needs them once none of its seeds is a member any more.
+	contacts []string
 }
 
 type waiter struct {
@@ -250,6 +253,9 @@
 func (g *Group) step(now time.Time, m raft.Message) error {
 	id := &g.store.identity
 	if !g.opts.isVoter() || m.To != id.id() || m.Cluster == "" {
+		if m.Cluster != "" && id.Cluster == "" && raft.MemberName(m.To) == g.opts.Self {
+			g.addContacts(raft.MemberName(m.From))
+		}
 		g.opts.OnEvent(EventMessageRefused, fmt.Sprintf("%v from %s for %s", m.Type, m.From, m.To))
 		return nil
 	}
@@ -270,6 +276,18 @@
 	return nil
 }
 
+// maxContacts bounds Group.contacts to twice the members of a group.
+const maxContacts = 2 * raft.MaxVoters
+
+// addContacts records members that this instance learned of while it is none itself. The latest replace the oldest.
+func (g *Group) addContacts(names ...string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	contacts := slices.DeleteFunc(slices.Clone(g.contacts), func(old string) bool { return slices.Contains(names, old) })
+	contacts = append(contacts, names...)
+	g.contacts = contacts[max(len(contacts)-maxContacts, 0):]
+}
+
 func (g *Group) setProblem(text string) {
 	g.mu.Lock()
 	changed := g.status.Problem != text
