Know when a member last held all committed entries

A control instance that is cut off from the majority could not tell: its status names the leader that it last knew, and the versions that it holds may be old.

Status.CaughtUpAt is the time of the leader's last contact with a majority, on a follower that of the last append that named no later commit index than its own.

--- a/coordination/raft/node.go
+++ b/coordination/raft/node.go
@@ -28,6 +28,7 @@
 	role             Role
 	leader           string
 	leaderContact    time.Time
+	caughtUpAt       time.Time // see CaughtUpAt
 	electionDeadline time.Time
 	votes            map[string]bool
 
@@ -270,6 +271,7 @@
 
 func (n *Node) becomeFollower(now time.Time, term uint64, leader string) {
 	if n.role == Leader {
+		n.caughtUpAt = n.CaughtUpAt(now)
 		for _, r := range n.pendingReads {
 			n.readResults = append(n.readResults, ReadResult{ID: r.id, LeadershipLost: true})
 		}
--- a/coordination/raft/replication.go
+++ b/coordination/raft/replication.go
@@ -238,7 +238,10 @@
 	case MsgSnapshot:
 		return n.handleSnapshotPart(m)
 	case MsgAppend:
-		return n.handleAppend(m)
+		if err := n.handleAppend(m); err != nil {
+			return err
+		}
+		n.recordCaughtUp(m)
 	}
 	return nil
 }
--- a/coordination/replica/group.go
+++ b/coordination/replica/group.go
@@ -309,7 +309,7 @@
 	if err := g.maybeSnapshot(); err != nil {
 		return err
 	}
-	g.publishStatus()
+	g.publishStatus(now)
 	if applied := g.node.Applied(); applied > before {
 		g.opts.OnApply(applied)
 	}
@@ -366,7 +366,7 @@
 	return nil
 }
 
-func (g *Group) publishStatus() {
+func (g *Group) publishStatus(now time.Time) {
 	changed := g.membershipIndex != g.node.MembershipIndex()
 	if changed {
 		g.membership, g.membershipIndex = g.node.Membership(), g.node.MembershipIndex()
@@ -374,7 +374,8 @@
 	m := &g.membership
 	s := Status{ID: g.node.ID(), Cluster: g.store.identity.Cluster, Voter: m.IsVoter(g.node.ID()), Role: g.node.Role().String(),
 		Leader: raft.MemberName(g.node.Leader()), Term: g.node.Term(), Commit: g.node.Commit(), Applied: g.node.Applied(),
-		Voters: m.Voters, Learners: m.Learners, Reachability: g.reachability}
+		Voters: m.Voters, Learners: m.Learners, Reachability: g.reachability,
+		CaughtUpAt: g.node.CaughtUpAt(now)}
 	if !g.opts.isVoter() {
 		s.Role = "learner"
 	}
--- a/coordination/replica/options.go
+++ b/coordination/replica/options.go
@@ -200,8 +200,11 @@
 	// CaughtUp reports whether this instance has applied all entries that its leader or parent last reported as
 	// committed.
 	CaughtUp bool
-	Voters   []string // member ids
-	Learners []string // member ids
+	// CaughtUpAt is the latest time at which this member had applied everything that was committed by then, as far as it
+	// knows; the zero time if it has not heard from a majority since its start, and on instances that are not members.
+	CaughtUpAt time.Time
+	Voters     []string // member ids
+	Learners   []string // member ids
 	// Reachability is what this instance knows as the leader.
 	Reachability raft.Reachability
 	// Problem is the most recent reason why this instance cannot join or fetch. It is empty for a voter.
