Turn gateways to control instances that hear from a majority

An instance without a majority answered its watches as any other, so a gateway had no reason to leave it. Its answers now say whether it has heard from a majority within the last second, and the age of that contact, and a watch is answered at once when that changes. A gateway none of whose instances informs it asks the others in rounds, with a request that is answered without targets and brings a newer version by itself, and watches those with contact. While another instance informs it, it replaces the one that lost contact within 3 s, and returns 5 to 15 s later, so that complete lists of targets do not go out all at once. While no instance has contact it keeps what it watches. An instance that is no member says what those that it watches say. Builds that do not know the fields are answered, and watched, as before.

The tests that call ServeWatch and chooseInstances pass their new parameters and check what they checked before.

--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -283,8 +283,9 @@
 		return groups.HandleFetch(ctx, f)
 	})
 	handle(instance, peerapi.MethodFleetWatch, func(ctx context.Context, r fleetapi.WatchRequest) (any, error) {
-		response := instance.view.ServeWatch(ctx, instance.epoch, instance.control, r)
-		if !instance.confirmed.Load() && time.Since(instance.started) < serveUnconfirmedAfter {
+		lastContact := func() time.Time { return instance.lastContact(r.Gateway) }
+		response := instance.view.ServeWatch(ctx, instance.epoch, instance.control, lastContact, r)
+		if instance.withholdsConfig(time.Now()) {
 			response.Document, response.Version = nil, 0
 		}
 		return response, nil
@@ -313,6 +314,24 @@
 	})
 }
 
+// withholdsConfig reports whether watches are not told the configuration yet, see confirm.
+func (instance *Instance) withholdsConfig(now time.Time) bool {
+	return !instance.confirmed.Load() && now.Sub(instance.started) < serveUnconfirmedAfter
+}
+
+// lastContact returns when the view last held everything that the group had acknowledged. Gateways are told what this
+// instance knows from watches of others as well, see fleetapi.WatchResponse.
+func (instance *Instance) lastContact(gateway bool) time.Time {
+	if instance.withholdsConfig(time.Now()) {
+		return time.Time{}
+	}
+	at := instance.group.Status().CaughtUpAt
+	if relayed := instance.watcher.ContactAt(); gateway && relayed.After(at) {
+		at = relayed
+	}
+	return at
+}
+
 func handle[P any](instance *Instance, method string, serve func(ctx context.Context, params P) (any, error)) {
 	instance.peers.Handle(method, func(ctx context.Context, _ peer.Sender, raw json.RawMessage) (any, error) {
 		var params P
--- a/instance/fleetview/crashes_test.go
+++ b/instance/fleetview/crashes_test.go
@@ -51,7 +51,7 @@
 		v.MergeCrashes(time.Now(), params.(fleetapi.CrashReport).Crashes)
 		return nil
 	case peerapi.MethodFleetWatch:
-		response := v.ServeWatch(ctx, epoch, func() (string, []string) { return "", nil }, params.(fleetapi.WatchRequest))
+		response := v.ServeWatch(ctx, epoch, func() (string, []string) { return "", nil }, time.Now, params.(fleetapi.WatchRequest))
 		if _, now := f.view(name); now != epoch {
 			return errors.New("the instance has restarted")
 		}
--- a/instance/fleetview/serve.go
+++ b/instance/fleetview/serve.go
@@ -12,9 +12,17 @@
 // ControlStatus returns the leader and the members of the control group, as a control instance knows them.
 type ControlStatus func() (leader string, members []string)
 
+// ContactTime returns when this instance last had contact with a majority of the group, so that its view held every version
+// acknowledged by then; the zero time if it never had.
+type ContactTime func() time.Time
+
 // ServeWatch answers a watch, which is a long poll: at once when something has changed, after a while when only heartbeats
 // arrived, and after longPollTimeout when nothing did. Gateways get changes of what targets hold in batches.
-func (v *View) ServeWatch(ctx context.Context, epoch uint64, control ControlStatus, request fleetapi.WatchRequest) fleetapi.WatchResponse {
+// It is answered at once, too, when contact with the majority is lost or regained, and when only that is asked for.
+func (v *View) ServeWatch(ctx context.Context, epoch uint64, control ControlStatus, lastContact ContactTime, request fleetapi.WatchRequest) fleetapi.WatchResponse {
+	if request.ContactOnly {
+		return v.contactResponse(epoch, lastContact(), &request)
+	}
 	if request.Epoch != epoch {
 		request.ChangeNumber, request.CrashChange = 0, 0 // change numbers of an earlier start of this instance do not apply
 	}
@@ -28,14 +36,24 @@
 	for {
 		now := time.Now()
 		leader, members := control()
-		waited := now.Sub(started)
+		waited, contactAt := now.Sub(started), lastContact()
+		contact := contactOf(now, contactAt)
 		changes := v.changesSince(&request, waited >= delays.content)
 		if request.Epoch != epoch || changes.version > request.Version || leader != leaderBefore || ctx.Err() != nil ||
-			changes.lifecycle || waited >= longPollTimeout || waited >= delays.content && (changes.content || changes.crashes) ||
+			request.Contact != fleetapi.ContactUnknown && request.Contact != contact ||
+			changes.lifecycle || waited >= delays.idle || waited >= delays.content && (changes.content || changes.crashes) ||
 			waited >= delays.heartbeats && changes.heartbeats {
-			return v.watchResponse(epoch, leader, members, now, &request)
+			// The time of the contact was read before the version, which is therefore at least as new.
+			response := v.watchResponse(epoch, leader, members, now, &request)
+			response.Contact, response.ContactAgeMs = contact, contactAge(now, contactAt)
+			return response
+		}
+		pause := delays.idle - waited
+		if contact == fleetapi.ContactLost {
+			pause = min(pause, lostContactPoll)
+		} else {
+			pause = min(pause, maxContactAge-now.Sub(contactAt)+time.Millisecond)
 		}
-		pause := longPollTimeout - waited
 		if waited < delays.content {
 			pause = min(pause, delays.content-waited)
 		}
@@ -58,9 +76,12 @@
 type watchDelays struct {
 	content    time.Duration // changes of what a target holds, and crashes
 	heartbeats time.Duration // heartbeats without a change
+	idle       time.Duration // nothing
 }
 
-var controlDelays = watchDelays{heartbeats: 400 * time.Millisecond}
+// Control instances that are no members of the group know the age of their contact from these answers. It stays below
+// maxContactAge between two of them.
+var controlDelays = watchDelays{heartbeats: 400 * time.Millisecond, idle: longPollTimeout / 2}
 
 const (
 	// gatewayHeartbeatDelay is long, since heartbeats count as overdue after several seconds only.
@@ -74,7 +95,7 @@
 
 // gatewayDelays returns the delays of a gateway while a number of gateways watches the instance.
 func gatewayDelays(watches int64) watchDelays {
-	return watchDelays{content: min(time.Duration(watches)*contentDelayPerWatch, maxContentDelay), heartbeats: gatewayHeartbeatDelay}
+	return watchDelays{content: min(time.Duration(watches)*contentDelayPerWatch, maxContentDelay), heartbeats: gatewayHeartbeatDelay, idle: longPollTimeout}
 }
 
 func (v *View) watchResponse(epoch uint64, leader string, members []string, now time.Time, request *fleetapi.WatchRequest) fleetapi.WatchResponse {
@@ -97,6 +118,17 @@
 	return response
 }
 
+// contactResponse answers a request for the contact and a newer document only.
+func (v *View) contactResponse(epoch uint64, contactAt time.Time, request *fleetapi.WatchRequest) fleetapi.WatchResponse {
+	now, packed := time.Now(), v.Packed()
+	response := fleetapi.WatchResponse{Epoch: epoch, Version: packed.Version, Contact: contactOf(now, contactAt),
+		ContactAgeMs: contactAge(now, contactAt)}
+	if packed.Version > request.Version {
+		response.Document = packed.Data
+	}
+	return response
+}
+
 func rendezvousHash(parts ...string) uint64 {
 	d := xxhash.New()
 	for _, p := range parts {
--- a/instance/fleetview/watch.go
+++ b/instance/fleetview/watch.go
@@ -1,11 +1,9 @@
 package fleetview
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -51,17 +49,22 @@
 	// gateways is the number of gateways of the deployment, as far as known.
 	gateways atomic.Int64
 
-	mu      sync.Mutex
-	watches map[string]context.CancelFunc
-	heardAt map[string]time.Time
-	// failedAt is, by instance, the time of the latest failed watch.
-	failedAt map[string]time.Time
+	// changed makes Run match the watches at once, since what is known of an instance has changed.
+	changed chan struct{}
+
+	mu        sync.Mutex
+	watches   map[string]context.CancelFunc
+	standings map[string]*standing
+	// nextRound is the earliest time of the next round of probes.
+	nextRound time.Time
+	// contactAt is the latest time at which a watched instance had contact with a majority, as far as its answers name it.
+	contactAt time.Time
 }
 
 // NewWatcher returns a watcher for the process self. report is called for a configuration that cannot be used.
 func NewWatcher(view *View, peers PeerClient, self string, watchAll bool, report func(problem string, err error)) *Watcher {
 	return &Watcher{view: view, peers: peers, self: self, watchAll: watchAll, report: report,
-		watches: make(map[string]context.CancelFunc), heardAt: make(map[string]time.Time), failedAt: make(map[string]time.Time)}
+		changed: make(chan struct{}, 1), watches: make(map[string]context.CancelFunc), standings: make(map[string]*standing)}
 }
 
 // SetGateways sets the number of gateways of the deployment. The more there are, the rarer are their reports.
@@ -72,8 +75,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	n := 0
-	for _, at := range w.heardAt {
-		if now.Sub(at) <= period {
+	for _, s := range w.standings {
+		if s.watched && now.Sub(s.heardAt) <= period {
 			n++
 		}
 	}
@@ -91,21 +94,31 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+		case <-w.changed:
 		}
 	}
 }
 
+// ContactAt returns the latest time at which one of the watched instances had contact with a majority. The view holds what
+// it knew then. A control instance that is no member of the group learns of new versions in this way only.
+func (w *Watcher) ContactAt() time.Time {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.contactAt
+}
+
 // updateWatches starts and ends watches so that they match the list of control instances.
 func (w *Watcher) updateWatches(ctx context.Context) {
-	_, members := w.view.LeaderAndMembers()
-	wanted := make([]string, 0, len(members))
-	for _, m := range members {
-		if m != w.self {
-			wanted = append(wanted, m)
+	now := time.Now()
+	candidates := w.candidates()
+	var wanted []string
+	if w.watchAll {
+		for i := range candidates {
+			wanted = append(wanted, candidates[i].name)
 		}
-	}
-	if !w.watchAll && len(wanted) > watchedInstances {
-		wanted = w.chooseInstances(wanted)
+	} else {
+		w.startProbes(ctx, now, candidates)
+		wanted = w.chooseInstances(now, candidates)
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -113,13 +126,15 @@
 		if !slices.Contains(wanted, name) {
 			stop()
 			delete(w.watches, name)
-			delete(w.heardAt, name)
+			w.standingLocked(name).watched = false
 		}
 	}
 	for _, name := range wanted {
 		if w.watches[name] == nil {
 			child, stop := context.WithCancel(ctx)
 			w.watches[name] = stop
+			s := w.standingLocked(name)
+			s.watched, s.heardAt = true, now
 			if w.watchAll {
 				go w.watch(child, name, nil)
 				continue
@@ -133,44 +148,113 @@
 	}
 }
 
-// chooseInstances selects control instances by rendezvous hashing, so that gateways spread over them: one in the own data
-// centre and then others. Those that have not answered for a watch timeout, or whose watch has just failed, rank last.
-func (w *Watcher) chooseInstances(members []string) []string {
-	list := slices.Clone(members)
+// candidates returns the control instances that may be watched, and forgets what is known of others.
+func (w *Watcher) candidates() []candidate {
+	_, members := w.view.LeaderAndMembers()
+	list := make([]candidate, 0, len(members))
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range members {
+		if name != w.self {
+			list = append(list, candidate{name: name, weight: rendezvousHash(w.self, name), local: w.view.inOwnDataCentre(name),
+				standing: *w.standingLocked(name)})
+		}
+	}
+	for name := range w.standings {
+		if w.watches[name] == nil && !slices.Contains(members, name) {
+			delete(w.standings, name)
+		}
+	}
+	return list
+}
+
+// chooseInstances returns the instances to watch. A watch that may not begin yet is replaced by one that goes on.
+func (w *Watcher) chooseInstances(now time.Time, candidates []candidate) []string {
+	wanted := selectInstances(now, candidates)
+	find := func(name string) *candidate {
+		return &candidates[slices.IndexFunc(candidates, func(c candidate) bool { return c.name == name })]
+	}
+	replacing := slices.ContainsFunc(candidates, func(c candidate) bool { return c.watched && c.lost })
+	var chosen []string
+	for _, name := range wanted {
+		if c := find(name); c.watched || !replacing || c.mayReplace(now) {
+			chosen = append(chosen, name)
+		}
+	}
+	for i := range candidates {
+		c := &candidates[i]
+		if len(chosen) < len(wanted) && c.watched && !slices.Contains(chosen, c.name) {
+			chosen = append(chosen, c.name)
+		}
+	}
+	return chosen
+}
+
+// startProbes asks instances that are not watched whether they have contact.
+func (w *Watcher) startProbes(ctx context.Context, now time.Time, candidates []candidate) {
 	w.mu.Lock()
+	defer w.mu.Unlock()
+	due, round := probesDue(now, w.nextRound, candidates)
+	if round {
+		w.nextRound = now.Add(probeInterval + rand.N(probeInterval/2))
+	}
+	for _, name := range due {
+		w.standingLocked(name).probing = true
+		go w.probe(ctx, name)
+	}
+}
+
+func (w *Watcher) probe(ctx context.Context, name string) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	request := fleetapi.WatchRequest{Gateway: true, ContactOnly: true, Version: w.view.Packed().Version}
+	var response fleetapi.WatchResponse
+	err := w.peers.Call(ctx, name, peerapi.MethodFleetWatch, request, &response)
 	now := time.Now()
-	failing := make(map[string]bool)
-	for _, name := range list {
-		heard, watched := w.heardAt[name]
-		failing[name] = watched && now.Sub(heard) > watchTimeout || now.Sub(w.failedAt[name]) < failurePause
+	if err == nil {
+		w.setDocument(name, &response)
+	}
+	w.mu.Lock()
+	s := w.standingLocked(name)
+	s.probing = false
+	if err != nil {
+		s.failedAt = now
+	} else {
+		s.failedAt = time.Time{}
+		s.recordContact(now, response.Contact, rand.N[time.Duration])
 	}
 	w.mu.Unlock()
-	slices.SortFunc(list, func(a, b string) int {
-		if failing[a] != failing[b] {
-			if failing[a] {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Or(cmp.Compare(rendezvousHash(w.self, a), rendezvousHash(w.self, b)), strings.Compare(a, b))
-	})
-	local := slices.IndexFunc(list, func(name string) bool { return !failing[name] && w.view.inOwnDataCentre(name) })
-	if local < 0 {
-		return list[:watchedInstances]
+	w.notifyChanged()
+}
+
+func (w *Watcher) notifyChanged() {
+	select {
+	case w.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (w *Watcher) setDocument(name string, response *fleetapi.WatchResponse) {
+	if len(response.Document) == 0 {
+		return
 	}
-	chosen := []string{list[local]}
-	remote := func(name string) bool { return name != list[local] && !w.view.inOwnDataCentre(name) }
-	if i := slices.IndexFunc(list, remote); i >= 0 {
-		return append(chosen, list[i])
+	if err := w.view.SetDocument(routes.CompressedDocument{Version: response.Version, Data: response.Document}); err != nil {
+		w.report("apply configuration from "+name, err)
 	}
-	list = slices.Delete(list, local, local+1)
-	return append(chosen, list[:watchedInstances-1]...)
+}
+
+func (w *Watcher) standingLocked(name string) *standing {
+	s := w.standings[name]
+	if s == nil {
+		s = &standing{}
+		w.standings[name] = s
+	}
+	return s
 }
 
 // watch watches a control instance. It sends to each of the channels when the instance has started again.
 func (w *Watcher) watch(ctx context.Context, name string, restarts []chan<- struct{}) {
-	request := fleetapi.WatchRequest{Gateway: !w.watchAll}
-	w.recordHeard(name, time.Now())
+	request := fleetapi.WatchRequest{Gateway: !w.watchAll, Contact: fleetapi.ContactRecent}
 	for ctx.Err() == nil {
 		request.Version = w.view.Packed().Version
 		var response fleetapi.WatchResponse
@@ -188,12 +272,8 @@
 			continue
 		}
 		now := time.Now()
-		w.recordAnswer(name, now)
-		if len(response.Document) > 0 {
-			if err := w.view.SetDocument(routes.CompressedDocument{Version: response.Version, Data: response.Document}); err != nil {
-				w.report("apply configuration from "+name, err)
-			}
-		}
+		w.setDocument(name, &response)
+		w.recordAnswer(name, now, &response)
 		w.view.Merge(now, response.Roster)
 		w.view.SetLeaderAndMembers(response.Leader, response.Members)
 		w.view.SetDataCentres([]string{name}, []string{response.DataCentre})
@@ -208,26 +288,31 @@
 			}
 		}
 		request.Epoch, request.ChangeNumber, request.CrashChange = response.Epoch, response.Roster.Change, response.CrashChange
+		request.Contact = max(response.Contact, fleetapi.ContactRecent)
 	}
 }
 
-func (w *Watcher) recordAnswer(name string, now time.Time) {
-	w.recordHeard(name, now)
+// recordAnswer records an answer whose document is in force.
+func (w *Watcher) recordAnswer(name string, now time.Time, response *fleetapi.WatchResponse) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	delete(w.failedAt, name)
+	if w.watches[name] == nil {
+		return
+	}
+	s := w.standingLocked(name)
+	s.heardAt, s.failedAt = now, time.Time{}
+	wasLost := s.lost
+	s.recordContact(now, response.Contact, rand.N[time.Duration])
+	if at := contactTime(now, response); at.After(w.contactAt) {
+		w.contactAt = at
+	}
+	if s.lost != wasLost {
+		w.notifyChanged()
+	}
 }
 
 func (w *Watcher) recordFailure(name string, now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.failedAt[name] = now
-}
-
-func (w *Watcher) recordHeard(name string, now time.Time) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if _, ok := w.watches[name]; ok {
-		w.heardAt[name] = now
-	}
+	w.standingLocked(name).failedAt = now
 }
--- a/instance/fleetview/watch_test.go
+++ b/instance/fleetview/watch_test.go
@@ -38,7 +38,7 @@
 			for range gateways {
 				started := time.Now()
 				go func() {
-					v.ServeWatch(context.Background(), 1, noControl, request)
+					v.ServeWatch(context.Background(), 1, noControl, time.Now, request)
 					answers <- time.Since(started)
 				}()
 			}
@@ -78,13 +78,13 @@
 		v := New(nil, "b", members)
 		v.SetDataCentres(members, dataCentres)
 		w := NewWatcher(v, nil, fmt.Sprint("g", i), false, nil)
-		chosen := w.chooseInstances(members)
+		chosen := w.chooseInstances(time.Now(), w.candidates())
 		if len(chosen) != watchedInstances || chosen[0][0] != 'b' || chosen[1][0] == 'b' {
 			t.Fatalf("chose %v, want one in data centre b and one elsewhere", chosen)
 		}
 		w.recordFailure("b1", time.Now())
 		w.recordFailure("b2", time.Now())
-		for _, name := range w.chooseInstances(members) {
+		for _, name := range w.chooseInstances(time.Now(), w.candidates()) {
 			if name[0] == 'b' {
 				t.Fatalf("chose %s, whose watch has just failed", name)
 			}
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -21,7 +21,25 @@
 	Gateway bool `json:"g,omitempty"`
 	// CrashChange is that of the last response of the same instance; zero asks for all crashes that it knows.
 	CrashChange uint64 `json:"cc,omitempty"`
-}
+	// Contact is what the last response of the same instance said. The instance answers at once if that has changed, unless
+	// it is ContactUnknown, as in requests of builds that do not know it.
+	Contact Contact `json:"k,omitempty"`
+	// ContactOnly asks for an answer at once, without targets and crashes: whether the instance has contact, and the document
+	// if it is newer. A build that does not know it answers as usual.
+	ContactOnly bool `json:"ko,omitempty"`
+}
+
+// Contact tells whether a control instance has heard lately from a majority of the group, so that it knows the newest
+// configuration.
+type Contact uint8
+
+// Values of Contact.
+const (
+	// ContactUnknown is the value of builds that do not know it. Their instances are watched as if they had contact.
+	ContactUnknown Contact = iota
+	ContactRecent
+	ContactLost
+)
 
 // WatchResponse is the response to a WatchRequest.
 type WatchResponse struct {
@@ -39,6 +57,12 @@
 	// Crashes is what changed of the crashes since CrashChange of the request, and CrashChange the number to continue from.
 	Crashes     []crashes.Evidence `json:"x,omitempty"`
 	CrashChange uint64             `json:"cc,omitempty"`
+	// Contact tells whether the instance has contact with a majority, and ContactAgeMs when it last was known to have had all
+	// acknowledged versions; 0 with ContactLost if it never was since its start. Gateways get what the instance knows itself
+	// or learned from others, control instances only what it knows itself: ages that were passed on in a circle would grow
+	// too slowly, by the time of each transfer.
+	Contact      Contact `json:"k,omitempty"`
+	ContactAgeMs int64   `json:"ka,omitempty"`
 }
 
 // CrashReport tells a control instance which crashes of targets a gateway observed, and what was running there.
