--- a/instance/fleetview/contact_test.go
+++ b/instance/fleetview/contact_test.go
@@ -399,25 +399,32 @@
 	})
 }
 
-// Guards against a gateway that is informed by one of its instances only, and loses that one: one instance stands still at
-// the moment at which the other one is cut off.
-func TestGatewayLearnsVersionsWhileOneInstanceIsSilentAndTheOtherCutOff(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		ctx := runUntilEnd(t)
-		f := newSplitFleet(ctx, 8)
-		f.acknowledge(packVersion(t, 1))
-		gateways := f.startGateways(ctx, 60)
-		time.Sleep(3 * time.Second)
-		f.cut("c0", "c1", "c2")
-		f.mu.Lock()
-		f.frozen["c3"] = true
-		f.mu.Unlock()
-		f.acknowledge(packVersion(t, 2))
-		time.Sleep(configBound)
-		if n := gatewaysBehind(gateways, 2); n > 0 {
-			t.Errorf("%d of 60 gateways did not have a version %v after its acknowledgement", n, configBound)
-		}
-	})
+// Guards against gateways that wait for the end of a watch of an instance that stands still, while the other one that they
+// watch stands still as well or is cut off.
+func TestGatewaysLearnVersionsWhileInstancesAreSilent(t *testing.T) {
+	for _, test := range []struct{ silent, cut []string }{
+		{[]string{"c3"}, []string{"c0", "c1", "c2"}},
+		{[]string{"c1", "c4", "c7"}, nil},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx := runUntilEnd(t)
+			f := newSplitFleet(ctx, 8)
+			f.acknowledge(packVersion(t, 1))
+			gateways := f.startGateways(ctx, 60)
+			time.Sleep(3 * time.Second)
+			f.cut(test.cut...)
+			f.mu.Lock()
+			for _, name := range test.silent {
+				f.frozen[name] = true
+			}
+			f.mu.Unlock()
+			f.acknowledge(packVersion(t, 2))
+			time.Sleep(configBound)
+			if n := gatewaysBehind(gateways, 2); n > 0 {
+				t.Errorf("silent %v, cut %v: %d of 60 gateways did not have a version %v after its acknowledgement", test.silent, test.cut, n, configBound)
+			}
+		})
+	}
 }
 
 // Guards against an instance without contact that answers gateways of earlier builds, which do not say what they know of
