Bound for how long members beside an old leader pass for caught up

TestMembersBesideTheOldLeaderAreNotCaughtUpForLong cuts the leader and one follower of five members off, ten times.

--- a/coordination/replica/contact_test.go
+++ b/coordination/replica/contact_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -59,3 +60,50 @@
 		}
 	}, "a", "b", "c")
 }
+
+// Guards against members on the side of the old leader that pass for caught up long after the other side has committed a
+// command: gateways that watch them have to leave them within the bound of the configuration's age.
+func TestMembersBesideTheOldLeaderAreNotCaughtUpForLong(t *testing.T) {
+	worst := time.Duration(-time.Hour)
+	for seed := range uint64(10) {
+		names := []string{"a", "b", "c", "d", "e"}
+		runInVirtualTime(t, func(c *cluster) {
+			c.seed = 100 * seed
+			c.adjustOptions = func(o *Options) {
+				o.ElectionTimeout, o.HeartbeatInterval = 700*time.Millisecond, 120*time.Millisecond
+			}
+			c.start(names...)
+			old := c.awaitLeader().opts.Self
+			c.propose(old, "before")
+			time.Sleep(time.Second + time.Duration(seed)*7*time.Millisecond)
+			followers := slices.DeleteFunc(slices.Clone(names), func(name string) bool { return name == old })
+			minority, majority := []string{old, followers[0]}, followers[1:]
+			c.withLock(func() {
+				for _, name := range minority {
+					c.split[name] = true
+				}
+			})
+			// Proposals on the new leader's side, until one succeeds.
+			var committedAt time.Time
+			c.await("a command on the other side", 10*time.Second, func() bool {
+				for _, name := range majority {
+					if c.instances[name].Status().Role == "leader" {
+						c.propose(name, "after")
+						committedAt = time.Now()
+						return true
+					}
+				}
+				return false
+			})
+			time.Sleep(3 * time.Second)
+			for _, name := range minority {
+				after := c.instances[name].Status().CaughtUpAt.Sub(committedAt)
+				worst = max(worst, after)
+				if after > 300*time.Millisecond {
+					t.Errorf("seed %d: %s was caught up %v after the other side had committed a command", seed, name, after)
+				}
+			}
+		}, names...)
+	}
+	t.Logf("latest: %v after the other side had committed a command", worst)
+}
