Relay only the rest of a stream after it broke off

What callers saw: a stream on a route that may be resumed broke off, the next target answered 200 with another body, and the caller got that body (an error in JSON, a page) behind the events that it had, in an answer that ended as complete and had the seal of the first target. An empty answer or a 204 made the stream look complete at the point where it had broken off.

Cause: after the head was sent, an answer was only checked for a 2xx status and a seal. relayStream writes what follows the last complete event if the body ends regularly and is no event stream, which is right for a first answer and wrong for the rest of another one.

Why it works: an answer goes on with a stream only if its status, media type and Content-Encoding are those of the head that the caller has, and it counts as broken off if it ends inside an event or has none at all. Another attempt follows then if the route allows one, or the connection is closed. An empty answer could come from a target that has nothing left to send; nothing tells it from a faulty one, so the stream is broken off visibly and its caller may resume it.

--- a/instance/gateway/relay.go
+++ b/instance/gateway/relay.go
@@ -37,6 +37,7 @@
 	q *request
 	// headSent is set once the status and headers of an answer were sent to the caller.
 	headSent    atomic.Bool
+	status      int    // of the head that was sent
 	lastEventID string // id of the last event that was relayed
 	bytes       int64
 	events      int // complete events of the current attempt that were relayed
@@ -59,6 +60,14 @@
 	return !r.headSent.Load() || r.q.route.Kind == routes.Stream && (r.bytes == 0 || r.lastEventID != "")
 }
 
+// mayContinue reports whether an answer may be the rest of the stream whose head was sent: it has the same status, content type and
+// encoding. An error or a page of another kind is not what the caller was told to expect.
+func (r *relay) mayContinue(a *upstream.Answer) bool {
+	sent := r.w.Header()
+	return a.StatusCode == r.status && mediaType(a.Header) == mediaType(sent) &&
+		a.Header.Get("Content-Encoding") == sent.Get("Content-Encoding")
+}
+
 // recordEventTime records the time of an event and the pause before it.
 func (r *relay) recordEventTime(now time.Time) {
 	if r.firstEventAt.IsZero() {
@@ -82,7 +91,7 @@
 	case success && a.Header.Get(r.g.opts.Headers.Seal) == "":
 		// Targets seal their answers. One without a seal may be damaged or come from elsewhere.
 		return mayHaveRun, dispatch.Failed
-	case r.headSent.Load() && !success:
+	case r.headSent.Load() && !r.mayContinue(a):
 		return mayHaveRun, dispatch.Failed
 	case stream:
 		return r.relayStream(a)
@@ -161,7 +170,8 @@
 // relayStream relays complete events as they arrive. An incomplete event at the end is dropped, so that the next target can
 // resume after the last complete one.
 func (r *relay) relayStream(a *upstream.Answer) (outcome, dispatch.RequestEnd) {
-	if !r.headSent.Load() {
+	rest := r.headSent.Load() // the answer goes on with one that broke off
+	if !rest {
 		r.g.recordStream(r.q, r.target)
 		r.sendHead(a)
 	}
@@ -194,6 +204,9 @@
 			}
 		}
 		switch {
+		case errors.Is(err, io.EOF) && rest && (len(pending) > 0 || r.events == 0):
+			// The rest of a stream consists of events. An answer without any does not show that the stream had reached its end.
+			return mayHaveRun, dispatch.Failed
 		case errors.Is(err, io.EOF) && len(pending) > 0 && (isEventStream(a) || endsWithConnection(a)):
 			return mayHaveRun, dispatch.Failed
 		case errors.Is(err, io.EOF) && empty && endsWithConnection(a):
@@ -216,9 +229,15 @@
 
 // isEventStream reports whether the body consists of events. One that ends inside an event was broken off, even if a length or
 // a last chunk says that it is complete.
-func isEventStream(a *upstream.Answer) bool {
-	mediaType, _, err := mime.ParseMediaType(a.Header.Get("Content-Type"))
-	return err == nil && mediaType == "text/event-stream"
+func isEventStream(a *upstream.Answer) bool { return mediaType(a.Header) == "text/event-stream" }
+
+// mediaType returns the content type without its parameters, empty if there is none.
+func mediaType(h http.Header) string {
+	name, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return name
 }
 
 // endsWithConnection reports whether the body is ended only by the end of the connection. A target that breaks off may
@@ -282,6 +301,7 @@
 	if header["Content-Type"] == nil {
 		header["Content-Type"] = nil // keeps net/http from detecting one
 	}
+	r.status = a.StatusCode
 	r.w.WriteHeader(a.StatusCode)
 	r.headSent.Store(true)
 }
