Relay only events that follow the last one of a stream

What callers saw: a stream broke off, the next target answered 200 with an event stream that was not the rest, and the caller got it behind the events that it had: the events from the first one on once more, an error event, or the head of an error after a sound event. The answer ended as complete. The same came to callers that took a stream up themselves with the id of their last event.

Cause: the gateway recorded the ids of events to name them to the next target, and never compared those that it got.

Why it works: ids increase within a stream. In an answer that goes on with one, each event needs an id above the one before; ids that are no numbers can't be ordered and must differ. Events before the first one that does not follow are relayed, and the answer counts as broken off there. Comments and retry times may stand between events. The events of an answer that begins a stream are relayed as they are.

--- a/instance/gateway/continuation_test.go
+++ b/instance/gateway/continuation_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"strings"
 	"testing"
+
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 )
 
 const soundStreamEvents = 4
@@ -74,12 +76,24 @@
 		answer("429 that is a rejection, "+framing, 429, "text/plain", framing, errorText, "Not-Run: 1")
 		answer("error event with the status 500, "+framing, 500, eventStreamType, framing, errorEvent)
 		answer("error in JSON with the status 500, "+framing, 500, "application/json", framing, errorJSON)
+		answer("error event, "+framing, 200, eventStreamType, framing, errorEvent)
 		answer("error in JSON, "+framing, 200, "application/json", framing, errorJSON)
 		answer("error in JSON as a stream, "+framing, 200, eventStreamType, framing, errorJSON)
 		answer("error in JSON with an empty line, "+framing, 200, "application/json", framing, errorJSON+"\n\n")
 		answer("page, "+framing, 200, "text/html", framing, "<html>\n\n"+errorText+"</html>")
 		answer("empty, "+framing, 200, eventStreamType, framing, "")
 		answer("empty page, "+framing, 200, "text/html", framing, "")
+		events("begins again, "+framing, false, framing, func(string) string { return eventsAfter("") })
+		events("begins again after a sound event, "+framing, false, framing, func(last string) string {
+			return strings.TrimSuffix(eventsAfter(last), eventsAfter("2")) + eventsAfter("2") + eventsAfter("")
+		})
+		events("repeats the last event, "+framing, false, framing, func(last string) string { return event(1) + eventsAfter("1") + event(4) })
+		events("error event after a sound one, "+framing, false, framing, func(last string) string {
+			return strings.TrimSuffix(eventsAfter(last), eventsAfter("3")) + errorEvent
+		})
+		events("head of an error after a sound event, "+framing, false, framing, func(last string) string {
+			return strings.TrimSuffix(eventsAfter(last), eventsAfter("3")) + "HTTP/1.1 500 X\r\nContent-Length: 17\r\n\r\n" + errorText
+		})
 		events("error text after a sound event, "+framing, false, framing, func(last string) string {
 			return strings.TrimSuffix(eventsAfter(last), eventsAfter("3")) + errorText
 		})
@@ -199,3 +213,31 @@
 		}
 	}
 }
+
+// Guards against a stream that its caller takes up itself, and that gets events once more because the target begins again.
+func TestTakenUpStreamDoesNotBeginAgain(t *testing.T) {
+	for name, row := range map[string]struct {
+		events string
+		want   string
+		whole  bool
+	}{
+		"goes on":          {eventsAfter("2"), eventsAfter("2"), true},
+		"begins again":     {eventsAfter(""), "", false},
+		"repeats an event": {eventsAfter("1"), "", false},
+		"with a comment":   {": x\n\n" + eventsAfter("2"), ": x\n\n" + eventsAfter("2"), true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.view.SetLeaderAndMembers("", []string{"c1"})
+			f.gateway.peers = &originPeers{answers: map[string]*fleetapi.StreamAnswer{"c1": {Known: true, Service: "engine"}}}
+			f.configure()
+			for i := range 2 {
+				f.target(fmt.Sprint("t", i), "engine", func(conn net.Conn, r *http.Request, _ string) { writeStream(conn, r, true, row.events) })
+			}
+			response, body, err := f.call("r2", "/resumed/x", "Model: m", testHeaders.LastEvent+": 2", testHeaders.Resumes+": r1")
+			if body != row.want || row.whole != (err == nil && response.StatusCode == 200) {
+				t.Errorf("response %v, body %q, error %v", response, body, err)
+			}
+		})
+	}
+}
--- a/instance/gateway/relay.go
+++ b/instance/gateway/relay.go
@@ -175,6 +175,11 @@
 		r.g.recordStream(r.q, r.target)
 		r.sendHead(a)
 	}
+	after := r.lastEventID
+	if after == "" && r.q.route.Repeatable() {
+		after = r.q.header.Get(r.g.opts.Headers.LastEvent) // the caller takes the stream up itself
+	}
+	resumed := rest || after != ""
 	reserved := reservation{held: &r.g.held}
 	defer reserved.release()
 	var pending []byte
@@ -188,7 +193,18 @@
 		empty = empty && n == 0
 		if end := completeEventsLen(pending[searchFrom:]); end > 0 {
 			end += searchFrom
+			foreign := false
+			if resumed {
+				follows := followingEventsLen(pending[:end], after)
+				foreign, end = follows < end, follows
+			}
+			if end == 0 {
+				return mayHaveRun, dispatch.Failed
+			}
 			r.recordLastEventID(pending[:end])
+			if r.lastEventID != "" {
+				after = r.lastEventID
+			}
 			if r.events += eventCount(pending[:end]); r.events >= soundEvents && !r.sound {
 				r.sound = true
 				r.g.recordSound(r.target, r.q.suspects[1:])
@@ -197,6 +213,9 @@
 			if writeErr := r.write(pending[:end], true); writeErr != nil {
 				return abandoned, dispatch.Neutral
 			}
+			if foreign {
+				return mayHaveRun, dispatch.Failed
+			}
 			pending = append(pending[:0], pending[end:]...)
 			if cap(pending) > freeHeldBytes {
 				pending = append([]byte(nil), pending...) // after an event of unusual size
@@ -267,6 +286,62 @@
 	return bytes.Count(b, []byte("\n\n")) + bytes.Count(b, []byte("\n\r\n"))
 }
 
+// followingEventsLen returns the length of the events at the start of b, all of which are complete, that may go on with a stream after the
+// event with the id after, or begin it if after is empty. The others belong to another run, or are no events of a stream.
+func followingEventsLen(b []byte, after string) int {
+	end := 0
+	for end < len(b) {
+		n := firstEventLen(b[end:])
+		id, content := parseEvent(b[end : end+n])
+		if content && !follows(id, after) {
+			return end
+		}
+		if content {
+			after = id
+		}
+		end += n
+	}
+	return end
+}
+
+// firstEventLen returns the length of the first event in b, which consists of complete events.
+func firstEventLen(b []byte) int {
+	end := len(b)
+	if i := bytes.Index(b, []byte("\n\n")); i >= 0 {
+		end = i + 2
+	}
+	if i := bytes.Index(b[:end], []byte("\n\r\n")); i >= 0 {
+		end = i + 3
+	}
+	return end
+}
+
+// parseEvent returns the id of an event, empty if it has none, and whether it has any content beside comments and the time after which a
+// caller connects again.
+func parseEvent(b []byte) (id string, content bool) {
+	for line := range bytes.Lines(b) {
+		line = bytes.TrimSpace(line)
+		switch value, isID := bytes.CutPrefix(line, []byte("id:")); {
+		case isID:
+			id, content = string(bytes.TrimSpace(value)), true
+		case len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:")):
+			content = true
+		}
+	}
+	return id, content
+}
+
+// follows reports whether the event with the given id may come after another one. The ids of a stream increase. Those that are no
+// numbers can't be ordered, and are only compared.
+func follows(id, after string) bool {
+	if id == "" || id == after {
+		return false
+	}
+	n, err := strconv.ParseUint(id, 10, 64)
+	last, lastErr := strconv.ParseUint(after, 10, 64)
+	return err != nil || lastErr != nil || n > last
+}
+
 // recordLastEventID records the id of the last event.
 func (r *relay) recordLastEventID(b []byte) {
 	i := bytes.LastIndex(b, []byte("\nid:"))
