Don't go on with a stream after an event without an id

What callers saw: a stream whose last event had no id broke off, and went on in the next target's answer after the last event that had one: the event without an id comes twice then, and an error event of the first target stands in the middle of a stream that ends as complete.

Cause: mayGoOn asked whether any event had an id, not whether the last one had.

Evidence: TestStreamThatBrokeOffAfterAnEventWithoutIDIsNotJoined, 3 of 7 rows failed before (event without an id, the same with CRLF, error event). None fails now.

Why it works: the gateway records for the last event with any content whether it has an id, and breaks the stream off visibly if it has none. Comments and retry times aren't content, so they change nothing.

One run of the package with -race, beside other runs, failed in TestMemoryUnderManyEndlessAnswers/event (134.6 MB, at most 55 wanted); the same code passed it alone and in the next run of the package.

--- a/instance/gateway/continuation_test.go
+++ b/instance/gateway/continuation_test.go
@@ -241,3 +241,41 @@
 		})
 	}
 }
+
+// Guards against an event that comes twice because it has no id, and the stream goes on after the one before it.
+func TestStreamThatBrokeOffAfterAnEventWithoutIDIsNotJoined(t *testing.T) {
+	for name, row := range map[string]struct {
+		begin  string
+		goesOn bool
+	}{
+		"event without an id last":                 {event(1) + "data: unnamed\n\n", false},
+		"event without an id first":                {"data: unnamed\n\n" + event(1), true},
+		"comment last":                             {event(1) + ": x\n\n", true},
+		"event with a line before its id":          {event(1) + "versions: 7\nid: 2\ndata: x\n\n", true},
+		"event with an empty id last":              {event(1) + "id:\ndata: x\n\n", false},
+		"error event last":                         {event(1) + errorEvent, false},
+		"event without an id, lines end with CRLF": {strings.ReplaceAll(event(1)+"data: unnamed\n\n", "\n", "\r\n"), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.configure()
+			for i := range 2 {
+				f.target(fmt.Sprint("t", i), "engine", func(conn net.Conn, r *http.Request, _ string) {
+					if last := r.Header.Get(testHeaders.LastEvent); last != "" {
+						writeStream(conn, r, true, eventsAfter(last))
+						return
+					}
+					writeStream(conn, r, false, row.begin)
+					reset(conn)
+				})
+			}
+			_, body, err := f.call("r", "/resumed/x", "Model: m")
+			if !row.goesOn && (err == nil || body != row.begin || f.runCount("r") != 1) {
+				t.Errorf("body %q after %d runs, error %v, want one broken run", body, f.runCount("r"), err)
+			}
+			if row.goesOn && (err != nil || !strings.HasPrefix(body, row.begin) || !strings.HasSuffix(body, event(4))) {
+				t.Errorf("body %q, error %v, want the whole stream", body, err)
+			}
+		})
+	}
+}
--- a/instance/gateway/relay.go
+++ b/instance/gateway/relay.go
@@ -38,9 +38,11 @@
 	// headSent is set once the status and headers of an answer were sent to the caller.
 	headSent    atomic.Bool
 	status      int    // of the head that was sent
-	lastEventID string // id of the last event that was relayed
-	bytes       int64
-	events      int // complete events of the current attempt that were relayed
+	lastEventID string // id of the last event with one that was relayed
+	// unnamed is set while the last event that was relayed has no id. The next target would send it once more.
+	unnamed bool
+	bytes   int64
+	events  int // complete events of the current attempt that were relayed
 	// sound is set once the target of the current attempt has gone on after it began the answer.
 	sound bool
 	// firstEventAt and lastEventAt are the times of the first and the latest event of a stream, maxEventPause is the longest
@@ -57,7 +59,7 @@
 // mayGoOn reports whether the answer of another attempt may follow. Once a part of a body has reached the caller, only a stream goes on,
 // and only after an event that it can name to the next target.
 func (r *relay) mayGoOn() bool {
-	return !r.headSent.Load() || r.q.route.Kind == routes.Stream && (r.bytes == 0 || r.lastEventID != "")
+	return !r.headSent.Load() || r.q.route.Kind == routes.Stream && (r.bytes == 0 || r.lastEventID != "" && !r.unnamed)
 }
 
 // mayContinue reports whether an answer may be the rest of the stream whose head was sent: it has the same status, content type and
@@ -320,7 +322,7 @@
 // caller connects again.
 func parseEvent(b []byte) (id string, content bool) {
 	for line := range bytes.Lines(b) {
-		line = bytes.TrimSpace(line)
+		line = bytes.TrimRight(line, "\r\n")
 		switch value, isID := bytes.CutPrefix(line, []byte("id:")); {
 		case isID:
 			id, content = string(bytes.TrimSpace(value)), true
@@ -342,22 +344,19 @@
 	return err != nil || lastErr != nil || n > last
 }
 
-// recordLastEventID records the id of the last event.
+// recordLastEventID records the id of the last event in b, which consists of complete events.
 func (r *relay) recordLastEventID(b []byte) {
-	i := bytes.LastIndex(b, []byte("\nid:"))
-	switch {
-	case i >= 0:
-		i++
-	case bytes.HasPrefix(b, []byte("id:")):
-		i = 0
-	default:
-		return
-	}
-	line := b[i+len("id:"):]
-	if end := bytes.IndexByte(line, '\n'); end >= 0 {
-		line = line[:end]
+	for len(b) > 0 {
+		n := firstEventLen(b)
+		id, content := parseEvent(b[:n])
+		if id != "" {
+			r.lastEventID = id
+		}
+		if content {
+			r.unnamed = id == ""
+		}
+		b = b[n:]
 	}
-	r.lastEventID = string(bytes.TrimSpace(line))
 }
 
 // sendHead sends the status and headers of an answer.
