Don't forward an error in JSON as a token

What callers of the product's own interface saw: an answer broke off, the next target wrote {"error":...} as the data of an event with the next offset, as some engines do, and the caller got it like a token. With an end marker behind it the answer was complete.

Cause: ChunkContent accepts any JSON object; one without choices has empty content.

Why it works: data without choices, or with an error, is no chunk. The attempt ends, and another one goes on at the same offset. This holds for first answers as well.

--- a/protocol/targetapi/chunk.go
+++ b/protocol/targetapi/chunk.go
@@ -6,13 +6,20 @@
 	"github.com/pkg/errors"
 )
 
-// ChunkContent returns the choices of a chunk, the part that is identical in all attempts of one request.
+// ChunkContent returns the choices of a chunk, the part that is identical in all attempts of one request. Data without choices or with an
+// error is no chunk: some engines write an error as the data of an event, in the middle of an answer.
 func ChunkContent(data []byte) ([]byte, error) {
 	var chunk struct {
 		Choices json.RawMessage `json:"choices"`
+		Error   json.RawMessage `json:"error"`
 	}
 	if err := json.Unmarshal(data, &chunk); err != nil {
 		return nil, errors.Wrap(err, "decode chunk of the response")
 	}
+	if isSet(chunk.Error) || !isSet(chunk.Choices) {
+		return nil, errors.Errorf("%.512q is not a chunk of the response", data)
+	}
 	return chunk.Choices, nil
 }
+
+func isSet(value json.RawMessage) bool { return len(value) > 0 && string(value) != "null" }
