Don't take an end marker alone for the rest of an answer

What callers of the product's own interface saw: an answer broke off after some tokens, the next target wrote nothing but the end marker, and the answer ended as complete where it had broken off.

Cause: an attempt without tokens was taken to end at the offset that the answer had reached.

Why it works: the last token of an answer names the reason for which it ends. An end marker without tokens ends an answer only after that token; otherwise the attempt counts as broken. A call that another instance resumes here at an offset is left as it was: that instance has the tokens before it, and checks it.

--- a/instance/modelcalls/continuation_test.go
+++ b/instance/modelcalls/continuation_test.go
@@ -138,6 +138,7 @@
 	answer("error beside choices", 200, stream, func(offset int) string {
 		return fmt.Sprintf("id: %d\ndata: {\"choices\":[],%s\n\n", offset, errorText[1:]) + endMarker
 	})
+	answer("end marker alone", 200, stream, fixed(endMarker))
 	answer("page", 200, "text/html", fixed("<html>\n\nthe engine failed</html>"))
 	answer("empty", 200, stream, fixed(""))
 	answer("without an end marker", 200, stream, func(offset int) string { return soundEvents(offset, soundTokens-1) })
@@ -154,9 +155,11 @@
 	} {
 		for _, framing := range []string{"length", "chunks", "neither"} {
 			for _, answer := range answers {
-				if broken.body == "" && answer.name == "another answer from the first token on" {
+				ownAnswer := answer.name == "another answer from the first token on" || answer.name == "end marker alone"
+				if broken.body == "" && ownAnswer {
 					continue // nothing of the first answer had reached the caller, so the next one stands alone
 				}
+				goesOn := answer.sound || answer.name == "end marker alone" && broken.name == "before the end marker"
 				t.Run(fmt.Sprintf("%s, %s, %s", broken.name, answer.name, framing), func(t *testing.T) {
 					t.Parallel()
 					var attempts atomic.Int64
@@ -185,7 +188,7 @@
 					if result.Outcome == api.Refused && attempts.Load() > 0 {
 						t.Errorf("refused as not run after %d attempts: %s", attempts.Load(), result.Message)
 					}
-					if answer.sound && result.Outcome != api.Answered {
+					if goesOn && result.Outcome != api.Answered {
 						t.Errorf("the answer did not go on: %+v", result)
 					}
 				})
--- a/instance/modelcalls/run.go
+++ b/instance/modelcalls/run.go
@@ -77,7 +77,9 @@
 	// softwareVersion is the version of the targets that wrote the answer up to now. It may go on only at that version.
 	softwareVersion string
 	forwarded       int
-	attempts        int
+	// lastForwarded is set once the token was forwarded with which the answer ends.
+	lastForwarded bool
+	attempts      int
 	// targetWaited is the time spent waiting for a target.
 	targetWaited time.Duration
 	// skipped holds the targets that refused an attempt or run one that is hedged. They are not picked until the next
@@ -288,6 +290,7 @@
 		r.out.Begin(e.SoftwareVersion)
 	}
 	r.forwarded++
+	r.lastForwarded = targetapi.IsLastChunk(content)
 	if err := r.out.WriteEvent(e.Offset, e.Data); err != nil {
 		return api.Fail(api.ReasonStreamBroken, api.RetryNow, "writing the answer to the caller failed: "+err.Error())
 	}
@@ -296,6 +299,10 @@
 
 func (r *run) complete(ctx context.Context, a *attempt, e targetclient.Event) *api.Result {
 	tokens := r.splicer.NextOffset()
+	if a.tokens == 0 && r.forwarded > 0 && !r.lastForwarded {
+		// The marker alone does not show that the target knows the answer that it was to go on with.
+		return r.attemptFailed(ctx, a, &targetclient.IncompleteError{Cause: errors.Errorf("the end marker came at offset %d, before the last token", tokens)})
+	}
 	if a.tokens > 0 {
 		tokens = uint64(e.Offset) + 1
 	}
--- a/protocol/targetapi/chunk.go
+++ b/protocol/targetapi/chunk.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -22,4 +23,16 @@
 	return chunk.Choices, nil
 }
 
+// IsLastChunk reports whether the choices of a chunk name the reason for which the answer ends.
+func IsLastChunk(choices []byte) bool {
+	type choice struct {
+		FinishReason json.RawMessage `json:"finish_reason"`
+	}
+	var list []choice
+	if err := json.Unmarshal(choices, &list); err != nil {
+		return false
+	}
+	return slices.ContainsFunc(list, func(c choice) bool { return isSet(c.FinishReason) })
+}
+
 func isSet(value json.RawMessage) bool { return len(value) > 0 && string(value) != "null" }
