Reset the connection of an answer that is cut for an HTTP/1.0 caller

What callers saw: a stream that broke off, and that the gateway cut, looked complete to a caller that speaks HTTP/1.0.

Cause: such an answer has no chunks and ends with its connection. net/http closes the connection of a handler that aborts regularly.

Evidence: TestBrokenStreamOfOldCallerIsReset read one event and a regular end before ("broken off"; "whole" passed). Both rows pass now, 20 times of 20 with -race.

Why it works: the connection is taken over and closed with a reset, which no reader takes for the end of an answer. The platform's callers speak HTTP/1.1, where the missing last chunk shows the cut; their answers end as before.

--- a/instance/gateway/answer.go
+++ b/instance/gateway/answer.go
@@ -1,6 +1,9 @@
 package gateway
 
-import "net/http"
+import (
+	"net"
+	"net/http"
+)
 
 // answer is what one caller gets. net/http would complete it when its handler returns, whatever has been written by then; so each
 // answer is cut unless it was declared whole. A caller whose sending side ends gets no answer either: the end of a connection looks
@@ -8,6 +11,13 @@
 type answer struct {
 	http.ResponseWriter
 	whole bool
+	// endsWithConnection is set if the caller takes the end of its connection for that of the answer.
+	endsWithConnection bool
+}
+
+// newAnswer returns the answer to a request.
+func newAnswer(w http.ResponseWriter, r *http.Request) *answer {
+	return &answer{ResponseWriter: w, endsWithConnection: !r.ProtoAtLeast(1, 1)} // HTTP/1.0 has no chunks
 }
 
 // Unwrap lets http.ResponseController flush the answer.
@@ -21,10 +31,27 @@
 
 // cutUnlessWhole is deferred by the handlers. It closes the connection of an answer that is not whole.
 func (a *answer) cutUnlessWhole() {
-	if failure := recover(); failure != nil {
-		panic(failure)
+	failure := recover()
+	if failure == nil && !a.whole {
+		failure = http.ErrAbortHandler
+	}
+	if failure == nil {
+		return
+	}
+	if a.endsWithConnection {
+		a.reset()
+	}
+	panic(failure)
+}
+
+// reset resets the connection, so that its end is not taken for that of the answer.
+func (a *answer) reset() {
+	conn, _, err := http.NewResponseController(a.ResponseWriter).Hijack()
+	if err != nil {
+		return
 	}
-	if !a.whole {
-		panic(http.ErrAbortHandler)
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
 	}
+	_ = conn.Close()
 }
--- a/instance/gateway/handover.go
+++ b/instance/gateway/handover.go
@@ -230,7 +230,7 @@
 func (g *Gateway) serveHandover(rw http.ResponseWriter, r *http.Request) {
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
-	w := &answer{ResponseWriter: rw}
+	w := newAnswer(rw, r)
 	defer w.cutUnlessWhole()
 	arrived := time.Now()
 	w.Header().Set(g.opts.Headers.RequestID, r.Header.Get(g.opts.Headers.RequestID))
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -72,7 +72,7 @@
 func (g *Gateway) serveCaller(rw http.ResponseWriter, r *http.Request) {
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
-	w := &answer{ResponseWriter: rw}
+	w := newAnswer(rw, r)
 	defer w.cutUnlessWhole()
 	arrived := time.Now()
 	if g.stopping.Load() {
--- a/instance/gateway/streams_test.go
+++ b/instance/gateway/streams_test.go
@@ -92,3 +92,29 @@
 		}
 	})
 }
+
+// Guards against a stream that broke off and looks complete to a caller that speaks HTTP/1.0, for which an answer ends with its connection.
+func TestBrokenStreamOfOldCallerIsReset(t *testing.T) {
+	for name, broken := range map[string]bool{"broken off": true, "whole": false} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t)
+			f.configure()
+			f.target("t0", "engine", func(conn net.Conn, r *http.Request, _ string) {
+				writeStream(conn, r, !broken, event(1))
+				if broken {
+					reset(conn)
+				}
+			})
+			conn, err := net.Dial("tcp", strings.TrimPrefix(f.server.URL, "http://"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = fmt.Fprintf(conn, "POST /stream/x HTTP/1.0\r\nHost: h\r\n%s: r1\r\nModel: m\r\nContent-Length: 4\r\n\r\nwork", testHeaders.RequestID)
+			answer, err := io.ReadAll(conn)
+			if broken != (err != nil) || !broken && !strings.HasSuffix(string(answer), "\r\n\r\n"+event(1)) {
+				t.Errorf("answer %q, error %v", answer, err)
+			}
+		})
+	}
+}
