--- a/instance/gateway/relay.go
+++ b/instance/gateway/relay.go
@@ -37,9 +37,12 @@
 	q *request
 	// headSent is set once the status and headers of an answer were sent to the caller.
 	headSent    atomic.Bool
-	lastEventID string // id of the last event that was relayed
-	bytes       int64
-	events      int // complete events of the current attempt that were relayed
+	status      int    // of the head that was sent
+	lastEventID string // id of the last event with one that was relayed
+	// unnamed is set while the last event that was relayed has no id. The next target would send it once more.
+	unnamed bool
+	bytes   int64
+	events  int // complete events of the current attempt that were relayed
 	// sound is set once the target of the current attempt has gone on after it began the answer.
 	sound bool
 	// firstEventAt and lastEventAt are the times of the first and the latest event of a stream, maxEventPause is the longest
@@ -56,7 +59,15 @@
 // mayGoOn reports whether the answer of another attempt may follow. Once a part of a body has reached the caller, only a stream goes on,
 // and only after an event that it can name to the next target.
 func (r *relay) mayGoOn() bool {
-	return !r.headSent.Load() || r.q.route.Kind == routes.Stream && (r.bytes == 0 || r.lastEventID != "")
+	return !r.headSent.Load() || r.q.route.Kind == routes.Stream && (r.bytes == 0 || r.lastEventID != "" && !r.unnamed)
+}
+
+// mayContinue reports whether an answer may be the rest of the stream whose head was sent: it has the same status, content type and
+// encoding. An error or a page of another kind is not what the caller was told to expect.
+func (r *relay) mayContinue(a *upstream.Answer) bool {
+	sent := r.w.Header()
+	return a.StatusCode == r.status && mediaType(a.Header) == mediaType(sent) &&
+		a.Header.Get("Content-Encoding") == sent.Get("Content-Encoding")
 }
 
 // recordEventTime records the time of an event and the pause before it.
@@ -82,7 +93,7 @@
 	case success && a.Header.Get(r.g.opts.Headers.Seal) == "":
 		// Targets seal their answers. One without a seal may be damaged or come from elsewhere.
 		return mayHaveRun, dispatch.Failed
-	case r.headSent.Load() && !success:
+	case r.headSent.Load() && !r.mayContinue(a):
 		return mayHaveRun, dispatch.Failed
 	case stream:
 		return r.relayStream(a)
@@ -161,10 +172,16 @@
 // relayStream relays complete events as they arrive. An incomplete event at the end is dropped, so that the next target can
 // resume after the last complete one.
 func (r *relay) relayStream(a *upstream.Answer) (outcome, dispatch.RequestEnd) {
-	if !r.headSent.Load() {
+	rest := r.headSent.Load() // the answer goes on with one that broke off
+	if !rest {
 		r.g.recordStream(r.q, r.target)
 		r.sendHead(a)
 	}
+	after := r.lastEventID
+	if after == "" && r.q.route.Repeatable() {
+		after = r.q.header.Get(r.g.opts.Headers.LastEvent) // the caller takes the stream up itself
+	}
+	resumed := rest || after != ""
 	reserved := reservation{held: &r.g.held}
 	defer reserved.release()
 	var pending []byte
@@ -178,7 +195,18 @@
 		empty = empty && n == 0
 		if end := completeEventsLen(pending[searchFrom:]); end > 0 {
 			end += searchFrom
+			foreign := false
+			if resumed {
+				follows := followingEventsLen(pending[:end], after)
+				foreign, end = follows < end, follows
+			}
+			if end == 0 {
+				return mayHaveRun, dispatch.Failed
+			}
 			r.recordLastEventID(pending[:end])
+			if r.lastEventID != "" {
+				after = r.lastEventID
+			}
 			if r.events += eventCount(pending[:end]); r.events >= soundEvents && !r.sound {
 				r.sound = true
 				r.g.recordSound(r.target, r.q.suspects[1:])
@@ -187,6 +215,9 @@
 			if writeErr := r.write(pending[:end], true); writeErr != nil {
 				return abandoned, dispatch.Neutral
 			}
+			if foreign {
+				return mayHaveRun, dispatch.Failed
+			}
 			pending = append(pending[:0], pending[end:]...)
 			if cap(pending) > freeHeldBytes {
 				pending = append([]byte(nil), pending...) // after an event of unusual size
@@ -194,6 +225,9 @@
 			}
 		}
 		switch {
+		case errors.Is(err, io.EOF) && rest && (len(pending) > 0 || r.events == 0):
+			// The rest of a stream consists of events. An answer without any does not show that the stream had reached its end.
+			return mayHaveRun, dispatch.Failed
 		case errors.Is(err, io.EOF) && len(pending) > 0 && (isEventStream(a) || endsWithConnection(a)):
 			return mayHaveRun, dispatch.Failed
 		case errors.Is(err, io.EOF) && empty && endsWithConnection(a):
@@ -216,9 +250,15 @@
 
 // isEventStream reports whether the body consists of events. One that ends inside an event was broken off, even if a length or
 // a last chunk says that it is complete.
-func isEventStream(a *upstream.Answer) bool {
-	mediaType, _, err := mime.ParseMediaType(a.Header.Get("Content-Type"))
-	return err == nil && mediaType == "text/event-stream"
+func isEventStream(a *upstream.Answer) bool { return mediaType(a.Header) == "text/event-stream" }
+
+// mediaType returns the content type without its parameters, empty if there is none.
+func mediaType(h http.Header) string {
+	name, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	if err != nil {
+		return ""
+	}
+	return name
 }
 
 // endsWithConnection reports whether the body is ended only by the end of the connection. A target that breaks off may
@@ -248,22 +288,75 @@
 	return bytes.Count(b, []byte("\n\n")) + bytes.Count(b, []byte("\n\r\n"))
 }
 
-// recordLastEventID records the id of the last event.
-func (r *relay) recordLastEventID(b []byte) {
-	i := bytes.LastIndex(b, []byte("\nid:"))
-	switch {
-	case i >= 0:
-		i++
-	case bytes.HasPrefix(b, []byte("id:")):
-		i = 0
-	default:
-		return
+// followingEventsLen returns the length of the events at the start of b, all of which are complete, that may go on with a stream after the
+// event with the id after, or begin it if after is empty. The others belong to another run, or are no events of a stream.
+func followingEventsLen(b []byte, after string) int {
+	end := 0
+	for end < len(b) {
+		n := firstEventLen(b[end:])
+		id, content := parseEvent(b[end : end+n])
+		if content && !follows(id, after) {
+			return end
+		}
+		if content {
+			after = id
+		}
+		end += n
 	}
-	line := b[i+len("id:"):]
-	if end := bytes.IndexByte(line, '\n'); end >= 0 {
-		line = line[:end]
+	return end
+}
+
+// firstEventLen returns the length of the first event in b, which consists of complete events.
+func firstEventLen(b []byte) int {
+	end := len(b)
+	if i := bytes.Index(b, []byte("\n\n")); i >= 0 {
+		end = i + 2
+	}
+	if i := bytes.Index(b[:end], []byte("\n\r\n")); i >= 0 {
+		end = i + 3
+	}
+	return end
+}
+
+// parseEvent returns the id of an event, empty if it has none, and whether it has any content beside comments and the time after which a
+// caller connects again.
+func parseEvent(b []byte) (id string, content bool) {
+	for line := range bytes.Lines(b) {
+		line = bytes.TrimRight(line, "\r\n")
+		switch value, isID := bytes.CutPrefix(line, []byte("id:")); {
+		case isID:
+			id, content = string(bytes.TrimSpace(value)), true
+		case len(line) > 0 && line[0] != ':' && !bytes.HasPrefix(line, []byte("retry:")):
+			content = true
+		}
+	}
+	return id, content
+}
+
+// follows reports whether the event with the given id may come after another one. The ids of a stream increase. Those that are no
+// numbers can't be ordered, and are only compared.
+func follows(id, after string) bool {
+	if id == "" || id == after {
+		return false
+	}
+	n, err := strconv.ParseUint(id, 10, 64)
+	last, lastErr := strconv.ParseUint(after, 10, 64)
+	return err != nil || lastErr != nil || n > last
+}
+
+// recordLastEventID records the id of the last event in b, which consists of complete events.
+func (r *relay) recordLastEventID(b []byte) {
+	for len(b) > 0 {
+		n := firstEventLen(b)
+		id, content := parseEvent(b[:n])
+		if id != "" {
+			r.lastEventID = id
+		}
+		if content {
+			r.unnamed = id == ""
+		}
+		b = b[n:]
 	}
-	r.lastEventID = string(bytes.TrimSpace(line))
 }
 
 // sendHead sends the status and headers of an answer.
@@ -282,6 +375,7 @@
 	if header["Content-Type"] == nil {
 		header["Content-Type"] = nil // keeps net/http from detecting one
 	}
+	r.status = a.StatusCode
 	r.w.WriteHeader(a.StatusCode)
 	r.headSent.Store(true)
 }
