--- a/coordination/raft/removal.go
+++ b/coordination/raft/removal.go
@@ -1,6 +1,9 @@
 package raft
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// minVotersAfterRemoval is the number of voters with which a group still tolerates the loss of one voter. An
@@ -62,7 +65,7 @@
 	silence := now.Sub(lastContact)
 	// In planned work, the successor starts before the contact with its predecessor is lost.
 	since := lastContact.Add(-timeouts.WithoutReplacement)
-	growth := n.growthSince(since)
+	growth := n.growthSince(since, timeouts.WithoutReplacement)
 	switch {
 	case r.FurtherLosses < sufficientFurtherLosses && (waiting || growth >= len(unreachable)):
 		return longest, true
@@ -75,45 +78,78 @@
 	return "", false
 }
 
-// voterChange is a voter that was added to the group for the first time, or removed from it.
+// voterChange is a change of the voters.
 type voterChange struct {
 	at    time.Time
 	index uint64 // of the entry
-	name  string
-	added bool
+	name  string // of the instance
+	kind  voterChangeKind
 }
 
+type voterChangeKind uint8
+
+const (
+	voterAdded    voterChangeKind = iota // an instance that was never a voter, as far as known
+	voterReturned                        // an instance that was removed before
+	voterRemoved
+)
+
 // maxVoterChanges bounds how many changes are remembered. No more than a few happen within the timeouts.
 const maxVoterChanges = 64
 
 // recordVoterChanges records changes on leaders and followers alike: a new leader has to know whether the group has grown.
-// An instance that returns with a new disk takes back its own place, and is no growth.
 func (n *Node) recordVoterChanges(now time.Time, index uint64, before, after *Membership) {
-	for _, id := range after.Voters {
-		if name := MemberName(id); !before.IsVoter(id) && !before.wasRemoved(name) {
-			n.voterChanges = append(n.voterChanges, voterChange{now, index, name, true})
-		}
-	}
 	for _, id := range before.Voters {
 		if !after.IsVoter(id) {
-			n.voterChanges = append(n.voterChanges, voterChange{now, index, MemberName(id), false})
+			n.voterChanges = append(n.voterChanges, voterChange{now, index, MemberName(id), voterRemoved})
 		}
 	}
+	for _, id := range after.Voters {
+		if before.IsVoter(id) {
+			continue
+		}
+		kind := voterAdded
+		if before.wasRemoved(MemberName(id)) {
+			kind = voterReturned
+		}
+		n.voterChanges = append(n.voterChanges, voterChange{now, index, MemberName(id), kind})
+	}
 	if excess := len(n.voterChanges) - maxVoterChanges; excess > 0 {
 		n.voterChanges = n.voterChanges[excess:]
 	}
 }
 
-// growthSince returns how many voters were added since a time, less those that were removed and have not returned.
-func (n *Node) growthSince(at time.Time) int {
-	growth := 0
+// growthSince returns how many instances were added since a time and have not yet taken the place of a removed one. An
+// instance takes the place of one that was removed before it was added, no longer ago than the period, or of the next one
+// that is removed after that. An instance that returns takes back its own place.
+func (n *Node) growthSince(at time.Time, period time.Duration) int {
+	var added []time.Time                    // instances without a place of another
+	var places []voterChange                 // places of removed instances that nobody has taken
+	replacedBy := make(map[string]time.Time) // when the instance was added that took the place of a removed one, by the latter's name
 	for _, c := range n.voterChanges {
+		places = slices.DeleteFunc(places, func(p voterChange) bool { return c.at.Sub(p.at) > period })
+		place := slices.IndexFunc(places, func(p voterChange) bool { return p.name == c.name })
+		successor, replaced := replacedBy[c.name]
 		switch {
-		case !c.at.After(at):
-		case c.added:
+		case c.kind == voterRemoved && len(added) > 0:
+			replacedBy[c.name], added = added[0], added[1:]
+		case c.kind == voterRemoved:
+			places = append(places, c)
+		case c.kind == voterReturned && replaced:
+			added = append(added, successor)
+			delete(replacedBy, c.name)
+		case c.kind == voterReturned && place >= 0:
+			places = slices.Delete(places, place, place+1)
+		case c.kind == voterAdded && len(places) > 0:
+			replacedBy[places[0].name], places = c.at, places[1:]
+		case c.kind == voterAdded:
+			added = append(added, c.at)
+		}
+	}
+	growth := 0
+	for _, since := range added {
+		if since.After(at) {
 			growth++
-		case !n.currentMembership().hasVoterNamed(c.name):
-			growth--
 		}
 	}
 	return growth
--- a/coordination/raft/types.go
+++ b/coordination/raft/types.go
@@ -90,11 +90,6 @@
 
 func (m *Membership) IsLearner(id string) bool { return slices.Contains(m.Learners, id) }
 
-// hasVoterNamed reports whether an instance is a voter, with whatever disk.
-func (m *Membership) hasVoterNamed(name string) bool {
-	return slices.ContainsFunc(m.Voters, func(id string) bool { return MemberName(id) == name })
-}
-
 // wasRemoved reports whether an earlier member of an instance is among the removed ones.
 func (m *Membership) wasRemoved(name string) bool {
 	return slices.ContainsFunc(m.Removed, func(id string) bool { return MemberName(id) == name })
--- a/coordination/replica/membership_property_test.go
+++ b/coordination/replica/membership_property_test.go
@@ -339,3 +339,16 @@
 	}
 	return ""
 }
+
+// Guards against a replaced voter that keeps its place since an earlier replacement is counted in part: the removal of the
+// earlier one took away from the growth, but its successor had joined too long before to add to it.
+func TestEarlierReplacementTakesNoGrowthAway(t *testing.T) {
+	const ms = time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		if problem := runFaults(t, 5, []machineFault{{"replace planned", 4, 0, 500 * ms}, {"cut", 0, 2000 * ms, 4000 * ms},
+			{"kill", 3, 1500 * ms, 500 * ms}, {"cut", 2, 0, 2500 * ms}, {"remove", 2, 500 * ms, 5000 * ms},
+			{"replace", 0, 4000 * ms, 500 * ms}}, 6); problem != "" {
+			t.Fatal(problem)
+		}
+	})
+}
