Refuse heads that hold the status line of another answer

What callers saw: a 200 with the body of another answer, or of a 503 of the same request, with the id and the seal of the first. Cause: when a target stops inside a line of its head and another answer follows on the same connection, as a faulty target's second answer does, the second status line becomes the end of a header value or of the status text. The head is well formed, and the first id counts. Change: a head whose status text or header holds a status line is malformed. Targets have no such header.

--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -299,6 +300,9 @@
 	defer a.conn.head.end()
 	for {
 		response, err := http.ReadResponse(a.conn.reader, &http.Request{Method: r.Method})
+		if err == nil {
+			err = CheckHead(response)
+		}
 		switch {
 		case err == nil && response.StatusCode >= 100 && response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols:
 			continue
@@ -313,6 +317,23 @@
 	}
 }
 
+// statusLine is the beginning of an answer.
+var statusLine = regexp.MustCompile(`HTTP/1\.\d \d{3}`)
+
+// CheckHead returns an error if the head holds the status line of another answer. A target that stops inside a line, and then writes another
+// answer on the same connection, joins both: the first answer's id and seal would come with the second one's body.
+func CheckHead(r *http.Response) error {
+	if statusLine.MatchString(r.Status) {
+		return errors.Wrap(errMalformed, "the status holds another status line")
+	}
+	for name, values := range r.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return errors.Wrapf(errMalformed, "the header %s holds another status line", name)
+		}
+	}
+	return nil
+}
+
 // Read reads the body. io.EOF means that it is complete.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.Body.Read(p)
