Drop the last line of a stream that breaks off inside it

What callers saw: no wrong bytes, since the only reader of these events decodes each as JSON before it forwards it. But the attempt then ended with a decoding error in place of one of a broken connection: a target that broke off inside an event was not left out of the next attempt, and its request was no longer suspected of having crashed it. Cause: bufio.ScanLines returns a last line without an end as a line, also after a read error. Change: only lines with an end count.

--- a/transport/targetclient/events.go
+++ b/transport/targetclient/events.go
@@ -21,6 +21,7 @@
 func readEvents(r io.Reader, onEvent func(Event) error) error {
 	scanner := bufio.NewScanner(r)
 	scanner.Buffer(make([]byte, 0, 4096), maxLineBytes)
+	scanner.Split(completeLines)
 	offset, inErrorEvent := -1, false
 	for scanner.Scan() {
 		line := scanner.Bytes()
@@ -54,3 +55,13 @@
 	}
 	return &IncompleteError{Cause: io.ErrUnexpectedEOF}
 }
+
+// completeLines splits into lines like bufio.ScanLines, but drops a last line without an end, which bufio.ScanLines returns even after a read
+// error: the target broke off inside it.
+func completeLines(data []byte, _ bool) (advance int, line []byte, err error) {
+	end := bytes.IndexByte(data, '\n')
+	if end < 0 {
+		return 0, nil, nil
+	}
+	return end + 1, bytes.TrimSuffix(data[:end], []byte("\r")), nil
+}
