Refuse answers with a status that no answer can have

What callers saw: a closed connection, though another target could have answered a request that may be sent again; or a 101, after which the connection speaks no HTTP. Cause: net/http reads any three digits as a status. Relayed, one below 100 made WriteHeader panic, which ended the handler (not the process); 101 was relayed like any other failure. Change: the client of targets, which gateways and orders use, takes such heads for malformed. A request that may run again goes to another target, one that may run once ends with 502.

--- a/instance/gateway/cut_head_test.go
+++ b/instance/gateway/cut_head_test.go
@@ -154,3 +154,27 @@
 	t.Errorf("cut at %d: not played on the connection that it is for in %d tries", at, tries)
 	return false
 }
+
+// Guards against a status that no answer can have: relayed, it made the handler panic, so that the caller of a request that may be sent again
+// was cut, or it passed a change of the protocol on to the caller.
+func TestImpossibleStatusIsNotRelayed(t *testing.T) {
+	for _, status := range []string{"000", "099", "101"} {
+		f := newFixture(t)
+		f.configure()
+		for i := range 2 {
+			f.target(fmt.Sprint("t", i), "plain", func(conn net.Conn, r *http.Request, body string) {
+				if f.runCount(r.Header.Get(testHeaders.RequestID)) > 1 {
+					answerOK(conn, r, body)
+					return
+				}
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s X\r\n%s: %s\r\n%s\r\nContent-Length: 0\r\n\r\n", status, testHeaders.RequestID, r.Header.Get(testHeaders.RequestID), sealHeader)
+			})
+		}
+		if response, body, err := f.call("safe", "/safe/x"); err != nil || response.StatusCode != http.StatusOK || body != "did work" {
+			t.Errorf("status %s, request that may be sent again: answer %v, body %q, error %v", status, response, body, err)
+		}
+		if response, _, err := f.call("once", "/once/x"); err != nil || response.StatusCode != http.StatusBadGateway {
+			t.Errorf("status %s, request that may run once: answer %v, error %v", status, response, err)
+		}
+	}
+}
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -304,7 +304,7 @@
 			err = CheckHead(response)
 		}
 		switch {
-		case err == nil && response.StatusCode >= 100 && response.StatusCode < 200 && response.StatusCode != http.StatusSwitchingProtocols:
+		case err == nil && response.StatusCode < http.StatusOK:
 			continue
 		case err == nil:
 			return response, nil
@@ -320,9 +320,14 @@
 // statusLine is the beginning of an answer.
 var statusLine = regexp.MustCompile(`HTTP/1\.\d \d{3}`)
 
-// CheckHead returns an error if the head holds the status line of another answer. A target that stops inside a line, and then writes another
+// CheckHead returns an error if the head has a status that no answer to a request of this client has, or holds the status line of another
+// answer. net/http reads any three digits as a status, and panics where one below 100 is relayed; 101 ends the protocol, which no request
+// asks for. A target that stops inside a line, and then writes another
 // answer on the same connection, joins both: the first answer's id and seal would come with the second one's body.
 func CheckHead(r *http.Response) error {
+	if r.StatusCode < http.StatusContinue || r.StatusCode == http.StatusSwitchingProtocols {
+		return errors.Wrapf(errMalformed, "status %03d", r.StatusCode)
+	}
 	if statusLine.MatchString(r.Status) {
 		return errors.Wrap(errMalformed, "the status holds another status line")
 	}
