Tell resets of plain services from the regular end of their answers

What callers saw: a 200 with half of the answer of a plain service, recorded as the call's result, when the service broke off by a reset while the request body was still being written, and its answer had no length. Cause: the system reports a reset once. net/http writes and reads at the same time; when the write is told, the read sees a regular end. Change: at the end of a connection its state is looked up; a reset one, or one that net/http has closed after a failed write, ends with an error. An early answer of a service that closes regularly stays whole (TestEarlyAnswerToServiceCallIsWhole).

--- a/transport/targetclient/client.go
+++ b/transport/targetclient/client.go
@@ -18,6 +18,7 @@
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
 	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
 	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
 )
 
 const (
@@ -266,13 +267,15 @@
 }
 
 // writeTrackingDial returns a dial function whose connections record that something was written, in the *atomic.Bool
-// that the context holds under writtenKey. A failed call is known not to have run if no byte left this process.
+// that the context holds under writtenKey. A failed call is known not to have run if no byte left this process. A plain service may end its
+// answer with the connection, so that a reset must not look like a regular end.
 func writeTrackingDial(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
+		conn = upstream.TellResets(conn)
 		if written, ok := ctx.Value(writtenKey{}).(*atomic.Bool); ok {
 			return &writeTrackingConn{Conn: conn, written: written}, nil
 		}
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"strconv"
 	"strings"
@@ -179,8 +180,10 @@
 const tcpClosed = 7
 
 // wasReset reports whether the target reset the connection, if the system tells.
-func (c *conn) wasReset() (reset, known bool) {
-	raw, ok := c.Conn.(syscall.Conn)
+func (c *conn) wasReset() (reset, known bool) { return wasReset(c.Conn) }
+
+func wasReset(c net.Conn) (reset, known bool) {
+	raw, ok := c.(syscall.Conn)
 	if !ok {
 		return false, false
 	}
@@ -196,3 +199,22 @@
 	}
 	return info.State == tcpClosed, true
 }
+
+// resetTellingConn is a connection whose reading ends with an error when it was reset, also when a concurrent write was told of the reset first.
+type resetTellingConn struct{ net.Conn }
+
+// TellResets wraps a TCP connection for net/http, which writes a request and reads the answer at the same time. The system reports a reset once
+// only, to either of them, and an answer without a length would look complete when the reading sees a regular end.
+func TellResets(c net.Conn) net.Conn { return resetTellingConn{c} }
+
+// Read implements net.Conn.
+func (c resetTellingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		// The state is unknown once net/http has closed the connection because the write failed.
+		if reset, known := wasReset(c.Conn); reset || !known {
+			return n, syscall.ECONNRESET
+		}
+	}
+	return n, err
+}
