--- a/transport/targetclient/client.go
+++ b/transport/targetclient/client.go
@@ -18,6 +18,7 @@
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
 	"github.com/tarragonhoist/tarragonhoist/protocol/releasenote"
 	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
 )
 
 const (
@@ -44,18 +45,34 @@
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Client{
 		pooled: &http.Client{
-			Transport:     &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerTarget, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeadBytes},
+			Transport:     checkingTransport{&http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdlePerTarget, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: maxHeadBytes}},
 			CheckRedirect: noRedirect,
 		},
 		// net/http resends a request with an Idempotency-Key on a new connection when a reused one breaks. Calls that
 		// must run at most once therefore never use a reused connection.
 		singleUse: &http.Client{
-			Transport:     &http.Transport{DialContext: writeTrackingDial(dialer), DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
+			Transport:     checkingTransport{&http.Transport{DialContext: writeTrackingDial(dialer), DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}},
 			CheckRedirect: noRedirect,
 		},
 	}
 }
 
+// checkingTransport fails requests whose answer has a spoiled head.
+type checkingTransport struct{ *http.Transport }
+
+// RoundTrip implements http.RoundTripper.
+func (t checkingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := t.Transport.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := upstream.CheckHead(resp); err != nil {
+		_ = resp.Body.Close()
+		return nil, err
+	}
+	return resp, nil
+}
+
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
 // OverloadedError means that the target refused the attempt because it is overloaded. The attempt did not run.
@@ -266,13 +283,15 @@
 }
 
 // writeTrackingDial returns a dial function whose connections record that something was written, in the *atomic.Bool
-// that the context holds under writtenKey. A failed call is known not to have run if no byte left this process.
+// that the context holds under writtenKey. A failed call is known not to have run if no byte left this process. A plain service may end its
+// answer with the connection, so that a reset must not look like a regular end.
 func writeTrackingDial(dialer *net.Dialer) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
+		conn = upstream.TellResets(conn)
 		if written, ok := ctx.Value(writtenKey{}).(*atomic.Bool); ok {
 			return &writeTrackingConn{Conn: conn, written: written}, nil
 		}
