--- a/coordination/gatewaycount/gatewaycount.go
+++ b/coordination/gatewaycount/gatewaycount.go
@@ -1,7 +1,7 @@
 // Package gatewaycount keeps the number of gateways that share an allowance, as leaders report it.
 //
-// The load that it answers: all gateways and the leader start again together. The leader counts the gateways from none, so
-// the first ones are told that they are few, and each would use the whole allowance or a large part of it.
+// The load pattern: all gateways and the leader restart together. The leader counts the gateways from none, so its first
+// answers report few, and each gateway would use the whole allowance or a large part of it.
 package gatewaycount
 
 import (
--- a/coordination/raft/reachability.go
+++ b/coordination/raft/reachability.go
@@ -10,7 +10,7 @@
 // several times a second.
 const waitingPeriod = time.Second
 
-// Reachability is what a leader knows of the other members and of the instances that ask to join.
+// Reachability describes the other members and the instances that ask to join, from the point of view of the leader.
 type Reachability struct {
 	// Unreachable are the members that have not answered for an election timeout, the longest first.
 	Unreachable []string
@@ -25,7 +25,7 @@
 	return slices.Equal(r.Unreachable, other.Unreachable) && slices.Equal(r.Waiting, other.Waiting) && r.FurtherLosses == other.FurtherLosses
 }
 
-// Reachability returns what this leader knows of the other members. It returns the zero value on other members.
+// Reachability returns the reachability of the other members. It is the zero value unless this node leads.
 func (n *Node) Reachability(now time.Time) Reachability {
 	if n.role != Leader {
 		return Reachability{}
--- a/coordination/raft/removal.go
+++ b/coordination/raft/removal.go
@@ -123,8 +123,8 @@
 // instance takes the place of one that was removed before it was added, no longer ago than the period, or of the next one
 // that is removed after that. An instance that returns takes back its own place.
 func (n *Node) growthSince(at time.Time, period time.Duration) int {
-	var added []time.Time                    // instances without a place of another
-	var places []voterChange                 // places of removed instances that nobody has taken
+	var added []time.Time                    // instances that took the place of no other
+	var places []voterChange                 // places of removed instances that are free
 	replacedBy := make(map[string]time.Time) // when the instance was added that took the place of a removed one, by the latter's name
 	for _, c := range n.voterChanges {
 		places = slices.DeleteFunc(places, func(p voterChange) bool { return c.at.Sub(p.at) > period })
--- a/coordination/replica/options.go
+++ b/coordination/replica/options.go
@@ -211,7 +211,7 @@
 	CaughtUpAt time.Time
 	Voters     []string // member ids
 	Learners   []string // member ids
-	// Reachability is what this instance knows as the leader.
+	// Reachability is set on the leader only.
 	Reachability raft.Reachability
 	// Problem is the most recent reason why this instance cannot join or fetch. It is empty for a voter.
 	Problem string
--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -413,7 +413,7 @@
 		return ErrNotJoined
 	}
 	departure := fleetapi.Departure{ID: id, StartedAtMs: startedAtMs}
-	if !instance.tellMajority(peerapi.MethodFleetDeparture, departure, func() error { instance.markGone(departure); return nil }) {
+	if !instance.notifyMajority(peerapi.MethodFleetDeparture, departure, func() error { instance.markGone(departure); return nil }) {
 		return ErrDepartureUncertain
 	}
 	return nil
--- a/instance/controlinstance/majority.go
+++ b/instance/controlinstance/majority.go
@@ -11,14 +11,14 @@
 	"github.com/tarragonhoist/tarragonhoist/transport/peer"
 )
 
-// tellTimeout bounds telling the other instances. It is below the second within which targets want their heartbeats
+// notifyTimeout bounds notifying the other instances. It is below the second within which targets want their heartbeats
 // acknowledged.
-const tellTimeout = 400 * time.Millisecond
+const notifyTimeout = 400 * time.Millisecond
 
-// tellMajority calls record here and a method at all other members, and reports whether a majority has acknowledged. What
-// a target is then told outlives the death of this instance.
-func (instance *Instance) tellMajority(method string, params any, record func() error) bool {
-	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
+// notifyMajority calls record here and a method at all other members, and reports whether a majority has acknowledged. What
+// is then acknowledged to a target is not lost with this instance.
+func (instance *Instance) notifyMajority(method string, params any, record func() error) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 	defer cancel()
 	_, members := instance.control()
 	acknowledged := make(chan bool, len(members)+1)
--- a/instance/controlinstance/new_versions.go
+++ b/instance/controlinstance/new_versions.go
@@ -116,7 +116,7 @@
 
 // announceVersion records a version here and at the other instances, and reports whether a majority has saved it.
 func (instance *Instance) announceVersion(now time.Time, o streamorigin.Origin) bool {
-	return instance.tellMajority(peerapi.MethodFleetVersion, o, func() error { return instance.recordVersion(now, o) })
+	return instance.notifyMajority(peerapi.MethodFleetVersion, o, func() error { return instance.recordVersion(now, o) })
 }
 
 // recordVersion records and saves a version.
--- a/state/wal/wal.go
+++ b/state/wal/wal.go
@@ -192,8 +192,8 @@
 	return nil
 }
 
-// MakeDirIn creates a directory and its missing parents. It returns when they are durable. It also syncs the parent of a directory that exists: the sync of the process
-// that created it may have failed.
+// MakeDirIn creates a directory and its missing parents. It returns when they are durable. It also syncs the parent of a
+// directory that exists: the sync of the process that created it may have failed.
 func MakeDirIn(files FileSystem, dir string) error {
 	if err := createDir(files, dir); err != nil {
 		return err
--- a/transport/targetclient/client.go
+++ b/transport/targetclient/client.go
@@ -291,7 +291,7 @@
 		if err != nil {
 			return nil, err
 		}
-		conn = upstream.TellResets(conn)
+		conn = upstream.ReportResets(conn)
 		if written, ok := ctx.Value(writtenKey{}).(*atomic.Bool); ok {
 			return &writeTrackingConn{Conn: conn, written: written}, nil
 		}
--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -200,15 +200,15 @@
 	return info.State == tcpClosed, true
 }
 
-// resetTellingConn is a connection whose reading ends with an error when it was reset, also when a concurrent write was told of the reset first.
-type resetTellingConn struct{ net.Conn }
+// resetReportingConn is a connection whose reading ends with an error when it was reset, also when a concurrent write was told of the reset first.
+type resetReportingConn struct{ net.Conn }
 
-// TellResets wraps a TCP connection for net/http, which writes a request and reads the answer at the same time. The system reports a reset once
+// ReportResets wraps a TCP connection for net/http, which writes a request and reads the answer at the same time. The system reports a reset once
 // only, to either of them, and an answer without a length would look complete when the reading sees a regular end.
-func TellResets(c net.Conn) net.Conn { return resetTellingConn{c} }
+func ReportResets(c net.Conn) net.Conn { return resetReportingConn{c} }
 
 // Read implements net.Conn.
-func (c resetTellingConn) Read(p []byte) (int, error) {
+func (c resetReportingConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if errors.Is(err, io.EOF) {
 		// The state is unknown once net/http has closed the connection because the write failed.
