--- a/coordination/replica/membership_property_test.go
+++ b/coordination/replica/membership_property_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
 )
 
 // fleet is a dynamic group on machines that are replaced, removed, wiped, cut off and restarted. At most faultTolerance
@@ -68,6 +70,7 @@
 			return
 		}
 	}
+	f.t.Fatalf("machines are lost for more than a minute: %v", f.lostUntil)
 }
 
 func (f *fleet) lose(name string) { f.lostUntil[name] = time.Now().Add(never) }
@@ -148,6 +151,16 @@
 	}
 }
 
+// transferLeadership makes a voter start an election, as a leader does when it stops.
+func (f *fleet) transferLeadership(name string) {
+	leader := f.leader()
+	if leader == nil || leader.opts.Self == name {
+		return
+	}
+	s := leader.Status()
+	f.instances[name].HandleMessage(raft.Message{Type: raft.MsgTimeoutNow, From: s.ID, To: f.instances[name].Status().ID, Term: s.Term, Cluster: s.Cluster})
+}
+
 // machineFault is one fault: its kind, the machine, and the pause after it.
 type machineFault struct {
 	kind    string
@@ -157,7 +170,8 @@
 }
 
 // machineFaults are the kinds of faults that a sequence is drawn from.
-var machineFaults = []string{"replace", "replace planned", "wipe", "wipe and away", "restart", "kill", "cut", "split", "power", "remove", "changes"}
+var machineFaults = []string{"replace", "replace planned", "wipe", "wipe and away", "restart", "kill", "cut", "cut one way", "split",
+	"power", "remove", "changes", "transfer"}
 
 func (f *fleet) inject(fault machineFault) {
 	names := f.runningNames()
@@ -207,6 +221,15 @@
 		f.pause(fault.away)
 		f.withLock(func() { delete(f.isolated, name) })
 		f.regain(name)
+	case "cut one way":
+		f.awaitTolerance(1)
+		f.lose(name)
+		f.withLock(func() { f.muted[name] = true })
+		f.pause(fault.away)
+		f.withLock(func() { delete(f.muted, name) })
+		f.regain(name)
+	case "transfer":
+		f.transferLeadership(name)
 	case "split":
 		began := time.Now()
 		f.withLock(func() {
@@ -303,7 +326,7 @@
 			faults[i] = machineFault{kind: rapid.SampledFrom(machineFaults).Draw(rt, "kind"),
 				machine: rapid.IntRange(0, 8).Draw(rt, "machine"),
 				pause:   time.Duration(rapid.IntRange(0, 8).Draw(rt, "pause")) * 500 * time.Millisecond,
-				away:    time.Duration(rapid.IntRange(1, 10).Draw(rt, "away")) * 500 * time.Millisecond}
+				away:    time.Duration(rapid.IntRange(1, 30).Draw(rt, "away")) * 500 * time.Millisecond}
 		}
 		lost := rapid.IntRange(0, 8).Draw(rt, "lost")
 		failure := ""
@@ -323,7 +346,8 @@
 	}
 	defer f.stopAll()
 	f.startMachines(machines)
-	for _, name := range f.runningNames() { // with the options of later starts
+	f.withLock(func() { f.dialTimeout = 800 * time.Millisecond }) // as of connections between instances
+	for _, name := range f.runningNames() {                       // with the options of later starts
 		f.kill(name)
 		f.startAgain(name)
 	}
--- a/coordination/replica/network_test.go
+++ b/coordination/replica/network_test.go
@@ -28,25 +28,43 @@
 	isolated map[string]bool
 	// split contains the instances on one side of a partition in two.
 	split map[string]bool
-	loss  func(m *raft.Message) bool
+	// muted contains the instances that receive everything and whose messages, requests and responses are lost.
+	muted map[string]bool
+	// dialTimeout is the time after which a request to an instance that can't be reached fails.
+	dialTimeout time.Duration
+	loss        func(m *raft.Message) bool
 	// dropResponses contains the instances that receive proposals, but whose responses are lost.
 	dropResponses        map[string]bool
 	largestFetchResponse int // encoded size of the largest FetchResponse
 }
 
 func newNetwork(t *testing.T) *network {
-	return &network{t: t, groups: map[string]*Group{}, isolated: map[string]bool{}, split: map[string]bool{}, dropResponses: map[string]bool{}}
+	return &network{t: t, groups: map[string]*Group{}, isolated: map[string]bool{}, split: map[string]bool{}, muted: map[string]bool{}, dropResponses: map[string]bool{}}
 }
 
 func (n *network) reachableGroup(from, to string) *Group {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.isolated[from] || n.isolated[to] || n.split[from] != n.split[to] {
+	if n.isolated[from] || n.isolated[to] || n.split[from] != n.split[to] || n.muted[from] {
 		return nil
 	}
 	return n.groups[to]
 }
 
+// awaitDialTimeout waits as a request does that gets no response to its first packet.
+func (n *network) awaitDialTimeout(ctx context.Context) {
+	n.mu.Lock()
+	timeout := n.dialTimeout
+	n.mu.Unlock()
+	if timeout == 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(timeout):
+	}
+}
+
 func (n *network) withLock(change func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -92,6 +110,7 @@
 func (e endpoint) Propose(ctx context.Context, peer string, r ProposeRequest) (ProposeResponse, error) {
 	g := e.n.reachableGroup(e.name, peer)
 	if g == nil {
+		e.n.awaitDialTimeout(ctx)
 		return ProposeResponse{}, errors.Wrap(ErrNotRun, "no connection")
 	}
 	time.Sleep(linkDelay)
@@ -99,7 +118,7 @@
 	e.n.mu.Lock()
 	lost := e.n.dropResponses[peer]
 	e.n.mu.Unlock()
-	if lost || e.n.reachableGroup(e.name, peer) == nil {
+	if lost || e.n.reachableGroup(e.name, peer) == nil || e.n.reachableGroup(peer, e.name) == nil {
 		return ProposeResponse{}, errors.New("connection lost")
 	}
 	return jsonRoundTrip(response), err
