Use the first reported number of gateways for shares of limits

Change: only the budget waits for 3 s. The others take the first reported number at once, as before, and the largest of 10 s after that.

--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -163,7 +163,7 @@
 	g.mergeLimits(now, summary.Limits)
 	g.gatewayCount.Observe(now, summary.Gateways)
 	g.watcher.SetGateways(g.gatewayCount.Gateways(now, 0))
-	g.loadTracker.SetGateways(g.gatewayCount.Gateways(now, unknownGateways))
+	g.loadTracker.SetGateways(g.gatewayCount.Gateways(now, 0))
 	g.loadTracker.SetPeerBrittle(now, summary.Brittle)
 	g.helpers.set(summary.Helpers, summary.HelpersChange)
 	return nil
--- a/instance/gateway/limits.go
+++ b/instance/gateway/limits.go
@@ -84,7 +84,10 @@
 		g.permitFailure.Store(&permitFailure{leader: leader, at: time.Now()})
 	}
 	now = time.Now()
-	gateways := g.gatewayCount.Gateways(now, unknownGateways)
+	gateways := g.gatewayCount.Gateways(now, 0)
+	if gateways == 0 {
+		gateways = unknownGateways
+	}
 	if g.limits.TakeFallback(now, target, gateways, g.randomFloat()) {
 		return true
 	}
