--- a/coordination/replica/membership_property_test.go
+++ b/coordination/replica/membership_property_test.go
@@ -81,25 +81,6 @@
 	}
 }
 
-// kill ends a process without a transfer of leadership.
-func (f *fleet) kill(names ...string) {
-	f.withLock(func() {
-		for _, name := range names {
-			f.isolated[name] = true
-		}
-	})
-	for _, name := range names {
-		if f.instances[name] != nil {
-			f.stop(name)
-		}
-	}
-	f.withLock(func() {
-		for _, name := range names {
-			delete(f.isolated, name)
-		}
-	})
-}
-
 // startAgain starts machines with the running ones as seeds, and with their own names if there are none.
 func (f *fleet) startAgain(names ...string) {
 	seeds := f.runningNames()
--- a/coordination/replica/replacement_test.go
+++ b/coordination/replica/replacement_test.go
@@ -39,6 +39,25 @@
 	c.start(successor)
 }
 
+// kill ends processes at the same moment, without a transfer of leadership. Their disks are preserved.
+func (c *cluster) kill(names ...string) {
+	c.withLock(func() {
+		for _, name := range names {
+			c.isolated[name] = true
+		}
+	})
+	for _, name := range names {
+		if c.instances[name] != nil {
+			c.stop(name)
+		}
+	}
+	c.withLock(func() {
+		for _, name := range names {
+			delete(c.isolated, name)
+		}
+	})
+}
+
 // losePowerAndDisks stops all instances and starts them again, those listed with empty disks.
 func (c *cluster) losePowerAndDisks(lost ...string) {
 	names := c.runningNames()
--- a/coordination/replica/restart_growth_test.go
+++ b/coordination/replica/restart_growth_test.go
@@ -26,15 +26,7 @@
 				c.start("s1")
 				time.Sleep(after*time.Millisecond - time.Second)
 				names := c.runningNames()
-				c.withLock(func() { // all processes are killed at the same moment, and their disks are preserved
-					for _, name := range names {
-						c.isolated[name] = true
-					}
-				})
-				for _, name := range names {
-					c.stop(name)
-				}
-				c.withLock(func() { clear(c.isolated) })
+				c.kill(names...)
 				time.Sleep(500 * time.Millisecond)
 				c.setSeeds(names)
 				c.electLikeTheDaemon()
@@ -86,15 +78,7 @@
 				replace(test.before)
 				time.Sleep(200 * time.Millisecond)
 				names := c.runningNames()
-				c.withLock(func() { // all machines lose power at the same moment
-					for _, name := range names {
-						c.isolated[name] = true
-					}
-				})
-				for _, name := range names {
-					c.stop(name)
-				}
-				c.withLock(func() { clear(c.isolated) })
+				c.kill(names...)
 				time.Sleep(500 * time.Millisecond)
 				c.setSeeds(names)
 				c.electLikeTheDaemon()
