Serve requests by the client account that holds their key

Cause: a configuration with client accounts was decoded without them, so that a key reached targets, an unknown key was served, and the account of a request was not told to the target.

Change: accounts with the digests of their keys in the document and in the routing table, 401 for an unknown key, the account's name for targets, its rank before that of the route, and a check of the key at each look for a target, so that a withdrawn key binds waiting, repeated and handed over requests.

--- a/cmd/tarragonhoist-fleet/main.go
+++ b/cmd/tarragonhoist-fleet/main.go
@@ -61,7 +61,7 @@
 
 func platformAdapter() *fleet.PlatformAdapter {
 	return &fleet.PlatformAdapter{
-		Headers: platform.Headers(), ReadPrompt: platform.ReadPrompt, ReadyPath: platform.ReadyPath,
+		Headers: platform.Headers(), ReadPrompt: platform.ReadPrompt, CountTokens: platform.CountTokens, ReadyPath: platform.ReadyPath,
 		DecodeConfig:   platform.DecodeConfig,
 		NewOrderClient: func(c *upstream.Client) controlinstance.OrderClient { return platform.Orders{Client: c} },
 		NewAPIHandler:  func(i *controlinstance.Instance) http.Handler { return platform.NewAPI(i) },
--- a/instance/fleet/fleet.go
+++ b/instance/fleet/fleet.go
@@ -29,6 +29,7 @@
 type PlatformAdapter struct {
 	Headers      dialect.Headers
 	ReadPrompt   dialect.PromptDecoder
+	CountTokens  dialect.TokenCounter
 	ReadyPath    string
 	DecodeConfig fleetview.Decode
 	// DialTarget opens connections of gateways to targets; nil stands for plain TCP.
--- a/instance/fleet/providers.go
+++ b/instance/fleet/providers.go
@@ -84,7 +84,7 @@
 	}
 	options := gateway.Options{
 		Name: node.PeerName(), PeerAddress: node.PeerName(), DataCentre: node.DataCentre, CallerAddress: node.ListenCallers, ReadinessAddress: node.ListenReady,
-		ReadyPath: adapter.ReadyPath, Headers: adapter.Headers, ReadPrompt: adapter.ReadPrompt, GracePeriod: node.Grace(),
+		ReadyPath: adapter.ReadyPath, Headers: adapter.Headers, ReadPrompt: adapter.ReadPrompt, CountTokens: adapter.CountTokens, GracePeriod: node.Grace(),
 		DialTarget: dial,
 		Budget: dispatch.BudgetLimits{Ratio: node.RepeatRatio, Slack: node.RepeatSlack, Share: repeatBudgetShare,
 			Window: time.Duration(node.RepeatWindowS * float64(time.Second))},
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -52,6 +52,7 @@
 	ReadyPath   string
 	Headers     dialect.Headers
 	ReadPrompt  dialect.PromptDecoder
+	CountTokens dialect.TokenCounter
 	Budget      dispatch.BudgetLimits
 	// DialTarget opens connections to targets.
 	DialTarget upstream.Dial
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -32,6 +32,7 @@
 var testHeaders = dialect.Headers{
 	RequestID: "Request-Id", TimeLeftMs: "Time-Left", Seal: "Seal", ExpectTarget: "Expect-Target", NotExecuted: "Not-Run",
 	TargetID: "Target-Id", TargetPriority: "Target-Priority", LastEvent: "Last-Event", Resumes: "Resumes", RetryAfter: "Retry-After", Limit: "Takes", Leaving: "Leaves",
+	Key: "Key", Account: "Account",
 	Reserved: []string{"Expect-Target", "Target-Priority", "Secret-Option"},
 }
 
--- a/instance/gateway/handover.go
+++ b/instance/gateway/handover.go
@@ -166,6 +166,9 @@
 	header[fleetapi.HeaderHandoverSends] = []string{strconv.Itoa(sends)}
 	header[fleetapi.HeaderHandoverVersion] = []string{strconv.FormatUint(q.table.Version(), 10)}
 	header[fleetapi.HeaderHandoverService] = []string{q.service.Name}
+	if q.key != "" {
+		header[g.opts.Headers.Key] = []string{q.key} // the other gateway looks the account up in its own configuration
+	}
 	if q.softwareVersion != nil {
 		header[fleetapi.HeaderHandoverSoftware] = []string{*q.softwareVersion}
 	}
@@ -202,7 +205,11 @@
 	answer, _ := a.Header[g.opts.Headers.RetryAfter]
 	a.Discard(maxRejectionBytes, rejectionTimeout)
 	reason := "the gateway to which it was handed over answered " + strconv.Itoa(a.StatusCode)
-	if a.StatusCode != http.StatusServiceUnavailable {
+	switch a.StatusCode {
+	case http.StatusServiceUnavailable:
+	case http.StatusUnauthorized:
+		reason = reasonUnknownKey
+	default:
 		ran++
 	}
 	if len(answer) > 0 {
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -9,6 +9,8 @@
 
 type counters struct {
 	answered, refused, failed, cancelled, repeated metrics.Counter
+	// unauthorized are refused requests whose key no account holds.
+	unauthorized metrics.Counter
 	// handedOver are the requests that other gateways were asked to serve, servedForOthers those that others asked for.
 	handedOver, servedForOthers metrics.Counter
 	crashStrikes                metrics.Counter
@@ -26,7 +28,7 @@
 	}
 	return &counters{
 		answered: counter("answered"), refused: counter("refused"), failed: counter("failed"),
-		cancelled: counter("cancelled"), repeated: counter("repeated_sends"),
+		cancelled: counter("cancelled"), repeated: counter("repeated_sends"), unauthorized: counter("unauthorized"),
 		handedOver: counter("handed_over"), servedForOthers: counter("served_for_others"),
 		crashStrikes: counter("crash_strikes"), streamsResumed: counter("streams_resumed"), streamsTakenUp: counter("streams_taken_up"),
 		streamsNotTakenUp:  counter("streams_not_taken_up"),
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -19,17 +19,22 @@
 
 // request is one attempt of a caller.
 type request struct {
-	ctx      context.Context
-	id       string
-	method   string
-	uri      string
-	host     string
-	header   http.Header // without connection headers and headers that only the system sets
-	body     []byte
-	route    *routes.Route
-	service  *routes.Service
-	table    *routes.Table // the configuration that contains the route
-	prompt   dialect.Prompt
+	ctx     context.Context
+	id      string
+	method  string
+	uri     string
+	host    string
+	header  http.Header // without connection headers and headers that only the system sets
+	body    []byte
+	route   *routes.Route
+	service *routes.Service
+	table   *routes.Table // the configuration that contains the route
+	prompt  dialect.Prompt
+	// account is the client account of the caller, nil without one; key is the key that it sent.
+	account *routes.Account
+	key     string
+	// rank is that of the account or the route; 0 is the most urgent.
+	rank     int
 	arrived  time.Time
 	deadline time.Time
 	// abandonedAt is when the caller makes no more attempts.
@@ -108,6 +113,12 @@
 		g.refuseEarly(w, r, http.StatusNotFound, "no route matches host and path")
 		return nil
 	}
+	account, authorized := g.authorize(r.Header, table, route)
+	if !authorized {
+		g.metrics.unauthorized.Inc(1)
+		g.refuseEarly(w, r, http.StatusUnauthorized, reasonUnknownKey)
+		return nil
+	}
 	limit := table.Document().Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyBytes
@@ -125,7 +136,13 @@
 	q := &request{
 		ctx: r.Context(), id: r.Header.Get(g.opts.Headers.RequestID), method: r.Method, uri: uri, host: r.Host, body: body,
 		route: route, table: table, arrived: arrived, deadline: arrived.Add(route.Timeout),
-		header: g.forwardedHeader(r.Header),
+		header: g.forwardedHeader(r.Header, table), account: account, rank: route.Rank,
+	}
+	if table.HasAccounts() {
+		q.key = r.Header.Get(g.opts.Headers.Key)
+	}
+	if account != nil && account.Rank != nil {
+		q.rank = *account.Rank
 	}
 	q.abandonedAt = arrived.Add(max(route.StreamLife(), streamorigin.MinLife))
 	if left, ok := g.timeLeft(r); ok {
@@ -224,7 +241,7 @@
 }
 
 // forwardedHeader returns the headers that are forwarded to a target.
-func (g *Gateway) forwardedHeader(h http.Header) http.Header {
+func (g *Gateway) forwardedHeader(h http.Header, table *routes.Table) http.Header {
 	forwarded := make(http.Header, len(h)+2)
 	dropped := connectionOptions(h)
 	for name, values := range h {
@@ -233,6 +250,10 @@
 		}
 		forwarded[name] = values
 	}
+	if table.HasAccounts() {
+		delete(forwarded, g.opts.Headers.Key)
+		delete(forwarded, g.opts.Headers.Account)
+	}
 	return forwarded
 }
 
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -127,6 +127,9 @@
 	}()
 	for {
 		now := time.Now()
+		if !g.stillAuthorized(q) {
+			return nil, reasonUnknownKey
+		}
 		var quarantined string
 		if quarantined, q.quarantinedFor = g.quarantineReason(q); quarantined != "" {
 			return nil, dispatch.Reason(quarantined)
@@ -285,6 +288,9 @@
 		}
 		r.w.sendStatus(dialect.StatusMisdirected)
 		return
+	case ran == 0 && reason == reasonUnknownKey:
+		g.metrics.unauthorized.Inc(1)
+		status = http.StatusUnauthorized
 	case ran == 0:
 	case !time.Now().Before(q.deadline.Add(-minTimeLeft)):
 		status = http.StatusGatewayTimeout
@@ -298,6 +304,9 @@
 		fields["retry_after_ms"] = pause.Milliseconds()
 		r.w.Header().Set(g.opts.Headers.RetryAfter, formatSeconds(pause))
 		g.recorder.Record(events.RequestRefused, fields)
+	} else if status == http.StatusUnauthorized {
+		g.metrics.refused.Inc(1)
+		g.recorder.Record(events.RequestRefused, fields)
 	} else {
 		g.metrics.failed.Inc(1)
 		g.recorder.Record(events.RequestFailed, fields)
--- a/protocol/dialect/dialect.go
+++ b/protocol/dialect/dialect.go
@@ -33,6 +33,9 @@
 	Brittle string
 	// Leaving is set in the responses of a target that leaves and takes no new requests.
 	Leaving string
+	// Key holds the key of the caller, and Account the name of the client account for targets. Both are removed from the requests of
+	// callers if the configuration has accounts.
+	Key, Account string
 	// Reserved are the request headers that only the system may set. They are removed from the requests of callers.
 	Reserved []string
 }
@@ -65,3 +68,7 @@
 // PromptDecoder decodes the description of the prompt from the headers of a request; ok is false when the headers name
 // no model.
 type PromptDecoder func(h http.Header) (p Prompt, ok bool)
+
+// TokenCounter reads how many tokens the prompt and the output of a request have at most; ok is false when the headers do not say
+// that.
+type TokenCounter func(h http.Header) (tokens int, ok bool)
--- a/settings/node.go
+++ b/settings/node.go
@@ -38,7 +38,12 @@
 	RepeatRatio   float64 `toml:"repeat_ratio"`
 	RepeatSlack   float64 `toml:"repeat_slack"`
 	RepeatWindowS float64 `toml:"repeat_window_s"`
-	Log           Log     `toml:"log"`
+	// Quotas of client accounts are counted over any QuotaWindowS. QuotaExcess, a share, and QuotaSlack, in units, are how far all
+	// gateways together may exceed one.
+	QuotaWindowS float64 `toml:"quota_window_s"`
+	QuotaExcess  float64 `toml:"quota_excess"`
+	QuotaSlack   float64 `toml:"quota_slack"`
+	Log          Log     `toml:"log"`
 }
 
 // Defaults of Node.
@@ -48,6 +53,7 @@
 	DefaultRepeatRatio   = 0.2
 	DefaultRepeatSlack   = 50
 	DefaultRepeatWindowS = 10
+	DefaultQuotaWindowS  = 8
 	// DefaultNodeLogLevel includes the events of each request.
 	DefaultNodeLogLevel = "debug"
 )
@@ -69,7 +75,7 @@
 func ParseNode(name string, data []byte) (*Node, tomlfile.Findings) {
 	n := &Node{
 		LeaseMs: DefaultLeaseMs, GraceSeconds: DefaultGraceSeconds, RepeatRatio: DefaultRepeatRatio,
-		RepeatSlack: DefaultRepeatSlack, RepeatWindowS: DefaultRepeatWindowS, Log: Log{Level: DefaultNodeLogLevel, Format: "json"},
+		RepeatSlack: DefaultRepeatSlack, RepeatWindowS: DefaultRepeatWindowS, QuotaWindowS: DefaultQuotaWindowS, Log: Log{Level: DefaultNodeLogLevel, Format: "json"},
 	}
 	f := tomlfile.Decode(name, data, n)
 	if n.Name == "" {
@@ -104,6 +110,9 @@
 	if n.RepeatRatio < 0 || n.RepeatSlack < 0 || n.RepeatWindowS <= 0 {
 		f.Report("repeat_window_s", "repeat_window_s must be positive, repeat_ratio and repeat_slack must not be negative")
 	}
+	if n.QuotaWindowS <= 0 || n.QuotaExcess < 0 || n.QuotaSlack < 0 {
+		f.Report("quota_window_s", "quota_window_s must be positive, quota_excess and quota_slack must not be negative")
+	}
 	if n.LeaseMs < 0 || n.GraceSeconds < 0 || n.MemoryMB < 0 {
 		f.Report("lease_ms", "lease_ms, grace_s and memory_mb must not be negative")
 	}
--- a/state/routes/check.go
+++ b/state/routes/check.go
@@ -53,9 +53,33 @@
 		}
 		routeNames[key] = r.Name
 	}
+	d.checkAccounts(add)
 	return findings
 }
 
+// checkAccounts reports accounts that share a name or a key. Findings name accounts only: keys must not reach logs and answers.
+func (d *Document) checkAccounts(add func(place, format string, args ...any)) {
+	names := make(map[string]bool, len(d.Accounts))
+	holders := make(map[KeyDigest]string)
+	for i := range d.Accounts {
+		a := &d.Accounts[i]
+		place := fmt.Sprintf("account %d (%s)", i, a.Name)
+		switch {
+		case a.Name == "":
+			add(place, "the name is missing")
+		case names[a.Name]:
+			add(place, "the name is used twice")
+		}
+		names[a.Name] = true
+		for n, digest := range a.Keys {
+			if holder, ok := holders[digest]; ok && holder != a.Name {
+				add(place, "key %d is also held by account %q", n, holder)
+			}
+			holders[digest] = a.Name
+		}
+	}
+}
+
 func (r *Route) check(services map[string]bool, add func(format string, args ...any)) {
 	if r.Host == "" {
 		add("the host is missing")
--- a/state/routes/document.go
+++ b/state/routes/document.go
@@ -25,6 +25,8 @@
 	Version  uint64
 	Routes   []Route
 	Services []Service
+	// Accounts are the client accounts. Without any, callers need no key.
+	Accounts []Account
 	Limits   Limits
 }
 
@@ -50,6 +52,8 @@
 	PrefixAffinity bool
 	// Resumable is set if a stream may continue at another target after the last event that was received.
 	Resumable bool
+	// AllowAnonymous is set if callers need no key for the route.
+	AllowAnonymous bool
 }
 
 // streamAttempts is the number of attempts over which a stream may last its whole timeout each.
--- a/state/routes/table.go
+++ b/state/routes/table.go
@@ -12,13 +12,20 @@
 	document *Document
 	byHost   map[string][]*Route // longest prefix first
 	services map[string]*Service
+	accounts map[KeyDigest]*Account
 	// maxStreamLife is the longest StreamLife of the routes.
 	maxStreamLife time.Duration
 }
 
 // NewTable indexes a document that has passed Check.
 func NewTable(d *Document) *Table {
-	t := &Table{document: d, byHost: make(map[string][]*Route), services: make(map[string]*Service, len(d.Services))}
+	t := &Table{document: d, byHost: make(map[string][]*Route), services: make(map[string]*Service, len(d.Services)),
+		accounts: make(map[KeyDigest]*Account)}
+	for i := range d.Accounts {
+		for _, digest := range d.Accounts[i].Keys {
+			t.accounts[digest] = &d.Accounts[i]
+		}
+	}
 	for i := range d.Services {
 		t.services[d.Services[i].Name] = &d.Services[i]
 	}
