--- a/instance/gateway/account_test.go
+++ b/instance/gateway/account_test.go
@@ -160,6 +160,22 @@
 	}
 }
 
+// Guards against an urgent kind of request that waits behind a less urgent one of the same account, because the rank of the account
+// replaced that of the route, and against an account whose rank does not go first.
+func TestRankOfAccountGoesBeforeThatOfTheRoute(t *testing.T) {
+	first, second := routes.Account{Rank: new(0)}, routes.Account{Rank: new(1)}
+	urgent, patient := &routes.Route{Rank: 0}, &routes.Route{Rank: 2}
+	ranks := []int{first.RankOf(urgent), first.RankOf(patient), second.RankOf(urgent), second.RankOf(patient)}
+	for i := 1; i < len(ranks); i++ {
+		if ranks[i] <= ranks[i-1] {
+			t.Fatalf("ranks %v do not increase", ranks)
+		}
+	}
+	if got := (&routes.Account{}).RankOf(patient); got != patient.Rank {
+		t.Fatalf("rank %d of an account without one, want that of the route", got)
+	}
+}
+
 // Guards against keys in log lines.
 func TestFindingsOfKeysNameNoKey(t *testing.T) {
 	d := &routes.Document{Accounts: []routes.Account{account("yard", "secret"), account("counter", "other", "secret"), account("", "x")}}
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -33,7 +33,7 @@
 	// account is the client account of the caller, nil without one; key is the key that it sent.
 	account *routes.Account
 	key     string
-	// rank is that of the account or the route; 0 is the most urgent.
+	// rank is that with which targets schedule the request; 0 is the most urgent.
 	rank     int
 	arrived  time.Time
 	deadline time.Time
@@ -141,8 +141,8 @@
 	if table.HasAccounts() {
 		q.key = r.Header.Get(g.opts.Headers.Key)
 	}
-	if account != nil && account.Rank != nil {
-		q.rank = *account.Rank
+	if account != nil {
+		q.rank = account.RankOf(route)
 	}
 	q.abandonedAt = arrived.Add(max(route.StreamLife(), streamorigin.MinLife))
 	if left, ok := g.timeLeft(r); ok {
--- a/state/routes/account.go
+++ b/state/routes/account.go
@@ -6,11 +6,23 @@
 type Account struct {
 	Name string
 	Keys []KeyDigest
-	// Rank replaces the rank of the route of a request; nil leaves it.
+	// Rank goes before the rank of the route of a request; 0 is the most urgent, nil stands for no rank of its own.
 	Rank  *int
 	Quota Quota
 }
 
+// routeRanks is the number of ranks of routes that are kept apart within one rank of accounts. With it, three ranks of accounts fit
+// into the ten priorities that targets know.
+const routeRanks = 3
+
+// RankOf returns the rank of the account's requests on a route: by the account first, and among accounts of one rank by the route.
+func (a *Account) RankOf(r *Route) int {
+	if a.Rank == nil {
+		return r.Rank
+	}
+	return *a.Rank*routeRanks + min(max(r.Rank, 0), routeRanks-1)
+}
+
 // KeyDigest is the SHA-256 digest of a key. Tables hold no keys, so that neither a dump of the memory of a table nor the time of
 // a lookup gives one away.
 type KeyDigest [sha256.Size]byte
