Check configurations before they are sent

Cause: an operator learned of an error from the server's answer only, and of an element without effect, limits that contradict each other, or a version that goes back not at all. Change: tarragonhoist-fleet check-config FILE [--against FILE] [--json] works offline. Errors come from platform.DecodeConfig and Document.Check as on the server, with the line and column of what can't be decoded. Document.Warnings and Diff are new in state/routes; the command is in instance/configcheck. Exit codes: 0 clean, 3 warnings only, 4 errors; 1 and 2 keep their meaning. Whether quotas exceed the capacity of services is reported as not checked, since the document holds neither the number of targets nor their speed. The tests search outputs for keys and digests.

--- a/cmd/tarragonhoist-fleet/main.go
+++ b/cmd/tarragonhoist-fleet/main.go
@@ -1,4 +1,5 @@
-// Command tarragonhoist-fleet runs one gateway or control instance of a deployment on the platform.
+// Command tarragonhoist-fleet runs one gateway or control instance of a deployment on the platform, and checks its settings and
+// configurations.
 package main
 
 import (
@@ -11,6 +12,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
+	"github.com/tarragonhoist/tarragonhoist/instance/configcheck"
 	"github.com/tarragonhoist/tarragonhoist/instance/controlinstance"
 	"github.com/tarragonhoist/tarragonhoist/instance/fleet"
 	"github.com/tarragonhoist/tarragonhoist/instance/version"
@@ -19,7 +21,7 @@
 	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
 )
 
-// Exit codes, documented in docs/OPERATIONS.md.
+// Exit codes, documented in docs/OPERATIONS.md. Those of check-config are in package configcheck.
 const (
 	exitOK       = 0
 	exitError    = 1
@@ -34,7 +36,15 @@
 	gateway := app.Command("gateway", "Serve callers until SIGTERM.")
 	control := app.Command("control", "Serve targets and operators until SIGTERM.")
 	check := app.Command("check-settings", "Check the settings file and print every finding.")
+	var configCheck configcheck.Command
+	checkConfig := app.Command("check-config", "Check a configuration before it is sent, without any server.")
+	checkConfig.Arg("file", "Configuration (JSON).").Required().StringVar(&configCheck.File)
+	checkConfig.Flag("against", "Configuration in force, to show what changes.").StringVar(&configCheck.Against)
+	checkConfig.Flag("json", "Print JSON.").BoolVar(&configCheck.JSON)
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
+	if command == checkConfig.FullCommand() {
+		os.Exit(runConfigCheck(&configCheck))
+	}
 	node, err := settings.LoadNode(*settingsFile)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -59,6 +69,17 @@
 	}
 }
 
+// runConfigCheck prints the report and returns the exit code.
+func runConfigCheck(c *configcheck.Command) int {
+	c.Decode, c.Read = platform.DecodeConfig, platform.ReadConfig
+	code, err := c.Run(os.Stdout)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "tarragonhoist-fleet:", err)
+		return exitError
+	}
+	return code
+}
+
 func platformAdapter() *fleet.PlatformAdapter {
 	return &fleet.PlatformAdapter{
 		Headers: platform.Headers(), ReadPrompt: platform.ReadPrompt, CountTokens: platform.CountTokens, ReadyPath: platform.ReadyPath,
