Warn of adapters only where targets hold none

Cause: check-config warned of each model with more adapters than the slots of one target. Configurations of the platform have such models as a matter of course (29 adapters, 5 slots in the tests of the decoder), so that every check ended with 3. Change: the warning is adapters-without-slots; the number of targets that it takes to hold all adapters of a model is named among what is not checked, because the document does not hold the number of targets.

--- a/state/routes/warnings.go
+++ b/state/routes/warnings.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -48,15 +49,19 @@
 	return w.warnings
 }
 
-// Unchecked returns the contradictions that a document alone can't show.
+// Unchecked returns the contradictions that a document alone can't show, because they depend on targets or settings.
 func (d *Document) Unchecked() []string {
-	for i := range d.Accounts {
-		if d.Accounts[i].Quota.Limited() {
-			return []string{"quotas against the capacity of services: the document holds neither the number of targets nor their speed",
-				fmt.Sprintf("quotas against the window of the settings: the default of %v is assumed", quotaWindow)}
+	var unchecked []string
+	if slices.ContainsFunc(d.Accounts, func(a Account) bool { return a.Quota.Limited() }) {
+		unchecked = append(unchecked, "quotas against the capacity of services: the document holds neither the number of targets nor their speed",
+			fmt.Sprintf("quotas against the window of the settings: the default of %v is assumed", quotaWindow))
+	}
+	for i := range d.Services {
+		if text, ok := d.uncheckedAdapters(i); ok {
+			unchecked = append(unchecked, text)
 		}
 	}
-	return nil
+	return unchecked
 }
 
 func (d *Document) accountLocation(i int) string {
--- a/state/routes/warnings_service.go
+++ b/state/routes/warnings_service.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -63,8 +64,8 @@
 		seen[m.Name] = true
 		w.checkModel(engine, m, at)
 	}
-	if beyond := modelsBeyondSlots(engine); len(beyond) > 0 {
-		w.add("adapters-beyond-slots", location, "%s have more adapters than the %d that a target holds at the same time", namesOf(beyond), engine.AdapterSlots)
+	if withAdapters := modelsBeyondSlots(engine); engine.AdapterSlots <= 0 && len(withAdapters) > 0 {
+		w.add("adapters-without-slots", location, "%s have adapters, but a target holds none", namesOf(withAdapters))
 	}
 }
 
@@ -79,6 +80,23 @@
 	return beyond
 }
 
+// uncheckedAdapters names the targets that an engine needs to hold all adapters of a model at the same time. Models usually have more
+// adapters than one target holds, so that this is no warning.
+func (d *Document) uncheckedAdapters(i int) (unchecked string, ok bool) {
+	e := d.Services[i].Engine
+	if e == nil || e.AdapterSlots <= 0 {
+		return "", false
+	}
+	beyond := modelsBeyondSlots(e)
+	if len(beyond) == 0 {
+		return "", false
+	}
+	most := slices.MaxFunc(beyond, func(a, b Model) int { return a.Adapters - b.Adapters })
+	targets := (most.Adapters-1)/e.AdapterSlots + 1
+	return fmt.Sprintf("%s: adapters against slots: the %d adapters of model %s need %d targets with %d slots each to be held at the same time, and "+
+		"the document does not hold the number of targets", d.serviceLocation(i), most.Adapters, most.Name, targets, e.AdapterSlots), true
+}
+
 func (w *warner) checkModel(e *Engine, m *Model, location string) {
 	switch {
 	case m.WeightsMB > e.CapacityMB:
