--- a/coordination/dispatch/brittle.go
+++ b/coordination/dispatch/brittle.go
@@ -132,6 +132,9 @@
 // hasRoom reports whether a target may get another request. slots is the number of its slots.
 func (tracker *LoadTracker) hasRoom(now time.Time, rng *rand.Rand, s *targetState, id string, q *Query, slots int) bool {
 	running := s.own.Running + s.others.Running
+	if tracker.brittle[q.Service] == 0 && q.Sharing != nil && q.MaxPerSlot > 0 {
+		return s.withinShare(rng, q.Sharing, q.MaxPerSlot*float64(slots))
+	}
 	if tracker.brittle[q.Service] == 0 {
 		return q.MaxPerSlot <= 0 || float64(running) < q.MaxPerSlot*float64(slots)
 	}
--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -111,6 +111,9 @@
 	// may get more before the next report, if allowanceKnown is set.
 	othersKnown, allowanceKnown bool
 	allowance                   int
+	claim                       claim
+	// lastOthers is others as last known.
+	lastOthers Load
 	// leaveAloneUntil is the end of the time for which the target asked this gateway to send it nothing.
 	leaveAloneUntil time.Time
 	// pausedUntil is until when a brittle target that rejected a request gets none.
@@ -216,6 +219,8 @@
 	MayHaveRestarted func(*roster.Entry) bool
 	// Skip leaves out targets that are in need; nil leaves out none.
 	Skip func(*roster.Entry) bool
+	// Sharing limits what this gateway takes of the free slots; nil does not.
+	Sharing *Sharing
 	// Connected reports whether an idle connection to an address is open; nil if that is unknown.
 	Connected func(address string) bool
 }
@@ -628,6 +633,10 @@
 		tracker.state(id).setOthers(o)
 	}
 	for id, s := range tracker.targets {
+		s.renewClaim(others != nil)
+		if others != nil {
+			s.lastOthers = others[id].Load
+		}
 		s.setOthers(others[id])
 		s.othersKnown, s.allowanceKnown = others != nil, false
 	}
--- /dev/null
+++ b/coordination/dispatch/shares.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"math"
+	"math/rand/v2"
+)
+
+// Load pattern: requests wait at many gateways for targets that are full. Each load report shows the same free slots to all of
+// them, and without shares the requests of all gateways are sent there together. It is the same when the leader that sums the loads is
+// lost, and every gateway sees its own load only.
+
+// Sharing limits how much of the free slots of a target a gateway takes between two reports.
+type Sharing struct {
+	// Part is the part of the free slots that this gateway may take while the load of the others is known; 1 or more is all.
+	Part float64
+	// PartUnknown is the same while it is not known. Then the load of the others as last known counts.
+	PartUnknown float64
+}
+
+// claim is what a gateway may have on a target until the next report.
+type claim struct {
+	known bool
+	// own is the number of own requests at the report, and draw a random number in [0, 1) by which parts of a slot are rounded: small
+	// parts of many gateways add up.
+	own  int
+	draw float64
+}
+
+// withinShare reports whether a target may get another request of this gateway. limit is the number of requests that the target may
+// have.
+func (s *targetState) withinShare(rng *rand.Rand, sharing *Sharing, limit float64) bool {
+	part, others := sharing.Part, s.others
+	if !s.othersKnown {
+		part, others = sharing.PartUnknown, s.lastOthers
+	}
+	if float64(s.own.Running+others.Running) >= limit {
+		return false
+	}
+	if part >= 1 {
+		return true
+	}
+	if !s.claim.known {
+		s.claim = claim{known: true, own: s.own.Running, draw: rng.Float64()}
+	}
+	free := max(limit-float64(s.claim.own+others.Running), 0)
+	return s.own.Running < s.claim.own+int(math.Floor(free*part+s.claim.draw))
+}
+
+// renewClaim lets the gateway take its part of what a new report shows as free. While the load of the others is not known, it takes
+// its part once only.
+func (s *targetState) renewClaim(othersKnown bool) {
+	if othersKnown || s.othersKnown {
+		s.claim = claim{}
+	}
+}
--- a/instance/controlinstance/gateway_loads.go
+++ b/instance/controlinstance/gateway_loads.go
@@ -37,6 +37,8 @@
 	sums                map[string]*fleetapi.TargetLoad
 	slowness, penalties map[string]*highest
 	expiredAt           time.Time
+	// queues are the waiting requests by model over the counted gateways.
+	queues map[modelKey]*fleetapi.ModelLoad
 	// brittle are the counted gateways to which targets said that they are brittle.
 	brittle []*gatewayLoad
 	// helping are the counted gateways that serve what others hand over, in order, and helpersChange changes with them.
@@ -85,6 +87,7 @@
 func newGatewayLoads() *gatewayLoads {
 	// A new leader continues from another number than its predecessor.
 	return &gatewayLoads{helpersChange: rand.Uint64(), gateways: make(map[string]*gatewayLoad), sums: make(map[string]*fleetapi.TargetLoad),
+		queues:   make(map[modelKey]*fleetapi.ModelLoad),
 		slowness: make(map[string]*highest), penalties: make(map[string]*highest)}
 }
 
@@ -133,6 +136,43 @@
 			delete(g.sums, t.ID)
 		}
 	}
+	for key, m := range l.models {
+		g.addQueue(key, m.Waiting, m.Urgent, sign)
+	}
+}
+
+func (g *gatewayLoads) addQueue(key modelKey, waiting, urgent, sign int) {
+	if waiting == 0 && urgent == 0 {
+		return
+	}
+	sum := g.queues[key]
+	if sum == nil {
+		sum = &fleetapi.ModelLoad{Service: key.service, Model: key.model}
+		g.queues[key] = sum
+	}
+	sum.Waiting += sign * waiting
+	sum.Urgent += sign * urgent
+	if sum.Waiting == 0 && sum.Urgent == 0 {
+		delete(g.queues, key)
+	}
+}
+
+// queuesExcept returns the models for which requests wait at the other gateways.
+func (g *gatewayLoads) queuesExcept(gateway string) []fleetapi.ModelLoad {
+	var queues []fleetapi.ModelLoad
+	own := map[modelKey]fleetapi.ModelLoad(nil)
+	if l := g.gateways[gateway]; l != nil && l.counted {
+		own = l.models
+	}
+	for key, sum := range g.queues {
+		q := *sum
+		q.Waiting -= own[key].Waiting
+		q.Urgent -= own[key].Urgent
+		if q.Waiting > 0 {
+			queues = append(queues, q)
+		}
+	}
+	return queues
 }
 
 // expire drops the reports of gateways that have stopped reporting, and slowness and penalties that no longer hold.
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -56,10 +56,6 @@
 	f(m)
 }
 
-func (d *demand) addWaiting(q *request, n int) {
-	d.update(q, func(m *fleetapi.ModelLoad) { m.Waiting += n })
-}
-
 func (d *demand) countRefused(q *request) { d.update(q, func(m *fleetapi.ModelLoad) { m.Refused++ }) }
 
 // addRunning is called with 1 when a request is sent to a target and with -1 when it has ended there.
@@ -160,6 +156,7 @@
 		loading = append(loading, loadingModel{a.ID, a.Service, a.Model, now.Add(time.Duration(a.RemainingMs) * time.Millisecond)})
 	}
 	g.loading.Store(&loading)
+	g.queues.Store(queuesOf(summary.Queues))
 	g.mergeLimits(now, summary.Limits)
 	g.gatewayCount.Observe(now, summary.Gateways)
 	g.watcher.SetGateways(g.gatewayCount.Gateways(now, 0))
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
 	"github.com/tarragonhoist/tarragonhoist/coordination/gatewaycount"
+	"github.com/tarragonhoist/tarragonhoist/coordination/headroom"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/targetlimit"
 	"github.com/tarragonhoist/tarragonhoist/events"
@@ -91,10 +92,12 @@
 	startExit    context.CancelFunc
 	gatewayCount gatewaycount.Counter // gateways that share the targets
 	loading      atomic.Pointer[[]loadingModel]
-	suspects     *crashSuspects
-	limits       *targetlimit.Table
-	helpers      *helpers
-	attempts     *attempts
+	// queues are the requests that wait at other gateways.
+	queues   atomic.Pointer[map[modelKey]headroom.Queue]
+	suspects *crashSuspects
+	limits   *targetlimit.Table
+	helpers  *helpers
+	attempts *attempts
 	// isolated is set while this gateway reaches no target.
 	isolated atomic.Bool
 	// targetsLostAt is the time at which the last target became unreachable, zero while one is reachable. It belongs to the
@@ -117,6 +120,7 @@
 	}
 	g.client = upstream.New(g.recordRefusals(opts.DialTarget), registry)
 	g.loading.Store(&[]loadingModel{})
+	g.queues.Store(queuesOf(nil))
 	g.exiting, g.startExit = context.WithCancel(context.Background())
 	for _, name := range opts.Headers.Reserved {
 		g.systemHeaders[http.CanonicalHeaderKey(name)] = true
--- /dev/null
+++ b/instance/gateway/headroom.go
@@ -0,0 +1,96 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/gatewaycount"
+	"github.com/tarragonhoist/tarragonhoist/coordination/headroom"
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+)
+
+// hasPatientCallers reports whether a route of the service of a request has callers with time to spare, so that others can go first.
+func (q *request) hasPatientCallers() bool {
+	return q.service.Engine != nil && q.table.MaxObjective(q.service.Name) >= headroom.MinPatientObjective
+}
+
+// age is the time since the first attempt of the caller, as far as the time that it has left shows.
+func (q *request) age(now time.Time) time.Duration {
+	return max(q.route.Timeout-q.deadline.Sub(q.arrived), 0) + now.Sub(q.arrived)
+}
+
+func (q *request) headroom(now time.Time) headroom.Request {
+	return headroom.Request{Objective: q.route.Objective, Age: q.age(now)}
+}
+
+// limitEngine sets how full an engine may be for a request, and which part of its free slots this gateway takes.
+func (g *Gateway) limitEngine(now time.Time, q *request, query *dispatch.Query) {
+	query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot(q.rank)
+	if !q.hasPatientCallers() {
+		return
+	}
+	r := q.headroom(now)
+	query.MaxPerSlot *= r.Share()
+	query.Sharing = &dispatch.Sharing{
+		Part:        headroom.Part(g.demand.queue(q), (*g.queues.Load())[q.modelKey()], r.Urgent()),
+		PartUnknown: 1 / float64(max(g.gatewayCount.Gateways(now, gatewaycount.Planned), 1)),
+	}
+}
+
+// queuesOf returns the requests that wait at other gateways.
+func queuesOf(loads []fleetapi.ModelLoad) *map[modelKey]headroom.Queue {
+	queues := make(map[modelKey]headroom.Queue, len(loads))
+	for _, m := range loads {
+		queues[modelKey{m.Service, m.Model}] = headroom.Queue{Urgent: m.Urgent, Other: m.Waiting - m.Urgent}
+	}
+	return &queues
+}
+
+// waitState is how a request counts in the demand while it waits.
+type waitState uint8
+
+const (
+	notWaiting waitState = iota
+	waiting
+	waitingUrgent
+)
+
+// setWaiting counts a request as waiting, or not any more.
+func (d *demand) setWaiting(q *request, state waitState) {
+	if state == q.waiting {
+		return
+	}
+	before := q.waiting
+	q.waiting = state
+	d.update(q, func(m *fleetapi.ModelLoad) {
+		count := func(s waitState, n int) {
+			if s != notWaiting {
+				m.Waiting += n
+			}
+			if s == waitingUrgent {
+				m.Urgent += n
+			}
+		}
+		count(before, -1)
+		count(state, 1)
+	})
+}
+
+// queue returns the requests that wait at this gateway for the model of a request.
+func (d *demand) queue(q *request) headroom.Queue {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	m := d.models[q.modelKey()]
+	if m == nil {
+		return headroom.Queue{}
+	}
+	return headroom.Queue{Urgent: m.Urgent, Other: m.Waiting - m.Urgent}
+}
+
+// waitStateOf is how a request counts that waits now.
+func (q *request) waitStateOf(now time.Time) waitState {
+	if q.headroom(now).Urgent() {
+		return waitingUrgent
+	}
+	return waiting
+}
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -96,7 +96,7 @@
 		query.MayHaveRestarted = func(t *roster.Entry) bool { return g.mayHaveRestarted(now, t) }
 	}
 	if q.service.Engine != nil {
-		query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot(q.rank)
+		g.limitEngine(now, q, &query)
 	}
 	g.rngMu.Lock()
 	defer g.rngMu.Unlock()
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -41,6 +41,7 @@
 	abandonedAt time.Time
 	// suspects are the request as a whole and the shared parts of its prompt, see suspectsOf.
 	suspects   []crashes.Suspect
+	waiting    waitState
 	waited     time.Duration // time spent waiting for a target
 	sends      int
 	lastTarget string
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -118,11 +118,8 @@
 // the caller has a part of the answer already.
 func (g *Gateway) awaitTarget(q *request, exclude []string, answering bool) (*roster.Entry, dispatch.Reason) {
 	started := time.Now()
-	waiting := false
 	defer func() {
-		if waiting {
-			g.demand.addWaiting(q, -1)
-		}
+		g.demand.setWaiting(q, notWaiting)
 		q.waited += time.Since(started)
 	}()
 	for {
@@ -166,10 +163,7 @@
 			}
 			return nil, reason
 		}
-		if !waiting {
-			waiting = true
-			g.demand.addWaiting(q, 1)
-		}
+		g.demand.setWaiting(q, q.waitStateOf(now))
 		poll := waitPollInterval
 		if reason == dispatch.NoAdapter || reason == dispatch.Limited && q.prompt.Adapter != "" {
 			poll = adapterPollInterval
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -96,6 +96,8 @@
 	Running int `json:"r,omitempty"`
 	Waiting int `json:"w,omitempty"`
 	Refused int `json:"f,omitempty"`
+	// Urgent is the number of waiting requests that are in time only if they start soon.
+	Urgent int `json:"u,omitempty"`
 }
 
 // LoadReport reports the load of a gateway to the leader.
@@ -149,6 +151,8 @@
 	Gateways      int              `json:"g"` // number of gateways that reported recently
 	Unloading     []UnloadingModel `json:"r,omitempty"`
 	Loading       []LoadingModel   `json:"a,omitempty"`
+	// Queues are the models for which requests wait at other gateways, without Running and Refused.
+	Queues []ModelLoad `json:"q,omitempty"`
 	// Helpers are gateways that serve what the gateway hands over, see LoadReport.Helps. They are left out if HelpersChange, which
 	// changes with them, is that of the report.
 	Helpers       []string `json:"h,omitempty"`
--- a/state/routes/table.go
+++ b/state/routes/table.go
@@ -13,6 +13,8 @@
 	byHost   map[string][]*Route // longest prefix first
 	services map[string]*Service
 	accounts map[KeyDigest]*Account
+	// objectives are the longest objectives of the routes to each service.
+	objectives map[string]time.Duration
 	// maxStreamLife is the longest StreamLife of the routes.
 	maxStreamLife time.Duration
 }
@@ -20,7 +22,7 @@
 // NewTable indexes a document that has passed Check.
 func NewTable(d *Document) *Table {
 	t := &Table{document: d, byHost: make(map[string][]*Route), services: make(map[string]*Service, len(d.Services)),
-		accounts: make(map[KeyDigest]*Account)}
+		accounts: make(map[KeyDigest]*Account), objectives: make(map[string]time.Duration)}
 	for i := range d.Accounts {
 		for _, digest := range d.Accounts[i].Keys {
 			t.accounts[digest] = &d.Accounts[i]
@@ -33,6 +35,11 @@
 		r := &d.Routes[i]
 		host := canonicalHost(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		for _, w := range r.Split {
+			if w.Weight > 0 {
+				t.objectives[w.Service] = max(t.objectives[w.Service], r.Objective)
+			}
+		}
 		if r.Kind == Stream {
 			t.maxStreamLife = max(t.maxStreamLife, r.StreamLife())
 		}
@@ -46,6 +53,9 @@
 // MaxStreamLife returns the longest StreamLife of all routes of streams.
 func (t *Table) MaxStreamLife() time.Duration { return t.maxStreamLife }
 
+// MaxObjective returns the longest objective of the routes to a service.
+func (t *Table) MaxObjective(service string) time.Duration { return t.objectives[service] }
+
 // Version returns the version of the document.
 func (t *Table) Version() uint64 { return t.document.Version }
 
