--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -96,6 +96,7 @@
 	queues   atomic.Pointer[map[modelKey]headroom.Queue]
 	suspects *crashSuspects
 	limits   *targetlimit.Table
+	adapters *adapterBackoff
 	helpers  *helpers
 	attempts *attempts
 	// isolated is set while this gateway reaches no target.
@@ -115,7 +116,7 @@
 		loadTracker: dispatch.NewLoadTracker(opts.Name),
 		budget:      dispatch.NewBudget(opts.Budget), demand: newDemand(), metrics: newCounters(registry),
 		systemHeaders: make(map[string]bool), suspects: newCrashSuspects(),
-		limits: targetlimit.NewTable(), attempts: newAttempts(), standstill: newStandstill(sinceBoot),
+		limits: targetlimit.NewTable(), adapters: newAdapterBackoff(), attempts: newAttempts(), standstill: newStandstill(sinceBoot),
 		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time), unservedAt: make(map[modelKey]time.Time)},
 	}
 	g.client = upstream.New(g.recordRefusals(opts.DialTarget), registry)
@@ -305,6 +306,7 @@
 		g.helpers.client.CloseIdle(now, func(string) bool { return true })
 		g.loadTracker.Forget(ids)
 		g.limits.Forget(ids)
+		g.adapters.expire(now)
 		g.refusals.Range(func(address, _ any) bool {
 			if !addresses[address.(string)] {
 				g.refusals.Delete(address)
--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -25,7 +25,7 @@
 
 // limitEngine sets how full an engine may be for a request, and which part of its free slots this gateway takes.
 func (g *Gateway) limitEngine(now time.Time, q *request, query *dispatch.Query) {
-	query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot(q.rank)
+	query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot(q.route.Rank)
 	if !q.hasPatientCallers() {
 		return
 	}
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -113,7 +113,7 @@
 // loadAdapter asks the leader for a target that holds the adapter, and waits until it is loaded there.
 func (g *Gateway) loadAdapter(now time.Time, q *request, exclude []string) *roster.Entry {
 	leader, _ := g.view.LeaderAndMembers()
-	if leader == "" {
+	if leader == "" || q.hasPatientCallers() && !g.adapters.mayAsk(now, q.adapterKey()) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(q.ctx, min(adapterTimeout, q.deadline.Sub(now)))
@@ -123,10 +123,12 @@
 	var answer fleetapi.AdapterResponse
 	err := g.peers.Call(ctx, leader, peerapi.MethodFleetAdapter, adapterRequest, &answer)
 	if err != nil || answer.ID == "" {
+		g.adapters.denied(time.Now(), q.adapterKey())
 		g.recorder.Record(events.AdapterMissing, events.Fields{"request": q.id, "model": q.prompt.Model,
 			"adapter": q.prompt.Adapter, "leader": leader, "problem": answer.Problem, "failed": err != nil})
 		return nil
 	}
+	g.adapters.granted(q.adapterKey())
 	if answer.ReadyMs > 0 && !sleep(q, time.Duration(answer.ReadyMs)*time.Millisecond) {
 		return nil
 	}
