--- a/coordination/dispatch/brittle.go
+++ b/coordination/dispatch/brittle.go
@@ -173,11 +173,13 @@
 }
 
 // MayAdd reports whether a target that was selected elsewhere may get another request: it did not ask to be left alone, and if it is
-// brittle it has room.
-func (tracker *LoadTracker) MayAdd(now time.Time, rng *rand.Rand, t *roster.Entry) bool {
+// brittle or its slots are shared it has room.
+func (tracker *LoadTracker) MayAdd(now time.Time, rng *rand.Rand, t *roster.Entry, q *Query) bool {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
 	s := tracker.state(t.ID)
-	return !now.Before(s.leaveAloneUntil) &&
-		(tracker.brittle[t.Service] == 0 || tracker.hasRoom(now, rng, s, t.ID, &Query{Service: t.Service}, slotsOf(t, 0)))
+	if now.Before(s.leaveAloneUntil) {
+		return false
+	}
+	return tracker.brittle[t.Service] == 0 && q.Sharing == nil || tracker.hasRoom(now, rng, s, t.ID, q, slotsOf(t, q.Slots))
 }
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -103,11 +103,13 @@
 	return g.loadTracker.Pick(now, g.rng, query, g.view.Targets())
 }
 
-// mayAdd reports whether a target that the leader selected may get another request.
-func (g *Gateway) mayAdd(t *roster.Entry) bool {
+// mayAdd reports whether a target that the leader selected may get a request.
+func (g *Gateway) mayAdd(now time.Time, q *request, t *roster.Entry) bool {
+	query := dispatch.Query{Service: q.service.Name}
+	g.limitEngine(now, q, &query)
 	g.rngMu.Lock()
 	defer g.rngMu.Unlock()
-	return g.loadTracker.MayAdd(time.Now(), g.rng, t)
+	return g.loadTracker.MayAdd(now, g.rng, t, &query)
 }
 
 // loadAdapter asks the leader for a target that holds the adapter, and waits until it is loaded there.
@@ -136,8 +138,11 @@
 	targets := g.view.Targets()
 	for i := range targets {
 		if t := &targets[i]; t.ID == answer.ID && t.State == roster.Ready && !g.hasLimit(t) &&
-			(q.softwareVersion == nil || q.mayRunAt(t) && !g.mayHaveRestarted(time.Now(), t)) && g.mayAdd(t) {
-			return t
+			(q.softwareVersion == nil || q.mayRunAt(t) && !g.mayHaveRestarted(time.Now(), t)) {
+			if g.mayAdd(time.Now(), q, t) {
+				return t
+			}
+			g.adapters.denied(time.Now(), q.adapterKey()) // the leader would name the same target
 		}
 	}
 	return nil
