--- a/coordination/headroom/headroom_test.go
+++ b/coordination/headroom/headroom_test.go
@@ -30,6 +30,43 @@
 	}
 }
 
+// Guards against a request that is held although its wait is longer than its caller's patience, because the requests before it are not
+// counted, and against urgent requests that are refused because of others.
+func TestExpectedWait(t *testing.T) {
+	own, others := Queue{Urgent: 2, Other: 10}, Queue{Urgent: 10, Other: 38}
+	if got := ExpectedWait(own, others, true, 24, 1500*time.Millisecond); got != 750*time.Millisecond {
+		t.Errorf("urgent: %v, want 750ms", got)
+	}
+	if got := ExpectedWait(own, others, false, 24, 1500*time.Millisecond); got != 3750*time.Millisecond {
+		t.Errorf("other: %v, want 3.75s", got)
+	}
+	if got := ExpectedWait(Queue{Other: 1}, Queue{}, false, 0, time.Second); got != time.Second {
+		t.Errorf("without slots: %v, want 1s", got)
+	}
+}
+
+// Guards against callers that were refused together and return together.
+func TestReturnAfterIsSpread(t *testing.T) {
+	if first, last := ReturnAfter(time.Second, 0), ReturnAfter(time.Second, 1); first != time.Second || last != 2*time.Second {
+		t.Errorf("callers return after %v to %v, want 1s to 2s", first, last)
+	}
+}
+
+// Guards against a service time that follows single requests.
+func TestServiceTimes(t *testing.T) {
+	s := NewServiceTimes()
+	for range 200 {
+		s.Observe("s", 2*time.Second)
+	}
+	s.Observe("s", 20*time.Second)
+	if got := s.Mean("s"); got < 1900*time.Millisecond || got > 3*time.Second {
+		t.Errorf("mean %v after many requests of 2s and one of 20s", got)
+	}
+	if got := s.Mean("unknown"); got != initialServiceTime {
+		t.Errorf("mean %v of an unknown service", got)
+	}
+}
+
 // Guards against gateways whose parts add up to more than the free slots, and against urgent requests that get less because others
 // wait.
 func TestPart(t *testing.T) {
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -93,12 +93,13 @@
 	gatewayCount gatewaycount.Counter // gateways that share the targets
 	loading      atomic.Pointer[[]loadingModel]
 	// queues are the requests that wait at other gateways.
-	queues   atomic.Pointer[map[modelKey]headroom.Queue]
-	suspects *crashSuspects
-	limits   *targetlimit.Table
-	adapters *adapterBackoff
-	helpers  *helpers
-	attempts *attempts
+	queues       atomic.Pointer[map[modelKey]headroom.Queue]
+	suspects     *crashSuspects
+	limits       *targetlimit.Table
+	adapters     *adapterBackoff
+	serviceTimes *headroom.ServiceTimes
+	helpers      *helpers
+	attempts     *attempts
 	// isolated is set while this gateway reaches no target.
 	isolated atomic.Bool
 	// targetsLostAt is the time at which the last target became unreachable, zero while one is reachable. It belongs to the
@@ -116,7 +117,7 @@
 		loadTracker: dispatch.NewLoadTracker(opts.Name),
 		budget:      dispatch.NewBudget(opts.Budget), demand: newDemand(), metrics: newCounters(registry),
 		systemHeaders: make(map[string]bool), suspects: newCrashSuspects(),
-		limits: targetlimit.NewTable(), adapters: newAdapterBackoff(), attempts: newAttempts(), standstill: newStandstill(sinceBoot),
+		limits: targetlimit.NewTable(), adapters: newAdapterBackoff(), serviceTimes: headroom.NewServiceTimes(), attempts: newAttempts(), standstill: newStandstill(sinceBoot),
 		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time), unservedAt: make(map[modelKey]time.Time)},
 	}
 	g.client = upstream.New(g.recordRefusals(opts.DialTarget), registry)
--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -6,6 +6,7 @@
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
 	"github.com/tarragonhoist/tarragonhoist/coordination/gatewaycount"
 	"github.com/tarragonhoist/tarragonhoist/coordination/headroom"
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 )
 
@@ -37,6 +38,33 @@
 	}
 }
 
+// expectedWait is how long a request is expected to wait while the copies of its model are full.
+func (g *Gateway) expectedWait(now time.Time, q *request) time.Duration {
+	slots := 0
+	targets := g.view.Targets()
+	for i := range targets {
+		if t := &targets[i]; t.Service == q.service.Name && t.State == roster.Ready && t.HeldModel(q.prompt.Model) != nil {
+			slots += max(t.Slots, 1)
+		}
+	}
+	return headroom.ExpectedWait(g.demand.queue(q), (*g.queues.Load())[q.modelKey()], q.headroom(now).Urgent(), slots,
+		g.serviceTimes.Mean(q.service.Name))
+}
+
+// isHopeless reports whether a request can't be served within the time for which it may wait. Its caller is told when there will be
+// room.
+func (g *Gateway) isHopeless(now time.Time, q *request, reason dispatch.Reason, left time.Duration) bool {
+	if reason != dispatch.AllFull || !q.hasPatientCallers() {
+		return false
+	}
+	wait := g.expectedWait(now, q)
+	if wait <= left {
+		return false
+	}
+	q.returnAfter = headroom.ReturnAfter(wait, g.randomFloat())
+	return true
+}
+
 // queuesOf returns the requests that wait at other gateways.
 func queuesOf(loads []fleetapi.ModelLoad) *map[modelKey]headroom.Queue {
 	queues := make(map[modelKey]headroom.Queue, len(loads))
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -31,7 +31,11 @@
 	g.demand.addRunning(q, target.ID, 1)
 	defer func() {
 		g.demand.addRunning(q, target.ID, -1)
-		g.loadTracker.Finish(time.Now(), inFlight, end)
+		ended := time.Now()
+		g.loadTracker.Finish(ended, inFlight, end)
+		if end == dispatch.Complete {
+			g.serviceTimes.Observe(target.Service, ended.Sub(now))
+		}
 	}()
 	g.recordResumption(r, q, target)
 	ctx, cancel := context.WithCancelCause(q.ctx)
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -156,7 +156,7 @@
 			left = 0 // no target takes the request in time
 			q.returnAfter = at.Sub(now) + rejectionPause
 		}
-		if left <= 0 {
+		if left <= 0 || g.isHopeless(now, q, reason, left) {
 			q.notLoaded = reason == dispatch.NotLoaded
 			if q.notLoaded {
 				g.demand.countRefused(q)
@@ -200,6 +200,9 @@
 		share = allFullWaitShare
 	}
 	left := time.Duration(float64(q.deadline.Sub(now)) * share)
+	if reason == dispatch.AllFull && q.hasPatientCallers() {
+		left = max(left, q.route.Objective-q.age(now)) // others go first, and it can still be in time
+	}
 	if reason == dispatch.Limited && q.route.Objective > 0 {
 		// The permits for targets in need are few. One for a request that is late already is missing for one in time.
 		left = min(left, q.route.Objective-now.Sub(q.arrived))
