--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -51,6 +51,9 @@
 		g.serviceTimes.Mean(q.service.Name))
 }
 
+// reasonTooManyWaiting is why a request is refused before the end of its wait.
+const reasonTooManyWaiting dispatch.Reason = "more requests wait for the slots of the model than can be served in time"
+
 // isHopeless reports whether a request can't be served within the time for which it may wait. Its caller is told when there will be
 // room.
 func (g *Gateway) isHopeless(now time.Time, q *request, reason dispatch.Reason, left time.Duration) bool {
@@ -61,6 +64,7 @@
 	if wait <= left {
 		return false
 	}
+	g.metrics.hopeless.Inc(1)
 	q.returnAfter = headroom.ReturnAfter(wait, g.randomFloat())
 	return true
 }
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -156,7 +156,10 @@
 			left = 0 // no target takes the request in time
 			q.returnAfter = at.Sub(now) + rejectionPause
 		}
-		if left <= 0 || g.isHopeless(now, q, reason, left) {
+		if left > 0 && g.isHopeless(now, q, reason, left) {
+			left, reason = 0, reasonTooManyWaiting
+		}
+		if left <= 0 {
 			q.notLoaded = reason == dispatch.NotLoaded
 			if q.notLoaded {
 				g.demand.countRefused(q)
