--- a/coordination/headroom/headroom_test.go
+++ b/coordination/headroom/headroom_test.go
@@ -1,6 +1,8 @@
 package headroom
 
 import (
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -30,6 +32,33 @@
 	}
 }
 
+// Guards against an account that crowds out others while requests wait, against one that is held back although nobody else waits or
+// although it has no more than its weight, and against room that is left unused.
+func TestOverShare(t *testing.T) {
+	load := func(name string, running, waiting int, weight float64) AccountLoad {
+		return AccountLoad{Name: name, Running: running, Waiting: waiting, Weight: weight}
+	}
+	cases := []struct {
+		name  string
+		loads []AccountLoad
+		want  string
+	}{
+		{"nobody waits", []AccountLoad{load("a", 90, 0, 1), load("b", 10, 0, 1)}, ""},
+		{"one crowds out the others", []AccountLoad{load("a", 90, 40, 1), load("b", 5, 30, 1), load("c", 5, 30, 1)}, "a"},
+		{"only the large one waits", []AccountLoad{load("a", 90, 40, 1), load("b", 5, 0, 1)}, ""},
+		{"the others want little", []AccountLoad{load("a", 90, 40, 1), load("b", 5, 1, 1), load("c", 5, 0, 1)}, ""},
+		{"its weight is as large", []AccountLoad{load("a", 90, 40, 18), load("b", 5, 30, 1), load("c", 5, 30, 1)}, ""},
+		{"two of three", []AccountLoad{load("a", 48, 20, 1), load("b", 48, 20, 1), load("c", 4, 60, 1)}, "a b"},
+	}
+	for _, c := range cases {
+		over := OverShare(c.loads)
+		slices.Sort(over)
+		if got := strings.Join(over, " "); got != c.want {
+			t.Errorf("%s: over their share %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
 // Guards against a request that is held although its wait is longer than its caller's patience, because the requests before it are not
 // counted, and against urgent requests that are refused because of others.
 func TestExpectedWait(t *testing.T) {
--- a/instance/controlinstance/director.go
+++ b/instance/controlinstance/director.go
@@ -53,6 +53,8 @@
 
 	mu       sync.Mutex
 	gateways *gatewayLoads
+	// overShare are the client accounts above their fair share as of the last tick.
+	overShare []string
 	// refusals is the demand of recently refused requests. It decays with each tick.
 	refusals map[modelKey]float64
 	demand   map[modelKey]*residency.SmoothedDemand
@@ -145,7 +147,7 @@
 func (d *Director) summary(now time.Time, r *fleetapi.LoadReport) fleetapi.LoadSummary {
 	d.gateways.expire(now)
 	s := fleetapi.LoadSummary{Gateways: d.gateways.live, Limits: d.limits.All(now), Brittle: d.gateways.brittleServices(r.Gateway),
-		HelpersChange: d.gateways.helpersChange, Queues: d.gateways.queuesExcept(r.Gateway)}
+		HelpersChange: d.gateways.helpersChange, Queues: d.gateways.queuesExcept(r.Gateway), OverShare: d.overShare}
 	if r.HelpersChange != s.HelpersChange {
 		s.Helpers = d.gateways.helpers(r.Gateway)
 	}
@@ -169,6 +171,7 @@
 	d.updateDemand(now)
 	table := d.view.Table()
 	if table != nil {
+		d.overShare = d.gateways.overShare(table.Document())
 		d.sizes.observe(now, table.Document(), d.view.Targets)
 	}
 	if !allowed {
--- a/instance/controlinstance/gateway_loads.go
+++ b/instance/controlinstance/gateway_loads.go
@@ -37,6 +37,8 @@
 	sums                map[string]*fleetapi.TargetLoad
 	slowness, penalties map[string]*highest
 	expiredAt           time.Time
+	// accounts are the loads by client account over the counted gateways.
+	accounts map[string]*fleetapi.AccountLoad
 	// queues are the waiting requests by model over the counted gateways.
 	queues map[modelKey]*fleetapi.ModelLoad
 	// brittle are the counted gateways to which targets said that they are brittle.
@@ -87,7 +89,7 @@
 func newGatewayLoads() *gatewayLoads {
 	// A new leader continues from another number than its predecessor.
 	return &gatewayLoads{helpersChange: rand.Uint64(), gateways: make(map[string]*gatewayLoad), sums: make(map[string]*fleetapi.TargetLoad),
-		queues:   make(map[modelKey]*fleetapi.ModelLoad),
+		queues: make(map[modelKey]*fleetapi.ModelLoad), accounts: make(map[string]*fleetapi.AccountLoad),
 		slowness: make(map[string]*highest), penalties: make(map[string]*highest)}
 }
 
@@ -139,6 +141,9 @@
 	for key, m := range l.models {
 		g.addQueue(key, m.Waiting, m.Urgent, sign)
 	}
+	for _, a := range l.report.Accounts {
+		g.addAccount(a, sign)
+	}
 }
 
 func (g *gatewayLoads) addQueue(key modelKey, waiting, urgent, sign int) {
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -35,10 +35,13 @@
 	// adapters counts the running requests of an adapter on a target. A count that fell to 0 since the last report stays
 	// for the next one.
 	adapters map[fleetapi.AdapterUse]int
+	// accounts are the loads of client accounts.
+	accounts map[string]*fleetapi.AccountLoad
 }
 
 func newDemand() *demand {
-	return &demand{models: make(map[modelKey]*fleetapi.ModelLoad), adapters: make(map[fleetapi.AdapterUse]int)}
+	return &demand{models: make(map[modelKey]*fleetapi.ModelLoad), adapters: make(map[fleetapi.AdapterUse]int),
+		accounts: make(map[string]*fleetapi.AccountLoad)}
 }
 
 func (d *demand) update(q *request, f func(*fleetapi.ModelLoad)) {
@@ -60,6 +63,7 @@
 
 // addRunning is called with 1 when a request is sent to a target and with -1 when it has ended there.
 func (d *demand) addRunning(q *request, target string, n int) {
+	d.updateAccount(q, func(a *fleetapi.AccountLoad) { a.Running += n })
 	d.update(q, func(m *fleetapi.ModelLoad) {
 		m.Running += n
 		if q.prompt.Adapter != "" {
@@ -124,6 +128,7 @@
 		Brittle: g.loadTracker.OwnBrittle(time.Now()), Limits: g.limits.Own(time.Now()),
 		Unreachable: g.loadTracker.Unreachable(time.Now(), unreachablePeriod)}
 	report.Models, report.Adapters = g.demand.takeReport()
+	report.Accounts = g.demand.accountLoads()
 	for id, l := range own {
 		report.Targets = append(report.Targets, fleetapi.LoadOf(id, l))
 	}
@@ -157,6 +162,7 @@
 	}
 	g.loading.Store(&loading)
 	g.queues.Store(queuesOf(summary.Queues))
+	g.overShare.Store(&summary.OverShare)
 	g.mergeLimits(now, summary.Limits)
 	g.gatewayCount.Observe(now, summary.Gateways)
 	g.watcher.SetGateways(g.gatewayCount.Gateways(now, 0))
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -93,7 +93,9 @@
 	gatewayCount gatewaycount.Counter // gateways that share the targets
 	loading      atomic.Pointer[[]loadingModel]
 	// queues are the requests that wait at other gateways.
-	queues       atomic.Pointer[map[modelKey]headroom.Queue]
+	queues atomic.Pointer[map[modelKey]headroom.Queue]
+	// overShare are the client accounts above their fair share.
+	overShare    atomic.Pointer[[]string]
 	suspects     *crashSuspects
 	limits       *targetlimit.Table
 	adapters     *adapterBackoff
@@ -123,6 +125,7 @@
 	g.client = upstream.New(g.recordRefusals(opts.DialTarget), registry)
 	g.loading.Store(&[]loadingModel{})
 	g.queues.Store(queuesOf(nil))
+	g.overShare.Store(&[]string{})
 	g.exiting, g.startExit = context.WithCancel(context.Background())
 	for _, name := range opts.Headers.Reserved {
 		g.systemHeaders[http.CanonicalHeaderKey(name)] = true
--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
@@ -20,8 +21,9 @@
 	return max(q.route.Timeout-q.deadline.Sub(q.arrived), 0) + now.Sub(q.arrived)
 }
 
-func (q *request) headroom(now time.Time) headroom.Request {
-	return headroom.Request{Objective: q.route.Objective, Age: q.age(now)}
+func (g *Gateway) headroomRequest(now time.Time, q *request) headroom.Request {
+	over := q.account != nil && slices.Contains(*g.overShare.Load(), q.account.Name)
+	return headroom.Request{Objective: q.route.Objective, Age: q.age(now), OverShare: over}
 }
 
 // limitEngine sets how full an engine may be for a request, and which part of its free slots this gateway takes.
@@ -30,7 +32,7 @@
 	if !q.hasPatientCallers() {
 		return
 	}
-	r := q.headroom(now)
+	r := g.headroomRequest(now, q)
 	query.MaxPerSlot *= r.Share()
 	query.Sharing = &dispatch.Sharing{
 		Part:        headroom.Part(g.demand.queue(q), (*g.queues.Load())[q.modelKey()], r.Urgent()),
@@ -47,7 +49,7 @@
 			slots += max(t.Slots, 1)
 		}
 	}
-	return headroom.ExpectedWait(g.demand.queue(q), (*g.queues.Load())[q.modelKey()], q.headroom(now).Urgent(), slots,
+	return headroom.ExpectedWait(g.demand.queue(q), (*g.queues.Load())[q.modelKey()], g.headroomRequest(now, q).Urgent(), slots,
 		g.serviceTimes.Mean(q.service.Name))
 }
 
@@ -94,6 +96,14 @@
 	}
 	before := q.waiting
 	q.waiting = state
+	d.updateAccount(q, func(a *fleetapi.AccountLoad) {
+		if before != notWaiting {
+			a.Waiting--
+		}
+		if state != notWaiting {
+			a.Waiting++
+		}
+	})
 	d.update(q, func(m *fleetapi.ModelLoad) {
 		count := func(s waitState, n int) {
 			if s != notWaiting {
@@ -108,6 +118,35 @@
 	})
 }
 
+// updateAccount changes the load of the client account of a request.
+func (d *demand) updateAccount(q *request, f func(*fleetapi.AccountLoad)) {
+	if q.account == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a := d.accounts[q.account.Name]
+	if a == nil {
+		a = &fleetapi.AccountLoad{Name: q.account.Name}
+		d.accounts[a.Name] = a
+	}
+	f(a)
+	if a.Running == 0 && a.Waiting == 0 {
+		delete(d.accounts, a.Name)
+	}
+}
+
+// accountLoads returns the loads of client accounts for a load report.
+func (d *demand) accountLoads() []fleetapi.AccountLoad {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	loads := make([]fleetapi.AccountLoad, 0, len(d.accounts))
+	for _, a := range d.accounts {
+		loads = append(loads, *a)
+	}
+	return loads
+}
+
 // queue returns the requests that wait at this gateway for the model of a request.
 func (d *demand) queue(q *request) headroom.Queue {
 	d.mu.Lock()
@@ -120,8 +159,8 @@
 }
 
 // waitStateOf is how a request counts that waits now.
-func (q *request) waitStateOf(now time.Time) waitState {
-	if q.headroom(now).Urgent() {
+func (g *Gateway) waitStateOf(now time.Time, q *request) waitState {
+	if g.headroomRequest(now, q).Urgent() {
 		return waitingUrgent
 	}
 	return waiting
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -166,7 +166,7 @@
 			}
 			return nil, reason
 		}
-		g.demand.setWaiting(q, q.waitStateOf(now))
+		g.demand.setWaiting(q, g.waitStateOf(now, q))
 		poll := waitPollInterval
 		if reason == dispatch.NoAdapter || reason == dispatch.Limited && q.prompt.Adapter != "" {
 			poll = adapterPollInterval
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -117,10 +117,19 @@
 	HelpersChange uint64 `json:"hc,omitempty"`
 	// Brittle is, by service, how many rejections in a second its targets said to this gateway that they bear.
 	Brittle map[string]int `json:"b,omitempty"`
+	// Accounts are the client accounts with requests at the gateway.
+	Accounts []AccountLoad `json:"ac,omitempty"`
 	// Packed asks for a summary with PackedTargets instead of Targets.
 	Packed bool `json:"p,omitempty"`
 }
 
+// AccountLoad is what a client account has running at targets and waiting at gateways.
+type AccountLoad struct {
+	Name    string `json:"n"`
+	Running int    `json:"r,omitempty"`
+	Waiting int    `json:"w,omitempty"`
+}
+
 // AdapterUse is an adapter that requests use on a target.
 type AdapterUse struct {
 	ID      string `json:"i"`
@@ -153,6 +162,8 @@
 	Loading       []LoadingModel   `json:"a,omitempty"`
 	// Queues are the models for which requests wait at other gateways, without Running and Refused.
 	Queues []ModelLoad `json:"q,omitempty"`
+	// OverShare are the client accounts that have more running than their fair share while requests of others wait.
+	OverShare []string `json:"o,omitempty"`
 	// Helpers are gateways that serve what the gateway hands over, see LoadReport.Helps. They are left out if HelpersChange, which
 	// changes with them, is that of the report.
 	Helpers       []string `json:"h,omitempty"`
