--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -45,7 +45,7 @@
 }
 
 func (d *demand) update(q *request, f func(*fleetapi.ModelLoad)) {
-	if q.prompt.Model == "" {
+	if q.prompt.Model == "" && !q.sharesSlots() {
 		return
 	}
 	d.mu.Lock()
--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -16,6 +16,15 @@
 	return q.service.Engine != nil && q.table.MaxObjective(q.service.Name) >= headroom.MinPatientObjective
 }
 
+// sharesSlots reports whether gateways share the free slots of the targets of a request: those of engines with patient callers, and
+// of the plain services beside them.
+func (q *request) sharesSlots() bool {
+	if q.service.Engine != nil {
+		return q.hasPatientCallers()
+	}
+	return q.table.LongestObjective() >= headroom.MinPatientObjective
+}
+
 // age is the time since the first attempt of the caller, as far as the time that it has left shows.
 func (q *request) age(now time.Time) time.Duration {
 	return max(q.route.Timeout-q.deadline.Sub(q.arrived), 0) + now.Sub(q.arrived)
@@ -26,14 +35,19 @@
 	return headroom.Request{Objective: q.route.Objective, Age: q.age(now), OverShare: over}
 }
 
-// limitEngine sets how full an engine may be for a request, and which part of its free slots this gateway takes.
-func (g *Gateway) limitEngine(now time.Time, q *request, query *dispatch.Query) {
-	query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot(q.route.Rank)
-	if !q.hasPatientCallers() {
+// limitLoad sets how full a target may be for a request, and which part of its free slots this gateway takes.
+func (g *Gateway) limitLoad(now time.Time, q *request, query *dispatch.Query) {
+	query.MaxPerSlot = maxPlainPerSlot
+	if q.service.Engine != nil {
+		query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot(q.route.Rank)
+	}
+	if !q.sharesSlots() {
 		return
 	}
 	r := g.headroomRequest(now, q)
-	query.MaxPerSlot *= r.Share()
+	if q.service.Engine != nil {
+		query.MaxPerSlot *= r.Share()
+	}
 	query.Sharing = &dispatch.Sharing{
 		Part:        headroom.Part(g.demand.queue(q), (*g.queues.Load())[q.modelKey()], r.Urgent()),
 		PartUnknown: 1 / float64(max(g.gatewayCount.Gateways(now, gatewaycount.Planned), 1)),
@@ -45,7 +59,7 @@
 	slots := 0
 	targets := g.view.Targets()
 	for i := range targets {
-		if t := &targets[i]; t.Service == q.service.Name && t.State == roster.Ready && t.HeldModel(q.prompt.Model) != nil {
+		if t := &targets[i]; t.Service == q.service.Name && t.State == roster.Ready && (q.prompt.Model == "" || t.HeldModel(q.prompt.Model) != nil) {
 			slots += max(t.Slots, 1)
 		}
 	}
@@ -54,12 +68,12 @@
 }
 
 // reasonTooManyWaiting is why a request is refused before the end of its wait.
-const reasonTooManyWaiting dispatch.Reason = "more requests wait for the slots of the model than can be served in time"
+const reasonTooManyWaiting dispatch.Reason = "more requests wait for the same slots than can be served in time"
 
 // isHopeless reports whether a request can't be served within the time for which it may wait. Its caller is told when there will be
 // room.
 func (g *Gateway) isHopeless(now time.Time, q *request, reason dispatch.Reason, left time.Duration) bool {
-	if reason != dispatch.AllFull || !q.hasPatientCallers() {
+	if reason != dispatch.AllFull || !q.sharesSlots() {
 		return false
 	}
 	wait := g.expectedWait(now, q)
--- a/instance/gateway/headroom_test.go
+++ b/instance/gateway/headroom_test.go
@@ -44,7 +44,7 @@
 	}
 	for _, c := range cases {
 		var query dispatch.Query
-		g.limitEngine(now, c.q, &query)
+		g.limitLoad(now, c.q, &query)
 		if query.MaxPerSlot != c.perSlot || query.Sharing == nil || query.Sharing.Part != c.part {
 			t.Errorf("%s: query %+v, sharing %+v; want %v requests per slot and part %v", c.name, query, query.Sharing, c.perSlot, c.part)
 		}
@@ -54,7 +54,7 @@
 	document := &routes.Document{Routes: []routes.Route{*alone}, Services: []routes.Service{{Name: "engine", Engine: &routes.Engine{Slots: 4}}}}
 	q := headroomRequest(now, routes.NewTable(document), alone, 900*time.Millisecond)
 	var query dispatch.Query
-	g.limitEngine(now, q, &query)
+	g.limitLoad(now, q, &query)
 	if query.MaxPerSlot != dispatch.MaxEngineRequestsPerSlot(0) || query.Sharing != nil {
 		t.Errorf("query %+v of a service without patient callers", query)
 	}
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -88,16 +88,14 @@
 func (g *Gateway) pickLocally(now time.Time, q *request, exclude []string, skip func(*roster.Entry) bool) (*roster.Entry, dispatch.Reason) {
 	query := dispatch.Query{
 		Service: q.service.Name, Model: q.prompt.Model, Adapter: q.prompt.Adapter, Tokens: q.prompt.Tokens,
-		DataCentre: g.opts.DataCentre, Exclude: exclude, MaxPerSlot: maxPlainPerSlot, Choices: g.choices(), Skip: skip,
+		DataCentre: g.opts.DataCentre, Exclude: exclude, Choices: g.choices(), Skip: skip,
 		SoftwareVersion: q.softwareVersion,
 		Connected:       func(address string) bool { return g.client.HasIdle(now, address) },
 	}
 	if q.softwareVersion != nil {
 		query.MayHaveRestarted = func(t *roster.Entry) bool { return g.mayHaveRestarted(now, t) }
 	}
-	if q.service.Engine != nil {
-		g.limitEngine(now, q, &query)
-	}
+	g.limitLoad(now, q, &query)
 	g.rngMu.Lock()
 	defer g.rngMu.Unlock()
 	return g.loadTracker.Pick(now, g.rng, query, g.view.Targets())
@@ -106,7 +104,7 @@
 // mayAdd reports whether a target that the leader selected may get a request.
 func (g *Gateway) mayAdd(now time.Time, q *request, t *roster.Entry) bool {
 	query := dispatch.Query{Service: q.service.Name}
-	g.limitEngine(now, q, &query)
+	g.limitLoad(now, q, &query)
 	g.rngMu.Lock()
 	defer g.rngMu.Unlock()
 	return g.loadTracker.MayAdd(now, g.rng, t, &query)
