--- a/coordination/headroom/headroom_test.go
+++ b/coordination/headroom/headroom_test.go
@@ -74,6 +74,22 @@
 	}
 }
 
+// Guards against a reaction to a long queue that refuses all requests, and against the refusal of one that can be served in time.
+func TestRefuseKeepsWhatCanBeServed(t *testing.T) {
+	kept := 0
+	for i := range 100 {
+		if Refuse(time.Second, 2*time.Second, float64(i)/100) {
+			t.Fatal("a request that can be served in time is refused")
+		}
+		if !Refuse(4*time.Second, time.Second, float64(i)/100) {
+			kept++
+		}
+	}
+	if kept != 25 {
+		t.Errorf("%d of 100 requests are kept, want the quarter that can be served", kept)
+	}
+}
+
 // Guards against callers that were refused together and return together.
 func TestReturnAfterIsSpread(t *testing.T) {
 	if first, last := ReturnAfter(time.Second, 0), ReturnAfter(time.Second, 1); first != time.Second || last != 2*time.Second {
--- a/coordination/headroom/wait.go
+++ b/coordination/headroom/wait.go
@@ -54,6 +54,13 @@
 	return time.Duration(float64(ahead) / float64(max(slots, 1)) * float64(serviceTime))
 }
 
+// Refuse reports whether a request that would wait longer than it may is refused at once. draw is a random number in [0, 1). Of the
+// requests that arrive between two reports as many are kept as can be served: if all were refused, the slots would be idle until
+// the next report.
+func Refuse(wait, left time.Duration, draw float64) bool {
+	return wait > left && draw*float64(wait) >= float64(left)
+}
+
 // ReturnAfter returns when a refused caller should return, given how long it would have waited. draw is a random number in [0, 1). It
 // spreads the callers that are refused together over as much time again, since their requests find room one after the other.
 func ReturnAfter(wait time.Duration, draw float64) time.Duration {
--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -70,14 +70,14 @@
 // reasonTooManyWaiting is why a request is refused before the end of its wait.
 const reasonTooManyWaiting dispatch.Reason = "more requests wait for the same slots than can be served in time"
 
-// isHopeless reports whether a request can't be served within the time for which it may wait. Its caller is told when there will be
-// room.
+// isHopeless reports whether a request that has not waited yet is refused, since it can hardly be served within the time for which it
+// may wait. Its caller is told when there will be room.
 func (g *Gateway) isHopeless(now time.Time, q *request, reason dispatch.Reason, left time.Duration) bool {
-	if reason != dispatch.AllFull || !q.sharesSlots() {
+	if reason != dispatch.AllFull || q.waiting != notWaiting || !q.sharesSlots() {
 		return false
 	}
 	wait := g.expectedWait(now, q)
-	if wait <= left {
+	if !headroom.Refuse(wait, left, g.randomFloat()) {
 		return false
 	}
 	g.metrics.hopeless.Inc(1)
--- a/instance/gateway/headroom_test.go
+++ b/instance/gateway/headroom_test.go
@@ -85,5 +85,11 @@
 		if g.isHopeless(now, q, dispatch.NotLoaded, left) {
 			t.Errorf("%s: refused for a model that is being loaded", c.name)
 		}
+		q.waiting = waiting
+		for range 100 {
+			if g.isHopeless(now, q, dispatch.AllFull, left) {
+				t.Fatalf("%s: refused after it waited, together with all others that wait", c.name)
+			}
+		}
 	}
 }
