--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -254,6 +254,7 @@
 			reason = r
 		}
 	}
+	q.Sharing = tracker.sharingFor(&q, targets)
 	var eligible []*roster.Entry
 	for i := range targets {
 		t := &targets[i]
--- a/coordination/dispatch/shares.go
+++ b/coordination/dispatch/shares.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"math/rand/v2"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 )
 
 // Load pattern: requests wait at many gateways for targets that are full. Each load report shows the same free slots to all of
@@ -15,6 +17,30 @@
 	Part float64
 	// PartUnknown is the same while it is not known. Then the load of the others as last known counts.
 	PartUnknown float64
+	// Waiting is the number of requests, at all gateways, that wait for the same slots. While there are as many free slots, no part is
+	// needed.
+	Waiting int
+}
+
+// sharingFor returns how the free slots for a query are shared.
+func (tracker *LoadTracker) sharingFor(q *Query, targets []roster.Entry) *Sharing {
+	if q.Sharing == nil || q.Sharing.Part >= 1 || q.MaxPerSlot <= 0 || tracker.brittle[q.Service] > 0 {
+		return q.Sharing
+	}
+	free := 0.0
+	for i := range targets {
+		t := &targets[i]
+		if t.Service != q.Service || t.State != roster.Ready || q.Model != "" && t.HeldModel(q.Model) == nil {
+			continue
+		}
+		if s := tracker.state(t.ID); s.connectBackoff == 0 && s.othersKnown {
+			free += max(q.MaxPerSlot*float64(slotsOf(t, q.Slots))-float64(s.own.Running+s.others.Running), 0)
+		}
+	}
+	if free < float64(q.Sharing.Waiting) {
+		return q.Sharing
+	}
+	return &Sharing{Part: 1, PartUnknown: q.Sharing.PartUnknown}
 }
 
 // claim is what a gateway may have on a target until the next report.
--- a/coordination/headroom/headroom.go
+++ b/coordination/headroom/headroom.go
@@ -69,6 +69,14 @@
 // Total returns the number of all requests.
 func (q Queue) Total() int { return q.Urgent + q.Other }
 
+// Competing returns the number of requests that compete for the slots that one is looking for.
+func Competing(own, others Queue, urgent bool) int {
+	if urgent {
+		return max(own.Urgent, 1) + others.Urgent
+	}
+	return max(own.Total(), 1) + others.Total()
+}
+
 // Part returns the part of the free slots that a gateway may take for a request, given the requests that wait at it and at the
 // others. Urgent requests compete with urgent ones only, since the others leave a part of the slots free.
 func Part(own, others Queue, urgent bool) float64 {
--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -46,10 +46,14 @@
 	}
 	r := g.headroomRequest(now, q)
 	if q.service.Engine != nil {
+		if r.Urgent() {
+			query.MaxPerSlot = dispatch.MaxEngineRequestsPerSlot(0) // those that have to start soon keep the slots busy
+		}
 		query.MaxPerSlot *= r.Share()
 	}
+	own, others := g.demand.queue(q), (*g.queues.Load())[q.modelKey()]
 	query.Sharing = &dispatch.Sharing{
-		Part:        headroom.Part(g.demand.queue(q), (*g.queues.Load())[q.modelKey()], r.Urgent()),
+		Part: headroom.Part(own, others, r.Urgent()), Waiting: headroom.Competing(own, others, r.Urgent()),
 		PartUnknown: 1 / float64(max(g.gatewayCount.Gateways(now, gatewaycount.Planned), 1)),
 	}
 }
