--- a/coordination/dispatch/brittle.go
+++ b/coordination/dispatch/brittle.go
@@ -133,7 +133,7 @@
 func (tracker *LoadTracker) hasRoom(now time.Time, rng *rand.Rand, s *targetState, id string, q *Query, slots int) bool {
 	running := s.own.Running + s.others.Running
 	if tracker.brittle[q.Service] == 0 && q.Sharing != nil && q.MaxPerSlot > 0 {
-		return s.withinShare(rng, q.Sharing, q.MaxPerSlot*float64(slots))
+		return tracker.withinShare(now, rng, s, q.Sharing, q.MaxPerSlot*float64(slots))
 	}
 	if tracker.brittle[q.Service] == 0 {
 		return q.MaxPerSlot <= 0 || float64(running) < q.MaxPerSlot*float64(slots)
--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -170,6 +170,8 @@
 	ownBrittle  map[string]brittleObservation
 	peerBrittle map[string]int
 	brittle     map[string]int
+	// othersKnown is set while the loads of the other gateways are those of a report. Targets without an entry have none.
+	othersKnown bool
 	gateways    int // number of gateways that share the targets, 0 if unknown
 	unloading   map[modelKey]bool
 	// notHeld are models and adapters that a target reported as not resident, and orderedAdapters those that a target
@@ -633,6 +635,7 @@
 	for id, o := range others {
 		tracker.state(id).setOthers(o)
 	}
+	tracker.othersKnown = others != nil
 	for id, s := range tracker.targets {
 		s.renewClaim(others != nil)
 		if others != nil {
--- a/coordination/dispatch/shares.go
+++ b/coordination/dispatch/shares.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 )
@@ -17,6 +18,9 @@
 	Part float64
 	// PartUnknown is the same while it is not known. Then the load of the others as last known counts.
 	PartUnknown float64
+	// ServiceTime is how long a request holds a slot. While the load of the others is not known, what this gateway may take is drawn
+	// again after that time, when the slots that others took on their parts are free again.
+	ServiceTime time.Duration
 	// Waiting is the number of requests, at all gateways, that wait for the same slots. While there are as many free slots, no part is
 	// needed.
 	Waiting int
@@ -46,6 +50,8 @@
 // claim is what a gateway may have on a target until the next report.
 type claim struct {
 	known bool
+	// at is the time of the draw.
+	at time.Time
 	// own is the number of own requests at the report, and draw a random number in [0, 1) by which parts of a slot are rounded: small
 	// parts of many gateways add up.
 	own  int
@@ -54,9 +60,9 @@
 
 // withinShare reports whether a target may get another request of this gateway. limit is the number of requests that the target may
 // have.
-func (s *targetState) withinShare(rng *rand.Rand, sharing *Sharing, limit float64) bool {
-	part, others := sharing.Part, s.others
-	if !s.othersKnown {
+func (tracker *LoadTracker) withinShare(now time.Time, rng *rand.Rand, s *targetState, sharing *Sharing, limit float64) bool {
+	part, others, known := sharing.Part, s.others, s.othersKnown || tracker.othersKnown
+	if !known {
 		part, others = sharing.PartUnknown, s.lastOthers
 	}
 	if float64(s.own.Running+others.Running) >= limit {
@@ -65,15 +71,17 @@
 	if part >= 1 {
 		return true
 	}
-	if !s.claim.known {
-		s.claim = claim{known: true, own: s.own.Running, draw: rng.Float64()}
+	switch {
+	case !s.claim.known:
+		s.claim = claim{known: true, at: now, own: s.own.Running, draw: rng.Float64()}
+	case !known && now.Sub(s.claim.at) >= sharing.ServiceTime:
+		s.claim.at, s.claim.draw = now, rng.Float64()
 	}
 	free := max(limit-float64(s.claim.own+others.Running), 0)
 	return s.own.Running < s.claim.own+int(math.Floor(free*part+s.claim.draw))
 }
 
-// renewClaim lets the gateway take its part of what a new report shows as free. While the load of the others is not known, it takes
-// its part once only.
+// renewClaim lets the gateway take its part of what a new report shows as free.
 func (s *targetState) renewClaim(othersKnown bool) {
 	if othersKnown || s.othersKnown {
 		s.claim = claim{}
--- a/coordination/headroom/replay_test.go
+++ b/coordination/headroom/replay_test.go
@@ -174,7 +174,7 @@
 		request := r.request(c)
 		query.MaxPerSlot *= request.Share()
 		own, others := r.queue(c.gateway), r.queueOf[c.gateway]
-		query.Sharing = &dispatch.Sharing{Part: headroom.Part(own, others, request.Urgent()), PartUnknown: 1.0 / gateways,
+		query.Sharing = &dispatch.Sharing{Part: headroom.Part(own, others, request.Urgent()), PartUnknown: 1.0 / gateways, ServiceTime: c.kind.duration,
 			Waiting: headroom.Competing(own, others, request.Urgent())}
 	}
 	t, _ := r.trackers[c.gateway].Pick(r.now, r.rng, query, r.targets)
--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -5,12 +5,15 @@
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
-	"github.com/tarragonhoist/tarragonhoist/coordination/gatewaycount"
 	"github.com/tarragonhoist/tarragonhoist/coordination/headroom"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 )
 
+// startingGateways stands for the number of gateways that share the slots until it is known. More than the gateways of most
+// deployments would keep one that has just started from serving its callers.
+const startingGateways = 100
+
 // hasPatientCallers reports whether a route of the service of a request has callers with time to spare, so that others can go first.
 func (q *request) hasPatientCallers() bool {
 	return q.service.Engine != nil && q.table.MaxObjective(q.service.Name) >= headroom.MinPatientObjective
@@ -54,7 +57,7 @@
 	own, others := g.demand.queue(q), (*g.queues.Load())[q.modelKey()]
 	query.Sharing = &dispatch.Sharing{
 		Part: headroom.Part(own, others, r.Urgent()), Waiting: headroom.Competing(own, others, r.Urgent()),
-		PartUnknown: 1 / float64(max(g.gatewayCount.Gateways(now, gatewaycount.Planned), 1)),
+		PartUnknown: 1 / float64(max(g.gatewayCount.Gateways(now, startingGateways), 1)), ServiceTime: g.serviceTimes.Mean(q.service.Name),
 	}
 }
 
