--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -57,7 +57,11 @@
 	own, others := g.demand.queue(q), (*g.queues.Load())[q.modelKey()]
 	query.Sharing = &dispatch.Sharing{
 		Part: headroom.Part(own, others, r.Urgent()), Waiting: headroom.Competing(own, others, r.Urgent()),
-		PartUnknown: 1 / float64(max(g.gatewayCount.Gateways(now, startingGateways), 1)), ServiceTime: g.serviceTimes.Mean(q.service.Name),
+		PartUnknown: 1, ServiceTime: g.serviceTimes.Mean(q.service.Name),
+	}
+	if q.service.Engine != nil {
+		// Requests of plain services hold a slot for less than the interval of reports, so what the others hold is not known anyway.
+		query.Sharing.PartUnknown = 1 / float64(max(g.gatewayCount.Gateways(now, startingGateways), 1))
 	}
 }
 
