--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -45,7 +45,7 @@
 }
 
 func (d *demand) update(q *request, f func(*fleetapi.ModelLoad)) {
-	if q.prompt.Model == "" && !q.sharesSlots() {
+	if q.prompt.Model == "" {
 		return
 	}
 	d.mu.Lock()
--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -19,15 +19,6 @@
 	return q.service.Engine != nil && q.table.MaxObjective(q.service.Name) >= headroom.MinPatientObjective
 }
 
-// sharesSlots reports whether gateways share the free slots of the targets of a request: those of engines with patient callers, and
-// of the plain services beside them.
-func (q *request) sharesSlots() bool {
-	if q.service.Engine != nil {
-		return q.hasPatientCallers()
-	}
-	return q.table.LongestObjective() >= headroom.MinPatientObjective
-}
-
 // age is the time since the first attempt of the caller, as far as the time that it has left shows.
 func (q *request) age(now time.Time) time.Duration {
 	return max(q.route.Timeout-q.deadline.Sub(q.arrived), 0) + now.Sub(q.arrived)
@@ -41,27 +32,22 @@
 // limitLoad sets how full a target may be for a request, and which part of its free slots this gateway takes.
 func (g *Gateway) limitLoad(now time.Time, q *request, query *dispatch.Query) {
 	query.MaxPerSlot = maxPlainPerSlot
-	if q.service.Engine != nil {
-		query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot(q.route.Rank)
+	if q.service.Engine == nil {
+		return
 	}
-	if !q.sharesSlots() {
+	query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot(q.route.Rank)
+	if !q.hasPatientCallers() {
 		return
 	}
 	r := g.headroomRequest(now, q)
-	if q.service.Engine != nil {
-		if r.Urgent() {
-			query.MaxPerSlot = dispatch.MaxEngineRequestsPerSlot(0) // those that have to start soon keep the slots busy
-		}
-		query.MaxPerSlot *= r.Share()
-	}
+	query.MaxPerSlot *= r.Share()
 	own, others := g.demand.queue(q), (*g.queues.Load())[q.modelKey()]
 	query.Sharing = &dispatch.Sharing{
 		Part: headroom.Part(own, others, r.Urgent()), Waiting: headroom.Competing(own, others, r.Urgent()),
-		PartUnknown: 1, ServiceTime: g.serviceTimes.Mean(q.service.Name),
+		PartUnknown: 1 / float64(max(g.gatewayCount.Gateways(now, startingGateways), 1)), ServiceTime: g.serviceTimes.Mean(q.service.Name),
 	}
-	if q.service.Engine != nil {
-		// Requests of plain services hold a slot for less than the interval of reports, so what the others hold is not known anyway.
-		query.Sharing.PartUnknown = 1 / float64(max(g.gatewayCount.Gateways(now, startingGateways), 1))
+	if r.Urgent() && q.route.Rank <= mostUrgent {
+		query.Sharing.Part = 1 // engines serve these first, so their queues order them better than gateways could
 	}
 }
 
@@ -84,7 +70,7 @@
 // isHopeless reports whether a request that has not waited yet is refused, since it can hardly be served within the time for which it
 // may wait. Its caller is told when there will be room.
 func (g *Gateway) isHopeless(now time.Time, q *request, reason dispatch.Reason, left time.Duration) bool {
-	if reason != dispatch.AllFull || q.waiting != notWaiting || !q.sharesSlots() {
+	if reason != dispatch.AllFull || q.waiting != notWaiting || !q.hasPatientCallers() {
 		return false
 	}
 	wait := g.expectedWait(now, q)
--- a/instance/gateway/headroom_test.go
+++ b/instance/gateway/headroom_test.go
@@ -32,13 +32,17 @@
 	g := newFixture(t).gateway
 	now := time.Now()
 	table, urgent, patient := patientTable()
+	first := *urgent
+	first.Rank = 0
+	mostUrgentRoute := &first
 	g.queues.Store(queuesOf([]fleetapi.ModelLoad{{Service: "engine", Model: "m", Waiting: 9, Urgent: 3}}))
 	cases := []struct {
 		name          string
 		q             *request
 		perSlot, part float64
 	}{
-		{"urgent", headroomRequest(now, table, urgent, 0), dispatch.MaxEngineRequestsPerSlot(0), 0.25},
+		{"urgent", headroomRequest(now, table, urgent, 0), 1, 0.25},
+		{"most urgent rank", headroomRequest(now, table, mostUrgentRoute, 0), dispatch.MaxEngineRequestsPerSlot(0), 1},
 		{"late", headroomRequest(now, table, urgent, time.Second), headroom.Request{Objective: 1, Age: 2}.Share(), 0.1},
 		{"patient", headroomRequest(now, table, patient, 0), headroom.Request{Objective: time.Minute}.Share(), 0.1},
 	}
--- a/state/routes/table.go
+++ b/state/routes/table.go
@@ -56,15 +56,6 @@
 // MaxObjective returns the longest objective of the routes to a service.
 func (t *Table) MaxObjective(service string) time.Duration { return t.objectives[service] }
 
-// LongestObjective returns the longest objective of all routes.
-func (t *Table) LongestObjective() time.Duration {
-	longest := time.Duration(0)
-	for _, objective := range t.objectives {
-		longest = max(longest, objective)
-	}
-	return longest
-}
-
 // Version returns the version of the document.
 func (t *Table) Version() uint64 { return t.document.Version }
 
