--- a/instance/gateway/account_test.go
+++ b/instance/gateway/account_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"net"
 	"net/http"
 	"strings"
@@ -9,6 +11,8 @@
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
 
@@ -189,3 +193,80 @@
 		t.Errorf("findings %q contain a key", findings)
 	}
 }
+
+// Guards against a key that reaches a target, and a caller without a valid key that is served, because the first accounts came into
+// force while the request waited.
+func TestFirstAccountsBindWaitingRequests(t *testing.T) {
+	f := newAccountFixture(t)
+	f.replaceAccounts()
+	status := make(chan int)
+	go func() { status <- f.call("waits", "/safe/x", "unknown", "forged") }()
+	waitFor(t, func() bool { return f.gateway.activeRequests.Load() == 1 })
+	time.Sleep(30 * time.Millisecond) // until it waits for a target
+	f.replaceAccounts(account("yard", "k1"))
+	f.recordingTarget()
+	got := <-status
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if h, ran := f.seen["waits"]; ran || got != http.StatusUnauthorized {
+		t.Errorf("status %d; a target got the request: %v, with key %q and account %q", got, ran, h.Get(testHeaders.Key), h.Get(testHeaders.Account))
+	}
+}
+
+// adapterPeers is a leader that names a target for an adapter, which is loaded after a time.
+type adapterPeers struct {
+	asked chan struct{}
+	ready time.Duration
+}
+
+func (p *adapterPeers) Call(_ context.Context, _, method string, _, result any) error {
+	if method != peerapi.MethodFleetAdapter {
+		return errors.New("unexpected method " + method)
+	}
+	*result.(*fleetapi.AdapterResponse) = fleetapi.AdapterResponse{ID: "t0", ReadyMs: p.ready.Milliseconds()}
+	select {
+	case p.asked <- struct{}{}:
+	default:
+	}
+	return nil
+}
+
+// Guards against a request that runs with a key that was withdrawn while an adapter was loaded for it.
+func TestWithdrawnKeyBindsRequestsThatWaitForAnAdapter(t *testing.T) {
+	f := newAccountFixture(t)
+	f.view = fleetview.New(func([]byte) (*routes.Document, error) {
+		return &routes.Document{Version: f.version, Routes: []routes.Route{{Name: "safe", Host: "h", PathPrefix: "/safe/", Kind: routes.Idempotent,
+			Timeout: 5 * time.Second, Split: []routes.WeightedService{{Service: "engine", Weight: 1}}, MaxAttempts: 1}},
+			Services: []routes.Service{{Name: "engine", Engine: &routes.Engine{Slots: 4}}}, Accounts: f.accounts}, nil
+	}, "", nil)
+	f.gateway.view = f.view
+	f.gateway.opts.ReadPrompt = readAdapterPrompt
+	peers := &adapterPeers{asked: make(chan struct{}, 1), ready: 500 * time.Millisecond}
+	f.gateway.peers = peers
+	f.view.SetLeaderAndMembers("leader", nil)
+	f.replaceAccounts(account("yard", "k1"))
+	f.target("t0", "engine", answerOK)
+	status := make(chan int)
+	go func() { status <- f.call("waits", "/safe/x", "k1", "") }()
+	<-peers.asked
+	f.replaceAccounts(account("yard", "k2"))
+	if got := <-status; got != http.StatusUnauthorized || f.runCount("waits") > 0 {
+		t.Errorf("status %d; runs at targets: %d, after the key was withdrawn", got, f.runCount("waits"))
+	}
+}
+
+// Guards against a caller of a route that needs no key who is refused because the key that it sent anyway was withdrawn while the
+// request waited. With an unknown key it is served from the start.
+func TestWithdrawnKeyOnAnonymousRoute(t *testing.T) {
+	f := newAccountFixture(t)
+	f.replaceAccounts(account("yard", "k1", "k2"))
+	status := make(chan int)
+	go func() { status <- f.call("waits", "/open/x", "k1", "") }()
+	waitFor(t, func() bool { return f.gateway.activeRequests.Load() == 1 })
+	time.Sleep(30 * time.Millisecond) // until it waits for a target
+	f.replaceAccounts(account("yard", "k2"))
+	f.recordingTarget()
+	if got := <-status; got != http.StatusOK {
+		t.Errorf("status %d on a route that allows anonymous callers", got)
+	}
+}
--- a/instance/gateway/headroom_test.go
+++ b/instance/gateway/headroom_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
 	"github.com/tarragonhoist/tarragonhoist/coordination/headroom"
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
@@ -93,3 +94,90 @@
 		}
 	}
 }
+
+// Guards against a stream that is cut, or a request that is given up, at its first look for another target: it has waited and was sent
+// before, so it does not arrive now.
+func TestRequestsThatWereSentAreNotHopeless(t *testing.T) {
+	f := newFixture(t)
+	g := f.gateway
+	f.target("t0", "engine", nil)
+	now := time.Now()
+	table, urgent, _ := patientTable()
+	g.queues.Store(queuesOf([]fleetapi.ModelLoad{{Service: "engine", Model: "m", Waiting: 400, Urgent: 400}}))
+	for range 100 {
+		q := headroomRequest(now, table, urgent, 0)
+		q.sends, q.lastTarget, q.waited = 1, "t1", 200*time.Millisecond
+		g.demand.setWaiting(q, waiting)
+		g.demand.setWaiting(q, notWaiting) // as awaitTarget does when it has found a target
+		if g.isHopeless(now, q, dispatch.AllFull, g.maxWait(q, dispatch.AllFull, now)) {
+			t.Fatal("a request that waited and was sent once is refused as one that arrives")
+		}
+	}
+}
+
+// Guards against refusals for the length of an outage of the leader because of requests that waited elsewhere when it began.
+func TestQueuesOfOthersAreForgottenWithoutLeader(t *testing.T) {
+	f := newFixture(t)
+	g := f.gateway
+	f.target("t0", "engine", nil)
+	f.view.SetLeaderAndMembers("leader", nil)
+	table, urgent, _ := patientTable()
+	now := time.Now()
+	summary := &fleetapi.LoadSummary{Gateways: 2, Queues: []fleetapi.ModelLoad{{Service: "engine", Model: "m", Waiting: 400, Urgent: 400}}}
+	if err := g.applySummary(now.Add(-time.Minute), summary); err != nil {
+		t.Fatal(err)
+	}
+	for range 100 {
+		if g.exchangeLoadOnce(t.Context()) == nil {
+			t.Fatal("the leader answered")
+		}
+	}
+	if wait := g.expectedWait(now, headroomRequest(now, table, urgent, 0)); wait > 10*time.Second {
+		t.Errorf("a wait of %v is expected because of what the leader said before it was lost", wait)
+	}
+}
+
+// Guards against refusals of requests that can be served, for engines whose heartbeats name no slots: the configuration does.
+func TestExpectedWaitUsesTheSlotsOfTheConfiguration(t *testing.T) {
+	f := newFixture(t)
+	_, err := f.view.ApplyHeartbeat(time.Now(), roster.Target{Key: roster.Key{ID: "t0", StartedAtMs: 1}, Service: "engine", DataCentre: "a",
+		Address: "127.0.0.1:1", HeartbeatSequence: 1, Models: []roster.Held{{Model: "m"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	table, urgent, _ := patientTable()
+	f.gateway.queues.Store(queuesOf([]fleetapi.ModelLoad{{Service: "engine", Model: "m", Waiting: 4, Urgent: 4}}))
+	if got := f.gateway.expectedWait(now, headroomRequest(now, table, urgent, 0)); got != time.Second {
+		t.Errorf("wait %v for 4 slots with 4 requests of 1 s before, want 1s", got)
+	}
+}
+
+// Guards against hundreds of requests that ask the leader for the same adapter at once, and against a pause that is the longest after
+// the first denial.
+func TestOneRequestAsksForAnAdapterAtATime(t *testing.T) {
+	a, now, key := newAdapterBackoff(), time.Now(), adapterKey{"s", "m", "a"}
+	asking := 0
+	for range 10 {
+		if a.mayAsk(now, key) {
+			asking++
+		}
+	}
+	if asking != 1 {
+		t.Errorf("%d requests ask for an adapter that none has asked for before", asking)
+	}
+	for range asking {
+		a.denied(now, key)
+	}
+	if pause := a.until[key].until.Sub(now); pause != minAdapterBackoff {
+		t.Errorf("pause %v after the requests that asked first, want %v", pause, minAdapterBackoff)
+	}
+	now = now.Add(maxAdapterBackoff)
+	if !a.mayAsk(now, key) {
+		t.Fatal("nobody asks after the pause")
+	}
+	// The answer takes up to adapterTimeout.
+	if a.mayAsk(now.Add(adapterTimeout-time.Millisecond), key) {
+		t.Error("a second request asks before the first has an answer")
+	}
+}
