Test that slots are used while there is no leader

The loads of the others as last known never fall, and a gateway may replace its own requests only. The existing test of this phase checks only that targets reject nothing, which also holds if nothing is sent.

--- a/coordination/headroom/replay_test.go
+++ b/coordination/headroom/replay_test.go
@@ -234,3 +234,25 @@
 		t.Errorf("targets rejected %d requests without a leader, %d without shares", rejectedAfter, rejectedBefore)
 	}
 }
+
+// Guards against slots that stay idle while requests wait and there is no leader. TestTargetsAreNotFloodedWithoutLeader alone passes if
+// nothing is sent.
+func TestSlotsAreUsedWithoutLeader(t *testing.T) {
+	const seconds = 6
+	for seed := range uint64(3) {
+		r := newReplay(seed, true)
+		r.run(5 * time.Second)
+		r.leader = false
+		r.run(4 * time.Second)
+		busy := 0
+		for range seconds {
+			r.run(time.Second)
+			for i := range r.engines {
+				busy += min(len(r.engines[i]), slots)
+			}
+		}
+		if mean := float64(busy) / seconds; mean < copies*slots/2 {
+			t.Errorf("seed %d: %.1f of %d slots are in use on average without a leader, with 1.45 times as many requests as fit", seed, mean, copies*slots)
+		}
+	}
+}
