Fix what the review of accounts and headroom found

Cause: a review with failing tests found, among others: while the leader was lost, targets that others had filled counted as full for the whole outage, and queues of others went on refusing requests; requests that had been sent were refused as if they had just arrived; a request that waited while the first accounts came into force ran without a key; fair shares compared quotas in requests with those in tokens; free slots of targets that can't be used switched the parts off.

Change: the last known load of others decays within service times; queues are forgotten when a load report gets no answer; only requests that were neither sent nor waited count as hopeless; accounts are looked up again, also before each send, and the key never is among the headers for targets; rates count relative to the mean of their unit; parts are judged by the targets that passed all other filters; one request asks for an adapter at a time. The shutdown tests start the gateway again if another test took its address.

--- a/coordination/dispatch/brittle.go
+++ b/coordination/dispatch/brittle.go
@@ -181,5 +181,5 @@
 	if now.Before(s.leaveAloneUntil) {
 		return false
 	}
-	return tracker.brittle[t.Service] == 0 && q.Sharing == nil || tracker.hasRoom(now, rng, s, t.ID, q, slotsOf(t, q.Slots))
+	return tracker.brittle[t.Service] == 0 && q.Sharing == nil || tracker.hasRoom(now, rng, s, t.ID, q, SlotsOf(t, q.Slots))
 }
--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -256,8 +256,7 @@
 			reason = r
 		}
 	}
-	q.Sharing = tracker.sharingFor(&q, targets)
-	var eligible []*roster.Entry
+	var candidates []*roster.Entry
 	for i := range targets {
 		t := &targets[i]
 		if t.Service != q.Service || t.State != roster.Ready {
@@ -297,7 +296,14 @@
 			recordReason(LeftAlone)
 			continue
 		}
-		if !tracker.hasRoom(now, rng, s, t.ID, &q, slotsOf(t, q.Slots)) {
+		candidates = append(candidates, t)
+	}
+	if q.Sharing != nil && !tracker.partsNeeded(&q, candidates) {
+		q.Sharing = &Sharing{Part: 1, PartUnknown: q.Sharing.PartUnknown, ServiceTime: q.Sharing.ServiceTime}
+	}
+	eligible := candidates[:0]
+	for _, t := range candidates {
+		if !tracker.hasRoom(now, rng, tracker.state(t.ID), t.ID, &q, SlotsOf(t, q.Slots)) {
 			recordReason(AllFull)
 			continue
 		}
@@ -319,7 +325,7 @@
 	var best *roster.Entry
 	bestScore := 0.0
 	for _, t := range eligible {
-		score := tracker.state(t.ID).score(now, t, q, slotsOf(t, q.Slots)) + rng.Float64()*maxJitterMs
+		score := tracker.state(t.ID).score(now, t, q, SlotsOf(t, q.Slots)) + rng.Float64()*maxJitterMs
 		if q.Connected != nil && !q.Connected(t.Address) {
 			score += connectMs
 		}
@@ -381,7 +387,8 @@
 // reasonRank orders reasons by filter stage. Pick returns the reason of the last stage that any target reached.
 var reasonRank = map[Reason]int{NoTarget: 0, OtherVersion: 1, NotLoaded: 2, NoneReachable: 3, Unconfirmed: 4, NoAdapter: 5, AllExcluded: 6, Limited: 7, LeftAlone: 8, AllFull: 9}
 
-func slotsOf(t *roster.Entry, fallback int) int {
+// SlotsOf returns the slots of a target, or the fallback if it does not announce them.
+func SlotsOf(t *roster.Entry, fallback int) int {
 	if t.Slots > 0 {
 		return t.Slots
 	}
--- a/coordination/dispatch/shares.go
+++ b/coordination/dispatch/shares.go
@@ -26,32 +26,25 @@
 	Waiting int
 }
 
-// sharingFor returns how the free slots for a query are shared.
-func (tracker *LoadTracker) sharingFor(q *Query, targets []roster.Entry) *Sharing {
-	if q.Sharing == nil || q.Sharing.Part >= 1 || q.MaxPerSlot <= 0 || tracker.brittle[q.Service] > 0 {
-		return q.Sharing
+// partsNeeded reports whether gateways have to take parts: more requests wait for the free slots of the candidates than there are.
+func (tracker *LoadTracker) partsNeeded(q *Query, candidates []*roster.Entry) bool {
+	if q.Sharing.Part >= 1 {
+		return false
 	}
 	free := 0.0
-	for i := range targets {
-		t := &targets[i]
-		if t.Service != q.Service || t.State != roster.Ready || q.Model != "" && t.HeldModel(q.Model) == nil {
-			continue
-		}
-		if s := tracker.state(t.ID); s.connectBackoff == 0 && s.othersKnown {
-			free += max(q.MaxPerSlot*float64(slotsOf(t, q.Slots))-float64(s.own.Running+s.others.Running), 0)
+	for _, t := range candidates {
+		if s := tracker.state(t.ID); s.othersKnown || tracker.othersKnown {
+			free += max(q.MaxPerSlot*float64(SlotsOf(t, q.Slots))-float64(s.own.Running+s.others.Running), 0)
 		}
 	}
-	if free < float64(q.Sharing.Waiting) {
-		return q.Sharing
-	}
-	return &Sharing{Part: 1, PartUnknown: q.Sharing.PartUnknown}
+	return free < float64(q.Sharing.Waiting)
 }
 
 // claim is what a gateway may have on a target until the next report.
 type claim struct {
 	known bool
-	// at is the time of the draw.
-	at time.Time
+	// lostAt is when the loads of the others were first not known, and drawnAt the time of the draw after that.
+	lostAt, drawnAt time.Time
 	// own is the number of own requests at the report, and draw a random number in [0, 1) by which parts of a slot are rounded: small
 	// parts of many gateways add up.
 	own  int
@@ -61,24 +54,37 @@
 // withinShare reports whether a target may get another request of this gateway. limit is the number of requests that the target may
 // have.
 func (tracker *LoadTracker) withinShare(now time.Time, rng *rand.Rand, s *targetState, sharing *Sharing, limit float64) bool {
-	part, others, known := sharing.Part, s.others, s.othersKnown || tracker.othersKnown
-	if !known {
-		part, others = sharing.PartUnknown, s.lastOthers
+	if !s.othersKnown && !tracker.othersKnown {
+		return s.withinUnknownShare(now, rng, sharing, limit)
 	}
-	if float64(s.own.Running+others.Running) >= limit {
+	if float64(s.own.Running+s.others.Running) >= limit {
 		return false
 	}
-	if part >= 1 {
+	if sharing.Part >= 1 {
 		return true
 	}
+	if !s.claim.known {
+		s.claim = claim{known: true, own: s.own.Running, draw: rng.Float64()}
+	}
+	free := max(limit-float64(s.claim.own+s.others.Running), 0)
+	return s.own.Running < s.claim.own+int(math.Floor(free*sharing.Part+s.claim.draw))
+}
+
+// withinUnknownShare is the same while the loads of the others are not known. What all gateways had when they were last known ends
+// within a few service times. Until then a gateway may replace its own requests, and it takes its part of what has become free.
+func (s *targetState) withinUnknownShare(now time.Time, rng *rand.Rand, sharing *Sharing, limit float64) bool {
+	if sharing.PartUnknown >= 1 {
+		return float64(s.own.Running) < limit
+	}
 	switch {
 	case !s.claim.known:
-		s.claim = claim{known: true, at: now, own: s.own.Running, draw: rng.Float64()}
-	case !known && now.Sub(s.claim.at) >= sharing.ServiceTime:
-		s.claim.at, s.claim.draw = now, rng.Float64()
+		s.claim = claim{known: true, lostAt: now, drawnAt: now, own: s.own.Running, draw: rng.Float64()}
+	case now.Sub(s.claim.drawnAt) >= sharing.ServiceTime:
+		s.claim.drawnAt, s.claim.draw = now, rng.Float64()
 	}
-	free := max(limit-float64(s.claim.own+others.Running), 0)
-	return s.own.Running < s.claim.own+int(math.Floor(free*part+s.claim.draw))
+	left := math.Exp(-float64(now.Sub(s.claim.lostAt)) / float64(max(sharing.ServiceTime, time.Millisecond)))
+	own, others := left*float64(s.claim.own), left*float64(s.lastOthers.Running)
+	return s.own.Running < int(math.Floor(own+max(limit-own-others, 0)*sharing.PartUnknown+s.claim.draw))
 }
 
 // renewClaim lets the gateway take its part of what a new report shows as free.
--- a/instance/controlinstance/account_loads.go
+++ b/instance/controlinstance/account_loads.go
@@ -20,29 +20,33 @@
 }
 
 // overShare returns the client accounts that are above their fair share. Accounts count by the rate of their quota, which is what
-// operators have granted them; one without a quota counts as one with the mean rate of the others.
+// operators have granted them, relative to the mean rate of the quotas in the same unit. One without a quota counts as the mean.
 func (g *gatewayLoads) overShare(document *routes.Document) []string {
 	if len(g.accounts) == 0 {
 		return nil
 	}
-	rates, sum := make(map[string]float64, len(document.Accounts)), 0.0
+	rates, numbers := make(map[routes.QuotaUnit]float64), make(map[routes.QuotaUnit]float64)
+	quotas := make(map[string]*routes.Quota, len(document.Accounts))
 	for i := range document.Accounts {
 		if a := &document.Accounts[i]; a.Quota.Limited() {
-			rates[a.Name] = a.Quota.PerSecond
-			sum += a.Quota.PerSecond
+			quotas[a.Name] = &a.Quota
+			rates[a.Quota.Unit] += a.Quota.PerSecond
+			numbers[a.Quota.Unit]++
 		}
 	}
-	mean := 1.0
-	if len(rates) > 0 {
-		mean = sum / float64(len(rates))
-	}
 	loads := make([]headroom.AccountLoad, 0, len(g.accounts))
 	for name, l := range g.accounts {
-		weight, ok := rates[name]
-		if !ok {
-			weight = mean
+		weight := 1.0
+		if q := quotas[name]; q != nil {
+			weight = q.PerSecond * numbers[q.Unit] / rates[q.Unit]
 		}
 		loads = append(loads, headroom.AccountLoad{Name: name, Running: l.Running, Waiting: l.Waiting, Weight: weight})
 	}
 	return headroom.OverShare(loads)
 }
+
+// hasPatientCallers reports whether gateways share the slots of a service, see headroom.MinPatientObjective.
+func (d *Director) hasPatientCallers(service string) bool {
+	table := d.view.Table()
+	return table != nil && table.MaxObjective(service) >= headroom.MinPatientObjective
+}
--- a/instance/controlinstance/gateway_loads.go
+++ b/instance/controlinstance/gateway_loads.go
@@ -162,14 +162,17 @@
 	}
 }
 
-// queuesExcept returns the models for which requests wait at the other gateways.
-func (g *gatewayLoads) queuesExcept(gateway string) []fleetapi.ModelLoad {
+// queuesExcept returns the models of wanted services for which requests wait at the other gateways.
+func (g *gatewayLoads) queuesExcept(gateway string, wanted func(service string) bool) []fleetapi.ModelLoad {
 	var queues []fleetapi.ModelLoad
 	own := map[modelKey]fleetapi.ModelLoad(nil)
 	if l := g.gateways[gateway]; l != nil && l.counted {
 		own = l.models
 	}
 	for key, sum := range g.queues {
+		if !wanted(key.service) {
+			continue
+		}
 		q := *sum
 		q.Waiting -= own[key].Waiting
 		q.Urgent -= own[key].Urgent
--- a/instance/gateway/adapter_backoff.go
+++ b/instance/gateway/adapter_backoff.go
@@ -15,14 +15,16 @@
 
 type adapterKey struct{ service, model, adapter string }
 
-// adapterBackoff keeps when the leader may be asked again for adapters that it could not name a target for.
+// adapterBackoff keeps when the leader may be asked again for adapters that it could not name a target for. It is safe for concurrent
+// use.
 type adapterBackoff struct {
 	mu    sync.Mutex
 	until map[adapterKey]backoff
 }
 
 type backoff struct {
-	pause time.Duration
+	pause time.Duration // after the last denial
+	// until is the end of the pause, or the latest end of the call in progress.
 	until time.Time
 }
 
@@ -30,22 +32,19 @@
 	return &adapterBackoff{until: make(map[adapterKey]backoff)}
 }
 
-// mayAsk reports whether the leader may be asked for an adapter. One request asks at a time.
+// mayAsk reports whether the leader may be asked for an adapter. One request asks at a time; it calls denied or answered then.
 func (a *adapterBackoff) mayAsk(now time.Time, key adapterKey) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	b, ok := a.until[key]
-	if !ok {
-		return true
-	}
+	b := a.until[key]
 	if now.Before(b.until) {
 		return false
 	}
-	b.until = now.Add(b.pause)
-	a.until[key] = b
+	a.until[key] = backoff{b.pause, now.Add(adapterTimeout)}
 	return true
 }
 
+// denied records that no target can load an adapter now.
 func (a *adapterBackoff) denied(now time.Time, key adapterKey) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -53,7 +52,8 @@
 	a.until[key] = backoff{pause, now.Add(pause)}
 }
 
-func (a *adapterBackoff) granted(key adapterKey) {
+// answered records that an adapter can be had, or that the request that asked has ended before the answer.
+func (a *adapterBackoff) answered(key adapterKey) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	delete(a.until, key)
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -137,6 +137,7 @@
 	var summary fleetapi.LoadSummary
 	if err := g.peers.Call(callCtx, leader, peerapi.MethodFleetLoad, report, &summary); err != nil {
 		g.loadTracker.SetPeerObservations(nil, nil)
+		g.forgetQueues()
 		return err
 	}
 	return g.applySummary(time.Now(), &summary)
--- a/instance/gateway/gateway_test.go
+++ b/instance/gateway/gateway_test.go
@@ -481,10 +481,8 @@
 		time.Sleep(time.Millisecond)
 		answerOK(conn, r, body)
 	})
-	f.gateway.opts.CallerAddress, f.gateway.opts.ReadinessAddress = freeAddress(t), freeAddress(t)
 	ctx, stop := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- f.gateway.Run(ctx) }()
+	done := f.startGateway(ctx)
 	url := "http://" + f.gateway.opts.CallerAddress
 	waitFor(t, func() bool { return status(url+"/safe/x") == 200 })
 	waitFor(t, func() bool { return status("http://"+f.gateway.opts.ReadinessAddress+"/ready") == 200 })
--- a/instance/gateway/handover.go
+++ b/instance/gateway/handover.go
@@ -166,8 +166,8 @@
 	header[fleetapi.HeaderHandoverSends] = []string{strconv.Itoa(sends)}
 	header[fleetapi.HeaderHandoverVersion] = []string{strconv.FormatUint(q.table.Version(), 10)}
 	header[fleetapi.HeaderHandoverService] = []string{q.service.Name}
-	if q.key != "" {
-		header[g.opts.Headers.Key] = []string{q.key} // the other gateway looks the account up in its own configuration
+	for name, values := range q.credentials.headers {
+		header[name] = values // the other gateway looks the account up in its own configuration
 	}
 	if q.softwareVersion != nil {
 		header[fleetapi.HeaderHandoverSoftware] = []string{*q.softwareVersion}
--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -25,7 +25,7 @@
 }
 
 func (g *Gateway) headroomRequest(now time.Time, q *request) headroom.Request {
-	over := q.account != nil && slices.Contains(*g.overShare.Load(), q.account.Name)
+	over := q.credentials.account != nil && slices.Contains(*g.overShare.Load(), q.credentials.account.Name)
 	return headroom.Request{Objective: q.route.Objective, Age: q.age(now), OverShare: over}
 }
 
@@ -56,8 +56,8 @@
 	slots := 0
 	targets := g.view.Targets()
 	for i := range targets {
-		if t := &targets[i]; t.Service == q.service.Name && t.State == roster.Ready && (q.prompt.Model == "" || t.HeldModel(q.prompt.Model) != nil) {
-			slots += max(t.Slots, 1)
+		if t := &targets[i]; t.Service == q.service.Name && t.State == roster.Ready && t.HeldModel(q.prompt.Model) != nil {
+			slots += dispatch.SlotsOf(t, q.service.Engine.Slots)
 		}
 	}
 	return headroom.ExpectedWait(g.demand.queue(q), (*g.queues.Load())[q.modelKey()], g.headroomRequest(now, q).Urgent(), slots,
@@ -70,7 +70,7 @@
 // isHopeless reports whether a request that has not waited yet is refused, since it can hardly be served within the time for which it
 // may wait. Its caller is told when there will be room.
 func (g *Gateway) isHopeless(now time.Time, q *request, reason dispatch.Reason, left time.Duration) bool {
-	if reason != dispatch.AllFull || q.waiting != notWaiting || !q.hasPatientCallers() {
+	if reason != dispatch.AllFull || q.waiting != notWaiting || q.waited > 0 || q.sends > 0 || !q.hasPatientCallers() {
 		return false
 	}
 	wait := g.expectedWait(now, q)
@@ -91,6 +91,12 @@
 	return &queues
 }
 
+// forgetQueues is called when a load report got no answer: what waits elsewhere changes within fractions of a second.
+func (g *Gateway) forgetQueues() {
+	g.queues.Store(queuesOf(nil))
+	g.overShare.Store(&[]string{})
+}
+
 // waitState is how a request counts in the demand while it waits.
 type waitState uint8
 
@@ -131,14 +137,14 @@
 
 // updateAccount changes the load of the client account of a request.
 func (d *demand) updateAccount(q *request, f func(*fleetapi.AccountLoad)) {
-	if q.account == nil {
+	if q.credentials.account == nil {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	a := d.accounts[q.account.Name]
+	a := d.accounts[q.credentials.account.Name]
 	if a == nil {
-		a = &fleetapi.AccountLoad{Name: q.account.Name}
+		a = &fleetapi.AccountLoad{Name: q.credentials.account.Name}
 		d.accounts[a.Name] = a
 	}
 	f(a)
@@ -171,7 +177,7 @@
 
 // waitStateOf is how a request counts that waits now.
 func (g *Gateway) waitStateOf(now time.Time, q *request) waitState {
-	if g.headroomRequest(now, q).Urgent() {
+	if q.hasPatientCallers() && g.headroomRequest(now, q).Urgent() {
 		return waitingUrgent
 	}
 	return waiting
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -104,7 +104,9 @@
 // mayAdd reports whether a target that the leader selected may get a request.
 func (g *Gateway) mayAdd(now time.Time, q *request, t *roster.Entry) bool {
 	query := dispatch.Query{Service: q.service.Name}
-	g.limitLoad(now, q, &query)
+	if q.hasPatientCallers() {
+		g.limitLoad(now, q, &query)
+	}
 	g.rngMu.Lock()
 	defer g.rngMu.Unlock()
 	return g.loadTracker.MayAdd(now, g.rng, t, &query)
@@ -122,13 +124,17 @@
 		SoftwareVersion: q.softwareVersion, Exclude: slices.Concat(exclude, g.loadTracker.Down(), g.loadTracker.LeftAlone(now), g.limitedTargets())}
 	var answer fleetapi.AdapterResponse
 	err := g.peers.Call(ctx, leader, peerapi.MethodFleetAdapter, adapterRequest, &answer)
+	if q.ctx.Err() != nil {
+		g.adapters.answered(q.adapterKey())
+		return nil
+	}
 	if err != nil || answer.ID == "" {
 		g.adapters.denied(time.Now(), q.adapterKey())
 		g.recorder.Record(events.AdapterMissing, events.Fields{"request": q.id, "model": q.prompt.Model,
 			"adapter": q.prompt.Adapter, "leader": leader, "problem": answer.Problem, "failed": err != nil})
 		return nil
 	}
-	g.adapters.granted(q.adapterKey())
+	g.adapters.answered(q.adapterKey())
 	if answer.ReadyMs > 0 && !sleep(q, time.Duration(answer.ReadyMs)*time.Millisecond) {
 		return nil
 	}
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -19,20 +19,18 @@
 
 // request is one attempt of a caller.
 type request struct {
-	ctx     context.Context
-	id      string
-	method  string
-	uri     string
-	host    string
-	header  http.Header // without connection headers and headers that only the system sets
-	body    []byte
-	route   *routes.Route
-	service *routes.Service
-	table   *routes.Table // the configuration that contains the route
-	prompt  dialect.Prompt
-	// account is the client account of the caller, nil without one; key is the key that it sent.
-	account *routes.Account
-	key     string
+	ctx         context.Context
+	id          string
+	method      string
+	uri         string
+	host        string
+	header      http.Header // without connection headers and headers that only the system sets
+	body        []byte
+	route       *routes.Route
+	service     *routes.Service
+	table       *routes.Table // the configuration that contains the route
+	prompt      dialect.Prompt
+	credentials credentials
 	// rank is that with which targets schedule the request; 0 is the most urgent.
 	rank     int
 	arrived  time.Time
@@ -114,8 +112,8 @@
 		g.refuseEarly(w, r, http.StatusNotFound, "no route matches host and path")
 		return nil
 	}
-	account, authorized := g.authorize(r.Header, table, route)
-	if !authorized {
+	caller := g.readCredentials(r.Header)
+	if !caller.authorize(table, route) {
 		g.metrics.unauthorized.Inc(1)
 		g.refuseEarly(w, r, http.StatusUnauthorized, reasonUnknownKey)
 		return nil
@@ -137,14 +135,9 @@
 	q := &request{
 		ctx: r.Context(), id: r.Header.Get(g.opts.Headers.RequestID), method: r.Method, uri: uri, host: r.Host, body: body,
 		route: route, table: table, arrived: arrived, deadline: arrived.Add(route.Timeout),
-		header: g.forwardedHeader(r.Header, table), account: account, rank: route.Rank,
-	}
-	if table.HasAccounts() {
-		q.key = r.Header.Get(g.opts.Headers.Key)
-	}
-	if account != nil {
-		q.rank = account.RankOf(route)
+		header: g.forwardedHeader(r.Header), credentials: caller,
 	}
+	q.setRank()
 	q.abandonedAt = arrived.Add(max(route.StreamLife(), streamorigin.MinLife))
 	if left, ok := g.timeLeft(r); ok {
 		q.deadline = arrived.Add(min(left, route.Timeout))
@@ -242,7 +235,7 @@
 }
 
 // forwardedHeader returns the headers that are forwarded to a target.
-func (g *Gateway) forwardedHeader(h http.Header, table *routes.Table) http.Header {
+func (g *Gateway) forwardedHeader(h http.Header) http.Header {
 	forwarded := make(http.Header, len(h)+2)
 	dropped := connectionOptions(h)
 	for name, values := range h {
@@ -251,10 +244,8 @@
 		}
 		forwarded[name] = values
 	}
-	if table.HasAccounts() {
-		delete(forwarded, g.opts.Headers.Key)
-		delete(forwarded, g.opts.Headers.Account)
-	}
+	delete(forwarded, g.opts.Headers.Key) // see credentials
+	delete(forwarded, g.opts.Headers.Account)
 	return forwarded
 }
 
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -145,9 +145,7 @@
 	}
 	header[headerNames.TimeLeftMs] = []string{strconv.FormatInt(max(q.deadline.Sub(now).Milliseconds(), 1), 10)}
 	header[headerNames.ExpectTarget] = []string{target.ID}
-	if q.account != nil {
-		header[headerNames.Account] = []string{q.account.Name}
-	}
+	g.setAccountHeaders(header, &q.credentials)
 	if q.service.Engine != nil {
 		header[headerNames.TargetPriority] = []string{strconv.Itoa(min(max(q.rank, mostUrgent), leastUrgent))}
 	}
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -63,6 +63,10 @@
 			g.giveUp(relay, q, ran, string(reason))
 			return
 		}
+		if target != nil && !g.stillAuthorized(q) { // awaitTarget may have waited for an adapter
+			g.giveUp(relay, q, ran, reasonUnknownKey)
+			return
+		}
 		if q.sends > 0 && !g.allowRepeat(time.Now(), q) {
 			g.giveUp(relay, q, ran, "budget for repeated sends exhausted")
 			return
--- a/instance/gateway/shutdown_test.go
+++ b/instance/gateway/shutdown_test.go
@@ -8,21 +8,21 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // runGateway runs the gateway of a fixture as a process does, and returns the address for callers and a function that sends the stop
 // signal. The function that it returns then waits for the end.
 func (f *fixture) runGateway() (url string, stop func() (wait func())) {
 	f.t.Helper()
-	f.gateway.opts.CallerAddress, f.gateway.opts.ReadinessAddress = freeAddress(f.t), freeAddress(f.t)
 	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan error, 1)
-	go func() { done <- f.gateway.Run(ctx) }()
 	f.t.Cleanup(cancel)
+	done := f.startGateway(ctx)
 	url = "http://" + f.gateway.opts.CallerAddress
-	waitFor(f.t, func() bool { return status(url+"/none/x") != 0 })
 	return url, func() func() {
 		cancel()
 		return func() {
@@ -33,6 +33,32 @@
 	}
 }
 
+// startGateway runs the gateway at free addresses until ctx ends. Another test may take an address before the gateway listens there;
+// then it is started again at others.
+func (f *fixture) startGateway(ctx context.Context) (done chan error) {
+	f.t.Helper()
+	for {
+		f.gateway.opts.CallerAddress, f.gateway.opts.ReadinessAddress = freeAddress(f.t), freeAddress(f.t)
+		done = make(chan error, 1)
+		go func() { done <- f.gateway.Run(ctx) }()
+		var failure error
+		waitFor(f.t, func() bool {
+			select {
+			case failure = <-done:
+				return true
+			default:
+				return status("http://"+f.gateway.opts.CallerAddress+"/none/x") != 0
+			}
+		})
+		if !errors.Is(failure, syscall.EADDRINUSE) {
+			if failure != nil {
+				f.t.Fatal(failure)
+			}
+			return done
+		}
+	}
+}
+
 // ending is how a request ended.
 type ending struct {
 	status     int
