--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -111,6 +111,9 @@
 	// may get more before the next report, if allowanceKnown is set.
 	othersKnown, allowanceKnown bool
 	allowance                   int
+	claim                       claim
+	// lastOthers is others as last known.
+	lastOthers Load
 	// leaveAloneUntil is the end of the time for which the target asked this gateway to send it nothing.
 	leaveAloneUntil time.Time
 	// pausedUntil is until when a brittle target that rejected a request gets none.
@@ -167,6 +170,8 @@
 	ownBrittle  map[string]brittleObservation
 	peerBrittle map[string]int
 	brittle     map[string]int
+	// othersKnown is set while the loads of the other gateways are those of a report. Targets without an entry have none.
+	othersKnown bool
 	gateways    int // number of gateways that share the targets, 0 if unknown
 	unloading   map[modelKey]bool
 	// notHeld are models and adapters that a target reported as not resident, and orderedAdapters those that a target
@@ -216,6 +221,8 @@
 	MayHaveRestarted func(*roster.Entry) bool
 	// Skip leaves out targets that are in need; nil leaves out none.
 	Skip func(*roster.Entry) bool
+	// Sharing limits what this gateway takes of the free slots; nil does not.
+	Sharing *Sharing
 	// Connected reports whether an idle connection to an address is open; nil if that is unknown.
 	Connected func(address string) bool
 }
@@ -249,7 +256,7 @@
 			reason = r
 		}
 	}
-	var eligible []*roster.Entry
+	var candidates []*roster.Entry
 	for i := range targets {
 		t := &targets[i]
 		if t.Service != q.Service || t.State != roster.Ready {
@@ -289,7 +296,14 @@
 			recordReason(LeftAlone)
 			continue
 		}
-		if !tracker.hasRoom(now, rng, s, t.ID, &q, slotsOf(t, q.Slots)) {
+		candidates = append(candidates, t)
+	}
+	if q.Sharing != nil && !tracker.partsNeeded(&q, candidates) {
+		q.Sharing = &Sharing{Part: 1, PartUnknown: q.Sharing.PartUnknown, ServiceTime: q.Sharing.ServiceTime}
+	}
+	eligible := candidates[:0]
+	for _, t := range candidates {
+		if !tracker.hasRoom(now, rng, tracker.state(t.ID), t.ID, &q, SlotsOf(t, q.Slots)) {
 			recordReason(AllFull)
 			continue
 		}
@@ -311,7 +325,7 @@
 	var best *roster.Entry
 	bestScore := 0.0
 	for _, t := range eligible {
-		score := tracker.state(t.ID).score(now, t, q, slotsOf(t, q.Slots)) + rng.Float64()*maxJitterMs
+		score := tracker.state(t.ID).score(now, t, q, SlotsOf(t, q.Slots)) + rng.Float64()*maxJitterMs
 		if q.Connected != nil && !q.Connected(t.Address) {
 			score += connectMs
 		}
@@ -373,7 +387,8 @@
 // reasonRank orders reasons by filter stage. Pick returns the reason of the last stage that any target reached.
 var reasonRank = map[Reason]int{NoTarget: 0, OtherVersion: 1, NotLoaded: 2, NoneReachable: 3, Unconfirmed: 4, NoAdapter: 5, AllExcluded: 6, Limited: 7, LeftAlone: 8, AllFull: 9}
 
-func slotsOf(t *roster.Entry, fallback int) int {
+// SlotsOf returns the slots of a target, or the fallback if it does not announce them.
+func SlotsOf(t *roster.Entry, fallback int) int {
 	if t.Slots > 0 {
 		return t.Slots
 	}
@@ -627,7 +642,12 @@
 	for id, o := range others {
 		tracker.state(id).setOthers(o)
 	}
+	tracker.othersKnown = others != nil
 	for id, s := range tracker.targets {
+		s.renewClaim(others != nil)
+		if others != nil {
+			s.lastOthers = others[id].Load
+		}
 		s.setOthers(others[id])
 		s.othersKnown, s.allowanceKnown = others != nil, false
 	}
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
 	"github.com/tarragonhoist/tarragonhoist/coordination/gatewaycount"
+	"github.com/tarragonhoist/tarragonhoist/coordination/headroom"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/targetlimit"
 	"github.com/tarragonhoist/tarragonhoist/events"
@@ -91,8 +92,14 @@
 	startExit    context.CancelFunc
 	gatewayCount gatewaycount.Counter // gateways that share the targets
 	loading      atomic.Pointer[[]loadingModel]
+	// queues are the requests that wait at other gateways.
+	queues atomic.Pointer[map[modelKey]headroom.Queue]
+	// overShare are the client accounts above their fair share.
+	overShare    atomic.Pointer[[]string]
 	suspects     *crashSuspects
 	limits       *targetlimit.Table
+	adapters     *adapterBackoff
+	serviceTimes *headroom.ServiceTimes
 	helpers      *helpers
 	attempts     *attempts
 	// isolated is set while this gateway reaches no target.
@@ -112,11 +119,13 @@
 		loadTracker: dispatch.NewLoadTracker(opts.Name),
 		budget:      dispatch.NewBudget(opts.Budget), demand: newDemand(), metrics: newCounters(registry),
 		systemHeaders: make(map[string]bool), suspects: newCrashSuspects(),
-		limits: targetlimit.NewTable(), attempts: newAttempts(), standstill: newStandstill(sinceBoot),
+		limits: targetlimit.NewTable(), adapters: newAdapterBackoff(), serviceTimes: headroom.NewServiceTimes(), attempts: newAttempts(), standstill: newStandstill(sinceBoot),
 		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time), unservedAt: make(map[modelKey]time.Time)},
 	}
 	g.client = upstream.New(g.recordRefusals(opts.DialTarget), registry)
 	g.loading.Store(&[]loadingModel{})
+	g.queues.Store(queuesOf(nil))
+	g.overShare.Store(&[]string{})
 	g.exiting, g.startExit = context.WithCancel(context.Background())
 	for _, name := range opts.Headers.Reserved {
 		g.systemHeaders[http.CanonicalHeaderKey(name)] = true
@@ -301,6 +310,7 @@
 		g.helpers.client.CloseIdle(now, func(string) bool { return true })
 		g.loadTracker.Forget(ids)
 		g.limits.Forget(ids)
+		g.adapters.expire(now)
 		g.refusals.Range(func(address, _ any) bool {
 			if !addresses[address.(string)] {
 				g.refusals.Delete(address)
--- /dev/null
+++ b/instance/gateway/headroom_test.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/headroom"
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
+)
+
+// patientTable has a service with an urgent and a patient route.
+func patientTable() (table *routes.Table, urgent, patient *routes.Route) {
+	split := []routes.WeightedService{{Service: "engine", Weight: 1}}
+	document := &routes.Document{Version: 1, Services: []routes.Service{{Name: "engine", Engine: &routes.Engine{Slots: 4}}}, Routes: []routes.Route{
+		{Name: "urgent", Host: "h", PathPrefix: "/u/", Kind: routes.Stream, Timeout: 10 * time.Second, Objective: 400 * time.Millisecond, Rank: 1, Split: split},
+		{Name: "patient", Host: "h", PathPrefix: "/p/", Kind: routes.Stream, Timeout: 20 * time.Second, Objective: 12 * time.Second, Rank: 2, Split: split},
+	}}
+	return routes.NewTable(document), &document.Routes[0], &document.Routes[1]
+}
+
+func headroomRequest(now time.Time, table *routes.Table, route *routes.Route, age time.Duration) *request {
+	q := &request{route: route, table: table, service: table.Service("engine"), arrived: now.Add(-age), deadline: now.Add(route.Timeout - age)}
+	q.prompt.Model = "m"
+	return q
+}
+
+// Guards against a gateway that takes all free slots while requests wait at others too, in a service with patient callers, and
+// against a change for services without them.
+func TestSlotsAreSharedWithOtherGateways(t *testing.T) {
+	g := newFixture(t).gateway
+	now := time.Now()
+	table, urgent, patient := patientTable()
+	first := *urgent
+	first.Rank = 0
+	mostUrgentRoute := &first
+	g.queues.Store(queuesOf([]fleetapi.ModelLoad{{Service: "engine", Model: "m", Waiting: 9, Urgent: 3}}))
+	cases := []struct {
+		name          string
+		q             *request
+		perSlot, part float64
+	}{
+		{"urgent", headroomRequest(now, table, urgent, 0), 1, 0.25},
+		{"most urgent rank", headroomRequest(now, table, mostUrgentRoute, 0), dispatch.MaxEngineRequestsPerSlot(0), 1},
+		{"late", headroomRequest(now, table, urgent, time.Second), headroom.Request{Objective: 1, Age: 2}.Share(), 0.1},
+		{"patient", headroomRequest(now, table, patient, 0), headroom.Request{Objective: time.Minute}.Share(), 0.1},
+	}
+	for _, c := range cases {
+		var query dispatch.Query
+		g.limitLoad(now, c.q, &query)
+		if query.MaxPerSlot != c.perSlot || query.Sharing == nil || query.Sharing.Part != c.part {
+			t.Errorf("%s: query %+v, sharing %+v; want %v requests per slot and part %v", c.name, query, query.Sharing, c.perSlot, c.part)
+		}
+	}
+	g.queues.Store(queuesOf(nil))
+	alone := &routes.Route{Kind: routes.Stream, Objective: 400 * time.Millisecond, Timeout: time.Second, Split: urgent.Split}
+	document := &routes.Document{Routes: []routes.Route{*alone}, Services: []routes.Service{{Name: "engine", Engine: &routes.Engine{Slots: 4}}}}
+	q := headroomRequest(now, routes.NewTable(document), alone, 900*time.Millisecond)
+	var query dispatch.Query
+	g.limitLoad(now, q, &query)
+	if query.MaxPerSlot != dispatch.MaxEngineRequestsPerSlot(0) || query.Sharing != nil {
+		t.Errorf("query %+v of a service without patient callers", query)
+	}
+}
+
+// Guards against a request that is held until its caller leaves although too many wait before it, and against one that is refused
+// although it can still be served in time.
+func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
+	f := newFixture(t)
+	g := f.gateway
+	f.target("t0", "engine", nil)
+	now := time.Now()
+	table, urgent, patient := patientTable()
+	g.queues.Store(queuesOf([]fleetapi.ModelLoad{{Service: "engine", Model: "m", Waiting: 40, Urgent: 12}}))
+	for _, c := range []struct {
+		name  string
+		route *routes.Route
+		want  bool
+	}{{"urgent, 3 s of work before it", urgent, true}, {"patient, 10 s of work before it", patient, false}} {
+		q := headroomRequest(now, table, c.route, 0)
+		left := g.maxWait(q, dispatch.AllFull, now)
+		if got := g.isHopeless(now, q, dispatch.AllFull, left); got != c.want {
+			t.Errorf("%s: hopeless %v within %v, want %v", c.name, got, left, c.want)
+		}
+		if c.want && (q.returnAfter < 3*time.Second || q.returnAfter > 5*time.Second) {
+			t.Errorf("%s: returns after %v, want 3s to 5s", c.name, q.returnAfter)
+		}
+		if g.isHopeless(now, q, dispatch.NotLoaded, left) {
+			t.Errorf("%s: refused for a model that is being loaded", c.name)
+		}
+		q.waiting = waiting
+		for range 100 {
+			if g.isHopeless(now, q, dispatch.AllFull, left) {
+				t.Fatalf("%s: refused after it waited, together with all others that wait", c.name)
+			}
+		}
+	}
+}
+
+// Guards against a stream that is cut, or a request that is given up, at its first look for another target: it has waited and was sent
+// before, so it does not arrive now.
+func TestRequestsThatWereSentAreNotHopeless(t *testing.T) {
+	f := newFixture(t)
+	g := f.gateway
+	f.target("t0", "engine", nil)
+	now := time.Now()
+	table, urgent, _ := patientTable()
+	g.queues.Store(queuesOf([]fleetapi.ModelLoad{{Service: "engine", Model: "m", Waiting: 400, Urgent: 400}}))
+	for range 100 {
+		q := headroomRequest(now, table, urgent, 0)
+		q.sends, q.lastTarget, q.waited = 1, "t1", 200*time.Millisecond
+		g.demand.setWaiting(q, waiting)
+		g.demand.setWaiting(q, notWaiting) // as awaitTarget does when it has found a target
+		if g.isHopeless(now, q, dispatch.AllFull, g.maxWait(q, dispatch.AllFull, now)) {
+			t.Fatal("a request that waited and was sent once is refused as one that arrives")
+		}
+	}
+}
+
+// Guards against refusals for the length of an outage of the leader because of requests that waited elsewhere when it began.
+func TestQueuesOfOthersAreForgottenWithoutLeader(t *testing.T) {
+	f := newFixture(t)
+	g := f.gateway
+	f.target("t0", "engine", nil)
+	f.view.SetLeaderAndMembers("leader", nil)
+	table, urgent, _ := patientTable()
+	now := time.Now()
+	summary := &fleetapi.LoadSummary{Gateways: 2, Queues: []fleetapi.ModelLoad{{Service: "engine", Model: "m", Waiting: 400, Urgent: 400}}}
+	if err := g.applySummary(now.Add(-time.Minute), summary); err != nil {
+		t.Fatal(err)
+	}
+	for range 100 {
+		if g.exchangeLoadOnce(t.Context()) == nil {
+			t.Fatal("the leader answered")
+		}
+	}
+	if wait := g.expectedWait(now, headroomRequest(now, table, urgent, 0)); wait > 10*time.Second {
+		t.Errorf("a wait of %v is expected because of what the leader said before it was lost", wait)
+	}
+}
+
+// Guards against refusals of requests that can be served, for engines whose heartbeats name no slots: the configuration does.
+func TestExpectedWaitUsesTheSlotsOfTheConfiguration(t *testing.T) {
+	f := newFixture(t)
+	_, err := f.view.ApplyHeartbeat(time.Now(), roster.Target{Key: roster.Key{ID: "t0", StartedAtMs: 1}, Service: "engine", DataCentre: "a",
+		Address: "127.0.0.1:1", HeartbeatSequence: 1, Models: []roster.Held{{Model: "m"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := time.Now()
+	table, urgent, _ := patientTable()
+	f.gateway.queues.Store(queuesOf([]fleetapi.ModelLoad{{Service: "engine", Model: "m", Waiting: 4, Urgent: 4}}))
+	if got := f.gateway.expectedWait(now, headroomRequest(now, table, urgent, 0)); got != time.Second {
+		t.Errorf("wait %v for 4 slots with 4 requests of 1 s before, want 1s", got)
+	}
+}
+
+// Guards against hundreds of requests that ask the leader for the same adapter at once, and against a pause that is the longest after
+// the first denial.
+func TestOneRequestAsksForAnAdapterAtATime(t *testing.T) {
+	a, now, key := newAdapterBackoff(), time.Now(), adapterKey{"s", "m", "a"}
+	asking := 0
+	for range 10 {
+		if a.mayAsk(now, key) {
+			asking++
+		}
+	}
+	if asking != 1 {
+		t.Errorf("%d requests ask for an adapter that none has asked for before", asking)
+	}
+	for range asking {
+		a.denied(now, key)
+	}
+	if pause := a.until[key].until.Sub(now); pause != minAdapterBackoff {
+		t.Errorf("pause %v after the requests that asked first, want %v", pause, minAdapterBackoff)
+	}
+	now = now.Add(maxAdapterBackoff)
+	if !a.mayAsk(now, key) {
+		t.Fatal("nobody asks after the pause")
+	}
+	// The answer takes up to adapterTimeout.
+	if a.mayAsk(now.Add(adapterTimeout-time.Millisecond), key) {
+		t.Error("a second request asks before the first has an answer")
+	}
+}
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -88,32 +88,34 @@
 func (g *Gateway) pickLocally(now time.Time, q *request, exclude []string, skip func(*roster.Entry) bool) (*roster.Entry, dispatch.Reason) {
 	query := dispatch.Query{
 		Service: q.service.Name, Model: q.prompt.Model, Adapter: q.prompt.Adapter, Tokens: q.prompt.Tokens,
-		DataCentre: g.opts.DataCentre, Exclude: exclude, MaxPerSlot: maxPlainPerSlot, Choices: g.choices(), Skip: skip,
+		DataCentre: g.opts.DataCentre, Exclude: exclude, Choices: g.choices(), Skip: skip,
 		SoftwareVersion: q.softwareVersion,
 		Connected:       func(address string) bool { return g.client.HasIdle(now, address) },
 	}
 	if q.softwareVersion != nil {
 		query.MayHaveRestarted = func(t *roster.Entry) bool { return g.mayHaveRestarted(now, t) }
 	}
-	if q.service.Engine != nil {
-		query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot(q.route.Rank)
-	}
+	g.limitLoad(now, q, &query)
 	g.rngMu.Lock()
 	defer g.rngMu.Unlock()
 	return g.loadTracker.Pick(now, g.rng, query, g.view.Targets())
 }
 
-// mayAdd reports whether a target that the leader selected may get another request.
-func (g *Gateway) mayAdd(t *roster.Entry) bool {
+// mayAdd reports whether a target that the leader selected may get a request.
+func (g *Gateway) mayAdd(now time.Time, q *request, t *roster.Entry) bool {
+	query := dispatch.Query{Service: q.service.Name}
+	if q.hasPatientCallers() {
+		g.limitLoad(now, q, &query)
+	}
 	g.rngMu.Lock()
 	defer g.rngMu.Unlock()
-	return g.loadTracker.MayAdd(time.Now(), g.rng, t)
+	return g.loadTracker.MayAdd(now, g.rng, t, &query)
 }
 
 // loadAdapter asks the leader for a target that holds the adapter, and waits until it is loaded there.
 func (g *Gateway) loadAdapter(now time.Time, q *request, exclude []string) *roster.Entry {
 	leader, _ := g.view.LeaderAndMembers()
-	if leader == "" {
+	if leader == "" || q.hasPatientCallers() && !g.adapters.mayAsk(now, q.adapterKey()) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(q.ctx, min(adapterTimeout, q.deadline.Sub(now)))
@@ -122,11 +124,17 @@
 		SoftwareVersion: q.softwareVersion, Exclude: slices.Concat(exclude, g.loadTracker.Down(), g.loadTracker.LeftAlone(now), g.limitedTargets())}
 	var answer fleetapi.AdapterResponse
 	err := g.peers.Call(ctx, leader, peerapi.MethodFleetAdapter, adapterRequest, &answer)
+	if q.ctx.Err() != nil {
+		g.adapters.answered(q.adapterKey())
+		return nil
+	}
 	if err != nil || answer.ID == "" {
+		g.adapters.denied(time.Now(), q.adapterKey())
 		g.recorder.Record(events.AdapterMissing, events.Fields{"request": q.id, "model": q.prompt.Model,
 			"adapter": q.prompt.Adapter, "leader": leader, "problem": answer.Problem, "failed": err != nil})
 		return nil
 	}
+	g.adapters.answered(q.adapterKey())
 	if answer.ReadyMs > 0 && !sleep(q, time.Duration(answer.ReadyMs)*time.Millisecond) {
 		return nil
 	}
@@ -134,8 +142,11 @@
 	targets := g.view.Targets()
 	for i := range targets {
 		if t := &targets[i]; t.ID == answer.ID && t.State == roster.Ready && !g.hasLimit(t) &&
-			(q.softwareVersion == nil || q.mayRunAt(t) && !g.mayHaveRestarted(time.Now(), t)) && g.mayAdd(t) {
-			return t
+			(q.softwareVersion == nil || q.mayRunAt(t) && !g.mayHaveRestarted(time.Now(), t)) {
+			if g.mayAdd(time.Now(), q, t) {
+				return t
+			}
+			g.adapters.denied(time.Now(), q.adapterKey()) // the leader would name the same target
 		}
 	}
 	return nil
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -31,7 +31,11 @@
 	g.demand.addRunning(q, target.ID, 1)
 	defer func() {
 		g.demand.addRunning(q, target.ID, -1)
-		g.loadTracker.Finish(time.Now(), inFlight, end)
+		ended := time.Now()
+		g.loadTracker.Finish(ended, inFlight, end)
+		if end == dispatch.Complete {
+			g.serviceTimes.Observe(target.Service, ended.Sub(now))
+		}
 	}()
 	g.recordResumption(r, q, target)
 	ctx, cancel := context.WithCancelCause(q.ctx)
@@ -141,9 +145,7 @@
 	}
 	header[headerNames.TimeLeftMs] = []string{strconv.FormatInt(max(q.deadline.Sub(now).Milliseconds(), 1), 10)}
 	header[headerNames.ExpectTarget] = []string{target.ID}
-	if q.account != nil {
-		header[headerNames.Account] = []string{q.account.Name}
-	}
+	g.setAccountHeaders(header, &q.credentials)
 	if q.service.Engine != nil {
 		header[headerNames.TargetPriority] = []string{strconv.Itoa(min(max(q.rank, mostUrgent), leastUrgent))}
 	}
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -63,6 +63,10 @@
 			g.giveUp(relay, q, ran, string(reason))
 			return
 		}
+		if target != nil && !g.stillAuthorized(q) { // awaitTarget may have waited for an adapter
+			g.giveUp(relay, q, ran, reasonUnknownKey)
+			return
+		}
 		if q.sends > 0 && !g.allowRepeat(time.Now(), q) {
 			g.giveUp(relay, q, ran, "budget for repeated sends exhausted")
 			return
@@ -118,11 +122,8 @@
 // the caller has a part of the answer already.
 func (g *Gateway) awaitTarget(q *request, exclude []string, answering bool) (*roster.Entry, dispatch.Reason) {
 	started := time.Now()
-	waiting := false
 	defer func() {
-		if waiting {
-			g.demand.addWaiting(q, -1)
-		}
+		g.demand.setWaiting(q, notWaiting)
 		q.waited += time.Since(started)
 	}()
 	for {
@@ -159,6 +160,9 @@
 			left = 0 // no target takes the request in time
 			q.returnAfter = at.Sub(now) + rejectionPause
 		}
+		if left > 0 && g.isHopeless(now, q, reason, left) {
+			left, reason = 0, reasonTooManyWaiting
+		}
 		if left <= 0 {
 			q.notLoaded = reason == dispatch.NotLoaded
 			if q.notLoaded {
@@ -166,10 +170,7 @@
 			}
 			return nil, reason
 		}
-		if !waiting {
-			waiting = true
-			g.demand.addWaiting(q, 1)
-		}
+		g.demand.setWaiting(q, g.waitStateOf(now, q))
 		poll := waitPollInterval
 		if reason == dispatch.NoAdapter || reason == dispatch.Limited && q.prompt.Adapter != "" {
 			poll = adapterPollInterval
@@ -206,6 +207,9 @@
 		share = allFullWaitShare
 	}
 	left := time.Duration(float64(q.deadline.Sub(now)) * share)
+	if reason == dispatch.AllFull && q.hasPatientCallers() {
+		left = max(left, q.route.Objective-q.age(now)) // others go first, and it can still be in time
+	}
 	if reason == dispatch.Limited && q.route.Objective > 0 {
 		// The permits for targets in need are few. One for a request that is late already is missing for one in time.
 		left = min(left, q.route.Objective-now.Sub(q.arrived))
