residency: plan copies of models with a long load by forecast

Cause: loads from the store take 5.8 to 8.6 s, and demand moves to other models every 8 s. Plans by current demand complete when the demand has fallen, and moves for models with one request take all concurrent moves.

Change: models whose load takes 5 s or longer are planned by the level and slope of their demand; the concurrent moves are divided by urgency. Services without such a model are planned as before.

Measured: tests of coordination/residency and instance/controlinstance pass with -race.

--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -8,6 +8,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 )
 
 const (
@@ -56,6 +57,8 @@
 	MoveInProgress bool
 	// Running is the number of running requests.
 	Running int
+	// DataCentre is the data centre of the target.
+	DataCentre string
 }
 
 // busy reports whether the target currently accepts no orders.
@@ -76,6 +79,10 @@
 	HasAdapters bool
 	// Adapters is the number of adapters of the model that were requested recently.
 	Adapters int
+	// LoadTime is the duration of a load from the weight store, and Forecast the demand to be expected. They are used for
+	// models with a long load, see ahead.go.
+	LoadTime time.Duration
+	Forecast Forecast
 }
 
 // Move loads a model on a target. It replaces the model Unload unless that is empty.
@@ -85,6 +92,9 @@
 	Unload string
 	// FromStore means that the weights come from the weight store, so the load counts against its rate limit.
 	FromStore bool
+	// ByForecast means that the plan of the service uses forecasts, and Urgency says what the load is for then.
+	ByForecast bool
+	Urgency    Urgency
 }
 
 // Input is the input of Plan. Targets are the ready targets.
@@ -93,11 +103,16 @@
 	Models  []Model
 	// StoreLoads is the number of loads from the weight store that may start now.
 	StoreLoads int
+	// StoreRate is the number of loads per second that the weight store allows.
+	StoreRate float64
 }
 
 // Plan returns the moves to start now, the most urgent first.
 func Plan(in Input) []Move {
 	p := newPlanner(in)
+	if slices.ContainsFunc(p.models, func(m Model) bool { return m.ahead() }) {
+		return p.planAhead(in.StoreRate)
+	}
 	limit := max(1, int(maxMovesPerTarget*float64(len(p.targets))))
 	var moves []Move
 	for p.runningMoves < limit {
@@ -171,7 +186,7 @@
 // ranks above models whose copies are not overloaded, and above all others once requests for it wait.
 func (p *planner) pressure(m *Model) float64 {
 	if n := p.copies[m.Name]; n > 0 {
-		pressure := m.Demand / float64(n)
+		pressure := m.expected() / float64(n)
 		if p.usableCopies[m.Name] == 0 {
 			pressure /= waitingDemandFactor
 		}
--- a/instance/controlinstance/controlled_target.go
+++ b/instance/controlinstance/controlled_target.go
@@ -103,7 +103,7 @@
 		slots = min(slots, engine.Slots) // the largest number of slots decides how many copies a model needs
 	}
 	t := residency.Target{CapacityMB: engine.CapacityMB, Slots: slots, AdapterSlots: engine.AdapterSlots, InMemory: c.target.InMemory,
-		OnDisk: c.target.OnDisk, MoveInProgress: c.move != nil, AwaitingReport: !c.known}
+		OnDisk: c.target.OnDisk, MoveInProgress: c.move != nil, AwaitingReport: !c.known, DataCentre: c.target.DataCentre}
 	if !c.reported {
 		for _, held := range c.target.Models {
 			t.Models = append(t.Models, held.Model)
--- a/instance/controlinstance/director.go
+++ b/instance/controlinstance/director.go
@@ -57,8 +57,10 @@
 	refusals map[modelKey]float64
 	demand   map[modelKey]*residency.SmoothedDemand
 	smoothed map[modelKey]float64
-	targets  map[string]*controlledTarget // by target id
-	sizes    *modelSizes
+	// forecasts predicts the demand for models with a long load.
+	forecasts *modelForecasts
+	targets   map[string]*controlledTarget // by target id
+	sizes     *modelSizes
 	// adapterRequests holds, by adapter, the time of the latest request.
 	adapterRequests map[modelKey]map[string]time.Time
 	storeRates      map[string]*residency.LoadLimiter // by service, the rate of loads from the weight store
@@ -78,7 +80,7 @@
 		ordersSent: counter("orders_sent"), ordersRefused: counter("orders_refused"), storeLoads: counter("store_loads"),
 		permitsGiven: counter("permits_given"), permitsDenied: counter("permits_denied"),
 		gateways: newGatewayLoads(), refusals: make(map[modelKey]float64),
-		demand: make(map[modelKey]*residency.SmoothedDemand), smoothed: make(map[modelKey]float64),
+		demand: make(map[modelKey]*residency.SmoothedDemand), smoothed: make(map[modelKey]float64), forecasts: newModelForecasts(registry),
 		sizes: newModelSizes(), limits: targetlimit.NewTable(), permits: targetlimit.NewPermits(),
 		targets: make(map[string]*controlledTarget), adapterRequests: make(map[modelKey]map[string]time.Time), storeRates: make(map[string]*residency.LoadLimiter),
 	}
@@ -262,9 +264,11 @@
 	}
 	for key, s := range d.demand {
 		d.smoothed[key] = s.Add(now, samples[key])
+		d.forecasts.add(now, key, samples[key], d.planAfter)
 		if max(d.smoothed[key], s.Recent()) < 0.01 && samples[key] == 0 {
 			delete(d.demand, key)
 			delete(d.smoothed, key)
+			delete(d.forecasts.trends, key)
 		}
 	}
 }
@@ -323,7 +327,7 @@
 		key := modelKey{service.Name, m.Name}
 		weightsMB, _, _ := d.sizes.of(service.Name, service.Engine, m.Name)
 		model := residency.Model{Name: m.Name, WeightsMB: weightsMB, HasAdapters: m.Adapters > 0,
-			Adapters: len(d.adapterRequests[key])}
+			Adapters: len(d.adapterRequests[key]), LoadTime: m.LoadTime, Forecast: d.forecasts.of(key)}
 		if demand := d.demand[key]; demand != nil {
 			model.Demand, model.RecentDemand = d.smoothed[key], demand.Recent()
 		}
@@ -335,17 +339,14 @@
 		rate = &r
 		d.storeRates[service.Name] = rate
 	}
+	input.StoreRate = service.Engine.LoadsPerSecond
 	input.StoreLoads = rate.Available(now, service.Engine.LoadsPerSecond)
 	for _, move := range residency.Plan(input) {
 		if move.FromStore {
 			rate.Take()
-			d.storeLoads.Inc(1)
 		}
-		c := d.targets[move.Target]
-		c.startMove(now, move, service.Engine)
-		d.recorder.Record(events.MovePlanned, events.Fields{"target": move.Target, "load": move.Load, "unload": move.Unload,
-			"from_store": move.FromStore, "fence": d.fence,
-			"demand": roundToTenth(d.smoothed[modelKey{service.Name, move.Load}]), "demand_unload": roundToTenth(d.smoothed[modelKey{service.Name, move.Unload}])})
+		d.targets[move.Target].startMove(now, move, service.Engine)
+		d.recordMove(service, &move)
 	}
 }
 
--- /dev/null
+++ b/instance/controlinstance/model_forecasts.go
@@ -0,0 +1,66 @@
+package controlinstance
+
+import (
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/residency"
+	"github.com/tarragonhoist/tarragonhoist/events"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
+)
+
+// slopeDelay is the time after the first plan of a leader from which the demand has a slope. Until then, the reports of
+// the gateways add up.
+const slopeDelay = time.Second
+
+// modelForecasts holds the trend of the demand for each model that had requests recently.
+type modelForecasts struct {
+	trends map[modelKey]*residency.Trend
+	// storeLoads counts the loads from the weight store by urgency.
+	storeLoads map[residency.Urgency]metrics.Counter
+}
+
+func newModelForecasts(registry metrics.Registry) *modelForecasts {
+	f := &modelForecasts{trends: make(map[modelKey]*residency.Trend), storeLoads: make(map[residency.Urgency]metrics.Counter)}
+	for _, u := range []residency.Urgency{residency.UrgencySpare, residency.UrgencyAbsent, residency.UrgencyOverload} {
+		f.storeLoads[u] = metrics.GetOrRegisterCounter("control.store_loads_"+u.String(), registry)
+	}
+	return f
+}
+
+// add adds a sample of the demand. planAfter is the time of the first plan of the leader, zero on other instances.
+func (f *modelForecasts) add(now time.Time, key modelKey, sample float64, planAfter time.Time) {
+	t := f.trends[key]
+	if t == nil {
+		t = &residency.Trend{}
+		f.trends[key] = t
+	}
+	t.Add(now, sample, !planAfter.IsZero() && now.Sub(planAfter) >= slopeDelay)
+}
+
+// of returns the forecast for a model.
+func (f *modelForecasts) of(key modelKey) residency.Forecast {
+	if t := f.trends[key]; t != nil {
+		return t.Forecast()
+	}
+	return residency.Forecast{}
+}
+
+// recordMove records a planned move.
+func (d *Director) recordMove(service *routes.Service, move *residency.Move) {
+	key := modelKey{service.Name, move.Load}
+	fields := events.Fields{"target": move.Target, "load": move.Load, "unload": move.Unload, "from_store": move.FromStore,
+		"fence": d.fence, "demand": roundToTenth(d.smoothed[key]), "demand_unload": roundToTenth(d.smoothed[modelKey{service.Name, move.Unload}])}
+	if move.ByForecast {
+		fields["forecast"] = roundToTenth(d.forecasts.of(key).Loaded)
+		fields["urgency"] = move.Urgency.String()
+	}
+	d.recorder.Record(events.MovePlanned, fields)
+	if move.FromStore {
+		d.storeLoads.Inc(1)
+		if move.ByForecast {
+			d.forecasts.storeLoads[move.Urgency].Inc(1)
+		}
+	}
+}
