residency: limit moves by spare places and count waiting requests by half

Change: concurrent moves take at most 0.45 of the places beyond one copy of each model; a waiting request counts half in the trend.

--- a/coordination/residency/ahead.go
+++ b/coordination/residency/ahead.go
@@ -14,7 +14,7 @@
 const (
 	// minOverloadAhead is the forecast demand per copy, in requests per slot, from which a copy is worth a load from the
 	// store. Three models share a target, so the slots of a copy are not all its own.
-	minOverloadAhead = 0.4
+	minOverloadAhead = 0.5
 	// minOverloadSoon is the same for a load from the disk or memory of the target.
 	minOverloadSoon = 0.2
 	// aheadStoreLoadCost is that of a target without a free slot: a fast copy there is worth as little as a late one.
@@ -50,7 +50,7 @@
 	for i := range p.models {
 		longest = max(longest, p.models[i].LoadTime)
 	}
-	a := &aheadPlanner{planner: p, budget: newBudget(len(p.targets), storeRate, longest), unplaced: make(map[string]bool)}
+	a := &aheadPlanner{planner: p, budget: newBudget(len(p.targets), places(p.targets, p.models)-len(p.models), storeRate, longest), unplaced: make(map[string]bool)}
 	a.expectLoads()
 	var moves []Move
 	for a.budget.allows(UrgencyOverload, a.runningMoves) {
--- a/coordination/residency/budget.go
+++ b/coordination/residency/budget.go
@@ -20,9 +20,12 @@
 const (
 	// maxAheadMovesPerTarget is the maximum number of concurrent moves per target. The rest stays free for targets on
 	// which a copy would be ready within two seconds.
-	maxAheadMovesPerTarget = 0.9
-	// storeConcurrency is the part of the concurrent loads at the full rate of the weight store that moves may use. A move
-	// also takes the time until requests of the unloaded model have ended, about a fifth of the load.
+	maxAheadMovesPerTarget = 0.7
+	// sparePlaceShare is the part of the places beyond one copy of each model that moves may take. A place serves nothing
+	// during a move. In the replay of shifting demand, 0.75 of them left fewer requests a free slot than 0.45, and 0.25
+	// did so too.
+	sparePlaceShare = 0.45
+	// storeConcurrency is the part of the concurrent loads at the full rate of the weight store that moves may use.
 	storeConcurrency = 0.8
 	// spareShare and absentShare are the parts of the limit up to which less urgent moves start. The rest is room for the
 	// copies of a model that becomes overloaded: a move takes as long as demand stays, so what is taken comes back too late.
@@ -33,10 +36,15 @@
 // budget bounds the concurrent moves by urgency.
 type budget struct{ limit float64 }
 
-func newBudget(targets int, storeRate float64, longestLoad time.Duration) budget {
+// newBudget derives the limit from the targets, the rate of the weight store and the spare places. Without spare places,
+// models share the places over time, with the limit of plans by current demand.
+func newBudget(targets, sparePlaces int, storeRate float64, longestLoad time.Duration) budget {
 	n := float64(targets)
+	if sparePlaces <= 0 {
+		return budget{limit: max(1, maxMovesPerTarget*n)}
+	}
 	byStore := storeConcurrency * storeRate * longestLoad.Seconds()
-	return budget{limit: max(1, maxMovesPerTarget*n, min(maxAheadMovesPerTarget*n, byStore))}
+	return budget{limit: max(1, min(maxAheadMovesPerTarget*n, byStore, sparePlaceShare*float64(sparePlaces)))}
 }
 
 // allows reports whether a move may start while others are running.
--- a/coordination/residency/forecast.go
+++ b/coordination/residency/forecast.go
@@ -14,8 +14,12 @@
 	fastTimeConstant = 400 * time.Millisecond
 	slowTimeConstant = 2 * time.Second
 	// slopeNoise is the difference of the two averages that is attributed to chance, in standard deviations of a Poisson
-	// distribution. It leaves a model with one or two requests without a slope.
-	slopeNoise = 1.0
+	// distribution. Half of one shows a rise 0.5 s earlier than a whole one; maxGrowth keeps the forecast for a model with
+	// one or two requests below minOverloadAhead all the same.
+	slopeNoise = 0.5
+	// waitingShare is the part of a waiting request that counts. Requests wait for up to 2 s where running ones take
+	// about 1 s, so that waiting ones add up to twice the slots that serve them.
+	waitingShare = 0.5
 	// trendDuration is the time for which a slope is extrapolated. It is half of the time between two shifts of demand:
 	// at a random moment of a rise, half of it is over.
 	trendDuration = 4 * time.Second
@@ -45,9 +49,10 @@
 	updatedAt  time.Time
 }
 
-// Add adds a sample. While settled is false, samples only set the level: the load of the gateways adds up during the
+// Add adds a sample of the numbers of running and waiting requests. While settled is false, samples only set the level: the load of the gateways adds up during the
 // first second of a leader, which is no slope.
-func (t *Trend) Add(now time.Time, sample float64, settled bool) {
+func (t *Trend) Add(now time.Time, running, waiting float64, settled bool) {
+	sample := running + waitingShare*waiting
 	elapsed := now.Sub(t.updatedAt)
 	if t.updatedAt.IsZero() {
 		elapsed = 0
--- a/coordination/residency/victim.go
+++ b/coordination/residency/victim.go
@@ -81,18 +81,23 @@
 // oversubscribed reports whether the targets have fewer places than there are models, with the largest model as the size
 // of a place. Otherwise each model keeps a copy.
 func oversubscribed(targets []Target, models []Model) bool {
+	return len(models) > places(targets, models)
+}
+
+// places returns the number of models of the largest size that the targets hold. Models without a size need no place.
+func places(targets []Target, models []Model) int {
 	largestMB := 0.0
 	for i := range models {
 		largestMB = max(largestMB, models[i].WeightsMB)
 	}
 	if largestMB == 0 {
-		return false
+		return math.MaxInt
 	}
-	places := 0
+	n := 0
 	for i := range targets {
-		places += int(targets[i].CapacityMB / largestMB)
+		n += int(targets[i].CapacityMB / largestMB)
 	}
-	return len(models) > places
+	return n
 }
 
 // mayReplaceLastCopy reports whether the demand for a model justifies that another model loses its last copy. Without
--- a/instance/controlinstance/director.go
+++ b/instance/controlinstance/director.go
@@ -249,6 +249,7 @@
 			samples[key] += float64(m.Running) + waitingWeight*float64(m.Waiting)
 		}
 	}
+	d.forecasts.sample(d.gateways, d.refusals)
 	for key, n := range d.refusals {
 		samples[key] += n
 		if n *= 0.8; n < 0.1 { // 20 % less per tick of 100 ms: about a tenth is left after one second
@@ -264,7 +265,7 @@
 	}
 	for key, s := range d.demand {
 		d.smoothed[key] = s.Add(now, samples[key])
-		d.forecasts.add(now, key, samples[key], d.planAfter)
+		d.forecasts.add(now, key, d.planAfter)
 		if max(d.smoothed[key], s.Recent()) < 0.01 && samples[key] == 0 {
 			delete(d.demand, key)
 			delete(d.smoothed, key)
--- a/instance/controlinstance/model_forecasts.go
+++ b/instance/controlinstance/model_forecasts.go
@@ -17,26 +17,45 @@
 // modelForecasts holds the trend of the demand for each model that had requests recently.
 type modelForecasts struct {
 	trends map[modelKey]*residency.Trend
+	// running and waiting are the sums over the gateways in the current tick. Refused requests count as waiting.
+	running, waiting map[modelKey]float64
 	// storeLoads counts the loads from the weight store by urgency.
 	storeLoads map[residency.Urgency]metrics.Counter
 }
 
 func newModelForecasts(registry metrics.Registry) *modelForecasts {
-	f := &modelForecasts{trends: make(map[modelKey]*residency.Trend), storeLoads: make(map[residency.Urgency]metrics.Counter)}
+	f := &modelForecasts{trends: make(map[modelKey]*residency.Trend), running: make(map[modelKey]float64),
+		waiting: make(map[modelKey]float64), storeLoads: make(map[residency.Urgency]metrics.Counter)}
 	for _, u := range []residency.Urgency{residency.UrgencySpare, residency.UrgencyAbsent, residency.UrgencyOverload} {
 		f.storeLoads[u] = metrics.GetOrRegisterCounter("control.store_loads_"+u.String(), registry)
 	}
 	return f
 }
 
-// add adds a sample of the demand. planAfter is the time of the first plan of the leader, zero on other instances.
-func (f *modelForecasts) add(now time.Time, key modelKey, sample float64, planAfter time.Time) {
+// sample sets the requests of the current tick.
+func (f *modelForecasts) sample(gateways *gatewayLoads, refusals map[modelKey]float64) {
+	clear(f.running)
+	clear(f.waiting)
+	for g := range gateways.counted() {
+		for key, m := range g.models {
+			f.running[key] += float64(m.Running)
+			f.waiting[key] += float64(m.Waiting)
+		}
+	}
+	for key, n := range refusals {
+		f.waiting[key] += n
+	}
+}
+
+// add adds the sample of the current tick to the trend of a model. planAfter is the time of the first plan of the leader,
+// zero on other instances.
+func (f *modelForecasts) add(now time.Time, key modelKey, planAfter time.Time) {
 	t := f.trends[key]
 	if t == nil {
 		t = &residency.Trend{}
 		f.trends[key] = t
 	}
-	t.Add(now, sample, !planAfter.IsZero() && now.Sub(planAfter) >= slopeDelay)
+	t.Add(now, f.running[key], f.waiting[key], !planAfter.IsZero() && now.Sub(planAfter) >= slopeDelay)
 }
 
 // of returns the forecast for a model.
