control instance: show forecasts of moves, take no slope from lost gateways

Cause: an operator could not see why a copy was loaded; and when a partition takes a third of the gateways, the demand for each model falls by as much.

Change: event 507 has the fields forecast and urgency, counters give the store loads by urgency; a change of more than a tenth of the gateways sets the level and leaves demand without a slope for a second.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -68,7 +68,7 @@
 	OrderUndelivered      = define(504, "order-undelivered", logrus.WarnLevel, "An order could not be delivered; it is repeated.")
 	OrderIssued           = define(505, "order-issued", logrus.InfoLevel, "The controller decided on an order and wrote it to its journal.")
 	OrderRefused          = define(506, "order-refused", logrus.WarnLevel, "A target did not accept an order; the field outcome says why.")
-	MovePlanned           = define(507, "move-planned", logrus.InfoLevel, "The controller decided to load a model on a target, in place of another one if the field unload names it.")
+	MovePlanned           = define(507, "move-planned", logrus.InfoLevel, "The controller decided to load a model on a target, in place of another one if the field unload names it. For models with a long load, forecast is the demand expected when the load ends, and urgency says what the load is for.")
 	MoveEnded             = define(508, "move-ended", logrus.InfoLevel, "A move ended; the field outcome tells how.")
 	PeerUnreachable       = define(600, "peer-unreachable", logrus.WarnLevel, "Another instance can't be reached.")
 	PeerReachable         = define(601, "peer-reachable", logrus.InfoLevel, "Another instance can be reached again.")
--- a/instance/controlinstance/director.go
+++ b/instance/controlinstance/director.go
@@ -249,7 +249,7 @@
 			samples[key] += float64(m.Running) + waitingWeight*float64(m.Waiting)
 		}
 	}
-	d.forecasts.sample(d.gateways, d.refusals)
+	d.forecasts.sample(now, d.gateways, d.refusals)
 	for key, n := range d.refusals {
 		samples[key] += n
 		if n *= 0.8; n < 0.1 { // 20 % less per tick of 100 ms: about a tenth is left after one second
--- a/instance/controlinstance/model_forecasts.go
+++ b/instance/controlinstance/model_forecasts.go
@@ -1,6 +1,7 @@
 package controlinstance
 
 import (
+	"math"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -10,15 +11,24 @@
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
 
-// slopeDelay is the time after the first plan of a leader from which the demand has a slope. Until then, the reports of
-// the gateways add up.
-const slopeDelay = time.Second
+const (
+	// slopeDelay is the time after the first plan of a leader, and after a change of the number of gateways, from which the
+	// demand has a slope. Until then, the reports of the gateways add up.
+	slopeDelay = time.Second
+	// gatewaysChange is the part of the gateways whose loss or return, as with a partition of a data centre, would pass
+	// for a slope of the demand for all models.
+	gatewaysChange = 0.1
+)
 
 // modelForecasts holds the trend of the demand for each model that had requests recently.
 type modelForecasts struct {
 	trends map[modelKey]*residency.Trend
 	// running and waiting are the sums over the gateways in the current tick. Refused requests count as waiting.
 	running, waiting map[modelKey]float64
+	// gateways is the number of reporting gateways when it last changed by gatewaysChange, and slopesFrom the time from
+	// which demand has a slope again.
+	gateways   int
+	slopesFrom time.Time
 	// storeLoads counts the loads from the weight store by urgency.
 	storeLoads map[residency.Urgency]metrics.Counter
 }
@@ -33,7 +43,10 @@
 }
 
 // sample sets the requests of the current tick.
-func (f *modelForecasts) sample(gateways *gatewayLoads, refusals map[modelKey]float64) {
+func (f *modelForecasts) sample(now time.Time, gateways *gatewayLoads, refusals map[modelKey]float64) {
+	if change := math.Abs(float64(gateways.live - f.gateways)); change > gatewaysChange*float64(f.gateways) {
+		f.gateways, f.slopesFrom = gateways.live, now.Add(slopeDelay)
+	}
 	clear(f.running)
 	clear(f.waiting)
 	for g := range gateways.counted() {
@@ -55,7 +68,8 @@
 		t = &residency.Trend{}
 		f.trends[key] = t
 	}
-	t.Add(now, f.running[key], f.waiting[key], !planAfter.IsZero() && now.Sub(planAfter) >= slopeDelay)
+	settled := !planAfter.IsZero() && now.Sub(planAfter) >= slopeDelay && !now.Before(f.slopesFrom)
+	t.Add(now, f.running[key], f.waiting[key], settled)
 }
 
 // of returns the forecast for a model.
