residency: fill free memory at the rate of the weight store

Cause: the limit by spare places also applied to loads into free memory, which take no place from a model, so that targets that restart together would be filled slowly.

Change: loads into free memory have their own limit, 0.9 moves per target or 0.8 of the concurrent loads at the full rate of the store.

--- a/coordination/residency/ahead.go
+++ b/coordination/residency/ahead.go
@@ -32,7 +32,9 @@
 	urgency Urgency
 	// fastOnly means that a load from the weight store is not worth it.
 	fastOnly bool
-	pressure float64
+	// freeMemoryOnly means that the moves that replace a model are used up.
+	freeMemoryOnly bool
+	pressure       float64
 }
 
 // aheadPlanner plans models with a long load.
@@ -53,7 +55,7 @@
 	a := &aheadPlanner{planner: p, budget: newBudget(len(p.targets), places(p.targets, p.models)-len(p.models), storeRate, longest), unplaced: make(map[string]bool)}
 	a.expectLoads()
 	var moves []Move
-	for a.budget.allows(UrgencyOverload, a.runningMoves) {
+	for !a.budget.exhausted(a.runningMoves) {
 		move, ok := a.next()
 		if !ok {
 			break
@@ -69,14 +71,14 @@
 	if move, ok := a.addCopy(); ok {
 		return move, true
 	}
-	if !a.budget.allows(UrgencySpare, a.runningMoves) {
-		return Move{}, false
-	}
-	if move, ok := a.fillFreeMemory(); ok {
-		return move, true
+	if a.budget.allowsFill(a.runningMoves) {
+		if move, ok := a.fillFreeMemory(); ok {
+			return move, true
+		}
 	}
-	if len(a.unplaced) == 0 {
-		return Move{}, false // every model that needs a target has found one
+	// Spreading makes room for models that found no target.
+	if len(a.unplaced) == 0 || !a.budget.allows(UrgencySpare, a.runningMoves) {
+		return Move{}, false
 	}
 	return a.spreadLastCopies()
 }
@@ -110,7 +112,8 @@
 // addCopy returns the most urgent possible move that adds a copy.
 func (a *aheadPlanner) addCopy() (Move, bool) {
 	for _, c := range a.candidates() {
-		if !a.budget.allows(c.urgency, a.runningMoves) {
+		c.freeMemoryOnly = !a.budget.allows(c.urgency, a.runningMoves)
+		if c.freeMemoryOnly && !a.budget.allowsFill(a.runningMoves) {
 			continue
 		}
 		if move, ok := a.place(&c); ok {
@@ -244,6 +247,9 @@
 	if t.UsedMB+c.WeightsMB <= t.CapacityMB {
 		return "", 0, true
 	}
+	if c.freeMemoryOnly {
+		return "", 0, false
+	}
 	loss = math.Inf(1)
 	for _, held := range t.Models {
 		other := a.byName[held]
--- a/coordination/residency/ahead_plan_test.go
+++ b/coordination/residency/ahead_plan_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
+	"time"
 )
 
 // aheadInput has ten targets that hold the model hot or cold beside rarely used ones.
@@ -81,7 +83,32 @@
 			}
 		}
 	}
+	if got := [2]bool{b.allowsFill(78), b.allowsFill(80)}; got != [2]bool{true, false} {
+		t.Errorf("loads into free memory beside 78 and 80 others: allowed is %v", got)
+	}
 	if b := newBudget(1, 0, 0, replayStoreLoad); !b.allows(UrgencySpare, 0) {
 		t.Error("a single target may not move at all")
 	}
 }
+
+// Guards against a budget that delays the loads after a restart of all targets, when every place is free.
+func TestEmptyTargetsAreFilledAtTheRateOfTheStore(t *testing.T) {
+	filled := func(loadTime time.Duration) time.Duration {
+		r := newReplay(1, loadTime, func(int, time.Duration) float64 { return 1.0 / 30 })
+		for _, t := range r.targets {
+			t.Models, t.OnDisk, t.UsedMB = nil, nil, 0
+		}
+		for r.elapsed < time.Minute {
+			r.run(r.elapsed + replayStep)
+			if !slices.ContainsFunc(r.targets, func(t *replayTarget) bool { return len(t.Models) < 3 || t.MoveInProgress }) {
+				break
+			}
+		}
+		return r.elapsed
+	}
+	before, after := filled(0), filled(replayStoreLoad)
+	t.Logf("all places are filled after %v by current demand, %v by forecast", before, after)
+	if 4*after > 3*before {
+		t.Errorf("all places are filled after %v, after %v with the plan by current demand", after, before)
+	}
+}
--- a/coordination/residency/budget.go
+++ b/coordination/residency/budget.go
@@ -18,38 +18,44 @@
 func (u Urgency) String() string { return [...]string{"spare", "absent", "overload"}[u] }
 
 const (
-	// maxAheadMovesPerTarget is the maximum number of concurrent moves per target. The rest stays free for targets on
-	// which a copy would be ready within two seconds.
+	// maxAheadMovesPerTarget is the maximum number of concurrent moves per target that replace a model. The rest stays free
+	// for targets on which a copy would be ready within two seconds.
 	maxAheadMovesPerTarget = 0.7
 	// sparePlaceShare is the part of the places beyond one copy of each model that moves may take. A place serves nothing
 	// during a move. In the replay of shifting demand, 0.75 of them left fewer requests a free slot than 0.45, and 0.25
 	// did so too.
 	sparePlaceShare = 0.45
-	// storeConcurrency is the part of the concurrent loads at the full rate of the weight store that moves may use.
-	storeConcurrency = 0.8
+	// minReplacing is the least limit of concurrent moves that replace a model.
+	minReplacing = 2
+	// maxFillsPerTarget is the maximum number of concurrent moves per target while there is free memory to fill, and
+	// storeConcurrency the part of the concurrent loads at the full rate of the weight store that these may use. They
+	// take no place from a model in service.
+	maxFillsPerTarget = 0.9
+	storeConcurrency  = 0.8
 	// spareShare and absentShare are the parts of the limit up to which less urgent moves start. The rest is room for the
 	// copies of a model that becomes overloaded: a move takes as long as demand stays, so what is taken comes back too late.
 	spareShare  = 0.35
 	absentShare = 0.7
 )
 
-// budget bounds the concurrent moves by urgency.
-type budget struct{ limit float64 }
+// budget bounds the concurrent moves: replacing those that replace a model, by urgency, and filling those into free memory.
+type budget struct{ replacing, filling float64 }
 
-// newBudget derives the limit from the targets, the rate of the weight store and the spare places. Without spare places,
+// newBudget derives the limits from the targets, the rate of the weight store and the spare places. Without spare places,
 // models share the places over time, with the limit of plans by current demand.
 func newBudget(targets, sparePlaces int, storeRate float64, longestLoad time.Duration) budget {
 	n := float64(targets)
-	if sparePlaces <= 0 {
-		return budget{limit: max(1, maxMovesPerTarget*n)}
-	}
 	byStore := storeConcurrency * storeRate * longestLoad.Seconds()
-	return budget{limit: max(1, min(maxAheadMovesPerTarget*n, byStore, sparePlaceShare*float64(sparePlaces)))}
+	b := budget{replacing: max(1, maxMovesPerTarget*n), filling: max(1, maxMovesPerTarget*n, min(maxFillsPerTarget*n, byStore))}
+	if sparePlaces > 0 {
+		b.replacing = max(minReplacing, min(maxAheadMovesPerTarget*n, sparePlaceShare*float64(sparePlaces)))
+	}
+	return b
 }
 
-// allows reports whether a move may start while others are running.
+// allows reports whether a move that replaces a model may start while others are running.
 func (b budget) allows(u Urgency, running int) bool {
-	limit := b.limit
+	limit := b.replacing
 	switch u {
 	case UrgencySpare:
 		limit *= spareShare
@@ -58,3 +64,11 @@
 	}
 	return running < max(1, int(limit))
 }
+
+// allowsFill reports whether a move into free memory may start.
+func (b budget) allowsFill(running int) bool { return running < int(b.filling) }
+
+// exhausted reports whether no move may start.
+func (b budget) exhausted(running int) bool {
+	return !b.allows(UrgencyOverload, running) && !b.allowsFill(running)
+}
--- a/coordination/residency/replay_test.go
+++ b/coordination/residency/replay_test.go
@@ -284,6 +284,8 @@
 	t.move, t.MoveInProgress, t.Loading, t.freeAt = move, true, move.Load, r.now
 	if move.Unload != "" {
 		t.freeAt = r.now.Add(replayRetireDelay)
+	} else {
+		t.UsedMB += weights
 	}
 }
 
