residency: count a model as overloaded from 0.75 requests per slot

Cause: with one threshold of 0.5, 1,362 loads from the store took places from models in service that the gained copies hardly made up for.

Change: from 0.35 forecast requests per slot and copy, a load is a spare one and may use half of the limit; from 0.75 the model is overloaded.

--- a/coordination/residency/ahead.go
+++ b/coordination/residency/ahead.go
@@ -12,9 +12,11 @@
 // has a lower threshold than one from the store.
 
 const (
-	// minOverloadAhead is the forecast demand per copy, in requests per slot, from which a copy is worth a load from the
-	// store. Three models share a target, so the slots of a copy are not all its own.
-	minOverloadAhead = 0.5
+	// minSpareAhead is the forecast demand per copy, in requests per slot, from which a copy is worth a load from the
+	// store while there is room in the budget, and minOverloadAhead that from which a model counts as overloaded. Three
+	// models share a target, so the slots of a copy are not all its own.
+	minSpareAhead    = 0.35
+	minOverloadAhead = 0.75
 	// minOverloadSoon is the same for a load from the disk or memory of the target.
 	minOverloadSoon = 0.2
 	// aheadStoreLoadCost is that of a target without a free slot: a fast copy there is worth as little as a late one.
@@ -161,8 +163,10 @@
 		return a.candidateByDemand(c)
 	}
 	switch {
-	case c.pressure >= minOverloadAhead*a.maxSlots && !m.Forecast.Falling:
-		c.urgency = UrgencyOverload
+	case c.pressure >= minSpareAhead*a.maxSlots && !m.Forecast.Falling:
+		if c.pressure >= minOverloadAhead*a.maxSlots {
+			c.urgency = UrgencyOverload
+		}
 		return c, true
 	case a.usableCopies[m.Name] > 0 && m.Forecast.Soon/float64(a.copies[m.Name]) >= minOverloadSoon*a.maxSlots:
 		c.fastOnly = true
--- a/coordination/residency/budget.go
+++ b/coordination/residency/budget.go
@@ -34,7 +34,7 @@
 	storeConcurrency  = 0.8
 	// spareShare and absentShare are the parts of the limit up to which less urgent moves start. The rest is room for the
 	// copies of a model that becomes overloaded: a move takes as long as demand stays, so what is taken comes back too late.
-	spareShare  = 0.35
+	spareShare  = 0.5
 	absentShare = 0.7
 )
 
--- a/coordination/residency/forecast.go
+++ b/coordination/residency/forecast.go
@@ -15,7 +15,7 @@
 	slowTimeConstant = 2 * time.Second
 	// slopeNoise is the difference of the two averages that is attributed to chance, in standard deviations of a Poisson
 	// distribution. Half of one shows a rise 0.5 s earlier than a whole one; maxGrowth keeps the forecast for a model with
-	// one or two requests below minOverloadAhead all the same.
+	// one or two requests below minSpareAhead all the same.
 	slopeNoise = 0.5
 	// waitingShare is the part of a waiting request that counts. Requests wait for up to 2 s where running ones take
 	// about 1 s, so that waiting ones add up to twice the slots that serve them.
