--- a/coordination/residency/ahead.go
+++ b/coordination/residency/ahead.go
@@ -28,6 +28,26 @@
 	recentDemandCost = 0.5
 )
 
+// ahead reports whether copies of a model are planned by forecast. Where there are more models than places, they share the
+// places over time, and a plan by forecast would keep them for the models in demand.
+func (p *planner) ahead(m *Model) bool { return p.byForecast && m.longLoad() }
+
+// expected returns the demand by which the copies of a model are planned.
+func (p *planner) expected(m *Model) float64 {
+	if p.ahead(m) {
+		return m.Forecast.Loaded
+	}
+	return m.Demand
+}
+
+// expectedSoon returns the demand to be expected by the time a fast load is done.
+func (p *planner) expectedSoon(m *Model) float64 {
+	if p.ahead(m) {
+		return m.Forecast.Soon
+	}
+	return m.Demand
+}
+
 // candidate is a model for which a copy is planned.
 type candidate struct {
 	*Model
@@ -73,7 +93,7 @@
 	if move, ok := a.addCopy(); ok {
 		return move, true
 	}
-	if a.budget.allowsFill(a.runningMoves) {
+	if a.budget.allowsFill(a.runningMoves) && a.anyFreeMemory() {
 		if move, ok := a.fillFreeMemory(); ok {
 			return move, true
 		}
@@ -85,6 +105,15 @@
 	return a.spreadLastCopies()
 }
 
+// anyFreeMemory reports whether a target may have room for another model, so that the others need no closer look.
+func (a *aheadPlanner) anyFreeMemory() bool {
+	smallest := math.Inf(1)
+	for i := range a.models {
+		smallest = min(smallest, a.models[i].WeightsMB)
+	}
+	return slices.ContainsFunc(a.targets, func(t Target) bool { return !t.busy() && t.UsedMB+smallest <= t.CapacityMB })
+}
+
 // expectLoads sets the expected load of each target.
 func (a *aheadPlanner) expectLoads() {
 	a.load = make([]float64, len(a.targets))
@@ -100,15 +129,7 @@
 	if m == nil {
 		return 0
 	}
-	return m.expectedSoon() / float64(max(a.copies[name], 1))
-}
-
-// expectedSoon returns the demand to be expected by the time a fast load is done.
-func (m *Model) expectedSoon() float64 {
-	if m.ahead() {
-		return m.Forecast.Soon
-	}
-	return m.Demand
+	return a.expectedSoon(m) / float64(max(a.copies[name], 1))
 }
 
 // addCopy returns the most urgent possible move that adds a copy.
@@ -153,13 +174,13 @@
 	switch {
 	case a.copies[m.Name] == 0 && m.Demand >= minAbsentDemand:
 		c.urgency = UrgencyAbsent
-		if m.expected() >= minOverloadAhead*a.maxSlots {
+		if a.expected(m) >= minOverloadAhead*a.maxSlots {
 			c.urgency = UrgencyOverload
 		}
 		return c, true
 	case a.copies[m.Name] == 0:
 		return c, true
-	case !m.ahead():
+	case !a.ahead(m):
 		return a.candidateByDemand(c)
 	}
 	switch {
@@ -277,7 +298,7 @@
 		return a.planner.unloadCost(victim, gaining.Model)
 	}
 	copies := float64(a.copies[victim.Name])
-	expected := max(victim.expected(), victim.expectedSoon())
+	expected := max(a.expected(victim), a.expectedSoon(victim))
 	demandAfter := expected / (copies - 1)
 	if a.copies[gaining.Name] > 0 && demandAfter > maxDonorDemandShare*gaining.pressure {
 		return 0, false
--- a/coordination/residency/budget.go
+++ b/coordination/residency/budget.go
@@ -41,16 +41,14 @@
 // budget bounds the concurrent moves: replacing those that replace a model, by urgency, and filling those into free memory.
 type budget struct{ replacing, filling float64 }
 
-// newBudget derives the limits from the targets, the rate of the weight store and the spare places. Without spare places,
-// models share the places over time, with the limit of plans by current demand.
+// newBudget derives the limits from the targets, the rate of the weight store and the spare places.
 func newBudget(targets, sparePlaces int, storeRate float64, longestLoad time.Duration) budget {
 	n := float64(targets)
 	byStore := storeConcurrency * storeRate * longestLoad.Seconds()
-	b := budget{replacing: max(1, maxMovesPerTarget*n), filling: max(1, maxMovesPerTarget*n, min(maxFillsPerTarget*n, byStore))}
-	if sparePlaces > 0 {
-		b.replacing = max(minReplacing, min(maxAheadMovesPerTarget*n, sparePlaceShare*float64(sparePlaces)))
+	return budget{
+		replacing: max(minReplacing, min(maxAheadMovesPerTarget*n, sparePlaceShare*float64(sparePlaces))),
+		filling:   max(1, maxMovesPerTarget*n, min(maxFillsPerTarget*n, byStore)),
 	}
-	return b
 }
 
 // allows reports whether a move that replaces a model may start while others are running.
--- a/coordination/residency/forecast.go
+++ b/coordination/residency/forecast.go
@@ -91,13 +91,5 @@
 	return f
 }
 
-// ahead reports whether copies of the model are planned by forecast.
-func (m *Model) ahead() bool { return m.LoadTime >= minAheadLoadTime }
-
-// expected returns the demand by which the copies of a model are planned.
-func (m *Model) expected() float64 {
-	if m.ahead() {
-		return m.Forecast.Loaded
-	}
-	return m.Demand
-}
+// longLoad reports whether a load of the model takes too long for a plan by current demand.
+func (m *Model) longLoad() bool { return m.LoadTime >= minAheadLoadTime }
--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -110,7 +110,7 @@
 // Plan returns the moves to start now, the most urgent first.
 func Plan(in Input) []Move {
 	p := newPlanner(in)
-	if slices.ContainsFunc(p.models, func(m Model) bool { return m.ahead() }) {
+	if p.byForecast {
 		return p.planAhead(in.StoreRate)
 	}
 	limit := max(1, int(maxMovesPerTarget*float64(len(p.targets))))
@@ -143,7 +143,9 @@
 	storeLoadsLeft int
 	runningMoves   int
 	oversubscribed bool
-	maxSlots       float64
+	// byForecast means that copies of models with a long load are planned by forecast.
+	byForecast bool
+	maxSlots   float64
 	// maxAdapterSlots is the largest number of adapter slots of any target.
 	maxAdapterSlots int
 }
@@ -152,6 +154,7 @@
 	p := &planner{targets: slices.Clone(in.Targets), models: slices.Clone(in.Models), byName: make(map[string]*Model),
 		copies: make(map[string]int), usableCopies: make(map[string]int), storeLoadsLeft: in.StoreLoads, maxSlots: 1,
 		oversubscribed: oversubscribed(in.Targets, in.Models)}
+	p.byForecast = !p.oversubscribed && slices.ContainsFunc(p.models, func(m Model) bool { return m.longLoad() })
 	// Targets and models are sorted so that the plan doesn't depend on the iteration order of maps at the caller.
 	slices.SortFunc(p.targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
 	for i := range p.targets {
@@ -186,8 +189,8 @@
 // ranks above models whose copies are not overloaded, and above all others once requests for it wait.
 func (p *planner) pressure(m *Model) float64 {
 	if n := p.copies[m.Name]; n > 0 {
-		pressure := m.expected() / float64(n)
-		if p.usableCopies[m.Name] == 0 {
+		pressure := p.expected(m) / float64(n)
+		if p.usableCopies[m.Name] == 0 && !p.ahead(m) { // a forecast doesn't count waiting requests twice
 			pressure /= waitingDemandFactor
 		}
 		if adapterCapacity := n * p.maxAdapterSlots; adapterCapacity > 0 && m.Adapters > adapterCapacity {
--- a/coordination/residency/unchanged_test.go
+++ b/coordination/residency/unchanged_test.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/google/go-cmp/cmp"
 )
 
 // The digests of the plans of commit f174914, before plans by forecast, for the inputs of randomInput and the loads of
@@ -86,3 +88,27 @@
 		t.Errorf("the replays give\n%s, before they gave\n%s", tail, unchangedTail)
 	}
 }
+
+// Guards against rarely used models that are no longer served where there are more models than places: a plan by forecast
+// kept the places for the models in demand in a trial.
+func TestModelsBeyondThePlacesArePlannedByDemand(t *testing.T) {
+	rng := rand.New(rand.NewPCG(5, 6))
+	checked := 0
+	for range 500 {
+		in := randomInput(rng)
+		if !oversubscribed(in.Targets, in.Models) {
+			continue
+		}
+		checked++
+		before := Plan(in)
+		for i := range in.Models {
+			in.Models[i].LoadTime, in.Models[i].Forecast = replayStoreLoad, Forecast{Soon: 50, Loaded: 70}
+		}
+		if diff := cmp.Diff(before, Plan(in)); diff != "" {
+			t.Fatal(diff)
+		}
+	}
+	if checked < 100 {
+		t.Fatalf("only %d inputs have more models than places", checked)
+	}
+}
