residency: bound the loads for models with one request in the replay of a rise

Cause: the test of a rise did not check the loads for models with about one request, which take the moves of the overloaded model.

Change: such loads are counted up to two requests/s, and the test asks for half of those of the plan by current demand.

--- a/coordination/residency/ahead_test.go
+++ b/coordination/residency/ahead_test.go
@@ -141,6 +141,8 @@
 		return fmt.Sprintf("%.3f of the requests found a free slot, %.3f with the plan by current demand", r.share(), byDemand.share())
 	case 3*r.storeLoads > 2*byDemand.storeLoads:
 		return fmt.Sprintf("%d loads from the store, %d with the plan by current demand", r.storeLoads, byDemand.storeLoads)
+	case 2*r.unneeded > byDemand.unneeded:
+		return fmt.Sprintf("%d loads for models with about one request, %d with the plan by current demand", r.unneeded, byDemand.unneeded)
 	}
 	return ""
 }
--- a/coordination/residency/replay_test.go
+++ b/coordination/residency/replay_test.go
@@ -29,8 +29,9 @@
 	replayPatience = 2 * time.Second
 	replayOnDisk   = 6
 	replayInMemory = 2
-	// replayRare is the rate of a model, in requests per second, below which a load for it counts as unneeded.
-	replayRare = 1.0
+	// replayRare is the rate of a model, in requests per second, below which a load for it counts as unneeded: fewer than two
+	// of its requests run at a time.
+	replayRare = 2.0
 )
 
 // replayResult sums up a replay.
