Refuse requests beyond the quota of their account with 429

Cause: quotas in the configuration limited nothing.

Change: a gateway charges a request once, before the first pick, asks the leader for a grant where it holds none, answers 429 with Retry-After beyond the quota, and gives the charge back if no target may have run the request. Load reports and their answers carry the units in optional fields, only while an account has a rate. The ledger belongs to a term of the leader and is used under the conditions of permits. Requests that another gateway handed over are not charged. Each account has counters of admitted and refused requests; events 430 and 431 tell when grants are lost and gained.

--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -61,6 +61,8 @@
 	GatewayReady          = define(420, "gateway-ready", logrus.InfoLevel, "The gateway knows a configuration and targets and takes requests.")
 	LeaderReached         = define(421, "leader-reached", logrus.InfoLevel, "The gateway exchanges its load with the leader again.")
 	LeaderLost            = define(422, "leader-lost", logrus.WarnLevel, "The gateway cannot exchange its load with the leader; it goes on with its own observations.")
+	QuotaLost             = define(430, "quota-lost", logrus.WarnLevel, "The gateway gets no grants for the quotas of accounts from a leader; it uses its share of each quota.")
+	QuotaGained           = define(431, "quota-gained", logrus.InfoLevel, "The gateway gets grants for the quotas of accounts from a leader.")
 	ControlGained         = define(500, "control-gained", logrus.InfoLevel, "This instance became controller of its data centre; the field fence gives the fencing number.")
 	ControlLost           = define(501, "control-lost", logrus.InfoLevel, "This instance stopped being controller.")
 	OrderSent             = define(502, "order-sent", logrus.DebugLevel, "An order was sent to a target.")
--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -19,6 +19,7 @@
 	metrics "github.com/rcrowley/go-metrics"
 	"golang.org/x/time/rate"
 
+	"github.com/tarragonhoist/tarragonhoist/coordination/quota"
 	"github.com/tarragonhoist/tarragonhoist/coordination/raft"
 	"github.com/tarragonhoist/tarragonhoist/coordination/replica"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
@@ -73,6 +74,8 @@
 	FirstStart bool
 	// ExclusionPeriod is the time within which a target must not receive orders from two instances.
 	ExclusionPeriod time.Duration
+	// Quota is how quotas of accounts are counted.
+	Quota quota.Options
 }
 
 // Instance is one control instance.
@@ -319,6 +322,9 @@
 	handle(instance, peerapi.MethodFleetPermit, func(_ context.Context, r fleetapi.PermitRequest) (any, error) {
 		return instance.director.Permit(time.Now(), r)
 	})
+	handle(instance, peerapi.MethodFleetQuota, func(_ context.Context, r quota.GrantRequest) (any, error) {
+		return instance.director.GrantQuota(time.Now(), r)
+	})
 	handle(instance, peerapi.MethodFleetAdapter, func(ctx context.Context, r fleetapi.AdapterRequest) (any, error) {
 		return instance.director.Adapter(ctx, &r), nil
 	})
--- a/instance/controlinstance/director.go
+++ b/instance/controlinstance/director.go
@@ -49,7 +49,7 @@
 	orders   OrderClient
 	recorder *events.Recorder
 
-	ordersSent, ordersRefused, storeLoads, permitsGiven, permitsDenied metrics.Counter
+	ordersSent, ordersRefused, storeLoads, permitsGiven, permitsDenied, quotaGranted, quotaDenied metrics.Counter
 
 	mu       sync.Mutex
 	gateways *gatewayLoads
@@ -64,6 +64,7 @@
 	storeRates      map[string]*residency.LoadLimiter // by service, the rate of loads from the weight store
 	limits          *targetlimit.Table
 	permits         *targetlimit.Permits
+	quotas          *quotas
 	fence           uint64
 	planAfter       time.Time
 	// prefetchAfter is the earliest time of the next prefetch of adapters.
@@ -76,10 +77,10 @@
 	return &Director{
 		opts: opts, view: view, lease: newLease(group, opts.ExclusionPeriod, recorder), orders: orders, recorder: recorder,
 		ordersSent: counter("orders_sent"), ordersRefused: counter("orders_refused"), storeLoads: counter("store_loads"),
-		permitsGiven: counter("permits_given"), permitsDenied: counter("permits_denied"),
+		permitsGiven: counter("permits_given"), permitsDenied: counter("permits_denied"), quotaGranted: counter("quota_granted"), quotaDenied: counter("quota_denied"),
 		gateways: newGatewayLoads(), refusals: make(map[modelKey]float64),
 		demand: make(map[modelKey]*residency.SmoothedDemand), smoothed: make(map[modelKey]float64),
-		sizes: newModelSizes(), limits: targetlimit.NewTable(), permits: targetlimit.NewPermits(),
+		sizes: newModelSizes(), limits: targetlimit.NewTable(), permits: targetlimit.NewPermits(), quotas: &quotas{opts: opts.Quota},
 		targets: make(map[string]*controlledTarget), adapterRequests: make(map[modelKey]map[string]time.Time), storeRates: make(map[string]*residency.LoadLimiter),
 	}
 }
@@ -119,7 +120,9 @@
 		}
 	}
 	d.limits.Merge(now, r.Limits)
-	return d.summary(now, r), nil
+	s := d.summary(now, r)
+	s.Quota = d.quotaLevels(now, r)
+	return s, nil
 }
 
 var errNotLeader = errors.New("this instance does not hold the lease of the leader")
--- a/instance/controlinstance/lease.go
+++ b/instance/controlinstance/lease.go
@@ -63,10 +63,16 @@
 // PermitsAllowed reports whether permits for targets in need may be given out now. They need no exclusion period, but the lease
 // of the previous leader must have ended: the permits of two leaders would add up to twice the limit.
 func (l *lease) PermitsAllowed() bool {
+	_, ok := l.PermitTerm()
+	return ok
+}
+
+// PermitTerm returns the term in which permits may be given out now. No two instances have the same.
+func (l *lease) PermitTerm() (term uint64, ok bool) {
 	now := l.clock()
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.term > 0 && !l.stopped && now >= l.permitsFrom && now < l.expiresAt
+	return l.term, l.term > 0 && !l.stopped && now >= l.permitsFrom && now < l.expiresAt
 }
 
 func (l *lease) run(ctx context.Context) {
--- a/instance/fleet/providers.go
+++ b/instance/fleet/providers.go
@@ -10,11 +10,13 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/quota"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/instance/controlinstance"
 	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
 	"github.com/tarragonhoist/tarragonhoist/instance/gateway"
 	"github.com/tarragonhoist/tarragonhoist/instance/logsink"
+	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 	"github.com/tarragonhoist/tarragonhoist/settings"
 	"github.com/tarragonhoist/tarragonhoist/transport/peer"
 	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
@@ -88,6 +90,7 @@
 		DialTarget: dial,
 		Budget: dispatch.BudgetLimits{Ratio: node.RepeatRatio, Slack: node.RepeatSlack, Share: repeatBudgetShare,
 			Window: time.Duration(node.RepeatWindowS * float64(time.Second))},
+		Quota: quotaOptions(node),
 	}
 	return gateway.New(options, view, watcher, peers, recorder, registry, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
@@ -97,7 +100,13 @@
 	options := controlinstance.Options{
 		Name: node.PeerName(), DataCentre: node.DataCentre, ControlListen: node.ListenControl, DataDir: node.DataFolder,
 		Seeds: node.SeedNames(), FirstStart: node.FirstStart, ExclusionPeriod: time.Duration(node.LeaseMs) * time.Millisecond,
+		Quota: quotaOptions(node),
 	}
 	orders := adapter.NewOrderClient(upstream.New(upstream.Dialer(orderConnectTimeout), registry))
 	return controlinstance.New(options, uint64(processIncarnation), view, watcher, peers, adapter.DecodeConfig, orders, recorder, registry)
 }
+
+func quotaOptions(node *settings.Node) quota.Options {
+	return quota.Options{Window: time.Duration(node.QuotaWindowS * float64(time.Second)), Excess: node.QuotaExcess, Slack: node.QuotaSlack,
+		Interval: fleetapi.ReportInterval}
+}
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -121,6 +121,7 @@
 func (g *Gateway) exchangeLoadOnce(ctx context.Context) error {
 	leader, _ := g.view.LeaderAndMembers()
 	if leader == "" {
+		g.applyQuota(time.Now(), nil)
 		return errNoLeader
 	}
 	own := g.loadTracker.OwnObservations(time.Now())
@@ -131,13 +132,16 @@
 	for id, l := range own {
 		report.Targets = append(report.Targets, fleetapi.LoadOf(id, l))
 	}
+	report.Quota = g.reportQuota(time.Now())
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var summary fleetapi.LoadSummary
 	if err := g.peers.Call(callCtx, leader, peerapi.MethodFleetLoad, report, &summary); err != nil {
 		g.loadTracker.SetPeerObservations(nil, nil)
+		g.applyQuota(time.Now(), nil)
 		return err
 	}
+	g.applyQuota(time.Now(), summary.Quota)
 	return g.applySummary(time.Now(), &summary)
 }
 
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
 	"github.com/tarragonhoist/tarragonhoist/coordination/gatewaycount"
+	"github.com/tarragonhoist/tarragonhoist/coordination/quota"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/targetlimit"
 	"github.com/tarragonhoist/tarragonhoist/events"
@@ -58,6 +59,8 @@
 	DialTarget upstream.Dial
 	// GracePeriod is the time from the stop signal until the process is killed.
 	GracePeriod time.Duration
+	// Quota is how quotas of accounts are counted.
+	Quota quota.Options
 }
 
 // Gateway is one process that serves callers.
@@ -102,6 +105,7 @@
 	targetsLostAt time.Time
 	// permitFailure is the latest failed call for a permit.
 	permitFailure atomic.Pointer[permitFailure]
+	quotas        *quotas
 }
 
 // New assembles a gateway.
@@ -115,6 +119,7 @@
 		limits: targetlimit.NewTable(), attempts: newAttempts(), standstill: newStandstill(sinceBoot),
 		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time), unservedAt: make(map[modelKey]time.Time)},
 	}
+	g.quotas = newQuotas(opts, registry)
 	g.client = upstream.New(g.recordRefusals(opts.DialTarget), registry)
 	g.loading.Store(&[]loadingModel{})
 	g.exiting, g.startExit = context.WithCancel(context.Background())
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -33,6 +33,8 @@
 	// account is the client account of the caller, nil without one; key is the key that it sent.
 	account *routes.Account
 	key     string
+	// charge is what the quota of the account was charged for the request.
+	charge charge
 	// rank is that of the account or the route; 0 is the most urgent.
 	rank     int
 	arrived  time.Time
@@ -95,6 +97,9 @@
 	if g.takesUpStream(q) && !g.findOrigin(w, q) {
 		return
 	}
+	if !g.chargeQuota(w, q) {
+		return
+	}
 	q.suspects = suspectsOf(q)
 	g.budget.Request(arrived, q.service.Name)
 	g.serve(w, q)
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -269,6 +269,7 @@
 
 // giveUp ends a request without a complete answer of a target. ran is the number of sends that may have run it.
 func (g *Gateway) giveUp(r *relay, q *request, ran int, reason string) {
+	g.giveBackQuota(q, ran)
 	fields := events.Fields{
 		"request": q.id, "route": q.route.Name, "version": q.table.Version(), "service": q.service.Name, "model": q.prompt.Model,
 		"target": q.lastTarget, "sends": q.sends, "held_ms": q.waited.Milliseconds(), "reason": reason,
@@ -340,6 +341,7 @@
 		g.giveUp(r, q, ran, errExiting.Error())
 		return
 	}
+	g.giveBackQuota(q, ran)
 	g.recordCallerLeft(q)
 }
 
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/tarragonhoist/tarragonhoist/coordination/crashes"
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/quota"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/targetlimit"
 )
@@ -117,6 +118,8 @@
 	Brittle map[string]int `json:"b,omitempty"`
 	// Packed asks for a summary with PackedTargets instead of Targets.
 	Packed bool `json:"p,omitempty"`
+	// Quota is set where an account has a quota.
+	Quota *quota.Report `json:"q,omitempty"`
 }
 
 // AdapterUse is an adapter that requests use on a target.
@@ -157,6 +160,8 @@
 	Brittle map[string]int `json:"b,omitempty"`
 	// Limits is what targets told any gateway about the requests that they take.
 	Limits []targetlimit.Observation `json:"lt,omitempty"`
+	// Quota answers that of the report, unless the instance may not give out grants.
+	Quota *quota.Levels `json:"q,omitempty"`
 }
 
 // percent converts between a slowness ratio and SlownessPercent.
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -29,6 +29,7 @@
 	MethodFleetStreams    = "fleet.streams"
 	MethodFleetOrigin     = "fleet.origin"
 	MethodFleetPermit     = "fleet.permit"
+	MethodFleetQuota      = "fleet.quota"
 	MethodFleetVersion    = "fleet.version"
 	MethodFleetDeparture  = "fleet.departure"
 )
@@ -56,7 +57,7 @@
 func ClassOf(method string) Class {
 	switch method {
 	case MethodRaftMessage, MethodRaftPropose, MethodControlVote, MethodControlRecord, MethodStrike,
-		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodFleetWatch, MethodFleetLoad, MethodFleetAdapter, MethodFleetCrashes, MethodFleetPermit, MethodFleetVersion, MethodFleetDeparture,
+		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodFleetWatch, MethodFleetLoad, MethodFleetAdapter, MethodFleetCrashes, MethodFleetPermit, MethodFleetQuota, MethodFleetVersion, MethodFleetDeparture,
 		MethodHello, MethodPing, MethodClosing:
 		return Urgent
 	default:
