--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -31,6 +31,8 @@
 	table       *routes.Table // the configuration that contains the route
 	prompt      dialect.Prompt
 	credentials credentials
+	// charge is what the quota of the account was charged for the request.
+	charge charge
 	// rank is that with which targets schedule the request; 0 is the most urgent.
 	rank     int
 	arrived  time.Time
@@ -94,6 +96,9 @@
 	if g.takesUpStream(q) && !g.findOrigin(w, q) {
 		return
 	}
+	if !g.chargeQuota(w, q) {
+		return
+	}
 	q.suspects = suspectsOf(q)
 	g.budget.Request(arrived, q.service.Name)
 	g.serve(w, q)
