Give the queues of load summaries a name of their own

Cause: after the merge two fields of LoadSummary had the name q, and encoding/json leaves both out. Result: the tests of quotas at a gateway, which failed after the merge, pass.

--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -164,7 +164,7 @@
 	Unloading     []UnloadingModel `json:"r,omitempty"`
 	Loading       []LoadingModel   `json:"a,omitempty"`
 	// Queues are the models for which requests wait at other gateways, without Running and Refused.
-	Queues []ModelLoad `json:"q,omitempty"`
+	Queues []ModelLoad `json:"mq,omitempty"`
 	// OverShare are the client accounts that have more running than their fair share while requests of others wait.
 	OverShare []string `json:"o,omitempty"`
 	// Helpers are gateways that serve what the gateway hands over, see LoadReport.Helps. They are left out if HelpersChange, which
