Bound the requests of all gateways to targets that have just started

Cause: each of many gateways sees a target that has just started or recovered as idle and sends to it, so that it gets far more requests than it has slots within the delay of one load report.

Change: coordination/pace keeps a window of concurrent requests for such a target. The leader sums what gateways observe, grows or halves the window, and gives each gateway its part with the load summary; gateways hold further requests back while other targets of the service are eligible or full. It takes effect only while gateways outnumber the slots of a target.

--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -216,6 +216,9 @@
 	MayHaveRestarted func(*roster.Entry) bool
 	// Skip leaves out targets that are in need; nil leaves out none.
 	Skip func(*roster.Entry) bool
+	// Admit reports whether a target with a number of running requests of this gateway may get another one; nil admits all. A
+	// target that is not admitted is used all the same if no other one could run the request, now or once it has room.
+	Admit func(t *roster.Entry, running int) bool
 	// Connected reports whether an idle connection to an address is open; nil if that is unknown.
 	Connected func(address string) bool
 }
@@ -237,6 +240,8 @@
 	AllFull       Reason = "all eligible targets are at the request limit"
 	Limited       Reason = "every eligible target takes only a few requests a second"
 	AllExcluded   Reason = "every eligible target has failed the request"
+	// Starting applies while the others are full.
+	Starting Reason = "the eligible targets with room have just started and take only a few requests"
 )
 
 // Pick returns the target with the lowest expected delay for a request, or nil and the reason why there is none.
@@ -249,7 +254,8 @@
 			reason = r
 		}
 	}
-	var eligible []*roster.Entry
+	var eligible, starting []*roster.Entry
+	anyFull := false
 	for i := range targets {
 		t := &targets[i]
 		if t.Service != q.Service || t.State != roster.Ready {
@@ -291,10 +297,19 @@
 		}
 		if !tracker.hasRoom(now, rng, s, t.ID, &q, slotsOf(t, q.Slots)) {
 			recordReason(AllFull)
+			anyFull = true
+			continue
+		}
+		if q.Admit != nil && !q.Admit(t, s.own.Running) {
+			recordReason(Starting)
+			starting = append(starting, t)
 			continue
 		}
 		eligible = append(eligible, t)
 	}
+	if len(eligible) == 0 && !anyFull {
+		eligible = starting
+	}
 	if len(eligible) == 0 {
 		return nil, reason
 	}
@@ -371,7 +386,7 @@
 }
 
 // reasonRank orders reasons by filter stage. Pick returns the reason of the last stage that any target reached.
-var reasonRank = map[Reason]int{NoTarget: 0, OtherVersion: 1, NotLoaded: 2, NoneReachable: 3, Unconfirmed: 4, NoAdapter: 5, AllExcluded: 6, Limited: 7, LeftAlone: 8, AllFull: 9}
+var reasonRank = map[Reason]int{NoTarget: 0, OtherVersion: 1, NotLoaded: 2, NoneReachable: 3, Unconfirmed: 4, NoAdapter: 5, AllExcluded: 6, Limited: 7, LeftAlone: 8, AllFull: 9, Starting: 10}
 
 func slotsOf(t *roster.Entry, fallback int) int {
 	if t.Slots > 0 {
--- a/coordination/dispatch/reachability.go
+++ b/coordination/dispatch/reachability.go
@@ -57,6 +57,29 @@
 	return ids
 }
 
+// Silent returns the targets that owe an answer and have sent nothing for a period, although a request in flight makes that unusual.
+func (tracker *LoadTracker) Silent(now time.Time, period time.Duration) []string {
+	tracker.mu.Lock()
+	defer tracker.mu.Unlock()
+	var ids []string
+	for id, s := range tracker.targets {
+		if s.silentSince(now, period) {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// silentSince reports whether the oldest request without an answer is older than the period and nothing was heard since it was sent.
+func (s *targetState) silentSince(now time.Time, period time.Duration) bool {
+	for r := range s.pending {
+		if now.Sub(r.sentAt) > period && !s.heardAt.After(r.sentAt) {
+			return true
+		}
+	}
+	return s.own.Running > len(s.pending) && now.Sub(s.heardAt) > period
+}
+
 // isSilent reports whether the target has sent nothing although a request in flight makes that unusual.
 func (s *targetState) isSilent(now time.Time) bool {
 	for r := range s.pending {
--- /dev/null
+++ b/coordination/pace/phase.go
@@ -0,0 +1,97 @@
+package pace
+
+import (
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+)
+
+// settleTime is the time after its first report in which a new leader continues phases of its predecessor and gives no new
+// parts. Gateways have reported once by then, unless there are hundreds.
+const settleTime = 500 * time.Millisecond
+
+// phase is the start phase of a target at the leader.
+type phase struct {
+	key     roster.Key
+	window  window
+	round   int64
+	beganAt time.Time
+	// answeredAt is the time of the first report with a response.
+	answeredAt  time.Time
+	inTime, bad int
+	// uses is what each gateway wants and was allowed, and lastTurn the gateway that got the last single request.
+	uses     map[string]*use
+	lastTurn string
+}
+
+// use is the part of one gateway as of its last report.
+type use struct {
+	at                       time.Time
+	wanted, running, allowed int
+}
+
+func newPhase(now time.Time, key roster.Key, full int) *phase {
+	return &phase{key: key, window: newWindow(full), round: now.UnixNano(), beganAt: now, uses: make(map[string]*use)}
+}
+
+// continueFrom takes over the window that another leader named last.
+func (p *phase) continueFrom(o *Observation) {
+	p.round = o.Round
+	p.window.size = min(max(o.Window, minWindow), p.window.full)
+	p.window.inTime = 0
+}
+
+// observe counts the responses of a report of the current round.
+func (p *phase) observe(now time.Time, inTime, bad int) {
+	if p.answeredAt.IsZero() && inTime+bad > 0 {
+		p.answeredAt = now
+	}
+	p.inTime += inTime
+	p.bad += bad
+	if bad > 0 {
+		p.window.halve()
+		p.round = max(now.UnixNano(), p.round+1)
+		return
+	}
+	p.window.add(inTime)
+}
+
+// want records how many requests a gateway could have sent since its last report.
+func (p *phase) want(now time.Time, gateway string, n int) {
+	u := p.uses[gateway]
+	if u == nil {
+		u = &use{}
+		p.uses[gateway] = u
+	}
+	u.at, u.wanted = now, n
+}
+
+// allow returns how many requests a gateway may have at the target until its next report. running are those of all gateways.
+func (p *phase) allow(now time.Time, gateway string, own, running int, grant bool, ttl time.Duration) int {
+	u := p.uses[gateway]
+	if u == nil {
+		return own
+	}
+	unused, wanted := 0, 0
+	for name, other := range p.uses {
+		switch {
+		case name == gateway:
+		case now.Sub(other.at) > ttl:
+			delete(p.uses, name)
+		default:
+			unused += max(other.allowed-other.running, 0)
+			wanted += other.wanted
+		}
+	}
+	u.running, u.allowed = own, own
+	free := p.window.size - running - unused
+	if !grant || free <= 0 || u.wanted == 0 || free == 1 && wanted > 0 && p.lastTurn == gateway {
+		return u.allowed
+	}
+	part := free * u.wanted / (u.wanted + wanted)
+	if part == 0 {
+		p.lastTurn = gateway
+	}
+	u.allowed += min(max(part, 1), u.wanted)
+	return u.allowed
+}
--- /dev/null
+++ b/coordination/pace/window.go
@@ -0,0 +1,38 @@
+package pace
+
+// window is a number of concurrent requests that follows the responses to them.
+type window struct {
+	size, full int
+	// late is set since the first response that was not in time: from then on the window grows by one.
+	late bool
+	// inTime counts the responses since the last change.
+	inTime int
+}
+
+func newWindow(full int) window { return window{size: min(initialWindow, full), full: full} }
+
+// add counts responses in time. The window grows with each round of half as many responses as its size: these are the requests
+// that the doubling before allowed. Streams go on after their response has begun, so that waiting for as many as its size would
+// wait for their ends.
+func (w *window) add(inTime int) {
+	w.inTime += inTime
+	for w.size < w.full {
+		round := max((w.size+1)/2, 1)
+		if w.inTime < round {
+			return
+		}
+		w.inTime -= round
+		if w.late {
+			w.size++
+		} else {
+			w.size = min(2*w.size, w.full)
+		}
+	}
+}
+
+// halve reduces the window after a response that was late, refused or broken.
+func (w *window) halve() {
+	w.size, w.inTime, w.late = max(w.size/2, minWindow), 0, true
+}
+
+func (w *window) isFull() bool { return w.size >= w.full }
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -42,6 +42,8 @@
 	TargetsReached        = define(308, "targets-reached", logrus.InfoLevel, "The gateway reaches targets again; the field lost_ms says for how long it reached none.")
 	TargetBrittle         = define(309, "target-brittle", logrus.InfoLevel, "A target said how many rejections in a second it bears before it falls over, or that it is no longer brittle; the field rejections is 0 then.")
 	VersionKnown          = define(310, "version-known", logrus.InfoLevel, "A majority of the control instances knows a software version of targets, so streams may begin there.")
+	StartPhaseBegan       = define(311, "start-phase-began", logrus.InfoLevel, "A target gets only a window of concurrent requests from all gateways together, which grows with its responses; the field cause says whether it has started, was lost, has recovered, or an earlier leader began the phase.")
+	StartPhaseEnded       = define(312, "start-phase-ended", logrus.InfoLevel, "A target gets requests as others do again; fields give its last window, the time that the phase took, and how many responses were in time and how many were late, refused or broken.")
 	RequestAnswered       = define(400, "request-answered", logrus.DebugLevel, "A request was answered completely.")
 	RequestRefused        = define(401, "request-refused", logrus.InfoLevel, "A request was refused and did not run; the field reason says why.")
 	RequestFailed         = define(402, "request-failed", logrus.WarnLevel, "A request failed and may have run; the field reason says why.")
--- a/instance/controlinstance/director.go
+++ b/instance/controlinstance/director.go
@@ -64,6 +64,7 @@
 	storeRates      map[string]*residency.LoadLimiter // by service, the rate of loads from the weight store
 	limits          *targetlimit.Table
 	permits         *targetlimit.Permits
+	starts          *starts
 	fence           uint64
 	planAfter       time.Time
 	// prefetchAfter is the earliest time of the next prefetch of adapters.
@@ -79,7 +80,7 @@
 		permitsGiven: counter("permits_given"), permitsDenied: counter("permits_denied"),
 		gateways: newGatewayLoads(), refusals: make(map[modelKey]float64),
 		demand: make(map[modelKey]*residency.SmoothedDemand), smoothed: make(map[modelKey]float64),
-		sizes: newModelSizes(), limits: targetlimit.NewTable(), permits: targetlimit.NewPermits(),
+		sizes: newModelSizes(), limits: targetlimit.NewTable(), permits: targetlimit.NewPermits(), starts: newStarts(registry),
 		targets: make(map[string]*controlledTarget), adapterRequests: make(map[modelKey]map[string]time.Time), storeRates: make(map[string]*residency.LoadLimiter),
 	}
 }
@@ -119,7 +120,9 @@
 		}
 	}
 	d.limits.Merge(now, r.Limits)
-	return d.summary(now, r), nil
+	s := d.summary(now, r)
+	d.exchangeStarts(now, r, &s)
+	return s, nil
 }
 
 var errNotLeader = errors.New("this instance does not hold the lease of the leader")
@@ -167,6 +170,7 @@
 	defer d.mu.Unlock()
 	d.expire(now)
 	d.updateDemand(now)
+	d.updateStarts(now)
 	table := d.view.Table()
 	if table != nil {
 		d.sizes.observe(now, table.Document(), d.view.Targets)
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -119,6 +119,7 @@
 }
 
 func (g *Gateway) exchangeLoadOnce(ctx context.Context) error {
+	g.pace.SetTargets(time.Now(), g.view.Targets())
 	leader, _ := g.view.LeaderAndMembers()
 	if leader == "" {
 		return errNoLeader
@@ -128,6 +129,7 @@
 		Brittle: g.loadTracker.OwnBrittle(time.Now()), Limits: g.limits.Own(time.Now()),
 		Unreachable: g.loadTracker.Unreachable(time.Now(), unreachablePeriod)}
 	report.Models, report.Adapters = g.demand.takeReport()
+	report.Starting, report.Silent = g.pace.Report(), g.loadTracker.Silent(time.Now(), silentPeriod)
 	for id, l := range own {
 		report.Targets = append(report.Targets, fleetapi.LoadOf(id, l))
 	}
@@ -166,6 +168,7 @@
 	g.loadTracker.SetGateways(g.gatewayCount.Gateways(now, 0))
 	g.loadTracker.SetPeerBrittle(now, summary.Brittle)
 	g.helpers.set(summary.Helpers, summary.HelpersChange)
+	g.applyParts(now, summary.Starting)
 	return nil
 }
 
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -17,6 +17,7 @@
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
 	"github.com/tarragonhoist/tarragonhoist/coordination/gatewaycount"
+	"github.com/tarragonhoist/tarragonhoist/coordination/pace"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/targetlimit"
 	"github.com/tarragonhoist/tarragonhoist/events"
@@ -93,6 +94,7 @@
 	loading      atomic.Pointer[[]loadingModel]
 	suspects     *crashSuspects
 	limits       *targetlimit.Table
+	pace         *pace.Table
 	helpers      *helpers
 	attempts     *attempts
 	// isolated is set while this gateway reaches no target.
@@ -112,7 +114,7 @@
 		loadTracker: dispatch.NewLoadTracker(opts.Name),
 		budget:      dispatch.NewBudget(opts.Budget), demand: newDemand(), metrics: newCounters(registry),
 		systemHeaders: make(map[string]bool), suspects: newCrashSuspects(),
-		limits: targetlimit.NewTable(), attempts: newAttempts(), standstill: newStandstill(sinceBoot),
+		limits: targetlimit.NewTable(), pace: pace.NewTable(opts.Name), attempts: newAttempts(), standstill: newStandstill(sinceBoot),
 		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time), unservedAt: make(map[modelKey]time.Time)},
 	}
 	g.client = upstream.New(g.recordRefusals(opts.DialTarget), registry)
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -18,7 +18,11 @@
 	// streamsNotTakenUp those of the latter that can't go on.
 	streamsResumed, streamsTakenUp, streamsNotTakenUp metrics.Counter
 	unreachableTargets                                metrics.Gauge
-	firstByteMs, totalMs, heldMs                      metrics.Histogram
+	// startingTargets is the number of targets in their start phase, heldBack are the picks that found room only at such targets,
+	// and startingSends the requests sent to them.
+	startingTargets              metrics.Gauge
+	heldBack, startingSends      metrics.Counter
+	firstByteMs, totalMs, heldMs metrics.Histogram
 }
 
 func newCounters(r metrics.Registry) *counters {
@@ -31,7 +35,9 @@
 		cancelled: counter("cancelled"), repeated: counter("repeated_sends"), unauthorized: counter("unauthorized"),
 		handedOver: counter("handed_over"), servedForOthers: counter("served_for_others"),
 		crashStrikes: counter("crash_strikes"), streamsResumed: counter("streams_resumed"), streamsTakenUp: counter("streams_taken_up"),
-		streamsNotTakenUp:  counter("streams_not_taken_up"),
+		streamsNotTakenUp: counter("streams_not_taken_up"),
+		startingTargets:   metrics.GetOrRegisterGauge("gateway.starting_targets", r),
+		heldBack:          counter("held_back"), startingSends: counter("starting_sends"),
 		unreachableTargets: metrics.GetOrRegisterGauge("gateway.unreachable_targets", r),
 		firstByteMs:        histogram("first_byte_ms"), totalMs: histogram("total_ms"), heldMs: histogram("held_ms"),
 	}
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -92,6 +92,7 @@
 		SoftwareVersion: q.softwareVersion,
 		Connected:       func(address string) bool { return g.client.HasIdle(now, address) },
 	}
+	query.Admit = g.admitStarting(now, q)
 	if q.softwareVersion != nil {
 		query.MayHaveRestarted = func(t *roster.Entry) bool { return g.mayHaveRestarted(now, t) }
 	}
@@ -100,7 +101,11 @@
 	}
 	g.rngMu.Lock()
 	defer g.rngMu.Unlock()
-	return g.loadTracker.Pick(now, g.rng, query, g.view.Targets())
+	target, reason := g.loadTracker.Pick(now, g.rng, query, g.view.Targets())
+	if reason == dispatch.Starting {
+		g.metrics.heldBack.Inc(1)
+	}
+	return target, reason
 }
 
 // mayAdd reports whether a target that the leader selected may get another request.
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -27,11 +27,13 @@
 	now := time.Now()
 	inFlight := g.loadTracker.Start(now, target.ID, q.prompt.Model, q.prompt.Tokens)
 	end := dispatch.Neutral
+	paced := g.beginPaced(now, q, target)
 	r.inFlight, r.target, r.final, r.sound = inFlight, target, false, false
 	g.demand.addRunning(q, target.ID, 1)
 	defer func() {
 		g.demand.addRunning(q, target.ID, -1)
 		g.loadTracker.Finish(time.Now(), inFlight, end)
+		paced.finish(time.Now(), end)
 	}()
 	g.recordResumption(r, q, target)
 	ctx, cancel := context.WithCancelCause(q.ctx)
@@ -53,6 +55,7 @@
 	g.observeLeaving(target, answer.Response)
 	g.loadTracker.FirstByte(firstByte, inFlight, q.route.Objective)
 	g.observeRetryAfter(target, answer.Response)
+	paced.firstByte(firstByte, answer.Response)
 	if g.opts.Headers.Rejected(answer.Response) {
 		end = g.handleRejection(q, target, answer)
 		return notRun
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -202,7 +202,7 @@
 		return 0
 	}
 	share := waitShare
-	if reason == dispatch.AllFull || reason == dispatch.Limited {
+	if reason == dispatch.AllFull || reason == dispatch.Limited || reason == dispatch.Starting {
 		share = allFullWaitShare
 	}
 	left := time.Duration(float64(q.deadline.Sub(now)) * share)
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/tarragonhoist/tarragonhoist/coordination/crashes"
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/pace"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/targetlimit"
 )
@@ -115,6 +116,10 @@
 	HelpersChange uint64 `json:"hc,omitempty"`
 	// Brittle is, by service, how many rejections in a second its targets said to this gateway that they bear.
 	Brittle map[string]int `json:"b,omitempty"`
+	// Starting is what the gateway saw of targets in their start phase since its last report, and Silent are targets that owe a
+	// response and have sent nothing for a while.
+	Starting []pace.Observation `json:"sp,omitempty"`
+	Silent   []string           `json:"si,omitempty"`
 	// Packed asks for a summary with PackedTargets instead of Targets.
 	Packed bool `json:"p,omitempty"`
 }
@@ -157,6 +162,8 @@
 	Brittle map[string]int `json:"b,omitempty"`
 	// Limits is what targets told any gateway about the requests that they take.
 	Limits []targetlimit.Observation `json:"lt,omitempty"`
+	// Starting is the part of the gateway in the windows of targets in their start phase.
+	Starting []pace.Part `json:"sp,omitempty"`
 }
 
 // percent converts between a slowness ratio and SlownessPercent.
