--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -217,7 +217,8 @@
 	// Skip leaves out targets that are in need; nil leaves out none.
 	Skip func(*roster.Entry) bool
 	// Admit reports whether a target with a number of running requests of this gateway may get another one; nil admits all. A
-	// target that is not admitted is used all the same if no other one could run the request, now or once it has room.
+	// target that is not admitted is used all the same unless more others could run the request soon: once they have room, or,
+	// if they are excluded, in another try. Where most targets are not admitted, the others have no room for what is held back.
 	Admit func(t *roster.Entry, running int) bool
 	// Connected reports whether an idle connection to an address is open; nil if that is unknown.
 	Connected func(address string) bool
@@ -240,7 +241,7 @@
 	AllFull       Reason = "all eligible targets are at the request limit"
 	Limited       Reason = "every eligible target takes only a few requests a second"
 	AllExcluded   Reason = "every eligible target has failed the request"
-	// Starting applies while the others are full.
+	// Starting applies while the others are full or excluded.
 	Starting Reason = "the eligible targets with room have just started and take only a few requests"
 )
 
@@ -255,7 +256,7 @@
 		}
 	}
 	var eligible, starting []*roster.Entry
-	anyFull := false
+	othersLater := 0
 	for i := range targets {
 		t := &targets[i]
 		if t.Service != q.Service || t.State != roster.Ready {
@@ -285,6 +286,7 @@
 		}
 		if slices.Contains(q.Exclude, t.ID) {
 			recordReason(AllExcluded)
+			othersLater++
 			continue
 		}
 		if q.Skip != nil && q.Skip(t) {
@@ -297,7 +299,7 @@
 		}
 		if !tracker.hasRoom(now, rng, s, t.ID, &q, slotsOf(t, q.Slots)) {
 			recordReason(AllFull)
-			anyFull = true
+			othersLater++
 			continue
 		}
 		if q.Admit != nil && !q.Admit(t, s.own.Running) {
@@ -307,7 +309,7 @@
 		}
 		eligible = append(eligible, t)
 	}
-	if len(eligible) == 0 && !anyFull {
+	if len(eligible) == 0 && othersLater <= len(starting) {
 		eligible = starting
 	}
 	if len(eligible) == 0 {
--- a/coordination/pace/pace.go
+++ b/coordination/pace/pace.go
@@ -38,6 +38,8 @@
 const (
 	// InTime means that the response began within the objective of its route.
 	InTime Result = iota
+	// Near means that it began in time, but took more than half of the objective.
+	Near
 	// Late means that it began later.
 	Late
 	// Refused means that the target had no room.
@@ -46,12 +48,25 @@
 	Broken
 )
 
+// ResultOf returns the result of a response that began after a time. Without an objective, 0, none is late.
+func ResultOf(after, objective time.Duration) Result {
+	switch {
+	case objective <= 0 || after <= objective/2:
+		return InTime
+	case after <= objective:
+		return Near
+	}
+	return Late
+}
+
 // Observation is what a gateway saw of a target in its start phase since its last load report.
 type Observation struct {
 	Target roster.Key `json:"t"`
 	// Round is that of the window under which the requests were sent, see Part; 0 if no leader named it.
 	Round  int64 `json:"r,omitempty"`
 	InTime int   `json:"i,omitempty"`
+	// Near are those in time that took more than half of their objective.
+	Near int `json:"e,omitempty"`
 	// Bad are the responses that were late, refused or broken.
 	Bad int `json:"b,omitempty"`
 	// Wanted is the number of picks for which the target was eligible.
--- a/coordination/pace/phase.go
+++ b/coordination/pace/phase.go
@@ -41,8 +41,10 @@
 	p.window.inTime = 0
 }
 
+func (p *phase) answered() bool { return !p.answeredAt.IsZero() }
+
 // observe counts the responses of a report of the current round.
-func (p *phase) observe(now time.Time, inTime, bad int) {
+func (p *phase) observe(now time.Time, inTime, near, bad int) {
 	if p.answeredAt.IsZero() && inTime+bad > 0 {
 		p.answeredAt = now
 	}
@@ -53,6 +55,7 @@
 		p.round = max(now.UnixNano(), p.round+1)
 		return
 	}
+	p.window.near = p.window.near || near > 0
 	p.window.add(inTime)
 }
 
--- /dev/null
+++ b/coordination/pace/starts_test.go
@@ -0,0 +1,180 @@
+package pace_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// scenario is a load and an event that starts or recovers targets.
+type scenario struct {
+	name    string
+	kind    kind
+	targets int
+	// load is the rate as a share of the capacity of all targets.
+	load   float64
+	length time.Duration
+	// event is the time from which fullAfter counts, for the first target.
+	event time.Duration
+	at    func(r *replay, now time.Time, after time.Duration)
+}
+
+const (
+	ms = time.Millisecond
+	// burst is the factor of the load in the time after the event.
+	burst       = 1.2
+	burstLength = 2 * time.Second
+)
+
+var scenarios = []scenario{
+	{name: "start", kind: engine, targets: 8, load: 0.75, length: 8 * time.Second, event: 2 * time.Second,
+		at: func(r *replay, now time.Time, after time.Duration) {
+			switch after {
+			case 0:
+				r.targets[0].downUntil = now.Add(2 * time.Second)
+			case 2 * time.Second:
+				r.restart(now, r.targets[0])
+			}
+		}},
+	{name: "crash", kind: engine, targets: 8, load: 0.75, length: 9 * time.Second, event: 3 * time.Second,
+		at: func(r *replay, now time.Time, after time.Duration) {
+			switch after {
+			case time.Second:
+				r.crash(now, r.targets[0], now.Add(2*time.Second))
+			case 3 * time.Second:
+				r.restart(now, r.targets[0])
+			}
+		}},
+	{name: "plain crash", kind: plain, targets: 3, load: 0.6, length: 8 * time.Second, event: 3 * time.Second,
+		at: func(r *replay, now time.Time, after time.Duration) {
+			switch after {
+			case time.Second:
+				r.crash(now, r.targets[0], now.Add(2*time.Second))
+			case 3 * time.Second:
+				r.restart(now, r.targets[0])
+			}
+		}},
+	{name: "freeze", kind: engine, targets: 8, load: 0.75, length: 9 * time.Second, event: 4 * time.Second,
+		at: func(r *replay, now time.Time, after time.Duration) {
+			switch after {
+			case time.Second:
+				r.targets[0].frozenUntil = now.Add(3 * time.Second)
+			case 4 * time.Second:
+				r.targets[0].startedAt = now
+			}
+		}},
+	{name: "flap", kind: engine, targets: 8, load: 0.75, length: 9 * time.Second, event: 2600 * ms,
+		at: func(r *replay, now time.Time, after time.Duration) {
+			switch after {
+			case 1000 * ms, 1800 * ms, 2600 * ms:
+				r.restart(now, r.targets[0])
+			case 600 * ms, 1400 * ms, 2200 * ms:
+				r.crash(now, r.targets[0], now.Add(400*ms))
+			}
+		}},
+	{name: "partition", kind: engine, targets: 8, load: 0.75, length: 9 * time.Second, event: 4 * time.Second,
+		at: func(r *replay, _ time.Time, after time.Duration) {
+			switch after {
+			case time.Second:
+				for _, t := range r.targets[:3] {
+					t.cutOff = func(gateway int) bool { return gateway%3 == 0 }
+				}
+			case 4 * time.Second:
+				for _, t := range r.targets[:3] {
+					t.cutOff = nil
+				}
+			}
+		}},
+	{name: "most at once", kind: engine, targets: 8, load: 0.6, length: 10 * time.Second, event: 3 * time.Second,
+		at: func(r *replay, now time.Time, after time.Duration) {
+			for _, t := range r.targets[:6] {
+				switch after {
+				case 2 * time.Second:
+					r.crash(now, t, now.Add(time.Second))
+				case 3 * time.Second:
+					r.restart(now, t)
+				}
+			}
+		}},
+	{name: "last", kind: engine, targets: 1, load: 0.6, length: 8 * time.Second, event: 2 * time.Second,
+		at: func(r *replay, now time.Time, after time.Duration) {
+			switch after {
+			case time.Second:
+				r.crash(now, r.targets[0], now.Add(time.Second))
+			case 2 * time.Second:
+				r.restart(now, r.targets[0])
+			}
+		}},
+	{name: "leader lost", kind: engine, targets: 8, load: 0.75, length: 9 * time.Second, event: 3 * time.Second,
+		at: func(r *replay, now time.Time, after time.Duration) {
+			switch after {
+			case time.Second:
+				r.crash(now, r.targets[0], now.Add(2*time.Second))
+			case 3 * time.Second:
+				r.restart(now, r.targets[0])
+			case 3200 * ms:
+				r.replaceLeader(now.Add(1500 * ms))
+			}
+		}},
+	{name: "late reports", kind: engine, targets: 8, load: 0.75, length: 9 * time.Second, event: 3 * time.Second,
+		at: func(r *replay, now time.Time, after time.Duration) {
+			switch after {
+			case 0:
+				for i := 0; i < len(r.gateways); i += 4 {
+					r.gateways[i].reportDelay = 390 * ms // the summary of a later one would be given up
+				}
+			case time.Second:
+				r.crash(now, r.targets[0], now.Add(2*time.Second))
+			case 3 * time.Second:
+				r.restart(now, r.targets[0])
+			}
+		}},
+}
+
+func (s *scenario) play(paced bool, gateways int, seed uint64) *replay {
+	r := newReplay(s.kind, paced, gateways, s.targets, seed)
+	s.playOn(r)
+	return r
+}
+
+func (s *scenario) playOn(r *replay) {
+	rate := s.load * s.kind.capacity() * float64(s.targets)
+	r.rate = func(after time.Duration) float64 {
+		if after >= s.event && after < s.event+burstLength {
+			return rate * burst
+		}
+		return rate * min(1, 0.3+float64(after)/float64(time.Second)) // gateways learn what targets do
+	}
+	r.run(s.length, func(now time.Time, after time.Duration) { s.at(r, now, after) })
+	r.result.fullAfter = r.fullAfter(r.targets[0], r.start.Add(s.event), rate/float64(s.targets))
+}
+
+func TestStartsUnderBurst(t *testing.T) {
+	for i := range scenarios {
+		s := &scenarios[i]
+		for _, gateways := range []int{1, 77, 300} {
+			t.Run(fmt.Sprintf("%s/%d gateways", s.name, gateways), func(t *testing.T) {
+				t.Parallel()
+				var without, with result
+				for seed := range uint64(3) {
+					a, b := s.play(false, gateways, seed+1).result, s.play(true, gateways, seed+1)
+					sum(&without, a)
+					sum(&with, b.result)
+					if seed == 0 {
+						t.Log(b.windows)
+					}
+				}
+				t.Logf("%s without: %+v", t.Name(), without)
+				t.Logf("%s with:    %+v", t.Name(), with)
+			})
+		}
+	}
+}
+
+func sum(to *result, r result) {
+	to.requests += r.requests
+	to.late += r.late
+	to.refused += r.refused
+	to.rejected += r.rejected
+	to.fullAfter += r.fullAfter / 3
+}
--- a/coordination/pace/sums.go
+++ b/coordination/pace/sums.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"slices"
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
@@ -10,8 +11,6 @@
 	// heartbeatOverdue is the age of the latest heartbeat from which a target counts as silent: three intervals of 1.2 s plus
 	// an allowance for one late heartbeat.
 	heartbeatOverdue = 4500 * time.Millisecond
-	// minLost is the least number of gateways that have to lose a target: one may be cut off itself.
-	minLost = 2
 	// unreportedTTL is the time after which a phase is dropped at an instance that gets no load reports. Another one leads, and
 	// its phases are continued from what gateways report.
 	unreportedTTL = 2 * time.Second
@@ -49,7 +48,9 @@
 type Report struct {
 	Gateway string
 	// Lost are the targets that the gateway does not reach, or that are silent although they owe a response.
-	Lost         []string
+	Lost []string
+	// Serving are the targets at which a response to the gateway has begun and goes on.
+	Serving      []string
 	Observations []Observation
 }
 
@@ -57,27 +58,28 @@
 type known struct {
 	startedAtMs int64
 	slots, full int
-	overdue     bool
-	// lostBy are the gateways whose last report named the target as lost.
-	lostBy map[string]time.Time
-	down   bool
+	down        bool
 }
 
 // Sums keeps the windows at the leader. It is not safe for concurrent use.
 type Sums struct {
 	targets map[string]*known // by target id, nil until the first list
 	phases  map[string]*phase
-	// lost are the targets that the last report of a gateway named.
-	lost map[string][]string
+	// reach is what the last report of each gateway says about the targets that it reaches.
+	reach map[string]reach
 	// reportedSince is the time of the first report without a gap since, and reportedAt that of the latest one.
 	reportedSince, reportedAt time.Time
 	// gateways is the number of gateways that report.
 	gateways int
-	changes  []Change
+	// ttl is the time for which a report counts.
+	ttl     time.Duration
+	changes []Change
 }
 
 // NewSums returns sums without targets.
-func NewSums() *Sums { return &Sums{phases: make(map[string]*phase), lost: make(map[string][]string)} }
+func NewSums() *Sums {
+	return &Sums{phases: make(map[string]*phase), reach: make(map[string]reach), ttl: minAllowanceTTL}
+}
 
 // SetTargets replaces the list of targets that take new work. Those that are not in the first list begin a start phase.
 func (s *Sums) SetTargets(now time.Time, list []Target) {
@@ -89,21 +91,23 @@
 		s.targets = make(map[string]*known, len(list))
 	}
 	present := make(map[string]bool, len(list))
-	allOverdue := allSilent(now, list)
+	// An instance that hears from no target is cut off or stood still itself.
+	trustsHeartbeats := !allSilent(now, list)
+	lostBy := s.lostBy(now)
 	for _, t := range list {
 		present[t.Key.ID] = true
 		k := s.targets[t.Key.ID]
 		isNew := k == nil || k.startedAtMs < t.Key.StartedAtMs
 		if isNew {
-			k = &known{startedAtMs: t.Key.StartedAtMs, lostBy: make(map[string]time.Time)}
+			k = &known{startedAtMs: t.Key.StartedAtMs}
 			s.targets[t.Key.ID] = k
 		}
 		k.slots, k.full = t.Slots, t.Full
 		if isNew && !first {
 			s.begin(now, t.Key, Started)
 		}
-		// An instance that hears from no target is cut off or stood still itself.
-		k.overdue = now.Sub(t.HeardAt) > heartbeatOverdue && !allOverdue
+		overdue := trustsHeartbeats && now.Sub(t.HeardAt) > heartbeatOverdue
+		s.setDown(now, t.Key, k, overdue || s.isLost(now, t.Key.ID, lostBy[t.Key.ID], k.down))
 	}
 	for id := range s.targets {
 		if !present[id] {
@@ -148,22 +152,21 @@
 		switch {
 		case now.Sub(s.reportedAt) > unreportedTTL && now.Sub(p.beganAt) > unreportedTTL:
 			delete(s.phases, id)
-		case !p.answeredAt.IsZero() && now.Sub(p.answeredAt) > maxPhase, now.Sub(p.beganAt) > maxIdlePhase:
+		case p.answered() && now.Sub(p.answeredAt) > maxPhase, now.Sub(p.beganAt) > maxIdlePhase:
 			s.end(now, p)
 		}
 	}
 }
 
-// Report applies the report of a gateway. running is the number of requests of all gateways at a target, gateways the number of
-// those that report.
-func (s *Sums) Report(now time.Time, r *Report, running func(id string) int, gateways int, reportInterval time.Duration) {
+// Report applies the report of a gateway. gateways is the number of those that report.
+func (s *Sums) Report(now time.Time, r *Report, gateways int, reportInterval time.Duration) {
 	s.gateways = gateways
-	ttl := allowanceTTL(reportInterval)
-	if now.Sub(s.reportedAt) > ttl {
+	s.ttl = allowanceTTL(reportInterval)
+	if now.Sub(s.reportedAt) > s.ttl {
 		s.reportedSince = now
 	}
 	s.reportedAt = now
-	s.setLost(now, r, running, ttl)
+	s.reach[r.Gateway] = reach{at: now, lost: r.Lost, serving: r.Serving}
 	for i := range r.Observations {
 		s.observe(now, r.Gateway, &r.Observations[i])
 	}
@@ -188,57 +191,16 @@
 	if o.Round != p.round {
 		return
 	}
-	p.observe(now, o.InTime, o.Bad)
+	bad := o.Bad
+	if slices.Contains(s.reach[gateway].lost, o.Target.ID) {
+		bad = 0 // the gateway does not reach the target, which says nothing about its pace
+	}
+	p.observe(now, o.InTime, o.Near, bad)
 	if p.window.isFull() {
 		s.end(now, p)
 	}
 }
 
-// setLost replaces the targets that a gateway lost, and begins phases of those that are lost or there again. They begin when a
-// target is lost, so that the window is known when it returns, and again when it does.
-func (s *Sums) setLost(now time.Time, r *Report, running func(id string) int, ttl time.Duration) {
-	for _, id := range s.lost[r.Gateway] {
-		if k := s.targets[id]; k != nil {
-			delete(k.lostBy, r.Gateway)
-		}
-	}
-	delete(s.lost, r.Gateway)
-	if len(r.Lost) > 0 {
-		s.lost[r.Gateway] = r.Lost
-	}
-	for _, id := range r.Lost {
-		if k := s.targets[id]; k != nil {
-			k.lostBy[r.Gateway] = now
-		}
-	}
-	for id, k := range s.targets {
-		down := k.overdue || len(k.lostBy) > 0 && k.isLost(now, running(id), ttl)
-		if down == k.down {
-			continue
-		}
-		k.down = down
-		cause := Recovered
-		if down {
-			cause = Lost
-		}
-		s.begin(now, roster.Key{ID: id, StartedAtMs: k.startedAtMs}, cause)
-	}
-}
-
-// isLost reports whether enough gateways lost the target: at least minLost, and one for every two requests there. At a target
-// that only is slow, most gateways still get events.
-func (k *known) isLost(now time.Time, running int, ttl time.Duration) bool {
-	lost := 0
-	for gateway, at := range k.lostBy {
-		if now.Sub(at) > ttl {
-			delete(k.lostBy, gateway)
-			continue
-		}
-		lost++
-	}
-	return lost >= minLost && 2*lost >= running
-}
-
 // Parts returns the parts of a gateway that has just reported. ownRunning and running are the requests of that gateway and of
 // all gateways at a target.
 func (s *Sums) Parts(now time.Time, gateway string, ownRunning, running func(id string) int, reportInterval time.Duration) []Part {
--- a/coordination/pace/table.go
+++ b/coordination/pace/table.go
@@ -28,8 +28,8 @@
 	// toldAt is when a leader named the part, zero for a phase that this gateway began.
 	toldAt  time.Time
 	beganAt time.Time
-	// inTime, bad and wanted are those since the last report.
-	inTime, bad, wanted int
+	// inTime, near, bad and wanted are those since the last report; inTime includes near.
+	inTime, near, bad, wanted int
 }
 
 // Table holds the parts of one gateway. It is safe for concurrent use.
@@ -145,9 +145,13 @@
 	if p == nil || p.part.Round != round {
 		return false
 	}
-	if r == InTime {
+	switch r {
+	case InTime:
 		p.inTime++
-	} else {
+	case Near:
+		p.inTime++
+		p.near++
+	default:
 		p.bad++
 	}
 	return true
@@ -159,11 +163,11 @@
 	defer t.mu.Unlock()
 	var list []Observation
 	for _, p := range t.phases {
-		o := Observation{Target: p.part.Target, Round: p.part.Round, InTime: p.inTime, Bad: p.bad, Wanted: p.wanted}
+		o := Observation{Target: p.part.Target, Round: p.part.Round, InTime: p.inTime, Near: p.near, Bad: p.bad, Wanted: p.wanted}
 		if p.part.Round != 0 {
 			o.Window = p.part.Window
 		}
-		p.inTime, p.bad, p.wanted = 0, 0, 0
+		p.inTime, p.near, p.bad, p.wanted = 0, 0, 0, 0
 		list = append(list, o)
 	}
 	return list
@@ -186,7 +190,7 @@
 			t.phases[part.Target.ID] = p
 		}
 		if p.part.Round != part.Round {
-			p.inTime, p.bad = 0, 0
+			p.inTime, p.near, p.bad = 0, 0, 0
 		}
 		p.part, p.toldAt = part, now
 	}
--- a/coordination/pace/window.go
+++ b/coordination/pace/window.go
@@ -3,8 +3,9 @@
 // window is a number of concurrent requests that follows the responses to them.
 type window struct {
 	size, full int
-	// late is set since the first response that was not in time: from then on the window grows by one.
-	late bool
+	// near is set since the first response that took more than half of its objective, or was not in time: with twice as many
+	// requests the next ones would be late, so from then on the window grows by one.
+	near bool
 	// inTime counts the responses since the last change.
 	inTime int
 }
@@ -22,7 +23,7 @@
 			return
 		}
 		w.inTime -= round
-		if w.late {
+		if w.near {
 			w.size++
 		} else {
 			w.size = min(2*w.size, w.full)
@@ -32,7 +33,7 @@
 
 // halve reduces the window after a response that was late, refused or broken.
 func (w *window) halve() {
-	w.size, w.inTime, w.late = max(w.size/2, minWindow), 0, true
+	w.size, w.inTime, w.near = max(w.size/2, minWindow), 0, true
 }
 
 func (w *window) isFull() bool { return w.size >= w.full }
--- a/instance/controlinstance/starts.go
+++ b/instance/controlinstance/starts.go
@@ -69,7 +69,12 @@
 func (d *Director) exchangeStarts(now time.Time, r *fleetapi.LoadReport, s *fleetapi.LoadSummary) {
 	interval := fleetapi.ReportInterval(d.gateways.live)
 	report := pace.Report{Gateway: r.Gateway, Lost: slices.Concat(r.Unreachable, r.Silent), Observations: r.Starting}
-	d.starts.sums.Report(now, &report, d.gateways.running, d.gateways.live, interval)
+	for i := range r.Targets {
+		if t := &r.Targets[i]; t.Running > t.Unstarted {
+			report.Serving = append(report.Serving, t.ID)
+		}
+	}
+	d.starts.sums.Report(now, &report, d.gateways.live, interval)
 	own := func(id string) int {
 		for i := range r.Targets {
 			if r.Targets[i].ID == id {
--- a/instance/gateway/pace.go
+++ b/instance/gateway/pace.go
@@ -53,35 +53,30 @@
 	return &pacedSend{g: g, target: target.Key, round: round, sentAt: now, objective: q.route.Objective}
 }
 
-func (p *pacedSend) isLate(now time.Time) bool {
-	return p.objective > 0 && now.Sub(p.sentAt) > p.objective
-}
-
 // firstByte observes the begin of a response. A target that does not serve the request here, or fails it, is not observed by that.
 func (p *pacedSend) firstByte(now time.Time, response *http.Response) {
 	if p == nil || response.StatusCode == dialect.StatusMisdirected {
 		return
 	}
-	result := pace.InTime
+	result := pace.ResultOf(now.Sub(p.sentAt), p.objective)
 	switch {
 	case p.g.opts.Headers.Rejected(response):
 		result = pace.Refused
 	case response.StatusCode >= http.StatusInternalServerError:
 		return
-	case p.isLate(now):
-		result = pace.Late
 	}
 	p.answered = true
 	p.g.pace.Observe(now, p.target, p.round, result)
 }
 
-// finish observes the end of a request that broke off, or whose caller left after its objective without a response.
+// finish observes the end of a request that broke off, or whose caller left after its objective without a response. That no connection
+// was accepted says nothing about the window: the leader is told which targets are lost.
 func (p *pacedSend) finish(now time.Time, end dispatch.RequestEnd) {
 	switch {
 	case p == nil:
-	case end == dispatch.Failed || end == dispatch.Unreachable:
+	case end == dispatch.Failed:
 		p.g.pace.Observe(now, p.target, p.round, pace.Broken)
-	case end == dispatch.Neutral && !p.answered && p.isLate(now):
+	case end == dispatch.Neutral && !p.answered && pace.ResultOf(now.Sub(p.sentAt), p.objective) == pace.Late:
 		p.g.pace.Observe(now, p.target, p.round, pace.Late)
 	}
 }
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -151,6 +151,9 @@
 				continue
 			}
 		}
+		if reason == dispatch.Starting {
+			exclude = nil // a target that had no room is tried again before one that has just started gets more than its window
+		}
 		left := g.maxWait(q, reason, started) - now.Sub(started)
 		if at, ok := g.loadedAt(q); reason == dispatch.NotLoaded && ok && at.Sub(now) > left {
 			left = 0 // the model will be loaded too late: the caller gets a Retry-After at once
