--- a/coordination/pace/phase.go
+++ b/coordination/pace/phase.go
@@ -22,16 +22,19 @@
 	// uses is what each gateway wants and was allowed, and lastTurn the gateway that got the last single request.
 	uses     map[string]*use
 	lastTurn string
+	// usedShare is the share of the granted requests that gateways send, as a moving average.
+	usedShare float64
 }
 
 // use is the part of one gateway as of its last report.
 type use struct {
 	at                       time.Time
 	wanted, running, allowed int
+	responses                int // since the last report
 }
 
 func newPhase(now time.Time, key roster.Key, full int) *phase {
-	return &phase{key: key, window: newWindow(full), round: now.UnixNano(), beganAt: now, uses: make(map[string]*use)}
+	return &phase{key: key, window: newWindow(full), round: now.UnixNano(), beganAt: now, uses: make(map[string]*use), usedShare: initialUsedShare}
 }
 
 // continueFrom takes over the window that another leader named last.
@@ -59,14 +62,34 @@
 	p.window.add(inTime)
 }
 
-// want records how many requests a gateway could have sent since its last report.
-func (p *phase) want(now time.Time, gateway string, n int) {
+// want records how many requests a gateway could have sent since its last report, and the responses that it got.
+func (p *phase) want(now time.Time, gateway string, n, responses int) {
 	u := p.uses[gateway]
 	if u == nil {
 		u = &use{}
 		p.uses[gateway] = u
 	}
-	u.at, u.wanted = now, n
+	u.at, u.wanted, u.responses = now, n, responses
+}
+
+const (
+	// initialUsedShare is usedShare before it is known. Most gateways have no request for one target within a report interval.
+	initialUsedShare = 0.3
+	// useWeight is the weight of one report in usedShare, and minUsedShare its least value: it bounds the requests that a burst at
+	// all gateways brings to a target at ten times its window.
+	useWeight    = 0.1
+	minUsedShare = 0.1
+)
+
+// learnUse updates usedShare by what a gateway made of its last part. With hundreds of gateways, few of those that get a part have
+// a request for it before their next report; counted as used, such parts would leave the target idle.
+func (p *phase) learnUse(u *use, own int) {
+	granted := u.allowed - u.running
+	if granted <= 0 {
+		return
+	}
+	used := float64(min(max(own-u.running+u.responses, 0), granted)) / float64(granted)
+	p.usedShare = max(p.usedShare+useWeight*(used-p.usedShare), minUsedShare)
 }
 
 // allow returns how many requests a gateway may have at the target until its next report. running are those of all gateways.
@@ -86,8 +109,9 @@
 			wanted += other.wanted
 		}
 	}
+	p.learnUse(u, own)
 	u.running, u.allowed = own, own
-	free := p.window.size - running - unused
+	free := p.window.size - running - int(float64(unused)*p.usedShare)
 	if !grant || free <= 0 || u.wanted == 0 || free == 1 && wanted > 0 && p.lastTurn == gateway {
 		return u.allowed
 	}
--- a/coordination/pace/sums.go
+++ b/coordination/pace/sums.go
@@ -21,6 +21,8 @@
 	Key     roster.Key
 	HeardAt time.Time // of the latest heartbeat
 	Slots   int
+	// Running is the number of requests of all gateways at the target.
+	Running int
 	// Full is the number of requests that the target takes after its start phase: its slots and its queue.
 	Full int
 }
@@ -59,6 +61,8 @@
 	startedAtMs int64
 	slots, full int
 	down        bool
+	// servedAt is when a gateway last reported a response in progress.
+	servedAt time.Time
 }
 
 // Sums keeps the windows at the leader. It is not safe for concurrent use.
@@ -107,7 +111,7 @@
 			s.begin(now, t.Key, Started)
 		}
 		overdue := trustsHeartbeats && now.Sub(t.HeardAt) > heartbeatOverdue
-		s.setDown(now, t.Key, k, overdue || s.isLost(now, t.Key.ID, lostBy[t.Key.ID], k.down))
+		s.setDown(now, &t, k, overdue || k.isLost(now, lostBy[t.Key.ID]))
 	}
 	for id := range s.targets {
 		if !present[id] {
@@ -166,7 +170,7 @@
 		s.reportedSince = now
 	}
 	s.reportedAt = now
-	s.reach[r.Gateway] = reach{at: now, lost: r.Lost, serving: r.Serving}
+	s.setReach(now, r)
 	for i := range r.Observations {
 		s.observe(now, r.Gateway, &r.Observations[i])
 	}
@@ -187,7 +191,7 @@
 	if o.Round > p.round && o.Window > 0 {
 		p.continueFrom(o)
 	}
-	p.want(now, gateway, o.Wanted)
+	p.want(now, gateway, o.Wanted, o.InTime+o.Bad)
 	if o.Round != p.round {
 		return
 	}
--- a/instance/controlinstance/starts.go
+++ b/instance/controlinstance/starts.go
@@ -47,14 +47,14 @@
 	targets := d.view.Targets()
 	for i := range targets {
 		if t := &targets[i]; t.State == roster.Ready {
-			list = append(list, startingTarget(t, services[t.Service]))
+			list = append(list, startingTarget(t, services[t.Service], d.gateways.running(t.ID)))
 		}
 	}
 	d.starts.sums.SetTargets(now, list)
 	d.recordStarts(now)
 }
 
-func startingTarget(t *roster.Entry, service *routes.Service) pace.Target {
+func startingTarget(t *roster.Entry, service *routes.Service, running int) pace.Target {
 	slots, perSlot := max(t.Slots, 1), float64(plainFullPerSlot)
 	if service != nil && service.Engine != nil {
 		perSlot = dispatch.MaxEngineRequestsPerSlot(0)
@@ -62,7 +62,7 @@
 			slots = max(service.Engine.Slots, 1)
 		}
 	}
-	return pace.Target{Key: t.Key, HeardAt: t.HeardAt, Slots: slots, Full: int(math.Ceil(perSlot * float64(slots)))}
+	return pace.Target{Key: t.Key, HeardAt: t.HeardAt, Slots: slots, Running: running, Full: int(math.Ceil(perSlot * float64(slots)))}
 }
 
 // exchangeStarts applies what a gateway saw of targets in their start phase, and adds its parts to its summary.
