--- a/coordination/pace/phase.go
+++ b/coordination/pace/phase.go
@@ -21,9 +21,8 @@
 	// answeredAt is the time of the first report with a response.
 	answeredAt  time.Time
 	inTime, bad int
-	// uses is what each gateway wants and was allowed, and lastTurn the gateway that got the last single request.
-	uses     map[string]*use
-	lastTurn string
+	// uses is what each gateway wants and was allowed.
+	uses map[string]*use
 	// usedShare is the share of the granted requests that gateways send, as a moving average.
 	usedShare float64
 }
@@ -33,6 +32,8 @@
 	at                       time.Time
 	wanted, running, allowed int
 	responses                int // since the last report
+	// turnAt is when the gateway last got a single request, while there were more gateways with requests than the window has.
+	turnAt time.Time
 }
 
 func newPhase(now time.Time, key roster.Key, full int) *phase {
@@ -103,7 +104,7 @@
 	if u == nil {
 		return own
 	}
-	unused, wanted := 0, 0
+	unused, wanted, waitsLonger := 0, 0, false
 	for name, other := range p.uses {
 		switch {
 		case name == gateway:
@@ -112,17 +113,21 @@
 		default:
 			unused += max(other.allowed-other.running, 0)
 			wanted += other.wanted
+			waitsLonger = waitsLonger || other.wanted > 0 && other.allowed <= other.running && other.turnAt.Before(u.turnAt)
 		}
 	}
 	p.learnUse(u, own)
 	u.running, u.allowed = own, own
 	free := p.window.size - running - int(float64(unused)*p.usedShare)
-	if !grant || free <= 0 || u.wanted == 0 || free == 1 && wanted > 0 && p.lastTurn == gateway {
+	if !grant || free <= 0 || u.wanted == 0 {
 		return u.allowed
 	}
 	part := free * u.wanted / (u.wanted + wanted)
 	if part == 0 {
-		p.lastTurn = gateway
+		if waitsLonger {
+			return u.allowed
+		}
+		u.turnAt = now
 	}
 	u.allowed += min(max(part, 1), u.wanted)
 	return u.allowed
