--- a/coordination/pace/pace_test.go
+++ b/coordination/pace/pace_test.go
@@ -394,7 +394,7 @@
 		rt.Fatalf("window %d of at most %d", p.window.size, p.window.full)
 	}
 	unused := 0
-	for _, u := range p.uses {
+	for _, u := range p.uses.byGateway {
 		unused += max(u.allowed-u.running, 0)
 	}
 	// At any grant the parts that are not in use are bounded by the largest window over the share that is used.
--- a/coordination/pace/phase.go
+++ b/coordination/pace/phase.go
@@ -21,23 +21,13 @@
 	// answeredAt is the time of the first report with a response.
 	answeredAt  time.Time
 	inTime, bad int
-	// uses is what each gateway wants and was allowed.
-	uses map[string]*use
+	uses        uses
 	// usedShare is the share of the granted requests that gateways send, as a moving average.
 	usedShare float64
 }
 
-// use is the part of one gateway as of its last report.
-type use struct {
-	at                       time.Time
-	wanted, running, allowed int
-	responses                int // since the last report
-	// turnAt is when the gateway last got a single request, while there were more gateways with requests than the window has.
-	turnAt time.Time
-}
-
 func newPhase(now time.Time, key roster.Key, full int) *phase {
-	return &phase{key: key, window: newWindow(full), round: now.UnixNano(), ownRound: now.UnixNano(), beganAt: now, uses: make(map[string]*use), usedShare: initialUsedShare}
+	return &phase{key: key, window: newWindow(full), round: now.UnixNano(), ownRound: now.UnixNano(), beganAt: now, uses: newUses(), usedShare: initialUsedShare}
 }
 
 // continueFrom takes over the window that an earlier leader named last: the largest one of the latest round that gateways know.
@@ -68,16 +58,6 @@
 	p.window.add(inTime)
 }
 
-// want records how many requests a gateway could have sent since its last report, and the responses that it got.
-func (p *phase) want(now time.Time, gateway string, n, responses int) {
-	u := p.uses[gateway]
-	if u == nil {
-		u = &use{}
-		p.uses[gateway] = u
-	}
-	u.at, u.wanted, u.responses = now, n, responses
-}
-
 const (
 	// initialUsedShare is usedShare before it is known. Most gateways have no request for one target within a report interval.
 	initialUsedShare = 0.3
@@ -98,36 +78,24 @@
 	p.usedShare = max(p.usedShare+useWeight*(used-p.usedShare), minUsedShare)
 }
 
-// allow returns how many requests a gateway may have at the target until its next report. running are those of all gateways.
-func (p *phase) allow(now time.Time, gateway string, own, running int, grant bool, ttl time.Duration) int {
-	u := p.uses[gateway]
+// allow returns how many requests a gateway may have at the target until its next report. own are those that it has there, and running
+// those of all gateways.
+func (p *phase) allow(gateway string, own, running int, grant bool) int {
+	u := p.uses.byGateway[gateway]
 	if u == nil {
 		return own
 	}
-	unused, wanted, waitsLonger := 0, 0, false
-	for name, other := range p.uses {
-		switch {
-		case name == gateway:
-		case now.Sub(other.at) > ttl:
-			delete(p.uses, name)
-		default:
-			unused += max(other.allowed-other.running, 0)
-			wanted += other.wanted
-			waitsLonger = waitsLonger || other.wanted > 0 && other.allowed <= other.running && other.turnAt.Before(u.turnAt)
-		}
-	}
 	p.learnUse(u, own)
+	p.uses.remove(u)
+	defer p.uses.add(u)
 	u.running, u.allowed = own, own
-	free := p.window.size - running - int(float64(unused)*p.usedShare)
+	free := p.window.size - running - int(float64(p.uses.unused)*p.usedShare)
 	if !grant || free <= 0 || u.wanted == 0 {
 		return u.allowed
 	}
-	part := free * u.wanted / (u.wanted + wanted)
-	if part == 0 {
-		if waitsLonger {
-			return u.allowed
-		}
-		u.turnAt = now
+	part := free * u.wanted / (u.wanted + p.uses.wanted)
+	if part == 0 && !p.uses.takeTurn(u) {
+		return u.allowed
 	}
 	u.allowed += min(max(part, 1), u.wanted)
 	return u.allowed
--- a/coordination/pace/sums.go
+++ b/coordination/pace/sums.go
@@ -158,6 +158,8 @@
 			delete(s.phases, id)
 		case p.answered() && now.Sub(p.answeredAt) > maxPhase, now.Sub(p.beganAt) > maxIdlePhase:
 			s.end(now, p)
+		default:
+			p.uses.expire(now, s.ttl)
 		}
 	}
 }
@@ -191,7 +193,7 @@
 	if now.Sub(s.reportedSince) < settleTime {
 		p.continueFrom(o)
 	}
-	p.want(now, gateway, o.Wanted, o.InTime+o.Bad)
+	p.uses.report(now, gateway, o.Wanted, o.InTime+o.Bad)
 	if o.Round != p.round {
 		return
 	}
@@ -215,7 +217,7 @@
 		if !Applies(s.gateways, s.targets[id].slots) {
 			continue
 		}
-		allowed := p.allow(now, gateway, ownRunning(id), running(id), settled, allowanceTTL(reportInterval))
+		allowed := p.allow(gateway, ownRunning(id), running(id), settled)
 		parts = append(parts, Part{Target: p.key, Round: p.round, Window: p.window.size, Allowed: allowed})
 	}
 	return parts
