Send the last attempt of a request to a starting target rather than refuse it

Change: the window does not hold back the last send of a request; the window doubles again after three rounds without a slow response.

--- a/coordination/pace/phase.go
+++ b/coordination/pace/phase.go
@@ -54,7 +54,9 @@
 		p.round = max(now.UnixNano(), p.round+1)
 		return
 	}
-	p.window.near = p.window.near || near > 0
+	if near > 0 {
+		p.window.slow()
+	}
 	p.window.add(inTime)
 }
 
--- a/coordination/pace/window.go
+++ b/coordination/pace/window.go
@@ -1,11 +1,15 @@
 package pace
 
+// slowRounds is the number of rounds without a slow response after which a window doubles again. A target that was cold gets warm, so
+// the pace at which it grew then is too low later.
+const slowRounds = 3
+
 // window is a number of concurrent requests that follows the responses to them.
 type window struct {
 	size, full int
-	// near is set since the first response that took more than half of its objective, or was not in time: with twice as many
-	// requests the next ones would be late, so from then on the window grows by one.
-	near bool
+	// slowRounds is the number of rounds in which the window grows by one, since the latest response that took more than half of its
+	// objective, or was not in time: with twice as many requests the next ones would be late.
+	slowRounds int
 	// inTime counts the responses since the last change.
 	inTime int
 }
@@ -23,7 +27,8 @@
 			return
 		}
 		w.inTime -= round
-		if w.near {
+		if w.slowRounds > 0 {
+			w.slowRounds--
 			w.size++
 		} else {
 			w.size = min(2*w.size, w.full)
@@ -33,7 +38,11 @@
 
 // halve reduces the window after a response that was late, refused or broken.
 func (w *window) halve() {
-	w.size, w.inTime, w.near = max(w.size/2, minWindow), 0, true
+	w.size, w.inTime = max(w.size/2, minWindow), 0
+	w.slow()
 }
 
+// slow has the window grow by one for some rounds.
+func (w *window) slow() { w.slowRounds = slowRounds }
+
 func (w *window) isFull() bool { return w.size >= w.full }
--- a/instance/gateway/pace.go
+++ b/instance/gateway/pace.go
@@ -18,8 +18,8 @@
 // admitStarting returns a filter that holds requests back from targets in their start phase, or nil while no target can have one.
 func (g *Gateway) admitStarting(now time.Time, q *request) func(*roster.Entry, int) bool {
 	gateways := g.gatewayCount.Gateways(now, 0)
-	if !pace.Applies(gateways, 1) {
-		return nil
+	if !pace.Applies(gateways, 1) || q.sends >= maxSends-1 {
+		return nil // at the last send, a late answer is worth more than a refusal
 	}
 	return func(t *roster.Entry, running int) bool {
 		return !pace.Applies(gateways, slotsOf(t, q)) || g.pace.Admit(now, t.Key, running, gateways)
