Begin no start phases while targets become known after a restart

Cause: after a restart of all control instances targets become known one after the other, so that all but the first ones would have counted as started.

Change: targets that appear within 3 s of the first list do not; a later start of a known target does.

Result: TestTargetsOfTheFirstListsDoNotStart and the other unit tests of coordination/pace passed.

--- a/coordination/pace/pace.go
+++ b/coordination/pace/pace.go
@@ -32,6 +32,10 @@
 	maxIdlePhase = 60 * time.Second
 )
 
+// firstListPeriod is the time from the first list of targets within which one that was not in it does not count as started: after a
+// restart of the control instances, targets become known one after the other, with their heartbeats every 1.2 s.
+const firstListPeriod = 3 * time.Second
+
 // Result is how a request at a target went.
 type Result uint8
 
--- a/coordination/pace/pace_test.go
+++ b/coordination/pace/pace_test.go
@@ -315,6 +315,35 @@
 	}
 }
 
+// Guards against start phases of all targets after a restart of the control instances, when targets become known one after the other.
+func TestTargetsOfTheFirstListsDoNotStart(t *testing.T) {
+	s, table := NewSums(), NewTable("g")
+	var list []Target
+	var entries []roster.Entry
+	at := begin
+	add := func(after time.Duration) {
+		at = begin.Add(after)
+		k := roster.Key{ID: fmt.Sprint("t", len(list)), StartedAtMs: 1}
+		list = append(list, Target{Key: k, Slots: 1, Full: 2})
+		for i := range list {
+			list[i].HeardAt = at
+		}
+		entries = append(entries, roster.Entry{Target: roster.Target{Key: k}})
+		s.SetTargets(at, list)
+		table.SetTargets(at, entries)
+	}
+	for i := range 20 {
+		add(time.Duration(i) * 100 * time.Millisecond)
+	}
+	if s.Starting() > 0 || table.Starting() > 0 {
+		t.Errorf("%d and %d targets count as started", s.Starting(), table.Starting())
+	}
+	add(5 * time.Second)
+	if s.Starting() != 1 || table.Starting() != 1 {
+		t.Errorf("%d and %d targets count as started, want the one that appeared later", s.Starting(), table.Starting())
+	}
+}
+
 // Guards against a part without an effect on small deployments only in theory: with no more gateways than slots no part is named.
 func TestFewGatewaysGetNoParts(t *testing.T) {
 	f := newFleet(6, 6)
--- a/coordination/pace/sums.go
+++ b/coordination/pace/sums.go
@@ -67,8 +67,9 @@
 
 // Sums keeps the windows at the leader. It is not safe for concurrent use.
 type Sums struct {
-	targets map[string]*known // by target id, nil until the first list
-	phases  map[string]*phase
+	targets     map[string]*known // by target id, nil until the first list
+	firstListAt time.Time
+	phases      map[string]*phase
 	// reach is what the last report of each gateway says about the targets that it reaches.
 	reach map[string]reach
 	// reportedSince is the time of the first report without a gap since, and reportedAt that of the latest one.
@@ -85,14 +86,13 @@
 	return &Sums{phases: make(map[string]*phase), reach: make(map[string]reach), ttl: minAllowanceTTL}
 }
 
-// SetTargets replaces the list of targets that take new work. Those that are not in the first list begin a start phase.
+// SetTargets replaces the list of targets that take new work. Those that start later than the first ones begin a start phase.
 func (s *Sums) SetTargets(now time.Time, list []Target) {
 	if len(list) == 0 {
 		return
 	}
-	first := s.targets == nil
-	if first {
-		s.targets = make(map[string]*known, len(list))
+	if s.targets == nil {
+		s.targets, s.firstListAt = make(map[string]*known, len(list)), now
 	}
 	present := make(map[string]bool, len(list))
 	// An instance that hears from no target is cut off or stood still itself.
@@ -101,13 +101,13 @@
 	for _, t := range list {
 		present[t.Key.ID] = true
 		k := s.targets[t.Key.ID]
-		isNew := k == nil || k.startedAtMs < t.Key.StartedAtMs
-		if isNew {
+		begins := k == nil && now.Sub(s.firstListAt) > firstListPeriod || k != nil && k.startedAtMs < t.Key.StartedAtMs
+		if k == nil || begins {
 			k = &known{startedAtMs: t.Key.StartedAtMs}
 			s.targets[t.Key.ID] = k
 		}
 		k.slots, k.full = t.Slots, t.Full
-		if isNew && !first {
+		if begins {
 			s.begin(now, t.Key, Started)
 		}
 		overdue := trustsHeartbeats && now.Sub(t.HeardAt) > heartbeatOverdue
--- a/coordination/pace/table.go
+++ b/coordination/pace/table.go
@@ -39,7 +39,8 @@
 	mu     sync.Mutex
 	phases map[string]*tablePhase // by target id
 	// known are the latest start times of the targets, nil until the first list.
-	known map[string]int64
+	known       map[string]int64
+	firstListAt time.Time
 	// ttl is the time for which parts count.
 	ttl time.Duration
 }
@@ -49,19 +50,21 @@
 	return &Table{gateway: gateway, phases: make(map[string]*tablePhase), ttl: minAllowanceTTL}
 }
 
-// SetTargets replaces the list of targets. Those that are not in the first list begin a start phase when they appear: all
-// gateways learn of them at the same time, before the leader names parts.
+// SetTargets replaces the list of targets. Those that start later than the first ones begin a start phase: all gateways
+// learn of them at the same time, before the leader names parts.
 func (t *Table) SetTargets(now time.Time, targets []roster.Entry) {
 	if len(targets) == 0 {
 		return
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	first := t.known == nil
+	if t.known == nil {
+		t.firstListAt = now
+	}
 	known := make(map[string]int64, len(targets))
 	for i := range targets {
 		key := targets[i].Key
-		if startedAtMs, ok := t.known[key.ID]; !first && (!ok || startedAtMs < key.StartedAtMs) {
+		if t.startsLocked(now, key) {
 			t.beginLocked(now, key)
 		}
 		known[key.ID] = key.StartedAtMs
@@ -74,6 +77,12 @@
 	}
 }
 
+// startsLocked reports whether a target has started since the last list.
+func (t *Table) startsLocked(now time.Time, key roster.Key) bool {
+	startedAtMs, ok := t.known[key.ID]
+	return ok && startedAtMs < key.StartedAtMs || !ok && t.known != nil && now.Sub(t.firstListAt) > firstListPeriod
+}
+
 func (t *Table) beginLocked(now time.Time, key roster.Key) {
 	if p := t.phases[key.ID]; p != nil && p.part.Target.StartedAtMs >= key.StartedAtMs {
 		return
@@ -83,7 +92,7 @@
 
 // phaseLocked returns the phase of a target, or nil if it has none.
 func (t *Table) phaseLocked(now time.Time, key roster.Key) *tablePhase {
-	if startedAtMs, ok := t.known[key.ID]; t.known != nil && (!ok || startedAtMs < key.StartedAtMs) {
+	if t.startsLocked(now, key) {
 		t.known[key.ID] = key.StartedAtMs
 		t.beginLocked(now, key)
 	}
