--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -223,6 +223,10 @@
 	Skip func(*roster.Entry) bool
 	// Sharing limits what this gateway takes of the free slots; nil does not.
 	Sharing *Sharing
+	// Admit reports whether a target with a number of running requests of this gateway may get another one; nil admits all. A
+	// target that is not admitted is used all the same unless more others could run the request soon: once they have room, or,
+	// if they are excluded, in another try. Where most targets are not admitted, the others have no room for what is held back.
+	Admit func(t *roster.Entry, running int) bool
 	// Connected reports whether an idle connection to an address is open; nil if that is unknown.
 	Connected func(address string) bool
 }
@@ -244,6 +248,8 @@
 	AllFull       Reason = "all eligible targets are at the request limit"
 	Limited       Reason = "every eligible target takes only a few requests a second"
 	AllExcluded   Reason = "every eligible target has failed the request"
+	// Starting applies while the others are full or excluded.
+	Starting Reason = "the eligible targets with room have just started and take only a few requests"
 )
 
 // Pick returns the target with the lowest expected delay for a request, or nil and the reason why there is none.
@@ -256,7 +262,8 @@
 			reason = r
 		}
 	}
-	var candidates []*roster.Entry
+	var candidates, starting []*roster.Entry
+	othersLater := 0
 	for i := range targets {
 		t := &targets[i]
 		if t.Service != q.Service || t.State != roster.Ready {
@@ -286,6 +293,7 @@
 		}
 		if slices.Contains(q.Exclude, t.ID) {
 			recordReason(AllExcluded)
+			othersLater++
 			continue
 		}
 		if q.Skip != nil && q.Skip(t) {
@@ -303,12 +311,22 @@
 	}
 	eligible := candidates[:0]
 	for _, t := range candidates {
-		if !tracker.hasRoom(now, rng, tracker.state(t.ID), t.ID, &q, SlotsOf(t, q.Slots)) {
+		s := tracker.state(t.ID)
+		if !tracker.hasRoom(now, rng, s, t.ID, &q, SlotsOf(t, q.Slots)) {
 			recordReason(AllFull)
+			othersLater++
+			continue
+		}
+		if q.Admit != nil && !q.Admit(t, s.own.Running) {
+			recordReason(Starting)
+			starting = append(starting, t)
 			continue
 		}
 		eligible = append(eligible, t)
 	}
+	if len(eligible) == 0 && othersLater <= len(starting) {
+		eligible = starting
+	}
 	if len(eligible) == 0 {
 		return nil, reason
 	}
@@ -385,7 +403,7 @@
 }
 
 // reasonRank orders reasons by filter stage. Pick returns the reason of the last stage that any target reached.
-var reasonRank = map[Reason]int{NoTarget: 0, OtherVersion: 1, NotLoaded: 2, NoneReachable: 3, Unconfirmed: 4, NoAdapter: 5, AllExcluded: 6, Limited: 7, LeftAlone: 8, AllFull: 9}
+var reasonRank = map[Reason]int{NoTarget: 0, OtherVersion: 1, NotLoaded: 2, NoneReachable: 3, Unconfirmed: 4, NoAdapter: 5, AllExcluded: 6, Limited: 7, LeftAlone: 8, AllFull: 9, Starting: 10}
 
 // SlotsOf returns the slots of a target, or the fallback if it does not announce them.
 func SlotsOf(t *roster.Entry, fallback int) int {
--- a/instance/controlinstance/director.go
+++ b/instance/controlinstance/director.go
@@ -69,6 +69,7 @@
 	limits          *targetlimit.Table
 	permits         *targetlimit.Permits
 	quotas          *quotas
+	starts          *starts
 	fence           uint64
 	planAfter       time.Time
 	// prefetchAfter is the earliest time of the next prefetch of adapters.
@@ -84,7 +85,7 @@
 		permitsGiven: counter("permits_given"), permitsDenied: counter("permits_denied"), quotaGranted: counter("quota_granted"), quotaDenied: counter("quota_denied"),
 		gateways: newGatewayLoads(), refusals: make(map[modelKey]float64),
 		demand: make(map[modelKey]*residency.SmoothedDemand), smoothed: make(map[modelKey]float64), forecasts: newModelForecasts(registry),
-		sizes: newModelSizes(), limits: targetlimit.NewTable(), permits: targetlimit.NewPermits(), quotas: &quotas{opts: opts.Quota},
+		sizes: newModelSizes(), limits: targetlimit.NewTable(), permits: targetlimit.NewPermits(), starts: newStarts(registry), quotas: &quotas{opts: opts.Quota},
 		targets: make(map[string]*controlledTarget), adapterRequests: make(map[modelKey]map[string]time.Time), storeRates: make(map[string]*residency.LoadLimiter),
 	}
 }
@@ -126,6 +127,7 @@
 	d.limits.Merge(now, r.Limits)
 	s := d.summary(now, r)
 	s.Quota = d.quotaLevels(now, r)
+	d.exchangeStarts(now, r, &s)
 	return s, nil
 }
 
@@ -174,6 +176,7 @@
 	defer d.mu.Unlock()
 	d.expire(now)
 	d.updateDemand(now)
+	d.updateStarts(now)
 	table := d.view.Table()
 	if table != nil {
 		d.overShare = d.gateways.overShare(table.Document())
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
 	"github.com/tarragonhoist/tarragonhoist/coordination/gatewaycount"
 	"github.com/tarragonhoist/tarragonhoist/coordination/headroom"
+	"github.com/tarragonhoist/tarragonhoist/coordination/pace"
 	"github.com/tarragonhoist/tarragonhoist/coordination/quota"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/targetlimit"
@@ -103,6 +104,7 @@
 	limits       *targetlimit.Table
 	adapters     *adapterBackoff
 	serviceTimes *headroom.ServiceTimes
+	pace         *pace.Table
 	helpers      *helpers
 	attempts     *attempts
 	// isolated is set while this gateway reaches no target.
@@ -123,7 +125,7 @@
 		loadTracker: dispatch.NewLoadTracker(opts.Name),
 		budget:      dispatch.NewBudget(opts.Budget), demand: newDemand(), metrics: newCounters(registry),
 		systemHeaders: make(map[string]bool), suspects: newCrashSuspects(),
-		limits: targetlimit.NewTable(), adapters: newAdapterBackoff(), serviceTimes: headroom.NewServiceTimes(), attempts: newAttempts(), standstill: newStandstill(sinceBoot),
+		limits: targetlimit.NewTable(), pace: pace.NewTable(opts.Name), adapters: newAdapterBackoff(), serviceTimes: headroom.NewServiceTimes(), attempts: newAttempts(), standstill: newStandstill(sinceBoot),
 		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time), unservedAt: make(map[modelKey]time.Time)},
 	}
 	g.quotas = newQuotas(opts, registry)
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -27,12 +27,14 @@
 	now := time.Now()
 	inFlight := g.loadTracker.Start(now, target.ID, q.prompt.Model, q.prompt.Tokens)
 	end := dispatch.Neutral
+	paced := g.beginPaced(now, q, target)
 	r.inFlight, r.target, r.final, r.sound = inFlight, target, false, false
 	g.demand.addRunning(q, target.ID, 1)
 	defer func() {
 		g.demand.addRunning(q, target.ID, -1)
 		ended := time.Now()
 		g.loadTracker.Finish(ended, inFlight, end)
+		paced.finish(ended, end)
 		if end == dispatch.Complete {
 			g.serviceTimes.Observe(target.Service, ended.Sub(now))
 		}
@@ -57,6 +59,7 @@
 	g.observeLeaving(target, answer.Response)
 	g.loadTracker.FirstByte(firstByte, inFlight, q.route.Objective)
 	g.observeRetryAfter(target, answer.Response)
+	paced.firstByte(firstByte, answer.Response)
 	if g.opts.Headers.Rejected(answer.Response) {
 		end = g.handleRejection(q, target, answer)
 		return notRun
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -152,6 +152,9 @@
 				continue
 			}
 		}
+		if reason == dispatch.Starting {
+			exclude = nil // a target that had no room is tried again before one that has just started gets more than its window
+		}
 		left := g.maxWait(q, reason, started) - now.Sub(started)
 		if at, ok := g.loadedAt(q); reason == dispatch.NotLoaded && ok && at.Sub(now) > left {
 			left = 0 // the model will be loaded too late: the caller gets a Retry-After at once
@@ -203,7 +206,7 @@
 		return 0
 	}
 	share := waitShare
-	if reason == dispatch.AllFull || reason == dispatch.Limited {
+	if reason == dispatch.AllFull || reason == dispatch.Limited || reason == dispatch.Starting {
 		share = allFullWaitShare
 	}
 	left := time.Duration(float64(q.deadline.Sub(now)) * share)
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -5,6 +5,7 @@
 import (
 	"github.com/tarragonhoist/tarragonhoist/coordination/crashes"
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/coordination/pace"
 	"github.com/tarragonhoist/tarragonhoist/coordination/quota"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/targetlimit"
@@ -120,6 +121,10 @@
 	Brittle map[string]int `json:"b,omitempty"`
 	// Accounts are the client accounts with requests at the gateway.
 	Accounts []AccountLoad `json:"ac,omitempty"`
+	// Starting is what the gateway saw of targets in their start phase since its last report, and Silent are targets that owe a
+	// response and have sent nothing for a while.
+	Starting []pace.Observation `json:"sp,omitempty"`
+	Silent   []string           `json:"si,omitempty"`
 	// Packed asks for a summary with PackedTargets instead of Targets.
 	Packed bool `json:"p,omitempty"`
 	// Quota is set where an account has a quota.
@@ -177,6 +182,8 @@
 	Limits []targetlimit.Observation `json:"lt,omitempty"`
 	// Quota answers that of the report, unless the instance may not give out grants.
 	Quota *quota.Levels `json:"q,omitempty"`
+	// Starting is the part of the gateway in the windows of targets in their start phase.
+	Starting []pace.Part `json:"sp,omitempty"`
 }
 
 // percent converts between a slowness ratio and SlownessPercent.
