--- a/instance/fleet/fleet.go
+++ b/instance/fleet/fleet.go
@@ -139,6 +139,9 @@
 // RunGateway serves callers until ctx ends. For each value from reloads, it reads the settings file at path again.
 func RunGateway(ctx context.Context, path string, node *settings.Node, adapter *PlatformAdapter, reloads <-chan os.Signal) error {
 	limitMemory(node)
+	if err := limitDescriptors(node.MaxFDs); err != nil {
+		return err
+	}
 	assembled, err := buildGateway(node, adapter)
 	if err != nil {
 		return err
@@ -158,6 +161,9 @@
 // RunControl serves targets, operators and gateways until ctx ends.
 func RunControl(ctx context.Context, path string, node *settings.Node, adapter *PlatformAdapter, reloads <-chan os.Signal) error {
 	limitMemory(node)
+	if err := limitDescriptors(node.MaxFDs); err != nil {
+		return err
+	}
 	assembled, err := buildControl(node, adapter)
 	if err != nil {
 		return err
--- a/settings/node.go
+++ b/settings/node.go
@@ -30,6 +30,8 @@
 	FirstStart bool   `toml:"first_start"`
 	DataFolder string `toml:"data_folder"`
 	MemoryMB   int    `toml:"memory_mb"`
+	// MaxFDs is the number of file descriptors that the process may open; 0 leaves the limit of the system in force.
+	MaxFDs int `toml:"max_fds"`
 	// LeaseMs is the minimum time between the last order of one control instance and the first order of its successor.
 	LeaseMs int `toml:"lease_ms"`
 	// GraceSeconds is the time between SIGTERM and the kill of the process.
@@ -54,6 +56,8 @@
 	DefaultRepeatSlack   = 50
 	DefaultRepeatWindowS = 10
 	DefaultQuotaWindowS  = 8
+	// MinMaxFDs leaves room for listeners, files and connections between processes.
+	MinMaxFDs = 128
 	// DefaultNodeLogLevel includes the events of each request.
 	DefaultNodeLogLevel = "debug"
 )
@@ -116,6 +120,9 @@
 	if n.LeaseMs < 0 || n.GraceSeconds < 0 || n.MemoryMB < 0 {
 		f.Report("lease_ms", "lease_ms, grace_s and memory_mb must not be negative")
 	}
+	if n.MaxFDs != 0 && n.MaxFDs < MinMaxFDs {
+		f.Report("max_fds", "must be 0 or at least %d", MinMaxFDs)
+	}
 	return n, f.Findings()
 }
 
