--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -14,6 +14,7 @@
 // and peers (6xx).
 var (
 	Starting              = define(100, "starting", logrus.InfoLevel, "The process starts; fields give version, data centre and incarnation.")
+	ClientsBounded        = define(110, "clients-bounded", logrus.WarnLevel, "A limit on what untrusted clients may hold closed or refused some of them; the field limit names it, clients counts them. At most once a second for each limit.")
 	Insecure              = define(101, "insecure", logrus.WarnLevel, "Settings give no tokens or no keys, so callers, operators or peers are not authenticated.")
 	Listening             = define(102, "listening", logrus.InfoLevel, "The process listens on the given addresses.")
 	DrainStarted          = define(103, "drain-started", logrus.InfoLevel, "A shutdown was asked for; readiness is false now.")
--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -30,6 +30,7 @@
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 	"github.com/tarragonhoist/tarragonhoist/state/wal"
+	"github.com/tarragonhoist/tarragonhoist/transport/intake"
 	"github.com/tarragonhoist/tarragonhoist/transport/peer"
 )
 
@@ -73,6 +74,8 @@
 	FirstStart bool
 	// ExclusionPeriod is the time within which a target must not receive orders from two instances.
 	ExclusionPeriod time.Duration
+	// Intake counts what targets and operators hold.
+	Intake *intake.Pool
 }
 
 // Instance is one control instance.
@@ -209,10 +212,10 @@
 	defer stop()
 	defer func() { _ = peerListener.Close() }() // before stop, which would close it some time later
 	instance.registerHandlers()
-	server := &http.Server{Handler: api, ReadHeaderTimeout: controlHeaderTimeout}
+	server := intake.NewServer(api)
 	failed := make(chan error, 3)
 	groupDone := make(chan struct{})
-	go func() { failed <- server.Serve(control) }()
+	go func() { failed <- instance.opts.Intake.Serve(server, control) }()
 	go func() { failed <- instance.peers.Serve(background, peerListener) }()
 	groupCtx, stopGroup := context.WithCancel(background)
 	defer stopGroup()
@@ -253,9 +256,6 @@
 	return nil
 }
 
-// controlHeaderTimeout bounds reading the headers of a request of a target or operator.
-const controlHeaderTimeout = 10 * time.Second
-
 // ErrRemoved is returned by Run when the group has removed this instance while it was down or unreachable.
 var ErrRemoved = errors.New("the group has removed this instance")
 
--- a/instance/fleet/descriptors.go
+++ b/instance/fleet/descriptors.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"math"
+
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
@@ -18,3 +20,15 @@
 	limit.Cur = min(limit.Max, uint64(maxFDs))
 	return errors.Wrap(unix.Setrlimit(unix.RLIMIT_NOFILE, &limit), "set the limit of descriptors")
 }
+
+// descriptorLimit returns the number of descriptors that the process may open, 0 if it is not known.
+func descriptorLimit(maxFDs int) int {
+	if maxFDs > 0 {
+		return maxFDs
+	}
+	var limit unix.Rlimit
+	if unix.Getrlimit(unix.RLIMIT_NOFILE, &limit) != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(limit.Cur)
+}
--- a/instance/fleet/fleet.go
+++ b/instance/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/tarragonhoist/tarragonhoist/instance/version"
 	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
 	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/transport/intake"
 	"github.com/tarragonhoist/tarragonhoist/transport/peer"
 	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
 )
@@ -76,6 +77,7 @@
 	view     *fleetview.View
 	watcher  *fleetview.Watcher
 	peers    *peer.Transport
+	clients  *intake.Pool
 }
 
 // isAddress reports whether the name of a peer is its address.
@@ -101,6 +103,7 @@
 }
 
 func (p *process) start(ctx context.Context, role string) error {
+	go p.clients.Run(ctx)
 	go p.sink.Run(ctx, func(lines int64) { p.recorder.Record(events.LogsDropped, events.Fields{"lines": lines}) })
 	p.recorder.Record(events.Starting, events.Fields{"version": version.String(), "role": role, "name": p.node.Name,
 		"data_centre": p.node.DataCentre, "peer": p.node.PeerName(), "first_start": p.node.FirstStart, "seeds": p.node.SeedNames()})
@@ -112,7 +115,7 @@
 		return errors.Wrap(err, "listen for metrics requests")
 	}
 	go func() {
-		err := http.Serve(listener, http.HandlerFunc(p.serveMetrics))
+		err := p.clients.Serve(intake.NewServer(http.HandlerFunc(p.serveMetrics)), listener)
 		p.recorder.Record(events.InternalError, events.Fields{"problem": "metrics", "error": err.Error()})
 	}()
 	return nil
--- a/instance/fleet/providers.go
+++ b/instance/fleet/providers.go
@@ -16,6 +16,7 @@
 	"github.com/tarragonhoist/tarragonhoist/instance/gateway"
 	"github.com/tarragonhoist/tarragonhoist/instance/logsink"
 	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/transport/intake"
 	"github.com/tarragonhoist/tarragonhoist/transport/peer"
 	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
 )
@@ -76,7 +77,13 @@
 	})
 }
 
-func provideGateway(node *settings.Node, adapter *PlatformAdapter, view *fleetview.View, watcher *fleetview.Watcher, peers *peer.Transport,
+func provideIntake(node *settings.Node, recorder *events.Recorder, registry metrics.Registry) *intake.Pool {
+	return intake.New(intake.Options{MemoryMB: node.MemoryMB, MaxFDs: descriptorLimit(node.MaxFDs), Registry: registry, Acted: func(limit string, clients int64) {
+		recorder.Record(events.ClientsBounded, events.Fields{"limit": limit, "clients": clients})
+	}})
+}
+
+func provideGateway(clients *intake.Pool, node *settings.Node, adapter *PlatformAdapter, view *fleetview.View, watcher *fleetview.Watcher, peers *peer.Transport,
 	recorder *events.Recorder, registry metrics.Registry) *gateway.Gateway {
 	dial := adapter.DialTarget
 	if dial == nil {
@@ -85,6 +92,7 @@
 	options := gateway.Options{
 		Name: node.PeerName(), PeerAddress: node.PeerName(), DataCentre: node.DataCentre, CallerAddress: node.ListenCallers, ReadinessAddress: node.ListenReady,
 		ReadyPath: adapter.ReadyPath, Headers: adapter.Headers, ReadPrompt: adapter.ReadPrompt, CountTokens: adapter.CountTokens, GracePeriod: node.Grace(),
+		Intake:     clients,
 		DialTarget: dial,
 		Budget: dispatch.BudgetLimits{Ratio: node.RepeatRatio, Slack: node.RepeatSlack, Share: repeatBudgetShare,
 			Window: time.Duration(node.RepeatWindowS * float64(time.Second))},
@@ -92,11 +100,12 @@
 	return gateway.New(options, view, watcher, peers, recorder, registry, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 }
 
-func provideInstance(node *settings.Node, adapter *PlatformAdapter, processIncarnation incarnation, view *fleetview.View, watcher *fleetview.Watcher,
+func provideInstance(clients *intake.Pool, node *settings.Node, adapter *PlatformAdapter, processIncarnation incarnation, view *fleetview.View, watcher *fleetview.Watcher,
 	peers *peer.Transport, recorder *events.Recorder, registry metrics.Registry) (*controlinstance.Instance, error) {
 	options := controlinstance.Options{
 		Name: node.PeerName(), DataCentre: node.DataCentre, ControlListen: node.ListenControl, DataDir: node.DataFolder,
 		Seeds: node.SeedNames(), FirstStart: node.FirstStart, ExclusionPeriod: time.Duration(node.LeaseMs) * time.Millisecond,
+		Intake: clients,
 	}
 	orders := adapter.NewOrderClient(upstream.New(upstream.Dialer(orderConnectTimeout), registry))
 	return controlinstance.New(options, uint64(processIncarnation), view, watcher, peers, adapter.DecodeConfig, orders, recorder, registry)
--- a/instance/fleet/wire.go
+++ b/instance/fleet/wire.go
@@ -9,7 +9,7 @@
 )
 
 var commonProviders = wire.NewSet(provideIncarnation, provideRegistry, provideSink, provideRecorder, provideView, providePeers,
-	provideWatcher, wire.Struct(new(process), "*"))
+	provideWatcher, provideIntake, wire.Struct(new(process), "*"))
 
 func buildGateway(node *settings.Node, adapter *PlatformAdapter) (*gatewayProcess, error) {
 	panic(wire.Build(commonProviders, provideGateway, wire.Value(watchAll(false)), wire.Struct(new(gatewayProcess), "*")))
--- a/instance/fleet/wire_gen.go
+++ b/instance/fleet/wire_gen.go
@@ -28,6 +28,7 @@
 	}
 	fleetWatchAll := _wireWatchAllValue
 	watcher := provideWatcher(view, transport, node, fleetWatchAll, recorder)
+	pool := provideIntake(node, recorder, registry)
 	fleetProcess := &process{
 		node:     node,
 		sink:     sink,
@@ -36,8 +37,9 @@
 		view:     view,
 		watcher:  watcher,
 		peers:    transport,
+		clients:  pool,
 	}
-	gateway := provideGateway(node, adapter, view, watcher, transport, recorder, registry)
+	gateway := provideGateway(pool, node, adapter, view, watcher, transport, recorder, registry)
 	fleetGatewayProcess := &gatewayProcess{
 		process: fleetProcess,
 		gateway: gateway,
@@ -64,6 +66,7 @@
 	}
 	fleetWatchAll := _wireFleetWatchAllValue
 	watcher := provideWatcher(view, transport, node, fleetWatchAll, recorder)
+	pool := provideIntake(node, recorder, registry)
 	fleetProcess := &process{
 		node:     node,
 		sink:     sink,
@@ -72,8 +75,9 @@
 		view:     view,
 		watcher:  watcher,
 		peers:    transport,
+		clients:  pool,
 	}
-	instance, err := provideInstance(node, adapter, fleetIncarnation, view, watcher, transport, recorder, registry)
+	instance, err := provideInstance(pool, node, adapter, fleetIncarnation, view, watcher, transport, recorder, registry)
 	if err != nil {
 		return nil, err
 	}
@@ -91,4 +95,4 @@
 // wire.go:
 
 var commonProviders = wire.NewSet(provideIncarnation, provideRegistry, provideSink, provideRecorder, provideView, providePeers,
-	provideWatcher, wire.Struct(new(process), "*"))
+	provideWatcher, provideIntake, wire.Struct(new(process), "*"))
--- a/instance/gateway/answer.go
+++ b/instance/gateway/answer.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"net/http"
 )
 
@@ -50,7 +49,7 @@
 	if err != nil {
 		return
 	}
-	if tcp, ok := conn.(*net.TCPConn); ok {
+	if tcp, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		_ = tcp.SetLinger(0)
 	}
 	_ = conn.Close()
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
 	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
+	"github.com/tarragonhoist/tarragonhoist/transport/intake"
 	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
 )
 
@@ -56,6 +57,8 @@
 	Budget      dispatch.BudgetLimits
 	// DialTarget opens connections to targets.
 	DialTarget upstream.Dial
+	// Intake counts what callers hold; nil stands for a pool without bounds.
+	Intake *intake.Pool
 	// GracePeriod is the time from the stop signal until the process is killed.
 	GracePeriod time.Duration
 }
@@ -115,6 +118,9 @@
 		limits: targetlimit.NewTable(), attempts: newAttempts(), standstill: newStandstill(sinceBoot),
 		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time), unservedAt: make(map[modelKey]time.Time)},
 	}
+	if g.opts.Intake == nil {
+		g.opts.Intake = intake.New(intake.Options{})
+	}
 	g.client = upstream.New(g.recordRefusals(opts.DialTarget), registry)
 	g.loading.Store(&[]loadingModel{})
 	g.exiting, g.startExit = context.WithCancel(context.Background())
@@ -151,15 +157,15 @@
 		Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
-	readinessServer := &http.Server{Handler: http.HandlerFunc(g.serveReady), ReadHeaderTimeout: headerTimeout}
+	readinessServer := intake.NewServer(http.HandlerFunc(g.serveReady))
 	peerServer := &http.Server{
 		Handler: http.HandlerFunc(g.serveHandover), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 	}
 	failed := make(chan error, 3)
-	go func() { failed <- peerServer.Serve(peerListener) }()
-	go func() { failed <- callerServer.Serve(callerListener) }()
-	go func() { failed <- readinessServer.Serve(readinessListener) }()
+	go func() { failed <- g.opts.Intake.Serve(peerServer, peerListener) }()
+	go func() { failed <- g.opts.Intake.Serve(callerServer, callerListener) }()
+	go func() { failed <- g.opts.Intake.Serve(readinessServer, readinessListener) }()
 	go g.watcher.Run(background)
 	go g.exchangeLoad(background)
 	go g.cleanUpPeriodically(background)
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -15,6 +14,7 @@
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
+	"github.com/tarragonhoist/tarragonhoist/transport/intake"
 )
 
 // request is one attempt of a caller.
@@ -72,8 +72,6 @@
 	"Content-Length": true, "Expect": true,
 }
 
-var errBodyTooLarge = errors.New("request body exceeds the limit")
-
 func (g *Gateway) serveCaller(rw http.ResponseWriter, r *http.Request) {
 	g.activeRequests.Add(1)
 	defer g.activeRequests.Add(-1)
@@ -123,13 +121,18 @@
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
-	body, err := readBody(r, limit)
-	if errors.Is(err, errBodyTooLarge) {
+	// The whole body is read, so that it can be sent again and a connection that the caller closes is detected.
+	body, err := intake.ReadBody(r, limit)
+	switch {
+	case errors.Is(err, intake.ErrTooLarge):
 		w.Header().Set("Connection", "close")
-		g.refuseEarly(w, r, http.StatusRequestEntityTooLarge, "request body exceeds the limit")
+		g.refuseEarly(w, r, http.StatusRequestEntityTooLarge, err.Error())
 		return nil
-	}
-	if err != nil {
+	case errors.Is(err, intake.ErrFull):
+		w.Header().Set("Connection", "close")
+		g.refuseEarly(w, r, http.StatusServiceUnavailable, err.Error())
+		return nil
+	case err != nil:
 		// The caller closed the connection or stopped sending, so nobody reads an answer.
 		panic(http.ErrAbortHandler)
 	}
@@ -210,36 +213,6 @@
 	return nil
 }
 
-// readBody reads the whole body, so that it can be sent again and a connection that the caller closes is detected.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > limit {
-		return nil, errBodyTooLarge
-	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, body); err != nil {
-			return nil, err
-		}
-		// net/http detects that the caller closes the connection only after the end of the body was read.
-		var one [1]byte
-		if _, err := r.Body.Read(one[:]); err != nil && !errors.Is(err, io.EOF) {
-			return nil, err
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errBodyTooLarge
-	}
-	return body, nil
-}
-
 // forwardedHeader returns the headers that are forwarded to a target.
 func (g *Gateway) forwardedHeader(h http.Header, table *routes.Table) http.Header {
 	forwarded := make(http.Header, len(h)+2)
--- /dev/null
+++ b/transport/intake/pool.go
@@ -0,0 +1,275 @@
+// Package intake bounds what untrusted clients hold of a process: connections, request heads, bodies as they arrive and responses that
+// they don't read. All listeners of a process share one pool. docs/design/intake.md has the bounds.
+package intake
+
+import (
+	"context"
+	"math"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+)
+
+const (
+	// poolShare is the part of the memory of the process that clients may hold. Twice as much stays for held answers and the process
+	// itself below the soft limit of the Go runtime.
+	poolShare = 0.2
+	// largeShare is the part of the pool for clients that hold more than smallClient each. Ordinary requests are smaller by far.
+	largeShare  = 0.75
+	smallClient = 64 << 10
+	// connBytes is what one connection holds: goroutine, read and write buffer.
+	connBytes = 16 << 10
+	// ownDescriptors are for listeners, files and connections to control instances.
+	ownDescriptors = 64
+)
+
+const (
+	// roomWait is how long a client waits for room before it is refused, and forceAfter how long clients wait before others that make
+	// progress are closed.
+	roomWait   = 4 * time.Second
+	forceAfter = 1500 * time.Millisecond
+	// stallTime is how long a body may take for stallBytes, and one write of a response.
+	stallTime  = 20 * time.Second
+	stallBytes = 1 << 10
+)
+
+// ErrFull is returned when a client gets no room.
+var ErrFull = errors.New("clients hold all memory that is set aside for them")
+
+// errClosed ends reads of a client that was closed in favour of others.
+var errClosed = errors.New("connection closed in favour of other clients")
+
+// Options of a pool. Zero values mean no bound.
+type Options struct {
+	MemoryMB int
+	MaxFDs   int
+	Registry metrics.Registry
+	// Acted is told, at most once a second for each limit, how many clients it has closed or refused.
+	Acted func(limit string, clients int64)
+}
+
+// Pool counts what the clients of a process hold.
+type Pool struct {
+	opts     Options
+	budget   int64
+	maxConns int
+	used     atomic.Int64
+	wanted   atomic.Int64  // bytes for which clients wait
+	full     chan struct{} // wakes Run
+	limits   [limitCount]limitCounter
+	usedNow  metrics.Gauge
+	connsNow metrics.Gauge
+
+	mu      sync.Mutex
+	clients map[*Conn]struct{}
+	closing map[*Conn]struct{} // closed by the pool, and not yet by their servers
+	claims  []Claim            // scratch space, with the connection of each claim
+	owners  []*Conn
+}
+
+// New returns a pool. Run must be called.
+func New(opts Options) *Pool {
+	p := &Pool{opts: opts, budget: math.MaxInt64, maxConns: math.MaxInt, full: make(chan struct{}, 1), clients: make(map[*Conn]struct{}), closing: make(map[*Conn]struct{})}
+	if opts.MemoryMB > 0 {
+		p.budget = int64(poolShare * float64(opts.MemoryMB) * (1 << 20))
+	}
+	if opts.MaxFDs > 0 {
+		p.maxConns = max((opts.MaxFDs-ownDescriptors)/2, 1)
+	}
+	if p.opts.Registry == nil {
+		p.opts.Registry = metrics.NewRegistry()
+	}
+	p.usedNow = metrics.GetOrRegisterGauge("intake.held_bytes", p.opts.Registry)
+	p.connsNow = metrics.GetOrRegisterGauge("intake.connections", p.opts.Registry)
+	for l := range p.limits {
+		p.limits[l].total = metrics.GetOrRegisterCounter("intake."+limitNames[l], p.opts.Registry)
+	}
+	return p
+}
+
+// bound is what the pool may hold in all for a client to get more bytes.
+func (p *Pool) bound(held int64) int64 {
+	if held > smallClient && p.budget < math.MaxInt64 {
+		return int64(largeShare * float64(p.budget))
+	}
+	return p.budget
+}
+
+// take counts n more bytes for a client, and reports whether there was room.
+func (p *Pool) take(c *Conn, n int64) bool {
+	if p.used.Add(n) > p.bound(c.held.Load()+n) {
+		p.used.Add(-n)
+		return false
+	}
+	c.held.Add(n)
+	return true
+}
+
+// pollInterval is the interval at which clients that wait ask for room, and at which the pool makes room.
+const pollInterval = 20 * time.Millisecond
+
+// reserve counts n more bytes for a client. It waits until there is room.
+func (p *Pool) reserve(c *Conn, n int64) error {
+	if p.take(c, n) {
+		return nil
+	}
+	p.wanted.Add(n)
+	c.waiting.Store(true)
+	if p.wanted.Load() == n { // others have woken Run already
+		select {
+		case p.full <- struct{}{}:
+		default:
+		}
+	}
+	defer func() {
+		c.waiting.Store(false)
+		p.wanted.Add(-n)
+	}()
+	for deadline := time.Now().Add(roomWait); time.Now().Before(deadline); {
+		select {
+		case <-c.closed:
+			return errClosed
+		case <-time.After(pollInterval):
+		}
+		if p.take(c, n) {
+			return nil
+		}
+	}
+	p.limits[limitRefused].act()
+	return ErrFull
+}
+
+// release gives bytes of a client back.
+func (p *Pool) release(c *Conn, n int64) {
+	c.held.Add(-n)
+	p.used.Add(-n)
+}
+
+// admit adds a connection, and closes others if there are too many.
+func (p *Pool) admit(raw *net.TCPConn) *Conn {
+	now := time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.clients) >= p.maxConns {
+		victim := p.victimLocked(now, Descriptors, false)
+		if victim == nil {
+			p.limits[limitConnections].act()
+			return nil
+		}
+		p.closeLocked(victim, limitConnections)
+	}
+	c := &Conn{TCPConn: raw, pool: p, closed: make(chan struct{})}
+	c.since.Store(now.UnixNano())
+	c.held.Store(connBytes)
+	p.used.Add(connBytes)
+	p.clients[c] = struct{}{}
+	return c
+}
+
+// victimLocked returns the client to close, nil if there is none.
+func (p *Pool) victimLocked(now time.Time, scarce Resource, force bool) *Conn {
+	p.claims, p.owners = p.claims[:0], p.owners[:0]
+	for c := range p.clients {
+		p.claims, p.owners = append(p.claims, c.claim(now)), append(p.owners, c)
+	}
+	i := Victim(now, p.claims, scarce, force)
+	if i < 0 {
+		return nil
+	}
+	return p.owners[i]
+}
+
+func (p *Pool) closeLocked(c *Conn, l limit) {
+	p.limits[l].act()
+	delete(p.clients, c)
+	p.closing[c] = struct{}{}
+	c.shut()
+}
+
+// forget removes a connection that is closed.
+func (p *Pool) forget(c *Conn) {
+	p.mu.Lock()
+	delete(p.clients, c)
+	delete(p.closing, c)
+	p.mu.Unlock()
+}
+
+// Run makes room and closes clients that make no progress, until ctx ends.
+func (p *Pool) Run(ctx context.Context) {
+	var swept, fullSince time.Time
+	for {
+		interval := window / 2
+		if !fullSince.IsZero() {
+			interval = pollInterval
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.full: // a client waits for room
+		case <-time.After(interval):
+		}
+		now := time.Now()
+		switch {
+		case p.wanted.Load() == 0 && p.used.Load() <= p.budget:
+			fullSince = time.Time{}
+		case fullSince.IsZero():
+			fullSince = now
+			p.makeRoom(now, false)
+		case p.makeRoom(now, now.Sub(fullSince) > forceAfter):
+			fullSince = now
+		}
+		if now.Sub(swept) >= window/2 {
+			swept = now
+			p.sweep(now)
+		}
+	}
+}
+
+// makeRoomShare bounds the part of the pool for which room is made at a time.
+const makeRoomShare = 8
+
+// makeRoom closes clients until there is room for those that wait, and reports whether it closed any. What closed clients held is
+// free once their handlers return.
+func (p *Pool) makeRoom(now time.Time, force bool) (closed bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	freed := int64(0)
+	for c := range p.closing {
+		freed += c.held.Load()
+	}
+	wanted := min(p.wanted.Load(), p.budget/makeRoomShare)
+	for p.used.Load()+wanted-freed > p.bound(smallClient+1) {
+		victim := p.victimLocked(now, Memory, force && !closed)
+		if victim == nil {
+			return closed
+		}
+		freed += victim.held.Load()
+		p.closeLocked(victim, limitMemory)
+		closed = true
+	}
+	return closed
+}
+
+// sweep measures the progress of all clients, and closes those that make none for long.
+func (p *Pool) sweep(now time.Time) {
+	p.mu.Lock()
+	for c := range p.clients {
+		c.observe()
+		if c.stuck(now) {
+			p.closeLocked(c, limitStalled)
+		}
+	}
+	conns := len(p.clients)
+	p.mu.Unlock()
+	p.usedNow.Update(p.used.Load())
+	p.connsNow.Update(int64(conns))
+	for l := range p.limits {
+		if n := p.limits[l].take(now); n > 0 && p.opts.Acted != nil {
+			p.opts.Acted(limitNames[l], n)
+		}
+	}
+}
--- /dev/null
+++ b/transport/intake/server.go
@@ -0,0 +1,78 @@
+package intake
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+)
+
+// listener counts the connections that it accepts.
+type listener struct {
+	net.Listener
+	pool *Pool
+}
+
+// Listener returns a listener whose connections the pool counts.
+func (p *Pool) Listener(l net.Listener) net.Listener { return &listener{l, p} }
+
+// Accept implements net.Listener. Connections for which there are no descriptors are closed.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		tcp, ok := conn.(*net.TCPConn)
+		if !ok {
+			return conn, nil
+		}
+		if c := l.pool.admit(tcp); c != nil {
+			return c, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+type connKey struct{}
+
+// Serve has a server serve a listener whose connections the pool counts. The handler, which is wrapped, reads bodies with ReadBody.
+func (p *Pool) Serve(server *http.Server, l net.Listener) error {
+	server.Handler = p.handler(server.Handler)
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	return server.Serve(p.Listener(l))
+}
+
+// Timeouts of servers that are not those of callers.
+const (
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 60 * time.Second
+)
+
+// NewServer returns a server for a handler with time-outs for heads and idle connections.
+func NewServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+}
+
+// handler counts requests from their head to their response.
+func (p *Pool) handler(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(connKey{}).(*Conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		if c.begin(len(r.Header), r.ContentLength != 0) != nil {
+			Refuse(w)
+			return
+		}
+		defer c.end()
+		next.ServeHTTP(w, r)
+	})
+}
+
+// Refuse answers a request for which there is no room, before it runs.
+func Refuse(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
--- a/transport/peer/inbound.go
+++ b/transport/peer/inbound.go
@@ -126,6 +126,7 @@
 		in.conn = conn
 	}
 	s := newStream(in.t, in.conn)
+	s.unproven = true
 	in.mu.Lock()
 	in.stream = s
 	in.mu.Unlock()
@@ -331,6 +332,7 @@
 	in.mu.Lock()
 	defer in.mu.Unlock()
 	in.hello = hello
+	in.stream.unproven = false
 	return old, nil
 }
 
--- a/transport/peer/stream.go
+++ b/transport/peer/stream.go
@@ -19,6 +19,10 @@
 // headerBytes is the length prefix of a frame, a big-endian uint32.
 const headerBytes = 4
 
+// maxHelloBytes bounds frames before the handshake is complete. Those of the handshake have less than 1 KB; anybody who reaches the port
+// may send others.
+const maxHelloBytes = 64 << 10
+
 // Bounds of the input that is read and discarded after the reason for closing was sent.
 const (
 	lingerTimeout = time.Second
@@ -59,7 +63,9 @@
 	// receivedAt is the time of the last received frame; a link without recent frames is checked with a ping.
 	receivedAt time.Time
 	readErr    error
-	violation  error // the protocol violation for which the connection is closed
+	// unproven is set on inbound connections until the handshake is complete; only the read loop uses it.
+	unproven  bool
+	violation error // the protocol violation for which the connection is closed
 }
 
 // frameKind describes the object that is written next; jsonrpc2 holds one lock while it calls onSend and WriteObject.
@@ -283,8 +289,12 @@
 		return err
 	}
 	size := binary.BigEndian.Uint32(header[:])
-	if size > peerapi.MaxFrameBytes {
-		err := errors.Errorf("frame of %d bytes is larger than the limit of %d", size, peerapi.MaxFrameBytes)
+	limit := uint32(peerapi.MaxFrameBytes)
+	if s.unproven {
+		limit = maxHelloBytes
+	}
+	if size > limit {
+		err := errors.Errorf("frame of %d bytes is larger than the limit of %d", size, limit)
 		s.t.metrics.oversize.Inc(1)
 		s.sendClosing(err)
 		return err
