Bound idle connections to targets, and count clients whose request still ends

Cause: with 300 unread responses the gateway had 512 of 512 descriptors open: 224 clients, 224 connections in use to the target and 50 idle ones, since connections that answered a request id are not used again for it. Change: three eighths of the descriptors are for clients, as many for their requests at targets, a quarter for idle connections (upstream.Client.LimitIdle). A client that was closed while its request ran counts until the request has ended, and a connection for which there is no room waits up to 100 ms before it is closed. The crowds of test/intake share one deployment, so that peaks add up.

--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -122,6 +122,7 @@
 		g.opts.Intake = intake.New(intake.Options{})
 	}
 	g.client = upstream.New(g.recordRefusals(opts.DialTarget), registry)
+	g.client.LimitIdle(g.opts.Intake.IdleLimit())
 	g.loading.Store(&[]loadingModel{})
 	g.exiting, g.startExit = context.WithCancel(context.Background())
 	for _, name := range opts.Headers.Reserved {
--- a/test/intake/crowd_test.go
+++ b/test/intake/crowd_test.go
@@ -221,9 +221,10 @@
 
 // Guards against clients that end a process by the memory or the descriptors that they hold, or that keep ordinary callers out.
 func TestCrowds(t *testing.T) {
+	d := newDeployment(t)
 	for _, c := range crowds {
 		t.Run(c.name, func(t *testing.T) {
-			d := newDeployment(t)
+			d.t = t
 			for _, p := range d.places(os.Getenv("INTAKE_PLACE")) {
 				if c.once && p.address == d.callers && p.name != "route" || c.only != "" && c.only != p.name {
 					continue
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -39,11 +39,12 @@
 
 	request atomic.Int64 // part of held that is given back at the end of the request: head and body
 
-	// The fields below belong to the pool. marks are the bytes received when the last two measurements began.
-	marks        [2]int64
-	stallMark    int64
-	stallMarkAt  time.Time
-	stalledPhase int64 // since of the phase that is watched for a stall
+	// The fields below belong to the pool. closedRunning is set if the pool closed the connection while a request ran. marks are the bytes received when the last two measurements began.
+	closedRunning bool
+	marks         [2]int64
+	stallMark     int64
+	stallMarkAt   time.Time
+	stalledPhase  int64 // since of the phase that is watched for a stall
 }
 
 // Read counts what a client sends before any parser sees it.
@@ -114,6 +115,8 @@
 	})
 }
 
+func (c *Conn) isRunning() bool { return c.phase.Load() == phaseRunning }
+
 func (c *Conn) enter(phase int32) {
 	c.since.Store(time.Now().UnixNano())
 	c.phase.Store(phase)
--- a/transport/intake/pool.go
+++ b/transport/intake/pool.go
@@ -67,8 +67,10 @@
 	mu      sync.Mutex
 	clients map[*Conn]struct{}
 	closing map[*Conn]struct{} // closed by the pool, and not yet by their servers
-	claims  []Claim            // scratch space, with the connection of each claim
-	owners  []*Conn
+	// closingRunning are those of them whose request may still hold the connection to a target.
+	closingRunning int
+	claims         []Claim // scratch space, with the connection of each claim
+	owners         []*Conn
 }
 
 // New returns a pool. Run must be called.
@@ -78,7 +80,7 @@
 		p.budget = int64(poolShare * float64(opts.MemoryMB) * (1 << 20))
 	}
 	if opts.MaxFDs > 0 {
-		p.maxConns = max((opts.MaxFDs-ownDescriptors)/2, 1)
+		p.maxConns = max((opts.MaxFDs-ownDescriptors)*3/8, 1)
 	}
 	if p.opts.Registry == nil {
 		p.opts.Registry = metrics.NewRegistry()
@@ -91,6 +93,15 @@
 	return p
 }
 
+// IdleLimit returns the number of idle connections to targets for which descriptors are left, 0 if they are not bounded: with
+// the connections of clients, and as many to the targets that serve them, they use all descriptors.
+func (p *Pool) IdleLimit() int {
+	if p.opts.MaxFDs == 0 {
+		return 0
+	}
+	return max((p.opts.MaxFDs-ownDescriptors)/4, 1)
+}
+
 // bound is what the pool may hold in all for a client to get more bytes.
 func (p *Pool) bound(held int64) int64 {
 	if held > smallClient && p.budget < math.MaxInt64 {
@@ -149,15 +160,14 @@
 	p.used.Add(-n)
 }
 
-// admit adds a connection, and closes others if there are too many.
+// admit adds a connection, and closes others if there are too many. It returns nil if there is no room yet.
 func (p *Pool) admit(raw *net.TCPConn) *Conn {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.clients) >= p.maxConns {
+	for len(p.clients)+p.closingRunning >= p.maxConns {
 		victim := p.victimLocked(now, Descriptors, false)
-		if victim == nil {
-			p.limits[limitConnections].act()
+		if victim == nil || p.closingRunning > 0 && victim.isRunning() {
 			return nil
 		}
 		p.closeLocked(victim, limitConnections)
@@ -187,6 +197,10 @@
 	p.limits[l].act()
 	delete(p.clients, c)
 	p.closing[c] = struct{}{}
+	if c.isRunning() {
+		c.closedRunning = true
+		p.closingRunning++
+	}
 	c.shut()
 }
 
@@ -195,6 +209,10 @@
 	p.mu.Lock()
 	delete(p.clients, c)
 	delete(p.closing, c)
+	if c.closedRunning {
+		c.closedRunning = false
+		p.closingRunning--
+	}
 	p.mu.Unlock()
 }
 
--- a/transport/intake/server.go
+++ b/transport/intake/server.go
@@ -16,6 +16,12 @@
 // Listener returns a listener whose connections the pool counts.
 func (p *Pool) Listener(l net.Listener) net.Listener { return &listener{l, p} }
 
+// admitTries is how often a connection for which there is no room is tried again, every admitPause. Others wait to be accepted meanwhile.
+const (
+	admitTries = 10
+	admitPause = 10 * time.Millisecond
+)
+
 // Accept implements net.Listener. Connections for which there are no descriptors are closed.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
@@ -27,9 +33,13 @@
 		if !ok {
 			return conn, nil
 		}
-		if c := l.pool.admit(tcp); c != nil {
-			return c, nil
+		for range admitTries {
+			if c := l.pool.admit(tcp); c != nil {
+				return c, nil
+			}
+			time.Sleep(admitPause)
 		}
+		l.pool.limits[limitConnections].act()
 		_ = conn.Close()
 	}
 }
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -88,6 +88,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, most recently used last
+	// idleCount is the number of all idle connections, and maxIdle bounds it; 0 means no bound.
+	idleCount, maxIdle int
 
 	opened, reused, foreign, malformed metrics.Counter
 }
@@ -166,6 +168,7 @@
 	for i := len(list) - 1; i >= 0; i-- {
 		if candidate := list[i]; id == "" || !slices.Contains(candidate.answered, id) {
 			c.idle[address] = slices.Delete(list, i, i+1)
+			c.idleCount--
 			return candidate
 		}
 	}
@@ -208,10 +211,28 @@
 	defer c.mu.Unlock()
 	unused := newConn(raw)
 	unused.usableUntil = time.Now().Add(unusedConnTimeout)
-	c.idle[address] = append(c.idle[address], unused)
+	c.keepLocked(address, unused)
 	return nil
 }
 
+// LimitIdle bounds the idle connections to all targets together, so that clients which cause many requests at once don't leave so many
+// that descriptors run out.
+func (c *Client) LimitIdle(limit int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxIdle = limit
+}
+
+// keepLocked keeps an idle connection, unless there are too many.
+func (c *Client) keepLocked(address string, idle *conn) {
+	if c.maxIdle > 0 && c.idleCount >= c.maxIdle {
+		idle.closeGracefully()
+		return
+	}
+	c.idleCount++
+	c.idle[address] = append(c.idle[address], idle)
+}
+
 // HasIdle reports whether an idle connection to an address is open that may be reused.
 func (c *Client) HasIdle(now time.Time, address string) bool {
 	c.mu.Lock()
@@ -232,6 +253,7 @@
 				kept = append(kept, candidate)
 			} else {
 				candidate.closeGracefully()
+				c.idleCount--
 			}
 		}
 		if c.idle[address] = kept; len(kept) == 0 {
@@ -395,7 +417,7 @@
 		a.conn.closeGracefully()
 		return
 	}
-	c.idle[a.address] = append(c.idle[a.address], a.conn)
+	c.keepLocked(a.address, a.conn)
 }
 
 // framed reports whether the body has a length or chunks. Otherwise it ends with the connection.
