Keep steady clients apart from stopped ones when the pool is full

Cause: bodies that grow at once wait for each other's room. Change: the client whose request began first gets a further quarter of the pool, and others no room before it; progress is measured from the end of a wait; clients that wait are closed before those that make progress; a buffer does not grow to find the end of a body.

--- a/transport/intake/body.go
+++ b/transport/intake/body.go
@@ -55,11 +55,25 @@
 
 // readAll reads up to the end, or to the largest size.
 func (b *bodyReader) readAll() error {
+	var one [1]byte
 	for int64(len(b.data)) < b.largest {
 		if len(b.data) == cap(b.data) {
+			probe := one[:0]
+			if len(b.data) > 0 { // the body may end here, and the buffer need not grow
+				n, err := b.source.Read(one[:])
+				if n == 0 && errors.Is(err, io.EOF) {
+					return nil
+				}
+				if n == 0 && err != nil {
+					return err
+				}
+				probe = one[:n]
+			}
 			if err := b.grow(); err != nil {
 				return err
 			}
+			b.data = append(b.data, probe...)
+			continue
 		}
 		n, err := b.source.Read(b.data[len(b.data):cap(b.data)])
 		b.data = b.data[:len(b.data)+n]
@@ -71,7 +85,6 @@
 		}
 	}
 	// net/http detects that the client closes the connection only after the end of the body was read.
-	var one [1]byte
 	if _, err := b.source.Read(one[:]); err != nil && !errors.Is(err, io.EOF) {
 		return err
 	}
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -26,16 +26,18 @@
 // Conn is a connection of a client. What it reads and writes is counted.
 type Conn struct {
 	*net.TCPConn
-	pool     *Pool
-	held     atomic.Int64
-	phase    atomic.Int32
-	since    atomic.Int64 // start of the phase, Unix ns
-	received atomic.Int64
-	waiting  atomic.Bool
-	writing  atomic.Int64 // start of the write in progress, Unix ns; 0 without one
-	closed   chan struct{}
-	once     sync.Once
-	gone     atomic.Bool
+	pool         *Pool
+	held         atomic.Int64
+	phase        atomic.Int32
+	since        atomic.Int64 // start of the phase, Unix ns
+	received     atomic.Int64
+	wanted       atomic.Int64 // bytes for which the client waits
+	waitingSince atomic.Int64 // start of this wait, Unix ns; 0 if it does not wait
+	resumed      atomic.Int64 // end of the last wait for room, Unix ns
+	writing      atomic.Int64 // start of the write in progress, Unix ns; 0 without one
+	closed       chan struct{}
+	once         sync.Once
+	gone         atomic.Bool
 
 	request atomic.Int64 // part of held that is given back at the end of the request: head and body
 
@@ -115,6 +117,8 @@
 	})
 }
 
+func (c *Conn) isReceiving() bool { return c.phase.Load() == phaseHead || c.phase.Load() == phaseBody }
+
 func (c *Conn) isRunning() bool { return c.phase.Load() == phaseRunning }
 
 func (c *Conn) enter(phase int32) {
@@ -147,7 +151,8 @@
 
 // claim describes the client for the choice of a victim.
 func (c *Conn) claim(now time.Time) Claim {
-	claim := Claim{State: Running, Held: c.held.Load(), Since: time.Unix(0, c.since.Load()), Waiting: c.waiting.Load()}
+	claim := Claim{State: Running, Held: c.held.Load(), Since: time.Unix(0, c.since.Load()), Resumed: time.Unix(0, c.resumed.Load()),
+		Waiting: c.waitingSince.Load() != 0}
 	switch c.phase.Load() {
 	case phaseIdle:
 		claim.State = Idle
@@ -170,7 +175,7 @@
 		return now.Sub(time.Unix(0, started)) > stallTime
 	}
 	since := c.since.Load()
-	if c.phase.Load() != phaseBody || c.waiting.Load() {
+	if c.phase.Load() != phaseBody || c.waitingSince.Load() != 0 {
 		c.stalledPhase = 0
 		return false
 	}
--- a/transport/intake/pool.go
+++ b/transport/intake/pool.go
@@ -19,7 +19,9 @@
 	// itself below the soft limit of the Go runtime.
 	poolShare = 0.2
 	// largeShare is the part of the pool for clients that hold more than smallClient each. Ordinary requests are smaller by far.
-	largeShare  = 0.75
+	// seniorShare is for one of them at a time, and leaves a quarter for ordinary callers.
+	largeShare  = 0.5
+	seniorShare = 0.75
 	smallClient = 64 << 10
 	// connBytes is what one connection holds: goroutine, read and write buffer.
 	connBytes = 16 << 10
@@ -28,10 +30,8 @@
 )
 
 const (
-	// roomWait is how long a client waits for room before it is refused, and forceAfter how long clients wait before others that make
-	// progress are closed.
-	roomWait   = 4 * time.Second
-	forceAfter = 1500 * time.Millisecond
+	// roomWait is how long a client waits for room before it is refused.
+	roomWait = 4 * time.Second
 	// stallTime is how long a body may take for stallBytes, and one write of a response.
 	stallTime  = 20 * time.Second
 	stallBytes = 1 << 10
@@ -58,7 +58,8 @@
 	budget   int64
 	maxConns int
 	used     atomic.Int64
-	wanted   atomic.Int64  // bytes for which clients wait
+	wanted   atomic.Int64 // bytes for which clients wait
+	senior   atomic.Pointer[Conn]
 	full     chan struct{} // wakes Run
 	limits   [limitCount]limitCounter
 	usedNow  metrics.Gauge
@@ -103,16 +104,22 @@
 }
 
 // bound is what the pool may hold in all for a client to get more bytes.
-func (p *Pool) bound(held int64) int64 {
-	if held > smallClient && p.budget < math.MaxInt64 {
-		return int64(largeShare * float64(p.budget))
+func (p *Pool) bound(c *Conn, held int64) int64 {
+	if held <= smallClient || p.budget == math.MaxInt64 {
+		return p.budget
 	}
-	return p.budget
+	switch senior := p.senior.Load(); {
+	case senior == c:
+		return int64(seniorShare * float64(p.budget))
+	case senior != nil && senior.waitingSince.Load() != 0:
+		return 0 // others would take what becomes free before the senior has enough
+	}
+	return int64(largeShare * float64(p.budget))
 }
 
 // take counts n more bytes for a client, and reports whether there was room.
 func (p *Pool) take(c *Conn, n int64) bool {
-	if p.used.Add(n) > p.bound(c.held.Load()+n) {
+	if p.used.Add(n) > p.bound(c, c.held.Load()+n) {
 		p.used.Add(-n)
 		return false
 	}
@@ -129,7 +136,8 @@
 		return nil
 	}
 	p.wanted.Add(n)
-	c.waiting.Store(true)
+	c.wanted.Store(n)
+	c.waitingSince.Store(time.Now().UnixNano())
 	if p.wanted.Load() == n { // others have woken Run already
 		select {
 		case p.full <- struct{}{}:
@@ -137,7 +145,8 @@
 		}
 	}
 	defer func() {
-		c.waiting.Store(false)
+		c.resumed.Store(time.Now().UnixNano())
+		c.waitingSince.Store(0)
 		p.wanted.Add(-n)
 	}()
 	for deadline := time.Now().Add(roomWait); time.Now().Before(deadline); {
@@ -182,17 +191,28 @@
 
 // victimLocked returns the client to close, nil if there is none.
 func (p *Pool) victimLocked(now time.Time, scarce Resource, force bool) *Conn {
-	p.claims, p.owners = p.claims[:0], p.owners[:0]
-	for c := range p.clients {
-		p.claims, p.owners = append(p.claims, c.claim(now)), append(p.owners, c)
-	}
-	i := Victim(now, p.claims, scarce, force)
+	p.claimLocked(now)
+	return p.owner(Victim(now, p.claims, scarce, force))
+}
+
+// owner returns the connection of a claim, nil for -1.
+func (p *Pool) owner(i int) *Conn {
 	if i < 0 {
 		return nil
 	}
 	return p.owners[i]
 }
 
+func (p *Pool) claimLocked(now time.Time) {
+	p.claims, p.owners = p.claims[:0], p.owners[:0]
+	senior := p.senior.Load()
+	for c := range p.clients {
+		claim := c.claim(now)
+		claim.Senior = c == senior
+		p.claims, p.owners = append(p.claims, claim), append(p.owners, c)
+	}
+}
+
 func (p *Pool) closeLocked(c *Conn, l limit) {
 	p.limits[l].act()
 	delete(p.clients, c)
@@ -231,14 +251,12 @@
 		case <-time.After(interval):
 		}
 		now := time.Now()
-		switch {
-		case p.wanted.Load() == 0 && p.used.Load() <= p.budget:
+		if p.wanted.Load() == 0 && p.used.Load() <= p.budget {
 			fullSince = time.Time{}
-		case fullSince.IsZero():
-			fullSince = now
-			p.makeRoom(now, false)
-		case p.makeRoom(now, now.Sub(fullSince) > forceAfter):
+		} else if fullSince.IsZero() || p.makeRoom(now) {
 			fullSince = now
+		} else if now.Sub(fullSince) > seniorAfter {
+			p.serveSenior(now)
 		}
 		if now.Sub(swept) >= window/2 {
 			swept = now
@@ -247,31 +265,6 @@
 	}
 }
 
-// makeRoomShare bounds the part of the pool for which room is made at a time.
-const makeRoomShare = 8
-
-// makeRoom closes clients until there is room for those that wait, and reports whether it closed any. What closed clients held is
-// free once their handlers return.
-func (p *Pool) makeRoom(now time.Time, force bool) (closed bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	freed := int64(0)
-	for c := range p.closing {
-		freed += c.held.Load()
-	}
-	wanted := min(p.wanted.Load(), p.budget/makeRoomShare)
-	for p.used.Load()+wanted-freed > p.bound(smallClient+1) {
-		victim := p.victimLocked(now, Memory, force && !closed)
-		if victim == nil {
-			return closed
-		}
-		freed += victim.held.Load()
-		p.closeLocked(victim, limitMemory)
-		closed = true
-	}
-	return closed
-}
-
 // sweep measures the progress of all clients, and closes those that make none for long.
 func (p *Pool) sweep(now time.Time) {
 	p.mu.Lock()
--- a/transport/intake/victim.go
+++ b/transport/intake/victim.go
@@ -34,17 +34,21 @@
 	Held int64
 	// Since is when the client entered its state.
 	Since time.Time
+	// Resumed is when it last got room for which it had waited; while it waited, it could not make progress.
+	Resumed time.Time
 	// Recent are the bytes that it sent within the last window.
 	Recent int64
 	// Waiting is set while the client waits for room, when it cannot make progress.
 	Waiting bool
+	// Senior is set for the one client that may use more room than others that hold much, see Senior.
+	Senior bool
 }
 
 // stalled reports whether a client that is in the middle of a request or a response makes no progress.
 func (c *Claim) stalled(now time.Time) bool {
 	switch c.State {
 	case Receiving:
-		return !c.Waiting && c.Recent < steadyBytes && now.Sub(c.Since) >= window
+		return !c.Waiting && c.Recent < steadyBytes && now.Sub(c.Since) >= window && now.Sub(c.Resumed) >= window
 	case Unread:
 		return now.Sub(c.Since) >= window
 	}
@@ -72,8 +76,8 @@
 )
 
 // Victim returns the index of the client to close, -1 if there is none. Idle clients come first where descriptors are scarce; where
-// memory is, they count as stalled, since they hold little. With force, clients that are steady or wait are closed after stalled
-// ones. Running requests never are.
+// memory is, they count as stalled, since they hold little. With force, clients that wait are closed after stalled ones, and those
+// that make progress last. Running requests never are.
 func Victim(now time.Time, claims []Claim, scarce Resource, force bool) int {
 	best, bestClass, bestWeight := -1, 0, 0.0
 	for i := range claims {
@@ -81,10 +85,12 @@
 		class := 0
 		switch {
 		case c.State == Idle && scarce == Descriptors:
-			class = 3
+			class = 4
 		case c.State == Idle, c.stalled(now):
+			class = 3
+		case force && c.Waiting && !c.Senior:
 			class = 2
-		case force && c.State == Receiving:
+		case force && c.State == Receiving && !c.Senior:
 			class = 1
 		}
 		if class == 0 || class < bestClass {
@@ -96,3 +102,15 @@
 	}
 	return best
 }
+
+// Senior returns the index of the client that gets room first when all wait for each other: the one whose request began first, -1 if
+// none waits. It then ends its request or stalls, so that others get its room and no steady client has to be closed.
+func Senior(claims []Claim) int {
+	senior := -1
+	for i := range claims {
+		if claims[i].Waiting && (senior < 0 || claims[i].Since.Before(claims[senior].Since)) {
+			senior = i
+		}
+	}
+	return senior
+}
--- a/transport/intake/victim_test.go
+++ b/transport/intake/victim_test.go
@@ -30,7 +30,11 @@
 		{"bodies that stopped beside a steady one", []Claim{steady, stopped, fresh}, false, 1},
 		{"burst of bodies that still arrive", []Claim{fresh, fresh, steady}, false, -1},
 		{"clients that wait for room", []Claim{waiting, waiting}, false, -1},
+		{"a client that has just got room", []Claim{{State: Receiving, Held: 2 << 20, Since: ago(9), Resumed: ago(0.5)}}, false, -1},
 		{"clients that wait for room for long", []Claim{fresh, waiting}, true, 1},
+		{"the senior of those that wait for room", []Claim{fresh, {State: Receiving, Held: 2 << 20, Since: ago(9), Waiting: true, Senior: true}}, true, 0},
+		{"a senior that stopped", []Claim{fresh, {State: Receiving, Held: 2 << 20, Since: ago(9), Senior: true}}, false, 1},
+		{"a steady one beside one that waits", []Claim{steady, waiting}, true, 1},
 		{"all requests run", []Claim{running, running}, true, -1},
 		{"a byte now and then", []Claim{steady, trickling, slowHead}, false, 1},
 		{"slow heads only", []Claim{running, slowHead, fresh}, false, 1},
@@ -46,6 +50,9 @@
 			t.Errorf("%s: client %d is closed, want %d", row.name, got, row.want)
 		}
 	}
+	if got := Senior([]Claim{steady, fresh, waiting, {State: Receiving, Since: ago(2), Waiting: true}}); got != 2 {
+		t.Errorf("client %d is the senior, want the one that waits and began first", got)
+	}
 	if got := Victim(now, []Claim{stopped, idle, longIdle, unread}, Descriptors, false); got != 2 {
 		t.Errorf("descriptors: client %d is closed, want the connection that is idle for longest", got)
 	}
