Bound what clients hold of the product's own interface

Cause: transport/httpapi read bodies without a common bound. Change: it uses a pool of transport/intake, with the settings memory_mb and max_fds.

--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,14 +41,17 @@
 
 // Settings are the settings of one instance.
 type Settings struct {
-	Cluster            string     `toml:"cluster"`
-	Instance           string     `toml:"instance"`
-	DataCentre         string     `toml:"data_centre"`
-	DataFolder         string     `toml:"data_folder"`
-	ListenHTTP         string     `toml:"listen_http"`
-	ListenPeer         string     `toml:"listen_peer"`
-	Voters             []string   `toml:"voters"`
-	DrainDelay         Duration   `toml:"drain_delay"`
+	Cluster    string   `toml:"cluster"`
+	Instance   string   `toml:"instance"`
+	DataCentre string   `toml:"data_centre"`
+	DataFolder string   `toml:"data_folder"`
+	ListenHTTP string   `toml:"listen_http"`
+	ListenPeer string   `toml:"listen_peer"`
+	Voters     []string `toml:"voters"`
+	DrainDelay Duration `toml:"drain_delay"`
+	// MemoryMB and MaxFDs are the memory and the descriptors of the process, of which clients may hold a part; 0 means no bound.
+	MemoryMB           int        `toml:"memory_mb"`
+	MaxFDs             int        `toml:"max_fds"`
 	TargetLease        Duration   `toml:"target_lease"`
 	RequestTimeout     Duration   `toml:"request_timeout"`
 	PeerBytesPerSecond int        `toml:"peer_bytes_per_second"`
@@ -217,6 +220,9 @@
 	if s.DrainDelay.Duration < 0 {
 		f.Report("drain_delay", "must not be negative")
 	}
+	if s.MemoryMB < 0 || s.MaxFDs != 0 && s.MaxFDs < MinMaxFDs {
+		f.Report("max_fds", "must be 0 or at least %d, and memory_mb must not be negative", MinMaxFDs)
+	}
 	if s.PeerBytesPerSecond < 4096 {
 		f.Report("peer_bytes_per_second", "must be at least 4096, which leader heartbeats and lease votes need")
 	}
--- a/transport/httpapi/api.go
+++ b/transport/httpapi/api.go
@@ -22,6 +22,7 @@
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
 	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
 	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/transport/intake"
 )
 
 // MaxBodyBytes bounds the body of a caller's request.
@@ -65,6 +66,7 @@
 	instance  string
 	callers   identities
 	operators identities
+	clients   *intake.Pool
 }
 
 // New returns the HTTP server of the instance that the settings describe.
@@ -72,6 +74,7 @@
 	return &Server{
 		backend: backend, instance: s.Instance,
 		callers: newIdentities(s.Callers), operators: newIdentities(s.Operators),
+		clients: intake.New(intake.Options{MemoryMB: s.MemoryMB, MaxFDs: s.MaxFDs}),
 	}
 }
 
@@ -92,7 +95,10 @@
 		Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
 	serveErr := make(chan error, 1)
-	go func() { serveErr <- server.Serve(listener) }()
+	pooled, stop := context.WithCancel(context.Background())
+	defer stop()
+	go s.clients.Run(pooled)
+	go func() { serveErr <- s.clients.Serve(server, listener) }()
 	select {
 	case err := <-serveErr:
 		return errors.Wrap(err, "serve HTTP")
@@ -108,7 +114,11 @@
 		control := http.NewResponseController(w)
 		// The error is ignored, since not every writer supports deadlines; httptest.ResponseRecorder doesn't.
 		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
-		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxBodyBytes))
+		body, err := intake.ReadBody(r, MaxBodyBytes)
+		if errors.Is(err, intake.ErrFull) {
+			intake.Refuse(w)
+			return
+		}
 		if err == nil {
 			// net/http keeps reading to detect a closed connection, so that an expired deadline would cancel a long
 			// stream. After an error the deadline stays, since net/http would wait for the rest of the body without it.
@@ -136,8 +146,7 @@
 	if !ok {
 		return nil, api.Refuse(api.ReasonMalformedRequest, "the request has no body")
 	}
-	var tooLarge *http.MaxBytesError
-	if errors.As(buffered.err, &tooLarge) || buffered.Size() > limit {
+	if errors.Is(buffered.err, intake.ErrTooLarge) || buffered.Size() > limit {
 		return nil, api.Refuse(api.ReasonBodyTooLarge, "the request body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
 	}
 	if buffered.err != nil {
