Test the bounds of connections that a mutation did not turn red

Cause: without the count of closed requests that still run, without the bound of idle connections to targets, and with bodies that nobody reads taken for running requests, all tests passed.

--- a/transport/intake/pool_test.go
+++ b/transport/intake/pool_test.go
@@ -160,7 +160,7 @@
 // Guards against connections beyond the descriptors: idle ones, stopped ones, and those whose body nobody reads.
 func TestConnectionsAreBounded(t *testing.T) {
 	for name, text := range map[string]string{"silent": "", "stopped in the head": "POST / HTTP", "stopped in the body": stopped,
-		"body that nobody reads": strings.Replace(stopped, "POST /", "POST /unread", 1)} {
+		"body that nobody reads": "POST /unread HTTP/1.1\r\nHost: h\r\nContent-Length: 1000\r\n\r\n"} {
 		p, address := serve(t, Options{MaxFDs: ownDescriptors + 80})
 		send(t, address, 60, text)
 		answered := false
@@ -177,6 +177,36 @@
 	}
 }
 
+// Guards against descriptors of a request that was closed and still holds its connection to a target.
+func TestClosedRequestCountsUntilItEnds(t *testing.T) {
+	p := New(Options{MaxFDs: ownDescriptors + 3}) // one connection
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	accept := func() *net.TCPConn {
+		send(t, l.Addr().String(), 1, "")
+		c, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c.(*net.TCPConn)
+	}
+	first := p.admit(accept())
+	first.enter(phaseRunning)
+	first.writing.Store(time.Now().Add(-2 * window).UnixNano())
+	next := accept()
+	if p.admit(next) != nil {
+		t.Error("a connection is admitted while the request of a closed one still runs")
+	}
+	_ = first.Close()
+	if p.admit(next) == nil {
+		t.Error("no connection is admitted after the request has ended")
+	}
+}
+
 // Guards against bodies and responses that hold a connection without progress while there is no pressure, and against time-outs of
 // clients that are within the limits.
 func TestStuck(t *testing.T) {
