--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -117,8 +117,6 @@
 	})
 }
 
-func (c *Conn) isReceiving() bool { return c.phase.Load() == phaseHead || c.phase.Load() == phaseBody }
-
 func (c *Conn) isRunning() bool { return c.phase.Load() == phaseRunning }
 
 func (c *Conn) enter(phase int32) {
