Close a connection whose head gets no room without an answer

Cause: net/http answers an unknown error while it reads a head with 400, which blames the client. Change: the error is that of a failed read, after which net/http closes the connection. Measured: TestHeadWithoutRoomIsNotAnswered fails without the change and passes with it; transport/intake passes with -race.

--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -65,7 +65,8 @@
 	}
 	size := int64(n) + lineBytes*int64(bytes.Count(b[:n], []byte{'\n'}))
 	if fullErr := c.reserve(size); fullErr != nil {
-		return 0, fullErr
+		// net/http answers other errors with 400, which would blame the client.
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: fullErr}
 	}
 	return n, err
 }
--- a/transport/intake/pool_test.go
+++ b/transport/intake/pool_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -157,6 +158,22 @@
 	awaitHeld(t, p, func(held int64) bool { return held == 0 }, "after the refusal")
 }
 
+// Guards against status 400, which blames the client, for a head for which there is no room.
+func TestHeadWithoutRoomIsNotAnswered(t *testing.T) {
+	p, address := serve(t, Options{MemoryMB: 1})
+	p.used.Add(p.budget)
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	_ = c.SetReadDeadline(time.Now().Add(3 * roomWait))
+	if answer, err := io.ReadAll(c); len(answer) > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("answer %q, error %v", answer, err)
+	}
+}
+
 // Guards against connections beyond the descriptors: idle ones, stopped ones, and those whose body nobody reads.
 func TestConnectionsAreBounded(t *testing.T) {
 	for name, text := range map[string]string{"silent": "", "stopped in the head": "POST / HTTP", "stopped in the body": stopped,
