--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -49,6 +49,7 @@
 		"no readiness":         {`listen_ready = "10.1.0.38:8141"`, ``, "must be set if and only if listen_callers is set"},
 		"control without disk": {`listen_control = ""`, `listen_control = "10.1.0.38:1"`, "is required for a control instance"},
 		"negative memory":      {`memory_mb = 284`, `memory_mb = -1`, "must not be negative"},
+		"few descriptors":      {`memory_mb = 284`, `max_fds = 100`, "max_fds: must be 0 or at least 128"},
 		"no quota window":      {`memory_mb = 284`, `quota_window_s = 0`, "quota_window_s must be positive"},
 		"unknown key":          {`memory_mb = 284`, `memory = 284`, "memory"},
 		"wrong type":           {`peer_port = 7380`, `peer_port = "x"`, "peer_port"},
