--- a/instance/fleet/fleet.go
+++ b/instance/fleet/fleet.go
@@ -21,6 +21,7 @@
 	"github.com/tarragonhoist/tarragonhoist/instance/version"
 	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
 	"github.com/tarragonhoist/tarragonhoist/settings"
+	"github.com/tarragonhoist/tarragonhoist/transport/intake"
 	"github.com/tarragonhoist/tarragonhoist/transport/peer"
 	"github.com/tarragonhoist/tarragonhoist/transport/upstream"
 )
@@ -76,6 +77,7 @@
 	view     *fleetview.View
 	watcher  *fleetview.Watcher
 	peers    *peer.Transport
+	clients  *intake.Pool
 }
 
 // isAddress reports whether the name of a peer is its address.
@@ -101,6 +103,7 @@
 }
 
 func (p *process) start(ctx context.Context, role string) error {
+	go p.clients.Run(ctx)
 	go p.sink.Run(ctx, func(lines int64) { p.recorder.Record(events.LogsDropped, events.Fields{"lines": lines}) })
 	p.recorder.Record(events.Starting, events.Fields{"version": version.String(), "role": role, "name": p.node.Name,
 		"data_centre": p.node.DataCentre, "peer": p.node.PeerName(), "first_start": p.node.FirstStart, "seeds": p.node.SeedNames()})
@@ -112,7 +115,7 @@
 		return errors.Wrap(err, "listen for metrics requests")
 	}
 	go func() {
-		err := http.Serve(listener, http.HandlerFunc(p.serveMetrics))
+		err := p.clients.Serve(intake.NewServer(http.HandlerFunc(p.serveMetrics)), listener)
 		p.recorder.Record(events.InternalError, events.Fields{"problem": "metrics", "error": err.Error()})
 	}()
 	return nil
@@ -139,6 +142,9 @@
 // RunGateway serves callers until ctx ends. For each value from reloads, it reads the settings file at path again.
 func RunGateway(ctx context.Context, path string, node *settings.Node, adapter *PlatformAdapter, reloads <-chan os.Signal) error {
 	limitMemory(node)
+	if err := limitDescriptors(node.MaxFDs); err != nil {
+		return err
+	}
 	assembled, err := buildGateway(node, adapter)
 	if err != nil {
 		return err
@@ -158,6 +164,9 @@
 // RunControl serves targets, operators and gateways until ctx ends.
 func RunControl(ctx context.Context, path string, node *settings.Node, adapter *PlatformAdapter, reloads <-chan os.Signal) error {
 	limitMemory(node)
+	if err := limitDescriptors(node.MaxFDs); err != nil {
+		return err
+	}
 	assembled, err := buildControl(node, adapter)
 	if err != nil {
 		return err
