Have requests wait for the first grants after a start

Change: in its first 5 s, a gateway has requests wait for its first grants, for 2 s and 0.45 of their time at most.

--- a/instance/gateway/quota.go
+++ b/instance/gateway/quota.go
@@ -19,6 +19,10 @@
 	quotaTries = 3
 	// quotaRetry is the Retry-After of a request whose grants others used.
 	quotaRetry = 100 * time.Millisecond
+	// maxGrantsWait bounds the wait of a request for the first grants, and startPeriod the time after the start in which requests wait:
+	// the first ledger gives none before it has heard from the gateways, about a second after a restart of all processes.
+	maxGrantsWait = 2 * time.Second
+	startPeriod   = 5 * time.Second
 	// maxCountedAccounts bounds the number of accounts with counters of their own.
 	maxCountedAccounts = 64
 	// otherAccounts is the name under which the others are counted.
@@ -44,6 +48,9 @@
 	// failure is the latest failed call for a grant.
 	failure atomic.Pointer[permitFailure]
 	inForce atomic.Pointer[quotasInForce]
+	// started is the start of the process, and joined is set once it has had grants.
+	started time.Time
+	joined  atomic.Bool
 	// connected and known belong to the goroutine that exchanges the load.
 	connected, known bool
 }
@@ -56,7 +63,7 @@
 
 func newQuotas(opts Options, registry metrics.Registry) *quotas {
 	now := time.Now()
-	return &quotas{limiter: quota.NewLimiter(now, opts.Quota, opts.Name, uint64(now.UnixNano())), counters: newAccountCounters(registry)}
+	return &quotas{started: now, limiter: quota.NewLimiter(now, opts.Quota, opts.Name, uint64(now.UnixNano())), counters: newAccountCounters(registry)}
 }
 
 // any reports whether any account in force has a quota.
@@ -98,6 +105,7 @@
 
 // decideQuota asks the leader for a grant if that is needed.
 func (g *Gateway) decideQuota(q *request, cost float64) quota.Decision {
+	g.awaitGrants(q)
 	limiter, name := g.quotas.limiter, q.credentials.account.Name
 	limit := quota.Limit{PerSecond: q.credentials.account.Quota.PerSecond, Burst: q.credentials.account.Quota.Burst, Requests: q.credentials.account.Quota.Unit == routes.Requests}
 	for range quotaTries {
@@ -116,6 +124,17 @@
 	return quota.Decision{Refuse: true, RetryAfter: quotaRetry}
 }
 
+// awaitGrants has a request wait while the gateway has not yet had grants since its start. Until then its share of each quota is
+// next to nothing, and after a restart of the whole deployment all callers would be refused for more than a second.
+func (g *Gateway) awaitGrants(q *request) {
+	wait := min(maxGrantsWait, time.Duration(waitShare*float64(q.deadline.Sub(q.arrived))))
+	for !g.quotas.joined.Load() && time.Since(g.quotas.started) < startPeriod && time.Since(q.arrived) < wait {
+		if !sleep(q, waitPollInterval) {
+			return
+		}
+	}
+}
+
 // requestGrant asks the leader for a grant. ok is false if there is no answer.
 func (g *Gateway) requestGrant(q *request, r quota.GrantRequest) (grant quota.Grant, ok bool) {
 	leader, _ := g.view.LeaderAndMembers()
@@ -177,6 +196,9 @@
 		g.quotas.failure.Store(nil) // a call that failed was slow or lost: the leader answers
 	}
 	connected := g.quotas.limiter.Connected(now)
+	if connected {
+		g.quotas.joined.Store(true)
+	}
 	switch {
 	case connected && (!g.quotas.known || !g.quotas.connected):
 		g.recorder.Record(events.QuotaGained, nil)
--- a/instance/gateway/quota_test.go
+++ b/instance/gateway/quota_test.go
@@ -73,12 +73,41 @@
 	yard := account("yard", "k1")
 	yard.Quota = routes.Quota{PerSecond: 1, Burst: 2}
 	f.replaceAccounts(yard, account("free", "k2"))
-	waitFor(t, func() bool {
+	f.join()
+	return f, leader
+}
+
+// join exchanges reports until the gateway gets grants.
+func (f *accountFixture) join() {
+	f.t.Helper()
+	waitFor(f.t, func() bool {
 		f.exchange()
 		time.Sleep(20 * time.Millisecond)
 		return f.gateway.quotas.limiter.Connected(time.Now())
 	})
-	return f, leader
+}
+
+// Guards against a restart of all processes after which each request of an account is refused until the ledger of the new leader is
+// ready.
+func TestRequestsWaitForTheFirstGrants(t *testing.T) {
+	f, leader := newQuotaFixture(t)
+	f.recordingTarget()
+	f.gateway.quotas = newQuotas(f.gateway.opts, metrics.NewRegistry())
+	leader.mu.Lock()
+	leader.ledger = quota.NewLedger(time.Now(), f.gateway.opts.Quota, 2)
+	leader.mu.Unlock()
+	status := make(chan int)
+	go func() { status <- f.call("early", "/safe/x", "k1", "") }()
+	f.join()
+	if got := <-status; got != http.StatusOK {
+		t.Errorf("status %d for a request that arrived before the first grants", got)
+	}
+	f.gateway.quotas = newQuotas(f.gateway.opts, metrics.NewRegistry())
+	f.gateway.quotas.started = time.Now().Add(-startPeriod)
+	started := time.Now()
+	if f.call("late", "/safe/x", "k1", ""); time.Since(started) > maxGrantsWait/2 {
+		t.Errorf("a request waits %v for grants long after the start", time.Since(started))
+	}
 }
 
 func (f *accountFixture) exchange() {
