--- a/coordination/headroom/headroom.go
+++ b/coordination/headroom/headroom.go
@@ -15,17 +15,17 @@
 import "time"
 
 const (
-	// MinPatientObjective is the objective from which the callers of a route have time to spare: within it, all slots of a
+	// MinDeferrableObjective is the objective from which the callers of a route have time to spare: within it, all slots of a
 	// target become free at least twice.
-	MinPatientObjective = 4 * time.Second
+	MinDeferrableObjective = 4 * time.Second
 	// startTime is the time before its objective at which a request has to start. Within it, about half of the slots of a
 	// target become free.
 	startTime = 1500 * time.Millisecond
-	// patientShare, lateShare and overShareShare are the shares of the slots up to which a target may be full for requests with
+	// deferrableShare, lateShare and overShareShare are the shares of the slots up to which a target may be full for requests with
 	// time to spare, for those that have missed their objective, and for those of accounts above their fair share.
-	patientShare   = 0.75
-	lateShare      = 0.85
-	overShareShare = 0.75
+	deferrableShare = 0.75
+	lateShare       = 0.85
+	overShareShare  = 0.75
 )
 
 // Request is what is known of a request when a target is looked for.
@@ -56,7 +56,7 @@
 	case left <= 0:
 		share = min(share, lateShare)
 	case left > startTime:
-		share = min(share, patientShare)
+		share = min(share, deferrableShare)
 	}
 	return share
 }
--- a/coordination/headroom/headroom_test.go
+++ b/coordination/headroom/headroom_test.go
@@ -19,9 +19,9 @@
 		{"urgent", Request{Objective: 400 * time.Millisecond}, 1, true},
 		{"urgent, waited", Request{Objective: 400 * time.Millisecond, Age: 399 * time.Millisecond}, 1, true},
 		{"late", Request{Objective: 400 * time.Millisecond, Age: 400 * time.Millisecond}, lateShare, false},
-		{"time to spare", Request{Objective: 12 * time.Second}, patientShare, false},
+		{"time to spare", Request{Objective: 12 * time.Second}, deferrableShare, false},
 		{"has to start now", Request{Objective: 12 * time.Second, Age: 10500 * time.Millisecond}, 1, true},
-		{"patient and late", Request{Objective: 12 * time.Second, Age: 13 * time.Second}, lateShare, false},
+		{"deferrable and late", Request{Objective: 12 * time.Second, Age: 13 * time.Second}, lateShare, false},
 		{"no objective", Request{Age: time.Second}, 1, false},
 		{"account over its share", Request{Objective: 400 * time.Millisecond, OverShare: true}, overShareShare, true},
 	}
--- a/coordination/headroom/replay_test.go
+++ b/coordination/headroom/replay_test.go
@@ -28,8 +28,8 @@
 }
 
 var (
-	urgentKind  = kind{400 * time.Millisecond, 1500 * time.Millisecond, 34}
-	patientKind = kind{12 * time.Second, 1500 * time.Millisecond, 24}
+	urgentKind     = kind{400 * time.Millisecond, 1500 * time.Millisecond, 34}
+	deferrableKind = kind{12 * time.Second, 1500 * time.Millisecond, 24}
 )
 
 type call struct {
@@ -76,7 +76,7 @@
 func (r *replay) run(d time.Duration) {
 	for end := r.now.Add(d); r.now.Before(end); r.now = r.now.Add(step) {
 		r.advanceEngines()
-		for _, k := range []*kind{&urgentKind, &patientKind} {
+		for _, k := range []*kind{&urgentKind, &deferrableKind} {
 			for n := k.perSecond * step.Seconds(); r.rng.Float64() < n; n-- {
 				r.waiting = append(r.waiting, &call{kind: k, arrived: r.now, gateway: r.rng.IntN(gateways)})
 			}
--- a/instance/controlinstance/account_loads.go
+++ b/instance/controlinstance/account_loads.go
@@ -45,8 +45,8 @@
 	return headroom.OverShare(loads)
 }
 
-// hasPatientCallers reports whether gateways share the slots of a service, see headroom.MinPatientObjective.
-func (d *Director) hasPatientCallers(service string) bool {
+// hasDeferrableRequests reports whether gateways share the slots of a service, see headroom.MinDeferrableObjective.
+func (d *Director) hasDeferrableRequests(service string) bool {
 	table := d.view.Table()
-	return table != nil && table.MaxObjective(service) >= headroom.MinPatientObjective
+	return table != nil && table.MaxObjective(service) >= headroom.MinDeferrableObjective
 }
--- a/instance/controlinstance/director.go
+++ b/instance/controlinstance/director.go
@@ -154,7 +154,7 @@
 func (d *Director) summary(now time.Time, r *fleetapi.LoadReport) fleetapi.LoadSummary {
 	d.gateways.expire(now)
 	s := fleetapi.LoadSummary{Gateways: d.gateways.live, Limits: d.limits.All(now), Brittle: d.gateways.brittleServices(r.Gateway),
-		HelpersChange: d.gateways.helpersChange, Queues: d.gateways.queuesExcept(r.Gateway, d.hasPatientCallers), OverShare: d.overShare}
+		HelpersChange: d.gateways.helpersChange, Queues: d.gateways.queuesExcept(r.Gateway, d.hasDeferrableRequests), OverShare: d.overShare}
 	if r.HelpersChange != s.HelpersChange {
 		s.Helpers = d.gateways.helpers(r.Gateway)
 	}
--- a/instance/gateway/account_test.go
+++ b/instance/gateway/account_test.go
@@ -168,14 +168,14 @@
 // replaced that of the route, and against an account whose rank does not go first.
 func TestRankOfAccountGoesBeforeThatOfTheRoute(t *testing.T) {
 	first, second := routes.Account{Rank: new(0)}, routes.Account{Rank: new(1)}
-	urgent, patient := &routes.Route{Rank: 0}, &routes.Route{Rank: 2}
-	ranks := []int{first.RankOf(urgent), first.RankOf(patient), second.RankOf(urgent), second.RankOf(patient)}
+	urgent, deferrable := &routes.Route{Rank: 0}, &routes.Route{Rank: 2}
+	ranks := []int{first.RankOf(urgent), first.RankOf(deferrable), second.RankOf(urgent), second.RankOf(deferrable)}
 	for i := 1; i < len(ranks); i++ {
 		if ranks[i] <= ranks[i-1] {
 			t.Fatalf("ranks %v do not increase", ranks)
 		}
 	}
-	if got := (&routes.Account{}).RankOf(patient); got != patient.Rank {
+	if got := (&routes.Account{}).RankOf(deferrable); got != deferrable.Rank {
 		t.Fatalf("rank %d of an account without one, want that of the route", got)
 	}
 }
--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -14,9 +14,9 @@
 // deployments would keep one that has just started from serving its callers.
 const startingGateways = 100
 
-// hasPatientCallers reports whether a route of the service of a request has callers with time to spare, so that others can go first.
-func (q *request) hasPatientCallers() bool {
-	return q.service.Engine != nil && q.table.MaxObjective(q.service.Name) >= headroom.MinPatientObjective
+// hasDeferrableRequests reports whether a route of the service of a request has callers with time to spare, so that others can go first.
+func (q *request) hasDeferrableRequests() bool {
+	return q.service.Engine != nil && q.table.MaxObjective(q.service.Name) >= headroom.MinDeferrableObjective
 }
 
 // age is the time since the first attempt of the caller, as far as the time that it has left shows.
@@ -36,7 +36,7 @@
 		return
 	}
 	query.Slots, query.MaxPerSlot = q.service.Engine.Slots, dispatch.MaxEngineRequestsPerSlot(q.route.Rank)
-	if !q.hasPatientCallers() {
+	if !q.hasDeferrableRequests() {
 		return
 	}
 	r := g.headroomRequest(now, q)
@@ -67,17 +67,17 @@
 // reasonTooManyWaiting is why a request is refused before the end of its wait.
 const reasonTooManyWaiting dispatch.Reason = "more requests wait for the same slots than can be served in time"
 
-// isHopeless reports whether a request that has not waited yet is refused, since it can hardly be served within the time for which it
+// shouldShed reports whether a request that has not waited yet is refused, since it can hardly be served within the time for which it
 // may wait. Its caller is told when there will be room.
-func (g *Gateway) isHopeless(now time.Time, q *request, reason dispatch.Reason, left time.Duration) bool {
-	if reason != dispatch.AllFull || q.waiting != notWaiting || q.waited > 0 || q.sends > 0 || !q.hasPatientCallers() {
+func (g *Gateway) shouldShed(now time.Time, q *request, reason dispatch.Reason, left time.Duration) bool {
+	if reason != dispatch.AllFull || q.waiting != notWaiting || q.waited > 0 || q.sends > 0 || !q.hasDeferrableRequests() {
 		return false
 	}
 	wait := g.expectedWait(now, q)
 	if !headroom.Refuse(wait, left, g.randomFloat()) {
 		return false
 	}
-	g.metrics.hopeless.Inc(1)
+	g.metrics.shed.Inc(1)
 	q.returnAfter = headroom.ReturnAfter(wait, g.randomFloat())
 	return true
 }
@@ -177,7 +177,7 @@
 
 // waitStateOf is how a request counts that waits now.
 func (g *Gateway) waitStateOf(now time.Time, q *request) waitState {
-	if q.hasPatientCallers() && g.headroomRequest(now, q).Urgent() {
+	if q.hasDeferrableRequests() && g.headroomRequest(now, q).Urgent() {
 		return waitingUrgent
 	}
 	return waiting
--- a/instance/gateway/headroom_test.go
+++ b/instance/gateway/headroom_test.go
@@ -11,12 +11,12 @@
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
 
-// patientTable has a service with an urgent and a patient route.
-func patientTable() (table *routes.Table, urgent, patient *routes.Route) {
+// deferrableTable has a service with an urgent and a deferrable route.
+func deferrableTable() (table *routes.Table, urgent, deferrable *routes.Route) {
 	split := []routes.WeightedService{{Service: "engine", Weight: 1}}
 	document := &routes.Document{Version: 1, Services: []routes.Service{{Name: "engine", Engine: &routes.Engine{Slots: 4}}}, Routes: []routes.Route{
 		{Name: "urgent", Host: "h", PathPrefix: "/u/", Kind: routes.Stream, Timeout: 10 * time.Second, Objective: 400 * time.Millisecond, Rank: 1, Split: split},
-		{Name: "patient", Host: "h", PathPrefix: "/p/", Kind: routes.Stream, Timeout: 20 * time.Second, Objective: 12 * time.Second, Rank: 2, Split: split},
+		{Name: "deferrable", Host: "h", PathPrefix: "/p/", Kind: routes.Stream, Timeout: 20 * time.Second, Objective: 12 * time.Second, Rank: 2, Split: split},
 	}}
 	return routes.NewTable(document), &document.Routes[0], &document.Routes[1]
 }
@@ -27,12 +27,12 @@
 	return q
 }
 
-// Guards against a gateway that takes all free slots while requests wait at others too, in a service with patient callers, and
+// Guards against a gateway that takes all free slots while requests wait at others too, in a service with deferrable requests, and
 // against a change for services without them.
 func TestSlotsAreSharedWithOtherGateways(t *testing.T) {
 	g := newFixture(t).gateway
 	now := time.Now()
-	table, urgent, patient := patientTable()
+	table, urgent, deferrable := deferrableTable()
 	first := *urgent
 	first.Rank = 0
 	mostUrgentRoute := &first
@@ -45,7 +45,7 @@
 		{"urgent", headroomRequest(now, table, urgent, 0), 1, 0.25},
 		{"most urgent rank", headroomRequest(now, table, mostUrgentRoute, 0), dispatch.MaxEngineRequestsPerSlot(0), 1},
 		{"late", headroomRequest(now, table, urgent, time.Second), headroom.Request{Objective: 1, Age: 2}.Share(), 0.1},
-		{"patient", headroomRequest(now, table, patient, 0), headroom.Request{Objective: time.Minute}.Share(), 0.1},
+		{"deferrable", headroomRequest(now, table, deferrable, 0), headroom.Request{Objective: time.Minute}.Share(), 0.1},
 	}
 	for _, c := range cases {
 		var query dispatch.Query
@@ -61,38 +61,38 @@
 	var query dispatch.Query
 	g.limitLoad(now, q, &query)
 	if query.MaxPerSlot != dispatch.MaxEngineRequestsPerSlot(0) || query.Sharing != nil {
-		t.Errorf("query %+v of a service without patient callers", query)
+		t.Errorf("query %+v of a service without deferrable requests", query)
 	}
 }
 
 // Guards against a request that is held until its caller leaves although too many wait before it, and against one that is refused
 // although it can still be served in time.
-func TestHopelessRequestsAreRefusedAtOnce(t *testing.T) {
+func TestRequestsThatCannotBeServedInTimeAreShed(t *testing.T) {
 	f := newFixture(t)
 	g := f.gateway
 	f.target("t0", "engine", nil)
 	now := time.Now()
-	table, urgent, patient := patientTable()
+	table, urgent, deferrable := deferrableTable()
 	g.queues.Store(queuesOf([]fleetapi.ModelLoad{{Service: "engine", Model: "m", Waiting: 40, Urgent: 12}}))
 	for _, c := range []struct {
 		name  string
 		route *routes.Route
 		want  bool
-	}{{"urgent, 3 s of work before it", urgent, true}, {"patient, 10 s of work before it", patient, false}} {
+	}{{"urgent, 3 s of work before it", urgent, true}, {"deferrable, 10 s of work before it", deferrable, false}} {
 		q := headroomRequest(now, table, c.route, 0)
 		left := g.maxWait(q, dispatch.AllFull, now)
-		if got := g.isHopeless(now, q, dispatch.AllFull, left); got != c.want {
-			t.Errorf("%s: hopeless %v within %v, want %v", c.name, got, left, c.want)
+		if got := g.shouldShed(now, q, dispatch.AllFull, left); got != c.want {
+			t.Errorf("%s: shed %v within %v, want %v", c.name, got, left, c.want)
 		}
 		if c.want && (q.returnAfter < 3*time.Second || q.returnAfter > 5*time.Second) {
 			t.Errorf("%s: returns after %v, want 3s to 5s", c.name, q.returnAfter)
 		}
-		if g.isHopeless(now, q, dispatch.NotLoaded, left) {
+		if g.shouldShed(now, q, dispatch.NotLoaded, left) {
 			t.Errorf("%s: refused for a model that is being loaded", c.name)
 		}
 		q.waiting = waiting
 		for range 100 {
-			if g.isHopeless(now, q, dispatch.AllFull, left) {
+			if g.shouldShed(now, q, dispatch.AllFull, left) {
 				t.Fatalf("%s: refused after it waited, together with all others that wait", c.name)
 			}
 		}
@@ -101,19 +101,19 @@
 
 // Guards against a stream that is cut, or a request that is given up, at its first look for another target: it has waited and was sent
 // before, so it does not arrive now.
-func TestRequestsThatWereSentAreNotHopeless(t *testing.T) {
+func TestRequestsThatWereSentAreNotShed(t *testing.T) {
 	f := newFixture(t)
 	g := f.gateway
 	f.target("t0", "engine", nil)
 	now := time.Now()
-	table, urgent, _ := patientTable()
+	table, urgent, _ := deferrableTable()
 	g.queues.Store(queuesOf([]fleetapi.ModelLoad{{Service: "engine", Model: "m", Waiting: 400, Urgent: 400}}))
 	for range 100 {
 		q := headroomRequest(now, table, urgent, 0)
 		q.sends, q.lastTarget, q.waited = 1, "t1", 200*time.Millisecond
 		g.demand.setWaiting(q, waiting)
 		g.demand.setWaiting(q, notWaiting) // as awaitTarget does when it has found a target
-		if g.isHopeless(now, q, dispatch.AllFull, g.maxWait(q, dispatch.AllFull, now)) {
+		if g.shouldShed(now, q, dispatch.AllFull, g.maxWait(q, dispatch.AllFull, now)) {
 			t.Fatal("a request that waited and was sent once is refused as one that arrives")
 		}
 	}
@@ -125,7 +125,7 @@
 	g := f.gateway
 	f.target("t0", "engine", nil)
 	f.view.SetLeaderAndMembers("leader", nil)
-	table, urgent, _ := patientTable()
+	table, urgent, _ := deferrableTable()
 	now := time.Now()
 	summary := &fleetapi.LoadSummary{Gateways: 2, Queues: []fleetapi.ModelLoad{{Service: "engine", Model: "m", Waiting: 400, Urgent: 400}}}
 	if err := g.applySummary(now.Add(-time.Minute), summary); err != nil {
@@ -150,7 +150,7 @@
 		t.Fatal(err)
 	}
 	now := time.Now()
-	table, urgent, _ := patientTable()
+	table, urgent, _ := deferrableTable()
 	f.gateway.queues.Store(queuesOf([]fleetapi.ModelLoad{{Service: "engine", Model: "m", Waiting: 4, Urgent: 4}}))
 	if got := f.gateway.expectedWait(now, headroomRequest(now, table, urgent, 0)); got != time.Second {
 		t.Errorf("wait %v for 4 slots with 4 requests of 1 s before, want 1s", got)
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -11,8 +11,8 @@
 	answered, refused, failed, cancelled, repeated metrics.Counter
 	// unauthorized are refused requests whose key no account holds.
 	unauthorized metrics.Counter
-	// hopeless are requests that were refused because too many others waited for the same slots.
-	hopeless metrics.Counter
+	// shed are requests that were refused because too many others waited for the same slots.
+	shed metrics.Counter
 	// handedOver are the requests that other gateways were asked to serve, servedForOthers those that others asked for.
 	handedOver, servedForOthers metrics.Counter
 	crashStrikes                metrics.Counter
@@ -34,7 +34,7 @@
 	}
 	return &counters{
 		answered: counter("answered"), refused: counter("refused"), failed: counter("failed"),
-		cancelled: counter("cancelled"), repeated: counter("repeated_sends"), unauthorized: counter("unauthorized"), hopeless: counter("hopeless"),
+		cancelled: counter("cancelled"), repeated: counter("repeated_sends"), unauthorized: counter("unauthorized"), shed: counter("shed"),
 		handedOver: counter("handed_over"), servedForOthers: counter("served_for_others"),
 		crashStrikes: counter("crash_strikes"), streamsResumed: counter("streams_resumed"), streamsTakenUp: counter("streams_taken_up"),
 		streamsNotTakenUp: counter("streams_not_taken_up"),
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -109,7 +109,7 @@
 // mayAdd reports whether a target that the leader selected may get a request.
 func (g *Gateway) mayAdd(now time.Time, q *request, t *roster.Entry) bool {
 	query := dispatch.Query{Service: q.service.Name}
-	if q.hasPatientCallers() {
+	if q.hasDeferrableRequests() {
 		g.limitLoad(now, q, &query)
 	}
 	g.rngMu.Lock()
@@ -120,7 +120,7 @@
 // loadAdapter asks the leader for a target that holds the adapter, and waits until it is loaded there.
 func (g *Gateway) loadAdapter(now time.Time, q *request, exclude []string) *roster.Entry {
 	leader, _ := g.view.LeaderAndMembers()
-	if leader == "" || q.hasPatientCallers() && !g.adapters.mayAsk(now, q.adapterKey()) {
+	if leader == "" || q.hasDeferrableRequests() && !g.adapters.mayAsk(now, q.adapterKey()) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(q.ctx, min(adapterTimeout, q.deadline.Sub(now)))
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -163,7 +163,7 @@
 			left = 0 // no target takes the request in time
 			q.returnAfter = at.Sub(now) + rejectionPause
 		}
-		if left > 0 && g.isHopeless(now, q, reason, left) {
+		if left > 0 && g.shouldShed(now, q, reason, left) {
 			left, reason = 0, reasonTooManyWaiting
 		}
 		if left <= 0 {
@@ -210,7 +210,7 @@
 		share = allFullWaitShare
 	}
 	left := time.Duration(float64(q.deadline.Sub(now)) * share)
-	if reason == dispatch.AllFull && q.hasPatientCallers() {
+	if reason == dispatch.AllFull && q.hasDeferrableRequests() {
 		left = max(left, q.route.Objective-q.age(now)) // others go first, and it can still be in time
 	}
 	if reason == dispatch.Limited && q.route.Objective > 0 {
