--- a/Makefile
+++ b/Makefile
@@ -21,11 +21,15 @@
 SEED = 20261204
 RAPID = go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}}{{"\n"}}{{end}}{{end}}{{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}}{{"\n"}}{{end}}{{end}}' ./... | sort -u
 
+# Tests of crowds of clients measure the memory and descriptors of processes, and run apart from other tests.
+ALONE = ./test/intake
+
 test: lint
 	@sed -n 's/^test: */known red, passed over: /p' KNOWN-RED.txt
-	@status=0; properties=$$($(RAPID)); others=$$(go list ./... | grep -vxF "$$properties"); \
+	@status=0; properties=$$($(RAPID)); alone=$$(go list $(ALONE)); others=$$(go list ./... | grep -vxF -e "$$properties" -e "$$alone"); \
 	go test -race $(SKIP) $$others || status=1; \
 	go test -race $(SKIP) $$properties -rapid.seed=$(SEED) || status=1; \
+	go test -race $(SKIP) $$alone || status=1; \
 	exit $$status
 
 property:
