Count a waiting request with one account, and use one function for the slots of a target

Cause: a request that waits may get another account with a new configuration. Its wait was then ended with the new account, so that the old one kept a waiting request for good, which the fair shares take for competition.

Change: the account is kept with which the wait was counted. The slots of a target with their fallback come from dispatch.SlotsOf in the check of start phases too; that changes no result, since less than one slot counted as one.

Result: TestWaitingRequestIsCountedWithOneAccount is new; lint passes, and the tests of accounts, waiting, shedding, quotas, slow start and adapters of the gateway with the race detector.

--- a/instance/gateway/account_test.go
+++ b/instance/gateway/account_test.go
@@ -270,3 +270,18 @@
 		t.Errorf("status %d on a route that allows anonymous callers", got)
 	}
 }
+
+// Guards against a count of waiting requests that stays with an account after a configuration has given a request that waits to
+// another one.
+func TestWaitingRequestIsCountedWithOneAccount(t *testing.T) {
+	d := newDemand()
+	q := &request{service: &routes.Service{Name: "plain"}}
+	q.credentials.account = &routes.Account{Name: "yard"}
+	d.setWaiting(q, waiting)
+	q.credentials.account = &routes.Account{Name: "counter"}
+	d.setWaiting(q, waitingUrgent)
+	d.setWaiting(q, notWaiting)
+	if loads := d.accountLoads(); len(loads) > 0 {
+		t.Errorf("loads %+v without any request", loads)
+	}
+}
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -63,7 +63,7 @@
 
 // addRunning is called with 1 when a request is sent to a target and with -1 when it has ended there.
 func (d *demand) addRunning(q *request, target string, n int) {
-	d.updateAccount(q, func(a *fleetapi.AccountLoad) { a.Running += n })
+	d.updateAccount(q.credentials.account, func(a *fleetapi.AccountLoad) { a.Running += n })
 	d.update(q, func(m *fleetapi.ModelLoad) {
 		m.Running += n
 		if q.prompt.Adapter != "" {
--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -8,6 +8,7 @@
 	"github.com/tarragonhoist/tarragonhoist/coordination/headroom"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
 
 // startingGateways stands for the number of gateways that share the slots until it is known. More than the gateways of most
@@ -113,7 +114,10 @@
 	}
 	before := q.waiting
 	q.waiting = state
-	d.updateAccount(q, func(a *fleetapi.AccountLoad) {
+	if before == notWaiting {
+		q.waitingAccount = q.credentials.account // another configuration may give the request another account while it waits
+	}
+	d.updateAccount(q.waitingAccount, func(a *fleetapi.AccountLoad) {
 		if before != notWaiting {
 			a.Waiting--
 		}
@@ -135,16 +139,16 @@
 	})
 }
 
-// updateAccount changes the load of the client account of a request.
-func (d *demand) updateAccount(q *request, f func(*fleetapi.AccountLoad)) {
-	if q.credentials.account == nil {
+// updateAccount changes the load of a client account, nil for none.
+func (d *demand) updateAccount(account *routes.Account, f func(*fleetapi.AccountLoad)) {
+	if account == nil {
 		return
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	a := d.accounts[q.credentials.account.Name]
+	a := d.accounts[account.Name]
 	if a == nil {
-		a = &fleetapi.AccountLoad{Name: q.credentials.account.Name}
+		a = &fleetapi.AccountLoad{Name: account.Name}
 		d.accounts[a.Name] = a
 	}
 	f(a)
--- a/instance/gateway/pace.go
+++ b/instance/gateway/pace.go
@@ -27,10 +27,10 @@
 }
 
 func slotsOf(t *roster.Entry, q *request) int {
-	if t.Slots == 0 && q.service.Engine != nil {
-		return q.service.Engine.Slots
+	if q.service.Engine == nil {
+		return dispatch.SlotsOf(t, 0)
 	}
-	return t.Slots
+	return dispatch.SlotsOf(t, q.service.Engine.Slots)
 }
 
 // pacedSend is a request that is sent to a target in its start phase.
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -40,11 +40,13 @@
 	// abandonedAt is when the caller makes no more attempts.
 	abandonedAt time.Time
 	// suspects are the request as a whole and the shared parts of its prompt, see suspectsOf.
-	suspects   []crashes.Suspect
-	waiting    waitState
-	waited     time.Duration // time spent waiting for a target
-	sends      int
-	lastTarget string
+	suspects []crashes.Suspect
+	// waiting is how the request counts in the demand, and waitingAccount the account with which it was counted.
+	waiting        waitState
+	waitingAccount *routes.Account
+	waited         time.Duration // time spent waiting for a target
+	sends          int
+	lastTarget     string
 	// stream identifies the stream that the request begins or takes up, and softwareVersion is the version at which alone it
 	// may go on; nil as long as any may begin it.
 	stream          streamorigin.ID
