Reserve memory for an event before its buffer is allocated

The targets of the test wrote strings, and a write that blocks holds a copy of its string, 1 MB each; these copies were most of what was measured. And relayStream let append allocate a larger buffer before it asked for the room, so that up to twice the bound was allocated by streams that were then refused.

Change: the test writes shared slices, with the same crowd and bounds. reservation.append reserves first and allocates then.

--- a/instance/gateway/held_bytes.go
+++ b/instance/gateway/held_bytes.go
@@ -38,6 +38,18 @@
 	return true
 }
 
+// append appends more to held, and reserves a larger buffer before it allocates one. It reports whether that is to be had.
+func (r *reservation) append(held, more []byte) ([]byte, bool) {
+	if n := len(held) + len(more); n > cap(held) {
+		larger := max(2*cap(held), n)
+		if !r.grow(larger) {
+			return held, false
+		}
+		held = append(make([]byte, 0, larger), held...)
+	}
+	return append(held, more...), true
+}
+
 // release gives the reservation back.
 func (r *reservation) release() {
 	r.held.total.Add(-r.bytes)
--- a/instance/gateway/memory_test.go
+++ b/instance/gateway/memory_test.go
@@ -1,8 +1,8 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"runtime"
@@ -21,18 +21,21 @@
 		// maxGrowth is half of the 0.6 that the runtime may use of the 184 MB of the smallest gateways.
 		maxGrowth = 55 << 20
 	)
-	head := func(r *http.Request, more string) string {
-		return responseHead(r, r.Header.Get(testHeaders.RequestID), more)
+	head := func(r *http.Request, more string) []byte {
+		return []byte(responseHead(r, r.Header.Get(testHeaders.RequestID), more))
 	}
 	var fields strings.Builder
 	for i := 0; fields.Len() < 60<<10; i++ {
 		fmt.Fprintf(&fields, "a%x:\r\n", i)
 	}
-	// The targets share what they write, so that it does not count.
-	event, body, foreign, rejection := "data: "+strings.Repeat("x", 1_000_000), strings.Repeat("x", 0x3e800), strings.Repeat("x", 890_000), strings.Repeat("x", 59_000)
-	writeAll := func(conn net.Conn, parts ...string) {
+	// The targets share the slices that they write, so that these do not count. A string would be copied for each write, and a
+	// write that blocks would hold its copy.
+	event, body, foreign, rejection := []byte("data: "+strings.Repeat("x", 1_000_000)), bytes.Repeat([]byte("x"), 0x3e800),
+		bytes.Repeat([]byte("x"), 890_000), bytes.Repeat([]byte("x"), 59_000)
+	manyFields := []byte(fields.String())
+	writeAll := func(conn net.Conn, parts ...[]byte) {
 		for _, part := range parts {
-			_, _ = io.WriteString(conn, part)
+			_, _ = conn.Write(part)
 		}
 	}
 	for name, c := range map[string]struct {
@@ -43,19 +46,19 @@
 			writeAll(conn, head(r, "Content-Type: text/event-stream\r\nConnection: close\r\n"), event)
 		}},
 		"body in chunks": {"/long-safe/x", func(conn net.Conn, r *http.Request) {
-			writeAll(conn, head(r, "Transfer-Encoding: chunked\r\n")+"3e800\r\n", body, "\r\n")
+			writeAll(conn, head(r, "Transfer-Encoding: chunked\r\n"), []byte("3e800\r\n"), body, []byte("\r\n"))
 		}},
 		"body without a length": {"/long-once/x", func(conn net.Conn, r *http.Request) {
 			writeAll(conn, head(r, "Connection: close\r\n"), body)
 		}},
 		"head": {"/long-safe/x", func(conn net.Conn, _ *http.Request) {
-			writeAll(conn, "HTTP/1.1 200 OK\r\n", fields.String())
+			writeAll(conn, []byte("HTTP/1.1 200 OK\r\n"), manyFields)
 		}},
 		"answer to another request": {"/long-safe/x", func(conn net.Conn, _ *http.Request) {
-			writeAll(conn, "HTTP/1.1 200 OK\r\n"+testHeaders.RequestID+": other\r\nContent-Length: 900000\r\n\r\n", foreign)
+			writeAll(conn, []byte("HTTP/1.1 200 OK\r\n"+testHeaders.RequestID+": other\r\nContent-Length: 900000\r\n\r\n"), foreign)
 		}},
 		"rejection": {"/long-safe/x", func(conn net.Conn, _ *http.Request) {
-			writeAll(conn, "HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 60000\r\n\r\n", rejection)
+			writeAll(conn, []byte("HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 60000\r\n\r\n"), rejection)
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/instance/gateway/relay.go
+++ b/instance/gateway/relay.go
@@ -191,7 +191,10 @@
 	for {
 		n, err := body.Read(buffer)
 		searchFrom := max(len(pending)-(maxEventEndBytes-1), 0) // what is before it was searched already
-		pending = append(pending, buffer[:n]...)
+		var fits bool
+		if pending, fits = reserved.append(pending, buffer[:n]); !fits {
+			return mayHaveRun, dispatch.Failed
+		}
 		empty = empty && n == 0
 		if end := completeEventsLen(pending[searchFrom:]); end > 0 {
 			end += searchFrom
@@ -242,7 +245,7 @@
 			return delivered, dispatch.Complete
 		case err != nil:
 			return classifyBodyError(err)
-		case len(pending) > maxEventBytes, !reserved.grow(cap(pending)):
+		case len(pending) > maxEventBytes:
 			return mayHaveRun, dispatch.Failed
 		}
 	}
