Stand-in target: measure the leave delay from the announcement

Cause: TestAnnouncesRoundRobinAndLeaves failed once at load 50 ('no announcement said that the target leaves'). Run slept for the leave delay from the signal, not from the first leaving announcement as documented, so an announcement in progress could use it up.

Change: Run waits for that announcement first.

--- a/standin/target/announce.go
+++ b/standin/target/announce.go
@@ -33,13 +33,18 @@
 	}
 }
 
-// announceLoop announces periodically until ctx ends. When leaving ends it announces at once that the target leaves.
-func (t *Target) announceLoop(ctx, leaving context.Context) {
+// announceLoop announces periodically until ctx ends. When leaving ends it announces at once that the target leaves, and closes announced
+// after that.
+func (t *Target) announceLoop(ctx, leaving context.Context, announced chan<- struct{}) {
 	ticker := time.NewTicker(t.cfg.AnnounceInterval)
 	defer ticker.Stop()
 	leavingDone := leaving.Done()
 	for round := 0; ; round++ {
 		t.announce(ctx, round)
+		if leavingDone == nil && announced != nil {
+			close(announced)
+			announced = nil
+		}
 		select {
 		case <-ctx.Done():
 			return
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -187,7 +187,8 @@
 	}
 	announceCtx, stopAnnouncing := context.WithCancel(context.Background())
 	var announcing sync.WaitGroup
-	announcing.Go(func() { t.announceLoop(announceCtx, ctx) })
+	announced := make(chan struct{})
+	announcing.Go(func() { t.announceLoop(announceCtx, ctx, announced) })
 	defer announcing.Wait()
 	defer stopAnnouncing()
 	select {
@@ -195,6 +196,7 @@
 		return errors.Wrap(err, "stand-in target stopped serving")
 	case <-ctx.Done():
 	}
+	<-announced
 	time.Sleep(t.cfg.LeaveDelay)
 	// Shutdown waits for every request in progress, however long it takes.
 	return errors.Wrap(server.Shutdown(context.Background()), "stand-in target cannot shut down")
