Publish the speeds of targets and use them in dispatch

Cause: dispatch assumed 30 prompt tokens per ms and 40 ms for full slots for all targets.

Change: gateways report the usual gaps of at most 32 pairs of target and model twice per second; the leader publishes speeds in effect with load summaries, those that changed by more than 5 % with a change number. The expected prefill time, the slowdown by running requests and the delay by queued ones are divided by the speed. Without a leader that knows speeds, gateways keep the last ones for 30 s.

--- a/coordination/dispatch/gaps.go
+++ b/coordination/dispatch/gaps.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "time"
+import (
+	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/speed"
+)
 
 const (
 	// gapSampleWeight is the weight of a new sample in the moving average. With one event per stream every 30 ms, a
@@ -23,9 +27,16 @@
 	baselineMs map[string]float64 // by model
 	average    float64            // of gap over baseline
 	observedAt time.Time
+	// usual holds the gaps from which the speed of the target is estimated, by model. The baseline is no base for that: with few
+	// streams it depends on the first gap, and events that are read together lower it by up to three quarters.
+	usual map[string]*speed.Gaps
+	// startedAtMs is the start time of the target whose gaps usual holds, 0 if unknown.
+	startedAtMs int64
 }
 
-func newGapTracker() gapTracker { return gapTracker{baselineMs: make(map[string]float64)} }
+func newGapTracker() gapTracker {
+	return gapTracker{baselineMs: make(map[string]float64), usual: make(map[string]*speed.Gaps)}
+}
 
 // observe records the gap before a stream event.
 func (g *gapTracker) observe(now time.Time, model string, gap time.Duration) {
@@ -43,6 +54,9 @@
 		baselineMs += baselineRiseWeight * (ms - baselineMs)
 	}
 	g.baselineMs[model] = baselineMs
+	if model != "" {
+		g.observeUsual(now, model, gap)
+	}
 	ratio := min(ms/baselineMs, maxSlowness)
 	if g.average == 0 || now.Sub(g.observedAt) > gapMaxAge {
 		g.average = 1
@@ -51,6 +65,18 @@
 	g.observedAt = now
 }
 
+func (g *gapTracker) observeUsual(now time.Time, model string, gap time.Duration) {
+	usual := g.usual[model]
+	if usual == nil {
+		if len(g.usual) >= maxModels {
+			clear(g.usual)
+		}
+		usual = &speed.Gaps{}
+		g.usual[model] = usual
+	}
+	usual.Add(now, gap)
+}
+
 // slowness returns the moving average of gap over baseline, 0 without recent observations.
 func (g *gapTracker) slowness(now time.Time) float64 {
 	if g.observedAt.IsZero() || now.Sub(g.observedAt) > gapMaxAge {
--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -122,6 +122,8 @@
 	silentProbeAt time.Time
 	latency       float64 // moving average of actual over expected time to first byte, 0 when unknown
 	gaps          gapTracker
+	// speed is that of the target relative to the median target of its service, 1 if it is unknown.
+	speed float64
 	// othersSlowness and othersPenaltyMs are the highest values that other gateways observed recently.
 	othersSlowness  float64
 	othersPenaltyMs float64
@@ -155,7 +157,7 @@
 
 // addPrefill adds the estimated prefill time of a prompt to the prefill backlog.
 func (s *targetState) addPrefill(now time.Time, tokens float64) {
-	prefillTime := time.Duration(tokens / defaultPrefillTokensPerMs * max(s.slowness(now), 1) * float64(time.Millisecond))
+	prefillTime := time.Duration(tokens / (defaultPrefillTokensPerMs * s.speed) * max(s.slowness(now), 1) * float64(time.Millisecond))
 	s.prefillDoneAt = now.Add(s.backlog(now) + prefillTime)
 }
 
@@ -174,6 +176,7 @@
 	othersKnown bool
 	gateways    int // number of gateways that share the targets, 0 if unknown
 	unloading   map[modelKey]bool
+	speeds      map[string]float64 // by target id
 	// notHeld are models and adapters that a target reported as not resident, and orderedAdapters those that a target
 	// was ordered to load. The values are expiry times, from which heartbeats are authoritative again.
 	notHeld         map[residentKey]time.Time
@@ -194,7 +197,7 @@
 func (tracker *LoadTracker) state(id string) *targetState {
 	s := tracker.targets[id]
 	if s == nil {
-		s = &targetState{pending: make(map[*InFlightRequest]struct{}), gaps: newGapTracker()}
+		s = &targetState{pending: make(map[*InFlightRequest]struct{}), gaps: newGapTracker(), speed: tracker.speedOf(id)}
 		tracker.targets[id] = s
 	}
 	return s
@@ -416,11 +419,12 @@
 // score returns the expected delay at the target, in ms.
 func (s *targetState) score(now time.Time, t *roster.Entry, q *Query, slots int) float64 {
 	running := s.own.Running + s.others.Running + s.unreportedReservations(now)
-	queuedPrefillMs := float64(s.own.PromptTokens+s.others.PromptTokens) / defaultPrefillTokensPerMs
-	ms := max(queuedPrefillMs, float64(s.backlog(now))/float64(time.Millisecond)) + float64(q.Tokens)/defaultPrefillTokensPerMs
-	ms += fullSlotsMs * float64(running) / float64(slots)
+	prefillTokensPerMs := defaultPrefillTokensPerMs * s.speed
+	queuedPrefillMs := float64(s.own.PromptTokens+s.others.PromptTokens) / prefillTokensPerMs
+	ms := max(queuedPrefillMs, float64(s.backlog(now))/float64(time.Millisecond)) + float64(q.Tokens)/prefillTokensPerMs
+	ms += fullSlotsMs * float64(running) / float64(slots) / s.speed
 	if queued := running - slots + 1; queued > 0 {
-		ms += queuedMs * float64(queued)
+		ms += queuedMs * float64(queued) / s.speed
 	}
 	if t.DataCentre != q.DataCentre {
 		ms += remoteMs
--- a/events/catalogue.go
+++ b/events/catalogue.go
@@ -45,6 +45,8 @@
 	VersionKnown          = define(310, "version-known", logrus.InfoLevel, "A majority of the control instances knows a software version of targets, so streams may begin there.")
 	StartPhaseBegan       = define(311, "start-phase-began", logrus.InfoLevel, "A target gets only a window of concurrent requests from all gateways together, which grows with its responses; the field cause says whether it has started, was lost, has recovered, or an earlier leader began the phase.")
 	StartPhaseEnded       = define(312, "start-phase-ended", logrus.InfoLevel, "A target gets requests as others do again; fields give its last window, the time that the phase took, and how many responses were in time and how many were late, refused or broken.")
+	SpeedsInEffect        = define(313, "speeds-in-effect", logrus.InfoLevel, "The targets of a service differ so much in speed that requests and copies of models follow it; the field ratio is the speed of fast targets over that of slow ones, and targets the number of those with a speed.")
+	SpeedsWithdrawn       = define(314, "speeds-withdrawn", logrus.InfoLevel, "The targets of a service count as equally fast again; fields as for speeds-in-effect.")
 	RequestAnswered       = define(400, "request-answered", logrus.DebugLevel, "A request was answered completely.")
 	RequestRefused        = define(401, "request-refused", logrus.InfoLevel, "A request was refused and did not run; the field reason says why.")
 	RequestFailed         = define(402, "request-failed", logrus.WarnLevel, "A request failed and may have run; the field reason says why.")
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -125,6 +125,7 @@
 	leader, _ := g.view.LeaderAndMembers()
 	if leader == "" {
 		g.applyQuota(time.Now(), nil)
+		g.applySpeeds(time.Now(), nil)
 		return errNoLeader
 	}
 	own := g.loadTracker.OwnObservations(time.Now())
@@ -140,6 +141,7 @@
 		report.Targets = append(report.Targets, fleetapi.LoadOf(id, l))
 	}
 	report.Quota = g.reportQuota(time.Now())
+	report.Speed = g.reportSpeeds(time.Now())
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var summary fleetapi.LoadSummary
@@ -147,6 +149,7 @@
 		g.loadTracker.SetPeerObservations(nil, nil)
 		g.forgetQueues()
 		g.applyQuota(time.Now(), nil)
+		g.applySpeeds(time.Now(), nil)
 		return err
 	}
 	g.applyQuota(time.Now(), summary.Quota)
@@ -181,6 +184,7 @@
 	g.loadTracker.SetPeerBrittle(now, summary.Brittle)
 	g.helpers.set(summary.Helpers, summary.HelpersChange)
 	g.applyParts(now, summary.Starting)
+	g.applySpeeds(now, summary.Speeds)
 	return nil
 }
 
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -120,6 +120,7 @@
 	// permitFailure is the latest failed call for a permit.
 	permitFailure atomic.Pointer[permitFailure]
 	quotas        *quotas
+	speeds        speeds
 }
 
 // New assembles a gateway.
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -22,7 +22,9 @@
 	unreachableTargets                                metrics.Gauge
 	// startingTargets is the number of targets in their start phase, heldBack are the picks that found room only at such targets,
 	// and startingSends the requests sent to them.
-	startingTargets              metrics.Gauge
+	startingTargets metrics.Gauge
+	// targetSpeeds is the number of targets whose speed the leader has published.
+	targetSpeeds                 metrics.Gauge
 	heldBack, startingSends      metrics.Counter
 	firstByteMs, totalMs, heldMs metrics.Histogram
 }
@@ -40,6 +42,7 @@
 		streamsNotTakenUp: counter("streams_not_taken_up"),
 		startingTargets:   metrics.GetOrRegisterGauge("gateway.starting_targets", r),
 		heldBack:          counter("held_back"), startingSends: counter("starting_sends"),
+		targetSpeeds:       metrics.GetOrRegisterGauge("gateway.target_speeds", r),
 		unreachableTargets: metrics.GetOrRegisterGauge("gateway.unreachable_targets", r),
 		firstByteMs:        histogram("first_byte_ms"), totalMs: histogram("total_ms"), heldMs: histogram("held_ms"),
 	}
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -8,6 +8,7 @@
 	"github.com/tarragonhoist/tarragonhoist/coordination/pace"
 	"github.com/tarragonhoist/tarragonhoist/coordination/quota"
 	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
+	"github.com/tarragonhoist/tarragonhoist/coordination/speed"
 	"github.com/tarragonhoist/tarragonhoist/coordination/targetlimit"
 )
 
@@ -129,6 +130,27 @@
 	Packed bool `json:"p,omitempty"`
 	// Quota is set where an account has a quota.
 	Quota *quota.Report `json:"q,omitempty"`
+	// Speed is left out by builds that do not know the speeds of targets.
+	Speed *SpeedReport `json:"sd,omitempty"`
+}
+
+// SpeedReport tells the leader what a gateway saw of the speeds of targets.
+type SpeedReport struct {
+	// Change is that of the latest speeds that the gateway applied.
+	Change uint64 `json:"c,omitempty"`
+	// Samples are at most speed.MaxSamples, those with the most new gaps.
+	Samples []speed.Sample `json:"s,omitempty"`
+}
+
+// Speeds are the speeds of targets.
+type Speeds struct {
+	// Change changes with the speeds.
+	Change uint64 `json:"c"`
+	// Complete is set if Percent replaces all speeds. Otherwise it holds what has changed since SpeedReport.Change.
+	Complete bool `json:"f,omitempty"`
+	// Percent is the speed by target, as a percentage of that of the median target of its service; 0 removes a speed. Targets
+	// without one count as 100.
+	Percent map[string]int `json:"p,omitempty"`
 }
 
 // AccountLoad is what a client account has running at targets and waiting at gateways.
@@ -184,6 +206,8 @@
 	Quota *quota.Levels `json:"q,omitempty"`
 	// Starting is the part of the gateway in the windows of targets in their start phase.
 	Starting []pace.Part `json:"sp,omitempty"`
+	// Speeds is left out while the leader has not learned the speeds yet, and in answers to reports without Speed.
+	Speeds *Speeds `json:"sd,omitempty"`
 }
 
 // percent converts between a slowness ratio and SlownessPercent.
