--- a/instance/gateway/speeds.go
+++ b/instance/gateway/speeds.go
@@ -10,8 +10,10 @@
 const (
 	// speedsTTL is the time without a leader that knows speeds after which all targets count as equally fast.
 	speedsTTL = 30 * time.Second
-	// speedReportInterval is the least time between two reports with samples, which cost the leader more than others.
+	// speedReportInterval is the least time between two reports with samples, which cost the leader more than others, and
+	// speedReportSpacing that between those of any two gateways at the leader: at most 167 per second.
 	speedReportInterval = 500 * time.Millisecond
+	speedReportSpacing  = 6 * time.Millisecond
 )
 
 // speeds are the speeds of targets as the leader published them. They belong to the goroutine that exchanges loads.
@@ -25,7 +27,8 @@
 // reportSpeeds returns what a load report says about the speeds of targets.
 func (g *Gateway) reportSpeeds(now time.Time) *fleetapi.SpeedReport {
 	report := &fleetapi.SpeedReport{Change: g.speeds.change}
-	if now.Sub(g.speeds.reportedAt) < speedReportInterval {
+	interval := max(speedReportInterval, time.Duration(g.gatewayCount.Gateways(now, 0))*speedReportSpacing)
+	if now.Sub(g.speeds.reportedAt) < interval {
 		return report
 	}
 	g.speeds.reportedAt = now
