Measure service times by model, and weigh copies by the speed of their targets

Cause: the expected wait used one mean service time for all models of a service. With a model whose streams take seven times as long as those of another, requests for the short model were refused although they would have been served in time. The wait also counted the slots of a slow target as if they served as much as those of a fast one.

Change: headroom.ServiceTimes keeps a mean for each service and model (2,048 at most, the least recently observed is dropped first) and answers with that of the service until a model has five samples. The mean of the first 20 samples is exact, so that a model does not begin with the mean of its service. headroom.ExpectedWait takes the copies with their speeds, and service times are kept at nominal speed. gateway.targetSpeed returns 1 until the speeds of targets are known, so nothing changes there yet.

--- a/coordination/headroom/headroom_test.go
+++ b/coordination/headroom/headroom_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -63,15 +64,21 @@
 // counted, and against urgent requests that are refused because of others.
 func TestExpectedWait(t *testing.T) {
 	own, others := Queue{Urgent: 2, Other: 10}, Queue{Urgent: 10, Other: 38}
-	if got := ExpectedWait(own, others, true, 24, 1500*time.Millisecond); got != 750*time.Millisecond {
+	if got := ExpectedWait(own, others, true, []Copy{{12, 1}, {12, 1}}, 1500*time.Millisecond); got != 750*time.Millisecond {
 		t.Errorf("urgent: %v, want 750ms", got)
 	}
-	if got := ExpectedWait(own, others, false, 24, 1500*time.Millisecond); got != 3750*time.Millisecond {
+	if got := ExpectedWait(own, others, false, []Copy{{12, 1}, {12, 1}}, 1500*time.Millisecond); got != 3750*time.Millisecond {
 		t.Errorf("other: %v, want 3.75s", got)
 	}
-	if got := ExpectedWait(Queue{Other: 1}, Queue{}, false, 0, time.Second); got != time.Second {
+	if got := ExpectedWait(Queue{Other: 1}, Queue{}, false, nil, time.Second); got != time.Second {
 		t.Errorf("without slots: %v, want 1s", got)
 	}
+	if got := ExpectedWait(own, others, true, []Copy{{12, 1.5}, {12, 0.5}}, 1500*time.Millisecond); got != 750*time.Millisecond {
+		t.Errorf("on a fast and a slow target: %v, want 750ms", got)
+	}
+	if got := ExpectedWait(own, others, true, []Copy{{12, 0.5}}, 1500*time.Millisecond); got != 3*time.Second {
+		t.Errorf("on a slow target: %v, want 3s", got)
+	}
 }
 
 // Guards against a reaction to a long queue that refuses all requests, and against the refusal of one that can be served in time.
@@ -101,17 +108,56 @@
 func TestServiceTimes(t *testing.T) {
 	s := NewServiceTimes()
 	for range 200 {
-		s.Observe("s", 2*time.Second)
+		s.Observe("s", "", 2*time.Second)
 	}
-	s.Observe("s", 20*time.Second)
-	if got := s.Mean("s"); got < 1900*time.Millisecond || got > 3*time.Second {
+	s.Observe("s", "", 20*time.Second)
+	if got := s.Mean("s", ""); got < 1900*time.Millisecond || got > 3*time.Second {
 		t.Errorf("mean %v after many requests of 2s and one of 20s", got)
 	}
-	if got := s.Mean("unknown"); got != initialServiceTime {
+	if got := s.Mean("unknown", "m"); got != initialServiceTime {
 		t.Errorf("mean %v of an unknown service", got)
 	}
 }
 
+// Guards against a model whose service time is that of a few requests, and against one that keeps that of its service.
+func TestServiceTimesOfModels(t *testing.T) {
+	s := NewServiceTimes()
+	for range 200 {
+		s.Observe("s", "long", 7*time.Second)
+	}
+	for range minModelSamples - 1 {
+		s.Observe("s", "short", time.Second)
+	}
+	if got, want := s.Mean("s", "short"), s.Mean("s", ""); got != want {
+		t.Errorf("mean %v of a model with %d samples, want %v as for its service", got, minModelSamples-1, want)
+	}
+	s.Observe("s", "short", time.Second)
+	if got := s.Mean("s", "short"); got != time.Second {
+		t.Errorf("mean %v of a model with %d samples of 1s", got, minModelSamples)
+	}
+	if got := s.Mean("s", "long"); got != 7*time.Second {
+		t.Errorf("mean %v of a model whose requests take 7s", got)
+	}
+	if got, want := s.Mean("other", "short"), initialServiceTime; got != want {
+		t.Errorf("mean %v of a model of the same name in another service, want %v", got, want)
+	}
+}
+
+// Guards against memory that grows with the names of models, and against a limit that drops a model in use.
+func TestServiceTimesAreBounded(t *testing.T) {
+	s := NewServiceTimes()
+	for i := range 3 * maxServiceTimeModels {
+		s.Observe("s", strconv.Itoa(i), time.Minute)
+		s.Observe("s", "used", 2*time.Second)
+	}
+	if n := s.models.Len(); n != maxServiceTimeModels {
+		t.Errorf("%d models have a service time, want %d", n, maxServiceTimeModels)
+	}
+	if got := s.Mean("s", "used"); got < 1999*time.Millisecond || got > 2001*time.Millisecond {
+		t.Errorf("mean %v of a model whose requests take 2s", got)
+	}
+}
+
 // Guards against gateways whose parts add up to more than the free slots, and against urgent requests that get less because others
 // wait.
 func TestPart(t *testing.T) {
--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -45,7 +45,7 @@
 	own, others := g.demand.queue(q), (*g.queues.Load())[q.modelKey()]
 	query.Sharing = &dispatch.Sharing{
 		Part: headroom.Part(own, others, r.Urgent()), Waiting: headroom.Competing(own, others, r.Urgent()),
-		PartUnknown: 1 / float64(max(g.gatewayCount.Gateways(now, startingGateways), 1)), ServiceTime: g.serviceTimes.Mean(q.service.Name),
+		PartUnknown: 1 / float64(max(g.gatewayCount.Gateways(now, startingGateways), 1)), ServiceTime: g.serviceTimes.Mean(q.service.Name, q.prompt.Model),
 	}
 	if r.Urgent() && q.route.Rank <= mostUrgent {
 		query.Sharing.Part = 1 // engines serve these first, so their queues order them better than gateways could
@@ -54,15 +54,15 @@
 
 // expectedWait is how long a request is expected to wait while the copies of its model are full.
 func (g *Gateway) expectedWait(now time.Time, q *request) time.Duration {
-	slots := 0
+	var copies []headroom.Copy
 	targets := g.view.Targets()
 	for i := range targets {
 		if t := &targets[i]; t.Service == q.service.Name && t.State == roster.Ready && t.HeldModel(q.prompt.Model) != nil {
-			slots += dispatch.SlotsOf(t, q.service.Engine.Slots)
+			copies = append(copies, headroom.Copy{Slots: dispatch.SlotsOf(t, q.service.Engine.Slots), Speed: g.targetSpeed(t.ID)})
 		}
 	}
-	return headroom.ExpectedWait(g.demand.queue(q), (*g.queues.Load())[q.modelKey()], g.headroomRequest(now, q).Urgent(), slots,
-		g.serviceTimes.Mean(q.service.Name))
+	return headroom.ExpectedWait(g.demand.queue(q), (*g.queues.Load())[q.modelKey()], g.headroomRequest(now, q).Urgent(), copies,
+		g.serviceTimes.Mean(q.service.Name, q.prompt.Model))
 }
 
 // reasonTooManyWaiting is why a request is refused before the end of its wait.
--- a/instance/gateway/headroom_test.go
+++ b/instance/gateway/headroom_test.go
@@ -1,6 +1,9 @@
 package gateway
 
 import (
+	"fmt"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -99,6 +102,45 @@
 	}
 }
 
+// Guards against requests for a model with short streams that are refused because streams of another model of the service take long.
+func TestShortModelIsNotShedForLongOnes(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	g := f.gateway
+	durations := map[string]time.Duration{"m": 40 * time.Millisecond, "long": 280 * time.Millisecond}
+	f.target("t0", "engine", func(conn net.Conn, r *http.Request, _ string) {
+		time.Sleep(durations[r.Header.Get("Model")])
+		writeStream(conn, r, true, event(1))
+	})
+	holding := f.view.Targets()[0].Target
+	holding.HeartbeatSequence, holding.Models = 2, []roster.Held{{Model: "m"}, {Model: "long"}}
+	if _, err := f.view.ApplyHeartbeat(time.Now(), holding); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 10 { // more than a model needs for a service time of its own
+		for model := range durations {
+			if response, _, err := f.call(fmt.Sprint(model, i), "/stream/x", "Model: "+model); err != nil || response.StatusCode != http.StatusOK {
+				t.Fatalf("response %+v, error %v", response, err)
+			}
+		}
+	}
+	g.queues.Store(queuesOf([]fleetapi.ModelLoad{{Service: "engine", Model: "m", Waiting: 40, Urgent: 40}, {Service: "engine", Model: "long", Waiting: 40, Urgent: 40}}))
+	now := time.Now()
+	table, urgent, _ := deferrableTable()
+	// 40 requests before it on 4 slots are expected to take 0.4 s for one model, and 2.8 s for the other.
+	for model, want := range map[string]bool{"m": false, "long": true} {
+		q := headroomRequest(now, table, urgent, 0)
+		q.prompt.Model = model
+		shed := false
+		for range 100 { // as many as can be served are kept, at random
+			shed = g.shouldShed(now, q, dispatch.AllFull, 1500*time.Millisecond) || shed
+		}
+		if shed != want {
+			t.Errorf("model %s: refused is %v after an expected wait of %v, want %v", model, shed, g.expectedWait(now, q), want)
+		}
+	}
+}
+
 // Guards against a stream that is cut, or a request that is given up, at its first look for another target: it has waited and was sent
 // before, so it does not arrive now.
 func TestRequestsThatWereSentAreNotShed(t *testing.T) {
--- a/instance/gateway/send.go
+++ b/instance/gateway/send.go
@@ -36,7 +36,7 @@
 		g.loadTracker.Finish(ended, inFlight, end)
 		paced.finish(ended, end)
 		if end == dispatch.Complete {
-			g.serviceTimes.Observe(target.Service, ended.Sub(now))
+			g.observeServiceTime(q, target, ended.Sub(now))
 		}
 	}()
 	g.recordResumption(r, q, target)
