Plan copies of models by the speed of targets

Cause: placement counted all copies of a model as equal, although a copy on a target of speed 1.6 serves 2.7 times as many requests as one of speed 0.6. Which targets hold the two or three copies of a model with rising demand was left to chance.

Change: residency.Target.Speed (0 means 1). Demand per copy is that of the model over the sum of the speeds of its copies. The cost of a target has a term for its speed, negative for a fast target and a copy in demand, and for a slow one and a copy with little demand. Copies on slow targets are unloaded first, and free memory is filled from the fastest target on. No threshold changes, so speeds are no reason for a load. Director.targetSpeed returns 1 until speeds are estimated.

--- a/coordination/residency/ahead.go
+++ b/coordination/residency/ahead.go
@@ -189,7 +189,7 @@
 			c.urgency = UrgencyOverload
 		}
 		return c, true
-	case a.usableCopies[m.Name] > 0 && m.Forecast.Soon/float64(a.copies[m.Name]) >= minOverloadSoon*a.maxSlots:
+	case a.usableCopies[m.Name] > 0 && m.Forecast.Soon/a.speeds[m.Name] >= minOverloadSoon*a.maxSlots:
 		c.fastOnly = true
 		return c, true
 	}
@@ -226,7 +226,8 @@
 		if !ok {
 			continue
 		}
-		cost := loss + a.loadCost(t, c.Name, fromStore) + targetLoadCost*a.loadWithout(i, victim)/a.maxSlots
+		cost := loss + a.loadCost(t, c.Name, fromStore) + targetLoadCost*a.loadWithout(i, victim)/a.maxSlots +
+			a.speedCost(t, c.Name, a.expected(c.Model))
 		if n := a.copies[c.Name]; n > 0 && t.DataCentre != "" {
 			cost += dataCentreCost * float64(inDataCentre[t.DataCentre]) / float64(n)
 		}
@@ -284,26 +285,26 @@
 		if !t.canReplace(other, c.Model) {
 			continue
 		}
-		if cost, allowed := a.unloadCost(other, c); allowed && cost < loss {
+		if cost, allowed := a.unloadCost(t, other, c); allowed && cost < loss {
 			name, loss = held, cost
 		}
 	}
 	return name, loss, name != ""
 }
 
-// unloadCost returns the cost of unloading a copy of a model in favour of another one, and whether that is allowed. A copy
-// is kept where the forecast of its model needs it.
-func (a *aheadPlanner) unloadCost(victim *Model, gaining *candidate) (cost float64, allowed bool) {
+// unloadCost returns the cost of unloading the copy of a model on a target in favour of another one, and whether that is
+// allowed. A copy is kept where the forecast of its model needs it.
+func (a *aheadPlanner) unloadCost(t *Target, victim *Model, gaining *candidate) (cost float64, allowed bool) {
 	if a.usableCopies[victim.Name] < 2 || a.byName[victim.Name] == nil {
-		return a.planner.unloadCost(victim, gaining.Model)
+		return a.planner.unloadCost(t, victim, gaining.Model)
 	}
-	copies := float64(a.copies[victim.Name])
+	copies, speedsLeft := float64(a.copies[victim.Name]), a.speeds[victim.Name]-t.Speed
 	expected := max(a.expected(victim), a.expectedSoon(victim))
-	demandAfter := expected / (copies - 1)
+	demandAfter := expected / speedsLeft
 	if a.copies[gaining.Name] > 0 && demandAfter > maxDonorDemandShare*gaining.pressure {
 		return 0, false
 	}
 	running := victimLoadCost * victim.Demand / copies
-	recent := recentDemandCost * victim.RecentDemand / (copies - 1)
+	recent := recentDemandCost * victim.RecentDemand / speedsLeft
 	return (demandAfter + running + recent) / a.maxSlots, true
 }
--- a/coordination/residency/plan.go
+++ b/coordination/residency/plan.go
@@ -59,6 +59,8 @@
 	Running int
 	// DataCentre is the data centre of the target.
 	DataCentre string
+	// Speed is relative to the nominal speed; 0 means 1. A copy serves in proportion to it. See speed.go.
+	Speed float64
 }
 
 // busy reports whether the target currently accepts no orders.
@@ -134,9 +136,13 @@
 
 type planner struct {
 	targets []Target
+	// bySpeed are the targets, the fastest first.
+	bySpeed []*Target
 	models  []Model
 	byName  map[string]*Model
 	copies  map[string]int
+	// speeds are the sums of the speeds of the copies.
+	speeds map[string]float64
 	// usableCopies counts the copies that are known to serve requests. A copy that is still being loaded, or on a
 	// target that has yet to report what it holds, doesn't allow another copy to be unloaded.
 	usableCopies   map[string]int
@@ -152,11 +158,13 @@
 
 func newPlanner(in Input) *planner {
 	p := &planner{targets: slices.Clone(in.Targets), models: slices.Clone(in.Models), byName: make(map[string]*Model),
-		copies: make(map[string]int), usableCopies: make(map[string]int), storeLoadsLeft: in.StoreLoads, maxSlots: 1,
+		copies: make(map[string]int), speeds: make(map[string]float64), usableCopies: make(map[string]int), storeLoadsLeft: in.StoreLoads, maxSlots: 1,
 		oversubscribed: oversubscribed(in.Targets, in.Models)}
 	p.byForecast = !p.oversubscribed && slices.ContainsFunc(p.models, func(m Model) bool { return m.longLoad() })
 	// Targets and models are sorted so that the plan doesn't depend on the iteration order of maps at the caller.
 	slices.SortFunc(p.targets, func(a, b Target) int { return cmp.Compare(a.ID, b.ID) })
+	setSpeeds(p.targets)
+	p.bySpeed = p.fastestFirst()
 	for i := range p.targets {
 		t := &p.targets[i]
 		t.Models = slices.Clone(t.Models)
@@ -167,6 +175,7 @@
 		p.maxAdapterSlots = max(p.maxAdapterSlots, t.AdapterSlots)
 		for _, m := range t.Models {
 			p.copies[m]++
+			p.speeds[m] += t.Speed
 			if m != t.Loading && !t.AwaitingReport {
 				p.usableCopies[m]++
 			}
@@ -189,7 +198,7 @@
 // ranks above models whose copies are not overloaded, and above all others once requests for it wait.
 func (p *planner) pressure(m *Model) float64 {
 	if n := p.copies[m.Name]; n > 0 {
-		pressure := p.expected(m) / float64(n)
+		pressure := p.expected(m) / p.speeds[m.Name]
 		if p.usableCopies[m.Name] == 0 && !p.ahead(m) { // a forecast doesn't count waiting requests twice
 			pressure /= waitingDemandFactor
 		}
@@ -237,7 +246,7 @@
 		if !ok {
 			continue
 		}
-		cost := loss + targetLoadCost*float64(t.Running)/p.maxSlots
+		cost := loss + targetLoadCost*float64(t.Running)/p.maxSlots + p.speedCost(t, m.Name, m.Demand)
 		if fromStore {
 			cost += storeLoadCost
 		} else if !slices.Contains(t.InMemory, m.Name) {
@@ -281,8 +290,7 @@
 // fillFreeMemory returns a move that loads the model with the highest pressure into free memory. Before any demand is
 // known, that is the model with the most copies.
 func (p *planner) fillFreeMemory() (Move, bool) {
-	for i := range p.targets {
-		t := &p.targets[i]
+	for _, t := range p.bySpeed {
 		if t.busy() || p.blocksAdapterOrders(t) {
 			continue
 		}
@@ -364,7 +372,7 @@
 		if !found {
 			continue
 		}
-		c := loss + m.Demand/p.maxSlots
+		c := loss + m.Demand/p.maxSlots + p.speedCost(to, name, m.Demand)
 		if fromStore {
 			c += storeLoadCost
 		}
@@ -384,7 +392,7 @@
 		if other == nil || p.usableCopies[held] < 2 || !t.canReplace(other, m) {
 			continue
 		}
-		demandAfter := other.Demand / float64(p.copies[held]-1) / p.maxSlots
+		demandAfter := other.Demand / (p.speeds[held] - t.Speed) / p.maxSlots
 		if demandAfter <= maxSpreadDonorDemand && demandAfter < loss {
 			name, loss, ok = held, demandAfter, true
 		}
@@ -406,6 +414,10 @@
 	for i := range p.targets {
 		if t := &p.targets[i]; t.ID == move.Target {
 			t.MoveInProgress = true
+			p.speeds[move.Load] += t.Speed
+			if move.Unload != "" {
+				p.speeds[move.Unload] -= t.Speed
+			}
 		}
 	}
 }
--- a/coordination/residency/replay_test.go
+++ b/coordination/residency/replay_test.go
@@ -27,16 +27,32 @@
 	replayShortStream = 250 * time.Millisecond
 	// replayPatience is the time after which a caller without a slot has left.
 	replayPatience = 2 * time.Second
-	replayOnDisk   = 6
-	replayInMemory = 2
+	// replayObjective is the time within which a request has to find a slot to be in time.
+	replayObjective = 400 * time.Millisecond
+	replayOnDisk    = 6
+	replayInMemory  = 2
 	// replayRare is the rate of a model, in requests per second, below which a load for it counts as unneeded: fewer than two
 	// of its requests run at a time.
 	replayRare = 2.0
 )
 
+// replaySite is the deployment that a replay plays.
+type replaySite struct {
+	models    int
+	storeLoad time.Duration
+	// speeds are those of the targets, each of an equal part of them. Without speeds, all have the nominal one.
+	speeds []float64
+	// planBySpeed means that the planner knows the speeds.
+	planBySpeed bool
+}
+
+// firstSite is the first deployment.
+var firstSite = replaySite{models: replayModels, storeLoad: replayStoreLoad}
+
 // replayResult sums up a replay.
 type replayResult struct {
 	requests, foundSlot, served      int
+	inTime                           int // found a slot within replayObjective
 	storeLoads, fastLoads, unneeded  int
 	busiest                          float64 // load of the busiest target, in multiples of the mean
 	busiestSamples, busiestSampleSum float64
@@ -46,10 +62,13 @@
 
 func (r *replayResult) servedShare() float64 { return float64(r.served) / float64(max(r.requests, 1)) }
 
+func (r *replayResult) inTimeShare() float64 { return float64(r.inTime) / float64(max(r.requests, 1)) }
+
 func (r *replayResult) add(o replayResult) {
 	r.requests += o.requests
 	r.foundSlot += o.foundSlot
 	r.served += o.served
+	r.inTime += o.inTime
 	r.storeLoads += o.storeLoads
 	r.fastLoads += o.fastLoads
 	r.unneeded += o.unneeded
@@ -59,8 +78,8 @@
 }
 
 func (r replayResult) String() string {
-	return fmt.Sprintf("%d requests, %.3f found a free slot, %.3f served, %d loads from the store (%d for models without demand), %d from disk or memory, busiest target %.2f times the mean",
-		r.requests, r.share(), r.servedShare(), r.storeLoads, r.unneeded, r.fastLoads, r.busiest)
+	return fmt.Sprintf("%d requests, %.3f found a free slot (%.3f within 400 ms), %.3f served, %d loads from the store (%d for models without demand), %d from disk or memory, busiest target %.2f times the mean",
+		r.requests, r.share(), r.inTimeShare(), r.servedShare(), r.storeLoads, r.unneeded, r.fastLoads, r.busiest)
 }
 
 type replayTarget struct {
@@ -68,6 +87,7 @@
 	move     Move
 	ends     map[string][]time.Time // of running requests, by model
 	loadedAt map[string]time.Time
+	speed    float64
 	freeAt   time.Time // end of the load in progress
 	seenAt   time.Time // when gateways and the planner learn of it
 	loading  bool      // the model to unload is gone
@@ -78,9 +98,11 @@
 }
 
 type replay struct {
+	site     replaySite
 	rates    func(model int, elapsed time.Duration) float64
 	loadTime time.Duration // as the planner knows it; 0 for plans by current demand
-	rng      *rand.Rand
+	rng      *rand.Rand    // of arrivals
+	lengths  *rand.Rand    // of streams
 	now      time.Time
 	elapsed  time.Duration
 	targets  []*replayTarget
@@ -95,18 +117,36 @@
 }
 
 func newReplay(seed uint64, loadTime time.Duration, rates func(model int, elapsed time.Duration) float64) *replay {
-	r := &replay{rates: rates, loadTime: loadTime, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0),
-		byID: map[string]*replayTarget{}, smoothed: make([]SmoothedDemand, replayModels), trends: make([]Trend, replayModels),
-		waiting: make([][]time.Time, replayModels)}
+	return newReplayOf(firstSite, seed, loadTime, rates)
+}
+
+func newReplayOf(site replaySite, seed uint64, loadTime time.Duration, rates func(model int, elapsed time.Duration) float64) *replay {
+	r := &replay{site: site, rates: rates, loadTime: loadTime, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0),
+		byID: map[string]*replayTarget{}, smoothed: make([]SmoothedDemand, site.models), trends: make([]Trend, site.models),
+		waiting: make([][]time.Time, site.models)}
+	r.lengths = r.rng
+	speedOf := make([]float64, replayTargets)
+	for i := range speedOf {
+		speedOf[i] = 1
+	}
+	if len(site.speeds) > 0 {
+		r.lengths = rand.New(rand.NewPCG(seed, 9)) // so that the same requests arrive whatever the plan
+		for i, j := range rand.New(rand.NewPCG(seed, 10)).Perm(replayTargets) {
+			speedOf[j] = site.speeds[i%len(site.speeds)]
+		}
+	}
 	r.limiter = NewLoadLimiter(r.now)
-	for m := range replayModels {
+	for m := range site.models {
 		r.names = append(r.names, fmt.Sprintf("m%03d", m))
 	}
 	for i := range replayTargets {
 		t := &replayTarget{Target: Target{ID: fmt.Sprintf("t%02d", i), CapacityMB: 3*weights + 5, Slots: replaySlots,
-			DataCentre: fmt.Sprint("dc", i%3), UsedMB: 3 * weights}, ends: map[string][]time.Time{}, loadedAt: map[string]time.Time{}}
+			DataCentre: fmt.Sprint("dc", i%3), UsedMB: 3 * weights}, ends: map[string][]time.Time{}, loadedAt: map[string]time.Time{}, speed: speedOf[i]}
+		if site.planBySpeed {
+			t.Speed = speedOf[i]
+		}
 		for place := range 3 {
-			t.Models = append(t.Models, r.names[(i+place*replayTargets)%replayModels])
+			t.Models = append(t.Models, r.names[(i+place*replayTargets)%site.models])
 		}
 		t.OnDisk = slices.Clone(t.Models)
 		r.targets = append(r.targets, t)
@@ -143,11 +183,11 @@
 	}
 }
 
-// start runs a request on the target with the fewest running requests and reports whether one had a free slot.
+// start runs a request on the target with the fewest running requests in proportion to its speed and reports whether one had a free slot.
 func (r *replay) start(m int) bool {
 	var best *replayTarget
 	for _, t := range r.targets {
-		if t.serves(r.names[m]) && t.Running < t.Slots && (best == nil || t.Running < best.Running) {
+		if t.serves(r.names[m]) && t.Running < t.Slots && (best == nil || float64(t.Running+1)*best.speed < float64(best.Running+1)*t.speed) {
 			best = t
 		}
 	}
@@ -156,10 +196,10 @@
 	}
 	best.Running++
 	took := replayStream
-	if r.rng.IntN(2) == 0 {
+	if r.lengths.IntN(2) == 0 {
 		took = replayShortStream
 	}
-	best.ends[r.names[m]] = append(best.ends[r.names[m]], r.now.Add(took))
+	best.ends[r.names[m]] = append(best.ends[r.names[m]], r.now.Add(time.Duration(float64(took)/best.speed)))
 	r.result.served++
 	return true
 }
@@ -167,8 +207,13 @@
 func (r *replay) serveWaiting(m int) {
 	kept := r.waiting[m][:0]
 	for _, at := range r.waiting[m] {
-		if r.now.Sub(at) < replayPatience && !r.start(m) {
+		waited := r.now.Sub(at)
+		switch {
+		case waited >= replayPatience:
+		case !r.start(m):
 			kept = append(kept, at)
+		case waited <= replayObjective:
+			r.result.inTime++
 		}
 	}
 	r.waiting[m] = kept
@@ -183,6 +228,7 @@
 		r.result.requests++
 		if r.start(m) {
 			r.result.foundSlot++
+			r.result.inTime++
 		} else {
 			r.waiting[m] = append(r.waiting[m], r.now)
 		}
@@ -222,7 +268,7 @@
 func (r *replay) loadDuration(t *replayTarget) time.Duration {
 	switch {
 	case t.move.FromStore:
-		return replayStoreLoad
+		return r.site.storeLoad
 	case slices.Contains(t.InMemory, t.move.Load):
 		return replayMemoryLoad
 	}
--- a/coordination/residency/victim.go
+++ b/coordination/residency/victim.go
@@ -40,7 +40,7 @@
 		if !t.canReplace(other, m) {
 			continue
 		}
-		if cost, allowed := p.unloadCost(other, m); allowed && cost < loss {
+		if cost, allowed := p.unloadCost(t, other, m); allowed && cost < loss {
 			name, loss = held, cost
 		}
 	}
@@ -56,9 +56,9 @@
 	return !slices.Contains(t.Settling, held.Name) && t.UsedMB-heldMB+m.WeightsMB <= t.CapacityMB
 }
 
-// unloadCost returns the cost of unloading a copy of a model in favour of another one, and whether that is allowed. A model that
-// was withdrawn costs nothing.
-func (p *planner) unloadCost(victim, gaining *Model) (cost float64, allowed bool) {
+// unloadCost returns the cost of unloading the copy of a model on a target in favour of another one, and whether that is allowed. A
+// model that was withdrawn costs nothing.
+func (p *planner) unloadCost(t *Target, victim, gaining *Model) (cost float64, allowed bool) {
 	if p.byName[victim.Name] == nil {
 		return 0, true
 	}
@@ -66,7 +66,7 @@
 	// The running requests of the victim must finish before its memory is free.
 	running := victimLoadCost * victim.Demand / float64(copies) / p.maxSlots
 	if p.usableCopies[victim.Name] >= 2 {
-		demandAfter := victim.Demand / float64(copies-1)
+		demandAfter := victim.Demand / (p.speeds[victim.Name] - t.Speed)
 		if p.copies[gaining.Name] > 0 && demandAfter > maxDonorDemandShare*p.pressure(gaining) {
 			return 0, false
 		}
--- a/instance/controlinstance/director.go
+++ b/instance/controlinstance/director.go
@@ -326,7 +326,7 @@
 			continue
 		}
 		t := c.plannerTarget(now, service.Engine, d.sizes)
-		t.ID, t.Running = id, d.gateways.running(id)
+		t.ID, t.Running, t.Speed = id, d.gateways.running(id), d.targetSpeed(service.Name, id)
 		input.Targets = append(input.Targets, t)
 	}
 	if len(input.Targets) == 0 {
