Bound the grants that gateways do not know of yet, and the sum of fallback shares

Cause: when the leader is lost, gateways subtract the last level that they know from their fallback shares. Demand of 80 times the quota got the whole quota granted between two reports, so nobody subtracted it. In addition, the shares by use that the ledger stated while the use of an account began added up to several times the limit: the first gateway that reports has all of the use, the second one half of it, and so on.

Change: gateways acknowledge the latest answer with levels. The ledger grants at most 20 % of the limit, or two requests of the size asked for, beyond the oldest level that a gateway in contact is known to have. A request beyond that, but within the quota, waits for the stated time and asks again, for up to 2 s and 0.45 of its time. The shares by use stay at most 0.5 in all.

Test driver: a gateway that was added while a limit was changed kept the old limit for good. The bound of the test allows 300 ms for a changed limit, and so does the driver now. The demand of the property test no longer follows a limit that is lowered, which is 80 times the rate in force and more.

--- a/coordination/quota/driver_test.go
+++ b/coordination/quota/driver_test.go
@@ -15,6 +15,8 @@
 	testTakeover    = 600 * time.Millisecond
 	testReportLimit = 400 * time.Millisecond
 	testAskLimit    = 200 * time.Millisecond
+	// limitDelay is the longest time until all gateways know a changed limit.
+	limitDelay = 300 * time.Millisecond
 )
 
 func testOptions() Options {
@@ -92,6 +94,7 @@
 	admitted, offered []admission
 	refused           []refusal
 	asks, reports     int
+	held              int     // number of waits
 	givesBack         float64 // probability
 	// admit limits the offered requests if it is set.
 	admit func(cost float64) bool
@@ -144,6 +147,8 @@
 func (d *driver) addGateway() *gateway {
 	d.named++
 	g := &gateway{name: fmt.Sprint("g", d.named), limit: d.limit}
+	// The configuration that it starts with may be replaced by now.
+	d.after(limitDelay, func() { g.limit = d.newestLimit() })
 	d.gateways = append(d.gateways, g)
 	d.start(g)
 	return g
@@ -255,10 +260,10 @@
 		return
 	}
 	d.offered = append(d.offered, admission{at: d.now, cost: cost})
-	d.decide(g, g.starts, cost, 3)
+	d.decide(g, g.starts, cost, 3, d.now)
 }
 
-func (d *driver) decide(g *gateway, starts int, cost float64, tries int) {
+func (d *driver) decide(g *gateway, starts int, cost float64, tries int, offered time.Time) {
 	decision := g.limiter.Admit(d.now, "a", g.limit, cost, d.rng.Float64())
 	if !decision.Ask || tries == 0 {
 		d.end(g, decision, cost)
@@ -277,8 +282,10 @@
 				d.end(g, g.limiter.Fallback(d.now, decision.Request, g.limit, d.rng.Float64()), cost)
 				return
 			}
-			if settled := g.limiter.Granted(d.now, decision.Request, grant); settled.Ask {
-				d.decide(g, starts, cost, tries-1)
+			if settled := g.limiter.Granted(d.now, decision.Request, grant); settled.Hold > 0 {
+				d.hold(g, starts, cost, settled.Hold, offered)
+			} else if settled.Ask {
+				d.decide(g, starts, cost, tries-1, offered)
 			} else {
 				d.end(g, settled, cost)
 			}
@@ -294,6 +301,22 @@
 	})
 }
 
+// hold has a request wait until the gateways know of earlier grants.
+func (d *driver) hold(g *gateway, starts int, cost float64, wait time.Duration, offered time.Time) {
+	if d.now.Add(wait).Sub(offered) > MaxHold {
+		d.end(g, Decision{Refuse: true, RetryAfter: wait}, cost)
+		return
+	}
+	d.held++
+	d.after(wait, func() {
+		d.whenAwake(g, func() {
+			if g.runs(starts) {
+				d.decide(g, starts, cost, 3, offered)
+			}
+		})
+	})
+}
+
 func (d *driver) end(g *gateway, decision Decision, cost float64) {
 	if !decision.Admit {
 		d.refused = append(d.refused, refusal{d.now, g.name, cost, decision.Fallback, decision.RetryAfter})
@@ -341,7 +364,7 @@
 	d.limits = append(d.limits, limitChange{d.now, limit})
 	d.after(time.Duration(d.rng.Float64()*float64(200*time.Millisecond)), func() { d.limit = d.newestLimit() })
 	for _, g := range d.gateways {
-		d.after(time.Duration(d.rng.Float64()*float64(300*time.Millisecond)), func() { g.limit = d.newestLimit() })
+		d.after(time.Duration(d.rng.Float64()*float64(limitDelay)), func() { g.limit = d.newestLimit() })
 	}
 }
 
@@ -352,7 +375,7 @@
 func (d *driver) hardBound(at time.Time) float64 {
 	bound := 0.0
 	for i, c := range d.limits {
-		if i+1 < len(d.limits) && d.limits[i+1].at.Before(at.Add(-d.opts.Window-300*time.Millisecond)) || c.at.After(at) {
+		if i+1 < len(d.limits) && d.limits[i+1].at.Before(at.Add(-d.opts.Window-limitDelay)) || c.at.After(at) {
 			continue
 		}
 		bound = max(bound, d.opts.Hard(c.limit))
--- a/coordination/quota/exchange.go
+++ b/coordination/quota/exchange.go
@@ -12,7 +12,7 @@
 	defer l.mu.Unlock()
 	l.sequence++
 	l.reportAt = now
-	r := &Report{Incarnation: l.incarnation, Sequence: l.sequence, Epoch: l.epoch, Joins: l.joins, Gateways: l.gateways}
+	r := &Report{Incarnation: l.incarnation, Sequence: l.sequence, Epoch: l.epoch, Joins: l.joins, Gateways: l.gateways, Answered: l.answered}
 	for name, u := range l.accounts {
 		if use, ok := l.use(now, name, u); ok {
 			r.Uses = append(r.Uses, use)
@@ -63,7 +63,7 @@
 	if !levels.Ready {
 		return
 	}
-	l.ready, l.gateways, l.sentAt = true, levels.Gateways, l.reportAt
+	l.ready, l.gateways, l.sentAt, l.answered = true, levels.Gateways, l.reportAt, l.sequence
 	for _, u := range l.accounts {
 		u.known = u.reported
 	}
@@ -84,7 +84,7 @@
 
 // join prepares a report to a ledger that knows nothing of this gateway. Grants of another ledger are void.
 func (l *Limiter) join(epoch uint64) {
-	l.epoch, l.joins, l.ready = epoch, true, false
+	l.epoch, l.joins, l.ready, l.answered = epoch, true, false, 0
 	for _, u := range l.accounts {
 		u.granted, u.taken, u.known, u.deniedUntil = 0, 0, totals{}, time.Time{}
 	}
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -29,6 +29,8 @@
 	silent    []*member // they stopped reporting
 	lost      int       // of those, the gateways that count no more for shares
 	checkedAt time.Time
+	// ackedAt is the time of the oldest level that is the newest one at a gateway in contact.
+	ackedAt time.Time
 	// busy are the levels of the accounts that all gateways are told, as of busyAt.
 	busy   []Level
 	busyAt time.Time
@@ -42,6 +44,7 @@
 type member struct {
 	incarnation, sequence uint64
 	reportedAt            time.Time
+	ackedAt               time.Time // of the newest level that it is known to have, or of its join
 	silent                bool
 	uses                  map[string]*memberUse
 }
@@ -50,6 +53,8 @@
 type memberUse struct {
 	spent, granted, outstanding, own, share float64
 	want, cost                              float64 // as last reported; want is 0 if the account is not in use there
+	// byUse is the part of share that depends on use.
+	byUse float64
 	// assumed is the part of the grants that counts as used since assumedAt, because the gateway stopped reporting.
 	assumed   float64
 	assumedAt time.Time
@@ -60,6 +65,7 @@
 	window      *Window
 	outstanding float64 // granted and not reported as used or given back
 	own         float64 // sum of the use that gateways report as their own
+	byUse       float64 // sum of the parts of shares that depend on use
 	inherited   stated  // by an earlier ledger
 	// silentShare is the share of the gateways that stopped reporting, as of silentAt.
 	silentShare float64
@@ -69,6 +75,8 @@
 	largest     float64 // request for which a grant was requested
 	denials     float64 // recent ones, as of deniedAt
 	deniedAt    time.Time
+	unacked     unackedGrants
+	held        heldRequests
 }
 
 // NewLedger returns the ledger of a leader. epoch is not 0 and differs between leaders.
@@ -201,6 +209,7 @@
 			}
 		}
 	}
+	l.updateAcked(now)
 }
 
 func (l *Ledger) assumeUsed(now time.Time, m *member) {
@@ -218,6 +227,7 @@
 		a := l.account(name)
 		a.outstanding -= u.outstanding
 		a.own -= u.own
+		a.byUse -= u.byUse
 	}
 }
 
--- a/coordination/quota/ledger_report.go
+++ b/coordination/quota/ledger_report.go
@@ -27,6 +27,9 @@
 		return &Levels{Epoch: l.epoch, Rejoin: true}
 	}
 	if r.Sequence > m.sequence {
+		if r.Answered > 0 && r.Answered >= m.sequence {
+			m.ackedAt = m.reportedAt // the answer to the report before
+		}
 		m.sequence, m.reportedAt = r.Sequence, now
 		m.silent = false
 		for i := range r.Uses {
@@ -80,7 +83,7 @@
 		// What the earlier process held may have been used.
 		l.assumeUsed(now, m)
 		l.forget(m)
-		m.incarnation, m.sequence, m.uses = r.Incarnation, 0, make(map[string]*memberUse)
+		m.incarnation, m.sequence, m.uses, m.ackedAt = r.Incarnation, 0, make(map[string]*memberUse), now
 		return nil
 	}
 	switch {
@@ -91,7 +94,7 @@
 	case !r.Joins:
 		return nil
 	}
-	m = &member{incarnation: r.Incarnation, uses: make(map[string]*memberUse)}
+	m = &member{incarnation: r.Incarnation, uses: make(map[string]*memberUse), ackedAt: now}
 	l.gateways[gateway] = m
 	l.predecessors = max(l.predecessors, r.Gateways)
 	if r.Gateways > 0 {
@@ -146,15 +149,12 @@
 	used, units := l.used(now, name, a, limit), l.opts.units(limit)
 	isClose := used > freeGrantShare*units || used+a.outstanding > closeShare*units
 	if !isClose {
-		give := math.Floor(min(u.want-u.outstanding, grantPart*(freeGrantShare*units-used-a.outstanding)))
+		give := math.Floor(min(u.want-u.outstanding, grantPart*(freeGrantShare*units-used-a.outstanding), l.advanceRoom(a, limit)))
 		if give > 0 && u.outstanding+give >= u.cost {
-			l.grant(a, u, give)
+			l.grant(now, a, u, give)
 		}
 	}
-	u.share = l.equalPart()
-	if a.own > 0 {
-		u.share += roundShare((1 - equalShare) * u.own / a.own)
-	}
+	l.updateShare(a, u)
 	return Level{Account: name, ByAge: l.byAge(now, a), Granted: u.granted, Share: u.share, Close: isClose}
 }
 
@@ -171,7 +171,19 @@
 	return ages
 }
 
-func (l *Ledger) grant(a *account, u *memberUse, units float64) {
+// updateShare divides the limit by use. The parts of all gateways together stay at most 1 - equalShare: while the use of an account
+// begins, the first gateway that reports has all of it, and others are told their parts before the first one is told a smaller part.
+func (l *Ledger) updateShare(a *account, u *memberUse) {
+	byUse := 0.0
+	if a.own > 0 {
+		byUse = roundShare(max(min(u.own/a.own*(1-equalShare), 1-equalShare-(a.byUse-u.byUse)), 0))
+	}
+	a.byUse += byUse - u.byUse
+	u.byUse, u.share = byUse, l.equalPart()+byUse
+}
+
+func (l *Ledger) grant(now time.Time, a *account, u *memberUse, units float64) {
+	a.unacked.add(now, units)
 	u.granted += units
 	u.outstanding += units
 	a.outstanding += units
--- a/coordination/quota/limiter.go
+++ b/coordination/quota/limiter.go
@@ -41,6 +41,8 @@
 	Admit, Ask, Refuse bool
 	Request            GrantRequest
 	RetryAfter         time.Duration
+	// Hold is set with Ask from Granted if Admit has to decide again only after that time, for up to MaxHold in all.
+	Hold time.Duration
 	// Fallback is set if no leader was involved.
 	Fallback bool
 }
@@ -54,6 +56,7 @@
 	mu       sync.Mutex
 	accounts map[string]*usage
 	sequence uint64
+	answered uint64 // the latest report whose answer held levels
 	epoch    uint64
 	joins    bool // the next report joins
 	ready    bool // the ledger of the epoch gives out grants
@@ -147,6 +150,9 @@
 		return Decision{Ask: true}
 	}
 	wait := max(time.Duration(g.WaitMs)*time.Millisecond, minRetry)
+	if g.Hold {
+		return Decision{Ask: true, Hold: wait}
+	}
 	u.freeAt, u.deniedUntil, u.deniedCost = now.Add(wait), now.Add(min(wait, maxDenied)), r.Cost
 	return Decision{Refuse: true, RetryAfter: wait}
 }
--- a/coordination/quota/property_test.go
+++ b/coordination/quota/property_test.go
@@ -20,8 +20,9 @@
 	return d
 }
 
-// drawDemand offers requests of 300 to 4,000 tokens at 0.5 to 7 times the rate in force. Demand and the gateways that get it change every
-// few seconds.
+// drawDemand offers requests of 300 to 4,000 tokens at 0.5 to 7 times the rate of the account at the start. It does not follow a limit
+// that is lowered, to a twentieth or less, so it is 80 times the rate in force and more. Demand and the gateways that get it change
+// every few seconds.
 func drawDemand(rt *rapid.T, d *driver, until time.Time) {
 	largest := rapid.IntRange(300, 4000).Draw(rt, "largest")
 	var factor float64
@@ -37,7 +38,7 @@
 		d.after(time.Duration((0.3+4*d.rng.Float64())*float64(time.Second)), change)
 	}
 	change()
-	d.poisson(func() float64 { return factor * d.newestLimit().PerSecond }, func() float64 {
+	d.poisson(func() float64 { return factor * d.limits[0].limit.PerSecond }, func() float64 {
 		return float64(300 + d.rng.IntN(largest-299))
 	}, func() *gateway { return some[d.rng.IntN(len(some))] }, until)
 }
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -126,6 +126,8 @@
 	Joins    bool  `json:"j,omitempty"`
 	Gateways int   `json:"n,omitempty"`
 	Uses     []Use `json:"u,omitempty"`
+	// Answered is the sequence of the latest report whose answer with levels arrived, 0 if there is none from this ledger.
+	Answered uint64 `json:"d,omitempty"`
 }
 
 // Use is what a gateway admitted for one account.
@@ -199,4 +201,7 @@
 	Granted float64 `json:"g,omitempty"`
 	// WaitMs is the time after a denial in which there is no capacity.
 	WaitMs int64 `json:"w,omitempty"`
+	// Hold is set in a denial of a request that is within the quota: it can be granted after WaitMs, once all gateways know of
+	// earlier grants.
+	Hold bool `json:"h,omitempty"`
 }
--- a/instance/controlinstance/director.go
+++ b/instance/controlinstance/director.go
@@ -49,7 +49,7 @@
 	orders   OrderClient
 	recorder *events.Recorder
 
-	ordersSent, ordersRefused, storeLoads, permitsGiven, permitsDenied, quotaGranted, quotaDenied metrics.Counter
+	ordersSent, ordersRefused, storeLoads, permitsGiven, permitsDenied, quotaGranted, quotaDenied, quotaHeld metrics.Counter
 
 	mu       sync.Mutex
 	gateways *gatewayLoads
@@ -82,7 +82,7 @@
 	return &Director{
 		opts: opts, view: view, lease: newLease(group, opts.ExclusionPeriod, recorder), orders: orders, recorder: recorder,
 		ordersSent: counter("orders_sent"), ordersRefused: counter("orders_refused"), storeLoads: counter("store_loads"),
-		permitsGiven: counter("permits_given"), permitsDenied: counter("permits_denied"), quotaGranted: counter("quota_granted"), quotaDenied: counter("quota_denied"),
+		permitsGiven: counter("permits_given"), permitsDenied: counter("permits_denied"), quotaGranted: counter("quota_granted"), quotaDenied: counter("quota_denied"), quotaHeld: counter("quota_held"),
 		gateways: newGatewayLoads(), refusals: make(map[modelKey]float64),
 		demand: make(map[modelKey]*residency.SmoothedDemand), smoothed: make(map[modelKey]float64), forecasts: newModelForecasts(registry),
 		sizes: newModelSizes(), limits: targetlimit.NewTable(), permits: targetlimit.NewPermits(), starts: newStarts(registry), quotas: &quotas{opts: opts.Quota},
--- a/instance/controlinstance/quotas.go
+++ b/instance/controlinstance/quotas.go
@@ -78,6 +78,8 @@
 	switch {
 	case grant.OK:
 		d.quotaGranted.Inc(1)
+	case grant.Hold:
+		d.quotaHeld.Inc(1)
 	case grant.Ready:
 		d.quotaDenied.Inc(1)
 	}
--- a/instance/gateway/quota.go
+++ b/instance/gateway/quota.go
@@ -108,7 +108,8 @@
 	g.awaitGrants(q)
 	limiter, name := g.quotas.limiter, q.credentials.account.Name
 	limit := quota.Limit{PerSecond: q.credentials.account.Quota.PerSecond, Burst: q.credentials.account.Quota.Burst, Requests: q.credentials.account.Quota.Unit == routes.Requests}
-	for range quotaTries {
+	held := min(quota.MaxHold, time.Duration(waitShare*float64(q.deadline.Sub(q.arrived))))
+	for tries := quotaTries; tries > 0; tries-- {
 		decision := limiter.Admit(time.Now(), name, limit, cost, g.randomFloat())
 		if !decision.Ask {
 			return decision
@@ -117,8 +118,16 @@
 		if !ok || !grant.Ready {
 			return limiter.Fallback(time.Now(), decision.Request, limit, g.randomFloat())
 		}
-		if decision = limiter.Granted(time.Now(), decision.Request, grant); !decision.Ask {
+		decision = limiter.Granted(time.Now(), decision.Request, grant)
+		switch {
+		case !decision.Ask:
 			return decision
+		case decision.Hold > 0:
+			// The request is within the quota, so it waits until other gateways know of earlier grants.
+			if time.Since(q.arrived)+decision.Hold > held || !sleep(q, decision.Hold) {
+				return quota.Decision{Refuse: true, RetryAfter: decision.Hold}
+			}
+			tries = quotaTries + 1
 		}
 	}
 	return quota.Decision{Refuse: true, RetryAfter: quotaRetry}
