Operator view: tarragonhoist-fleet status, and hoistctl check-config

Cause: accounts, quotas, starting targets and copies of models could be seen only in the metrics and events of single processes.

Change: the call fleet.status of a control instance returns what the leader knows, or names the leader. tarragonhoist-fleet status prints it as text or JSON and exits with 1 if no leader answers. Gateways report how many requests of an account they admitted and refused, so the ledger knows the share that was refused. hoistctl check-config runs the same check as tarragonhoist-fleet check-config.

--- a/cmd/hoistctl/main.go
+++ b/cmd/hoistctl/main.go
@@ -12,7 +12,9 @@
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/pkg/errors"
 
+	"github.com/tarragonhoist/tarragonhoist/instance/configcheck"
 	"github.com/tarragonhoist/tarragonhoist/instance/version"
+	"github.com/tarragonhoist/tarragonhoist/platform"
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
 	"github.com/tarragonhoist/tarragonhoist/protocol/tomlfile"
 	"github.com/tarragonhoist/tarragonhoist/transport/opsclient"
@@ -48,8 +50,20 @@
 	status := app.Command("status", "Show the logs, instances, models and targets, and models that lack a replica or memory.")
 	timeline := app.Command("timeline", "Show the merged events of all instances.")
 	instanceOnly := timeline.Flag("instance-only", "Show only the events of the instance that answers.").Bool()
+	configCheck := configcheck.Command{Decode: platform.DecodeConfig, Read: platform.ReadConfig}
+	checkConfig := app.Command("check-config", "Check a configuration of tarragonhoist-fleet before it is sent, without any server.")
+	checkConfig.Arg("file", "Configuration (JSON).").Required().StringVar(&configCheck.File)
+	checkConfig.Flag("against", "Configuration in force, to show what changes.").StringVar(&configCheck.Against)
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
 
+	if command == checkConfig.FullCommand() {
+		configCheck.JSON = *asJSON
+		code, err := configCheck.Run(os.Stdout)
+		if err != nil {
+			exitWithError(err)
+		}
+		os.Exit(code)
+	}
 	client, err := newClient(*url, *token, *operator)
 	if err != nil {
 		exitWithError(err)
--- a/cmd/tarragonhoist-fleet/main.go
+++ b/cmd/tarragonhoist-fleet/main.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/alecthomas/kingpin/v2"
@@ -41,10 +42,17 @@
 	checkConfig.Arg("file", "Configuration (JSON).").Required().StringVar(&configCheck.File)
 	checkConfig.Flag("against", "Configuration in force, to show what changes.").StringVar(&configCheck.Against)
 	checkConfig.Flag("json", "Print JSON.").BoolVar(&configCheck.JSON)
+	var statusCommand fleet.StatusCommand
+	status := app.Command("status", "Show what the leader knows of accounts, targets and models.")
+	status.Flag("address", "Control instance to ask, with its port for other processes, instead of those in the settings.").StringsVar(&statusCommand.Instances)
+	status.Flag("json", "Print JSON.").BoolVar(&statusCommand.JSON)
 	command := kingpin.MustParse(app.Parse(os.Args[1:]))
 	if command == checkConfig.FullCommand() {
 		os.Exit(runConfigCheck(&configCheck))
 	}
+	if command == status.FullCommand() {
+		os.Exit(runStatus(&statusCommand, *settingsFile))
+	}
 	node, err := settings.LoadNode(*settingsFile)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -80,6 +88,26 @@
 	return code
 }
 
+// runStatus prints the status and returns the exit code.
+func runStatus(c *fleet.StatusCommand, settingsFile string) int {
+	if len(c.Instances) == 0 {
+		node, err := settings.LoadNode(settingsFile)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitSettings
+		}
+		c.Instances = node.SeedNames()
+		if node.ListenControl != "" && !slices.Contains(c.Instances, node.PeerName()) {
+			c.Instances = append(c.Instances, node.PeerName())
+		}
+	}
+	if err := c.Run(context.Background(), os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "tarragonhoist-fleet:", err)
+		return exitError
+	}
+	return exitOK
+}
+
 func platformAdapter() *fleet.PlatformAdapter {
 	return &fleet.PlatformAdapter{
 		Headers: platform.Headers(), ReadPrompt: platform.ReadPrompt, CountTokens: platform.CountTokens, ReadyPath: platform.ReadyPath,
--- a/coordination/quota/exchange.go
+++ b/coordination/quota/exchange.go
@@ -36,6 +36,8 @@
 	u.statedAt = now
 	use = Use{Account: name, Spent: u.spent, Taken: u.taken, Own: own, Want: want, Cost: u.cost, Back: u.back}
 	u.back = nil
+	decided := u.decided
+	use.Decided = &decided
 	if l.joins {
 		use.Past, use.Share = u.own.ByAge(now), u.share
 		if !u.level.at.IsZero() {
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -54,7 +54,8 @@
 	spent, granted, outstanding, own, share float64
 	want, cost                              float64 // as last reported; want is 0 if the account is not in use there
 	// byUse is the part of share that depends on use.
-	byUse float64
+	byUse   float64
+	decided Decided // as last reported
 	// assumed is the part of the grants that counts as used since assumedAt, because the gateway stopped reporting.
 	assumed   float64
 	assumedAt time.Time
@@ -77,6 +78,8 @@
 	deniedAt    time.Time
 	unacked     unackedGrants
 	held        heldRequests
+	// admitted and refused count the requests of the last window at the time of the report.
+	admitted, refused *Window
 }
 
 // NewLedger returns the ledger of a leader. epoch is not 0 and differs between leaders.
@@ -90,7 +93,7 @@
 func (l *Ledger) account(name string) *account {
 	a := l.accounts[name]
 	if a == nil {
-		a = &account{window: NewWindow(l.opts.Window)}
+		a = &account{window: NewWindow(l.opts.Window), admitted: NewWindow(l.opts.Window), refused: NewWindow(l.opts.Window)}
 		l.accounts[name] = a
 	}
 	return a
--- a/coordination/quota/ledger_report.go
+++ b/coordination/quota/ledger_report.go
@@ -109,7 +109,11 @@
 // join records what a gateway used before it joined.
 func (l *Ledger) join(now time.Time, m *member, use *Use) {
 	a := l.account(use.Account)
-	m.use(use.Account).spent = use.Spent
+	u := m.use(use.Account)
+	u.spent = use.Spent
+	if use.Decided != nil {
+		u.decided = *use.Decided
+	}
 	for age, units := range use.Past {
 		a.window.AddAt(now, now.Add(-time.Duration(age)*time.Second), units)
 	}
@@ -133,6 +137,7 @@
 		u.assumed = 0
 	}
 	a.window.Add(now, max(delta, 0))
+	a.recordDecided(now, u, use.Decided)
 	u.spent = use.Spent
 	for _, b := range use.Back {
 		a.window.RemoveAt(now, now.Add(-time.Duration(b.AgeMs)*time.Millisecond), b.Units)
--- a/coordination/quota/limiter.go
+++ b/coordination/quota/limiter.go
@@ -78,6 +78,7 @@
 	reported              totals // in the latest report that stated them
 	known                 totals // at the leader
 	statedAt              time.Time
+	decided               Decided
 	level                 stated
 	share                 float64
 	// Until deniedUntil, the leader is not asked for requests of deniedCost or more. It stated capacity for freeAt.
@@ -107,6 +108,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u := l.usage(account)
+	return u.count(l.admit(now, u, account, limit, cost, random))
+}
+
+func (l *Limiter) admit(now time.Time, u *usage, account string, limit Limit, cost, random float64) Decision {
 	u.demand.Add(now, cost)
 	u.cost = max(cost, costMemory*u.cost)
 	if !l.connected(now) {
@@ -129,7 +134,7 @@
 	defer l.mu.Unlock()
 	u := l.usage(r.Account)
 	u.asked -= r.Cost
-	return l.fallback(now, u, limit, r.Cost, random)
+	return u.count(l.fallback(now, u, limit, r.Cost, random))
 }
 
 // Granted records the answer to a request for a grant, and charges the request for which it was asked if it is admitted. Ask
@@ -138,6 +143,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u := l.usage(r.Account)
+	return u.count(l.answer(now, u, r, g))
+}
+
+func (l *Limiter) answer(now time.Time, u *usage, r GrantRequest, g Grant) Decision {
 	u.asked -= r.Cost
 	if r.Epoch != l.epoch || !l.connected(now) {
 		return Decision{Ask: true}
@@ -157,6 +166,17 @@
 	return Decision{Refuse: true, RetryAfter: wait}
 }
 
+// count counts a request that is decided.
+func (u *usage) count(d Decision) Decision {
+	if d.Admit {
+		u.decided.Admitted++
+	}
+	if d.Refuse {
+		u.decided.Refused++
+	}
+	return d
+}
+
 // GiveBack returns the charge of a request that did not run. It was charged at an earlier time.
 func (l *Limiter) GiveBack(now, charged time.Time, account string, cost float64) {
 	l.mu.Lock()
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -151,6 +151,14 @@
 	Stated []float64 `json:"l,omitempty"`
 	AgeMs  int64     `json:"m,omitempty"`
 	Share  float64   `json:"h,omitempty"`
+	// Decided are the requests of the account that were decided, nil in reports of earlier builds.
+	Decided *Decided `json:"q,omitempty"`
+}
+
+// Decided counts requests since the start of the process.
+type Decided struct {
+	Admitted uint64 `json:"a,omitempty"`
+	Refused  uint64 `json:"r,omitempty"`
 }
 
 // Back are units that were given back, and the age of their charge.
--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -327,6 +327,10 @@
 	handle(instance, peerapi.MethodFleetQuota, func(_ context.Context, r quota.GrantRequest) (any, error) {
 		return instance.director.GrantQuota(time.Now(), r)
 	})
+	handle(instance, peerapi.MethodFleetStatus, func(context.Context, peerapi.Empty) (any, error) {
+		leader, _ := instance.control()
+		return fleetapi.StatusResponse{Leader: leader, Status: instance.director.Status(time.Now())}, nil
+	})
 	handle(instance, peerapi.MethodFleetAdapter, func(ctx context.Context, r fleetapi.AdapterRequest) (any, error) {
 		return instance.director.Adapter(ctx, &r), nil
 	})
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -32,6 +32,7 @@
 	MethodFleetQuota      = "fleet.quota"
 	MethodFleetVersion    = "fleet.version"
 	MethodFleetDeparture  = "fleet.departure"
+	MethodFleetStatus     = "fleet.status"
 )
 
 // Methods of the transport.
