Count held requests by time, and test that a gateway holds requests

Cause: each held request was an entry of its own, so a grant for an account with a limit of 90 million units looked through thousands of them.

Change: requests that ask again within 10 ms are one entry. A test of the gateway guards against a refusal of held requests and against a wait without end.

--- a/coordination/quota/unacked.go
+++ b/coordination/quota/unacked.go
@@ -62,9 +62,18 @@
 	return time.Time{}
 }
 
-// heldRequests are requests that wait at gateways, each with the time at which it asks again.
+// heldRequests are requests that wait at gateways, with the times at which they ask again.
 type heldRequests []timedUnits
 
+// add adds a request. Those that ask again at about the same time are one entry.
+func (h *heldRequests) add(at time.Time, units float64) {
+	if last := len(*h) - 1; last >= 0 && (*h)[last].at.Sub(at).Abs() < unackedWidth {
+		(*h)[last].units += units
+		return
+	}
+	*h = append(*h, timedUnits{at, units})
+}
+
 // sum forgets the requests that have asked again, and returns the units of the others.
 func (h *heldRequests) sum(now time.Time) float64 {
 	kept, sum := (*h)[:0], 0.0
@@ -95,7 +104,7 @@
 func (l *Ledger) hold(now time.Time, a *account, cost, excess float64) time.Duration {
 	acked := a.unacked.grantedAt(excess).Add(2*l.opts.Interval(len(l.gateways)) + checkInterval)
 	wait := max(acked.Sub(now), checkInterval)
-	a.held = append(a.held, timedUnits{now.Add(wait), cost})
+	a.held.add(now.Add(wait), cost)
 	return wait
 }
 
--- a/instance/gateway/quota_test.go
+++ b/instance/gateway/quota_test.go
@@ -164,6 +164,46 @@
 	}
 }
 
+// Guards against a refusal of requests within the quota because another gateway does not know of earlier grants yet, and against a
+// request that waits for that without end.
+func TestRequestsWaitForAcknowledgedGrants(t *testing.T) {
+	f, leader := newQuotaFixture(t)
+	f.recordingTarget()
+	other := quota.NewLimiter(time.Now(), f.gateway.opts.Quota, "other", 1)
+	exchangeOther := func() {
+		leader.mu.Lock()
+		defer leader.mu.Unlock()
+		other.Apply(leader.ledger.Report(time.Now(), "other", other.Report(time.Now()), func(string) (quota.Limit, bool) { return leader.limit, true }))
+	}
+	exchangeOther() // joins
+	exchangeOther()
+	answered := make(chan map[int]int)
+	go func() { answered <- f.answered("held", "/safe/x", "k1", 4) }()
+	for done := false; !done; {
+		select {
+		case got := <-answered:
+			done = true
+			if got[200] != 4 {
+				t.Errorf("statuses %v of four requests within a quota of ten", got)
+			}
+		case <-time.After(50 * time.Millisecond):
+			f.exchange()
+			exchangeOther()
+		}
+	}
+	f.exchange()
+	exchangeOther()
+	started, refused := time.Now(), 0
+	for i := range 3 { // without further reports, nobody acknowledges
+		if f.call("alone"+strconv.Itoa(i), "/safe/x", "k1", "") == http.StatusTooManyRequests {
+			refused++
+		}
+	}
+	if took := time.Since(started); refused == 0 || took > 3*quota.MaxHold {
+		t.Errorf("%d of three requests refused, in %v", refused, took)
+	}
+}
+
 // Guards against a quota that is used up by requests that no target ran, and against a removed account that loses its use.
 func TestRequestsThatDidNotRunAreGivenBack(t *testing.T) {
 	f, _ := newQuotaFixture(t)
