--- /dev/null
+++ b/coordination/quota/burst_test.go
@@ -0,0 +1,56 @@
+package quota
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against grants that gateways do not know of when the leader is lost: an account without use before sends 80 times its
+// rate, all of its quota is granted between two reports, and gateways use their fallback shares in addition.
+func TestBurstBeforeTheLeaderIsLost(t *testing.T) {
+	for _, rate := range []float64{1900, 20_000, 100_000} {
+		for _, after := range []time.Duration{60, 120, 200, 300, 500, 800, 1200} {
+			limit := Limit{PerSecond: rate, Burst: rate}
+			d := newDriver(uint64(after), 30, limit)
+			d.runFor(2 * time.Second)
+			until := d.now.Add(9 * time.Second)
+			d.poisson(func() float64 { return 80 * rate }, func() float64 { return 300 + 900*d.rng.Float64() }, d.anyGateway, until)
+			d.runFor(after * time.Millisecond)
+			d.replaceLeader(time.Hour)
+			d.run(until)
+			if ratio, _ := d.excess(); ratio > 1 {
+				t.Errorf("rate %v, leader lost after %d ms: %.3f of the hard bound used", rate, after, ratio)
+			} else {
+				t.Logf("rate %v, leader lost after %d ms: %.3f of the hard bound used", rate, after, ratio)
+			}
+		}
+	}
+}
+
+// Guards against a refusal of requests within the quota because gateways do not know of earlier grants: an account sends 0.9 of its
+// limit within 20 ms.
+func TestBurstWithinTheQuotaIsNotRefused(t *testing.T) {
+	for _, gateways := range []int{3, 77} {
+		for _, rate := range []float64{1900, 20_000, 100_000} {
+			limit := Limit{PerSecond: rate, Burst: rate}
+			d := newDriver(uint64(gateways), gateways, limit)
+			d.runFor(2 * time.Second)
+			started, offered := d.now, 0.0
+			d.poisson(func() float64 { return 50 * d.opts.units(limit) }, func() float64 { return 1000 }, d.anyGateway, d.now.Add(time.Second))
+			d.admit = func(cost float64) bool {
+				offered += cost
+				return offered <= 0.9*d.opts.units(limit)
+			}
+			d.runFor(5 * time.Second)
+			if len(d.refused) > 0 || len(d.admitted) != len(d.offered) || len(d.admitted) == 0 {
+				t.Errorf("%d gateways, rate %v: %d of %d requests refused, first %+v", gateways, rate, len(d.refused), len(d.offered), d.refused)
+				continue
+			}
+			took := d.admitted[len(d.admitted)-1].at.Sub(started)
+			t.Logf("%d gateways, rate %v: %d requests, the last one admitted after %v, %d waits", gateways, rate, len(d.offered), took, d.held)
+			if took > 2*time.Second {
+				t.Errorf("%d gateways, rate %v: a request waited %v", gateways, rate, took)
+			}
+		}
+	}
+}
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -126,6 +126,8 @@
 	Joins    bool  `json:"j,omitempty"`
 	Gateways int   `json:"n,omitempty"`
 	Uses     []Use `json:"u,omitempty"`
+	// Answered is the sequence of the latest report whose answer with levels arrived, 0 if there is none from this ledger.
+	Answered uint64 `json:"d,omitempty"`
 }
 
 // Use is what a gateway admitted for one account.
@@ -149,6 +151,14 @@
 	Stated []float64 `json:"l,omitempty"`
 	AgeMs  int64     `json:"m,omitempty"`
 	Share  float64   `json:"h,omitempty"`
+	// Decided are the requests of the account that were decided, nil in reports of earlier builds.
+	Decided *Decided `json:"q,omitempty"`
+}
+
+// Decided counts requests since the start of the process.
+type Decided struct {
+	Admitted uint64 `json:"a,omitempty"`
+	Refused  uint64 `json:"r,omitempty"`
 }
 
 // Back are units that were given back, and the age of their charge.
@@ -199,4 +209,7 @@
 	Granted float64 `json:"g,omitempty"`
 	// WaitMs is the time after a denial in which there is no capacity.
 	WaitMs int64 `json:"w,omitempty"`
+	// Hold is set in a denial of a request that is within the quota: it can be granted after WaitMs, once all gateways know of
+	// earlier grants.
+	Hold bool `json:"h,omitempty"`
 }
