--- a/test/intake/crowd_test.go
+++ b/test/intake/crowd_test.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"encoding/binary"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
 )
 
 // place is where a crowd sends its requests.
@@ -63,9 +65,11 @@
 const announced = "Content-Length: %d\r\n\r\n"
 
 // fields returns distinct header fields of one size, up to headBytes together.
-func fields(format string) string {
+func fields(format string) string { return fieldsUpTo(headBytes, format) }
+
+func fieldsUpTo(size int, format string) string {
 	var b strings.Builder
-	for i := 0; b.Len() < headBytes-400; i++ {
+	for i := 0; b.Len() < size-400; i++ {
 		fmt.Fprintf(&b, format, i)
 	}
 	return b.String()
@@ -162,11 +166,49 @@
 	{name: "frames between processes", clients: 96, only: "peers", send: func(c net.Conn, _ place) {
 		write(c, "\x00\x10\x00\x00", legalBody)
 	}},
+	{name: "large frames between processes", clients: 96, only: "peers", send: func(c net.Conn, p place) {
+		write(c, hello(c, p), "\x00\x10\x00\x00", legalBody)
+	}},
+	{name: "unread responses between processes", clients: 96, only: "peers", send: func(c net.Conn, p place) {
+		readNothing(c)
+		write(c, hello(c, p), strings.Repeat(peerMessage(c, peerapi.MethodPing, strings.Repeat("x", 50_000), "{}"), 30))
+	}},
+	{name: "silent processes", clients: 700, only: "peers", send: func(c net.Conn, p place) { write(c, hello(c, p)) }},
 	{name: "idle after a response", clients: 700, send: func(c net.Conn, p place) {
 		write(c, p.head("POST", "small")+fmt.Sprintf(announced, 1)+"x")
 	}},
 }
 
+// peerMessage returns the frame of a call between processes, sent under the address of a connection as the name of its process.
+func peerMessage(c net.Conn, method, id, params string) string {
+	text := fmt.Sprintf(`{"jsonrpc":"2.0","id":%q,"method":%q,"meta":{"c":"fleet","s":%q,"i":1,"v":%d},"params":%s}`, id, method, c.LocalAddr(), peerapi.Version, params)
+	return string(binary.BigEndian.AppendUint32(nil, uint32(len(text)))) + text
+}
+
+// hello returns the frame that opens a connection between processes.
+func hello(c net.Conn, p place) string {
+	return peerMessage(c, peerapi.MethodHello, "h", fmt.Sprintf(`{"cluster":"fleet","sender":%q,"incarnation":1,"receiver":%q,"version":%d}`,
+		c.LocalAddr(), p.address, peerapi.Version))
+}
+
+// peerAnswers opens a connection between processes and reports whether its handshake is answered.
+func peerAnswers(p place) bool {
+	c, err := net.DialTimeout("tcp", p.address, clientWait)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(clientWait))
+	write(c, hello(c, p))
+	var size [4]byte
+	if _, err := io.ReadFull(c, size[:]); err != nil {
+		return false
+	}
+	text := make([]byte, min(binary.BigEndian.Uint32(size[:]), 1<<16))
+	_, err = io.ReadFull(c, text)
+	return err == nil && strings.Contains(string(text), `"result"`)
+}
+
 // clientWait is how long a client tries to send.
 const clientWait = 2 * time.Second
 
@@ -229,7 +271,8 @@
 				if c.once && p.address == d.callers && p.name != "route" || c.only != "" && c.only != p.name {
 					continue
 				}
-				if problem := d.withCrowd(&c, p); problem != "" {
+				answers := func() bool { return d.answers() && (p.name != "peers" || peerAnswers(p)) }
+				if problem := withCrowd(&c, p, answers, d.gateway, d.controlInstance); problem != "" {
 					t.Errorf("%s: %s", p.name, problem)
 					d.restart(false)
 				}
@@ -239,15 +282,15 @@
 }
 
 // withCrowd returns what is wrong while a crowd is connected, empty if nothing is.
-func (d *deployment) withCrowd(c *crowd, p place) string {
+func withCrowd(c *crowd, p place, answers func() bool, processes ...*process) string {
 	leave := c.join(p)
 	defer leave()
 	time.Sleep(settleTime)
 	answered := false
 	for deadline := time.Now().Add(answerWait); !answered && time.Now().Before(deadline); time.Sleep(20 * time.Millisecond) {
-		answered = d.answers()
+		answered = answers()
 	}
-	for _, process := range []*process{d.gateway, d.controlInstance} {
+	for _, process := range processes {
 		if problem := process.check(); problem != "" {
 			return problem
 		}
--- a/test/intake/deployment_test.go
+++ b/test/intake/deployment_test.go
@@ -33,7 +33,8 @@
 // code closed connections without a whole head.
 const answerWait = 8 * time.Second
 
-var binary string
+// fleetBinary and productBinary are the commands for gateways and control instances, and for instances of the product's own interface.
+var fleetBinary, productBinary string
 
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
@@ -44,8 +45,8 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	binary = filepath.Join(folder, "tarragonhoist-fleet")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/tarragonhoist-fleet").CombinedOutput(); err != nil {
+	fleetBinary, productBinary = filepath.Join(folder, "tarragonhoist-fleet"), filepath.Join(folder, "tarragonhoist")
+	if out, err := exec.Command("go", "build", "-o", folder, "../../cmd/tarragonhoist-fleet", "../../cmd/tarragonhoist").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
 		return 1
 	}
@@ -112,7 +113,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
-	p, err := startProcess(role, binary, "--settings", path, role)
+	p, err := startProcess(role, fleetBinary, "--settings", path, role)
 	if err != nil {
 		d.t.Fatal(err)
 	}
