Count answers of services and decoded bodies for the clients of the product's own interface

Cause: an answer of a service (up to 4 MiB) was held without being counted while its caller did not read it, and chat bodies were decoded without a bound on their elements: 4 MiB of "{}," become 1.4 million messages of 32 bytes. The pool of this process had neither event nor metric, and memory_mb and max_fds set no limit of the Go runtime or of the system. Change: intake.ReadAll and intake.Client count what is held for a client until its request is answered, for calls that run at most once also if they go on after it. A body is decoded after 80 bytes for each element were reserved (200 in messages of targets); what never fits is refused at once with 413, instead of a wait of 4 s in which others could be closed for it. Answers are written in pieces of 64 KiB, since a blocked write is counted. The pool reports event 110 and the metrics intake.*. Package instance/processlimit has the limits that instance/fleet had. A target is not blamed for an answer for which its client got no room; the call fails with no_capacity. Measured: TestProductCrowds passes in 95 s at load 15 to 20 without -race; before, unread responses had a peak of 135,916 and 236,148 KiB and bodies of many messages one of 220,472 KiB, 65,536 allowed. transport/intake, httpapi and targetclient and instance/servicecalls pass. Without the reservation, TestBodyWithTooManyElementsIsRefused fails. httpapi.New takes the pool as an argument; three tests pass one without bounds.

--- a/instance/fleet/fleet.go
+++ b/instance/fleet/fleet.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"runtime/debug"
 	"slices"
 	"time"
 
@@ -18,6 +17,7 @@
 	"github.com/tarragonhoist/tarragonhoist/instance/controlinstance"
 	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
 	"github.com/tarragonhoist/tarragonhoist/instance/logsink"
+	"github.com/tarragonhoist/tarragonhoist/instance/processlimit"
 	"github.com/tarragonhoist/tarragonhoist/instance/version"
 	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
 	"github.com/tarragonhoist/tarragonhoist/settings"
@@ -53,10 +53,6 @@
 	incarnationRetention = time.Second
 	// peerBytesPerSecond bounds the traffic between processes well below the slowest link, 10 Mbit/s.
 	peerBytesPerSecond = 1 << 20
-	// memoryLimitShare is the soft memory limit of the Go runtime as a share of the memory limit of the instance.
-	memoryLimitShare = 0.6
-	// gcPercent is the GC percentage. It trades processor time for memory, which costs more on these instances.
-	gcPercent = 50
 	// maxKeptEvents is the number of events that one process keeps for the time line.
 	maxKeptEvents = 2000
 	// repeatBudgetShare is the share of the budget for repeated sends that is used, so that unevenly loaded gateways
@@ -141,8 +137,8 @@
 
 // RunGateway serves callers until ctx ends. For each value from reloads, it reads the settings file at path again.
 func RunGateway(ctx context.Context, path string, node *settings.Node, adapter *PlatformAdapter, reloads <-chan os.Signal) error {
-	limitMemory(node)
-	if err := limitDescriptors(node.MaxFDs); err != nil {
+	processlimit.Memory(node.MemoryMB)
+	if err := processlimit.LimitOpenFiles(node.MaxFDs); err != nil {
 		return err
 	}
 	assembled, err := buildGateway(node, adapter)
@@ -163,8 +159,8 @@
 
 // RunControl serves targets, operators and gateways until ctx ends.
 func RunControl(ctx context.Context, path string, node *settings.Node, adapter *PlatformAdapter, reloads <-chan os.Signal) error {
-	limitMemory(node)
-	if err := limitDescriptors(node.MaxFDs); err != nil {
+	processlimit.Memory(node.MemoryMB)
+	if err := processlimit.LimitOpenFiles(node.MaxFDs); err != nil {
 		return err
 	}
 	assembled, err := buildControl(node, adapter)
@@ -188,14 +184,6 @@
 	return err
 }
 
-// limitMemory sets the GC percentage and, if the memory of the instance is configured, a soft memory limit well below it.
-func limitMemory(node *settings.Node) {
-	debug.SetGCPercent(gcPercent)
-	if node.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitShare * float64(node.MemoryMB) * (1 << 20)))
-	}
-}
-
 // runReloads reads the settings again at each signal and, at each reloadInterval, while no control instance answers: the
 // seeds may have changed without a signal.
 func (p *process) runReloads(ctx context.Context, path string, reloads <-chan os.Signal) {
--- a/instance/fleet/providers.go
+++ b/instance/fleet/providers.go
@@ -16,6 +16,7 @@
 	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
 	"github.com/tarragonhoist/tarragonhoist/instance/gateway"
 	"github.com/tarragonhoist/tarragonhoist/instance/logsink"
+	"github.com/tarragonhoist/tarragonhoist/instance/processlimit"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 	"github.com/tarragonhoist/tarragonhoist/settings"
 	"github.com/tarragonhoist/tarragonhoist/transport/intake"
@@ -80,7 +81,7 @@
 }
 
 func provideIntake(node *settings.Node, recorder *events.Recorder, registry metrics.Registry) *intake.Pool {
-	return intake.New(intake.Options{MemoryMB: node.MemoryMB, MaxFDs: descriptorLimit(node.MaxFDs), Registry: registry, Acted: func(limit string, clients int64) {
+	return intake.New(intake.Options{MemoryMB: node.MemoryMB, MaxFDs: processlimit.OpenFiles(node.MaxFDs), Registry: registry, Acted: func(limit string, clients int64) {
 		recorder.Record(events.ClientsBounded, events.Fields{"limit": limit, "clients": clients})
 	}})
 }
--- a/instance/instance.go
+++ b/instance/instance.go
@@ -17,6 +17,7 @@
 	"github.com/tarragonhoist/tarragonhoist/instance/crashsuspects"
 	"github.com/tarragonhoist/tarragonhoist/instance/drain"
 	"github.com/tarragonhoist/tarragonhoist/instance/feasibility"
+	"github.com/tarragonhoist/tarragonhoist/instance/processlimit"
 	"github.com/tarragonhoist/tarragonhoist/instance/replicalink"
 	"github.com/tarragonhoist/tarragonhoist/instance/servicecalls"
 	"github.com/tarragonhoist/tarragonhoist/instance/shareusage"
@@ -59,6 +60,12 @@
 
 // Serve runs an instance until ctx is cancelled and the last request in progress has been answered.
 func Serve(ctx context.Context, s *settings.Settings) error {
+	if s.MemoryMB > 0 {
+		processlimit.Memory(s.MemoryMB)
+	}
+	if err := processlimit.LimitOpenFiles(s.MaxFDs); err != nil {
+		return err
+	}
 	i, err := build(s)
 	if err != nil {
 		return err
--- a/instance/providers.go
+++ b/instance/providers.go
@@ -33,6 +33,7 @@
 	"github.com/tarragonhoist/tarragonhoist/settings"
 	"github.com/tarragonhoist/tarragonhoist/state/callledger"
 	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/intake"
 	"github.com/tarragonhoist/tarragonhoist/transport/peer"
 	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
 )
@@ -285,4 +286,12 @@
 	return timeline.New(recorder, peers, otherInstances(s, func(settings.Peer) bool { return true }))
 }
 
-func provideServer(s *settings.Settings, b *backend) *httpapi.Server { return httpapi.New(s, b) }
+func provideIntake(s *settings.Settings, recorder *events.Recorder, registry metrics.Registry) *intake.Pool {
+	return intake.New(intake.Options{MemoryMB: s.MemoryMB, MaxFDs: s.MaxFDs, Registry: registry, Acted: func(limit string, clients int64) {
+		recorder.Record(events.ClientsBounded, events.Fields{"limit": limit, "clients": clients})
+	}})
+}
+
+func provideServer(s *settings.Settings, b *backend, clients *intake.Pool) *httpapi.Server {
+	return httpapi.New(s, b, clients)
+}
--- a/instance/servicecalls/server.go
+++ b/instance/servicecalls/server.go
@@ -14,6 +14,7 @@
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
 	"github.com/tarragonhoist/tarragonhoist/state/catalog"
 	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/intake"
 	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
 )
 
@@ -108,7 +109,11 @@
 		request := call.Call
 		request.Address = picked.Address
 		answer, sent, err := s.Client.CallService(ctx, request)
-		done(modelcalls.Result{FirstToken: s.Now().Sub(started), Total: s.Now().Sub(started), Err: err})
+		done(modelcalls.Result{FirstToken: s.Now().Sub(started), Total: s.Now().Sub(started), Err: targetFault(err)})
+		if intake.Refused(err) {
+			return nil, &api.Result{Outcome: api.Failed, Reason: api.ReasonNoCapacity, Retry: api.RetryAfter, RetryAfter: time.Second,
+				Message: "the answer of the service was not read: " + err.Error()}
+		}
 		if err == nil && answer.Status != http.StatusTooManyRequests {
 			return &httpapi.ServiceAnswer{ServiceAnswer: *answer}, &api.Result{Outcome: api.Answered}
 		}
@@ -171,8 +176,9 @@
 		return nil, refusal
 	}
 	started := s.Now()
+	client := intake.ClientOf(ctx)
 	final := s.Ledger.Run(ctx, call, work.Deadline, func(attempt string) (*targetclient.ServiceAnswer, bool, error) {
-		return s.dispatch(call, work, attempt)
+		return s.dispatch(intake.WithClient(context.Background(), client), call, work, attempt)
 	}, func() {
 		// The duration includes the wait for the replicated log and says little about the work, so it is kept out of the
 		// admission estimates.
@@ -187,8 +193,8 @@
 
 // dispatch sends a reserved call once. It never retries on a second target, even if nothing seems to have been sent: the
 // caller repeats the call with the same idempotency key.
-func (s *Server) dispatch(call *httpapi.ServiceCall, work *modelcalls.Work, attempt string) (*targetclient.ServiceAnswer, bool, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), s.RequestTimeout)
+func (s *Server) dispatch(ctx context.Context, call *httpapi.ServiceCall, work *modelcalls.Work, attempt string) (*targetclient.ServiceAnswer, bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.RequestTimeout)
 	defer cancel()
 	picked, done, refusal := s.Policy.PickService(work, func(string) bool { return false })
 	if refusal != nil {
@@ -199,10 +205,19 @@
 	request.AttemptID = attempt
 	started := s.Now()
 	answer, sent, err := s.Client.CallService(ctx, request)
-	done(modelcalls.Result{FirstToken: s.Now().Sub(started), Total: s.Now().Sub(started), Err: err})
+	done(modelcalls.Result{FirstToken: s.Now().Sub(started), Total: s.Now().Sub(started), Err: targetFault(err)})
 	return answer, sent, err
 }
 
+// targetFault returns the error of a call if the target is to blame for it: not for an answer that was not read because its client gets
+// no room for it.
+func targetFault(err error) error {
+	if intake.Refused(err) {
+		return nil
+	}
+	return err
+}
+
 func (s *Server) record(call *httpapi.ServiceCall, answer *httpapi.ServiceAnswer, result *api.Result) {
 	fields := events.Fields{"request": call.RequestID, "caller": call.Caller, "service": call.Service}
 	if call.IdempotencyKey != "" {
--- a/instance/wire.go
+++ b/instance/wire.go
@@ -14,7 +14,7 @@
 	provideClock, provideStartNumber, provideLog, metrics.NewRegistry, provideRecorder, provideGate, providePeers,
 	provideView, provideLedgerMachine, provideElectors, provideLease, provideDirector, provideUsage, provideLogs, provideGroups, provideConfig, provideTargets, provideAdmission, provideWaiter, provideDetector,
 	provideRouter, provideBudget, provideSuspects, providePolicy, provideFeasibility, provideReleaseNotes, provideModelCalls, provideLedger, provideServiceCalls, provideTimeline, targetclient.New,
-	wire.Struct(new(statusReader), "*"), wire.Struct(new(backend), "*"), provideServer, wire.Struct(new(Instance), "*"),
+	wire.Struct(new(statusReader), "*"), wire.Struct(new(backend), "*"), provideIntake, provideServer, wire.Struct(new(Instance), "*"),
 )
 
 func build(s *settings.Settings) (*Instance, error) {
--- a/instance/wire_gen.go
+++ b/instance/wire_gen.go
@@ -89,7 +89,8 @@
 		status:   instanceStatusReader,
 		registry: registry,
 	}
-	httpapiServer := provideServer(s, instanceBackend)
+	pool := provideIntake(s, recorder, registry)
+	httpapiServer := provideServer(s, instanceBackend, pool)
 	instance := &Instance{
 		settings:    s,
 		recorder:    recorder,
@@ -117,5 +118,5 @@
 var providers = wire.NewSet(
 	provideClock, provideStartNumber, provideLog, metrics.NewRegistry, provideRecorder, provideGate, providePeers,
 	provideView, provideLedgerMachine, provideElectors, provideLease, provideDirector, provideUsage, provideLogs, provideGroups, provideConfig, provideTargets, provideAdmission, provideWaiter, provideDetector,
-	provideRouter, provideBudget, provideSuspects, providePolicy, provideFeasibility, provideReleaseNotes, provideModelCalls, provideLedger, provideServiceCalls, provideTimeline, targetclient.New, wire.Struct(new(statusReader), "*"), wire.Struct(new(backend), "*"), provideServer, wire.Struct(new(Instance), "*"),
+	provideRouter, provideBudget, provideSuspects, providePolicy, provideFeasibility, provideReleaseNotes, provideModelCalls, provideLedger, provideServiceCalls, provideTimeline, targetclient.New, wire.Struct(new(statusReader), "*"), wire.Struct(new(backend), "*"), provideIntake, provideServer, wire.Struct(new(Instance), "*"),
 )
--- a/test/intake/product_test.go
+++ b/test/intake/product_test.go
@@ -209,4 +209,22 @@
 			}
 		})
 	}
+	d.t = t
+	d.await("metrics of the bounds", func() bool {
+		return d.boundsActed("intake.closed_for_memory", "intake.closed_for_descriptors", "events.clients-bounded")
+	})
+}
+
+// boundsActed reports whether all counters of the instance are above 0.
+func (p *product) boundsActed(names ...string) bool {
+	response, err := http.Get("http://" + p.http + "/metrics")
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	var counters map[string]struct{ Count int64 }
+	if json.NewDecoder(response.Body).Decode(&counters) != nil {
+		return false
+	}
+	return !slices.ContainsFunc(names, func(name string) bool { return counters[name].Count == 0 })
 }
--- a/transport/httpapi/api.go
+++ b/transport/httpapi/api.go
@@ -8,7 +8,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -69,12 +68,12 @@
 	clients   *intake.Pool
 }
 
-// New returns the HTTP server of the instance that the settings describe.
-func New(s *settings.Settings, backend Backend) *Server {
+// New returns the HTTP server of the instance that the settings describe. clients counts what its clients hold; the server runs it.
+func New(s *settings.Settings, backend Backend, clients *intake.Pool) *Server {
 	return &Server{
 		backend: backend, instance: s.Instance,
 		callers: newIdentities(s.Callers), operators: newIdentities(s.Operators),
-		clients: intake.New(intake.Options{MemoryMB: s.MemoryMB, MaxFDs: s.MaxFDs}),
+		clients: clients,
 	}
 }
 
@@ -126,7 +125,7 @@
 		} else {
 			w.Header().Set("Connection", "close")
 		}
-		r.Body = &bufferedBody{Reader: bytes.NewReader(body), err: err}
+		r.Body = &bufferedBody{Reader: bytes.NewReader(body), data: body, err: err}
 		next.ServeHTTP(w, r)
 	})
 }
@@ -134,7 +133,8 @@
 // bufferedBody is a request body in memory, with the error that ended its reading, if any.
 type bufferedBody struct {
 	*bytes.Reader
-	err error
+	data []byte
+	err  error
 }
 
 // Close implements io.Closer. It does nothing, since the body is in memory.
@@ -152,11 +152,7 @@
 	if buffered.err != nil {
 		return nil, api.Refuse(api.ReasonMalformedRequest, "the request body is incomplete: "+buffered.err.Error())
 	}
-	body, err := io.ReadAll(buffered.Reader)
-	if err != nil {
-		return nil, api.Refuse(api.ReasonMalformedRequest, err.Error())
-	}
-	return body, nil
+	return buffered.data, nil
 }
 
 // identities maps the SHA-256 hashes of bearer tokens, in hex, to names. Without entries senders are not authenticated.
--- a/transport/httpapi/api_test.go
+++ b/transport/httpapi/api_test.go
@@ -21,6 +21,7 @@
 	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
 	"github.com/tarragonhoist/tarragonhoist/settings"
 	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/intake"
 	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
 )
 
@@ -66,7 +67,7 @@
 	if s == nil {
 		s = &settings.Settings{Instance: "a1"}
 	}
-	return httpapi.New(s, b).Handler()
+	return httpapi.New(s, b, intake.New(intake.Options{})).Handler()
 }
 
 func do(h http.Handler, method, path, body string, header map[string]string) *httptest.ResponseRecorder {
@@ -232,7 +233,9 @@
 	l := newPipeListener()
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
-	go func() { served <- httpapi.New(&settings.Settings{Instance: "a1"}, b).Serve(ctx, l) }()
+	go func() {
+		served <- httpapi.New(&settings.Settings{Instance: "a1"}, b, intake.New(intake.Options{})).Serve(ctx, l)
+	}()
 	runClient(l)
 	cancel()
 	if err := <-served; err != nil {
--- a/transport/httpapi/callers.go
+++ b/transport/httpapi/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -112,6 +113,9 @@
 	if result != nil {
 		return ChatCall{}, result
 	}
+	if result := reserveDecoded(r, body, messageBytes); result != nil {
+		return ChatCall{}, result
+	}
 	parsed, err := api.ParseChatRequest(body)
 	if err != nil {
 		return ChatCall{}, api.Refuse(api.ReasonMalformedRequest, err.Error())
@@ -226,7 +230,20 @@
 		w.Header().Set("Content-Type", answer.ContentType)
 	}
 	w.WriteHeader(answer.Status)
-	_, _ = w.Write(answer.Body)
+	writePieces(w, answer.Body)
+}
+
+// writePieceBytes is how much of an answer is written at once. A write that is blocked is counted for the client, beside the answer itself.
+const writePieceBytes = 64 << 10
+
+func writePieces(w io.Writer, body []byte) {
+	for len(body) > 0 {
+		n, err := w.Write(body[:min(writePieceBytes, len(body))])
+		if err != nil {
+			return
+		}
+		body = body[n:]
+	}
 }
 
 func (s *Server) serviceCall(req *restful.Request, id string) (ServiceCall, *api.Result) {
--- a/transport/httpapi/cut_test.go
+++ b/transport/httpapi/cut_test.go
@@ -15,6 +15,7 @@
 	"github.com/tarragonhoist/tarragonhoist/protocol/api"
 	"github.com/tarragonhoist/tarragonhoist/settings"
 	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/intake"
 	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
 )
 
@@ -47,7 +48,7 @@
 			return &httpapi.ServiceAnswer{ServiceAnswer: targetclient.ServiceAnswer{Status: http.StatusOK, Body: []byte("answer")}}, nil
 		},
 	}
-	server := httptest.NewServer(httpapi.New(&settings.Settings{Instance: "a1"}, b).Handler())
+	server := httptest.NewServer(httpapi.New(&settings.Settings{Instance: "a1"}, b, intake.New(intake.Options{})).Handler())
 	t.Cleanup(server.Close)
 	chat := func(content string, stream bool) string {
 		return fmt.Sprintf(`{"model":"m","stream":%v,"messages":[{"role":"user","content":%q}]}`, stream, content)
--- a/transport/httpapi/operators.go
+++ b/transport/httpapi/operators.go
@@ -165,6 +165,10 @@
 		writeResult(resp.ResponseWriter, result, id)
 		return
 	}
+	if result := reserveDecoded(req.Request, body, targetRecordBytes); result != nil {
+		writeResult(resp.ResponseWriter, result, id)
+		return
+	}
 	var message M
 	err := json.Unmarshal(body, &message)
 	if err == nil {
--- a/transport/intake/body.go
+++ b/transport/intake/body.go
@@ -23,11 +23,12 @@
 	case r.ContentLength == 0 || r.Body == nil:
 		return nil, nil
 	}
-	b := bodyReader{conn: c, source: r.Body, largest: limit + 1}
+	b := bodyReader{source: r.Body, largest: limit + 1}
 	if r.ContentLength > 0 {
 		b.largest = r.ContentLength
 	}
 	if c != nil {
+		b.client = &Client{conn: c, request: c.ended.Load()}
 		defer c.enter(phaseRunning)
 	}
 	err := b.readAll()
@@ -47,7 +48,7 @@
 }
 
 type bodyReader struct {
-	conn    *Conn // nil if the body is not counted
+	client  *Client // nil if the body is not counted
 	source  io.Reader
 	largest int64 // bytes to be read at most
 	data    []byte
@@ -95,11 +96,11 @@
 func (b *bodyReader) grow() error {
 	old := int64(cap(b.data))
 	size := min(max(2*old, initialBody), b.largest)
-	if b.conn != nil {
-		if err := b.conn.reserve(size); err != nil {
+	if b.client != nil {
+		if err := b.client.Reserve(size); err != nil {
 			return err
 		}
-		defer b.conn.release(old)
+		defer b.client.release(old)
 	}
 	b.data = append(make([]byte, 0, size), b.data...)
 	return nil
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -39,7 +39,9 @@
 	once         sync.Once
 	gone         atomic.Bool
 
-	request atomic.Int64 // part of held that is given back at the end of the request: head and body
+	request atomic.Int64 // part of held that is given back at the end of the request: head, body and what is held for it
+	ended   atomic.Int64 // number of requests that have ended; it changes under endMu
+	endMu   sync.Mutex
 
 	// The fields below belong to the pool. closedRunning is set if the pool closed the connection while a request ran. marks are the bytes received when the last two measurements began.
 	closedRunning bool
@@ -80,6 +82,24 @@
 	return nil
 }
 
+// reserveFor is reserve for a request that may have ended meanwhile; nothing is counted for it then.
+func (c *Conn) reserveFor(request, n int64) error {
+	if c.ended.Load() != request {
+		return errClosed
+	}
+	if err := c.pool.reserve(c, n); err != nil {
+		return err
+	}
+	c.endMu.Lock()
+	defer c.endMu.Unlock()
+	if c.ended.Load() != request {
+		c.pool.release(c, n)
+		return errClosed
+	}
+	c.request.Add(n)
+	return nil
+}
+
 // release gives n bytes of the request back.
 func (c *Conn) release(n int64) {
 	c.request.Add(-n)
@@ -144,7 +164,10 @@
 
 // end is called when a request was answered.
 func (c *Conn) end() {
+	c.endMu.Lock()
+	c.ended.Add(1)
 	c.pool.release(c, c.request.Swap(0))
+	c.endMu.Unlock()
 	c.enter(phaseIdle)
 }
 
--- a/transport/intake/pool.go
+++ b/transport/intake/pool.go
@@ -130,11 +130,15 @@
 // pollInterval is the interval at which clients that wait ask for room, and at which the pool makes room.
 const pollInterval = 20 * time.Millisecond
 
-// reserve counts n more bytes for a client. It waits until there is room.
+// reserve counts n more bytes for a client. It waits until there is room, unless there never will be.
 func (p *Pool) reserve(c *Conn, n int64) error {
 	if p.take(c, n) {
 		return nil
 	}
+	if p.budget != math.MaxInt64 && c.held.Load()+n > int64(seniorShare*float64(p.budget)) {
+		p.limits[limitRefused].act()
+		return ErrTooLarge
+	}
 	p.wanted.Add(n)
 	c.wanted.Store(n)
 	c.waitingSince.Store(time.Now().UnixNano())
--- a/transport/targetclient/service.go
+++ b/transport/targetclient/service.go
@@ -3,13 +3,13 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"sync/atomic"
 
 	"github.com/pkg/errors"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/targetapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/intake"
 )
 
 // ServiceCall is one call of a plain service.
@@ -31,7 +31,7 @@
 	Body        []byte
 }
 
-// CallService sends one call on a new connection. If err is not nil, sent tells whether any byte left this process; if
+// CallService sends one call on a new connection. Its answer is counted for the client of ctx, see intake.ClientOf. If err is not nil, sent tells whether any byte left this process; if
 // none did, the call did not run.
 func (c *Client) CallService(ctx context.Context, call ServiceCall) (answer *ServiceAnswer, sent bool, err error) {
 	var written atomic.Bool
@@ -51,12 +51,12 @@
 		return nil, written.Load(), errors.Wrap(err, "send service call")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxServiceAnswerBytes+1))
+	body, err := intake.ReadAll(ctx, resp.Body, resp.ContentLength, MaxServiceAnswerBytes)
+	if errors.Is(err, intake.ErrTooLarge) {
+		return nil, true, errors.Errorf("the answer of the service is larger than %d bytes, or than what clients may hold", MaxServiceAnswerBytes)
+	}
 	if err != nil {
 		return nil, true, errors.Wrap(err, "read answer of the service")
 	}
-	if len(body) > MaxServiceAnswerBytes {
-		return nil, true, errors.Errorf("the answer of the service is larger than %d bytes", MaxServiceAnswerBytes)
-	}
 	return &ServiceAnswer{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, true, nil
 }
