Bound what all processes hold through the peer ports

Cause: the limits of the peer port were those of one sender (9 MiB with queues, calls and a frame) and 1,024 connections, so their sum had no bound; 96 clients with frames of 1 MiB brought a control instance to 84,956 KiB, 65,536 allowed. Connections of the peer port of a gateway could be closed in favour of callers. Change: a tenth of memory_mb is set aside for the peer transport (intake.Peers): connections, frames as they arrive, queues in both directions and parameters of calls; a quarter of it at most before the handshake, three quarters at most for senders above 256 KiB. A frame waits up to 1 s for room, then its connection is closed; a notification is dropped, a call is refused as not run. Neither callers nor processes lose room to each other. The number of connections follows max_fds. Connections to the peer port of a gateway, which are HTTP and stay in the pool, are not closed for others while they hold an eighth of it at most. Metrics intake.peers_held_bytes and intake.peers_refused_for_memory, event 110.

--- a/instance/fleet/providers.go
+++ b/instance/fleet/providers.go
@@ -64,8 +64,9 @@
 	return fleetview.New(adapter.DecodeConfig, node.DataCentre, node.SeedNames())
 }
 
-func providePeers(node *settings.Node, processIncarnation incarnation, registry metrics.Registry, recorder *events.Recorder) (*peer.Transport, error) {
+func providePeers(node *settings.Node, processIncarnation incarnation, clients *intake.Pool, registry metrics.Registry, recorder *events.Recorder) (*peer.Transport, error) {
 	return peer.New(peer.Options{
+		Memory: clients.Peers(), MaxConnections: clients.PeerConnections(peer.DefaultMaxConnections, true),
 		Cluster: clusterName, Self: node.PeerName(), Incarnation: uint64(processIncarnation),
 		Resolve:        func(name string) (string, bool) { return name, isAddress(name) },
 		BytesPerSecond: peerBytesPerSecond, DialTimeout: peerDialTimeout, PingInterval: peerPingInterval, PingTimeout: peerPingTimeout,
--- a/instance/fleet/wire_gen.go
+++ b/instance/fleet/wire_gen.go
@@ -22,13 +22,13 @@
 	}
 	view := provideView(node, adapter)
 	fleetIncarnation := provideIncarnation()
-	transport, err := providePeers(node, fleetIncarnation, registry, recorder)
+	pool := provideIntake(node, recorder, registry)
+	transport, err := providePeers(node, fleetIncarnation, pool, registry, recorder)
 	if err != nil {
 		return nil, err
 	}
 	fleetWatchAll := _wireWatchAllValue
 	watcher := provideWatcher(view, transport, node, fleetWatchAll, recorder)
-	pool := provideIntake(node, recorder, registry)
 	fleetProcess := &process{
 		node:     node,
 		sink:     sink,
@@ -60,13 +60,13 @@
 	}
 	view := provideView(node, adapter)
 	fleetIncarnation := provideIncarnation()
-	transport, err := providePeers(node, fleetIncarnation, registry, recorder)
+	pool := provideIntake(node, recorder, registry)
+	transport, err := providePeers(node, fleetIncarnation, pool, registry, recorder)
 	if err != nil {
 		return nil, err
 	}
 	fleetWatchAll := _wireFleetWatchAllValue
 	watcher := provideWatcher(view, transport, node, fleetWatchAll, recorder)
-	pool := provideIntake(node, recorder, registry)
 	fleetProcess := &process{
 		node:     node,
 		sink:     sink,
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -182,7 +182,7 @@
 		MaxHeaderBytes: maxHeaderBytes,
 	}
 	failed := make(chan error, 3)
-	go func() { failed <- g.opts.Intake.Serve(peerServer, peerListener) }()
+	go func() { failed <- g.opts.Intake.ServePeers(peerServer, peerListener) }()
 	go func() { failed <- g.opts.Intake.Serve(callerServer, callerListener) }()
 	go func() { failed <- g.opts.Intake.Serve(readinessServer, readinessListener) }()
 	go g.watcher.Run(background)
--- a/instance/providers.go
+++ b/instance/providers.go
@@ -137,10 +137,11 @@
 	return replicalink.Groups{groupConfig: l.config, groupCalls: l.calls}
 }
 
-func providePeers(s *settings.Settings, start startNumber, registry metrics.Registry, recorder *events.Recorder) (*peer.Transport, error) {
+func providePeers(s *settings.Settings, start startNumber, clients *intake.Pool, registry metrics.Registry, recorder *events.Recorder) (*peer.Transport, error) {
 	options := peer.Options{
 		Cluster: s.Cluster, Self: s.Instance, Incarnation: uint64(start), BytesPerSecond: s.PeerBytesPerSecond,
 		Registry: registry, OnEvent: func(e peer.Event) { recordPeerEvent(recorder, e) },
+		Memory: clients.Peers(), MaxConnections: clients.PeerConnections(peer.DefaultMaxConnections, false),
 		Resolve: func(name string) (string, bool) {
 			p, ok := s.Peer(name)
 			return p.Address, ok
--- a/instance/wire_gen.go
+++ b/instance/wire_gen.go
@@ -28,7 +28,8 @@
 	if err != nil {
 		return nil, err
 	}
-	transport, err := providePeers(s, instanceStartNumber, registry, recorder)
+	pool := provideIntake(s, recorder, registry)
+	transport, err := providePeers(s, instanceStartNumber, pool, registry, recorder)
 	if err != nil {
 		return nil, err
 	}
@@ -89,7 +90,6 @@
 		status:   instanceStatusReader,
 		registry: registry,
 	}
-	pool := provideIntake(s, recorder, registry)
 	httpapiServer := provideServer(s, instanceBackend, pool)
 	instance := &Instance{
 		settings:    s,
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -27,6 +27,7 @@
 type Conn struct {
 	*net.TCPConn
 	pool         *Pool
+	peer         bool // accepted by ServePeers
 	held         atomic.Int64
 	phase        atomic.Int32
 	since        atomic.Int64 // start of the phase, Unix ns
--- a/transport/intake/limits.go
+++ b/transport/intake/limits.go
@@ -15,12 +15,13 @@
 	limitConnections
 	limitStalled
 	limitRefused
+	limitPeers
 	limitCount
 )
 
 var limitNames = [limitCount]string{
 	limitMemory: "closed_for_memory", limitConnections: "closed_for_descriptors", limitStalled: "closed_without_progress",
-	limitRefused: "refused_for_memory",
+	limitRefused: "refused_for_memory", limitPeers: "peers_refused_for_memory",
 }
 
 // reportInterval is the shortest time between two events for the same limit.
--- /dev/null
+++ b/transport/intake/peers_test.go
@@ -0,0 +1,31 @@
+package intake
+
+import "testing"
+
+// Guards against large messages of some processes that leave no room for small ones of others, and against connections without a
+// handshake that use the room of those with one.
+func TestPartsOfPeers(t *testing.T) {
+	q := New(Options{MemoryMB: 40}).Peers() // 4 MiB
+	for i, row := range []struct {
+		n, held int64
+		proven  bool
+		want    bool
+	}{
+		{1 << 20, 0, false, true},
+		{1, 0, false, false},
+		{2 << 20, 0, true, true},
+		{1, 2 << 20, true, false},
+		{200 << 10, 0, true, true},
+		{200 << 10, 200 << 10, true, false},
+		{800 << 10, 0, true, false},
+		{100 << 10, 0, true, true},
+	} {
+		if got := q.Take(row.n, row.held, row.proven); got != row.want {
+			t.Errorf("%d: %d bytes more for one that holds %d: %t, want %t", i, row.n, row.held, got, row.want)
+		}
+	}
+	q.Prove(1 << 20)
+	if !q.Take(1<<10, 0, false) {
+		t.Error("a new connection finds no room after others have completed their handshake")
+	}
+}
--- a/transport/intake/pool.go
+++ b/transport/intake/pool.go
@@ -62,6 +62,7 @@
 	senior   atomic.Pointer[Conn]
 	full     chan struct{} // wakes Run
 	limits   [limitCount]limitCounter
+	peers    *Peers
 	usedNow  metrics.Gauge
 	connsNow metrics.Gauge
 
@@ -88,6 +89,7 @@
 	}
 	p.usedNow = metrics.GetOrRegisterGauge("intake.held_bytes", p.opts.Registry)
 	p.connsNow = metrics.GetOrRegisterGauge("intake.connections", p.opts.Registry)
+	p.peers = newPeers(p)
 	for l := range p.limits {
 		p.limits[l].total = metrics.GetOrRegisterCounter("intake."+limitNames[l], p.opts.Registry)
 	}
@@ -174,7 +176,7 @@
 }
 
 // admit adds a connection, and closes others if there are too many. It returns nil if there is no room yet.
-func (p *Pool) admit(raw *net.TCPConn) *Conn {
+func (p *Pool) admit(raw *net.TCPConn, peer bool) *Conn {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -185,7 +187,7 @@
 		}
 		p.closeLocked(victim, limitConnections)
 	}
-	c := &Conn{TCPConn: raw, pool: p, closed: make(chan struct{})}
+	c := &Conn{TCPConn: raw, pool: p, peer: peer, closed: make(chan struct{})}
 	c.since.Store(now.UnixNano())
 	c.held.Store(connBytes)
 	p.used.Add(connBytes)
@@ -210,13 +212,27 @@
 func (p *Pool) claimLocked(now time.Time) {
 	p.claims, p.owners = p.claims[:0], p.owners[:0]
 	senior := p.senior.Load()
+	exempt := p.peersExemptLocked()
 	for c := range p.clients {
 		claim := c.claim(now)
 		claim.Senior = c == senior
+		claim.Exempt = c.peer && exempt
 		p.claims, p.owners = append(p.claims, claim), append(p.owners, c)
 	}
 }
 
+// peersExemptLocked reports whether the connections of ServePeers are within their part, so that they are not closed for others.
+func (p *Pool) peersExemptLocked() bool {
+	held, conns := int64(0), 0
+	for c := range p.clients {
+		if c.peer {
+			held += c.held.Load()
+			conns++
+		}
+	}
+	return float64(held) <= exemptShare*float64(p.budget) && float64(conns) <= exemptShare*float64(p.maxConns)
+}
+
 func (p *Pool) closeLocked(c *Conn, l limit) {
 	p.limits[l].act()
 	delete(p.clients, c)
--- a/transport/intake/server.go
+++ b/transport/intake/server.go
@@ -11,10 +11,11 @@
 type listener struct {
 	net.Listener
 	pool *Pool
+	peer bool
 }
 
 // Listener returns a listener whose connections the pool counts.
-func (p *Pool) Listener(l net.Listener) net.Listener { return &listener{l, p} }
+func (p *Pool) Listener(l net.Listener) net.Listener { return &listener{l, p, false} }
 
 // admitTries is how often a connection for which there is no room is tried again, every admitPause. Others wait to be accepted meanwhile.
 const (
@@ -34,7 +35,7 @@
 			return conn, nil
 		}
 		for range admitTries {
-			if c := l.pool.admit(tcp); c != nil {
+			if c := l.pool.admit(tcp, l.peer); c != nil {
 				return c, nil
 			}
 			time.Sleep(admitPause)
@@ -48,9 +49,18 @@
 
 // Serve has a server serve a listener whose connections the pool counts. The handler, which is wrapped, reads bodies with ReadBody.
 func (p *Pool) Serve(server *http.Server, l net.Listener) error {
+	return p.serve(server, p.Listener(l))
+}
+
+// ServePeers is Serve for a listener of other processes. Up to a part of the pool, their connections are not closed for those of callers.
+func (p *Pool) ServePeers(server *http.Server, l net.Listener) error {
+	return p.serve(server, &listener{l, p, true})
+}
+
+func (p *Pool) serve(server *http.Server, l net.Listener) error {
 	server.Handler = p.handler(server.Handler)
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
-	return server.Serve(p.Listener(l))
+	return server.Serve(l)
 }
 
 // Timeouts of servers that are not those of callers.
--- a/transport/intake/victim.go
+++ b/transport/intake/victim.go
@@ -42,6 +42,8 @@
 	Waiting bool
 	// Senior is set for the one client that may use more room than others that hold much, see Senior.
 	Senior bool
+	// Exempt is set for clients that are not closed for others.
+	Exempt bool
 }
 
 // stalled reports whether a client that is in the middle of a request or a response makes no progress.
@@ -84,6 +86,7 @@
 		c := &claims[i]
 		class := 0
 		switch {
+		case c.Exempt:
 		case c.State == Idle && scarce == Descriptors:
 			class = 4
 		case c.State == Idle, c.stalled(now):
--- a/transport/intake/victim_test.go
+++ b/transport/intake/victim_test.go
@@ -42,6 +42,8 @@
 		{"a response that was just written", []Claim{running, justWritten}, true, -1},
 		{"the oldest idle connection", []Claim{running, idle, longIdle}, false, 2},
 		{"idle connections that hold little", []Claim{idle, stopped, longIdle}, false, 1},
+		{"other processes beside a stopped client", []Claim{{State: Receiving, Held: 4 << 20, Since: ago(9), Exempt: true}, stopped}, false, 1},
+		{"other processes only", []Claim{{State: Receiving, Held: 4 << 20, Since: ago(9), Exempt: true}, {State: Idle, Since: ago(14), Exempt: true}}, true, -1},
 		{"the one that holds most", []Claim{slowHead, stopped, slowHead}, false, 1},
 		{"the one that stopped first", []Claim{stopped, {State: Receiving, Held: 1 << 20, Since: ago(9)}}, false, 1},
 		{"a newest client is not preferred", []Claim{stopped, {State: Receiving, Held: 1 << 20, Since: ago(1)}}, true, 0},
--- a/transport/peer/inbound.go
+++ b/transport/peer/inbound.go
@@ -30,16 +30,20 @@
 	requests []*jsonrpc2.Request
 	bytes    int
 	wake     chan struct{}
+	account  *account
 }
 
-// put appends a notification and drops the oldest ones while the queue exceeds its bounds.
+// put appends a notification and drops the oldest ones while the queue exceeds its bounds. Without room it drops the new one.
 func (q *requestQueue) put(req *jsonrpc2.Request) (dropped int64) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if !q.account.take(len(requestParams(req))) {
+		return 1
+	}
 	q.requests = append(q.requests, req)
 	q.bytes += len(requestParams(req))
 	for len(q.requests) > inboundQueueLength || q.bytes > inboundQueueBytes {
-		q.removeLocked()
+		q.account.release(len(requestParams(q.removeLocked())))
 		dropped++
 	}
 	select {
@@ -72,6 +76,8 @@
 	conn   net.Conn
 	stream *stream
 	queues [2]requestQueue // by peerapi.Class
+	// account counts what the sender holds.
+	account *account
 
 	// checkedMeta is the last envelope that matched the handshake; only the read loop uses it.
 	checkedMeta []byte
@@ -86,8 +92,17 @@
 // accept serves a connection, or closes it when there are too many.
 func (t *Transport) accept(conn net.Conn) {
 	in := &inbound{t: t, conn: conn}
+	if t.opts.Memory != nil {
+		in.account = &account{memory: t.opts.Memory}
+	}
 	for class := range in.queues {
 		in.queues[class].wake = make(chan struct{}, 1)
+		in.queues[class].account = in.account
+	}
+	if !in.account.take(connectionBytes) {
+		_ = conn.Close()
+		t.reject(conn.RemoteAddr().String(), ErrNoRoom)
+		return
 	}
 	t.mu.Lock()
 	full := t.closed || len(t.connections) >= t.opts.MaxConnections || t.handshaking >= maxHandshaking
@@ -98,6 +113,7 @@
 	}
 	t.mu.Unlock()
 	if full {
+		in.account.close()
 		_ = conn.Close()
 		t.reject(conn.RemoteAddr().String(), errors.New("too many inbound connections"))
 	}
@@ -125,7 +141,7 @@
 		}
 		in.conn = conn
 	}
-	s := newStream(in.t, in.conn)
+	s := newStream(in.t, in.conn, in.account)
 	s.unproven = true
 	in.mu.Lock()
 	in.stream = s
@@ -177,6 +193,7 @@
 
 func (in *inbound) unregister() {
 	_ = in.conn.Close()
+	in.account.close()
 	hello := in.peerHello()
 	in.t.mu.Lock()
 	defer in.t.mu.Unlock()
@@ -333,6 +350,7 @@
 	defer in.mu.Unlock()
 	in.hello = hello
 	in.stream.unproven = false
+	in.account.prove()
 	return old, nil
 }
 
@@ -381,6 +399,7 @@
 		if h := in.t.handler(req.Method); h != nil {
 			_, _ = h(ctx, in.sender(), requestParams(req))
 		}
+		queue.account.release(len(requestParams(req)))
 	}
 }
 
@@ -403,6 +422,9 @@
 	if in.runningCalls >= in.t.opts.MaxInboundCalls || in.runningBytes+size > maxRunningBytes {
 		return errors.Errorf("%d calls with %d bytes are running already", in.runningCalls, in.runningBytes)
 	}
+	if !in.account.takeCall(size) {
+		return ErrNoRoom
+	}
 	in.runningCalls++
 	in.runningBytes += size
 	return nil
@@ -413,6 +435,7 @@
 	defer in.mu.Unlock()
 	in.runningCalls--
 	in.runningBytes -= size
+	in.account.releaseCall(size)
 }
 
 // call runs a handler in its own goroutine. The sender gives up after CallTimeout, so the handler's context ends then
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -192,7 +192,7 @@
 			return nil, errors.Wrapf(err, "TLS with %s", l.peer)
 		}
 	}
-	out := &outbound{t: l.t, peer: l.peer, openedAt: time.Now(), stream: newStream(l.t, conn)}
+	out := &outbound{t: l.t, peer: l.peer, openedAt: time.Now(), stream: newStream(l.t, conn, nil)}
 	out.usedAt.Store(time.Now().UnixNano())
 	out.rpc = jsonrpc2.NewConn(context.Background(), out.stream, out, jsonrpc2.OnSend(out.stream.onSend),
 		jsonrpc2.SetLogger(debugLogger{l.t.opts.Log}))
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -128,6 +128,8 @@
 	MaxBackoff   time.Duration
 	// IncarnationRetention is how long older incarnations of a sender are rejected after a newer one last connected.
 	IncarnationRetention time.Duration
+	// Memory counts what other instances hold of this process; nil counts nothing.
+	Memory Memory
 	// Registry receives the counters; nil means a private registry.
 	Registry metrics.Registry
 	// OnEvent is called for changes of links; it must not block.
@@ -136,6 +138,17 @@
 	Log *logrus.Logger
 }
 
+// Memory bounds what the senders of inbound connections hold together. It is safe for concurrent use.
+type Memory interface {
+	// Take counts n more bytes for a sender that holds some already and reports whether there was room. proven is set when its
+	// handshake is complete.
+	Take(n, held int64, proven bool) bool
+	Prove(n int64)
+	Release(n int64, proven bool)
+	// Refused is called for each message or connection for which there was no room.
+	Refused()
+}
+
 func setDefault[T int | time.Duration](v *T, value T) {
 	if *v == 0 {
 		*v = value
--- a/transport/peer/stream.go
+++ b/transport/peer/stream.go
@@ -52,6 +52,10 @@
 	wake       chan struct{}
 	closed     chan struct{}
 	writerDone chan struct{} // closed when the writer goroutine has ended
+	// account counts what the sender of an inbound connection holds, nil for other connections. frameBytes is what it counts for the
+	// frame that was read last, which is handled until the next one is read.
+	account    *account
+	frameBytes int
 
 	mu           sync.Mutex
 	queues       [2][]frame // by peerapi.Class
@@ -74,9 +78,9 @@
 	droppable bool
 }
 
-func newStream(t *Transport, conn net.Conn) *stream {
+func newStream(t *Transport, conn net.Conn, account *account) *stream {
 	s := &stream{
-		t: t, conn: conn, reader: bufio.NewReader(conn), limiter: t.limiter, wake: make(chan struct{}, 1),
+		t: t, conn: conn, account: account, reader: bufio.NewReader(conn), limiter: t.limiter, wake: make(chan struct{}, 1),
 		closed: make(chan struct{}), writerDone: make(chan struct{}), replyClasses: make(map[jsonrpc2.ID]peerapi.Class),
 		receivedAt: time.Now(),
 	}
@@ -144,6 +148,10 @@
 			return errors.WithStack(ErrQueueFull)
 		}
 	}
+	if !s.account.take(len(f.data)) {
+		s.t.metrics.dropped.Inc(1)
+		return errors.WithStack(ErrQueueFull)
+	}
 	s.queues[class] = append(s.queues[class], f)
 	s.bytes[class] += len(f.data)
 	select {
@@ -158,6 +166,7 @@
 		if f.droppable {
 			s.queues[class] = append(s.queues[class][:i], s.queues[class][i+1:]...)
 			s.bytes[class] -= len(f.data)
+			s.account.release(len(f.data))
 			s.t.metrics.dropped.Inc(1)
 			return true
 		}
@@ -254,6 +263,7 @@
 }
 
 func (s *stream) send(f frame) bool {
+	defer s.account.release(len(f.data))
 	_ = s.conn.SetWriteDeadline(time.Now().Add(s.t.opts.WriteTimeout))
 	if _, err := s.conn.Write(f.data); err != nil {
 		_ = s.Close()
@@ -283,6 +293,8 @@
 	if s.isFinishing() {
 		return io.EOF
 	}
+	s.account.release(s.frameBytes)
+	s.frameBytes = 0
 	_ = s.conn.SetReadDeadline(time.Now().Add(s.t.opts.readTimeout()))
 	var header [headerBytes]byte
 	if _, err := io.ReadFull(s.reader, header[:]); err != nil {
@@ -299,8 +311,11 @@
 		s.sendClosing(err)
 		return err
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(s.reader, data); err != nil {
+	data, err := s.readFrame(int(size))
+	if err != nil {
+		if errors.Is(err, ErrNoRoom) {
+			s.sendClosing(err)
+		}
 		return err
 	}
 	s.t.metrics.receivedBytes.Inc(int64(headerBytes + len(data)))
@@ -316,6 +331,32 @@
 	return nil
 }
 
+// readFrame reads the content of a frame. What is allocated follows what has arrived, not the announced size, and is counted.
+func (s *stream) readFrame(size int) ([]byte, error) {
+	var data []byte
+	for len(data) < size {
+		next := min(max(2*len(data), firstFrameBytes), size)
+		if s.account == nil {
+			next = size
+		}
+		began := time.Now()
+		if err := s.account.await(next, s.closed); err != nil {
+			return nil, err
+		}
+		if time.Since(began) > roomPoll { // the sender could not make progress meanwhile
+			_ = s.conn.SetReadDeadline(time.Now().Add(s.t.opts.readTimeout()))
+		}
+		grown := append(make([]byte, 0, next), data...)
+		s.account.release(s.frameBytes)
+		s.frameBytes = next
+		if _, err := io.ReadFull(s.reader, grown[len(data):next]); err != nil {
+			return nil, err
+		}
+		data = grown[:next]
+	}
+	return data, nil
+}
+
 // sendClosing queues the reason for closing as the last frame and closes the sending direction after it.
 func (s *stream) sendClosing(violation error) {
 	data, err := json.Marshal(map[string]any{
