Make the times after which clients without progress are closed settings

Cause: the times for heads, idle connections, bodies and writes without progress and for the wait for memory were constants. Change: table [clients] in the settings of gateways, control instances and instances with release notes, with the values in use so far as defaults.

--- a/instance/fleet/providers.go
+++ b/instance/fleet/providers.go
@@ -82,7 +82,9 @@
 }
 
 func provideIntake(node *settings.Node, recorder *events.Recorder, registry metrics.Registry) *intake.Pool {
-	return intake.New(intake.Options{MemoryMB: node.MemoryMB, MaxFDs: processlimit.OpenFiles(node.MaxFDs), Registry: registry, Acted: func(limit string, clients int64) {
+	times := intake.Times{Head: node.Clients.HeadTimeout.Duration, Idle: node.Clients.IdleTimeout.Duration, Stall: node.Clients.StallTimeout.Duration,
+		Room: node.Clients.RoomTimeout.Duration}
+	return intake.New(intake.Options{Times: times, MemoryMB: node.MemoryMB, MaxFDs: processlimit.OpenFiles(node.MaxFDs), Registry: registry, Acted: func(limit string, clients int64) {
 		recorder.Record(events.ClientsBounded, events.Fields{"limit": limit, "clients": clients})
 	}})
 }
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -30,10 +30,6 @@
 )
 
 const (
-	// headerTimeout bounds reading the headers of a request; callers send theirs within 3 s.
-	headerTimeout = 10 * time.Second
-	// idleTimeout closes idle keep-alive connections of callers. It is well above the time for which callers reuse them.
-	idleTimeout = 60 * time.Second
 	// maxHeaderBytes bounds the headers of a request, with room above the limit that operators set.
 	maxHeaderBytes = 64 << 10
 	// defaultBodyBytes bounds a body when the configuration states no limit.
@@ -173,13 +169,11 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	callerServer := &http.Server{
-		Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
+		Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes,
 	}
 	readinessServer := intake.NewServer(http.HandlerFunc(g.serveReady))
 	peerServer := &http.Server{
-		Handler: http.HandlerFunc(g.serveHandover), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
+		Handler: http.HandlerFunc(g.serveHandover), MaxHeaderBytes: maxHeaderBytes,
 	}
 	failed := make(chan error, 3)
 	go func() { failed <- g.opts.Intake.ServePeers(peerServer, peerListener) }()
--- a/instance/providers.go
+++ b/instance/providers.go
@@ -288,7 +288,9 @@
 }
 
 func provideIntake(s *settings.Settings, recorder *events.Recorder, registry metrics.Registry) *intake.Pool {
-	return intake.New(intake.Options{MemoryMB: s.MemoryMB, MaxFDs: s.MaxFDs, Registry: registry, Acted: func(limit string, clients int64) {
+	times := intake.Times{Head: s.Clients.HeadTimeout.Duration, Idle: s.Clients.IdleTimeout.Duration, Stall: s.Clients.StallTimeout.Duration,
+		Room: s.Clients.RoomTimeout.Duration}
+	return intake.New(intake.Options{Times: times, MemoryMB: s.MemoryMB, MaxFDs: s.MaxFDs, Registry: registry, Acted: func(limit string, clients int64) {
 		recorder.Record(events.ClientsBounded, events.Fields{"limit": limit, "clients": clients})
 	}})
 }
--- a/settings/node.go
+++ b/settings/node.go
@@ -46,8 +46,9 @@
 	QuotaExcess  float64 `toml:"quota_excess"`
 	QuotaSlack   float64 `toml:"quota_slack"`
 	// SlowStart bounds the requests to targets that have just started or returned.
-	SlowStart bool `toml:"slow_start"`
-	Log       Log  `toml:"log"`
+	SlowStart bool        `toml:"slow_start"`
+	Clients   ClientTimes `toml:"clients"`
+	Log       Log         `toml:"log"`
 }
 
 // Defaults of Node.
@@ -81,7 +82,7 @@
 func ParseNode(name string, data []byte) (*Node, tomlfile.Findings) {
 	n := &Node{
 		LeaseMs: DefaultLeaseMs, GraceSeconds: DefaultGraceSeconds, RepeatRatio: DefaultRepeatRatio,
-		RepeatSlack: DefaultRepeatSlack, RepeatWindowS: DefaultRepeatWindowS, QuotaWindowS: DefaultQuotaWindowS, Log: Log{Level: DefaultNodeLogLevel, Format: "json"},
+		RepeatSlack: DefaultRepeatSlack, RepeatWindowS: DefaultRepeatWindowS, QuotaWindowS: DefaultQuotaWindowS, Clients: DefaultClientTimes(), Log: Log{Level: DefaultNodeLogLevel, Format: "json"},
 	}
 	f := tomlfile.Decode(name, data, n)
 	if n.Name == "" {
@@ -125,6 +126,7 @@
 	if n.MaxFDs != 0 && n.MaxFDs < MinMaxFDs {
 		f.Report("max_fds", "must be 0 or at least %d", MinMaxFDs)
 	}
+	n.Clients.check(f)
 	return n, f.Findings()
 }
 
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -50,17 +50,18 @@
 	Voters     []string `toml:"voters"`
 	DrainDelay Duration `toml:"drain_delay"`
 	// MemoryMB and MaxFDs are the memory and the descriptors of the process, of which clients may hold a part; 0 means no bound.
-	MemoryMB           int        `toml:"memory_mb"`
-	MaxFDs             int        `toml:"max_fds"`
-	TargetLease        Duration   `toml:"target_lease"`
-	RequestTimeout     Duration   `toml:"request_timeout"`
-	PeerBytesPerSecond int        `toml:"peer_bytes_per_second"`
-	Peers              []Peer     `toml:"peer"`
-	Callers            []Identity `toml:"caller"`
-	Operators          []Identity `toml:"operator"`
-	Store              Store      `toml:"store"`
-	TLS                TLS        `toml:"tls"`
-	Log                Log        `toml:"log"`
+	MemoryMB           int            `toml:"memory_mb"`
+	MaxFDs             int            `toml:"max_fds"`
+	TargetLease        Duration       `toml:"target_lease"`
+	RequestTimeout     Duration       `toml:"request_timeout"`
+	PeerBytesPerSecond int            `toml:"peer_bytes_per_second"`
+	Clients            InterfaceTimes `toml:"clients"`
+	Peers              []Peer         `toml:"peer"`
+	Callers            []Identity     `toml:"caller"`
+	Operators          []Identity     `toml:"operator"`
+	Store              Store          `toml:"store"`
+	TLS                TLS            `toml:"tls"`
+	Log                Log            `toml:"log"`
 }
 
 // Peer is one instance of the deployment. The list of peers includes the instance itself.
@@ -122,6 +123,7 @@
 		TargetLease:        Duration{DefaultTargetLease},
 		RequestTimeout:     Duration{DefaultRequestTimeout},
 		PeerBytesPerSecond: DefaultPeerBytesPerSecond,
+		Clients:            DefaultInterfaceTimes(),
 		Store:              Store{LoadsPerSecond: 3, LoadsAtOnce: 9, AdapterLoadsAtOnce: 70},
 		Log:                Log{Level: "info", Format: "text"},
 	}
@@ -147,6 +149,7 @@
 	checkIdentities(f, "caller", s.Callers)
 	checkIdentities(f, "operator", s.Operators)
 	s.checkLimits(f)
+	s.Clients.check(f)
 	s.checkTLS(f)
 	if _, err := logrus.ParseLevel(s.Log.Level); err != nil {
 		f.Report("log.level", "%q is not a log level", s.Log.Level)
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -55,3 +55,33 @@
 		t.Errorf("finding for target_lease has no file and line:\n%s", findings.Error())
 	}
 }
+
+// Guards against times for clients that callers within the limits reach, against defaults that their own check refuses, and against
+// settings that are lost.
+func TestClientTimes(t *testing.T) {
+	type row struct{ key, good, bad string }
+	rows := []row{{"head_timeout", "3s", "2900ms"}, {"idle_timeout", "15s", "14s"}, {"stall_timeout", "2s", "1s"}, {"room_timeout", "1s", "0s"}}
+	own := []row{{"body_timeout", "17s", "16s"}, {"event_timeout", "2s", "-1s"}}
+	node := "name = \"g\"\ndata_centre = \"a\"\naddress = \"10.1.0.38\"\npeer_port = 7380\n"
+	if _, findings := settings.ParseNode("n.toml", []byte(node)); len(findings) > 0 {
+		t.Error(findings)
+	}
+	for _, r := range append(rows, own...) {
+		table := func(value string) string { return "\n[clients]\n" + r.key + " = \"" + value + "\"\n" }
+		if s, findings := settings.Parse("a.toml", []byte(validSettings+table(r.good))); len(findings) > 0 || s.Clients == settings.DefaultInterfaceTimes() {
+			t.Errorf("%s = %s: findings %v, times %+v", r.key, r.good, findings, s.Clients)
+		}
+		if _, findings := settings.Parse("a.toml", []byte(validSettings+table(r.bad))); len(findings) != 1 || findings[0].Key != "clients."+r.key {
+			t.Errorf("%s = %s: findings %v", r.key, r.bad, findings)
+		}
+	}
+	for _, r := range rows {
+		table := func(value string) string { return "\n[clients]\n" + r.key + " = \"" + value + "\"\n" }
+		if n, findings := settings.ParseNode("n.toml", []byte(node+table(r.good))); len(findings) > 0 || n.Clients == settings.DefaultClientTimes() {
+			t.Errorf("%s = %s: findings %v, times %+v", r.key, r.good, findings, n.Clients)
+		}
+		if _, findings := settings.ParseNode("n.toml", []byte(node+table(r.bad))); len(findings) != 1 || findings[0].Key != "clients."+r.key {
+			t.Errorf("%s = %s: findings %v", r.key, r.bad, findings)
+		}
+	}
+}
--- a/transport/httpapi/api.go
+++ b/transport/httpapi/api.go
@@ -27,12 +27,8 @@
 // MaxBodyBytes bounds the body of a caller's request.
 const MaxBodyBytes = 4 << 20
 
-// Timeouts and size limits, mainly against half-open connections and slow readers.
+// Size limits, mainly against clients that hold memory.
 const (
-	headerTimeout     = 5 * time.Second
-	bodyTimeout       = 20 * time.Second
-	idleTimeout       = 2 * time.Minute
-	writeTimeout      = 10 * time.Second
 	maxHeaderBytes    = 32 << 10
 	maxRequestIDBytes = 128
 )
@@ -66,6 +62,7 @@
 	callers   identities
 	operators identities
 	clients   *intake.Pool
+	times     settings.InterfaceTimes
 }
 
 // New returns the HTTP server of the instance that the settings describe. clients counts what its clients hold; the server runs it.
@@ -73,7 +70,7 @@
 	return &Server{
 		backend: backend, instance: s.Instance,
 		callers: newIdentities(s.Callers), operators: newIdentities(s.Operators),
-		clients: clients,
+		clients: clients, times: s.Clients.WithDefaults(),
 	}
 }
 
@@ -91,7 +88,7 @@
 // when all handlers have finished.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) error {
 	server := &http.Server{
-		Handler: s.Handler(), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: s.Handler(), ReadHeaderTimeout: s.times.HeadTimeout.Duration, IdleTimeout: s.times.IdleTimeout.Duration, MaxHeaderBytes: maxHeaderBytes,
 	}
 	serveErr := make(chan error, 1)
 	pooled, stop := context.WithCancel(context.Background())
@@ -106,13 +103,13 @@
 	}
 }
 
-// limitBody reads each request body into memory before the handler runs, within MaxBodyBytes and bodyTimeout.
+// limitBody reads each request body into memory before the handler runs, within MaxBodyBytes and its time.
 func (s *Server) limitBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(api.HeaderInstance, s.instance)
 		control := http.NewResponseController(w)
 		// The error is ignored, since not every writer supports deadlines; httptest.ResponseRecorder doesn't.
-		_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+		_ = control.SetReadDeadline(time.Now().Add(s.times.BodyTimeout.Duration))
 		body, err := intake.ReadBody(r, MaxBodyBytes)
 		if errors.Is(err, intake.ErrFull) {
 			intake.Refuse(w)
--- a/transport/httpapi/callers.go
+++ b/transport/httpapi/callers.go
@@ -183,7 +183,7 @@
 }
 
 func (s *Server) streamChat(w http.ResponseWriter, r *http.Request, call ChatCall) {
-	stream := newStreamWriter(w)
+	stream := newStreamWriter(w, s.times.EventTimeout.Duration)
 	result := s.backend.Chat(r.Context(), call, stream)
 	stream.finish(result, call.RequestID)
 }
--- a/transport/httpapi/stream.go
+++ b/transport/httpapi/stream.go
@@ -18,11 +18,12 @@
 type streamWriter struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
+	timeout time.Duration // for an event to be taken
 	started bool
 }
 
-func newStreamWriter(w http.ResponseWriter) *streamWriter {
-	return &streamWriter{w: w, control: http.NewResponseController(w)}
+func newStreamWriter(w http.ResponseWriter, timeout time.Duration) *streamWriter {
+	return &streamWriter{w: w, control: http.NewResponseController(w), timeout: timeout}
 }
 
 // Begin names the software version in the header of the answer.
@@ -32,7 +33,7 @@
 	}
 }
 
-// WriteEvent sends one chunk. It fails when the caller doesn't read it within writeTimeout.
+// WriteEvent sends one chunk. It fails when the caller doesn't read it in time.
 func (s *streamWriter) WriteEvent(offset int, chunk []byte) error {
 	s.start()
 	return s.send(fmt.Sprintf("id: %d\ndata: %s\n\n", offset, chunk))
@@ -51,7 +52,7 @@
 }
 
 func (s *streamWriter) send(text string) error {
-	_ = s.control.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = s.control.SetWriteDeadline(time.Now().Add(s.timeout))
 	if _, err := s.w.Write([]byte(text)); err != nil {
 		return errors.Wrap(err, "write event to the caller")
 	}
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -192,10 +192,10 @@
 // observe starts a measurement of the progress every half window, so that the older of two covers between a half and a whole one.
 func (c *Conn) observe() { c.marks[0], c.marks[1] = c.marks[1], c.received.Load() }
 
-// stuck reports whether a body or a write has made no progress for stallTime.
-func (c *Conn) stuck(now time.Time) bool {
+// stuck reports whether a body or a write has made no progress for the given time.
+func (c *Conn) stuck(now time.Time, limit time.Duration) bool {
 	if started := c.writing.Load(); started != 0 {
-		return now.Sub(time.Unix(0, started)) > stallTime
+		return now.Sub(time.Unix(0, started)) > limit
 	}
 	since := c.since.Load()
 	if c.phase.Load() != phaseBody || c.waitingSince.Load() != 0 {
@@ -206,5 +206,5 @@
 	if c.stalledPhase != since || received-c.stallMark >= stallBytes {
 		c.stalledPhase, c.stallMark, c.stallMarkAt = since, received, now
 	}
-	return now.Sub(c.stallMarkAt) > stallTime
+	return now.Sub(c.stallMarkAt) > limit
 }
--- a/transport/intake/pool.go
+++ b/transport/intake/pool.go
@@ -3,6 +3,7 @@
 package intake
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"net"
@@ -29,14 +30,31 @@
 	ownDescriptors = 64
 )
 
+// stallBytes of a body have to arrive within Times.Stall.
+const stallBytes = 1 << 10
+
+// Times after which clients without progress are closed or refused. Zero values mean the defaults.
+type Times struct {
+	// Head and Idle are the times for a head, and between requests, of servers that set none of their own.
+	Head, Idle time.Duration
+	// Stall is how long a body may take for stallBytes, and one write of a response.
+	Stall time.Duration
+	// Room is how long a client waits for room before it is refused.
+	Room time.Duration
+}
+
+// Defaults of Times, which clients within the limits of docs/design/hard-load.md, Part 5, don't reach.
 const (
-	// roomWait is how long a client waits for room before it is refused.
-	roomWait = 4 * time.Second
-	// stallTime is how long a body may take for stallBytes, and one write of a response.
-	stallTime  = 20 * time.Second
-	stallBytes = 1 << 10
+	DefaultHead  = 10 * time.Second
+	DefaultIdle  = 60 * time.Second
+	DefaultStall = 20 * time.Second
+	DefaultRoom  = 4 * time.Second
 )
 
+func (t Times) withDefaults() Times {
+	return Times{Head: cmp.Or(t.Head, DefaultHead), Idle: cmp.Or(t.Idle, DefaultIdle), Stall: cmp.Or(t.Stall, DefaultStall), Room: cmp.Or(t.Room, DefaultRoom)}
+}
+
 // ErrFull is returned when a client gets no room.
 var ErrFull = errors.New("clients hold all memory that is set aside for them")
 
@@ -47,6 +65,7 @@
 type Options struct {
 	MemoryMB int
 	MaxFDs   int
+	Times    Times
 	Registry metrics.Registry
 	// Acted is told, at most once a second for each limit, how many clients it has closed or refused.
 	Acted func(limit string, clients int64)
@@ -77,6 +96,7 @@
 
 // New returns a pool. Run must be called.
 func New(opts Options) *Pool {
+	opts.Times = opts.Times.withDefaults()
 	p := &Pool{opts: opts, budget: math.MaxInt64, maxConns: math.MaxInt, full: make(chan struct{}, 1), clients: make(map[*Conn]struct{}), closing: make(map[*Conn]struct{})}
 	if opts.MemoryMB > 0 {
 		p.budget = int64(poolShare * float64(opts.MemoryMB) * (1 << 20))
@@ -96,6 +116,9 @@
 	return p
 }
 
+// Times returns the times that are in effect.
+func (p *Pool) Times() Times { return p.opts.Times }
+
 // IdleLimit returns the number of idle connections to targets for which descriptors are left, 0 if they are not bounded: with
 // the connections of clients, and as many to the targets that serve them, they use all descriptors.
 func (p *Pool) IdleLimit() int {
@@ -155,7 +178,7 @@
 		c.waitingSince.Store(0)
 		p.wanted.Add(-n)
 	}()
-	for deadline := time.Now().Add(roomWait); time.Now().Before(deadline); {
+	for deadline := time.Now().Add(p.opts.Times.Room); time.Now().Before(deadline); {
 		select {
 		case <-c.closed:
 			return errClosed
@@ -290,7 +313,7 @@
 	p.mu.Lock()
 	for c := range p.clients {
 		c.observe()
-		if c.stuck(now) {
+		if c.stuck(now, p.opts.Times.Stall) {
 			p.closeLocked(c, limitStalled)
 		}
 	}
--- a/transport/intake/pool_test.go
+++ b/transport/intake/pool_test.go
@@ -152,7 +152,7 @@
 	if status, _ := post(t, address, strings.NewReader(strings.Repeat("x", 1<<20))); status == http.StatusOK {
 		t.Errorf("a body larger than the pool was read")
 	}
-	if took := time.Since(started); took > 2*roomWait {
+	if took := time.Since(started); took > 2*DefaultRoom {
 		t.Errorf("answered after %s", took)
 	}
 	awaitHeld(t, p, func(held int64) bool { return held == 0 }, "after the refusal")
@@ -168,7 +168,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	_ = c.SetReadDeadline(time.Now().Add(3 * roomWait))
+	_ = c.SetReadDeadline(time.Now().Add(3 * DefaultRoom))
 	if answer, err := io.ReadAll(c); len(answer) > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("answer %q, error %v", answer, err)
 	}
@@ -282,11 +282,11 @@
 		writing bool
 		want    time.Duration // 0 if the client is never closed
 	}{
-		{"body without a byte", phaseBody, 0, false, stallTime},
-		{"body with a byte now and then", phaseBody, 10, false, stallTime},
+		{"body without a byte", phaseBody, 0, false, DefaultStall},
+		{"body with a byte now and then", phaseBody, 10, false, DefaultStall},
 		{"body of a slow link", phaseBody, 250_000, false, 0},
 		{"long response that is awaited", phaseRunning, 0, false, 0},
-		{"response that is not read", phaseRunning, 0, true, stallTime},
+		{"response that is not read", phaseRunning, 0, true, DefaultStall},
 		{"idle connection", phaseIdle, 0, false, 0},
 	} {
 		c := &Conn{}
@@ -297,7 +297,7 @@
 		}
 		closed := time.Duration(0)
 		for s := time.Duration(0); s <= 60*time.Second && closed == 0; s += time.Second {
-			if c.stuck(start.Add(s)) {
+			if c.stuck(start.Add(s), DefaultStall) {
 				closed = s
 			}
 			c.received.Add(row.bytes)
--- a/transport/intake/server.go
+++ b/transport/intake/server.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -59,20 +60,14 @@
 
 func (p *Pool) serve(server *http.Server, l net.Listener) error {
 	server.Handler = p.handler(server.Handler)
+	server.ReadHeaderTimeout = cmp.Or(server.ReadHeaderTimeout, p.opts.Times.Head)
+	server.IdleTimeout = cmp.Or(server.IdleTimeout, p.opts.Times.Idle)
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
 	return server.Serve(l)
 }
 
-// Timeouts of servers that are not those of callers.
-const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 60 * time.Second
-)
-
-// NewServer returns a server for a handler with time-outs for heads and idle connections.
-func NewServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-}
+// NewServer returns a server for a handler. The pool that serves it sets its time-outs for heads and idle connections.
+func NewServer(handler http.Handler) *http.Server { return &http.Server{Handler: handler} }
 
 // handler counts requests from their head to their response.
 func (p *Pool) handler(next http.Handler) http.Handler {
