Leave room for messages beside the connections of many processes

Cause: connections of 1,000 gateways (24 KiB each) would fill 24.6 of the 29 MB that a control instance with 280 MB sets aside for other processes, and the bound for large senders, three quarters, counted them: no frame of the replicated log above 256 KiB would have passed. Change: connections take seven eighths at most, and large senders share three quarters of what connections leave.

--- a/transport/intake/peers.go
+++ b/transport/intake/peers.go
@@ -11,10 +11,12 @@
 	// peersShare is the part of the memory of the process that other processes may hold through the peer transport. It is set aside, so
 	// that neither they nor callers lose room to each other.
 	peersShare = 0.1
-	// unprovenShare is the part of it for connections whose handshake is not complete.
+	// peerConnsShare is the part of it for connections, so that some is left for messages.
+	peerConnsShare = 0.875
+	// unprovenShare is the part of it for messages on connections whose handshake is not complete.
 	unprovenShare = 0.25
-	// largePeersShare is the part of it that processes which hold more than largePeer each share, so that small messages of others,
-	// such as those of the replicated log, pass.
+	// largePeersShare is the part of what connections leave that processes which hold more than largePeer each share, so that small
+	// messages of others, such as those of the replicated log, pass.
 	largePeersShare = 0.75
 	largePeer       = 256 << 10
 )
@@ -27,6 +29,7 @@
 type Peers struct {
 	bound    int64
 	used     atomic.Int64
+	conns    atomic.Int64 // part of used that connections hold
 	unproven atomic.Int64
 	pool     *Pool
 }
@@ -43,12 +46,32 @@
 // Peers returns the count of what other processes hold.
 func (p *Pool) Peers() *Peers { return p.peers }
 
-// Take counts n more bytes for a process that holds some already, and reports whether there was room. proven is set if its handshake is
+// Connect counts the n bytes of a connection and reports whether there was room.
+func (q *Peers) Connect(n int64) bool {
+	if q.conns.Add(n) > int64(peerConnsShare*float64(q.bound)) {
+		q.conns.Add(-n)
+		return false
+	}
+	if q.used.Add(n) > q.bound {
+		q.Disconnect(n)
+		return false
+	}
+	return true
+}
+
+// Disconnect gives the bytes of a connection back.
+func (q *Peers) Disconnect(n int64) {
+	q.conns.Add(-n)
+	q.used.Add(-n)
+}
+
+// Take counts n more bytes for a process whose messages hold some already, and reports whether there was room. proven is set if its handshake is
 // complete.
 func (q *Peers) Take(n, held int64, proven bool) bool {
 	bound := q.bound
 	if held+n > largePeer {
-		bound = int64(largePeersShare * float64(bound))
+		conns := q.conns.Load()
+		bound = conns + int64(largePeersShare*float64(bound-conns))
 	}
 	if q.used.Add(n) > bound {
 		q.used.Add(-n)
--- a/transport/intake/peers_test.go
+++ b/transport/intake/peers_test.go
@@ -29,3 +29,25 @@
 		t.Error("a new connection finds no room after others have completed their handshake")
 	}
 }
+
+// Guards against connections that leave no room for messages, and against large messages that never pass beside many connections.
+func TestConnectionsOfPeersLeaveRoomForMessages(t *testing.T) {
+	q := New(Options{MemoryMB: 280}).Peers() // 28 MiB
+	n := 0
+	for q.Connect(24 << 10) {
+		n++
+	}
+	if n < 1000 || n > 1100 {
+		t.Errorf("%d connections, want 1,000 at least and 24.5 MiB at most", n)
+	}
+	if !q.Take(2<<20, 0, true) {
+		t.Error("a frame of 1 MiB, with its buffer of half the size, finds no room beside all connections")
+	}
+	q.Release(2<<20, true)
+	for range n {
+		q.Disconnect(24 << 10)
+	}
+	if used := q.used.Load(); used != 0 {
+		t.Errorf("%d bytes are counted at the end", used)
+	}
+}
--- a/transport/peer/account.go
+++ b/transport/peer/account.go
@@ -25,12 +25,21 @@
 	memory Memory
 
 	mu     sync.Mutex
-	held   int64 // connection, frames and queues: given back when the connection ends
+	held   int64 // frames and queues: given back when the connection ends
 	calls  int64 // parameters of running calls, which may go on after that
 	proven bool
 	closed bool
 }
 
+// connect counts the connection until close.
+func (a *account) connect() bool {
+	if a == nil || a.memory.Connect(connectionBytes) {
+		return true
+	}
+	a.memory.Refused()
+	return false
+}
+
 // take counts n bytes until they are released or the connection ends.
 func (a *account) take(n int) bool {
 	if a == nil {
@@ -141,6 +150,7 @@
 	if !a.closed {
 		a.closed = true
 		a.memory.Release(a.held, a.proven)
+		a.memory.Disconnect(connectionBytes)
 		a.held = 0
 	}
 }
--- a/transport/peer/inbound.go
+++ b/transport/peer/inbound.go
@@ -99,7 +99,7 @@
 		in.queues[class].wake = make(chan struct{}, 1)
 		in.queues[class].account = in.account
 	}
-	if !in.account.take(connectionBytes) {
+	if !in.account.connect() {
 		_ = conn.Close()
 		t.reject(conn.RemoteAddr().String(), ErrNoRoom)
 		return
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -140,7 +140,10 @@
 
 // Memory bounds what the senders of inbound connections hold together. It is safe for concurrent use.
 type Memory interface {
-	// Take counts n more bytes for a sender that holds some already and reports whether there was room. proven is set when its
+	// Connect counts the n bytes of a connection and reports whether there was room.
+	Connect(n int64) bool
+	Disconnect(n int64)
+	// Take counts n more bytes for a sender whose messages hold some already and reports whether there was room. proven is set when its
 	// handshake is complete.
 	Take(n, held int64, proven bool) bool
 	Prove(n int64)
