--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,8 @@
 SEED = 20261204
 RAPID = go list -f '{{range .TestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}}{{"\n"}}{{end}}{{end}}{{range .XTestImports}}{{if eq . "pgregory.net/rapid"}}{{$$.ImportPath}}{{"\n"}}{{end}}{{end}}' ./... | sort -u
 
-# Tests of crowds of clients measure the memory and descriptors of processes, and run apart from other tests.
+# Tests of crowds of clients measure the memory and descriptors of processes, and run apart from other tests. Their results are not
+# cached, since the commands that they build are no dependencies of the test.
 ALONE = ./test/intake
 
 test: lint
@@ -29,7 +30,7 @@
 	@status=0; properties=$$($(RAPID)); alone=$$(go list $(ALONE)); others=$$(go list ./... | grep -vxF -e "$$properties" -e "$$alone"); \
 	go test -race $(SKIP) $$others || status=1; \
 	go test -race $(SKIP) $$properties -rapid.seed=$(SEED) || status=1; \
-	go test -race $(SKIP) $$alone || status=1; \
+	go test -race -count=1 $(SKIP) $$alone || status=1; \
 	exit $$status
 
 property:
--- a/test/intake/deployment_test.go
+++ b/test/intake/deployment_test.go
@@ -199,3 +199,13 @@
 		}
 	}
 }
+
+// Guards against processes that keep the limit of descriptors to which the Go runtime raises it: that of the machine.
+func TestProcessesLimitTheirDescriptors(t *testing.T) {
+	d, p := newDeployment(t), newProduct(t)
+	for _, process := range []*process{d.gateway, d.controlInstance, p.instance} {
+		if limit, err := process.openFilesLimit(); err != nil || limit != maxFDs {
+			t.Errorf("%s: %d descriptors are allowed, want %d, error %v", process.role, limit, maxFDs, err)
+		}
+	}
+}
--- a/test/intake/process_test.go
+++ b/test/intake/process_test.go
@@ -107,3 +107,17 @@
 	}
 	return ""
 }
+
+// openFilesLimit returns the limit of descriptors that is in force for the process.
+func (p *process) openFilesLimit() (int, error) {
+	limits, err := os.ReadFile(fmt.Sprintf("/proc/%d/limits", p.command.Process.Pid))
+	if err != nil {
+		return 0, err
+	}
+	_, rest, _ := strings.Cut(string(limits), "Max open files")
+	fields := strings.Fields(rest)
+	if len(fields) == 0 {
+		return 0, fmt.Errorf("limits without that of descriptors")
+	}
+	return strconv.Atoi(fields[0])
+}
