Test that bounds at the peer ports are in force, and that a target is not blamed for a client without room

Cause: the mutations "the transport counts nothing", "the gateway's peer port is served like that of callers" and "the target is blamed" were found by no test, or only by a crowd. Change: TestPeersOfTheProductAreCounted, TestConnectionsOfGatewaysStay, TestConnectionsOfPeersFollowTheDescriptors, TestTargetIsNotBlamedForAnswerWithoutRoom; the fake target of instance/servicecalls counts attempts that end with an error.

--- a/instance/servicecalls/ledger_test.go
+++ b/instance/servicecalls/ledger_test.go
@@ -24,6 +24,7 @@
 	"github.com/tarragonhoist/tarragonhoist/state/callledger"
 	"github.com/tarragonhoist/tarragonhoist/state/catalog"
 	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/intake"
 	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
 )
 
@@ -100,6 +101,7 @@
 	mu                                sync.Mutex
 	ran                               map[string]int
 	acquired, released, picked, ended int
+	blamed                            int // attempts that ended with an error of the target
 }
 
 func (f *fakeTarget) Contents() *catalog.ActiveConfig {
@@ -139,10 +141,13 @@
 		return modelcalls.PickedTarget{}, nil, api.RefuseWithRetry(api.ReasonNoTarget, time.Second, "no target")
 	}
 	f.picked++
-	return modelcalls.PickedTarget{Target: name, Address: name}, func(modelcalls.Result) {
+	return modelcalls.PickedTarget{Target: name, Address: name}, func(r modelcalls.Result) {
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		f.ended++
+		if r.Err != nil {
+			f.blamed++
+		}
 	}, nil
 }
 func (f *fakeTarget) RecordFirstAttempt(*modelcalls.Work, modelcalls.PickedTarget) {}
@@ -440,3 +445,21 @@
 		})
 	}
 }
+
+// Guards against targets that are blamed, and idempotent calls that are repeated, because the client of a call gets no room for its
+// answer, and against a refusal of a call that has run.
+func TestTargetIsNotBlamedForAnswerWithoutRoom(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fakeTarget{call: fails(true, intake.ErrFull)}
+			b := newTestServer(t, nil, f)
+			_, result := b.CallService(t.Context(), httpapi.ServiceCall{Caller: "crew", Service: "haul-desk", IdempotencyKey: "k",
+				Call: targetclient.ServiceCall{Method: method, Body: []byte("load 7")}})
+			b.shutDownAndCheck(t)
+			b.stop()
+			if f.blamed != 0 || f.ran["load 7"] != 1 || result.Outcome != api.Failed {
+				t.Errorf("%s: %d targets are blamed, %d runs, outcome %s (%s)", method, f.blamed, f.ran["load 7"], result.Outcome, result.Reason)
+			}
+		})
+	}
+}
--- a/test/intake/deployment_test.go
+++ b/test/intake/deployment_test.go
@@ -3,6 +3,7 @@
 package intake
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -209,3 +210,28 @@
 		}
 	}
 }
+
+// Guards against connections of other gateways that are closed in favour of callers.
+func TestConnectionsOfGatewaysStay(t *testing.T) {
+	d := newDeployment(t)
+	var peers []net.Conn
+	for range 10 {
+		c, err := net.Dial("tcp", d.places("handover")[0].address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		peers = append(peers, c)
+	}
+	time.Sleep(settleTime)
+	silent := crowd{clients: 300, send: func(net.Conn, place) {}}
+	leave := silent.join(d.places("route")[0])
+	defer leave()
+	time.Sleep(settleTime)
+	for _, c := range peers {
+		_ = c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("a connection of another gateway is closed: %v", err)
+		}
+	}
+}
--- a/test/intake/product_test.go
+++ b/test/intake/product_test.go
@@ -233,3 +233,25 @@
 	}
 	return !slices.ContainsFunc(names, func(name string) bool { return counters[name].Count == 0 })
 }
+
+// Guards against a peer port whose connections are not counted.
+func TestPeersOfTheProductAreCounted(t *testing.T) {
+	d := newProduct(t)
+	const connections = 5
+	for range connections {
+		c, err := net.Dial("tcp", d.peer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+	}
+	d.await("count of the connections", func() bool {
+		response, err := http.Get("http://" + d.http + "/metrics")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		var gauges map[string]struct{ Value int64 }
+		return json.NewDecoder(response.Body).Decode(&gauges) == nil && gauges["intake.peers_held_bytes"].Value >= connections*16<<10
+	})
+}
--- a/transport/intake/peers_test.go
+++ b/transport/intake/peers_test.go
@@ -51,3 +51,16 @@
 		t.Errorf("%d bytes are counted at the end", used)
 	}
 }
+
+// Guards against connections from other processes that use the descriptors of clients.
+func TestConnectionsOfPeersFollowTheDescriptors(t *testing.T) {
+	for _, row := range []struct {
+		maxFDs     int
+		fewTargets bool
+		want       int
+	}{{0, false, 1024}, {512, true, 168}, {512, false, 112}, {4096, true, 1024}, {10_250, false, 1024}} {
+		if n := New(Options{MaxFDs: row.maxFDs}).PeerConnections(1024, row.fewTargets); n != row.want {
+			t.Errorf("%+v: %d connections", row, n)
+		}
+	}
+}
