--- a/instance/fleet/providers.go
+++ b/instance/fleet/providers.go
@@ -16,6 +16,7 @@
 	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
 	"github.com/tarragonhoist/tarragonhoist/instance/gateway"
 	"github.com/tarragonhoist/tarragonhoist/instance/logsink"
+	"github.com/tarragonhoist/tarragonhoist/instance/processlimit"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 	"github.com/tarragonhoist/tarragonhoist/settings"
 	"github.com/tarragonhoist/tarragonhoist/transport/intake"
@@ -63,8 +64,9 @@
 	return fleetview.New(adapter.DecodeConfig, node.DataCentre, node.SeedNames())
 }
 
-func providePeers(node *settings.Node, processIncarnation incarnation, registry metrics.Registry, recorder *events.Recorder) (*peer.Transport, error) {
+func providePeers(node *settings.Node, processIncarnation incarnation, clients *intake.Pool, registry metrics.Registry, recorder *events.Recorder) (*peer.Transport, error) {
 	return peer.New(peer.Options{
+		Memory: clients.Peers(), MaxConnections: clients.PeerConnections(peer.DefaultMaxConnections, true),
 		Cluster: clusterName, Self: node.PeerName(), Incarnation: uint64(processIncarnation),
 		Resolve:        func(name string) (string, bool) { return name, isAddress(name) },
 		BytesPerSecond: peerBytesPerSecond, DialTimeout: peerDialTimeout, PingInterval: peerPingInterval, PingTimeout: peerPingTimeout,
@@ -80,7 +82,9 @@
 }
 
 func provideIntake(node *settings.Node, recorder *events.Recorder, registry metrics.Registry) *intake.Pool {
-	return intake.New(intake.Options{MemoryMB: node.MemoryMB, MaxFDs: descriptorLimit(node.MaxFDs), Registry: registry, Acted: func(limit string, clients int64) {
+	times := intake.Times{Head: node.Clients.HeadTimeout.Duration, Idle: node.Clients.IdleTimeout.Duration, Stall: node.Clients.StallTimeout.Duration,
+		Room: node.Clients.RoomTimeout.Duration}
+	return intake.New(intake.Options{Times: times, MemoryMB: node.MemoryMB, MaxFDs: processlimit.OpenFiles(node.MaxFDs), Registry: registry, Acted: func(limit string, clients int64) {
 		recorder.Record(events.ClientsBounded, events.Fields{"limit": limit, "clients": clients})
 	}})
 }
--- a/instance/providers.go
+++ b/instance/providers.go
@@ -33,6 +33,7 @@
 	"github.com/tarragonhoist/tarragonhoist/settings"
 	"github.com/tarragonhoist/tarragonhoist/state/callledger"
 	"github.com/tarragonhoist/tarragonhoist/transport/httpapi"
+	"github.com/tarragonhoist/tarragonhoist/transport/intake"
 	"github.com/tarragonhoist/tarragonhoist/transport/peer"
 	"github.com/tarragonhoist/tarragonhoist/transport/targetclient"
 )
@@ -136,10 +137,11 @@
 	return replicalink.Groups{groupConfig: l.config, groupCalls: l.calls}
 }
 
-func providePeers(s *settings.Settings, start startNumber, registry metrics.Registry, recorder *events.Recorder) (*peer.Transport, error) {
+func providePeers(s *settings.Settings, start startNumber, clients *intake.Pool, registry metrics.Registry, recorder *events.Recorder) (*peer.Transport, error) {
 	options := peer.Options{
 		Cluster: s.Cluster, Self: s.Instance, Incarnation: uint64(start), BytesPerSecond: s.PeerBytesPerSecond,
 		Registry: registry, OnEvent: func(e peer.Event) { recordPeerEvent(recorder, e) },
+		Memory: clients.Peers(), MaxConnections: clients.PeerConnections(peer.DefaultMaxConnections, false),
 		Resolve: func(name string) (string, bool) {
 			p, ok := s.Peer(name)
 			return p.Address, ok
@@ -285,4 +287,14 @@
 	return timeline.New(recorder, peers, otherInstances(s, func(settings.Peer) bool { return true }))
 }
 
-func provideServer(s *settings.Settings, b *backend) *httpapi.Server { return httpapi.New(s, b) }
+func provideIntake(s *settings.Settings, recorder *events.Recorder, registry metrics.Registry) *intake.Pool {
+	times := intake.Times{Head: s.Clients.HeadTimeout.Duration, Idle: s.Clients.IdleTimeout.Duration, Stall: s.Clients.StallTimeout.Duration,
+		Room: s.Clients.RoomTimeout.Duration}
+	return intake.New(intake.Options{Times: times, MemoryMB: s.MemoryMB, MaxFDs: s.MaxFDs, Registry: registry, Acted: func(limit string, clients int64) {
+		recorder.Record(events.ClientsBounded, events.Fields{"limit": limit, "clients": clients})
+	}})
+}
+
+func provideServer(s *settings.Settings, b *backend, clients *intake.Pool) *httpapi.Server {
+	return httpapi.New(s, b, clients)
+}
--- a/test/intake/deployment_test.go
+++ b/test/intake/deployment_test.go
@@ -3,6 +3,7 @@
 package intake
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -33,7 +34,8 @@
 // code closed connections without a whole head.
 const answerWait = 8 * time.Second
 
-var binary string
+// fleetBinary and productBinary are the commands for gateways and control instances, and for instances of the product's own interface.
+var fleetBinary, productBinary string
 
 func TestMain(m *testing.M) { os.Exit(run(m)) }
 
@@ -44,8 +46,8 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	binary = filepath.Join(folder, "tarragonhoist-fleet")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/tarragonhoist-fleet").CombinedOutput(); err != nil {
+	fleetBinary, productBinary = filepath.Join(folder, "tarragonhoist-fleet"), filepath.Join(folder, "tarragonhoist")
+	if out, err := exec.Command("go", "build", "-o", folder, "../../cmd/tarragonhoist-fleet", "../../cmd/tarragonhoist").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
 		return 1
 	}
@@ -112,7 +114,7 @@
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		d.t.Fatal(err)
 	}
-	p, err := startProcess(role, binary, "--settings", path, role)
+	p, err := startProcess(role, fleetBinary, "--settings", path, role)
 	if err != nil {
 		d.t.Fatal(err)
 	}
@@ -198,3 +200,38 @@
 		}
 	}
 }
+
+// Guards against processes that keep the limit of descriptors to which the Go runtime raises it: that of the machine.
+func TestProcessesLimitTheirDescriptors(t *testing.T) {
+	d, p := newDeployment(t), newProduct(t)
+	for _, process := range []*process{d.gateway, d.controlInstance, p.instance} {
+		if limit, err := process.openFilesLimit(); err != nil || limit != maxFDs {
+			t.Errorf("%s: %d descriptors are allowed, want %d, error %v", process.role, limit, maxFDs, err)
+		}
+	}
+}
+
+// Guards against connections of other gateways that are closed in favour of callers.
+func TestConnectionsOfGatewaysStay(t *testing.T) {
+	d := newDeployment(t)
+	var peers []net.Conn
+	for range 10 {
+		c, err := net.Dial("tcp", d.places("handover")[0].address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = c.Close() }()
+		peers = append(peers, c)
+	}
+	time.Sleep(settleTime)
+	silent := crowd{clients: 300, send: func(net.Conn, place) {}}
+	leave := silent.join(d.places("route")[0])
+	defer leave()
+	time.Sleep(settleTime)
+	for _, c := range peers {
+		_ = c.SetReadDeadline(time.Now().Add(20 * time.Millisecond))
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("a connection of another gateway is closed: %v", err)
+		}
+	}
+}
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -27,6 +27,7 @@
 type Conn struct {
 	*net.TCPConn
 	pool         *Pool
+	peer         bool // accepted by ServePeers
 	held         atomic.Int64
 	phase        atomic.Int32
 	since        atomic.Int64 // start of the phase, Unix ns
@@ -39,7 +40,9 @@
 	once         sync.Once
 	gone         atomic.Bool
 
-	request atomic.Int64 // part of held that is given back at the end of the request: head and body
+	request atomic.Int64 // part of held that is given back at the end of the request: head, body and what is held for it
+	ended   atomic.Int64 // number of requests that have ended; it changes under endMu
+	endMu   sync.Mutex
 
 	// The fields below belong to the pool. closedRunning is set if the pool closed the connection while a request ran. marks are the bytes received when the last two measurements began.
 	closedRunning bool
@@ -80,6 +83,24 @@
 	return nil
 }
 
+// reserveFor is reserve for a request that may have ended meanwhile; nothing is counted for it then.
+func (c *Conn) reserveFor(request, n int64) error {
+	if c.ended.Load() != request {
+		return errClosed
+	}
+	if err := c.pool.reserve(c, n); err != nil {
+		return err
+	}
+	c.endMu.Lock()
+	defer c.endMu.Unlock()
+	if c.ended.Load() != request {
+		c.pool.release(c, n)
+		return errClosed
+	}
+	c.request.Add(n)
+	return nil
+}
+
 // release gives n bytes of the request back.
 func (c *Conn) release(n int64) {
 	c.request.Add(-n)
@@ -144,7 +165,10 @@
 
 // end is called when a request was answered.
 func (c *Conn) end() {
+	c.endMu.Lock()
+	c.ended.Add(1)
 	c.pool.release(c, c.request.Swap(0))
+	c.endMu.Unlock()
 	c.enter(phaseIdle)
 }
 
@@ -168,10 +192,10 @@
 // observe starts a measurement of the progress every half window, so that the older of two covers between a half and a whole one.
 func (c *Conn) observe() { c.marks[0], c.marks[1] = c.marks[1], c.received.Load() }
 
-// stuck reports whether a body or a write has made no progress for stallTime.
-func (c *Conn) stuck(now time.Time) bool {
+// stuck reports whether a body or a write has made no progress for the given time.
+func (c *Conn) stuck(now time.Time, limit time.Duration) bool {
 	if started := c.writing.Load(); started != 0 {
-		return now.Sub(time.Unix(0, started)) > stallTime
+		return now.Sub(time.Unix(0, started)) > limit
 	}
 	since := c.since.Load()
 	if c.phase.Load() != phaseBody || c.waitingSince.Load() != 0 {
@@ -182,5 +206,5 @@
 	if c.stalledPhase != since || received-c.stallMark >= stallBytes {
 		c.stalledPhase, c.stallMark, c.stallMarkAt = since, received, now
 	}
-	return now.Sub(c.stallMarkAt) > stallTime
+	return now.Sub(c.stallMarkAt) > limit
 }
--- a/transport/intake/pool.go
+++ b/transport/intake/pool.go
@@ -3,6 +3,7 @@
 package intake
 
 import (
+	"cmp"
 	"context"
 	"math"
 	"net"
@@ -29,14 +30,31 @@
 	ownDescriptors = 64
 )
 
+// stallBytes of a body have to arrive within Times.Stall.
+const stallBytes = 1 << 10
+
+// Times after which clients without progress are closed or refused. Zero values mean the defaults.
+type Times struct {
+	// Head and Idle are the times for a head, and between requests, of servers that set none of their own.
+	Head, Idle time.Duration
+	// Stall is how long a body may take for stallBytes, and one write of a response.
+	Stall time.Duration
+	// Room is how long a client waits for room before it is refused.
+	Room time.Duration
+}
+
+// Defaults of Times, which clients within the limits of docs/design/hard-load.md, Part 5, don't reach.
 const (
-	// roomWait is how long a client waits for room before it is refused.
-	roomWait = 4 * time.Second
-	// stallTime is how long a body may take for stallBytes, and one write of a response.
-	stallTime  = 20 * time.Second
-	stallBytes = 1 << 10
+	DefaultHead  = 10 * time.Second
+	DefaultIdle  = 60 * time.Second
+	DefaultStall = 20 * time.Second
+	DefaultRoom  = 4 * time.Second
 )
 
+func (t Times) withDefaults() Times {
+	return Times{Head: cmp.Or(t.Head, DefaultHead), Idle: cmp.Or(t.Idle, DefaultIdle), Stall: cmp.Or(t.Stall, DefaultStall), Room: cmp.Or(t.Room, DefaultRoom)}
+}
+
 // ErrFull is returned when a client gets no room.
 var ErrFull = errors.New("clients hold all memory that is set aside for them")
 
@@ -47,6 +65,7 @@
 type Options struct {
 	MemoryMB int
 	MaxFDs   int
+	Times    Times
 	Registry metrics.Registry
 	// Acted is told, at most once a second for each limit, how many clients it has closed or refused.
 	Acted func(limit string, clients int64)
@@ -62,6 +81,7 @@
 	senior   atomic.Pointer[Conn]
 	full     chan struct{} // wakes Run
 	limits   [limitCount]limitCounter
+	peers    *Peers
 	usedNow  metrics.Gauge
 	connsNow metrics.Gauge
 
@@ -76,6 +96,7 @@
 
 // New returns a pool. Run must be called.
 func New(opts Options) *Pool {
+	opts.Times = opts.Times.withDefaults()
 	p := &Pool{opts: opts, budget: math.MaxInt64, maxConns: math.MaxInt, full: make(chan struct{}, 1), clients: make(map[*Conn]struct{}), closing: make(map[*Conn]struct{})}
 	if opts.MemoryMB > 0 {
 		p.budget = int64(poolShare * float64(opts.MemoryMB) * (1 << 20))
@@ -88,12 +109,16 @@
 	}
 	p.usedNow = metrics.GetOrRegisterGauge("intake.held_bytes", p.opts.Registry)
 	p.connsNow = metrics.GetOrRegisterGauge("intake.connections", p.opts.Registry)
+	p.peers = newPeers(p)
 	for l := range p.limits {
 		p.limits[l].total = metrics.GetOrRegisterCounter("intake."+limitNames[l], p.opts.Registry)
 	}
 	return p
 }
 
+// Times returns the times that are in effect.
+func (p *Pool) Times() Times { return p.opts.Times }
+
 // IdleLimit returns the number of idle connections to targets for which descriptors are left, 0 if they are not bounded: with
 // the connections of clients, and as many to the targets that serve them, they use all descriptors.
 func (p *Pool) IdleLimit() int {
@@ -130,11 +155,15 @@
 // pollInterval is the interval at which clients that wait ask for room, and at which the pool makes room.
 const pollInterval = 20 * time.Millisecond
 
-// reserve counts n more bytes for a client. It waits until there is room.
+// reserve counts n more bytes for a client. It waits until there is room, unless there never will be.
 func (p *Pool) reserve(c *Conn, n int64) error {
 	if p.take(c, n) {
 		return nil
 	}
+	if p.budget != math.MaxInt64 && c.held.Load()+n > int64(seniorShare*float64(p.budget)) {
+		p.limits[limitRefused].act()
+		return ErrTooLarge
+	}
 	p.wanted.Add(n)
 	c.wanted.Store(n)
 	c.waitingSince.Store(time.Now().UnixNano())
@@ -149,7 +178,7 @@
 		c.waitingSince.Store(0)
 		p.wanted.Add(-n)
 	}()
-	for deadline := time.Now().Add(roomWait); time.Now().Before(deadline); {
+	for deadline := time.Now().Add(p.opts.Times.Room); time.Now().Before(deadline); {
 		select {
 		case <-c.closed:
 			return errClosed
@@ -170,7 +199,7 @@
 }
 
 // admit adds a connection, and closes others if there are too many. It returns nil if there is no room yet.
-func (p *Pool) admit(raw *net.TCPConn) *Conn {
+func (p *Pool) admit(raw *net.TCPConn, peer bool) *Conn {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -181,7 +210,7 @@
 		}
 		p.closeLocked(victim, limitConnections)
 	}
-	c := &Conn{TCPConn: raw, pool: p, closed: make(chan struct{})}
+	c := &Conn{TCPConn: raw, pool: p, peer: peer, closed: make(chan struct{})}
 	c.since.Store(now.UnixNano())
 	c.held.Store(connBytes)
 	p.used.Add(connBytes)
@@ -206,13 +235,27 @@
 func (p *Pool) claimLocked(now time.Time) {
 	p.claims, p.owners = p.claims[:0], p.owners[:0]
 	senior := p.senior.Load()
+	exempt := p.peersExemptLocked()
 	for c := range p.clients {
 		claim := c.claim(now)
 		claim.Senior = c == senior
+		claim.Exempt = c.peer && exempt
 		p.claims, p.owners = append(p.claims, claim), append(p.owners, c)
 	}
 }
 
+// peersExemptLocked reports whether the connections of ServePeers are within their part, so that they are not closed for others.
+func (p *Pool) peersExemptLocked() bool {
+	held, conns := int64(0), 0
+	for c := range p.clients {
+		if c.peer {
+			held += c.held.Load()
+			conns++
+		}
+	}
+	return float64(held) <= exemptShare*float64(p.budget) && float64(conns) <= exemptShare*float64(p.maxConns)
+}
+
 func (p *Pool) closeLocked(c *Conn, l limit) {
 	p.limits[l].act()
 	delete(p.clients, c)
@@ -270,7 +313,7 @@
 	p.mu.Lock()
 	for c := range p.clients {
 		c.observe()
-		if c.stuck(now) {
+		if c.stuck(now, p.opts.Times.Stall) {
 			p.closeLocked(c, limitStalled)
 		}
 	}
--- a/transport/intake/pool_test.go
+++ b/transport/intake/pool_test.go
@@ -152,7 +152,7 @@
 	if status, _ := post(t, address, strings.NewReader(strings.Repeat("x", 1<<20))); status == http.StatusOK {
 		t.Errorf("a body larger than the pool was read")
 	}
-	if took := time.Since(started); took > 2*roomWait {
+	if took := time.Since(started); took > 2*DefaultRoom {
 		t.Errorf("answered after %s", took)
 	}
 	awaitHeld(t, p, func(held int64) bool { return held == 0 }, "after the refusal")
@@ -168,7 +168,7 @@
 	}
 	defer func() { _ = c.Close() }()
 	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
-	_ = c.SetReadDeadline(time.Now().Add(3 * roomWait))
+	_ = c.SetReadDeadline(time.Now().Add(3 * DefaultRoom))
 	if answer, err := io.ReadAll(c); len(answer) > 0 || errors.Is(err, os.ErrDeadlineExceeded) {
 		t.Errorf("answer %q, error %v", answer, err)
 	}
@@ -211,19 +211,66 @@
 		t.Cleanup(func() { _ = c.Close() })
 		return c.(*net.TCPConn)
 	}
-	first := p.admit(accept())
+	first := p.admit(accept(), false)
 	first.enter(phaseRunning)
 	first.writing.Store(time.Now().Add(-2 * window).UnixNano())
 	next := accept()
-	if p.admit(next) != nil {
+	if p.admit(next, false) != nil {
 		t.Error("a connection is admitted while the request of a closed one still runs")
 	}
 	_ = first.Close()
-	if p.admit(next) == nil {
+	if p.admit(next, false) == nil {
 		t.Error("no connection is admitted after the request has ended")
 	}
 }
 
+// Guards against connections of other processes that are closed in favour of callers, for descriptors and for memory, and against such
+// connections that are never closed although they hold more than their part.
+func TestPeersAreNotClosedForCallers(t *testing.T) {
+	for _, row := range []struct {
+		name    string
+		opts    Options
+		peers   int
+		callers string
+		want    bool // all connections of peers stay
+	}{
+		{"idle connections", Options{MaxFDs: ownDescriptors + 80}, 3, "", true}, // 30 connections
+		{"too many idle connections", Options{MaxFDs: ownDescriptors + 80}, 12, "", false},
+		{"bodies", Options{MemoryMB: 4}, 3, stopped, true},
+	} {
+		p, address := serve(t, row.opts)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		server := NewServer(http.NotFoundHandler())
+		go func() { _ = p.ServePeers(server, l) }()
+		t.Cleanup(func() { _ = server.Close() })
+		open := func() (n int) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			for c := range p.clients {
+				if c.peer {
+					n++
+				}
+			}
+			return n
+		}
+		send(t, l.Addr().String(), row.peers, "")
+		for deadline := time.Now().Add(5 * time.Second); open() < row.peers && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		}
+		send(t, address, 60, row.callers)
+		for deadline := time.Now().Add(10 * time.Second); p.limits[limitConnections].total.Count()+p.limits[limitMemory].total.Count() < 10; time.Sleep(time.Millisecond) {
+			if time.Now().After(deadline) {
+				t.Fatalf("%s: no bound has acted", row.name)
+			}
+		}
+		if n := open(); (n == row.peers) != row.want {
+			t.Errorf("%s: %d of %d connections of peers are open", row.name, n, row.peers)
+		}
+	}
+}
+
 // Guards against bodies and responses that hold a connection without progress while there is no pressure, and against time-outs of
 // clients that are within the limits.
 func TestStuck(t *testing.T) {
@@ -235,11 +282,11 @@
 		writing bool
 		want    time.Duration // 0 if the client is never closed
 	}{
-		{"body without a byte", phaseBody, 0, false, stallTime},
-		{"body with a byte now and then", phaseBody, 10, false, stallTime},
+		{"body without a byte", phaseBody, 0, false, DefaultStall},
+		{"body with a byte now and then", phaseBody, 10, false, DefaultStall},
 		{"body of a slow link", phaseBody, 250_000, false, 0},
 		{"long response that is awaited", phaseRunning, 0, false, 0},
-		{"response that is not read", phaseRunning, 0, true, stallTime},
+		{"response that is not read", phaseRunning, 0, true, DefaultStall},
 		{"idle connection", phaseIdle, 0, false, 0},
 	} {
 		c := &Conn{}
@@ -250,7 +297,7 @@
 		}
 		closed := time.Duration(0)
 		for s := time.Duration(0); s <= 60*time.Second && closed == 0; s += time.Second {
-			if c.stuck(start.Add(s)) {
+			if c.stuck(start.Add(s), DefaultStall) {
 				closed = s
 			}
 			c.received.Add(row.bytes)
--- a/transport/intake/server.go
+++ b/transport/intake/server.go
@@ -1,6 +1,7 @@
 package intake
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -11,10 +12,11 @@
 type listener struct {
 	net.Listener
 	pool *Pool
+	peer bool
 }
 
 // Listener returns a listener whose connections the pool counts.
-func (p *Pool) Listener(l net.Listener) net.Listener { return &listener{l, p} }
+func (p *Pool) Listener(l net.Listener) net.Listener { return &listener{l, p, false} }
 
 // admitTries is how often a connection for which there is no room is tried again, every admitPause. Others wait to be accepted meanwhile.
 const (
@@ -34,7 +36,7 @@
 			return conn, nil
 		}
 		for range admitTries {
-			if c := l.pool.admit(tcp); c != nil {
+			if c := l.pool.admit(tcp, l.peer); c != nil {
 				return c, nil
 			}
 			time.Sleep(admitPause)
@@ -48,22 +50,25 @@
 
 // Serve has a server serve a listener whose connections the pool counts. The handler, which is wrapped, reads bodies with ReadBody.
 func (p *Pool) Serve(server *http.Server, l net.Listener) error {
-	server.Handler = p.handler(server.Handler)
-	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
-	return server.Serve(p.Listener(l))
+	return p.serve(server, p.Listener(l))
 }
 
-// Timeouts of servers that are not those of callers.
-const (
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 60 * time.Second
-)
+// ServePeers is Serve for a listener of other processes. Up to a part of the pool, their connections are not closed for those of callers.
+func (p *Pool) ServePeers(server *http.Server, l net.Listener) error {
+	return p.serve(server, &listener{l, p, true})
+}
 
-// NewServer returns a server for a handler with time-outs for heads and idle connections.
-func NewServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+func (p *Pool) serve(server *http.Server, l net.Listener) error {
+	server.Handler = p.handler(server.Handler)
+	server.ReadHeaderTimeout = cmp.Or(server.ReadHeaderTimeout, p.opts.Times.Head)
+	server.IdleTimeout = cmp.Or(server.IdleTimeout, p.opts.Times.Idle)
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	return server.Serve(l)
 }
 
+// NewServer returns a server for a handler. The pool that serves it sets its time-outs for heads and idle connections.
+func NewServer(handler http.Handler) *http.Server { return &http.Server{Handler: handler} }
+
 // handler counts requests from their head to their response.
 func (p *Pool) handler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
