--- /dev/null
+++ b/coordination/rotation/lag.go
@@ -0,0 +1,49 @@
+package rotation
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// lagPeriod is the time over which the lag is measured.
+	lagPeriod = time.Second
+	// maxSamples is above the number of samples within lagPeriod.
+	maxSamples = 64
+)
+
+// LagWindow holds the delays of the last second.
+type LagWindow struct {
+	samples [maxSamples]sample
+	next    int
+}
+
+type sample struct {
+	at    time.Time
+	delay time.Duration
+}
+
+// Add records that a timer fired at a time, with a delay.
+func (w *LagWindow) Add(now time.Time, delay time.Duration) {
+	w.samples[w.next] = sample{now, max(delay, 0)}
+	w.next = (w.next + 1) % maxSamples
+}
+
+// Lag returns the 0.9 quantile of the delays of the last second. ok is false before the first sample.
+func (w *LagWindow) Lag(now time.Time) (lag time.Duration, ok bool) {
+	var delays [maxSamples]time.Duration
+	n := 0
+	for i := range w.samples {
+		if s := &w.samples[i]; !s.at.IsZero() && now.Sub(s.at) < lagPeriod {
+			delays[n] = s.delay
+			n++
+		}
+	}
+	if n == 0 {
+		// The timer is overdue for the whole period, unless it was never started.
+		last := w.samples[(w.next+maxSamples-1)%maxSamples].at
+		return max(now.Sub(last)-TimerPeriod, 0), !last.IsZero()
+	}
+	slices.Sort(delays[:n])
+	return delays[(9*n+9)/10-1], true // the smallest delay that 0.9 of them do not exceed
+}
