The leader names gateways that are out of rotation

Cause: no message carried the lag of a gateway or a decision on it.

Change: load reports and summaries have an optional field ro, in structs of their own.

Reports of other gateways get no additional bytes in their answers.

--- a/instance/controlinstance/director.go
+++ b/instance/controlinstance/director.go
@@ -70,6 +70,7 @@
 	permits         *targetlimit.Permits
 	quotas          *quotas
 	starts          *starts
+	rotations       *rotations
 	fence           uint64
 	planAfter       time.Time
 	// prefetchAfter is the earliest time of the next prefetch of adapters.
@@ -85,7 +86,7 @@
 		permitsGiven: counter("permits_given"), permitsDenied: counter("permits_denied"), quotaGranted: counter("quota_granted"), quotaDenied: counter("quota_denied"),
 		gateways: newGatewayLoads(), refusals: make(map[modelKey]float64),
 		demand: make(map[modelKey]*residency.SmoothedDemand), smoothed: make(map[modelKey]float64), forecasts: newModelForecasts(registry),
-		sizes: newModelSizes(), limits: targetlimit.NewTable(), permits: targetlimit.NewPermits(), starts: newStarts(registry), quotas: &quotas{opts: opts.Quota},
+		sizes: newModelSizes(), limits: targetlimit.NewTable(), permits: targetlimit.NewPermits(), starts: newStarts(registry), quotas: &quotas{opts: opts.Quota}, rotations: newRotations(registry),
 		targets: make(map[string]*controlledTarget), adapterRequests: make(map[modelKey]map[string]time.Time), storeRates: make(map[string]*residency.LoadLimiter),
 	}
 }
@@ -128,6 +129,7 @@
 	s := d.summary(now, r)
 	s.Quota = d.quotaLevels(now, r)
 	d.exchangeStarts(now, r, &s)
+	d.exchangeRotation(now, r, &s)
 	return s, nil
 }
 
@@ -177,6 +179,7 @@
 	d.expire(now)
 	d.updateDemand(now)
 	d.updateStarts(now)
+	d.rotations.out.Update(int64(len(d.gatewaysOut(now))))
 	table := d.view.Table()
 	if table != nil {
 		d.overShare = d.gateways.overShare(table.Document())
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -129,6 +129,8 @@
 	Packed bool `json:"p,omitempty"`
 	// Quota is set where an account has a quota.
 	Quota *quota.Report `json:"q,omitempty"`
+	// Rotation is set by a gateway that takes callers.
+	Rotation *RotationReport `json:"ro,omitempty"`
 }
 
 // AccountLoad is what a client account has running at targets and waiting at gateways.
@@ -184,6 +186,8 @@
 	Quota *quota.Levels `json:"q,omitempty"`
 	// Starting is the part of the gateway in the windows of targets in their start phase.
 	Starting []pace.Part `json:"sp,omitempty"`
+	// Rotation is set if the gateway is to be out of rotation, or is out and has to return.
+	Rotation *RotationSummary `json:"ro,omitempty"`
 }
 
 // percent converts between a slowness ratio and SlownessPercent.
