An overloaded gateway gives up callers while it is out of rotation

Cause: a gateway that is out of CPU keeps all its callers, since an open connection stays with its gateway.

Change: each gateway measures how late its timers fire and reports that with the number of its connections. While the leader has it out of rotation, its readiness check fails, and after two failed checks responses close the connections above the mean of the data centre, newest first. Requests are served as before; a request whose body may not have been read closes no connection. A gateway that takes no callers for another reason reports no lag.

--- a/coordination/rotation/member.go
+++ b/coordination/rotation/member.go
@@ -65,8 +65,8 @@
 	return false, nil
 }
 
-// Step returns the gateway to rotation if it has to, and describes that. lag is the lag now. It is called every TimerPeriod or so
-// while the gateway is out.
+// Step returns the gateway to rotation if it has to, and describes that. lag is the lag now. It is called with each
+// sample of the lag while the gateway is out.
 func (m *Member) Step(now time.Time, lag time.Duration) *Return {
 	if !m.out {
 		return nil
--- a/coordination/rotation/replay_test.go
+++ b/coordination/rotation/replay_test.go
@@ -24,7 +24,7 @@
 	*driver
 	cpus []*cpu
 	// owners is the gateway of each caller by hash.
-	owners [replayCallers]int
+	owners         [replayCallers]int
 	requests, late float64
 	closed         int
 	reconnected    map[int]int // connections that were opened again, by gateway
--- a/coordination/rotation/rotation.go
+++ b/coordination/rotation/rotation.go
@@ -11,7 +11,7 @@
 import "time"
 
 const (
-	// TimerPeriod is the period of the timer whose delay is the lag of a gateway.
+	// TimerPeriod is the period of the timer whose delay is the lag of a gateway, unless all is calm.
 	TimerPeriod = 20 * time.Millisecond
 	// overloadLag is the lag above which a gateway is overloaded if the median gateway has less than half of it.
 	overloadLag = 60 * time.Millisecond
--- a/instance/gateway/answer.go
+++ b/instance/gateway/answer.go
@@ -12,6 +12,9 @@
 	whole bool
 	// endsWithConnection is set if the caller takes the end of its connection for that of the answer.
 	endsWithConnection bool
+	// rotation, if it is set, decides whether the answer closes the connection from the address remote.
+	rotation *inRotation
+	remote   string
 }
 
 // newAnswer returns the answer to a request.
@@ -19,6 +22,14 @@
 	return &answer{ResponseWriter: w, endsWithConnection: !r.ProtoAtLeast(1, 1)} // HTTP/1.0 has no chunks
 }
 
+// WriteHeader sends the status and headers.
+func (a *answer) WriteHeader(status int) {
+	if a.rotation != nil && a.rotation.closes(a.remote) {
+		a.Header().Set("Connection", "close")
+	}
+	a.ResponseWriter.WriteHeader(status)
+}
+
 // Unwrap lets http.ResponseController flush the answer.
 func (a *answer) Unwrap() http.ResponseWriter { return a.ResponseWriter }
 
--- a/instance/gateway/exchange.go
+++ b/instance/gateway/exchange.go
@@ -140,6 +140,10 @@
 		report.Targets = append(report.Targets, fleetapi.LoadOf(id, l))
 	}
 	report.Quota = g.reportQuota(time.Now())
+	if g.takesCallers() {
+		report.Rotation = g.rotation.report(time.Now(), g.opts.DataCentre)
+	}
+	askedAt := g.rotation.clock()
 	callCtx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	var summary fleetapi.LoadSummary
@@ -150,6 +154,7 @@
 		return err
 	}
 	g.applyQuota(time.Now(), summary.Quota)
+	g.rotation.apply(time.Now(), askedAt, summary.Rotation)
 	return g.applySummary(time.Now(), &summary)
 }
 
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -120,6 +120,7 @@
 	// permitFailure is the latest failed call for a permit.
 	permitFailure atomic.Pointer[permitFailure]
 	quotas        *quotas
+	rotation      *inRotation
 }
 
 // New assembles a gateway.
@@ -134,6 +135,7 @@
 		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time), unservedAt: make(map[modelKey]time.Time)},
 	}
 	g.quotas = newQuotas(opts, registry)
+	g.rotation = newInRotation(recorder, g.metrics)
 	if g.opts.Intake == nil {
 		g.opts.Intake = intake.New(intake.Options{})
 	}
@@ -174,7 +176,7 @@
 	defer stop()
 	callerServer := &http.Server{
 		Handler: http.HandlerFunc(g.serveCaller), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes,
+		MaxHeaderBytes: maxHeaderBytes, ConnState: g.rotation.observe,
 	}
 	readinessServer := intake.NewServer(http.HandlerFunc(g.serveReady))
 	peerServer := &http.Server{
@@ -189,6 +191,7 @@
 	go g.exchangeLoad(background)
 	go g.cleanUpPeriodically(background)
 	go g.probeUnreachable(background)
+	go g.rotation.measure(background)
 	g.recorder.Record(events.Listening, events.Fields{"callers": g.opts.CallerAddress, "ready": g.opts.ReadinessAddress})
 	select {
 	case err := <-failed:
@@ -206,13 +209,16 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if g.isReady() && !g.leavesToOthers() {
+	if g.takesCallers() && !g.rotation.failsCheck() {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// takesCallers reports whether callers may connect to this gateway. It may be out of rotation nevertheless.
+func (g *Gateway) takesCallers() bool { return g.isReady() && !g.leavesToOthers() }
+
 // isReady becomes true once the configuration and a target are known. It stays true while the control instances are
 // unreachable, since the known configuration and targets can still serve callers.
 func (g *Gateway) isReady() bool {
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -22,8 +22,12 @@
 	unreachableTargets                                metrics.Gauge
 	// startingTargets is the number of targets in their start phase, heldBack are the picks that found room only at such targets,
 	// and startingSends the requests sent to them.
-	startingTargets              metrics.Gauge
-	heldBack, startingSends      metrics.Counter
+	startingTargets         metrics.Gauge
+	heldBack, startingSends metrics.Counter
+	// rotations is how often the gateway was taken out of rotation, and rotationCloses the responses with which it closed
+	// connections then.
+	rotations, rotationCloses    metrics.Counter
+	lagMs, callerConnections     metrics.Gauge
 	firstByteMs, totalMs, heldMs metrics.Histogram
 }
 
@@ -40,6 +44,9 @@
 		streamsNotTakenUp: counter("streams_not_taken_up"),
 		startingTargets:   metrics.GetOrRegisterGauge("gateway.starting_targets", r),
 		heldBack:          counter("held_back"), startingSends: counter("starting_sends"),
+		rotations: counter("rotations"), rotationCloses: counter("rotation_closes"),
+		lagMs:              metrics.GetOrRegisterGauge("gateway.lag_ms", r),
+		callerConnections:  metrics.GetOrRegisterGauge("gateway.caller_connections", r),
 		unreachableTargets: metrics.GetOrRegisterGauge("gateway.unreachable_targets", r),
 		firstByteMs:        histogram("first_byte_ms"), totalMs: histogram("total_ms"), heldMs: histogram("held_ms"),
 	}
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -93,6 +93,8 @@
 	if q == nil {
 		return
 	}
+	// Earlier refusals close no connection: a part of their body may not have been read, and closing would discard it.
+	w.rotation, w.remote = g.rotation, r.RemoteAddr
 	if g.takesUpStream(q) && !g.findOrigin(w, q) {
 		return
 	}
