--- a/instance/controlinstance/status.go
+++ b/instance/controlinstance/status.go
@@ -21,7 +21,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.gateways.expire(now)
-	s := &fleetapi.Status{Instance: d.opts.Name, Gateways: d.gateways.live, Speeds: d.speeds.estimator.All(), OutOfRotation: d.gatewaysOutOfRotation(),
+	s := &fleetapi.Status{Instance: d.opts.Name, Gateways: d.gateways.live, Speeds: d.speeds.estimator.All(), OutOfRotation: d.gatewaysOut(now),
 		Waiting: d.waitingStatus()}
 	if d.opts.SlowStart {
 		for _, p := range d.starts.sums.Status() {
@@ -36,9 +36,6 @@
 	return s
 }
 
-// gatewaysOutOfRotation returns the names of the gateways that are out of rotation.
-func (d *Director) gatewaysOutOfRotation() []string { return nil }
-
 func (d *Director) accountStatus(now time.Time, term uint64, table *routes.Table) []fleetapi.AccountStatus {
 	accounts := table.Document().Accounts
 	limits := d.quotas.limitsOf(table)
--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -117,6 +117,7 @@
 	permitFailure atomic.Pointer[permitFailure]
 	quotas        *quotas
 	speeds        speeds
+	rotation      *inRotation
 }
 
 // New assembles a gateway.
@@ -131,6 +132,7 @@
 		helpers: &helpers{client: upstream.New(upstream.Dialer(helperConnectTimeout), metrics.NewRegistry()), pausedAt: make(map[string]time.Time), unservedAt: make(map[modelKey]time.Time)},
 	}
 	g.quotas = newQuotas(opts, registry)
+	g.rotation = newInRotation(recorder, g.metrics)
 	if g.opts.Intake == nil {
 		g.opts.Intake = intake.New(intake.Options{})
 	}
@@ -170,7 +172,7 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	callerServer := &http.Server{
-		Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes,
+		Handler: http.HandlerFunc(g.serveCaller), MaxHeaderBytes: maxHeaderBytes, ConnState: g.rotation.observe,
 	}
 	readinessServer := intake.NewServer(http.HandlerFunc(g.serveReady))
 	peerServer := &http.Server{
@@ -184,6 +186,7 @@
 	go g.exchangeLoad(background)
 	go g.cleanUpPeriodically(background)
 	go g.probeUnreachable(background)
+	go g.rotation.measure(background)
 	g.recorder.Record(events.Listening, events.Fields{"callers": g.opts.CallerAddress, "ready": g.opts.ReadinessAddress})
 	select {
 	case err := <-failed:
@@ -201,13 +204,16 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	if g.isReady() && !g.leavesToOthers() {
+	if g.takesCallers() && !g.rotation.failsCheck() {
 		w.WriteHeader(http.StatusOK)
 		return
 	}
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
+// takesCallers reports whether callers may connect to this gateway. It may be out of rotation nevertheless.
+func (g *Gateway) takesCallers() bool { return g.isReady() && !g.leavesToOthers() }
+
 // isReady becomes true once the configuration and a target are known. It stays true while the control instances are
 // unreachable, since the known configuration and targets can still serve callers.
 func (g *Gateway) isReady() bool {
--- a/instance/gateway/metrics.go
+++ b/instance/gateway/metrics.go
@@ -24,8 +24,12 @@
 	// and startingSends the requests sent to them.
 	startingTargets metrics.Gauge
 	// targetSpeeds is the number of targets whose speed the leader has published.
-	targetSpeeds                 metrics.Gauge
-	heldBack, startingSends      metrics.Counter
+	targetSpeeds            metrics.Gauge
+	heldBack, startingSends metrics.Counter
+	// rotations is how often the gateway was taken out of rotation, and rotationCloses the responses with which it closed
+	// connections then.
+	rotations, rotationCloses    metrics.Counter
+	lagMs, callerConnections     metrics.Gauge
 	firstByteMs, totalMs, heldMs metrics.Histogram
 }
 
@@ -42,7 +46,10 @@
 		streamsNotTakenUp: counter("streams_not_taken_up"),
 		startingTargets:   metrics.GetOrRegisterGauge("gateway.starting_targets", r),
 		heldBack:          counter("held_back"), startingSends: counter("starting_sends"),
-		targetSpeeds:       metrics.GetOrRegisterGauge("gateway.target_speeds", r),
+		targetSpeeds: metrics.GetOrRegisterGauge("gateway.target_speeds", r),
+		rotations:    counter("rotations"), rotationCloses: counter("rotation_closes"),
+		lagMs:              metrics.GetOrRegisterGauge("gateway.lag_ms", r),
+		callerConnections:  metrics.GetOrRegisterGauge("gateway.caller_connections", r),
 		unreachableTargets: metrics.GetOrRegisterGauge("gateway.unreachable_targets", r),
 		firstByteMs:        histogram("first_byte_ms"), totalMs: histogram("total_ms"), heldMs: histogram("held_ms"),
 	}
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -132,6 +132,8 @@
 	Quota *quota.Report `json:"q,omitempty"`
 	// Speed is left out by builds that do not know the speeds of targets.
 	Speed *SpeedReport `json:"sd,omitempty"`
+	// Rotation is set by a gateway that takes callers.
+	Rotation *RotationReport `json:"ro,omitempty"`
 }
 
 // SpeedReport tells the leader what a gateway saw of the speeds of targets.
@@ -208,6 +210,8 @@
 	Starting []pace.Part `json:"sp,omitempty"`
 	// Speeds is left out while the leader has not learned the speeds yet, and in answers to reports without Speed.
 	Speeds *Speeds `json:"sd,omitempty"`
+	// Rotation is set if the gateway is to be out of rotation, or is out and has to return.
+	Rotation *RotationSummary `json:"ro,omitempty"`
 }
 
 // percent converts between a slowness ratio and SlownessPercent.
