--- a/coordination/rotation/member_test.go
+++ b/coordination/rotation/member_test.go
@@ -133,6 +133,9 @@
 		if _, _ = m.Apply(at(2000), at(1000), order); !m.Out(at(2990)) || m.Out(at(3000)) {
 			t.Error("time without the leader does not count from the report that was answered")
 		}
+		if _, _ = m.Apply(at(2900), at(2500), order); !m.Out(at(4490)) || m.Out(at(4500)) {
+			t.Error("time without the leader does not count from the latest report that was answered")
+		}
 	})
 	t.Run("frozen", func(t *testing.T) {
 		m := &Member{}
--- a/coordination/rotation/planner_test.go
+++ b/coordination/rotation/planner_test.go
@@ -315,6 +315,52 @@
 	}
 }
 
+// Guards against a gateway that is cut off while it is out, and does not count as out although it may not have returned yet.
+func TestGatewayIsCutOffWhileOut(t *testing.T) {
+	d := newDriver(1)
+	d.add("a", 17)
+	d.run(5*time.Second, nil)
+	overload(d, 3, time.Second)
+	overload(d, 4, 900*time.Millisecond)
+	d.run(2500*time.Millisecond, nil)
+	if len(d.out("a")) != 1 {
+		t.Fatalf("%d gateways out", len(d.out("a")))
+	}
+	first := d.out("a")[0]
+	first.cutUntil = d.now.Add(10 * time.Second)
+	cut := d.now
+	d.run(5*time.Second, func() {
+		if out := d.out("a"); len(out) > 1 {
+			t.Fatalf("%d gateways are out %v after %s was cut off", len(out), d.now.Sub(cut), first.name)
+		}
+	})
+	if len(d.taken) != 2 || d.taken[1].at.Sub(cut) > holdTime+testInterval {
+		t.Errorf("%d gateways taken out; want the other one after %v", len(d.taken), holdTime)
+	}
+}
+
+// Guards against a gateway that restarts while it is out, so that it knows nothing of it, and is taken out again at once.
+func TestRestartWhileOut(t *testing.T) {
+	d := newDriver(1)
+	d.add("a", 17)
+	d.run(5*time.Second, nil)
+	g := overload(d, 3, time.Second)
+	d.run(2500*time.Millisecond, nil)
+	if !g.member.Out(d.now) {
+		t.Fatal("not taken out")
+	}
+	g.member, g.call, g.downUntil = &Member{}, nil, d.now.Add(500*time.Millisecond)
+	restarted := d.now
+	d.run(30*time.Second, func() {
+		if g.member.Out(d.now) && d.now.Sub(restarted) < RestTime {
+			t.Fatalf("out again %v after its restart", d.now.Sub(restarted))
+		}
+	})
+	if len(d.taken) != 2 {
+		t.Errorf("taken out %d times in all, want 2", len(d.taken))
+	}
+}
+
 // Guards against a mean that includes gateways of other data centres, or is rounded down, so that connections are closed at a gateway
 // with the mean.
 func TestMeanConnections(t *testing.T) {
--- a/coordination/rotation/property_test.go
+++ b/coordination/rotation/property_test.go
@@ -29,7 +29,8 @@
 	}
 	for range rapid.IntRange(0, 8).Draw(rt, "failures") {
 		at := time.Duration(rapid.IntRange(0, int(until.Milliseconds())).Draw(rt, "at ms")) * time.Millisecond
-		kind := rapid.SampledFrom([]string{"replace", "cut leader off", "freeze leader", "renew late", "cut", "freeze", "restart"}).Draw(rt, "kind")
+		kind := rapid.SampledFrom([]string{"replace", "cut leader off", "freeze leader", "renew late", "cut", "freeze", "restart", "cut those out",
+			"freeze those out"}).Draw(rt, "kind")
 		length := time.Duration(rapid.IntRange(50, 8000).Draw(rt, "length ms")) * time.Millisecond
 		part := rapid.Float64Range(0.03, 1).Draw(rt, "part")
 		d.after(at, func() { d.fail(kind, length, part) })
@@ -63,6 +64,9 @@
 			l.leaseFrom = from
 		}
 		return
+	case "cut those out", "freeze those out":
+		d.failOut(kind, length)
+		return
 	}
 	first := d.rng.IntN(len(d.gateways))
 	for _, g := range d.gateways[first:min(first+1+int(part*float64(len(d.gateways))), len(d.gateways))] {
@@ -78,6 +82,21 @@
 	}
 }
 
+// failOut cuts off or freezes the gateways that are out of rotation, as soon as there are any.
+func (d *driver) failOut(kind string, length time.Duration) {
+	out := append(d.out("a"), d.out("b")...)
+	for _, g := range out {
+		if kind == "cut those out" {
+			g.cutUntil = d.now.Add(length)
+		} else {
+			g.frozenUntil = d.now.Add(length)
+		}
+	}
+	if len(out) == 0 {
+		d.after(testInterval, func() { d.failOut(kind, length) })
+	}
+}
+
 // Guards against more gateways out of rotation than a tenth of their data centre, or one of four and more, against any that is out for
 // longer than 5 s or again within 20 s, and against more than one that is taken out in a second, whatever fails. A gateway that restarts
 // knows nothing of its time out of rotation, and counts as another one.
--- a/instance/gateway/rotation_test.go
+++ b/instance/gateway/rotation_test.go
@@ -206,6 +206,27 @@
 	}
 }
 
+// Guards against connections that are closed although the platform has not checked twice, and goes on to open new ones here.
+func TestRotationClosesNoneBeforeTheSecondCheck(t *testing.T) {
+	f := newRotationFixture(t)
+	out := &fleetapi.RotationSummary{Out: true, MeanConnections: 1}
+	conns := []*keptConn{keep(t, f.url), keep(t, f.url), keep(t, f.url)}
+	waitFor(t, func() bool { return f.connections() >= len(conns) })
+	f.hear(out)
+	for checks := range 2 {
+		if checks == 1 {
+			f.wantCheck(http.StatusServiceUnavailable)
+		}
+		f.pass(1500 * time.Millisecond)
+		f.hear(out)
+		for i, conn := range conns {
+			if status, _, closes, err := conn.call(fmt.Sprintf("r%d-%d", checks, i), "/once/x", "work"); status != http.StatusOK || closes || err != nil {
+				t.Errorf("after %d checks: status %d, closes %v, error %v", checks, status, closes, err)
+			}
+		}
+	}
+}
+
 func (f *rotationFixture) connections() int {
 	r := f.gateway.rotation
 	r.mu.Lock()
