--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -4,15 +4,8 @@
 package dispatch
 
 import (
-	"cmp"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 )
 
 const (
@@ -30,38 +23,6 @@
 	firstByteOverdueAfter = 1500 * time.Millisecond
 )
 
-// Weights of the score. The score is an expected delay in ms.
-const (
-	defaultPrefillTokensPerMs = 30.0
-	// fullSlotsMs is the slowdown by running requests when they occupy all slots of the target.
-	fullSlotsMs = 40.0
-	// queuedMs is the delay caused by each queued request.
-	queuedMs = 60.0
-	// remoteMs is the cost of a target in another data centre: network latency and cross-data-centre traffic.
-	remoteMs = 1.0
-	// connectMs is the cost of a new connection: a round trip, the handshake at the target and the slot that it holds
-	// meanwhile.
-	connectMs = 3.0
-	// failureMs is the penalty for one recent failure.
-	failureMs = 150.0
-	// overdueFirstByteMs is the penalty for each request without a first byte after firstByteOverdueAfter.
-	overdueFirstByteMs = 400.0
-	// missedHeartbeatsMs is the penalty for missed heartbeats.
-	missedHeartbeatsMs = 400.0
-	// excessLatencyMs is the penalty per unit by which the ratio of actual to expected time to first byte exceeds 1.
-	excessLatencyMs = 60.0
-	// slownessMs is the penalty per unit of slowness beyond slownessMargin. Sending a new prompt to a target that is
-	// temporarily slow also delays the streams that it runs already.
-	slownessMs = 300.0
-	// slownessMargin is the slowness above 1 that lies within normal variation.
-	slownessMargin = 0.25
-	// maxJitterMs is the maximum random jitter of a score. It keeps gateways that see the same loads from all picking
-	// the same target.
-	maxJitterMs = 6.0
-	// latencySampleWeight is the weight of a new sample in the exponential moving average of latency ratios.
-	latencySampleWeight = 0.2
-)
-
 const (
 	// maxUrgentPerSlot and maxOtherPerSlot are the maximum numbers of requests per slot that are sent to a model engine,
 	// for requests of the most urgent rank and for all others. An engine with full slots preempts the least urgent request
@@ -203,173 +164,6 @@
 	return s
 }
 
-// Query describes a request that needs a target.
-type Query struct {
-	Service    string
-	Model      string // empty for plain services
-	Adapter    string
-	Tokens     int // of the prompt
-	DataCentre string
-	Exclude    []string // target ids that failed this request
-	Slots      int      // per target, for targets that do not announce their slots
-	// MaxPerSlot excludes targets that run at least this many requests per slot; 0 means no limit.
-	MaxPerSlot float64
-	// Choices limits the comparison to that many eligible targets, others for each gateway; 0 compares all. Hundreds of
-	// gateways that see the same reports, half a second old, would otherwise all send to the target that was least loaded
-	// then. A gateway keeps to its choice, so that connections are used again.
-	Choices int
-	// SoftwareVersion leaves out targets of other versions; nil leaves out none.
-	SoftwareVersion *string
-	// MayHaveRestarted leaves out targets whose version may be another one by now; nil leaves out none.
-	MayHaveRestarted func(*roster.Entry) bool
-	// Skip leaves out targets that are in need; nil leaves out none.
-	Skip func(*roster.Entry) bool
-	// Sharing limits what this gateway takes of the free slots; nil does not.
-	Sharing *Sharing
-	// Admit reports whether a target with a number of running requests of this gateway may get another one; nil admits all. A
-	// target that is not admitted is used all the same unless more others could run the request soon: once they have room, or,
-	// if they are excluded, in another try. Where most targets are not admitted, the others have no room for what is held back.
-	Admit func(t *roster.Entry, running int) bool
-	// Connected reports whether an idle connection to an address is open; nil if that is unknown.
-	Connected func(address string) bool
-}
-
-// Reason says why Pick found no target.
-type Reason string
-
-const (
-	Found    Reason = ""
-	NoTarget Reason = "no ready target of the service is known"
-	// OtherVersion applies to streams, which go on at the software version that began them.
-	OtherVersion Reason = "no ready target runs the software version that began the stream"
-	// Unconfirmed applies to the same streams.
-	Unconfirmed   Reason = "targets of the software version that began the stream may have started again"
-	NotLoaded     Reason = "no target holds the model"
-	NoneReachable Reason = "no eligible target is reachable"
-	NoAdapter     Reason = "no target holds the adapter"
-	LeftAlone     Reason = "every eligible target asked to be left alone for a time"
-	AllFull       Reason = "all eligible targets are at the request limit"
-	Limited       Reason = "every eligible target takes only a few requests a second"
-	AllExcluded   Reason = "every eligible target has failed the request"
-	// Starting applies while the others are full or excluded.
-	Starting Reason = "the eligible targets with room have just started and take only a few requests"
-)
-
-// Pick returns the target with the lowest expected delay for a request, or nil and the reason why there is none.
-func (tracker *LoadTracker) Pick(now time.Time, rng *rand.Rand, q Query, targets []roster.Entry) (*roster.Entry, Reason) {
-	tracker.mu.Lock()
-	defer tracker.mu.Unlock()
-	reason := NoTarget
-	recordReason := func(r Reason) {
-		if reasonRank[r] > reasonRank[reason] {
-			reason = r
-		}
-	}
-	var candidates, starting []*roster.Entry
-	othersLater := 0
-	for i := range targets {
-		t := &targets[i]
-		if t.Service != q.Service || t.State != roster.Ready {
-			continue
-		}
-		if q.SoftwareVersion != nil && t.SoftwareVersion != *q.SoftwareVersion {
-			recordReason(OtherVersion)
-			continue
-		}
-		if q.Model != "" && (t.HeldModel(q.Model) == nil || tracker.unloading[modelKey{t.ID, q.Model}] ||
-			now.Before(tracker.notHeld[residentKey{t.ID, q.Model, ""}])) {
-			recordReason(NotLoaded)
-			continue
-		}
-		s := tracker.state(t.ID)
-		if s.connectBackoff > 0 {
-			recordReason(NoneReachable)
-			continue
-		}
-		if q.MayHaveRestarted != nil && q.MayHaveRestarted(t) {
-			recordReason(Unconfirmed)
-			continue
-		}
-		if q.Adapter != "" && !tracker.holdsAdapter(now, t, &q) {
-			recordReason(NoAdapter)
-			continue
-		}
-		if slices.Contains(q.Exclude, t.ID) {
-			recordReason(AllExcluded)
-			othersLater++
-			continue
-		}
-		if q.Skip != nil && q.Skip(t) {
-			recordReason(Limited)
-			continue
-		}
-		if now.Before(s.leaveAloneUntil) {
-			recordReason(LeftAlone)
-			continue
-		}
-		candidates = append(candidates, t)
-	}
-	if q.Sharing != nil && !tracker.partsNeeded(&q, candidates) {
-		q.Sharing = &Sharing{Part: 1, PartUnknown: q.Sharing.PartUnknown, ServiceTime: q.Sharing.ServiceTime}
-	}
-	eligible := candidates[:0]
-	for _, t := range candidates {
-		s := tracker.state(t.ID)
-		if !tracker.hasRoom(now, rng, s, t.ID, &q, SlotsOf(t, q.Slots)) {
-			recordReason(AllFull)
-			othersLater++
-			continue
-		}
-		if q.Admit != nil && !q.Admit(t, s.own.Running) {
-			recordReason(Starting)
-			starting = append(starting, t)
-			continue
-		}
-		eligible = append(eligible, t)
-	}
-	if len(eligible) == 0 && othersLater <= len(starting) {
-		eligible = starting
-	}
-	if len(eligible) == 0 {
-		return nil, reason
-	}
-	return tracker.leastDelay(now, rng, &q, eligible), Found
-}
-
-// leastDelay returns the target with the lowest expected delay of all, or of the q.Choices that rank first for this
-// gateway.
-func (tracker *LoadTracker) leastDelay(now time.Time, rng *rand.Rand, q *Query, eligible []*roster.Entry) *roster.Entry {
-	if q.Choices > 0 && len(eligible) > q.Choices {
-		slices.SortFunc(eligible, func(a, b *roster.Entry) int { return cmp.Compare(tracker.rank(a.ID), tracker.rank(b.ID)) })
-		eligible = eligible[:q.Choices]
-	}
-	var best *roster.Entry
-	bestScore := 0.0
-	for _, t := range eligible {
-		score := tracker.state(t.ID).score(now, t, q, SlotsOf(t, q.Slots)) + rng.Float64()*maxJitterMs
-		if q.Connected != nil && !q.Connected(t.Address) {
-			score += connectMs
-		}
-		if best == nil || score < bestScore {
-			best, bestScore = t, score
-		}
-	}
-	return best
-}
-
-// rank orders targets differently at each gateway (rendezvous hashing).
-func (tracker *LoadTracker) rank(id string) uint64 {
-	return xxhash.Sum64String(tracker.gateway + "\x00" + id)
-}
-
-func (tracker *LoadTracker) holdsAdapter(now time.Time, t *roster.Entry, q *Query) bool {
-	key := residentKey{t.ID, q.Model, q.Adapter}
-	if now.Before(tracker.notHeld[key]) {
-		return false
-	}
-	return now.Before(tracker.orderedAdapters[key]) || t.HoldsAdapter(q.Model, q.Adapter)
-}
-
 const (
 	// notHeldTTL is how long a target's rejection for a missing model or adapter overrides its heartbeats, which are
 	// sent every 1.2 s.
@@ -405,69 +199,6 @@
 	}
 }
 
-// reasonRank orders reasons by filter stage. Pick returns the reason of the last stage that any target reached.
-var reasonRank = map[Reason]int{NoTarget: 0, OtherVersion: 1, NotLoaded: 2, NoneReachable: 3, Unconfirmed: 4, NoAdapter: 5, AllExcluded: 6, Limited: 7, LeftAlone: 8, AllFull: 9, Starting: 10}
-
-// SlotsOf returns the slots of a target, or the fallback if it does not announce them.
-func SlotsOf(t *roster.Entry, fallback int) int {
-	if t.Slots > 0 {
-		return t.Slots
-	}
-	return max(fallback, 1)
-}
-
-// score returns the expected delay at the target, in ms.
-func (s *targetState) score(now time.Time, t *roster.Entry, q *Query, slots int) float64 {
-	running := s.own.Running + s.others.Running + s.unreportedReservations(now)
-	prefillTokensPerMs := defaultPrefillTokensPerMs * s.speed
-	queuedPrefillMs := float64(s.own.PromptTokens+s.others.PromptTokens) / prefillTokensPerMs
-	ms := max(queuedPrefillMs, float64(s.backlog(now))/float64(time.Millisecond)) + float64(q.Tokens)/prefillTokensPerMs
-	ms += fullSlotsMs * float64(running) / float64(slots) / s.speed
-	if queued := running - slots + 1; queued > 0 {
-		ms += queuedMs * float64(queued) / s.speed
-	}
-	if t.DataCentre != q.DataCentre {
-		ms += remoteMs
-	}
-	if s.latency > 1 {
-		ms += excessLatencyMs * (s.latency - 1)
-	}
-	if slowness := s.slowness(now) - 1 - slownessMargin; slowness > 0 {
-		ms += slownessMs * slowness
-	}
-	ms += max(s.failurePenaltyMs(now), s.othersPenaltyMs)
-	if now.Sub(t.HeardAt) > heartbeatOverdueAfter {
-		ms += missedHeartbeatsMs
-	}
-	return ms
-}
-
-// failurePenaltyMs returns the penalty, in ms, for recent failures and for requests without a first byte.
-func (s *targetState) failurePenaltyMs(now time.Time) float64 {
-	ms := failureMs * s.recentFailures(now)
-	for inFlight := range s.pending {
-		if now.Sub(inFlight.sentAt) > firstByteOverdueAfter {
-			ms += overdueFirstByteMs
-		}
-	}
-	return ms
-}
-
-func (s *targetState) recentFailures(now time.Time) float64 {
-	if s.failures == 0 {
-		return 0
-	}
-	age := now.Sub(s.failedAt)
-	for ; age >= failureHalfLife && s.failures > 0.01; age -= failureHalfLife {
-		s.failures /= 2
-		s.failedAt = s.failedAt.Add(failureHalfLife)
-	}
-	if s.failures <= 0.01 {
-		s.failures = 0
-	}
-	return s.failures
-}
-
 // InFlightRequest is one in-flight request to a target.
 type InFlightRequest struct {
 	id      string
