Drop the gaps of a target while it is not listed

Cause: TakeSpeedSamples cleared the gaps of a target that was no longer listed only once, and set its start time to unknown, from which a new start time does not clear them. Gaps of the last streams of the earlier start then counted for the new start. Change: a target that was listed before keeps a mark, so that its gaps are cleared until it is listed again, and once more then.

--- a/coordination/dispatch/gaps.go
+++ b/coordination/dispatch/gaps.go
@@ -30,7 +30,7 @@
 	// usual holds the gaps from which the speed of the target is estimated, by model. The baseline is no base for that: with few
 	// streams it depends on the first gap, and events that are read together lower it by up to three quarters.
 	usual map[string]*speed.Gaps
-	// startedAtMs is the start time of the target whose gaps usual holds, 0 if unknown.
+	// startedAtMs is the start time of the target whose gaps usual holds, 0 if unknown, or notListed.
 	startedAtMs int64
 }
 
--- a/coordination/dispatch/speeds.go
+++ b/coordination/dispatch/speeds.go
@@ -7,6 +7,9 @@
 	"github.com/tarragonhoist/tarragonhoist/coordination/speed"
 )
 
+// notListed is the start time of a target that was listed before. Streams of its earlier start may still end.
+const notListed = -1
+
 // SetSpeeds replaces the speeds of targets relative to the median target of their service. Targets without one count as 1.
 func (tracker *LoadTracker) SetSpeeds(speeds map[string]float64) {
 	tracker.mu.Lock()
@@ -42,13 +45,17 @@
 	defer tracker.mu.Unlock()
 	var pairs []pair
 	for id, s := range tracker.targets {
-		if started := startedAtMs[id]; started != s.gaps.startedAtMs {
+		started, listed := startedAtMs[id]
+		if !listed && s.gaps.startedAtMs != 0 {
+			started = notListed
+		}
+		if started != s.gaps.startedAtMs {
 			if s.gaps.startedAtMs != 0 {
 				clear(s.gaps.usual)
 			}
 			s.gaps.startedAtMs = started
 		}
-		if s.gaps.startedAtMs == 0 {
+		if started <= 0 {
 			continue
 		}
 		for model, g := range s.gaps.usual {
--- a/coordination/dispatch/speeds_test.go
+++ b/coordination/dispatch/speeds_test.go
@@ -85,3 +85,32 @@
 		t.Errorf("samples of unknown targets: %+v", unknown)
 	}
 }
+
+// Guards against gaps of an earlier start of a target that was not listed in between, while its last streams ended: they would count for
+// the speed of the new start.
+func TestSpeedSamplesOfATargetThatWasNotListed(t *testing.T) {
+	tracker := NewLoadTracker("g")
+	now := start
+	r := tracker.Start(now, "t", "m", 1)
+	events := func(n int, gap time.Duration) {
+		for range n {
+			now = now.Add(gap)
+			tracker.Event(now, r, gap)
+		}
+	}
+	events(5, 45*time.Millisecond)
+	if samples := tracker.TakeSpeedSamples(map[string]int64{"t": 1}); len(samples) != 1 {
+		t.Fatalf("samples of the first start: %+v", samples)
+	}
+	tracker.TakeSpeedSamples(nil)
+	events(60, 150*time.Millisecond)
+	tracker.TakeSpeedSamples(nil)
+	events(30, 150*time.Millisecond)
+	if samples := tracker.TakeSpeedSamples(map[string]int64{"t": 2}); len(samples) > 0 {
+		t.Errorf("samples of the earlier start for the new one: %+v", samples)
+	}
+	events(5, 45*time.Millisecond)
+	if samples := tracker.TakeSpeedSamples(map[string]int64{"t": 2}); len(samples) != 1 || samples[0].Count != 5 || samples[0].GapMs > 60 {
+		t.Errorf("samples of the new start: %+v", samples)
+	}
+}
