End the speeds of the planner 30 s after the last report of speeds

Cause: the leader estimates only while gateways report speeds. Once none did, such as after gateways returned to a build that does not know them, the planner used the latest speeds for as long as the leader ran. Change: Estimator.Update starts over when the latest report is older than its samples may be, and the leader calls it without reports too. Result: in TestSpeedsEndWithoutReports the speed of a target for the planner was 1.58 after 31 s of reports without speeds, now 1.

--- a/coordination/speed/speed.go
+++ b/coordination/speed/speed.go
@@ -217,7 +217,11 @@
 func (e *Estimator) Ready() bool { return e.InEffect() > 0 || e.estimates > estimatesToStart }
 
 // Update estimates the speeds of all services, at most once per second and only while gateways report. It reports whether it did.
+// Without reports, the latest speeds end with their samples.
 func (e *Estimator) Update(now time.Time) bool {
+	if len(e.services) > 0 && now.Sub(e.reportedAt) > SampleTTL {
+		e.startOver()
+	}
 	if !e.Leads(now) || now.Sub(e.estimatedAt) < estimateInterval {
 		return false
 	}
--- a/instance/controlinstance/speeds.go
+++ b/instance/controlinstance/speeds.go
@@ -55,6 +55,7 @@
 	if !s.estimator.Leads(now) {
 		s.services.Update(0)
 		s.targets.Update(0)
+		s.estimator.Update(now) // ends the speeds of which nothing is reported
 		return
 	}
 	d.listSpeedTargets()
--- a/instance/controlinstance/speeds_test.go
+++ b/instance/controlinstance/speeds_test.go
@@ -173,3 +173,23 @@
 		t.Errorf("answer of a leader that led before: %+v", answer)
 	}
 }
+
+// Guards against a planner that keeps using the latest speeds although gateways no longer report any, such as after a return to a build
+// that does not know them.
+func TestSpeedsEndWithoutReports(t *testing.T) {
+	f := newSpeedFixture(t)
+	for range 6 {
+		f.exchange("g")
+	}
+	if got := f.d.targetSpeed("s", f.id(2)); got == 1 {
+		t.Fatal("no speeds")
+	}
+	for range 31 * 2 {
+		f.now = f.now.Add(500 * time.Millisecond)
+		f.d.exchangeSpeeds(f.now, &fleetapi.LoadReport{Gateway: "g"}, &fleetapi.LoadSummary{})
+		f.d.updateSpeeds(f.now)
+	}
+	if got := f.d.targetSpeed("s", f.id(2)); got != 1 {
+		t.Errorf("speed for the planner is %v 31 s after the last report, want 1", got)
+	}
+}
