Let a new leader decide on all services before it replaces earlier speeds

Cause: an estimator counted as ready once the speeds of any service had an effect. A service with 30 targets reaches that with the first estimate, one with fewer after eight, so a new leader withdrew the speeds of small services for up to 8 s. A leader that led before sent only its changes to gateways that still had the speeds of its earlier time. Change: the estimator is ready once it is decided for all services with samples, or after 30 estimates. Until then, only gateways that have no speeds of another leader, or of an earlier time, get what is known. Published speeds are dropped when learning starts over.

--- a/coordination/speed/speed.go
+++ b/coordination/speed/speed.go
@@ -37,6 +37,9 @@
 	// otherwise take effect or stop doing so.
 	estimatesToStart = 8
 	estimatesToStop  = 5
+	// maxEstimatesToDecide is the number of estimates after which the speeds of an earlier leader are replaced in any case. Gateways
+	// keep them for 30 s.
+	maxEstimatesToDecide = int(SampleTTL / estimateInterval)
 	// minTargetSamples is the number of samples below which a target has no speed, and minPairSamples that below which a pair is not
 	// used: a few gaps may all lie in one slow phase.
 	minTargetSamples = 20
@@ -102,8 +105,8 @@
 	speeds   map[string]float64 // of the targets with a speed
 	ratio    float64
 	inEffect bool
-	// otherSide is the number of consecutive estimates that contradict inEffect.
-	otherSide int
+	// otherSide is the number of consecutive estimates that contradict inEffect, and estimates the number of those that found a speed.
+	otherSide, estimates int
 }
 
 // Estimator estimates speeds at the leader. It is not safe for concurrent use.
@@ -116,6 +119,7 @@
 	// that found a speed since the estimator began to learn.
 	reportedAt, estimatedAt time.Time
 	estimates               int
+	ready                   bool
 }
 
 // NewEstimator returns an estimator without targets.
@@ -205,7 +209,7 @@
 	}
 	clear(e.gateways)
 	clear(e.services)
-	e.estimates, e.estimatedAt = 0, time.Time{}
+	e.estimates, e.ready, e.estimatedAt = 0, false, time.Time{}
 }
 
 // Leads reports whether gateways report here.
@@ -213,8 +217,23 @@
 	return !e.reportedAt.IsZero() && now.Sub(e.reportedAt) <= learningGap
 }
 
-// Ready reports whether enough is known to replace the speeds that an earlier leader published.
-func (e *Estimator) Ready() bool { return e.InEffect() > 0 || e.estimates > estimatesToStart }
+// Ready reports whether enough is known to replace the speeds that an earlier leader published: whether it has been decided for all
+// services with samples if their speeds have an effect. It stays so until the estimator starts over.
+func (e *Estimator) Ready() bool { return e.ready }
+
+// decided reports whether it is known of each service with speeds if they have an effect. It no longer waits for services that are close
+// to MinRatio once samples of the first estimates have expired.
+func (e *Estimator) decided() bool {
+	if e.estimates > maxEstimatesToDecide {
+		return true
+	}
+	for _, s := range e.services {
+		if !s.inEffect && (s.otherSide > 0 || 0 < s.estimates && s.estimates <= estimatesToStart) {
+			return false
+		}
+	}
+	return e.estimates > 0
+}
 
 // Update estimates the speeds of all services, at most once per second and only while gateways report. It reports whether it did.
 // Without reports, the latest speeds end with their samples.
@@ -239,7 +258,10 @@
 			e.services[name] = s
 		}
 		s.speeds = e.estimate(byService[name])
-		found = found || len(s.speeds) > 0
+		if len(s.speeds) > 0 {
+			s.estimates++
+			found = true
+		}
 		e.judge(name, s)
 	}
 	for name := range e.services {
@@ -250,6 +272,7 @@
 	if found {
 		e.estimates++
 	}
+	e.ready = e.ready || e.decided()
 	return true
 }
 
--- a/instance/controlinstance/speeds.go
+++ b/instance/controlinstance/speeds.go
@@ -116,13 +116,26 @@
 	}
 	if !d.speeds.estimator.Leads(now) {
 		d.listSpeedTargets()
+		d.speeds.startOver()
 	}
 	d.speeds.estimator.Report(now, r.Gateway, r.Speed.Samples)
-	if d.speeds.estimator.Ready() {
+	if e := d.speeds.estimator; e.Ready() || e.InEffect() > 0 && !d.speeds.ofEarlierLeader(r.Speed.Change) {
 		s.Speeds = d.speeds.since(r.Speed.Change)
 	}
 }
 
+// startOver publishes all speeds anew. Another instance may have led since the latest change.
+func (s *speeds) startOver() {
+	s.change++
+	s.completeBefore = s.change
+	clear(s.published)
+}
+
+// ofEarlierLeader reports whether a gateway may have speeds that this leader has not published since it began to learn.
+func (s *speeds) ofEarlierLeader(change uint64) bool {
+	return change != 0 && (change < s.completeBefore || change > s.change)
+}
+
 // since returns the published speeds that have changed since a change, or all if it is not known what has changed.
 func (s *speeds) since(change uint64) *fleetapi.Speeds {
 	answer := &fleetapi.Speeds{Change: s.change, Complete: change < s.completeBefore || change > s.change}
--- a/instance/controlinstance/speeds_test.go
+++ b/instance/controlinstance/speeds_test.go
@@ -193,3 +193,49 @@
 		t.Errorf("speed for the planner is %v 31 s after the last report, want 1", got)
 	}
 }
+
+// Guards against a new leader that withdraws the speeds of a service with few targets, which it has not learned yet, because those of
+// another service are in effect already. A gateway without speeds gets what is known at once.
+func TestNewLeaderLearnsAllServices(t *testing.T) {
+	f := newSpeedFixture(t)
+	const small = 6
+	for i := range small {
+		if _, err := f.d.view.ApplyHeartbeat(f.now, roster.Target{Key: roster.Key{ID: fmt.Sprint("u", i), StartedAtMs: 1}, Service: "small",
+			Address: fmt.Sprint("127.0.0.1:", 2000+i), Slots: 8, HeartbeatSequence: 1}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.change["knows"] = 1 // of another leader
+	f.learnBoth(t, small)
+	// The same instance leads again after another one.
+	f.now = f.now.Add(time.Minute)
+	f.change["knows"] = f.change["fresh"]
+	f.learnBoth(t, small)
+}
+
+func (f *speedFixture) learnBoth(t *testing.T, small int) {
+	t.Helper()
+	known := 0
+	for i := range 40 {
+		r := fleetapi.LoadReport{Gateway: "small", Speed: &fleetapi.SpeedReport{Change: f.change["knows"]}}
+		for j := range small {
+			r.Speed.Samples = append(r.Speed.Samples, speed.Sample{Target: fmt.Sprint("u", j), StartedAtMs: 1, Model: "m", GapMs: 45 / f.speeds[j], Count: 30})
+		}
+		var s fleetapi.LoadSummary
+		f.d.exchangeSpeeds(f.now, &r, &s)
+		if known == 0 && s.Speeds != nil {
+			known = len(s.Speeds.Percent)
+			if !s.Speeds.Complete || known != speedTargets+small {
+				t.Errorf("report %d: first answer to a gateway with the speeds of another leader: complete %t, %d speeds, want %d", i, s.Speeds.Complete,
+					known, speedTargets+small)
+			}
+		}
+		f.change["fresh"] = 0
+		if answer := f.exchange("fresh"); i == 6 && (answer == nil || len(answer.Percent) != speedTargets) {
+			t.Errorf("answer after 3 s to a gateway without speeds: %+v", answer)
+		}
+	}
+	if known == 0 {
+		t.Error("a gateway with the speeds of another leader got none in 20 s")
+	}
+}
