Keep the speed of targets that cannot be compared with others at 1

Cause: the factors of targets are fitted with a mean of 0 and then shifted so that their median is 0. A target that shares no model with others, or has only pairs with few samples, has a factor of 0 before the shift, so its speed was off by the distance of mean and median. Change: such targets have speed 1 and do not count in the median.

--- a/coordination/speed/fit.go
+++ b/coordination/speed/fit.go
@@ -40,7 +40,8 @@
 	modelWeights  []float64
 }
 
-// solve returns the factors of the targets in the logarithm, with a median of 0.
+// solve returns the factors of the targets in the logarithm, with a median of 0 over those that share a model with another one, and 0
+// for the others.
 func (f *fit) solve() []float64 {
 	f.gaps, f.weights = make([]float64, len(f.edges)), make([]float64, len(f.edges))
 	f.ofModel, f.modelWeights = make([]float64, f.models), make([]float64, f.models)
@@ -57,18 +58,38 @@
 			f.weights[i] = e.weight * min(1, outlierResidual/math.Abs(f.gaps[i]-expected))
 		}
 	}
-	if f.targets == 0 {
-		return nil
+	compared := f.compared()
+	var sorted []float64
+	for t, factor := range ofTarget {
+		if compared[t] {
+			sorted = append(sorted, factor)
+		}
 	}
-	sorted := slices.Clone(ofTarget)
 	slices.Sort(sorted)
-	median := quantile(sorted, 0.5)
 	for t := range ofTarget {
-		ofTarget[t] -= median
+		if compared[t] {
+			ofTarget[t] -= quantile(sorted, 0.5)
+		} else {
+			ofTarget[t] = 0
+		}
 	}
 	return ofTarget
 }
 
+// compared reports which targets share a model with another one. The others count as median targets: their factor of 0 is the mean of
+// the others, which is far from the median where most targets are slow or fast.
+func (f *fit) compared() []bool {
+	targets := make([]int, f.models)
+	for _, e := range f.edges {
+		targets[e.model]++
+	}
+	compared := make([]bool, f.targets)
+	for _, e := range f.edges {
+		compared[e.target] = compared[e.target] || targets[e.model] > 1
+	}
+	return compared
+}
+
 // updateModels sets the factors of models to the best ones for the factors of targets.
 func (f *fit) updateModels(ofTarget []float64) {
 	f.modelMeans(func(i int) float64 { return f.gaps[i] - ofTarget[f.edges[i].target] })
--- a/coordination/speed/speed_test.go
+++ b/coordination/speed/speed_test.go
@@ -326,3 +326,30 @@
 		t.Errorf("slow phase of a fast model: %+v, want 6 ms", s)
 	}
 }
+
+// Guards against a speed other than 1 for targets that cannot be compared with others, where most of the others are slow or fast: one that
+// shares no model, and one of whose models each has too few samples.
+func TestTargetsWithoutComparisonKeepSpeedOne(t *testing.T) {
+	for _, most := range []float64{0.6, 1.6} {
+		gaps := map[string]map[string]float64{"alone": {"o": 200}, "few": {"p": 30, "q": 30, "r": 30, "s": 30, "t": 30, "u": 30}}
+		want := map[string]float64{"alone": 1, "few": 1}
+		for i := range 9 {
+			id, v := targetID(i), most
+			if i%3 == 0 {
+				v = 1
+			}
+			gaps[id], want[id] = map[string]float64{"m": 45 / v}, v/most
+		}
+		f := newFleet(gaps)
+		var others []string
+		for id := range gaps {
+			if id != "few" {
+				others = append(others, id)
+			}
+		}
+		f.report(learnTime, 50, others...)
+		f.report(500*time.Millisecond, 4, "few")
+		f.report(time.Second, 50, others...)
+		f.want(t, fmt.Sprint("most targets have ", most), want)
+	}
+}
