Scale the service time by the speed of a target while the leader is lost

Cause: service times are now kept at nominal speed, but gateways without a leader used them unscaled to estimate when the requests of others have ended, so they took slots of slow targets too early and those of fast targets too late. Change: withinUnknownShare divides the service time by the speed of the target. Result: in TestSlotsOfSlowTargetsAreFreeLater 200 gateways took 9 slots of a target of speed 0.5 and 1 of one of speed 2 after one of its service times, and 6 at nominal speed; now 6 at each speed.

--- a/coordination/dispatch/shares.go
+++ b/coordination/dispatch/shares.go
@@ -18,8 +18,9 @@
 	Part float64
 	// PartUnknown is the same while it is not known. Then the load of the others as last known counts.
 	PartUnknown float64
-	// ServiceTime is how long a request holds a slot. While the load of the others is not known, what this gateway may take is drawn
-	// again after that time, when the slots that others took on their parts are free again.
+	// ServiceTime is how long a request holds a slot of a target of nominal speed. While the load of the others is not known, what this
+	// gateway may take of a target is drawn again after that time over its speed, when the slots that others took on their parts are free
+	// again.
 	ServiceTime time.Duration
 	// Waiting is the number of requests, at all gateways, that wait for the same slots. While there are as many free slots, no part is
 	// needed.
@@ -76,13 +77,14 @@
 	if sharing.PartUnknown >= 1 {
 		return float64(s.own.Running) < limit
 	}
+	serviceTime := time.Duration(float64(sharing.ServiceTime) / s.speed)
 	switch {
 	case !s.claim.known:
 		s.claim = claim{known: true, lostAt: now, drawnAt: now, own: s.own.Running, draw: rng.Float64()}
-	case now.Sub(s.claim.drawnAt) >= sharing.ServiceTime:
+	case now.Sub(s.claim.drawnAt) >= serviceTime:
 		s.claim.drawnAt, s.claim.draw = now, rng.Float64()
 	}
-	left := math.Exp(-float64(now.Sub(s.claim.lostAt)) / float64(max(sharing.ServiceTime, time.Millisecond)))
+	left := math.Exp(-float64(now.Sub(s.claim.lostAt)) / float64(max(serviceTime, time.Millisecond)))
 	own, others := left*float64(s.claim.own), left*float64(s.lastOthers.Running)
 	return s.own.Running < int(math.Floor(own+max(limit-own-others, 0)*sharing.PartUnknown+s.claim.draw))
 }
--- a/coordination/dispatch/speeds_test.go
+++ b/coordination/dispatch/speeds_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/speed"
 )
 
@@ -114,3 +116,34 @@
 		t.Errorf("samples of the new start: %+v", samples)
 	}
 }
+
+// Guards against gateways without a leader that take the slots of a slow target before the requests of others there have ended: service
+// times are those at nominal speed.
+func TestSlotsOfSlowTargetsAreFreeLater(t *testing.T) {
+	const gateways = 200
+	taken := func(speed float64, after time.Duration) (n int) {
+		for seed := range uint64(gateways) {
+			tracker, targets, rng := NewLoadTracker("g"), engines(1), rand.New(rand.NewPCG(seed, 1))
+			tracker.SetSpeeds(map[string]float64{"t0": speed})
+			tracker.SetPeerObservations(map[string]Observation{"t0": {Load: Load{Running: 8}}}, nil)
+			tracker.SetPeerObservations(nil, nil)
+			pick := func(now time.Time) *roster.Entry {
+				got, _ := tracker.Pick(now, rng, Query{Service: "s", Model: "m", MaxPerSlot: 1,
+					Sharing: &Sharing{Part: 0.5, PartUnknown: 1.0 / gateways, ServiceTime: time.Second, Waiting: 10}}, targets)
+				return got
+			}
+			pick(start)
+			for pick(start.Add(after)) != nil {
+				tracker.Start(start.Add(after), "t0", "m", 1)
+				n++
+			}
+		}
+		return n
+	}
+	nominal := taken(1, time.Second)
+	for _, speed := range []float64{0.5, 2} {
+		if got := taken(speed, time.Duration(float64(time.Second)/speed)); got != nominal {
+			t.Errorf("gateways take %d of 8 slots after one service time of a target of speed %v, and %d at nominal speed", got, speed, nominal)
+		}
+	}
+}
