Let gateways without speeds get those of a new leader at once

Cause: since a new leader decides on all services before it replaces the speeds of an earlier one, a gateway to which that one had published none waited as well, for 9 s or more. Change: a gateway without speeds reports no change, so that it gets what is known. An empty answer to it is not applied again. Result: TestSpeedsAtTheGateway saw change 4 reported without speeds, now 0.

--- a/instance/gateway/speeds.go
+++ b/instance/gateway/speeds.go
@@ -26,7 +26,10 @@
 
 // reportSpeeds returns what a load report says about the speeds of targets.
 func (g *Gateway) reportSpeeds(now time.Time) *fleetapi.SpeedReport {
-	report := &fleetapi.SpeedReport{Change: g.speeds.change}
+	report := &fleetapi.SpeedReport{}
+	if len(g.speeds.percent) > 0 { // without speeds, a new leader sends at once what it has learned
+		report.Change = g.speeds.change
+	}
 	interval := max(speedReportInterval, time.Duration(g.gatewayCount.Gateways(now, 0))*speedReportSpacing)
 	if now.Sub(g.speeds.reportedAt) < interval {
 		return report
@@ -53,7 +56,8 @@
 		return
 	}
 	s.confirmedAt = now
-	if published.Change == s.change && !published.Complete {
+	if published.Change == s.change && !published.Complete || len(s.percent) == 0 && len(published.Percent) == 0 {
+		s.change = published.Change
 		return
 	}
 	percent := make(map[string]int)
--- a/instance/gateway/speeds_test.go
+++ b/instance/gateway/speeds_test.go
@@ -45,6 +45,9 @@
 	want("a new leader", 1, 1.5)
 	g.applySpeeds(now, &fleetapi.Speeds{Change: 4, Complete: true})
 	want("withdrawn", 1, 1)
+	if report := g.reportSpeeds(now); report.Change != 0 {
+		t.Errorf("reported change %d without speeds, want 0, so that a new leader sends at once what it has learned", report.Change)
+	}
 }
 
 // Guards against samples in each of ten reports per second, against a leader that gets more of them with more gateways, and against messages that builds without speeds do not decode.
