Record the end of speeds when all targets of a service are gone

Cause: the estimator dropped a service without targets without a change, so no event and no counter showed the end of its speeds. Change: the drop of a service whose speeds have an effect is a change. Result: TestChangeWhenAllTargetsAreGone got no changes, now one.

--- a/coordination/speed/speed.go
+++ b/coordination/speed/speed.go
@@ -264,10 +264,14 @@
 		}
 		e.judge(name, s)
 	}
-	for name := range e.services {
-		if byService[name] == nil {
-			delete(e.services, name)
+	for _, name := range slices.Sorted(maps.Keys(e.services)) {
+		if byService[name] != nil {
+			continue
+		}
+		if e.services[name].inEffect {
+			e.changes = append(e.changes, Change{Service: name, Ratio: 1})
 		}
+		delete(e.services, name)
 	}
 	if found {
 		e.estimates++
--- a/coordination/speed/speed_test.go
+++ b/coordination/speed/speed_test.go
@@ -353,3 +353,15 @@
 		f.want(t, fmt.Sprint("most targets have ", most), want)
 	}
 }
+
+// Guards against operators who are not told that speeds no longer have an effect because all targets of the service are gone.
+func TestChangeWhenAllTargetsAreGone(t *testing.T) {
+	f := newFleet(pairs())
+	f.report(learnTime, 50, "slow", "middle", "fast", "alone")
+	f.estimator.TakeChanges()
+	f.estimator.SetTargets(nil)
+	f.report(time.Second, 0, "slow")
+	if changes := f.estimator.TakeChanges(); len(changes) != 1 || changes[0].InEffect || changes[0].Service != "s" || changes[0].Ratio != 1 {
+		t.Errorf("changes %+v, want one that ends the effect", changes)
+	}
+}
