--- a/coordination/dispatch/speeds_test.go
+++ b/coordination/dispatch/speeds_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/coordination/speed"
 )
 
@@ -85,3 +87,63 @@
 		t.Errorf("samples of unknown targets: %+v", unknown)
 	}
 }
+
+// Guards against gaps of an earlier start of a target that was not listed in between, while its last streams ended: they would count for
+// the speed of the new start.
+func TestSpeedSamplesOfATargetThatWasNotListed(t *testing.T) {
+	tracker := NewLoadTracker("g")
+	now := start
+	r := tracker.Start(now, "t", "m", 1)
+	events := func(n int, gap time.Duration) {
+		for range n {
+			now = now.Add(gap)
+			tracker.Event(now, r, gap)
+		}
+	}
+	events(5, 45*time.Millisecond)
+	if samples := tracker.TakeSpeedSamples(map[string]int64{"t": 1}); len(samples) != 1 {
+		t.Fatalf("samples of the first start: %+v", samples)
+	}
+	tracker.TakeSpeedSamples(nil)
+	events(60, 150*time.Millisecond)
+	tracker.TakeSpeedSamples(nil)
+	events(30, 150*time.Millisecond)
+	if samples := tracker.TakeSpeedSamples(map[string]int64{"t": 2}); len(samples) > 0 {
+		t.Errorf("samples of the earlier start for the new one: %+v", samples)
+	}
+	events(5, 45*time.Millisecond)
+	if samples := tracker.TakeSpeedSamples(map[string]int64{"t": 2}); len(samples) != 1 || samples[0].Count != 5 || samples[0].GapMs > 60 {
+		t.Errorf("samples of the new start: %+v", samples)
+	}
+}
+
+// Guards against gateways without a leader that take the slots of a slow target before the requests of others there have ended: service
+// times are those at nominal speed.
+func TestSlotsOfSlowTargetsAreFreeLater(t *testing.T) {
+	const gateways = 200
+	taken := func(speed float64, after time.Duration) (n int) {
+		for seed := range uint64(gateways) {
+			tracker, targets, rng := NewLoadTracker("g"), engines(1), rand.New(rand.NewPCG(seed, 1))
+			tracker.SetSpeeds(map[string]float64{"t0": speed})
+			tracker.SetPeerObservations(map[string]Observation{"t0": {Load: Load{Running: 8}}}, nil)
+			tracker.SetPeerObservations(nil, nil)
+			pick := func(now time.Time) *roster.Entry {
+				got, _ := tracker.Pick(now, rng, Query{Service: "s", Model: "m", MaxPerSlot: 1,
+					Sharing: &Sharing{Part: 0.5, PartUnknown: 1.0 / gateways, ServiceTime: time.Second, Waiting: 10}}, targets)
+				return got
+			}
+			pick(start)
+			for pick(start.Add(after)) != nil {
+				tracker.Start(start.Add(after), "t0", "m", 1)
+				n++
+			}
+		}
+		return n
+	}
+	nominal := taken(1, time.Second)
+	for _, speed := range []float64{0.5, 2} {
+		if got := taken(speed, time.Duration(float64(time.Second)/speed)); got != nominal {
+			t.Errorf("gateways take %d of 8 slots after one service time of a target of speed %v, and %d at nominal speed", got, speed, nominal)
+		}
+	}
+}
