peer: a response without room fails its call, not the connection

Cause: a response for which other processes held all room was reported as a full queue, and the connection was closed. All other calls on it failed with it: watches, load reports, permits. When a configuration or a table above 256 KiB goes to hundreds of gateways at once, only some tens of them find room, and the connections of the others were cut. Change: the queue returns ErrNoRoom, and the call is answered with CodeFailed, which says that it may have run. The connection is closed only if there is no room for this answer either. Measured: TestResponseWithoutRoomFailsOnlyItsCall failed before (the large call, a blocked call beside it and the next call ended with EOF) and passes with -race, as do TestMemory*, TestInboundBytes*, TestNotificationsDropOldest and TestCalls.

--- a/transport/peer/account_test.go
+++ b/transport/peer/account_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	metrics "github.com/rcrowley/go-metrics"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
@@ -91,3 +92,37 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a connection, with all calls that run on it, that is closed because one response finds no room.
+func TestResponseWithoutRoomFailsOnlyItsCall(t *testing.T) {
+	n := newNetwork()
+	peers := intake.New(intake.Options{MemoryMB: 40}).Peers()
+	b := n.start(t, "b", func(o *Options) { o.Memory = peers })
+	running, release := make(chan struct{}), make(chan struct{})
+	b.Handle("block", func(context.Context, Sender, json.RawMessage) (any, error) {
+		close(running)
+		<-release
+		return nil, nil
+	})
+	b.Handle("large", func(context.Context, Sender, json.RawMessage) (any, error) { return strings.Repeat("x", 500_000), nil })
+	a := n.start(t, "a", nil)
+	blocked := make(chan error, 1)
+	go func() { blocked <- a.Call(context.Background(), "b", "block", 1, nil) }()
+	wait(t, running, "blocked call")
+	const others = 2_900_000 // what other senders hold
+	if !peers.Take(others, 0, true) {
+		t.Fatal("no room for what others hold")
+	}
+	var remote *RemoteError
+	if err := a.Call(t.Context(), "b", "large", 1, nil); !errors.As(err, &remote) || remote.Code != peerapi.CodeFailed {
+		t.Errorf("response without room: error %v", err)
+	}
+	peers.Release(others, true)
+	close(release)
+	if err := wait(t, blocked, "blocked call"); err != nil {
+		t.Errorf("call beside a response without room: %v", err)
+	}
+	if err := a.Call(t.Context(), "b", "large", 1, nil); err != nil {
+		t.Errorf("response with room: %v", err)
+	}
+}
--- a/transport/peer/inbound.go
+++ b/transport/peer/inbound.go
@@ -474,6 +474,8 @@
 		err = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: peerapi.CodeFailed, Message: err.Error()})
 	} else if err = rpc.SendResponse(ctx, response); errors.Is(err, ErrFrameTooLarge) {
 		err = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: peerapi.CodeTooLarge, Message: err.Error()})
+	} else if errors.Is(err, ErrNoRoom) { // other calls on the connection go on
+		err = rpc.ReplyWithError(ctx, req.ID, &jsonrpc2.Error{Code: peerapi.CodeFailed, Message: err.Error()})
 	}
 	if err != nil && !errors.Is(err, jsonrpc2.ErrClosed) {
 		// Without a response the sender would wait until its timeout, so the connection is closed.
--- a/transport/peer/stream.go
+++ b/transport/peer/stream.go
@@ -140,7 +140,8 @@
 	return json.Unmarshal(data, v)
 }
 
-// queueLocked appends a frame. A full queue drops its oldest notifications; without any, it returns ErrQueueFull.
+// queueLocked appends a frame. A full queue drops its oldest notifications; without any, it returns ErrQueueFull. It returns ErrNoRoom if
+// the receiver of the frame gets no room for it.
 func (s *stream) queueLocked(class peerapi.Class, f frame) error {
 	for len(s.queues[class]) >= s.t.opts.QueueLength || s.bytes[class]+len(f.data) > s.t.opts.QueueBytes {
 		if !s.dropOldestLocked(class) {
@@ -150,7 +151,7 @@
 	}
 	if !s.account.take(len(f.data)) {
 		s.t.metrics.dropped.Inc(1)
-		return errors.WithStack(ErrQueueFull)
+		return errors.WithStack(ErrNoRoom)
 	}
 	s.queues[class] = append(s.queues[class], f)
 	s.bytes[class] += len(f.data)
