servicecalls: record the answer of a call whose caller has left

Cause: the answer of a call that runs at most once was counted for the request of its caller. When the caller had left, the request had ended, and reading the answer failed. The ledger recorded no answer, so a repeat with the same key got may_have_run instead of the answer. Change: Client.Outlive lets such work go on after its request. What it holds from then on is counted in the pool, up to the half for clients that hold much, until the dispatch has ended. Other reads after the end of a request fail as before. TestAnswersThatOutliveTheRequestAreCounted checks that the bytes are counted and given back.

--- a/instance/servicecalls/ledger_test.go
+++ b/instance/servicecalls/ledger_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -463,3 +464,54 @@
 		})
 	}
 }
+
+// Guards against the answer of a call that runs at most once being lost, so that a repeat never gets it, because the caller left before
+// the answer was read and its request had ended.
+func TestAnswerIsRecordedAfterTheCallerHasLeft(t *testing.T) {
+	started, answerNow := make(chan struct{}), make(chan struct{})
+	f := &fakeTarget{call: func(ctx context.Context, _ targetclient.ServiceCall) (*targetclient.ServiceAnswer, bool, error) {
+		close(started)
+		<-answerNow
+		body, err := intake.ReadAll(ctx, strings.NewReader(strings.Repeat("x", 20_000)), -1, targetclient.MaxServiceAnswerBytes)
+		if err != nil {
+			return nil, true, err
+		}
+		return &targetclient.ServiceAnswer{Status: http.StatusCreated, Body: body}, true, nil
+	}}
+	b := newTestServer(t, nil, f)
+	defer b.stop()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := make(chan struct{})
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { b.post(r.Context(), 0) }),
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				close(closed)
+			}
+		},
+	}
+	defer func() { _ = server.Close() }()
+	go func() { _ = intake.New(intake.Options{MemoryMB: 64}).Serve(server, listener) }()
+	caller, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.WriteString(caller, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	<-started
+	_ = caller.Close()
+	<-closed
+	close(answerNow)
+	var result *api.Result
+	for range 1000 {
+		if _, result = b.post(t.Context(), 0); result.Outcome != api.Unknown {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	if result.Outcome != api.Answered {
+		t.Errorf("repeat: %s (%s), want the recorded answer", result.Outcome, result.Reason)
+	}
+}
--- a/instance/servicecalls/server.go
+++ b/instance/servicecalls/server.go
@@ -178,6 +178,8 @@
 	started := s.Now()
 	client := intake.ClientOf(ctx)
 	final := s.Ledger.Run(ctx, call, work.Deadline, func(attempt string) (*targetclient.ServiceAnswer, bool, error) {
+		client, done := client.Outlive()
+		defer done()
 		return s.dispatch(intake.WithClient(context.Background(), client), call, work, attempt)
 	}, func() {
 		// The duration includes the wait for the replicated log and says little about the work, so it is kept out of the
--- a/transport/intake/hold.go
+++ b/transport/intake/hold.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"io"
+	"math"
+	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
 )
@@ -11,7 +14,8 @@
 // the request is answered. The zero value counts nothing.
 type Client struct {
 	conn    *Conn
-	request int64 // number of the request on its connection
+	request int64         // number of the request on its connection
+	late    *atomic.Int64 // bytes that were counted after the end of the request, nil if none may be, see Outlive
 }
 
 type clientKey struct{}
@@ -33,13 +37,48 @@
 	return context.WithValue(ctx, clientKey{}, client)
 }
 
+// Outlive returns the client for work whose result is needed also if the request ends or its connection is closed first. What the work
+// holds from then on is counted until done is called.
+func (c Client) Outlive() (client Client, done func()) {
+	if c.conn == nil {
+		return c, func() {}
+	}
+	late := new(atomic.Int64)
+	c.late = late
+	return c, func() { c.conn.pool.used.Add(-late.Swap(0)) }
+}
+
 // Reserve counts n more bytes for the client until its request is answered, and waits until there is room. It returns ErrFull if
 // there is none in time, ErrTooLarge if there never will be.
 func (c Client) Reserve(n int64) error {
 	if c.conn == nil {
 		return nil
 	}
-	return c.conn.reserveFor(c.request, n)
+	err := c.conn.reserveFor(c.request, n)
+	if c.late == nil || !errors.Is(err, errClosed) {
+		return err
+	}
+	return c.reserveLate(n)
+}
+
+// reserveLate counts n more bytes without a connection, and waits until they fit into the part of clients that hold much.
+func (c Client) reserveLate(n int64) error {
+	p := c.conn.pool
+	bound := p.budget
+	if bound != math.MaxInt64 {
+		bound = int64(largeShare * float64(bound))
+	}
+	for deadline := time.Now().Add(p.opts.Times.Room); ; time.Sleep(pollInterval) {
+		if p.used.Add(n) <= bound {
+			c.late.Add(n)
+			return nil
+		}
+		p.used.Add(-n)
+		if !time.Now().Before(deadline) {
+			p.limits[limitRefused].act()
+			return ErrFull
+		}
+	}
 }
 
 func (c Client) release(n int64) {
--- a/transport/intake/hold_test.go
+++ b/transport/intake/hold_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"testing"
+	"time"
 )
 
 // admitted returns a connection of a pool without a client that sends anything.
@@ -62,3 +63,40 @@
 		t.Errorf("error %v, %d bytes are counted, %d are waited for", err, p.used.Load(), p.wanted.Load())
 	}
 }
+
+// Guards against answers that are refused, or not counted, because the request for which they are read has ended, though their result is
+// needed, and against counts that stay after them.
+func TestAnswersThatOutliveTheRequestAreCounted(t *testing.T) {
+	const size = 1 << 20
+	read := func(ctx context.Context) error {
+		_, err := ReadAll(ctx, strings.NewReader(strings.Repeat("x", size)), size, size)
+		return err
+	}
+	for _, closed := range []bool{false, true} {
+		p := New(Options{MemoryMB: 64, Times: Times{Room: time.Millisecond}})
+		c := admitted(t, p)
+		client, done := ClientOf(context.WithValue(t.Context(), connKey{}, c)).Outlive()
+		ctx := WithClient(context.Background(), client)
+		if err := read(ctx); err != nil {
+			t.Error(err)
+		}
+		if closed {
+			_ = c.Close()
+		}
+		c.end()
+		before := p.used.Load()
+		if err := read(ctx); err != nil || p.used.Load() < before+size {
+			t.Errorf("error %v, %d bytes are counted after the request, %d before it, connection closed: %v", err, p.used.Load(), before, closed)
+		}
+		others := p.budget - p.used.Load()
+		p.used.Add(others)
+		if err := read(ctx); !errors.Is(err, ErrFull) {
+			t.Errorf("without room: error %v", err)
+		}
+		p.used.Add(-others)
+		done()
+		if used := p.used.Load(); used != before {
+			t.Errorf("%d bytes are counted at the end, want %d", used, before)
+		}
+	}
+}
