targetclient: don't limit the length in an answer to HEAD

Cause: an answer whose announced length is above 4 MiB is refused before it is read. The answer to HEAD announces the length of a body that is not sent, so HEAD calls for larger resources failed, their targets were blamed, and the call was repeated at others. Change: the length of an answer to HEAD is 0. Measured: TestLengthWithoutBodyIsNotLimited failed before ("the answer of the service is larger than 4194304 bytes") and passes with -race.

--- a/transport/targetclient/service.go
+++ b/transport/targetclient/service.go
@@ -51,7 +51,11 @@
 		return nil, written.Load(), errors.Wrap(err, "send service call")
 	}
 	defer func() { _ = resp.Body.Close() }()
-	body, err := intake.ReadAll(ctx, resp.Body, resp.ContentLength, MaxServiceAnswerBytes)
+	size := resp.ContentLength
+	if call.Method == http.MethodHead { // the length of a body that is not sent
+		size = 0
+	}
+	body, err := intake.ReadAll(ctx, resp.Body, size, MaxServiceAnswerBytes)
 	if errors.Is(err, intake.ErrTooLarge) {
 		return nil, true, errors.Errorf("the answer of the service is larger than %d bytes, or than what clients may hold", MaxServiceAnswerBytes)
 	}
