Admit held requests at gateways that were denied others

A held request decided again with Limiter.Admit, which refuses for up to a second after a denial without asking the leader. The ledger holds requests up to the quota and denies those beyond it, so an account that sent 1.5 times its limit in a burst had nearly all of its held requests refused. Each wait also counted as new demand, which grants in advance follow.

AdmitHeld decides after a hold: it asks whatever was denied meanwhile, and adds no demand. The driver of the tests does the same as the gateway.

TestBurstBeforeTheLeaderIsLost and TestBurstWithinTheQuotaIsNotRefused pass.

--- a/coordination/quota/burst_test.go
+++ b/coordination/quota/burst_test.go
@@ -54,3 +54,27 @@
 		}
 	}
 }
+
+// Guards against held requests that are refused at gateways which were denied others meanwhile: an account sends 1.5 times its limit
+// within 20 ms, and what is within the limit is admitted.
+func TestHeldRequestsAreAdmittedWhileOthersAreDenied(t *testing.T) {
+	for _, gateways := range []int{3, 30} {
+		for _, rate := range []float64{20_000, 100_000} {
+			limit := Limit{PerSecond: rate, Burst: rate}
+			d := newDriver(uint64(gateways), gateways, limit)
+			d.runFor(2 * time.Second)
+			offered := 0.0
+			d.poisson(func() float64 { return 75 * d.opts.units(limit) }, func() float64 { return 1000 }, d.anyGateway, d.now.Add(time.Second))
+			d.admit = func(cost float64) bool {
+				offered += cost
+				return offered <= 1.5*d.opts.units(limit)
+			}
+			d.runFor(5 * time.Second)
+			if used := total(d.admitted) / d.opts.units(limit); used < 0.9 {
+				t.Errorf("%d gateways, rate %v: %.3f of the limit admitted, %d of %d requests refused", gateways, rate, used, len(d.refused), len(d.offered))
+			} else {
+				t.Logf("%d gateways, rate %v: %.3f of the limit admitted, %d of %d requests refused", gateways, rate, used, len(d.refused), len(d.offered))
+			}
+		}
+	}
+}
--- a/coordination/quota/driver_test.go
+++ b/coordination/quota/driver_test.go
@@ -260,11 +260,11 @@
 		return
 	}
 	d.offered = append(d.offered, admission{at: d.now, cost: cost})
-	d.decide(g, g.starts, cost, 3, d.now)
+	d.decide(g, g.starts, cost, 3, d.now, g.limiter.Admit)
 }
 
-func (d *driver) decide(g *gateway, starts int, cost float64, tries int, offered time.Time) {
-	decision := g.limiter.Admit(d.now, "a", g.limit, cost, d.rng.Float64())
+func (d *driver) decide(g *gateway, starts int, cost float64, tries int, offered time.Time, admit func(time.Time, string, Limit, float64, float64) Decision) {
+	decision := admit(d.now, "a", g.limit, cost, d.rng.Float64())
 	if !decision.Ask || tries == 0 {
 		d.end(g, decision, cost)
 		return
@@ -285,7 +285,7 @@
 			if settled := g.limiter.Granted(d.now, decision.Request, grant); settled.Hold > 0 {
 				d.hold(g, starts, cost, settled.Hold, offered)
 			} else if settled.Ask {
-				d.decide(g, starts, cost, tries-1, offered)
+				d.decide(g, starts, cost, tries-1, offered, admit)
 			} else {
 				d.end(g, settled, cost)
 			}
@@ -311,7 +311,7 @@
 	d.after(wait, func() {
 		d.whenAwake(g, func() {
 			if g.runs(starts) {
-				d.decide(g, starts, cost, 3, offered)
+				d.decide(g, starts, cost, 3, offered, g.limiter.AdmitHeld)
 			}
 		})
 	})
--- a/coordination/quota/limiter.go
+++ b/coordination/quota/limiter.go
@@ -41,7 +41,7 @@
 	Admit, Ask, Refuse bool
 	Request            GrantRequest
 	RetryAfter         time.Duration
-	// Hold is set with Ask from Granted if Admit has to decide again only after that time, for up to MaxHold in all.
+	// Hold is set with Ask from Granted if AdmitHeld has to decide after that time, for up to MaxHold in all.
 	Hold time.Duration
 	// Fallback is set if no leader was involved.
 	Fallback bool
@@ -108,12 +108,21 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	u := l.usage(account)
-	return u.count(l.admit(now, u, account, limit, cost, random))
-}
-
-func (l *Limiter) admit(now time.Time, u *usage, account string, limit Limit, cost, random float64) Decision {
 	u.demand.Add(now, cost)
 	u.cost = max(cost, costMemory*u.cost)
+	return u.count(l.admit(now, u, account, limit, cost, random, now.Before(u.deniedUntil)))
+}
+
+// AdmitHeld decides a request again that was held. The ledger counts it against the quota meanwhile, so it asks for its grant
+// although others were denied theirs, and it is no further demand.
+func (l *Limiter) AdmitHeld(now time.Time, account string, limit Limit, cost, random float64) Decision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	u := l.usage(account)
+	return u.count(l.admit(now, u, account, limit, cost, random, false))
+}
+
+func (l *Limiter) admit(now time.Time, u *usage, account string, limit Limit, cost, random float64, denied bool) Decision {
 	if !l.connected(now) {
 		return l.fallback(now, u, limit, cost, random)
 	}
@@ -121,7 +130,7 @@
 	if u.granted-u.taken-u.asked >= cost && u.take(now, cost) {
 		return Decision{Admit: true}
 	}
-	if now.Before(u.deniedUntil) && cost > smallerRequest*u.deniedCost {
+	if denied && cost > smallerRequest*u.deniedCost {
 		return Decision{Refuse: true, RetryAfter: max(u.freeAt.Sub(now), minRetry)}
 	}
 	u.asked += cost
--- a/instance/gateway/quota.go
+++ b/instance/gateway/quota.go
@@ -109,8 +109,9 @@
 	limiter, name := g.quotas.limiter, q.credentials.account.Name
 	limit := quota.Limit{PerSecond: q.credentials.account.Quota.PerSecond, Burst: q.credentials.account.Quota.Burst, Requests: q.credentials.account.Quota.Unit == routes.Requests}
 	held := min(quota.MaxHold, time.Duration(waitShare*float64(q.deadline.Sub(q.arrived))))
+	admit := limiter.Admit
 	for tries := quotaTries; tries > 0; tries-- {
-		decision := limiter.Admit(time.Now(), name, limit, cost, g.randomFloat())
+		decision := admit(time.Now(), name, limit, cost, g.randomFloat())
 		if !decision.Ask {
 			return decision
 		}
@@ -127,7 +128,7 @@
 			if time.Since(q.arrived)+decision.Hold > held || !sleep(q, decision.Hold) {
 				return quota.Decision{Refuse: true, RetryAfter: decision.Hold}
 			}
-			tries = quotaTries + 1
+			admit, tries = limiter.AdmitHeld, quotaTries+1
 		}
 	}
 	return quota.Decision{Refuse: true, RetryAfter: quotaRetry}
