Count a held request only until it asks again

The ledger counts held requests against the quota until they ask again. Requests that ask again within 10 ms became one entry with the time of the first one added, which may be up to 10 ms later than that of others, and the stated time was rounded down to milliseconds while the counted one was not. A request that came back earlier than its entry ended counted twice and was denied.

An entry keeps the earliest time, and the counted time is the one that is sent.

--- a/coordination/quota/unacked.go
+++ b/coordination/quota/unacked.go
@@ -65,10 +65,13 @@
 // heldRequests are requests that wait at gateways, with the times at which they ask again.
 type heldRequests []timedUnits
 
-// add adds a request. Those that ask again at about the same time are one entry.
+// add adds a request. Those that ask again at about the same time are one entry with the earliest time: a request that still counts
+// as held when it asks again would be denied because of itself.
 func (h *heldRequests) add(at time.Time, units float64) {
 	if last := len(*h) - 1; last >= 0 && (*h)[last].at.Sub(at).Abs() < unackedWidth {
-		(*h)[last].units += units
+		if (*h)[last].units += units; at.Before((*h)[last].at) {
+			(*h)[last].at = at
+		}
 		return
 	}
 	*h = append(*h, timedUnits{at, units})
@@ -103,7 +106,7 @@
 // level with its second report after the grant.
 func (l *Ledger) hold(now time.Time, a *account, cost, excess float64) time.Duration {
 	acked := a.unacked.grantedAt(excess).Add(2*l.opts.Interval(len(l.gateways)) + checkInterval)
-	wait := max(acked.Sub(now), checkInterval)
+	wait := max(acked.Sub(now), checkInterval).Truncate(time.Millisecond) // as it is sent
 	a.held.add(now.Add(wait), cost)
 	return wait
 }
--- a/coordination/quota/unacked_test.go
+++ b/coordination/quota/unacked_test.go
@@ -107,3 +107,59 @@
 		t.Errorf("a gateway of 30 with equal use has a share of %.3f", shares[7])
 	}
 }
+
+// Guards against a denial of a held request that asks again at the stated time, because it counts as held itself until a later time.
+// Requests are held until no more are within the quota, and none arrives afterwards.
+func TestHeldRequestIsNotDeniedAtTheStatedTime(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	opts, limit := testOptions(), Limit{PerSecond: 100_000, Burst: 100_000}
+	limits := func(string) (Limit, bool) { return limit, true }
+	ledger := NewLedger(now, opts, 1)
+	names, limiters := []string{"one", "two"}, []*Limiter{NewLimiter(now, opts, "one", 1), NewLimiter(now, opts, "two", 1)}
+	exchange := func() {
+		for i, l := range limiters {
+			l.Apply(ledger.Report(now, names[i], l.Report(now), limits))
+		}
+	}
+	for range 10 {
+		now = now.Add(100 * time.Millisecond)
+		exchange()
+	}
+	type heldRequest struct {
+		at   time.Time
+		cost float64
+	}
+	var held []heldRequest
+	ask := func(cost float64) Grant {
+		g := ledger.Grant(now, GrantRequest{Gateway: "one", Epoch: 1, Account: "a", Cost: cost}, limit)
+		if g.Hold {
+			held = append(held, heldRequest{now.Add(time.Duration(g.WaitMs) * time.Millisecond), cost})
+		}
+		return g
+	}
+	for i := 0; ; i++ {
+		if g := ask(float64(200 + i*379%1600)); !g.OK && !g.Hold {
+			break
+		}
+		now = now.Add(137 * time.Microsecond)
+	}
+	waiting, denied := len(held), 0
+	for step := 0; len(held) > 0 && step < 50_000; step++ {
+		now = now.Add(100 * time.Microsecond)
+		if step%1000 == 0 {
+			exchange()
+		}
+		due := held
+		held = nil
+		for _, h := range due {
+			if h.at.After(now) {
+				held = append(held, h)
+			} else if g := ask(h.cost); !g.OK && !g.Hold {
+				denied++
+			}
+		}
+	}
+	if denied > 0 || len(held) > 0 || waiting == 0 {
+		t.Errorf("%d of %d held requests denied, %d still held", denied, waiting, len(held))
+	}
+}
