Allow unacknowledged grants at the rate of an account with many gateways

Grants beyond the oldest acknowledged level are bounded by 20 % of the limit. Reports are 1.5 ms apart for each gateway, so with 600 gateways an acknowledgement takes 1.8 to 2.7 s, in which an account that steadily uses 0.85 of its rate exceeds the 20 % (window of 8 s). Its requests were held again and again, and refused after 3 s.

The bound is at least what the rate amounts to in three intervals, and the fallback limit of gateways without a leader leaves room for the same. Nothing changes up to about 340 gateways.

After: none refused, waits below 1 % with 300, 600 and 1,000 gateways.

--- a/coordination/quota/burst_test.go
+++ b/coordination/quota/burst_test.go
@@ -78,3 +78,31 @@
 		}
 	}
 }
+
+// Guards against waits and refusals in deployments whose reports are so far apart that the rate of an account exceeds the fixed part
+// of the bound on unacknowledged grants: the account steadily uses 0.85 of its rate. Guards also against use beyond the hard bound
+// there when the leader is lost during a burst.
+func TestUnacknowledgedGrantsWithManyGateways(t *testing.T) {
+	const rate = 100_000
+	for _, gateways := range []int{300, 600, 1000} {
+		for _, burst := range []float64{0, rate} {
+			d := newDriver(uint64(gateways), gateways, Limit{PerSecond: rate, Burst: burst})
+			d.runFor(8 * time.Second)
+			size := func() float64 { return 300 + 900*d.rng.Float64() }
+			d.poisson(func() float64 { return 0.85 * rate }, size, d.anyGateway, d.now.Add(15*time.Second))
+			d.runFor(15 * time.Second)
+			if len(d.refused) > 0 || d.held > len(d.offered)/100 {
+				t.Errorf("%d gateways, burst %v: %d of %d requests refused, %d waits", gateways, burst, len(d.refused), len(d.offered), d.held)
+			}
+			d.poisson(func() float64 { return 80 * rate }, size, d.anyGateway, d.now.Add(9*time.Second))
+			d.runFor(300 * time.Millisecond)
+			d.replaceLeader(time.Hour)
+			d.runFor(9 * time.Second)
+			if ratio, _ := d.excess(); ratio > 1 {
+				t.Errorf("%d gateways, burst %v: %.3f of the hard bound used after the leader was lost", gateways, burst, ratio)
+			} else {
+				t.Logf("%d gateways, burst %v: %d waits of %d requests, %.3f of the hard bound used after the leader was lost", gateways, burst, d.held, len(d.offered), ratio)
+			}
+		}
+	}
+}
--- a/coordination/quota/ledger.go
+++ b/coordination/quota/ledger.go
@@ -136,7 +136,7 @@
 	if l.carried >= l.predecessors || now.Sub(l.startedAt) > l.opts.Window {
 		return 0
 	}
-	share := unseenShare
+	share := l.opts.unseenPart(limit, l.predecessors)
 	if len(a.inherited.byAge) == 0 {
 		share += busyShare
 	}
--- a/coordination/quota/limiter.go
+++ b/coordination/quota/limiter.go
@@ -260,7 +260,7 @@
 	case share == 0:
 		share = equalShare / float64(l.gateways)
 	}
-	all := l.opts.fallbackUnits(limit, cost)
+	all := l.opts.fallbackUnits(limit, l.opts.unseenPart(limit, l.gateways), cost)
 	grown := all * min(elapsed.Seconds()/l.opts.Window.Seconds(), 1)
 	left := all - u.level.remaining(now, l.opts.Window)
 	accrued := share*min(grown, left) - u.fallback.Sum(now)
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -90,16 +90,29 @@
 	// unseenShare is the part of a limit that may be granted after the last level that a gateway knows: seven times the rate
 	// in 230 ms, the time between the answers to two reports over slow links.
 	unseenShare = 0.2
+	// ackIntervals is the time in intervals of reports for which grants may be unacknowledged at the rate of the account: it takes the
+	// second report after a grant, of the gateway that reports last.
+	ackIntervals = 3
 )
 
+// unseenPart is the part of a limit that may be granted after the last level that a gateway knows, in a deployment of a number of
+// gateways. It is unseenShare up to about 340 gateways. Reports of more are so far apart that the rate itself exceeds that.
+func (o *Options) unseenPart(l Limit, gateways int) float64 {
+	units := o.units(l)
+	if units <= 0 {
+		return unseenShare
+	}
+	return max(unseenShare, l.PerSecond*(ackIntervals*o.Interval(gateways)+checkInterval).Seconds()/units)
+}
+
 // withholdPeriod is how long the share of a gateway that stopped reporting is kept out of grants. Both sides take its share for
 // 1/unknownGateways of the limit afterwards.
 const withholdPeriod = 60 * time.Second
 
 // fallbackUnits is the expected use of one window of all gateways without a leader. They decide independently of each other, so
-// their use varies like that of a Poisson process of requests of the size cost.
-func (o *Options) fallbackUnits(l Limit, cost float64) float64 {
-	most := max(o.Hard(l)-unseenShare*o.units(l), 0)
+// their use varies like that of a Poisson process of requests of the size cost. unseen is that of unseenPart.
+func (o *Options) fallbackUnits(l Limit, unseen, cost float64) float64 {
+	most := max(o.Hard(l)-unseen*o.units(l), 0)
 	half := fallbackDeviations * math.Sqrt(cost) / 2
 	root := math.Sqrt(half*half+most) - half
 	return min(root*root, o.units(l))
@@ -108,7 +121,7 @@
 // withheldUnits is what the leader keeps out of grants for gateways without a leader that have a share of the limit.
 func (o *Options) withheldUnits(l Limit, share, largest float64) float64 {
 	share = min(share, 1)
-	expected := share * o.fallbackUnits(l, largest)
+	expected := share * o.fallbackUnits(l, unseenShare, largest) // gateways use less where unseenPart is larger
 	deviation := fallbackDeviations * math.Sqrt(largest*expected)
 	return max(share*o.units(l), expected+deviation-(o.Hard(l)-o.bound(l)))
 }
--- a/coordination/quota/unacked.go
+++ b/coordination/quota/unacked.go
@@ -93,13 +93,13 @@
 // unackedRoom returns how much may be granted in addition, for a request of a size, before the gateways acknowledge it.
 func (l *Ledger) unackedRoom(a *account, limit Limit, cost float64) float64 {
 	a.unacked.acknowledge(l.ackedAt)
-	return max(unseenShare*l.opts.units(limit), unackedRequests*cost) - a.unacked.sum
+	return max(l.opts.unseenPart(limit, l.active())*l.opts.units(limit), unackedRequests*cost) - a.unacked.sum
 }
 
 // advanceRoom returns how much may be granted in addition in advance.
 func (l *Ledger) advanceRoom(a *account, limit Limit) float64 {
 	a.unacked.acknowledge(l.ackedAt)
-	return advanceShare*unseenShare*l.opts.units(limit) - a.unacked.sum
+	return advanceShare*l.opts.unseenPart(limit, l.active())*l.opts.units(limit) - a.unacked.sum
 }
 
 // hold returns the time after which a request that exceeds the room by a number of units may be granted: a gateway acknowledges a
