Let no resting gateway keep others in rotation after a change of the leader

Of the gateways that are due, the one with the longest lag is taken out first. A gateway that returned under an earlier leader is not taken out while it rests, but a new leader did not know of its rest and counted it as due, so no other gateway of the data centre was taken out for up to 20 s while its lag was the longest.

A gateway that reports to rest is not due.

TestRestingGatewayKeepsNoOtherInRotation: none taken out within 6 s before, the other one is taken out after.

--- a/coordination/rotation/planner.go
+++ b/coordination/rotation/planner.go
@@ -33,13 +33,15 @@
 	// wasOut is set once the gateway has reported that it is out.
 	wasOut    bool
 	restUntil time.Time
+	// rests is set if the latest report says so. After a change of the leader, restUntil is not known.
+	rests bool
 }
 
 func (g *gateway) isOut(now time.Time) bool { return now.Before(g.countedUntil) }
 
 // isDue reports whether the gateway has been overloaded for long enough to be taken out.
 func (g *gateway) isDue(now time.Time) bool {
-	return !g.overloadedSince.IsZero() && now.Sub(g.overloadedSince) >= overloadTime && !now.Before(g.restUntil)
+	return !g.rests && !g.overloadedSince.IsZero() && now.Sub(g.overloadedSince) >= overloadTime && !now.Before(g.restUntil)
 }
 
 type dataCentre struct {
@@ -116,7 +118,7 @@
 	if g.dataCentre != dc || now.Sub(g.reportedAt) > timeout {
 		g.overloadedSince = time.Time{}
 	}
-	g.dataCentre, g.reportedAt, g.lag, g.connections = dc, now, r.Lag, r.Connections
+	g.dataCentre, g.reportedAt, g.lag, g.connections, g.rests = dc, now, r.Lag, r.Connections, r.State == Resting
 	if r.Lag <= overloadLag || !isOverloaded(r.Lag, p.medianOf(now, timeout, dc)) {
 		g.overloadedSince = time.Time{}
 	} else if g.overloadedSince.IsZero() {
--- a/coordination/rotation/planner_test.go
+++ b/coordination/rotation/planner_test.go
@@ -397,3 +397,29 @@
 		}
 	}
 }
+
+// Guards against an overloaded gateway that stays in rotation because another one has a longer lag which may not be taken out: that
+// returned under an earlier leader, so the new one knows of its rest only from its reports.
+func TestRestingGatewayKeepsNoOtherInRotation(t *testing.T) {
+	now := begin
+	p := NewPlanner(now)
+	for range 60 {
+		now = now.Add(100 * time.Millisecond)
+		for i := range 17 {
+			r := Report{Gateway: string(rune('a' + i)), DataCentre: "z", Lag: time.Millisecond}
+			switch i {
+			case 3:
+				r.Lag, r.State = 2*time.Second, Resting
+			case 5:
+				r.Lag = time.Second
+			}
+			if _, taken := p.Report(now, time.Second, r); taken != nil {
+				if i != 5 {
+					t.Errorf("gateway %d is taken out", i)
+				}
+				return
+			}
+		}
+	}
+	t.Error("no gateway is taken out within 6 s")
+}
