Keep the ledger of a later term when a call of an earlier one arrives

Director.Status, like reports and calls for grants, reads the term before it waits for a lock. If this instance lost and regained the lead meanwhile, quotas.of replaced the ledger of the new term by an empty one of the old term, and the next report replaced that in turn. All gateways had to join again, and the grants of the term were forgotten.

A ledger is replaced only by one of a later term.

TestEarlierTermDoesNotEndTheLedger fails without the change. With -race, the tests of quotas, rotation and status in instance/controlinstance pass.

--- a/instance/controlinstance/quotas.go
+++ b/instance/controlinstance/quotas.go
@@ -20,11 +20,12 @@
 	limits map[string]quota.Limit
 }
 
-// of returns the ledger of a term. A new one knows nothing of the grants of other leaders before.
+// of returns the ledger of a term, or that of a later one: the caller may have waited since it read the term. A new one knows nothing
+// of the grants of other leaders before.
 func (q *quotas) of(now time.Time, term uint64) *quota.Ledger {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.ledger == nil || q.ledger.Epoch() != term {
+	if q.ledger == nil || q.ledger.Epoch() < term {
 		q.ledger = quota.NewLedger(now, q.opts, term)
 	}
 	return q.ledger
--- a/instance/controlinstance/quotas_test.go
+++ b/instance/controlinstance/quotas_test.go
@@ -144,3 +144,13 @@
 		t.Error("a grant without a lease")
 	}
 }
+
+// Guards against a call that began in an earlier term, such as one for the status that waited, and ends the ledger of the present one.
+func TestEarlierTermDoesNotEndTheLedger(t *testing.T) {
+	q := &quotas{opts: testQuota}
+	ledger := q.of(time.Now(), 2)
+	q.of(time.Now(), 1)
+	if q.of(time.Now(), 2) != ledger {
+		t.Error("the ledger of the present term was replaced")
+	}
+}
