--- a/instance/fleet/status.go
+++ b/instance/fleet/status.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -109,7 +110,7 @@
 	if len(s.Speeds) > 0 {
 		row("\nTARGET\tSPEED")
 	}
-	for _, id := range sortedKeys(s.Speeds) {
+	for _, id := range slices.Sorted(maps.Keys(s.Speeds)) {
 		row("%s\t%.2f", id, s.Speeds[id])
 	}
 	if len(s.OutOfRotation) > 0 {
@@ -132,12 +133,3 @@
 	}
 	return errors.Wrap(w.Flush(), "write status")
 }
-
-func sortedKeys(m map[string]float64) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	slices.Sort(keys)
-	return keys
-}
