--- a/instance/gateway/handover_status_test.go
+++ b/instance/gateway/handover_status_test.go
@@ -1,14 +1,13 @@
 package gateway
 
 import (
-	"bufio"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"testing"
 
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
+	"github.com/tarragonhoist/tarragonhoist/standin/rawserver"
 )
 
 // Guards against an impossible status from another gateway that reaches the caller, ends the handler, or has the caller wait for
@@ -33,31 +32,12 @@
 // startRawHelper starts a gateway that answers with a status and keeps the connection open.
 func startRawHelper(t *testing.T, status string, sealed bool) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
 	seal := ""
 	if sealed {
 		seal = sealHeader + "\r\n"
 	}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				if r, err := http.ReadRequest(reader); err == nil {
-					_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s X\r\n%s: %s\r\n%s%s: t0\r\nX: y\r\nContent-Length: 4\r\n\r\nleak", status, testHeaders.RequestID,
-						r.Header.Get(testHeaders.RequestID), seal, fleetapi.HeaderHandoverTarget)
-					_, _ = io.Copy(io.Discard, reader)
-				}
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return rawserver.Start(t, func(conn net.Conn, r *http.Request) {
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 %s X\r\n%s: %s\r\n%s%s: t0\r\nX: y\r\nContent-Length: 4\r\n\r\nleak", status, testHeaders.RequestID,
+			r.Header.Get(testHeaders.RequestID), seal, fleetapi.HeaderHandoverTarget)
+	})
 }
--- a/transport/opsclient/status_test.go
+++ b/transport/opsclient/status_test.go
@@ -1,7 +1,6 @@
 package opsclient_test
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -11,34 +10,14 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/tarragonhoist/tarragonhoist/standin/rawserver"
 	"github.com/tarragonhoist/tarragonhoist/transport/opsclient"
 )
 
 // startRawInstance starts a server that writes the same bytes to each request and keeps the connection open.
 func startRawInstance(t *testing.T, written string) (url string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				if _, err := http.ReadRequest(reader); err == nil {
-					_, _ = io.WriteString(conn, written)
-					_, _ = io.Copy(io.Discard, reader)
-				}
-			}()
-		}
-	}()
-	return "http://" + listener.Addr().String()
+	return "http://" + rawserver.Start(t, func(conn net.Conn, _ *http.Request) { _, _ = io.WriteString(conn, written) })
 }
 
 // Guards against a status that no answer can have and that an operator takes for the instance's, and against an operator who waits for
