--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,6 +26,8 @@
 var cases = map[string]func(rec *record, trouble bool) (code int, err error){
 	"parts": manyParts,
 	"odd":   oddHeartbeats,
+	"ring":  longPaths,
+	"ids":   longIDs,
 }
 
 func main() {
--- a/review/rig/oddbeats.go
+++ b/review/rig/oddbeats.go
@@ -14,7 +14,7 @@
 
 // Figures of the case.
 const (
-	oddWriters    = 12
+	oddWriters    = 20
 	oddBytes      = 60000 // of the text in each odd heartbeat
 	deskReplicas  = 4
 	deskSlots     = 6
@@ -96,7 +96,7 @@
 	text := strings.Repeat("<tr><td></td></tr>", oddBytes/18)
 	born := time.Now().UnixMilli()
 	for sequence := 1; ctx.Err() == nil; sequence++ {
-		body, err := json.Marshal(map[string]any{"service": "%", "address": fmt.Sprintf("%s%d:9", d.base, 240+n), "zone": "coulee-a", "version": "v1",
+		body, err := json.Marshal(map[string]any{"service": "%", "address": fmt.Sprintf("%s%d:9", d.base, 230+n), "zone": "coulee-a", "version": "v1",
 			"slots": 1, "state": "ready", "sequence": sequence, "born": born})
 		if err != nil {
 			return
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -15,9 +15,9 @@
 	"time"
 )
 
-// drainTime is drain_ms of the sites, and heartbeatInterval their heartbeat_ms.
+// drainTime is drain_ms of the site, and heartbeatInterval its heartbeat_ms.
 const (
-	drainTime         = 2 * time.Second
+	drainTime         = 2500 * time.Millisecond
 	heartbeatInterval = 1200 * time.Millisecond
 )
 
