--- a/review/rig/config.go
+++ b/review/rig/config.go
@@ -64,21 +64,31 @@
 }
 
 const (
-	host         = "crew.example"
-	assistant    = "net-assistant"
-	desk         = "haul-desk"
-	modelName    = "m0"
-	healthPath   = "/health"
-	bookingPath  = "/haul-booking/"
-	readingPath  = "/tank-reading/"
-	summaryPath  = "/crew-summary/"
-	headerLimit  = 16384
-	replicaSlots = 24
-	kvTokens     = 53984 // memory of an engine
+	host        = "crew.example"
+	assistant   = "net-assistant"
+	desk        = "haul-desk"
+	modelName   = "m0"
+	healthPath  = "/health"
+	bookingPath = "/haul-booking/"
+	readingPath = "/tank-reading/"
+	summaryPath = "/crew-summary/"
+	headerLimit = 16384
 )
 
-// baseConfig has the services and routes of fogline-prairie-grown, with one model.
-func baseConfig(version uint64) *config {
+// profile holds the figures in which the sites of the cases differ.
+type profile struct {
+	memoryMB, maxFDs         int // of a gateway
+	replicas, slots, kvToken int // of the service with engines
+	loadS                    float64
+}
+
+var (
+	prairie = profile{memoryMB: 184, maxFDs: 4100, replicas: 60, slots: 24, kvToken: 53984, loadS: 2.8} // fogline-prairie-grown
+	napred  = profile{memoryMB: 144, maxFDs: 3075, replicas: 90, slots: 12, kvToken: 36602, loadS: 5.8} // napred-wire-grown
+)
+
+// baseConfig has services and routes like those of the sites, under the names of fogline-prairie-grown, with one model.
+func baseConfig(version uint64, p profile) *config {
 	return &config{
 		Version: version,
 		Routes: []route{
@@ -88,9 +98,9 @@
 			{Name: "tank-reading", Host: host, PathPrefix: readingPath, Kind: "idempotent", TimeoutMs: 3000, ObjectiveMs: 300, Priority: 1, Service: desk, MaxAttempts: 2},
 		},
 		Services: []service{
-			{Name: assistant, HealthPath: healthPath, MaxConns: 570, Protocol: "h1", Engine: &engine{Slots: replicaSlots, KVTokens: kvTokens, KVBytes: 163840,
+			{Name: assistant, HealthPath: healthPath, MaxConns: 570, Protocol: "h1", Engine: &engine{Slots: p.slots, KVTokens: p.kvToken, KVBytes: 163840,
 				LinkMbps: 550000, Stride: 8, Cap: 12, WeightsMB: 230000, AdapterSlots: 8, LoadsPerS: 11,
-				Models: []model{{Name: modelName, WeightsMB: 65100, LoadS: 2.8, AdapterMB: 12, WarmS: 0.45, DiskS: 0.59}}}},
+				Models: []model{{Name: modelName, WeightsMB: 65100, LoadS: p.loadS, AdapterMB: 12, WarmS: 0.45, DiskS: 0.59}}}},
 			{Name: desk, HealthPath: healthPath, MaxConns: 470, Protocol: "h1"},
 		},
 		Limits: configLimits{HeaderBytes: headerLimit, BodyBytes: 4 << 20, HeaderMs: 3000, IdleMs: 15000},
--- a/review/rig/longids.go
+++ b/review/rig/longids.go
@@ -23,7 +23,7 @@
 
 // longIDs has clients send requests of legal size whose ids are long, one after the other on kept connections.
 func longIDs(rec *record, trouble bool) (int, error) {
-	d, engines, _, err := startGrown(rec)
+	d, engines, _, err := startSite(rec, prairie)
 	if err != nil {
 		return couldNot, err
 	}
@@ -34,7 +34,7 @@
 	gateway := d.gateways[0]
 	address := net.JoinHostPort(gateway, strconv.Itoa(d.ports.callers))
 	before, _ := d.machine(gateway).memoryKB()
-	rec.say("before the requests", "gateway_kb", before, "limit_kb", partsMemoryMB<<10)
+	rec.say("before the requests", "gateway_kb", before, "limit_kb", prairie.memoryMB<<10)
 	padding := ""
 	if trouble {
 		padding = strings.Repeat("0", idBytes)
@@ -102,7 +102,7 @@
 		wg.Wait()
 		close(finished)
 	}()
-	highest := d.watchMemory(gateway, partsMemoryMB<<10, finished)
+	highest := d.watchMemory(gateway, prairie.memoryMB<<10, finished)
 	ended := d.machine(gateway).ended()
 	if ended {
 		time.Sleep(2 * time.Second)
--- a/review/rig/oddbeats.go
+++ b/review/rig/oddbeats.go
@@ -32,13 +32,13 @@
 	if err := d.startAll(); err != nil {
 		return couldNot, err
 	}
-	if err := d.replaceConfig(baseConfig(1), 20*time.Second); err != nil {
+	if err := d.replaceConfig(baseConfig(1, prairie), 20*time.Second); err != nil {
 		return couldNot, err
 	}
 	replicas := make([]*replica, 0, 2*deskReplicas)
 	add := func() error {
 		i := len(replicas)
-		r, err := newReplica(d, fmt.Sprintf("i-%d", i), desk, fmt.Sprintf("%s%d:8080", d.base, 101+i), deskSlots, false)
+		r, err := newReplica(d, fmt.Sprintf("i-%d", i), desk, fmt.Sprintf("%s%d:8080", d.base, 101+i), deskSlots, 0)
 		replicas = append(replicas, r)
 		return err
 	}
--- a/review/rig/parts.go
+++ b/review/rig/parts.go
@@ -8,14 +8,11 @@
 	"time"
 )
 
-// Figures of the case. A gateway of fogline-prairie-grown has 184 MB and 4,100 descriptors.
+// Figures of the case.
 const (
-	partsMemoryMB = 184
-	partsMaxFDs   = 4100
-	partsClients  = 1100
-	partsReplicas = 60
-	partsBudget   = 12 * time.Second
-	partsDesks    = 5
+	partsClients = 1100
+	partsBudget  = 12 * time.Second
+	partsDesks   = 5
 	// partsOrdinary is the number of ordinary clients, which book on kept connections.
 	partsOrdinary = 10
 	// ordinaryPrefix are the parts of an ordinary prompt of 715 tokens.
@@ -24,7 +21,7 @@
 
 // manyParts sends one gateway a crowd of requests of legal size whose prompt prefix has very many short parts.
 func manyParts(rec *record, trouble bool) (int, error) {
-	d, engines, desks, err := startGrown(rec)
+	d, engines, desks, err := startSite(rec, prairie)
 	if err != nil {
 		return couldNot, err
 	}
@@ -40,7 +37,7 @@
 		return couldNot, fmt.Errorf("an ordinary request before the crowd: %v", a)
 	}
 	before, _ := d.machine(gateway).memoryKB()
-	rec.say("before the crowd", "gateway_kb", before, "limit_kb", partsMemoryMB<<10, "parts", strings.Count(prefix, ",")+1, "tokens", tokens, "prefix_bytes", len(prefix))
+	rec.say("before the crowd", "gateway_kb", before, "limit_kb", prairie.memoryMB<<10, "parts", strings.Count(prefix, ",")+1, "tokens", tokens, "prefix_bytes", len(prefix))
 	ordinaryCtx, endOrdinary := context.WithCancel(context.Background())
 	defer endOrdinary()
 	var ordinaryClients sync.WaitGroup
@@ -61,7 +58,7 @@
 	crowd.send()
 	finished := make(chan struct{})
 	go func() { crowd.wg.Wait(); close(finished) }()
-	highest := d.watchMemory(gateway, partsMemoryMB<<10, finished)
+	highest := d.watchMemory(gateway, prairie.memoryMB<<10, finished)
 	crowd.wg.Wait()
 	endOrdinary()
 	ordinaryClients.Wait()
@@ -80,28 +77,28 @@
 	return held, nil
 }
 
-// startGrown starts a small deployment with machines, replicas and services like those of fogline-prairie-grown.
-func startGrown(rec *record) (d *deployment, engines, desks []*replica, err error) {
+// startSite starts a small deployment with machines, replicas and services like those of a site.
+func startSite(rec *record, p profile) (d *deployment, engines, desks []*replica, err error) {
 	if d, err = newDeployment(rec, 3, 2); err != nil {
 		return nil, nil, nil, err
 	}
 	register(d)
-	d.memoryMB, d.maxFDs = partsMemoryMB, partsMaxFDs
+	d.memoryMB, d.maxFDs = p.memoryMB, p.maxFDs
 	if err := d.startAll(); err != nil {
 		return nil, nil, nil, err
 	}
-	if err := d.replaceConfig(baseConfig(1), 20*time.Second); err != nil {
+	if err := d.replaceConfig(baseConfig(1, p), 20*time.Second); err != nil {
 		return nil, nil, nil, err
 	}
-	for i := range partsReplicas {
-		r, err := newReplica(d, fmt.Sprintf("i-%d", i), assistant, fmt.Sprintf("%s%d:8080", d.base, 101+i), replicaSlots, true)
+	for i := range p.replicas {
+		r, err := newReplica(d, fmt.Sprintf("i-%d", i), assistant, fmt.Sprintf("%s%d:8080", d.base, 101+i), p.slots, p.kvToken)
 		if err != nil {
 			return nil, nil, nil, err
 		}
 		engines = append(engines, r)
 	}
 	for i := range partsDesks {
-		r, err := newReplica(d, fmt.Sprintf("d-%d", i), desk, fmt.Sprintf("%s%d:8080", d.base, 201+i), deskSlots, false)
+		r, err := newReplica(d, fmt.Sprintf("d-%d", i), desk, fmt.Sprintf("%s%d:8080", d.base, 201+i), deskSlots, 0)
 		if err != nil {
 			return nil, nil, nil, err
 		}
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -24,7 +24,7 @@
 // replica is a sound replica of a service. It runs in this process, with an address of its own.
 type replica struct {
 	id, service, address string
-	slots                int
+	slots, kvTokens      int
 	isEngine             bool
 	events               int           // of a stream
 	gap                  time.Duration // between two events
@@ -50,13 +50,13 @@
 	stop context.CancelFunc
 }
 
-// newReplica starts a replica at an address.
-func newReplica(d *deployment, id, service, address string, slots int, isEngine bool) (*replica, error) {
+// newReplica starts a replica at an address. kvTokens is the memory of an engine, 0 for a plain service.
+func newReplica(d *deployment, id, service, address string, slots, kvTokens int) (*replica, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	r := &replica{id: id, service: service, address: address, slots: slots, isEngine: isEngine, events: 35, gap: 150 * time.Millisecond,
+	r := &replica{id: id, service: service, address: address, slots: slots, kvTokens: kvTokens, isEngine: kvTokens > 0, events: 35, gap: 150 * time.Millisecond,
 		work: 60 * time.Millisecond, d: d, born: time.Now().UnixMilli(), state: "ready", freed: make(chan struct{}), runs: make(map[string]int)}
 	r.server = &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(listener) }()
@@ -197,7 +197,7 @@
 	defer r.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(map[string]any{"stage": "unified", "models": r.models(), "busy": false, "sequence": r.orders, "waiting": r.waiting,
-		"running": r.running, "kv_used": r.kvUsed, "kv_total": kvTokens, "handles": 0})
+		"running": r.running, "kv_used": r.kvUsed, "kv_total": r.kvTokens, "handles": 0})
 }
 
 // order accepts no change: what is ordered holds already.
@@ -276,7 +276,7 @@
 func (r *replica) acquire(ctx context.Context, tokens int) bool {
 	for {
 		r.mu.Lock()
-		if r.running < r.slots && (!r.isEngine || r.kvUsed+tokens <= kvTokens) {
+		if r.running < r.slots && (!r.isEngine || r.kvUsed+tokens <= r.kvTokens) {
 			r.running++
 			r.kvUsed += tokens
 			r.mu.Unlock()
