--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -28,6 +28,7 @@
 	"odd":   oddHeartbeats,
 	"ring":  longPaths,
 	"ids":   longIDs,
+	"sizes": resizedModel,
 }
 
 func main() {
--- a/review/rig/replica.go
+++ b/review/rig/replica.go
@@ -36,7 +36,6 @@
 
 	mu       sync.Mutex
 	sequence uint64
-	orders   uint64
 	state    string // ready or draining
 	leftAt   time.Time
 	running  int
@@ -48,16 +47,30 @@
 	afterDrain int
 
 	stop context.CancelFunc
+	// holder is nil for a replica that holds one model and is never ordered another.
+	holder *holder
 }
 
 // newReplica starts a replica at an address. kvTokens is the memory of an engine, 0 for a plain service.
 func newReplica(d *deployment, id, service, address string, slots, kvTokens int) (*replica, error) {
+	return startReplica(d, id, service, address, slots, kvTokens, nil)
+}
+
+// newHoldingReplica starts an engine that carries out orders.
+func newHoldingReplica(d *deployment, id, address string, slots, kvTokens int, h *holder) (*replica, error) {
+	return startReplica(d, id, assistant, address, slots, kvTokens, h)
+}
+
+func startReplica(d *deployment, id, service, address string, slots, kvTokens int, h *holder) (*replica, error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	r := &replica{id: id, service: service, address: address, slots: slots, kvTokens: kvTokens, isEngine: kvTokens > 0, events: 35, gap: 150 * time.Millisecond,
 		work: 60 * time.Millisecond, d: d, born: time.Now().UnixMilli(), state: "ready", freed: make(chan struct{}), runs: make(map[string]int)}
+	if h != nil {
+		h.r, r.holder = r, h
+	}
 	r.server = &http.Server{Handler: r}
 	go func() { _ = r.server.Serve(listener) }()
 	ctx, stop := context.WithCancel(context.Background())
@@ -117,8 +130,11 @@
 }
 
 func (r *replica) models() []heldModel {
-	if !r.isEngine {
+	switch {
+	case !r.isEngine:
 		return nil
+	case r.holder != nil:
+		return r.holder.models()
 	}
 	return []heldModel{{Name: modelName, Version: 1, Adapters: []string{}}}
 }
@@ -178,7 +194,7 @@
 	case q.URL.Path == "/api/report":
 		r.report(w)
 	case q.URL.Path == "/api/order":
-		r.order(w)
+		r.order(w, q)
 	case q.Header.Get("X-Attempt-Id") == "":
 		r.reject(w, q, http.StatusBadRequest)
 	default:
@@ -195,13 +211,23 @@
 func (r *replica) report(w http.ResponseWriter) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	sequence, busy := uint64(0), false
+	if r.holder != nil {
+		sequence, busy = r.holder.state()
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(map[string]any{"stage": "unified", "models": r.models(), "busy": false, "sequence": r.orders, "waiting": r.waiting,
+	_ = json.NewEncoder(w).Encode(map[string]any{"stage": "unified", "models": r.models(), "busy": busy, "sequence": sequence, "waiting": r.waiting,
 		"running": r.running, "kv_used": r.kvUsed, "kv_total": r.kvTokens, "handles": 0})
 }
 
-// order accepts no change: what is ordered holds already.
-func (r *replica) order(w http.ResponseWriter) { w.WriteHeader(http.StatusOK) }
+// order accepts no change without a holder: what is ordered holds already.
+func (r *replica) order(w http.ResponseWriter, q *http.Request) {
+	if r.holder != nil {
+		r.holder.order(w, q)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
 
 // serve runs a request once a slot is free.
 func (r *replica) serve(w http.ResponseWriter, q *http.Request) {
@@ -210,7 +236,15 @@
 	if err != nil {
 		return
 	}
-	if r.isEngine && strings.SplitN(q.Header.Get("X-Model"), "/", 2)[0] != modelName {
+	name := strings.SplitN(q.Header.Get("X-Model"), "/", 2)[0]
+	switch {
+	case r.holder != nil:
+		if !r.holder.begin(name) {
+			r.reject(w, q, http.StatusMisdirectedRequest)
+			return
+		}
+		defer r.holder.end(name)
+	case r.isEngine && name != modelName:
 		r.reject(w, q, http.StatusMisdirectedRequest)
 		return
 	}
