--- a/review/rig/resized.go
+++ b/review/rig/resized.go
@@ -71,26 +71,11 @@
 	if err := d.awaitReady(); err != nil {
 		return couldNot, err
 	}
-	time.Sleep(8 * time.Second)
-	smaller.Store(true)
-	if err := d.replaceConfig(configOf(2), 20*time.Second); err != nil {
-		return couldNot, err
-	}
-	time.Sleep(4 * time.Second)
-	if trouble {
-		for _, ip := range d.controls {
-			d.restart(ip)
-			time.Sleep(5 * time.Second) // longer than contact_ms and catch_up_s of the site
-		}
-	} else {
-		time.Sleep(15 * time.Second)
-	}
-	time.Sleep(8 * time.Second)
-	// Clients ask for all models, also for the one that no replica holds.
+	// Clients ask for the models that are held, from the start to the end.
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	var served, others atomic.Int64
-	for i := range resizedModels {
+	var served, cut, refused atomic.Int64
+	ask := func(i int) {
 		for range 2 {
 			wg.Go(func() {
 				for {
@@ -104,15 +89,37 @@
 					a := send(address, head(http.MethodPost, summaryPath+"1", id, partsBudget, 0, fmt.Sprintf("X-Model: m%d", i), "X-Token-Count: 715,80",
 						"X-Prompt-Prefix: "+ordinaryPrefix), "", partsBudget)
 					rec.add("request", "model", i, "request", id, "answer", a)
-					if a.status == http.StatusOK && a.complete {
+					switch {
+					case a.status == http.StatusOK && a.complete:
 						served.Add(1)
-					} else {
-						others.Add(1)
+					case a.status == http.StatusOK, a.status == http.StatusBadGateway:
+						cut.Add(1) // while it ran
+					default:
+						refused.Add(1)
 					}
 				}
 			})
 		}
 	}
+	for i := range resizedModels - 1 {
+		ask(i)
+	}
+	time.Sleep(8 * time.Second)
+	smaller.Store(true)
+	if err := d.replaceConfig(configOf(2), 20*time.Second); err != nil {
+		return couldNot, err
+	}
+	time.Sleep(4 * time.Second)
+	if trouble {
+		for _, ip := range d.controls {
+			d.restart(ip)
+			time.Sleep(5 * time.Second) // longer than contact_ms and catch_up_s of the site
+		}
+	} else {
+		time.Sleep(15 * time.Second)
+	}
+	time.Sleep(8 * time.Second)
+	ask(resizedModels - 1) // the model that no replica holds
 	fell := func() int {
 		n := 0
 		for _, h := range holders {
@@ -128,7 +135,7 @@
 	time.Sleep(time.Second)
 	close(stop)
 	wg.Wait()
-	rec.say("done", "requests_served", served.Load(), "not_served", others.Load(), "replicas_that_crashed", fell())
+	rec.say("done", "requests_served", served.Load(), "broken_off_while_they_ran", cut.Load(), "not_run", refused.Load(), "replicas_that_crashed", fell())
 	if fell() > 0 {
 		return broken, nil
 	}
