Control instances report how late they run, and gateways how late they learn of departures

The metrics show control instances at the limit of their processor, but neither how late they ran nor when a gateway learned of the departure, so that a lack of processor time, a watch that is stuck and a departure known to one instance only could not be told apart.

control.lag_ms and event 111 measure the former with the window that gateways use for gateway.lag_ms. Targets that leave carry the time since the first control instance learned of it: histogram view.departure_delay_ms, and event 416 from 1 s.

--- a/coordination/roster/delta.go
+++ b/coordination/roster/delta.go
@@ -54,6 +54,9 @@
 	for _, e := range changed {
 		target := e.Target
 		target.SinceHeartbeatMs = now.Sub(e.HeardAt).Milliseconds()
+		if e.State != Ready {
+			target.SinceDepartureMs = now.Sub(e.DepartedAt).Milliseconds()
+		}
 		d.Targets = append(d.Targets, target)
 	}
 	return d
--- a/coordination/roster/delta_test.go
+++ b/coordination/roster/delta_test.go
@@ -28,7 +28,7 @@
 				rt.Fatal(err)
 			}
 			if rapid.Bool().Draw(rt, "leave") && step%7 == 0 {
-				source.Leave(target.ID, 1)
+				source.Leave(now, target.ID, 1)
 			}
 			d := source.CompactSince(now, compactChange)
 			compact.Merge(now, d)
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -56,6 +56,8 @@
 	ShutdownAtMs int64 `json:"lv,omitempty"`
 	// SinceHeartbeatMs is the age of the latest heartbeat at the sender of a delta.
 	SinceHeartbeatMs int64 `json:"si,omitempty"`
+	// SinceDepartureMs is the time for which the sender of a delta has known that the target leaves or is gone.
+	SinceDepartureMs int64 `json:"sd,omitempty"`
 }
 
 // HeldModel returns the held model with the given name, or nil.
@@ -78,6 +80,8 @@
 type Entry struct {
 	Target
 	HeardAt time.Time // local time of the latest heartbeat
+	// DepartedAt is the local time at which the first instance that is known to have learned of the departure did, zero for a ready target.
+	DepartedAt time.Time
 	// Change is the change number of the table at the latest heartbeat, and ContentChange that at the latest heartbeat
 	// with new content.
 	Change, ContentChange uint64
@@ -165,7 +169,13 @@
 		t.lifecycleChange = t.change
 	}
 	known.HeardAt = now.Add(-time.Duration(target.SinceHeartbeatMs) * time.Millisecond)
-	target.SinceHeartbeatMs = 0
+	switch {
+	case target.State == Ready:
+		known.DepartedAt = time.Time{}
+	case known.Key != target.Key || known.State == Ready:
+		known.DepartedAt = now.Add(-time.Duration(max(target.SinceDepartureMs, 0)) * time.Millisecond)
+	}
+	target.SinceHeartbeatMs, target.SinceDepartureMs = 0, 0
 	known.Target, known.Change = target, t.change
 	if outcome == Changed {
 		known.ContentChange, t.contentChange = t.change, t.change
@@ -173,7 +183,7 @@
 	if id := t.byAddress[target.Address]; id != target.ID {
 		t.byAddress[target.Address] = target.ID
 		if other := t.entries[id]; other != nil && other.State != Gone {
-			t.markGone(other)
+			t.setState(now, other, Gone)
 		}
 	}
 	return outcome
@@ -189,29 +199,30 @@
 
 // Leave marks a target that deregistered as gone. startedAtMs is 0 when the deregistration doesn't name the
 // incarnation.
-func (t *Table) Leave(id string, startedAtMs int64) (changed bool) {
+func (t *Table) Leave(now time.Time, id string, startedAtMs int64) (changed bool) {
 	known := t.entries[id]
 	if known == nil || known.State == Gone || startedAtMs != 0 && startedAtMs < known.StartedAtMs {
 		return false
 	}
-	t.markGone(known)
+	t.setState(now, known, Gone)
 	return true
 }
 
 // Drain marks a ready target as draining, for one incarnation.
-func (t *Table) Drain(key Key) (changed bool) {
+func (t *Table) Drain(now time.Time, key Key) (changed bool) {
 	known := t.entries[key.ID]
 	if known == nil || known.Key != key || known.State != Ready {
 		return false
 	}
-	t.setState(known, Draining)
+	t.setState(now, known, Draining)
 	return true
 }
 
-func (t *Table) markGone(e *Entry) { t.setState(e, Gone) }
-
-func (t *Table) setState(e *Entry, state State) {
+func (t *Table) setState(now time.Time, e *Entry, state State) {
 	t.change++
+	if e.State == Ready {
+		e.DepartedAt = now
+	}
 	e.State = state
 	e.Change, e.ContentChange = t.change, t.change
 	t.contentChange, t.lifecycleChange = t.change, t.change
--- a/coordination/roster/roster_test.go
+++ b/coordination/roster/roster_test.go
@@ -82,10 +82,10 @@
 func TestLeaveOfEarlierIncarnationIsIgnored(t *testing.T) {
 	table := New()
 	observe(t, table, target("a", 20, 1, Ready), Changed)
-	if table.Leave("a", 10) || table.Get("a").State != Ready {
+	if table.Leave(start, "a", 10) || table.Get("a").State != Ready {
 		t.Fatal("the deregistration of an earlier incarnation was applied")
 	}
-	if !table.Leave("a", 20) || table.Get("a").State != Gone {
+	if !table.Leave(start, "a", 20) || table.Get("a").State != Gone {
 		t.Fatal("the deregistration of the current incarnation was not applied")
 	}
 }
--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -94,6 +94,7 @@
 	decode   fleetview.Decode
 	director *Director
 	recorder *events.Recorder
+	lag      *lagMeter
 	versions *streamorigin.Versions
 	known    *knownVersions
 	// streams are the records that gateways reported.
@@ -141,6 +142,7 @@
 		return nil, err
 	}
 	instance.registerGroupMetrics(registry)
+	instance.lag = newLagMeter(recorder, registry)
 	instance.director = newDirector(opts, view, instance.group, orders, recorder, registry)
 	if err := instance.loadQuarantines(time.Now()); err != nil {
 		// Serving without them is better than not serving.
@@ -231,6 +233,7 @@
 		}
 	}()
 	go instance.watcher.Run(background)
+	go instance.lag.run(background)
 	go instance.confirm(background)
 	go instance.director.Run(background)
 	go instance.keepQuarantines(background)
--- a/instance/fleet/providers.go
+++ b/instance/fleet/providers.go
@@ -11,6 +11,7 @@
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
 	"github.com/tarragonhoist/tarragonhoist/coordination/quota"
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/instance/controlinstance"
 	"github.com/tarragonhoist/tarragonhoist/instance/fleetview"
@@ -60,8 +61,25 @@
 	return recorder, nil
 }
 
-func provideView(node *settings.Node, adapter *PlatformAdapter) *fleetview.View {
-	return fleetview.New(adapter.DecodeConfig, node.DataCentre, node.SeedNames())
+const (
+	// lateDeparture is the delay from which a departure is logged as late: half of the shortest time within which the users' sites want
+	// targets that leave to get nothing more.
+	lateDeparture = time.Second
+	// departureSamples and departureSampleAlpha keep the histogram of delays small and weighted to the last minutes.
+	departureSamples     = 128
+	departureSampleAlpha = 0.015
+)
+
+func provideView(node *settings.Node, adapter *PlatformAdapter, recorder *events.Recorder, registry metrics.Registry) *fleetview.View {
+	view := fleetview.New(adapter.DecodeConfig, node.DataCentre, node.SeedNames())
+	delays := metrics.GetOrRegisterHistogram("view.departure_delay_ms", registry, metrics.NewExpDecaySample(departureSamples, departureSampleAlpha))
+	view.OnDeparture(func(target roster.Key, delay time.Duration) {
+		delays.Update(delay.Milliseconds())
+		if delay >= lateDeparture {
+			recorder.Record(events.DepartureLate, events.Fields{"target": target.ID, "born": target.StartedAtMs, "delay_ms": delay.Milliseconds()})
+		}
+	})
+	return view
 }
 
 func providePeers(node *settings.Node, processIncarnation incarnation, clients *intake.Pool, registry metrics.Registry, recorder *events.Recorder) (*peer.Transport, error) {
--- a/instance/fleet/wire_gen.go
+++ b/instance/fleet/wire_gen.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return nil, err
 	}
-	view := provideView(node, adapter)
+	view := provideView(node, adapter, recorder, registry)
 	fleetIncarnation := provideIncarnation()
 	pool := provideIntake(node, recorder, registry)
 	transport, err := providePeers(node, fleetIncarnation, pool, registry, recorder)
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	view := provideView(node, adapter)
+	view := provideView(node, adapter, recorder, registry)
 	fleetIncarnation := provideIncarnation()
 	pool := provideIntake(node, recorder, registry)
 	transport, err := providePeers(node, fleetIncarnation, pool, registry, recorder)
--- a/instance/fleetview/view.go
+++ b/instance/fleetview/view.go
@@ -57,6 +57,8 @@
 	origins    *streamorigin.Table
 	ownStreams *streamorigin.Journal
 
+	onDeparture func(target roster.Key, delay time.Duration)
+
 	crashes *crashes.Table
 	// crashChange is closed and replaced at each change of crashes.
 	crashChange chan struct{}
@@ -69,7 +71,7 @@
 	v := &View{decode: decode, roster: roster.New(), changed: make(chan struct{}), urgentChange: make(chan struct{}), contentChange: make(chan struct{}),
 		members: slices.Clone(members), ownDataCentre: dataCentre, dataCentres: make(map[string]string),
 		origins: streamorigin.NewTable(), ownStreams: streamorigin.NewJournal(),
-		crashes: crashes.NewTable(), crashChange: make(chan struct{})}
+		onDeparture: func(roster.Key, time.Duration) {}, crashes: crashes.NewTable(), crashChange: make(chan struct{})}
 	v.targets.Store(&[]roster.Entry{})
 	return v
 }
@@ -144,7 +146,7 @@
 func (v *View) MarkGone(id string, startedAtMs int64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	changed := v.roster.Leave(id, startedAtMs)
+	changed := v.roster.Leave(time.Now(), id, startedAtMs)
 	v.publishLocked(changed)
 	return changed
 }
@@ -153,7 +155,7 @@
 func (v *View) MarkDraining(key roster.Key) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	changed := v.roster.Drain(key)
+	changed := v.roster.Drain(time.Now(), key)
 	v.publishLocked(changed)
 	return changed
 }
@@ -163,11 +165,33 @@
 func (v *View) Merge(now time.Time, d roster.Delta) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	ready := v.readyLocked(d.Targets)
 	changed := v.roster.Merge(now, d)
 	v.publishLocked(changed || d.HasHeartbeats())
+	for _, key := range ready {
+		if e := v.roster.Get(key.ID); e != nil && e.Key == key && e.State != roster.Ready {
+			v.onDeparture(key, now.Sub(e.DepartedAt))
+		}
+	}
 	return changed
 }
 
+// readyLocked returns the targets that leave by a delta and are known as ready.
+func (v *View) readyLocked(targets []roster.Target) (ready []roster.Key) {
+	for i := range targets {
+		if t := &targets[i]; t.State != roster.Ready {
+			if e := v.roster.Get(t.ID); e != nil && e.Key == t.Key && e.State == roster.Ready {
+				ready = append(ready, t.Key)
+			}
+		}
+	}
+	return ready
+}
+
+// OnDeparture sets a function that is called when the view learns from another process that a target leaves or is gone, with the time
+// since a control instance learned of it. It must not call the view. Call it before the view is used.
+func (v *View) OnDeparture(f func(target roster.Key, delay time.Duration)) { v.onDeparture = f }
+
 // EvictStale drops targets without a heartbeat for evictAfter.
 func (v *View) EvictStale(now time.Time) {
 	v.mu.Lock()
