--- a/instance/fleetview/contact_test.go
+++ b/instance/fleetview/contact_test.go
@@ -38,6 +38,10 @@
 	watches  map[string]map[string]int // watches of gateways that wait for an answer, by instance and gateway
 	bytes    int                       // of the answers to gateways, encoded as JSON
 	complete []time.Time               // answers to gateways with the complete list of targets
+	// processors bound the work of each control instance, see newLoadedFleet; none bounds nothing.
+	processors map[string]chan struct{}
+	// reports and reportBytes count the reports of gateways about crashes.
+	reports, reportBytes int
 }
 
 func newSplitFleet(ctx context.Context, controls int) *splitFleet {
@@ -168,6 +172,9 @@
 
 func (c splitClient) Call(ctx context.Context, name, method string, params, result any) error {
 	time.Sleep(splitLinkDelay)
+	if method == peerapi.MethodFleetCrashes {
+		return c.f.serveCrashes(name, params.(fleetapi.CrashReport))
+	}
 	if method != peerapi.MethodFleetWatch {
 		return nil
 	}
@@ -176,6 +183,7 @@
 		return errors.Wrap(ctx.Err(), "no answer")
 	}
 	request := params.(fleetapi.WatchRequest)
+	c.f.work(name, watchRequestBytes)
 	if !c.control {
 		c.f.addWatch(name, c.from, 1)
 	}
@@ -191,8 +199,11 @@
 	if err != nil {
 		return err
 	}
+	c.f.work(name, len(data))
 	if !c.control {
 		c.f.recordAnswer(&request, &response, len(data))
+	} else {
+		c.f.work(c.from, len(data))
 	}
 	time.Sleep(splitLinkDelay)
 	return json.Unmarshal(data, result)
