Send of crashes only what is new, and to gateways only what follows from it

Cause: control instances out of processor time. Each of 294 gateways reported its answers on the parts of prompts that had been on the targets, each report and each answer to a watch held all crashes of a part (up to 64), each record travelled to two watches of each gateway although nothing follows from a single crash, and each look walked the whole table.

Evidence holds the entries that have changed since the number that the receiver names. Gateways get what was on two crashed targets or more. A gateway reports its own crashes at once, and its answers after a random delay that grows with the number of gateways, unless another one has told the same by then. Records are kept in the order of their changes.

--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -10,6 +10,7 @@
 
 import (
 	"cmp"
+	"container/list"
 	"maps"
 	"slices"
 	"sync"
@@ -105,12 +106,26 @@
 // record is what is known about one key. Merging takes the union of the crashes with the earliest times of each, and the
 // latest answer of each version, so that the order of merging does not matter.
 type record struct {
+	key     Key
 	depth   int
 	crashes map[uint64]Occurrence // by target
 	sounds  answers
-	// change and ownChange are the change numbers of the table at the latest change, and at the latest one by an observation
-	// of this instance.
-	change, ownChange uint64
+	// crashChanges and soundChanges tell when crashes and sounds changed.
+	crashChanges map[uint64]changeNumbers
+	soundChanges map[Version]changeNumbers
+	// change is the change number of the table at the latest change.
+	change uint64
+	// element is the place of the record in the order of changes.
+	element *list.Element
+}
+
+// changeNumbers are the change numbers of the table at the latest change of an entry, and at the latest one by an observation of this
+// instance that no other is known to have told the others yet; 0 for none.
+type changeNumbers struct{ any, own uint64 }
+
+func newRecord(key Key, depth int) *record {
+	return &record{key: key, depth: depth, crashes: make(map[uint64]Occurrence), sounds: make(answers),
+		crashChanges: make(map[uint64]changeNumbers), soundChanges: make(map[Version]changeNumbers)}
 }
 
 // latestCrash returns the time of the latest crash.
@@ -147,7 +162,12 @@
 type Table struct {
 	mu      sync.Mutex
 	records map[Key]*record
+	// changed holds the records in the order of their latest change.
+	changed *list.List
 	change  uint64
+	// ownChange and ownCrashChange are the change numbers at the latest observation of this instance, and at its latest crash.
+	ownChange, ownCrashChange uint64
+	expiredAt                 time.Time
 	// sound holds the times of the latest answers on parts that this instance passed on.
 	sound *lru.Cache[answeredPart, time.Time]
 	// verdicts are replaced at each change, so that reading them takes no lock.
@@ -171,7 +191,7 @@
 	if err != nil {
 		panic(err) // only a size that is not positive is an error
 	}
-	t := &Table{records: make(map[Key]*record), sound: sound}
+	t := &Table{records: make(map[Key]*record), changed: list.New(), sound: sound}
 	t.verdicts.Store(&verdicts{})
 	return t
 }
@@ -269,22 +289,33 @@
 // merge adds crashes and answers to the record of a suspect and reports whether anything is new.
 func (t *Table) merge(now time.Time, s Suspect, crashes map[uint64]Occurrence, sounds answers, own bool) bool {
 	r := t.records[s.Key]
-	changed := false
 	if r == nil {
-		r = &record{depth: s.Depth, crashes: make(map[uint64]Occurrence), sounds: make(answers)}
+		r = newRecord(s.Key, s.Depth)
 	}
 	r.depth = max(r.depth, s.Depth)
-	maps.DeleteFunc(r.crashes, func(_ uint64, crash Occurrence) bool { return now.Sub(crash.At) >= retention })
+	r.dropExpired(now)
+	numbers := changeNumbers{any: t.change + 1}
+	if own {
+		numbers.own = t.change + 1
+	}
+	known, changed, crashed := len(r.crashes), false, false
 	for target, crash := range crashes {
 		if now.Sub(crash.At) < retention && r.addCrash(target, crash) {
-			changed = true
+			r.crashChanges[target] = numbers
+			changed, crashed = true, true
 		}
 	}
 	if len(r.crashes) == 0 {
 		return false
 	}
 	for version, at := range sounds {
-		changed = r.addAnswer(version, at) || changed
+		if !own {
+			r.coverOwn(version, at)
+		}
+		if r.addAnswer(version, at) {
+			r.soundChanges[version] = numbers
+			changed = true
+		}
 	}
 	if !changed {
 		return false
@@ -292,15 +323,59 @@
 	if t.records[s.Key] == nil {
 		t.makeRoom(now)
 		t.records[s.Key] = r
+		r.element = t.changed.PushBack(r)
 	}
 	t.change++
 	r.change = t.change
+	t.changed.MoveToBack(r.element)
+	if known < suspectCrashes && len(r.crashes) >= suspectCrashes {
+		r.renumber(t.change) // gateways that have got nothing of it so far get all of it
+	}
 	if own {
-		r.ownChange = t.change
+		t.ownChange = t.change
+		if crashed {
+			t.ownCrashChange = t.change
+		}
 	}
 	return true
 }
 
+// dropExpired drops crashes that are older than the retention.
+func (r *record) dropExpired(now time.Time) {
+	for target, crash := range r.crashes {
+		if now.Sub(crash.At) >= retention {
+			delete(r.crashes, target)
+			delete(r.crashChanges, target)
+		}
+	}
+}
+
+// renumber has all entries count as changed.
+func (r *record) renumber(change uint64) {
+	for target, numbers := range r.crashChanges {
+		r.crashChanges[target] = changeNumbers{change, numbers.own}
+	}
+	for version, numbers := range r.soundChanges {
+		r.soundChanges[version] = changeNumbers{change, numbers.own}
+	}
+}
+
+// coverOwn has this instance keep to itself an answer that it knows better than others, if one that another instance told at a time says
+// the same about the crashes.
+func (r *record) coverOwn(version Version, at time.Time) {
+	numbers := r.soundChanges[version]
+	known := r.sounds[version]
+	if numbers.own == 0 || known.Sub(at) >= soundRefresh {
+		return
+	}
+	for _, crash := range r.crashes {
+		if excuses(version, crash.Version) && crash.At.After(at) && !crash.At.After(known) {
+			return
+		}
+	}
+	r.soundChanges[version] = changeNumbers{any: numbers.any}
+}
+
 // addCrash adds a crash and reports whether it is new. In a full record it replaces the earliest one if it is much later: crashes
 // that are close to each other differ in their order at the instances, and would replace each other for ever.
 func (r *record) addCrash(target uint64, crash Occurrence) bool {
@@ -315,6 +390,7 @@
 			return false
 		}
 		delete(r.crashes, earliest)
+		delete(r.crashChanges, earliest)
 	}
 	r.crashes[target] = crash
 	return true
@@ -382,14 +458,27 @@
 		return cmp.Or(cmp.Compare(rank(a), rank(b)), t.records[a].latestCrash().Compare(t.records[b].latestCrash()))
 	})
 	for _, key := range keys[:maxRecords/evictDivisor] {
-		delete(t.records, key)
+		t.drop(key)
 	}
 }
 
+// drop drops a record.
+func (t *Table) drop(key Key) {
+	t.changed.Remove(t.records[key].element)
+	delete(t.records, key)
+}
+
+// expireInterval is the least time between two searches for records that are older than the retention.
+const expireInterval = time.Minute
+
 func (t *Table) expire(now time.Time) {
+	if now.Sub(t.expiredAt) < expireInterval {
+		return
+	}
+	t.expiredAt = now
 	for key, r := range t.records {
 		if now.Sub(r.latestCrash()) >= retention {
-			delete(t.records, key)
+			t.drop(key)
 		}
 	}
 }
--- a/coordination/crashes/crashes_test.go
+++ b/coordination/crashes/crashes_test.go
@@ -344,3 +344,109 @@
 	}
 	requireQuarantined(t, table, at(30_000), false, "a sound request of a session", prompt(99, "first", "session 0")...)
 }
+
+// Guards against evidence that names all crashes of a part with each new one, with which a day of many crashes takes the processor time
+// of the instances, and against parts of it that are lost between two messages.
+func TestEvidenceHoldsWhatIsNew(t *testing.T) {
+	source, gateway := NewTable(), NewTable()
+	now := at(5000)
+	transfer := func(change uint64) ([]Evidence, uint64) {
+		evidence, next := source.SuspectsSince(now, change)
+		gateway.Merge(now, evidence)
+		return evidence, next
+	}
+	part := []Suspect{{Key: 7, Depth: 1}}
+	occur := func(target uint64, ms int) {
+		source.RecordCrash(now, Occurrence{Version: v1, At: at(ms)}, target, part)
+	}
+	occur(1, 1000)
+	evidence, next := transfer(0)
+	if len(evidence) != 0 {
+		t.Fatalf("%d suspects after a single crash, want none", len(evidence))
+	}
+	occur(2, 2000)
+	evidence, next = transfer(next)
+	if len(evidence) != 1 || len(evidence[0].Crashes) != 2 {
+		t.Fatalf("evidence %v after two crashes, want both", evidence)
+	}
+	occur(3, 3000)
+	evidence, next = transfer(next)
+	if len(evidence) != 1 || len(evidence[0].Crashes) != 1 || evidence[0].Crashes[0].Target != 3 {
+		t.Fatalf("evidence %v after a third crash, want this one", evidence)
+	}
+	source.RecordSound(now, v1, part)
+	if evidence, _ = transfer(next); len(evidence) != 1 || len(evidence[0].Crashes) != 0 || len(evidence[0].Answers) != 1 {
+		t.Fatalf("evidence %v after an answer, want this one", evidence)
+	}
+	if diff := cmp.Diff(source.Of(now, part), gateway.Of(now, part)); diff != "" {
+		t.Errorf("the gateway knows something else: %s", diff)
+	}
+}
+
+// Guards against own crashes and answers that are left out of the messages, as when a suspect changes again between two of them.
+func TestOwnEvidenceIsCompleteOverMessages(t *testing.T) {
+	source, destination := NewTable(), NewTable()
+	now, change := at(100_000), uint64(0)
+	for i := range 3 * maxEvidence {
+		source.RecordCrash(now, Occurrence{Version: v1, At: at(10 * i)}, uint64(i%50), []Suspect{{Key: Key(1000 + i)}, {Key: Key(i % 300), Depth: 1}})
+	}
+	for messages := 0; ; messages++ {
+		evidence, next := source.OwnSince(now, change)
+		if len(evidence) == 0 {
+			break
+		}
+		if messages > 20 || len(evidence) > maxEvidence {
+			t.Fatalf("%d suspects in message %d", len(evidence), messages)
+		}
+		destination.Merge(now, evidence)
+		change = next
+		source.RecordCrash(now, Occurrence{Version: v1, At: at(50_000 + messages)}, uint64(100+messages), []Suspect{{Key: Key(messages), Depth: 1}})
+		if messages >= 10 {
+			break
+		}
+	}
+	evidence, _ := source.OwnSince(now, change)
+	destination.Merge(now, evidence)
+	for key := range source.records {
+		suspect := []Suspect{{Key: key}}
+		if diff := cmp.Diff(source.Of(now, suspect), destination.Of(now, suspect)); diff != "" {
+			t.Fatalf("key %d: %s", key, diff)
+		}
+	}
+}
+
+// Guards against hundreds of instances that all report the same answer: one that another instance has told is not reported again,
+// unless it says more about the crashes.
+func TestAnswersThatOthersToldAreNotReported(t *testing.T) {
+	part := []Suspect{{Key: 7, Depth: 1}}
+	for _, test := range []struct {
+		name   string
+		toldMs int // time of the answer that another instance tells
+		want   int
+	}{
+		{"as late", 5000, 0},
+		{"before a crash that the own one follows", 2500, 1},
+		{"after the last crash", 3500, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			table, other := NewTable(), NewTable()
+			for i, ms := range []int{1000, 2000, 3000} {
+				crash := Occurrence{Version: v1, At: at(ms)}
+				other.RecordCrash(at(ms), crash, uint64(i), part)
+			}
+			evidence, _ := other.Since(at(4000), 0)
+			table.Merge(at(4000), evidence)
+			table.RecordSound(at(5000), v1, part)
+			other.Merge(at(5000), []Evidence{{Key: 7, Depth: 1, Answers: []Answer{{Version: v1, MsAgo: int64(5000 - test.toldMs)}}}})
+			evidence, _ = other.Since(at(5100), 0)
+			table.Merge(at(5100), evidence)
+			own, _ := table.OwnSince(at(5100), 0)
+			if len(own) != test.want {
+				t.Errorf("%d own suspects, want %d", len(own), test.want)
+			}
+			if test.want > 0 && (len(own[0].Answers) != 1 || len(own[0].Crashes) != 1) {
+				t.Errorf("own evidence %v, want the answer and the latest crash", own)
+			}
+		})
+	}
+}
--- a/coordination/crashes/evidence.go
+++ b/coordination/crashes/evidence.go
@@ -55,40 +55,134 @@
 
 // Since returns the evidence that changed after a change number, oldest changes first, and the number to continue from.
 func (t *Table) Since(now time.Time, change uint64) ([]Evidence, uint64) {
-	return t.since(now, change, func(r *record) uint64 { return r.change })
+	return t.since(now, change, 1)
 }
 
-// OwnSince returns the evidence that this instance observed itself after a change number.
-func (t *Table) OwnSince(now time.Time, change uint64) ([]Evidence, uint64) {
-	return t.since(now, change, func(r *record) uint64 { return r.ownChange })
+// SuspectsSince returns the same about what was on several targets when these crashed. Nothing follows from a single crash, and most
+// requests and parts are on a crashed target once.
+func (t *Table) SuspectsSince(now time.Time, change uint64) ([]Evidence, uint64) {
+	return t.since(now, change, suspectCrashes)
 }
 
-func (t *Table) since(now time.Time, change uint64, changeOf func(*record) uint64) ([]Evidence, uint64) {
+func (t *Table) since(now time.Time, change uint64, minCrashes int) ([]Evidence, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.change <= change {
-		return nil, t.change
-	}
 	t.expire(now)
-	var keys []Key
-	for key, r := range t.records {
-		if changeOf(r) > change {
-			keys = append(keys, key)
+	var changed []*record
+	for e := t.changed.Back(); e != nil; e = e.Prev() {
+		r := e.Value.(*record)
+		if r.change <= change {
+			break
 		}
+		if len(r.crashes) >= minCrashes {
+			changed = append(changed, r)
+		}
+	}
+	slices.Reverse(changed)
+	changed, next := firstChanged(changed, change, t.change, func(n changeNumbers) uint64 { return n.any })
+	list := make([]Evidence, 0, len(changed))
+	for _, r := range changed {
+		list = append(list, r.evidence(now, func(n changeNumbers) bool { return n.any > change }))
+	}
+	return list, next
+}
+
+// firstChanged returns at most maxEvidence of the records and the number to continue from. Those whose earliest change after a change
+// number comes first are left in, so that no entry of the others has a number below the one to continue from.
+func firstChanged(records []*record, change, current uint64, of func(changeNumbers) uint64) ([]*record, uint64) {
+	if len(records) <= maxEvidence {
+		return records, current
 	}
-	slices.SortFunc(keys, func(a, b Key) int { return cmp.Compare(changeOf(t.records[a]), changeOf(t.records[b])) })
-	next := t.change
-	if len(keys) > maxEvidence {
-		keys = keys[:maxEvidence]
-		next = changeOf(t.records[keys[maxEvidence-1]])
+	slices.SortFunc(records, func(a, b *record) int { return cmp.Compare(a.firstAfter(change, of), b.firstAfter(change, of)) })
+	return records[:maxEvidence], records[maxEvidence-1].firstAfter(change, of)
+}
+
+// firstAfter returns the earliest number above a change number, 0 without one.
+func (r *record) firstAfter(change uint64, of func(changeNumbers) uint64) uint64 {
+	first := uint64(0)
+	consider := func(n changeNumbers) {
+		if number := of(n); number > change && (first == 0 || number < first) {
+			first = number
+		}
 	}
-	list := make([]Evidence, 0, len(keys))
-	for _, key := range keys {
-		list = append(list, t.records[key].evidence(now, key))
+	for _, n := range r.crashChanges {
+		consider(n)
+	}
+	for _, n := range r.soundChanges {
+		consider(n)
+	}
+	return first
+}
+
+func ownNumber(n changeNumbers) uint64 { return n.own }
+
+// OwnSince returns the evidence that this instance observed itself after a change number and that others are not known to have told
+// already.
+func (t *Table) OwnSince(now time.Time, change uint64) ([]Evidence, uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ownChange <= change {
+		return nil, t.change
+	}
+	var own []*record
+	for _, r := range t.records {
+		if r.change > change && r.firstAfter(change, ownNumber) > 0 {
+			own = append(own, r)
+		}
+	}
+	own, next := firstChanged(own, change, t.change, ownNumber)
+	list := make([]Evidence, 0, len(own))
+	for _, r := range own {
+		list = append(list, r.ownEvidence(now, change))
 	}
 	return list, next
 }
 
+// OwnCrashAfter reports whether this instance observed a crash after a change number.
+func (t *Table) OwnCrashAfter(change uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ownCrashChange > change
+}
+
+// ownEvidence returns what this instance observed itself after a change number. An answer comes with the latest crash that it says
+// something about: an instance that does not know the record yet could not keep it otherwise.
+func (r *record) ownEvidence(now time.Time, change uint64) Evidence {
+	e := r.evidence(now, func(n changeNumbers) bool { return n.own > change })
+	if len(e.Answers) > 0 && len(e.Crashes) == 0 {
+		e.Crashes = []Crash{r.latestExcused(e.Answers).evidenceOf(now)}
+	}
+	return e
+}
+
+// crashOf is the crash of a target.
+type crashOf struct {
+	target uint64
+	Occurrence
+}
+
+// latestExcused returns the latest crash about which any of the answers says something.
+func (r *record) latestExcused(answers []Answer) crashOf {
+	var latest crashOf
+	for target, crash := range r.crashes {
+		about := slices.ContainsFunc(answers, func(a Answer) bool { return excuses(a.Version, crash.Version) })
+		if about && (latest.At.Before(crash.At) || latest.At.Equal(crash.At) && latest.target < target) {
+			latest = crashOf{target, crash}
+		}
+	}
+	return latest
+}
+
+func (c crashOf) evidenceOf(now time.Time) Crash {
+	e := Crash{Target: c.target, MsAgo: now.Sub(c.At).Milliseconds(), Version: c.Version}
+	if !c.SentAt.IsZero() {
+		e.SentMsAgo = max(now.Sub(c.SentAt).Milliseconds(), 1)
+	}
+	return e
+}
+
+func allEntries(changeNumbers) bool { return true }
+
 // Of returns the evidence about suspects.
 func (t *Table) Of(now time.Time, suspects []Suspect) []Evidence {
 	t.mu.Lock()
@@ -96,7 +190,7 @@
 	var list []Evidence
 	for _, s := range suspects {
 		if r := t.records[s.Key]; r != nil {
-			list = append(list, r.evidence(now, s.Key))
+			list = append(list, r.evidence(now, allEntries))
 		}
 	}
 	return list
@@ -111,22 +205,24 @@
 	slices.SortFunc(keys, func(a, b Key) int { return cmp.Compare(t.records[b].change, t.records[a].change) })
 	var list []Evidence
 	for _, key := range keys[:min(n, len(keys))] {
-		list = append(list, t.records[key].evidence(now, key))
+		list = append(list, t.records[key].evidence(now, allEntries))
 	}
 	return list
 }
 
-func (r *record) evidence(now time.Time, key Key) Evidence {
-	e := Evidence{Key: key, Depth: r.depth}
+// evidence returns the evidence of the wanted entries.
+func (r *record) evidence(now time.Time, wanted func(changeNumbers) bool) Evidence {
+	e := Evidence{Key: r.key, Depth: r.depth}
 	for target, crash := range r.crashes {
-		c := Crash{Target: target, MsAgo: now.Sub(crash.At).Milliseconds(), Version: crash.Version}
-		if !crash.SentAt.IsZero() {
-			c.SentMsAgo = max(now.Sub(crash.SentAt).Milliseconds(), 1)
+		if wanted(r.crashChanges[target]) {
+			e.Crashes = append(e.Crashes, crashOf{target, crash}.evidenceOf(now))
 		}
-		e.Crashes = append(e.Crashes, c)
 	}
 	slices.SortFunc(e.Crashes, func(a, b Crash) int { return cmp.Compare(a.Target, b.Target) })
 	for version, at := range r.sounds {
+		if !wanted(r.soundChanges[version]) {
+			continue
+		}
 		answer := Answer{Version: version, MsAgo: max(now.Sub(at).Milliseconds(), 1)}
 		e.Answers = append(e.Answers, answer)
 		if e.SoundMsAgo == 0 || answer.MsAgo < e.SoundMsAgo {
--- a/instance/fleetview/contact_test.go
+++ b/instance/fleetview/contact_test.go
@@ -96,7 +96,9 @@
 	for i := range gateways {
 		v := New(decodeVersion, fmt.Sprint("dc", i%((len(f.members)+1)/2)), f.members)
 		gateways[i] = v
-		go f.watcher(v, fmt.Sprint("g", i), false).Run(ctx)
+		w := f.watcher(v, fmt.Sprint("g", i), false)
+		w.SetGateways(n)
+		go w.Run(ctx)
 	}
 	return gateways
 }
--- a/instance/fleetview/crashes.go
+++ b/instance/fleetview/crashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -12,8 +13,17 @@
 	"github.com/tarragonhoist/tarragonhoist/protocol/peerapi"
 )
 
-// crashReportTimeout bounds one report of crashes, so that an unresponsive instance gets the next one soon after its return.
-const crashReportTimeout = 500 * time.Millisecond
+const (
+	// crashReportTimeout bounds one report of crashes, so that an unresponsive instance gets the next one soon after its return.
+	crashReportTimeout = 500 * time.Millisecond
+	// answerDelayPerGateway is, for each gateway of the deployment, the longest delay of a report of answers, up to maxAnswerDelay. Most
+	// gateways know an answer on a part that many prompts share. What the first ones report reaches the others within some 0.4 s,
+	// which then have nothing to report.
+	answerDelayPerGateway = 4 * time.Millisecond
+	maxAnswerDelay        = 1200 * time.Millisecond
+	// answerDelayShape has few gateways report early: the part x of the longest delay is over for x^4 of them.
+	answerDelayShape = 1.0 / 4
+)
 
 // Quarantined returns the first of the suspects that is quarantined, and for how much longer.
 func (v *View) Quarantined(now time.Time, suspects []crashes.Suspect) (s crashes.Suspect, left time.Duration, found bool) {
@@ -88,6 +98,30 @@
 	return v.crashChange
 }
 
+// awaitOthersAnswers waits for answers that others may report, unless this process has observed a crash after a change number. It
+// reports whether it has waited.
+func (w *Watcher) awaitOthersAnswers(ctx context.Context, reported uint64) bool {
+	longest := min(time.Duration(w.gateways.Load())*answerDelayPerGateway, maxAnswerDelay)
+	if longest <= 0 {
+		return false
+	}
+	timer := time.NewTimer(time.Duration(math.Pow(rand.Float64(), answerDelayShape) * float64(longest)))
+	defer timer.Stop()
+	for {
+		next := w.view.nextCrashChange()
+		if w.view.crashes.OwnCrashAfter(reported) {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return true
+		case <-timer.C:
+			return true
+		case <-next:
+		}
+	}
+}
+
 // reportCrashes sends a control instance the crashes that this process observes. At first, and whenever the instance has
 // started again, it sends all that it knows: a control instance keeps crashes in memory only, and when all of them restart
 // the gateways still know what must not run.
@@ -107,6 +141,11 @@
 			}
 			continue
 		}
+		if reported > 0 && w.awaitOthersAnswers(ctx, reported) {
+			if evidence, change = pick(time.Now(), reported); len(evidence) == 0 {
+				continue
+			}
+		}
 		callCtx, cancel := context.WithTimeout(ctx, crashReportTimeout)
 		err := w.peers.Call(callCtx, name, peerapi.MethodFleetCrashes, fleetapi.CrashReport{Crashes: evidence}, &peerapi.Empty{})
 		cancel()
--- a/instance/fleetview/serve.go
+++ b/instance/fleetview/serve.go
@@ -103,13 +103,14 @@
 	defer v.mu.Unlock()
 	response := fleetapi.WatchResponse{Epoch: epoch, Version: v.packed.Version, Leader: leader, Members: members,
 		DataCentre: v.ownDataCentre}
-	response.Crashes, response.CrashChange = v.crashes.Since(now, request.CrashChange)
 	if request.Gateway {
+		response.Crashes, response.CrashChange = v.crashes.SuspectsSince(now, request.CrashChange)
 		response.Roster = v.roster.CompactSince(now, request.ChangeNumber)
 		for _, m := range members {
 			response.MemberDataCentres = append(response.MemberDataCentres, v.dataCentres[m])
 		}
 	} else {
+		response.Crashes, response.CrashChange = v.crashes.Since(now, request.CrashChange)
 		response.Roster = v.roster.Since(now, request.ChangeNumber)
 	}
 	if v.packed.Version > request.Version {
