Share the answers to the watches of gateways, and have the second watch tell only departures

Answers to gateways are aligned in time, so that gateways that know the same get the same content, which is encoded and compressed once. Of a target with other adapters only these are sent. From 100 gateways on, the second watch of a gateway tells departures and versions only, unless the first instance is silent or without contact. With more than 40 watches an instance collects changes for longer, up to 300 ms as before.

The tests of watches count a watch with its time on the link now, since the answers to many gateways are on it at the same moment, and look for complete lists in the packed content.

--- a/coordination/roster/delta.go
+++ b/coordination/roster/delta.go
@@ -22,7 +22,16 @@
 	Heartbeats []Heartbeat `json:"bt,omitempty"`
 	// PackedHeartbeats replaces Heartbeats in a compact delta, see packHeartbeat.
 	PackedHeartbeats []byte `json:"p,omitempty"`
-	Change           uint64 `json:"c"`
+	// Adapters are targets of which only the adapters have changed, in a delta for gateways.
+	Adapters []AdapterUpdate `json:"au,omitempty"`
+	Change   uint64          `json:"c"`
+}
+
+// AdapterUpdate is a heartbeat with new adapters of the models that the target held before.
+type AdapterUpdate struct {
+	Target            uint64     `json:"h"` // hash of the incarnation, see packHeartbeat
+	HeartbeatSequence uint64     `json:"b"`
+	Adapters          [][]string `json:"a"` // by model, in the order in which the target names them
 }
 
 // HasHeartbeats reports whether the delta holds heartbeats without new content.
@@ -32,11 +41,18 @@
 const maxDeltaBytes = 512 << 10
 
 // Since returns the updates after a change number.
-func (t *Table) Since(now time.Time, change uint64) Delta {
+func (t *Table) Since(now time.Time, change uint64) Delta { return t.since(now, change, false) }
+
+// since returns the same. For gateways that apply them, it leaves out the content of targets of which gateways know all but the adapters.
+func (t *Table) since(now time.Time, change uint64, adapterUpdates bool) Delta {
 	d := Delta{Change: t.change}
-	var changed []*Entry
+	var changed, adapters []*Entry
 	for _, e := range t.entries {
 		switch {
+		case adapterUpdates && e.IdentityChange <= change && e.AdapterChange > change:
+			adapters = append(adapters, e)
+		case adapterUpdates && e.IdentityChange <= change && e.Change > change:
+			d.Heartbeats = append(d.Heartbeats, Heartbeat{Key: e.Key, HeartbeatSequence: e.Target.HeartbeatSequence})
 		case e.ContentChange > change:
 			changed = append(changed, e)
 		case e.Change > change:
@@ -44,13 +60,20 @@
 		}
 	}
 	size := 0
-	for _, e := range changed {
+	for _, e := range slices.Concat(changed, adapters) {
 		size += e.encodedBytes()
 	}
 	if size > maxDeltaBytes {
-		changed = firstChanges(changed)
+		changed, adapters = firstChanges(slices.Concat(changed, adapters)), nil
 		d.Change = changed[len(changed)-1].ContentChange
 	}
+	for _, e := range adapters {
+		u := AdapterUpdate{Target: e.hash(), HeartbeatSequence: e.Target.HeartbeatSequence}
+		for i := range e.Models {
+			u.Adapters = append(u.Adapters, e.Models[i].Adapters)
+		}
+		d.Adapters = append(d.Adapters, u)
+	}
 	for _, e := range changed {
 		target := e.Target
 		target.SinceHeartbeatMs = now.Sub(e.HeardAt).Milliseconds()
@@ -101,7 +124,16 @@
 // CompactSince returns the same updates in fewer bytes, for the many gateways: without the cached weights, which only the
 // placement of models needs, and with packed heartbeats.
 func (t *Table) CompactSince(now time.Time, change uint64) Delta {
-	d := t.Since(now, change)
+	return t.compactSince(now, change, false)
+}
+
+// GatewaySince returns the same with AdapterUpdates.
+func (t *Table) GatewaySince(now time.Time, change uint64) Delta {
+	return t.compactSince(now, change, true)
+}
+
+func (t *Table) compactSince(now time.Time, change uint64, adapterUpdates bool) Delta {
+	d := t.since(now, change, adapterUpdates)
 	for i := range d.Targets {
 		d.Targets[i].InMemory, d.Targets[i].OnDisk = nil, nil
 	}
@@ -112,6 +144,55 @@
 	return d
 }
 
+// DeparturesSince returns, packed, the targets that left after a change number and are no longer ready.
+func (t *Table) DeparturesSince(now time.Time, change uint64) []byte {
+	var packed []byte
+	for _, e := range t.entries {
+		if e.DepartureChange > change && e.State != Ready {
+			packed = binary.LittleEndian.AppendUint64(packed, e.hash())
+			packed = append(packed, byte(e.State))
+			packed = binary.AppendUvarint(packed, uint64(max(now.Sub(e.DepartedAt).Milliseconds(), 0)))
+		}
+	}
+	return packed
+}
+
+// MergeDepartures applies packed departures. Those of unknown incarnations have no effect, and a truncated list ends early.
+func (t *Table) MergeDepartures(now time.Time, packed []byte) (departed []Key) {
+	byHash := t.byHash(len(packed) > 0)
+	for len(packed) > hashBytes+1 {
+		known, state := byHash[binary.LittleEndian.Uint64(packed)], State(packed[hashBytes])
+		ms, n := binary.Uvarint(packed[hashBytes+1:])
+		if n <= 0 {
+			break
+		}
+		packed = packed[hashBytes+1+n:]
+		if known == nil || state <= known.State || state > Gone {
+			continue
+		}
+		if known.State == Ready {
+			departed = append(departed, known.Key)
+		}
+		t.setState(now.Add(-time.Duration(min(ms, maxDepartureAgeMs))*time.Millisecond), known, state)
+	}
+	return departed
+}
+
+// maxDepartureAgeMs bounds the age of a departure in a message.
+const maxDepartureAgeMs = 3_600_000
+
+// byHash returns the entries by the hashes of their incarnations, nil if they are not needed.
+func (t *Table) byHash(needed bool) map[uint64]*Entry {
+	if !needed {
+		return nil
+	}
+	entries := make(map[uint64]*Entry, len(t.entries))
+	for _, e := range t.entries {
+		entries[e.hash()] = e
+	}
+	return entries
+}
+
 // Merge applies a delta of another table and reports whether the content of any target changed. Incomplete targets are
 // skipped.
 func (t *Table) Merge(now time.Time, d Delta) (changed bool) {
@@ -125,10 +206,40 @@
 			t.renew(now, known, b.HeartbeatSequence)
 		}
 	}
-	t.mergePacked(now, d.PackedHeartbeats)
+	byHash := t.byHash(len(d.PackedHeartbeats) > 0 || len(d.Adapters) > 0)
+	t.mergePacked(now, d.PackedHeartbeats, byHash)
+	for i := range d.Adapters {
+		changed = t.mergeAdapters(now, &d.Adapters[i], byHash) || changed
+	}
 	return changed
 }
 
+// TakeMismatch reports whether an update since the last call did not fit to what is known, so that a complete delta is needed.
+func (t *Table) TakeMismatch() bool {
+	mismatched := t.mismatched
+	t.mismatched = false
+	return mismatched
+}
+
+// mergeAdapters applies an update of the adapters of a target, and reports whether they are new.
+func (t *Table) mergeAdapters(now time.Time, u *AdapterUpdate, byHash map[uint64]*Entry) (changed bool) {
+	known := byHash[u.Target]
+	if known == nil || u.HeartbeatSequence <= known.Target.HeartbeatSequence {
+		return false
+	}
+	if len(u.Adapters) != len(known.Models) { // the update is based on another heartbeat
+		t.mismatched = true
+		return false
+	}
+	target := known.Target
+	target.HeartbeatSequence = u.HeartbeatSequence
+	target.Models = slices.Clone(known.Models)
+	for i := range target.Models {
+		target.Models[i].Adapters = u.Adapters[i]
+	}
+	return t.put(now, known, target) == Changed
+}
+
 // renew applies a heartbeat without new content.
 func (t *Table) renew(now time.Time, known *Entry, sequence uint64) {
 	if sequence <= known.Target.HeartbeatSequence {
@@ -146,14 +257,7 @@
 }
 
 // mergePacked applies packed heartbeats. Those of unknown incarnations have no effect, and a truncated list ends early.
-func (t *Table) mergePacked(now time.Time, packed []byte) {
-	if len(packed) == 0 {
-		return
-	}
-	byHash := make(map[uint64]*Entry, len(t.entries))
-	for _, e := range t.entries {
-		byHash[e.hash()] = e
-	}
+func (t *Table) mergePacked(now time.Time, packed []byte, byHash map[uint64]*Entry) {
 	for len(packed) > hashBytes {
 		known := byHash[binary.LittleEndian.Uint64(packed)]
 		sequence, n := binary.Uvarint(packed[hashBytes:])
--- a/coordination/roster/delta_test.go
+++ b/coordination/roster/delta_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 	"pgregory.net/rapid"
 )
 
@@ -15,14 +16,15 @@
 // ones, and against a malformed delta that fails.
 func TestCompactDeltasAgreeWithCompleteOnes(t *testing.T) {
 	rapid.Check(t, func(rt *rapid.T) {
-		source, compact, complete := New(), New(), New()
+		source, compact, complete, gateway := New(), New(), New(), New()
 		now := time.Unix(100, 0)
-		var compactChange, completeChange uint64
+		var compactChange, completeChange, gatewayChange uint64
 		for step := range rapid.IntRange(1, 40).Draw(rt, "steps") {
 			now = now.Add(100 * time.Millisecond)
 			target := Target{Key: Key{ID: fmt.Sprint("t", rapid.IntRange(0, 5).Draw(rt, "target")), StartedAtMs: 1}, Service: "s",
-				HeartbeatSequence: uint64(step + 1), Models: []Held{{Model: fmt.Sprint("m", rapid.IntRange(0, 1).Draw(rt, "model"))}},
-				OnDisk: []string{"x"}}
+				HeartbeatSequence: uint64(step + 1), Models: []Held{{Model: fmt.Sprint("m", rapid.IntRange(0, 1).Draw(rt, "model")),
+					Adapters: rapid.SliceOfN(rapid.SampledFrom([]string{"a1", "a2"}), 0, 2).Draw(rt, "adapters")}},
+				OnDisk: rapid.SliceOfN(rapid.SampledFrom([]string{"x", "y"}), 1, 2).Draw(rt, "on disk")}
 			target.Address = target.ID + ":1"
 			if _, err := source.Observe(now, target); err != nil {
 				rt.Fatal(err)
@@ -36,22 +38,75 @@
 			d = source.Since(now, completeChange)
 			complete.Merge(now, d)
 			completeChange = d.Change
+			if rapid.Bool().Draw(rt, "gateway follows") {
+				d = source.GatewaySince(now, gatewayChange)
+				gateway.Merge(now, d)
+				gatewayChange = d.Change
+			}
+		}
+		gateway.Merge(now, source.GatewaySince(now, gatewayChange))
+		if gateway.TakeMismatch() {
+			rt.Fatal("an update did not fit")
 		}
 		complete.Each(func(e *Entry) bool {
-			want, got := e.Target, compact.Get(e.ID)
+			want := e.Target
 			want.OnDisk = nil
-			if got == nil || !got.HeardAt.Equal(e.HeardAt) {
-				rt.Fatalf("%s: compact table has %+v, complete table %+v", e.ID, got, e)
-			}
-			if diff := cmp.Diff(want, got.Target); diff != "" {
-				rt.Fatal(diff)
+			for name, table := range map[string]*Table{"compact": compact, "gateway": gateway} {
+				got := table.Get(e.ID)
+				if got == nil || name == "compact" && !got.HeardAt.Equal(e.HeardAt) {
+					rt.Fatalf("%s: %s table has %+v, complete table %+v", e.ID, name, got, e)
+				}
+				if diff := cmp.Diff(want, got.Target, cmpopts.EquateEmpty()); diff != "" {
+					rt.Fatal(diff)
+				}
 			}
 			return true
 		})
-		compact.Merge(now, Delta{PackedHeartbeats: rapid.SliceOf(rapid.Byte()).Draw(rt, "malformed")})
+		malformed := rapid.SliceOf(rapid.Byte()).Draw(rt, "malformed")
+		compact.Merge(now, Delta{PackedHeartbeats: malformed, Adapters: []AdapterUpdate{{Target: 1, Adapters: [][]string{nil}}}})
+		compact.MergeDepartures(now, malformed)
 	})
 }
 
+// Guards against gateways that keep targets which have left, or lose ready ones, by departures that are sent apart from the rest, and
+// against an update of adapters that is based on another heartbeat and would be lost.
+func TestDeparturesAndUpdatesOfAdapters(t *testing.T) {
+	source, gateway := New(), New()
+	now := time.Unix(100, 0)
+	observe := func(table *Table, id string, sequence uint64, models ...Held) {
+		t.Helper()
+		target := Target{Key: Key{ID: id, StartedAtMs: 1}, Service: "s", Address: id + ":1", HeartbeatSequence: sequence, Models: models}
+		if _, err := table.Observe(now, target); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		observe(source, id, 1, Held{Model: "m"})
+	}
+	gateway.Merge(now, source.GatewaySince(now, 0))
+	known, knownDepartures := source.Change(), source.DepartureChange()
+	source.Leave(now, "a", 1)
+	source.Drain(now, Key{ID: "b", StartedAtMs: 1})
+	later := now.Add(300 * time.Millisecond)
+	departed := gateway.MergeDepartures(later, source.DeparturesSince(later, knownDepartures))
+	if len(departed) != 2 || gateway.Get("a").State != Gone || gateway.Get("b").State != Draining || gateway.Get("c").State != Ready {
+		t.Errorf("departed %v, states %v %v %v", departed, gateway.Get("a").State, gateway.Get("b").State, gateway.Get("c").State)
+	}
+	if at := gateway.Get("a").DepartedAt; !at.Equal(now) {
+		t.Errorf("a left at %v, want %v", at, now)
+	}
+	if again := source.DeparturesSince(later, source.DepartureChange()); len(again) > 0 {
+		t.Errorf("departures are sent again: %v", again)
+	}
+	observe(source, "c", 2, Held{Model: "m", Adapters: []string{"a1"}})
+	observe(gateway, "c", 2, Held{Model: "m"}, Held{Model: "n"}) // another instance told this one
+	observe(source, "c", 3, Held{Model: "m", Adapters: []string{"a2"}})
+	gateway.Merge(later, source.GatewaySince(later, known))
+	if !gateway.TakeMismatch() || gateway.TakeMismatch() {
+		t.Error("an update that does not fit is not told, or twice")
+	}
+}
+
 // Guards against a list of targets that is larger than a frame between processes, which no process could follow any more, and against
 // changes or heartbeats that are lost between its parts.
 func TestLargeTableIsSentInParts(t *testing.T) {
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -85,6 +85,9 @@
 	// Change is the change number of the table at the latest heartbeat, and ContentChange that at the latest heartbeat
 	// with new content.
 	Change, ContentChange uint64
+	// IdentityChange is the change number at the latest heartbeat with new content that gateways use, apart from adapters, AdapterChange
+	// that at the latest one with other adapters, and DepartureChange that at which the target left.
+	IdentityChange, AdapterChange, DepartureChange uint64
 }
 
 // Table is a set of targets with a change number that grows with each update. It is not safe for concurrent use.
@@ -95,6 +98,10 @@
 	// contentChange is the highest ContentChange of any entry, and lifecycleChange the change number at which a target last
 	// appeared, restarted or changed its state.
 	contentChange, lifecycleChange uint64
+	// departureChange is the change number at which a target last left.
+	departureChange uint64
+	// mismatched is set when an update of adapters did not fit, see TakeMismatch.
+	mismatched bool
 }
 
 // New returns an empty table.
@@ -167,6 +174,17 @@
 	}
 	if known.Key != target.Key || known.State != target.State { // a new entry has an empty key
 		t.lifecycleChange = t.change
+		if target.State != Ready {
+			known.DepartureChange, t.departureChange = t.change, t.change
+		}
+	}
+	if outcome == Changed {
+		if !known.sameIdentity(&target) {
+			known.IdentityChange = t.change
+		}
+		if !slices.EqualFunc(known.Models, target.Models, func(a, b Held) bool { return slices.Equal(a.Adapters, b.Adapters) }) {
+			known.AdapterChange = t.change
+		}
 	}
 	known.HeardAt = now.Add(-time.Duration(target.SinceHeartbeatMs) * time.Millisecond)
 	switch {
@@ -190,11 +208,16 @@
 }
 
 func (e *Entry) sameContent(other *Target) bool {
+	return e.sameIdentity(other) &&
+		slices.EqualFunc(e.Models, other.Models, func(a, b Held) bool { return slices.Equal(a.Adapters, b.Adapters) }) &&
+		slices.Equal(e.InMemory, other.InMemory) && slices.Equal(e.OnDisk, other.OnDisk)
+}
+
+// sameIdentity compares what gateways use of a heartbeat, apart from adapters.
+func (e *Entry) sameIdentity(other *Target) bool {
 	return e.Key == other.Key && e.Service == other.Service && e.Address == other.Address && e.DataCentre == other.DataCentre &&
 		e.SoftwareVersion == other.SoftwareVersion && e.Slots == other.Slots && e.State == other.State && e.ShutdownAtMs == other.ShutdownAtMs &&
-		slices.EqualFunc(e.Models, other.Models, func(a, b Held) bool {
-			return a.Model == b.Model && a.Version == b.Version && slices.Equal(a.Adapters, b.Adapters)
-		}) && slices.Equal(e.InMemory, other.InMemory) && slices.Equal(e.OnDisk, other.OnDisk)
+		slices.EqualFunc(e.Models, other.Models, func(a, b Held) bool { return a.Model == b.Model && a.Version == b.Version })
 }
 
 // Leave marks a target that deregistered as gone. startedAtMs is 0 when the deregistration doesn't name the
@@ -224,8 +247,8 @@
 		e.DepartedAt = now
 	}
 	e.State = state
-	e.Change, e.ContentChange = t.change, t.change
-	t.contentChange, t.lifecycleChange = t.change, t.change
+	e.Change, e.ContentChange, e.IdentityChange, e.DepartureChange = t.change, t.change, t.change, t.change
+	t.contentChange, t.lifecycleChange, t.departureChange = t.change, t.change, t.change
 }
 
 // Change returns the change number.
@@ -237,6 +260,12 @@
 // LifecycleChangedAfter reports whether any target appeared, restarted or changed its state after a change number.
 func (t *Table) LifecycleChangedAfter(change uint64) bool { return t.lifecycleChange > change }
 
+// LifecycleChange returns the change number at which a target last appeared, restarted or changed its state.
+func (t *Table) LifecycleChange() uint64 { return t.lifecycleChange }
+
+// DepartureChange returns the change number at which a target last left.
+func (t *Table) DepartureChange() uint64 { return t.departureChange }
+
 // ChangedAfter reports whether anything, heartbeats included, changed after a change number.
 func (t *Table) ChangedAfter(change uint64) bool { return t.change > change }
 
--- a/instance/fleetview/contact_test.go
+++ b/instance/fleetview/contact_test.go
@@ -160,7 +160,15 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.bytes += bytes
-	if request.Epoch == 0 && len(response.Roster.Targets) > 0 {
+	targets := len(response.Roster.Targets)
+	if len(response.Content) > 0 {
+		content, err := fleetapi.UnpackContent(response.Content)
+		if err != nil {
+			panic(err) // an instance has packed it
+		}
+		targets = len(content.Roster.Targets)
+	}
+	if request.Epoch == 0 && targets > 0 {
 		f.complete = append(f.complete, time.Now())
 	}
 }
@@ -173,6 +181,11 @@
 }
 
 func (c splitClient) Call(ctx context.Context, name, method string, params, result any) error {
+	if request, ok := params.(fleetapi.WatchRequest); ok && !c.control && !request.ContactOnly {
+		// With the time on the link, since the answers to many gateways are sent at the same time.
+		c.f.addWatch(name, c.from, 1)
+		defer c.f.addWatch(name, c.from, -1)
+	}
 	time.Sleep(splitLinkDelay)
 	if method == peerapi.MethodFleetCrashes {
 		return c.f.serveCrashes(name, params.(fleetapi.CrashReport))
@@ -186,13 +199,7 @@
 	}
 	request := params.(fleetapi.WatchRequest)
 	c.f.work(name, watchRequestBytes)
-	if !c.control {
-		c.f.addWatch(name, c.from, 1)
-	}
 	response := c.f.serve(ctx, name, request)
-	if !c.control {
-		c.f.addWatch(name, c.from, -1)
-	}
 	if ctx.Err() != nil || !c.f.reaches(c.from, name) {
 		<-ctx.Done()
 		return errors.Wrap(ctx.Err(), "no answer")
--- a/instance/fleetview/load_test.go
+++ b/instance/fleetview/load_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -245,3 +246,37 @@
 		}
 	})
 }
+
+// Guards against gateways that learn nothing of departures or of new models while the instance that informs them of models is silent or has
+// lost contact: the other one that they watch only tells what is urgent.
+func TestGatewaysTurnToTheInstanceThatStandsBy(t *testing.T) {
+	for _, fault := range []string{"silent", "cut off"} {
+		t.Run(fault, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newLoadedFleet(t)
+				f.processors = nil
+				if fault == "silent" {
+					f.mu.Lock()
+					f.frozen["c0"] = true
+					f.mu.Unlock()
+				} else {
+					f.cut("c0")
+				}
+				if delay := f.departureDelay(t, 1); delay > departureBound { // c1 gets the heartbeat
+					t.Errorf("a departure took %v, want %v at most", delay, departureBound)
+				}
+				f.targets[4].Models = []roster.Held{{Model: "new", Version: 1}} // c1 as well
+				f.announce(4)
+				time.Sleep(2 * departureBound)
+				f.targets[4].Models = []roster.Held{{Model: "newer", Version: 1}}
+				f.announce(4)
+				time.Sleep(departureBound)
+				for i, v := range f.gateways {
+					if !slices.ContainsFunc(v.Targets(), func(e roster.Entry) bool { return e.HeldModel("newer") != nil }) {
+						t.Fatalf("gateway %d does not know of a model %v after it was loaded", i, departureBound)
+					}
+				}
+			})
+		})
+	}
+}
--- a/instance/fleetview/serve.go
+++ b/instance/fleetview/serve.go
@@ -24,7 +24,7 @@
 		return v.contactResponse(epoch, lastContact(), &request)
 	}
 	if request.Epoch != epoch {
-		request.ChangeNumber, request.CrashChange = 0, 0 // change numbers of an earlier start of this instance do not apply
+		request.ChangeNumber, request.CrashChange, request.Departures = 0, 0, 0 // change numbers of an earlier start of this instance do not apply
 	}
 	started := time.Now()
 	leaderBefore, _ := control()
@@ -32,6 +32,7 @@
 	if request.Gateway {
 		delays = gatewayDelays(v.gatewayWatches.Add(1))
 		defer v.gatewayWatches.Add(-1)
+		delays.content, delays.heartbeats = v.untilAligned(started, delays.content), v.untilAligned(started, delays.heartbeats)
 	}
 	for {
 		now := time.Now()
@@ -41,7 +42,7 @@
 		changes := v.changesSince(&request, waited >= delays.content)
 		if request.Epoch != epoch || changes.version > request.Version || leader != leaderBefore || ctx.Err() != nil ||
 			request.Contact != fleetapi.ContactUnknown && request.Contact != contact ||
-			changes.lifecycle || waited >= delays.idle || waited >= delays.content && (changes.content || changes.crashes) ||
+			changes.lifecycle || request.Standby && changes.departures || waited >= delays.idle || waited >= delays.content && (changes.content || changes.crashes) ||
 			waited >= delays.heartbeats && changes.heartbeats {
 			// The time of the contact was read before the version, which is therefore at least as new.
 			response := v.watchResponse(epoch, leader, members, now, &request)
@@ -86,32 +87,62 @@
 const (
 	// gatewayHeartbeatDelay is long, since heartbeats count as overdue after several seconds only.
 	gatewayHeartbeatDelay = 800 * time.Millisecond
-	// contentDelayPerWatch is the delay of changes of what targets hold for each gateway that watches the instance, up to
-	// maxContentDelay. The work of the instance and its bytes grow with watches times answers, while a gateway that learns
-	// of a model later than its load ends lets requests wait.
-	contentDelayPerWatch = time.Millisecond
-	maxContentDelay      = 300 * time.Millisecond
+	// contentDelayPerWatch is the delay of changes of what targets hold for each gateway that watches the instance, and
+	// contentDelayPerManyWatches that for each one beyond manyWatches. The work of the instance and its bytes grow with watches times
+	// answers, while a gateway that learns of a model later than its load ends lets requests wait.
+	contentDelayPerWatch       = time.Millisecond
+	contentDelayPerManyWatches = 4 * time.Millisecond
+	manyWatches                = 40
+	// contentDelayStep and maxContentDelay bound the delays. Those of all watches are multiples of the step, so that their answers can be
+	// shared.
+	contentDelayStep = 100 * time.Millisecond
+	maxContentDelay  = 300 * time.Millisecond
 )
 
 // gatewayDelays returns the delays of a gateway while a number of gateways watches the instance.
 func gatewayDelays(watches int64) watchDelays {
-	return watchDelays{content: min(time.Duration(watches)*contentDelayPerWatch, maxContentDelay), heartbeats: gatewayHeartbeatDelay, idle: longPollTimeout}
+	content := time.Duration(watches) * contentDelayPerWatch
+	if watches > manyWatches {
+		content += time.Duration(watches-manyWatches) * (contentDelayPerManyWatches - contentDelayPerWatch)
+		content = min((content+contentDelayStep-1)/contentDelayStep*contentDelayStep, maxContentDelay)
+	}
+	return watchDelays{content: content, heartbeats: gatewayHeartbeatDelay, idle: longPollTimeout}
+}
+
+// untilAligned returns the time from the start of a watch until the next multiple of a delay. Gateways that are answered at the same
+// time get the same answers.
+func (v *View) untilAligned(started time.Time, delay time.Duration) time.Duration {
+	if delay <= 0 {
+		return 0
+	}
+	return delay - started.Sub(v.started)%delay
 }
 
 func (v *View) watchResponse(epoch uint64, leader string, members []string, now time.Time, request *fleetapi.WatchRequest) fleetapi.WatchResponse {
+	var content []byte
+	if request.Packed && !request.Standby {
+		content = v.packContent(now, request)
+	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	response := fleetapi.WatchResponse{Epoch: epoch, Version: v.packed.Version, Leader: leader, Members: members,
-		DataCentre: v.ownDataCentre}
-	if request.Gateway {
+		DataCentre: v.ownDataCentre, Content: content}
+	switch {
+	case request.Standby:
+		response.Standby, response.Departures = true, v.roster.DepartureChange()
+		response.Departed = v.roster.DeparturesSince(now, request.Departures)
+	case content != nil:
+	case request.Gateway:
 		response.Crashes, response.CrashChange = v.crashes.SuspectsSince(now, request.CrashChange)
 		response.Roster = v.roster.CompactSince(now, request.ChangeNumber)
+	default:
+		response.Crashes, response.CrashChange = v.crashes.Since(now, request.CrashChange)
+		response.Roster = v.roster.Since(now, request.ChangeNumber)
+	}
+	if request.Gateway {
 		for _, m := range members {
 			response.MemberDataCentres = append(response.MemberDataCentres, v.dataCentres[m])
 		}
-	} else {
-		response.Crashes, response.CrashChange = v.crashes.Since(now, request.CrashChange)
-		response.Roster = v.roster.Since(now, request.ChangeNumber)
 	}
 	if v.packed.Version > request.Version {
 		response.Document = v.packed.Data
@@ -119,6 +150,49 @@
 	return response
 }
 
+// contentKey is what a gateway knows already of an instance.
+type contentKey struct{ change, crashChange uint64 }
+
+// packedContent is a content that is shared by the gateways that know the same.
+type packedContent struct {
+	data []byte
+	at   time.Time
+	// lifecycleChange is that of the roster at the time.
+	lifecycleChange uint64
+}
+
+// contentSharing is the time within which a packed content is used again. It is below the least time between two answers with which
+// gateways get changes in batches.
+const contentSharing = contentDelayStep / 2
+
+// packContent returns the content for a request, nil if it cannot be packed. Gateways that are answered together get the same one, as
+// long as no target has appeared or left since.
+func (v *View) packContent(now time.Time, request *fleetapi.WatchRequest) []byte {
+	v.contentMu.Lock()
+	defer v.contentMu.Unlock()
+	key := contentKey{request.ChangeNumber, request.CrashChange}
+	for k, c := range v.contents {
+		if now.Sub(c.at) > contentSharing {
+			delete(v.contents, k)
+		}
+	}
+	v.mu.Lock()
+	lifecycleChange := v.roster.LifecycleChange()
+	if c := v.contents[key]; c != nil && c.lifecycleChange == lifecycleChange {
+		v.mu.Unlock()
+		return c.data
+	}
+	content := fleetapi.WatchContent{Roster: v.roster.GatewaySince(now, request.ChangeNumber)}
+	v.mu.Unlock()
+	content.Crashes, content.CrashChange = v.crashes.SuspectsSince(now, request.CrashChange)
+	data, err := content.Pack()
+	if err != nil {
+		return nil // the caller sends it unpacked
+	}
+	v.contents[key] = &packedContent{data: data, at: now, lifecycleChange: lifecycleChange}
+	return data
+}
+
 // contactResponse answers a request for the contact and a newer document only.
 func (v *View) contactResponse(epoch uint64, contactAt time.Time, request *fleetapi.WatchRequest) fleetapi.WatchResponse {
 	now, packed := time.Now(), v.Packed()
--- a/instance/fleetview/view.go
+++ b/instance/fleetview/view.go
@@ -59,6 +59,12 @@
 
 	onDeparture func(target roster.Key, delay time.Duration)
 
+	// started is the time from which the answers to gateways are aligned.
+	started time.Time
+	// contentMu guards packed contents for gateways, by what they know already.
+	contentMu sync.Mutex
+	contents  map[contentKey]*packedContent
+
 	crashes *crashes.Table
 	// crashChange is closed and replaced at each change of crashes.
 	crashChange chan struct{}
@@ -71,7 +77,7 @@
 	v := &View{decode: decode, roster: roster.New(), changed: make(chan struct{}), urgentChange: make(chan struct{}), contentChange: make(chan struct{}),
 		members: slices.Clone(members), ownDataCentre: dataCentre, dataCentres: make(map[string]string),
 		origins: streamorigin.NewTable(), ownStreams: streamorigin.NewJournal(),
-		onDeparture: func(roster.Key, time.Duration) {}, crashes: crashes.NewTable(), crashChange: make(chan struct{})}
+		started: time.Now(), contents: make(map[contentKey]*packedContent), onDeparture: func(roster.Key, time.Duration) {}, crashes: crashes.NewTable(), crashChange: make(chan struct{})}
 	v.targets.Store(&[]roster.Entry{})
 	return v
 }
@@ -168,12 +174,33 @@
 	ready := v.readyLocked(d.Targets)
 	changed := v.roster.Merge(now, d)
 	v.publishLocked(changed || d.HasHeartbeats())
-	for _, key := range ready {
+	v.reportDepartures(now, ready)
+	return changed
+}
+
+// MergeDepartures applies the departures that a control instance sent.
+func (v *View) MergeDepartures(now time.Time, packed []byte) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	departed := v.roster.MergeDepartures(now, packed)
+	v.publishLocked(len(departed) > 0)
+	v.reportDepartures(now, departed)
+}
+
+// reportDepartures calls onDeparture for the targets that have left.
+func (v *View) reportDepartures(now time.Time, targets []roster.Key) {
+	for _, key := range targets {
 		if e := v.roster.Get(key.ID); e != nil && e.Key == key && e.State != roster.Ready {
 			v.onDeparture(key, now.Sub(e.DepartedAt))
 		}
 	}
-	return changed
+}
+
+// takeMismatch reports whether an update did not fit to what is known.
+func (v *View) takeMismatch() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.roster.TakeMismatch()
 }
 
 // readyLocked returns the targets that leave by a delta and are known as ready.
@@ -248,6 +275,7 @@
 	version                        uint64 // of the configuration
 	content, lifecycle, heartbeats bool
 	crashes                        bool // known crashes of targets
+	departures                     bool
 }
 
 // changesSince tells what changed since the response to which a watch refers. A gateway is woken by changes of what targets
@@ -256,8 +284,12 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	c := changes{next: v.changed, version: v.packed.Version, heartbeats: v.roster.ChangedAfter(request.ChangeNumber),
-		content: v.roster.ContentChangedAfter(request.ChangeNumber), lifecycle: v.roster.LifecycleChangedAfter(request.ChangeNumber), crashes: v.crashes.ChangedAfter(request.CrashChange)}
+		content: v.roster.ContentChangedAfter(request.ChangeNumber), lifecycle: v.roster.LifecycleChangedAfter(request.ChangeNumber), crashes: v.crashes.ChangedAfter(request.CrashChange),
+		departures: v.roster.DepartureChange() > request.Departures}
 	switch {
+	case request.Standby:
+		c.content, c.lifecycle, c.heartbeats, c.crashes = false, false, false, false
+		c.next = v.urgentChange
 	case request.Gateway && contentDue:
 		c.next = v.contentChange
 	case request.Gateway:
--- a/instance/fleetview/watch.go
+++ b/instance/fleetview/watch.go
@@ -1,9 +1,11 @@
 package fleetview
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,9 @@
 	// is one, and one elsewhere. Control instances watch all others, so either one knows all targets. Two of them keep a
 	// gateway informed when one fails, and when its data centre is cut off.
 	watchedInstances = 2
+	// standbyGateways is the number of gateways from which on one of two watched instances tells a gateway only what is urgent. With
+	// fewer, two complete watches cost the control instances little.
+	standbyGateways = 100
 	// watchTimeout bounds one watch: the time after which it is answered without a change, and 1.5 s for a slow link.
 	watchTimeout = longPollTimeout + 1500*time.Millisecond
 	// minRetryPause is the least pause after a failed watch; jitter adds up to the same again.
@@ -254,9 +259,9 @@
 
 // watch watches a control instance. It sends to each of the channels when the instance has started again.
 func (w *Watcher) watch(ctx context.Context, name string, restarts []chan<- struct{}) {
-	request := fleetapi.WatchRequest{Gateway: !w.watchAll, Contact: fleetapi.ContactRecent}
+	request := fleetapi.WatchRequest{Gateway: !w.watchAll, Packed: !w.watchAll, Contact: fleetapi.ContactRecent}
 	for ctx.Err() == nil {
-		request.Version = w.view.Packed().Version
+		request.Version, request.Standby = w.view.Packed().Version, w.standsBy(name, time.Now())
 		var response fleetapi.WatchResponse
 		callCtx, cancel := context.WithTimeout(ctx, watchTimeout)
 		err := w.peers.Call(callCtx, name, peerapi.MethodFleetWatch, request, &response)
@@ -274,7 +279,14 @@
 		now := time.Now()
 		w.setDocument(name, &response)
 		w.recordAnswer(name, now, &response)
-		w.view.Merge(now, response.Roster)
+		if err := unpack(&request, &response); err != nil {
+			w.report("read the changes sent by "+name, err)
+		}
+		if response.Standby {
+			w.view.MergeDepartures(now, response.Departed)
+		} else {
+			w.view.Merge(now, response.Roster)
+		}
 		w.view.SetLeaderAndMembers(response.Leader, response.Members)
 		w.view.SetDataCentres([]string{name}, []string{response.DataCentre})
 		w.view.SetDataCentres(response.Members, response.MemberDataCentres)
@@ -288,10 +300,62 @@
 			}
 		}
 		request.Epoch, request.ChangeNumber, request.CrashChange = response.Epoch, response.Roster.Change, response.CrashChange
+		request.Departures = response.Departures
+		if w.view.takeMismatch() {
+			request.ChangeNumber = 0
+		}
 		request.Contact = max(response.Contact, fleetapi.ContactRecent)
 	}
 }
 
+// unpack replaces the packed content of a response. A response without content continues from where the request was, and so does one
+// whose content cannot be read, which asks for everything again.
+func unpack(request *fleetapi.WatchRequest, response *fleetapi.WatchResponse) error {
+	switch {
+	case response.Standby:
+		if response.Epoch == request.Epoch {
+			response.Roster.Change, response.CrashChange = request.ChangeNumber, request.CrashChange
+		} else {
+			response.Roster.Change, response.CrashChange = 0, 0
+		}
+	case len(response.Content) > 0:
+		content, err := fleetapi.UnpackContent(response.Content)
+		if err != nil {
+			return err
+		}
+		response.Roster, response.Crashes, response.CrashChange = content.Roster, content.Crashes, content.CrashChange
+	}
+	return nil
+}
+
+// standsBy reports whether another watched instance informs this gateway, so that this one only has to tell what is urgent. Of the
+// instances with contact, one in the own data centre informs before others.
+func (w *Watcher) standsBy(name string, now time.Time) bool {
+	if w.watchAll || w.gateways.Load() < standbyGateways {
+		return false
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	own := w.standings[name]
+	if own == nil {
+		return false
+	}
+	for other, s := range w.standings {
+		if other != name && s.informs(now) && (!own.informs(now) || w.goesFirst(other, name)) {
+			return true
+		}
+	}
+	return false
+}
+
+// goesFirst orders two watched instances that inform this gateway.
+func (w *Watcher) goesFirst(a, b string) bool {
+	if localA, localB := w.view.inOwnDataCentre(a), w.view.inOwnDataCentre(b); localA != localB {
+		return localA
+	}
+	return cmp.Or(cmp.Compare(rendezvousHash(w.self, a), rendezvousHash(w.self, b)), strings.Compare(a, b)) < 0
+}
+
 // recordAnswer records an answer whose document is in force.
 func (w *Watcher) recordAnswer(name string, now time.Time, response *fleetapi.WatchResponse) {
 	w.mu.Lock()
--- a/protocol/fleetapi/fleetapi.go
+++ b/protocol/fleetapi/fleetapi.go
@@ -30,6 +30,11 @@
 	// ContactOnly asks for an answer at once, without targets and crashes: whether the instance has contact, and the document
 	// if it is newer. A build that does not know it answers as usual.
 	ContactOnly bool `json:"ko,omitempty"`
+	// Packed asks for Content instead of Roster and Crashes. Standby asks for neither, but for Departed: another instance informs the
+	// sender of the rest. Departures is that of the last response of the same instance. Builds that do not know these fields answer in full.
+	Packed     bool   `json:"p,omitempty"`
+	Standby    bool   `json:"sb,omitempty"`
+	Departures uint64 `json:"dp,omitempty"`
 }
 
 // Contact tells whether a control instance has heard lately from a majority of the group, so that it knows the newest
@@ -66,6 +71,13 @@
 	// too slowly, by the time of each transfer.
 	Contact      Contact `json:"k,omitempty"`
 	ContactAgeMs int64   `json:"ka,omitempty"`
+	// Content replaces Roster, Crashes and CrashChange in the response to a packed request, see WatchContent.
+	Content []byte `json:"pc,omitempty"`
+	// Standby is set in the response to a standby request. Departed are the targets that left since Departures of the request, see
+	// roster.Table, and Departures is the number to continue from.
+	Standby    bool   `json:"sb,omitempty"`
+	Departed   []byte `json:"dd,omitempty"`
+	Departures uint64 `json:"dp,omitempty"`
 }
 
 // CrashReport tells a control instance which crashes of targets a gateway observed, and what was running there.
