Find the targets that hold a model without a walk of all targets

Lists of targets carry an index by service and model, built at the first look-up. The return of targets is looked up only if they are the reason of the wait, and the order of targets for a gateway is computed once.

--- a/coordination/dispatch/brittle_test.go
+++ b/coordination/dispatch/brittle_test.go
@@ -115,7 +115,7 @@
 		for i := range f.entries {
 			f.entries[i].HeardAt = f.now
 		}
-		picked, _ := tracker.Pick(f.now, f.rng, query, f.entries)
+		picked, _ := tracker.Pick(f.now, f.rng, query, roster.NewIndex(f.entries))
 		if picked == nil {
 			return
 		}
--- a/coordination/dispatch/herd_test.go
+++ b/coordination/dispatch/herd_test.go
@@ -34,7 +34,7 @@
 		// Each request reaches another gateway, which knows the report and its own requests only.
 		tracker := NewLoadTracker(fmt.Sprint("g", i))
 		tracker.SetPeerObservations(reported, nil)
-		picked, reason := tracker.Pick(now, rng, Query{Service: "s", Model: "m", Tokens: 500, Choices: 3, MaxPerSlot: maxRequestsPerSlot}, entries)
+		picked, reason := tracker.Pick(now, rng, Query{Service: "s", Model: "m", Tokens: 500, Choices: 3, MaxPerSlot: maxRequestsPerSlot}, roster.NewIndex(entries))
 		if picked == nil {
 			t.Fatal(reason)
 		}
@@ -64,7 +64,7 @@
 		connected := make(map[string]bool)
 		for range 200 {
 			q := Query{Service: "s", Choices: test.choices, Connected: func(address string) bool { return connected[address] }}
-			picked, reason := tracker.Pick(now, rng, q, entries)
+			picked, reason := tracker.Pick(now, rng, q, roster.NewIndex(entries))
 			if picked == nil {
 				t.Fatal(reason)
 			}
--- a/coordination/dispatch/leavealone.go
+++ b/coordination/dispatch/leavealone.go
@@ -28,14 +28,12 @@
 	return ids
 }
 
-// NextReturn returns the earliest time at which a target that asked to be left alone takes requests again, among the ready ones that
-// are accepted.
-func (tracker *LoadTracker) NextReturn(now time.Time, targets []roster.Entry, accept func(*roster.Entry) bool) (at time.Time, ok bool) {
+// NextReturn returns the earliest time at which a target that asked to be left alone takes requests again, among those that are accepted.
+func (tracker *LoadTracker) NextReturn(now time.Time, targets []*roster.Entry, accept func(*roster.Entry) bool) (at time.Time, ok bool) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	for i := range targets {
-		t := &targets[i]
-		if t.State != roster.Ready || !accept(t) {
+	for _, t := range targets {
+		if !accept(t) {
 			continue
 		}
 		if until := tracker.state(t.ID).leaveAloneUntil; now.Before(until) && (!ok || until.Before(at)) {
--- a/coordination/dispatch/loadtracker.go
+++ b/coordination/dispatch/loadtracker.go
@@ -83,6 +83,8 @@
 	silentProbeAt time.Time
 	latency       float64 // moving average of actual over expected time to first byte, 0 when unknown
 	gaps          gapTracker
+	// rank orders the targets for this gateway, see LoadTracker.rank.
+	rank uint64
 	// speed is that of the target relative to the median target of its service, 1 if it is unknown.
 	speed float64
 	// othersSlowness and othersPenaltyMs are the highest values that other gateways observed recently.
@@ -158,7 +160,7 @@
 func (tracker *LoadTracker) state(id string) *targetState {
 	s := tracker.targets[id]
 	if s == nil {
-		s = &targetState{pending: make(map[*InFlightRequest]struct{}), gaps: newGapTracker(), speed: tracker.speedOf(id)}
+		s = &targetState{pending: make(map[*InFlightRequest]struct{}), gaps: newGapTracker(), speed: tracker.speedOf(id), rank: tracker.rank(id)}
 		tracker.targets[id] = s
 	}
 	return s
--- a/coordination/dispatch/loadtracker_test.go
+++ b/coordination/dispatch/loadtracker_test.go
@@ -27,7 +27,7 @@
 func pickID(t *testing.T, tracker *LoadTracker, now time.Time, q Query, targets []roster.Entry) string {
 	t.Helper()
 	q.Service = "s"
-	got, reason := tracker.Pick(now, newRand(), q, targets)
+	got, reason := tracker.Pick(now, newRand(), q, roster.NewIndex(targets))
 	if got == nil {
 		return string(reason)
 	}
@@ -88,7 +88,7 @@
 	tracker, targets, rng := NewLoadTracker("g"), engines(4), newRand()
 	counts := map[string]int{}
 	for range 40 {
-		got, _ := tracker.Pick(start, rng, Query{Service: "s", Model: "m", Tokens: 700, DataCentre: "a"}, targets)
+		got, _ := tracker.Pick(start, rng, Query{Service: "s", Model: "m", Tokens: 700, DataCentre: "a"}, roster.NewIndex(targets))
 		tracker.Start(start, got.ID, "m", 700)
 		counts[got.ID]++
 	}
@@ -268,7 +268,7 @@
 	for range 40 {
 		for _, rank := range []int{2, 1, 0} {
 			q := Query{Service: targets[0].Service, MaxPerSlot: MaxEngineRequestsPerSlot(rank)}
-			if picked, _ := tracker.Pick(now, rng, q, targets); picked != nil {
+			if picked, _ := tracker.Pick(now, rng, q, roster.NewIndex(targets)); picked != nil {
 				tracker.Start(now, picked.ID, "m", 100)
 				sent[rank]++
 			}
@@ -281,3 +281,23 @@
 		t.Errorf("%d less urgent requests sent, want at most the 8 that found a free slot", beyond)
 	}
 }
+
+// BenchmarkPick is a look for a target of a gateway in a deployment of the size that docs/CAPACITY.md plans for. A request that waits
+// looks a hundred times a second.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{18, 204, 860} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			entries := make([]roster.Entry, n)
+			for i := range entries {
+				entries[i] = roster.Entry{Target: roster.Target{Key: roster.Key{ID: fmt.Sprintf("i-%010x", i), StartedAtMs: 1}, Service: "net-assistant",
+					Slots: 12, Models: []roster.Held{{Model: fmt.Sprint("daka", i%400)}, {Model: fmt.Sprint("daka", 1000+i)}, {Model: fmt.Sprint("daka", 2000+i)}}}}
+			}
+			targets, tracker, rng := roster.NewIndex(entries), NewLoadTracker("g"), newRand()
+			q := Query{Service: "net-assistant", Model: "daka7", Tokens: 500, Choices: 3, MaxPerSlot: 1}
+			b.ReportAllocs()
+			for b.Loop() {
+				tracker.Pick(start, rng, q, targets)
+			}
+		})
+	}
+}
--- a/coordination/dispatch/pick.go
+++ b/coordination/dispatch/pick.go
@@ -64,10 +64,11 @@
 )
 
 // Pick returns the target with the lowest expected delay for a request, or nil and the reason why there is none.
-func (tracker *LoadTracker) Pick(now time.Time, rng *rand.Rand, q Query, targets []roster.Entry) (*roster.Entry, Reason) {
+func (tracker *LoadTracker) Pick(now time.Time, rng *rand.Rand, q Query, targets *roster.Index) (*roster.Entry, Reason) {
 	tracker.mu.Lock()
 	defer tracker.mu.Unlock()
-	reason := NoTarget
+	holders := targets.Holding(q.Service, q.Model)
+	reason := withoutHolder(&q, targets.Ready(q.Service), len(holders))
 	recordReason := func(r Reason) {
 		if reasonRank[r] > reasonRank[reason] {
 			reason = r
@@ -75,11 +76,7 @@
 	}
 	var candidates, starting []*roster.Entry
 	othersLater := 0
-	for i := range targets {
-		t := &targets[i]
-		if t.Service != q.Service || t.State != roster.Ready {
-			continue
-		}
+	for _, t := range holders {
 		if r := tracker.unsuitable(now, t, &q); r != Found {
 			recordReason(r)
 			if r == AllExcluded {
@@ -116,13 +113,25 @@
 	return tracker.leastDelay(now, rng, &q, eligible), Found
 }
 
-// unsuitable returns why a ready target of the service can't run a request now, Found if it can once it has room.
+// withoutHolder returns why the ready targets of the service that do not hold the model can't run a request.
+func withoutHolder(q *Query, ready []*roster.Entry, holders int) Reason {
+	if len(ready) == holders {
+		return NoTarget
+	}
+	for _, t := range ready {
+		if (q.SoftwareVersion == nil || t.SoftwareVersion == *q.SoftwareVersion) && t.HeldModel(q.Model) == nil {
+			return NotLoaded
+		}
+	}
+	return OtherVersion
+}
+
+// unsuitable returns why a ready target that holds the model can't run a request now, Found if it can once it has room.
 func (tracker *LoadTracker) unsuitable(now time.Time, t *roster.Entry, q *Query) Reason {
 	if q.SoftwareVersion != nil && t.SoftwareVersion != *q.SoftwareVersion {
 		return OtherVersion
 	}
-	if q.Model != "" && (t.HeldModel(q.Model) == nil || tracker.unloading[modelKey{t.ID, q.Model}] ||
-		now.Before(tracker.notHeld[residentKey{t.ID, q.Model, ""}])) {
+	if q.Model != "" && (tracker.unloading[modelKey{t.ID, q.Model}] || now.Before(tracker.notHeld[residentKey{t.ID, q.Model, ""}])) {
 		return NotLoaded
 	}
 	s := tracker.state(t.ID)
@@ -147,7 +156,7 @@
 // gateway.
 func (tracker *LoadTracker) leastDelay(now time.Time, rng *rand.Rand, q *Query, eligible []*roster.Entry) *roster.Entry {
 	if q.Choices > 0 && len(eligible) > q.Choices {
-		slices.SortFunc(eligible, func(a, b *roster.Entry) int { return cmp.Compare(tracker.rank(a.ID), tracker.rank(b.ID)) })
+		slices.SortFunc(eligible, func(a, b *roster.Entry) int { return cmp.Compare(tracker.state(a.ID).rank, tracker.state(b.ID).rank) })
 		eligible = eligible[:q.Choices]
 	}
 	var best *roster.Entry
--- a/coordination/dispatch/shares_test.go
+++ b/coordination/dispatch/shares_test.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"testing"
 	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 )
 
 // Guards against a gateway that serves nothing until there is a leader again: the loads of the others as last known do not fall while
@@ -16,7 +18,7 @@
 		tracker.SetPeerObservations(nil, nil)
 		q := Query{Service: "s", Model: "m", MaxPerSlot: 1,
 			Sharing: &Sharing{Part: 0.5, PartUnknown: 1.0 / 3, ServiceTime: time.Second, Waiting: 2}}
-		if got, _ := tracker.Pick(now, rng, q, targets); got != nil {
+		if got, _ := tracker.Pick(now, rng, q, roster.NewIndex(targets)); got != nil {
 			return
 		}
 	}
@@ -32,7 +34,7 @@
 		tracker.SetPeerObservations(map[string]Observation{"t0": {}, "t1": {Load: Load{Running: 7}}}, nil)
 		tracker.LeaveAlone("t0", start.Add(time.Minute))
 		q := Query{Service: "s", Model: "m", MaxPerSlot: 1, Sharing: &Sharing{Part: part, PartUnknown: part, Waiting: 8}}
-		if got, _ := tracker.Pick(start, rand.New(rand.NewPCG(seed, 1)), q, targets); got != nil {
+		if got, _ := tracker.Pick(start, rand.New(rand.NewPCG(seed, 1)), q, roster.NewIndex(targets)); got != nil {
 			sent++
 		}
 	}
@@ -50,7 +52,7 @@
 		tracker, targets := NewLoadTracker("g"), engines(1)
 		tracker.SetPeerObservations(map[string]Observation{}, nil)
 		q := Query{Service: "s", Model: "m", MaxPerSlot: 0.75, Sharing: &Sharing{Part: part, PartUnknown: part, Waiting: 3}}
-		if got, _ := tracker.Pick(start, rand.New(rand.NewPCG(seed, 1)), q, targets); got != nil {
+		if got, _ := tracker.Pick(start, rand.New(rand.NewPCG(seed, 1)), q, roster.NewIndex(targets)); got != nil {
 			sent++
 		}
 	}
--- a/coordination/dispatch/speed_replay_test.go
+++ b/coordination/dispatch/speed_replay_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 )
 
 // Guards against a use of speeds with which requests start later than without speeds. Nine engines at 0.6, 1.0 and 1.6
@@ -60,7 +62,7 @@
 				waiting = append(waiting, now)
 			}
 			for len(waiting) > 0 {
-				got, _ := tracker.Pick(now, rng, Query{Service: "s", Model: "m", Tokens: promptTokens, DataCentre: "a", MaxPerSlot: 1}, targets)
+				got, _ := tracker.Pick(now, rng, Query{Service: "s", Model: "m", Tokens: promptTokens, DataCentre: "a", MaxPerSlot: 1}, roster.NewIndex(targets))
 				if got == nil {
 					break
 				}
--- a/coordination/dispatch/speeds_test.go
+++ b/coordination/dispatch/speeds_test.go
@@ -22,7 +22,7 @@
 			for j := range targets {
 				targets[j].HeardAt = now
 			}
-			got, _ := tracker.Pick(now, rng, Query{Service: "s", Model: "m", Tokens: 100, DataCentre: "a", MaxPerSlot: 1}, targets)
+			got, _ := tracker.Pick(now, rng, Query{Service: "s", Model: "m", Tokens: 100, DataCentre: "a", MaxPerSlot: 1}, roster.NewIndex(targets))
 			tracker.FirstByte(now, tracker.Start(now, got.ID, "m", 100), 0)
 			counts[got.ID]++
 		}
@@ -129,7 +129,7 @@
 			tracker.SetPeerObservations(nil, nil)
 			pick := func(now time.Time) *roster.Entry {
 				got, _ := tracker.Pick(now, rng, Query{Service: "s", Model: "m", MaxPerSlot: 1,
-					Sharing: &Sharing{Part: 0.5, PartUnknown: 1.0 / gateways, ServiceTime: time.Second, Waiting: 10}}, targets)
+					Sharing: &Sharing{Part: 0.5, PartUnknown: 1.0 / gateways, ServiceTime: time.Second, Waiting: 10}}, roster.NewIndex(targets))
 				return got
 			}
 			pick(start)
--- a/coordination/headroom/replay_test.go
+++ b/coordination/headroom/replay_test.go
@@ -177,7 +177,7 @@
 		query.Sharing = &dispatch.Sharing{Part: headroom.Part(own, others, request.Urgent()), PartUnknown: 1.0 / gateways, ServiceTime: c.kind.duration,
 			Waiting: headroom.Competing(own, others, request.Urgent())}
 	}
-	t, _ := r.trackers[c.gateway].Pick(r.now, r.rng, query, r.targets)
+	t, _ := r.trackers[c.gateway].Pick(r.now, r.rng, query, roster.NewIndex(r.targets))
 	if t == nil {
 		return false
 	}
--- a/coordination/pace/bench_test.go
+++ b/coordination/pace/bench_test.go
@@ -46,7 +46,7 @@
 			}
 			b.ReportAllocs()
 			for b.Loop() {
-				tracker.Pick(now, rng, query, entries)
+				tracker.Pick(now, rng, query, roster.NewIndex(entries))
 			}
 		})
 	}
--- a/coordination/pace/replay_test.go
+++ b/coordination/pace/replay_test.go
@@ -384,7 +384,7 @@
 			return !pace.Applies(len(r.gateways), t.Slots) || g.table.Admit(now, t.Key, running, len(r.gateways))
 		}
 	}
-	picked, _ := g.tracker.Pick(now, r.rng, query, r.entries)
+	picked, _ := g.tracker.Pick(now, r.rng, query, roster.NewIndex(r.entries))
 	if picked == nil {
 		q.exclude, q.pollAt = nil, now.Add(pollInterval)
 		return false
--- a/instance/fleetview/view.go
+++ b/instance/fleetview/view.go
@@ -48,7 +48,7 @@
 	dataCentres   map[string]string
 	// targets is the list of targets. It is rebuilt when the roster changes and, at most every minRefreshInterval, for
 	// heartbeats without a change; refreshedAt is the time of the last such rebuild.
-	targets     atomic.Pointer[[]roster.Entry]
+	targets     atomic.Pointer[roster.Index]
 	refreshedAt time.Time
 	// notified is the change number of the roster at the last notification.
 	notified uint64
@@ -78,7 +78,7 @@
 		members: slices.Clone(members), ownDataCentre: dataCentre, dataCentres: make(map[string]string),
 		origins: streamorigin.NewTable(), ownStreams: streamorigin.NewJournal(),
 		started: time.Now(), contents: make(map[contentKey]*packedContent), onDeparture: func(roster.Key, time.Duration) {}, crashes: crashes.NewTable(), crashChange: make(chan struct{})}
-	v.targets.Store(&[]roster.Entry{})
+	v.targets.Store(roster.NewIndex(nil))
 	return v
 }
 
@@ -86,7 +86,10 @@
 func (v *View) Table() *routes.Table { return v.table.Load() }
 
 // Targets returns all known targets. The list must not be changed.
-func (v *View) Targets() []roster.Entry { return *v.targets.Load() }
+func (v *View) Targets() []roster.Entry { return v.targets.Load().Entries() }
+
+// TargetIndex returns an index of all known targets.
+func (v *View) TargetIndex() *roster.Index { return v.targets.Load() }
 
 // Packed returns the configuration in force as it was received.
 func (v *View) Packed() routes.CompressedDocument {
@@ -240,13 +243,13 @@
 
 // rebuildTargetsLocked rebuilds the list that Targets returns.
 func (v *View) rebuildTargetsLocked() {
-	list := make([]roster.Entry, 0, len(*v.targets.Load())+1)
+	list := make([]roster.Entry, 0, len(v.Targets())+1)
 	v.roster.Each(func(e *roster.Entry) bool {
 		list = append(list, *e)
 		return true
 	})
 	slices.SortFunc(list, func(a, b roster.Entry) int { return strings.Compare(a.ID, b.ID) })
-	v.targets.Store(&list)
+	v.targets.Store(roster.NewIndex(list))
 }
 
 // LeaderAndMembers returns the known leader, empty if there is none, and the control instances.
--- a/instance/gateway/headroom.go
+++ b/instance/gateway/headroom.go
@@ -6,7 +6,6 @@
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
 	"github.com/tarragonhoist/tarragonhoist/coordination/headroom"
-	"github.com/tarragonhoist/tarragonhoist/coordination/roster"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
@@ -55,11 +54,8 @@
 // expectedWait is how long a request is expected to wait while the copies of its model are full.
 func (g *Gateway) expectedWait(now time.Time, q *request) time.Duration {
 	var copies []headroom.Copy
-	targets := g.view.Targets()
-	for i := range targets {
-		if t := &targets[i]; t.Service == q.service.Name && t.State == roster.Ready && t.HeldModel(q.prompt.Model) != nil {
-			copies = append(copies, headroom.Copy{Slots: dispatch.SlotsOf(t, q.service.Engine.Slots), Speed: g.loadTracker.SpeedOf(t.ID)})
-		}
+	for _, t := range g.view.TargetIndex().Holding(q.service.Name, q.prompt.Model) {
+		copies = append(copies, headroom.Copy{Slots: dispatch.SlotsOf(t, q.service.Engine.Slots), Speed: g.loadTracker.SpeedOf(t.ID)})
 	}
 	return headroom.ExpectedWait(g.demand.queue(q), (*g.queues.Load())[q.modelKey()], g.headroomRequest(now, q).Urgent(), copies,
 		g.serviceTimes.Mean(q.service.Name, q.prompt.Model))
--- a/instance/gateway/pause.go
+++ b/instance/gateway/pause.go
@@ -26,7 +26,5 @@
 
 // nextReturn returns when the first of the targets takes a request again that asked to be left alone.
 func (g *Gateway) nextReturn(now time.Time, q *request) (at time.Time, ok bool) {
-	return g.loadTracker.NextReturn(now, g.view.Targets(), func(t *roster.Entry) bool {
-		return t.Service == q.service.Name && q.mayRunAt(t) && (q.prompt.Model == "" || t.HeldModel(q.prompt.Model) != nil)
-	})
+	return g.loadTracker.NextReturn(now, g.view.TargetIndex().Holding(q.service.Name, q.prompt.Model), q.mayRunAt)
 }
--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -53,9 +53,8 @@
 	case dispatch.NoTarget, dispatch.OtherVersion, dispatch.NotLoaded, dispatch.NoneReachable:
 		return false
 	case dispatch.Limited:
-		targets := g.view.Targets()
-		return slices.ContainsFunc(targets, func(t roster.Entry) bool {
-			return t.Service == q.service.Name && t.State == roster.Ready && q.mayRunAt(&t) && t.HeldModel(q.prompt.Model) != nil && !g.hasLimit(&t)
+		return slices.ContainsFunc(g.view.TargetIndex().Holding(q.service.Name, q.prompt.Model), func(t *roster.Entry) bool {
+			return q.mayRunAt(t) && !g.hasLimit(t)
 		})
 	}
 	return true
@@ -99,7 +98,7 @@
 	g.limitLoad(now, q, &query)
 	g.rngMu.Lock()
 	defer g.rngMu.Unlock()
-	target, reason := g.loadTracker.Pick(now, g.rng, query, g.view.Targets())
+	target, reason := g.loadTracker.Pick(now, g.rng, query, g.view.TargetIndex())
 	if reason == dispatch.Starting {
 		g.metrics.heldBack.Inc(1)
 	}
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -159,9 +159,11 @@
 		if at, ok := g.loadedAt(q); reason == dispatch.NotLoaded && ok && at.Sub(now) > left {
 			left = 0 // the model will be loaded too late: the caller gets a Retry-After at once
 		}
-		if at, ok := g.nextReturn(now, q); reason == dispatch.LeftAlone && ok && at.Sub(now) > left {
-			left = 0 // no target takes the request in time
-			q.returnAfter = at.Sub(now) + rejectionPause
+		if reason == dispatch.LeftAlone {
+			if at, ok := g.nextReturn(now, q); ok && at.Sub(now) > left {
+				left = 0 // no target takes the request in time
+				q.returnAfter = at.Sub(now) + rejectionPause
+			}
 		}
 		if left > 0 && g.shouldShed(now, q, reason, left) {
 			left, reason = 0, reasonTooManyWaiting
