Acknowledge that a target drains once a majority of the control instances knows it

A heartbeat that says that its target leaves was acknowledged by the instance that received it alone, unlike a deregistration. If that instance is lost or late, the others learn of it with the next heartbeat, 1.2 s later, and callers' requests reach the target meanwhile.

The instance tells the others first (fleet.draining) and refuses with 503 without a majority, after which the target asks another instance. TestDrainingIsAcknowledgedByMajority got 200 from an instance without a majority before, 503 now.

--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -95,8 +95,10 @@
 	director *Director
 	recorder *events.Recorder
 	lag      *lagMeter
-	versions *streamorigin.Versions
-	known    *knownVersions
+	// departures are the draining targets of which a majority knows.
+	departures *knownDepartures
+	versions   *streamorigin.Versions
+	known      *knownVersions
 	// streams are the records that gateways reported.
 	streams *streamorigin.Journal
 	// saveMu serialises saveOrigins and guards what it saved last.
@@ -118,7 +120,7 @@
 func New(opts Options, epoch uint64, view *fleetview.View, watcher *fleetview.Watcher, peers *peer.Transport,
 	decode fleetview.Decode, orders OrderClient, recorder *events.Recorder, registry metrics.Registry) (*Instance, error) {
 	instance := &Instance{opts: opts, epoch: epoch, view: view, watcher: watcher, peers: peers, decode: decode, recorder: recorder,
-		versions: streamorigin.NewVersions(time.Now()), known: newKnownVersions(), streams: streamorigin.NewJournal(), started: time.Now(), removed: make(chan struct{}, 1),
+		versions: streamorigin.NewVersions(time.Now()), known: newKnownVersions(), departures: newKnownDepartures(), streams: streamorigin.NewJournal(), started: time.Now(), removed: make(chan struct{}, 1),
 		joinFailures: rate.NewLimiter(rate.Every(joinFailureInterval), 1)}
 	store := routes.NewStore(instance.onConfigApplied)
 	link := replicalink.New(GroupName, peers)
@@ -324,6 +326,10 @@
 		instance.markGone(d)
 		return peerapi.Empty{}, nil
 	})
+	handle(instance, peerapi.MethodFleetDraining, func(_ context.Context, target roster.Key) (any, error) {
+		instance.markDraining(target)
+		return peerapi.Empty{}, nil
+	})
 	handle(instance, peerapi.MethodFleetPermit, func(_ context.Context, r fleetapi.PermitRequest) (any, error) {
 		return instance.director.Permit(time.Now(), r)
 	})
@@ -410,6 +416,9 @@
 		instance.recorder.Record(definition, events.Fields{"target": target.ID, "born": target.StartedAtMs, "beat": target.HeartbeatSequence,
 			"service": target.Service, "software": target.SoftwareVersion, "address": target.Address, "models": modelNames(target.Models)})
 	}
+	if target.State != roster.Ready {
+		return instance.announceDraining(target.Key)
+	}
 	return nil
 }
 
@@ -421,28 +430,6 @@
 	return strings.Join(names, ",")
 }
 
-// Deregister marks a target as gone, here and at a majority of the control instances: a target repeats heartbeats, but not
-// a deregistration that was acknowledged. startedAtMs 0 stands for the latest known incarnation.
-func (instance *Instance) Deregister(id string, startedAtMs int64) error {
-	if !instance.Joined() {
-		return ErrNotJoined
-	}
-	departure := fleetapi.Departure{ID: id, StartedAtMs: startedAtMs}
-	if !instance.notifyMajority(peerapi.MethodFleetDeparture, departure, func() error { instance.markGone(departure); return nil }) {
-		return ErrDepartureUncertain
-	}
-	return nil
-}
-
-func (instance *Instance) markGone(d fleetapi.Departure) {
-	if instance.view.MarkGone(d.ID, d.StartedAtMs) {
-		instance.recorder.Record(events.TargetLeaving, events.Fields{"target": d.ID, "born": d.StartedAtMs, "state": "gone"})
-	}
-}
-
-// ErrDepartureUncertain is returned for a deregistration that too few control instances know to outlive this one.
-var ErrDepartureUncertain = errors.New("no majority of control instances knows of the deregistration")
-
 // ErrUncertain is returned for a change that may or may not take effect, and for a read that can't be confirmed to
 // return the newest configuration.
 var ErrUncertain = errors.New("no majority of control instances answered in time")
--- a/protocol/peerapi/peerapi.go
+++ b/protocol/peerapi/peerapi.go
@@ -32,6 +32,7 @@
 	MethodFleetQuota      = "fleet.quota"
 	MethodFleetVersion    = "fleet.version"
 	MethodFleetDeparture  = "fleet.departure"
+	MethodFleetDraining   = "fleet.draining"
 	MethodFleetStatus     = "fleet.status"
 )
 
@@ -58,7 +59,7 @@
 func ClassOf(method string) Class {
 	switch method {
 	case MethodRaftMessage, MethodRaftPropose, MethodControlVote, MethodControlRecord, MethodStrike,
-		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodFleetWatch, MethodFleetLoad, MethodFleetAdapter, MethodFleetCrashes, MethodFleetPermit, MethodFleetQuota, MethodFleetVersion, MethodFleetDeparture,
+		MethodLoadLimitBorrow, MethodLoadLimitReturn, MethodFleetWatch, MethodFleetLoad, MethodFleetAdapter, MethodFleetCrashes, MethodFleetPermit, MethodFleetQuota, MethodFleetVersion, MethodFleetDeparture, MethodFleetDraining,
 		MethodHello, MethodPing, MethodClosing:
 		return Urgent
 	default:
