--- a/instance/fleetview/view.go
+++ b/instance/fleetview/view.go
@@ -46,9 +46,10 @@
 	// ownDataCentre is that of this process, and dataCentres those of control instances, as far as known.
 	ownDataCentre string
 	dataCentres   map[string]string
-	// targets is the list of targets. It is rebuilt when the roster changes and, at most every minRefreshInterval, for
-	// heartbeats without a change; refreshedAt is the time of the last such rebuild.
+	// targets is the list of targets. It is outdated when the roster has changed and, at most every minRefreshInterval, after heartbeats
+	// without a change; refreshedAt is the time of the latest one of these. It is rebuilt when it is read.
 	targets     atomic.Pointer[roster.Index]
+	outdated    atomic.Bool
 	refreshedAt time.Time
 	// notified is the change number of the roster at the last notification.
 	notified uint64
@@ -86,10 +87,19 @@
 func (v *View) Table() *routes.Table { return v.table.Load() }
 
 // Targets returns all known targets. The list must not be changed.
-func (v *View) Targets() []roster.Entry { return v.targets.Load().Entries() }
+func (v *View) Targets() []roster.Entry { return v.TargetIndex().Entries() }
 
 // TargetIndex returns an index of all known targets.
-func (v *View) TargetIndex() *roster.Index { return v.targets.Load() }
+func (v *View) TargetIndex() *roster.Index {
+	if v.outdated.Load() {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		if v.outdated.CompareAndSwap(true, false) {
+			v.rebuildTargetsLocked()
+		}
+	}
+	return v.targets.Load()
+}
 
 // Packed returns the configuration in force as it was received.
 func (v *View) Packed() routes.CompressedDocument {
@@ -142,12 +152,12 @@
 	v.publishLocked(outcome == roster.Changed)
 	if outcome == roster.Refreshed && now.Sub(v.refreshedAt) >= minRefreshInterval {
 		v.refreshedAt = now
-		v.rebuildTargetsLocked()
+		v.outdated.Store(true)
 	}
 	return outcome, err
 }
 
-// minRefreshInterval is the least time between rebuilds of the list for heartbeats without a change. Hundreds of targets
+// minRefreshInterval is the least time after which the list is outdated again by heartbeats without a change. Hundreds of targets
 // send a heartbeat per second, and each rebuild copies all of them.
 const minRefreshInterval = 200 * time.Millisecond
 
@@ -235,7 +245,7 @@
 	if !changed {
 		return
 	}
-	v.rebuildTargetsLocked()
+	v.outdated.Store(true)
 	content, lifecycle := v.roster.ContentChangedAfter(v.notified), v.roster.LifecycleChangedAfter(v.notified)
 	v.notifyLocked(content, lifecycle)
 	v.notified = v.roster.Change()
@@ -243,7 +253,7 @@
 
 // rebuildTargetsLocked rebuilds the list that Targets returns.
 func (v *View) rebuildTargetsLocked() {
-	list := make([]roster.Entry, 0, len(v.Targets())+1)
+	list := make([]roster.Entry, 0, len(v.targets.Load().Entries())+1)
 	v.roster.Each(func(e *roster.Entry) bool {
 		list = append(list, *e)
 		return true
