Bound the wait for an adapter by the time for which the caller stays

The call ends with the wait, and a request whose adapter is loaded later than that is refused at once with the time to return.

--- a/instance/gateway/pick.go
+++ b/instance/gateway/pick.go
@@ -116,13 +116,22 @@
 	return g.loadTracker.MayAdd(now, g.rng, t, &query)
 }
 
+// adapterTimeout bounds the call for an adapter. The answer is of no use when the request does not wait any more.
+func (q *request) adapterTimeout(now time.Time) time.Duration {
+	return min(adapterTimeout, q.deadline.Sub(now), q.waitsForAdapter.Sub(now))
+}
+
 // loadAdapter asks the leader for a target that holds the adapter, and waits until it is loaded there.
 func (g *Gateway) loadAdapter(now time.Time, q *request, exclude []string) *roster.Entry {
 	leader, _ := g.view.LeaderAndMembers()
 	if leader == "" || q.hasDeferrableRequests() && !g.adapters.mayAsk(now, q.adapterKey()) {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(q.ctx, min(adapterTimeout, q.deadline.Sub(now)))
+	timeout := q.adapterTimeout(now)
+	if timeout <= 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(q.ctx, timeout)
 	defer cancel()
 	adapterRequest := fleetapi.AdapterRequest{Service: q.service.Name, Model: q.prompt.Model, Adapter: q.prompt.Adapter,
 		SoftwareVersion: q.softwareVersion, Exclude: slices.Concat(exclude, g.loadTracker.Down(), g.loadTracker.LeftAlone(now), g.limitedTargets())}
@@ -139,7 +148,12 @@
 		return nil
 	}
 	g.adapters.answered(q.adapterKey())
-	if answer.ReadyMs > 0 && !sleep(q, time.Duration(answer.ReadyMs)*time.Millisecond) {
+	ready := time.Duration(answer.ReadyMs) * time.Millisecond
+	if time.Now().Add(ready).After(q.waitsForAdapter) {
+		q.adapterLate, q.returnAfter = true, ready
+		return nil
+	}
+	if ready > 0 && !sleep(q, ready) {
 		return nil
 	}
 	g.loadTracker.MarkAdapterOrdered(time.Now(), answer.ID, q.prompt.Model, q.prompt.Adapter)
--- a/instance/gateway/request.go
+++ b/instance/gateway/request.go
@@ -45,8 +45,11 @@
 	waiting        waitState
 	waitingAccount *routes.Account
 	waited         time.Duration // time spent waiting for a target
-	sends          int
-	lastTarget     string
+	// waitsForAdapter is until when the request waits for an adapter, and adapterLate is set if the adapter is loaded later than that.
+	waitsForAdapter time.Time
+	adapterLate     bool
+	sends           int
+	lastTarget      string
 	// stream identifies the stream that the request begins or takes up, and softwareVersion is the version at which alone it
 	// may go on; nil as long as any may begin it.
 	stream          streamorigin.ID
--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -122,6 +122,7 @@
 // the caller has a part of the answer already.
 func (g *Gateway) awaitTarget(q *request, exclude []string, answering bool) (*roster.Entry, dispatch.Reason) {
 	started := time.Now()
+	q.waitsForAdapter, q.adapterLate = started.Add(g.maxWait(q, dispatch.NoAdapter, started)), false
 	defer func() {
 		g.demand.setWaiting(q, notWaiting)
 		q.waited += time.Since(started)
@@ -165,6 +166,9 @@
 				q.returnAfter = at.Sub(now) + rejectionPause
 			}
 		}
+		if reason == dispatch.NoAdapter && q.adapterLate {
+			left = 0
+		}
 		if left > 0 && g.shouldShed(now, q, reason, left) {
 			left, reason = 0, reasonTooManyWaiting
 		}
--- a/instance/gateway/wait_test.go
+++ b/instance/gateway/wait_test.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
+	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
 
@@ -60,3 +63,54 @@
 		t.Fatalf("response %v, body %q, error %v; want status 200 and one event", response, body, err)
 	}
 }
+
+// silentLeader does not answer calls for adapters.
+type silentLeader struct{ unreachablePeers }
+
+func (silentLeader) Call(ctx context.Context, _, _ string, _, _ any) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Guards against requests that wait for the leader to name a target for their adapter when their callers have left already, and so get
+// neither an answer nor a time to return.
+func TestCallForAdapterEndsWithTheWait(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	f.target("t0", "engine", answerOK)
+	g := f.gateway
+	g.peers = silentLeader{}
+	f.view.SetLeaderAndMembers("leader", nil)
+	now := time.Now()
+	route := &routes.Route{Kind: routes.Stream, Objective: 500 * time.Millisecond}
+	for _, age := range []time.Duration{1800 * time.Millisecond, 1500 * time.Millisecond, 10 * time.Second} {
+		q := &request{ctx: t.Context(), route: route, service: &routes.Service{Name: "engine", Engine: &routes.Engine{Slots: 4}}, arrived: now.Add(-age),
+			deadline: now.Add(20 * time.Second), prompt: dialect.Prompt{Model: "m", Adapter: "a1"}}
+		q.waitsForAdapter = now.Add(g.maxWait(q, dispatch.NoAdapter, now))
+		if got, want := q.adapterTimeout(now), maxStreamWait(route)-age; got.Round(time.Millisecond) != want {
+			t.Errorf("%v after the arrival the call may take %v, want %v", age, got, want)
+		}
+	}
+}
+
+// Guards against a request that waits for an adapter which is loaded when its caller has left: it is refused at once, with the time to
+// return.
+func TestRequestIsRefusedIfItsAdapterIsLoadedTooLate(t *testing.T) {
+	f := newFixture(t)
+	f.configure()
+	f.target("t0", "engine", answerOK)
+	f.gateway.opts.ReadPrompt = readAdapterPrompt
+	f.gateway.peers = &adapterPeers{asked: make(chan struct{}, 1), ready: time.Minute}
+	f.view.SetLeaderAndMembers("leader", nil)
+	began := time.Now()
+	response, _, err := f.call("r1", "/stream/x", "Model: m/a1")
+	if err != nil || response.StatusCode != http.StatusServiceUnavailable {
+		t.Fatalf("response %v, error %v; want status 503", response, err)
+	}
+	if took := time.Since(began); took > 500*time.Millisecond {
+		t.Errorf("refused after %v, want at once", took)
+	}
+	if after := response.Header.Get(testHeaders.RetryAfter); !strings.HasPrefix(after, "60") {
+		t.Errorf("Retry-After %q, want 60 s", after)
+	}
+}
