--- a/events/events.go
+++ b/events/events.go
@@ -3,6 +3,9 @@
 package events
 
 import (
+	"fmt"
+	"maps"
+	"strings"
 	"sync"
 	"time"
 
@@ -55,6 +58,7 @@
 // Record writes one event to the log and to the ring buffer. Debug events are only logged: at one or more per request
 // they would evict the rarer events.
 func (r *Recorder) Record(d Definition, fields Fields) {
+	fields = bounded(fields)
 	entry := r.log.WithFields(logrus.Fields(fields)).WithField("event", d.Number)
 	entry.Log(d.Level, d.Name)
 	if r.onEvent != nil {
@@ -77,6 +81,27 @@
 	r.ring[(r.sequence-1)%r.capacity] = record
 }
 
+// maxFieldBytes bounds a text in a field. Clients and targets choose some of them, such as paths and ids, and the events are kept.
+const maxFieldBytes = 1024
+
+// bounded returns the fields with texts that are at most maxFieldBytes long and refer to no longer one.
+func bounded(fields Fields) Fields {
+	for _, value := range fields {
+		if text, ok := value.(string); !ok || len(text) <= maxFieldBytes {
+			continue
+		}
+		shortened := make(Fields, len(fields))
+		maps.Copy(shortened, fields)
+		for name, value := range shortened {
+			if text, ok := value.(string); ok && len(text) > maxFieldBytes {
+				shortened[name] = fmt.Sprintf("%s... (%d bytes)", strings.ToValidUTF8(text[:maxFieldBytes], ""), len(text))
+			}
+		}
+		return shortened
+	}
+	return fields
+}
+
 // Since returns the kept events after a sequence number, oldest first. If there are more than limit, it returns the
 // latest ones.
 func (r *Recorder) Since(sequence uint64, limit int) []Record {
--- a/events/events_test.go
+++ b/events/events_test.go
@@ -64,3 +64,16 @@
 		t.Errorf("%d events after the last one, want 0", len(more))
 	}
 }
+
+// Guards against kept events that hold what clients chose: with paths of 64 KB, 2,000 refusals took a gateway over its memory.
+func TestLongFieldsAreShortened(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := events.NewRecorder(log, "a1", "a", func() time.Time { return time.Unix(1, 0) })
+	r.Record(events.RequestRefused, events.Fields{"path": strings.Repeat("x", 64<<10), "status": 404, "reason": "short"})
+	fields := r.Since(0, 1)[0].Fields
+	path := fields["path"].(string)
+	if len(path) > 1100 || !strings.HasSuffix(path, "(65536 bytes)") || fields["status"] != 404 || fields["reason"] != "short" {
+		t.Errorf("path of %d bytes ending with %.20q, status %v, reason %v", len(path), path[max(len(path)-20, 0):], fields["status"], fields["reason"])
+	}
+}
