Keep hashes of the ids of answered requests on connections to targets

It keeps 16 hashes of 8 bytes. Requests with equal hashes use different connections. TestConnectionsDoNotKeepLongIDs is new.

--- a/transport/upstream/conn.go
+++ b/transport/upstream/conn.go
@@ -6,11 +6,13 @@
 	"context"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
@@ -38,20 +40,24 @@
 	head   *headLimit
 	// usableUntil is the time until which the idle connection may be reused.
 	usableUntil time.Time
-	// answered are the IDs of the latest requests that were answered on the connection. A faulty target may write such an answer
-	// once more, so the same request, sent again, uses another connection.
-	answered []string
+	// answered are the hashes of the IDs of the latest requests that were answered on the connection. A faulty target may write such an
+	// answer once more, so the same request, sent again, uses another connection.
+	answered     [maxAnswered]uint64
+	answeredRuns int // number of requests that were answered
 }
 
 // maxAnswered is the number of IDs that a connection remembers. Requests are sent again within seconds.
 const maxAnswered = 16
 
-// recordAnswered remembers the ID of a request that was answered.
+// recordAnswered remembers the ID of a request that was answered. IDs can be as long as a head, and there are many connections.
 func (c *conn) recordAnswered(id string) {
-	if len(c.answered) == maxAnswered {
-		c.answered = c.answered[1:]
-	}
-	c.answered = append(c.answered, id)
+	c.answered[c.answeredRuns%maxAnswered] = xxhash.Sum64String(id)
+	c.answeredRuns++
+}
+
+// hasAnswered reports whether a request with the ID may have been answered on the connection.
+func (c *conn) hasAnswered(id string) bool {
+	return slices.Contains(c.answered[:min(c.answeredRuns, maxAnswered)], xxhash.Sum64String(id))
 }
 
 // newConn wraps a connection to a target. Close resets it: a request that was given up must not be
--- a/transport/upstream/repeated_test.go
+++ b/transport/upstream/repeated_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
+	"unsafe"
 )
 
 const refusedHeader = "Not-Run"
@@ -99,3 +101,23 @@
 		t.Errorf("status %d, error %v; want the refusal", status, err)
 	}
 }
+
+// Guards against connections to targets that hold the long ids of the requests that they have carried.
+func TestConnectionsDoNotKeepLongIDs(t *testing.T) {
+	c := &conn{}
+	long := strings.Repeat("x", 16_000)
+	for i := range 2 * maxAnswered {
+		c.recordAnswered(fmt.Sprint(i, long))
+	}
+	for i := range 2 * maxAnswered {
+		if got, want := c.hasAnswered(fmt.Sprint(i, long)), i >= maxAnswered; got != want {
+			t.Errorf("request %d: answered on the connection is %v, want %v", i, got, want)
+		}
+	}
+	if c.hasAnswered(long) {
+		t.Error("another request was answered on the connection")
+	}
+	if size := unsafe.Sizeof(*c); size > 512 {
+		t.Errorf("a connection takes %d bytes beside its buffers, want 512 at most", size)
+	}
+}
--- a/transport/upstream/upstream.go
+++ b/transport/upstream/upstream.go
@@ -165,7 +165,7 @@
 	defer c.mu.Unlock()
 	list := c.idle[address]
 	for i := len(list) - 1; i >= 0; i-- {
-		if candidate := list[i]; id == "" || !slices.Contains(candidate.answered, id) {
+		if candidate := list[i]; id == "" || !candidate.hasAnswered(id) {
 			c.idle[address] = slices.Delete(list, i, i+1)
 			c.idleCount--
 			return candidate
@@ -295,7 +295,7 @@
 		}
 		echo := response.Header.Get(r.EchoHeader)
 		// Without an echo, an answer on a connection that was used before may be an earlier one that is written once more.
-		unechoed := echo == "" && len(a.conn.answered) == 0 && r.AcceptUnechoed != nil && r.AcceptUnechoed(response)
+		unechoed := echo == "" && a.conn.answeredRuns == 0 && r.AcceptUnechoed != nil && r.AcceptUnechoed(response)
 		if r.ID == "" || echo == r.ID || unechoed {
 			a.Response = response
 			a.conn.recordAnswered(r.ID)
