--- a/instance/gateway/crash_suspects.go
+++ b/instance/gateway/crash_suspects.go
@@ -249,7 +249,8 @@
 // suspectsOf returns what a request is suspected by when a target crashes under it: the request as a whole, which is the same
 // when its caller sends it again, and then each part of its prompt that other requests may share.
 func suspectsOf(q *request) []crashes.Suspect {
-	suspects := []crashes.Suspect{{Key: crashes.Key(fingerprint(q))}}
+	suspects := make([]crashes.Suspect, 0, len(q.prompt.Parts)+1)
+	suspects = append(suspects, crashes.Suspect{Key: crashes.Key(fingerprint(q))})
 	for i, part := range sharedParts(q.prompt.Parts) {
 		suspects = append(suspects, crashes.Suspect{Key: crashes.PartKey(part.ID), Depth: i + 1})
 	}
--- a/transport/intake/bounds_test.go
+++ b/transport/intake/bounds_test.go
@@ -97,3 +97,35 @@
 		}
 	}
 }
+
+// Guards against fields that are lists of thousands of short elements, such as the parts of a prompt, of which a process keeps several
+// times their text.
+func TestElementsOfListsAreCounted(t *testing.T) {
+	p := New(Options{})
+	running, release := make(chan struct{}, 1), make(chan struct{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		running <- struct{}{}
+		<-release
+	}))
+	go func() { _ = p.Serve(server, l) }()
+	t.Cleanup(func() { close(release); _ = server.Close() })
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	const elements = 2725
+	_, _ = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\nX-List: "+strings.Repeat("ab:1,", elements)+"\r\n\r\n")
+	select {
+	case <-running:
+		if used := p.used.Load(); used < connBytes+elements*elementBytes {
+			t.Errorf("%d bytes are counted for %d elements, want %d at least", used, elements, connBytes+elements*elementBytes)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatal("the request was not read")
+	}
+}
--- a/transport/intake/conn.go
+++ b/transport/intake/conn.go
@@ -11,6 +11,9 @@
 const (
 	// lineBytes is what the field of one line of a head holds besides its text: entries of maps and slices, and of their copies.
 	lineBytes = 128
+	// elementBytes is what an element of a list in a field holds besides its text, such as a part of a prompt: its entry, and what is kept
+	// of it until the request ends.
+	elementBytes = 64
 	// smallWrite is the size up to which a write is not counted: the buffer of the connection.
 	smallWrite = 4 << 10
 )
@@ -66,7 +69,7 @@
 	default:
 		return n, err
 	}
-	size := int64(n) + lineBytes*int64(bytes.Count(b[:n], []byte{'\n'}))
+	size := int64(n) + lineBytes*int64(bytes.Count(b[:n], []byte{'\n'})) + elementBytes*int64(bytes.Count(b[:n], []byte{','}))
 	if fullErr := c.reserve(size); fullErr != nil {
 		// net/http answers other errors with 400, which would blame the client.
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: fullErr}
