Bound what watches send by its encoded size

The estimate counts what JSON escapes. Found beside it: the crashes of 256 suspects with 64 crashes each have a MiB too; a message holds 4,096 crashes and answers at most, by the order of their changes.

TestListOfTargetsWithMarkupFitsIntoAFrame and TestEvidenceFitsIntoAFrame failed before.

--- a/coordination/crashes/crashes_test.go
+++ b/coordination/crashes/crashes_test.go
@@ -1,11 +1,13 @@
 package crashes
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
 )
 
 var start = time.Unix(1_700_000_000, 0)
@@ -450,3 +452,34 @@
 		})
 	}
 }
+
+// Guards against evidence that is larger than a frame between processes and never arrives, as for a gateway that starts after many targets
+// have crashed under the same parts.
+func TestEvidenceFitsIntoAFrame(t *testing.T) {
+	const frameBytes = 1 << 20
+	source, destination := NewTable(), NewTable()
+	now := at(100_000)
+	for i := range maxCrashesPerRecord {
+		var suspects []Suspect
+		for part := range maxEvidence {
+			suspects = append(suspects, Suspect{Key: PartKey(fmt.Sprint(part)), Depth: 1})
+		}
+		source.RecordCrash(now, Occurrence{Version: v1, SentAt: at(20*i - 10), At: at(20 * i)}, target(i), suspects)
+	}
+	change := uint64(0)
+	for messages := 0; ; messages++ {
+		evidence, next := source.SuspectsSince(now, change)
+		if len(evidence) == 0 {
+			break
+		}
+		data, err := json.Marshal(evidence)
+		if err != nil || len(data) > frameBytes/2 || messages > 100 {
+			t.Fatalf("message %d has %d bytes, error %v; want half of a frame at most", messages, len(data), err)
+		}
+		destination.Merge(now, evidence)
+		change = next
+	}
+	if diff := cmp.Diff(source.Latest(now, maxEvidence), destination.Latest(now, maxEvidence), cmpopts.SortSlices(func(a, b Evidence) bool { return a.Key < b.Key })); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/coordination/crashes/evidence.go
+++ b/coordination/crashes/evidence.go
@@ -50,8 +50,12 @@
 	Version Version `json:"v,omitempty"`
 }
 
-// maxEvidence bounds the suspects in one message. What is beyond it follows in the next one.
-const maxEvidence = 256
+// maxEvidence and maxEntries bound the suspects in one message and their crashes and answers, which have some 60 bytes each, so that
+// it fits into a frame between processes. What is beyond them follows in the next one.
+const (
+	maxEvidence = 256
+	maxEntries  = 4096
+)
 
 // Since returns the evidence that changed after a change number, oldest changes first, and the number to continue from.
 func (t *Table) Since(now time.Time, change uint64) ([]Evidence, uint64) {
@@ -79,43 +83,67 @@
 		}
 	}
 	slices.Reverse(changed)
-	changed, next := firstChanged(changed, change, t.change, func(n changeNumbers) uint64 { return n.any })
-	list := make([]Evidence, 0, len(changed))
-	for _, r := range changed {
-		list = append(list, r.evidence(now, func(n changeNumbers) bool { return n.any > change }))
-	}
-	return list, next
+	return t.message(now, changed, change, func(n changeNumbers) uint64 { return n.any }, (*record).evidence)
 }
 
-// firstChanged returns at most maxEvidence of the records and the number to continue from. Those whose earliest change after a change
-// number comes first are left in, so that no entry of the others has a number below the one to continue from.
-func firstChanged(records []*record, change, current uint64, of func(changeNumbers) uint64) ([]*record, uint64) {
-	if len(records) <= maxEvidence {
-		return records, current
+// message returns the evidence of the entries of records that changed after a change number, as far as it fits into one message, and the
+// number to continue from. number returns the number that counts.
+func (t *Table) message(now time.Time, records []*record, change uint64, number func(changeNumbers) uint64,
+	evidence func(*record, time.Time, func(changeNumbers) bool) Evidence) ([]Evidence, uint64) {
+	last := t.change
+	if n := lastOfMessage(records, change, number); n > 0 {
+		last = n
+	}
+	wanted := func(n changeNumbers) bool { return number(n) > change && number(n) <= last }
+	var list []Evidence
+	for _, r := range records {
+		if e := evidence(r, now, wanted); len(e.Crashes) > 0 || len(e.Answers) > 0 {
+			list = append(list, e)
+		}
 	}
-	slices.SortFunc(records, func(a, b *record) int { return cmp.Compare(a.firstAfter(change, of), b.firstAfter(change, of)) })
-	return records[:maxEvidence], records[maxEvidence-1].firstAfter(change, of)
+	return list, last
 }
 
-// firstAfter returns the earliest number above a change number, 0 without one.
-func (r *record) firstAfter(change uint64, of func(changeNumbers) uint64) uint64 {
-	first := uint64(0)
-	consider := func(n changeNumbers) {
-		if number := of(n); number > change && (first == 0 || number < first) {
-			first = number
+// lastOfMessage returns the last change number up to which the entries fit into one message, 0 if all of them do.
+func lastOfMessage(records []*record, change uint64, number func(changeNumbers) uint64) uint64 {
+	type entry struct {
+		number uint64
+		record *record
+	}
+	var entries []entry
+	for _, r := range records {
+		r.eachEntry(func(n changeNumbers) {
+			if number(n) > change {
+				entries = append(entries, entry{number(n), r})
+			}
+		})
+	}
+	if len(entries) == 0 || len(records) <= maxEvidence && len(entries) <= maxEntries {
+		return 0
+	}
+	slices.SortFunc(entries, func(a, b entry) int { return cmp.Compare(a.number, b.number) })
+	included := make(map[*record]bool)
+	last := entries[0].number // the entries of one number, which are of one record, are not separated
+	for i, e := range entries {
+		included[e.record] = true
+		if e.number != last && (i >= maxEntries || len(included) > maxEvidence) {
+			return last
 		}
+		last = e.number
 	}
+	return last
+}
+
+// eachEntry calls f for the numbers of each crash and answer.
+func (r *record) eachEntry(f func(changeNumbers)) {
 	for _, n := range r.crashChanges {
-		consider(n)
+		f(n)
 	}
 	for _, n := range r.soundChanges {
-		consider(n)
+		f(n)
 	}
-	return first
 }
 
-func ownNumber(n changeNumbers) uint64 { return n.own }
-
 // OwnSince returns the evidence that this instance observed itself after a change number and that others are not known to have told
 // already.
 func (t *Table) OwnSince(now time.Time, change uint64) ([]Evidence, uint64) {
@@ -126,16 +154,16 @@
 	}
 	var own []*record
 	for _, r := range t.records {
-		if r.change > change && r.firstAfter(change, ownNumber) > 0 {
+		if r.change > change && r.hasOwnAfter(change) {
 			own = append(own, r)
 		}
 	}
-	own, next := firstChanged(own, change, t.change, ownNumber)
-	list := make([]Evidence, 0, len(own))
-	for _, r := range own {
-		list = append(list, r.ownEvidence(now, change))
-	}
-	return list, next
+	return t.message(now, own, change, func(n changeNumbers) uint64 { return n.own }, (*record).ownEvidence)
+}
+
+func (r *record) hasOwnAfter(change uint64) (found bool) {
+	r.eachEntry(func(n changeNumbers) { found = found || n.own > change })
+	return found
 }
 
 // OwnCrashAfter reports whether this instance observed a crash after a change number.
@@ -145,10 +173,10 @@
 	return t.ownCrashChange > change
 }
 
-// ownEvidence returns what this instance observed itself after a change number. An answer comes with the latest crash that it says
-// something about: an instance that does not know the record yet could not keep it otherwise.
-func (r *record) ownEvidence(now time.Time, change uint64) Evidence {
-	e := r.evidence(now, func(n changeNumbers) bool { return n.own > change })
+// ownEvidence returns the evidence of the wanted entries, which this instance observed itself. An answer comes with the latest crash that
+// it says something about: an instance that does not know the record yet could not keep it otherwise.
+func (r *record) ownEvidence(now time.Time, wanted func(changeNumbers) bool) Evidence {
+	e := r.evidence(now, wanted)
 	if len(e.Answers) > 0 && len(e.Crashes) == 0 {
 		e.Crashes = []Crash{r.latestExcused(e.Answers).evidenceOf(now)}
 	}
--- a/coordination/roster/delta.go
+++ b/coordination/roster/delta.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"slices"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -106,14 +107,17 @@
 		fixed   = 200 // names and numbers of fields
 		perName = 4   // quotes and separators
 	)
-	n := fixed + len(t.ID) + len(t.Service) + len(t.Address) + len(t.DataCentre) + len(t.SoftwareVersion)
+	n := fixed
+	for _, text := range []string{t.ID, t.Service, t.Address, t.DataCentre, t.SoftwareVersion} {
+		n += escapedBytes(text)
+	}
 	names := func(list []string) {
 		for _, name := range list {
-			n += len(name) + perName
+			n += escapedBytes(name) + perName
 		}
 	}
 	for _, m := range t.Models {
-		n += len(m.Model) + 8*perName
+		n += escapedBytes(m.Model) + 8*perName
 		names(m.Adapters)
 	}
 	names(t.InMemory)
@@ -121,6 +125,21 @@
 	return n
 }
 
+// escapedBytes returns the most bytes that a text has in a message. JSON replaces markup, control characters and what is not valid UTF-8
+// by six bytes, and the writer of a heartbeat chooses how much of it there is.
+func escapedBytes(text string) int {
+	const escaped = 6
+	n := 0
+	for i := range len(text) {
+		if b := text[i]; b < ' ' || b > '~' || strings.IndexByte(`"\<>&`, b) >= 0 {
+			n += escaped
+		} else {
+			n++
+		}
+	}
+	return n
+}
+
 // CompactSince returns the same updates in fewer bytes, for the many gateways: without the cached weights, which only the
 // placement of models needs, and with packed heartbeats.
 func (t *Table) CompactSince(now time.Time, change uint64) Delta {
--- a/coordination/roster/delta_test.go
+++ b/coordination/roster/delta_test.go
@@ -150,3 +150,29 @@
 		return true
 	})
 }
+
+// Guards against a list of targets that is larger than a frame although it is not before its encoding: markup takes six times as many
+// bytes in JSON, and another writer's heartbeats may hold nothing else.
+func TestListOfTargetsWithMarkupFitsIntoAFrame(t *testing.T) {
+	const frameBytes = 1 << 20
+	source, follower := New(), New()
+	now := time.Unix(100, 0)
+	for i := range 40 {
+		target := Target{Key: Key{ID: fmt.Sprint("t", i), StartedAtMs: 1}, Service: strings.Repeat("<", 60_000), Address: fmt.Sprint("t:", i), HeartbeatSequence: 1}
+		if _, err := source.Observe(now, target); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var change uint64
+	for change < source.Change() {
+		d := source.Since(now, change)
+		if encoded, err := json.Marshal(d); err != nil || len(encoded) > frameBytes || d.Change == change {
+			t.Fatalf("a delta of %d bytes after change %d, error %v", len(encoded), change, err)
+		}
+		follower.Merge(now, d)
+		change = d.Change
+	}
+	if n := len(follower.entries); n != 40 {
+		t.Errorf("%d targets arrived, want 40", n)
+	}
+}
