Test of the standby watch without a data race

The test switched the limited processors of its control instances off while they worked, which the race detector reported in the whole suite. It leaves them on.

--- a/instance/fleetview/load_test.go
+++ b/instance/fleetview/load_test.go
@@ -254,7 +254,6 @@
 		t.Run(fault, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				f := newLoadedFleet(t)
-				f.processors = nil
 				if fault == "silent" {
 					f.mu.Lock()
 					f.frozen["c0"] = true
