--- a/instance/gateway/gateway.go
+++ b/instance/gateway/gateway.go
@@ -265,16 +265,24 @@
 	}
 }
 
-// countUnreachable returns the number of targets that take new work, and how many of these are unreachable.
+// countUnreachable returns the number of targets that take new work, and how many of these are unreachable. As long as none is, which is
+// the case nearly always, it counts neither.
 func (g *Gateway) countUnreachable() (ready, unreachable int) {
 	down := g.loadTracker.Down()
-	for _, t := range g.view.Targets() {
-		if t.State != roster.Ready {
-			continue
-		}
-		ready++
-		if slices.Contains(down, t.ID) {
-			unreachable++
+	if len(down) == 0 {
+		return 0, 0
+	}
+	isDown := make(map[string]bool, len(down))
+	for _, id := range down {
+		isDown[id] = true
+	}
+	targets := g.view.Targets()
+	for i := range targets {
+		if t := &targets[i]; t.State == roster.Ready {
+			ready++
+			if isDown[t.ID] {
+				unreachable++
+			}
 		}
 	}
 	return ready, unreachable
