Keep the sizes of models over restarts of control instances

The sizes are saved 0.1 s after they change (sizes.json) and loaded at the start. Not covered: an instance that joins or has lost its disk, and one that is killed within 0.1 s of the configuration.

--- a/instance/controlinstance/controlinstance.go
+++ b/instance/controlinstance/controlinstance.go
@@ -146,6 +146,10 @@
 	instance.registerGroupMetrics(registry)
 	instance.lag = newLagMeter(recorder, registry)
 	instance.director = newDirector(opts, view, instance.group, orders, recorder, registry)
+	if err := instance.director.sizes.load(time.Now(), filepath.Join(opts.DataDir, sizesFile)); err != nil {
+		// Only loads beside weights of an earlier, larger size are at risk then.
+		recorder.Record(events.InternalError, events.Fields{"task": "sizes", "error": err.Error()})
+	}
 	if err := instance.loadQuarantines(time.Now()); err != nil {
 		// Serving without them is better than not serving.
 		recorder.Record(events.InternalError, events.Fields{"task": "quarantines", "error": err.Error()})
@@ -239,6 +243,7 @@
 	go instance.confirm(background)
 	go instance.director.Run(background)
 	go instance.keepQuarantines(background)
+	go instance.keepSizes(background)
 	go instance.keepOrigins(background)
 	instance.recorder.Record(events.Listening, events.Fields{"control": instance.opts.ControlListen, "peer": instance.opts.Name})
 	select {
--- a/instance/controlinstance/model_sizes.go
+++ b/instance/controlinstance/model_sizes.go
@@ -13,7 +13,7 @@
 const sizeRetention = time.Minute
 
 // modelSizes knows the memory that models take on targets, which hold what they were ordered to hold whatever the configuration
-// in force says. Every control instance keeps it, so that it outlives a change of leader.
+// in force says. Every control instance keeps it, so that it outlives a change of leader, and saves it, so that it outlives a restart.
 //
 // Invariant: a size is at least that of every configuration seen here with which a target that lists the model may have loaded it.
 type modelSizes struct {
@@ -21,6 +21,8 @@
 	sizes   map[modelKey]modelSize
 	version uint64 // of the latest configuration
 	pruneAt time.Time
+	// changes counts the changes of sizes.
+	changes uint64
 }
 
 type modelSize struct {
@@ -51,6 +53,7 @@
 	for key, size := range s.sizes {
 		if !listed[key] && now.Sub(size.changedAt) >= sizeRetention {
 			delete(s.sizes, key)
+			s.changes++
 		}
 	}
 	s.add(now, document)
@@ -79,6 +82,9 @@
 		if !ok {
 			size.changedAt = now
 		}
+		if !ok || c.weightsMB > size.weightsMB || c.adapterMB > size.adapterMB {
+			s.changes++
+		}
 		size.weightsMB, size.adapterMB = max(size.weightsMB, c.weightsMB), max(size.adapterMB, c.adapterMB)
 		s.sizes[key] = size
 	}
