Template of the settings without sections

The cases of the first review ended with exit code 2: their program fills placeholders of deploy/settings.tmpl, but not sections, which four numbers needed that a platform may have no value for. These are lists of one value or none now, in the table optional. make review plays all cases.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test property lint demo measure wire bench gopls
+.PHONY: build test property lint demo measure wire bench gopls review
 
 # Tests listed in KNOWN-RED.txt fail because of a known fault. `make test` prints their names and skips them.
 KNOWN_RED = $(shell sed -n 's/^test: *//p' KNOWN-RED.txt 2>/dev/null | tr '\n' '|' | sed 's/|$$//')
@@ -53,3 +53,12 @@
 # since it needs another version of golang.org/x/tools than staticcheck.
 gopls:
 	go build -C tools/gopls -o ../../bin/gopls golang.org/x/tools/gopls
+
+# The cases of the reviews, one after the other: each starts the processes of a deployment on loopback addresses and breaks one rule if its
+# fault is there. They take some 8 minutes together.
+review:
+	go build -trimpath -ldflags=-linkmode=external -o target/ ./cmd/tarragonhoist-fleet
+	bash review/build.sh
+	sh review/build-2.sh
+	@status=0; for n in 1 2 3 4 5 6 7 8 9 10; do \
+	if review/$$n/run.sh; then echo "case $$n: held"; else echo "case $$n: exit code $$?"; status=1; fi; done; exit $$status
--- a/instance/gateway/wait_test.go
+++ b/instance/gateway/wait_test.go
@@ -65,7 +65,7 @@
 }
 
 // silentLeader does not answer calls for adapters.
-type silentLeader struct{ unreachablePeers }
+type silentLeader struct{}
 
 func (silentLeader) Call(ctx context.Context, _, _ string, _, _ any) error {
 	<-ctx.Done()
--- a/settings/node.go
+++ b/settings/node.go
@@ -46,9 +46,38 @@
 	QuotaExcess  float64 `toml:"quota_excess"`
 	QuotaSlack   float64 `toml:"quota_slack"`
 	// SlowStart bounds the requests to targets that have just started or returned.
-	SlowStart bool        `toml:"slow_start"`
-	Clients   ClientTimes `toml:"clients"`
-	Log       Log         `toml:"log"`
+	SlowStart bool `toml:"slow_start"`
+	// Optional holds some of the numbers above as lists of one value or none: a template that has no value for a number leaves its list
+	// empty.
+	Optional OptionalNumbers `toml:"optional"`
+	Clients  ClientTimes     `toml:"clients"`
+	Log      Log             `toml:"log"`
+}
+
+// OptionalNumbers are settings for which a platform may have no value. Those with one replace the settings of the same name.
+type OptionalNumbers struct {
+	MaxFDs       []int     `toml:"max_fds"`
+	QuotaWindowS []float64 `toml:"quota_window_s"`
+	QuotaExcess  []float64 `toml:"quota_excess"`
+	QuotaSlack   []float64 `toml:"quota_slack"`
+}
+
+// apply sets the numbers that have a value.
+func (o *OptionalNumbers) apply(n *Node, f *tomlfile.File) {
+	setOptional(f, "max_fds", &n.MaxFDs, o.MaxFDs)
+	setOptional(f, "quota_window_s", &n.QuotaWindowS, o.QuotaWindowS)
+	setOptional(f, "quota_excess", &n.QuotaExcess, o.QuotaExcess)
+	setOptional(f, "quota_slack", &n.QuotaSlack, o.QuotaSlack)
+}
+
+func setOptional[T any](f *tomlfile.File, key string, setting *T, values []T) {
+	switch len(values) {
+	case 0:
+	case 1:
+		*setting = values[0]
+	default:
+		f.Report("optional."+key, "has %d values, at most one is possible", len(values))
+	}
 }
 
 // Defaults of Node.
@@ -85,6 +114,7 @@
 		RepeatSlack: DefaultRepeatSlack, RepeatWindowS: DefaultRepeatWindowS, QuotaWindowS: DefaultQuotaWindowS, Clients: DefaultClientTimes(), Log: Log{Level: DefaultNodeLogLevel, Format: "json"},
 	}
 	f := tomlfile.Decode(name, data, n)
+	n.Optional.apply(n, f)
 	if n.Name == "" {
 		f.Report("name", "is required")
 	}
--- a/settings/node_test.go
+++ b/settings/node_test.go
@@ -37,6 +37,23 @@
 	}
 }
 
+// Guards against a template whose platform has no value for a number: the settings could not be read, or the number would be 0.
+func TestNodeOptionalNumbers(t *testing.T) {
+	for _, c := range []struct {
+		text       string
+		wantFDs    int
+		wantWindow float64
+	}{
+		{"max_fds = []\nquota_window_s = []\nquota_excess = []", 0, DefaultQuotaWindowS},
+		{"max_fds = [4100]\nquota_window_s = [5]\nquota_slack = [3.5]", 4100, 5},
+	} {
+		n, findings := ParseNode("node.toml", []byte(validNode+"\n[optional]\n"+c.text))
+		if len(findings) > 0 || n.MaxFDs != c.wantFDs || n.QuotaWindowS != c.wantWindow {
+			t.Errorf("%q: findings %v, %d descriptors, window %v; want %d and %v", c.text, findings, n.MaxFDs, n.QuotaWindowS, c.wantFDs, c.wantWindow)
+		}
+	}
+}
+
 // Guards against invalid settings that are accepted, and against a check that stops at the first finding.
 func TestNodeFindings(t *testing.T) {
 	cases := map[string]struct{ old, new, want string }{
@@ -51,6 +68,8 @@
 		"negative memory":      {`memory_mb = 284`, `memory_mb = -1`, "must not be negative"},
 		"few descriptors":      {`memory_mb = 284`, `max_fds = 100`, "max_fds: must be 0 or at least 128"},
 		"no quota window":      {`memory_mb = 284`, `quota_window_s = 0`, "quota_window_s must be positive"},
+		"two optional values":  {`memory_mb = 284`, "memory_mb = 284\n[optional]\nmax_fds = [4100, 4200]", "optional.max_fds: has 2 values"},
+		"few optional":         {`memory_mb = 284`, "memory_mb = 284\n[optional]\nmax_fds = [100]", "max_fds: must be 0 or at least 128"},
 		"unknown key":          {`memory_mb = 284`, `memory = 284`, "memory"},
 		"wrong type":           {`peer_port = 7380`, `peer_port = "x"`, "peer_port"},
 	}
