Align the answers to watches only where many gateways watch an instance

With few watches there is little to share, and gateways that learn of a model at the same moment send what waits for it at the same moment.

--- a/instance/fleetview/serve.go
+++ b/instance/fleetview/serve.go
@@ -30,9 +30,12 @@
 	leaderBefore, _ := control()
 	delays := controlDelays
 	if request.Gateway {
-		delays = gatewayDelays(v.gatewayWatches.Add(1))
+		watches := v.gatewayWatches.Add(1)
 		defer v.gatewayWatches.Add(-1)
-		delays.content, delays.heartbeats = v.untilAligned(started, delays.content), v.untilAligned(started, delays.heartbeats)
+		delays = gatewayDelays(watches)
+		if watches > manyWatches {
+			delays.content, delays.heartbeats = v.untilAligned(started, delays.content), v.untilAligned(started, delays.heartbeats)
+		}
 	}
 	for {
 		now := time.Now()
@@ -112,9 +115,6 @@
 // untilAligned returns the time from the start of a watch until the next multiple of a delay. Gateways that are answered at the same
 // time get the same answers.
 func (v *View) untilAligned(started time.Time, delay time.Duration) time.Duration {
-	if delay <= 0 {
-		return 0
-	}
 	return delay - started.Sub(v.started)%delay
 }
 
