--- a/instance/fleetview/view.go
+++ b/instance/fleetview/view.go
@@ -195,8 +195,9 @@
 func (v *View) MergeDepartures(now time.Time, packed []byte) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	before := v.roster.Change()
 	departed := v.roster.MergeDepartures(now, packed)
-	v.publishLocked(len(departed) > 0)
+	v.publishLocked(v.roster.Change() != before)
 	v.reportDepartures(now, departed)
 }
 
--- a/instance/fleetview/watch.go
+++ b/instance/fleetview/watch.go
@@ -308,16 +308,12 @@
 	}
 }
 
-// unpack replaces the packed content of a response. A response without content continues from where the request was, and so does one
-// whose content cannot be read, which asks for everything again.
+// unpack replaces the packed content of a response. After a standby response the next request continues from where this one did. If the
+// content cannot be read, the change numbers stay 0, so that the next request asks for everything.
 func unpack(request *fleetapi.WatchRequest, response *fleetapi.WatchResponse) error {
 	switch {
-	case response.Standby:
-		if response.Epoch == request.Epoch {
-			response.Roster.Change, response.CrashChange = request.ChangeNumber, request.CrashChange
-		} else {
-			response.Roster.Change, response.CrashChange = 0, 0
-		}
+	case response.Standby && response.Epoch == request.Epoch:
+		response.Roster.Change, response.CrashChange = request.ChangeNumber, request.CrashChange
 	case len(response.Content) > 0:
 		content, err := fleetapi.UnpackContent(response.Content)
 		if err != nil {
