--- a/instance/gateway/serve.go
+++ b/instance/gateway/serve.go
@@ -122,7 +122,7 @@
 // the caller has a part of the answer already.
 func (g *Gateway) awaitTarget(q *request, exclude []string, answering bool) (*roster.Entry, dispatch.Reason) {
 	started := time.Now()
-	q.waitsForAdapter, q.adapterLate = started.Add(g.maxWait(q, dispatch.NoAdapter, started)), false
+	q.waitsForAdapter, q.adapterLate = g.waitsForAdapter(q, started, answering), false
 	defer func() {
 		g.demand.setWaiting(q, notWaiting)
 		q.waited += time.Since(started)
@@ -190,6 +190,15 @@
 	}
 }
 
+// waitsForAdapter returns until when a request waits for an adapter. One whose wait is over when it looks for a target, and one whose
+// caller has a part of the answer, may still get an adapter that is loaded soon.
+func (g *Gateway) waitsForAdapter(q *request, now time.Time, answering bool) time.Time {
+	if wait := g.maxWait(q, dispatch.NoAdapter, now); wait > 0 && !answering {
+		return now.Add(wait)
+	}
+	return q.deadline
+}
+
 const (
 	// waitPollInterval is the polling interval while a request waits for a target or for the first configuration.
 	waitPollInterval = 10 * time.Millisecond
--- a/instance/gateway/wait_test.go
+++ b/instance/gateway/wait_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"strings"
@@ -9,7 +8,6 @@
 	"time"
 
 	"github.com/tarragonhoist/tarragonhoist/coordination/dispatch"
-	"github.com/tarragonhoist/tarragonhoist/protocol/dialect"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
 )
 
@@ -64,31 +62,27 @@
 	}
 }
 
-// silentLeader does not answer calls for adapters.
-type silentLeader struct{}
-
-func (silentLeader) Call(ctx context.Context, _, _ string, _, _ any) error {
-	<-ctx.Done()
-	return ctx.Err()
-}
-
 // Guards against requests that wait for the leader to name a target for their adapter when their callers have left already, and so get
-// neither an answer nor a time to return.
+// neither an answer nor a time to return, and against streams that do not go on since the wait for their first event is over.
 func TestCallForAdapterEndsWithTheWait(t *testing.T) {
-	f := newFixture(t)
-	f.configure()
-	f.target("t0", "engine", answerOK)
-	g := f.gateway
-	g.peers = silentLeader{}
-	f.view.SetLeaderAndMembers("leader", nil)
+	g := newFixture(t).gateway
 	now := time.Now()
 	route := &routes.Route{Kind: routes.Stream, Objective: 500 * time.Millisecond}
-	for _, age := range []time.Duration{1800 * time.Millisecond, 1500 * time.Millisecond, 10 * time.Second} {
-		q := &request{ctx: t.Context(), route: route, service: &routes.Service{Name: "engine", Engine: &routes.Engine{Slots: 4}}, arrived: now.Add(-age),
-			deadline: now.Add(20 * time.Second), prompt: dialect.Prompt{Model: "m", Adapter: "a1"}}
-		q.waitsForAdapter = now.Add(g.maxWait(q, dispatch.NoAdapter, now))
-		if got, want := q.adapterTimeout(now), maxStreamWait(route)-age; got.Round(time.Millisecond) != want {
-			t.Errorf("%v after the arrival the call may take %v, want %v", age, got, want)
+	for _, test := range []struct {
+		age       time.Duration
+		answering bool
+		want      time.Duration
+	}{
+		{1800 * time.Millisecond, false, 80 * time.Millisecond},
+		{1500 * time.Millisecond, false, 380 * time.Millisecond},
+		{1500 * time.Millisecond, true, adapterTimeout}, // the stream broke off and goes on at another target
+		{10 * time.Second, true, adapterTimeout},
+		{10 * time.Second, false, adapterTimeout},
+	} {
+		q := &request{route: route, service: &routes.Service{Name: "engine"}, arrived: now.Add(-test.age), deadline: now.Add(20 * time.Second)}
+		q.waitsForAdapter = g.waitsForAdapter(q, now, test.answering)
+		if got := q.adapterTimeout(now).Round(time.Millisecond); got != test.want {
+			t.Errorf("%v after the arrival, answering %t: the call may take %v, want %v", test.age, test.answering, got, test.want)
 		}
 	}
 }
