--- a/coordination/crashes/crashes.go
+++ b/coordination/crashes/crashes.go
@@ -119,8 +119,8 @@
 	element *list.Element
 }
 
-// changeNumbers are the change numbers of the table at the latest change of an entry, and at the latest one by an observation of this
-// instance that no other is known to have told the others yet; 0 for none.
+// changeNumbers are the change numbers of the table at the latest change of an entry, and at the latest observation by this instance that
+// has to be reported to others; 0 for none.
 type changeNumbers struct{ any, own uint64 }
 
 func newRecord(key Key, depth int) *record {
@@ -350,7 +350,7 @@
 	}
 }
 
-// renumber has all entries count as changed.
+// renumber marks all entries as changed.
 func (r *record) renumber(change uint64) {
 	for target, numbers := range r.crashChanges {
 		r.crashChanges[target] = changeNumbers{change, numbers.own}
@@ -360,8 +360,7 @@
 	}
 }
 
-// coverOwn has this instance keep to itself an answer that it knows better than others, if one that another instance told at a time says
-// the same about the crashes.
+// coverOwn marks an own answer as not to be reported if an answer that another instance reported says the same about the crashes.
 func (r *record) coverOwn(version Version, at time.Time) {
 	numbers := r.soundChanges[version]
 	known := r.sounds[version]
--- a/coordination/crashes/crashes_test.go
+++ b/coordination/crashes/crashes_test.go
@@ -417,13 +417,13 @@
 	}
 }
 
-// Guards against hundreds of instances that all report the same answer: one that another instance has told is not reported again,
+// Guards against hundreds of instances that all report the same answer: one that another instance has reported is not reported again,
 // unless it says more about the crashes.
-func TestAnswersThatOthersToldAreNotReported(t *testing.T) {
+func TestAnswersThatOthersReportedAreNotReported(t *testing.T) {
 	part := []Suspect{{Key: 7, Depth: 1}}
 	for _, test := range []struct {
 		name   string
-		toldMs int // time of the answer that another instance tells
+		reportedMs int // time of the answer that another instance reports
 		want   int
 	}{
 		{"as late", 5000, 0},
@@ -439,7 +439,7 @@
 			evidence, _ := other.Since(at(4000), 0)
 			table.Merge(at(4000), evidence)
 			table.RecordSound(at(5000), v1, part)
-			other.Merge(at(5000), []Evidence{{Key: 7, Depth: 1, Answers: []Answer{{Version: v1, MsAgo: int64(5000 - test.toldMs)}}}})
+			other.Merge(at(5000), []Evidence{{Key: 7, Depth: 1, Answers: []Answer{{Version: v1, MsAgo: int64(5000 - test.reportedMs)}}}})
 			evidence, _ = other.Since(at(5100), 0)
 			table.Merge(at(5100), evidence)
 			own, _ := table.OwnSince(at(5100), 0)
--- a/coordination/crashes/evidence.go
+++ b/coordination/crashes/evidence.go
@@ -144,8 +144,8 @@
 	}
 }
 
-// OwnSince returns the evidence that this instance observed itself after a change number and that others are not known to have told
-// already.
+// OwnSince returns the evidence that this instance observed itself after a change number, without answers that other instances have
+// reported.
 func (t *Table) OwnSince(now time.Time, change uint64) ([]Evidence, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/coordination/roster/delta_test.go
+++ b/coordination/roster/delta_test.go
@@ -99,11 +99,11 @@
 		t.Errorf("departures are sent again: %v", again)
 	}
 	observe(source, "c", 2, Held{Model: "m", Adapters: []string{"a1"}})
-	observe(gateway, "c", 2, Held{Model: "m"}, Held{Model: "n"}) // another instance told this one
+	observe(gateway, "c", 2, Held{Model: "m"}, Held{Model: "n"}) // received from another instance
 	observe(source, "c", 3, Held{Model: "m", Adapters: []string{"a2"}})
 	gateway.Merge(later, source.GatewaySince(later, known))
 	if !gateway.TakeMismatch() || gateway.TakeMismatch() {
-		t.Error("an update that does not fit is not told, or twice")
+		t.Error("an update that does not fit is not reported, or twice")
 	}
 }
 
--- a/coordination/roster/roster.go
+++ b/coordination/roster/roster.go
@@ -56,7 +56,7 @@
 	ShutdownAtMs int64 `json:"lv,omitempty"`
 	// SinceHeartbeatMs is the age of the latest heartbeat at the sender of a delta.
 	SinceHeartbeatMs int64 `json:"si,omitempty"`
-	// SinceDepartureMs is the time for which the sender of a delta has known that the target leaves or is gone.
+	// SinceDepartureMs is the time since the sender of a delta learned that the target leaves or has ended.
 	SinceDepartureMs int64 `json:"sd,omitempty"`
 }
 
