--- a/coordination/crashes/crashes_test.go
+++ b/coordination/crashes/crashes_test.go
@@ -422,9 +422,9 @@
 func TestAnswersThatOthersReportedAreNotReported(t *testing.T) {
 	part := []Suspect{{Key: 7, Depth: 1}}
 	for _, test := range []struct {
-		name   string
+		name       string
 		reportedMs int // time of the answer that another instance reports
-		want   int
+		want       int
 	}{
 		{"as late", 5000, 0},
 		{"before a crash that the own one follows", 2500, 1},
