Rotation: one loop measures the lag of a process

Its current() was used by its test alone, and its lock by nothing else, since one goroutine takes the samples.

Change: rotation.MeasureLag serves both. current() and the lock are gone; the test compares the gauge that operators read with the same value.

--- a/coordination/rotation/lag.go
+++ b/coordination/rotation/lag.go
@@ -1,6 +1,7 @@
 package rotation
 
 import (
+	"context"
 	"slices"
 	"time"
 )
@@ -28,6 +29,24 @@
 	delay time.Duration
 }
 
+// MeasureLag calls sample with the delay of each timer until ctx ends. sample returns the period of the next one, see LagWindow.Period.
+func MeasureLag(ctx context.Context, sample func(now time.Time, delay time.Duration) time.Duration) {
+	period := TimerPeriod
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	for {
+		due := time.Now().Add(period)
+		timer.Reset(period)
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		now := time.Now()
+		period = sample(now, now.Sub(due))
+	}
+}
+
 // Add records that a timer fired at a time, with a delay.
 func (w *LagWindow) Add(now time.Time, delay time.Duration) {
 	w.samples[w.next] = sample{now, max(delay, 0)}
--- a/instance/controlinstance/lag.go
+++ b/instance/controlinstance/lag.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	metrics "github.com/rcrowley/go-metrics"
@@ -21,10 +20,8 @@
 
 // lagMeter measures how late timers of this process fire.
 type lagMeter struct {
-	recorder *events.Recorder
-	gauge    metrics.Gauge
-
-	mu         sync.Mutex
+	recorder   *events.Recorder
+	gauge      metrics.Gauge
 	window     rotation.LagWindow
 	reportedAt time.Time
 }
@@ -34,26 +31,10 @@
 }
 
 // run measures until ctx ends.
-func (m *lagMeter) run(ctx context.Context) {
-	period := rotation.TimerPeriod
-	for {
-		due := time.Now().Add(period)
-		timer := time.NewTimer(period)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return
-		case <-timer.C:
-		}
-		now := time.Now()
-		period = m.sample(now, now.Sub(due))
-	}
-}
+func (m *lagMeter) run(ctx context.Context) { rotation.MeasureLag(ctx, m.sample) }
 
 // sample records the delay of a timer and returns the period of the next one.
 func (m *lagMeter) sample(now time.Time, delay time.Duration) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.window.Add(now, delay)
 	lag, _ := m.window.Lag(now)
 	m.gauge.Update(lag.Milliseconds())
@@ -63,11 +44,3 @@
 	}
 	return m.window.Period(now)
 }
-
-// current returns the lag now.
-func (m *lagMeter) current(now time.Time) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	lag, _ := m.window.Lag(now)
-	return lag
-}
--- a/instance/controlinstance/lag_test.go
+++ b/instance/controlinstance/lag_test.go
@@ -27,7 +27,7 @@
 	if reports != 3 {
 		t.Errorf("%d reports in 3 s of lag, want 3", reports)
 	}
-	if got := m.current(now); got != reportedLag {
-		t.Errorf("lag %v, want %v", got, reportedLag)
+	if got := m.gauge.Value(); got != reportedLag.Milliseconds() {
+		t.Errorf("lag %d ms, want %v", got, reportedLag)
 	}
 }
--- a/instance/gateway/rotation.go
+++ b/instance/gateway/rotation.go
@@ -67,22 +67,7 @@
 }
 
 // measure measures the lag until ctx ends.
-func (r *inRotation) measure(ctx context.Context) {
-	period := rotation.TimerPeriod
-	timer := time.NewTimer(period)
-	defer timer.Stop()
-	for {
-		due := time.Now().Add(period)
-		timer.Reset(period)
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-		}
-		now := time.Now()
-		period = r.sample(now, now.Sub(due))
-	}
-}
+func (r *inRotation) measure(ctx context.Context) { rotation.MeasureLag(ctx, r.sample) }
 
 // sample records the delay of a timer and returns the period of the next one.
 func (r *inRotation) sample(now time.Time, delay time.Duration) time.Duration {
