Control instances: one pair of functions reads and writes saved files

Change: readSaved and writeSaved serve all three. Paths, contents and texts of errors are as before.

--- a/instance/controlinstance/quarantines.go
+++ b/instance/controlinstance/quarantines.go
@@ -2,20 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
-	"os"
 	"path/filepath"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/tarragonhoist/tarragonhoist/coordination/crashes"
 	"github.com/tarragonhoist/tarragonhoist/events"
-	"github.com/tarragonhoist/tarragonhoist/state/wal"
 )
 
 const (
-	quarantineFile = "quarantined.json"
+	quarantineFile    = "quarantined.json"
+	quarantineContent = "quarantined requests"
 	// quarantineInterval is the interval at which the quarantined requests and parts are compared with the saved ones, and
 	// quarantineRetry the pause after a failed write.
 	quarantineInterval = 100 * time.Millisecond
@@ -32,16 +28,9 @@
 
 // loadQuarantines restores what was quarantined before the process started.
 func (instance *Instance) loadQuarantines(now time.Time) error {
-	data, err := os.ReadFile(filepath.Join(instance.opts.DataDir, quarantineFile))
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return errors.Wrap(err, "read quarantined requests")
-	}
 	var saved savedQuarantines
-	if err := json.Unmarshal(data, &saved); err != nil {
-		return errors.Wrap(err, "decode quarantined requests")
+	if found, err := readSaved(filepath.Join(instance.opts.DataDir, quarantineFile), quarantineContent, &saved); err != nil || !found {
+		return err
 	}
 	// A clock that was set back makes the crashes younger than they are, not older than the deployment.
 	since := max(now.UnixMilli()-saved.SavedAtMs, 0)
@@ -53,11 +42,8 @@
 }
 
 func (instance *Instance) saveQuarantines(now time.Time) error {
-	data, err := json.Marshal(savedQuarantines{SavedAtMs: now.UnixMilli(), Crashes: instance.view.QuarantineEvidence(now)})
-	if err != nil {
-		return errors.Wrap(err, "encode quarantined requests")
-	}
-	return errors.Wrap(wal.WriteFile(filepath.Join(instance.opts.DataDir, quarantineFile), data), "save quarantined requests")
+	saved := savedQuarantines{SavedAtMs: now.UnixMilli(), Crashes: instance.view.QuarantineEvidence(now)}
+	return writeSaved(filepath.Join(instance.opts.DataDir, quarantineFile), quarantineContent, saved)
 }
 
 // keepQuarantines logs and saves what is quarantined until ctx ends.
--- a/instance/controlinstance/saved_origins.go
+++ b/instance/controlinstance/saved_origins.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math"
-	"os"
 	"path/filepath"
 	"slices"
 	"time"
@@ -15,11 +13,11 @@
 	"github.com/tarragonhoist/tarragonhoist/events"
 	"github.com/tarragonhoist/tarragonhoist/protocol/fleetapi"
 	"github.com/tarragonhoist/tarragonhoist/state/routes"
-	"github.com/tarragonhoist/tarragonhoist/state/wal"
 )
 
 const (
-	originsFile = "streams.json"
+	originsFile    = "streams.json"
+	originsContent = "origins of streams"
 	// originsInterval is the interval at which the software versions of the known targets are recorded and compared with the saved
 	// ones, and originsRetry the pause after a failed write.
 	originsInterval = 250 * time.Millisecond
@@ -46,23 +44,20 @@
 
 // loadOrigins restores what the process before knew about streams.
 func (instance *Instance) loadOrigins(now time.Time, term uint64) error {
-	data, err := os.ReadFile(filepath.Join(instance.opts.DataDir, originsFile))
-	if errors.Is(err, os.ErrNotExist) {
+	var saved savedOrigins
+	found, err := readSaved(filepath.Join(instance.opts.DataDir, originsFile), originsContent, &saved)
+	if err != nil {
+		return err
+	}
+	if !found {
 		if instance.opts.FirstStart {
 			instance.versions.StartComplete()
 		}
 		return nil
 	}
-	if err != nil {
-		return errors.Wrap(err, "read origins of streams")
-	}
-	var saved savedOrigins
-	if err := json.Unmarshal(data, &saved); err != nil {
-		return errors.Wrap(err, "decode origins of streams")
-	}
 	records, err := fleetapi.UnpackStreams(now, saved.Streams)
 	if err != nil {
-		return errors.Wrap(err, "decode origins of streams")
+		return errors.Wrap(err, "decode "+originsContent)
 	}
 	if saved.Term == term {
 		instance.known.restore(saved.Known)
@@ -82,12 +77,8 @@
 	saved.Known = instance.known.list(saved.History.Versions)
 	records, next, _ := instance.streams.Since(now, 0, math.MaxInt)
 	saved.Streams = fleetapi.PackStreams(now, instance.ambiguousStreams(saved.History, records))
-	data, err := json.Marshal(saved)
-	if err != nil {
-		return errors.Wrap(err, "encode origins of streams")
-	}
-	if err := wal.WriteFile(filepath.Join(instance.opts.DataDir, originsFile), data); err != nil {
-		return errors.Wrap(err, "save origins of streams")
+	if err := writeSaved(filepath.Join(instance.opts.DataDir, originsFile), originsContent, saved); err != nil {
+		return err
 	}
 	instance.savedKnown = len(saved.Known)
 	instance.savedTerm, instance.savedHistory, instance.savedStreams, instance.streamsSavedAt = saved.Term, saved.History, next, now
--- a/instance/controlinstance/saved_sizes.go
+++ b/instance/controlinstance/saved_sizes.go
@@ -3,21 +3,17 @@
 import (
 	"cmp"
 	"context"
-	"encoding/json"
 	"math"
-	"os"
 	"path/filepath"
 	"slices"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/tarragonhoist/tarragonhoist/events"
-	"github.com/tarragonhoist/tarragonhoist/state/wal"
 )
 
 const (
-	sizesFile = "sizes.json"
+	sizesFile    = "sizes.json"
+	sizesContent = "the sizes of models"
 	// sizesInterval is the interval at which changes of the sizes are saved, and sizesRetry the pause after a failed write.
 	sizesInterval = 100 * time.Millisecond
 	sizesRetry    = 2 * time.Second
@@ -33,16 +29,9 @@
 
 // load adds the sizes of a file. Those that no target lists are forgotten after a while.
 func (s *modelSizes) load(now time.Time, path string) error {
-	data, err := os.ReadFile(path)
-	if errors.Is(err, os.ErrNotExist) {
-		return nil
-	}
-	if err != nil {
-		return errors.Wrap(err, "read the sizes of models")
-	}
 	var saved []savedSize
-	if err := json.Unmarshal(data, &saved); err != nil {
-		return errors.Wrap(err, "decode the sizes of models")
+	if _, err := readSaved(path, sizesContent, &saved); err != nil {
+		return err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -66,11 +55,7 @@
 	slices.SortFunc(saved, func(a, b savedSize) int {
 		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Model, b.Model))
 	})
-	data, err := json.Marshal(saved)
-	if err != nil {
-		return 0, errors.Wrap(err, "encode the sizes of models")
-	}
-	return changes, errors.Wrap(wal.WriteFile(path, data), "save the sizes of models")
+	return changes, writeSaved(path, sizesContent, saved)
 }
 
 func (s *modelSizes) changeCount() uint64 {
